Lay out the workspace, the shared types and the outside protocols

Cause: every part needs the same identities, error kinds, templates and outside protocols before it can be built beside the others. Conclusion: parts can be built side by side on these types.

--- /dev/null
+++ b/crates/tallybridge-core/src/error.rs
@@ -0,0 +1,255 @@
+//! The closed list of error kinds and the one table that says how each is answered.
+
+use std::{fmt, time::Duration};
+
+use crate::Outcome;
+
+/// Where the cause of an error lies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ErrorSource {
+    /// The caller sent something that can't be served.
+    Downstream,
+    /// The back end, or the way to it, failed.
+    Upstream,
+    /// A limit or a part of tallybridge itself.
+    Internal,
+}
+
+/// How one kind of error is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ErrorAnswer {
+    /// The kind's name in headers, logs and problem details.
+    pub name: &'static str,
+    /// HTTP status of the refusal.
+    pub status: u16,
+    /// Where the cause lies.
+    pub source: ErrorSource,
+    /// The outcome when no attempt was handed to a back end before.
+    pub outcome: Outcome,
+    /// Whether the same request may be sent again without risk of running twice.
+    pub retry_safe: bool,
+    /// Exit code of a command that ends with this error.
+    pub exit_code: u8,
+    /// What an operator or caller should do.
+    pub hint: &'static str,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$meta:meta])* $kind:ident = $wire:literal => {
+        $name:literal, $status:literal, $source:ident, $outcome:ident, $retry_safe:literal,
+        $exit_code:literal, $hint:literal
+    })*) => {
+        /// Every kind of error that tallybridge answers with.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[repr(u8)]
+        pub enum ErrorKind {
+            $($(#[$meta])* $kind = $wire,)*
+        }
+
+        impl ErrorKind {
+            /// The whole list.
+            pub const ALL: &'static [Self] = &[$(Self::$kind),*];
+
+            /// The row of the table for this kind.
+            #[must_use]
+            pub const fn answer(self) -> ErrorAnswer {
+                match self {
+                    $(Self::$kind => ErrorAnswer {
+                        name: $name,
+                        status: $status,
+                        source: ErrorSource::$source,
+                        outcome: Outcome::$outcome,
+                        retry_safe: $retry_safe,
+                        exit_code: $exit_code,
+                        hint: $hint,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request itself is malformed: a header, the path or the body.
+    InvalidRequest = 1 => {
+        "invalid-request", 400, Downstream, NotRun, false, 64,
+        "correct the field that the detail names and send the request again"
+    }
+    /// No service of that name is known.
+    UnknownService = 2 => {
+        "unknown-service", 404, Downstream, NotRun, false, 65,
+        "check the service name in the path against `tallybridge status`"
+    }
+    /// No template matches the call, or the tenant is unknown.
+    NoTemplate = 3 => {
+        "no-template", 403, Downstream, NotRun, false, 66,
+        "add a template for this method and path, or parameters for the tenant"
+    }
+    /// The request body is above the template's limit.
+    RequestTooLarge = 4 => {
+        "request-too-large", 413, Downstream, NotRun, false, 67,
+        "send a smaller body or raise `max_request_bytes` in the template"
+    }
+    /// The call token names an attempt that this node does not run.
+    UnknownParent = 5 => {
+        "unknown-parent", 409, Downstream, NotRun, false, 68,
+        "the parent call has ended or its node was replaced: let the root caller send it again"
+    }
+    /// The key is older or newer than the window in which keys are remembered.
+    KeyOutsideWindow = 6 => {
+        "key-outside-window", 422, Downstream, Unknown, false, 69,
+        "make a fresh UUIDv7 key; for an older key, ask the service whether it ran"
+    }
+    /// The back end's limit is reached and the call's class is being shed.
+    Overloaded = 10 => {
+        "overloaded", 503, Internal, NotRun, true, 70,
+        "wait for the time in Retry-After; if it lasts, add back ends or lower lesser work"
+    }
+    /// The deadline passed before the call was handed to a back end.
+    DeadlineExceeded = 11 => {
+        "deadline-exceeded", 504, Internal, NotRun, true, 71,
+        "allow more time, or look for the slow hop with `tallybridge explain`"
+    }
+    /// No back end of the service can take the call.
+    NoBackend = 12 => {
+        "no-backend", 503, Upstream, NotRun, true, 72,
+        "check that the service's back ends are alive with `tallybridge status`"
+    }
+    /// The back end is leaving and takes no new work.
+    Leaving = 13 => {
+        "leaving", 503, Upstream, NotRun, true, 73,
+        "send the request again: another back end takes it"
+    }
+    /// The request's retry allowance is spent.
+    RetryAllowanceSpent = 14 => {
+        "retry-allowance-spent", 429, Internal, NotRun, false, 74,
+        "give each deliberate repeat its own Idempotency-Key, or raise `retry_allowance`"
+    }
+    /// The node has no configuration yet.
+    NoConfiguration = 15 => {
+        "no-configuration", 503, Internal, NotRun, true, 75,
+        "check that the node reaches the configuration store or a peer that has a revision"
+    }
+    /// No majority of the key's claim group could be asked.
+    NoQuorum = 16 => {
+        "no-quorum", 503, Internal, Unknown, false, 76,
+        "send the request again with the same key once the members are reachable"
+    }
+    /// Another attempt under the same key is running or has run.
+    AlreadyClaimed = 17 => {
+        "already-claimed", 409, Internal, Unknown, false, 77,
+        "ask again later with the same key: a finished answer is replayed"
+    }
+    /// The back end could not be reached or closed the connection.
+    BackendFailed = 20 => {
+        "backend-failed", 502, Upstream, Unknown, false, 78,
+        "look at the back end's log for this request id"
+    }
+    /// The deadline passed while the back end ran the call.
+    BackendTimeout = 21 => {
+        "backend-timeout", 504, Upstream, Unknown, false, 79,
+        "look for the slow back end with `tallybridge explain`"
+    }
+    /// The back end's answer is above the template's limit.
+    AnswerTooLarge = 22 => {
+        "answer-too-large", 502, Upstream, Unknown, false, 80,
+        "raise `max_answer_bytes` in the template or page the answer"
+    }
+    /// The peer that ran the call was lost before it answered.
+    PeerLost = 23 => {
+        "peer-lost", 502, Internal, Unknown, false, 81,
+        "the node was replaced or cut off: see `tallybridge status`"
+    }
+    /// The caller gave up before the call was answered.
+    Cancelled = 24 => {
+        "cancelled", 499, Downstream, Unknown, false, 82,
+        "nothing to do: the caller closed its connection"
+    }
+    /// A defect of tallybridge itself.
+    Internal = 30 => {
+        "internal", 500, Internal, Unknown, false, 83,
+        "report the log lines of this request id as a defect"
+    }
+    /// A settings, template or scenario file is wrong (commands only).
+    InvalidConfiguration = 40 => {
+        "invalid-configuration", 422, Downstream, NotRun, false, 84,
+        "mend the fields that the report names"
+    }
+    /// An edit was made against a revision that is no longer the newest (commands only).
+    Conflict = 41 => {
+        "conflict", 409, Downstream, NotRun, false, 85,
+        "read the difference, take the newest revision and apply the edit again"
+    }
+    /// The configuration store can't be reached or refuses for now (commands only).
+    StoreUnavailable = 42 => {
+        "store-unavailable", 503, Upstream, Unknown, true, 86,
+        "try again: an apply settles by itself whether an earlier write took effect"
+    }
+    /// A node can't be reached or did not become ready in time (commands only).
+    NodeUnavailable = 43 => {
+        "node-unavailable", 503, Upstream, NotRun, true, 87,
+        "check the node's address and its log"
+    }
+}
+
+impl ErrorKind {
+    /// The kind's name in headers, logs and problem details.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        self.answer().name
+    }
+
+    /// The kind of a wire value, or `None` when no kind has that value.
+    #[must_use]
+    pub fn from_wire(value: u8) -> Option<Self> {
+        Self::ALL.iter().copied().find(|kind| *kind as u8 == value)
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+/// Why a call was refused or failed, and what is known about its execution.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}: {detail}")]
+pub struct Refusal {
+    /// The kind, which decides the answer.
+    pub kind: ErrorKind,
+    /// What is known about the execution of the request over all its attempts.
+    pub outcome: Outcome,
+    /// What exactly went wrong, for people.
+    pub detail: String,
+    /// When the caller may try again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal with the outcome that the table gives for its kind.
+    #[must_use]
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            outcome: kind.answer().outcome,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    /// The same refusal with another outcome.
+    #[must_use]
+    pub fn with_outcome(self, outcome: Outcome) -> Self {
+        Self { outcome, ..self }
+    }
+
+    /// The same refusal with a time after which the caller may try again.
+    #[must_use]
+    pub fn with_retry_after(self, retry_after: Duration) -> Self {
+        Self {
+            retry_after: Some(retry_after),
+            ..self
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! tallybridge-limits.
