Add the peer protocol: deku messages over checksummed frames

Cause: a call crosses from the entry node to the node beside the back end, many at a time over one connection, and a damaged frame must harm no other. Change: typed messages with deku, a codec with length, version, kind, stream and CRC-32. A damaged frame ends its connection; an unreadable payload in a sound frame harms its own stream only. A first attempt with deku's temp fields was dropped: they need another derive and hide a field. Conclusion: ready for the node's connections.

--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -1,1 +1,17 @@
-//! tallybridge-wire.
+//! The protocol between nodes: typed messages, their binary form and their framing.
+
+pub mod codec;
+pub mod frame;
+pub mod message;
+pub mod text;
+
+pub use codec::{FrameCodec, FrameError};
+pub use frame::{Frame, StreamId};
+pub use message::{
+    AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
+    MessageError, WireHeader, WireHeaders, WireLoad,
+};
+pub use text::Text;
+
+/// Version of the protocol. Nodes refuse a peer that speaks another one.
+pub const PROTOCOL_VERSION: u8 = 1;
--- /dev/null
+++ b/crates/tallybridge-wire/src/text.rs
@@ -0,0 +1,46 @@
+//! Short text with its length in front.
+
+use deku::prelude::*;
+
+/// UTF-8 text of at most 65,535 bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Default, DekuRead, DekuWrite)]
+#[deku(
+    endian = "endian",
+    ctx = "endian: deku::ctx::Endian",
+    ctx_default = "deku::ctx::Endian::Big"
+)]
+pub struct Text {
+    length: u16,
+    #[deku(count = "length")]
+    bytes: Vec<u8>,
+}
+
+impl Text {
+    /// Wraps a text; what is beyond 65,535 bytes is cut off, which no checked name reaches.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
+        Self {
+            length: u16::try_from(bytes.len()).unwrap_or(u16::MAX),
+            bytes: bytes.to_vec(),
+        }
+    }
+
+    /// The text, or `None` when a peer sent bytes that are not UTF-8.
+    #[must_use]
+    pub fn as_str(&self) -> Option<&str> {
+        std::str::from_utf8(&self.bytes).ok()
+    }
+
+    /// The bytes as they were sent.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl From<&str> for Text {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
