--- /dev/null
+++ b/crates/tallybridge-routing/src/endpoint/health.rs
@@ -0,0 +1,152 @@
+//! Whether an endpoint gets traffic: ejection, probing and ramp.
+//!
+//! Ejection follows Envoy's outlier detection (consecutive failures, ejection time that grows with
+//! each ejection, bounded share of ejected hosts); the ramp follows its slow start mode.
+
+use std::time::{Duration, Instant};
+
+use crate::{EndpointState, RoutingSettings};
+
+/// Doublings after which the ejection time stays within any sensible limit.
+const MOST_DOUBLINGS: u32 = 16;
+
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    Serving,
+    Ramping { since: Instant, window: Duration },
+    Ejected { until: Instant },
+    Probing { since: Instant },
+}
+
+/// Health of one endpoint by what was observed of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Health {
+    phase: Phase,
+    consecutive_failures: u32,
+    ejections: u32,
+    ejected_at: Option<Instant>,
+}
+
+impl Health {
+    /// Health of an endpoint that has just appeared.
+    #[must_use]
+    pub fn cold(settings: &RoutingSettings, now: Instant) -> Self {
+        Self {
+            phase: Phase::Ramping {
+                since: now,
+                window: settings.cold_start_ramp,
+            },
+            consecutive_failures: 0,
+            ejections: 0,
+            ejected_at: None,
+        }
+    }
+
+    /// The phase as status pages show it.
+    #[must_use]
+    pub fn state(&self) -> EndpointState {
+        match self.phase {
+            Phase::Serving => EndpointState::Serving,
+            Phase::Ramping { .. } => EndpointState::Ramping,
+            Phase::Ejected { .. } => EndpointState::Ejected,
+            Phase::Probing { .. } => EndpointState::Probing,
+        }
+    }
+
+    /// Whether the endpoint gets no traffic.
+    #[must_use]
+    pub fn is_ejected(&self) -> bool {
+        matches!(self.phase, Phase::Ejected { .. })
+    }
+
+    /// When probing began, while it lasts.
+    #[must_use]
+    pub fn probing_since(&self) -> Option<Instant> {
+        match self.phase {
+            Phase::Probing { since } => Some(since),
+            _ => None,
+        }
+    }
+
+    /// When the endpoint was last ejected: attempts from before no longer count against it.
+    #[must_use]
+    pub fn ejected_at(&self) -> Option<Instant> {
+        self.ejected_at
+    }
+
+    /// Share of its traffic that the endpoint gets now, 0 to 1.
+    #[must_use]
+    pub fn share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
+        match self.phase {
+            Phase::Serving | Phase::Probing { .. } => 1.0,
+            Phase::Ejected { .. } => 0.0,
+            Phase::Ramping { since, window } => {
+                let elapsed = now.saturating_duration_since(since).as_secs_f64();
+                let progress = (elapsed / window.as_secs_f64()).min(1.0);
+                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress
+            }
+        }
+    }
+
+    /// Counts an answer; the first one to a probe starts the ramp.
+    pub fn answered(&mut self, settings: &RoutingSettings, now: Instant) {
+        self.consecutive_failures = 0;
+        if let Phase::Probing { .. } = self.phase {
+            self.phase = Phase::Ramping {
+                since: now,
+                window: settings.recovery_ramp,
+            };
+        }
+    }
+
+    /// Counts a failure.
+    pub fn failed(&mut self) {
+        self.consecutive_failures = self.consecutive_failures.saturating_add(1);
+    }
+
+    /// Whether failures in a row ask for an ejection; one is enough while probing.
+    #[must_use]
+    pub fn has_failed_out(&self, settings: &RoutingSettings) -> bool {
+        match self.phase {
+            Phase::Probing { .. } => self.consecutive_failures > 0,
+            Phase::Ejected { .. } => false,
+            _ => self.consecutive_failures >= settings.consecutive_failures,
+        }
+    }
+
+    /// Takes the endpoint's traffic away for a time that doubles with each ejection in a row.
+    pub fn eject(&mut self, settings: &RoutingSettings, now: Instant) {
+        let doublings = self.ejections.min(MOST_DOUBLINGS);
+        let time = settings
+            .ejection_time
+            .saturating_mul(1 << doublings)
+            .min(settings.ejection_time_limit);
+        self.phase = Phase::Ejected { until: now + time };
+        self.ejections = self.ejections.saturating_add(1);
+        self.ejected_at = Some(now);
+        self.consecutive_failures = 0;
+    }
+
+    /// Ends an ejection that the service can't afford.
+    pub fn release(&mut self) {
+        if self.is_ejected() {
+            self.phase = Phase::Serving;
+        }
+    }
+
+    /// Moves on to the next phase when its time has come; says whether it began to probe.
+    pub fn advance(&mut self, now: Instant) -> bool {
+        match self.phase {
+            Phase::Ejected { until } if now >= until => {
+                self.phase = Phase::Probing { since: now };
+                true
+            }
+            Phase::Ramping { since, window } if now.saturating_duration_since(since) >= window => {
+                self.phase = Phase::Serving;
+                self.ejections = 0;
+                false
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-routing/src/endpoint/latency.rs
@@ -0,0 +1,72 @@
+//! Smoothed latency of one endpoint.
+//!
+//! A peak-sensitive moving average as in Finagle's `PeakEwma` load balancer: it follows a rise at
+//! once and forgets it with time. Unlike there a single sample moves it only part of the way, since
+//! calls of different kinds go to one endpoint.
+
+use std::time::{Duration, Instant};
+
+/// Part of the way that one sample above the average moves it.
+const RISE_WEIGHT: f64 = 0.3;
+/// Weight of a new sample in the mean.
+const MEAN_WEIGHT: f64 = 0.05;
+
+/// What a latency falls back to.
+#[derive(Debug, Clone, Copy)]
+pub struct Baseline {
+    /// Typical latency of the service, seconds.
+    pub typical: f64,
+    /// Time constant of the fall.
+    pub decay: Duration,
+}
+
+/// Latency of one endpoint as the router sees it, seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct LatencyEstimate {
+    peak: f64,
+    mean: f64,
+    updated: Instant,
+}
+
+impl LatencyEstimate {
+    /// The estimate after a first sample.
+    #[must_use]
+    pub fn new(sample: Duration, now: Instant) -> Self {
+        let sample = sample.as_secs_f64();
+        Self {
+            peak: sample,
+            mean: sample,
+            updated: now,
+        }
+    }
+
+    /// Takes in a sample; `greatest` bounds what a single one counts.
+    pub fn record(&mut self, sample: Duration, greatest: f64, baseline: Baseline, now: Instant) {
+        let sample = sample.as_secs_f64();
+        let bounded = sample.min(greatest);
+        self.peak = self.peak(baseline, now);
+        if bounded > self.peak {
+            self.peak += (bounded - self.peak) * RISE_WEIGHT;
+        }
+        self.mean += (sample - self.mean) * MEAN_WEIGHT;
+        self.updated = now;
+    }
+
+    /// The peak-sensitive average, seconds.
+    ///
+    /// It falls towards what is typical of the service with time and not with samples, so an
+    /// endpoint that lost its traffic is tried again.
+    #[must_use]
+    pub fn peak(&self, baseline: Baseline, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated).as_secs_f64();
+        let rest = (-age / baseline.decay.as_secs_f64()).exp();
+        let floor = baseline.typical.min(self.mean);
+        floor + (self.peak - floor) * rest
+    }
+
+    /// The mean, seconds.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+}
