Add the store's stand-in and client, and those of the machine list

Cause: the configuration, duties and join seeds come from a key-value service and a machine list that are not part of this project, so their protocols need a client, and tests need something that speaks them and fails on demand.

Change: stand-ins of both in tallybridge-lab (in a test's own process or as a process of their own, which prints its address as one JSON line) and clients in tallybridge-store. Faults are set by POST /fault: outage (503 or silence), slowness, and by count: 503, 429, and writes that take effect while their answer is lost (connection closed, 503, or silence).

A write answered 5xx counts as of unknown outcome, as the protocol does not promise that it was not done; and a write goes on to the next address only when no connection could be opened, since a second sending could be refused by the first one's effect. Ruled out: reading 503 as "not done".

--- a/crates/tallybridge-lab/src/lib.rs
+++ b/crates/tallybridge-lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! tallybridge-lab.
+
+pub mod standin;
--- /dev/null
+++ b/crates/tallybridge-lab/src/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins of the services that tallybridge leans on.
+
+pub mod machine_list;
+pub mod store;
