Add the node: calls carried from entry to back end and back

Cause: the parts stand side by side; a call needs one path through them. Change: tables (calls, executions, admission, configuration, peers, decisions) owned by one xtra actor; systems for the start of a call, admission and retries; connections to callers (warp), back end (reqwest), peers, operators, machine list and store. The retry allowance travels with the call, a nested call leaves through the back end's own node, and a refusal says not-run only when no attempt may have run. Measured: tests only: a call three hops deep runs once at each of three nodes, a 1 MB body arrives whole, seven bad requests are refused as not-run with nothing run, malformed HTTP and frames harm no other call. Conclusion: the path stands; claims and probing come next.

--- /dev/null
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -0,0 +1,229 @@
+//! A chain of services in one process: each with a back end, a node beside it and real sockets.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+};
+
+use tallybridge_config::{
+    Edit, Revision, RevisionRecord, Settings, Template, Tenant, settings::BackendSettings,
+};
+use tallybridge_core::{RegionName, ServiceName, TenantName, ZoneName, header};
+use tallybridge_node::{
+    RunningNode,
+    actor::{configuration::ApplyRecords, fleet::PeerSeen, status::GetStatus},
+    start,
+};
+use warp::Filter;
+
+pub const TENANT: &str = "market";
+
+/// One service of the chain.
+pub struct Hop {
+    pub node: RunningNode,
+    pub settings: Settings,
+    pub executions: Arc<Mutex<Vec<String>>>,
+}
+
+/// A chain in which each back end calls the service after it, through its own node.
+pub struct Chain {
+    pub hops: Vec<Hop>,
+    pub client: reqwest::Client,
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+pub fn template(text: &str) -> Template {
+    let file = tallybridge_config::ConfigurationFile::parse("test.toml", text);
+    let mut file = file.unwrap_or_else(|mistakes| panic!("{mistakes:?}"));
+    file.templates.remove(0)
+}
+
+fn service_name(position: usize) -> String {
+    format!("service-{position}")
+}
+
+fn default_template(position: usize) -> Template {
+    let service = service_name(position);
+    template(&format!(
+        "[[template]]\nname = \"{service}-any\"\nservice = \"{service}\"\n"
+    ))
+}
+
+fn settings(position: usize, backend: SocketAddr) -> Settings {
+    Settings {
+        peer_address: free_address(),
+        caller_address: free_address(),
+        admin_address: free_address(),
+        region: RegionName::from("south"),
+        zone: ZoneName::from("a"),
+        rack: String::new(),
+        backend: Some(BackendSettings {
+            service: ServiceName::from(service_name(position)),
+            address: backend,
+            max_connections: 32,
+            initial_limit: 16,
+        }),
+        store: vec![free_address()],
+        machine_list: None,
+        seeds: Vec::new(),
+        log: "warn".to_owned(),
+        drain_ms: 5_000,
+    }
+}
+
+/// A back end that records each execution and answers with what the next service answered.
+fn spawn_backend(
+    listener: std::net::TcpListener,
+    executions: Arc<Mutex<Vec<String>>>,
+    next: Option<String>,
+    client: reqwest::Client,
+) {
+    let route = warp::any()
+        .and(warp::path::full())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::bytes())
+        .then(
+            move |path: warp::path::FullPath,
+                  headers: warp::http::HeaderMap,
+                  body: bytes::Bytes| {
+                let request_id = headers[header::REQUEST_ID]
+                    .to_str()
+                    .unwrap_or("")
+                    .to_owned();
+                executions.lock().expect("lock").push(request_id);
+                let next = next.clone();
+                let client = client.clone();
+                async move {
+                    let Some(next) = next else {
+                        let text = format!("leaf {} {}", path.as_str(), body.len());
+                        return warp::http::Response::new(text);
+                    };
+                    let url = format!("{next}{}", path.as_str());
+                    let nested = client
+                        .post(url)
+                        .header(header::CALL_TOKEN, headers[header::CALL_TOKEN].clone())
+                        .body(body)
+                        .send()
+                        .await
+                        .expect("the node answers");
+                    let status = nested.status();
+                    let text = format!("via {}", nested.text().await.expect("whole"));
+                    let mut response = warp::http::Response::new(text);
+                    *response.status_mut() = status;
+                    response
+                }
+            },
+        );
+    listener.set_nonblocking(true).expect("nonblocking");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
+    tokio::spawn(warp::serve(route).incoming(listener).run());
+}
+
+impl Chain {
+    /// Starts a chain of `depth` services, with the given templates or plain ones.
+    pub async fn start(depth: usize, templates: Option<Vec<Template>>) -> Self {
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .build()
+            .expect("client");
+        let listeners: Vec<_> = (0..depth)
+            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port"))
+            .collect();
+        let all_settings: Vec<_> = listeners
+            .iter()
+            .enumerate()
+            .map(|(position, listener)| {
+                settings(position, listener.local_addr().expect("an address"))
+            })
+            .collect();
+        let mut hops = Vec::new();
+        for (position, listener) in listeners.into_iter().enumerate() {
+            let executions = Arc::default();
+            let next = (position + 1 < depth).then(|| {
+                format!(
+                    "http://{}/call/{}",
+                    all_settings[position].caller_address,
+                    service_name(position + 1)
+                )
+            });
+            spawn_backend(listener, Arc::clone(&executions), next, client.clone());
+            let settings = all_settings[position].clone();
+            let node = start(settings.clone()).await.expect("the node starts");
+            hops.push(Hop {
+                node,
+                settings,
+                executions,
+            });
+        }
+        let chain = Self { hops, client };
+        let templates = templates.unwrap_or_else(|| (0..depth).map(default_template).collect());
+        chain.configure(templates).await;
+        chain.introduce().await;
+        chain
+    }
+
+    async fn configure(&self, templates: Vec<Template>) {
+        let mut edits: Vec<_> = templates.into_iter().map(Edit::PutTemplate).collect();
+        edits.push(Edit::PutTenant(Tenant {
+            name: TenantName::from(TENANT),
+            overrides: Vec::new(),
+        }));
+        let record = RevisionRecord {
+            revision: Revision(1),
+            change_id: uuid::Uuid::nil(),
+            author: "test".to_owned(),
+            made_unix_ms: 0,
+            comment: String::new(),
+            edits,
+        };
+        for hop in &self.hops {
+            let records = ApplyRecords(vec![record.clone()]);
+            hop.node.context.ask(records).await.expect("applies");
+        }
+    }
+
+    /// Makes every node known to every other.
+    async fn introduce(&self) {
+        for hop in &self.hops {
+            for other in &self.hops {
+                let link = other
+                    .node
+                    .context
+                    .links
+                    .link(hop.settings.peer_address)
+                    .await;
+                let peer = link.expect("the node answers").peer.clone();
+                other.node.context.ask(PeerSeen(peer)).await.expect("takes");
+            }
+        }
+    }
+
+    /// A call to a service of the chain, entering at a node.
+    pub fn call(&self, entry: usize, service: usize) -> reqwest::RequestBuilder {
+        let address = self.hops[entry].settings.caller_address;
+        let url = format!("http://{address}/call/{}/pay", service_name(service));
+        self.client.post(url).header(header::TENANT, TENANT)
+    }
+
+    pub fn executions(&self, service: usize) -> usize {
+        self.hops[service].executions.lock().expect("lock").len()
+    }
+
+    /// Waits until no node has a call or an execution left.
+    pub async fn settle(&self) {
+        for hop in &self.hops {
+            loop {
+                let status = hop.node.context.ask(GetStatus).await.expect("status");
+                if status.calls == 0 && status.executions == 0 {
+                    break;
+                }
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -0,0 +1,119 @@
+//! Messages about calls that enter at this node.
+
+use std::{sync::Arc, time::Instant};
+
+use tallybridge_config::CallPolicy;
+use tallybridge_core::{Criticality, NodeId, Refusal, RequestKey, ServiceName, TenantName};
+use xtra::prelude::*;
+
+use super::{NodeActor, now};
+use crate::{
+    systems::{
+        begin::{self, CallRequest},
+        retry::{self, AttemptEnd, Next, Route},
+    },
+    tables::calls::CallId,
+};
+
+/// Starts a call.
+pub struct BeginCall(pub CallRequest);
+
+/// How a call is carried.
+#[derive(Debug, Clone)]
+pub struct CallPlan {
+    /// The call.
+    pub id: CallId,
+    /// Identity of the whole request, for logs.
+    pub request_id: Arc<str>,
+    /// Identity over all attempts.
+    pub key: RequestKey,
+    /// Whether attempts may exist that this node does not know of.
+    pub shared_key: bool,
+    /// Tenant.
+    pub tenant: TenantName,
+    /// Target service.
+    pub service: ServiceName,
+    /// How the call is treated.
+    pub policy: Arc<CallPolicy>,
+    /// Class.
+    pub criticality: Criticality,
+    /// Depth in the chain, from 1.
+    pub depth: u8,
+    /// When the call must be answered.
+    pub deadline: Instant,
+    /// The first attempt.
+    pub route: Route,
+}
+
+impl Handler<BeginCall> for NodeActor {
+    type Return = Result<CallPlan, Refusal>;
+
+    async fn handle(
+        &mut self,
+        BeginCall(request): BeginCall,
+        _context: &mut Context<Self>,
+    ) -> Self::Return {
+        let now = now();
+        let call = begin::begin(&mut self.tables, &request, now)?;
+        let id = self.tables.calls.insert(call.clone());
+        match retry::choose_route(&mut self.tables, id, now) {
+            Ok(route) => Ok(CallPlan {
+                id,
+                request_id: call.request_id,
+                key: call.key,
+                shared_key: call.shared_key,
+                tenant: call.tenant,
+                service: call.service,
+                policy: call.policy,
+                criticality: call.criticality,
+                depth: call.depth,
+                deadline: call.deadline,
+                route,
+            }),
+            Err(refusal) => {
+                self.end_call(id);
+                Err(refusal)
+            }
+        }
+    }
+}
+
+/// Takes in how an attempt ended and asks what comes next.
+pub struct EndAttempt {
+    /// The call.
+    pub call: CallId,
+    /// The node that the attempt went to.
+    pub node: NodeId,
+    /// How it ended.
+    pub end: AttemptEnd,
+}
+
+impl Handler<EndAttempt> for NodeActor {
+    type Return = Next;
+
+    async fn handle(&mut self, message: EndAttempt, _context: &mut Context<Self>) -> Next {
+        let EndAttempt { call, node, end } = message;
+        let next = retry::attempt_ended(&mut self.tables, call, node, end, now());
+        if !matches!(next, Next::Retry(_)) {
+            self.end_call(call);
+        }
+        next
+    }
+}
+
+impl NodeActor {
+    /// Takes a call out and gives its parent back what was lent and not spent.
+    fn end_call(&mut self, id: CallId) {
+        let Some(call) = self.tables.calls.remove(id) else {
+            return;
+        };
+        let Some(parent) = call.parent else {
+            return;
+        };
+        if let Some(parent) = self.tables.executions.get_mut(parent) {
+            parent
+                .allowance
+                .give_back(call.allowance.remaining(), call.lent_by_parent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -0,0 +1,99 @@
+//! Messages about attempts that the back end beside this node runs.
+
+use tallybridge_core::{AttemptId, LoadReport, Refusal};
+use tallybridge_limits::{Sample, Ticket};
+use xtra::prelude::*;
+
+use super::{NodeActor, now};
+use crate::{
+    systems::admission::{self, Admitted},
+    tables::{admission::TemplateBounds, executions::Execution},
+};
+
+/// Asks for a slot of the back end.
+pub struct Admit {
+    /// The row of the attempt.
+    pub execution: Execution,
+    /// Bounds of its template.
+    pub bounds: TemplateBounds,
+}
+
+impl Handler<Admit> for NodeActor {
+    type Return = Result<Admitted, Refusal>;
+
+    async fn handle(&mut self, message: Admit, _context: &mut Context<Self>) -> Self::Return {
+        admission::admit(&mut self.tables, message.execution, message.bounds, now())
+    }
+}
+
+/// Takes a waiting call out of the queue: its caller gave up.
+pub struct Withdraw(pub Ticket);
+
+impl Handler<Withdraw> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, Withdraw(ticket): Withdraw, _context: &mut Context<Self>) {
+        drop(self.tables.admission.queue.cancel(ticket));
+    }
+}
+
+/// Ends an attempt and frees its slot.
+pub struct EndExecution {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What it tells about the back end's load.
+    pub sample: Sample,
+}
+
+/// What an executing node tells the entry node besides the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Closing {
+    /// Retries of those lent that were not spent.
+    pub unused_allowance: u8,
+    /// Load of this node.
+    pub load: LoadReport,
+}
+
+impl Handler<EndExecution> for NodeActor {
+    type Return = Closing;
+
+    async fn handle(&mut self, message: EndExecution, _context: &mut Context<Self>) -> Closing {
+        let mut unused_allowance = 0;
+        if let Some(execution) = self.tables.executions.remove(message.attempt) {
+            unused_allowance = execution.allowance.remaining();
+            admission::release(&mut self.tables, &execution, message.sample, now());
+        }
+        Closing {
+            unused_allowance,
+            load: self.load_report(),
+        }
+    }
+}
+
+/// Asks for the load of this node.
+pub struct ReportLoad;
+
+impl Handler<ReportLoad> for NodeActor {
+    type Return = LoadReport;
+
+    async fn handle(&mut self, _message: ReportLoad, _context: &mut Context<Self>) -> LoadReport {
+        self.load_report()
+    }
+}
+
+/// The back end said that it is leaving.
+pub struct BackendDraining;
+
+impl Handler<BackendDraining> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: BackendDraining, _context: &mut Context<Self>) {
+        self.tables.leaving = true;
+    }
+}
+
+impl NodeActor {
+    fn load_report(&self) -> LoadReport {
+        self.tables.admission.load_report(self.tables.leaving)
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -0,0 +1,8 @@
+//! The tasks that speak to callers, operators, peers, the back end and the platform.
+
+pub mod admin;
+pub mod backend;
+pub mod caller;
+pub mod discovery;
+pub mod peer;
+pub mod store;
--- /dev/null
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -0,0 +1,234 @@
+//! Links that peers open to this node: their calls run here.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use tallybridge_config::{Revision, RevisionRecord};
+use tallybridge_wire::{
+    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message, StreamId,
+};
+use tokio::{net::TcpListener, sync::mpsc};
+use tokio_util::{codec::FramedRead, sync::CancellationToken};
+
+use super::{
+    body::{BodyAssembly, send_body},
+    call::answer_head,
+    network::PeerStream,
+    peer_of,
+    writer::{WRITE_QUEUE, write_frames},
+};
+use crate::{
+    actor::{
+        configuration::{ApplyRecords, RecordsAfter},
+        fleet::PeerSeen,
+    },
+    context::NodeContext,
+    path::{Executed, execute},
+};
+
+/// Accepts peers until the node stops.
+pub async fn accept_peers(context: NodeContext, listener: TcpListener, hello: Hello) {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = context.shutdown.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                // Without it small messages wait for acknowledgements; the link works all the same.
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(serve_peer(context.clone(), Box::new(stream), hello.clone()));
+            }
+            Err(error) => tracing::warn!(%error, "a peer's connection was not accepted"),
+        }
+    }
+}
+
+/// A call whose body is still arriving.
+struct PartialCall {
+    head: CallHead,
+    assembly: BodyAssembly,
+}
+
+/// One connection from a peer.
+struct PeerConnection {
+    context: NodeContext,
+    sender: mpsc::Sender<Frame>,
+    partial: HashMap<StreamId, PartialCall>,
+    running: HashMap<StreamId, CancellationToken>,
+    /// Streams whose call has ended.
+    ended: mpsc::UnboundedReceiver<StreamId>,
+    end: mpsc::UnboundedSender<StreamId>,
+}
+
+/// Serves one connection from a peer until it closes. What runs for it then is cancelled: nobody
+/// is left to answer.
+pub async fn serve_peer(context: NodeContext, stream: Box<dyn PeerStream>, hello: Hello) {
+    let (read_half, write_half) = tokio::io::split(stream);
+    let (sender, frames) = mpsc::channel(WRITE_QUEUE);
+    let writer = tokio::spawn(write_frames(write_half, frames));
+    let introduction = Frame::new(StreamId::CONNECTION, Message::Hello(hello));
+    if sender.send(introduction).await.is_err() {
+        return;
+    }
+    let (end, ended) = mpsc::unbounded_channel();
+    let mut connection = PeerConnection {
+        context,
+        sender,
+        partial: HashMap::new(),
+        running: HashMap::new(),
+        ended,
+        end,
+    };
+    connection
+        .read(FramedRead::new(read_half, FrameCodec))
+        .await;
+    for token in connection.running.values() {
+        token.cancel();
+    }
+    drop(connection);
+    // The writer ends once the last running call has dropped its sender.
+    let _ = writer.await;
+}
+
+impl PeerConnection {
+    async fn read<R>(&mut self, mut reader: FramedRead<R, FrameCodec>)
+    where
+        R: tokio::io::AsyncRead + Unpin,
+    {
+        let shutdown = self.context.shutdown.clone();
+        loop {
+            tokio::select! {
+                biased;
+                () = shutdown.cancelled() => return,
+                Some(stream) = self.ended.recv() => {
+                    self.running.remove(&stream);
+                }
+                frame = reader.next() => match frame {
+                    Some(Ok(frame)) => self.take(frame).await,
+                    Some(Err(error)) => {
+                        tracing::warn!(%error, "a peer's connection is damaged and closes");
+                        return;
+                    }
+                    None => return,
+                },
+            }
+        }
+    }
+
+    async fn take(&mut self, frame: Frame) {
+        let stream = frame.stream;
+        match frame.message {
+            Ok(Message::Hello(hello)) => self.introduce(&hello).await,
+            Ok(Message::Call(head)) => self.start(stream, head),
+            Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
+            Ok(Message::Cancel) => self.cancel(stream),
+            Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
+            Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
+            Ok(Message::Answer(_)) => {
+                tracing::warn!("a peer sent an answer on a connection that it opened");
+            }
+            Err(error) => {
+                tracing::warn!(%error, stream = stream.0, "a peer's message can't be read");
+                self.partial.remove(&stream);
+            }
+        }
+    }
+
+    async fn introduce(&self, hello: &Hello) {
+        if let Some(peer) = peer_of(hello) {
+            // Fails only when the node is stopping.
+            let _ = self.context.ask(PeerSeen(peer)).await;
+        }
+    }
+
+    fn start(&mut self, stream: StreamId, head: CallHead) {
+        let assembly = BodyAssembly::new(head.body_length, head.body_checksum);
+        self.partial.insert(stream, PartialCall { head, assembly });
+        self.run_if_whole(stream);
+    }
+
+    fn add(&mut self, stream: StreamId, chunk: &tallybridge_wire::BodyChunk) {
+        let Some(call) = self.partial.get_mut(&stream) else {
+            return;
+        };
+        if call.assembly.push(chunk).is_err() {
+            self.partial.remove(&stream);
+            return;
+        }
+        self.run_if_whole(stream);
+    }
+
+    fn run_if_whole(&mut self, stream: StreamId) {
+        let whole = self
+            .partial
+            .get(&stream)
+            .is_some_and(|call| call.assembly.is_whole());
+        if !whole {
+            return;
+        }
+        let Some(call) = self.partial.remove(&stream) else {
+            return;
+        };
+        match call.assembly.finish() {
+            Ok(body) => self.run(stream, call.head, body),
+            Err(error) => tracing::warn!(%error, "a call's body was damaged on its way"),
+        }
+    }
+
+    fn run(&mut self, stream: StreamId, head: CallHead, body: Bytes) {
+        let cancelled = CancellationToken::new();
+        self.running.insert(stream, cancelled.clone());
+        let context = self.context.clone();
+        let sender = self.sender.clone();
+        let end = self.end.clone();
+        let tracker = self.context.calls.clone();
+        tracker.spawn(async move {
+            let executed = execute::serve(&context, head, body, cancelled).await;
+            send_answer(&sender, stream, &executed).await;
+            // The connection may be gone; then nobody keeps count of its streams.
+            let _ = end.send(stream);
+        });
+    }
+
+    fn cancel(&mut self, stream: StreamId) {
+        self.partial.remove(&stream);
+        if let Some(token) = self.running.remove(&stream) {
+            token.cancel();
+        }
+    }
+
+    async fn send_records(&self, stream: StreamId, fetch: &ConfigurationFetch) {
+        let records = self.context.ask(RecordsAfter(Revision(fetch.after))).await;
+        let json = records
+            .ok()
+            .and_then(|records| serde_json::to_vec(&records).ok())
+            .unwrap_or_default();
+        let message = Message::ConfigurationRecords(ConfigurationRecords::new(json));
+        // A closed connection needs no answer.
+        let _ = self.sender.send(Frame::new(stream, message)).await;
+    }
+
+    async fn apply_records(&self, records: &ConfigurationRecords) {
+        match serde_json::from_slice::<Vec<RevisionRecord>>(&records.json) {
+            Ok(records) => {
+                // Fails only when the node is stopping.
+                let _ = self.context.ask(ApplyRecords(records)).await;
+            }
+            Err(error) => tracing::warn!(%error, "a peer's configuration records can't be read"),
+        }
+    }
+}
+
+/// Sends an answer; when the connection is gone the entry node has found that out already.
+async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
+    let head = Message::Answer(answer_head(executed));
+    if sender.send(Frame::new(stream, head)).await.is_err() {
+        return;
+    }
+    if let Ok(answer) = &executed.result {
+        let _ = send_body(sender, stream, &answer.body).await;
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -0,0 +1,147 @@
+//! One attempt: from the entry node to the executing node and back.
+
+use std::time::{Duration, Instant};
+
+use tallybridge_config::CallPolicy;
+use tallybridge_core::{ErrorKind, Refusal};
+use tallybridge_wire::{CallHead, Text};
+use tokio_util::sync::CancellationToken;
+
+use super::{CarriedRequest, Executed, WholeAnswer, execute};
+use crate::{
+    actor::calls::CallPlan,
+    connections::peer::{PeerFailure, call::call_peer},
+    context::NodeContext,
+    systems::retry::{AttemptEnd, Route},
+};
+
+/// Taken off the time that the executing node is given, so that its own refusal arrives before the
+/// entry node gives up on it.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// An attempt that has ended.
+pub struct Attempted {
+    /// How, for the tables.
+    pub end: AttemptEnd,
+    /// The answer, when there is one.
+    pub answer: Option<WholeAnswer>,
+}
+
+/// Runs one attempt to its end, at this node or at a peer.
+pub async fn run(
+    context: &NodeContext,
+    plan: &CallPlan,
+    route: Route,
+    carried: &CarriedRequest,
+    cancelled: &CancellationToken,
+) -> Attempted {
+    let started = tokio::time::Instant::now();
+    let head = call_head(plan, route, carried);
+    let deadline = tokio::time::Instant::from_std(plan.deadline);
+    let executing = async {
+        if route.node == context.identity {
+            let token = cancelled.child_token();
+            let executed = execute::serve(context, head, carried.body.clone(), token).await;
+            Ok(executed)
+        } else {
+            call_peer(&context.links, route.node, head, &carried.body).await
+        }
+    };
+    tokio::select! {
+        biased;
+        executed = executing => ended(executed, started.elapsed()),
+        () = cancelled.cancelled() => without_answer(AttemptEnd::Cancelled),
+        () = tokio::time::sleep_until(deadline) => {
+            context.links.retire(route.node);
+            without_answer(AttemptEnd::Lost(timed_out()))
+        }
+    }
+}
+
+fn ended(executed: Result<Executed, PeerFailure>, latency: Duration) -> Attempted {
+    match executed {
+        Ok(executed) => answered(executed, latency),
+        Err(PeerFailure::NotSent(reason)) => without_answer(AttemptEnd::NotSent(not_sent(reason))),
+        Err(PeerFailure::Lost(reason)) => {
+            without_answer(AttemptEnd::Lost(Refusal::new(ErrorKind::PeerLost, reason)))
+        }
+    }
+}
+
+fn answered(executed: Executed, latency: Duration) -> Attempted {
+    let closing = executed.closing;
+    match executed.result {
+        Ok(answer) => Attempted {
+            end: AttemptEnd::Answered {
+                latency,
+                load: closing.load,
+                unused_allowance: closing.unused_allowance,
+            },
+            answer: Some(answer),
+        },
+        Err(refusal) => without_answer(AttemptEnd::Refused {
+            refusal,
+            reached_backend: executed.reached_backend,
+            load: closing.load,
+            unused_allowance: closing.unused_allowance,
+        }),
+    }
+}
+
+const fn without_answer(end: AttemptEnd) -> Attempted {
+    Attempted { end, answer: None }
+}
+
+fn not_sent(reason: String) -> Refusal {
+    Refusal::new(ErrorKind::PeerLost, reason).with_outcome(tallybridge_core::Outcome::NotRun)
+}
+
+fn timed_out() -> Refusal {
+    Refusal::new(
+        ErrorKind::BackendTimeout,
+        "no answer came before the deadline",
+    )
+}
+
+fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
+    let policy = &plan.policy;
+    CallHead {
+        key_issued_unix_ms: plan.key.issued_unix_ms,
+        key_digest: plan.key.digest,
+        claim_needed: u8::from(plan.shared_key && !policy.idempotent),
+        max_runs: max_runs(policy),
+        attempt: route.attempt,
+        depth: plan.depth,
+        criticality: plan.criticality as u8,
+        idempotent: u8::from(policy.idempotent),
+        allowance: route.allowance,
+        remaining_ms: remaining_ms(plan.deadline),
+        max_answer_bytes: policy.max_answer_bytes,
+        concurrency_limit: policy.concurrency_limit.unwrap_or(0),
+        reserve: policy.reserve,
+        service: Text::new(plan.service.as_str()),
+        tenant: Text::new(plan.tenant.as_str()),
+        template: Text::new(policy.template.as_str()),
+        request_id: Text::new(&plan.request_id),
+        method: Text::new(&carried.method),
+        path: Text::new(&carried.path_and_query),
+        headers: carried.headers.clone(),
+        body_length: u32::try_from(carried.body.len()).unwrap_or(u32::MAX),
+        body_checksum: crc32fast::hash(&carried.body),
+    }
+}
+
+fn max_runs(policy: &CallPolicy) -> u8 {
+    if policy.idempotent {
+        policy.retry_allowance.saturating_add(1)
+    } else {
+        1
+    }
+}
+
+fn remaining_ms(deadline: Instant) -> u32 {
+    let remaining = deadline
+        .saturating_duration_since(tokio::time::Instant::now().into_std())
+        .saturating_sub(DEADLINE_MARGIN);
+    u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/run.rs
@@ -0,0 +1,225 @@
+//! Starts a node and stops it as planned.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tallybridge_config::Settings;
+use tallybridge_core::{ErrorKind, InstanceId, NodeId, Refusal};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use xtra::{Address, Mailbox};
+
+use crate::{
+    actor::{
+        MAILBOX_CAPACITY, NodeActor, TICK_INTERVAL, Tick,
+        fleet::{Leave, PeerSeen},
+        now,
+    },
+    connections::{
+        admin::{Admin, serve_operators},
+        backend::{BackendClient, HttpBackend},
+        caller::serve_callers,
+        discovery::discover_peers,
+        peer::{accept::accept_peers, hello_of, links::PeerLinks, network::TcpNetwork},
+        store::follow_configuration,
+    },
+    context::NodeContext,
+    tables::{Tables, peers::Peer},
+};
+
+/// A node that has been started.
+pub struct RunningNode {
+    /// Its parts.
+    pub context: NodeContext,
+    /// Fires when an operator asks for a planned stop.
+    pub leave: CancellationToken,
+    background: TaskTracker,
+}
+
+/// Runs a node until it is told to stop: by a signal or by an operator.
+///
+/// # Errors
+///
+/// A refusal when an address can't be bound or calls were cut off at the end of the drain time.
+pub async fn run(settings: Settings) -> Result<(), Refusal> {
+    let node = start(settings).await?;
+    tracing::info!(node = %node.context.identity, "node started");
+    wait_for_stop(&node.leave).await?;
+    tokio::select! {
+        finished = node.stop() => finished,
+        () = second_signal() => {
+            Err(Refusal::new(ErrorKind::Internal, "stopped at once by a second signal"))
+        }
+    }
+}
+
+async fn wait_for_stop(leave: &CancellationToken) -> Result<(), Refusal> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(internal)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+        () = leave.cancelled() => {}
+    }
+    Ok(())
+}
+
+async fn second_signal() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+/// Starts a node and returns once its addresses are bound.
+///
+/// # Errors
+///
+/// A refusal when an address can't be bound or the HTTP library can't be set up.
+pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
+    let peer_listener = bind(settings.peer_address).await?;
+    let caller_listener = bind(settings.caller_address).await?;
+    let admin_listener = bind(settings.admin_address).await?;
+    let identity = NodeId {
+        address: settings.peer_address,
+        instance: InstanceId::random(),
+    };
+    let myself = own_row(identity, &settings);
+    let hello = hello_of(&myself);
+    let actor = spawn_actor(identity, &settings);
+    let context = NodeContext {
+        identity,
+        backend: http_backend(&settings)?,
+        settings: Arc::new(settings),
+        actor,
+        links: PeerLinks::new(hello.clone(), Arc::new(TcpNetwork)),
+        calls: TaskTracker::new(),
+        shutdown: CancellationToken::new(),
+    };
+    context.ask(PeerSeen(myself)).await?;
+    let leave = CancellationToken::new();
+    let admin = Admin {
+        context: context.clone(),
+        metrics: metrics_handle(),
+        leave: leave.clone(),
+    };
+    let background = TaskTracker::new();
+    background.spawn(tick(context.clone()));
+    background.spawn(accept_peers(context.clone(), peer_listener, hello));
+    background.spawn(serve_callers(context.clone(), caller_listener));
+    background.spawn(serve_operators(admin, admin_listener));
+    background.spawn(discover_peers(context.clone()));
+    background.spawn(follow_configuration(context.clone()));
+    Ok(RunningNode {
+        context,
+        leave,
+        background,
+    })
+}
+
+fn own_row(identity: NodeId, settings: &Settings) -> Peer {
+    Peer {
+        node: identity,
+        service: settings
+            .backend
+            .as_ref()
+            .map(|backend| backend.service.clone()),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        rack: settings.rack.clone(),
+    }
+}
+
+fn spawn_actor(identity: NodeId, settings: &Settings) -> Address<NodeActor> {
+    let tables = Tables::new(identity, settings, now());
+    xtra::spawn_tokio(NodeActor { tables }, Mailbox::bounded(MAILBOX_CAPACITY))
+}
+
+fn http_backend(settings: &Settings) -> Result<Option<Arc<dyn BackendClient>>, Refusal> {
+    let Some(backend) = &settings.backend else {
+        return Ok(None);
+    };
+    let client = HttpBackend::new(backend).map_err(internal)?;
+    Ok(Some(Arc::new(client)))
+}
+
+/// Renders the process's metrics. In a process that runs several nodes the first one installs the
+/// recorder and the others show an empty page.
+fn metrics_handle() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Fails when another node of this process has installed its recorder already.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| bind_failed(address, &error))?;
+    // Accepted connections inherit the option on Linux.
+    let _ = socket2::SockRef::from(&listener).set_tcp_nodelay(true);
+    Ok(listener)
+}
+
+fn bind_failed(address: SocketAddr, error: &io::Error) -> Refusal {
+    Refusal::new(
+        ErrorKind::NodeUnavailable,
+        format!("address {address} can't be bound: {error}"),
+    )
+}
+
+fn internal(error: impl std::fmt::Display) -> Refusal {
+    Refusal::new(ErrorKind::Internal, error.to_string())
+}
+
+async fn tick(context: NodeContext) {
+    let mut timer = tokio::time::interval(TICK_INTERVAL);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            () = context.shutdown.cancelled() => return,
+            _ = timer.tick() => {}
+        }
+        if context.ask(Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Time between the announcement that a node leaves and the end of its listening, in which peers
+/// learn that they must not send it new work.
+const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+
+impl RunningNode {
+    /// Takes no new work, finishes what is in flight, then ends.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Internal`] when calls were still in flight at the end of the drain time.
+    pub async fn stop(self) -> Result<(), Refusal> {
+        let context = &self.context;
+        context.ask(Leave).await?;
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        context.calls.close();
+        let drain = Duration::from_millis(context.settings.drain_ms.into());
+        let drained = tokio::time::timeout(drain, context.calls.wait()).await;
+        let left = context.calls.len();
+        context.shutdown.cancel();
+        self.background.close();
+        // Background tasks end by themselves; one that hangs must not hold up the stop.
+        let _ = tokio::time::timeout(LEAVE_NOTICE, self.background.wait()).await;
+        drained.map_err(|_| {
+            Refusal::new(
+                ErrorKind::Internal,
+                format!("{left} calls were cut off at the end of the drain time"),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -0,0 +1,6 @@
+//! What runs over the tables: at each tick, or when a message asks for a decision.
+
+pub mod admission;
+pub mod begin;
+pub mod retry;
+pub mod tick;
--- /dev/null
+++ b/crates/tallybridge-node/src/systems/tick.rs
@@ -0,0 +1,11 @@
+//! What runs at each tick.
+
+use std::time::Instant;
+
+use crate::{systems::admission, tables::Tables};
+
+/// Runs the systems over the tables, in order.
+pub fn run(tables: &mut Tables, now: Instant) {
+    admission::run(tables, now);
+    tables.endpoints.tick(now);
+}
--- /dev/null
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -0,0 +1,102 @@
+//! The limit and the queue in front of the back end beside this node.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use tallybridge_config::settings::BackendSettings;
+use tallybridge_core::{LoadReport, Refusal, ServiceName, TemplateName};
+use tallybridge_limits::{
+    AdmissionLevel, AdmissionQueue, ConcurrencyLimit, LevelSettings, LimitSettings, QueueSettings,
+    Ramp,
+};
+use tokio::sync::oneshot;
+
+use super::executions::Execution;
+
+/// Answers a call that waits in the queue: the granted attempt, or why it was refused.
+pub type AdmissionReply = oneshot::Sender<Result<tallybridge_core::AttemptId, Refusal>>;
+
+/// A call that waits for a slot.
+#[derive(Debug)]
+pub struct Applicant {
+    /// The row that the attempt gets once it is admitted.
+    pub execution: Execution,
+    /// Bounds of its template.
+    pub bounds: TemplateBounds,
+    /// Who waits.
+    pub reply: AdmissionReply,
+}
+
+/// What a template says about slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TemplateBounds {
+    /// Most calls at once; `None` for no bound of its own.
+    pub concurrency_limit: Option<u16>,
+    /// Slots kept for the template.
+    pub reserve: u16,
+}
+
+/// Slots that one template holds.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TemplateSlots {
+    /// Calls that run now.
+    pub in_flight: u16,
+    /// Slots kept for the template, by the newest call seen of it.
+    pub reserve: u16,
+}
+
+/// Smallest concurrency limit: a back end is never shut off by its latency alone.
+const MIN_LIMIT: u16 = 2;
+/// Time over which a back end that has just come up is given its whole limit.
+const COLD_START: Duration = Duration::from_secs(2);
+/// Share of the limit that a cold back end gets at once.
+const COLD_START_SHARE: f64 = 0.25;
+
+/// Admission at one node.
+pub struct Admission {
+    /// Service of the back end; `None` when the node has none.
+    pub service: Option<ServiceName>,
+    /// How many calls may run at once.
+    pub limit: ConcurrencyLimit,
+    /// Calls that wait.
+    pub queue: AdmissionQueue<Applicant>,
+    /// Which classes are admitted now.
+    pub level: AdmissionLevel,
+    /// Slots by template.
+    pub templates: BTreeMap<TemplateName, TemplateSlots>,
+}
+
+impl Admission {
+    /// Admission in front of a back end that is taken to be cold.
+    #[must_use]
+    pub fn new(backend: Option<&BackendSettings>, now: Instant) -> Self {
+        let settings = backend.map_or_else(LimitSettings::default, |backend| LimitSettings {
+            initial: backend.initial_limit,
+            min: MIN_LIMIT,
+            max: backend.max_connections,
+        });
+        let mut limit = ConcurrencyLimit::new(settings);
+        limit.start_ramp(Ramp::new(now, COLD_START, COLD_START_SHARE), now);
+        Self {
+            service: backend.map(|backend| backend.service.clone()),
+            limit,
+            queue: AdmissionQueue::new(QueueSettings::default()),
+            level: AdmissionLevel::new(LevelSettings::default()),
+            templates: BTreeMap::new(),
+        }
+    }
+
+    /// The load to report on an answer.
+    #[must_use]
+    pub fn load_report(&self, leaving: bool) -> LoadReport {
+        LoadReport {
+            in_flight: self.limit.in_flight(),
+            limit: self.limit.limit(),
+            queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
+            admitted_from: self.level.admitted_from(),
+            leaving,
+        }
+    }
+}
--- a/crates/tallybridge-wire/src/text.rs
+++ b/crates/tallybridge-wire/src/text.rs
@@ -19,7 +19,13 @@
     /// Wraps a text; what is beyond 65,535 bytes is cut off, which no checked name reaches.
     #[must_use]
     pub fn new(text: &str) -> Self {
-        let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
+        Self::from_bytes(text.as_bytes())
+    }
+
+    /// Wraps bytes that need not be UTF-8, such as the value of an HTTP header.
+    #[must_use]
+    pub fn from_bytes(bytes: &[u8]) -> Self {
+        let bytes = &bytes[..bytes.len().min(usize::from(u16::MAX))];
         Self {
             length: u16::try_from(bytes.len()).unwrap_or(u16::MAX),
             bytes: bytes.to_vec(),
@@ -32,6 +38,12 @@
         std::str::from_utf8(&self.bytes).ok()
     }
 
+    /// The text, with what is not UTF-8 replaced.
+    #[must_use]
+    pub fn to_string_lossy(&self) -> String {
+        String::from_utf8_lossy(&self.bytes).into_owned()
+    }
+
     /// The bytes as they were sent.
     #[must_use]
     pub fn as_bytes(&self) -> &[u8] {
