--- a/crates/tallybridge-lab/src/standin/store/fault.rs
+++ b/crates/tallybridge-lab/src/standin/store/fault.rs
@@ -30,7 +30,7 @@
 }
 
 /// Body of `POST /fault`. A field that is given replaces the fault of that kind; 0 ends it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultOrder {
     /// Length of an outage that starts now, in milliseconds.
@@ -42,12 +42,23 @@
     /// Time added to every request, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slow_ms: Option<u64>,
+    /// Prefix of the keys whose writes `lose_answers` and `late_writes` mean; a write without a
+    /// key, such as a lease's, has the empty key.
+    #[serde(default)]
+    pub key_prefix: String,
     /// Number of next writes that take effect but whose answer is lost.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lose_answers: Option<u32>,
     /// How those answers are lost.
     #[serde(default)]
     pub loss_manner: LossManner,
+    /// Number of next writes that are done late: their connection closes at once and they are
+    /// done when `late_after_requests` more requests have come in.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub late_writes: Option<u32>,
+    /// Requests after which those writes are done.
+    #[serde(default)]
+    pub late_after_requests: u32,
     /// Number of next requests that are answered 503 and not done.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub unavailable_requests: Option<u32>,
@@ -76,8 +87,11 @@
     outage_until: Option<Instant>,
     outage_manner: OutageManner,
     slow: Duration,
+    key_prefix: String,
     lose_answers: u32,
     loss_manner: LossManner,
+    late_writes: u32,
+    late_after_requests: u32,
     unavailable_requests: u32,
     limited_requests: u32,
     retry_after_s: u64,
@@ -93,10 +107,15 @@
         if let Some(slow_ms) = order.slow_ms {
             self.slow = Duration::from_millis(slow_ms);
         }
+        self.key_prefix.clone_from(&order.key_prefix);
         if let Some(count) = order.lose_answers {
             self.lose_answers = count;
             self.loss_manner = order.loss_manner;
         }
+        if let Some(count) = order.late_writes {
+            self.late_writes = count;
+            self.late_after_requests = order.late_after_requests;
+        }
         if let Some(count) = order.unavailable_requests {
             self.unavailable_requests = count;
         }
@@ -129,8 +148,20 @@
         None
     }
 
-    /// How the answer to the next write is lost, if it is; counts it against the fault.
-    pub fn lose_answer(&mut self) -> Option<LossManner> {
+    /// The requests after which the write of this key is done, if it is done late; counts it
+    /// against the fault.
+    pub fn make_late(&mut self, key: &str) -> Option<u32> {
+        if !key.starts_with(&self.key_prefix) {
+            return None;
+        }
+        take_one(&mut self.late_writes).then_some(self.late_after_requests)
+    }
+
+    /// How the answer to the write of this key is lost, if it is; counts it against the fault.
+    pub fn lose_answer(&mut self, key: &str) -> Option<LossManner> {
+        if !key.starts_with(&self.key_prefix) {
+            return None;
+        }
         take_one(&mut self.lose_answers).then_some(self.loss_manner)
     }
 }
--- a/crates/tallybridge-lab/src/standin/store/operation.rs
+++ b/crates/tallybridge-lab/src/standin/store/operation.rs
@@ -35,6 +35,14 @@
     pub const fn is_write(&self) -> bool {
         !matches!(self, Self::Get { .. } | Self::List(_) | Self::Watch(_))
     }
+
+    /// The key that the request names; empty when it names none.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Get { key } | Self::Put { key, .. } | Self::Delete { key, .. } => key,
+            _ => "",
+        }
+    }
 }
 
 /// Parameters of a list.
--- a/crates/tallybridge-lab/src/standin/store/routes.rs
+++ b/crates/tallybridge-lab/src/standin/store/routes.rs
@@ -15,7 +15,7 @@
     fault::FaultOrder,
     operation::{DeleteQuery, GrantQuery, LeaseNumber, ListQuery, Operation, PutQuery, WatchQuery},
     reply,
-    server::Shared,
+    shared::Shared,
 };
 
 /// Largest value of a key, in bytes; etcd has the same default for a request.
--- a/crates/tallybridge-lab/src/standin/store/watch.rs
+++ b/crates/tallybridge-lab/src/standin/store/watch.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, timeout_at};
 
-use super::{operation::WatchQuery, reply::EntriesReply, server::Shared};
+use super::{operation::WatchQuery, reply::EntriesReply, shared::Shared};
 
 /// Longest wait that a watch may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
