program: node, check, status, explain and completions

Cause: the program had no command line.

Change: `tallybridge::command_line` with clap subcommands, so that another program can embed it; main.rs only calls it. Results go to stdout, miette reports and JSON log lines to stderr. The exit code is that of the error's kind; wrong arguments end with 64, the code of an invalid request, which is also EX_USAGE of sysexits. `node` puts flags before the file and checks both together. `status` and `explain` ask admin addresses, show what they got and fail with 87 when a node did not answer.

Partial: `node` checks its settings and then refuses, as the node crate has no `run` here yet: `serve` in command_line/node.rs is the one place to wire.

--- /dev/null
+++ b/crates/tallybridge/tests/command_line/node_commands.rs
@@ -0,0 +1,103 @@
+//! `status` and `explain` against stand-ins of nodes' admin addresses.
+
+use crate::support::{Node, tallybridge};
+
+/// An address at which nothing listens.
+async fn gone() -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("the system gives a port");
+    listener
+        .local_addr()
+        .expect("it has an address")
+        .to_string()
+}
+
+#[tokio::test]
+async fn status_shows_each_node_as_a_row() {
+    let node = Node::start(5, 0).await;
+    let admin = node.address.to_string();
+    let table = tallybridge(&["status", "--admin", &admin]).await.output();
+    let rows: Vec<Vec<_>> = table
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(rows.len(), 2, "{table}");
+    assert_eq!(rows[0].len(), rows[1].len(), "{table}");
+    assert_eq!(
+        rows[1],
+        [
+            &admin,
+            "ready",
+            "127.0.0.1:1/00",
+            "billing",
+            "5",
+            "3",
+            "2/8",
+            "1",
+            "critical+",
+            "2"
+        ]
+    );
+}
+
+#[tokio::test]
+async fn status_shows_the_others_when_a_node_does_not_answer() {
+    let node = Node::start(5, 0).await;
+    let admin = format!("{},{}", gone().await, node.address);
+    let run = tallybridge(&["status", "--admin", &admin]).await;
+    assert!(run.stdout.contains("no answer"), "{run:?}");
+    assert!(run.stdout.contains("billing"), "{run:?}");
+    assert!(run.refusal(87).contains("1 of 2 nodes did not answer"));
+}
+
+#[tokio::test]
+async fn status_passes_the_whole_answer_on_as_json() {
+    let node = Node::start(5, 0).await;
+    let admin = node.address.to_string();
+    let line = tallybridge(&["status", "--json", "--admin", &admin])
+        .await
+        .output();
+    let line: serde_json::Value = serde_json::from_str(&line).expect("it is JSON");
+    assert_eq!(line["admin"], admin);
+    assert_eq!(line["status"]["revision"], 5);
+    assert_eq!(line["status"]["unheard_of"], 1);
+}
+
+#[tokio::test]
+async fn explain_gathers_the_decisions_in_the_order_of_time() {
+    let late = Node::start(0, 1_704_067_200_250).await;
+    let early = Node::start(0, 951_782_400_000).await;
+    let admin = format!("{},{}", late.address, early.address);
+    let table = tallybridge(&["explain", "0190-1", "--admin", &admin])
+        .await
+        .output();
+    let lines: Vec<_> = table.lines().collect();
+    assert_eq!(lines.len(), 3, "{table}");
+    assert!(lines[1].starts_with("2000-02-29T00:00:00.000Z"), "{table}");
+    assert!(
+        lines[1].ends_with(&format!("4         refused at {}", early.address)),
+        "{table}"
+    );
+    assert!(lines[2].starts_with("2024-01-01T00:00:00.250Z"), "{table}");
+    let json = tallybridge(&["explain", "0190-1", "--json", "--admin", &admin])
+        .await
+        .output();
+    assert_eq!(json.lines().count(), 2, "{json}");
+}
+
+#[tokio::test]
+async fn explain_says_when_no_node_remembers_the_request_or_the_id_is_none() {
+    let node = Node::start(0, 0).await;
+    let admin = node.address.to_string();
+    let report = tallybridge(&["explain", "0190-2", "--admin", &admin])
+        .await
+        .refusal(64);
+    assert!(
+        report.contains("none of the 1 nodes remembers request 0190-2"),
+        "{report}"
+    );
+    let report = tallybridge(&["explain", "../x", "--admin", &admin])
+        .await
+        .refusal(64);
+    assert!(report.contains("is no request id"), "{report}");
+}
