Begin the lab: scenarios, back end stand-in, baseline router

Cause: there is no way yet to run a deployment on this machine. Change: scenario types with whole-file checks, the two shipped scenarios, a back end stand-in with slots, queue, connection limit and cost, and the round-robin router of the baselines.

--- /dev/null
+++ b/crates/tallybridge-lab/src/scenario/load_error.rs
@@ -0,0 +1,44 @@
+//! Why a scenario can't be loaded.
+
+use miette::{Diagnostic, NamedSource, SourceSpan};
+use thiserror::Error;
+
+use super::Mistake;
+
+/// Why a scenario can't be loaded.
+#[derive(Debug, Error, Diagnostic)]
+pub enum LoadError {
+    /// The file can't be read.
+    #[error("can't read {path}")]
+    #[diagnostic(help("give a path, or one of the names of `tallybridge-lab list`"))]
+    Read {
+        /// Path given.
+        path: String,
+        /// Cause.
+        #[source]
+        source: std::io::Error,
+    },
+    /// The file is no valid TOML or has fields that a scenario doesn't have.
+    #[error("{path}: {message}")]
+    Syntax {
+        /// Path of the file.
+        path: String,
+        /// What is wrong.
+        message: String,
+        /// Whole file.
+        #[source_code]
+        text: NamedSource<String>,
+        /// Where.
+        #[label("here")]
+        span: Option<SourceSpan>,
+    },
+    /// The file contradicts itself.
+    #[error("{path} has {} mistakes", mistakes.len())]
+    Mistakes {
+        /// Path of the file.
+        path: String,
+        /// All of them.
+        #[related]
+        mistakes: Vec<Mistake>,
+    },
+}
--- /dev/null
+++ b/crates/tallybridge-lab/src/scenario/mod.rs
@@ -0,0 +1,21 @@
+//! Scenario files: topology, call graph, load phases and faults of one experiment.
+
+mod check;
+mod configuration;
+mod endpoint;
+mod fault;
+mod kind;
+mod load_error;
+mod phase;
+mod shipped;
+mod topology;
+
+pub use check::Mistake;
+pub use configuration::ConfigurationFile;
+pub use endpoint::{Endpoint, NestedCall, ServiceTime};
+pub use fault::{Fault, FaultAction};
+pub use kind::Kind;
+pub use load_error::LoadError;
+pub use phase::{Phase, Share};
+pub use shipped::{Shipped, SHIPPED};
+pub use topology::{Scenario, Service};
--- /dev/null
+++ b/crates/tallybridge-lab/src/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for the platform: back ends, configuration store and machine list.
+
+pub mod backend;
+pub mod listening;
