--- a/crates/tallybridge-lab/src/policy/router.rs
+++ b/crates/tallybridge-lab/src/policy/router.rs
@@ -21,7 +21,7 @@
 use tokio::{net::TcpListener, sync::Semaphore};
 use warp::Filter;
 
-use crate::standin::listening::announce;
+use crate::standin::machine_list::announce;
 
 /// Longest time for one try of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/tallybridge-lab/src/process/child.rs
+++ b/crates/tallybridge-lab/src/process/child.rs
@@ -18,7 +18,7 @@
 };
 
 use super::ProcessError;
-use crate::standin::listening::Listening;
+use crate::standin::machine_list::Listening;
 
 /// Longest time until a stand-in says that it listens.
 const LISTENING_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/tallybridge-lab/src/standin/backend/server.rs
+++ b/crates/tallybridge-lab/src/standin/backend/server.rs
@@ -21,7 +21,7 @@
     state::BackendState,
     BackendSettings, Control, ExecutionLog,
 };
-use crate::standin::listening::announce;
+use crate::standin::machine_list::announce;
 
 /// How often a back end samples its load.
 const LOAD_SAMPLE_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/tallybridge-lab/src/standin/listening.rs
+++ b/crates/tallybridge-lab/src/standin/machine_list/announce.rs
@@ -1,21 +1,21 @@
-//! How a stand-in tells the process that started it where it listens.
+//! The line with which a stand-in says that it is ready.
 
 use std::{io::Write, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
-/// The line that a stand-in prints on standard output once it is ready.
+/// What a stand-in prints on standard output when it takes requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listening {
-    /// Where it listens.
+    /// The address it listens on.
     pub listening: SocketAddr,
 }
 
-/// Prints where this process listens.
+/// Prints the line.
 ///
 /// # Errors
 ///
-/// Standard output is closed.
+/// When standard output is closed.
 pub fn announce(address: SocketAddr) -> std::io::Result<()> {
     let line = serde_json::to_string(&Listening { listening: address })?;
     let mut output = std::io::stdout().lock();
--- a/crates/tallybridge-lab/src/standin/mod.rs
+++ b/crates/tallybridge-lab/src/standin/mod.rs
@@ -1,4 +1,5 @@
 //! Stand-ins for the platform: back ends, configuration store and machine list.
 
 pub mod backend;
-pub mod listening;
+pub mod machine_list;
+pub mod store;
