--- a/crates/tallybridge-lab/src/cli/mod.rs
+++ b/crates/tallybridge-lab/src/cli/mod.rs
@@ -7,7 +7,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::scenario::{Scenario, SHIPPED};
+use crate::scenario::{SHIPPED, Scenario};
 use experiment::RunArgs;
 use stand_in::StandIn;
 
--- a/crates/tallybridge-lab/src/cli/stand_in.rs
+++ b/crates/tallybridge-lab/src/cli/stand_in.rs
@@ -11,7 +11,11 @@
 
 use crate::{
     policy::router::{self, RouterArgs},
-    standin::backend::{self, BackendArgs},
+    standin::{
+        backend::{self, BackendArgs},
+        machine_list::{self, MachineListArguments},
+        store::{self, StoreArguments},
+    },
 };
 
 /// Parts of the platform that a stand-in takes the place of.
@@ -19,6 +23,10 @@
 pub enum StandIn {
     /// A back end.
     Backend(BackendArgs),
+    /// The key-value store.
+    Store(StoreArguments),
+    /// The machine list.
+    MachineList(MachineListArguments),
     /// The router of the baseline policies.
     Router(RouterArgs),
 }
@@ -38,6 +46,8 @@
     let ended = runtime.block_on(async {
         match stand_in {
             StandIn::Backend(arguments) => backend::run(arguments).await.into_diagnostic(),
+            StandIn::Store(arguments) => store::run(arguments).await.into_diagnostic(),
+            StandIn::MachineList(arguments) => machine_list::run(arguments).await.into_diagnostic(),
             StandIn::Router(arguments) => router::run(arguments).await.into_diagnostic(),
         }
     });
--- a/crates/tallybridge-lab/src/policy/router.rs
+++ b/crates/tallybridge-lab/src/policy/router.rs
@@ -6,8 +6,8 @@
     net::SocketAddr,
     path::PathBuf,
     sync::{
-        atomic::{AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
--- a/crates/tallybridge-lab/src/process/addresses.rs
+++ b/crates/tallybridge-lab/src/process/addresses.rs
@@ -31,7 +31,12 @@
     #[must_use]
     pub fn new(number: u8) -> Self {
         let [_, _, high, low] = std::process::id().to_be_bytes();
-        Self(Ipv4Addr::new(127, high.max(1), low, number.saturating_add(1)))
+        Self(Ipv4Addr::new(
+            127,
+            high.max(1),
+            low,
+            number.saturating_add(1),
+        ))
     }
 
     /// Free ports of this machine.
--- a/crates/tallybridge-lab/src/process/child.rs
+++ b/crates/tallybridge-lab/src/process/child.rs
@@ -9,7 +9,7 @@
 };
 
 use nix::{
-    sys::signal::{kill, Signal},
+    sys::signal::{Signal, kill},
     unistd::Pid,
 };
 use tokio::{
--- a/crates/tallybridge-lab/src/process/machine.rs
+++ b/crates/tallybridge-lab/src/process/machine.rs
@@ -1,6 +1,6 @@
 //! One machine: a back end and the node, or baseline router, beside it.
 
-use std::{collections::BTreeMap, path::PathBuf, time::Duration};
+use std::{path::PathBuf, time::Duration};
 
 use tallybridge_core::{ServiceName, ZoneName};
 
@@ -37,9 +37,6 @@
     pub control: Control,
 }
 
-/// Number of each machine by its back end's name.
-pub type MachineIndex = BTreeMap<String, usize>;
-
 impl Machine {
     /// Waits until the node says that it serves.
     ///
--- a/crates/tallybridge-lab/src/scenario/fault.rs
+++ b/crates/tallybridge-lab/src/scenario/fault.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A fault at a time of the run.
+/// A fault at a time of the run. Fields that are not known are refused by the action, which gets
+/// whatever is left (serde can't do both `flatten` and `deny_unknown_fields` here).
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When it begins, in seconds from the start of the first phase.
     pub at_seconds: f64,
--- a/crates/tallybridge-lab/src/scenario/mod.rs
+++ b/crates/tallybridge-lab/src/scenario/mod.rs
@@ -1,5 +1,6 @@
 //! Scenario files: topology, call graph, load phases and faults of one experiment.
 
+mod chain;
 mod check;
 mod configuration;
 mod endpoint;
@@ -10,6 +11,7 @@
 mod shipped;
 mod topology;
 
+pub use chain::ChainCall;
 pub use check::Mistake;
 pub use configuration::ConfigurationFile;
 pub use endpoint::{Endpoint, NestedCall, ServiceTime};
@@ -17,5 +19,5 @@
 pub use kind::Kind;
 pub use load_error::LoadError;
 pub use phase::{Phase, Share};
-pub use shipped::{Shipped, SHIPPED};
+pub use shipped::{SHIPPED, Shipped};
 pub use topology::{Scenario, Service};
--- a/crates/tallybridge-lab/src/standin/backend/content.rs
+++ b/crates/tallybridge-lab/src/standin/backend/content.rs
@@ -1,7 +1,7 @@
 //! Answers whose content follows from the call, so that whoever gets one can verify it.
 
 use bytes::Bytes;
-use rand::{rngs::SmallRng, RngCore, SeedableRng};
+use rand::{RngCore, SeedableRng, rngs::SmallRng};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::CallPlace;
--- a/crates/tallybridge-lab/src/standin/backend/execution_log.rs
+++ b/crates/tallybridge-lab/src/standin/backend/execution_log.rs
@@ -12,7 +12,7 @@
 
 use tallybridge_core::InstanceId;
 
-use super::{nested::CallContext, CallPlace, Execution, ExecutionEnd, ExecutionEvent};
+use super::{CallPlace, Execution, ExecutionEnd, ExecutionEvent, nested::CallContext};
 use crate::clock::unix_us;
 
 /// Most calls that one run of a back end writes down.
@@ -111,11 +111,7 @@
     Ok(calls.into_values().collect())
 }
 
-fn apply_event(
-    calls: &mut BTreeMap<(u64, u64), Execution>,
-    backend: &str,
-    event: ExecutionEvent,
-) {
+fn apply_event(calls: &mut BTreeMap<(u64, u64), Execution>, backend: &str, event: ExecutionEvent) {
     match event {
         ExecutionEvent::Arrived {
             instance,
--- a/crates/tallybridge-lab/src/standin/backend/handler.rs
+++ b/crates/tallybridge-lab/src/standin/backend/handler.rs
@@ -4,15 +4,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
-use tallybridge_core::{header, Outcome};
+use tallybridge_core::{Outcome, header};
 use tokio::{sync::SemaphorePermit, time::Instant};
 
 use super::{
-    content,
+    CallPlace, ExecutionEnd, content,
     nested::{self, CallContext, NestedError},
     settings::EndpointSettings,
     state::BackendState,
-    CallPlace, ExecutionEnd,
 };
 
 /// Time that a call without a timeout header may take.
@@ -116,9 +115,7 @@
 ) -> Response<Bytes> {
     let mut execution = ExecutionGuard {
         state,
-        sequence: state
-            .log
-            .arrived(place, context, state.control().draining),
+        sequence: state.log.arrived(place, context, state.control().draining),
         started: false,
         ended: false,
     };
@@ -134,11 +131,8 @@
         None
     };
     execution.start();
-    let worked = tokio::time::timeout_at(
-        context.deadline,
-        work(state, endpoint, place, context),
-    )
-    .await;
+    let worked =
+        tokio::time::timeout_at(context.deadline, work(state, endpoint, place, context)).await;
     drop(slot);
     let end = match worked {
         Ok(Ok(())) => ExecutionEnd::Answered,
--- a/crates/tallybridge-lab/src/standin/backend/mod.rs
+++ b/crates/tallybridge-lab/src/standin/backend/mod.rs
@@ -17,6 +17,6 @@
 pub use content::{answer_body, digest};
 pub use control::Control;
 pub use execution::{Execution, ExecutionEnd, ExecutionEvent};
-pub use execution_log::{read_executions, ExecutionLog};
-pub use server::{run, BackendArgs, BackendError};
+pub use execution_log::{ExecutionLog, read_executions};
+pub use server::{BackendArgs, BackendError, run};
 pub use settings::{BackendSettings, EndpointSettings, NestedCallSettings};
--- a/crates/tallybridge-lab/src/standin/backend/nested.rs
+++ b/crates/tallybridge-lab/src/standin/backend/nested.rs
@@ -6,10 +6,9 @@
 use tokio::time::Instant;
 
 use super::{
-    content,
+    CallPlace, content,
     settings::{EndpointSettings, NestedCallSettings},
     state::BackendState,
-    CallPlace,
 };
 
 /// Pause of a back end between two tries of a nested call.
@@ -80,8 +79,8 @@
         state.settings.caller_address, call.service
     );
     let remaining = context.deadline.saturating_duration_since(Instant::now());
-    let method = reqwest::Method::from_bytes(call.method.as_bytes())
-        .map_err(|_| NestedError::Failed)?;
+    let method =
+        reqwest::Method::from_bytes(call.method.as_bytes()).map_err(|_| NestedError::Failed)?;
     let answer = state
         .client
         .request(method, url)
--- a/crates/tallybridge-lab/src/standin/backend/server.rs
+++ b/crates/tallybridge-lab/src/standin/backend/server.rs
@@ -16,10 +16,10 @@
 use warp::Filter;
 
 use super::{
+    BackendSettings, Control, ExecutionLog,
     handler::handle_call,
-    listener::{serve, ConnectionLimits},
+    listener::{ConnectionLimits, serve},
     state::BackendState,
-    BackendSettings, Control, ExecutionLog,
 };
 use crate::standin::machine_list::announce;
 
--- a/crates/tallybridge-lab/src/standin/backend/state.rs
+++ b/crates/tallybridge-lab/src/standin/backend/state.rs
@@ -3,16 +3,16 @@
 use std::{
     collections::VecDeque,
     sync::{
-        atomic::{AtomicUsize, Ordering},
         Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use rand::{rngs::SmallRng, SeedableRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::Semaphore;
 
-use super::{settings::EndpointSettings, BackendSettings, Control, ExecutionLog};
+use super::{BackendSettings, Control, ExecutionLog, settings::EndpointSettings};
 
 /// What the load endpoint tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
