--- a/crates/tallybridge-lab/src/standin/mod.rs
+++ b/crates/tallybridge-lab/src/standin/mod.rs
@@ -1,4 +1,5 @@
-//! Stand-ins of the services that tallybridge leans on.
+//! Stand-ins for the platform: back ends, configuration store and machine list.
 
+pub mod backend;
 pub mod machine_list;
 pub mod store;
