--- a/crates/tallybridge-integration/tests/whole_path.rs
+++ b/crates/tallybridge-integration/tests/whole_path.rs
@@ -27,7 +27,7 @@
     assert_eq!(response.text().await.expect("whole"), "via via leaf /pay 5");
     for service in 0..3 {
         let executions = chain.hops[service].executions.lock().expect("lock");
-        assert_eq!(*executions, [request_id.clone()], "service {service}");
+        assert_eq!(*executions, vec![request_id.clone()], "service {service}");
     }
 }
 
--- a/crates/tallybridge-lab/src/cli/stand_in.rs
+++ b/crates/tallybridge-lab/src/cli/stand_in.rs
@@ -60,8 +60,8 @@
 /// Runs the tallybridge program in this process.
 pub fn exec(arguments: Vec<OsString>) -> ExitCode {
     exit_with_parent();
-    let _ = arguments;
-    ExitCode::FAILURE
+    let program = OsString::from("tallybridge");
+    tallybridge::command_line::run(std::iter::once(program).chain(arguments))
 }
 
 /// Ends this process when standard input is closed, so that no process outlives a run whose own
--- a/crates/tallybridge-lab/src/process/deployment.rs
+++ b/crates/tallybridge-lab/src/process/deployment.rs
@@ -256,7 +256,7 @@
         };
         let path = self.file(&place.name, "node.toml");
         files::write_toml(&path, &settings)?;
-        let arguments = files::with_settings(&["exec", "node"], &path);
+        let arguments = files::node_command(&path);
         ChildProcess::start(
             &format!("node of {}", place.name),
             arguments,
--- a/crates/tallybridge-lab/src/process/files.rs
+++ b/crates/tallybridge-lab/src/process/files.rs
@@ -45,6 +45,12 @@
         .collect()
 }
 
+/// Arguments that run the tallybridge program as a node.
+#[must_use]
+pub fn node_command(settings: &Path) -> Vec<OsString> {
+    vec!["exec".into(), "node".into(), settings.into()]
+}
+
 /// Path of a process's file in the directory of a run.
 #[must_use]
 pub fn file(directory: &Path, name: &str, suffix: &str) -> PathBuf {
