--- /dev/null
+++ b/crates/tallybridge-claims/benches/claims.rs
@@ -0,0 +1,2 @@
+//! Benchmarks of the claim table.
+fn main() {}
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -3,6 +3,9 @@
 use deku::prelude::*;
 use tallybridge_core::{Criticality, LoadReport};
 
+use crate::claim::{
+    Claim, ClaimCopy, ClaimFinish, ClaimPage, ClaimQuery, ClaimQueryReply, ClaimRelease, ClaimReply,
+};
 use crate::text::Text;
 
 /// First message of each side of a connection: who it is.
@@ -326,6 +329,22 @@
     ConfigurationFetch(ConfigurationFetch) = 6,
     /// Configuration records.
     ConfigurationRecords(ConfigurationRecords) = 7,
+    /// Asks for a run of a key.
+    Claim(Claim) = 16,
+    /// Answers a claim.
+    ClaimReply(ClaimReply) = 17,
+    /// Gives back every run of an attempt that will never run.
+    ClaimRelease(ClaimRelease) = 18,
+    /// The answer of a run.
+    ClaimFinish(ClaimFinish) = 19,
+    /// Asks whether any run of a key is held.
+    ClaimQuery(ClaimQuery) = 20,
+    /// Answers a query.
+    ClaimQueryReply(ClaimQueryReply) = 21,
+    /// Asks for a page of a partition's claims.
+    ClaimCopy(ClaimCopy) = 22,
+    /// A page of a partition's claims.
+    ClaimPage(ClaimPage) = 23,
 }
 
 fn parse<T>(kind: u8, payload: &[u8]) -> Result<T, MessageError>
