--- a/crates/tallybridge-claims/src/map.rs
+++ b/crates/tallybridge-claims/src/map.rs
@@ -37,7 +37,7 @@
     /// The replicas.
     pub replicas: Vec<Replica>,
     /// The replicas of the epoch before; after a reset only those that have not ended.
-    pub previous: Vec<NodeId>,
+    pub previous: Vec<Replica>,
     /// Replicas that are not yet known to have copied the claims.
     pub joining: Vec<NodeId>,
     /// Keys dated before it are not voted on, milliseconds since the Unix epoch; 0 when nothing
@@ -56,6 +56,12 @@
     pub fn replica(&self, node: NodeId) -> Option<&Replica> {
         self.replicas.iter().find(|replica| replica.node == node)
     }
+
+    /// A node as replica of the epoch before, if it was one.
+    #[must_use]
+    pub fn previous_replica(&self, node: NodeId) -> Option<&Replica> {
+        self.previous.iter().find(|replica| replica.node == node)
+    }
 }
 
 /// The replicas of every partition. Lives in the store and changes by compare-and-swap alone.
--- a/crates/tallybridge-claims/src/plan.rs
+++ b/crates/tallybridge-claims/src/plan.rs
@@ -92,7 +92,7 @@
 struct Change {
     origin: Origin,
     staying: Vec<Replica>,
-    previous: Vec<NodeId>,
+    previous: Vec<Replica>,
     reset_unix_ms: u64,
 }
 
@@ -166,7 +166,7 @@
         changes.then(|| Change {
             origin: Origin::Copy,
             staying,
-            previous: entry.nodes().collect(),
+            previous: entry.replicas.clone(),
             reset_unix_ms: entry.reset_unix_ms,
         })
     }
@@ -175,7 +175,7 @@
         let barrier = key_window::reset_barrier(self.now_unix_ms);
         Change {
             origin: Origin::Reset,
-            previous: remaining.iter().map(|one| one.node).collect(),
+            previous: remaining.clone(),
             staying: remaining,
             reset_unix_ms: barrier.max(entry.reset_unix_ms),
         }
@@ -193,7 +193,7 @@
     fn can_copy(&self, entry: &PartitionEntry) -> bool {
         let previous = entry.previous.iter();
         let left = previous
-            .filter(|node| self.candidates.contains_key(node))
+            .filter(|one| self.candidates.contains_key(&one.node))
             .count();
         match entry.origin {
             Origin::First => true,
--- a/crates/tallybridge-claims/src/query.rs
+++ b/crates/tallybridge-claims/src/query.rs
@@ -57,9 +57,12 @@
     }
 
     /// The replicas that have not answered yet.
-    pub fn targets(&self) -> impl Iterator<Item = NodeId> + '_ {
+    #[must_use]
+    pub fn targets(&self) -> Vec<NodeId> {
         let replicas = self.replicas.iter().copied();
-        replicas.filter(|replica| !self.nothing_held.contains_key(replica))
+        replicas
+            .filter(|replica| !self.nothing_held.contains_key(replica))
+            .collect()
     }
 
     /// The query to send to the targets.
--- a/crates/tallybridge-claims/src/replica.rs
+++ b/crates/tallybridge-claims/src/replica.rs
@@ -33,8 +33,9 @@
     fenced_before: u64,
     /// Whether this node is a replica in `epoch`.
     member: bool,
-    /// Whether its claims, with those of the other synchronised replicas, are all there are.
-    synchronised: bool,
+    /// Latest epoch for which its claims, with those of the other synchronised replicas, are all
+    /// there are.
+    whole_until: u64,
     reset_unix_ms: u64,
     /// Whether the epoch began with a reset, so that every survivor is copied from.
     salvages: bool,
@@ -66,7 +67,7 @@
     /// Whether this node is a replica that has all it needs to vote.
     #[must_use]
     pub const fn is_synchronised(&self) -> bool {
-        self.member && self.synchronised
+        self.member && self.whole_until >= self.epoch
     }
 
     /// Keys dated before it are not voted on, milliseconds since the Unix epoch.
@@ -81,7 +82,14 @@
             return;
         }
         let replica = entry.replica(node);
-        self.synchronised = replica.is_some_and(|replica| self.stays_synchronised(replica, entry));
+        if replica.is_some_and(|replica| self.stays_synchronised(replica, entry)) {
+            self.whole_until = entry.epoch;
+        } else if entry
+            .previous_replica(node)
+            .is_some_and(|previous| self.stayed(previous))
+        {
+            self.whole_until = entry.epoch - 1;
+        }
         self.member = replica.is_some();
         self.epoch = entry.epoch;
         self.reset_unix_ms = entry.reset_unix_ms;
@@ -90,14 +98,19 @@
 
     /// Whether this node, as a replica of `entry`, needs no copy.
     fn stays_synchronised(&self, replica: &Replica, entry: &PartitionEntry) -> bool {
-        let stayed = self.is_synchronised() && self.epoch >= replica.since_epoch;
         match entry.origin {
             Origin::First => true,
-            Origin::Copy => stayed,
+            Origin::Copy => self.stayed(replica),
             Origin::Reset => replica.since_epoch < entry.epoch || entry.previous.is_empty(),
         }
     }
 
+    /// Whether this node has been a synchronised replica ever since it joined, also in epochs
+    /// whose entries it has not seen.
+    fn stayed(&self, replica: &Replica) -> bool {
+        self.is_synchronised() && self.epoch >= replica.since_epoch
+    }
+
     fn start_copies(&mut self, node: NodeId, entry: &PartitionEntry) {
         self.copies.clear();
         self.salvages = entry.origin == Origin::Reset;
@@ -105,11 +118,11 @@
             Origin::Reset => entry.previous.len(),
             Origin::First | Origin::Copy => read_quorum(entry.previous.len()),
         };
-        if !self.member || self.synchronised {
+        if !self.member || self.is_synchronised() {
             return;
         }
-        let sources = entry.previous.iter().filter(|source| **source != node);
-        let copies = sources.map(|source| (*source, CopyState::After(None)));
+        let sources = entry.previous.iter().filter(|source| source.node != node);
+        let copies = sources.map(|source| (source.node, CopyState::After(None)));
         self.copies = copies.collect();
     }
 
@@ -132,7 +145,7 @@
         if !self.member {
             return Some(AbstainReason::NotMember);
         }
-        if !self.synchronised {
+        if !self.is_synchronised() {
             return Some(AbstainReason::NotSynchronised);
         }
         if !key_window::is_open(key, now_unix_ms) {
@@ -204,7 +217,7 @@
                 current: self.current_epoch(),
             });
         }
-        let vouches = self.synchronised && self.epoch + 1 >= request.epoch;
+        let vouches = self.whole_until + 1 >= request.epoch;
         (!vouches && request.salvage == 0).then_some(AbstainReason::NotSynchronised)
     }
 
@@ -271,7 +284,7 @@
         let whole = self.copies.values();
         let whole = whole.filter(|state| **state == CopyState::Done).count();
         if whole >= self.copies_needed {
-            self.synchronised = true;
+            self.whole_until = self.epoch;
             self.copies.clear();
         }
     }
--- a/crates/tallybridge-claims/src/round.rs
+++ b/crates/tallybridge-claims/src/round.rs
@@ -94,9 +94,12 @@
     }
 
     /// The replicas that have not answered yet.
-    pub fn targets(&self) -> impl Iterator<Item = NodeId> + '_ {
+    #[must_use]
+    pub fn targets(&self) -> Vec<NodeId> {
         let replicas = self.replicas.iter().copied();
-        replicas.filter(|replica| !self.ballots.contains_key(replica))
+        replicas
+            .filter(|replica| !self.ballots.contains_key(replica))
+            .collect()
     }
 
     /// The claim to send to the targets.
