program: config get, apply, diff and history

Cause: operators had no way to read or change the configuration.

Change: the four commands over the configuration log. A file that the newest revision holds already is no change and no error.

Seen failing first, each against a scratch change, then put back: old base not refused, own change not looked for, lag not seen, reads not retried, silent nodes let pass, a flag ignored, the 100-year and the 4-year term of the date. The 100-year term was caught neither by the first dates of explain's test nor by 1999-12-31; with 1999-03-01 and 2024-02-29 both terms are.

Not covered here: two changes of different entries at the same moment can each be right and break a reference together. The log lets the second one through without Document::check on the result.

--- a/crates/tallybridge/src/command_line/failure.rs
+++ b/crates/tallybridge/src/command_line/failure.rs
@@ -36,6 +36,15 @@
         Refusal::new(kind, detail).into()
     }
 
+    /// The same failure with a text to show as it is.
+    #[must_use]
+    pub fn with_attachment(mut self, text: String) -> Self {
+        if let Self::Refused { attachment, .. } = &mut self {
+            *attachment = text;
+        }
+        self
+    }
+
     /// The text to show as it is.
     #[must_use]
     pub fn attachment(&self) -> &str {
@@ -57,7 +66,12 @@
         match self {
             Self::Mistakes(files) => {
                 let mistakes: usize = files.iter().map(|file| file.iter().count()).sum();
-                write!(formatter, "{mistakes} mistakes in {} files", files.len())
+                write!(
+                    formatter,
+                    "{} in {}",
+                    count(mistakes, "mistake"),
+                    count(files.len(), "file")
+                )
             }
             Self::Refused { refusal, .. } => formatter.write_str(&refusal.detail),
         }
@@ -66,6 +80,12 @@
 
 impl std::error::Error for Failure {}
 
+/// A number with its noun.
+fn count(number: usize, noun: &str) -> String {
+    let plural = if number == 1 { "" } else { "s" };
+    format!("{number} {noun}{plural}")
+}
+
 impl Diagnostic for Failure {
     fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
         Some(Box::new(self.kind()))
--- a/crates/tallybridge/src/command_line/mod.rs
+++ b/crates/tallybridge/src/command_line/mod.rs
@@ -4,12 +4,14 @@
 mod arguments;
 mod check;
 mod completions;
+mod config;
 mod explain;
 mod failure;
 mod files;
 mod logging;
 mod node;
 mod status;
+mod store;
 mod table;
 mod utc;
 
@@ -80,6 +82,7 @@
         Command::Node(node) => node.run(),
         Command::Check(check) => check.run(),
         Command::Completions(completions) => Ok(completions.run()),
+        Command::Config(config) => block_on(config.run()),
         Command::Status(status) => block_on(status.run()),
         Command::Explain(explain) => block_on(explain.run()),
     }
--- a/crates/tallybridge/tests/command_line/files_and_help.rs
+++ b/crates/tallybridge/tests/command_line/files_and_help.rs
@@ -87,7 +87,7 @@
         .await
         .refusal(84);
     for part in [
-        "2 mistakes in 1 files",
+        "2 mistakes in 1 file\n",
         "command line: `caller_address` is 127.0.0.1:7401",
         "command line: `zone` is \"B\"",
     ] {
@@ -101,10 +101,14 @@
 
 #[tokio::test]
 async fn every_command_shows_examples() {
-    let commands: [&[&str]; 6] = [
+    let commands: [&[&str]; 10] = [
         &[],
         &["node"],
         &["check"],
+        &["config", "get"],
+        &["config", "apply"],
+        &["config", "diff"],
+        &["config", "history"],
         &["status"],
         &["explain"],
         &["completions"],
@@ -118,7 +122,13 @@
 
 #[tokio::test]
 async fn wrong_arguments_end_with_the_code_of_an_invalid_request() {
-    for arguments in [&["fly"][..], &[], &["status"], &["check"]] {
+    for arguments in [
+        &["fly"][..],
+        &[],
+        &["status"],
+        &["config", "apply", "f"],
+        &["check"],
+    ] {
         let report = tallybridge(arguments).await.refusal(64);
         assert!(report.contains("Usage"), "{arguments:?}: {report}");
     }
--- a/crates/tallybridge/tests/command_line/main.rs
+++ b/crates/tallybridge/tests/command_line/main.rs
@@ -1,5 +1,6 @@
 //! The program from outside: arguments, output, reports and exit codes.
 
+mod config_commands;
 mod files_and_help;
 mod node_commands;
 mod support;
--- a/crates/tallybridge/tests/command_line/node_commands.rs
+++ b/crates/tallybridge/tests/command_line/node_commands.rs
@@ -65,20 +65,20 @@
 
 #[tokio::test]
 async fn explain_gathers_the_decisions_in_the_order_of_time() {
-    let late = Node::start(0, 1_704_067_200_250).await;
-    let early = Node::start(0, 951_782_400_000).await;
+    let late = Node::start(0, 1_709_164_800_250).await;
+    let early = Node::start(0, 920_332_799_999).await;
     let admin = format!("{},{}", late.address, early.address);
     let table = tallybridge(&["explain", "0190-1", "--admin", &admin])
         .await
         .output();
     let lines: Vec<_> = table.lines().collect();
     assert_eq!(lines.len(), 3, "{table}");
-    assert!(lines[1].starts_with("2000-02-29T00:00:00.000Z"), "{table}");
+    assert!(lines[1].starts_with("1999-03-01T23:59:59.999Z"), "{table}");
     assert!(
         lines[1].ends_with(&format!("4         refused at {}", early.address)),
         "{table}"
     );
-    assert!(lines[2].starts_with("2024-01-01T00:00:00.250Z"), "{table}");
+    assert!(lines[2].starts_with("2024-02-29T00:00:00.250Z"), "{table}");
     let json = tallybridge(&["explain", "0190-1", "--json", "--admin", &admin])
         .await
         .output();
--- a/crates/tallybridge/tests/command_line/support.rs
+++ b/crates/tallybridge/tests/command_line/support.rs
@@ -2,10 +2,15 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use serde_json::json;
+use tallybridge_lab::standin::store::{FaultOrder, StoreOptions, StoreStandin};
 use tempfile::TempDir;
 use tokio::{net::TcpListener, process::Command};
 use warp::Filter;
@@ -59,9 +64,42 @@
     }
 }
 
+/// A store for one test.
+pub struct Store(StoreStandin);
+
+impl Store {
+    pub async fn start() -> Self {
+        let standin = StoreStandin::serve(StoreOptions::default()).await;
+        Self(standin.expect("the stand-in can listen"))
+    }
+
+    pub fn fault(&self, order: &FaultOrder) {
+        self.0.fault(order);
+    }
+
+    /// `tallybridge config` with this store.
+    pub async fn config(&self, arguments: &[&str]) -> Run {
+        let address = self.0.address().to_string();
+        let mut all = vec!["config"];
+        all.extend(arguments);
+        all.extend(["--store", &address]);
+        tallybridge(&all).await
+    }
+
+    /// `tallybridge config apply` of a file.
+    pub async fn apply(&self, file: &Path, base: &str, author: &str, more: &[&str]) -> Run {
+        let file = file.to_str().expect("the path is text");
+        let mut all = vec!["apply", file, "--base", base, "--author", author];
+        all.extend(["--comment", "a test"]);
+        all.extend(more);
+        self.config(&all).await
+    }
+}
+
 /// The admin address of a node that is at a given revision and remembers one request.
 pub struct Node {
     pub address: SocketAddr,
+    revision: Arc<AtomicU64>,
 }
 
 impl Node {
@@ -69,10 +107,12 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.expect("the system gives a port");
         let address = listener.local_addr().expect("the listener has an address");
+        let revision = Arc::new(AtomicU64::new(revision));
+        let shown = Arc::clone(&revision);
         let status = warp::path!("status").map(move || {
             warp::reply::json(&json!({
                 "node": "127.0.0.1:1/00", "service": "billing", "ready": true, "leaving": false,
-                "revision": revision, "calls": 3, "executions": 2, "limit": 8,
+                "revision": shown.load(Ordering::SeqCst), "calls": 3, "executions": 2, "limit": 8,
                 "queued": 1, "admitted_from": "critical", "peers": [{}, {}], "unheard_of": 1,
             }))
         });
@@ -86,6 +126,10 @@
             }]))
         });
         tokio::spawn(warp::serve(status.or(explain)).incoming(listener).run());
-        Self { address }
+        Self { address, revision }
+    }
+
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.store(revision, Ordering::SeqCst);
     }
 }
