Check the document that a change would make before it is written

Cause: two changes that are fine by themselves can break a rule together, such as the removal of a template and a new child of it, and they touch different entries, so they are no conflict.

Change: an append checks the document on top of the revision it tries, and refuses with the violations. The entry names are those of the configuration crate. Conflicts still come from the records rather than from comparing documents, since only these say who changed an entry, and an entry changed and changed back was changed.

Proof: the fuzz now removes a template that another one needs; the oracle checks every revision, and that a refused change was invalid.

--- a/crates/tallybridge-store/src/log/attempt.rs
+++ b/crates/tallybridge-store/src/log/attempt.rs
@@ -92,11 +92,19 @@
         }))
     }
 
-    /// The document that the change makes, with its record.
+    /// The document that the change makes, checked, with its record.
     pub fn candidate(&self, made_unix_ms: u64) -> Result<Candidate, AppendError> {
         let mut document = self.document.clone().unwrap_or_default();
-        let record = self.change.record(document.revision.next(), made_unix_ms);
+        let current = document.revision;
+        let record = self.change.record(current.next(), made_unix_ms);
         apply_all(&mut document, std::slice::from_ref(&record))?;
+        let violations = document.check();
+        if !violations.is_empty() {
+            return Err(AppendError::Invalid {
+                current,
+                violations,
+            });
+        }
         Ok(Candidate { document, record })
     }
 
--- a/crates/tallybridge-store/src/log/change.rs
+++ b/crates/tallybridge-store/src/log/change.rs
@@ -1,9 +1,8 @@
 //! A change that an operator wants, and what became of it.
 
-use std::{collections::BTreeSet, fmt};
+use std::collections::BTreeSet;
 
-use tallybridge_config::{Edit, Revision, RevisionRecord};
-use tallybridge_core::{TemplateName, TenantName};
+use tallybridge_config::{Edit, EntryName, Revision, RevisionRecord};
 use uuid::Uuid;
 
 /// A change to the configuration.
@@ -57,37 +56,6 @@
     pub author: String,
 }
 
-/// Name of an entry of the configuration.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub enum EntryName {
-    /// A template.
-    Template(TemplateName),
-    /// A tenant.
-    Tenant(TenantName),
-}
-
-impl fmt::Display for EntryName {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Template(name) => write!(formatter, "template {name}"),
-            Self::Tenant(name) => write!(formatter, "tenant {name}"),
-        }
-    }
-}
-
-impl EntryName {
-    /// The entry that an edit changes.
-    #[must_use]
-    pub fn of(edit: &Edit) -> Self {
-        match edit {
-            Edit::PutTemplate(template) => Self::Template(template.name.clone()),
-            Edit::RemoveTemplate(name) => Self::Template(name.clone()),
-            Edit::PutTenant(tenant) => Self::Tenant(tenant.name.clone()),
-            Edit::RemoveTenant(name) => Self::Tenant(name.clone()),
-        }
-    }
-}
-
 impl ChangeRequest {
     /// The entries of these records that this change touches too.
     pub(super) fn conflicts_with(&self, records: &[RevisionRecord]) -> Vec<ConflictingEntry> {
@@ -119,5 +87,5 @@
 }
 
 fn names(edits: &[Edit]) -> BTreeSet<EntryName> {
-    edits.iter().map(EntryName::of).collect()
+    edits.iter().map(Edit::entry).collect()
 }
--- a/crates/tallybridge-store/src/log/error.rs
+++ b/crates/tallybridge-store/src/log/error.rs
@@ -1,6 +1,6 @@
 //! What can go wrong with the log.
 
-use tallybridge_config::Revision;
+use tallybridge_config::{Revision, Violation};
 
 use crate::client::StoreError;
 
@@ -46,6 +46,14 @@
         /// The log's revision.
         current: Revision,
     },
+    /// The change would make a document that breaks rules: it is not in the log and will not be.
+    #[error("the change breaks {} rule(s) on top of revision {current}", violations.len())]
+    Invalid {
+        /// The log's revision that the change was tried on.
+        current: Revision,
+        /// What it breaks.
+        violations: Vec<Violation>,
+    },
     /// The change has no edits.
     #[error("the change has no edits")]
     Empty,
--- a/crates/tallybridge-store/src/log/mod.rs
+++ b/crates/tallybridge-store/src/log/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::client::StoreClient;
 
-pub use change::{AppendOutcome, ChangeRequest, Conflict, ConflictingEntry, EntryName};
+pub use change::{AppendOutcome, ChangeRequest, Conflict, ConflictingEntry};
 pub use error::{AppendError, LogError};
 pub use options::LogOptions;
 pub use snapshot::{SNAPSHOT_INTERVAL, SNAPSHOT_KEY};
--- a/crates/tallybridge-store/tests/configuration_log.rs
+++ b/crates/tallybridge-store/tests/configuration_log.rs
@@ -74,13 +74,13 @@
 }
 
 fn wish() -> impl Strategy<Value = Wish> {
-    (vec(0..4_u8, 1..3), 0..4_u64, prop::bool::weighted(0.7)).prop_map(|(entries, lag, patient)| {
-        Wish {
+    (vec(0..=REMOVAL, 1..3), 0..4_u64, prop::bool::weighted(0.7)).prop_map(
+        |(entries, lag, patient)| Wish {
             entries,
             lag,
             patient,
-        }
-    })
+        },
+    )
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -230,12 +230,25 @@
     }
 }
 
+/// Entry whose template has the first one as its parent, so that it needs the first one.
+const CHILD_ENTRY: u8 = 3;
+
+/// Number that stands for the removal of the first template.
+const REMOVAL: u8 = 4;
+
 /// An edit of one of a few templates, told from all others by its deadline.
 fn edit(entry: u8, number: u32) -> Edit {
+    if entry == REMOVAL {
+        return Edit::RemoveTemplate("template-0".into());
+    }
+    let is_child = entry == CHILD_ENTRY;
+    // A child's deadline is below its parent's, as the rules ask for.
+    let deadline_ms = if is_child { 1_000 } else { 100_000 } + number;
     let template: Template = serde_json::from_value(serde_json::json!({
         "name": format!("template-{entry}"),
         "service": format!("service-{entry}"),
-        "deadline_ms": 1_000 + number,
+        "deadline_ms": deadline_ms,
+        "parent": is_child.then_some("template-0"),
     }))
     .unwrap();
     Edit::PutTemplate(template)
--- a/crates/tallybridge-store/tests/log_oracle/mod.rs
+++ b/crates/tallybridge-store/tests/log_oracle/mod.rs
@@ -2,12 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use tallybridge_config::{Document, Edit, Revision, RevisionRecord, revision::RECORD_PREFIX};
-use tallybridge_lab::standin::store::StoreStandin;
-use tallybridge_store::{
-    AppendError, AppendOutcome, ChangeRequest,
-    log::{EntryName, SNAPSHOT_KEY},
+use tallybridge_config::{
+    Document, Edit, EntryName, Revision, RevisionRecord, revision::RECORD_PREFIX,
 };
+use tallybridge_lab::standin::store::StoreStandin;
+use tallybridge_store::{AppendError, AppendOutcome, ChangeRequest, log::SNAPSHOT_KEY};
 use uuid::Uuid;
 
 /// What the author of a change was told last.
@@ -71,6 +70,8 @@
             "a record was changed or removed"
         );
         self.records = records;
+        let document = self.document(Revision(self.revision()));
+        assert_eq!(document.check(), [], "the log breaks rules");
         self.read_snapshot(standin);
     }
 
@@ -131,6 +132,10 @@
             Err(AppendError::Unsettled { revision, .. }) => {
                 assert!(made.is_none_or(|made| made == *revision));
             }
+            Err(AppendError::Invalid { current, .. }) => {
+                let document = self.document(*current).with_edits(&told.change.edits);
+                assert!(!document.check().is_empty(), "a valid change was refused");
+            }
             Err(AppendError::NotMade { .. }) => {}
             Err(error) => panic!("unexpected answer {error:?}"),
         }
@@ -159,5 +164,5 @@
 }
 
 fn names(edits: &[Edit]) -> BTreeSet<EntryName> {
-    edits.iter().map(EntryName::of).collect()
+    edits.iter().map(Edit::entry).collect()
 }
