--- a/crates/tallybridge-lab/src/checker/history.rs
+++ b/crates/tallybridge-lab/src/checker/history.rs
@@ -46,7 +46,7 @@
         faults: FaultRecords,
     ) -> Self {
         executions.sort_by_key(|execution| execution.arrived_us);
-        let document = scenario.configuration.document();
+        let document = scenario.document();
         let mut chains = BTreeMap::new();
         for (kind_index, kind) in scenario.kind.iter().enumerate() {
             for (tenant_index, tenant) in scenario.tenants.iter().enumerate() {
--- a/crates/tallybridge-lab/src/fault/operator.rs
+++ b/crates/tallybridge-lab/src/fault/operator.rs
@@ -55,7 +55,7 @@
     let path = format!("/{}", kind.path);
     scenario
         .configuration
-        .template
+        .templates
         .iter()
         .find(|template| template.covers(&kind.service, "GET", &path))
 }
--- a/crates/tallybridge-lab/src/measure/ideal.rs
+++ b/crates/tallybridge-lab/src/measure/ideal.rs
@@ -79,7 +79,7 @@
 
 impl<'a> Model<'a> {
     fn new(scenario: &'a Scenario) -> Self {
-        let document = scenario.configuration.document();
+        let document = scenario.document();
         let tenant = &scenario.tenants[0];
         let criticality: Vec<_> = scenario
             .kind
--- a/crates/tallybridge-lab/src/measure/policy_measure.rs
+++ b/crates/tallybridge-lab/src/measure/policy_measure.rs
@@ -82,7 +82,7 @@
         probes: &[ProbeRecord],
         check: &CheckResult,
     ) {
-        let document = scenario.configuration.document();
+        let document = scenario.document();
         let is_critical: Vec<bool> = scenario
             .kind
             .iter()
--- a/crates/tallybridge-lab/src/policy/router.rs
+++ b/crates/tallybridge-lab/src/policy/router.rs
@@ -26,13 +26,9 @@
 /// Longest time for one try of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Headers passed to the back end.
-const REQUEST_HEADERS: &[&str] = &[
-    header::TENANT,
-    header::TIMEOUT_MS,
-    header::CALL_TOKEN,
-    header::IDEMPOTENCY_KEY,
-];
+/// Headers passed to the back end. The time left is not: passing deadlines on is a control that
+/// the baselines are without.
+const REQUEST_HEADERS: &[&str] = &[header::TENANT, header::CALL_TOKEN, header::IDEMPOTENCY_KEY];
 
 /// Headers passed to the caller.
 const ANSWER_HEADERS: &[&str] = &[header::OUTCOME, header::DRAINING];
--- a/crates/tallybridge-lab/src/process/deployment.rs
+++ b/crates/tallybridge-lab/src/process/deployment.rs
@@ -115,7 +115,7 @@
             .collect();
         platform.list_machines(listed).await?;
         platform
-            .write_record(&scenario.configuration.first_record())
+            .write_record(&scenario.first_record())
             .await
             .map_err(|error| ProcessError::Io {
                 what: "write the first revision".to_owned(),
--- a/crates/tallybridge-lab/src/scenario/check.rs
+++ b/crates/tallybridge-lab/src/scenario/check.rs
@@ -88,7 +88,7 @@
         for tenant in &scenario.tenants {
             let known = scenario
                 .configuration
-                .tenant
+                .tenants
                 .iter()
                 .any(|configured| configured.name == *tenant);
             self.require(known, "tenants", tenant, "a tenant of the configuration");
@@ -164,7 +164,7 @@
     }
 
     fn check_kinds(&mut self) {
-        let document = self.scenario.configuration.document();
+        let document = self.scenario.document();
         for kind in &self.scenario.kind {
             let field = format!("kind `{}`", kind.name);
             self.check_call(&field, &kind.service, &kind.path);
--- a/crates/tallybridge-lab/src/scenario/load_error.rs
+++ b/crates/tallybridge-lab/src/scenario/load_error.rs
@@ -19,19 +19,9 @@
         source: std::io::Error,
     },
     /// The file is no valid TOML or has fields that a scenario doesn't have.
-    #[error("{path}: {message}")]
-    Syntax {
-        /// Path of the file.
-        path: String,
-        /// What is wrong.
-        message: String,
-        /// Whole file.
-        #[source_code]
-        text: NamedSource<String>,
-        /// Where.
-        #[label("here")]
-        span: Option<SourceSpan>,
-    },
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Syntax(Box<SyntaxError>),
     /// The file contradicts itself.
     #[error("{path} has {} mistakes", mistakes.len())]
     Mistakes {
@@ -41,4 +31,22 @@
         #[related]
         mistakes: Vec<Mistake>,
     },
+    /// The configuration file has mistakes.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Configuration(Box<tallybridge_config::Mistakes>),
+}
+
+/// The file is no valid TOML or has fields that a scenario doesn't have.
+#[derive(Debug, Error, Diagnostic)]
+#[error("{message}")]
+pub struct SyntaxError {
+    /// What is wrong.
+    pub message: String,
+    /// Whole file.
+    #[source_code]
+    pub text: NamedSource<String>,
+    /// Where.
+    #[label("here")]
+    pub span: Option<SourceSpan>,
 }
--- a/crates/tallybridge-lab/src/scenario/topology.rs
+++ b/crates/tallybridge-lab/src/scenario/topology.rs
@@ -1,9 +1,10 @@
 //! The whole scenario and its services.
 
 use serde::{Deserialize, Serialize};
+use tallybridge_config::ConfigurationFile;
 use tallybridge_core::{RegionName, ServiceName, TenantName, ZoneName};
 
-use super::{ConfigurationFile, Endpoint, Fault, Kind, Phase};
+use super::{Endpoint, Fault, Kind, Phase};
 
 /// One experiment: what is deployed, what is asked of it and what breaks.
 #[derive(Debug, Clone, Serialize, Deserialize)]
