Add membership: SWIM probing, suspicion, refutation and table comparison

Change: a members table with probing, suspicion that shrinks with confirmations, refutation, piggybacked updates, comparison of tables by digest, and instances at one address told apart by who answers; datagrams with their envelope in the wire crate.

--- /dev/null
+++ b/crates/tallybridge-membership/src/convert.rs
@@ -0,0 +1,64 @@
+//! Records to and from their wire form.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use tallybridge_wire::{ShortText, WirePlacement, WireUpdate};
+
+use crate::{
+    member::{MemberRecord, Placement},
+    merge::Reporter,
+};
+
+/// The update that tells of a record.
+pub(crate) fn to_update(
+    record: &MemberRecord,
+    reporter: Reporter,
+    with_placement: bool,
+) -> WireUpdate {
+    let placement = with_placement.then(|| to_wire_placement(&record.placement));
+    WireUpdate::new(
+        record.node,
+        record.incarnation.0,
+        record.health as u8,
+        record.leaving,
+        reporter.0,
+        placement,
+    )
+}
+
+fn to_wire_placement(placement: &Placement) -> WirePlacement {
+    WirePlacement {
+        service: ShortText::new(placement.service.as_str()),
+        region: ShortText::new(placement.region.as_str()),
+        zone: ShortText::new(placement.zone.as_str()),
+        rack: ShortText::new(&placement.rack),
+    }
+}
+
+/// A placement from the wire, or `None` when a name is not UTF-8.
+pub(crate) fn to_placement(wire: &WirePlacement) -> Option<Placement> {
+    Some(Placement {
+        service: wire.service.as_str()?.into(),
+        region: wire.region.as_str()?.into(),
+        zone: wire.zone.as_str()?.into(),
+        rack: wire.rack.as_str()?.into(),
+    })
+}
+
+/// Placements seen so far. Many members share one, so a row costs a pointer.
+#[derive(Debug, Default)]
+pub(crate) struct PlacementPool {
+    placements: BTreeSet<Arc<Placement>>,
+}
+
+impl PlacementPool {
+    /// The shared copy.
+    pub(crate) fn share(&mut self, placement: Placement) -> Arc<Placement> {
+        if let Some(known) = self.placements.get(&placement) {
+            return Arc::clone(known);
+        }
+        let shared = Arc::new(placement);
+        self.placements.insert(Arc::clone(&shared));
+        shared
+    }
+}
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -2,11 +2,16 @@
 
 pub mod codec;
 pub mod frame;
+pub mod gossip;
 pub mod message;
 pub mod text;
 
 pub use codec::{FrameCodec, FrameError};
 pub use frame::{Frame, StreamId};
+pub use gossip::{
+    DIGEST_BUCKETS, Datagram, DatagramError, GossipHeader, GossipMessage, MAX_DATAGRAM_BYTES,
+    ShortText, WireAddress, WireNode, WirePlacement, WireUpdate, decode_datagram, encode_datagram,
+};
 pub use message::{
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
     MessageError, WireHeader, WireHeaders, WireLoad,
