Prove that membership converges: stateful fuzz, single courses, datagrams

Cause: the table's promises need an oracle before they can be tuned. Change: an in-memory network of real tables in virtual time; a state machine test with kills, restarts at the same address, freezes, leaves, cuts, loss, duplication and reordering; single courses; datagram round trips and damage.

--- /dev/null
+++ b/crates/tallybridge-membership/tests/support/mod.rs
@@ -0,0 +1,9 @@
+//! An in-memory network of real member tables in virtual time.
+
+#![allow(dead_code)]
+
+pub mod network;
+pub mod process;
+pub mod truth;
+
+pub use network::Network;
