--- a/crates/tallybridge-membership/src/anti_entropy.rs
+++ b/crates/tallybridge-membership/src/anti_entropy.rs
@@ -31,9 +31,9 @@
 /// Time between two attempts to find anybody.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Longest time of catching up after the first contact; in a fleet that changes all the time the
-/// digests may never be equal.
-const CATCH_UP_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time between two comparisons while catching up; it doubles up to this, since in a fleet
+/// that changes all the time the digests may never be equal.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
 
 /// When tables are compared.
 #[derive(Debug)]
@@ -43,19 +43,18 @@
     prompted: Option<Instant>,
     digest: u64,
     digest_since: Instant,
-    catching_up: bool,
-    catch_up_until: Option<Instant>,
+    /// Time between two comparisons while catching up after the start.
+    catch_up: Option<Duration>,
 }
 
 impl Comparisons {
-    pub(crate) const fn new(now: Instant) -> Self {
+    pub(crate) const fn new(now: Instant, catch_up_interval: Duration) -> Self {
         Self {
             next: now,
             prompted: None,
             digest: 0,
             digest_since: now,
-            catching_up: true,
-            catch_up_until: None,
+            catch_up: Some(catch_up_interval),
         }
     }
 
@@ -68,13 +67,14 @@
     }
 
     pub(crate) const fn is_catching_up(&self) -> bool {
-        self.catching_up
+        self.catch_up.is_some()
     }
 
-    /// Ends catching up when a peer's table is the same, or after a bounded time.
-    fn caught_up(&mut self, same: bool, now: Instant) {
-        let until = *self.catch_up_until.get_or_insert(now + CATCH_UP_LIMIT);
-        self.catching_up &= !same && now < until;
+    /// Time until the next comparison while catching up.
+    fn catch_up_interval(&mut self) -> Option<Duration> {
+        let interval = self.catch_up?;
+        self.catch_up = Some((interval * 2).min(CATCH_UP_LIMIT));
+        Some(interval)
     }
 
     /// Whether a peer whose digest differs should be asked now.
@@ -113,9 +113,9 @@
     }
 }
 
-fn next_interval(table: &MemberTable, rng: &mut SmallRng) -> Duration {
-    if table.comparisons.is_catching_up() {
-        return table.settings.catch_up_interval;
+fn next_interval(table: &mut MemberTable, rng: &mut SmallRng) -> Duration {
+    if let Some(interval) = table.comparisons.catch_up_interval() {
+        return interval;
     }
     let spread = rng.random_range(0.75..1.25);
     table.settings.compare_interval.mul_f64(spread)
@@ -135,10 +135,11 @@
     header: &GossipHeader,
     now: Instant,
 ) -> Option<Outgoing> {
-    let same = header.table_digest == table.digest.whole();
-    table.comparisons.caught_up(same, now);
-    let asks = !same && !table.budget.is_spent();
-    if asks && table.comparisons.is_prompted(now, &table.settings) {
+    if header.table_digest == table.digest.whole() {
+        table.comparisons.catch_up = None;
+        return None;
+    }
+    if !table.budget.is_spent() && table.comparisons.is_prompted(now, &table.settings) {
         return Some(compare(table, from));
     }
     None
--- a/crates/tallybridge-membership/src/budget.rs
+++ b/crates/tallybridge-membership/src/budget.rs
@@ -31,6 +31,12 @@
         self.tokens <= 0.0
     }
 
+    /// Whether gossip must wait, so that comparisons find room: in a storm of changes they bring
+    /// more news a byte.
+    pub(crate) fn is_low(&self) -> bool {
+        self.tokens <= self.burst / 2.0
+    }
+
     pub(crate) fn charge(&mut self, bytes: usize) {
         let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
         self.tokens = (self.tokens - f64::from(bytes)).max(-self.burst);
--- a/crates/tallybridge-membership/src/gossip.rs
+++ b/crates/tallybridge-membership/src/gossip.rs
@@ -69,7 +69,7 @@
     outgoing: &mut Vec<Outgoing>,
 ) {
     let something_to_say = table.queue.len() > 0 || table.rounds.revision_rounds > 0;
-    let allowed = table.rounds.at_once || !table.budget.is_spent();
+    let allowed = table.rounds.at_once || !table.budget.is_low();
     if now < table.rounds.next || !something_to_say || !allowed {
         return;
     }
--- a/crates/tallybridge-membership/src/merge.rs
+++ b/crates/tallybridge-membership/src/merge.rs
@@ -122,7 +122,8 @@
         self.replace(record, now);
         self.confirm(&claim);
         self.doubt_address(claim.node.address);
-        if source == Source::Gossip {
+        // A node that catches up would pass on the whole fleet.
+        if source == Source::Gossip && !self.comparisons.is_catching_up() {
             self.queue.push(claim.node, claim.reporter);
         }
     }
--- a/crates/tallybridge-membership/src/outgoing.rs
+++ b/crates/tallybridge-membership/src/outgoing.rs
@@ -6,8 +6,8 @@
 
 use crate::table::MemberTable;
 
-/// Room for updates in a probe while the byte budget is spent, in bytes.
-const SPENT_PIGGYBACK_BYTES: usize = 256;
+/// Room for updates in a datagram while the byte budget is low, in bytes.
+const LOW_PIGGYBACK_BYTES: usize = 256;
 
 /// A datagram and where it goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -43,8 +43,8 @@
         let bare = Datagram::bare_len(&header, &message);
         let used: usize = first.iter().map(WireUpdate::encoded_len).sum();
         let room = MAX_DATAGRAM_BYTES.saturating_sub(bare + used);
-        let room = if self.budget.is_spent() {
-            room.min(SPENT_PIGGYBACK_BYTES)
+        let room = if self.budget.is_low() {
+            room.min(LOW_PIGGYBACK_BYTES)
         } else {
             room
         };
--- a/crates/tallybridge-membership/src/settings.rs
+++ b/crates/tallybridge-membership/src/settings.rs
@@ -37,7 +37,8 @@
     pub compare_spacing: Duration,
     /// How long this table must be unchanged before a differing digest causes a comparison.
     pub quiet_before_compare: Duration,
-    /// Time between two comparisons while this node is catching up after its start.
+    /// Time between the first two comparisons while this node is catching up after its start; it
+    /// doubles with each.
     pub catch_up_interval: Duration,
     /// Time between two attempts to reach a member believed dead, and one of the seeds.
     pub reach_interval: Duration,
@@ -64,7 +65,7 @@
             suspicion_min: Duration::from_secs(4),
             suspicion_max_factor: 4.0,
             suspicion_confirmations: 3,
-            zone_hold_factor: 3.0,
+            zone_hold_factor: 2.0,
             compare_interval: Duration::from_secs(40),
             compare_spacing: Duration::from_secs(2),
             quiet_before_compare: Duration::from_secs(3),
--- a/crates/tallybridge-membership/src/table.rs
+++ b/crates/tallybridge-membership/src/table.rs
@@ -66,6 +66,7 @@
             leaving: false,
             placement: placements.share(identity.placement),
         };
+        let catch_up_interval = settings.catch_up_interval;
         let budget = SendBudget::new(settings.bytes_per_second, settings.burst_bytes, now);
         let mut table = Self {
             own: identity.node,
@@ -79,7 +80,7 @@
             queue: UpdateQueue::default(),
             probes: Probes::new(now),
             rounds: Rounds::new(now),
-            comparisons: Comparisons::new(now),
+            comparisons: Comparisons::new(now, catch_up_interval),
             local_health: LocalHealth::default(),
             budget,
             placements,
