--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -127,8 +127,11 @@
             Ok(Message::Cancel) => self.cancel(stream),
             Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
-            Ok(Message::Answer(_)) => {
-                tracing::warn!("a peer sent an answer on a connection that it opened");
+            Ok(other) => {
+                tracing::warn!(
+                    kind = other.kind(),
+                    "a peer sent a message that has no place here"
+                );
             }
             Err(error) => {
                 tracing::warn!(%error, stream = stream.0, "a peer's message can't be read");
--- a/crates/tallybridge/src/command_line/store.rs
+++ b/crates/tallybridge/src/command_line/store.rs
@@ -139,6 +139,11 @@
                 Self::new(ErrorKind::StoreUnavailable, detail)
             }
             AppendError::BaseAhead { .. } => Self::new(ErrorKind::Conflict, detail),
+            AppendError::Invalid { violations, .. } => {
+                let broken: Vec<_> = violations.iter().map(ToString::to_string).collect();
+                let detail = format!("{detail}: {}", broken.join("; "));
+                Self::new(ErrorKind::InvalidConfiguration, detail)
+            }
             AppendError::Empty => Self::new(ErrorKind::InvalidRequest, detail),
         }
     }
