program: run the node

Cause: the node crate has `run` now; `node` only checked its settings.

Change: `node` hands the checked settings to tallybridge_node::run.

Seen failing first, each against a scratch change, then put back: logs as text; the admin flag ignored (after the test's bound of 60 s).

--- a/crates/tallybridge/src/command_line/node.rs
+++ b/crates/tallybridge/src/command_line/node.rs
@@ -4,7 +4,6 @@
 
 use clap::Args;
 use tallybridge_config::{Settings, SettingsOverrides};
-use tallybridge_core::{ErrorKind, Refusal};
 
 use super::{Failure, files::read_bytes, logging};
 
@@ -78,7 +77,7 @@
         let settings = self.read_settings()?;
         logging::start(&settings.log)?;
         let runtime = tokio::runtime::Runtime::new().map_err(|error| super::internal(&error))?;
-        runtime.block_on(serve(settings))?;
+        runtime.block_on(tallybridge_node::run(settings))?;
         Ok(String::new())
     }
 
@@ -114,10 +113,3 @@
         }
     }
 }
-
-/// Runs a node with checked settings.
-async fn serve(settings: Settings) -> Result<(), Refusal> {
-    // Stands for `tallybridge_node::run(settings).await` until that crate has it.
-    let detail = format!("this build has no node to run at {}", settings.peer_address);
-    Err(Refusal::new(ErrorKind::Internal, detail))
-}
--- a/crates/tallybridge/tests/command_line/config_commands.rs
+++ b/crates/tallybridge/tests/command_line/config_commands.rs
@@ -231,7 +231,7 @@
     );
     assert!(report.contains(&lag), "{report}");
 
-    let more = ["--admin", admin.as_str(), "--wait", "600"];
+    let more = ["--admin", admin.as_str(), "--wait", "60"];
     let second = files.write("2.toml", SECOND);
     let made = store.apply(&second, "1", "alice", &more);
     let catch_up = async {
--- a/crates/tallybridge/tests/command_line/main.rs
+++ b/crates/tallybridge/tests/command_line/main.rs
@@ -3,4 +3,5 @@
 mod config_commands;
 mod files_and_help;
 mod node_commands;
+mod node_process;
 mod support;
--- a/crates/tallybridge/tests/command_line/support.rs
+++ b/crates/tallybridge/tests/command_line/support.rs
@@ -73,6 +73,10 @@
         Self(standin.expect("the stand-in can listen"))
     }
 
+    pub fn address(&self) -> SocketAddr {
+        self.0.address()
+    }
+
     pub fn fault(&self, order: &FaultOrder) {
         self.0.fault(order);
     }
