Wire membership into the node: probes over UDP, leaving, configuration from peers

Cause: nodes knew each other only by opening a link to every address of the lagging machine list, a dead node stayed an endpoint, and every node depended on the store to learn a revision. Change: MemberTable replaces the list of peers; a gossip task exchanges datagrams; endpoints follow members that are live or leaving; a member that is ahead in revision is asked for the records. A draining back end, the machine list (whoever reads it tells the node), an operator or a signal makes a node leave. A planned stop refuses calls from outside after a notice, finishes nested and running ones, departs. Conclusion: the fleet is known by observation.

--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -12,13 +12,16 @@
 use tallybridge_core::{RegionName, ServiceName, TenantName, ZoneName, header};
 use tallybridge_node::{
     RunningNode,
-    actor::{configuration::ApplyRecords, fleet::PeerSeen, status::GetStatus},
+    actor::{configuration::ApplyRecords, status::GetStatus},
     start,
 };
 use warp::Filter;
 
 pub const TENANT: &str = "market";
 
+/// Time between two looks at a state that is waited for.
+const POLL: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// One service of the chain.
 pub struct Hop {
     pub node: RunningNode,
@@ -141,6 +144,7 @@
                 settings(position, listener.local_addr().expect("an address"))
             })
             .collect();
+        let addresses: Vec<_> = all_settings.iter().map(|one| one.peer_address).collect();
         let mut hops = Vec::new();
         for (position, listener) in listeners.into_iter().enumerate() {
             let executions = Arc::default();
@@ -152,7 +156,10 @@
                 )
             });
             spawn_backend(listener, Arc::clone(&executions), next, client.clone());
-            let settings = all_settings[position].clone();
+            let settings = Settings {
+                seeds: addresses.clone(),
+                ..all_settings[position].clone()
+            };
             let node = start(settings.clone()).await.expect("the node starts");
             hops.push(Hop {
                 node,
@@ -163,7 +170,7 @@
         let chain = Self { hops, client };
         let templates = templates.unwrap_or_else(|| (0..depth).map(default_template).collect());
         chain.configure(templates).await;
-        chain.introduce().await;
+        chain.meet().await;
         chain
     }
 
@@ -187,18 +194,19 @@
         }
     }
 
-    /// Makes every node known to every other.
-    async fn introduce(&self) {
+    /// Waits until every node knows every other.
+    async fn meet(&self) {
         for hop in &self.hops {
-            for other in &self.hops {
-                let link = other
-                    .node
-                    .context
-                    .links
-                    .link(hop.settings.peer_address)
-                    .await;
-                let peer = link.expect("the node answers").peer.clone();
-                other.node.context.ask(PeerSeen(peer)).await.expect("takes");
+            loop {
+                let status = hop.node.context.ask(GetStatus).await.expect("status");
+                let alive = status
+                    .members
+                    .iter()
+                    .filter(|member| member.state == "alive");
+                if alive.count() == self.hops.len() {
+                    break;
+                }
+                tokio::time::sleep(POLL).await;
             }
         }
     }
--- a/crates/tallybridge-node/src/actor/configuration.rs
+++ b/crates/tallybridge-node/src/actor/configuration.rs
@@ -17,7 +17,9 @@
         _context: &mut Context<Self>,
     ) -> Revision {
         self.tables.configuration.apply(&records);
-        self.tables.configuration.revision()
+        let revision = self.tables.configuration.revision();
+        self.tables.members.set_revision(revision.0);
+        revision
     }
 }
 
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -6,7 +6,10 @@
 
 use super::{NodeActor, now};
 use crate::{
-    systems::admission::{self, Admitted},
+    systems::{
+        admission::{self, Admitted},
+        membership,
+    },
     tables::{admission::TemplateBounds, executions::Execution},
 };
 
@@ -88,7 +91,7 @@
     type Return = ();
 
     async fn handle(&mut self, _message: BackendDraining, _context: &mut Context<Self>) {
-        self.tables.leaving = true;
+        membership::leave(&mut self.tables, now());
     }
 }
 
--- a/crates/tallybridge-node/src/actor/fleet.rs
+++ b/crates/tallybridge-node/src/actor/fleet.rs
@@ -1,63 +1,122 @@
-//! Messages about other nodes.
+//! Messages about the fleet.
+
+use std::net::SocketAddr;
 
 use tallybridge_core::NodeId;
-use tallybridge_routing::Endpoint;
+use tallybridge_membership::{MemberState, probe, receive};
+use tallybridge_wire::Datagram;
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
-use crate::tables::peers::Peer;
+use crate::systems::membership::{self, GossipEffects};
 
-/// A node introduced itself.
-pub struct PeerSeen(pub Peer);
+/// A datagram came from another node.
+pub struct GossipReceived {
+    /// Where it came from.
+    pub from: SocketAddr,
+    /// What it says.
+    pub datagram: Datagram,
+}
 
-impl Handler<PeerSeen> for NodeActor {
-    type Return = ();
+impl Handler<GossipReceived> for NodeActor {
+    type Return = GossipEffects;
 
-    async fn handle(&mut self, PeerSeen(peer): PeerSeen, _context: &mut Context<Self>) {
-        self.tables.peers.insert(peer);
-        self.refresh_endpoints();
+    async fn handle(
+        &mut self,
+        message: GossipReceived,
+        _context: &mut Context<Self>,
+    ) -> GossipEffects {
+        let now = now();
+        let tables = &mut self.tables;
+        let outgoing = receive(
+            &mut tables.members,
+            message.from,
+            message.datagram,
+            now,
+            &mut tables.rng,
+        );
+        membership::settle(tables, outgoing, now)
     }
 }
 
-/// A node is gone.
-pub struct PeerGone(pub NodeId);
+/// Runs the systems of membership.
+pub struct GossipTick;
 
-impl Handler<PeerGone> for NodeActor {
+impl Handler<GossipTick> for NodeActor {
+    type Return = GossipEffects;
+
+    async fn handle(
+        &mut self,
+        _message: GossipTick,
+        _context: &mut Context<Self>,
+    ) -> GossipEffects {
+        let now = now();
+        let tables = &mut self.tables;
+        let outgoing = probe::run(&mut tables.members, now, &mut tables.rng);
+        membership::settle(tables, outgoing, now)
+    }
+}
+
+/// Addresses through which this node joins the fleet.
+pub struct Seeds(pub Vec<SocketAddr>);
+
+impl Handler<Seeds> for NodeActor {
     type Return = ();
 
-    async fn handle(&mut self, PeerGone(node): PeerGone, _context: &mut Context<Self>) {
-        self.tables.peers.remove(&node);
-        self.refresh_endpoints();
+    async fn handle(&mut self, Seeds(seeds): Seeds, _context: &mut Context<Self>) {
+        self.tables.members.join(&seeds);
     }
 }
 
-/// This node begins a planned stop: it takes no new work.
+/// The back end beside this node takes no new work from now on.
 pub struct Leave;
 
 impl Handler<Leave> for NodeActor {
     type Return = ();
 
     async fn handle(&mut self, _message: Leave, _context: &mut Context<Self>) {
-        self.tables.leaving = true;
+        membership::leave(&mut self.tables, now());
+    }
+}
+
+/// This node takes no new calls from outside; nested calls of what still runs go on.
+pub struct StopTakingCalls;
+
+impl Handler<StopTakingCalls> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: StopTakingCalls, _context: &mut Context<Self>) {
+        self.tables.stopping = true;
     }
 }
 
-impl NodeActor {
-    /// Makes the peers that have a back end, and this node if it has one, the places to send to.
-    fn refresh_endpoints(&mut self) {
-        let endpoints: Vec<Endpoint> = self
-            .tables
-            .peers
-            .iter()
-            .filter_map(|peer| {
-                Some(Endpoint {
-                    node: peer.node,
-                    service: peer.service.clone()?,
-                    region: peer.region.clone(),
-                    zone: peer.zone.clone(),
-                })
-            })
-            .collect();
-        self.tables.endpoints.set_endpoints(endpoints, now());
+/// This node has finished and is gone.
+pub struct Depart;
+
+impl Handler<Depart> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Depart, _context: &mut Context<Self>) {
+        self.tables.members.depart(now());
+    }
+}
+
+/// Asks for the member that takes work at an address, if one is known there.
+pub struct MemberAt(pub SocketAddr);
+
+impl Handler<MemberAt> for NodeActor {
+    type Return = Option<NodeId>;
+
+    async fn handle(
+        &mut self,
+        MemberAt(address): MemberAt,
+        _context: &mut Context<Self>,
+    ) -> Option<NodeId> {
+        self.tables
+            .members
+            .members()
+            .filter(|record| record.node.address == address)
+            .find(|record| matches!(record.state(), MemberState::Alive | MemberState::Suspect))
+            .map(|record| record.node)
     }
 }
--- a/crates/tallybridge-node/src/actor/status.rs
+++ b/crates/tallybridge-node/src/actor/status.rs
@@ -1,10 +1,12 @@
 //! Messages that ask what this node knows.
 
 use serde::Serialize;
+use tallybridge_core::{NodeId, RegionName, ServiceName, ZoneName};
+use tallybridge_membership::{MemberRecord, MemberState};
 use xtra::prelude::*;
 
 use super::NodeActor;
-use crate::tables::{decisions::Decision, peers::Peer};
+use crate::tables::decisions::Decision;
 
 /// What a node says about itself.
 #[derive(Debug, Clone, Serialize)]
@@ -13,7 +15,7 @@
     pub node: String,
     /// Service of the back end beside it.
     pub service: Option<String>,
-    /// Whether it has a configuration and can serve.
+    /// Whether it has a configuration, knows the fleet and can serve.
     pub ready: bool,
     /// Whether it takes no new work.
     pub leaving: bool,
@@ -29,8 +31,59 @@
     pub queued: usize,
     /// Least critical class that is admitted.
     pub admitted_from: Option<String>,
-    /// Nodes that this one knows.
-    pub peers: Vec<Peer>,
+    /// Whether this node is still learning who is in the fleet.
+    pub joining: bool,
+    /// The fleet as this node sees it.
+    pub members: Vec<MemberStatus>,
+}
+
+/// One member of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct MemberStatus {
+    /// Who it is.
+    pub node: NodeId,
+    /// `alive`, `suspect`, `leaving`, `dead` or `left`.
+    pub state: &'static str,
+    /// Service of the back end beside it; empty when it has none.
+    pub service: ServiceName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its zone.
+    pub zone: ZoneName,
+}
+
+impl MemberStatus {
+    fn of(record: &MemberRecord) -> Self {
+        Self {
+            node: record.node,
+            state: state_name(record.state()),
+            service: record.placement.service.clone(),
+            region: record.placement.region.clone(),
+            zone: record.placement.zone.clone(),
+        }
+    }
+}
+
+const fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
+        MemberState::Left => "left",
+    }
+}
+
+/// Asks how many members take part.
+pub struct CountMembers;
+
+impl Handler<CountMembers> for NodeActor {
+    type Return = usize;
+
+    async fn handle(&mut self, _message: CountMembers, _context: &mut Context<Self>) -> usize {
+        let members = self.tables.members.members();
+        members.filter(|record| record.health.is_live()).count()
+    }
 }
 
 /// Asks for the status.
@@ -41,10 +94,11 @@
 
     async fn handle(&mut self, _message: GetStatus, _context: &mut Context<Self>) -> Status {
         let tables = &self.tables;
+        let membership = tables.members.status();
         Status {
             node: tables.identity.to_string(),
             service: tables.admission.service.as_ref().map(ToString::to_string),
-            ready: tables.configuration.is_loaded(),
+            ready: tables.configuration.is_loaded() && !membership.catching_up,
             leaving: tables.leaving,
             revision: tables.configuration.revision().0,
             calls: tables.calls.len(),
@@ -56,7 +110,8 @@
                 .level
                 .admitted_from()
                 .map(|class| class.to_string()),
-            peers: tables.peers.iter().cloned().collect(),
+            joining: membership.catching_up,
+            members: tables.members.members().map(MemberStatus::of).collect(),
         }
     }
 }
--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -3,6 +3,8 @@
 pub mod admin;
 pub mod backend;
 pub mod caller;
+pub mod catch_up;
 pub mod discovery;
+pub mod gossip;
 pub mod peer;
 pub mod store;
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -15,13 +15,12 @@
     body::{BodyAssembly, send_body},
     call::answer_head,
     network::PeerStream,
-    peer_of,
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
     actor::{
         configuration::{ApplyRecords, RecordsAfter},
-        fleet::PeerSeen,
+        fleet::Leave,
     },
     context::NodeContext,
     path::{Executed, execute},
@@ -121,7 +120,8 @@
     async fn take(&mut self, frame: Frame) {
         let stream = frame.stream;
         match frame.message {
-            Ok(Message::Hello(hello)) => self.introduce(&hello).await,
+            Ok(Message::Hello(_)) => {}
+            Ok(Message::LeaveNotice) => self.leave().await,
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
@@ -140,11 +140,10 @@
         }
     }
 
-    async fn introduce(&self, hello: &Hello) {
-        if let Some(peer) = peer_of(hello) {
-            // Fails only when the node is stopping.
-            let _ = self.context.ask(PeerSeen(peer)).await;
-        }
+    /// A peer has seen in the machine list that this node's machine is leaving.
+    async fn leave(&self) {
+        // Fails only when the node is stopping anyway.
+        let _ = self.context.ask(Leave).await;
     }
 
     fn start(&mut self, stream: StreamId, head: CallHead) {
--- a/crates/tallybridge-node/src/connections/peer/link.rs
+++ b/crates/tallybridge-node/src/connections/peer/link.rs
@@ -21,11 +21,10 @@
 use super::{
     PeerFailure,
     body::{BodyAssembly, send_body},
+    introduction::Peer,
     network::PeerStream,
-    peer_of,
     writer::{WRITE_QUEUE, write_frames},
 };
-use crate::tables::peers::Peer;
 
 /// Time for a peer to introduce itself.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
@@ -116,6 +115,16 @@
     }
 }
 
+impl Link {
+    /// Sends a message that has no reply. When the link is closed it is lost.
+    pub async fn notify(&self, message: Message) {
+        let frame = Frame::new(StreamId::CONNECTION, message);
+        if self.sender.send(frame).await.is_err() {
+            tracing::debug!(peer = %self.peer.node, "a notice was lost with its link");
+        }
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.closed.cancel();
@@ -158,7 +167,7 @@
         Some(Ok(Frame {
             message: Ok(Message::Hello(hello)),
             ..
-        })) => peer_of(&hello).ok_or_else(|| not_sent("the peer's address is malformed")),
+        })) => Peer::of_hello(&hello).ok_or_else(|| not_sent("the peer's address is malformed")),
         Some(Err(error)) => Err(PeerFailure::NotSent(error.to_string())),
         Some(Ok(_)) => Err(not_sent("the other end is no peer")),
         None => Err(not_sent("the connection closed")),
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -6,7 +6,7 @@
 use tallybridge_config::Settings;
 use tallybridge_core::{ErrorKind, InstanceId, NodeId, Refusal};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -15,19 +15,21 @@
 use crate::{
     actor::{
         MAILBOX_CAPACITY, NodeActor, TICK_INTERVAL, Tick,
-        fleet::{Leave, PeerSeen},
+        fleet::{Depart, Leave, StopTakingCalls},
         now,
     },
     connections::{
         admin::{Admin, serve_operators},
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
-        discovery::discover_peers,
-        peer::{accept::accept_peers, hello_of, links::PeerLinks, network::TcpNetwork},
+        discovery::follow_machine_list,
+        gossip::gossip,
+        peer::{accept::accept_peers, introduction::Peer, links::PeerLinks, network::TcpNetwork},
         store::follow_configuration,
     },
     context::NodeContext,
-    tables::{Tables, peers::Peer},
+    systems::membership::refresh_endpoints,
+    tables::Tables,
 };
 
 /// A node that has been started.
@@ -83,14 +85,16 @@
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
     let peer_listener = bind(settings.peer_address).await?;
+    let gossip_socket = UdpSocket::bind(settings.peer_address)
+        .await
+        .map_err(|error| bind_failed(settings.peer_address, &error))?;
     let caller_listener = bind(settings.caller_address).await?;
     let admin_listener = bind(settings.admin_address).await?;
     let identity = NodeId {
         address: settings.peer_address,
         instance: InstanceId::random(),
     };
-    let myself = own_row(identity, &settings);
-    let hello = hello_of(&myself);
+    let hello = introduction(identity, &settings).hello();
     let actor = spawn_actor(identity, &settings);
     let context = NodeContext {
         identity,
@@ -101,7 +105,6 @@
         calls: TaskTracker::new(),
         shutdown: CancellationToken::new(),
     };
-    context.ask(PeerSeen(myself)).await?;
     let leave = CancellationToken::new();
     let admin = Admin {
         context: context.clone(),
@@ -113,7 +116,8 @@
     background.spawn(accept_peers(context.clone(), peer_listener, hello));
     background.spawn(serve_callers(context.clone(), caller_listener));
     background.spawn(serve_operators(admin, admin_listener));
-    background.spawn(discover_peers(context.clone()));
+    background.spawn(gossip(context.clone(), gossip_socket));
+    background.spawn(follow_machine_list(context.clone()));
     background.spawn(follow_configuration(context.clone()));
     Ok(RunningNode {
         context,
@@ -122,7 +126,7 @@
     })
 }
 
-fn own_row(identity: NodeId, settings: &Settings) -> Peer {
+fn introduction(identity: NodeId, settings: &Settings) -> Peer {
     Peer {
         node: identity,
         service: settings
@@ -136,7 +140,8 @@
 }
 
 fn spawn_actor(identity: NodeId, settings: &Settings) -> Address<NodeActor> {
-    let tables = Tables::new(identity, settings, now());
+    let mut tables = Tables::new(identity, settings, now());
+    refresh_endpoints(&mut tables, now());
     xtra::spawn_tokio(NodeActor { tables }, Mailbox::bounded(MAILBOX_CAPACITY))
 }
 
@@ -193,9 +198,11 @@
     }
 }
 
-/// Time between the announcement that a node leaves and the end of its listening, in which peers
-/// learn that they must not send it new work.
+/// Time between the announcement that a node leaves and the refusal of calls from outside, in which
+/// callers and their balancers find another node.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+/// Time for the last datagrams and answers to go out.
+const FAREWELL: Duration = Duration::from_millis(500);
 
 impl RunningNode {
     /// Takes no new work, finishes what is in flight, then ends.
@@ -207,14 +214,17 @@
         let context = &self.context;
         context.ask(Leave).await?;
         tokio::time::sleep(LEAVE_NOTICE).await;
+        context.ask(StopTakingCalls).await?;
         context.calls.close();
         let drain = Duration::from_millis(context.settings.drain_ms.into());
         let drained = tokio::time::timeout(drain, context.calls.wait()).await;
         let left = context.calls.len();
+        context.ask(Depart).await?;
+        tokio::time::sleep(FAREWELL).await;
         context.shutdown.cancel();
         self.background.close();
         // Background tasks end by themselves; one that hangs must not hold up the stop.
-        let _ = tokio::time::timeout(LEAVE_NOTICE, self.background.wait()).await;
+        let _ = tokio::time::timeout(FAREWELL, self.background.wait()).await;
         drained.map_err(|_| {
             Refusal::new(
                 ErrorKind::Internal,
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -88,6 +88,12 @@
             "this node has no configuration yet",
         ));
     }
+    if tables.stopping && matches!(request.origin, Origin::Root { .. }) {
+        return Err(Refusal::new(
+            ErrorKind::Leaving,
+            "this node is about to end: send the request to another",
+        ));
+    }
     let inherited = inherit(tables, request)?;
     let policy = find_policy(tables, &inherited.tenant, request)?;
     if request.body_bytes > policy.max_request_bytes as usize {
--- /dev/null
+++ b/crates/tallybridge-node/src/systems/membership.rs
@@ -0,0 +1,96 @@
+//! What the node does about changes in the fleet.
+
+use std::time::Instant;
+
+use tallybridge_core::{NodeId, ServiceName};
+use tallybridge_membership::{MemberEvent, MemberRecord, MemberState, Outgoing};
+use tallybridge_routing::Endpoint;
+
+use crate::tables::Tables;
+
+/// What is to be sent, and who knows more than this node.
+#[derive(Debug, Default)]
+pub struct GossipEffects {
+    /// Datagrams to send.
+    pub outgoing: Vec<Outgoing>,
+    /// A member whose configuration revision is greater than this node's.
+    pub ahead: Option<NodeId>,
+}
+
+/// Takes in what the members table has found out.
+pub fn settle(tables: &mut Tables, outgoing: Vec<Outgoing>, now: Instant) -> GossipEffects {
+    let mut effects = GossipEffects {
+        outgoing,
+        ahead: None,
+    };
+    let mut changed = false;
+    for event in tables.members.events() {
+        match event {
+            MemberEvent::PeerAhead { node, revision, .. } => {
+                if revision > tables.configuration.revision().0 {
+                    effects.ahead = Some(node);
+                }
+            }
+            MemberEvent::Joined(record) => {
+                tracing::info!(member = %record.node, "member joined");
+                changed = true;
+            }
+            MemberEvent::Left(record) => {
+                tracing::info!(member = %record.node, "member left");
+                changed = true;
+            }
+            MemberEvent::Died(record) => {
+                tracing::warn!(member = %record.node, "member died");
+                changed = true;
+            }
+            MemberEvent::Changed(_) => changed = true,
+        }
+    }
+    if changed {
+        refresh_endpoints(tables, now);
+    }
+    effects
+}
+
+/// Makes the members that have a back end the places to send to.
+pub fn refresh_endpoints(tables: &mut Tables, now: Instant) {
+    let endpoints: Vec<Endpoint> = tables
+        .members
+        .members()
+        .filter(|record| record.health.is_live())
+        .filter_map(endpoint_of)
+        .collect();
+    let leaving: Vec<NodeId> = tables
+        .members
+        .members()
+        .filter(|record| record.state() == MemberState::Leaving)
+        .map(|record| record.node)
+        .collect();
+    tables.endpoints.set_endpoints(endpoints, now);
+    for node in leaving {
+        tables.endpoints.mark_leaving(node);
+    }
+}
+
+fn endpoint_of(record: &MemberRecord) -> Option<Endpoint> {
+    let service: &ServiceName = &record.placement.service;
+    if service.as_str().is_empty() {
+        return None;
+    }
+    Some(Endpoint {
+        node: record.node,
+        service: service.clone(),
+        region: record.placement.region.clone(),
+        zone: record.placement.zone.clone(),
+    })
+}
+
+/// The back end beside this node takes no new work from now on, and the fleet is told at once.
+pub fn leave(tables: &mut Tables, now: Instant) {
+    if tables.leaving {
+        return;
+    }
+    tracing::info!("leaving: no new work is taken");
+    tables.leaving = true;
+    tables.members.leave(now);
+}
--- a/crates/tallybridge-node/src/systems/mod.rs
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod admission;
 pub mod begin;
+pub mod membership;
 pub mod retry;
 pub mod tick;
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -5,19 +5,19 @@
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
-pub mod peers;
 
 use std::time::Instant;
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tallybridge_config::Settings;
-use tallybridge_core::NodeId;
+use tallybridge_core::{NodeId, ServiceName};
 use tallybridge_limits::retry::{Budget, BudgetSettings};
+use tallybridge_membership::{MemberIdentity, MemberTable, MembershipSettings, Placement};
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
 use self::{
     admission::Admission, calls::CallTable, configuration::Configuration, decisions::DecisionLog,
-    executions::ExecutionTable, peers::PeerTable,
+    executions::ExecutionTable,
 };
 
 /// All tables of one node.
@@ -36,12 +36,14 @@
     pub retry_budget: Budget,
     /// Configuration in force.
     pub configuration: Configuration,
-    /// Other nodes.
-    pub peers: PeerTable,
+    /// The fleet as this node sees it.
+    pub members: MemberTable,
     /// What was decided lately, and why.
     pub decisions: DecisionLog,
-    /// Whether this node or its back end is leaving.
+    /// Whether the back end beside this node takes no new work.
     pub leaving: bool,
+    /// Whether this node takes no new calls from outside: it is about to end.
+    pub stopping: bool,
     /// Source of random choices.
     pub rng: SmallRng,
 }
@@ -62,10 +64,32 @@
             endpoints: EndpointTable::new(locality, RoutingSettings::default()),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
-            peers: PeerTable::default(),
+            members: MemberTable::new(
+                member_identity(identity, settings),
+                MembershipSettings::default(),
+                now,
+            ),
             decisions: DecisionLog::default(),
             leaving: false,
+            stopping: false,
             rng: SmallRng::seed_from_u64(identity.instance.0),
         }
     }
 }
+
+/// What the node says about itself to the fleet.
+fn member_identity(node: NodeId, settings: &Settings) -> MemberIdentity {
+    let service = settings
+        .backend
+        .as_ref()
+        .map_or_else(|| ServiceName::from(""), |backend| backend.service.clone());
+    MemberIdentity {
+        node,
+        placement: Placement {
+            service,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            rack: settings.rack.as_str().into(),
+        },
+    }
+}
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -270,6 +270,8 @@
             $($(#[$meta])* $name($payload),)*
             /// The caller of this stream gave up.
             Cancel,
+            /// The receiver's machine is leaving, by the machine list that the sender read.
+            LeaveNotice,
         }
 
         impl Message {
@@ -279,6 +281,7 @@
                 match self {
                     $(Self::$name(_) => $kind,)*
                     Self::Cancel => CANCEL_KIND,
+                    Self::LeaveNotice => LEAVE_NOTICE_KIND,
                 }
             }
 
@@ -290,7 +293,7 @@
             pub fn to_payload(&self) -> Result<Vec<u8>, MessageError> {
                 let bytes = match self {
                     $(Self::$name(payload) => payload.to_bytes(),)*
-                    Self::Cancel => Ok(Vec::new()),
+                    Self::Cancel | Self::LeaveNotice => Ok(Vec::new()),
                 };
                 bytes.map_err(|error| MessageError::Malformed {
                     kind: self.kind(),
@@ -307,6 +310,7 @@
                 match kind {
                     $($kind => parse::<$payload>(kind, payload).map(Self::$name),)*
                     CANCEL_KIND => Ok(Self::Cancel),
+                    LEAVE_NOTICE_KIND => Ok(Self::LeaveNotice),
                     unknown => Err(MessageError::UnknownKind(unknown)),
                 }
             }
@@ -315,6 +319,7 @@
 }
 
 const CANCEL_KIND: u8 = 5;
+const LEAVE_NOTICE_KIND: u8 = 8;
 
 messages! {
     /// Who the sender is.
