--- a/crates/tallybridge-lab/src/standin/machine_list/mod.rs
+++ b/crates/tallybridge-lab/src/standin/machine_list/mod.rs
@@ -9,7 +9,7 @@
 mod machine;
 mod server;
 
-pub use announce::announce;
+pub use announce::{Listening, announce};
 pub use command::{MachineListArguments, run};
 pub use machine::{Machine, MachineState};
 pub use server::{MachineListOptions, MachineListStandin};
