Refuse early what a deep hop refuses late, and time attempts in the table

Cause: a call shed three hops down had already used the slots above it; and latency was timed from another moment than the choice of the node, with the wait of a backoff counted as latency. Change: answers carry the strictest level of the back end and of what its nested calls met; the entry node refuses a class that every endpoint sheds. The node of a delayed attempt is chosen after the wait. A back end's own 5xx counts against it in routing, 502 and 504 do not.

--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -94,13 +94,32 @@
     async fn handle(&mut self, message: EndAttempt, _context: &mut Context<Self>) -> Next {
         let EndAttempt { call, node, end } = message;
         let next = retry::attempt_ended(&mut self.tables, call, node, end, now());
-        if !matches!(next, Next::Retry(_)) {
+        if matches!(next, Next::Answer | Next::Refuse(_)) {
             self.end_call(call);
         }
         next
     }
 }
 
+/// Chooses the node of the next attempt after a wait.
+pub struct ChooseNext(pub CallId);
+
+impl Handler<ChooseNext> for NodeActor {
+    type Return = Result<Route, Refusal>;
+
+    async fn handle(
+        &mut self,
+        ChooseNext(call): ChooseNext,
+        _context: &mut Context<Self>,
+    ) -> Self::Return {
+        let route = retry::choose_route(&mut self.tables, call, now());
+        if route.is_err() {
+            self.end_call(call);
+        }
+        route
+    }
+}
+
 impl NodeActor {
     /// Takes a call out and gives its parent back what was lent and not spent.
     fn end_call(&mut self, id: CallId) {
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -1,6 +1,8 @@
 //! Messages about attempts that the back end beside this node runs.
 
-use tallybridge_core::{AttemptId, LoadReport, Refusal};
+use std::time::Instant;
+
+use tallybridge_core::{AttemptId, LoadReport, Refusal, TemplateName};
 use tallybridge_limits::{Sample, Ticket};
 use xtra::prelude::*;
 
@@ -44,6 +46,8 @@
 pub struct EndExecution {
     /// The attempt.
     pub attempt: AttemptId,
+    /// Template that covers the call.
+    pub template: TemplateName,
     /// What it tells about the back end's load.
     pub sample: Sample,
 }
@@ -61,26 +65,31 @@
     type Return = Closing;
 
     async fn handle(&mut self, message: EndExecution, _context: &mut Context<Self>) -> Closing {
+        let now = now();
         let mut unused_allowance = 0;
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
-            admission::release(&mut self.tables, &execution, message.sample, now());
+            admission::release(&mut self.tables, &execution, message.sample, now);
         }
         Closing {
             unused_allowance,
-            load: self.load_report(),
+            load: self.load_report(&message.template, now),
         }
     }
 }
 
-/// Asks for the load of this node.
-pub struct ReportLoad;
+/// Asks for the load of this node, as a caller of a template meets it.
+pub struct ReportLoad(pub TemplateName);
 
 impl Handler<ReportLoad> for NodeActor {
     type Return = LoadReport;
 
-    async fn handle(&mut self, _message: ReportLoad, _context: &mut Context<Self>) -> LoadReport {
-        self.load_report()
+    async fn handle(
+        &mut self,
+        ReportLoad(template): ReportLoad,
+        _context: &mut Context<Self>,
+    ) -> LoadReport {
+        self.load_report(&template, now())
     }
 }
 
@@ -96,7 +105,8 @@
 }
 
 impl NodeActor {
-    fn load_report(&self) -> LoadReport {
-        self.tables.admission.load_report(self.tables.leaving)
+    fn load_report(&self, template: &TemplateName, now: Instant) -> LoadReport {
+        let tables = &self.tables;
+        tables.admission.load_report(template, tables.leaving, now)
     }
 }
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -35,7 +35,6 @@
     carried: &CarriedRequest,
     cancelled: &CancellationToken,
 ) -> Attempted {
-    let started = tokio::time::Instant::now();
     let head = call_head(plan, route, carried);
     let deadline = tokio::time::Instant::from_std(plan.deadline);
     let executing = async {
@@ -49,7 +48,7 @@
     };
     tokio::select! {
         biased;
-        executed = executing => ended(executed, started.elapsed()),
+        executed = executing => ended(executed),
         () = cancelled.cancelled() => without_answer(AttemptEnd::Cancelled),
         () = tokio::time::sleep_until(deadline) => {
             context.links.retire(route.node);
@@ -58,9 +57,9 @@
     }
 }
 
-fn ended(executed: Result<Executed, PeerFailure>, latency: Duration) -> Attempted {
+fn ended(executed: Result<Executed, PeerFailure>) -> Attempted {
     match executed {
-        Ok(executed) => answered(executed, latency),
+        Ok(executed) => answered(executed),
         Err(PeerFailure::NotSent(reason)) => without_answer(AttemptEnd::NotSent(not_sent(reason))),
         Err(PeerFailure::Lost(reason)) => {
             without_answer(AttemptEnd::Lost(Refusal::new(ErrorKind::PeerLost, reason)))
@@ -68,12 +67,12 @@
     }
 }
 
-fn answered(executed: Executed, latency: Duration) -> Attempted {
+fn answered(executed: Executed) -> Attempted {
     let closing = executed.closing;
     match executed.result {
         Ok(answer) => Attempted {
             end: AttemptEnd::Answered {
-                latency,
+                status: answer.status,
                 load: closing.load,
                 unused_allowance: closing.unused_allowance,
             },
--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -5,7 +5,7 @@
 
 use super::{CallEnd, CarriedRequest, WholeAnswer, attempt};
 use crate::{
-    actor::calls::{BeginCall, CallPlan, EndAttempt},
+    actor::calls::{BeginCall, CallPlan, ChooseNext, EndAttempt},
     context::NodeContext,
     systems::{begin::CallRequest, retry::Next},
 };
@@ -39,9 +39,6 @@
 ) -> Result<WholeAnswer, Refusal> {
     let mut route = plan.route;
     loop {
-        if !route.delay.is_zero() {
-            tokio::time::sleep(route.delay).await;
-        }
         let attempted = attempt::run(context, plan, route, carried, cancelled).await;
         let next = context
             .ask(EndAttempt {
@@ -53,6 +50,10 @@
         match (next, attempted.answer) {
             (Next::Answer, Some(answer)) => return Ok(answer),
             (Next::Retry(next_route), _) => route = next_route,
+            (Next::Wait(delay), _) => {
+                tokio::time::sleep(delay).await;
+                route = context.ask(ChooseNext(plan.id)).await??;
+            }
             (Next::Refuse(refusal), _) => return Err(refusal),
             (Next::Answer, None) => unreachable!("only an answered attempt ends with an answer"),
         }
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -44,7 +44,7 @@
         Err(refusal) => return refused(context, &head, refusal).await,
     };
     if let Err(refusal) = check_before_hand_over(deadline, &cancelled) {
-        return end_unrun(context, attempt, refusal).await;
+        return end_unrun(context, &head, attempt, refusal).await;
     }
     let started = tokio::time::Instant::now();
     let request = backend_request(&head, body, attempt, deadline);
@@ -210,14 +210,29 @@
         answer,
         Err(NoAnswer::Failed(BackendFailure::NotConnected(_)))
     );
-    let closing = context.ask(EndExecution { attempt, sample }).await;
+    let closing = end_execution(context, head, attempt, sample).await;
     Executed {
         result: into_result(answer),
         reached_backend,
-        closing: closing.unwrap_or_default(),
+        closing,
     }
 }
 
+async fn end_execution(
+    context: &NodeContext,
+    head: &CallHead,
+    attempt: AttemptId,
+    sample: Sample,
+) -> Closing {
+    let end = EndExecution {
+        attempt,
+        template: TemplateName::from(head.template.to_string_lossy()),
+        sample,
+    };
+    // The default, which gives nothing back, is for a node whose tables are gone.
+    context.ask(end).await.unwrap_or_default()
+}
+
 /// A stable number for the template, by which the limit keeps natural latencies apart.
 fn template_kind(head: &CallHead) -> u16 {
     let digest = xxhash_rust::xxh3::xxh3_64(head.template.as_bytes());
@@ -257,19 +272,24 @@
 }
 
 /// Ends an attempt that holds a slot but is not handed over.
-async fn end_unrun(context: &NodeContext, attempt: AttemptId, refusal: Refusal) -> Executed {
+async fn end_unrun(
+    context: &NodeContext,
+    head: &CallHead,
+    attempt: AttemptId,
+    refusal: Refusal,
+) -> Executed {
     let sample = crate::systems::admission::ignored_sample();
-    let closing = context.ask(EndExecution { attempt, sample }).await;
     Executed {
         result: Err(refusal),
         reached_backend: false,
-        closing: closing.unwrap_or_default(),
+        closing: end_execution(context, head, attempt, sample).await,
     }
 }
 
 /// Answers a call that never got a slot; all that it was lent goes back.
 async fn refused(context: &NodeContext, head: &CallHead, refusal: Refusal) -> Executed {
-    let load = context.ask(ReportLoad).await.unwrap_or_default();
+    let template = TemplateName::from(head.template.to_string_lossy());
+    let load = context.ask(ReportLoad(template)).await.unwrap_or_default();
     Executed {
         result: Err(refusal),
         reached_backend: false,
--- a/crates/tallybridge-node/src/systems/admission.rs
+++ b/crates/tallybridge-node/src/systems/admission.rs
@@ -12,6 +12,12 @@
     executions::Execution,
 };
 
+/// Why calls are shed, for the caller and the log.
+const DISPLACED: &str = "a more critical call took the place in the queue";
+const QUEUE_FULL: &str = "the queue is full of calls at least as critical";
+const TEMPLATE_FULL: &str = "the template's own concurrency limit is reached";
+const WAITED_TOO_LONG: &str = "the queue did not move fast enough for the call's class";
+
 /// What became of a call that asks for a slot.
 #[derive(Debug)]
 pub enum Admitted {
@@ -71,13 +77,13 @@
     let ticket = match tables.admission.queue.offer(waiting, now) {
         Offer::Queued(ticket) => ticket,
         Offer::QueuedDisplacing(ticket, displaced) => {
-            refuse(&mut tables.admission, displaced, overloaded());
+            refuse(&mut tables.admission, displaced, overloaded(DISPLACED));
             ticket
         }
         Offer::Refused(applicant) => {
             let class = applicant.execution.criticality;
             tables.admission.level.record_refused(class);
-            return Err(overloaded());
+            return Err(overloaded(QUEUE_FULL));
         }
     };
     fill_slots(tables, now);
@@ -97,7 +103,7 @@
         }
         let admission = &mut tables.admission;
         if !try_acquire(admission, &applicant.execution.template, applicant.bounds) {
-            refuse(admission, applicant, overloaded());
+            refuse(admission, applicant, overloaded(TEMPLATE_FULL));
             continue;
         }
         admission.level.record_taken(waiting.criticality, delay);
@@ -164,7 +170,7 @@
         let refusal = if expired.execution.deadline <= now {
             deadline_passed()
         } else {
-            overloaded()
+            overloaded(WAITED_TOO_LONG)
         };
         refuse(&mut tables.admission, expired, refusal);
     }
@@ -197,9 +203,8 @@
 
 /// The refusal of a call that the back end's limit leaves no room for.
 #[must_use]
-pub fn overloaded() -> Refusal {
-    Refusal::new(ErrorKind::Overloaded, "the back end's limit is reached")
-        .with_retry_after(RETRY_AFTER)
+pub fn overloaded(detail: &str) -> Refusal {
+    Refusal::new(ErrorKind::Overloaded, detail).with_retry_after(RETRY_AFTER)
 }
 
 fn deadline_passed() -> Refusal {
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -12,7 +12,10 @@
 };
 use tallybridge_limits::retry::Allowance;
 
-use crate::tables::{Tables, calls::Call, executions::Execution};
+use crate::{
+    systems::admission::overloaded,
+    tables::{Tables, calls::Call, executions::Execution},
+};
 
 /// What a caller asks for, as far as the tables need it.
 #[derive(Debug, Clone)]
@@ -105,6 +108,8 @@
             ),
         ));
     }
+    let criticality = inherited.criticality.max(policy.criticality);
+    refuse_early(tables, &policy, criticality, now)?;
     let deadline = earliest_deadline(&policy, request.timeout, inherited.deadline, now);
     let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy)?;
     Ok(Call {
@@ -113,7 +118,7 @@
         shared_key: inherited.shared_key,
         tenant: inherited.tenant,
         service: request.service.clone(),
-        criticality: inherited.criticality.max(policy.criticality),
+        criticality,
         policy,
         depth: inherited.depth,
         deadline,
@@ -121,6 +126,7 @@
         allowance,
         lent_by_parent,
         lent_to_attempt: 0,
+        chosen: now,
         attempts: 0,
         reroutes: 0,
         excluded: Vec::new(),
@@ -227,6 +233,25 @@
         })
 }
 
+/// Refuses what every executing node that answered lately refuses, before it costs a hop.
+fn refuse_early(
+    tables: &mut Tables,
+    policy: &CallPolicy,
+    criticality: Criticality,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let refused =
+        tables
+            .early_refusal
+            .should_refuse(&policy.template, criticality, now, &mut tables.rng);
+    if refused {
+        return Err(overloaded(
+            "every back end of the service sheds this class now",
+        ));
+    }
+    Ok(())
+}
+
 fn earliest_deadline(
     policy: &CallPolicy,
     timeout: Option<Duration>,
--- a/crates/tallybridge-node/src/systems/retry.rs
+++ b/crates/tallybridge-node/src/systems/retry.rs
@@ -10,7 +10,9 @@
 
 use crate::tables::{
     Tables,
+    admission::Admission,
     calls::{Call, CallId},
+    executions::ExecutionTable,
 };
 
 /// Where the next attempt of a call goes.
@@ -22,8 +24,6 @@
     pub attempt: u16,
     /// Retries lent to it for nested calls.
     pub allowance: u8,
-    /// How long to wait before it starts.
-    pub delay: Duration,
 }
 
 /// How an attempt ended, as the entry node saw it.
@@ -31,8 +31,8 @@
 pub enum AttemptEnd {
     /// The back end answered.
     Answered {
-        /// From the choice of the node to the end of the answer.
-        latency: Duration,
+        /// The back end's HTTP status.
+        status: u16,
         /// Load of the executing node.
         load: LoadReport,
         /// Retries of those lent that were not spent.
@@ -62,8 +62,10 @@
 pub enum Next {
     /// The answer can go to the caller.
     Answer,
-    /// Another attempt is made.
+    /// Another attempt is made at once.
     Retry(Route),
+    /// Another attempt is made after a wait; its node is chosen then.
+    Wait(Duration),
     /// The call is refused.
     Refuse(Refusal),
 }
@@ -93,11 +95,11 @@
         tables.retry_budget.deposit(now);
     }
     call.lent_to_attempt = call.allowance.lend();
+    call.chosen = now;
     Ok(Route {
         node,
         attempt: call.attempts,
         allowance: call.lent_to_attempt,
-        delay: Duration::ZERO,
     })
 }
 
@@ -119,11 +121,19 @@
     end: AttemptEnd,
     now: Instant,
 ) -> Next {
-    tables.endpoints.finish(node, routing_result(&end), now);
     let Some(call) = tables.calls.get_mut(id) else {
         return Next::Refuse(call_is_gone());
     };
+    let latency = now.saturating_duration_since(call.chosen);
+    tables
+        .endpoints
+        .finish(node, routing_result(&end, latency), now);
     settle_allowance(call, &end);
+    if let AttemptEnd::Answered { load, .. } | AttemptEnd::Refused { load, .. } = &end {
+        let template = call.policy.template.clone();
+        tables.early_refusal.record(template, node, load, now);
+        record_downstream(&tables.executions, &mut tables.admission, call, load, now);
+    }
     let refusal = match end {
         AttemptEnd::Answered { .. } => return Next::Answer,
         AttemptEnd::Cancelled => return Next::Refuse(cancelled(call)),
@@ -161,12 +171,30 @@
     let Some(delay) = retry_delay(call, &mut tables.rng, now) else {
         return Next::Refuse(final_refusal);
     };
+    if !delay.is_zero() {
+        return Next::Wait(delay);
+    }
     match choose_route(tables, id, now) {
-        Ok(route) => Next::Retry(Route { delay, ..route }),
+        Ok(route) => Next::Retry(route),
         Err(_) => Next::Refuse(final_refusal),
     }
 }
 
+/// Notes the level that a nested call met for the call that made it.
+fn record_downstream(
+    executions: &ExecutionTable,
+    admission: &mut Admission,
+    call: &Call,
+    load: &LoadReport,
+    now: Instant,
+) {
+    let parent = call.parent.and_then(|parent| executions.get(parent));
+    if let Some(parent) = parent {
+        let level = load.admitted_from;
+        admission.downstream.record(&parent.template, level, now);
+    }
+}
+
 /// Gives back what an attempt was lent and did not spend. What was lost with its answer is spent.
 fn settle_allowance(call: &mut Call, end: &AttemptEnd) {
     let unused = match end {
@@ -242,17 +270,28 @@
     Refusal::new(ErrorKind::Internal, "the call is not in the table")
 }
 
-fn routing_result(end: &AttemptEnd) -> AttemptResult {
+/// Statuses by which a back end says that a service behind it failed; they say nothing against it.
+const STATUSES_OF_A_SERVICE_BEHIND: [u16; 2] = [502, 504];
+/// First status by which a back end says that it failed.
+const FIRST_FAILURE_STATUS: u16 = 500;
+
+fn routing_result(end: &AttemptEnd, latency: Duration) -> AttemptResult {
     match end {
-        AttemptEnd::Answered { latency, load, .. } => AttemptResult::Answered {
-            latency: *latency,
+        AttemptEnd::Answered { status, .. } if is_own_failure(*status) => AttemptResult::Failed,
+        AttemptEnd::Answered { load, .. } => AttemptResult::Answered {
+            latency,
             load: *load,
         },
         AttemptEnd::Refused { refusal, load, .. } if refusal.outcome == Outcome::NotRun => {
             AttemptResult::RefusedNotRun { load: Some(*load) }
         }
-        AttemptEnd::Refused { .. } | AttemptEnd::Lost(_) => AttemptResult::Failed,
-        AttemptEnd::NotSent(_) => AttemptResult::Failed,
+        AttemptEnd::Refused { .. } | AttemptEnd::Lost(_) | AttemptEnd::NotSent(_) => {
+            AttemptResult::Failed
+        }
         AttemptEnd::Cancelled => AttemptResult::Cancelled,
     }
 }
+
+fn is_own_failure(status: u16) -> bool {
+    status >= FIRST_FAILURE_STATUS && !STATUSES_OF_A_SERVICE_BEHIND.contains(&status)
+}
--- a/crates/tallybridge-node/src/systems/tick.rs
+++ b/crates/tallybridge-node/src/systems/tick.rs
@@ -8,4 +8,5 @@
 pub fn run(tables: &mut Tables, now: Instant) {
     admission::run(tables, now);
     tables.endpoints.tick(now);
+    tables.early_refusal.tick(now);
 }
--- a/crates/tallybridge-node/src/tables/admission.rs
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -6,7 +6,7 @@
 };
 
 use tallybridge_config::settings::BackendSettings;
-use tallybridge_core::{LoadReport, Refusal, ServiceName, TemplateName};
+use tallybridge_core::{Criticality, LoadReport, Refusal, ServiceName, TemplateName};
 use tallybridge_limits::{
     AdmissionLevel, AdmissionQueue, ConcurrencyLimit, LevelSettings, LimitSettings, QueueSettings,
     Ramp,
@@ -47,6 +47,54 @@
     pub reserve: u16,
 }
 
+/// Time for which a level that a nested call met counts; the same as at an entry node.
+const DOWNSTREAM_FRESH: Duration = Duration::from_millis(250);
+
+/// The strictest level that nested calls met lately, by the template of the call that made them.
+#[derive(Debug, Default)]
+pub struct DownstreamLevels {
+    rows: BTreeMap<TemplateName, DownstreamLevel>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct DownstreamLevel {
+    admitted_from: Option<Criticality>,
+    recorded: Instant,
+}
+
+impl DownstreamLevels {
+    /// Takes in the level that came with the answer to a nested call.
+    pub fn record(
+        &mut self,
+        template: &TemplateName,
+        admitted_from: Option<Criticality>,
+        now: Instant,
+    ) {
+        if admitted_from == Some(Criticality::Sheddable) {
+            return;
+        }
+        let level = DownstreamLevel {
+            admitted_from,
+            recorded: now,
+        };
+        self.rows.insert(template.clone(), level);
+    }
+
+    /// The level for a template; every class is admitted when nothing was met lately.
+    #[must_use]
+    pub fn admitted_from(&self, template: &TemplateName, now: Instant) -> Option<Criticality> {
+        self.rows
+            .get(template)
+            .filter(|level| now.saturating_duration_since(level.recorded) < DOWNSTREAM_FRESH)
+            .map_or(Some(Criticality::Sheddable), |level| level.admitted_from)
+    }
+}
+
+/// The level that admits less; `None` admits nothing.
+fn stricter(one: Option<Criticality>, other: Option<Criticality>) -> Option<Criticality> {
+    Some(one?.max(other?))
+}
+
 /// Smallest concurrency limit: a back end is never shut off by its latency alone.
 const MIN_LIMIT: u16 = 2;
 /// Time over which a back end that has just come up is given its whole limit.
@@ -66,6 +114,8 @@
     pub level: AdmissionLevel,
     /// Slots by template.
     pub templates: BTreeMap<TemplateName, TemplateSlots>,
+    /// What the services that the back end calls admit.
+    pub downstream: DownstreamLevels,
 }
 
 impl Admission {
@@ -85,17 +135,23 @@
             queue: AdmissionQueue::new(QueueSettings::default()),
             level: AdmissionLevel::new(LevelSettings::default()),
             templates: BTreeMap::new(),
+            downstream: DownstreamLevels::default(),
         }
     }
 
-    /// The load to report on an answer.
+    /// The load to report on an answer to a call of a template. The level is the strictest of this
+    /// back end's own and of those that its nested calls met, so that an entry node refuses early
+    /// what a deep hop would refuse late (DAGOR, SoCC 2018).
     #[must_use]
-    pub fn load_report(&self, leaving: bool) -> LoadReport {
+    pub fn load_report(&self, template: &TemplateName, leaving: bool, now: Instant) -> LoadReport {
         LoadReport {
             in_flight: self.limit.in_flight(),
             limit: self.limit.limit(),
             queued: u16::try_from(self.queue.len()).unwrap_or(u16::MAX),
-            admitted_from: self.level.admitted_from(),
+            admitted_from: stricter(
+                self.level.admitted_from(),
+                self.downstream.admitted_from(template, now),
+            ),
             leaving,
         }
     }
--- a/crates/tallybridge-node/src/tables/calls.rs
+++ b/crates/tallybridge-node/src/tables/calls.rs
@@ -39,6 +39,8 @@
     pub lent_by_parent: u8,
     /// Retries lent to the attempt that runs now.
     pub lent_to_attempt: u8,
+    /// When the node of the running attempt was chosen.
+    pub chosen: Instant,
     /// Attempts so far.
     pub attempts: u16,
     /// Attempts that ended before they were handed to a back end and were sent elsewhere.
--- a/crates/tallybridge-node/src/tables/executions.rs
+++ b/crates/tallybridge-node/src/tables/executions.rs
@@ -71,6 +71,12 @@
         self.rows.get_mut(&attempt)
     }
 
+    /// The attempt of an identity, if it still runs.
+    #[must_use]
+    pub fn get(&self, attempt: AttemptId) -> Option<&Execution> {
+        self.rows.get(&attempt)
+    }
+
     /// Takes a finished attempt out.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<Execution> {
         self.rows.remove(&attempt)
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -10,8 +10,8 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tallybridge_config::Settings;
-use tallybridge_core::{NodeId, ServiceName};
-use tallybridge_limits::retry::{Budget, BudgetSettings};
+use tallybridge_core::{NodeId, ServiceName, TemplateName};
+use tallybridge_limits::{Budget, BudgetSettings, EarlyRefusal};
 use tallybridge_membership::{MemberIdentity, MemberTable, MembershipSettings, Placement};
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
@@ -32,6 +32,8 @@
     pub admission: Admission,
     /// Where calls can be sent.
     pub endpoints: EndpointTable,
+    /// Levels that came back on answers, by which calls are refused before they are sent.
+    pub early_refusal: EarlyRefusal<TemplateName, NodeId>,
     /// Share of retries among attempts, over all calls that entered here.
     pub retry_budget: Budget,
     /// Configuration in force.
@@ -62,6 +64,7 @@
             executions: ExecutionTable::new(identity.instance),
             admission: Admission::new(settings.backend.as_ref(), now),
             endpoints: EndpointTable::new(locality, RoutingSettings::default()),
+            early_refusal: EarlyRefusal::new(),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
             members: MemberTable::new(
