--- a/crates/tallybridge-routing/src/endpoint/health.rs
+++ b/crates/tallybridge-routing/src/endpoint/health.rs
@@ -74,6 +74,12 @@
         self.ejected_at
     }
 
+    /// Whether the endpoint was ejected and has not come back to full traffic since.
+    #[must_use]
+    pub fn is_recovering(&self) -> bool {
+        self.ejections > 0
+    }
+
     /// Share of its traffic that the endpoint gets now, 0 to 1.
     #[must_use]
     pub fn share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
--- a/crates/tallybridge-routing/src/endpoint/latency.rs
+++ b/crates/tallybridge-routing/src/endpoint/latency.rs
@@ -1,13 +1,15 @@
 //! Smoothed latency of one endpoint.
 //!
-//! A peak-sensitive moving average as in Finagle's `PeakEwma` load balancer: it follows a rise at
-//! once and forgets it with time. Unlike there a single sample moves it only part of the way, since
-//! calls of different kinds go to one endpoint.
+//! A peak-sensitive moving average after Finagle's `PeakEwma` load balancer: it follows a rise faster
+//! than a fall. Unlike there the fall goes by samples too: a fall by time alone makes an endpoint
+//! look the slower, the more calls it gets, where latencies vary.
 
 use std::time::{Duration, Instant};
 
 /// Part of the way that one sample above the average moves it.
 const RISE_WEIGHT: f64 = 0.3;
+/// Part of the way that one sample below the average moves it.
+const FALL_WEIGHT: f64 = 0.1;
 /// Weight of a new sample in the mean.
 const MEAN_WEIGHT: f64 = 0.05;
 
@@ -44,23 +46,26 @@
     pub fn record(&mut self, sample: Duration, greatest: f64, baseline: Baseline, now: Instant) {
         let sample = sample.as_secs_f64();
         let bounded = sample.min(greatest);
-        self.peak = self.peak(baseline, now);
-        if bounded > self.peak {
-            self.peak += (bounded - self.peak) * RISE_WEIGHT;
-        }
+        let peak = self.peak(baseline, now);
+        let weight = if bounded > peak {
+            RISE_WEIGHT
+        } else {
+            FALL_WEIGHT
+        };
+        self.peak = peak + (bounded - peak) * weight;
         self.mean += (sample - self.mean) * MEAN_WEIGHT;
         self.updated = now;
     }
 
     /// The peak-sensitive average, seconds.
     ///
-    /// It falls towards what is typical of the service with time and not with samples, so an
-    /// endpoint that lost its traffic is tried again.
+    /// With time it falls towards what is typical of the service, so that an endpoint which lost its
+    /// traffic is tried again.
     #[must_use]
     pub fn peak(&self, baseline: Baseline, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.updated).as_secs_f64();
         let rest = (-age / baseline.decay.as_secs_f64()).exp();
-        let floor = baseline.typical.min(self.mean);
+        let floor = baseline.typical.min(self.peak);
         floor + (self.peak - floor) * rest
     }
 
--- a/crates/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/tallybridge-routing/src/endpoint/row.rs
@@ -113,7 +113,15 @@
         self.answered_start = self.answered_start.max(Some(start));
         self.unserved.record(true, settings.unserved_half_life, now);
         self.record_latency(latency, profile, settings, now);
-        if self.counts_after_ejection(start) {
+        let is_overdue = profile
+            .overdue_after(settings)
+            .is_some_and(|limit| latency > limit);
+        if !self.counts_after_ejection(start) {
+            return;
+        }
+        if is_overdue {
+            self.health.failed();
+        } else {
             self.health.answered(settings, now);
         }
     }
--- a/crates/tallybridge-routing/src/endpoint/unserved.rs
+++ b/crates/tallybridge-routing/src/endpoint/unserved.rs
@@ -2,16 +2,23 @@
 //!
 //! An endpoint that refuses at once looks idle; without this share it would attract the traffic
 //! that it can't serve.
+//!
+//! Time forgets the share so that the endpoint is tried again; the more attempts in a row it has not
+//! served, the fewer further ones it takes to bring the share back.
 
 use std::time::{Duration, Instant};
 
 /// Weight of one attempt in the share.
 const ATTEMPT_WEIGHT: f64 = 0.2;
+/// Attempts in a row beyond which the weight grows no more.
+const LONGEST_STREAK: i32 = 16;
 
 /// Recent share of attempts that were not served, 0 to 1.
 #[derive(Debug, Clone, Copy)]
 pub struct UnservedShare {
     share: f64,
+    /// Attempts in a row that were not served.
+    streak: i32,
     updated: Instant,
 }
 
@@ -21,15 +28,21 @@
     pub fn new(now: Instant) -> Self {
         Self {
             share: 0.0,
+            streak: 0,
             updated: now,
         }
     }
 
     /// Counts an attempt.
     pub fn record(&mut self, served: bool, half_life: Duration, now: Instant) {
-        let target = if served { 0.0 } else { 1.0 };
         let share = self.get(half_life, now);
-        self.share = share + (target - share) * ATTEMPT_WEIGHT;
+        if served {
+            self.streak = 0;
+            self.share = share * (1.0 - ATTEMPT_WEIGHT);
+        } else {
+            self.streak = (self.streak + 1).min(LONGEST_STREAK);
+            self.share = 1.0 - (1.0 - share) * (1.0 - ATTEMPT_WEIGHT).powi(self.streak);
+        }
         self.updated = now;
     }
 
--- a/crates/tallybridge-routing/src/settings.rs
+++ b/crates/tallybridge-routing/src/settings.rs
@@ -26,7 +26,7 @@
     pub overdue_factor: f64,
     /// An attempt is never overdue before this time.
     pub overdue_minimum: Duration,
-    /// Overdue attempts that eject an endpoint that still answers others.
+    /// Overdue attempts that eject an endpoint that still answers others; one while it recovers.
     pub overdue_count: usize,
     /// Failures in a row that eject an endpoint.
     pub consecutive_failures: u32,
@@ -52,7 +52,7 @@
             zone_hop_weight_limit: 0.25,
             latency_decay: Duration::from_secs(1),
             latency_tolerance: 2.0,
-            unserved_half_life: Duration::from_secs(1),
+            unserved_half_life: Duration::from_secs(2),
             load_half_life: Duration::from_millis(500),
             level_lifetime: Duration::from_secs(1),
             limit_ratio_limit: 4.0,
@@ -63,7 +63,7 @@
             ejection_time: Duration::from_secs(1),
             ejection_time_limit: Duration::from_secs(30),
             ejected_share_limit: 0.5,
-            ramp_floor: 0.1,
+            ramp_floor: 0.05,
             cold_start_ramp: Duration::from_secs(10),
             recovery_ramp: Duration::from_secs(5),
         }
--- a/crates/tallybridge-routing/src/table/choice.rs
+++ b/crates/tallybridge-routing/src/table/choice.rs
@@ -101,24 +101,42 @@
         self.excluded.contains(&self.rows[row].endpoint.node)
     }
 
-    /// The cheapest of those that their ramp lets through, or of all when it lets none through.
+    /// The cheapest of those that are held back least.
     fn cheapest(&self, candidates: &[usize], rng: &mut SmallRng) -> Option<usize> {
-        let mut best: Option<(bool, f64, usize)> = None;
+        let mut best: Option<(HeldBack, f64, usize)> = None;
         for &candidate in candidates {
             let row = &self.rows[candidate];
-            let is_held_back = !self.ramp_admits(row, rng);
+            let held_back = self.held_back(row, rng);
             let cost = cost::of_row(row, self.profile, self.settings, self.now);
-            let is_better =
-                best.is_none_or(|(held_back, least, _)| (is_held_back, cost) < (held_back, least));
+            let is_better = best.is_none_or(|(least_held_back, least_cost, _)| {
+                (held_back, cost) < (least_held_back, least_cost)
+            });
             if is_better {
-                best = Some((is_held_back, cost, candidate));
+                best = Some((held_back, cost, candidate));
             }
         }
         best.map(|(_, _, row)| row)
     }
 
-    fn ramp_admits(&self, row: &EndpointRow, rng: &mut SmallRng) -> bool {
+    fn held_back(&self, row: &EndpointRow, rng: &mut SmallRng) -> HeldBack {
+        if !row.admits_probe() {
+            return HeldBack::ByProbe;
+        }
         let share = row.health.share(self.settings, self.now) / self.profile.greatest_share;
-        row.admits_probe() && (share >= 1.0 || rng.random::<f64>() < share)
+        if share < 1.0 && rng.random::<f64>() >= share {
+            HeldBack::ByRamp
+        } else {
+            HeldBack::Not
+        }
     }
 }
+
+/// Why a candidate should not get this call if another can, weakest reason first.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+enum HeldBack {
+    Not,
+    /// The ramp lets only a share of the calls through.
+    ByRamp,
+    /// A probe is out and not answered yet.
+    ByProbe,
+}
--- a/crates/tallybridge-routing/src/table/cost.rs
+++ b/crates/tallybridge-routing/src/table/cost.rs
@@ -7,7 +7,7 @@
 
 /// Power of the utilisation that waiting grows with: next to nothing at half load, one typical
 /// latency where the limit is reached. So nearness decides at low load and evenness at high load.
-const WAIT_POWER: i32 = 4;
+const WAIT_POWER: i32 = 8;
 /// Greatest unserved share that counts, so that the cost stays finite.
 const GREATEST_UNSERVED: f64 = 0.95;
 
--- a/crates/tallybridge-routing/src/table/service.rs
+++ b/crates/tallybridge-routing/src/table/service.rs
@@ -182,7 +182,7 @@
         let shares = self
             .rows
             .iter()
-            .filter(|row| row.takes_new_work())
+            .filter(|row| row.takes_new_work() && row.health.probing_since().is_none())
             .map(|row| row.health.share(settings, now));
         let greatest = shares.fold(0.0, f64::max);
         if greatest > 0.0 { greatest } else { 1.0 }
