Routing: probes in a row, slow start of ramps, refusals to probes

Change: three answered probes in a row before a ramp, a ramp that grows with the square of time, refusals of probes despite room count as failures.

--- a/crates/tallybridge-routing/src/endpoint/health.rs
+++ b/crates/tallybridge-routing/src/endpoint/health.rs
@@ -10,12 +10,16 @@
 /// Doublings after which the ejection time stays within any sensible limit.
 const MOST_DOUBLINGS: u32 = 16;
 
+/// Power of the elapsed time that a ramp grows with: slow at first, while faults that show only after
+/// a time can still be seen.
+const RAMP_POWER: i32 = 2;
+
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     Serving,
     Ramping { since: Instant, window: Duration },
     Ejected { until: Instant },
-    Probing { since: Instant },
+    Probing { since: Instant, answered: u32 },
 }
 
 /// Health of one endpoint by what was observed of it.
@@ -63,7 +67,7 @@
     #[must_use]
     pub fn probing_since(&self) -> Option<Instant> {
         match self.phase {
-            Phase::Probing { since } => Some(since),
+            Phase::Probing { since, .. } => Some(since),
             _ => None,
         }
     }
@@ -89,15 +93,19 @@
             Phase::Ramping { since, window } => {
                 let elapsed = now.saturating_duration_since(since).as_secs_f64();
                 let progress = (elapsed / window.as_secs_f64()).min(1.0);
-                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress
+                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress.powi(RAMP_POWER)
             }
         }
     }
 
-    /// Counts an answer; the first one to a probe starts the ramp.
+    /// Counts an answer; as many in a row to probes as the settings ask for start the ramp.
     pub fn answered(&mut self, settings: &RoutingSettings, now: Instant) {
         self.consecutive_failures = 0;
-        if let Phase::Probing { .. } = self.phase {
+        let Phase::Probing { answered, .. } = &mut self.phase else {
+            return;
+        };
+        *answered += 1;
+        if *answered >= settings.probes {
             self.phase = Phase::Ramping {
                 since: now,
                 window: settings.recovery_ramp,
@@ -110,6 +118,19 @@
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
     }
 
+    /// Counts a refusal. A probe that is refused for want of room shows that the endpoint is alive; one
+    /// that is refused without shows that it is not well.
+    pub fn refused(&mut self, has_room: bool, settings: &RoutingSettings, now: Instant) {
+        if self.probing_since().is_none() {
+            return;
+        }
+        if has_room {
+            self.failed();
+        } else {
+            self.answered(settings, now);
+        }
+    }
+
     /// Whether failures in a row ask for an ejection; one is enough while probing.
     #[must_use]
     pub fn has_failed_out(&self, settings: &RoutingSettings) -> bool {
@@ -144,7 +165,10 @@
     pub fn advance(&mut self, now: Instant) -> bool {
         match self.phase {
             Phase::Ejected { until } if now >= until => {
-                self.phase = Phase::Probing { since: now };
+                self.phase = Phase::Probing {
+                    since: now,
+                    answered: 0,
+                };
                 true
             }
             Phase::Ramping { since, window } if now.saturating_duration_since(since) >= window => {
--- a/crates/tallybridge-routing/src/endpoint/mod.rs
+++ b/crates/tallybridge-routing/src/endpoint/mod.rs
@@ -67,7 +67,7 @@
     Ramping,
     /// No traffic for a time, because of what was observed.
     Ejected,
-    /// One attempt at a time until one is answered, after an ejection.
+    /// One attempt at a time until some in a row were answered, after an ejection.
     Probing,
     /// No new traffic: the endpoint says or membership says that it leaves.
     Leaving,
--- a/crates/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/tallybridge-routing/src/endpoint/row.rs
@@ -87,14 +87,7 @@
                 self.answered(latency, profile, settings, now);
                 self.report(load, now);
             }
-            AttemptResult::RefusedNotRun { load } => {
-                self.outstanding.finish_oldest();
-                self.unserved
-                    .record(false, settings.unserved_half_life, now);
-                if let Some(load) = load {
-                    self.report(load, now);
-                }
-            }
+            AttemptResult::RefusedNotRun { load } => self.refused(load, settings, now),
             AttemptResult::Failed => self.failed(settings, now),
             AttemptResult::Cancelled => self.cancelled(profile, settings, now),
         }
@@ -155,6 +148,17 @@
         self.load = Some(ReportedLoad::new(load, self.outstanding.len(), now));
     }
 
+    fn refused(&mut self, load: Option<LoadReport>, settings: &RoutingSettings, now: Instant) {
+        self.outstanding.finish_oldest();
+        self.unserved
+            .record(false, settings.unserved_half_life, now);
+        if let Some(load) = load {
+            self.report(load, now);
+        }
+        let has_room = load.is_none_or(|load| load.in_flight < load.limit);
+        self.health.refused(has_room, settings, now);
+    }
+
     fn failed(&mut self, settings: &RoutingSettings, now: Instant) {
         let Some(start) = self.outstanding.finish_oldest() else {
             return;
--- a/crates/tallybridge-routing/src/settings.rs
+++ b/crates/tallybridge-routing/src/settings.rs
@@ -34,6 +34,8 @@
     pub ejection_time: Duration,
     /// Longest ejection.
     pub ejection_time_limit: Duration,
+    /// Probes, one at a time, that an endpoint must answer in a row after an ejection.
+    pub probes: u32,
     /// Greatest share of a service's endpoints that is ejected at once; above it the fault is taken
     /// to be the service's, not the endpoints'.
     pub ejected_share_limit: f64,
@@ -62,6 +64,7 @@
             consecutive_failures: 5,
             ejection_time: Duration::from_secs(1),
             ejection_time_limit: Duration::from_secs(30),
+            probes: 3,
             ejected_share_limit: 0.5,
             ramp_floor: 0.05,
             cold_start_ramp: Duration::from_secs(10),
