Routing: probe all suspects at once when the fault is likely the service's

Change: beyond the bounded share of ejections, suspects are probed at once instead; failures of attempts older than an answered one don't count; a mean latency counts from eight samples on.

--- a/crates/tallybridge-routing/src/endpoint/health.rs
+++ b/crates/tallybridge-routing/src/endpoint/health.rs
@@ -28,7 +28,7 @@
     phase: Phase,
     consecutive_failures: u32,
     ejections: u32,
-    ejected_at: Option<Instant>,
+    judged_from: Option<Instant>,
 }
 
 impl Health {
@@ -42,7 +42,7 @@
             },
             consecutive_failures: 0,
             ejections: 0,
-            ejected_at: None,
+            judged_from: None,
         }
     }
 
@@ -72,10 +72,11 @@
         }
     }
 
-    /// When the endpoint was last ejected: attempts from before no longer count against it.
+    /// When the endpoint was last ejected or began to be probed: attempts that started before no
+    /// longer count.
     #[must_use]
-    pub fn ejected_at(&self) -> Option<Instant> {
-        self.ejected_at
+    pub fn judged_from(&self) -> Option<Instant> {
+        self.judged_from
     }
 
     /// Whether the endpoint was ejected and has not come back to full traffic since.
@@ -150,25 +151,26 @@
             .min(settings.ejection_time_limit);
         self.phase = Phase::Ejected { until: now + time };
         self.ejections = self.ejections.saturating_add(1);
-        self.ejected_at = Some(now);
+        self.judged_from = Some(now);
         self.consecutive_failures = 0;
     }
 
-    /// Ends an ejection that the service can't afford.
-    pub fn release(&mut self) {
-        if self.is_ejected() {
-            self.phase = Phase::Serving;
-        }
+    /// Gives the endpoint one attempt at a time until enough are answered. What began before no
+    /// longer counts against it.
+    pub fn probe(&mut self, now: Instant) {
+        self.phase = Phase::Probing {
+            since: now,
+            answered: 0,
+        };
+        self.consecutive_failures = 0;
+        self.judged_from = Some(now);
     }
 
     /// Moves on to the next phase when its time has come; says whether it began to probe.
     pub fn advance(&mut self, now: Instant) -> bool {
         match self.phase {
             Phase::Ejected { until } if now >= until => {
-                self.phase = Phase::Probing {
-                    since: now,
-                    answered: 0,
-                };
+                self.probe(now);
                 true
             }
             Phase::Ramping { since, window } if now.saturating_duration_since(since) >= window => {
--- a/crates/tallybridge-routing/src/endpoint/latency.rs
+++ b/crates/tallybridge-routing/src/endpoint/latency.rs
@@ -10,8 +10,10 @@
 const RISE_WEIGHT: f64 = 0.3;
 /// Part of the way that one sample below the average moves it.
 const FALL_WEIGHT: f64 = 0.1;
-/// Weight of a new sample in the mean.
+/// Least weight of a new sample in the mean; the first ones weigh as in a plain mean.
 const MEAN_WEIGHT: f64 = 0.05;
+/// Samples from which on the mean is taken to say something.
+const SETTLED_SAMPLES: u32 = 8;
 
 /// What a latency falls back to.
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +29,7 @@
 pub struct LatencyEstimate {
     peak: f64,
     mean: f64,
+    samples: u32,
     updated: Instant,
 }
 
@@ -38,6 +41,7 @@
         Self {
             peak: sample,
             mean: sample,
+            samples: 1,
             updated: now,
         }
     }
@@ -53,7 +57,9 @@
             FALL_WEIGHT
         };
         self.peak = peak + (bounded - peak) * weight;
-        self.mean += (sample - self.mean) * MEAN_WEIGHT;
+        self.samples = self.samples.saturating_add(1);
+        let weight = f64::from(self.samples).recip().max(MEAN_WEIGHT);
+        self.mean += (sample - self.mean) * weight;
         self.updated = now;
     }
 
@@ -69,6 +75,12 @@
         floor + (self.peak - floor) * rest
     }
 
+    /// Whether there are enough samples for the mean to say something.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.samples >= SETTLED_SAMPLES
+    }
+
     /// The mean, seconds.
     #[must_use]
     pub fn mean(&self) -> f64 {
--- a/crates/tallybridge-routing/src/endpoint/outstanding.rs
+++ b/crates/tallybridge-routing/src/endpoint/outstanding.rs
@@ -52,34 +52,26 @@
         self.starts.pop_front()
     }
 
-    /// The oldest attempt that started after `after`.
+    /// The oldest attempt that started at `from` or after.
     #[must_use]
-    pub fn oldest_after(&self, after: Option<Instant>) -> Option<Instant> {
-        self.starts.get(self.index_after(after)).copied()
-    }
-
-    /// Attempts that started after `after`.
-    #[must_use]
-    pub fn count_after(&self, after: Option<Instant>) -> usize {
-        self.len() - self.index_after(after)
+    pub fn oldest_from(&self, from: Option<Instant>) -> Option<Instant> {
+        self.starts.get(self.index_from(from)).copied()
     }
 
     /// Attempts that started at `from` or after.
     #[must_use]
-    pub fn count_from(&self, from: Instant) -> usize {
-        self.len() - self.starts.partition_point(|start| *start < from)
+    pub fn count_from(&self, from: Option<Instant>) -> usize {
+        self.len() - self.index_from(from)
     }
 
-    /// Attempts that started after `after` and before `before`.
+    /// Attempts that started at `from` or after and before `before`.
     #[must_use]
-    pub fn count_between(&self, after: Option<Instant>, before: Instant) -> usize {
+    pub fn count_between(&self, from: Option<Instant>, before: Instant) -> usize {
         let end = self.starts.partition_point(|start| *start < before);
-        end.saturating_sub(self.index_after(after))
+        end.saturating_sub(self.index_from(from))
     }
 
-    fn index_after(&self, after: Option<Instant>) -> usize {
-        after.map_or(0, |after| {
-            self.starts.partition_point(|start| *start <= after)
-        })
+    fn index_from(&self, from: Option<Instant>) -> usize {
+        from.map_or(0, |from| self.starts.partition_point(|start| *start < from))
     }
 }
--- a/crates/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/tallybridge-routing/src/endpoint/row.rs
@@ -68,6 +68,12 @@
         self.is_member && !self.is_leaving
     }
 
+    /// Whether enough answers came for its latency to say something.
+    #[must_use]
+    pub fn has_settled_latency(&self) -> bool {
+        self.latency.is_some_and(|latency| latency.is_settled())
+    }
+
     /// Whether the row can be dropped.
     #[must_use]
     pub fn is_done(&self) -> bool {
@@ -109,10 +115,12 @@
         let is_overdue = profile
             .overdue_after(settings)
             .is_some_and(|limit| latency > limit);
-        if !self.counts_after_ejection(start) {
+        if !self.is_judged_by(start) {
             return;
         }
-        if is_overdue {
+        let is_slow_probe =
+            self.health.probing_since().is_some() && profile.is_slow_for_probe(latency, settings);
+        if is_overdue || is_slow_probe {
             self.health.failed();
         } else {
             self.health.answered(settings, now);
@@ -165,7 +173,9 @@
         };
         self.unserved
             .record(false, settings.unserved_half_life, now);
-        if self.counts_after_ejection(start) {
+        // An attempt that began before one that was answered says nothing of the endpoint now.
+        let is_news = self.answered_start <= Some(start);
+        if is_news && self.is_judged_by(start) {
             self.health.failed();
         }
     }
@@ -173,7 +183,7 @@
     /// A caller that gives up on an overdue attempt has seen a failure; one that gives up earlier
     /// says nothing of the endpoint.
     fn cancelled(&mut self, profile: &ServiceProfile, settings: &RoutingSettings, now: Instant) {
-        let oldest = self.outstanding.oldest_after(None);
+        let oldest = self.outstanding.oldest_from(None);
         let overdue_after = profile.overdue_after(settings);
         let is_overdue = oldest
             .zip(overdue_after)
@@ -185,10 +195,8 @@
         }
     }
 
-    fn counts_after_ejection(&self, start: Instant) -> bool {
-        self.health
-            .ejected_at()
-            .is_none_or(|ejected| start > ejected)
+    fn is_judged_by(&self, start: Instant) -> bool {
+        self.health.judged_from().is_none_or(|from| start >= from)
     }
 
     /// Attempts since the last ejection that are in flight for longer than is usual.
@@ -204,7 +212,7 @@
         };
         now.checked_sub(limit).map_or(0, |before| {
             self.outstanding
-                .count_between(self.health.ejected_at(), before)
+                .count_between(self.health.judged_from(), before)
         })
     }
 
@@ -234,11 +242,11 @@
         if overdue == 0 {
             return false;
         }
-        let since = self.health.ejected_at();
-        let oldest = self.outstanding.oldest_after(since);
+        let since = self.health.judged_from();
+        let oldest = self.outstanding.oldest_from(since);
         let is_silent = self.answered_start < oldest;
         let is_mostly_overdue =
-            overdue >= settings.overdue_count && 2 * overdue >= self.outstanding.count_after(since);
+            overdue >= settings.overdue_count && 2 * overdue >= self.outstanding.count_from(since);
         is_silent || is_mostly_overdue
     }
 
@@ -282,7 +290,7 @@
     pub fn admits_probe(&self) -> bool {
         self.health
             .probing_since()
-            .is_none_or(|since| self.outstanding.count_from(since) == 0)
+            .is_none_or(|since| self.outstanding.count_from(Some(since)) == 0)
     }
 
     /// The next phase of its health; an endpoint that begins to probe starts with a clean record.
--- a/crates/tallybridge-routing/src/settings.rs
+++ b/crates/tallybridge-routing/src/settings.rs
@@ -36,6 +36,8 @@
     pub ejection_time_limit: Duration,
     /// Probes, one at a time, that an endpoint must answer in a row after an ejection.
     pub probes: u32,
+    /// A probe must be answered within this many typical latencies of the service.
+    pub probe_factor: f64,
     /// Greatest share of a service's endpoints that is ejected at once; above it the fault is taken
     /// to be the service's, not the endpoints'.
     pub ejected_share_limit: f64,
@@ -65,6 +67,7 @@
             ejection_time: Duration::from_secs(1),
             ejection_time_limit: Duration::from_secs(30),
             probes: 3,
+            probe_factor: 4.0,
             ejected_share_limit: 0.5,
             ramp_floor: 0.05,
             cold_start_ramp: Duration::from_secs(10),
--- a/crates/tallybridge-routing/src/table/cost.rs
+++ b/crates/tallybridge-routing/src/table/cost.rs
@@ -27,13 +27,13 @@
     (1.0 + wait) * latency * overdue * attempts + hop(row, profile, settings)
 }
 
-/// Expected waiting; grows in a straight line above the limit, so that an endpoint with a full
-/// queue is not worse than one that serves nothing.
+/// Expected waiting. Above the limit a call waits about one latency for each limit's worth of calls
+/// before it; a steeper rise would make an endpoint that serves nothing look better than a queue.
 fn wait(utilisation: f64) -> f64 {
     if utilisation <= 1.0 {
         utilisation.powi(WAIT_POWER)
     } else {
-        1.0 + f64::from(WAIT_POWER) * (utilisation - 1.0)
+        utilisation
     }
 }
 
@@ -62,7 +62,7 @@
     if overdue == 0 {
         return 1.0;
     }
-    let in_flight = row.outstanding.count_after(row.health.ejected_at());
+    let in_flight = row.outstanding.count_from(row.health.judged_from());
     1.0 + settings.overdue_factor * overdue as f64 / in_flight as f64
 }
 
--- a/crates/tallybridge-routing/src/table/profile.rs
+++ b/crates/tallybridge-routing/src/table/profile.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     RoutingSettings,
-    endpoint::{load::DEFAULT_LIMIT, row::EndpointRow},
+    endpoint::{latency::LatencyEstimate, load::DEFAULT_LIMIT, row::EndpointRow},
 };
 
 /// What is usual among the endpoints of one service. Medians, so that a few which stall or lie
@@ -37,11 +37,13 @@
     #[must_use]
     pub fn of_rows(rows: &[EndpointRow], previous: &Self, greatest_share: f64) -> Self {
         let members = || rows.iter().filter(|row| row.is_member);
-        let latencies = members().filter_map(|row| Some(row.latency?.mean()));
+        let estimates = || members().filter_map(|row| row.latency);
+        let settled = estimates().filter(LatencyEstimate::is_settled);
+        let typical_latency = lower_median(settled.map(|estimate| estimate.mean()));
         let limits = members().filter_map(|row| row.load?.limit());
         let others = members().filter_map(|row| Some(row.load?.others_utilisation()));
         Self {
-            typical_latency: lower_median(latencies).or(previous.typical_latency),
+            typical_latency: typical_latency.or(previous.typical_latency),
             median_limit: lower_median(limits).unwrap_or(previous.median_limit),
             usual_others: lower_median(others).unwrap_or(previous.usual_others),
             greatest_share,
@@ -55,6 +57,15 @@
         let overdue = typical.mul_f64(settings.overdue_factor);
         Some(overdue.max(settings.overdue_minimum))
     }
+
+    /// Whether a probe's answer took too long to speak for the endpoint.
+    #[must_use]
+    pub fn is_slow_for_probe(&self, latency: Duration, settings: &RoutingSettings) -> bool {
+        self.typical_latency.is_some_and(|typical| {
+            latency > settings.overdue_minimum
+                && latency.as_secs_f64() > typical * settings.probe_factor
+        })
+    }
 }
 
 fn lower_median(values: impl Iterator<Item = f64>) -> Option<f64> {
--- a/crates/tallybridge-routing/src/table/service.rs
+++ b/crates/tallybridge-routing/src/table/service.rs
@@ -125,7 +125,7 @@
         row.finish(result, &self.profile, settings, now);
         let is_done = row.is_done();
         let has_failed_out = row.health.has_failed_out(settings);
-        let is_first_latency = self.profile.typical_latency.is_none() && row.latency.is_some();
+        let is_first_latency = self.profile.typical_latency.is_none() && row.has_settled_latency();
         if had_work != row.takes_new_work() || has_failed_out || is_first_latency {
             self.review(settings, now);
         }
@@ -144,8 +144,8 @@
     }
 
     /// Ejects the suspects, unless they and those ejected before are too many: then the fault is
-    /// the service's and to send its load to fewer endpoints would add to it (Envoy's panic
-    /// threshold).
+    /// likely the service's, and to send its load to fewer endpoints would add to it (Envoy's panic
+    /// threshold). In that case they are all probed at once.
     fn review_ejections(&mut self, settings: &RoutingSettings, now: Instant) {
         let profile = self.profile;
         let is_out =
@@ -153,10 +153,11 @@
         let takers = || self.rows.iter().filter(|row| row.takes_new_work());
         let out = takers().filter(|row| is_out(row)).count();
         let is_panic = out > most_ejected(takers().count(), settings);
-        for row in &mut self.rows {
+        let takers = self.rows.iter_mut().filter(|row| row.takes_new_work());
+        for row in takers.filter(|row| is_out(row)) {
             if is_panic {
-                row.health.release();
-            } else if row.takes_new_work() && row.is_suspect(&profile, settings, now) {
+                row.health.probe(now);
+            } else if !row.health.is_ejected() {
                 row.health.eject(settings, now);
             }
         }
--- a/crates/tallybridge-routing/tests/choose_state_machine.rs
+++ b/crates/tallybridge-routing/tests/choose_state_machine.rs
@@ -19,7 +19,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tallybridge_core::{InstanceId, LoadReport, NodeId, ServiceName};
 use tallybridge_routing::{
-    AttemptResult, Endpoint, EndpointState, EndpointTable, Locality, NoEndpoint, RoutingSettings,
+    AttemptResult, Endpoint, EndpointState, EndpointStatus, EndpointTable, Locality, NoEndpoint,
+    RoutingSettings,
 };
 
 const SERVICES: u8 = 2;
@@ -299,15 +300,11 @@
             .map(|row| (row.endpoint.node, row.in_flight))
             .collect();
         assert_eq!(counted, in_flight, "attempts in flight");
-        let gone = |row: &&_| matches!(row, &&(_, EndpointState::Gone));
-        let states: Vec<_> = rows
+        let is_listed = |row: &&EndpointStatus| row.state != EndpointState::Gone;
+        let listed: BTreeSet<NodeId> = rows
             .iter()
-            .map(|row| (row.endpoint.node, row.state))
-            .collect();
-        let listed: BTreeSet<NodeId> = states
-            .iter()
-            .filter(|row| !gone(row))
-            .map(|(node, _)| *node)
+            .filter(is_listed)
+            .map(|row| row.endpoint.node)
             .collect();
         let expected: BTreeSet<NodeId> = members
             .endpoints()
@@ -315,9 +312,30 @@
             .map(|member| member.node)
             .collect();
         assert_eq!(listed, expected, "members");
+        for number in 0..SERVICES {
+            assert_ejections_are_bounded(&rows, &service(number));
+        }
     }
 }
 
+/// At most half are ejected, but one of two or three may be, and never the only one.
+fn assert_ejections_are_bounded(rows: &[EndpointStatus], service: &ServiceName) {
+    let is_open = |row: &&EndpointStatus| {
+        row.endpoint.service == *service
+            && !matches!(row.state, EndpointState::Gone | EndpointState::Leaving)
+    };
+    let open = rows.iter().filter(is_open);
+    let ejected = open
+        .clone()
+        .filter(|row| row.state == EndpointState::Ejected)
+        .count();
+    let most = match open.count() {
+        0 | 1 => 0,
+        count => (count / 2).max(1),
+    };
+    assert!(ejected <= most, "{ejected} ejected, at most {most}");
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
         cases: std::env::var("PROPTEST_CASES")
--- a/crates/tallybridge-routing/tests/simulation/main.rs
+++ b/crates/tallybridge-routing/tests/simulation/main.rs
@@ -113,3 +113,33 @@
     an_endpoint_that_lies_and_fails_fast_loses_its_traffic: Behaviour::FailsFast;
     an_endpoint_that_lies_and_refuses_fast_loses_its_traffic: Behaviour::RefusesFast;
 }
+
+/// The whole service goes bad for three seconds; its calls are answered again soon after.
+fn service_comes_back(per_zone: usize, bad: Behaviour) {
+    let onset = Duration::from_secs(3);
+    let end = onset + Duration::from_secs(3);
+    let recovered = end + Duration::from_secs(2);
+    let finish = recovered + Duration::from_secs(2);
+    let mut world = World::new(per_zone, &UNEVEN_ENTRIES, LOAD, SEED);
+    for endpoint in 0..3 * per_zone {
+        world.behave(onset, endpoint, bad);
+        world.behave(end, endpoint, Behaviour::Healthy);
+    }
+    world.run(finish);
+    let during = world.answered_share(onset, end);
+    let after = world.answered_share(recovered, finish);
+    println!("all {bad:?}, {per_zone} a zone: answered {during:.3} during, {after:.3} after");
+    assert!(after > 0.95, "{bad:?}: {after}");
+}
+
+#[test]
+fn a_service_that_was_slow_as_a_whole_comes_back() {
+    service_comes_back(4, Behaviour::Slow(10.0));
+    service_comes_back(1, Behaviour::Slow(10.0));
+}
+
+#[test]
+fn a_service_that_stalled_as_a_whole_comes_back() {
+    service_comes_back(4, Behaviour::Stalled);
+    service_comes_back(1, Behaviour::Stalled);
+}
--- a/crates/tallybridge-routing/tests/simulation/world.rs
+++ b/crates/tallybridge-routing/tests/simulation/world.rs
@@ -33,6 +33,8 @@
     Healthy,
     /// Takes calls and never answers.
     Stalled,
+    /// Answers that many times slower and says how loaded it is.
+    Slow(f64),
     /// Answers that many times slower and reports no load and a great limit.
     SlowLiar(f64),
     /// Fails each call at once.
@@ -106,6 +108,8 @@
     in_flight: BTreeMap<u64, Duration>,
     rng: SmallRng,
     pub choices: Vec<Choice>,
+    /// When each answered call was answered.
+    pub answers: Vec<Duration>,
     /// Samples of each endpoint's calls running and queued, by time.
     pub samples: Vec<(Duration, Vec<usize>)>,
 }
@@ -127,6 +131,7 @@
             in_flight: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             choices: Vec::new(),
+            answers: Vec::new(),
             samples: Vec::new(),
         };
         for (number, (zone, share)) in entries.iter().enumerate() {
@@ -186,6 +191,14 @@
         its.count() as f64 / all.count() as f64
     }
 
+    /// Calls answered from `from` up to `until` for each one made.
+    pub fn answered_share(&self, from: Duration, until: Duration) -> f64 {
+        let within = |at: &Duration| *at >= from && *at < until;
+        let answered = self.answers.iter().copied().filter(within).count();
+        let made = self.choices.iter().map(|choice| choice.at).filter(within);
+        answered as f64 / made.count() as f64
+    }
+
     /// Mean utilisation of each endpoint since `from`.
     pub fn utilisations(&self, from: Duration) -> Vec<f64> {
         let samples = || self.samples.iter().filter(|(at, _)| *at >= from);
@@ -280,7 +293,7 @@
         back_end.running += 1;
         let epoch = back_end.epoch;
         let slowness = match back_end.behaviour {
-            Behaviour::SlowLiar(factor) => factor,
+            Behaviour::Slow(factor) | Behaviour::SlowLiar(factor) => factor,
             _ => 1.0,
         };
         let random_part = (1.0 - FIXED_PART) * exponential(&mut self.rng);
@@ -319,6 +332,9 @@
             AttemptEnd::Refused(load) => AttemptResult::RefusedNotRun { load: Some(load) },
             AttemptEnd::Failed => AttemptResult::Failed,
         };
+        if let AttemptEnd::Answered(_) = end {
+            self.answers.push(self.now);
+        }
         let node = self.back_ends[endpoint].node;
         let now = self.origin + self.now;
         self.entries[call.entry].table.finish(node, result, now);
