--- a/crates/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/tallybridge-routing/src/endpoint/row.rs
@@ -231,7 +231,7 @@
     }
 
     /// Whether attempts go unanswered: one is overdue and none that began after it was answered, or
-    /// most of those in flight are overdue.
+    /// most of those in flight are overdue and more are about to be.
     fn is_stalled(
         &self,
         profile: &ServiceProfile,
@@ -243,11 +243,29 @@
             return false;
         }
         let since = self.health.judged_from();
-        let oldest = self.outstanding.oldest_from(since);
-        let is_silent = self.answered_start < oldest;
+        let is_silent = self.answered_start < self.outstanding.oldest_from(since);
+        let enough = if self.health.is_recovering() {
+            1
+        } else {
+            settings.overdue_count
+        };
         let is_mostly_overdue =
-            overdue >= settings.overdue_count && 2 * overdue >= self.outstanding.count_from(since);
-        is_silent || is_mostly_overdue
+            overdue >= enough && 2 * overdue >= self.outstanding.count_from(since);
+        is_silent || (is_mostly_overdue && self.late(profile, settings, now) >= enough)
+    }
+
+    /// Attempts that are over halfway to being overdue. An endpoint that is well again has none, even
+    /// while overdue ones from before are left.
+    fn late(&self, profile: &ServiceProfile, settings: &RoutingSettings, now: Instant) -> usize {
+        let Some(limit) = profile.overdue_after(settings) else {
+            return 0;
+        };
+        let overdue_before = now.checked_sub(limit);
+        let late_before = now.checked_sub(limit / 2);
+        late_before.map_or(0, |before| {
+            let from = overdue_before.max(self.health.judged_from());
+            self.outstanding.count_between(from, before)
+        })
     }
 
     /// Calls in flight and queued there in its limit, as estimated now.
--- a/crates/tallybridge-routing/src/table/cost.rs
+++ b/crates/tallybridge-routing/src/table/cost.rs
@@ -8,6 +8,9 @@
 /// Power of the utilisation that waiting grows with: next to nothing at half load, one typical
 /// latency where the limit is reached. So nearness decides at low load and evenness at high load.
 const WAIT_POWER: i32 = 8;
+/// Rise of the cost with the ratio of latencies beyond the tolerated one, so that the cost soon is
+/// that ratio although a smaller one counts as noise.
+const LATENCY_SLOPE: f64 = 2.0;
 /// Greatest unserved share that counts, so that the cost stays finite.
 const GREATEST_UNSERVED: f64 = 0.95;
 
@@ -47,7 +50,8 @@
     let peak = row.peak_latency(profile, settings, now);
     peak.zip(profile.typical_latency)
         .map_or(1.0, |(peak, typical)| {
-            (peak / (typical * settings.latency_tolerance)).max(1.0)
+            let excess = peak / typical - settings.latency_tolerance;
+            1.0 + LATENCY_SLOPE * excess.max(0.0)
         })
 }
 
--- a/crates/tallybridge-routing/src/table/service.rs
+++ b/crates/tallybridge-routing/src/table/service.rs
@@ -1,6 +1,6 @@
 //! The endpoints of one service.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use tallybridge_core::{Criticality, NodeId};
@@ -18,6 +18,7 @@
     rows: Vec<EndpointRow>,
     groups: Groups,
     profile: ServiceProfile,
+    reviewed: Option<Instant>,
 }
 
 impl ServiceRows {
@@ -140,7 +141,11 @@
         self.review_ejections(settings, now);
         self.regroup();
         let greatest_share = self.greatest_share(settings, now);
-        self.profile = ServiceProfile::of_rows(&self.rows, &self.profile, greatest_share);
+        let elapsed = self.reviewed.map_or(Duration::ZERO, |reviewed| {
+            now.saturating_duration_since(reviewed)
+        });
+        self.reviewed = Some(now);
+        self.profile = ServiceProfile::of_rows(&self.rows, &self.profile, greatest_share, elapsed);
     }
 
     /// Ejects the suspects, unless they and those ejected before are too many: then the fault is
--- a/crates/tallybridge-routing/tests/choose_state_machine.rs
+++ b/crates/tallybridge-routing/tests/choose_state_machine.rs
@@ -96,6 +96,16 @@
         *self.instances.entry(address).or_default() += 1;
     }
 
+    fn toggle(&mut self, address: u8) {
+        if self.present.remove(&address) {
+            return;
+        }
+        if self.leaving.contains(&self.current(address)) {
+            self.replace(address);
+        }
+        self.present.insert(address);
+    }
+
     fn endpoints(&self) -> Vec<Endpoint> {
         let endpoint_at = |address: &u8| endpoint(*address, self.current(*address).instance.0);
         self.present.iter().map(endpoint_at).collect()
@@ -136,14 +146,7 @@
 
     fn apply(mut state: Self, transition: &Transition) -> Self {
         match transition {
-            Transition::ToggleMember(address) => {
-                if !state.present.remove(address) {
-                    if state.leaving.contains(&state.current(*address)) {
-                        state.replace(*address);
-                    }
-                    state.present.insert(*address);
-                }
-            }
+            Transition::ToggleMember(address) => state.toggle(*address),
             Transition::Restart(address) => state.replace(*address),
             Transition::Leave(address) => {
                 state.leaving.insert(state.current(*address));
