--- a/crates/tallybridge-limits/src/retry/allowance.rs
+++ b/crates/tallybridge-limits/src/retry/allowance.rs
@@ -7,11 +7,11 @@
 /// sum of all allowances of a request never grows, so all of its retries together are at most R,
 /// and no position in its call graph runs more than 1 + R times.
 ///
-/// How much to lend was weighed: *everything* lets a chain use all of R at its deepest hop, where
-/// a retry is cheapest, but one lost answer spends all; *an equal part for each nested call* needs
-/// the number of nested calls, which nobody knows; *half, rounded up* leaves a parent something to
-/// retry with after a lost answer, and still gives depth d a share of R / 2^d, at least one of the
-/// first retries as long as no answer is lost. Half was taken.
+/// How much to lend was weighed. *All that is left* lets the deepest call use the whole allowance,
+/// but one lost answer spends it. *An equal part for each nested call* needs their number, which
+/// nobody knows beforehand. *Half, rounded up* leaves the parent something to retry with after a
+/// lost answer, and a call at any depth of a chain still gets one retry; it was taken. Calls that
+/// are nested in parallel share by halves in the order of their start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Allowance {
     remaining: u8,
@@ -40,11 +40,13 @@
 
     /// Takes back what a nested call did not use of what it was `lent`.
     ///
-    /// `unused` comes from another process, so no more than `lent` is believed. Call it at most
-    /// once for each [`lend`](Self::lend).
+    /// `unused` comes from another process. A count above `lent` cannot be true and says nothing
+    /// about what was spent, so all that was lent counts as spent then. Call it at most once for
+    /// each [`lend`](Self::lend).
     pub fn give_back(&mut self, unused: u8, lent: u8) {
-        let returned = unused.min(lent);
-        self.remaining = self.remaining.saturating_add(returned);
+        if unused <= lent {
+            self.remaining = self.remaining.saturating_add(unused);
+        }
     }
 
     /// Pays for one retry; `false` when nothing is left.
