Bring down a limit at which every call times out

Cause: at a limit of 300 on 12 slots every call times out. Latency is cut off at the deadline, so its ratio to a baseline that was taken there never asks for a probe, and a few timeouts that look like sheds had the probe judged by the share of sheds, which does not move. Change: mostly timeouts are a reason to go down, and are judged by the answers that a decrease costs, never as sheds.

--- a/crates/tallybridge-limits/src/limit/control.rs
+++ b/crates/tallybridge-limits/src/limit/control.rs
@@ -9,7 +9,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::probe::{Probe, Verdict};
+use super::probe::{CUT_OFF_ABOVE, Probe, Verdict};
 
 /// Below this ratio of latency to baseline a limit that is used may rise.
 const RISE_BELOW: f64 = 1.1;
@@ -91,7 +91,7 @@
         let checked = *self.checked.get_or_insert(now);
         self.lower_baseline(seen.level);
         let ratio = self.ratio(seen.level);
-        if ratio > PROBE_ABOVE || seen.shed_share > SHED_ABOVE {
+        if ratio > PROBE_ABOVE || is_overloaded(seen) {
             return self.start_probe(limit, seen);
         }
         if !seen.was_at_limit || seen.concurrency < limit * USED_SHARE {
@@ -143,7 +143,9 @@
     }
 
     fn start_probe(&mut self, limit: f64, seen: Observation) -> f64 {
-        let probe = Probe::new(limit, seen, seen.shed_share > SHED_ABOVE);
+        let is_cut_off = seen.timeout_share > CUT_OFF_ABOVE;
+        let for_sheds = seen.shed_share > SHED_ABOVE && !is_cut_off;
+        let probe = Probe::new(limit, seen, for_sheds);
         self.probe = Some(probe);
         probe.lowered_limit()
     }
@@ -170,10 +172,10 @@
         }
     }
 
-    /// Goes on downwards while the back end sheds.
+    /// Goes on downwards while the back end is overloaded.
     fn keep(&mut self, probe: Probe, limit: f64, seen: Observation) -> f64 {
         self.held = self.held.min(probe.limit());
-        if seen.shed_share > SHED_ABOVE {
+        if is_overloaded(seen) {
             return self.start_probe(limit, seen);
         }
         limit
@@ -223,3 +225,8 @@
         is_recent && was_tolerable && self.ratio(Some(level)) >= 1.0 / RISE_BELOW
     }
 }
+
+/// Whether the back end sheds, or most calls time out, which cuts latency off.
+fn is_overloaded(seen: Observation) -> bool {
+    seen.shed_share > SHED_ABOVE || seen.timeout_share > CUT_OFF_ABOVE
+}
--- a/crates/tallybridge-limits/src/limit/probe.rs
+++ b/crates/tallybridge-limits/src/limit/probe.rs
@@ -19,7 +19,7 @@
 const MORE_COMPLETIONS: f64 = 1.3;
 /// Above this share of timeouts latency is cut off at the deadline and cannot follow, and above
 /// this share of sheds the share hardly moves.
-const CUT_OFF_ABOVE: f64 = 0.5;
+pub(super) const CUT_OFF_ABOVE: f64 = 0.5;
 
 /// What the effect of a probe says.
 #[derive(Debug, Clone, Copy)]
@@ -117,7 +117,8 @@
 
     fn judge_sheds(self, after: Observation) -> Verdict {
         let followed = after.shed_share <= self.before.shed_share * SHEDS_FOLLOWED;
-        if followed || self.before.shed_share > CUT_OFF_ABOVE {
+        let failed = self.before.shed_share + self.before.timeout_share;
+        if followed || failed > CUT_OFF_ABOVE {
             return self.judge_answers(after);
         }
         Verdict::TakenBack
--- a/crates/tallybridge-limits/src/retry/budget.rs
+++ b/crates/tallybridge-limits/src/retry/budget.rs
@@ -42,7 +42,7 @@
 /// A retry budget of one destination, after Finagle's `RetryBudget`.
 ///
 /// Over any time to live the retries are at most `ratio` of the first attempts plus
-/// `min_per_second`. Every operation is O(1): at most [`SLICES`] slices are kept.
+/// `min_per_second`. Every operation is O(1): at most ten slices of time are kept.
 #[derive(Debug, Clone)]
 pub struct Budget {
     settings: BudgetSettings,
--- a/crates/tallybridge-limits/tests/backend_under_load.rs
+++ b/crates/tallybridge-limits/tests/backend_under_load.rs
@@ -163,3 +163,15 @@
         assert!(goodput >= 0.095, "{slots} slots: {goodput:.4} of 0.1");
     }
 }
+
+#[test]
+fn a_limit_at_which_every_call_times_out_comes_down() {
+    for (slots, seed) in [(6, 0), (12, 0), (12, 2)] {
+        let mut too_high = scenario(slots, 4.0, seed);
+        too_high.limit.initial = 300;
+        too_high.duration = Duration::from_secs(50);
+        let outcome = Model::run(too_high);
+        let goodput = relative_goodput(&outcome, 25..48, slots);
+        assert!(goodput >= 0.95, "{slots} slots, seed {seed}: {goodput:.3}");
+    }
+}
--- a/crates/tallybridge-limits/tests/concurrency_limit.rs
+++ b/crates/tallybridge-limits/tests/concurrency_limit.rs
@@ -75,7 +75,7 @@
     // For half a second one call in ten is slow, for the next one in two.
     let mixed = |round: u32, place: u16| {
         let number = round + u32::from(place);
-        let slow = if round / 25 % 2 == 0 {
+        let slow = if (round / 25).is_multiple_of(2) {
             number.is_multiple_of(10)
         } else {
             number.is_multiple_of(2)
