Let a node be built on a network in memory

Cause: proofs under cuts, delays and freezes, and scale runs of hundreds of nodes in one process, need the real tables, systems and links without sockets. Change: streams, listeners and datagram sockets come from a Network; start_core starts a node on given parts, start adds HTTP and the platform. Conclusion: the fuzz and the scale run can drive real nodes.

--- a/crates/tallybridge-node/src/connections/gossip.rs
+++ b/crates/tallybridge-node/src/connections/gossip.rs
@@ -1,14 +1,13 @@
 //! Probes and gossip over UDP.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tallybridge_core::NodeId;
 use tallybridge_wire::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
-use tokio::net::UdpSocket;
 
 use crate::{
     actor::fleet::{GossipReceived, GossipTick},
-    connections::catch_up::fetch_configuration,
+    connections::{catch_up::fetch_configuration, peer::network::DatagramSocket},
     context::NodeContext,
     systems::membership::GossipEffects,
 };
@@ -17,7 +16,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Exchanges datagrams until the node stops.
-pub async fn gossip(context: NodeContext, socket: UdpSocket) {
+pub async fn gossip(context: NodeContext, socket: Arc<dyn DatagramSocket>) {
     let mut timer = tokio::time::interval(TICK);
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     // One byte more than a datagram may have, so that a longer one is not cut to a valid one.
@@ -27,7 +26,7 @@
             biased;
             () = context.shutdown.cancelled() => return,
             _ = timer.tick() => context.ask(GossipTick).await,
-            received = socket.recv_from(&mut buffer) => {
+            received = socket.receive_from(&mut buffer) => {
                 let Ok((length, from)) = received else {
                     // An earlier datagram was refused at its destination; probing finds that out.
                     continue;
@@ -40,13 +39,13 @@
             }
         };
         match effects {
-            Ok(effects) => carry_out(&context, &socket, effects).await,
+            Ok(effects) => carry_out(&context, &*socket, effects).await,
             Err(_) => return,
         }
     }
 }
 
-async fn carry_out(context: &NodeContext, socket: &UdpSocket, effects: GossipEffects) {
+async fn carry_out(context: &NodeContext, socket: &dyn DatagramSocket, effects: GossipEffects) {
     for outgoing in effects.outgoing {
         match encode_datagram(&outgoing.datagram) {
             Ok(bytes) => send(socket, &bytes, outgoing.to).await,
@@ -58,7 +57,7 @@
     }
 }
 
-async fn send(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+async fn send(socket: &dyn DatagramSocket, bytes: &[u8], to: SocketAddr) {
     // What is lost here is what probing and comparison are made to bear.
     if let Err(error) = socket.send_to(bytes, to).await {
         tracing::debug!(%error, %to, "a datagram was not sent");
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -1,6 +1,6 @@
 //! Links that peers open to this node: their calls run here.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -8,13 +8,13 @@
 use tallybridge_wire::{
     CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message, StreamId,
 };
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::sync::mpsc;
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
 
 use super::{
     body::{BodyAssembly, send_body},
     call::answer_head,
-    network::PeerStream,
+    network::{PeerListener, PeerStream},
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
@@ -27,7 +27,7 @@
 };
 
 /// Accepts peers until the node stops.
-pub async fn accept_peers(context: NodeContext, listener: TcpListener, hello: Hello) {
+pub async fn accept_peers(context: NodeContext, listener: Arc<dyn PeerListener>, hello: Hello) {
     loop {
         let accepted = tokio::select! {
             biased;
@@ -35,10 +35,8 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                // Without it small messages wait for acknowledgements; the link works all the same.
-                let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_peer(context.clone(), Box::new(stream), hello.clone()));
+            Ok(stream) => {
+                tokio::spawn(serve_peer(context.clone(), stream, hello.clone()));
             }
             Err(error) => tracing::warn!(%error, "a peer's connection was not accepted"),
         }
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -13,4 +13,4 @@
 pub mod systems;
 pub mod tables;
 
-pub use run::{RunningNode, run, start};
+pub use run::{NodeParts, RunningNode, run, start, start_core};
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -6,7 +6,7 @@
 use tallybridge_config::Settings;
 use tallybridge_core::{ErrorKind, InstanceId, NodeId, Refusal};
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::TcpListener,
     signal::unix::{SignalKind, signal},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -24,7 +24,12 @@
         caller::serve_callers,
         discovery::follow_machine_list,
         gossip::gossip,
-        peer::{accept::accept_peers, introduction::Peer, links::PeerLinks, network::TcpNetwork},
+        peer::{
+            accept::accept_peers,
+            introduction::Peer,
+            links::PeerLinks,
+            network::{Network, SocketNetwork},
+        },
         store::follow_configuration,
     },
     context::NodeContext,
@@ -78,50 +83,84 @@
     }
 }
 
+/// What a node is built on: sockets and HTTP in the program, parts in memory in tests and in a
+/// process that runs many nodes.
+pub struct NodeParts {
+    /// The way to other nodes.
+    pub network: Arc<dyn Network>,
+    /// The back end beside the node, if it has one.
+    pub backend: Option<Arc<dyn BackendClient>>,
+}
+
+impl NodeParts {
+    /// Sockets, and a back end that speaks HTTP.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when the HTTP library can't be set up.
+    pub fn real(settings: &Settings) -> Result<Self, Refusal> {
+        Ok(Self {
+            network: Arc::new(SocketNetwork),
+            backend: http_backend(settings)?,
+        })
+    }
+}
+
 /// Starts a node and returns once its addresses are bound.
 ///
 /// # Errors
 ///
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
-    let peer_listener = bind(settings.peer_address).await?;
-    let gossip_socket = UdpSocket::bind(settings.peer_address)
-        .await
-        .map_err(|error| bind_failed(settings.peer_address, &error))?;
     let caller_listener = bind(settings.caller_address).await?;
     let admin_listener = bind(settings.admin_address).await?;
+    let parts = NodeParts::real(&settings)?;
+    let node = start_core(settings, parts).await?;
+    let admin = Admin {
+        context: node.context.clone(),
+        metrics: metrics_handle(),
+        leave: node.leave.clone(),
+    };
+    let background = &node.background;
+    background.spawn(serve_callers(node.context.clone(), caller_listener));
+    background.spawn(serve_operators(admin, admin_listener));
+    background.spawn(follow_machine_list(node.context.clone()));
+    background.spawn(follow_configuration(node.context.clone()));
+    Ok(node)
+}
+
+/// Starts a node's tables, systems and peer links, without callers, operators and the platform.
+///
+/// # Errors
+///
+/// A refusal when the peer address can't be bound.
+pub async fn start_core(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let peer_address = settings.peer_address;
+    let listener = parts.network.listen(peer_address).await;
+    let listener = listener.map_err(|error| bind_failed(peer_address, &error))?;
+    let socket = parts.network.bind_datagrams(peer_address).await;
+    let socket = socket.map_err(|error| bind_failed(peer_address, &error))?;
     let identity = NodeId {
-        address: settings.peer_address,
+        address: peer_address,
         instance: InstanceId::random(),
     };
     let hello = introduction(identity, &settings).hello();
-    let actor = spawn_actor(identity, &settings);
     let context = NodeContext {
         identity,
-        backend: http_backend(&settings)?,
+        backend: parts.backend,
+        actor: spawn_actor(identity, &settings),
         settings: Arc::new(settings),
-        actor,
-        links: PeerLinks::new(hello.clone(), Arc::new(TcpNetwork)),
+        links: PeerLinks::new(hello.clone(), parts.network),
         calls: TaskTracker::new(),
         shutdown: CancellationToken::new(),
     };
-    let leave = CancellationToken::new();
-    let admin = Admin {
-        context: context.clone(),
-        metrics: metrics_handle(),
-        leave: leave.clone(),
-    };
     let background = TaskTracker::new();
     background.spawn(tick(context.clone()));
-    background.spawn(accept_peers(context.clone(), peer_listener, hello));
-    background.spawn(serve_callers(context.clone(), caller_listener));
-    background.spawn(serve_operators(admin, admin_listener));
-    background.spawn(gossip(context.clone(), gossip_socket));
-    background.spawn(follow_machine_list(context.clone()));
-    background.spawn(follow_configuration(context.clone()));
+    background.spawn(accept_peers(context.clone(), listener, hello));
+    background.spawn(gossip(context.clone(), socket));
     Ok(RunningNode {
         context,
-        leave,
+        leave: CancellationToken::new(),
         background,
     })
 }
