--- a/crates/tallybridge-claims/src/plan.rs
+++ b/crates/tallybridge-claims/src/plan.rs
@@ -308,10 +308,7 @@
     let mut replicas = change.staying;
     let still_joining = entry.joining.iter().copied();
     let staying = |node: &NodeId| replicas.iter().any(|one| one.node == *node);
-    let mut joining: Vec<NodeId> = match change.origin {
-        Origin::Reset => Vec::new(),
-        Origin::First | Origin::Copy => still_joining.filter(staying).collect(),
-    };
+    let mut joining: Vec<NodeId> = still_joining.filter(staying).collect();
     joining.extend(joined);
     replicas.extend(joined.iter().map(|node| Replica {
         node: *node,
--- a/crates/tallybridge-claims/tests/at_most_once.rs
+++ b/crates/tallybridge-claims/tests/at_most_once.rs
@@ -16,6 +16,8 @@
 use tallybridge_claims::{SKEW_MS, WINDOW_MS};
 
 const DEFAULT_CASES: u32 = 256;
+/// How long to look for a shorter sequence after a failure, in milliseconds.
+const SHRINK_MS: u32 = 15_000;
 const FIXED_SEED: u64 = 5;
 /// Runs that each key allows: a payment, and two calls that may be repeated.
 const MAX_RUNS: [u8; 3] = [1, 2, 3];
@@ -175,7 +177,8 @@
         rng_algorithm: RngAlgorithm::ChaCha,
         rng_seed,
         failure_persistence: None,
-        max_shrink_iters: 20_000,
+        max_shrink_time: SHRINK_MS,
+        max_shrink_iters: u32::MAX,
         ..defaults
     }
 }
@@ -186,3 +189,32 @@
     #[test]
     fn requests_run_at_most_as_often_as_allowed(sequential 40..200 => AtMostOnce);
 }
+
+/// Runs a sequence that once failed.
+fn replays(events: &[Event]) {
+    let mut fleet = Fleet::new(&[0; 4], &MAX_RUNS);
+    for event in events {
+        happen(&mut fleet, event);
+    }
+    fleet.heals();
+}
+
+#[test]
+fn a_replica_that_leaves_is_copied_from() {
+    replays(&[
+        Event::Suspect(2),
+        Event::Plan { skew_ms: 0 },
+        Event::Kill(0),
+    ]);
+}
+
+#[test]
+fn a_survivor_that_missed_a_reset_is_not_counted_on() {
+    replays(&[
+        Event::Kill(0),
+        Event::Plan { skew_ms: 0 },
+        Event::Kill(2),
+        Event::Plan { skew_ms: 0 },
+        Event::Kill(2),
+    ]);
+}
--- a/crates/tallybridge-claims/tests/fleet/mod.rs
+++ b/crates/tallybridge-claims/tests/fleet/mod.rs
@@ -11,7 +11,10 @@
     SyncReport, Verdict, plan,
 };
 use tallybridge_core::{AttemptId, InstanceId, NodeId, RequestKey};
-use tallybridge_wire::Message;
+use tallybridge_wire::{
+    Message,
+    claim::{ClaimPage, PageContent},
+};
 
 use attempt::{Attempt, Phase, answer};
 use oracle::Oracle;
@@ -326,7 +329,7 @@
         if let Some(reply) = node.table.handle(from, &message, now) {
             self.post(here, id, vec![(from, reply)]);
         }
-        if matches!(message, Message::ClaimPage(_)) {
+        if matches!(&message, Message::ClaimPage(page) if asks_further(page)) {
             self.copy(index);
         }
         let attempt = self
@@ -473,6 +476,10 @@
     }
 }
 
+fn asks_further(page: &ClaimPage) -> bool {
+    matches!(page.content, PageContent::Claims { more: 1, .. })
+}
+
 fn over_the_wire(message: &Message) -> Message {
     let payload = message.to_payload().expect("encodes");
     Message::from_payload(message.kind(), &payload).expect("decodes")
