--- a/crates/tallybridge-claims/src/plan.rs
+++ b/crates/tallybridge-claims/src/plan.rs
@@ -1,6 +1,6 @@
 //! Plans the next partition map.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
 use tallybridge_core::{NodeId, RegionName, ZoneName};
@@ -9,6 +9,7 @@
     key_window,
     map::{Origin, PartitionEntry, PartitionMap, Replica},
     partition::{PartitionId, REPLICAS, read_quorum},
+    placement::Placement,
 };
 
 /// Whether a node can hold claims.
@@ -97,29 +98,20 @@
 }
 
 struct Planner<'a> {
-    candidates: BTreeMap<NodeId, &'a Candidate>,
-    /// How many partitions each node holds.
-    load: BTreeMap<NodeId, usize>,
+    placement: Placement<'a>,
     now_unix_ms: u64,
 }
 
 impl<'a> Planner<'a> {
     fn new(current: &PartitionMap, candidates: &'a [Candidate], now_unix_ms: u64) -> Self {
-        let mut load = BTreeMap::new();
-        for (_, entry) in current.iter() {
-            for node in entry.nodes() {
-                *load.entry(node).or_default() += 1;
-            }
-        }
         Self {
-            candidates: candidates.iter().map(|one| (one.node, one)).collect(),
-            load,
+            placement: Placement::new(current, candidates),
             now_unix_ms,
         }
     }
 
     fn first(&mut self) -> Option<PartitionEntry> {
-        let nodes = self.fill(Vec::new(), REPLICAS);
+        let nodes = self.placement.fill(Vec::new(), REPLICAS);
         if nodes.is_empty() {
             return None;
         }
@@ -185,16 +177,14 @@
     fn remaining(&self, entry: &PartitionEntry) -> Vec<Replica> {
         let replicas = entry.replicas.iter().copied();
         replicas
-            .filter(|one| self.candidates.contains_key(&one.node))
+            .filter(|one| self.placement.has(one.node))
             .collect()
     }
 
     /// Whether enough previous replicas are left for those that join to copy from.
     fn can_copy(&self, entry: &PartitionEntry) -> bool {
         let previous = entry.previous.iter();
-        let left = previous
-            .filter(|one| self.candidates.contains_key(&one.node))
-            .count();
+        let left = previous.filter(|one| self.placement.has(one.node)).count();
         match entry.origin {
             Origin::First => true,
             Origin::Copy => left >= read_quorum(entry.previous.len()),
@@ -204,7 +194,7 @@
 
     /// The replicas without the first unavailable one, if the others can do without it.
     fn without_one_unavailable(&self, entry: &PartitionEntry) -> Vec<Replica> {
-        let is_live = |one: &Replica| self.is_live(one.node);
+        let is_live = |one: &Replica| self.placement.is_live(one.node);
         let live = entry.replicas.iter().filter(|one| is_live(one)).count();
         let unavailable = entry.replicas.iter().position(|one| !is_live(one));
         let mut staying = entry.replicas.clone();
@@ -216,11 +206,6 @@
         staying
     }
 
-    fn is_live(&self, node: NodeId) -> bool {
-        let candidate = self.candidates.get(&node);
-        candidate.is_some_and(|candidate| candidate.presence == Presence::Live)
-    }
-
     /// The next epoch, or `None` when there are no nodes to take the places.
     fn carry_out(&mut self, entry: &PartitionEntry, change: Change) -> Option<PartitionEntry> {
         let epoch = entry.epoch + 1;
@@ -234,69 +219,18 @@
                 REPLICAS.min(entry.replicas.len() + usize::from(leaving.is_empty()))
             }
         };
-        let joined: Vec<NodeId> = self.fill(staying.clone(), size)[staying.len()..].to_vec();
+        let joined: Vec<NodeId> =
+            self.placement.fill(staying.clone(), size)[staying.len()..].to_vec();
         let too_few =
             change.origin != Origin::Reset && staying.len() + joined.len() < entry.replicas.len();
         if too_few || (joined.is_empty() && leaving.is_empty()) || staying.len() + joined.len() == 0
         {
-            self.unfill(&joined);
+            self.placement.release(&joined);
             return None;
         }
-        self.unfill(&leaving);
+        self.placement.release(&leaving);
         Some(next_entry(entry, epoch, change, &joined))
     }
-
-    /// Adds nodes until there are `size`, as far as there are candidates.
-    fn fill(&mut self, mut nodes: Vec<NodeId>, size: usize) -> Vec<NodeId> {
-        while nodes.len() < size {
-            let Some(node) = self.choose(&nodes) else {
-                break;
-            };
-            *self.load.entry(node).or_default() += 1;
-            nodes.push(node);
-        }
-        nodes
-    }
-
-    fn unfill(&mut self, nodes: &[NodeId]) {
-        for node in nodes {
-            if let Some(load) = self.load.get_mut(node) {
-                *load = load.saturating_sub(1);
-            }
-        }
-    }
-
-    /// The live node that shares the fewest zones, then racks, then is in the same region, then
-    /// holds the fewest partitions.
-    fn choose(&self, beside: &[NodeId]) -> Option<NodeId> {
-        let beside_candidates: Vec<&Candidate> = beside
-            .iter()
-            .filter_map(|node| self.candidates.get(node).copied())
-            .collect();
-        let free = self
-            .candidates
-            .values()
-            .filter(|one| one.presence == Presence::Live && !beside.contains(&one.node));
-        let best = free.min_by_key(|one| {
-            let shares = |same: &dyn Fn(&Candidate) -> bool| {
-                beside_candidates.iter().filter(|other| same(other)).count()
-            };
-            let same_region = shares(&|other| other.region == one.region);
-            let same_zone = shares(&|other| other.region == one.region && other.zone == one.zone);
-            let same_rack = shares(&|other| {
-                other.region == one.region && other.zone == one.zone && other.rack == one.rack
-            });
-            let load = self.load.get(&one.node).copied().unwrap_or_default();
-            (
-                same_zone,
-                same_rack,
-                beside.len() - same_region,
-                load,
-                one.node,
-            )
-        });
-        best.map(|one| one.node)
-    }
 }
 
 fn next_entry(
--- a/crates/tallybridge-claims/src/replica.rs
+++ b/crates/tallybridge-claims/src/replica.rs
@@ -201,7 +201,7 @@
         let runs: Vec<CopiedRun> = rest
             .by_ref()
             .take(PAGE_KEYS)
-            .flat_map(copied_runs)
+            .flat_map(|(key, runs)| runs.copied(*key))
             .collect();
         PageContent::Claims {
             more: u8::from(rest.next().is_some()),
@@ -289,13 +289,3 @@
         }
     }
 }
-
-fn copied_runs((key, runs): (&RequestKey, &HeldRuns)) -> Vec<CopiedRun> {
-    let copied = runs.iter().map(|held| CopiedRun {
-        key: (*key).into(),
-        run: held.run,
-        attempt: held.attempt.into(),
-        state: held.state(),
-    });
-    copied.collect()
-}
--- a/crates/tallybridge-claims/src/runs.rs
+++ b/crates/tallybridge-claims/src/runs.rs
@@ -1,8 +1,8 @@
 //! The runs of one key that attempts hold at one replica.
 
 use deku::{DekuContainerRead, DekuContainerWrite};
-use tallybridge_core::{AttemptId, InstanceId};
-use tallybridge_wire::claim::{RunState, StoredAnswer};
+use tallybridge_core::{AttemptId, InstanceId, RequestKey};
+use tallybridge_wire::claim::{CopiedRun, RunState, StoredAnswer};
 
 /// Stands in for the holder of a run that two replicas gave to different attempts. No attempt has
 /// this identity, as sequence numbers count from 1, so nobody is granted the run.
@@ -63,6 +63,18 @@
         self.runs.iter().filter(move |held| held.attempt != attempt)
     }
 
+    /// The held runs in the form in which they are copied to another replica.
+    #[must_use]
+    pub fn copied(&self, key: RequestKey) -> Vec<CopiedRun> {
+        let copied = self.runs.iter().map(|held| CopiedRun {
+            key: key.into(),
+            run: held.run,
+            attempt: held.attempt.into(),
+            state: held.state(),
+        });
+        copied.collect()
+    }
+
     /// Gives a run to an attempt if it is free.
     ///
     /// # Errors
--- a/crates/tallybridge-claims/tests/fleet/mod.rs
+++ b/crates/tallybridge-claims/tests/fleet/mod.rs
@@ -2,21 +2,19 @@
 //! them that are delivered, lost, repeated and reordered at will.
 
 mod attempt;
+mod executors;
+mod messages;
 mod oracle;
 
 use std::collections::BTreeSet;
 
 use tallybridge_claims::{
-    Candidate, ClaimRound, ClaimTable, PartitionId, PartitionMap, Presence, QueryRound, SKEW_MS,
-    SyncReport, Verdict, plan,
+    Candidate, ClaimTable, PartitionId, PartitionMap, Presence, SKEW_MS, SyncReport, Verdict, plan,
 };
 use tallybridge_core::{AttemptId, InstanceId, NodeId, RequestKey};
-use tallybridge_wire::{
-    Message,
-    claim::{ClaimPage, PageContent},
-};
+use tallybridge_wire::Message;
 
-use attempt::{Attempt, Phase, answer};
+use attempt::{Attempt, Phase};
 use oracle::Oracle;
 
 /// The one partition that every key of a test belongs to.
@@ -147,215 +145,6 @@
         self.pool.extend(envelopes);
     }
 
-    /// A caller sends a request to a node that has a slot for it, or has none and refuses it.
-    pub fn call(&mut self, node: usize, key: usize, refused: bool) {
-        let (index, key) = (self.node(node), self.keys[key % self.keys.len()]);
-        let executor = self.nodes[index].id;
-        let Some(entry) = self.nodes[index].map.entry(PARTITION) else {
-            return;
-        };
-        if self.nodes[index].frozen {
-            return;
-        }
-        let id = AttemptId {
-            instance: executor.instance,
-            sequence: self.attempts.len() as u64 + 1,
-        };
-        let phase = if refused {
-            Phase::Refused {
-                query: QueryRound::new(entry, key, id),
-                runs_before: self.oracle.runs(&key),
-            }
-        } else {
-            Phase::Claiming(ClaimRound::new(entry, key, id, self.oracle.max_runs(&key)))
-        };
-        let attempt = Attempt {
-            id,
-            executor,
-            key,
-            deadline_unix_ms: self.clock(index) + PATIENCE_MS,
-            phase,
-        };
-        self.post(executor, Some(id), attempt.pending());
-        self.attempts.push(attempt);
-    }
-
-    /// The attempts of running, unfrozen nodes that are in a phase.
-    fn attempts_in(&self, phase: impl Fn(&Phase) -> bool) -> Vec<usize> {
-        let is_awake = |attempt: &Attempt| {
-            let index = self.index_of(attempt.executor);
-            index.is_some_and(|index| !self.nodes[index].frozen)
-        };
-        let attempts = self.attempts.iter().enumerate();
-        let matching = attempts.filter(|(_, one)| phase(&one.phase) && is_awake(one));
-        matching.map(|(index, _)| index).collect()
-    }
-
-    fn choose(&self, selector: usize, phase: impl Fn(&Phase) -> bool) -> Option<usize> {
-        let matching = self.attempts_in(phase);
-        pick(matching.len(), selector).map(|position| matching[position])
-    }
-
-    /// An executor that was granted a run hands the call to its back end, or finds it too late.
-    pub fn run(&mut self, selector: usize) {
-        let granted = |phase: &Phase| matches!(phase, Phase::Claiming(round) if matches!(round.verdict(), Verdict::Granted { .. }));
-        let Some(index) = self.choose(selector, granted) else {
-            return;
-        };
-        let now = self.clock(self.index_of(self.attempts[index].executor).expect("awake"));
-        let attempt = &mut self.attempts[index];
-        let Phase::Claiming(round) = &attempt.phase else {
-            unreachable!("chosen as granted");
-        };
-        if round.may_run(attempt.deadline_unix_ms, now) {
-            let number = self.oracle.run(&attempt.key, attempt.id);
-            attempt.phase = Phase::Running(round.clone(), number);
-        } else {
-            self.refuse_attempt(index);
-        }
-    }
-
-    /// A back end answers.
-    pub fn finish(&mut self, selector: usize) {
-        let running = |phase: &Phase| matches!(phase, Phase::Running(..));
-        let Some(index) = self.choose(selector, running) else {
-            return;
-        };
-        let attempt = &mut self.attempts[index];
-        let Phase::Running(round, number) = std::mem::replace(&mut attempt.phase, Phase::Done)
-        else {
-            unreachable!("chosen as running");
-        };
-        let message = Message::ClaimFinish(round.finish(answer(number)));
-        let messages = round.replicas().iter().map(|to| (*to, message.clone()));
-        let (executor, id) = (attempt.executor, attempt.id);
-        self.post(executor, Some(id), messages.collect());
-    }
-
-    /// An executor gives up on an attempt that has not run.
-    pub fn refuse(&mut self, selector: usize) {
-        if let Some(index) = self.choose(selector, |phase| matches!(phase, Phase::Claiming(_))) {
-            self.refuse_attempt(index);
-        }
-    }
-
-    fn refuse_attempt(&mut self, index: usize) {
-        let attempt = &mut self.attempts[index];
-        let messages = attempt.refuse(&mut self.oracle);
-        let (executor, id) = (attempt.executor, attempt.id);
-        self.post(executor, Some(id), messages);
-    }
-
-    /// An executor asks again, with its newest map when the replicas know a newer one.
-    pub fn resend(&mut self, selector: usize) {
-        let waiting = |phase: &Phase| matches!(phase, Phase::Claiming(_) | Phase::Refused { .. });
-        let Some(index) = self.choose(selector, waiting) else {
-            return;
-        };
-        let executor = self.attempts[index].executor;
-        let node = self.index_of(executor).expect("awake");
-        let entry = self.nodes[node].map.entry(PARTITION).expect("had a map");
-        let attempt = &mut self.attempts[index];
-        if let Phase::Claiming(round) = &attempt.phase
-            && let Verdict::StaleEpoch { current } = *round.verdict()
-            && entry.epoch >= current
-        {
-            attempt.phase = Phase::Claiming(round.clone().restart(entry));
-        }
-        let (id, messages) = (attempt.id, attempt.pending());
-        self.post(executor, Some(id), messages);
-    }
-
-    /// An executor stops waiting for a replica.
-    pub fn fail(&mut self, selector: usize) {
-        let waiting = |phase: &Phase| matches!(phase, Phase::Claiming(_) | Phase::Refused { .. });
-        let Some(index) = self.choose(selector, waiting) else {
-            return;
-        };
-        let attempt = &mut self.attempts[index];
-        let messages = attempt.fail(&mut self.oracle);
-        let (executor, id) = (attempt.executor, attempt.id);
-        self.post(executor, Some(id), messages);
-    }
-
-    /// Delivers a message in flight; one to a frozen node waits, one to a dead one is lost.
-    pub fn deliver(&mut self, selector: usize) {
-        let Some(position) = pick(self.pool.len(), selector) else {
-            return;
-        };
-        let to = self.pool[position].to;
-        match self.index_of(to) {
-            Some(index) if self.nodes[index].frozen => {}
-            Some(index) => {
-                let envelope = self.pool.remove(position);
-                self.receive(index, envelope);
-            }
-            None => {
-                self.pool.remove(position);
-            }
-        }
-    }
-
-    /// Delivers what is in flight to one node.
-    pub fn deliver_to(&mut self, selector: usize) {
-        let to = self.nodes[self.node(selector)].id;
-        let pending = self.pool.iter().filter(|one| one.to == to).count();
-        for _ in 0..pending {
-            if let Some(position) = self.pool.iter().position(|one| one.to == to) {
-                self.deliver(position);
-            }
-        }
-    }
-
-    /// Delivers everything in order until nothing is in flight but to frozen nodes.
-    pub fn settle(&mut self) {
-        for _ in 0..SETTLE_STEPS {
-            let awake = |one: &Envelope| {
-                let index = self.index_of(one.to);
-                index.is_none_or(|index| !self.nodes[index].frozen)
-            };
-            let Some(position) = self.pool.iter().position(awake) else {
-                return;
-            };
-            self.deliver(position);
-        }
-    }
-
-    fn receive(&mut self, index: usize, envelope: Envelope) {
-        let message = over_the_wire(&envelope.message);
-        let now = self.clock(index);
-        let node = &mut self.nodes[index];
-        let (here, from, id) = (node.id, envelope.from, envelope.attempt);
-        if let Some(reply) = node.table.handle(from, &message, now) {
-            self.post(here, id, vec![(from, reply)]);
-        }
-        if matches!(&message, Message::ClaimPage(page) if asks_further(page)) {
-            self.copy(index);
-        }
-        let attempt = self
-            .attempts
-            .iter_mut()
-            .find(|one| Some(one.id) == id && one.executor == here);
-        if let Some(attempt) = attempt {
-            let messages = attempt.reply(from, &message, &mut self.oracle);
-            self.post(here, id, messages);
-        }
-    }
-
-    pub fn lose(&mut self, selector: usize) {
-        if let Some(position) = pick(self.pool.len(), selector) {
-            self.pool.remove(position);
-        }
-    }
-
-    pub fn repeat(&mut self, selector: usize) {
-        if let Some(position) = pick(self.pool.len(), selector) {
-            let one = &self.pool[position];
-            let (from, to, message, attempt) = (one.from, one.to, one.message.clone(), one.attempt);
-            self.post(from, attempt, vec![(to, message)]);
-        }
-    }
-
     pub fn freeze(&mut self, selector: usize, frozen: bool) {
         let index = self.node(selector);
         self.nodes[index].frozen = frozen;
@@ -475,12 +264,3 @@
         assert_eq!(*round.verdict(), Verdict::Granted { run: 1 });
     }
 }
-
-fn asks_further(page: &ClaimPage) -> bool {
-    matches!(page.content, PageContent::Claims { more: 1, .. })
-}
-
-fn over_the_wire(message: &Message) -> Message {
-    let payload = message.to_payload().expect("encodes");
-    Message::from_payload(message.kind(), &payload).expect("decodes")
-}
