--- a/crates/tallybridge-claims/tests/at_most_once.rs
+++ b/crates/tallybridge-claims/tests/at_most_once.rs
@@ -25,9 +25,24 @@
 /// What happens next. Numbers select a node, key, attempt or message out of those there are.
 #[derive(Debug, Clone)]
 enum Event {
-    Call { node: usize, key: usize },
-    CallRefused { node: usize, key: usize },
-    RenewKey { key: usize, skew_ms: i64 },
+    Call {
+        node: usize,
+        key: usize,
+    },
+    /// A call of which one node hears late.
+    CallThrough {
+        node: usize,
+        key: usize,
+        held_up: usize,
+    },
+    CallRefused {
+        node: usize,
+        key: usize,
+    },
+    RenewKey {
+        key: usize,
+        skew_ms: i64,
+    },
     Run(usize),
     Finish(usize),
     Refuse(usize),
@@ -43,12 +58,21 @@
     Suspect(usize),
     Trust(usize),
     Kill(usize),
-    Plan { skew_ms: i64 },
+    Plan {
+        skew_ms: i64,
+    },
+    /// A plan that one node does not hear of yet.
+    Reconfigure {
+        lagging: usize,
+    },
     Learn(usize),
     Copy(usize),
     Report(usize),
     Advance(u64),
-    StepClock { node: usize, skew_ms: i64 },
+    StepClock {
+        node: usize,
+        skew_ms: i64,
+    },
     Expire(usize),
 }
 
@@ -62,6 +86,11 @@
     let target = || (0..16_usize, 0..MAX_RUNS.len());
     let calls = prop_oneof![
         8 => target().prop_map(|(node, key)| Event::Call { node, key }),
+        6 => (target(), 0..16_usize).prop_map(|((node, key), held_up)| Event::CallThrough {
+            node,
+            key,
+            held_up,
+        }),
         3 => target().prop_map(|(node, key)| Event::CallRefused { node, key }),
         1 => (0..MAX_RUNS.len(), skew()).prop_map(|(key, skew_ms)| Event::RenewKey { key, skew_ms }),
         8 => any().prop_map(Event::Run),
@@ -84,6 +113,7 @@
         2 => any().prop_map(Event::Trust),
         2 => any().prop_map(Event::Kill),
         4 => skew().prop_map(|skew_ms| Event::Plan { skew_ms }),
+        4 => any().prop_map(|lagging| Event::Reconfigure { lagging }),
         6 => any().prop_map(Event::Learn),
         5 => any().prop_map(Event::Copy),
         3 => any().prop_map(Event::Report),
@@ -138,6 +168,7 @@
 fn happen(fleet: &mut Fleet, event: &Event) {
     match *event {
         Event::Call { node, key } => fleet.call(node, key, false),
+        Event::CallThrough { node, key, held_up } => fleet.call_through(node, key, held_up),
         Event::CallRefused { node, key } => fleet.call(node, key, true),
         Event::RenewKey { key, skew_ms } => fleet.renew_key(key, skew_ms),
         Event::Run(one) => fleet.run(one),
@@ -156,6 +187,7 @@
         Event::Trust(node) => fleet.suspect(node, false),
         Event::Kill(node) => fleet.kill(node),
         Event::Plan { skew_ms } => fleet.plan(skew_ms),
+        Event::Reconfigure { lagging } => fleet.reconfigure(lagging),
         Event::Learn(node) => fleet.learn(node),
         Event::Copy(node) => fleet.copy(node),
         Event::Report(node) => fleet.report(node),
--- a/crates/tallybridge-claims/tests/fleet/executors.rs
+++ b/crates/tallybridge-claims/tests/fleet/executors.rs
@@ -44,6 +44,25 @@
         self.attempts.push(attempt);
     }
 
+    /// A call that goes through at once if it can, while messages to one node are held up.
+    pub fn call_through(&mut self, node: usize, key: usize, held_up: usize) {
+        let known = self.attempts.len();
+        self.call(node, key, false);
+        if self.attempts.len() == known {
+            return;
+        }
+        let (id, executor) = (self.attempts[known].id, self.attempts[known].executor);
+        let held_up = self.nodes[self.node(held_up)].id;
+        while let Some(position) = self.pool.iter().position(|one| {
+            one.attempt == Some(id)
+                && (one.to != held_up || one.to == executor)
+                && self.is_awake(one)
+        }) {
+            self.deliver(position);
+        }
+        self.run_attempt(known);
+    }
+
     /// The attempts of running, unfrozen nodes that are in a phase.
     fn attempts_in(&self, phase: impl Fn(&Phase) -> bool) -> Vec<usize> {
         let is_awake = |attempt: &Attempt| {
@@ -66,11 +85,18 @@
         let Some(index) = self.choose(selector, granted) else {
             return;
         };
+        self.run_attempt(index);
+    }
+
+    fn run_attempt(&mut self, index: usize) {
         let now = self.clock(self.index_of(self.attempts[index].executor).expect("awake"));
         let attempt = &mut self.attempts[index];
         let Phase::Claiming(round) = &attempt.phase else {
-            unreachable!("chosen as granted");
+            return;
         };
+        if !matches!(round.verdict(), Verdict::Granted { .. }) {
+            return;
+        }
         if round.may_run(attempt.deadline_unix_ms, now) {
             let number = self.oracle.run(&attempt.key, attempt.id);
             attempt.phase = Phase::Running(round.clone(), number);
--- a/crates/tallybridge-claims/tests/fleet/messages.rs
+++ b/crates/tallybridge-claims/tests/fleet/messages.rs
@@ -40,17 +40,30 @@
     /// Delivers everything in order until nothing is in flight but to frozen nodes.
     pub fn settle(&mut self) {
         for _ in 0..SETTLE_STEPS {
-            let awake = |one: &Envelope| {
-                let index = self.index_of(one.to);
-                index.is_none_or(|index| !self.nodes[index].frozen)
-            };
-            let Some(position) = self.pool.iter().position(awake) else {
+            let Some(position) = self.pool.iter().position(|one| self.is_awake(one)) else {
                 return;
             };
             self.deliver(position);
         }
     }
 
+    /// Delivers copies, and leaves messages of attempts in flight.
+    pub fn settle_copies(&mut self) {
+        let is_copy = |one: &Envelope| one.attempt.is_none();
+        while let Some(position) = self
+            .pool
+            .iter()
+            .position(|one| is_copy(one) && self.is_awake(one))
+        {
+            self.deliver(position);
+        }
+    }
+
+    pub(super) fn is_awake(&self, envelope: &Envelope) -> bool {
+        let index = self.index_of(envelope.to);
+        index.is_none_or(|index| !self.nodes[index].frozen)
+    }
+
     fn receive(&mut self, index: usize, envelope: Envelope) {
         let message = over_the_wire(&envelope.message);
         let now = self.clock(index);
--- a/crates/tallybridge-claims/tests/fleet/mod.rs
+++ b/crates/tallybridge-claims/tests/fleet/mod.rs
@@ -190,6 +190,21 @@
         self.store = plan(&self.store, &candidates, &self.reports, now);
     }
 
+    /// Plans anew, and all nodes but one take the map over at once and copy what they lack.
+    pub fn reconfigure(&mut self, lagging: usize) {
+        self.plan(0);
+        let lagging = self.node(lagging);
+        let others = (0..self.nodes.len()).filter(|index| *index != lagging);
+        for index in others.clone() {
+            self.learn(index);
+        }
+        for index in others {
+            self.copy(index);
+            self.settle_copies();
+            self.report(index);
+        }
+    }
+
     /// A node takes over the map in the store.
     pub fn learn(&mut self, selector: usize) {
         let index = self.node(selector);
