--- a/crates/tallybridge-claims/src/lib.rs
+++ b/crates/tallybridge-claims/src/lib.rs
@@ -46,9 +46,12 @@
 //! only when its process is; peers are not malicious; all attempts of a key state the same
 //! `max_runs`.
 //!
-//! **Cost.** One round trip to the second fastest of three replicas for a call that needs a claim, none
-//! for a key that the entry node itself has just drawn and sends once. Memory: see the `claim_memory`
-//! example; a full window of keys is `rate * 15 min * 3 / nodes` keys a node.
+//! **Cost.** One round trip to the second fastest of three replicas for a call that needs a claim,
+//! none for a key that the entry node itself has just drawn and sends once. Memory as counted by the
+//! `claim_memory` example: 148 bytes for a remembered key, 410 with an answer of 256 bytes. From
+//! this, 1,000 claims/s at 920 nodes fill a window with 2,935 keys a node (0.4 MB; 1.2 MB with such
+//! answers). A vote took 0.2 µs with 10,000 remembered keys and 0.8 µs with a million (`claims`
+//! bench, one run on a busy machine).
 
 pub mod key_window;
 pub mod map;
