--- a/crates/tallybridge-claims/tests/at_most_once.rs
+++ b/crates/tallybridge-claims/tests/at_most_once.rs
@@ -250,3 +250,25 @@
         Event::Kill(2),
     ]);
 }
+
+#[test]
+fn a_request_from_before_a_loss_does_not_run_again() {
+    // Nodes 0, 1 and 2 hold the partition; node 0 does not hear of the run.
+    replays(&[
+        Event::CallThrough {
+            node: 3,
+            key: 0,
+            held_up: 0,
+        },
+        Event::Lose(0),
+        Event::Kill(1),
+        Event::Kill(2),
+        Event::Reconfigure { lagging: 3 },
+        Event::Reconfigure { lagging: 1 },
+        Event::CallThrough {
+            node: 0,
+            key: 0,
+            held_up: 3,
+        },
+    ]);
+}
--- a/crates/tallybridge-claims/tests/joining.rs
+++ b/crates/tallybridge-claims/tests/joining.rs
@@ -1,8 +1,10 @@
-//! A replica that joins copies from those before it, step by step.
+//! What a replica learns when it joins, and what it may forget, step by step.
 
 use std::collections::BTreeSet;
 
-use tallybridge_claims::{Candidate, ClaimTable, PartitionId, PartitionMap, Presence, plan};
+use tallybridge_claims::{
+    Candidate, ClaimTable, PartitionId, PartitionMap, Presence, SKEW_MS, WINDOW_MS, plan,
+};
 use tallybridge_core::{AttemptId, InstanceId, NodeId, RequestKey};
 use tallybridge_wire::claim::{AbstainReason, Claim, ClaimVote};
 
@@ -89,6 +91,16 @@
 }
 
 fn vote(table: &mut ClaimTable, map: &PartitionMap, key: RequestKey, sequence: u64) -> ClaimVote {
+    vote_at(table, map, key, sequence, NOW_UNIX_MS)
+}
+
+fn vote_at(
+    table: &mut ClaimTable,
+    map: &PartitionMap,
+    key: RequestKey,
+    sequence: u64,
+    now_unix_ms: u64,
+) -> ClaimVote {
     let entry = map.entry(PartitionId::of(&key)).expect("planned");
     let claim = Claim {
         key: key.into(),
@@ -96,7 +108,7 @@
         run: 1,
         attempt: attempt(sequence).into(),
     };
-    table.claim(&claim, NOW_UNIX_MS).vote
+    table.claim(&claim, now_unix_ms).vote
 }
 
 fn is_held(vote: &ClaimVote) -> bool {
@@ -145,3 +157,27 @@
     let vote = vote(&mut change.joined, &change.after, key(1), 1);
     assert_eq!(vote, ClaimVote::Abstains(AbstainReason::NotSynchronised));
 }
+
+#[test]
+fn a_clock_that_is_ahead_forgets_nothing_that_one_behind_would_grant() {
+    let mut change = Change::new();
+    for table in &mut change.stayed {
+        vote(table, &change.before, key(1), 1);
+        table.expire(NOW_UNIX_MS + WINDOW_MS + 2 * SKEW_MS - 1);
+    }
+    change.copy();
+    let behind = NOW_UNIX_MS + WINDOW_MS - 1;
+    let vote = vote_at(&mut change.joined, &change.after, key(1), 2, behind);
+    assert!(is_held(&vote), "{vote:?}");
+}
+
+#[test]
+fn a_clock_that_is_set_back_does_not_reopen_forgotten_keys() {
+    let mut change = Change::new();
+    let table = &mut change.stayed[0];
+    vote(table, &change.before, key(1), 1);
+    table.expire(NOW_UNIX_MS + WINDOW_MS + 2 * SKEW_MS + 1);
+    assert_eq!(table.status().keys, 0);
+    let vote = vote(table, &change.before, key(1), 2);
+    assert_eq!(vote, ClaimVote::Abstains(AbstainReason::KeyOutsideWindow));
+}
