--- a/crates/tallybridge-claims/src/lib.rs
+++ b/crates/tallybridge-claims/src/lib.rs
@@ -46,6 +46,15 @@
 //! only when its process is; peers are not malicious; all attempts of a key state the same
 //! `max_runs`.
 //!
+//! **Proof.** `tests/at_most_once.rs` runs a simulated fleet against a plain record of executions;
+//! guards that random sequences reach too seldom have tests of their own. Argued but not yet seen
+//! failing without their guard: the length of the reset barrier (that there is one is tested), the
+//! copy from survivors at a reset, that a source of a copy must itself be synchronised, and that a
+//! silent replica does not count as ended.
+//!
+//! **Limits.** A release that overtakes its own claim leaves the run held until the window ends, so
+//! the key is answered `unknown` until then: safe, but no more than that.
+//!
 //! **Cost.** One round trip to the second fastest of three replicas for a call that needs a claim,
 //! none for a key that the entry node itself has just drawn and sends once. Memory as counted by the
 //! `claim_memory` example: 148 bytes for a remembered key, 410 with an answer of 256 bytes. From
