--- a/crates/tallybridge-membership/examples/scale/figures.rs
+++ b/crates/tallybridge-membership/examples/scale/figures.rs
@@ -50,6 +50,10 @@
     pub leave: Spread,
     /// Seconds until a revision is taken over.
     pub revision: Spread,
+    /// Seconds until all of a tenth of the nodes that leave at once are known to be leaving.
+    pub leave_together: Spread,
+    /// Seconds until the last member of a zone that is lost whole is suspected.
+    pub zone_suspected: Spread,
     /// Seconds until the death of the last member of a zone that is lost whole is known.
     pub zone_loss: Spread,
     /// Bytes a second of the node that sends most meanwhile.
@@ -65,7 +69,7 @@
     pub fn heading() -> String {
         format!(
             "{:>5} {:>7} | {:>7} {:>7} | {:>7} {:>7} | {:>6} {:>7} {:>7} | {:>13} | {:>13} | \
-             {:>13} | {:>13} {:>7} | {:>5} {:>5}",
+             {:>13} | {:>13} | {:>13} | {:>13} {:>7} | {:>5} {:>5}",
             "nodes",
             "cold s",
             "B/s",
@@ -78,7 +82,9 @@
             "death p50 max",
             "leave p50 max",
             "rev. p50 max",
-            "zone p50 max",
+            "10 % p50 max",
+            "zone suspected",
+            "zone dead",
             "max B/s",
             "wrong",
             "false",
@@ -91,7 +97,7 @@
         write!(
             formatter,
             "{:>5} {:>7.1} | {:>7.0} {:>7.0} | {:>7.0} {:>7.0} | {:>6.1} {:>7.0} {:>7.0} | {} | \
-             {} | {} | {} {:>7.0} | {:>5} {:>5}",
+             {} | {} | {} | {} | {} {:>7.0} | {:>5} {:>5}",
             self.nodes,
             self.cold_start,
             self.bytes,
@@ -104,6 +110,8 @@
             self.death,
             self.leave,
             self.revision,
+            self.leave_together,
+            self.zone_suspected,
             self.zone_loss,
             self.max_zone_loss_bytes,
             self.wrongly_dead,
--- a/crates/tallybridge-membership/examples/scale/measure.rs
+++ b/crates/tallybridge-membership/examples/scale/measure.rs
@@ -42,6 +42,7 @@
     time_events(&mut network, &mut figures, events, &mut killed);
     figures.wrongly_dead = wrongly_dead(&network);
     figures.false_deaths = false_deaths(&network, &killed);
+    leave_together(&mut network, &mut figures);
     lose_zone(&mut network, &mut figures);
     figures.memory_kib = memory_kib(network);
     figures
@@ -150,6 +151,12 @@
         .is_some_and(|record| matches!(record.state(), MemberState::Alive | MemberState::Suspect))
 }
 
+fn is_alive(table: &tallybridge_membership::MemberTable, node: NodeId) -> bool {
+    table
+        .member(node)
+        .is_some_and(|record| record.state() == MemberState::Alive)
+}
+
 /// For each process the time until something holds there, in seconds; infinite beyond the limit.
 fn times(
     network: &mut Network,
@@ -176,6 +183,26 @@
     times
 }
 
+/// Has a tenth of the nodes leave at once.
+fn leave_together(network: &mut Network, figures: &mut Figures) {
+    const SHARE: usize = 10;
+    network.run(SETTLE);
+    let leaving: Vec<usize> = (0..network.slots.len())
+        .filter(|slot| slot % SHARE == 5 && network.slots[*slot].process.is_some())
+        .collect();
+    let nodes: Vec<NodeId> = leaving
+        .iter()
+        .map(|slot| identity(network, *slot))
+        .collect();
+    for slot in leaving {
+        network.leave(slot);
+    }
+    figures.leave_together = Spread::of(times(network, |table| {
+        !nodes.iter().any(|node| takes_work(table, *node))
+    }));
+    network.run(SETTLE);
+}
+
 /// Kills what is left of one zone at once.
 fn lose_zone(network: &mut Network, figures: &mut Figures) {
     const LOST_ZONE: usize = ZONES - 1;
@@ -189,9 +216,19 @@
     for slot in lost {
         network.kill(slot);
     }
-    figures.zone_loss = Spread::of(times(network, |table| {
-        !nodes.iter().any(|node| takes_work(table, *node))
+    figures.zone_suspected = Spread::of(times(network, |table| {
+        !nodes.iter().any(|node| is_alive(table, *node))
     }));
+    let until_suspected = (network.elapsed() - began).as_secs_f64();
+    let until_dead = times(network, |table| {
+        !nodes.iter().any(|node| takes_work(table, *node))
+    });
+    figures.zone_loss = Spread::of(
+        until_dead
+            .iter()
+            .map(|time| until_suspected + time)
+            .collect(),
+    );
     let seconds = (network.elapsed() - began).as_secs_f64();
     (_, figures.max_zone_loss_bytes) = bytes_per_second(network, &before, seconds);
 }
--- a/crates/tallybridge-membership/src/anti_entropy.rs
+++ b/crates/tallybridge-membership/src/anti_entropy.rs
@@ -271,6 +271,9 @@
     (first, last): (u64, u64),
     listed: &[WireUpdate],
 ) -> Vec<Outgoing> {
+    if table.budget.is_spent() {
+        return Vec::new();
+    }
     let theirs: BTreeMap<NodeId, Incarnation> = listed
         .iter()
         .map(|update| (update.node.into(), Incarnation(update.incarnation)))
--- a/crates/tallybridge-membership/src/gossip.rs
+++ b/crates/tallybridge-membership/src/gossip.rs
@@ -69,7 +69,9 @@
     outgoing: &mut Vec<Outgoing>,
 ) {
     let something_to_say = table.queue.len() > 0 || table.rounds.revision_rounds > 0;
-    let allowed = table.rounds.at_once || !table.budget.is_low();
+    let allowed = table.rounds.at_once
+        || !table.budget.is_low()
+        || (!table.budget.is_spent() && table.has_urgent_update());
     if now < table.rounds.next || !something_to_say || !allowed {
         return;
     }
--- a/crates/tallybridge-membership/src/probe.rs
+++ b/crates/tallybridge-membership/src/probe.rs
@@ -53,9 +53,10 @@
     /// whoever is there.
     target: Option<NodeId>,
     sent: Instant,
-    /// Helpers asked; `None` before they are.
-    helpers: Option<usize>,
-    nacks: usize,
+    /// Whether helpers were asked.
+    helped: bool,
+    /// Helpers whose silence says that this node's own link is at fault.
+    silent: BTreeSet<SocketAddr>,
 }
 
 /// A ping on behalf of another node.
@@ -133,7 +134,7 @@
         let waited = now.saturating_duration_since(probe.sent);
         if waited >= probe_timeout {
             fail(table, sequence, now);
-        } else if waited >= ping_timeout && probe.helpers.is_none() {
+        } else if waited >= ping_timeout && !probe.helped {
             ask_helpers(table, sequence, rng, outgoing);
         }
     }
@@ -151,8 +152,10 @@
         return;
     };
     let helpers = helpers(table, target, rng);
+    let silent = telling_helpers(table, target, &helpers);
     if let Some(probe) = table.probes.probes.get_mut(&sequence) {
-        probe.helpers = Some(helpers.len());
+        probe.helped = true;
+        probe.silent = silent;
     }
     let request = GossipMessage::PingRequest {
         sequence,
@@ -191,6 +194,25 @@
     chosen
 }
 
+/// Helpers from whom at least a refusal is expected: those in the member's own zone may have been
+/// lost together with it, so they count only where there are no others.
+fn telling_helpers(
+    table: &MemberTable,
+    target: NodeId,
+    helpers: &[NodeId],
+) -> BTreeSet<SocketAddr> {
+    let zone = |node: NodeId| &table.members[&node].record.placement.zone;
+    let address = |node: &NodeId| node.address;
+    let elsewhere = helpers
+        .iter()
+        .filter(|helper| zone(**helper) != zone(target));
+    let telling: BTreeSet<SocketAddr> = elsewhere.map(address).collect();
+    if telling.is_empty() {
+        return helpers.iter().map(address).collect();
+    }
+    telling
+}
+
 /// No answer in time: the member is suspected, and this node trusts itself less where the helpers
 /// were silent as well (Lifeguard, section IV-A).
 fn fail(table: &mut MemberTable, sequence: u32, now: Instant) {
@@ -200,16 +222,19 @@
     let Some(target) = probe.target else {
         return;
     };
-    let helpers = probe.helpers.unwrap_or_default();
-    let silent = match helpers {
-        0 => 1,
-        asked => asked.saturating_sub(probe.nacks),
-    };
+    let alone = !probe.helped || !table.has_helpers(target);
+    let silent = if alone { 1 } else { probe.silent.len() };
     table.local_health.raise(silent);
     table.suspect(target, now);
 }
 
 impl MemberTable {
+    /// Whether there is anybody but this node and the member.
+    fn has_helpers(&self, target: NodeId) -> bool {
+        let known = 1 + usize::from(self.is_live(target));
+        self.live_count() > known
+    }
+
     /// This node's own probe has failed.
     fn suspect(&mut self, node: NodeId, now: Instant) {
         let Some(row) = self.members.get(&node) else {
@@ -313,8 +338,8 @@
         address,
         target,
         sent: now,
-        helpers: None,
-        nacks: 0,
+        helped: false,
+        silent: BTreeSet::new(),
     };
     table.probes.probes.insert(sequence, probe);
     let notice = target.map_or_else(Vec::new, |target| doubt(table, target));
@@ -376,8 +401,8 @@
 }
 
 /// A helper is well, but the member has not answered it.
-pub(crate) fn count_nack(table: &mut MemberTable, sequence: u32) {
+pub(crate) fn count_nack(table: &mut MemberTable, from: SocketAddr, sequence: u32) {
     if let Some(probe) = table.probes.probes.get_mut(&sequence) {
-        probe.nacks += 1;
+        probe.silent.remove(&from);
     }
 }
--- a/crates/tallybridge-membership/src/receive.rs
+++ b/crates/tallybridge-membership/src/receive.rs
@@ -114,7 +114,7 @@
             probe::acknowledge(table, *sequence, &responder, now)
         }
         GossipMessage::Nack { sequence } => {
-            probe::count_nack(table, *sequence);
+            probe::count_nack(table, from, *sequence);
             Vec::new()
         }
         GossipMessage::Gossip => Vec::new(),
--- a/crates/tallybridge-membership/src/update_queue.rs
+++ b/crates/tallybridge-membership/src/update_queue.rs
@@ -109,6 +109,11 @@
         updates
     }
 
+    /// Whether a leaving member is among the updates.
+    pub(crate) fn has_urgent_update(&self) -> bool {
+        self.queue.updates.keys().any(|key| self.is_leaving(key.0))
+    }
+
     fn is_leaving(&self, node: NodeId) -> bool {
         self.members
             .get(&node)
--- a/crates/tallybridge-membership/tests/partition.rs
+++ b/crates/tallybridge-membership/tests/partition.rs
@@ -144,3 +144,33 @@
     });
     assert!(spread.is_some());
 }
+
+#[test]
+fn a_storm_of_restarts_stays_within_the_bytes_allowed() {
+    const STORM: u64 = 120;
+    const RESTARTED: usize = 30;
+    const PROBE_BYTES_PER_SECOND: u64 = 2048;
+    let mut network = settled(40);
+    network.weather.loss = 0.1;
+    let sent = |network: &Network| -> Vec<u64> {
+        let lasting = &network.slots[RESTARTED..];
+        lasting.iter().map(|slot| slot.sent_bytes).collect()
+    };
+    let before = sent(&network);
+    for second in 0..STORM as usize {
+        for slot in 0..5 {
+            network.start((5 * second + slot) % RESTARTED);
+        }
+        network.run(Duration::from_secs(1));
+    }
+    let settings = &network.settings;
+    let allowed = u64::from(settings.bytes_per_second) + PROBE_BYTES_PER_SECOND;
+    let bound = allowed * STORM + u64::from(settings.burst_bytes);
+    for (after, before) in sent(&network).iter().zip(&before) {
+        assert!(
+            after - before <= bound,
+            "{} bytes of {bound}",
+            after - before
+        );
+    }
+}
