--- a/crates/tallybridge-membership/src/probe.rs
+++ b/crates/tallybridge-membership/src/probe.rs
@@ -6,20 +6,19 @@
     time::{Duration, Instant},
 };
 
-use rand::{
-    rngs::SmallRng,
-    seq::{IndexedRandom, IteratorRandom},
-};
+use rand::rngs::SmallRng;
 use tallybridge_core::NodeId;
 use tallybridge_wire::{GossipHeader, GossipMessage, WireUpdate};
 
 use crate::{
     anti_entropy,
     convert::to_update,
-    gossip,
+    gossip, helpers,
     member::{Health, MemberRecord},
     merge::Reporter,
     outgoing::Outgoing,
+    reach,
+    relay::{self, Relay},
     suspicion,
     table::MemberTable,
 };
@@ -28,19 +27,15 @@
 /// what has not arrived says nothing about the others.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Part of the time between a helper's ping and the probe's end after which the helper says that
-/// it got no answer.
-const NACK_AFTER: f64 = 0.7;
-
 /// Probes and pings on behalf of others that are under way.
 #[derive(Debug)]
 pub(crate) struct Probes {
     last_run: Instant,
     next_probe: Instant,
-    next_reach: Instant,
+    pub next_reach: Instant,
     sequence: u32,
     probes: BTreeMap<u32, Probe>,
-    relays: BTreeMap<u32, Relay>,
+    pub relays: BTreeMap<u32, Relay>,
     /// Addresses at which two instances are believed to live.
     pub doubted: BTreeSet<SocketAddr>,
 }
@@ -59,14 +54,6 @@
     silent: BTreeSet<SocketAddr>,
 }
 
-/// A ping on behalf of another node.
-#[derive(Debug)]
-struct Relay {
-    requester: SocketAddr,
-    requester_sequence: u32,
-    sent: Instant,
-}
-
 impl Probes {
     pub(crate) const fn new(now: Instant) -> Self {
         Self {
@@ -80,7 +67,7 @@
         }
     }
 
-    const fn next_sequence(&mut self) -> u32 {
+    pub(crate) const fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
     }
@@ -94,10 +81,10 @@
     suspicion::expire(table, now);
     if table.own_record().health != Health::Left {
         advance(table, now, rng, &mut outgoing);
-        end_relays(table, now, &mut outgoing);
+        relay::end_relays(table, now, &mut outgoing);
         settle_doubts(table, now, &mut outgoing);
         start(table, now, rng, &mut outgoing);
-        reach(table, now, rng, &mut outgoing);
+        reach::run(table, now, rng, &mut outgoing);
         anti_entropy::run(table, now, rng, &mut outgoing);
     }
     gossip::run(table, now, rng, &mut outgoing);
@@ -151,8 +138,8 @@
     let Some(target) = probe.target else {
         return;
     };
-    let helpers = helpers(table, target, rng);
-    let silent = telling_helpers(table, target, &helpers);
+    let helpers = helpers::helpers(table, target, rng);
+    let silent = helpers::telling_helpers(table, target, &helpers);
     if let Some(probe) = table.probes.probes.get_mut(&sequence) {
         probe.helped = true;
         probe.silent = silent;
@@ -169,50 +156,6 @@
     outgoing.push(table.send(address, GossipMessage::Ping { sequence }, notice));
 }
 
-/// Helpers that see the member over another way: one in another region, one in another zone and
-/// one beside the member, as far as there are any.
-fn helpers(table: &MemberTable, target: NodeId, rng: &mut SmallRng) -> Vec<NodeId> {
-    type Fits = fn(helper: &MemberRecord, own: &MemberRecord, target: &MemberRecord) -> bool;
-    const WAYS: [Fits; 3] = [
-        |helper, own, _| helper.placement.region != own.placement.region,
-        |helper, own, _| helper.placement.zone != own.placement.zone,
-        |helper, _, target| helper.placement.zone == target.placement.zone,
-    ];
-    let own = table.own_record();
-    let target_record = &table.members[&target].record;
-    let mut chosen: Vec<NodeId> = Vec::new();
-    for place in 0..table.settings.indirect_probes {
-        let fits = WAYS[place % WAYS.len()];
-        let is_free = |node: NodeId| node != target && !chosen.contains(&node);
-        let drawn = table
-            .random_live(rng, |table, node| {
-                is_free(node) && fits(&table.members[&node].record, own, target_record)
-            })
-            .or_else(|| table.random_live(rng, |_, node| is_free(node)));
-        chosen.extend(drawn);
-    }
-    chosen
-}
-
-/// Helpers from whom at least a refusal is expected: those in the member's own zone may have been
-/// lost together with it, so they count only where there are no others.
-fn telling_helpers(
-    table: &MemberTable,
-    target: NodeId,
-    helpers: &[NodeId],
-) -> BTreeSet<SocketAddr> {
-    let zone = |node: NodeId| &table.members[&node].record.placement.zone;
-    let address = |node: &NodeId| node.address;
-    let elsewhere = helpers
-        .iter()
-        .filter(|helper| zone(**helper) != zone(target));
-    let telling: BTreeSet<SocketAddr> = elsewhere.map(address).collect();
-    if telling.is_empty() {
-        return helpers.iter().map(address).collect();
-    }
-    telling
-}
-
 /// No answer in time: the member is suspected, and this node trusts itself less where the helpers
 /// were silent as well (Lifeguard, section IV-A).
 fn fail(table: &mut MemberTable, sequence: u32, now: Instant) {
@@ -255,27 +198,6 @@
     }
 }
 
-/// Tells requesters that their member has not answered.
-fn end_relays(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
-    let time = table.settings.probe_timeout - table.settings.ping_timeout;
-    let limit = time.mul_f64(NACK_AFTER);
-    let ended: Vec<u32> = table
-        .probes
-        .relays
-        .iter()
-        .filter(|(_, relay)| now.saturating_duration_since(relay.sent) >= limit)
-        .map(|(sequence, _)| *sequence)
-        .collect();
-    for sequence in ended {
-        if let Some(relay) = table.probes.relays.remove(&sequence) {
-            let nack = GossipMessage::Nack {
-                sequence: relay.requester_sequence,
-            };
-            outgoing.push(table.send(relay.requester, nack, Vec::new()));
-        }
-    }
-}
-
 /// Pings addresses at which two instances are believed to live; the answer ends one of them.
 fn settle_doubts(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
     for address in std::mem::take(&mut table.probes.doubted) {
@@ -295,39 +217,8 @@
     }
 }
 
-/// Tries a member believed dead and a seed, so that parts of the fleet that were cut from each
-/// other find together again.
-fn reach(table: &mut MemberTable, now: Instant, rng: &mut SmallRng, outgoing: &mut Vec<Outgoing>) {
-    if now < table.probes.next_reach {
-        return;
-    }
-    table.probes.next_reach = now + table.settings.reach_interval;
-    table.purge(now);
-    let dead = table
-        .members()
-        .filter(|record| record.health == Health::Dead)
-        .map(|record| record.node.address)
-        .filter(|address| !has_live(table, *address))
-        .choose(rng);
-    let lost_seeds: Vec<SocketAddr> = table
-        .seeds
-        .iter()
-        .copied()
-        .filter(|seed| !has_live(table, *seed))
-        .collect();
-    let seed = lost_seeds.choose(rng).copied();
-    for address in dead.into_iter().chain(seed) {
-        outgoing.push(ping(table, address, None, now));
-    }
-}
-
-fn has_live(table: &MemberTable, address: SocketAddr) -> bool {
-    table
-        .rows_at(address)
-        .any(|row| row.record.health.is_live())
-}
-
-fn ping(
+/// Pings an address.
+pub(crate) fn ping(
     table: &mut MemberTable,
     address: SocketAddr,
     target: Option<NodeId>,
@@ -356,31 +247,13 @@
         .collect()
 }
 
-/// Pings an address on behalf of another node.
-pub(crate) fn relay(
-    table: &mut MemberTable,
-    requester: SocketAddr,
-    requester_sequence: u32,
-    target: SocketAddr,
-    now: Instant,
-) -> Outgoing {
-    let sequence = table.probes.next_sequence();
-    let relay = Relay {
-        requester,
-        requester_sequence,
-        sent: now,
-    };
-    table.probes.relays.insert(sequence, relay);
-    table.send(target, GossipMessage::Ping { sequence }, Vec::new())
-}
-
 /// Somebody answered a ping of this node, or one made on its behalf.
 pub(crate) fn acknowledge(
     table: &mut MemberTable,
     sequence: u32,
     responder: &GossipHeader,
     now: Instant,
-) -> Vec<Outgoing> {
+) -> Option<Outgoing> {
     let node: NodeId = responder.sender.into();
     if let Some(probe) = table.probes.probes.remove(&sequence) {
         if node.address == probe.address {
@@ -388,16 +261,7 @@
         }
         table.local_health.lower();
     }
-    let Some(relay) = table.probes.relays.remove(&sequence) else {
-        return Vec::new();
-    };
-    let passed_on = GossipMessage::IndirectAck {
-        sequence: relay.requester_sequence,
-        responder: responder.sender,
-        incarnation: responder.incarnation,
-        leaving: responder.leaving,
-    };
-    vec![table.send(relay.requester, passed_on, Vec::new())]
+    relay::pass_on(table, sequence, responder)
 }
 
 /// A helper is well, but the member has not answered it.
--- a/crates/tallybridge-membership/src/receive.rs
+++ b/crates/tallybridge-membership/src/receive.rs
@@ -13,8 +13,9 @@
     member::{Health, Incarnation},
     merge::{Claim, Reporter, Source},
     outgoing::Outgoing,
-    probe,
+    probe, relay,
     table::MemberTable,
+    table_range,
 };
 
 /// Takes in one datagram and returns what is to be sent because of it.
@@ -94,9 +95,11 @@
         }
         GossipMessage::Ack { sequence } => {
             probe::acknowledge(table, *sequence, &datagram.header, now)
+                .into_iter()
+                .collect()
         }
         GossipMessage::PingRequest { sequence, target } => {
-            vec![probe::relay(table, from, *sequence, (*target).into(), now)]
+            vec![relay::relay(table, from, *sequence, (*target).into(), now)]
         }
         GossipMessage::IndirectAck {
             sequence,
@@ -112,18 +115,20 @@
             };
             hear_sender(table, responder.sender.into(), &responder, now);
             probe::acknowledge(table, *sequence, &responder, now)
+                .into_iter()
+                .collect()
         }
         GossipMessage::Nack { sequence } => {
             probe::count_nack(table, from, *sequence);
             Vec::new()
         }
         GossipMessage::Gossip => Vec::new(),
-        GossipMessage::TableCompare { buckets } => anti_entropy::answer(table, from, buckets, rng),
+        GossipMessage::TableCompare { buckets } => table_range::answer(table, from, buckets, rng),
         GossipMessage::TableRange {
             first,
             last,
             answer_wanted: 1,
-        } => anti_entropy::complete(table, from, (*first, *last), datagram.updates()),
+        } => table_range::complete(table, from, (*first, *last), datagram.updates()),
         GossipMessage::TableRange { .. } => Vec::new(),
     }
 }
