Hold the suspicions of a zone until its members have refuted

Cause: a zone cut off for 8 s ended 64 members (as seen by all observers of a network of 40): the hold was computed anew at each tick, so it was lifted for the rest as soon as half of the zone had refuted. Ruled out: a hold that is too short (the deaths came after the network was whole). Change: a suspicion once held stays held. Two courses were added: a short cut of a zone ends nobody; processes that stood still hold nobody dead for it.

--- a/crates/tallybridge-membership/src/suspicion.rs
+++ b/crates/tallybridge-membership/src/suspicion.rs
@@ -24,6 +24,9 @@
     reporters: BTreeSet<Reporter>,
     /// Another node has declared the member dead.
     declared: bool,
+    /// Most of the member's zone was suspected meanwhile. Stays, since the members of a zone that
+    /// is back refute one after the other.
+    held: bool,
 }
 
 impl Suspicion {
@@ -36,6 +39,7 @@
             wanted: settings.suspicion_confirmations.min(others),
             reporters: BTreeSet::new(),
             declared: false,
+            held: false,
         }
     }
 
@@ -53,6 +57,15 @@
     /// Time from the start to death (Lifeguard, section IV): falls with the logarithm of the
     /// confirmations.
     pub(crate) fn timeout(&self, settings: &MembershipSettings) -> Duration {
+        let timeout = self.unheld_timeout(settings);
+        if self.held {
+            timeout.mul_f64(settings.zone_hold_factor)
+        } else {
+            timeout
+        }
+    }
+
+    fn unheld_timeout(&self, settings: &MembershipSettings) -> Duration {
         if self.wanted == 0 || self.declared {
             return settings.suspicion_min;
         }
@@ -66,10 +79,11 @@
 
 /// Declares members dead whose time to refute has passed.
 pub(crate) fn expire(table: &mut MemberTable, now: Instant) {
+    hold_zones(table);
     let expired: Vec<NodeId> = table
         .suspicions
         .iter()
-        .filter(|(node, suspicion)| now >= deadline(table, **node, suspicion))
+        .filter(|(_, suspicion)| now >= suspicion.started + suspicion.timeout(&table.settings))
         .map(|(node, _)| *node)
         .collect();
     for node in expired {
@@ -77,19 +91,12 @@
     }
 }
 
-fn deadline(table: &MemberTable, node: NodeId, suspicion: &Suspicion) -> Instant {
-    let timeout = suspicion.timeout(&table.settings);
-    let zone = table
-        .members
-        .get(&node)
-        .map(|row| &row.record.placement.zone);
-    let held = zone.is_some_and(|zone| table.zones.is_mostly_suspected(zone));
-    let factor = if held {
-        table.settings.zone_hold_factor
-    } else {
-        1.0
-    };
-    suspicion.started + timeout.mul_f64(factor)
+/// Holds the suspicions of each zone of which most is suspected.
+fn hold_zones(table: &mut MemberTable) {
+    for (node, suspicion) in &mut table.suspicions {
+        let zone = &table.members[node].record.placement.zone;
+        suspicion.held |= table.zones.is_mostly_suspected(zone);
+    }
 }
 
 fn declare_dead(table: &mut MemberTable, node: NodeId, now: Instant) {
--- a/crates/tallybridge-membership/tests/partition.rs
+++ b/crates/tallybridge-membership/tests/partition.rs
@@ -145,6 +145,42 @@
     assert!(spread.is_some());
 }
 
+/// Cuts a zone off all others in both directions.
+fn cut_off(network: &mut Network, zone: usize) {
+    for other in (0..ZONES).filter(|other| *other != zone) {
+        network.cut(zone, other);
+        network.cut(other, zone);
+    }
+}
+
+#[test]
+fn a_short_cut_of_a_whole_zone_ends_no_member() {
+    let mut network = settled(40);
+    deaths(&mut network);
+    cut_off(&mut network, 1);
+    network.run(Duration::from_secs(8));
+    network.make_whole();
+    network.run(SETTLE);
+    truth::assert_agrees(&network);
+    assert_eq!(deaths(&mut network), 0);
+}
+
+#[test]
+fn processes_that_stood_still_hold_nobody_dead_for_it() {
+    const STILL: [usize; 3] = [1, 5, 9];
+    let mut network = settled(12);
+    cut_off(&mut network, 1);
+    network.run(Duration::from_secs(6));
+    STILL.iter().for_each(|slot| network.freeze(*slot));
+    network.weather.cuts.clear();
+    network.run(SETTLE);
+    deaths(&mut network);
+    network.make_whole();
+    network.run(SETTLE);
+    truth::assert_agrees(&network);
+    assert_eq!(deaths(&mut network), 0);
+}
+
 #[test]
 fn a_storm_of_restarts_stays_within_the_bytes_allowed() {
     const STORM: u64 = 120;
