--- a/crates/tallybridge-membership/tests/partition.rs
+++ b/crates/tallybridge-membership/tests/partition.rs
@@ -181,6 +181,21 @@
     assert_eq!(deaths(&mut network), 0);
 }
 
+#[test]
+fn a_cut_between_two_zones_is_bridged_by_helpers_elsewhere() {
+    let mut network = settled(24);
+    deaths(&mut network);
+    network.cut(0, 1);
+    network.cut(1, 0);
+    network.run(Duration::from_secs(120));
+    let suspicions = network
+        .processes()
+        .flat_map(|process| &process.events)
+        .filter(|event| matches!(event, MemberEvent::Changed(record) if record.health == Health::Suspect))
+        .count();
+    assert_eq!(suspicions, 0);
+}
+
 #[test]
 fn a_storm_of_restarts_stays_within_the_bytes_allowed() {
     const STORM: u64 = 120;
