Send news of other members before confirmations of a suspicion

Cause: with a zone lost, up to four reports for each of its members, sent as often as any update, filled the byte budget and the queue, so that the last suspicion was known late. Change: a confirmation is queued as if it had been sent two thirds of its times already: it goes after news and a third as often.

--- a/crates/tallybridge-membership/src/merge.rs
+++ b/crates/tallybridge-membership/src/merge.rs
@@ -137,7 +137,7 @@
             return;
         };
         if suspicion.confirm(claim.reporter) {
-            self.queue.push(claim.node, claim.reporter);
+            self.push_confirmation(claim.node, claim.reporter);
         }
     }
 
--- a/crates/tallybridge-membership/src/probe.rs
+++ b/crates/tallybridge-membership/src/probe.rs
@@ -183,17 +183,21 @@
         let Some(row) = self.members.get(&node) else {
             return;
         };
-        if row.record.health == Health::Alive {
-            let suspect = MemberRecord {
-                health: Health::Suspect,
-                ..row.record.clone()
-            };
+        let suspect = MemberRecord {
+            health: Health::Suspect,
+            ..row.record.clone()
+        };
+        let is_news = row.record.health == Health::Alive;
+        if is_news {
             self.replace(suspect, now);
         }
         let reporter = self.reporter();
         let suspicion = self.suspicions.get_mut(&node);
-        if suspicion.is_some_and(|suspicion| suspicion.confirm(reporter)) {
+        let counts = suspicion.is_some_and(|suspicion| suspicion.confirm(reporter));
+        if is_news {
             self.queue.push(node, reporter);
+        } else if counts {
+            self.push_confirmation(node, reporter);
         }
     }
 }
--- a/crates/tallybridge-membership/src/update_queue.rs
+++ b/crates/tallybridge-membership/src/update_queue.rs
@@ -35,9 +35,14 @@
 impl UpdateQueue {
     /// Queues what is now believed of a member.
     pub(crate) fn push(&mut self, node: NodeId, reporter: Reporter) {
+        self.push_sent(node, reporter, 0);
+    }
+
+    /// Queues an update as if it had been sent so many times.
+    fn push_sent(&mut self, node: NodeId, reporter: Reporter, transmits: u32) {
         self.arrivals += 1;
         let update = QueuedUpdate {
-            transmits: 0,
+            transmits,
             arrival: self.arrivals,
         };
         self.updates.insert((node, reporter), update);
@@ -114,6 +119,13 @@
         self.queue.updates.keys().any(|key| self.is_leaving(key.0))
     }
 
+    /// Queues another node's failed probe of a suspected member. It is sent after news of other
+    /// members and less often: it only shortens a suspicion that is known.
+    pub(crate) fn push_confirmation(&mut self, node: NodeId, reporter: Reporter) {
+        let sent = self.transmit_limit() * 2 / 3;
+        self.queue.push_sent(node, reporter, sent);
+    }
+
     fn is_leaving(&self, node: NodeId) -> bool {
         self.members
             .get(&node)
