--- a/crates/tallybridge-lab/src/cli/experiment.rs
+++ b/crates/tallybridge-lab/src/cli/experiment.rs
@@ -9,7 +9,8 @@
 use crate::{
     measure::{Summary, print_table},
     policy::Policy,
-    run::{self, RunOptions},
+    report::write_report,
+    run::{self, RunOptions, RunResult},
     scenario::Scenario,
 };
 
@@ -33,6 +34,9 @@
     /// File to write the summary to, as JSON.
     #[arg(long)]
     summary: Option<PathBuf>,
+    /// Directory to write the report to, as one HTML page.
+    #[arg(long)]
+    report: Option<PathBuf>,
     /// Directory in which to keep settings, logs and records.
     #[arg(long)]
     keep_files: Option<PathBuf>,
@@ -76,7 +80,7 @@
         rounds: usize::from(arguments.rounds),
         keep_files: arguments.keep_files.clone(),
     };
-    let summary = run::run(scenario, &options).await?;
+    let RunResult { summary, rounds } = run::run(Arc::clone(&scenario), &options).await?;
     print_table(&summary);
     if let Some(path) = &arguments.summary {
         let text = serde_json::to_string_pretty(&summary).into_diagnostic()?;
@@ -84,6 +88,11 @@
             .into_diagnostic()
             .wrap_err_with(|| format!("can't write {}", path.display()))?;
     }
+    if let Some(directory) = &arguments.report {
+        write_report(directory, &scenario, &summary, &rounds)
+            .into_diagnostic()
+            .wrap_err_with(|| format!("can't write the report in {}", directory.display()))?;
+    }
     Ok(summary)
 }
 
--- a/crates/tallybridge-lab/src/lib.rs
+++ b/crates/tallybridge-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod measure;
 pub mod policy;
 pub mod process;
+pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod standin;
--- a/crates/tallybridge-lab/src/measure/mod.rs
+++ b/crates/tallybridge-lab/src/measure/mod.rs
@@ -8,7 +8,7 @@
 mod table;
 
 pub use ideal::{Ideal, IdealWindow};
-pub use latency::AddedLatency;
+pub use latency::{AddedLatency, new_histogram};
 pub use policy_measure::{Counts, PolicyMeasure};
 pub use recovery::{recovery_seconds, strain_end_seconds};
 pub use summary::{AddedLatencySummary, PolicySummary, Summary, ViolationCounts};
--- a/crates/tallybridge-lab/src/run/mod.rs
+++ b/crates/tallybridge-lab/src/run/mod.rs
@@ -13,18 +13,28 @@
     load::arrivals,
     measure::{Ideal, PolicyMeasure, PolicySummary, Summary},
     policy::Policy,
+    report::RoundSeries,
     scenario::Scenario,
 };
 
 /// Violations whose histories are printed for each round.
 const PRINTED_VIOLATIONS: usize = 5;
 
-/// Runs all rounds and gives the summary.
+/// What a run brought.
+#[derive(Debug, Clone)]
+pub struct RunResult {
+    /// Measures of each policy.
+    pub summary: Summary,
+    /// Each round over time.
+    pub rounds: Vec<RoundSeries>,
+}
+
+/// Runs all rounds.
 ///
 /// # Errors
 ///
 /// [`RunError`] when a deployment doesn't start or its records can't be read.
-pub async fn run(scenario: Arc<Scenario>, options: &RunOptions) -> Result<Summary, RunError> {
+pub async fn run(scenario: Arc<Scenario>, options: &RunOptions) -> Result<RunResult, RunError> {
     let arrivals = arrivals(&scenario, options.seed);
     let ideal = Ideal::new(&scenario, &arrivals);
     let mut measures: Vec<PolicyMeasure> = options
@@ -32,6 +42,7 @@
         .iter()
         .map(|policy| PolicyMeasure::new(*policy))
         .collect();
+    let mut rounds = Vec::new();
     for round in 0..options.rounds {
         for index in order(measures.len(), round) {
             let measure = &mut measures[index];
@@ -44,6 +55,7 @@
             .run(&arrivals)
             .await?;
             let result = checker::check(&outcome.history);
+            rounds.push(RoundSeries::new(measure.policy, round, &outcome.history));
             print_violations(measure.policy, &outcome.history, &result);
             measure.add(
                 &scenario,
@@ -54,12 +66,13 @@
             );
         }
     }
-    Ok(Summary {
+    let summary = Summary {
         scenario: scenario.name.clone(),
         seed: options.seed,
         node_processes: scenario.backend_count(),
         policies: measures.iter().map(PolicySummary::from).collect(),
-    })
+    };
+    Ok(RunResult { summary, rounds })
 }
 
 /// Order of the policies in a round: turned round every other time, so that what changes on the
