--- a/crates/tallybridge-lab/src/fault/mod.rs
+++ b/crates/tallybridge-lab/src/fault/mod.rs
@@ -1,5 +1,6 @@
 //! Faults on a schedule, and what is written down of them.
 
+mod actions;
 pub mod operator;
 mod record;
 mod runner;
--- a/crates/tallybridge-lab/src/process/mod.rs
+++ b/crates/tallybridge-lab/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod files;
 mod machine;
 mod platform;
+mod starter;
 
 pub use addresses::{LoopbackMachine, MachineAddresses};
 pub use child::ChildProcess;
