--- a/crates/tallybridge-lab/src/measure/recovery.rs
+++ b/crates/tallybridge-lab/src/measure/recovery.rs
@@ -47,7 +47,8 @@
         .fold(start, f64::min)
 }
 
-/// Time from the end of the strain until goodput is steady again; absent when it never is.
+/// Time from the end of the strain until goodput is steady again; absent when it never is, also
+/// because the run ends before it could be.
 /// Without strain it is 0.
 #[must_use]
 pub fn recovery_seconds(scenario: &Scenario, requests: &[RequestRecord]) -> Option<f64> {
--- a/crates/tallybridge-lab/src/run/round.rs
+++ b/crates/tallybridge-lab/src/run/round.rs
@@ -112,7 +112,8 @@
         drop(deployment);
         for fault in &faults.faults {
             if let Some(failure) = &fault.failure {
-                progress.println(format!("fault {:?}: {failure}", fault.fault.action));
+                // `ProgressBar::println` says nothing where there is no terminal.
+                progress.suspend(|| eprintln!("fault {:?}: {failure}", fault.fault.action));
             }
         }
         progress.finish_and_clear();
