--- a/crates/tallybridge-lab/src/run/round.rs
+++ b/crates/tallybridge-lab/src/run/round.rs
@@ -1,6 +1,7 @@
 //! One round: one policy deployed, driven, ended and read out.
 
 use std::{
+    io::Write,
     path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
@@ -14,7 +15,7 @@
 use crate::{
     checker::History,
     fault::run_faults,
-    load::{Arrival, Driver, ProbeRecord},
+    load::{Arrival, Driver, ProbeRecord, RequestRecord},
     policy::Policy,
     process::{Deployment, ProcessError},
     scenario::Scenario,
@@ -27,6 +28,9 @@
 /// Time after the last answer for executions that were given up to be written down.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// File with what callers recorded, beside the back ends' logs.
+const REQUESTS_FILE: &str = "requests.jsonl";
+
 /// Why a round can't be run.
 #[derive(Debug, Error, Diagnostic)]
 pub enum RunError {
@@ -109,6 +113,9 @@
         tokio::time::sleep(SETTLE).await;
         progress.set_message("reading records");
         let executions = read_all(&deployment)?;
+        if self.keep_files.is_some() {
+            write_requests(directory, &load.requests)?;
+        }
         drop(deployment);
         for fault in &faults.faults {
             if let Some(failure) = &fault.failure {
@@ -152,6 +159,17 @@
     }
 }
 
+/// Writes what callers recorded, a request a line.
+fn write_requests(directory: &Path, requests: &[RequestRecord]) -> std::io::Result<()> {
+    let file = std::fs::File::create(directory.join(REQUESTS_FILE))?;
+    let mut output = std::io::BufWriter::new(file);
+    for request in requests {
+        serde_json::to_writer(&mut output, request)?;
+        output.write_all(b"\n")?;
+    }
+    output.flush()
+}
+
 fn read_all(deployment: &Deployment) -> std::io::Result<Vec<Execution>> {
     let mut executions = Vec::new();
     for machine in &deployment.machines {
