--- a/crates/tallybridge-routing/src/table/cost.rs
+++ b/crates/tallybridge-routing/src/table/cost.rs
@@ -7,7 +7,10 @@
 
 /// Power of the utilisation that waiting grows with: next to nothing at half load, one typical
 /// latency where the limit is reached. So nearness decides at low load and evenness at high load.
-const WAIT_POWER: i32 = 4;
+const WAIT_POWER: i32 = 8;
+/// Rise of the cost with the ratio of latencies beyond the tolerated one, so that the cost soon is
+/// that ratio although a smaller one counts as noise.
+const LATENCY_SLOPE: f64 = 2.0;
 /// Greatest unserved share that counts, so that the cost stays finite.
 const GREATEST_UNSERVED: f64 = 0.95;
 
@@ -27,13 +30,13 @@
     (1.0 + wait) * latency * overdue * attempts + hop(row, profile, settings)
 }
 
-/// Expected waiting; grows in a straight line above the limit, so that an endpoint with a full
-/// queue is not worse than one that serves nothing.
+/// Expected waiting. Above the limit a call waits about one latency for each limit's worth of calls
+/// before it; a steeper rise would make an endpoint that serves nothing look better than a queue.
 fn wait(utilisation: f64) -> f64 {
     if utilisation <= 1.0 {
         utilisation.powi(WAIT_POWER)
     } else {
-        1.0 + f64::from(WAIT_POWER) * (utilisation - 1.0)
+        utilisation
     }
 }
 
@@ -47,7 +50,8 @@
     let peak = row.peak_latency(profile, settings, now);
     peak.zip(profile.typical_latency)
         .map_or(1.0, |(peak, typical)| {
-            (peak / (typical * settings.latency_tolerance)).max(1.0)
+            let excess = peak / typical - settings.latency_tolerance;
+            1.0 + LATENCY_SLOPE * excess.max(0.0)
         })
 }
 
@@ -62,7 +66,7 @@
     if overdue == 0 {
         return 1.0;
     }
-    let in_flight = row.outstanding.count_after(row.health.ejected_at());
+    let in_flight = row.outstanding.count_from(row.health.judged_from());
     1.0 + settings.overdue_factor * overdue as f64 / in_flight as f64
 }
 
