Don't justify a critical refusal by an idle service; legend beside the charts

Cause: in the report of feira, payments fell below what was offered in the surge while balances and prices were still answered, and critical_shed_first counted nothing: settlement, with next to no lesser work but free slots, justified every refusal. The legend hid part of the lines. Change: a service justifies a refusal only when at least half of its slots were held around it. The test that was justified by an idle service now fills its slots, and a new one leaves them free; the new one failed on the checker as it was (found nothing). One legend for all charts.

--- a/crates/tallybridge-lab/src/checker/critical_shed_first.rs
+++ b/crates/tallybridge-lab/src/checker/critical_shed_first.rs
@@ -1,15 +1,15 @@
 //! The most critical requests are shed last.
 //!
-//! A refusal of such a request is justified by one service of its chain that had no lesser work to
-//! give way: no more than a small share of its slots went to calls of lesser classes that began
-//! around the refusal. When every service of the chain ran more lesser work than that, some of it
-//! could have been displaced.
+//! A refusal of such a request is justified by one service of its chain that was busy and had no
+//! lesser work to give way: around the refusal at least half of its slots were held, and no more
+//! than a small share of them went to calls of lesser classes that began then. When no service of
+//! the chain was so, there was a free slot, or lesser work to displace, everywhere.
 
 use std::collections::BTreeMap;
 
 use tallybridge_core::{Criticality, Outcome, ServiceName};
 
-use super::{Guarantee, History, Violation};
+use super::{Guarantee, History, Violation, busy_slots::BusySlots};
 use crate::load::{RequestRecord, SendEnd};
 
 /// Time before and after a refusal that is looked at, in microseconds.
@@ -18,6 +18,10 @@
 /// Share of a service's slots that lesser work may have had around a justified refusal.
 const LESSER_SHARE: f64 = 0.1;
 
+/// Share of a service's slots that must have been held around a justified refusal; below all of
+/// them, because an adaptive limit may rightly lie below the slots.
+const BUSY_SHARE: f64 = 0.5;
+
 /// Work of lesser classes that began, by service, in the order of time.
 type LesserWork = BTreeMap<ServiceName, Vec<LesserStart>>;
 
@@ -31,6 +35,7 @@
 /// Finds refusals of the most critical requests that were not justified.
 pub fn check(history: &History) -> Vec<Violation> {
     let lesser = lesser_work(history);
+    let busy = BusySlots::new(history);
     history
         .requests
         .iter()
@@ -39,12 +44,14 @@
             let refused_us = refused_us(request)?;
             let is_justified = history.chain(request).values().any(|call| {
                 lesser_share(history, &lesser, &call.service, refused_us) <= LESSER_SHARE
+                    && busy.share(&call.service, refused_us) >= BUSY_SHARE
             });
             (!is_justified).then(|| {
                 Violation::of_request(
                     Guarantee::CriticalShedFirst,
                     request.request,
-                    "refused while every service of its chain took in lesser work".to_owned(),
+                    "refused while no service of its chain was busy with work as critical"
+                        .to_owned(),
                 )
             })
         })
--- a/crates/tallybridge-lab/src/checker/mod.rs
+++ b/crates/tallybridge-lab/src/checker/mod.rs
@@ -1,5 +1,6 @@
 //! Checkers of the guarantees, from what callers and back ends recorded.
 
+mod busy_slots;
 mod config_reverted;
 mod critical_shed_first;
 mod cut_in_flight;
--- a/crates/tallybridge-lab/src/report/chart.rs
+++ b/crates/tallybridge-lab/src/report/chart.rs
@@ -3,8 +3,8 @@
 use plotters::{
     coord::Shift,
     prelude::{
-        ChartBuilder, DrawingArea, IntoDrawingArea, LineSeries, PathElement, RGBColor, Rectangle,
-        SVGBackend, WHITE,
+        ChartBuilder, DrawingArea, IntoDrawingArea, LineSeries, RGBColor, Rectangle, SVGBackend,
+        WHITE,
     },
     style::{Color, ShapeStyle},
 };
@@ -21,7 +21,7 @@
 const FAULT: RGBColor = RGBColor(214, 39, 40);
 
 /// Colours of the lines, in their order.
-const COLOURS: [RGBColor; 6] = [
+pub const COLOURS: [RGBColor; 6] = [
     RGBColor(31, 119, 180),
     RGBColor(44, 160, 44),
     RGBColor(148, 103, 189),
@@ -35,8 +35,6 @@
 
 /// One line of a chart.
 pub struct Line {
-    /// Name in the legend.
-    pub name: String,
     /// Values, one a window.
     pub values: Vec<f64>,
 }
@@ -102,18 +100,8 @@
                 .iter()
                 .enumerate()
                 .map(|(window, value)| ((window as f64 + 0.5) * self.window_seconds, *value));
-            chart
-                .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
-                .label(&line.name)
-                .legend(move |(x, y)| {
-                    PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2))
-                });
+            chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(0.8))
-            .border_style(RGBColor(200, 200, 200))
-            .draw()?;
         area.present()?;
         Ok(())
     }
--- a/crates/tallybridge-lab/src/report/page.rs
+++ b/crates/tallybridge-lab/src/report/page.rs
@@ -2,9 +2,12 @@
 
 use std::fmt::Write;
 
+use plotters::style::RGBColor;
+use tallybridge_core::Criticality;
+
 use super::{
-    ClassSeries, FaultSpan, RoundSeries, Window,
-    chart::{Chart, DrawError, Line},
+    FaultSpan, RoundSeries, Window,
+    chart::{COLOURS, Chart, DrawError, Line},
     series::WINDOW_SECONDS,
 };
 use crate::{
@@ -78,6 +81,7 @@
         nodes = summary.node_processes,
     )?;
     write_table(&mut page, summary)?;
+    write_legend(&mut page)?;
     for measure in &MEASURES {
         write_measure(&mut page, measure, rounds, &spans)?;
     }
@@ -141,10 +145,9 @@
         let chart = Chart {
             title: &title,
             unit: measure.unit,
-            lines: round
-                .classes
+            lines: Criticality::ALL
                 .iter()
-                .map(|class| line(class, measure))
+                .map(|criticality| line(round, *criticality, measure))
                 .collect(),
             spans,
             window_seconds: WINDOW_SECONDS,
@@ -156,13 +159,31 @@
     Ok(())
 }
 
-fn line(class: &ClassSeries, measure: &Measure) -> Line {
+/// The line of a class; empty when the round has no requests of it.
+fn line(round: &RoundSeries, criticality: Criticality, measure: &Measure) -> Line {
+    let class = round
+        .classes
+        .iter()
+        .find(|class| class.criticality == criticality);
+    let windows = class.map_or(&[][..], |class| &class.windows);
     Line {
-        name: class.criticality.to_string(),
-        values: class.windows.iter().map(measure.value).collect(),
+        values: windows.iter().map(measure.value).collect(),
     }
 }
 
+/// Which colour stands for which class.
+fn write_legend(page: &mut String) -> std::fmt::Result {
+    page.push_str("<p>Classes:");
+    for (criticality, RGBColor(red, green, blue)) in Criticality::ALL.iter().zip(COLOURS) {
+        write!(
+            page,
+            " <span style=\"color:rgb({red},{green},{blue})\">&#9632;</span> {criticality}"
+        )?;
+    }
+    page.push_str("</p>");
+    Ok(())
+}
+
 fn write_spans(page: &mut String, spans: &[FaultSpan]) -> std::fmt::Result {
     page.push_str("<h2>Strains and faults</h2><table><tr><th>what<th>from s<th>to s</tr>");
     for span in spans {
--- a/crates/tallybridge-lab/tests/checkers.rs
+++ b/crates/tallybridge-lab/tests/checkers.rs
@@ -186,12 +186,32 @@
     assert_eq!(plant.found(), [Guarantee::CriticalShedFirst]);
 }
 
+/// Fills slots of the packages service with calls of payments for a second around the refusal.
+fn hold_packages(plant: &mut Plant, calls: u64) {
+    for call in 0..calls {
+        let request = 100_000 + call;
+        plant.request("payment", request, vec![send(0, 90_000, answered(true))]);
+        let place = format!("terminal/{request}/0.0.0.0");
+        let execution = plant.execution("packages-0", &place, 0);
+        execution.started_us = Some(START - SECOND);
+        execution.ended_us = Some(START + SECOND);
+    }
+}
+
 #[test]
-fn a_payment_refused_for_a_service_without_lesser_work_is_justified() {
-    let plant = plant_refused_payment(&LESSER_EVERYWHERE[..3]);
+fn a_payment_refused_for_a_service_busy_without_lesser_work_is_justified() {
+    let mut plant = plant_refused_payment(&LESSER_EVERYWHERE[..3]);
+    hold_packages(&mut plant, 60);
     assert_eq!(plant.found(), []);
 }
 
+#[test]
+fn a_payment_refused_while_a_service_without_lesser_work_had_free_slots_is_found() {
+    let mut plant = plant_refused_payment(&LESSER_EVERYWHERE[..3]);
+    hold_packages(&mut plant, 10);
+    assert_eq!(plant.found(), [Guarantee::CriticalShedFirst]);
+}
+
 #[test]
 fn an_answer_of_other_content_is_found() {
     let mut plant = Plant::new();
