Take nested waits off the latency that the limit learns from

Cause: the concurrency limit saw the whole latency of an attempt, so a slow service three hops down shrank the limits of every service above it, and the most critical calls were shed where there was room. Change: an attempt's row keeps the time with at least one nested call open; it is taken off the sample. Files of a lab run are kept in a fresh directory only: records of an earlier run in the same place were counted as this run's.

--- a/crates/tallybridge-lab/src/run/round.rs
+++ b/crates/tallybridge-lab/src/run/round.rs
@@ -68,6 +68,15 @@
     pub probes: Vec<ProbeRecord>,
 }
 
+/// Records are appended, so those of an earlier run would be taken for this one's.
+fn create_fresh(directory: &Path) -> std::io::Result<()> {
+    std::fs::create_dir(directory).map_err(|error| {
+        let path = directory.display();
+        let mend = "keep the files of each run in a directory of its own";
+        std::io::Error::new(error.kind(), format!("{path}: {error}: {mend}"))
+    })
+}
+
 impl Round {
     /// Deploys, drives, ends and reads out.
     ///
@@ -78,8 +87,9 @@
         let temporary;
         let directory = match &self.keep_files {
             Some(directory) => {
+                std::fs::create_dir_all(directory)?;
                 let directory = directory.join(format!("{}-{}", self.policy, self.number));
-                std::fs::create_dir_all(&directory)?;
+                create_fresh(&directory)?;
                 directory
             }
             None => {
--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -130,6 +130,7 @@
             return;
         };
         if let Some(parent) = self.tables.executions.get_mut(parent) {
+            parent.nested_wait.end(now());
             parent
                 .allowance
                 .give_back(call.allowance.remaining(), call.lent_by_parent);
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -69,7 +69,12 @@
         let mut unused_allowance = 0;
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
-            admission::release(&mut self.tables, &execution, message.sample, now);
+            let nested = execution.nested_wait.total(now);
+            let sample = Sample {
+                latency: message.sample.latency.saturating_sub(nested),
+                ..message.sample
+            };
+            admission::release(&mut self.tables, &execution, sample, now);
         }
         Closing {
             unused_allowance,
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -21,7 +21,10 @@
     connections::backend::{BackendAnswer, BackendFailure, BackendRequest},
     context::NodeContext,
     systems::admission::Admitted,
-    tables::{admission::TemplateBounds, executions::Execution},
+    tables::{
+        admission::TemplateBounds,
+        executions::{Execution, NestedWait},
+    },
 };
 
 /// Runs a call at the back end beside this node.
@@ -79,7 +82,7 @@
         started: now,
         allowance: Allowance::root(head.allowance),
         nested: HashMap::new(),
-        nested_time: Duration::ZERO,
+        nested_wait: NestedWait::default(),
     })
 }
 
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -111,7 +111,7 @@
     let criticality = inherited.criticality.max(policy.criticality);
     refuse_early(tables, &policy, criticality, now)?;
     let deadline = earliest_deadline(&policy, request.timeout, inherited.deadline, now);
-    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy)?;
+    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy, now)?;
     Ok(Call {
         request_id: inherited.request_id,
         key: inherited.key,
@@ -270,6 +270,7 @@
     tables: &mut Tables,
     inherited: &Inheritance,
     policy: &CallPolicy,
+    now: Instant,
 ) -> Result<(Allowance, u8), Refusal> {
     let Some(parent) = inherited.parent else {
         return Ok((Allowance::root(policy.retry_allowance), 0));
@@ -287,6 +288,7 @@
         .with_outcome(Outcome::Unknown));
     }
     *times_made = times_made.saturating_add(1);
+    parent.nested_wait.begin(now);
     let lent = parent.allowance.lend();
     Ok((Allowance::root(lent), lent))
 }
--- a/crates/tallybridge-node/src/tables/executions.rs
+++ b/crates/tallybridge-node/src/tables/executions.rs
@@ -32,8 +32,46 @@
     pub allowance: Allowance,
     /// Nested calls made so far: how often each was made.
     pub nested: HashMap<RequestKey, u16>,
-    /// Time spent waiting for nested calls, which says nothing about this back end's own load.
-    pub nested_time: Duration,
+    /// Time spent waiting for nested calls.
+    pub nested_wait: NestedWait,
+}
+
+/// Time in which an attempt had at least one nested call open. It is taken off the latency that the
+/// concurrency limit learns from: a slow service behind a back end says nothing about its own load.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NestedWait {
+    open: u16,
+    opened: Option<Instant>,
+    ended: Duration,
+}
+
+impl NestedWait {
+    /// A nested call begins.
+    pub fn begin(&mut self, now: Instant) {
+        if self.open == 0 {
+            self.opened = Some(now);
+        }
+        self.open = self.open.saturating_add(1);
+    }
+
+    /// A nested call ends.
+    pub fn end(&mut self, now: Instant) {
+        self.open = self.open.saturating_sub(1);
+        if self.open == 0
+            && let Some(opened) = self.opened.take()
+        {
+            self.ended += now.saturating_duration_since(opened);
+        }
+    }
+
+    /// The time so far.
+    #[must_use]
+    pub fn total(&self, now: Instant) -> Duration {
+        let open = self.opened.map_or(Duration::ZERO, |opened| {
+            now.saturating_duration_since(opened)
+        });
+        self.ended + open
+    }
 }
 
 /// Attempts by identity.
