Count calls and show limits as Prometheus metrics

Cause: the metrics address showed nothing. Change: calls by template, outcome and error kind, their duration, and gauges of the limit, the queue, the revision and the members, set when they are read. Measured: nothing yet; the cost is one counter and one histogram a call.

--- a/crates/tallybridge-node/src/actor/status.rs
+++ b/crates/tallybridge-node/src/actor/status.rs
@@ -86,6 +86,17 @@
     }
 }
 
+/// Brings the gauges up to date, for who reads the metrics now.
+pub struct ShowMetrics;
+
+impl Handler<ShowMetrics> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, _message: ShowMetrics, _context: &mut Context<Self>) {
+        crate::telemetry::show(&self.tables);
+    }
+}
+
 /// Asks for the status.
 pub struct GetStatus;
 
--- a/crates/tallybridge-node/src/connections/admin.rs
+++ b/crates/tallybridge-node/src/connections/admin.rs
@@ -11,7 +11,7 @@
 use warp::Filter;
 
 use crate::{
-    actor::status::{Explain, GetStatus},
+    actor::status::{Explain, GetStatus, ShowMetrics},
     context::NodeContext,
 };
 
@@ -48,7 +48,11 @@
     let metrics = warp::path!("metrics")
         .and(warp::get())
         .and(with_admin.clone())
-        .map(|admin: Arc<Admin>| admin.metrics.render());
+        .then(|admin: Arc<Admin>| async move {
+            // Fails only when the node is stopping; what was counted is still shown.
+            let _ = admin.context.ask(ShowMetrics).await;
+            admin.metrics.render()
+        });
     let leave = warp::path!("leave")
         .and(warp::post())
         .and(with_admin)
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod run;
 pub mod systems;
 pub mod tables;
+pub mod telemetry;
 
 pub use run::{NodeParts, RunningNode, run, start, start_core};
--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -8,6 +8,7 @@
     actor::calls::{BeginCall, CallPlan, ChooseNext, EndAttempt},
     context::NodeContext,
     systems::{begin::CallRequest, retry::Next},
+    telemetry,
 };
 
 /// Carries a call to its end.
@@ -19,12 +20,17 @@
     carried: CarriedRequest,
     cancelled: CancellationToken,
 ) -> CallEnd {
+    let entered = tokio::time::Instant::now();
     let plan = match context.ask(BeginCall(request)).await {
         Ok(Ok(plan)) => plan,
         Ok(Err(refusal)) | Err(refusal) => return refused_at_once(refusal),
     };
     let result = attempts(context, &plan, &carried, &cancelled).await;
     log_end(&plan, &result);
+    match &result {
+        Ok(_) => telemetry::call_answered(&plan.policy, entered.elapsed()),
+        Err(refusal) => telemetry::call_refused(Some(&plan.policy), refusal),
+    }
     CallEnd {
         request_id: Some(plan.request_id),
         result,
@@ -61,6 +67,7 @@
 }
 
 fn refused_at_once(refusal: Refusal) -> CallEnd {
+    telemetry::call_refused(None, &refusal);
     tracing::info!(
         decision = "refused",
         reason = refusal.kind.name(),
