node: watch the store from two nodes a zone, the rest learn from the fleet

- A node watches while it holds one of the two duties of its zone, or knows of no other member.
The others look at the duties at a rate that is shared by the zone, and sooner when a holder is lost from the members.
- A fresh node waits for the greatest revision of its members and asks the store when none comes.
After an outage only those who watched come back fast; the rest wait for their next look.
- One task catches up with members that are ahead, one at a time in random order; a fetch has a time limit and goes on to the next member.
It was one task for each event, tried once, without a limit.
- A revision whose document breaks rules is not put in force; the last good one stays until a later revision mends it.
Status and log say so, and how long ago the store or a member last confirmed the revision.

Ruled out: to stop at a bad record for good. The log is only appended to, so no operator could ever mend the fleet.

--- a/crates/tallybridge-node/src/actor/fleet.rs
+++ b/crates/tallybridge-node/src/actor/fleet.rs
@@ -1,6 +1,6 @@
 //! Messages about the fleet.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use tallybridge_core::NodeId;
 use tallybridge_membership::{MemberState, probe, receive};
@@ -28,6 +28,9 @@
     ) -> GossipEffects {
         let now = now();
         let tables = &mut self.tables;
+        let header = &message.datagram.header;
+        let sender: NodeId = header.sender.into();
+        let peer_ahead = membership::hear_revision(tables, sender, header.revision, now);
         let outgoing = receive(
             &mut tables.members,
             message.from,
@@ -35,7 +38,10 @@
             now,
             &mut tables.rng,
         );
-        membership::settle(tables, outgoing, now)
+        GossipEffects {
+            peer_ahead,
+            ..membership::settle(tables, outgoing, now)
+        }
     }
 }
 
@@ -120,3 +126,60 @@
             .map(|record| record.node)
     }
 }
+
+/// The zone of this node, as its members table has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// Names of the live members in the zone, this node included.
+    pub live: BTreeSet<String>,
+    /// Number of live members of the whole fleet, this node included.
+    pub fleet_members: usize,
+    /// Whether this node is about to end.
+    pub leaving: bool,
+}
+
+impl Zone {
+    /// Number of live members in the zone.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.live.len()).unwrap_or(u32::MAX)
+    }
+}
+
+/// Asks for the zone of this node.
+pub struct GetZone;
+
+impl Handler<GetZone> for NodeActor {
+    type Return = Zone;
+
+    async fn handle(&mut self, _message: GetZone, _context: &mut Context<Self>) -> Zone {
+        let tables = &self.tables;
+        let live = || {
+            let members = tables.members.members();
+            members.filter(|record| record.health.is_live())
+        };
+        let own = tables.members.member(tables.identity);
+        let own = own.map(|record| record.placement.clone());
+        let in_zone = live().filter(|record| {
+            own.as_ref().is_some_and(|own| {
+                own.region == record.placement.region && own.zone == record.placement.zone
+            })
+        });
+        Zone {
+            live: in_zone.map(|record| record.node.to_string()).collect(),
+            fleet_members: live().count(),
+            leaving: tables.leaving || tables.stopping,
+        }
+    }
+}
+
+/// Whether this node holds a duty to watch the store.
+pub struct WatchesStore(pub bool);
+
+impl Handler<WatchesStore> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, WatchesStore(held): WatchesStore, _context: &mut Context<Self>) {
+        self.tables.watches_store = held;
+    }
+}
--- a/crates/tallybridge-node/src/actor/status.rs
+++ b/crates/tallybridge-node/src/actor/status.rs
@@ -1,12 +1,14 @@
 //! Messages that ask what this node knows.
 
+use std::time::Instant;
+
 use serde::Serialize;
 use tallybridge_core::{NodeId, RegionName, ServiceName, ZoneName};
 use tallybridge_membership::{MemberRecord, MemberState};
 use xtra::prelude::*;
 
-use super::NodeActor;
-use crate::tables::decisions::Decision;
+use super::{NodeActor, now};
+use crate::tables::{configuration::RefusedRevision, decisions::Decision};
 
 /// What a node says about itself.
 #[derive(Debug, Clone, Serialize)]
@@ -21,6 +23,15 @@
     pub leaving: bool,
     /// Configuration revision in force.
     pub revision: u64,
+    /// Time since this node last knew that no newer revision was there, from the store or from a
+    /// member, in milliseconds; `None` when it never did.
+    pub configuration_confirmed_ms_ago: Option<u64>,
+    /// The same, from the store itself.
+    pub store_confirmed_ms_ago: Option<u64>,
+    /// A revision that this node has seen and does not put in force.
+    pub configuration_refused: Option<RefusedRevision>,
+    /// Whether this node watches the store for its zone.
+    pub watches_store: bool,
     /// Calls that entered here and are not answered yet.
     pub calls: usize,
     /// Calls that the back end beside it runs.
@@ -95,12 +106,18 @@
     async fn handle(&mut self, _message: GetStatus, _context: &mut Context<Self>) -> Status {
         let tables = &self.tables;
         let membership = tables.members.status();
+        let confirmed = tables.configuration.confirmed();
+        let now = now();
         Status {
             node: tables.identity.to_string(),
             service: tables.admission.service.as_ref().map(ToString::to_string),
             ready: tables.configuration.is_loaded() && !membership.catching_up,
             leaving: tables.leaving,
             revision: tables.configuration.revision().0,
+            configuration_confirmed_ms_ago: milliseconds_since(confirmed.by_any, now),
+            store_confirmed_ms_ago: milliseconds_since(confirmed.by_store, now),
+            configuration_refused: tables.configuration.refused().cloned(),
+            watches_store: tables.watches_store,
             calls: tables.calls.len(),
             executions: tables.executions.len(),
             limit: tables.admission.limit.limit(),
@@ -116,6 +133,11 @@
     }
 }
 
+fn milliseconds_since(time: Option<Instant>, now: Instant) -> Option<u64> {
+    let elapsed = now.saturating_duration_since(time?);
+    Some(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Adds a decision to the log.
 pub struct Record(pub Decision);
 
--- a/crates/tallybridge-node/src/connections/catch_up.rs
+++ b/crates/tallybridge-node/src/connections/catch_up.rs
@@ -1,37 +1,112 @@
-//! Learns configuration revisions from a peer that has them.
+//! Learns configuration revisions from members that have them.
 
-use tallybridge_config::RevisionRecord;
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::SmallRng, seq::SliceRandom};
+use tallybridge_config::{Document, Revision, RevisionRecord};
 use tallybridge_core::NodeId;
 use tallybridge_wire::{ConfigurationFetch, Message};
 
 use crate::{
-    actor::configuration::{ApplyRecords, CurrentRevision},
+    actor::configuration::{
+        ApplyRecords, ApplySnapshot, CurrentRevision, ForgetAhead, MembersAhead,
+    },
     context::NodeContext,
 };
 
-/// Fetches the records that this node lacks from a member that is ahead. When it fails, the next
-/// datagram from any member that is ahead starts another try.
-pub async fn fetch_configuration(context: NodeContext, node: NodeId) {
-    let Ok(revision) = context.ask(CurrentRevision).await else {
-        return;
-    };
-    let fetch = Message::ConfigurationFetch(ConfigurationFetch { after: revision.0 });
-    let reply = match context.links.request(node, fetch).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            tracing::debug!(%node, %error, "configuration was not fetched");
+/// Longest time for a member to answer.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a fetch brought nothing new.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    #[error("this node stops")]
+    Stopping,
+    #[error("no answer in time")]
+    TimedOut,
+    #[error(transparent)]
+    Peer(#[from] crate::connections::peer::PeerFailure),
+    #[error("the answer is of message kind {0}")]
+    Unexpected(u8),
+    #[error("the answer can't be read: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("the answer held nothing that this node puts in force")]
+    NothingNew,
+}
+
+/// Brings this node up to date whenever a member is heard to be ahead, until the node stops. One
+/// member is asked at a time, however many are ahead.
+pub async fn catch_up(context: NodeContext) {
+    let mut random = SmallRng::seed_from_u64(context.identity.instance.0);
+    loop {
+        tokio::select! {
+            biased;
+            () = context.shutdown.cancelled() => return,
+            () = context.peer_ahead.notified() => {}
+        }
+        if ask_members(&context, &mut random).await.is_err() {
             return;
         }
-    };
-    let Message::ConfigurationRecords(records) = reply.message else {
-        tracing::warn!(%node, "a peer answered a fetch with another message");
-        return;
-    };
-    match serde_json::from_slice::<Vec<RevisionRecord>>(&records.json) {
-        Ok(records) => {
-            // Fails only when the node is stopping.
-            let _ = context.ask(ApplyRecords(records)).await;
+    }
+}
+
+/// Asks the members that are ahead, in random order so that the fleet does not fall upon one, until
+/// none is left. One that fails is left out until it is heard from again.
+async fn ask_members(context: &NodeContext, random: &mut SmallRng) -> Result<(), FetchError> {
+    loop {
+        let ahead = context.ask(MembersAhead).await;
+        let mut ahead = ahead.map_err(|_| FetchError::Stopping)?;
+        if ahead.is_empty() {
+            return Ok(());
         }
-        Err(error) => tracing::warn!(%node, %error, "a peer's records can't be read"),
+        ahead.shuffle(random);
+        for node in ahead {
+            let fetched = tokio::select! {
+                biased;
+                () = context.shutdown.cancelled() => return Err(FetchError::Stopping),
+                fetched = fetch(context, node) => fetched,
+            };
+            match fetched {
+                Ok(_) => break,
+                Err(FetchError::Stopping) => return Err(FetchError::Stopping),
+                Err(error) => {
+                    tracing::debug!(%node, %error, "configuration was not fetched");
+                    let _ = context.ask(ForgetAhead(node)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Fetches what this node lacks from one member and gives the revision that is in force then.
+async fn fetch(context: &NodeContext, node: NodeId) -> Result<Revision, FetchError> {
+    let before = context.ask(CurrentRevision).await;
+    let before = before.map_err(|_| FetchError::Stopping)?;
+    let fetch = Message::ConfigurationFetch(ConfigurationFetch { after: before.0 });
+    let Ok(reply) = tokio::time::timeout(FETCH_TIMEOUT, context.links.request(node, fetch)).await
+    else {
+        context.links.retire(node);
+        return Err(FetchError::TimedOut);
+    };
+    let after = apply(context, reply?.message).await?;
+    if after > before {
+        Ok(after)
+    } else {
+        Err(FetchError::NothingNew)
     }
 }
+
+async fn apply(context: &NodeContext, message: Message) -> Result<Revision, FetchError> {
+    let applied = match message {
+        Message::ConfigurationRecords(records) => {
+            let records: Vec<RevisionRecord> = serde_json::from_slice(&records.json)?;
+            context.ask(ApplyRecords(records)).await
+        }
+        Message::ConfigurationSnapshot(snapshot) => {
+            let document: Document = serde_json::from_slice(&snapshot.json)?;
+            context.ask(ApplySnapshot(document)).await
+        }
+        other => return Err(FetchError::Unexpected(other.kind())),
+    };
+    applied.map_err(|_| FetchError::Stopping)
+}
--- a/crates/tallybridge-node/src/connections/gossip.rs
+++ b/crates/tallybridge-node/src/connections/gossip.rs
@@ -2,13 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tallybridge_core::NodeId;
 use tallybridge_wire::{MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 use tokio::net::UdpSocket;
 
 use crate::{
     actor::fleet::{GossipReceived, GossipTick},
-    connections::catch_up::fetch_configuration,
     context::NodeContext,
     systems::membership::GossipEffects,
 };
@@ -53,8 +51,8 @@
             Err(error) => tracing::error!(%error, "a datagram can't be written"),
         }
     }
-    if let Some(node) = effects.ahead {
-        start_catch_up(context, node);
+    if effects.peer_ahead {
+        context.peer_ahead.notify_one();
     }
 }
 
@@ -64,7 +62,3 @@
         tracing::debug!(%error, %to, "a datagram was not sent");
     }
 }
-
-fn start_catch_up(context: &NodeContext, node: NodeId) {
-    tokio::spawn(fetch_configuration(context.clone(), node));
-}
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -6,7 +6,8 @@
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message, StreamId,
+    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
+    Message, StreamId,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -19,11 +20,12 @@
 };
 use crate::{
     actor::{
-        configuration::{ApplyRecords, RecordsAfter},
+        configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
     context::NodeContext,
     path::{Executed, execute},
+    tables::configuration::ConfigurationUpdate,
 };
 
 /// Accepts peers until the node stops.
@@ -125,7 +127,7 @@
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
-            Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
+            Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
             Ok(other) => {
                 tracing::warn!(
@@ -202,13 +204,14 @@
         }
     }
 
-    async fn send_records(&self, stream: StreamId, fetch: &ConfigurationFetch) {
-        let records = self.context.ask(RecordsAfter(Revision(fetch.after))).await;
-        let json = records
-            .ok()
-            .and_then(|records| serde_json::to_vec(&records).ok())
-            .unwrap_or_default();
-        let message = Message::ConfigurationRecords(ConfigurationRecords::new(json));
+    async fn send_update(&self, stream: StreamId, fetch: &ConfigurationFetch) {
+        let Ok(update) = self.context.ask(UpdateAfter(Revision(fetch.after))).await else {
+            return;
+        };
+        self.reply(stream, configuration_message(&update)).await;
+    }
+
+    async fn reply(&self, stream: StreamId, message: Message) {
         // A closed connection needs no answer.
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
@@ -224,6 +227,21 @@
     }
 }
 
+/// The message that brings a peer up to date. One that can't be written is empty, and the peer
+/// asks another member.
+fn configuration_message(update: &ConfigurationUpdate) -> Message {
+    match update {
+        ConfigurationUpdate::Records(records) => {
+            let json = serde_json::to_vec(records).unwrap_or_default();
+            Message::ConfigurationRecords(ConfigurationRecords::new(json))
+        }
+        ConfigurationUpdate::Snapshot(document) => {
+            let json = serde_json::to_vec(&**document).unwrap_or_default();
+            Message::ConfigurationSnapshot(JsonReport::new(json))
+        }
+    }
+}
+
 /// Sends an answer; when the connection is gone the entry node has found that out already.
 async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
     let head = Message::Answer(answer_head(executed));
--- a/crates/tallybridge-node/src/context.rs
+++ b/crates/tallybridge-node/src/context.rs
@@ -4,6 +4,7 @@
 
 use tallybridge_config::Settings;
 use tallybridge_core::{ErrorKind, NodeId, Refusal};
+use tokio::sync::Notify;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use xtra::{Address, Handler};
 
@@ -27,6 +28,8 @@
     pub backend: Option<Arc<dyn BackendClient>>,
     /// Tasks that carry calls; a planned stop waits for them.
     pub calls: TaskTracker,
+    /// Wakes the task that catches up with members that are ahead.
+    pub peer_ahead: Arc<Notify>,
     /// Ends the node's background tasks.
     pub shutdown: CancellationToken,
 }
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod systems;
 pub mod tables;
 
-pub use run::{RunningNode, run, start};
+pub use connections::store::StoreTimes;
+pub use run::{NodeOptions, RunningNode, run, start, start_with};
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -22,10 +22,16 @@
         admin::{Admin, serve_operators},
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
+        catch_up::catch_up,
         discovery::follow_machine_list,
         gossip::gossip,
-        peer::{accept::accept_peers, introduction::Peer, links::PeerLinks, network::TcpNetwork},
-        store::follow_configuration,
+        peer::{
+            accept::accept_peers,
+            introduction::Peer,
+            links::PeerLinks,
+            network::{Network, TcpNetwork},
+        },
+        store::{StoreTimes, follow_configuration},
     },
     context::NodeContext,
     systems::membership::refresh_endpoints,
@@ -78,12 +84,39 @@
     }
 }
 
+/// What may differ between a node in its process and one of many in a test.
+#[derive(Clone)]
+pub struct NodeOptions {
+    /// How links to other nodes get their byte streams.
+    pub network: Arc<dyn Network>,
+    /// Times of the work with the store.
+    pub store_times: StoreTimes,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            network: Arc::new(TcpNetwork),
+            store_times: StoreTimes::default(),
+        }
+    }
+}
+
 /// Starts a node and returns once its addresses are bound.
 ///
 /// # Errors
 ///
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
+    start_with(settings, NodeOptions::default()).await
+}
+
+/// Starts a node with other options than the usual ones.
+///
+/// # Errors
+///
+/// As [`start`].
+pub async fn start_with(settings: Settings, options: NodeOptions) -> Result<RunningNode, Refusal> {
     let peer_listener = bind(settings.peer_address).await?;
     let gossip_socket = UdpSocket::bind(settings.peer_address)
         .await
@@ -101,8 +134,9 @@
         backend: http_backend(&settings)?,
         settings: Arc::new(settings),
         actor,
-        links: PeerLinks::new(hello.clone(), Arc::new(TcpNetwork)),
+        links: PeerLinks::new(hello.clone(), options.network),
         calls: TaskTracker::new(),
+        peer_ahead: Arc::default(),
         shutdown: CancellationToken::new(),
     };
     let leave = CancellationToken::new();
@@ -118,7 +152,8 @@
     background.spawn(serve_operators(admin, admin_listener));
     background.spawn(gossip(context.clone(), gossip_socket));
     background.spawn(follow_machine_list(context.clone()));
-    background.spawn(follow_configuration(context.clone()));
+    background.spawn(catch_up(context.clone()));
+    background.spawn(follow_configuration(context.clone(), options.store_times));
     Ok(RunningNode {
         context,
         leave,
--- a/crates/tallybridge-node/src/systems/membership.rs
+++ b/crates/tallybridge-node/src/systems/membership.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use tallybridge_config::Revision;
 use tallybridge_core::{NodeId, ServiceName};
 use tallybridge_membership::{MemberEvent, MemberRecord, MemberState, Outgoing};
 use tallybridge_routing::Endpoint;
@@ -13,24 +14,21 @@
 pub struct GossipEffects {
     /// Datagrams to send.
     pub outgoing: Vec<Outgoing>,
-    /// A member whose configuration revision is greater than this node's.
-    pub ahead: Option<NodeId>,
+    /// Whether a member has a greater configuration revision than this node.
+    pub peer_ahead: bool,
 }
 
 /// Takes in what the members table has found out.
 pub fn settle(tables: &mut Tables, outgoing: Vec<Outgoing>, now: Instant) -> GossipEffects {
-    let mut effects = GossipEffects {
+    let effects = GossipEffects {
         outgoing,
-        ahead: None,
+        peer_ahead: false,
     };
     let mut changed = false;
     for event in tables.members.events() {
         match event {
-            MemberEvent::PeerAhead { node, revision, .. } => {
-                if revision > tables.configuration.revision().0 {
-                    effects.ahead = Some(node);
-                }
-            }
+            // Each datagram's revision is looked at when it arrives, by `hear_revision`.
+            MemberEvent::PeerAhead { .. } => {}
             MemberEvent::Joined(record) => {
                 tracing::info!(member = %record.node, "member joined");
                 changed = true;
@@ -52,6 +50,19 @@
     effects
 }
 
+/// Takes in the revision that a member has; `true` when it is ahead of this node.
+pub fn hear_revision(tables: &mut Tables, sender: NodeId, revision: u64, now: Instant) -> bool {
+    let is_live = tables
+        .members
+        .member(sender)
+        .is_some_and(|record| record.health.is_live());
+    is_live
+        && sender != tables.identity
+        && tables
+            .configuration
+            .hear_peer(sender, Revision(revision), now)
+}
+
 /// Makes the members that have a back end the places to send to.
 pub fn refresh_endpoints(tables: &mut Tables, now: Instant) {
     let endpoints: Vec<Endpoint> = tables
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -44,6 +44,8 @@
     pub leaving: bool,
     /// Whether this node takes no new calls from outside: it is about to end.
     pub stopping: bool,
+    /// Whether this node holds a duty to watch the store.
+    pub watches_store: bool,
     /// Source of random choices.
     pub rng: SmallRng,
 }
@@ -72,6 +74,7 @@
             decisions: DecisionLog::default(),
             leaving: false,
             stopping: false,
+            watches_store: false,
             rng: SmallRng::seed_from_u64(identity.instance.0),
         }
     }
--- a/crates/tallybridge-store/src/duty/acquire.rs
+++ b/crates/tallybridge-store/src/duty/acquire.rs
@@ -10,7 +10,7 @@
     holder::LeaseHolder,
     options::{DutyOptions, duty_key},
 };
-use crate::client::{Expectation, LeaseId, PutOptions, StoreClient, StoreError};
+use crate::client::{Entry, Expectation, LeaseId, PutOptions, StoreClient, StoreError};
 
 /// What the store keeps of a held duty. The lease tells two attempts of one holder apart.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +37,22 @@
     pub token: FencingToken,
 }
 
+impl CurrentHolder {
+    /// The holder that a duty's entry names.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Protocol`] when the entry is none of a duty.
+    pub fn of_entry(entry: &Entry) -> Result<Self, StoreError> {
+        let record: DutyRecord =
+            serde_json::from_str(&entry.value).map_err(|error| protocol(&error))?;
+        Ok(Self {
+            holder: record.holder,
+            token: FencingToken(entry.version),
+        })
+    }
+}
+
 /// What became of the duty's key.
 enum Taken {
     Own(FencingToken),
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod frame;
 pub mod gossip;
 pub mod message;
+pub mod report;
 pub mod text;
 
 pub use codec::{FrameCodec, FrameError};
@@ -17,6 +18,7 @@
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
     MessageError, WireHeader, WireHeaders, WireLoad,
 };
+pub use report::{ExplainFetch, JsonReport};
 pub use text::Text;
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -6,6 +6,7 @@
 use crate::claim::{
     Claim, ClaimCopy, ClaimFinish, ClaimPage, ClaimQuery, ClaimQueryReply, ClaimRelease, ClaimReply,
 };
+use crate::report::{ExplainFetch, JsonReport};
 use crate::text::Text;
 
 /// First message of each side of a connection: who it is.
@@ -272,6 +273,8 @@
             Cancel,
             /// The receiver's machine is leaving, by the machine list that the sender read.
             LeaveNotice,
+            /// Asks a node what it says about itself.
+            StatusFetch,
         }
 
         impl Message {
@@ -282,6 +285,7 @@
                     $(Self::$name(_) => $kind,)*
                     Self::Cancel => CANCEL_KIND,
                     Self::LeaveNotice => LEAVE_NOTICE_KIND,
+                    Self::StatusFetch => STATUS_FETCH_KIND,
                 }
             }
 
@@ -293,7 +297,7 @@
             pub fn to_payload(&self) -> Result<Vec<u8>, MessageError> {
                 let bytes = match self {
                     $(Self::$name(payload) => payload.to_bytes(),)*
-                    Self::Cancel | Self::LeaveNotice => Ok(Vec::new()),
+                    Self::Cancel | Self::LeaveNotice | Self::StatusFetch => Ok(Vec::new()),
                 };
                 bytes.map_err(|error| MessageError::Malformed {
                     kind: self.kind(),
@@ -311,6 +315,7 @@
                     $($kind => parse::<$payload>(kind, payload).map(Self::$name),)*
                     CANCEL_KIND => Ok(Self::Cancel),
                     LEAVE_NOTICE_KIND => Ok(Self::LeaveNotice),
+                    STATUS_FETCH_KIND => Ok(Self::StatusFetch),
                     unknown => Err(MessageError::UnknownKind(unknown)),
                 }
             }
@@ -320,6 +325,7 @@
 
 const CANCEL_KIND: u8 = 5;
 const LEAVE_NOTICE_KIND: u8 = 8;
+const STATUS_FETCH_KIND: u8 = 12;
 
 messages! {
     /// Who the sender is.
@@ -334,6 +340,14 @@
     ConfigurationFetch(ConfigurationFetch) = 6,
     /// Configuration records.
     ConfigurationRecords(ConfigurationRecords) = 7,
+    /// The whole configuration at one revision, answering a fetch from far behind.
+    ConfigurationSnapshot(JsonReport) = 9,
+    /// Asks what was decided for one request.
+    ExplainFetch(ExplainFetch) = 10,
+    /// Decisions about one request.
+    ExplainRecords(JsonReport) = 11,
+    /// What a node says about itself.
+    StatusRecords(JsonReport) = 13,
     /// Asks for a run of a key.
     Claim(Claim) = 16,
     /// Answers a claim.
