--- a/crates/tallybridge-node/src/tables/configuration.rs
+++ b/crates/tallybridge-node/src/tables/configuration.rs
@@ -85,8 +85,11 @@
 
     fn apply_one(&mut self, record: &RevisionRecord) {
         let (mut document, mut passed) = match &self.refused {
-            Some(refused) => (refused.document.clone(), refused.records.clone()),
-            None => (Document::clone(&self.document), Vec::new()),
+            // What this node has refused may be ahead of good revisions that it lacks.
+            Some(refused) if record.revision != self.revision().next() => {
+                (refused.document.clone(), refused.records.clone())
+            }
+            _ => (Document::clone(&self.document), Vec::new()),
         };
         if document.apply(record).is_err() {
             return;
@@ -115,10 +118,12 @@
         }
     }
 
-    fn put_in_force(&mut self, document: Document, passed: Vec<RevisionRecord>) {
+    fn put_in_force(&mut self, document: Document, mut passed: Vec<RevisionRecord>) {
+        let before = self.revision();
+        passed.retain(|record| record.revision > before);
         let follows = passed
             .first()
-            .is_some_and(|record| record.revision == self.revision().next());
+            .is_some_and(|record| record.revision == before.next());
         if !follows {
             self.records.clear();
         }
@@ -126,12 +131,19 @@
         let surplus = self.records.len().saturating_sub(KEPT_RECORDS);
         self.records.drain(..surplus);
         self.document = Arc::new(document);
-        self.refused = None;
         let revision = self.revision();
+        self.refused = self
+            .refused
+            .take()
+            .filter(|refused| refused.document.revision > revision);
         self.ahead.retain(|_, ahead| *ahead > revision);
     }
 
     fn refuse(&mut self, document: Document, passed: Vec<RevisionRecord>, violation: &Violation) {
+        // Records lead on from what is in force; a document that does not is kept for want of them.
+        if passed.is_empty() && self.refused.is_some() {
+            return;
+        }
         let report = RefusedRevision {
             revision: document.revision,
             reason: format!("{violation}; {}", violation.mend),
@@ -169,6 +181,12 @@
         Arc::clone(&self.document)
     }
 
+    /// Number of records kept for peers.
+    #[must_use]
+    pub fn kept_records(&self) -> usize {
+        self.records.len()
+    }
+
     /// What a peer at this revision needs.
     #[must_use]
     pub fn update_after(&self, revision: Revision) -> ConfigurationUpdate {
