--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A chain of services in one process: each with a back end, a node beside it and real sockets.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod fleet;
+pub mod switch;
+
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{Arc, Mutex},
--- /dev/null
+++ b/crates/tallybridge-integration/tests/support/switch.rs
@@ -0,0 +1,101 @@
+//! Links between nodes that a test can cut.
+
+use std::{
+    collections::BTreeSet,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+};
+
+use futures::{FutureExt, future::BoxFuture};
+use tallybridge_node::connections::peer::network::{Network, PeerStream, TcpNetwork};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The nodes whose links are cut, by address.
+#[derive(Clone, Default)]
+pub struct Switch(Arc<Mutex<BTreeSet<SocketAddr>>>);
+
+impl Switch {
+    pub fn cut(&self, address: SocketAddr) {
+        self.0.lock().expect("lock").insert(address);
+    }
+
+    pub fn heal(&self) {
+        self.0.lock().expect("lock").clear();
+    }
+
+    /// The network as the node at `own` has it.
+    pub fn network_of(&self, own: SocketAddr) -> Arc<dyn Network> {
+        let switch = self.clone();
+        Arc::new(SwitchedNetwork { switch, own })
+    }
+
+    fn check(&self, ends: [SocketAddr; 2]) -> io::Result<()> {
+        let cut = self.0.lock().expect("lock");
+        if ends.iter().any(|end| cut.contains(end)) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(())
+    }
+}
+
+struct SwitchedNetwork {
+    switch: Switch,
+    own: SocketAddr,
+}
+
+impl Network for SwitchedNetwork {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'_, io::Result<Box<dyn PeerStream>>> {
+        let ends = [self.own, address];
+        async move {
+            self.switch.check(ends)?;
+            let stream = TcpNetwork.connect(address).await?;
+            let switch = self.switch.clone();
+            Ok(Box::new(SwitchedStream {
+                stream,
+                switch,
+                ends,
+            }) as Box<dyn PeerStream>)
+        }
+        .boxed()
+    }
+}
+
+/// A stream that fails when one of its ends is cut off.
+struct SwitchedStream {
+    stream: Box<dyn PeerStream>,
+    switch: Switch,
+    ends: [SocketAddr; 2],
+}
+
+impl AsyncRead for SwitchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.switch.check(self.ends)?;
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for SwitchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.switch.check(self.ends)?;
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
