--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod tables;
 pub mod telemetry;
 
-pub use run::{NodeParts, RunningNode, run, start, start_core};
+pub use connections::store::StoreTimes;
+pub use run::{NodeParts, RunningNode, run, start, start_core, start_with};
