--- a/crates/tallybridge-routing/src/settings.rs
+++ b/crates/tallybridge-routing/src/settings.rs
@@ -26,7 +26,7 @@
     pub overdue_factor: f64,
     /// An attempt is never overdue before this time.
     pub overdue_minimum: Duration,
-    /// Overdue attempts that eject an endpoint that still answers others.
+    /// Overdue attempts that eject an endpoint that still answers others; one while it recovers.
     pub overdue_count: usize,
     /// Failures in a row that eject an endpoint.
     pub consecutive_failures: u32,
@@ -34,6 +34,10 @@
     pub ejection_time: Duration,
     /// Longest ejection.
     pub ejection_time_limit: Duration,
+    /// Probes, one at a time, that an endpoint must answer in a row after an ejection.
+    pub probes: u32,
+    /// A probe must be answered within this many typical latencies of the service.
+    pub probe_factor: f64,
     /// Greatest share of a service's endpoints that is ejected at once; above it the fault is taken
     /// to be the service's, not the endpoints'.
     pub ejected_share_limit: f64,
@@ -51,8 +55,8 @@
             zone_hop: Duration::from_millis(1),
             zone_hop_weight_limit: 0.25,
             latency_decay: Duration::from_secs(1),
-            latency_tolerance: 2.0,
-            unserved_half_life: Duration::from_secs(1),
+            latency_tolerance: 2.5,
+            unserved_half_life: Duration::from_secs(2),
             load_half_life: Duration::from_millis(500),
             level_lifetime: Duration::from_secs(1),
             limit_ratio_limit: 4.0,
@@ -62,8 +66,10 @@
             consecutive_failures: 5,
             ejection_time: Duration::from_secs(1),
             ejection_time_limit: Duration::from_secs(30),
+            probes: 5,
+            probe_factor: 3.0,
             ejected_share_limit: 0.5,
-            ramp_floor: 0.1,
+            ramp_floor: 0.05,
             cold_start_ramp: Duration::from_secs(10),
             recovery_ramp: Duration::from_secs(5),
         }
