Run a call whose key may be known elsewhere only with a claim on a run of it

Cause: the node carried keyed and nested calls without asking who else runs them, so a caller that repeated a request at another node had it run twice, and a refusal said not-run of a key that had run there.

Change: the executing node, holding its slot, claims a run of the key from a majority of the replicas of its partition; a run that did not take place is given back, a small answer is kept for replay and answers only the same tenant, service, method, path and body. The runs of an idempotent root call under a caller's key are numbered up to its retry allowance. Refusals of calls with a shared key are settled by a query over the replicas. The partition map is written by compare-and-swap and read from the store and from peers; the first live node plans it until duties are leased.

--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -2,19 +2,24 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::{
+    collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{Arc, Mutex},
 };
 
+use tallybridge_claims::{Candidate, PartitionMap, Presence, plan};
 use tallybridge_config::{
     Edit, Revision, RevisionRecord, Settings, Template, Tenant, settings::BackendSettings,
 };
 use tallybridge_core::{RegionName, ServiceName, TenantName, ZoneName, header};
 use tallybridge_node::{
     RunningNode,
-    actor::{configuration::ApplyRecords, fleet::PeerSeen, status::GetStatus},
+    actor::{
+        claims::ApplyPartitionMap, configuration::ApplyRecords, fleet::PeerSeen, status::GetStatus,
+    },
     start,
 };
+use tokio::sync::RwLock;
 use warp::Filter;
 
 pub const TENANT: &str = "market";
@@ -24,6 +29,14 @@
     pub node: RunningNode,
     pub settings: Settings,
     pub executions: Arc<Mutex<Vec<String>>>,
+    /// Back ends run a call only while nobody holds it for writing.
+    pub hold: Arc<RwLock<()>>,
+}
+
+/// Which service each node's back end belongs to, and whether a back end calls the next service.
+struct Layout {
+    services: Vec<usize>,
+    chained: bool,
 }
 
 /// A chain in which each back end calls the service after it, through its own node.
@@ -80,6 +93,7 @@
 fn spawn_backend(
     listener: std::net::TcpListener,
     executions: Arc<Mutex<Vec<String>>>,
+    hold: Arc<RwLock<()>>,
     next: Option<String>,
     client: reqwest::Client,
 ) {
@@ -98,7 +112,9 @@
                 executions.lock().expect("lock").push(request_id);
                 let next = next.clone();
                 let client = client.clone();
+                let hold = Arc::clone(&hold);
                 async move {
+                    drop(hold.read().await);
                     let Some(next) = next else {
                         let text = format!("leaf {} {}", path.as_str(), body.len());
                         return warp::http::Response::new(text);
@@ -124,9 +140,37 @@
     tokio::spawn(warp::serve(route).incoming(listener).run());
 }
 
+fn candidate(hop: &Hop) -> Candidate {
+    Candidate {
+        node: hop.node.context.identity,
+        region: hop.settings.region.clone(),
+        zone: hop.settings.zone.clone(),
+        rack: hop.settings.rack.clone(),
+        presence: Presence::Live,
+    }
+}
+
 impl Chain {
     /// Starts a chain of `depth` services, with the given templates or plain ones.
     pub async fn start(depth: usize, templates: Option<Vec<Template>>) -> Self {
+        let layout = Layout {
+            services: (0..depth).collect(),
+            chained: true,
+        };
+        Self::start_layout(&layout, templates).await
+    }
+
+    /// Starts nodes whose back ends all belong to the first service.
+    pub async fn start_replicated(nodes: usize, templates: Vec<Template>) -> Self {
+        let layout = Layout {
+            services: vec![0; nodes],
+            chained: false,
+        };
+        Self::start_layout(&layout, Some(templates)).await
+    }
+
+    async fn start_layout(layout: &Layout, templates: Option<Vec<Template>>) -> Self {
+        let depth = layout.services.len();
         let client = reqwest::Client::builder()
             .no_proxy()
             .build()
@@ -138,32 +182,44 @@
             .iter()
             .enumerate()
             .map(|(position, listener)| {
-                settings(position, listener.local_addr().expect("an address"))
+                settings(
+                    layout.services[position],
+                    listener.local_addr().expect("an address"),
+                )
             })
             .collect();
         let mut hops = Vec::new();
         for (position, listener) in listeners.into_iter().enumerate() {
             let executions = Arc::default();
-            let next = (position + 1 < depth).then(|| {
+            let next = (layout.chained && position + 1 < depth).then(|| {
                 format!(
                     "http://{}/call/{}",
                     all_settings[position].caller_address,
                     service_name(position + 1)
                 )
             });
-            spawn_backend(listener, Arc::clone(&executions), next, client.clone());
+            let hold = Arc::default();
+            spawn_backend(
+                listener,
+                Arc::clone(&executions),
+                Arc::clone(&hold),
+                next,
+                client.clone(),
+            );
             let settings = all_settings[position].clone();
             let node = start(settings.clone()).await.expect("the node starts");
             hops.push(Hop {
                 node,
                 settings,
                 executions,
+                hold,
             });
         }
         let chain = Self { hops, client };
         let templates = templates.unwrap_or_else(|| (0..depth).map(default_template).collect());
         chain.configure(templates).await;
         chain.introduce().await;
+        chain.place_claims().await;
         chain
     }
 
@@ -203,6 +259,22 @@
         }
     }
 
+    /// Gives every node the same plan of who holds claims.
+    async fn place_claims(&self) {
+        let candidates: Vec<_> = self.hops.iter().map(candidate).collect();
+        let map = plan(&PartitionMap::default(), &candidates, &BTreeSet::new(), 0);
+        for hop in &self.hops {
+            let apply = ApplyPartitionMap(map.clone());
+            hop.node.context.ask(apply).await.expect("applies");
+        }
+    }
+
+    /// Ends a node at once, with its links.
+    pub fn kill(&mut self, position: usize) {
+        let hop = self.hops.remove(position);
+        hop.node.context.shutdown.cancel();
+    }
+
     /// A call to a service of the chain, entering at a node.
     pub fn call(&self, entry: usize, service: usize) -> reqwest::RequestBuilder {
         let address = self.hops[entry].settings.caller_address;
@@ -214,6 +286,10 @@
         self.hops[service].executions.lock().expect("lock").len()
     }
 
+    pub fn all_executions(&self) -> usize {
+        (0..self.hops.len()).map(|hop| self.executions(hop)).sum()
+    }
+
     /// Waits until no node has a call or an execution left.
     pub async fn settle(&self) {
         for hop in &self.hops {
--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -45,8 +45,26 @@
     pub route: Route,
 }
 
+impl CallPlan {
+    /// Whether each run of the call is claimed. The runs of an idempotent nested call are counted
+    /// by the attempt that makes it.
+    #[must_use]
+    pub fn is_claimed(&self) -> bool {
+        self.shared_key && (self.depth == 1 || !self.policy.idempotent)
+    }
+}
+
+/// A call that is refused before its first attempt.
+#[derive(Debug, Clone)]
+pub struct RefusedCall {
+    /// Why.
+    pub refusal: Refusal,
+    /// The call's key if attempts may exist under it that this node does not know of.
+    pub shared_key: Option<RequestKey>,
+}
+
 impl Handler<BeginCall> for NodeActor {
-    type Return = Result<CallPlan, Refusal>;
+    type Return = Result<CallPlan, RefusedCall>;
 
     async fn handle(
         &mut self,
@@ -54,7 +72,11 @@
         _context: &mut Context<Self>,
     ) -> Self::Return {
         let now = now();
-        let call = begin::begin(&mut self.tables, &request, now)?;
+        let begun = begin::begin(&mut self.tables, &request, now);
+        let call = begun.map_err(|refusal| RefusedCall {
+            refusal,
+            shared_key: begin::shared_key(&mut self.tables, &request),
+        })?;
         let id = self.tables.calls.insert(call.clone());
         match retry::choose_route(&mut self.tables, id, now) {
             Ok(route) => Ok(CallPlan {
@@ -72,7 +94,10 @@
             }),
             Err(refusal) => {
                 self.end_call(id);
-                Err(refusal)
+                Err(RefusedCall {
+                    refusal,
+                    shared_key: begin::shared_key(&mut self.tables, &request),
+                })
             }
         }
     }
--- a/crates/tallybridge-node/src/actor/mod.rs
+++ b/crates/tallybridge-node/src/actor/mod.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the tables; connection tasks send it short messages.
 
 pub mod calls;
+pub mod claims;
 pub mod configuration;
 pub mod executions;
 pub mod fleet;
--- a/crates/tallybridge-node/src/connections/caller.rs
+++ b/crates/tallybridge-node/src/connections/caller.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     context::NodeContext,
-    path::{CallEnd, CarriedRequest, WholeAnswer, entry, headers},
+    path::{CallEnd, CarriedRequest, WholeAnswer, claim::settle_refusal, entry, headers},
     systems::begin::{CallRequest, NestedIdentity, Origin},
 };
 
@@ -97,11 +97,25 @@
         Ok((call, carried)) => respond(carry_to_the_end(context, call, carried).await),
         Err(refusal) => respond(CallEnd {
             request_id: None,
-            result: Err(refusal),
+            result: settle_unread(context, &request, refusal).await,
         }),
     }
 }
 
+/// Settles the refusal of a request that can't be read as a call but has a caller's key.
+async fn settle_unread(
+    context: &NodeContext,
+    request: &RawRequest,
+    refusal: Refusal,
+) -> Result<WholeAnswer, Refusal> {
+    let is_root = !request.headers.contains_key(header::CALL_TOKEN);
+    let key = request.header(header::IDEMPOTENCY_KEY).ok().flatten();
+    match key.and_then(|key| root_key(key).ok()) {
+        Some(key) if is_root => settle_refusal(context, key, None, refusal).await,
+        _ => Err(refusal),
+    }
+}
+
 /// Carries the call in a task of its own. When the caller closes its connection this future is
 /// dropped, and the task is told to cancel what runs; it still settles its row in the tables.
 async fn carry_to_the_end(
--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod backend;
 pub mod caller;
+pub mod claims;
 pub mod discovery;
 pub mod peer;
 pub mod store;
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
+use tallybridge_core::NodeId;
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message, StreamId,
+    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message,
+    PartitionMapFetch, PartitionMapRecords, StreamId,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -20,6 +22,7 @@
 };
 use crate::{
     actor::{
+        claims::{ClaimMessage, GetMapRecords},
         configuration::{ApplyRecords, RecordsAfter},
         fleet::PeerSeen,
     },
@@ -55,6 +58,8 @@
 /// One connection from a peer.
 struct PeerConnection {
     context: NodeContext,
+    /// Who is at the other end, once it has introduced itself.
+    peer: Option<NodeId>,
     sender: mpsc::Sender<Frame>,
     partial: HashMap<StreamId, PartialCall>,
     running: HashMap<StreamId, CancellationToken>,
@@ -76,6 +81,7 @@
     let (end, ended) = mpsc::unbounded_channel();
     let mut connection = PeerConnection {
         context,
+        peer: None,
         sender,
         partial: HashMap::new(),
         running: HashMap::new(),
@@ -127,6 +133,14 @@
             Ok(Message::Cancel) => self.cancel(stream),
             Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
+            Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
+            Ok(
+                message @ (Message::Claim(_)
+                | Message::ClaimQuery(_)
+                | Message::ClaimCopy(_)
+                | Message::ClaimRelease(_)
+                | Message::ClaimFinish(_)),
+            ) => self.vote(stream, message).await,
             Ok(other) => {
                 tracing::warn!(
                     kind = other.kind(),
@@ -140,8 +154,9 @@
         }
     }
 
-    async fn introduce(&self, hello: &Hello) {
+    async fn introduce(&mut self, hello: &Hello) {
         if let Some(peer) = peer_of(hello) {
+            self.peer = Some(peer.node);
             // Fails only when the node is stopping.
             let _ = self.context.ask(PeerSeen(peer)).await;
         }
@@ -214,6 +229,31 @@
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
 
+    /// Hands a message about claims to those that this node holds, and sends what they answer.
+    async fn vote(&self, stream: StreamId, message: Message) {
+        let Some(source) = self.peer else {
+            tracing::warn!("a peer spoke of claims before it introduced itself");
+            return;
+        };
+        let answer = self.context.ask(ClaimMessage { source, message }).await;
+        if let Ok(Some(answer)) = answer {
+            // A closed connection needs no answer.
+            let _ = self.sender.send(Frame::new(stream, answer)).await;
+        }
+    }
+
+    async fn send_map(&self, stream: StreamId, fetch: PartitionMapFetch) {
+        let reports_wanted = fetch.reports_wanted != 0;
+        let records = self.context.ask(GetMapRecords { reports_wanted }).await;
+        let json = records
+            .ok()
+            .and_then(|records| serde_json::to_vec(&records).ok())
+            .unwrap_or_default();
+        let message = Message::PartitionMapRecords(PartitionMapRecords::new(json));
+        // A closed connection needs no answer.
+        let _ = self.sender.send(Frame::new(stream, message)).await;
+    }
+
     async fn apply_records(&self, records: &ConfigurationRecords) {
         match serde_json::from_slice::<Vec<RevisionRecord>>(&records.json) {
             Ok(records) => {
--- a/crates/tallybridge-node/src/connections/peer/call.rs
+++ b/crates/tallybridge-node/src/connections/peer/call.rs
@@ -49,6 +49,7 @@
     Ok(Executed {
         result,
         reached_backend: head.reached_backend != 0,
+        outcome_settled: head.outcome_settled != 0,
         closing: Closing {
             unused_allowance: head.unused_allowance,
             load: head.load.into(),
@@ -71,6 +72,7 @@
         outcome: Outcome::Unknown as u8,
         error_kind: 0,
         reached_backend: u8::from(executed.reached_backend),
+        outcome_settled: u8::from(executed.outcome_settled),
         status: 0,
         unused_allowance: closing.unused_allowance,
         retry_after_ms: 0,
--- a/crates/tallybridge-node/src/connections/peer/link.rs
+++ b/crates/tallybridge-node/src/connections/peer/link.rs
@@ -114,6 +114,24 @@
         drop(guard);
         reply
     }
+
+    /// Sends a message that has no reply.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerFailure::NotSent`] when the link is closed.
+    pub async fn send(&self, message: Message) -> Result<(), PeerFailure> {
+        let frame = Frame::new(StreamId::CONNECTION, message);
+        let sent = self.sender.send(frame).await;
+        sent.map_err(|_| PeerFailure::NotSent("the link is closed".to_owned()))
+    }
+
+    /// Sends a message that has no reply if there is room; says whether it did.
+    #[must_use]
+    pub fn try_send(&self, message: Message) -> bool {
+        let frame = Frame::new(StreamId::CONNECTION, message);
+        !self.closed.is_cancelled() && self.sender.try_send(frame).is_ok()
+    }
 }
 
 impl Drop for Link {
--- a/crates/tallybridge-node/src/connections/peer/links.rs
+++ b/crates/tallybridge-node/src/connections/peer/links.rs
@@ -91,6 +91,28 @@
         link.request(message, &[]).await
     }
 
+    /// Sends a message that has no reply, over a link that is opened if need be.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerFailure::NotSent`] when the peer can't be reached.
+    pub async fn send(
+        &self,
+        node: NodeId,
+        message: tallybridge_wire::Message,
+    ) -> Result<(), PeerFailure> {
+        let link = self.link_to(node).await?;
+        link.send(message).await
+    }
+
+    /// Sends a message that has no reply if the link is open and has room; says whether it did.
+    #[must_use]
+    pub fn try_send(&self, node: NodeId, message: tallybridge_wire::Message) -> bool {
+        let slots = self.lock();
+        let link = slots.get(&node.address).and_then(|slot| slot.get());
+        link.is_some_and(|link| link.peer.node == node && link.try_send(message))
+    }
+
     /// Stops using the link to a node that did not answer in time, so that the next call opens a
     /// fresh one: a connection that was cut silently would otherwise hold calls until TCP gives it
     /// up. Calls that are under way keep the old link until they end.
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -6,6 +6,7 @@
 //! down in the task that carries it.
 
 pub mod actor;
+pub mod clock;
 pub mod connections;
 pub mod context;
 pub mod path;
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -25,6 +25,8 @@
     pub end: AttemptEnd,
     /// The answer, when there is one.
     pub answer: Option<WholeAnswer>,
+    /// Whether the outcome takes every attempt under the key into account.
+    pub outcome_settled: bool,
 }
 
 /// Runs one attempt to its end, at this node or at a peer.
@@ -70,7 +72,8 @@
 
 fn answered(executed: Executed, latency: Duration) -> Attempted {
     let closing = executed.closing;
-    match executed.result {
+    let outcome_settled = executed.outcome_settled;
+    let attempted = match executed.result {
         Ok(answer) => Attempted {
             end: AttemptEnd::Answered {
                 latency,
@@ -78,6 +81,7 @@
                 unused_allowance: closing.unused_allowance,
             },
             answer: Some(answer),
+            outcome_settled,
         },
         Err(refusal) => without_answer(AttemptEnd::Refused {
             refusal,
@@ -85,11 +89,19 @@
             load: closing.load,
             unused_allowance: closing.unused_allowance,
         }),
+    };
+    Attempted {
+        outcome_settled,
+        ..attempted
     }
 }
 
 const fn without_answer(end: AttemptEnd) -> Attempted {
-    Attempted { end, answer: None }
+    Attempted {
+        end,
+        answer: None,
+        outcome_settled: false,
+    }
 }
 
 fn not_sent(reason: String) -> Refusal {
@@ -103,12 +115,13 @@
     )
 }
 
-fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
+/// What the executing node is told of the call.
+pub(super) fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
     let policy = &plan.policy;
     CallHead {
         key_issued_unix_ms: plan.key.issued_unix_ms,
         key_digest: plan.key.digest,
-        claim_needed: u8::from(plan.shared_key && !policy.idempotent),
+        claim_needed: u8::from(plan.is_claimed()),
         max_runs: max_runs(policy),
         attempt: route.attempt,
         depth: plan.depth,
--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -1,11 +1,14 @@
 //! A call at its entry node: attempts until there is an answer or a refusal.
 
-use tallybridge_core::Refusal;
+use tallybridge_core::{Outcome, Refusal};
 use tokio_util::sync::CancellationToken;
 
-use super::{CallEnd, CarriedRequest, WholeAnswer, attempt};
+use super::{
+    CallEnd, CarriedRequest, WholeAnswer, attempt,
+    claim::{ReplayScope, settle_refusal},
+};
 use crate::{
-    actor::calls::{BeginCall, CallPlan, EndAttempt},
+    actor::calls::{BeginCall, CallPlan, EndAttempt, RefusedCall},
     context::NodeContext,
     systems::{begin::CallRequest, retry::Next},
 };
@@ -21,9 +24,13 @@
 ) -> CallEnd {
     let plan = match context.ask(BeginCall(request)).await {
         Ok(Ok(plan)) => plan,
-        Ok(Err(refusal)) | Err(refusal) => return refused_at_once(refusal),
+        Ok(Err(refused)) => return refused_at_once(context, refused).await,
+        Err(refusal) => return log_refused(Err(refusal)),
+    };
+    let result = match attempts(context, &plan, &carried, &cancelled).await {
+        Err(refused) => settle(context, &plan, &carried, refused).await,
+        Ok(answer) => Ok(answer),
     };
-    let result = attempts(context, &plan, &carried, &cancelled).await;
     log_end(&plan, &result);
     CallEnd {
         request_id: Some(plan.request_id),
@@ -36,7 +43,7 @@
     plan: &CallPlan,
     carried: &CarriedRequest,
     cancelled: &CancellationToken,
-) -> Result<WholeAnswer, Refusal> {
+) -> Result<WholeAnswer, FinalRefusal> {
     let mut route = plan.route;
     loop {
         if !route.delay.is_zero() {
@@ -49,26 +56,74 @@
                 node: route.node,
                 end: attempted.end,
             })
-            .await?;
+            .await
+            .map_err(|refusal| FinalRefusal {
+                refusal,
+                outcome_settled: false,
+            })?;
         match (next, attempted.answer) {
             (Next::Answer, Some(answer)) => return Ok(answer),
             (Next::Retry(next_route), _) => route = next_route,
-            (Next::Refuse(refusal), _) => return Err(refusal),
+            (Next::Refuse(refusal), _) => {
+                return Err(FinalRefusal {
+                    refusal,
+                    outcome_settled: attempted.outcome_settled,
+                });
+            }
             (Next::Answer, None) => unreachable!("only an answered attempt ends with an answer"),
         }
     }
 }
 
-fn refused_at_once(refusal: Refusal) -> CallEnd {
-    tracing::info!(
-        decision = "refused",
-        reason = refusal.kind.name(),
-        detail = refusal.detail,
-        "call refused at its entry"
-    );
+/// The refusal that a call ends with.
+struct FinalRefusal {
+    refusal: Refusal,
+    /// Whether its outcome takes every attempt under the key into account.
+    outcome_settled: bool,
+}
+
+/// Makes the refusal of a call with a shared key true over all attempts under that key.
+async fn settle(
+    context: &NodeContext,
+    plan: &CallPlan,
+    carried: &CarriedRequest,
+    refused: FinalRefusal,
+) -> Result<WholeAnswer, Refusal> {
+    let FinalRefusal {
+        refusal,
+        outcome_settled,
+    } = refused;
+    if outcome_settled || !plan.is_claimed() || refusal.outcome != Outcome::NotRun {
+        return Err(refusal);
+    }
+    let scope = ReplayScope::of(&attempt::call_head(plan, plan.route, carried));
+    settle_refusal(context, plan.key, Some(scope), refusal).await
+}
+
+async fn refused_at_once(context: &NodeContext, refused: RefusedCall) -> CallEnd {
+    let RefusedCall {
+        refusal,
+        shared_key,
+    } = refused;
+    log_refused(match shared_key {
+        Some(key) => settle_refusal(context, key, None, refusal).await,
+        None => Err(refusal),
+    })
+}
+
+fn log_refused(result: Result<WholeAnswer, Refusal>) -> CallEnd {
+    if let Err(refusal) = &result {
+        tracing::info!(
+            decision = "refused",
+            reason = refusal.kind.name(),
+            outcome = refusal.outcome.as_str(),
+            detail = refusal.detail,
+            "call refused at its entry"
+        );
+    }
     CallEnd {
         request_id: None,
-        result: Err(refusal),
+        result,
     }
 }
 
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use tallybridge_claims::ClaimRound;
 use tallybridge_core::{
     AttemptId, CallToken, Criticality, ErrorKind, Outcome, Refusal, RequestKey, TemplateName,
     TenantName,
@@ -15,9 +16,13 @@
 use tallybridge_wire::CallHead;
 use tokio_util::sync::CancellationToken;
 
-use super::{CarriedRequest, Executed, WholeAnswer};
+use super::{
+    CarriedRequest, Executed, WholeAnswer,
+    claim::{Settled, claim_run, end_run},
+};
 use crate::{
     actor::executions::{Admit, BackendDraining, Closing, EndExecution, ReportLoad, Withdraw},
+    clock::unix_ms,
     connections::backend::{BackendAnswer, BackendFailure, BackendRequest},
     context::NodeContext,
     systems::admission::Admitted,
@@ -43,8 +48,14 @@
         Ok(attempt) => attempt,
         Err(refusal) => return refused(context, &head, refusal).await,
     };
-    if let Err(refusal) = check_before_hand_over(deadline, &cancelled) {
-        return end_unrun(context, attempt, refusal).await;
+    let until = tokio::time::Instant::from_std(deadline);
+    let round = match claim_run(context, &head, attempt, until).await {
+        Ok(round) => round,
+        Err(ended) => return end_unrun(context, attempt, ended).await,
+    };
+    if let Err(refusal) = check_before_hand_over(deadline, round.as_ref(), &cancelled) {
+        let ended = end_run(context, &head, round, Err(refusal)).await;
+        return end_unrun(context, attempt, ended).await;
     }
     let started = tokio::time::Instant::now();
     let request = backend_request(&head, body, attempt, deadline);
@@ -54,7 +65,14 @@
         cancelled
     };
     let answer = call_backend(context, request, deadline, &stop).await;
-    finish(context, &head, attempt, answer, started.elapsed()).await
+    finish(
+        context,
+        &head,
+        Run { attempt, round },
+        answer,
+        started.elapsed(),
+    )
+    .await
 }
 
 fn execution_row(head: &CallHead) -> Result<Execution, Refusal> {
@@ -120,11 +138,19 @@
 
 /// The last checks before the point of no return. A process that was paused since it was granted
 /// its slot finds here that the deadline has passed.
-fn check_before_hand_over(deadline: Instant, cancelled: &CancellationToken) -> Result<(), Refusal> {
+fn check_before_hand_over(
+    deadline: Instant,
+    round: Option<&ClaimRound>,
+    cancelled: &CancellationToken,
+) -> Result<(), Refusal> {
     if cancelled.is_cancelled() {
         return Err(cancelled_before_run());
     }
-    if deadline <= tokio::time::Instant::now().into_std() {
+    let remaining = deadline.saturating_duration_since(tokio::time::Instant::now().into_std());
+    let now_unix_ms = unix_ms();
+    let deadline_unix_ms = now_unix_ms.saturating_add(remaining.as_millis() as u64);
+    let claim_stands = round.is_none_or(|round| round.may_run(deadline_unix_ms, now_unix_ms));
+    if remaining.is_zero() || !claim_stands {
         return Err(Refusal::new(
             ErrorKind::DeadlineExceeded,
             "the deadline passed before the call was handed to the back end",
@@ -190,10 +216,16 @@
     }
 }
 
+/// An attempt that was handed over, with its claim if it needed one.
+struct Run {
+    attempt: AttemptId,
+    round: Option<ClaimRound>,
+}
+
 async fn finish(
     context: &NodeContext,
     head: &CallHead,
-    attempt: AttemptId,
+    run: Run,
     answer: Result<BackendAnswer, NoAnswer>,
     latency: Duration,
 ) -> Executed {
@@ -210,10 +242,13 @@
         answer,
         Err(NoAnswer::Failed(BackendFailure::NotConnected(_)))
     );
+    let attempt = run.attempt;
     let closing = context.ask(EndExecution { attempt, sample }).await;
+    let ended = end_run(context, head, run.round, into_result(answer)).await;
     Executed {
-        result: into_result(answer),
+        result: ended.result,
         reached_backend,
+        outcome_settled: ended.outcome_settled,
         closing: closing.unwrap_or_default(),
     }
 }
@@ -257,12 +292,13 @@
 }
 
 /// Ends an attempt that holds a slot but is not handed over.
-async fn end_unrun(context: &NodeContext, attempt: AttemptId, refusal: Refusal) -> Executed {
+async fn end_unrun(context: &NodeContext, attempt: AttemptId, ended: Settled) -> Executed {
     let sample = crate::systems::admission::ignored_sample();
     let closing = context.ask(EndExecution { attempt, sample }).await;
     Executed {
-        result: Err(refusal),
+        result: ended.result,
         reached_backend: false,
+        outcome_settled: ended.outcome_settled,
         closing: closing.unwrap_or_default(),
     }
 }
@@ -273,6 +309,7 @@
     Executed {
         result: Err(refusal),
         reached_backend: false,
+        outcome_settled: false,
         closing: Closing {
             unused_allowance: head.allowance,
             load,
--- a/crates/tallybridge-node/src/path/mod.rs
+++ b/crates/tallybridge-node/src/path/mod.rs
@@ -1,6 +1,7 @@
 //! The path of a call, written straight down: its entry, one attempt, its execution.
 
 pub mod attempt;
+pub mod claim;
 pub mod entry;
 pub mod execute;
 pub mod headers;
@@ -44,6 +45,8 @@
     pub result: Result<WholeAnswer, Refusal>,
     /// Whether the call was handed to the back end, whatever came of it.
     pub reached_backend: bool,
+    /// Whether the outcome takes every attempt under the key into account.
+    pub outcome_settled: bool,
     /// Unused retries and load.
     pub closing: Closing,
 }
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -22,6 +22,7 @@
         admin::{Admin, serve_operators},
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
+        claims::{copies::copy_claims, map, planner::plan_partitions},
         discovery::discover_peers,
         peer::{accept::accept_peers, hello_of, links::PeerLinks, network::TcpNetwork},
         store::follow_configuration,
@@ -115,6 +116,10 @@
     background.spawn(serve_operators(admin, admin_listener));
     background.spawn(discover_peers(context.clone()));
     background.spawn(follow_configuration(context.clone()));
+    background.spawn(map::follow_map(context.clone()));
+    background.spawn(map::fetch_first_map(context.clone()));
+    background.spawn(plan_partitions(context.clone()));
+    background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
         leave,
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -122,6 +122,17 @@
     })
 }
 
+/// The key of a request if attempts may exist under it that this node does not know of.
+pub fn shared_key(tables: &mut Tables, request: &CallRequest) -> Option<RequestKey> {
+    match &request.origin {
+        Origin::Root { key, caller_key } => caller_key.then_some(*key),
+        Origin::Nested { token, identity } => {
+            let parent = tables.executions.get_mut(token.0)?;
+            Some(nested_key(request, identity, parent))
+        }
+    }
+}
+
 fn inherit(tables: &mut Tables, request: &CallRequest) -> Result<Inheritance, Refusal> {
     match &request.origin {
         Origin::Root { key, caller_key } => root(request, *key, *caller_key),
@@ -169,18 +180,8 @@
             format!("the chain is deeper than {MAX_DEPTH} calls"),
         ));
     }
-    let call = tallybridge_core::key::NestedCall {
-        method: &request.method,
-        path: &identity.path_and_query,
-        body: &identity.body_digest,
-    };
-    let key = parent.key.nested(
-        request.service.as_str(),
-        identity.explicit_key.as_deref(),
-        &call,
-    );
     Ok(Inheritance {
-        key,
+        key: nested_key(request, identity, parent),
         // The parent may run again elsewhere and make this call under the same key.
         shared_key: true,
         request_id: parent.request_id.clone(),
@@ -195,6 +196,19 @@
     })
 }
 
+fn nested_key(request: &CallRequest, identity: &NestedIdentity, parent: &Execution) -> RequestKey {
+    let call = tallybridge_core::key::NestedCall {
+        method: &request.method,
+        path: &identity.path_and_query,
+        body: &identity.body_digest,
+    };
+    parent.key.nested(
+        request.service.as_str(),
+        identity.explicit_key.as_deref(),
+        &call,
+    )
+}
+
 fn unknown_parent() -> Refusal {
     Refusal::new(
         ErrorKind::UnknownParent,
--- a/crates/tallybridge-node/src/systems/mod.rs
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod admission;
 pub mod begin;
+pub mod claims;
 pub mod retry;
 pub mod tick;
--- a/crates/tallybridge-node/src/systems/retry.rs
+++ b/crates/tallybridge-node/src/systems/retry.rs
@@ -134,7 +134,7 @@
         } => {
             call.may_have_run |= refusal.outcome != Outcome::NotRun;
             let permitted = if refusal.outcome != Outcome::NotRun {
-                may_run_again(call, &mut tables.retry_budget, now)
+                may_run_again(call, &refusal, &mut tables.retry_budget, now)
             } else if reached_backend {
                 may_spend(call, &mut tables.retry_budget, now)
             } else {
@@ -148,7 +148,7 @@
         }
         AttemptEnd::Lost(refusal) => {
             call.may_have_run = true;
-            let permitted = may_run_again(call, &mut tables.retry_budget, now);
+            let permitted = may_run_again(call, &refusal, &mut tables.retry_budget, now);
             (refusal, permitted)
         }
     };
@@ -184,12 +184,24 @@
 }
 
 /// Another run of a call that may have run.
-fn may_run_again(call: &mut Call, budget: &mut Budget, now: Instant) -> bool {
+fn may_run_again(call: &mut Call, refusal: &Refusal, budget: &mut Budget, now: Instant) -> bool {
     call.policy.idempotent
+        && !is_final(refusal.kind)
         && call.policy.retry_on == RetryOn::Unknown
         && may_spend(call, budget, now)
 }
 
+/// Whether a refusal would be the same at any other node: it comes from the key's claims.
+const fn is_final(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::AlreadyClaimed
+            | ErrorKind::RetryAllowanceSpent
+            | ErrorKind::KeyOutsideWindow
+            | ErrorKind::NoQuorum
+    )
+}
+
 /// Another attempt that reaches a back end: it costs one of the request's retries, and one of the
 /// fleet's.
 fn may_spend(call: &mut Call, budget: &mut Budget, now: Instant) -> bool {
@@ -248,7 +260,9 @@
             latency: *latency,
             load: *load,
         },
-        AttemptEnd::Refused { refusal, load, .. } if refusal.outcome == Outcome::NotRun => {
+        AttemptEnd::Refused { refusal, load, .. }
+            if refusal.outcome == Outcome::NotRun || is_final(refusal.kind) =>
+        {
             AttemptResult::RefusedNotRun { load: Some(*load) }
         }
         AttemptEnd::Refused { .. } | AttemptEnd::Lost(_) => AttemptResult::Failed,
--- a/crates/tallybridge-node/src/systems/tick.rs
+++ b/crates/tallybridge-node/src/systems/tick.rs
@@ -2,10 +2,11 @@
 
 use std::time::Instant;
 
-use crate::{systems::admission, tables::Tables};
+use crate::{clock::unix_ms, systems::admission, tables::Tables};
 
 /// Runs the systems over the tables, in order.
 pub fn run(tables: &mut Tables, now: Instant) {
     admission::run(tables, now);
     tables.endpoints.tick(now);
+    tables.claims.table.expire(unix_ms());
 }
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod claims;
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
@@ -16,8 +17,8 @@
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
 use self::{
-    admission::Admission, calls::CallTable, configuration::Configuration, decisions::DecisionLog,
-    executions::ExecutionTable, peers::PeerTable,
+    admission::Admission, calls::CallTable, claims::Claims, configuration::Configuration,
+    decisions::DecisionLog, executions::ExecutionTable, peers::PeerTable,
 };
 
 /// All tables of one node.
@@ -36,6 +37,8 @@
     pub retry_budget: Budget,
     /// Configuration in force.
     pub configuration: Configuration,
+    /// Claims held for others, and where those of each key are.
+    pub claims: Claims,
     /// Other nodes.
     pub peers: PeerTable,
     /// What was decided lately, and why.
@@ -62,6 +65,7 @@
             endpoints: EndpointTable::new(locality, RoutingSettings::default()),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
+            claims: Claims::new(identity),
             peers: PeerTable::default(),
             decisions: DecisionLog::default(),
             leaving: false,
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -15,7 +15,7 @@
 };
 pub use message::{
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
-    MessageError, WireHeader, WireHeaders, WireLoad,
+    MessageError, PartitionMapFetch, PartitionMapRecords, WireHeader, WireHeaders, WireLoad,
 };
 pub use text::Text;
 
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -199,6 +199,9 @@
     pub error_kind: u8,
     /// Whether the call was handed to the back end, whatever came of it: 0 or 1.
     pub reached_backend: u8,
+    /// Whether the outcome takes every attempt under the key into account, wherever it entered:
+    /// 0 or 1.
+    pub outcome_settled: u8,
     /// HTTP status of the back end's answer; 0 for a refusal.
     pub status: u16,
     /// Retries of those lent that were not spent.
@@ -246,6 +249,35 @@
     }
 }
 
+/// Asks a peer for the replicas of the claim partitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+pub struct PartitionMapFetch {
+    /// Whether the peer's own synchronised partitions are wanted too: 0 or 1.
+    pub reports_wanted: u8,
+}
+
+/// The replicas of the claim partitions, answering a [`PartitionMapFetch`].
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+pub struct PartitionMapRecords {
+    length: u32,
+    /// The map and the reports as JSON.
+    #[deku(count = "length")]
+    pub json: Vec<u8>,
+}
+
+impl PartitionMapRecords {
+    /// Wraps the JSON of a map with reports.
+    #[must_use]
+    pub fn new(json: Vec<u8>) -> Self {
+        Self {
+            length: u32::try_from(json.len()).unwrap_or(u32::MAX),
+            json,
+        }
+    }
+}
+
 /// A payload is not a message of its kind.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum MessageError {
@@ -345,6 +377,10 @@
     ClaimCopy(ClaimCopy) = 22,
     /// A page of a partition's claims.
     ClaimPage(ClaimPage) = 23,
+    /// Asks for the replicas of the claim partitions.
+    PartitionMapFetch(PartitionMapFetch) = 24,
+    /// The replicas of the claim partitions.
+    PartitionMapRecords(PartitionMapRecords) = 25,
 }
 
 fn parse<T>(kind: u8, payload: &[u8]) -> Result<T, MessageError>
