--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -23,6 +23,7 @@
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
         catch_up::catch_up,
+        claims::{copies::copy_claims, map, planner::plan_partitions},
         discovery::follow_machine_list,
         gossip::gossip,
         peer::{
@@ -141,6 +142,8 @@
     background.spawn(serve_operators(admin, admin_listener));
     background.spawn(follow_machine_list(node.context.clone()));
     background.spawn(follow_configuration(node.context.clone(), store_times));
+    background.spawn(map::follow_map(node.context.clone()));
+    background.spawn(plan_partitions(node.context.clone()));
     Ok(node)
 }
 
@@ -175,6 +178,8 @@
     background.spawn(accept_peers(context.clone(), listener, hello));
     background.spawn(gossip(context.clone(), socket));
     background.spawn(catch_up(context.clone()));
+    background.spawn(map::fetch_first_map(context.clone()));
+    background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
         leave: CancellationToken::new(),
