Give the slot back when a call at its own entry node is given up

The back ends' records show that from 14 s on catalogue ran nothing at all: its slots were taken for ever. An attempt that runs at its entry node was dropped with the caller's wait, so a grant that crossed the withdrawal from the queue was lost with its slot. Ruled out: the limit's algorithm and early refusal; the chains above catalogue only ran out of time. Change: the attempt runs in a task of its own, as a peer's does, and is told to cancel when nobody waits. Tests get addresses on loopback IPs of their own, after one run lost a port to another test's connection. Measured: a test with 2,000 calls given up at every moment of their way hangs on taken slots without the change and passes with it.

--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -7,7 +7,10 @@
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU16, Ordering},
+    },
 };
 
 use tallybridge_claims::{Candidate, PartitionMap, Presence, plan};
@@ -49,8 +52,18 @@
     pub client: reqwest::Client,
 }
 
+/// Addresses handed out so far.
+static ADDRESSES: AtomicU16 = AtomicU16::new(0);
+
+/// A free address on a loopback IP of its own, where no outgoing connection of another test can
+/// take the port between here and its use.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    const VALUES: u16 = 250;
+    let process = u8::try_from(std::process::id() % u32::from(VALUES)).expect("fits");
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let [high, low] = [number / VALUES, number % VALUES].map(|part| 1 + part as u8);
+    let ip = Ipv4Addr::new(127, 1 + process, high, low);
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
     listener.local_addr().expect("an address")
 }
 
--- a/crates/tallybridge-integration/tests/whole_path.rs
+++ b/crates/tallybridge-integration/tests/whole_path.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::Chain;
 use tallybridge_core::header;
 use tokio::{
@@ -9,6 +11,9 @@
     net::TcpStream,
 };
 
+/// After which a state that is waited for will never come; far above what it takes.
+const TEST_PATIENCE: Duration = Duration::from_secs(20);
+
 fn header_of<'a>(response: &'a reqwest::Response, name: &str) -> &'a str {
     response
         .headers()
@@ -113,3 +118,24 @@
     let response = answering.await.expect("joins").expect("answer");
     assert_eq!(response.text().await.expect("whole"), "via leaf /pay 1");
 }
+
+/// Rounds of calls that callers give up on at every moment of their way.
+const GIVE_UP_ROUNDS: u64 = 20;
+/// Calls of a round; several times the back end's slots, so that most wait in the queue.
+const GIVE_UP_CALLS: u64 = 100;
+
+#[tokio::test]
+async fn calls_that_their_callers_give_up_on_give_their_slots_back() {
+    let chain = Chain::start(1, None).await;
+    for round in 0..GIVE_UP_ROUNDS {
+        let calls = (0..GIVE_UP_CALLS).map(|number| {
+            let patience = Duration::from_micros(500 + 200 * number + round);
+            chain.call(0, 0).timeout(patience).send()
+        });
+        futures::future::join_all(calls).await;
+    }
+    let settled = tokio::time::timeout(TEST_PATIENCE, chain.settle()).await;
+    settled.expect("no slot stays taken");
+    let response = chain.call(0, 0).send().await.expect("answer");
+    assert_eq!(header_of(&response, header::OUTCOME), "completed");
+}
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use tallybridge_config::CallPolicy;
 use tallybridge_core::{ErrorKind, Refusal};
 use tallybridge_wire::{CallHead, Text};
@@ -9,7 +10,7 @@
 
 use super::{CarriedRequest, Executed, WholeAnswer, execute};
 use crate::{
-    actor::calls::CallPlan,
+    actor::{calls::CallPlan, executions::Closing},
     connections::peer::{PeerFailure, call::call_peer},
     context::NodeContext,
     systems::retry::{AttemptEnd, Route},
@@ -41,9 +42,7 @@
     let deadline = tokio::time::Instant::from_std(plan.deadline);
     let executing = async {
         if route.node == context.identity {
-            let token = cancelled.child_token();
-            let executed = execute::serve(context, head, carried.body.clone(), token).await;
-            Ok(executed)
+            Ok(execute_here(context, head, carried.body.clone()).await)
         } else {
             call_peer(&context.links, route.node, head, &carried.body).await
         }
@@ -59,6 +58,23 @@
     }
 }
 
+/// Runs an attempt at this node, in a task of its own as a peer's call has: when this future is
+/// dropped the task is told to cancel, and still gives its slot back.
+async fn execute_here(context: &NodeContext, head: CallHead, body: Bytes) -> Executed {
+    let cancelled = CancellationToken::new();
+    let _cancel_on_drop = cancelled.clone().drop_guard();
+    let task_context = context.clone();
+    let task = context
+        .calls
+        .spawn(async move { execute::serve(&task_context, head, body, cancelled).await });
+    task.await.unwrap_or_else(|error| Executed {
+        result: Err(Refusal::new(ErrorKind::Internal, error.to_string())),
+        reached_backend: true,
+        outcome_settled: false,
+        closing: Closing::default(),
+    })
+}
+
 fn ended(executed: Result<Executed, PeerFailure>) -> Attempted {
     match executed {
         Ok(executed) => answered(executed),
