--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
+use tallybridge_core::NodeId;
 use tallybridge_wire::{
     CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
-    Message, StreamId,
+    Message, PartitionMapFetch, PartitionMapRecords, StreamId,
 };
 use tokio::sync::mpsc;
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -15,11 +16,13 @@
 use super::{
     body::{BodyAssembly, send_body},
     call::answer_head,
+    introduction::Peer,
     network::{PeerListener, PeerStream},
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
     actor::{
+        claims::{ClaimMessage, GetMapRecords},
         configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
@@ -54,6 +57,8 @@
 /// One connection from a peer.
 struct PeerConnection {
     context: NodeContext,
+    /// Who is at the other end, once it has introduced itself.
+    peer: Option<NodeId>,
     sender: mpsc::Sender<Frame>,
     partial: HashMap<StreamId, PartialCall>,
     running: HashMap<StreamId, CancellationToken>,
@@ -75,6 +80,7 @@
     let (end, ended) = mpsc::unbounded_channel();
     let mut connection = PeerConnection {
         context,
+        peer: None,
         sender,
         partial: HashMap::new(),
         running: HashMap::new(),
@@ -120,13 +126,21 @@
     async fn take(&mut self, frame: Frame) {
         let stream = frame.stream;
         match frame.message {
-            Ok(Message::Hello(_)) => {}
+            Ok(Message::Hello(hello)) => self.introduce(&hello),
             Ok(Message::LeaveNotice) => self.leave().await,
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
             Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
+            Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
+            Ok(
+                message @ (Message::Claim(_)
+                | Message::ClaimQuery(_)
+                | Message::ClaimCopy(_)
+                | Message::ClaimRelease(_)
+                | Message::ClaimFinish(_)),
+            ) => self.vote(stream, message).await,
             Ok(other) => {
                 tracing::warn!(
                     kind = other.kind(),
@@ -140,6 +154,10 @@
         }
     }
 
+    fn introduce(&mut self, hello: &Hello) {
+        self.peer = Peer::of_hello(hello).map(|peer| peer.node);
+    }
+
     /// A peer has seen in the machine list that this node's machine is leaving.
     async fn leave(&self) {
         // Fails only when the node is stopping anyway.
@@ -214,6 +232,31 @@
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
 
+    /// Hands a message about claims to those that this node holds, and sends what they answer.
+    async fn vote(&self, stream: StreamId, message: Message) {
+        let Some(source) = self.peer else {
+            tracing::warn!("a peer spoke of claims before it introduced itself");
+            return;
+        };
+        let answer = self.context.ask(ClaimMessage { source, message }).await;
+        if let Ok(Some(answer)) = answer {
+            // A closed connection needs no answer.
+            let _ = self.sender.send(Frame::new(stream, answer)).await;
+        }
+    }
+
+    async fn send_map(&self, stream: StreamId, fetch: PartitionMapFetch) {
+        let reports_wanted = fetch.reports_wanted != 0;
+        let records = self.context.ask(GetMapRecords { reports_wanted }).await;
+        let json = records
+            .ok()
+            .and_then(|records| serde_json::to_vec(&records).ok())
+            .unwrap_or_default();
+        let message = Message::PartitionMapRecords(PartitionMapRecords::new(json));
+        // A closed connection needs no answer.
+        let _ = self.sender.send(Frame::new(stream, message)).await;
+    }
+
     async fn apply_records(&self, records: &ConfigurationRecords) {
         match serde_json::from_slice::<Vec<RevisionRecord>>(&records.json) {
             Ok(records) => {
