Explain a request, and show the fleet, through one admin address

The decision log was never written and kept all decisions in one ring, so a flood of any kind would have pushed the rest out.

- Refusals of calls and attempts are recorded in the actor's handlers with the limit, queue and admission level they met, retries with their cause, calls displaced or out of time in the queue, and executions that the back end shed.
One request of 64, the same at every node, is followed whatever becomes of it; any other costs a digest of its request id and no message.
- Each class has a ring of its own for refusals, and the sampled requests have one: 8,192 rows at most, each with at most 512 bytes of text.
- A node asks the other live members at once over the peer links, for 500 ms at most: /explain/ID?fleet=true and /status?fleet=true.
Who did not answer is named.

A node that only tells of itself is still understood, and the tests of the commands are unchanged.

--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -10,6 +10,7 @@
 use crate::{
     systems::{
         begin::{self, CallRequest},
+        record::{self, Subject},
         retry::{self, AttemptEnd, Next, Route},
     },
     tables::calls::CallId,
@@ -54,23 +55,33 @@
         _context: &mut Context<Self>,
     ) -> Self::Return {
         let now = now();
-        let call = begin::begin(&mut self.tables, &request, now)?;
+        let call = match begin::begin(&mut self.tables, &request, now) {
+            Ok(call) => call,
+            Err(refusal) => {
+                record::refused_at_entry(&mut self.tables, &request, &refusal);
+                return Err(refusal);
+            }
+        };
         let id = self.tables.calls.insert(call.clone());
         match retry::choose_route(&mut self.tables, id, now) {
-            Ok(route) => Ok(CallPlan {
-                id,
-                request_id: call.request_id,
-                key: call.key,
-                shared_key: call.shared_key,
-                tenant: call.tenant,
-                service: call.service,
-                policy: call.policy,
-                criticality: call.criticality,
-                depth: call.depth,
-                deadline: call.deadline,
-                route,
-            }),
+            Ok(route) => {
+                record::begun(&mut self.tables, &call, &route);
+                Ok(CallPlan {
+                    id,
+                    request_id: call.request_id,
+                    key: call.key,
+                    shared_key: call.shared_key,
+                    tenant: call.tenant,
+                    service: call.service,
+                    policy: call.policy,
+                    criticality: call.criticality,
+                    depth: call.depth,
+                    deadline: call.deadline,
+                    route,
+                })
+            }
             Err(refusal) => {
+                record::refused_without_route(&mut self.tables, &call, &refusal);
                 self.end_call(id);
                 Err(refusal)
             }
@@ -93,7 +104,16 @@
 
     async fn handle(&mut self, message: EndAttempt, _context: &mut Context<Self>) -> Next {
         let EndAttempt { call, node, end } = message;
+        let subject = self
+            .tables
+            .calls
+            .get_mut(call)
+            .map(|row| Subject::of_call(row));
+        let failure = record::describe_end(&end);
         let next = retry::attempt_ended(&mut self.tables, call, node, end, now());
+        if let Some(subject) = subject {
+            record::attempt_ended(&mut self.tables, &subject, node, failure, &next);
+        }
         if !matches!(next, Next::Retry(_)) {
             self.end_call(call);
         }
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -9,6 +9,7 @@
     systems::{
         admission::{self, Admitted},
         membership,
+        record::{self, Subject},
     },
     tables::{admission::TemplateBounds, executions::Execution},
 };
@@ -25,7 +26,15 @@
     type Return = Result<Admitted, Refusal>;
 
     async fn handle(&mut self, message: Admit, _context: &mut Context<Self>) -> Self::Return {
-        admission::admit(&mut self.tables, message.execution, message.bounds, now())
+        let subject = Subject::of_execution(&message.execution);
+        let admitted = admission::admit(&mut self.tables, message.execution, message.bounds, now());
+        match &admitted {
+            Ok(Admitted::Granted(_)) => record::admitted(&mut self.tables, &subject, false),
+            Ok(Admitted::Queued(..)) => record::admitted(&mut self.tables, &subject, true),
+            Err(refusal) => record::not_admitted(&mut self.tables, &subject, refusal),
+        }
+        record::evicted(&mut self.tables);
+        admitted
     }
 }
 
@@ -64,7 +73,13 @@
         let mut unused_allowance = 0;
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
+            let Sample {
+                latency, result, ..
+            } = message.sample;
             admission::release(&mut self.tables, &execution, message.sample, now());
+            let subject = Subject::of_execution(&execution);
+            record::executed(&mut self.tables, &subject, result, latency);
+            record::evicted(&mut self.tables);
         }
         Closing {
             unused_allowance,
--- a/crates/tallybridge-node/src/actor/mod.rs
+++ b/crates/tallybridge-node/src/actor/mod.rs
@@ -34,6 +34,7 @@
 
     async fn handle(&mut self, _tick: Tick, _context: &mut Context<Self>) {
         systems::tick::run(&mut self.tables, now());
+        systems::record::evicted(&mut self.tables);
     }
 }
 
--- a/crates/tallybridge-node/src/actor/status.rs
+++ b/crates/tallybridge-node/src/actor/status.rs
@@ -44,7 +44,10 @@
     pub admitted_from: Option<String>,
     /// Whether this node is still learning who is in the fleet.
     pub joining: bool,
-    /// The fleet as this node sees it.
+    /// Number of live members that this node knows, itself included.
+    pub live_members: usize,
+    /// The fleet as this node sees it; left out where each node tells of itself only.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<MemberStatus>,
 }
 
@@ -104,6 +107,46 @@
     type Return = Status;
 
     async fn handle(&mut self, _message: GetStatus, _context: &mut Context<Self>) -> Status {
+        let members = self.tables.members.members();
+        Status {
+            members: members.map(MemberStatus::of).collect(),
+            ..self.own_status()
+        }
+    }
+}
+
+/// Asks for what this node says about itself, without the other members.
+pub struct GetOwnStatus;
+
+impl Handler<GetOwnStatus> for NodeActor {
+    type Return = Status;
+
+    async fn handle(&mut self, _message: GetOwnStatus, _context: &mut Context<Self>) -> Status {
+        self.own_status()
+    }
+}
+
+/// Asks for the live members besides this node.
+pub struct OtherMembers;
+
+impl Handler<OtherMembers> for NodeActor {
+    type Return = Vec<NodeId>;
+
+    async fn handle(
+        &mut self,
+        _message: OtherMembers,
+        _context: &mut Context<Self>,
+    ) -> Vec<NodeId> {
+        let members = self.tables.members.members();
+        members
+            .filter(|record| record.health.is_live() && record.node != self.tables.identity)
+            .map(|record| record.node)
+            .collect()
+    }
+}
+
+impl NodeActor {
+    fn own_status(&self) -> Status {
         let tables = &self.tables;
         let membership = tables.members.status();
         let confirmed = tables.configuration.confirmed();
@@ -128,7 +171,8 @@
                 .admitted_from()
                 .map(|class| class.to_string()),
             joining: membership.catching_up,
-            members: tables.members.members().map(MemberStatus::of).collect(),
+            live_members: membership.alive + membership.suspect + membership.leaving,
+            members: Vec::new(),
         }
     }
 }
@@ -138,18 +182,6 @@
     Some(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// Adds a decision to the log.
-pub struct Record(pub Decision);
-
-impl Handler<Record> for NodeActor {
-    type Return = ();
-
-    async fn handle(&mut self, Record(mut decision): Record, _context: &mut Context<Self>) {
-        decision.revision = self.tables.configuration.revision().0;
-        self.tables.decisions.push(decision);
-    }
-}
-
 /// Asks for the decisions about one request.
 pub struct Explain(pub String);
 
--- a/crates/tallybridge-node/src/connections/admin.rs
+++ b/crates/tallybridge-node/src/connections/admin.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use warp::Filter;
 
 use crate::{
-    actor::status::{Explain, GetStatus},
+    actor::status::{GetOwnStatus, GetStatus},
+    connections::fleet::{explain_here, explain_in_fleet, status_in_fleet},
     context::NodeContext,
 };
 
@@ -26,6 +27,14 @@
     pub leave: CancellationToken,
 }
 
+/// Who is asked.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct Scope {
+    /// The whole fleet instead of this node alone.
+    #[serde(default)]
+    fleet: bool,
+}
+
 /// Serves operators until the node stops.
 pub async fn serve_operators(admin: Admin, listener: TcpListener) {
     let shutdown = admin.context.shutdown.clone();
@@ -38,12 +47,24 @@
     let status = warp::path!("status")
         .and(warp::get())
         .and(with_admin.clone())
-        .then(|admin: Arc<Admin>| async move { reply(admin.context.ask(GetStatus).await) });
+        .and(warp::query::<Scope>())
+        .then(|admin: Arc<Admin>, scope: Scope| async move {
+            if scope.fleet {
+                reply(status_in_fleet(&admin.context).await)
+            } else {
+                reply(admin.context.ask(GetStatus).await)
+            }
+        });
     let explain = warp::path!("explain" / String)
         .and(warp::get())
         .and(with_admin.clone())
-        .then(|request_id, admin: Arc<Admin>| async move {
-            reply(admin.context.ask(Explain(request_id)).await)
+        .and(warp::query::<Scope>())
+        .then(|request_id, admin: Arc<Admin>, scope: Scope| async move {
+            if scope.fleet {
+                reply(explain_in_fleet(&admin.context, request_id).await)
+            } else {
+                reply(explain_here(&admin.context, request_id).await)
+            }
         });
     let metrics = warp::path!("metrics")
         .and(warp::get())
@@ -65,7 +86,7 @@
 }
 
 async fn ready(admin: &Admin) -> StatusCode {
-    match admin.context.ask(GetStatus).await {
+    match admin.context.ask(GetOwnStatus).await {
         Ok(status) if status.ready && !status.leaving => StatusCode::OK,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod catch_up;
 pub mod discovery;
+pub mod fleet;
 pub mod gossip;
 pub mod peer;
 pub mod store;
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -6,8 +6,8 @@
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
-    Message, StreamId,
+    CallHead, ConfigurationFetch, ConfigurationRecords, ExplainFetch, Frame, FrameCodec, Hello,
+    JsonReport, Message, StreamId,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -23,6 +23,7 @@
         configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
+    connections::fleet,
     context::NodeContext,
     path::{Executed, execute},
     tables::configuration::ConfigurationUpdate,
@@ -128,6 +129,8 @@
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
             Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
+            Ok(Message::ExplainFetch(fetch)) => self.send_explanation(stream, &fetch).await,
+            Ok(Message::StatusFetch) => self.send_status(stream).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
             Ok(other) => {
                 tracing::warn!(
@@ -211,6 +214,21 @@
         self.reply(stream, configuration_message(&update)).await;
     }
 
+    async fn send_explanation(&self, stream: StreamId, fetch: &ExplainFetch) {
+        let request_id = fetch.request_id.to_string_lossy();
+        if let Ok(decisions) = fleet::explain_here(&self.context, request_id).await {
+            let message = Message::ExplainRecords(fleet::report(&decisions));
+            self.reply(stream, message).await;
+        }
+    }
+
+    async fn send_status(&self, stream: StreamId) {
+        if let Ok(status) = fleet::status_here(&self.context).await {
+            let message = Message::StatusRecords(fleet::report(&status));
+            self.reply(stream, message).await;
+        }
+    }
+
     async fn reply(&self, stream: StreamId, message: Message) {
         // A closed connection needs no answer.
         let _ = self.sender.send(Frame::new(stream, message)).await;
--- a/crates/tallybridge-node/src/systems/admission.rs
+++ b/crates/tallybridge-node/src/systems/admission.rs
@@ -177,6 +177,7 @@
     admission
         .level
         .record_refused(applicant.execution.criticality);
+    admission.note_evicted(&applicant.execution, &refusal);
     // Nobody is left to tell when the receiver is gone.
     let _ = applicant.reply.send(Err(refusal));
 }
--- a/crates/tallybridge-node/src/systems/mod.rs
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -3,5 +3,6 @@
 pub mod admission;
 pub mod begin;
 pub mod membership;
+pub mod record;
 pub mod retry;
 pub mod tick;
--- a/crates/tallybridge-node/src/tables/admission.rs
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::executions::Execution;
+use crate::systems::record::Subject;
 
 /// Answers a call that waits in the queue: the granted attempt, or why it was refused.
 pub type AdmissionReply = oneshot::Sender<Result<tallybridge_core::AttemptId, Refusal>>;
@@ -66,6 +67,17 @@
     pub level: AdmissionLevel,
     /// Slots by template.
     pub templates: BTreeMap<TemplateName, TemplateSlots>,
+    /// Calls taken out of the queue without a slot that are not in the decision log yet.
+    pub evicted: Vec<Evicted>,
+}
+
+/// A call that waited and was refused.
+#[derive(Debug, Clone)]
+pub struct Evicted {
+    /// The request.
+    pub subject: Subject,
+    /// Why.
+    pub refusal: Refusal,
 }
 
 impl Admission {
@@ -85,9 +97,18 @@
             queue: AdmissionQueue::new(QueueSettings::default()),
             level: AdmissionLevel::new(LevelSettings::default()),
             templates: BTreeMap::new(),
+            evicted: Vec::new(),
         }
     }
 
+    /// Notes that a call that waited is refused, for the decision log.
+    pub fn note_evicted(&mut self, execution: &Execution, refusal: &Refusal) {
+        self.evicted.push(Evicted {
+            subject: Subject::of_execution(execution),
+            refusal: refusal.clone(),
+        });
+    }
+
     /// The load to report on an answer.
     #[must_use]
     pub fn load_report(&self, leaving: bool) -> LoadReport {
--- a/crates/tallybridge/src/command_line/admin.rs
+++ b/crates/tallybridge/src/command_line/admin.rs
@@ -49,10 +49,26 @@
     pub queued: u64,
     /// Least critical class that is admitted.
     pub admitted_from: Option<String>,
+    /// Number of live nodes that it knows.
+    pub live_members: u64,
+    /// Time since it last knew that its revision was the newest, in milliseconds.
+    pub configuration_confirmed_ms_ago: Option<u64>,
+    /// A revision that it does not put in force.
+    pub configuration_refused: Option<RefusedRevision>,
     /// Nodes that it knows.
     pub peers: Vec<Value>,
 }
 
+/// A revision that a node does not put in force, as far as this program shows it.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct RefusedRevision {
+    /// The revision.
+    pub revision: u64,
+    /// Why.
+    pub reason: String,
+}
+
 /// One decision about a request.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
--- a/crates/tallybridge/src/command_line/config/apply.rs
+++ b/crates/tallybridge/src/command_line/config/apply.rs
@@ -43,10 +43,11 @@
     comment: String,
     #[command(flatten)]
     store: StoreArguments,
-    /// Wait until the revision is in force at the nodes of --admin, this many seconds at most.
+    /// Wait until the revision is in force at every node that the nodes of --admin know, this many
+    /// seconds at most.
     #[arg(long, requires = "admin", value_name = "SECONDS")]
     wait: Option<u64>,
-    /// Admin address of a node to wait for; give it once for each node, or several with commas.
+    /// Admin address of a node, which asks the others; several with commas, in case one is away.
     #[arg(long, requires = "wait", value_name = "ADDRESS", value_delimiter = ',')]
     admin: Vec<SocketAddr>,
     /// Identity of the change, as a report of an unsettled change names it: finds out whether that
--- a/crates/tallybridge/src/command_line/config/in_force.rs
+++ b/crates/tallybridge/src/command_line/config/in_force.rs
@@ -2,19 +2,22 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use serde::Deserialize;
 use tallybridge_config::Revision;
 use tallybridge_core::ErrorKind;
 use tokio::time::Instant;
 
 use crate::command_line::{
     Failure,
-    admin::{AdminClient, NodeAnswer, NodeStatus},
+    admin::{AdminClient, NodeStatus},
+    fleet::{FleetReport, FleetRow},
 };
 
 /// Time between two rounds of questions.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Asks the nodes until each has the revision or a later one.
+/// Asks until each node of the fleet has the revision or a later one. The nodes at the addresses
+/// ask the others.
 ///
 /// # Errors
 ///
@@ -27,13 +30,18 @@
     let client = AdminClient::new(addresses)?;
     let deadline = Instant::now() + longest;
     loop {
-        let answers = client.get("/status").await;
-        let lagging: Vec<_> = answers
+        let answers = client.get("/status?fleet=true").await;
+        let fleet = FleetReport::gather(&answers);
+        let mut lagging: Vec<_> = fleet
+            .rows
             .iter()
-            .filter_map(|answer| lag(answer, revision))
+            .filter_map(|row| lag(row, revision))
             .collect();
-        let reached = answers.len() - lagging.len();
-        let count = format!("in force at {reached} of {} nodes", answers.len());
+        let silent = fleet.silent.iter();
+        lagging.extend(silent.map(|(node, reason)| format!("{node}: {reason}")));
+        let nodes = fleet.rows.len() + fleet.silent.len();
+        let reached = nodes - lagging.len();
+        let count = format!("in force at {reached} of {nodes} nodes");
         if lagging.is_empty() {
             return Ok(format!("revision {revision} is {count}\n"));
         }
@@ -50,11 +58,17 @@
 }
 
 /// How a node lags, if it does.
-fn lag(answer: &NodeAnswer, revision: Revision) -> Option<String> {
-    let address = answer.address;
-    match answer.read::<NodeStatus>() {
-        Ok(status) if status.revision >= revision.0 => None,
-        Ok(status) => Some(format!("{address} is at revision {}", status.revision)),
-        Err(error) => Some(format!("{address}: {error}")),
+fn lag(row: &FleetRow, revision: Revision) -> Option<String> {
+    let status = match NodeStatus::deserialize(&row.value) {
+        Ok(status) => status,
+        Err(error) => return Some(format!("{}: unexpected answer: {error}", row.node)),
+    };
+    if status.revision >= revision.0 {
+        return None;
     }
+    let at = format!("{} is at revision {}", row.node, status.revision);
+    Some(match status.configuration_refused {
+        Some(refused) => format!("{at} and refuses {}: {}", refused.revision, refused.reason),
+        None => at,
+    })
 }
--- a/crates/tallybridge/src/command_line/explain.rs
+++ b/crates/tallybridge/src/command_line/explain.rs
@@ -1,12 +1,14 @@
 //! `tallybridge explain`.
 
 use clap::Args;
+use serde::Deserialize;
 use serde_json::json;
 use tallybridge_core::ErrorKind;
 
 use super::{
     Failure,
-    admin::{AdminArguments, AdminClient, NodeAnswer, NodeDecision, unreachable},
+    admin::{AdminArguments, AdminClient, NodeDecision, unreachable},
+    fleet::{FleetReport, FleetRow},
     table::Table,
     utc::Utc,
 };
@@ -14,10 +16,11 @@
 const EXAMPLES: &str = "\
 Examples:
   tallybridge explain 0190f0c45a7e-0190f0c45a7e7cc39c1d2f0a6b1e4d55 \\
-      --admin 192.0.2.21:7403,192.0.2.22:7403
+      --admin 192.0.2.21:7403
 
-The request id is in the Tallybridge-Request-Id header of every answer. Nodes remember the latest
-requests only.";
+The node at the address asks the others. The request id is in the Tallybridge-Request-Id header of
+every answer. Nodes remember the latest refusals, those of each class apart, and everything about
+one of 64 requests.";
 
 /// Show what was decided for one request, where and why.
 #[derive(Debug, Args)]
@@ -39,12 +42,13 @@
         let path = self.path()?;
         let client = AdminClient::new(&self.admin.addresses)?;
         let answers = client.get(&path).await;
+        let report = FleetReport::gather(&answers);
         let output = if self.json {
-            json_lines(&answers)
+            json_lines(&report.rows)
         } else {
-            table(&answers)?
+            table(&report.rows)?
         };
-        match unreachable(&answers) {
+        match unreachable(&answers).or_else(|| report.incomplete()) {
             Some(failure) => {
                 super::print(&output)?;
                 Err(failure)
@@ -59,7 +63,7 @@
         let is_id =
             characters.all(|character| character.is_ascii_alphanumeric() || character == '-');
         if is_id && !self.request_id.is_empty() {
-            return Ok(format!("/explain/{}", self.request_id));
+            return Ok(format!("/explain/{}?fleet=true", self.request_id));
         }
         let detail = format!(
             "{:?} is no request id: it has letters, digits and dashes only",
@@ -78,40 +82,35 @@
     }
 }
 
-fn json_lines(answers: &[NodeAnswer]) -> String {
-    let mut lines = String::new();
-    for answer in answers {
-        let decisions = answer.answer.as_ref().ok();
-        let decisions = decisions.and_then(|decisions| decisions.as_array());
-        for decision in decisions.into_iter().flatten() {
-            let line = json!({ "admin": answer.address, "decision": decision });
-            lines += &format!("{line}\n");
-        }
-    }
-    lines
+fn json_lines(rows: &[FleetRow]) -> String {
+    let lines = rows.iter().map(|row| {
+        let line = json!({ "admin": row.admin, "decision": row.value });
+        format!("{line}\n")
+    });
+    lines.collect()
 }
 
-fn table(answers: &[NodeAnswer]) -> Result<String, Failure> {
+fn table(rows: &[FleetRow]) -> Result<String, Failure> {
     let mut decisions = Vec::new();
-    for answer in answers.iter().filter(|answer| answer.answer.is_ok()) {
-        let read: Vec<NodeDecision> = answer.read().map_err(|error| {
-            let detail = format!("{}: {error}", answer.address);
+    for row in rows {
+        let decision = NodeDecision::deserialize(&row.value).map_err(|error| {
+            let detail = format!("{}: unexpected answer: {error}", row.node);
             Failure::new(ErrorKind::NodeUnavailable, detail)
         })?;
-        decisions.extend(read.into_iter().map(|decision| (answer.address, decision)));
+        decisions.push((&row.node, decision));
     }
     if decisions.is_empty() {
         return Ok(String::new());
     }
     decisions.sort_by_key(|(_, decision)| decision.unix_ms);
-    let mut table = Table::new(["TIME", "ADMIN", "PHASE", "REVISION", "DECISION"]);
-    for (address, decision) in decisions {
+    let mut table = Table::new(["TIME", "NODE", "PHASE", "REVISION", "DECISION"]);
+    for (node, decision) in decisions {
         let time = Utc {
             unix_ms: decision.unix_ms,
         };
         table.push([
             time.to_string(),
-            address.to_string(),
+            node.clone(),
             decision.phase,
             decision.revision.to_string(),
             decision.decision,
--- a/crates/tallybridge/src/command_line/mod.rs
+++ b/crates/tallybridge/src/command_line/mod.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod failure;
 mod files;
+mod fleet;
 mod logging;
 mod node;
 mod status;
