--- a/crates/tallybridge/tests/command_line/node_commands.rs
+++ b/crates/tallybridge/tests/command_line/node_commands.rs
@@ -1,6 +1,8 @@
 //! `status` and `explain` against stand-ins of nodes' admin addresses.
 
-use crate::support::{Node, tallybridge};
+use serde_json::json;
+
+use crate::support::{FleetNode, Node, tallybridge};
 
 /// An address at which nothing listens.
 async fn gone() -> String {
@@ -101,3 +103,53 @@
         .refusal(64);
     assert!(report.contains("is no request id"), "{report}");
 }
+
+#[tokio::test]
+async fn one_address_shows_the_fleet_with_who_lags_and_who_is_silent() {
+    let status = |node: &str, revision: u64| {
+        json!({ "node": node, "ready": true, "revision": revision, "limit": 8, "live_members": 3,
+            "configuration_confirmed_ms_ago": 40 })
+    };
+    let nodes = [status("127.0.0.1:1/0a", 7), status("127.0.0.1:2/0b", 6)];
+    let whole = FleetNode::start(json!({ "nodes": nodes, "unanswered": [] })).await;
+    let partial =
+        FleetNode::start(json!({ "nodes": [nodes[0]], "unanswered": ["127.0.0.1:2/0b"] })).await;
+
+    let both = format!("{},{}", whole.address, partial.address);
+    let run = tallybridge(&["status", "--fleet", "--admin", &both]).await;
+    let table = run.output();
+    assert_eq!(table.lines().count(), 5, "{table}");
+    assert!(
+        table.ends_with(
+            "revision 7 is in force at 1 of 2 nodes\n\
+             lagging: 127.0.0.1:2/0b is at revision 6, last confirmed 40 ms ago\n"
+        ),
+        "{table}"
+    );
+
+    let admin = partial.address.to_string();
+    let run = tallybridge(&["status", "--fleet", "--admin", &admin]).await;
+    assert!(run.stdout.contains("1 of 2 nodes"), "{run:?}");
+    let report = run.refusal(87);
+    assert!(report.contains("127.0.0.1:2/0b: no answer"), "{report}");
+}
+
+#[tokio::test]
+async fn explain_shows_a_decision_once_however_many_nodes_tell_it() {
+    let decision = |node: &str, unix_ms: u64| {
+        json!({ "node": node, "request_id": "0190-1", "unix_ms": unix_ms, "phase": "entry",
+            "decision": "refused", "revision": 4 })
+    };
+    let rows = [decision("127.0.0.1:1/0a", 5), decision("127.0.0.1:2/0b", 5)];
+    let answer = json!({ "decisions": rows, "unanswered": [] });
+    let (one, other) = (
+        FleetNode::start(answer.clone()).await,
+        FleetNode::start(answer).await,
+    );
+    let admin = format!("{},{}", one.address, other.address);
+    let run = tallybridge(&["explain", "0190-1", "--admin", &admin]).await;
+    let table = run.output();
+    assert_eq!(table.lines().count(), 3, "{table}");
+    assert!(table.contains("127.0.0.1:1/0a"), "{table}");
+    assert!(table.contains("127.0.0.1:2/0b"), "{table}");
+}
--- a/crates/tallybridge/tests/command_line/support.rs
+++ b/crates/tallybridge/tests/command_line/support.rs
@@ -137,3 +137,25 @@
         self.revision.store(revision, Ordering::SeqCst);
     }
 }
+
+/// The admin address of a node that gives the same answer about the fleet to every question.
+pub struct FleetNode {
+    pub address: SocketAddr,
+}
+
+impl FleetNode {
+    pub async fn start(answer: serde_json::Value) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("the system gives a port");
+        let address = listener.local_addr().expect("the listener has an address");
+        let route = warp::any()
+            .and(warp::query::raw())
+            .and_then(async |query: String| match query.as_str() {
+                "fleet=true" => Ok(()),
+                _ => Err(warp::reject::not_found()),
+            })
+            .map(move |()| warp::reply::json(&answer));
+        tokio::spawn(warp::serve(route).incoming(listener).run());
+        Self { address }
+    }
+}
