node: bound updates to peers and don't confirm past a refused revision

An update above the largest payload closed the link; as many records go as fit, and a document that does not fit is left to the store. A node that refuses a revision fetched it again with every datagram; now at most twice a second. While a revision is refused nothing counts as a confirmation that the one in force is the newest.

--- a/crates/tallybridge-node/src/connections/catch_up.rs
+++ b/crates/tallybridge-node/src/connections/catch_up.rs
@@ -16,6 +16,9 @@
 
 /// Longest time for a member to answer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time to wait once no member could help, so that what this node refuses or can't read is not
+/// fetched with each datagram.
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Why a fetch brought nothing new.
 #[derive(Debug, thiserror::Error)]
@@ -51,7 +54,7 @@
 }
 
 /// Asks the members that are ahead, in random order so that the fleet does not fall upon one, until
-/// none is left. One that fails is left out until it is heard from again.
+/// none is left or none could help. One that fails is left out until it is heard from again.
 async fn ask_members(context: &NodeContext, random: &mut SmallRng) -> Result<(), FetchError> {
     loop {
         let ahead = context.ask(MembersAhead).await;
@@ -60,22 +63,32 @@
             return Ok(());
         }
         ahead.shuffle(random);
-        for node in ahead {
-            let fetched = tokio::select! {
-                biased;
-                () = context.shutdown.cancelled() => return Err(FetchError::Stopping),
-                fetched = fetch(context, node) => fetched,
-            };
-            match fetched {
-                Ok(_) => break,
-                Err(FetchError::Stopping) => return Err(FetchError::Stopping),
-                Err(error) => {
-                    tracing::debug!(%node, %error, "configuration was not fetched");
-                    let _ = context.ask(ForgetAhead(node)).await;
-                }
+        let asked = tokio::select! {
+            biased;
+            () = context.shutdown.cancelled() => return Err(FetchError::Stopping),
+            asked = ask_in_turn(context, ahead) => asked,
+        };
+        if !asked? {
+            tokio::time::sleep(PAUSE).await;
+            return Ok(());
+        }
+    }
+}
+
+/// Asks one member after the other until one has brought something new; `false` when none has.
+async fn ask_in_turn(context: &NodeContext, members: Vec<NodeId>) -> Result<bool, FetchError> {
+    for node in members {
+        match fetch(context, node).await {
+            Ok(_) => return Ok(true),
+            Err(FetchError::Stopping) => return Err(FetchError::Stopping),
+            Err(error) => {
+                tracing::debug!(%node, %error, "configuration was not fetched");
+                let forgotten = context.ask(ForgetAhead(node)).await;
+                forgotten.map_err(|_| FetchError::Stopping)?;
             }
         }
     }
+    Ok(false)
 }
 
 /// Fetches what this node lacks from one member and gives the revision that is in force then.
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -7,7 +7,7 @@
 use tallybridge_config::{Revision, RevisionRecord};
 use tallybridge_wire::{
     CallHead, ConfigurationFetch, ConfigurationRecords, ExplainFetch, Frame, FrameCodec, Hello,
-    JsonReport, Message, StreamId,
+    Message, StreamId,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -16,6 +16,7 @@
     body::{BodyAssembly, send_body},
     call::answer_head,
     network::PeerStream,
+    update::update_message,
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
@@ -26,7 +27,6 @@
     connections::fleet,
     context::NodeContext,
     path::{Executed, execute},
-    tables::configuration::ConfigurationUpdate,
 };
 
 /// Accepts peers until the node stops.
@@ -211,7 +211,7 @@
         let Ok(update) = self.context.ask(UpdateAfter(Revision(fetch.after))).await else {
             return;
         };
-        self.reply(stream, configuration_message(&update)).await;
+        self.reply(stream, update_message(&update)).await;
     }
 
     async fn send_explanation(&self, stream: StreamId, fetch: &ExplainFetch) {
@@ -245,21 +245,6 @@
     }
 }
 
-/// The message that brings a peer up to date. One that can't be written is empty, and the peer
-/// asks another member.
-fn configuration_message(update: &ConfigurationUpdate) -> Message {
-    match update {
-        ConfigurationUpdate::Records(records) => {
-            let json = serde_json::to_vec(records).unwrap_or_default();
-            Message::ConfigurationRecords(ConfigurationRecords::new(json))
-        }
-        ConfigurationUpdate::Snapshot(document) => {
-            let json = serde_json::to_vec(&**document).unwrap_or_default();
-            Message::ConfigurationSnapshot(JsonReport::new(json))
-        }
-    }
-}
-
 /// Sends an answer; when the connection is gone the entry node has found that out already.
 async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
     let head = Message::Answer(answer_head(executed));
--- a/crates/tallybridge-node/src/connections/peer/mod.rs
+++ b/crates/tallybridge-node/src/connections/peer/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod links;
 pub mod network;
+pub mod update;
 pub mod writer;
 
 /// Why a peer gave no answer.
--- a/crates/tallybridge-node/src/tables/configuration.rs
+++ b/crates/tallybridge-node/src/tables/configuration.rs
@@ -222,7 +222,9 @@
     /// Takes in which revision a member has; `true` when it is ahead of this node.
     pub fn hear_peer(&mut self, node: NodeId, revision: Revision, now: Instant) -> bool {
         if revision <= self.revision() {
-            self.peer_confirmed = Some(now);
+            if self.refused.is_none() {
+                self.peer_confirmed = Some(now);
+            }
             return false;
         }
         if self.ahead.len() < MOST_AHEAD || self.ahead.contains_key(&node) {
@@ -244,7 +246,7 @@
 
     /// The store has said that there is nothing after this revision.
     pub fn confirm_by_store(&mut self, revision: Revision, now: Instant) {
-        if revision >= self.revision() {
+        if revision == self.revision() && self.refused.is_none() {
             self.store_confirmed = Some(now);
         }
     }
