--- a/crates/tallybridge-integration/tests/configuration.rs
+++ b/crates/tallybridge-integration/tests/configuration.rs
@@ -11,7 +11,10 @@
     prelude::*,
     test_runner::{RngAlgorithm, RngSeed},
 };
-use support::fleet::{Fleet, TIMES, fold};
+use support::{
+    fleet::{Fleet, TIMES, fold},
+    switch::Cut,
+};
 use tallybridge_config::{Edit, Revision, RevisionRecord, Tenant, revision::record_key};
 use tallybridge_core::TenantName;
 use tallybridge_lab::standin::store::{FaultOrder, LossManner, OutageManner};
@@ -41,7 +44,7 @@
     },
     Slow(u64),
     Restart(usize),
-    Cut(usize),
+    Cut(usize, Cut),
     Heal,
     /// A watcher that was paused sends what it read long ago.
     OldSnapshot {
@@ -65,7 +68,8 @@
         1 => (1..8_u32).prop_map(|after| Step::LateWrite { after }),
         1 => (0..60_u64).prop_map(Step::Slow),
         2 => (0..NODES).prop_map(Step::Restart),
-        1 => (0..NODES).prop_map(Step::Cut),
+        1 => (0..NODES, prop_oneof![Just(Cut::Links), Just(Cut::All)])
+            .prop_map(|(node, cut)| Step::Cut(node, cut)),
         1 => Just(Step::Heal),
         2 => (0..NODES, 0..=100_usize).prop_map(|(node, per_cent)| Step::OldSnapshot { node, per_cent }),
         2 => (0..NODES, 0..=100_usize).prop_map(|(node, per_cent)| Step::Records { node, per_cent }),
@@ -106,7 +110,7 @@
                 self.fleet.restart(node).await;
                 self.seen[node] = Revision::default();
             }
-            Step::Cut(node) => self.fleet.switch.cut(self.fleet.address(node)),
+            Step::Cut(node, cut) => self.fleet.switch.cut(self.fleet.address(node), cut),
             Step::Heal => self.fleet.switch.heal(),
             Step::OldSnapshot { node, per_cent } => {
                 let log = self.fleet.log();
@@ -284,7 +288,7 @@
         outage_ms: Some(600_000),
         ..FaultOrder::default()
     });
-    fleet.switch.cut(fleet.address(0));
+    fleet.switch.cut(fleet.address(0), Cut::All);
     fleet.restart(1).await;
     let call = |node: usize| {
         let address = fleet.settings[node].caller_address;
--- a/crates/tallybridge-integration/tests/support/fleet.rs
+++ b/crates/tallybridge-integration/tests/support/fleet.rs
@@ -9,7 +9,7 @@
 use tallybridge_core::{RegionName, TenantName, ZoneName};
 use tallybridge_lab::standin::store::{StoreOptions, StoreStandin};
 use tallybridge_node::{
-    NodeOptions, RunningNode, StoreTimes,
+    NodeParts, RunningNode, StoreTimes,
     actor::{
         configuration::{CurrentDocument, CurrentRevision},
         status::{GetStatus, Status},
@@ -83,14 +83,15 @@
 
     async fn start_node(&self, position: usize) -> RunningNode {
         let settings = &self.settings[position];
-        let options = NodeOptions {
+        let parts = NodeParts {
             network: self.switch.network_of(settings.peer_address),
             store_times: self.times,
+            ..NodeParts::real(settings).expect("an HTTP client")
         };
         let started = async {
             loop {
                 // The run before may not have let go of the addresses yet.
-                if let Ok(node) = start_with(settings.clone(), options.clone()).await {
+                if let Ok(node) = start_with(settings.clone(), parts.clone()).await {
                     return node;
                 }
                 tokio::time::sleep(POLL).await;
--- a/crates/tallybridge-lab/src/run/round.rs
+++ b/crates/tallybridge-lab/src/run/round.rs
@@ -1,6 +1,7 @@
 //! One round: one policy deployed, driven, ended and read out.
 
 use std::{
+    io::Write,
     path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
@@ -14,7 +15,7 @@
 use crate::{
     checker::History,
     fault::run_faults,
-    load::{Arrival, Driver, ProbeRecord},
+    load::{Arrival, Driver, ProbeRecord, RequestRecord},
     policy::Policy,
     process::{Deployment, ProcessError},
     scenario::Scenario,
@@ -27,6 +28,9 @@
 /// Time after the last answer for executions that were given up to be written down.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// File with what callers recorded, beside the back ends' logs.
+const REQUESTS_FILE: &str = "requests.jsonl";
+
 /// Why a round can't be run.
 #[derive(Debug, Error, Diagnostic)]
 pub enum RunError {
@@ -64,6 +68,15 @@
     pub probes: Vec<ProbeRecord>,
 }
 
+/// Records are appended, so those of an earlier run would be taken for this one's.
+fn create_fresh(directory: &Path) -> std::io::Result<()> {
+    std::fs::create_dir(directory).map_err(|error| {
+        let path = directory.display();
+        let mend = "keep the files of each run in a directory of its own";
+        std::io::Error::new(error.kind(), format!("{path}: {error}: {mend}"))
+    })
+}
+
 impl Round {
     /// Deploys, drives, ends and reads out.
     ///
@@ -74,8 +87,9 @@
         let temporary;
         let directory = match &self.keep_files {
             Some(directory) => {
+                std::fs::create_dir_all(directory)?;
                 let directory = directory.join(format!("{}-{}", self.policy, self.number));
-                std::fs::create_dir_all(&directory)?;
+                create_fresh(&directory)?;
                 directory
             }
             None => {
@@ -109,10 +123,14 @@
         tokio::time::sleep(SETTLE).await;
         progress.set_message("reading records");
         let executions = read_all(&deployment)?;
+        if self.keep_files.is_some() {
+            write_requests(directory, &load.requests)?;
+        }
         drop(deployment);
         for fault in &faults.faults {
             if let Some(failure) = &fault.failure {
-                progress.println(format!("fault {:?}: {failure}", fault.fault.action));
+                // `ProgressBar::println` says nothing where there is no terminal.
+                progress.suspend(|| eprintln!("fault {:?}: {failure}", fault.fault.action));
             }
         }
         progress.finish_and_clear();
@@ -151,6 +169,17 @@
     }
 }
 
+/// Writes what callers recorded, a request a line.
+fn write_requests(directory: &Path, requests: &[RequestRecord]) -> std::io::Result<()> {
+    let file = std::fs::File::create(directory.join(REQUESTS_FILE))?;
+    let mut output = std::io::BufWriter::new(file);
+    for request in requests {
+        serde_json::to_writer(&mut output, request)?;
+        output.write_all(b"\n")?;
+    }
+    output.flush()
+}
+
 fn read_all(deployment: &Deployment) -> std::io::Result<Vec<Execution>> {
     let mut executions = Vec::new();
     for machine in &deployment.machines {
--- a/crates/tallybridge-membership/tests/partition.rs
+++ b/crates/tallybridge-membership/tests/partition.rs
@@ -144,3 +144,84 @@
     });
     assert!(spread.is_some());
 }
+
+/// Cuts a zone off all others in both directions.
+fn cut_off(network: &mut Network, zone: usize) {
+    for other in (0..ZONES).filter(|other| *other != zone) {
+        network.cut(zone, other);
+        network.cut(other, zone);
+    }
+}
+
+#[test]
+fn a_short_cut_of_a_whole_zone_ends_no_member() {
+    let mut network = settled(40);
+    deaths(&mut network);
+    cut_off(&mut network, 1);
+    network.run(Duration::from_secs(8));
+    network.make_whole();
+    network.run(SETTLE);
+    truth::assert_agrees(&network);
+    assert_eq!(deaths(&mut network), 0);
+}
+
+#[test]
+fn processes_that_stood_still_hold_nobody_dead_for_it() {
+    const STILL: [usize; 3] = [1, 5, 9];
+    let mut network = settled(12);
+    cut_off(&mut network, 1);
+    network.run(Duration::from_secs(6));
+    STILL.iter().for_each(|slot| network.freeze(*slot));
+    network.weather.cuts.clear();
+    network.run(SETTLE);
+    deaths(&mut network);
+    network.make_whole();
+    network.run(SETTLE);
+    truth::assert_agrees(&network);
+    assert_eq!(deaths(&mut network), 0);
+}
+
+#[test]
+fn a_cut_between_two_zones_is_bridged_by_helpers_elsewhere() {
+    let mut network = settled(24);
+    deaths(&mut network);
+    network.cut(0, 1);
+    network.cut(1, 0);
+    network.run(Duration::from_secs(120));
+    let suspicions = network
+        .processes()
+        .flat_map(|process| &process.events)
+        .filter(|event| matches!(event, MemberEvent::Changed(record) if record.health == Health::Suspect))
+        .count();
+    assert_eq!(suspicions, 0);
+}
+
+#[test]
+fn a_storm_of_restarts_stays_within_the_bytes_allowed() {
+    const STORM: u64 = 120;
+    const RESTARTED: usize = 30;
+    const PROBE_BYTES_PER_SECOND: u64 = 2048;
+    let mut network = settled(40);
+    network.weather.loss = 0.1;
+    let sent = |network: &Network| -> Vec<u64> {
+        let lasting = &network.slots[RESTARTED..];
+        lasting.iter().map(|slot| slot.sent_bytes).collect()
+    };
+    let before = sent(&network);
+    for second in 0..STORM as usize {
+        for slot in 0..5 {
+            network.start((5 * second + slot) % RESTARTED);
+        }
+        network.run(Duration::from_secs(1));
+    }
+    let settings = &network.settings;
+    let allowed = u64::from(settings.bytes_per_second) + PROBE_BYTES_PER_SECOND;
+    let bound = allowed * STORM + u64::from(settings.burst_bytes);
+    for (after, before) in sent(&network).iter().zip(&before) {
+        assert!(
+            after - before <= bound,
+            "{} bytes of {bound}",
+            after - before
+        );
+    }
+}
--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -46,8 +46,26 @@
     pub route: Route,
 }
 
+impl CallPlan {
+    /// Whether each run of the call is claimed. The runs of an idempotent nested call are counted
+    /// by the attempt that makes it.
+    #[must_use]
+    pub fn is_claimed(&self) -> bool {
+        self.shared_key && (self.depth == 1 || !self.policy.idempotent)
+    }
+}
+
+/// A call that is refused before its first attempt.
+#[derive(Debug, Clone)]
+pub struct RefusedCall {
+    /// Why.
+    pub refusal: Refusal,
+    /// The call's key if attempts may exist under it that this node does not know of.
+    pub shared_key: Option<RequestKey>,
+}
+
 impl Handler<BeginCall> for NodeActor {
-    type Return = Result<CallPlan, Refusal>;
+    type Return = Result<CallPlan, RefusedCall>;
 
     async fn handle(
         &mut self,
@@ -59,7 +77,10 @@
             Ok(call) => call,
             Err(refusal) => {
                 record::refused_at_entry(&mut self.tables, &request, &refusal);
-                return Err(refusal);
+                return Err(RefusedCall {
+                    refusal,
+                    shared_key: begin::shared_key(&mut self.tables, &request),
+                });
             }
         };
         let id = self.tables.calls.insert(call.clone());
@@ -83,7 +104,10 @@
             Err(refusal) => {
                 record::refused_without_route(&mut self.tables, &call, &refusal);
                 self.end_call(id);
-                Err(refusal)
+                Err(RefusedCall {
+                    refusal,
+                    shared_key: begin::shared_key(&mut self.tables, &request),
+                })
             }
         }
     }
@@ -114,13 +138,38 @@
         if let Some(subject) = subject {
             record::attempt_ended(&mut self.tables, &subject, node, failure, &next);
         }
-        if !matches!(next, Next::Retry(_)) {
+        if matches!(next, Next::Answer | Next::Refuse(_)) {
             self.end_call(call);
         }
         next
     }
 }
 
+/// Chooses the node of the next attempt after a wait.
+pub struct ChooseNext(pub CallId);
+
+impl Handler<ChooseNext> for NodeActor {
+    type Return = Result<Route, Refusal>;
+
+    async fn handle(
+        &mut self,
+        ChooseNext(call): ChooseNext,
+        _context: &mut Context<Self>,
+    ) -> Self::Return {
+        let row = self.tables.calls.get_mut(call).map(|row| row.clone());
+        let route = retry::choose_route(&mut self.tables, call, now());
+        match (&route, row) {
+            (Ok(route), Some(row)) => record::begun(&mut self.tables, &row, route),
+            (Err(refusal), Some(row)) => {
+                record::refused_without_route(&mut self.tables, &row, refusal);
+                self.end_call(call);
+            }
+            (_, None) => {}
+        }
+        route
+    }
+}
+
 impl NodeActor {
     /// Takes a call out and gives its parent back what was lent and not spent.
     fn end_call(&mut self, id: CallId) {
@@ -131,6 +180,7 @@
             return;
         };
         if let Some(parent) = self.tables.executions.get_mut(parent) {
+            parent.nested_wait.end(now());
             parent
                 .allowance
                 .give_back(call.allowance.remaining(), call.lent_by_parent);
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -1,26 +1,29 @@
 //! Links that peers open to this node: their calls run here.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
+use tallybridge_core::NodeId;
 use tallybridge_wire::{
     CallHead, ConfigurationFetch, ConfigurationRecords, ExplainFetch, Frame, FrameCodec, Hello,
-    Message, StreamId,
+    Message, PartitionMapFetch, PartitionMapRecords, StreamId,
 };
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::sync::mpsc;
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
 
 use super::{
     body::{BodyAssembly, send_body},
     call::answer_head,
-    network::PeerStream,
+    introduction::Peer,
+    network::{PeerListener, PeerStream},
     update::update_message,
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
     actor::{
+        claims::{ClaimMessage, GetMapRecords},
         configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
@@ -30,7 +33,7 @@
 };
 
 /// Accepts peers until the node stops.
-pub async fn accept_peers(context: NodeContext, listener: TcpListener, hello: Hello) {
+pub async fn accept_peers(context: NodeContext, listener: Arc<dyn PeerListener>, hello: Hello) {
     loop {
         let accepted = tokio::select! {
             biased;
@@ -38,10 +41,8 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                // Without it small messages wait for acknowledgements; the link works all the same.
-                let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_peer(context.clone(), Box::new(stream), hello.clone()));
+            Ok(stream) => {
+                tokio::spawn(serve_peer(context.clone(), stream, hello.clone()));
             }
             Err(error) => tracing::warn!(%error, "a peer's connection was not accepted"),
         }
@@ -57,6 +58,8 @@
 /// One connection from a peer.
 struct PeerConnection {
     context: NodeContext,
+    /// Who is at the other end, once it has introduced itself.
+    peer: Option<NodeId>,
     sender: mpsc::Sender<Frame>,
     partial: HashMap<StreamId, PartialCall>,
     running: HashMap<StreamId, CancellationToken>,
@@ -78,6 +81,7 @@
     let (end, ended) = mpsc::unbounded_channel();
     let mut connection = PeerConnection {
         context,
+        peer: None,
         sender,
         partial: HashMap::new(),
         running: HashMap::new(),
@@ -123,7 +127,7 @@
     async fn take(&mut self, frame: Frame) {
         let stream = frame.stream;
         match frame.message {
-            Ok(Message::Hello(_)) => {}
+            Ok(Message::Hello(hello)) => self.introduce(&hello),
             Ok(Message::LeaveNotice) => self.leave().await,
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
@@ -132,6 +136,14 @@
             Ok(Message::ExplainFetch(fetch)) => self.send_explanation(stream, &fetch).await,
             Ok(Message::StatusFetch) => self.send_status(stream).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
+            Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
+            Ok(
+                message @ (Message::Claim(_)
+                | Message::ClaimQuery(_)
+                | Message::ClaimCopy(_)
+                | Message::ClaimRelease(_)
+                | Message::ClaimFinish(_)),
+            ) => self.vote(stream, message).await,
             Ok(other) => {
                 tracing::warn!(
                     kind = other.kind(),
@@ -145,6 +157,10 @@
         }
     }
 
+    fn introduce(&mut self, hello: &Hello) {
+        self.peer = Peer::of_hello(hello).map(|peer| peer.node);
+    }
+
     /// A peer has seen in the machine list that this node's machine is leaving.
     async fn leave(&self) {
         // Fails only when the node is stopping anyway.
@@ -234,6 +250,31 @@
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
 
+    /// Hands a message about claims to those that this node holds, and sends what they answer.
+    async fn vote(&self, stream: StreamId, message: Message) {
+        let Some(source) = self.peer else {
+            tracing::warn!("a peer spoke of claims before it introduced itself");
+            return;
+        };
+        let answer = self.context.ask(ClaimMessage { source, message }).await;
+        if let Ok(Some(answer)) = answer {
+            // A closed connection needs no answer.
+            let _ = self.sender.send(Frame::new(stream, answer)).await;
+        }
+    }
+
+    async fn send_map(&self, stream: StreamId, fetch: PartitionMapFetch) {
+        let reports_wanted = fetch.reports_wanted != 0;
+        let records = self.context.ask(GetMapRecords { reports_wanted }).await;
+        let json = records
+            .ok()
+            .and_then(|records| serde_json::to_vec(&records).ok())
+            .unwrap_or_default();
+        let message = Message::PartitionMapRecords(PartitionMapRecords::new(json));
+        // A closed connection needs no answer.
+        let _ = self.sender.send(Frame::new(stream, message)).await;
+    }
+
     async fn apply_records(&self, records: &ConfigurationRecords) {
         match serde_json::from_slice::<Vec<RevisionRecord>>(&records.json) {
             Ok(records) => {
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -25,6 +25,8 @@
     pub end: AttemptEnd,
     /// The answer, when there is one.
     pub answer: Option<WholeAnswer>,
+    /// Whether the outcome takes every attempt under the key into account.
+    pub outcome_settled: bool,
 }
 
 /// Runs one attempt to its end, at this node or at a peer.
@@ -35,7 +37,6 @@
     carried: &CarriedRequest,
     cancelled: &CancellationToken,
 ) -> Attempted {
-    let started = tokio::time::Instant::now();
     let head = call_head(plan, route, carried);
     let deadline = tokio::time::Instant::from_std(plan.deadline);
     let executing = async {
@@ -49,7 +50,7 @@
     };
     tokio::select! {
         biased;
-        executed = executing => ended(executed, started.elapsed()),
+        executed = executing => ended(executed),
         () = cancelled.cancelled() => without_answer(AttemptEnd::Cancelled),
         () = tokio::time::sleep_until(deadline) => {
             context.links.retire(route.node);
@@ -58,9 +59,9 @@
     }
 }
 
-fn ended(executed: Result<Executed, PeerFailure>, latency: Duration) -> Attempted {
+fn ended(executed: Result<Executed, PeerFailure>) -> Attempted {
     match executed {
-        Ok(executed) => answered(executed, latency),
+        Ok(executed) => answered(executed),
         Err(PeerFailure::NotSent(reason)) => without_answer(AttemptEnd::NotSent(not_sent(reason))),
         Err(PeerFailure::Lost(reason)) => {
             without_answer(AttemptEnd::Lost(Refusal::new(ErrorKind::PeerLost, reason)))
@@ -68,16 +69,18 @@
     }
 }
 
-fn answered(executed: Executed, latency: Duration) -> Attempted {
+fn answered(executed: Executed) -> Attempted {
     let closing = executed.closing;
-    match executed.result {
+    let outcome_settled = executed.outcome_settled;
+    let attempted = match executed.result {
         Ok(answer) => Attempted {
             end: AttemptEnd::Answered {
-                latency,
+                status: answer.status,
                 load: closing.load,
                 unused_allowance: closing.unused_allowance,
             },
             answer: Some(answer),
+            outcome_settled,
         },
         Err(refusal) => without_answer(AttemptEnd::Refused {
             refusal,
@@ -85,11 +88,19 @@
             load: closing.load,
             unused_allowance: closing.unused_allowance,
         }),
+    };
+    Attempted {
+        outcome_settled,
+        ..attempted
     }
 }
 
 const fn without_answer(end: AttemptEnd) -> Attempted {
-    Attempted { end, answer: None }
+    Attempted {
+        end,
+        answer: None,
+        outcome_settled: false,
+    }
 }
 
 fn not_sent(reason: String) -> Refusal {
@@ -103,12 +114,13 @@
     )
 }
 
-fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
+/// What the executing node is told of the call.
+pub(super) fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
     let policy = &plan.policy;
     CallHead {
         key_issued_unix_ms: plan.key.issued_unix_ms,
         key_digest: plan.key.digest,
-        claim_needed: u8::from(plan.shared_key && !policy.idempotent),
+        claim_needed: u8::from(plan.is_claimed()),
         max_runs: max_runs(policy),
         attempt: route.attempt,
         depth: plan.depth,
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -6,7 +6,7 @@
 use tallybridge_config::Settings;
 use tallybridge_core::{ErrorKind, InstanceId, NodeId, Refusal};
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::TcpListener,
     signal::unix::{SignalKind, signal},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -23,13 +23,14 @@
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
         catch_up::catch_up,
+        claims::{copies::copy_claims, map, planner::plan_partitions},
         discovery::follow_machine_list,
         gossip::gossip,
         peer::{
             accept::accept_peers,
             introduction::Peer,
             links::PeerLinks,
-            network::{Network, TcpNetwork},
+            network::{Network, SocketNetwork},
         },
         store::{StoreTimes, follow_configuration},
     },
@@ -84,21 +85,30 @@
     }
 }
 
-/// What may differ between a node in its process and one of many in a test.
+/// What a node is built on: sockets and HTTP in the program, parts in memory in tests and in a
+/// process that runs many nodes.
 #[derive(Clone)]
-pub struct NodeOptions {
-    /// How links to other nodes get their byte streams.
+pub struct NodeParts {
+    /// The way to other nodes.
     pub network: Arc<dyn Network>,
+    /// The back end beside the node, if it has one.
+    pub backend: Option<Arc<dyn BackendClient>>,
     /// Times of the work with the store.
     pub store_times: StoreTimes,
 }
 
-impl Default for NodeOptions {
-    fn default() -> Self {
-        Self {
-            network: Arc::new(TcpNetwork),
+impl NodeParts {
+    /// Sockets, and a back end that speaks HTTP.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when the HTTP library can't be set up.
+    pub fn real(settings: &Settings) -> Result<Self, Refusal> {
+        Ok(Self {
+            network: Arc::new(SocketNetwork),
+            backend: http_backend(settings)?,
             store_times: StoreTimes::default(),
-        }
+        })
     }
 }
 
@@ -108,55 +118,71 @@
 ///
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
-    start_with(settings, NodeOptions::default()).await
+    let parts = NodeParts::real(&settings)?;
+    start_with(settings, parts).await
 }
 
-/// Starts a node with other options than the usual ones.
+/// Starts a node on other parts than the usual ones.
 ///
 /// # Errors
 ///
 /// As [`start`].
-pub async fn start_with(settings: Settings, options: NodeOptions) -> Result<RunningNode, Refusal> {
-    let peer_listener = bind(settings.peer_address).await?;
-    let gossip_socket = UdpSocket::bind(settings.peer_address)
-        .await
-        .map_err(|error| bind_failed(settings.peer_address, &error))?;
+pub async fn start_with(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let store_times = parts.store_times;
     let caller_listener = bind(settings.caller_address).await?;
     let admin_listener = bind(settings.admin_address).await?;
+    let node = start_core(settings, parts).await?;
+    let admin = Admin {
+        context: node.context.clone(),
+        metrics: metrics_handle(),
+        leave: node.leave.clone(),
+    };
+    let background = &node.background;
+    background.spawn(serve_callers(node.context.clone(), caller_listener));
+    background.spawn(serve_operators(admin, admin_listener));
+    background.spawn(follow_machine_list(node.context.clone()));
+    background.spawn(follow_configuration(node.context.clone(), store_times));
+    background.spawn(map::follow_map(node.context.clone()));
+    background.spawn(plan_partitions(node.context.clone()));
+    Ok(node)
+}
+
+/// Starts a node's tables, systems and peer links, without callers, operators and the platform.
+///
+/// # Errors
+///
+/// A refusal when the peer address can't be bound.
+pub async fn start_core(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let peer_address = settings.peer_address;
+    let listener = parts.network.listen(peer_address).await;
+    let listener = listener.map_err(|error| bind_failed(peer_address, &error))?;
+    let socket = parts.network.bind_datagrams(peer_address).await;
+    let socket = socket.map_err(|error| bind_failed(peer_address, &error))?;
     let identity = NodeId {
-        address: settings.peer_address,
+        address: peer_address,
         instance: InstanceId::random(),
     };
     let hello = introduction(identity, &settings).hello();
-    let actor = spawn_actor(identity, &settings);
     let context = NodeContext {
         identity,
-        backend: http_backend(&settings)?,
+        backend: parts.backend,
+        actor: spawn_actor(identity, &settings),
         settings: Arc::new(settings),
-        actor,
-        links: PeerLinks::new(hello.clone(), options.network),
+        links: PeerLinks::new(hello.clone(), parts.network),
         calls: TaskTracker::new(),
         peer_ahead: Arc::default(),
         shutdown: CancellationToken::new(),
     };
-    let leave = CancellationToken::new();
-    let admin = Admin {
-        context: context.clone(),
-        metrics: metrics_handle(),
-        leave: leave.clone(),
-    };
     let background = TaskTracker::new();
     background.spawn(tick(context.clone()));
-    background.spawn(accept_peers(context.clone(), peer_listener, hello));
-    background.spawn(serve_callers(context.clone(), caller_listener));
-    background.spawn(serve_operators(admin, admin_listener));
-    background.spawn(gossip(context.clone(), gossip_socket));
-    background.spawn(follow_machine_list(context.clone()));
+    background.spawn(accept_peers(context.clone(), listener, hello));
+    background.spawn(gossip(context.clone(), socket));
     background.spawn(catch_up(context.clone()));
-    background.spawn(follow_configuration(context.clone(), options.store_times));
+    background.spawn(map::fetch_first_map(context.clone()));
+    background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
-        leave,
+        leave: CancellationToken::new(),
         background,
     })
 }
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -12,7 +12,10 @@
 };
 use tallybridge_limits::retry::Allowance;
 
-use crate::tables::{Tables, calls::Call, executions::Execution};
+use crate::{
+    systems::admission::overloaded,
+    tables::{Tables, calls::Call, executions::Execution},
+};
 
 /// What a caller asks for, as far as the tables need it.
 #[derive(Debug, Clone)]
@@ -105,15 +108,17 @@
             ),
         ));
     }
+    let criticality = inherited.criticality.max(policy.criticality);
+    refuse_early(tables, &policy, criticality, now)?;
     let deadline = earliest_deadline(&policy, request.timeout, inherited.deadline, now);
-    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy)?;
+    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy, now)?;
     Ok(Call {
         request_id: inherited.request_id,
         key: inherited.key,
         shared_key: inherited.shared_key,
         tenant: inherited.tenant,
         service: request.service.clone(),
-        criticality: inherited.criticality.max(policy.criticality),
+        criticality,
         policy,
         depth: inherited.depth,
         deadline,
@@ -121,6 +126,7 @@
         allowance,
         lent_by_parent,
         lent_to_attempt: 0,
+        chosen: now,
         attempts: 0,
         reroutes: 0,
         excluded: Vec::new(),
@@ -128,6 +134,17 @@
     })
 }
 
+/// The key of a request if attempts may exist under it that this node does not know of.
+pub fn shared_key(tables: &mut Tables, request: &CallRequest) -> Option<RequestKey> {
+    match &request.origin {
+        Origin::Root { key, caller_key } => caller_key.then_some(*key),
+        Origin::Nested { token, identity } => {
+            let parent = tables.executions.get_mut(token.0)?;
+            Some(nested_key(request, identity, parent))
+        }
+    }
+}
+
 fn inherit(tables: &mut Tables, request: &CallRequest) -> Result<Inheritance, Refusal> {
     match &request.origin {
         Origin::Root { key, caller_key } => root(request, *key, *caller_key),
@@ -175,18 +192,8 @@
             format!("the chain is deeper than {MAX_DEPTH} calls"),
         ));
     }
-    let call = tallybridge_core::key::NestedCall {
-        method: &request.method,
-        path: &identity.path_and_query,
-        body: &identity.body_digest,
-    };
-    let key = parent.key.nested(
-        request.service.as_str(),
-        identity.explicit_key.as_deref(),
-        &call,
-    );
     Ok(Inheritance {
-        key,
+        key: nested_key(request, identity, parent),
         // The parent may run again elsewhere and make this call under the same key.
         shared_key: true,
         request_id: parent.request_id.clone(),
@@ -201,6 +208,19 @@
     })
 }
 
+fn nested_key(request: &CallRequest, identity: &NestedIdentity, parent: &Execution) -> RequestKey {
+    let call = tallybridge_core::key::NestedCall {
+        method: &request.method,
+        path: &identity.path_and_query,
+        body: &identity.body_digest,
+    };
+    parent.key.nested(
+        request.service.as_str(),
+        identity.explicit_key.as_deref(),
+        &call,
+    )
+}
+
 fn unknown_parent() -> Refusal {
     Refusal::new(
         ErrorKind::UnknownParent,
@@ -227,6 +247,25 @@
         })
 }
 
+/// Refuses what every executing node that answered lately refuses, before it costs a hop.
+fn refuse_early(
+    tables: &mut Tables,
+    policy: &CallPolicy,
+    criticality: Criticality,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let refused =
+        tables
+            .early_refusal
+            .should_refuse(&policy.template, criticality, now, &mut tables.rng);
+    if refused {
+        return Err(overloaded(
+            "every back end of the service sheds this class now",
+        ));
+    }
+    Ok(())
+}
+
 fn earliest_deadline(
     policy: &CallPolicy,
     timeout: Option<Duration>,
@@ -245,6 +284,7 @@
     tables: &mut Tables,
     inherited: &Inheritance,
     policy: &CallPolicy,
+    now: Instant,
 ) -> Result<(Allowance, u8), Refusal> {
     let Some(parent) = inherited.parent else {
         return Ok((Allowance::root(policy.retry_allowance), 0));
@@ -262,6 +302,7 @@
         .with_outcome(Outcome::Unknown));
     }
     *times_made = times_made.saturating_add(1);
+    parent.nested_wait.begin(now);
     let lent = parent.allowance.lend();
     Ok((Allowance::root(lent), lent))
 }
--- a/crates/tallybridge-node/src/systems/record.rs
+++ b/crates/tallybridge-node/src/systems/record.rs
@@ -132,10 +132,12 @@
     };
     let text = match next {
         Next::Retry(route) => format!(
-            "attempt at {node} {failure}; attempt {} goes to {} after {} ms",
-            route.attempt,
-            route.node,
-            route.delay.as_millis()
+            "attempt at {node} {failure}; attempt {} goes to {}",
+            route.attempt, route.node
+        ),
+        Next::Wait(delay) => format!(
+            "attempt at {node} {failure}; tried again after {} ms",
+            delay.as_millis()
         ),
         Next::Refuse(refusal) => format!(
             "attempt at {node} {failure}; not tried again, the call is {}",
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod claims;
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
@@ -10,14 +11,14 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tallybridge_config::Settings;
-use tallybridge_core::{NodeId, ServiceName};
-use tallybridge_limits::retry::{Budget, BudgetSettings};
+use tallybridge_core::{NodeId, ServiceName, TemplateName};
+use tallybridge_limits::{Budget, BudgetSettings, EarlyRefusal};
 use tallybridge_membership::{MemberIdentity, MemberTable, MembershipSettings, Placement};
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
 use self::{
-    admission::Admission, calls::CallTable, configuration::Configuration, decisions::DecisionLog,
-    executions::ExecutionTable,
+    admission::Admission, calls::CallTable, claims::Claims, configuration::Configuration,
+    decisions::DecisionLog, executions::ExecutionTable,
 };
 
 /// All tables of one node.
@@ -32,10 +33,14 @@
     pub admission: Admission,
     /// Where calls can be sent.
     pub endpoints: EndpointTable,
+    /// Levels that came back on answers, by which calls are refused before they are sent.
+    pub early_refusal: EarlyRefusal<TemplateName, NodeId>,
     /// Share of retries among attempts, over all calls that entered here.
     pub retry_budget: Budget,
     /// Configuration in force.
     pub configuration: Configuration,
+    /// Claims held for others, and where those of each key are.
+    pub claims: Claims,
     /// The fleet as this node sees it.
     pub members: MemberTable,
     /// What was decided lately, and why.
@@ -64,8 +69,10 @@
             executions: ExecutionTable::new(identity.instance),
             admission: Admission::new(settings.backend.as_ref(), now),
             endpoints: EndpointTable::new(locality, RoutingSettings::default()),
+            early_refusal: EarlyRefusal::new(),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
+            claims: Claims::new(identity),
             members: MemberTable::new(
                 member_identity(identity, settings),
                 MembershipSettings::default(),
--- a/crates/tallybridge-routing/src/endpoint/health.rs
+++ b/crates/tallybridge-routing/src/endpoint/health.rs
@@ -10,12 +10,16 @@
 /// Doublings after which the ejection time stays within any sensible limit.
 const MOST_DOUBLINGS: u32 = 16;
 
+/// Power of the elapsed time that a ramp grows with: slow at first, while faults that show only after
+/// a time can still be seen.
+const RAMP_POWER: i32 = 2;
+
 #[derive(Debug, Clone, Copy)]
 enum Phase {
     Serving,
     Ramping { since: Instant, window: Duration },
     Ejected { until: Instant },
-    Probing { since: Instant },
+    Probing { since: Instant, answered: u32 },
 }
 
 /// Health of one endpoint by what was observed of it.
@@ -24,7 +28,7 @@
     phase: Phase,
     consecutive_failures: u32,
     ejections: u32,
-    ejected_at: Option<Instant>,
+    judged_from: Option<Instant>,
 }
 
 impl Health {
@@ -38,7 +42,7 @@
             },
             consecutive_failures: 0,
             ejections: 0,
-            ejected_at: None,
+            judged_from: None,
         }
     }
 
@@ -63,15 +67,22 @@
     #[must_use]
     pub fn probing_since(&self) -> Option<Instant> {
         match self.phase {
-            Phase::Probing { since } => Some(since),
+            Phase::Probing { since, .. } => Some(since),
             _ => None,
         }
     }
 
-    /// When the endpoint was last ejected: attempts from before no longer count against it.
+    /// When the endpoint was last ejected or began to be probed: attempts that started before no
+    /// longer count.
     #[must_use]
-    pub fn ejected_at(&self) -> Option<Instant> {
-        self.ejected_at
+    pub fn judged_from(&self) -> Option<Instant> {
+        self.judged_from
+    }
+
+    /// Whether the endpoint was ejected and has not come back to full traffic since.
+    #[must_use]
+    pub fn is_recovering(&self) -> bool {
+        self.ejections > 0
     }
 
     /// Share of its traffic that the endpoint gets now, 0 to 1.
@@ -83,15 +94,19 @@
             Phase::Ramping { since, window } => {
                 let elapsed = now.saturating_duration_since(since).as_secs_f64();
                 let progress = (elapsed / window.as_secs_f64()).min(1.0);
-                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress
+                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress.powi(RAMP_POWER)
             }
         }
     }
 
-    /// Counts an answer; the first one to a probe starts the ramp.
+    /// Counts an answer; as many in a row to probes as the settings ask for start the ramp.
     pub fn answered(&mut self, settings: &RoutingSettings, now: Instant) {
         self.consecutive_failures = 0;
-        if let Phase::Probing { .. } = self.phase {
+        let Phase::Probing { answered, .. } = &mut self.phase else {
+            return;
+        };
+        *answered += 1;
+        if *answered >= settings.probes {
             self.phase = Phase::Ramping {
                 since: now,
                 window: settings.recovery_ramp,
@@ -104,6 +119,19 @@
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
     }
 
+    /// Counts a refusal. A probe that is refused for want of room shows that the endpoint is alive; one
+    /// that is refused without shows that it is not well.
+    pub fn refused(&mut self, has_room: bool, settings: &RoutingSettings, now: Instant) {
+        if self.probing_since().is_none() {
+            return;
+        }
+        if has_room {
+            self.failed();
+        } else {
+            self.answered(settings, now);
+        }
+    }
+
     /// Whether failures in a row ask for an ejection; one is enough while probing.
     #[must_use]
     pub fn has_failed_out(&self, settings: &RoutingSettings) -> bool {
@@ -123,22 +151,26 @@
             .min(settings.ejection_time_limit);
         self.phase = Phase::Ejected { until: now + time };
         self.ejections = self.ejections.saturating_add(1);
-        self.ejected_at = Some(now);
+        self.judged_from = Some(now);
         self.consecutive_failures = 0;
     }
 
-    /// Ends an ejection that the service can't afford.
-    pub fn release(&mut self) {
-        if self.is_ejected() {
-            self.phase = Phase::Serving;
-        }
+    /// Gives the endpoint one attempt at a time until enough are answered. What began before no
+    /// longer counts against it.
+    pub fn probe(&mut self, now: Instant) {
+        self.phase = Phase::Probing {
+            since: now,
+            answered: 0,
+        };
+        self.consecutive_failures = 0;
+        self.judged_from = Some(now);
     }
 
     /// Moves on to the next phase when its time has come; says whether it began to probe.
     pub fn advance(&mut self, now: Instant) -> bool {
         match self.phase {
             Phase::Ejected { until } if now >= until => {
-                self.phase = Phase::Probing { since: now };
+                self.probe(now);
                 true
             }
             Phase::Ramping { since, window } if now.saturating_duration_since(since) >= window => {
--- a/crates/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/tallybridge-routing/src/endpoint/row.rs
@@ -36,7 +36,7 @@
     /// Share of attempts refused or failed.
     pub unserved: UnservedShare,
     /// Latest start among the answered attempts.
-    answered_start: Option<Instant>,
+    pub(super) answered_start: Option<Instant>,
 }
 
 impl EndpointRow {
@@ -68,6 +68,12 @@
         self.is_member && !self.is_leaving
     }
 
+    /// Whether enough answers came for its latency to say something.
+    #[must_use]
+    pub fn has_settled_latency(&self) -> bool {
+        self.latency.is_some_and(|latency| latency.is_settled())
+    }
+
     /// Whether the row can be dropped.
     #[must_use]
     pub fn is_done(&self) -> bool {
@@ -87,14 +93,7 @@
                 self.answered(latency, profile, settings, now);
                 self.report(load, now);
             }
-            AttemptResult::RefusedNotRun { load } => {
-                self.outstanding.finish_oldest();
-                self.unserved
-                    .record(false, settings.unserved_half_life, now);
-                if let Some(load) = load {
-                    self.report(load, now);
-                }
-            }
+            AttemptResult::RefusedNotRun { load } => self.refused(load, settings, now),
             AttemptResult::Failed => self.failed(settings, now),
             AttemptResult::Cancelled => self.cancelled(profile, settings, now),
         }
@@ -113,7 +112,17 @@
         self.answered_start = self.answered_start.max(Some(start));
         self.unserved.record(true, settings.unserved_half_life, now);
         self.record_latency(latency, profile, settings, now);
-        if self.counts_after_ejection(start) {
+        let is_overdue = profile
+            .overdue_after(settings)
+            .is_some_and(|limit| latency > limit);
+        if !self.is_judged_by(start) {
+            return;
+        }
+        let is_slow_probe =
+            self.health.probing_since().is_some() && profile.is_slow_for_probe(latency, settings);
+        if is_overdue || is_slow_probe {
+            self.health.failed();
+        } else {
             self.health.answered(settings, now);
         }
     }
@@ -147,13 +156,26 @@
         self.load = Some(ReportedLoad::new(load, self.outstanding.len(), now));
     }
 
+    fn refused(&mut self, load: Option<LoadReport>, settings: &RoutingSettings, now: Instant) {
+        self.outstanding.finish_oldest();
+        self.unserved
+            .record(false, settings.unserved_half_life, now);
+        if let Some(load) = load {
+            self.report(load, now);
+        }
+        let has_room = load.is_none_or(|load| load.in_flight < load.limit);
+        self.health.refused(has_room, settings, now);
+    }
+
     fn failed(&mut self, settings: &RoutingSettings, now: Instant) {
         let Some(start) = self.outstanding.finish_oldest() else {
             return;
         };
         self.unserved
             .record(false, settings.unserved_half_life, now);
-        if self.counts_after_ejection(start) {
+        // An attempt that began before one that was answered says nothing of the endpoint now.
+        let is_news = self.answered_start <= Some(start);
+        if is_news && self.is_judged_by(start) {
             self.health.failed();
         }
     }
@@ -161,7 +183,7 @@
     /// A caller that gives up on an overdue attempt has seen a failure; one that gives up earlier
     /// says nothing of the endpoint.
     fn cancelled(&mut self, profile: &ServiceProfile, settings: &RoutingSettings, now: Instant) {
-        let oldest = self.outstanding.oldest_after(None);
+        let oldest = self.outstanding.oldest_from(None);
         let overdue_after = profile.overdue_after(settings);
         let is_overdue = oldest
             .zip(overdue_after)
@@ -173,61 +195,8 @@
         }
     }
 
-    fn counts_after_ejection(&self, start: Instant) -> bool {
-        self.health
-            .ejected_at()
-            .is_none_or(|ejected| start > ejected)
-    }
-
-    /// Attempts since the last ejection that are in flight for longer than is usual.
-    #[must_use]
-    pub fn overdue(
-        &self,
-        profile: &ServiceProfile,
-        settings: &RoutingSettings,
-        now: Instant,
-    ) -> usize {
-        let Some(limit) = profile.overdue_after(settings) else {
-            return 0;
-        };
-        now.checked_sub(limit).map_or(0, |before| {
-            self.outstanding
-                .count_between(self.health.ejected_at(), before)
-        })
-    }
-
-    /// Whether what was observed asks for an ejection.
-    #[must_use]
-    pub fn is_suspect(
-        &self,
-        profile: &ServiceProfile,
-        settings: &RoutingSettings,
-        now: Instant,
-    ) -> bool {
-        if self.health.is_ejected() {
-            return false;
-        }
-        self.health.has_failed_out(settings) || self.is_stalled(profile, settings, now)
-    }
-
-    /// Whether attempts go unanswered: one is overdue and none that began after it was answered, or
-    /// most of those in flight are overdue.
-    fn is_stalled(
-        &self,
-        profile: &ServiceProfile,
-        settings: &RoutingSettings,
-        now: Instant,
-    ) -> bool {
-        let overdue = self.overdue(profile, settings, now);
-        if overdue == 0 {
-            return false;
-        }
-        let since = self.health.ejected_at();
-        let oldest = self.outstanding.oldest_after(since);
-        let is_silent = self.answered_start < oldest;
-        let is_mostly_overdue =
-            overdue >= settings.overdue_count && 2 * overdue >= self.outstanding.count_after(since);
-        is_silent || is_mostly_overdue
+    fn is_judged_by(&self, start: Instant) -> bool {
+        self.health.judged_from().is_none_or(|from| start >= from)
     }
 
     /// Calls in flight and queued there in its limit, as estimated now.
@@ -270,7 +239,7 @@
     pub fn admits_probe(&self) -> bool {
         self.health
             .probing_since()
-            .is_none_or(|since| self.outstanding.count_from(since) == 0)
+            .is_none_or(|since| self.outstanding.count_from(Some(since)) == 0)
     }
 
     /// The next phase of its health; an endpoint that begins to probe starts with a clean record.
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! The protocol between nodes: typed messages, their binary form and their framing.
 
+mod bytes_field;
 pub mod claim;
 pub mod codec;
 pub mod frame;
@@ -16,7 +17,7 @@
 };
 pub use message::{
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
-    MessageError, WireHeader, WireHeaders, WireLoad,
+    MessageError, PartitionMapFetch, PartitionMapRecords, WireHeader, WireHeaders, WireLoad,
 };
 pub use report::{ExplainFetch, JsonReport};
 pub use text::Text;
