Spread the first looks at the duties over half a second a node

A fleet that starts as one would have looked 240 times a second, by the spacing of 50 ms; it is 24 requests a second now. The example counts the fleet's requests apart from the operator's.

--- a/crates/tallybridge-node/src/connections/store/options.rs
+++ b/crates/tallybridge-node/src/connections/store/options.rs
@@ -4,15 +4,16 @@
 
 /// Times of the nodes' work with the store.
 ///
-/// At the design size, 920 nodes in 6 zones, the fleet's requests a minute are
+/// At the design size, 920 nodes in 6 zones, the requests a minute for the configuration are
 ///
 /// - looks: 6 zones × 60 s / `look_spacing` × 2 requests = 144,
 /// - watches: 12 holders × 60 s / `watch_wait` = 36, and 12 for each change (1,400 changes a day
 ///   are one a minute),
 /// - renewals: 12 holders × 60 s × 3 / `duty_ttl` = 72,
 ///
-/// about 264 in all, whatever the number of nodes. A node that starts adds 2 requests when no
-/// member has a configuration.
+/// about 270 in all with the watchers' checks, whatever the number of nodes. A node that starts
+/// adds 2 requests when no member has a configuration, and one look. When the whole fleet starts at
+/// once, the first looks come to 6 zones × 2 requests / `succession_spacing`, 24 a second.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreTimes {
     /// How long a fresh node waits for a member that has a configuration.
@@ -21,8 +22,8 @@
     pub look_spacing: Duration,
     /// Shortest mean time between two looks by one node.
     pub shortest_look: Duration,
-    /// Time after which a node looks when it hears that a watcher of its zone is gone, times the
-    /// number of nodes in the zone.
+    /// Mean time between two looks by all nodes of a zone together when they start, or hear that a
+    /// watcher is gone.
     pub succession_spacing: Duration,
     /// Longest time that one watch waits for a change.
     pub watch_wait: Duration,
@@ -40,7 +41,7 @@
             first_wait: Duration::from_secs(2),
             look_spacing: Duration::from_secs(5),
             shortest_look: Duration::from_secs(20),
-            succession_spacing: Duration::from_millis(50),
+            succession_spacing: Duration::from_millis(500),
             watch_wait: Duration::from_secs(20),
             duty_ttl: Duration::from_secs(30),
             first_retry: Duration::from_millis(500),
