--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -10,6 +10,7 @@
 use crate::{
     systems::{
         begin::{self, CallRequest},
+        record::{self, Subject},
         retry::{self, AttemptEnd, Next, Route},
     },
     tables::calls::CallId,
@@ -72,27 +73,36 @@
         _context: &mut Context<Self>,
     ) -> Self::Return {
         let now = now();
-        let begun = begin::begin(&mut self.tables, &request, now);
-        let call = begun.map_err(|refusal| RefusedCall {
-            refusal,
-            shared_key: begin::shared_key(&mut self.tables, &request),
-        })?;
+        let call = match begin::begin(&mut self.tables, &request, now) {
+            Ok(call) => call,
+            Err(refusal) => {
+                record::refused_at_entry(&mut self.tables, &request, &refusal);
+                return Err(RefusedCall {
+                    refusal,
+                    shared_key: begin::shared_key(&mut self.tables, &request),
+                });
+            }
+        };
         let id = self.tables.calls.insert(call.clone());
         match retry::choose_route(&mut self.tables, id, now) {
-            Ok(route) => Ok(CallPlan {
-                id,
-                request_id: call.request_id,
-                key: call.key,
-                shared_key: call.shared_key,
-                tenant: call.tenant,
-                service: call.service,
-                policy: call.policy,
-                criticality: call.criticality,
-                depth: call.depth,
-                deadline: call.deadline,
-                route,
-            }),
+            Ok(route) => {
+                record::begun(&mut self.tables, &call, &route);
+                Ok(CallPlan {
+                    id,
+                    request_id: call.request_id,
+                    key: call.key,
+                    shared_key: call.shared_key,
+                    tenant: call.tenant,
+                    service: call.service,
+                    policy: call.policy,
+                    criticality: call.criticality,
+                    depth: call.depth,
+                    deadline: call.deadline,
+                    route,
+                })
+            }
             Err(refusal) => {
+                record::refused_without_route(&mut self.tables, &call, &refusal);
                 self.end_call(id);
                 Err(RefusedCall {
                     refusal,
@@ -118,7 +128,16 @@
 
     async fn handle(&mut self, message: EndAttempt, _context: &mut Context<Self>) -> Next {
         let EndAttempt { call, node, end } = message;
+        let subject = self
+            .tables
+            .calls
+            .get_mut(call)
+            .map(|row| Subject::of_call(row));
+        let failure = record::describe_end(&end);
         let next = retry::attempt_ended(&mut self.tables, call, node, end, now());
+        if let Some(subject) = subject {
+            record::attempt_ended(&mut self.tables, &subject, node, failure, &next);
+        }
         if matches!(next, Next::Answer | Next::Refuse(_)) {
             self.end_call(call);
         }
@@ -137,9 +156,15 @@
         ChooseNext(call): ChooseNext,
         _context: &mut Context<Self>,
     ) -> Self::Return {
+        let row = self.tables.calls.get_mut(call).map(|row| row.clone());
         let route = retry::choose_route(&mut self.tables, call, now());
-        if route.is_err() {
-            self.end_call(call);
+        match (&route, row) {
+            (Ok(route), Some(row)) => record::begun(&mut self.tables, &row, route),
+            (Err(refusal), Some(row)) => {
+                record::refused_without_route(&mut self.tables, &row, refusal);
+                self.end_call(call);
+            }
+            (_, None) => {}
         }
         route
     }
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -11,6 +11,7 @@
     systems::{
         admission::{self, Admitted},
         membership,
+        record::{self, Subject},
     },
     tables::{admission::TemplateBounds, executions::Execution},
 };
@@ -27,7 +28,15 @@
     type Return = Result<Admitted, Refusal>;
 
     async fn handle(&mut self, message: Admit, _context: &mut Context<Self>) -> Self::Return {
-        admission::admit(&mut self.tables, message.execution, message.bounds, now())
+        let subject = Subject::of_execution(&message.execution);
+        let admitted = admission::admit(&mut self.tables, message.execution, message.bounds, now());
+        match &admitted {
+            Ok(Admitted::Granted(_)) => record::admitted(&mut self.tables, &subject, false),
+            Ok(Admitted::Queued(..)) => record::admitted(&mut self.tables, &subject, true),
+            Err(refusal) => record::not_admitted(&mut self.tables, &subject, refusal),
+        }
+        record::evicted(&mut self.tables);
+        admitted
     }
 }
 
@@ -75,6 +84,12 @@
                 ..message.sample
             };
             admission::release(&mut self.tables, &execution, sample, now);
+            let subject = Subject::of_execution(&execution);
+            let Sample {
+                latency, result, ..
+            } = message.sample;
+            record::executed(&mut self.tables, &subject, result, latency);
+            record::evicted(&mut self.tables);
         }
         Closing {
             unused_allowance,
--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -6,6 +6,7 @@
 pub mod catch_up;
 pub mod claims;
 pub mod discovery;
+pub mod fleet;
 pub mod gossip;
 pub mod peer;
 pub mod store;
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -7,7 +7,7 @@
 use tallybridge_config::{Revision, RevisionRecord};
 use tallybridge_core::NodeId;
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
+    CallHead, ConfigurationFetch, ConfigurationRecords, ExplainFetch, Frame, FrameCodec, Hello,
     Message, PartitionMapFetch, PartitionMapRecords, StreamId,
 };
 use tokio::sync::mpsc;
@@ -18,6 +18,7 @@
     call::answer_head,
     introduction::Peer,
     network::{PeerListener, PeerStream},
+    update::update_message,
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
@@ -26,9 +27,9 @@
         configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
+    connections::fleet,
     context::NodeContext,
     path::{Executed, execute},
-    tables::configuration::ConfigurationUpdate,
 };
 
 /// Accepts peers until the node stops.
@@ -132,6 +133,8 @@
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
             Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
+            Ok(Message::ExplainFetch(fetch)) => self.send_explanation(stream, &fetch).await,
+            Ok(Message::StatusFetch) => self.send_status(stream).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
             Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
             Ok(
@@ -224,7 +227,22 @@
         let Ok(update) = self.context.ask(UpdateAfter(Revision(fetch.after))).await else {
             return;
         };
-        self.reply(stream, configuration_message(&update)).await;
+        self.reply(stream, update_message(&update)).await;
+    }
+
+    async fn send_explanation(&self, stream: StreamId, fetch: &ExplainFetch) {
+        let request_id = fetch.request_id.to_string_lossy();
+        if let Ok(decisions) = fleet::explain_here(&self.context, request_id).await {
+            let message = Message::ExplainRecords(fleet::report(&decisions));
+            self.reply(stream, message).await;
+        }
+    }
+
+    async fn send_status(&self, stream: StreamId) {
+        if let Ok(status) = fleet::status_here(&self.context).await {
+            let message = Message::StatusRecords(fleet::report(&status));
+            self.reply(stream, message).await;
+        }
     }
 
     async fn reply(&self, stream: StreamId, message: Message) {
@@ -268,21 +286,6 @@
     }
 }
 
-/// The message that brings a peer up to date. One that can't be written is empty, and the peer
-/// asks another member.
-fn configuration_message(update: &ConfigurationUpdate) -> Message {
-    match update {
-        ConfigurationUpdate::Records(records) => {
-            let json = serde_json::to_vec(records).unwrap_or_default();
-            Message::ConfigurationRecords(ConfigurationRecords::new(json))
-        }
-        ConfigurationUpdate::Snapshot(document) => {
-            let json = serde_json::to_vec(&**document).unwrap_or_default();
-            Message::ConfigurationSnapshot(JsonReport::new(json))
-        }
-    }
-}
-
 /// Sends an answer; when the connection is gone the entry node has found that out already.
 async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
     let head = Message::Answer(answer_head(executed));
--- a/crates/tallybridge-node/src/tables/admission.rs
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::executions::Execution;
+use crate::systems::record::Subject;
 
 /// Answers a call that waits in the queue: the granted attempt, or why it was refused.
 pub type AdmissionReply = oneshot::Sender<Result<tallybridge_core::AttemptId, Refusal>>;
@@ -116,6 +117,17 @@
     pub templates: BTreeMap<TemplateName, TemplateSlots>,
     /// What the services that the back end calls admit.
     pub downstream: DownstreamLevels,
+    /// Calls taken out of the queue without a slot that are not in the decision log yet.
+    pub evicted: Vec<Evicted>,
+}
+
+/// A call that waited and was refused.
+#[derive(Debug, Clone)]
+pub struct Evicted {
+    /// The request.
+    pub subject: Subject,
+    /// Why.
+    pub refusal: Refusal,
 }
 
 impl Admission {
@@ -136,9 +148,18 @@
             level: AdmissionLevel::new(LevelSettings::default()),
             templates: BTreeMap::new(),
             downstream: DownstreamLevels::default(),
+            evicted: Vec::new(),
         }
     }
 
+    /// Notes that a call that waited is refused, for the decision log.
+    pub fn note_evicted(&mut self, execution: &Execution, refusal: &Refusal) {
+        self.evicted.push(Evicted {
+            subject: Subject::of_execution(execution),
+            refusal: refusal.clone(),
+        });
+    }
+
     /// The load to report on an answer to a call of a template. The level is the strictest of this
     /// back end's own and of those that its nested calls met, so that an entry node refuses early
     /// what a deep hop would refuse late (DAGOR, SoCC 2018).
