Keep no failure of an idempotent call, count earlier runs, prove the map

Among what could take answers away: a 5xx answer of an idempotent call was replayed to the caller that repeated it, and a vote that took more than 50 ms closed its link for the calls to come.

Change: an idempotent call's 5xx answer is not kept, so the repeat claims the next run. A vote is asked for in a task of its own, which reaches the replicas that the round does not wait for and gives its link up only after 1 s. Run r of an idempotent call may spend at most max_runs - r retries on nested calls.

--- a/crates/tallybridge-integration/tests/claims.rs
+++ b/crates/tallybridge-integration/tests/claims.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
+
 use support::{Chain, template};
 use tallybridge_config::Template;
 use tallybridge_core::header;
@@ -135,6 +137,75 @@
     assert_eq!(chain.all_executions(), 2);
 }
 
+#[tokio::test]
+async fn the_failure_of_an_idempotent_call_is_not_replayed() {
+    let read = template(
+        "[[template]]\nname = \"read\"\nservice = \"service-0\"\nidempotent = true\n\
+         retry_allowance = 2\n",
+    );
+    let chain = Chain::start_replicated(3, vec![read]).await;
+    let key = uuid::Uuid::now_v7();
+    let set_failing = |fails| {
+        for hop in &chain.hops {
+            hop.fails.store(fails, Ordering::Relaxed);
+        }
+    };
+    set_failing(true);
+    let failed = told(keyed(chain.call(0, 0).body("1"), key)).await;
+    assert_eq!(failed.status, 500, "{failed:?}");
+    set_failing(false);
+    let answered = told(keyed(chain.call(1, 0).body("1"), key)).await;
+    assert_eq!(answered.status, 200, "{answered:?}");
+    assert_eq!(chain.all_executions(), 2);
+}
+
+#[tokio::test]
+async fn a_later_run_has_the_runs_before_it_taken_off_its_retries() {
+    let root = "[[template]]\nname = \"root\"\nservice = \"service-0\"\nretry_allowance = 1\n";
+    let chain = Chain::start(2, Some(vec![template(root), relay(1)])).await;
+    let key = uuid::Uuid::now_v7();
+    chain.hops[0].fails.store(true, Ordering::Relaxed);
+    let failed = told(keyed(chain.call(0, 0).body("1"), key)).await;
+    assert_eq!(failed.status, 500, "{failed:?}");
+    let held = chain.hops[0].hold.write().await;
+    let second = tokio::spawn(told(keyed(chain.call(0, 0).body("1"), key)));
+    while chain.executions(0) < 2 {
+        tokio::task::yield_now().await;
+    }
+    let token = chain.hops[0].tokens.lock().expect("lock")[1].clone();
+    let nested = || {
+        told(
+            chain
+                .call(0, 1)
+                .header(header::CALL_TOKEN, &token)
+                .body("1"),
+        )
+    };
+    let answered = nested().await;
+    assert_eq!(answered.outcome, "completed", "{answered:?}");
+    let refused = nested().await;
+    assert!(
+        refused.is_refused("retry-allowance-spent", "unknown"),
+        "{refused:?}"
+    );
+    assert_eq!(chain.executions(1), 1);
+    drop(held);
+    assert_eq!(second.await.expect("joins").status, 500);
+}
+
+#[tokio::test]
+async fn the_failure_of_a_call_that_must_not_be_repeated_is_replayed() {
+    let chain = Chain::start(1, Some(vec![payment()])).await;
+    let key = uuid::Uuid::now_v7();
+    chain.hops[0].fails.store(true, Ordering::Relaxed);
+    let failed = told(keyed(chain.call(0, 0).body("1"), key)).await;
+    assert_eq!(failed.status, 500, "{failed:?}");
+    chain.hops[0].fails.store(false, Ordering::Relaxed);
+    let repeat = told(keyed(chain.call(0, 0).body("1"), key)).await;
+    assert_eq!(repeat, failed);
+    assert_eq!(chain.all_executions(), 1);
+}
+
 /// Three nodes of which only the first has a back end of the service that is called.
 async fn three_replicas() -> Chain {
     Chain::start(3, Some(vec![payment(), relay(1), relay(2)])).await
--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tallybridge_claims::{Candidate, PartitionMap, Presence, plan};
@@ -15,7 +18,10 @@
 use tallybridge_node::{
     RunningNode,
     actor::{
-        claims::ApplyPartitionMap, configuration::ApplyRecords, fleet::PeerSeen, status::GetStatus,
+        claims::{ApplyPartitionMap, GetMapRecords},
+        configuration::ApplyRecords,
+        fleet::PeerSeen,
+        status::GetStatus,
     },
     start,
 };
@@ -31,12 +37,18 @@
     pub executions: Arc<Mutex<Vec<String>>>,
     /// Back ends run a call only while nobody holds it for writing.
     pub hold: Arc<RwLock<()>>,
+    /// Call tokens of the executions.
+    pub tokens: Arc<Mutex<Vec<String>>>,
+    /// Whether the back end answers with status 500.
+    pub fails: Arc<AtomicBool>,
 }
 
 /// Which service each node's back end belongs to, and whether a back end calls the next service.
 struct Layout {
     services: Vec<usize>,
     chained: bool,
+    /// The store that the nodes use; without one they are given their partition map.
+    store: Option<SocketAddr>,
 }
 
 /// A chain in which each back end calls the service after it, through its own node.
@@ -93,7 +105,9 @@
 fn spawn_backend(
     listener: std::net::TcpListener,
     executions: Arc<Mutex<Vec<String>>>,
+    tokens: Arc<Mutex<Vec<String>>>,
     hold: Arc<RwLock<()>>,
+    fails: Arc<AtomicBool>,
     next: Option<String>,
     client: reqwest::Client,
 ) {
@@ -109,12 +123,20 @@
                     .to_str()
                     .unwrap_or("")
                     .to_owned();
+                let token = headers[header::CALL_TOKEN].to_str().unwrap_or("");
+                tokens.lock().expect("lock").push(token.to_owned());
                 executions.lock().expect("lock").push(request_id);
                 let next = next.clone();
                 let client = client.clone();
                 let hold = Arc::clone(&hold);
+                let fails = fails.load(Ordering::Relaxed);
                 async move {
                     drop(hold.read().await);
+                    if fails {
+                        let mut response = warp::http::Response::new("failed".to_owned());
+                        *response.status_mut() = warp::http::StatusCode::INTERNAL_SERVER_ERROR;
+                        return response;
+                    }
                     let Some(next) = next else {
                         let text = format!("leaf {} {}", path.as_str(), body.len());
                         return warp::http::Response::new(text);
@@ -150,21 +172,54 @@
     }
 }
 
+async fn has_epoch(hop: &Hop, epoch: u64) -> bool {
+    let wanted = GetMapRecords {
+        reports_wanted: true,
+    };
+    let records = hop.node.context.ask(wanted).await.expect("records");
+    let own = hop.node.context.identity;
+    let partitions: Vec<_> = records.map.iter().collect();
+    !partitions.is_empty()
+        && partitions.iter().all(|(partition, entry)| {
+            let is_synchronised = || {
+                let mut synchronised = records.synchronised.iter();
+                synchronised.any(|one| one.partition == *partition && one.epoch == entry.epoch)
+            };
+            entry.epoch >= epoch && (entry.replica(own).is_none() || is_synchronised())
+        })
+}
+
 impl Chain {
     /// Starts a chain of `depth` services, with the given templates or plain ones.
     pub async fn start(depth: usize, templates: Option<Vec<Template>>) -> Self {
         let layout = Layout {
             services: (0..depth).collect(),
             chained: true,
+            store: None,
         };
         Self::start_layout(&layout, templates).await
     }
 
+    /// Starts a chain whose nodes keep their partition map in a store.
+    pub async fn start_with_store(
+        depth: usize,
+        templates: Vec<Template>,
+        store: SocketAddr,
+    ) -> Self {
+        let layout = Layout {
+            services: (0..depth).collect(),
+            chained: true,
+            store: Some(store),
+        };
+        Self::start_layout(&layout, Some(templates)).await
+    }
+
     /// Starts nodes whose back ends all belong to the first service.
     pub async fn start_replicated(nodes: usize, templates: Vec<Template>) -> Self {
         let layout = Layout {
             services: vec![0; nodes],
             chained: false,
+            store: None,
         };
         Self::start_layout(&layout, Some(templates)).await
     }
@@ -198,28 +253,38 @@
                     service_name(position + 1)
                 )
             });
+            let tokens = Arc::default();
             let hold = Arc::default();
+            let fails = Arc::default();
             spawn_backend(
                 listener,
                 Arc::clone(&executions),
+                Arc::clone(&tokens),
                 Arc::clone(&hold),
+                Arc::clone(&fails),
                 next,
                 client.clone(),
             );
-            let settings = all_settings[position].clone();
+            let mut settings = all_settings[position].clone();
+            settings.store.extend(layout.store);
+            settings.store.reverse();
             let node = start(settings.clone()).await.expect("the node starts");
             hops.push(Hop {
                 node,
                 settings,
                 executions,
+                tokens,
                 hold,
+                fails,
             });
         }
         let chain = Self { hops, client };
         let templates = templates.unwrap_or_else(|| (0..depth).map(default_template).collect());
-        chain.configure(templates).await;
+        chain.configure(templates.clone()).await;
         chain.introduce().await;
-        chain.place_claims().await;
+        if layout.store.is_none() {
+            chain.place_claims().await;
+        }
         chain
     }
 
@@ -269,6 +334,31 @@
         }
     }
 
+    /// Ends a node at once and starts another one at its addresses.
+    pub async fn replace(&mut self, position: usize, templates: Vec<Template>) {
+        let hop = &mut self.hops[position];
+        hop.node.context.shutdown.cancel();
+        // The addresses are free once the old node's tasks have ended.
+        hop.node = loop {
+            match start(hop.settings.clone()).await {
+                Ok(node) => break node,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        self.configure(templates).await;
+        self.introduce().await;
+    }
+
+    /// Waits until every node has a partition map in which every partition has reached an epoch
+    /// and every replica can vote.
+    pub async fn wait_for_epoch(&self, epoch: u64) {
+        for hop in &self.hops {
+            while !has_epoch(hop, epoch).await {
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+
     /// Ends a node at once, with its links.
     pub fn kill(&mut self, position: usize) {
         let hop = self.hops.remove(position);
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -1,7 +1,7 @@
 //! Messages about attempts that the back end beside this node runs.
 
 use tallybridge_core::{AttemptId, LoadReport, Refusal};
-use tallybridge_limits::{Sample, Ticket};
+use tallybridge_limits::{Sample, Ticket, retry::Allowance};
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
@@ -70,6 +70,25 @@
     }
 }
 
+/// Bounds the retries that an attempt may still spend on nested calls.
+pub struct BoundAllowance {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Most retries that are left to it.
+    pub retries: u8,
+}
+
+impl Handler<BoundAllowance> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: BoundAllowance, _context: &mut Context<Self>) {
+        if let Some(execution) = self.tables.executions.get_mut(message.attempt) {
+            let retries = execution.allowance.remaining().min(message.retries);
+            execution.allowance = Allowance::root(retries);
+        }
+    }
+}
+
 /// Asks for the load of this node.
 pub struct ReportLoad;
 
--- a/crates/tallybridge-node/src/connections/claims/mod.rs
+++ b/crates/tallybridge-node/src/connections/claims/mod.rs
@@ -17,6 +17,10 @@
 /// majority does not answer.
 pub const REPLICA_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time after which the link to a replica that has not answered is not used any more. Longer than
+/// [`REPLICA_TIMEOUT`], as a busy machine is no broken link.
+const LINK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Asks one replica, which may be this node itself. `None` when no answer came in time.
 async fn ask_replica(
     context: &NodeContext,
@@ -31,8 +35,16 @@
         };
         return context.ask(message).await.ok().flatten();
     }
+    // A task of its own, so that the message also reaches a replica that the round does not wait
+    // for: the more replicas know a claim, the more of them may be lost.
+    let asked = tokio::spawn(ask_peer(context.clone(), replica, message));
+    let answered = tokio::time::timeout_at(deadline, asked).await;
+    answered.ok()?.ok()?
+}
+
+async fn ask_peer(context: NodeContext, replica: NodeId, message: Message) -> Option<Message> {
     let asked = context.links.request(replica, message);
-    match tokio::time::timeout_at(deadline, asked).await {
+    match tokio::time::timeout(LINK_TIMEOUT, asked).await {
         Ok(reply) => reply.ok().map(|reply| reply.message),
         Err(_) => {
             context.links.retire(replica);
--- a/crates/tallybridge-node/src/path/claim.rs
+++ b/crates/tallybridge-node/src/path/claim.rs
@@ -10,6 +10,7 @@
 
 use super::WholeAnswer;
 use crate::{
+    actor::executions::BoundAllowance,
     clock::unix_ms,
     connections::claims::rounds::{entry_of, run_claim, run_query, tell},
     context::NodeContext,
@@ -18,6 +19,9 @@
 /// When to ask again for the answer of a call that runs elsewhere.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Least HTTP status by which a back end says that it failed (RFC 9110 section 15.6).
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// Header of a stored answer that says which request it answers. Never sent to a caller.
 const SCOPE_HEADER: &str = "tallybridge-replay-scope";
 
@@ -94,7 +98,10 @@
     let round = ClaimRound::new(&entry, key, attempt, head.max_runs);
     let round = run_claim(context, &key, round, deadline).await;
     let refusal = match round.verdict() {
-        Verdict::Granted { .. } => return Ok(Some(round)),
+        Verdict::Granted { run } => {
+            count_earlier_runs(context, head, attempt, *run).await;
+            return Ok(Some(round));
+        }
         Verdict::Replay(answer) => {
             let answer = answer.clone();
             release(context, round).await;
@@ -110,6 +117,17 @@
     Err(Settled::refused(refusal))
 }
 
+/// Takes the runs before this one off the retries that the attempt was lent: other entry nodes, or
+/// the same one for an earlier call under the key, have spent them.
+async fn count_earlier_runs(context: &NodeContext, head: &CallHead, attempt: AttemptId, run: u8) {
+    if head.idempotent == 0 || run <= 1 {
+        return;
+    }
+    let retries = head.max_runs.saturating_sub(run);
+    // Fails only when the node is stopping.
+    let _ = context.ask(BoundAllowance { attempt, retries }).await;
+}
+
 /// Gives up what was claimed, without a question about others.
 async fn release(context: &NodeContext, round: ClaimRound) {
     let replicas = round.replicas().to_vec();
@@ -152,6 +170,9 @@
     round: &ClaimRound,
     answer: &WholeAnswer,
 ) {
+    if !is_kept(head, answer) {
+        return;
+    }
     let mut headers: Vec<_> = answer.headers.iter().cloned().collect();
     headers.push(ReplayScope::of(head).header());
     let headers = WireHeaders::new(headers);
@@ -161,6 +182,12 @@
     }
 }
 
+/// Whether an answer stands for all later attempts. The failure of a call that may be repeated does
+/// not: the caller repeats it to have it done.
+fn is_kept(head: &CallHead, answer: &WholeAnswer) -> bool {
+    head.idempotent == 0 || answer.status < FIRST_SERVER_ERROR
+}
+
 async fn give_up(
     context: &NodeContext,
     head: &CallHead,
