--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! A chain of services in one process: each with a back end, a node beside it and real sockets.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod fleet;
+pub mod switch;
+
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -20,7 +23,6 @@
     actor::{
         claims::{ApplyPartitionMap, GetMapRecords},
         configuration::ApplyRecords,
-        fleet::PeerSeen,
         status::GetStatus,
     },
     start,
@@ -30,6 +32,9 @@
 
 pub const TENANT: &str = "market";
 
+/// Time between two looks at a state that is waited for.
+const POLL: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// One service of the chain.
 pub struct Hop {
     pub node: RunningNode,
@@ -243,6 +248,7 @@
                 )
             })
             .collect();
+        let addresses: Vec<_> = all_settings.iter().map(|one| one.peer_address).collect();
         let mut hops = Vec::new();
         for (position, listener) in listeners.into_iter().enumerate() {
             let executions = Arc::default();
@@ -265,7 +271,10 @@
                 next,
                 client.clone(),
             );
-            let mut settings = all_settings[position].clone();
+            let mut settings = Settings {
+                seeds: addresses.clone(),
+                ..all_settings[position].clone()
+            };
             settings.store.extend(layout.store);
             settings.store.reverse();
             let node = start(settings.clone()).await.expect("the node starts");
@@ -281,7 +290,7 @@
         let chain = Self { hops, client };
         let templates = templates.unwrap_or_else(|| (0..depth).map(default_template).collect());
         chain.configure(templates.clone()).await;
-        chain.introduce().await;
+        chain.meet().await;
         if layout.store.is_none() {
             chain.place_claims().await;
         }
@@ -308,18 +317,19 @@
         }
     }
 
-    /// Makes every node known to every other.
-    async fn introduce(&self) {
+    /// Waits until every node knows every other.
+    async fn meet(&self) {
         for hop in &self.hops {
-            for other in &self.hops {
-                let link = other
-                    .node
-                    .context
-                    .links
-                    .link(hop.settings.peer_address)
-                    .await;
-                let peer = link.expect("the node answers").peer.clone();
-                other.node.context.ask(PeerSeen(peer)).await.expect("takes");
+            loop {
+                let status = hop.node.context.ask(GetStatus).await.expect("status");
+                let alive = status
+                    .members
+                    .iter()
+                    .filter(|member| member.state == "alive");
+                if alive.count() == self.hops.len() {
+                    break;
+                }
+                tokio::time::sleep(POLL).await;
             }
         }
     }
@@ -346,7 +356,7 @@
             }
         };
         self.configure(templates).await;
-        self.introduce().await;
+        self.meet().await;
     }
 
     /// Waits until every node has a partition map in which every partition has reached an epoch
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -1,12 +1,17 @@
 //! Messages about attempts that the back end beside this node runs.
 
-use tallybridge_core::{AttemptId, LoadReport, Refusal};
+use std::time::Instant;
+
+use tallybridge_core::{AttemptId, LoadReport, Refusal, TemplateName};
 use tallybridge_limits::{Sample, Ticket, retry::Allowance};
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
 use crate::{
-    systems::admission::{self, Admitted},
+    systems::{
+        admission::{self, Admitted},
+        membership,
+    },
     tables::{admission::TemplateBounds, executions::Execution},
 };
 
@@ -41,6 +46,8 @@
 pub struct EndExecution {
     /// The attempt.
     pub attempt: AttemptId,
+    /// Template that covers the call.
+    pub template: TemplateName,
     /// What it tells about the back end's load.
     pub sample: Sample,
 }
@@ -58,14 +65,20 @@
     type Return = Closing;
 
     async fn handle(&mut self, message: EndExecution, _context: &mut Context<Self>) -> Closing {
+        let now = now();
         let mut unused_allowance = 0;
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
-            admission::release(&mut self.tables, &execution, message.sample, now());
+            let nested = execution.nested_wait.total(now);
+            let sample = Sample {
+                latency: message.sample.latency.saturating_sub(nested),
+                ..message.sample
+            };
+            admission::release(&mut self.tables, &execution, sample, now);
         }
         Closing {
             unused_allowance,
-            load: self.load_report(),
+            load: self.load_report(&message.template, now),
         }
     }
 }
@@ -89,14 +102,18 @@
     }
 }
 
-/// Asks for the load of this node.
-pub struct ReportLoad;
+/// Asks for the load of this node, as a caller of a template meets it.
+pub struct ReportLoad(pub TemplateName);
 
 impl Handler<ReportLoad> for NodeActor {
     type Return = LoadReport;
 
-    async fn handle(&mut self, _message: ReportLoad, _context: &mut Context<Self>) -> LoadReport {
-        self.load_report()
+    async fn handle(
+        &mut self,
+        ReportLoad(template): ReportLoad,
+        _context: &mut Context<Self>,
+    ) -> LoadReport {
+        self.load_report(&template, now())
     }
 }
 
@@ -107,12 +124,13 @@
     type Return = ();
 
     async fn handle(&mut self, _message: BackendDraining, _context: &mut Context<Self>) {
-        self.tables.leaving = true;
+        membership::leave(&mut self.tables, now());
     }
 }
 
 impl NodeActor {
-    fn load_report(&self) -> LoadReport {
-        self.tables.admission.load_report(self.tables.leaving)
+    fn load_report(&self, template: &TemplateName, now: Instant) -> LoadReport {
+        let tables = &self.tables;
+        tables.admission.load_report(template, tables.leaving, now)
     }
 }
--- a/crates/tallybridge-node/src/connections/claims/map.rs
+++ b/crates/tallybridge-node/src/connections/claims/map.rs
@@ -120,8 +120,8 @@
         let Ok(status) = context.ask(GetStatus).await else {
             return;
         };
-        for peer in status.peers {
-            fetch(&context, peer.node, false).await;
+        for member in status.members {
+            fetch(&context, member.node, false).await;
         }
     }
 }
--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -3,7 +3,9 @@
 pub mod admin;
 pub mod backend;
 pub mod caller;
+pub mod catch_up;
 pub mod claims;
 pub mod discovery;
+pub mod gossip;
 pub mod peer;
 pub mod store;
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -1,37 +1,38 @@
 //! Links that peers open to this node: their calls run here.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
 use tallybridge_core::NodeId;
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message,
-    PartitionMapFetch, PartitionMapRecords, StreamId,
+    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
+    Message, PartitionMapFetch, PartitionMapRecords, StreamId,
 };
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::sync::mpsc;
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
 
 use super::{
     body::{BodyAssembly, send_body},
     call::answer_head,
-    network::PeerStream,
-    peer_of,
+    introduction::Peer,
+    network::{PeerListener, PeerStream},
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
     actor::{
         claims::{ClaimMessage, GetMapRecords},
-        configuration::{ApplyRecords, RecordsAfter},
-        fleet::PeerSeen,
+        configuration::{ApplyRecords, UpdateAfter},
+        fleet::Leave,
     },
     context::NodeContext,
     path::{Executed, execute},
+    tables::configuration::ConfigurationUpdate,
 };
 
 /// Accepts peers until the node stops.
-pub async fn accept_peers(context: NodeContext, listener: TcpListener, hello: Hello) {
+pub async fn accept_peers(context: NodeContext, listener: Arc<dyn PeerListener>, hello: Hello) {
     loop {
         let accepted = tokio::select! {
             biased;
@@ -39,10 +40,8 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                // Without it small messages wait for acknowledgements; the link works all the same.
-                let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_peer(context.clone(), Box::new(stream), hello.clone()));
+            Ok(stream) => {
+                tokio::spawn(serve_peer(context.clone(), stream, hello.clone()));
             }
             Err(error) => tracing::warn!(%error, "a peer's connection was not accepted"),
         }
@@ -127,11 +126,12 @@
     async fn take(&mut self, frame: Frame) {
         let stream = frame.stream;
         match frame.message {
-            Ok(Message::Hello(hello)) => self.introduce(&hello).await,
+            Ok(Message::Hello(hello)) => self.introduce(&hello),
+            Ok(Message::LeaveNotice) => self.leave().await,
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
-            Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
+            Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
             Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
             Ok(
@@ -154,12 +154,14 @@
         }
     }
 
-    async fn introduce(&mut self, hello: &Hello) {
-        if let Some(peer) = peer_of(hello) {
-            self.peer = Some(peer.node);
-            // Fails only when the node is stopping.
-            let _ = self.context.ask(PeerSeen(peer)).await;
-        }
+    fn introduce(&mut self, hello: &Hello) {
+        self.peer = Peer::of_hello(hello).map(|peer| peer.node);
+    }
+
+    /// A peer has seen in the machine list that this node's machine is leaving.
+    async fn leave(&self) {
+        // Fails only when the node is stopping anyway.
+        let _ = self.context.ask(Leave).await;
     }
 
     fn start(&mut self, stream: StreamId, head: CallHead) {
@@ -218,13 +220,14 @@
         }
     }
 
-    async fn send_records(&self, stream: StreamId, fetch: &ConfigurationFetch) {
-        let records = self.context.ask(RecordsAfter(Revision(fetch.after))).await;
-        let json = records
-            .ok()
-            .and_then(|records| serde_json::to_vec(&records).ok())
-            .unwrap_or_default();
-        let message = Message::ConfigurationRecords(ConfigurationRecords::new(json));
+    async fn send_update(&self, stream: StreamId, fetch: &ConfigurationFetch) {
+        let Ok(update) = self.context.ask(UpdateAfter(Revision(fetch.after))).await else {
+            return;
+        };
+        self.reply(stream, configuration_message(&update)).await;
+    }
+
+    async fn reply(&self, stream: StreamId, message: Message) {
         // A closed connection needs no answer.
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
@@ -265,6 +268,21 @@
     }
 }
 
+/// The message that brings a peer up to date. One that can't be written is empty, and the peer
+/// asks another member.
+fn configuration_message(update: &ConfigurationUpdate) -> Message {
+    match update {
+        ConfigurationUpdate::Records(records) => {
+            let json = serde_json::to_vec(records).unwrap_or_default();
+            Message::ConfigurationRecords(ConfigurationRecords::new(json))
+        }
+        ConfigurationUpdate::Snapshot(document) => {
+            let json = serde_json::to_vec(&**document).unwrap_or_default();
+            Message::ConfigurationSnapshot(JsonReport::new(json))
+        }
+    }
+}
+
 /// Sends an answer; when the connection is gone the entry node has found that out already.
 async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
     let head = Message::Answer(answer_head(executed));
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -13,5 +13,7 @@
 pub mod run;
 pub mod systems;
 pub mod tables;
+pub mod telemetry;
 
-pub use run::{RunningNode, run, start};
+pub use connections::store::StoreTimes;
+pub use run::{NodeParts, RunningNode, run, start, start_core, start_with};
--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -8,9 +8,10 @@
     claim::{ReplayScope, settle_refusal},
 };
 use crate::{
-    actor::calls::{BeginCall, CallPlan, EndAttempt, RefusedCall},
+    actor::calls::{BeginCall, CallPlan, ChooseNext, EndAttempt, RefusedCall},
     context::NodeContext,
     systems::{begin::CallRequest, retry::Next},
+    telemetry,
 };
 
 /// Carries a call to its end.
@@ -22,6 +23,7 @@
     carried: CarriedRequest,
     cancelled: CancellationToken,
 ) -> CallEnd {
+    let entered = tokio::time::Instant::now();
     let plan = match context.ask(BeginCall(request)).await {
         Ok(Ok(plan)) => plan,
         Ok(Err(refused)) => return refused_at_once(context, refused).await,
@@ -32,6 +34,10 @@
         Ok(answer) => Ok(answer),
     };
     log_end(&plan, &result);
+    match &result {
+        Ok(_) => telemetry::call_answered(&plan.policy, entered.elapsed()),
+        Err(refusal) => telemetry::call_refused(Some(&plan.policy), refusal),
+    }
     CallEnd {
         request_id: Some(plan.request_id),
         result,
@@ -46,9 +52,6 @@
 ) -> Result<WholeAnswer, FinalRefusal> {
     let mut route = plan.route;
     loop {
-        if !route.delay.is_zero() {
-            tokio::time::sleep(route.delay).await;
-        }
         let attempted = attempt::run(context, plan, route, carried, cancelled).await;
         let next = context
             .ask(EndAttempt {
@@ -56,14 +59,15 @@
                 node: route.node,
                 end: attempted.end,
             })
-            .await
-            .map_err(|refusal| FinalRefusal {
-                refusal,
-                outcome_settled: false,
-            })?;
+            .await?;
         match (next, attempted.answer) {
             (Next::Answer, Some(answer)) => return Ok(answer),
             (Next::Retry(next_route), _) => route = next_route,
+            (Next::Wait(delay), _) => {
+                tokio::time::sleep(delay).await;
+                let chosen = context.ask(ChooseNext(plan.id)).await?;
+                route = chosen?;
+            }
             (Next::Refuse(refusal), _) => {
                 return Err(FinalRefusal {
                     refusal,
@@ -82,6 +86,15 @@
     outcome_settled: bool,
 }
 
+impl From<Refusal> for FinalRefusal {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            outcome_settled: false,
+        }
+    }
+}
+
 /// Makes the refusal of a call with a shared key true over all attempts under that key.
 async fn settle(
     context: &NodeContext,
@@ -113,6 +126,7 @@
 
 fn log_refused(result: Result<WholeAnswer, Refusal>) -> CallEnd {
     if let Err(refusal) = &result {
+        telemetry::call_refused(None, refusal);
         tracing::info!(
             decision = "refused",
             reason = refusal.kind.name(),
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -26,7 +26,10 @@
     connections::backend::{BackendAnswer, BackendFailure, BackendRequest},
     context::NodeContext,
     systems::admission::Admitted,
-    tables::{admission::TemplateBounds, executions::Execution},
+    tables::{
+        admission::TemplateBounds,
+        executions::{Execution, NestedWait},
+    },
 };
 
 /// Runs a call at the back end beside this node.
@@ -51,11 +54,11 @@
     let until = tokio::time::Instant::from_std(deadline);
     let round = match claim_run(context, &head, attempt, until).await {
         Ok(round) => round,
-        Err(ended) => return end_unrun(context, attempt, ended).await,
+        Err(ended) => return end_unrun(context, &head, attempt, ended).await,
     };
     if let Err(refusal) = check_before_hand_over(deadline, round.as_ref(), &cancelled) {
         let ended = end_run(context, &head, round, Err(refusal)).await;
-        return end_unrun(context, attempt, ended).await;
+        return end_unrun(context, &head, attempt, ended).await;
     }
     let started = tokio::time::Instant::now();
     let request = backend_request(&head, body, attempt, deadline);
@@ -97,7 +100,7 @@
         started: now,
         allowance: Allowance::root(head.allowance),
         nested: HashMap::new(),
-        nested_time: Duration::ZERO,
+        nested_wait: NestedWait::default(),
     })
 }
 
@@ -242,17 +245,31 @@
         answer,
         Err(NoAnswer::Failed(BackendFailure::NotConnected(_)))
     );
-    let attempt = run.attempt;
-    let closing = context.ask(EndExecution { attempt, sample }).await;
+    let closing = end_execution(context, head, run.attempt, sample).await;
     let ended = end_run(context, head, run.round, into_result(answer)).await;
     Executed {
         result: ended.result,
         reached_backend,
         outcome_settled: ended.outcome_settled,
-        closing: closing.unwrap_or_default(),
+        closing,
     }
 }
 
+async fn end_execution(
+    context: &NodeContext,
+    head: &CallHead,
+    attempt: AttemptId,
+    sample: Sample,
+) -> Closing {
+    let end = EndExecution {
+        attempt,
+        template: TemplateName::from(head.template.to_string_lossy()),
+        sample,
+    };
+    // The default, which gives nothing back, is for a node whose tables are gone.
+    context.ask(end).await.unwrap_or_default()
+}
+
 /// A stable number for the template, by which the limit keeps natural latencies apart.
 fn template_kind(head: &CallHead) -> u16 {
     let digest = xxhash_rust::xxh3::xxh3_64(head.template.as_bytes());
@@ -292,20 +309,25 @@
 }
 
 /// Ends an attempt that holds a slot but is not handed over.
-async fn end_unrun(context: &NodeContext, attempt: AttemptId, ended: Settled) -> Executed {
+async fn end_unrun(
+    context: &NodeContext,
+    head: &CallHead,
+    attempt: AttemptId,
+    ended: Settled,
+) -> Executed {
     let sample = crate::systems::admission::ignored_sample();
-    let closing = context.ask(EndExecution { attempt, sample }).await;
     Executed {
         result: ended.result,
         reached_backend: false,
         outcome_settled: ended.outcome_settled,
-        closing: closing.unwrap_or_default(),
+        closing: end_execution(context, head, attempt, sample).await,
     }
 }
 
 /// Answers a call that never got a slot; all that it was lent goes back.
 async fn refused(context: &NodeContext, head: &CallHead, refusal: Refusal) -> Executed {
-    let load = context.ask(ReportLoad).await.unwrap_or_default();
+    let template = TemplateName::from(head.template.to_string_lossy());
+    let load = context.ask(ReportLoad(template)).await.unwrap_or_default();
     Executed {
         result: Err(refusal),
         reached_backend: false,
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -15,20 +15,28 @@
 use crate::{
     actor::{
         MAILBOX_CAPACITY, NodeActor, TICK_INTERVAL, Tick,
-        fleet::{Leave, PeerSeen},
+        fleet::{Depart, Leave, StopTakingCalls},
         now,
     },
     connections::{
         admin::{Admin, serve_operators},
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
+        catch_up::catch_up,
         claims::{copies::copy_claims, map, planner::plan_partitions},
-        discovery::discover_peers,
-        peer::{accept::accept_peers, hello_of, links::PeerLinks, network::TcpNetwork},
-        store::follow_configuration,
+        discovery::follow_machine_list,
+        gossip::gossip,
+        peer::{
+            accept::accept_peers,
+            introduction::Peer,
+            links::PeerLinks,
+            network::{Network, SocketNetwork},
+        },
+        store::{StoreTimes, follow_configuration},
     },
     context::NodeContext,
-    tables::{Tables, peers::Peer},
+    systems::membership::refresh_endpoints,
+    tables::Tables,
 };
 
 /// A node that has been started.
@@ -77,57 +85,109 @@
     }
 }
 
+/// What a node is built on: sockets and HTTP in the program, parts in memory in tests and in a
+/// process that runs many nodes.
+#[derive(Clone)]
+pub struct NodeParts {
+    /// The way to other nodes.
+    pub network: Arc<dyn Network>,
+    /// The back end beside the node, if it has one.
+    pub backend: Option<Arc<dyn BackendClient>>,
+    /// Times of the work with the store.
+    pub store_times: StoreTimes,
+}
+
+impl NodeParts {
+    /// Sockets, and a back end that speaks HTTP.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when the HTTP library can't be set up.
+    pub fn real(settings: &Settings) -> Result<Self, Refusal> {
+        Ok(Self {
+            network: Arc::new(SocketNetwork),
+            backend: http_backend(settings)?,
+            store_times: StoreTimes::default(),
+        })
+    }
+}
+
 /// Starts a node and returns once its addresses are bound.
 ///
 /// # Errors
 ///
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
-    let peer_listener = bind(settings.peer_address).await?;
+    let parts = NodeParts::real(&settings)?;
+    start_with(settings, parts).await
+}
+
+/// Starts a node on other parts than the usual ones.
+///
+/// # Errors
+///
+/// As [`start`].
+pub async fn start_with(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let store_times = parts.store_times;
     let caller_listener = bind(settings.caller_address).await?;
     let admin_listener = bind(settings.admin_address).await?;
+    let node = start_core(settings, parts).await?;
+    let admin = Admin {
+        context: node.context.clone(),
+        metrics: metrics_handle(),
+        leave: node.leave.clone(),
+    };
+    let background = &node.background;
+    background.spawn(serve_callers(node.context.clone(), caller_listener));
+    background.spawn(serve_operators(admin, admin_listener));
+    background.spawn(follow_machine_list(node.context.clone()));
+    background.spawn(follow_configuration(node.context.clone(), store_times));
+    background.spawn(map::follow_map(node.context.clone()));
+    background.spawn(plan_partitions(node.context.clone()));
+    Ok(node)
+}
+
+/// Starts a node's tables, systems and peer links, without callers, operators and the platform.
+///
+/// # Errors
+///
+/// A refusal when the peer address can't be bound.
+pub async fn start_core(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let peer_address = settings.peer_address;
+    let listener = parts.network.listen(peer_address).await;
+    let listener = listener.map_err(|error| bind_failed(peer_address, &error))?;
+    let socket = parts.network.bind_datagrams(peer_address).await;
+    let socket = socket.map_err(|error| bind_failed(peer_address, &error))?;
     let identity = NodeId {
-        address: settings.peer_address,
+        address: peer_address,
         instance: InstanceId::random(),
     };
-    let myself = own_row(identity, &settings);
-    let hello = hello_of(&myself);
-    let actor = spawn_actor(identity, &settings);
+    let hello = introduction(identity, &settings).hello();
     let context = NodeContext {
         identity,
-        backend: http_backend(&settings)?,
+        backend: parts.backend,
+        actor: spawn_actor(identity, &settings),
         settings: Arc::new(settings),
-        actor,
-        links: PeerLinks::new(hello.clone(), Arc::new(TcpNetwork)),
+        links: PeerLinks::new(hello.clone(), parts.network),
         calls: TaskTracker::new(),
+        peer_ahead: Arc::default(),
         shutdown: CancellationToken::new(),
     };
-    context.ask(PeerSeen(myself)).await?;
-    let leave = CancellationToken::new();
-    let admin = Admin {
-        context: context.clone(),
-        metrics: metrics_handle(),
-        leave: leave.clone(),
-    };
     let background = TaskTracker::new();
     background.spawn(tick(context.clone()));
-    background.spawn(accept_peers(context.clone(), peer_listener, hello));
-    background.spawn(serve_callers(context.clone(), caller_listener));
-    background.spawn(serve_operators(admin, admin_listener));
-    background.spawn(discover_peers(context.clone()));
-    background.spawn(follow_configuration(context.clone()));
-    background.spawn(map::follow_map(context.clone()));
+    background.spawn(accept_peers(context.clone(), listener, hello));
+    background.spawn(gossip(context.clone(), socket));
+    background.spawn(catch_up(context.clone()));
     background.spawn(map::fetch_first_map(context.clone()));
-    background.spawn(plan_partitions(context.clone()));
     background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
-        leave,
+        leave: CancellationToken::new(),
         background,
     })
 }
 
-fn own_row(identity: NodeId, settings: &Settings) -> Peer {
+fn introduction(identity: NodeId, settings: &Settings) -> Peer {
     Peer {
         node: identity,
         service: settings
@@ -141,7 +201,8 @@
 }
 
 fn spawn_actor(identity: NodeId, settings: &Settings) -> Address<NodeActor> {
-    let tables = Tables::new(identity, settings, now());
+    let mut tables = Tables::new(identity, settings, now());
+    refresh_endpoints(&mut tables, now());
     xtra::spawn_tokio(NodeActor { tables }, Mailbox::bounded(MAILBOX_CAPACITY))
 }
 
@@ -198,9 +259,11 @@
     }
 }
 
-/// Time between the announcement that a node leaves and the end of its listening, in which peers
-/// learn that they must not send it new work.
+/// Time between the announcement that a node leaves and the refusal of calls from outside, in which
+/// callers and their balancers find another node.
 const LEAVE_NOTICE: Duration = Duration::from_millis(500);
+/// Time for the last datagrams and answers to go out.
+const FAREWELL: Duration = Duration::from_millis(500);
 
 impl RunningNode {
     /// Takes no new work, finishes what is in flight, then ends.
@@ -212,14 +275,17 @@
         let context = &self.context;
         context.ask(Leave).await?;
         tokio::time::sleep(LEAVE_NOTICE).await;
+        context.ask(StopTakingCalls).await?;
         context.calls.close();
         let drain = Duration::from_millis(context.settings.drain_ms.into());
         let drained = tokio::time::timeout(drain, context.calls.wait()).await;
         let left = context.calls.len();
+        context.ask(Depart).await?;
+        tokio::time::sleep(FAREWELL).await;
         context.shutdown.cancel();
         self.background.close();
         // Background tasks end by themselves; one that hangs must not hold up the stop.
-        let _ = tokio::time::timeout(LEAVE_NOTICE, self.background.wait()).await;
+        let _ = tokio::time::timeout(FAREWELL, self.background.wait()).await;
         drained.map_err(|_| {
             Refusal::new(
                 ErrorKind::Internal,
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -12,7 +12,10 @@
 };
 use tallybridge_limits::retry::Allowance;
 
-use crate::tables::{Tables, calls::Call, executions::Execution};
+use crate::{
+    systems::admission::overloaded,
+    tables::{Tables, calls::Call, executions::Execution},
+};
 
 /// What a caller asks for, as far as the tables need it.
 #[derive(Debug, Clone)]
@@ -88,6 +91,12 @@
             "this node has no configuration yet",
         ));
     }
+    if tables.stopping && matches!(request.origin, Origin::Root { .. }) {
+        return Err(Refusal::new(
+            ErrorKind::Leaving,
+            "this node is about to end: send the request to another",
+        ));
+    }
     let inherited = inherit(tables, request)?;
     let policy = find_policy(tables, &inherited.tenant, request)?;
     if request.body_bytes > policy.max_request_bytes as usize {
@@ -99,15 +108,17 @@
             ),
         ));
     }
+    let criticality = inherited.criticality.max(policy.criticality);
+    refuse_early(tables, &policy, criticality, now)?;
     let deadline = earliest_deadline(&policy, request.timeout, inherited.deadline, now);
-    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy)?;
+    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy, now)?;
     Ok(Call {
         request_id: inherited.request_id,
         key: inherited.key,
         shared_key: inherited.shared_key,
         tenant: inherited.tenant,
         service: request.service.clone(),
-        criticality: inherited.criticality.max(policy.criticality),
+        criticality,
         policy,
         depth: inherited.depth,
         deadline,
@@ -115,6 +126,7 @@
         allowance,
         lent_by_parent,
         lent_to_attempt: 0,
+        chosen: now,
         attempts: 0,
         reroutes: 0,
         excluded: Vec::new(),
@@ -235,6 +247,25 @@
         })
 }
 
+/// Refuses what every executing node that answered lately refuses, before it costs a hop.
+fn refuse_early(
+    tables: &mut Tables,
+    policy: &CallPolicy,
+    criticality: Criticality,
+    now: Instant,
+) -> Result<(), Refusal> {
+    let refused =
+        tables
+            .early_refusal
+            .should_refuse(&policy.template, criticality, now, &mut tables.rng);
+    if refused {
+        return Err(overloaded(
+            "every back end of the service sheds this class now",
+        ));
+    }
+    Ok(())
+}
+
 fn earliest_deadline(
     policy: &CallPolicy,
     timeout: Option<Duration>,
@@ -253,6 +284,7 @@
     tables: &mut Tables,
     inherited: &Inheritance,
     policy: &CallPolicy,
+    now: Instant,
 ) -> Result<(Allowance, u8), Refusal> {
     let Some(parent) = inherited.parent else {
         return Ok((Allowance::root(policy.retry_allowance), 0));
@@ -270,6 +302,7 @@
         .with_outcome(Outcome::Unknown));
     }
     *times_made = times_made.saturating_add(1);
+    parent.nested_wait.begin(now);
     let lent = parent.allowance.lend();
     Ok((Allowance::root(lent), lent))
 }
--- a/crates/tallybridge-node/src/systems/claims.rs
+++ b/crates/tallybridge-node/src/systems/claims.rs
@@ -4,6 +4,7 @@
 
 use tallybridge_claims::{Candidate, PartitionMap, Presence, SyncReport, plan};
 use tallybridge_core::{NodeId, RegionName, ZoneName};
+use tallybridge_membership::{Incarnation, MemberRecord, MemberState};
 
 use crate::{actor::claims::PlannerRole, tables::Tables};
 
@@ -37,14 +38,25 @@
 /// The nodes that can hold claims, as far as this node knows them.
 #[must_use]
 pub fn claim_candidates(tables: &Tables) -> Vec<Candidate> {
-    let peers = tables.peers.iter().map(|peer| Candidate {
-        node: peer.node,
-        region: peer.region.clone(),
-        zone: peer.zone.clone(),
-        rack: peer.rack.clone(),
-        presence: Presence::Live,
-    });
-    peers.collect()
+    tables.members.members().filter_map(candidate).collect()
+}
+
+/// A member as candidate. One that said that it is gone, or whose address another instance has
+/// taken, has ended and is none; one that is merely silent may still run.
+fn candidate(record: &MemberRecord) -> Option<Candidate> {
+    let presence = match record.state() {
+        MemberState::Alive | MemberState::Suspect => Presence::Live,
+        MemberState::Leaving => Presence::Unavailable,
+        MemberState::Dead if record.incarnation != Incarnation::FINAL => Presence::Unavailable,
+        MemberState::Dead | MemberState::Left => return None,
+    };
+    Some(Candidate {
+        node: record.node,
+        region: record.placement.region.clone(),
+        zone: record.placement.zone.clone(),
+        rack: record.placement.rack.to_string(),
+        presence,
+    })
 }
 
 /// Replicas that this node does not know. They count as unavailable, since a candidate that is
--- a/crates/tallybridge-node/src/systems/tick.rs
+++ b/crates/tallybridge-node/src/systems/tick.rs
@@ -8,5 +8,6 @@
 pub fn run(tables: &mut Tables, now: Instant) {
     admission::run(tables, now);
     tables.endpoints.tick(now);
+    tables.early_refusal.tick(now);
     tables.claims.table.expire(unix_ms());
 }
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -6,19 +6,19 @@
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
-pub mod peers;
 
 use std::time::Instant;
 
 use rand::{SeedableRng, rngs::SmallRng};
 use tallybridge_config::Settings;
-use tallybridge_core::NodeId;
-use tallybridge_limits::retry::{Budget, BudgetSettings};
+use tallybridge_core::{NodeId, ServiceName, TemplateName};
+use tallybridge_limits::{Budget, BudgetSettings, EarlyRefusal};
+use tallybridge_membership::{MemberIdentity, MemberTable, MembershipSettings, Placement};
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
 use self::{
     admission::Admission, calls::CallTable, claims::Claims, configuration::Configuration,
-    decisions::DecisionLog, executions::ExecutionTable, peers::PeerTable,
+    decisions::DecisionLog, executions::ExecutionTable,
 };
 
 /// All tables of one node.
@@ -33,18 +33,24 @@
     pub admission: Admission,
     /// Where calls can be sent.
     pub endpoints: EndpointTable,
+    /// Levels that came back on answers, by which calls are refused before they are sent.
+    pub early_refusal: EarlyRefusal<TemplateName, NodeId>,
     /// Share of retries among attempts, over all calls that entered here.
     pub retry_budget: Budget,
     /// Configuration in force.
     pub configuration: Configuration,
     /// Claims held for others, and where those of each key are.
     pub claims: Claims,
-    /// Other nodes.
-    pub peers: PeerTable,
+    /// The fleet as this node sees it.
+    pub members: MemberTable,
     /// What was decided lately, and why.
     pub decisions: DecisionLog,
-    /// Whether this node or its back end is leaving.
+    /// Whether the back end beside this node takes no new work.
     pub leaving: bool,
+    /// Whether this node takes no new calls from outside: it is about to end.
+    pub stopping: bool,
+    /// Whether this node holds a duty to watch the store.
+    pub watches_store: bool,
     /// Source of random choices.
     pub rng: SmallRng,
 }
@@ -63,13 +69,37 @@
             executions: ExecutionTable::new(identity.instance),
             admission: Admission::new(settings.backend.as_ref(), now),
             endpoints: EndpointTable::new(locality, RoutingSettings::default()),
+            early_refusal: EarlyRefusal::new(),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
             claims: Claims::new(identity),
-            peers: PeerTable::default(),
+            members: MemberTable::new(
+                member_identity(identity, settings),
+                MembershipSettings::default(),
+                now,
+            ),
             decisions: DecisionLog::default(),
             leaving: false,
+            stopping: false,
+            watches_store: false,
             rng: SmallRng::seed_from_u64(identity.instance.0),
         }
     }
 }
+
+/// What the node says about itself to the fleet.
+fn member_identity(node: NodeId, settings: &Settings) -> MemberIdentity {
+    let service = settings
+        .backend
+        .as_ref()
+        .map_or_else(|| ServiceName::from(""), |backend| backend.service.clone());
+    MemberIdentity {
+        node,
+        placement: Placement {
+            service,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            rack: settings.rack.as_str().into(),
+        },
+    }
+}
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -6,7 +6,8 @@
 use crate::claim::{
     Claim, ClaimCopy, ClaimFinish, ClaimPage, ClaimQuery, ClaimQueryReply, ClaimRelease, ClaimReply,
 };
-use crate::text::Text;
+use crate::report::{ExplainFetch, JsonReport};
+use crate::{bytes_field::write_bytes, text::Text};
 
 /// First message of each side of a connection: who it is.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -126,7 +127,7 @@
 pub struct BodyChunk {
     length: u32,
     /// The bytes.
-    #[deku(count = "length")]
+    #[deku(count = "length", writer = "write_bytes(deku::writer, bytes)")]
     pub bytes: Vec<u8>,
 }
 
@@ -234,7 +235,7 @@
 pub struct ConfigurationRecords {
     length: u32,
     /// The records as JSON, in order of revision.
-    #[deku(count = "length")]
+    #[deku(count = "length", writer = "write_bytes(deku::writer, json)")]
     pub json: Vec<u8>,
 }
 
@@ -302,6 +303,10 @@
             $($(#[$meta])* $name($payload),)*
             /// The caller of this stream gave up.
             Cancel,
+            /// The receiver's machine is leaving, by the machine list that the sender read.
+            LeaveNotice,
+            /// Asks a node what it says about itself.
+            StatusFetch,
         }
 
         impl Message {
@@ -311,6 +316,8 @@
                 match self {
                     $(Self::$name(_) => $kind,)*
                     Self::Cancel => CANCEL_KIND,
+                    Self::LeaveNotice => LEAVE_NOTICE_KIND,
+                    Self::StatusFetch => STATUS_FETCH_KIND,
                 }
             }
 
@@ -322,7 +329,7 @@
             pub fn to_payload(&self) -> Result<Vec<u8>, MessageError> {
                 let bytes = match self {
                     $(Self::$name(payload) => payload.to_bytes(),)*
-                    Self::Cancel => Ok(Vec::new()),
+                    Self::Cancel | Self::LeaveNotice | Self::StatusFetch => Ok(Vec::new()),
                 };
                 bytes.map_err(|error| MessageError::Malformed {
                     kind: self.kind(),
@@ -339,6 +346,8 @@
                 match kind {
                     $($kind => parse::<$payload>(kind, payload).map(Self::$name),)*
                     CANCEL_KIND => Ok(Self::Cancel),
+                    LEAVE_NOTICE_KIND => Ok(Self::LeaveNotice),
+                    STATUS_FETCH_KIND => Ok(Self::StatusFetch),
                     unknown => Err(MessageError::UnknownKind(unknown)),
                 }
             }
@@ -347,6 +356,8 @@
 }
 
 const CANCEL_KIND: u8 = 5;
+const LEAVE_NOTICE_KIND: u8 = 8;
+const STATUS_FETCH_KIND: u8 = 12;
 
 messages! {
     /// Who the sender is.
@@ -361,6 +372,14 @@
     ConfigurationFetch(ConfigurationFetch) = 6,
     /// Configuration records.
     ConfigurationRecords(ConfigurationRecords) = 7,
+    /// The whole configuration at one revision, answering a fetch from far behind.
+    ConfigurationSnapshot(JsonReport) = 9,
+    /// Asks what was decided for one request.
+    ExplainFetch(ExplainFetch) = 10,
+    /// Decisions about one request.
+    ExplainRecords(JsonReport) = 11,
+    /// What a node says about itself.
+    StatusRecords(JsonReport) = 13,
     /// Asks for a run of a key.
     Claim(Claim) = 16,
     /// Answers a claim.
