--- a/crates/tallybridge-integration/tests/support/fleet.rs
+++ b/crates/tallybridge-integration/tests/support/fleet.rs
@@ -88,17 +88,17 @@
             store_times: self.times,
             ..NodeParts::real(settings).expect("an HTTP client")
         };
-        let started = async {
-            loop {
-                // The run before may not have let go of the addresses yet.
-                if let Ok(node) = start_with(settings.clone(), parts.clone()).await {
-                    return node;
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            match start_with(settings.clone(), parts.clone()).await {
+                Ok(node) => return node,
+                Err(error) if tokio::time::Instant::now() > deadline => {
+                    panic!("node {position} does not start: {error:?}")
                 }
-                tokio::time::sleep(POLL).await;
+                // The run before may not have let go of the addresses yet.
+                Err(_) => tokio::time::sleep(POLL).await,
             }
-        };
-        let started = tokio::time::timeout(PATIENCE, started).await;
-        started.expect("the node starts")
+        }
     }
 
     /// Ends a node without a word and starts another run of it.
--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -49,9 +49,19 @@
     pub client: reqwest::Client,
 }
 
+/// An address of the loopback network that only this process uses, with a port that is given out
+/// once: the system may offer a port again as long as nobody listens there.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+    static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 1, middle, low.clamp(1, 254));
+    loop {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        if GIVEN.lock().expect("lock").insert(address) {
+            return address;
+        }
+    }
 }
 
 pub fn template(text: &str) -> Template {
