Lab: measure hollow nodes, calls and decisions against their number

tallybridge-lab scale starts hollow nodes in one process for each size, with the node's own tables, systems and peer links on loopback sockets that count what is sent, and fits lines to the figures. Calls are measured on two nodes with a thread each, so that entry and executing node are told apart.

--- a/crates/tallybridge-lab/src/lib.rs
+++ b/crates/tallybridge-lab/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod policy;
 pub mod process;
 pub mod run;
+pub mod scale;
 pub mod scenario;
 pub mod standin;
--- a/crates/tallybridge-node/src/actor/status.rs
+++ b/crates/tallybridge-node/src/actor/status.rs
@@ -142,3 +142,19 @@
         self.tables.decisions.of_request(&request_id)
     }
 }
+
+/// Asks what this node believes about one run of a node.
+pub struct MemberStateOf(pub NodeId);
+
+impl Handler<MemberStateOf> for NodeActor {
+    type Return = Option<MemberState>;
+
+    async fn handle(
+        &mut self,
+        MemberStateOf(node): MemberStateOf,
+        _context: &mut Context<Self>,
+    ) -> Option<MemberState> {
+        let record = self.tables.members.member(node);
+        record.map(MemberRecord::state)
+    }
+}
