Close links that nobody uses

Links that were not asked for in 60 s and that nobody holds are closed, under the lock under which they are given out, so that no call is cut by it.

--- a/crates/tallybridge-node/src/connections/peer/links.rs
+++ b/crates/tallybridge-node/src/connections/peer/links.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tallybridge_core::NodeId;
@@ -16,13 +16,33 @@
     link::{Link, Reply},
     network::Network,
 };
+use crate::context::NodeContext;
 
 /// Time for a byte stream to be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after its last use for which a link is kept open. Whoever a node asks for its configuration
+/// changes from time to time, so links kept for good would in the end lead to the whole fleet.
+pub const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A link that is opened once, by whoever needs it first.
 type Slot = Arc<OnceCell<Arc<Link>>>;
 
+/// The place of the link to one address.
+struct Place {
+    slot: Slot,
+    last_asked: Instant,
+}
+
+impl Place {
+    /// Whether nobody holds the link or is about to. Only true under the lock of all places: a
+    /// holder of the slot or the link can't appear meanwhile.
+    fn is_free(&self) -> bool {
+        let is_held = |link: &Arc<Link>| Arc::strong_count(link) > 1;
+        Arc::strong_count(&self.slot) == 1 && !self.slot.get().is_some_and(is_held)
+    }
+}
+
 /// Links by address; cheap to clone.
 #[derive(Clone)]
 pub struct PeerLinks {
@@ -32,19 +52,19 @@
 struct Inner {
     hello: Hello,
     network: Arc<dyn Network>,
-    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    places: Mutex<HashMap<SocketAddr, Place>>,
 }
 
 impl PeerLinks {
     /// No links yet; `hello` introduces this node.
     #[must_use]
     pub fn new(hello: Hello, network: Arc<dyn Network>) -> Self {
-        let slots = Mutex::new(HashMap::new());
+        let places = Mutex::new(HashMap::new());
         Self {
             inner: Arc::new(Inner {
                 hello,
                 network,
-                slots,
+                places,
             }),
         }
     }
@@ -98,13 +118,39 @@
         self.lock().remove(&node.address);
     }
 
+    /// Closes the links that nobody uses and nobody has asked for in a while.
+    pub fn close_idle(&self, now: Instant) {
+        self.lock().retain(|_, place| {
+            let idle = now.saturating_duration_since(place.last_asked);
+            idle < IDLE_TIMEOUT || !place.is_free()
+        });
+    }
+
+    /// Number of addresses that a link is open to or is being opened to.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether there is no link.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     fn usable_slot(&self, address: SocketAddr) -> Slot {
-        let mut slots = self.lock();
-        let slot = slots.entry(address).or_default();
-        if slot.get().is_some_and(|link| link.closed.is_cancelled()) {
-            *slot = Slot::default();
+        let now = tokio::time::Instant::now().into_std();
+        let mut places = self.lock();
+        let place = places.entry(address).or_insert_with(|| Place {
+            slot: Slot::default(),
+            last_asked: now,
+        });
+        place.last_asked = now;
+        let link = place.slot.get();
+        if link.is_some_and(|link| link.closed.is_cancelled()) {
+            place.slot = Slot::default();
         }
-        slot.clone()
+        place.slot.clone()
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Arc<Link>, PeerFailure> {
@@ -117,10 +163,24 @@
         Ok(Arc::new(link))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Place>> {
         self.inner
-            .slots
+            .places
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Closes idle links from time to time until the node stops.
+pub async fn close_idle_links(context: NodeContext) {
+    const INTERVAL: Duration = Duration::from_secs(10);
+    loop {
+        tokio::select! {
+            biased;
+            () = context.shutdown.cancelled() => return,
+            () = tokio::time::sleep(INTERVAL) => {}
+        }
+        let now = tokio::time::Instant::now().into_std();
+        context.links.close_idle(now);
+    }
+}
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -27,7 +27,7 @@
         peer::{
             accept::accept_peers,
             introduction::Peer,
-            links::PeerLinks,
+            links::{PeerLinks, close_idle_links},
             network::{Network, SocketNetwork},
         },
         store::follow_configuration,
@@ -158,6 +158,7 @@
     background.spawn(tick(context.clone()));
     background.spawn(accept_peers(context.clone(), listener, hello));
     background.spawn(gossip(context.clone(), socket));
+    background.spawn(close_idle_links(context.clone()));
     Ok(RunningNode {
         context,
         leave: CancellationToken::new(),
