--- a/crates/tallybridge-lab/src/scale/decisions.rs
+++ b/crates/tallybridge-lab/src/scale/decisions.rs
@@ -6,8 +6,10 @@
     time::{Duration, Instant},
 };
 
-use tallybridge_config::{Document, Edit, RevisionRecord, Tenant};
-use tallybridge_core::{InstanceId, LoadReport, NodeId, RequestKey, ServiceName, TenantName};
+use tallybridge_config::{Document, Edit, PolicyIndex, RevisionRecord, Tenant};
+use tallybridge_core::{
+    Criticality, InstanceId, LoadReport, NodeId, RequestKey, ServiceName, TenantName,
+};
 use tallybridge_node::{
     systems::{
         begin::{self, CallRequest, Origin},
@@ -74,7 +76,8 @@
 pub fn measure() -> Vec<DecisionFigure> {
     let mut figures = Vec::new();
     for size in SIZES {
-        figures.push(figure("policy of a call", size, policy_nanos(size)));
+        figures.push(figure("policy by index", size, indexed_policy_nanos(size)));
+        figures.push(figure("policy by every template", size, policy_nanos(size)));
         figures.push(figure("call from begin to end", size, call_nanos(size)));
         figures.push(figure("tick", size, tick_nanos(size)));
     }
@@ -158,6 +161,17 @@
     })
 }
 
+fn indexed_policy_nanos(size: Size) -> f64 {
+    let document = document(size);
+    let index = PolicyIndex::of(&document);
+    let service = service(size.services / 2);
+    let tenant = tenant(size.tenants / 2);
+    time(|| {
+        let policy = index.policy(&document, black_box(&tenant), &service, "POST", "/part-3/x");
+        assert!(black_box(policy).is_some(), "a template covers the call");
+    })
+}
+
 fn tables(size: Size, now: Instant) -> Tables {
     let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
     let identity = NodeId {
@@ -209,6 +223,7 @@
             load: LoadReport {
                 in_flight: 8,
                 limit: 20,
+                admitted_from: Some(Criticality::Sheddable),
                 ..LoadReport::default()
             },
             unused_allowance: 1,
--- a/crates/tallybridge-lab/src/scale/fleet.rs
+++ b/crates/tallybridge-lab/src/scale/fleet.rs
@@ -87,6 +87,13 @@
         live.map(|node| node.traffic.sent()).collect()
     }
 
+    /// Links that a node has open, mean of the live nodes.
+    #[must_use]
+    pub fn mean_links(&self) -> f64 {
+        let open: usize = self.live().map(|node| node.links.len()).sum();
+        open as f64 / self.live().count() as f64
+    }
+
     /// Waits until every node knows every other; `None` when that takes longer than `limit`.
     pub async fn meet(&self, limit: Duration) -> Option<Duration> {
         /// A look at all tables is dear, so it is taken rarely.
--- a/crates/tallybridge-lab/src/scale/report.rs
+++ b/crates/tallybridge-lab/src/scale/report.rs
@@ -20,7 +20,7 @@
 
 fn fleet_heading() -> String {
     format!(
-        "{:>5} {:>6} | {:>7} {:>6} {:>7} {:>6} | {:>7} {:>7} {:>7} {:>7} {:>7} {:>3} | {:>7} {:>7} {:>5} | \
+        "{:>5} {:>6} | {:>7} {:>6} {:>7} {:>6} | {:>7} {:>7} {:>7} {:>7} {:>7} {:>3} | {:>7} {:>7} {:>5} {:>7} {:>5} | \
          {:>13} | {:>13} | {:>13} | {:>5}",
         "nodes",
         "cold s",
@@ -37,6 +37,8 @@
         "KiB",
         "KiB chg",
         "links",
+        "KiB idl",
+        "links",
         "rev. p50 max",
         "leave p50 max",
         "death p50 max",
@@ -49,7 +51,7 @@
     let (rest, changing) = (&fleet.rest, &fleet.changing);
     format!(
         "{:>5} {:>6} | {:>7.0} {:>6.1} {:>7.0} {:>6.0} | {:>7.0} {:>7.0} {:>7.1} {:>7.0} {:>7.0} {:>3} | \
-         {:>7.0} {:>7.0} {:>5.1} | {} | {} | {} | {:>5}",
+         {:>7.0} {:>7.0} {:>5.1} {:>7.0} {:>5.1} | {} | {} | {} | {:>5}",
         fleet.nodes,
         seconds(fleet.cold_start),
         rest.udp_bytes,
@@ -64,7 +66,9 @@
         fleet.changes,
         fleet.memory_kib,
         fleet.memory_after_changes_kib,
-        fleet.streams_opened,
+        fleet.links_after_changes,
+        fleet.memory_after_idle_kib,
+        fleet.links_after_idle,
         spread(&fleet.revision),
         spread(&fleet.leave),
         spread(&fleet.death),
--- a/crates/tallybridge-lab/src/scale/summary.rs
+++ b/crates/tallybridge-lab/src/scale/summary.rs
@@ -62,6 +62,12 @@
     pub memory_after_changes_kib: f64,
     /// Byte streams that a node has opened by then, mean.
     pub streams_opened: f64,
+    /// Links that a node has open right after the changes, mean.
+    pub links_after_changes: f64,
+    /// Links that a node has open once those that nobody uses have been closed, mean.
+    pub links_after_idle: f64,
+    /// Memory of a node then, in KiB; what the allocator keeps for later is counted.
+    pub memory_after_idle_kib: f64,
     /// Time until a revision is in force at each node.
     pub revision: Spread,
     /// Time until a death is known at each node.
