--- a/crates/tallybridge-lab/src/scale/calls/memory.rs
+++ b/crates/tallybridge-lab/src/scale/calls/memory.rs
@@ -6,6 +6,7 @@
 use tallybridge_core::{RequestKey, ServiceName, TenantName};
 use tallybridge_node::{
     NodeParts, RunningNode,
+    connections::store::StoreTimes,
     path::{CarriedRequest, entry},
     start_core,
     systems::begin::{CallRequest, Origin},
@@ -69,6 +70,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: has_backend.then(|| Arc::new(WaitingBackend(LATENCY)) as _),
+        store_times: StoreTimes::default(),
     };
     start_core(settings, parts).await.map_err(io::Error::other)
 }
--- a/crates/tallybridge-lab/src/scale/calls/pair.rs
+++ b/crates/tallybridge-lab/src/scale/calls/pair.rs
@@ -9,6 +9,7 @@
     connections::{
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
+        store::StoreTimes,
     },
     context::NodeContext,
     start_core,
@@ -74,6 +75,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: client,
+        store_times: StoreTimes::default(),
     };
     let node = start_core(settings, parts)
         .await
--- a/crates/tallybridge-lab/src/scale/decisions.rs
+++ b/crates/tallybridge-lab/src/scale/decisions.rs
@@ -16,7 +16,7 @@
         retry::{self, AttemptEnd},
         tick,
     },
-    tables::Tables,
+    tables::{Tables, configuration::Configuration},
 };
 use tallybridge_routing::Endpoint;
 
@@ -79,6 +79,11 @@
         figures.push(figure("policy by index", size, indexed_policy_nanos(size)));
         figures.push(figure("policy by every template", size, policy_nanos(size)));
         figures.push(figure("call from begin to end", size, call_nanos(size)));
+        figures.push(figure(
+            "a revision put in force",
+            size,
+            revision_nanos(size),
+        ));
         figures.push(figure("tick", size, tick_nanos(size)));
     }
     figures
@@ -244,6 +249,31 @@
     (id, route.node)
 }
 
+/// One tenant changed, in the whole configuration. No call of the node is decided meanwhile.
+fn revision_nanos(size: Size) -> f64 {
+    let mut configuration = Configuration::default();
+    let first = record(size);
+    configuration.apply(std::slice::from_ref(&first));
+    let mut revision = first.revision;
+    time(|| {
+        revision = revision.next();
+        let change = RevisionRecord {
+            revision,
+            edits: vec![Edit::PutTenant(Tenant {
+                name: tenant(0),
+                overrides: Vec::new(),
+            })],
+            ..first_revision(0)
+        };
+        configuration.apply(&[change]);
+        assert_eq!(
+            configuration.revision(),
+            revision,
+            "the change breaks no rule"
+        );
+    })
+}
+
 fn tick_nanos(size: Size) -> f64 {
     let mut now = Instant::now();
     let mut tables = tables(size, now);
--- a/crates/tallybridge-lab/src/scale/fleet.rs
+++ b/crates/tallybridge-lab/src/scale/fleet.rs
@@ -19,6 +19,7 @@
         fleet::{Leave, Seeds},
         status::{CountMembers, MemberStateOf},
     },
+    connections::store::StoreTimes,
     context::NodeContext,
     start_core,
 };
@@ -214,6 +215,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: None,
+        store_times: StoreTimes::default(),
     };
     let running = start_core(settings, parts)
         .await
--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use tallybridge_config::{Revision, RevisionRecord};
+use tallybridge_core::NodeId;
 use tallybridge_wire::{
-    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, Message, StreamId,
+    CallHead, ConfigurationFetch, ConfigurationRecords, Frame, FrameCodec, Hello, JsonReport,
+    Message, PartitionMapFetch, PartitionMapRecords, StreamId,
 };
 use tokio::sync::mpsc;
 use tokio_util::{codec::FramedRead, sync::CancellationToken};
@@ -14,16 +16,19 @@
 use super::{
     body::{BodyAssembly, send_body},
     call::answer_head,
+    introduction::Peer,
     network::{PeerListener, PeerStream},
     writer::{WRITE_QUEUE, write_frames},
 };
 use crate::{
     actor::{
-        configuration::{ApplyRecords, RecordsAfter},
+        claims::{ClaimMessage, GetMapRecords},
+        configuration::{ApplyRecords, UpdateAfter},
         fleet::Leave,
     },
     context::NodeContext,
     path::{Executed, execute},
+    tables::configuration::ConfigurationUpdate,
 };
 
 /// Accepts peers until the node stops.
@@ -52,6 +57,8 @@
 /// One connection from a peer.
 struct PeerConnection {
     context: NodeContext,
+    /// Who is at the other end, once it has introduced itself.
+    peer: Option<NodeId>,
     sender: mpsc::Sender<Frame>,
     partial: HashMap<StreamId, PartialCall>,
     running: HashMap<StreamId, CancellationToken>,
@@ -73,6 +80,7 @@
     let (end, ended) = mpsc::unbounded_channel();
     let mut connection = PeerConnection {
         context,
+        peer: None,
         sender,
         partial: HashMap::new(),
         running: HashMap::new(),
@@ -118,13 +126,21 @@
     async fn take(&mut self, frame: Frame) {
         let stream = frame.stream;
         match frame.message {
-            Ok(Message::Hello(_)) => {}
+            Ok(Message::Hello(hello)) => self.introduce(&hello),
             Ok(Message::LeaveNotice) => self.leave().await,
             Ok(Message::Call(head)) => self.start(stream, head),
             Ok(Message::Chunk(chunk)) => self.add(stream, &chunk),
             Ok(Message::Cancel) => self.cancel(stream),
-            Ok(Message::ConfigurationFetch(fetch)) => self.send_records(stream, &fetch).await,
+            Ok(Message::ConfigurationFetch(fetch)) => self.send_update(stream, &fetch).await,
             Ok(Message::ConfigurationRecords(records)) => self.apply_records(&records).await,
+            Ok(Message::PartitionMapFetch(fetch)) => self.send_map(stream, fetch).await,
+            Ok(
+                message @ (Message::Claim(_)
+                | Message::ClaimQuery(_)
+                | Message::ClaimCopy(_)
+                | Message::ClaimRelease(_)
+                | Message::ClaimFinish(_)),
+            ) => self.vote(stream, message).await,
             Ok(other) => {
                 tracing::warn!(
                     kind = other.kind(),
@@ -138,6 +154,10 @@
         }
     }
 
+    fn introduce(&mut self, hello: &Hello) {
+        self.peer = Peer::of_hello(hello).map(|peer| peer.node);
+    }
+
     /// A peer has seen in the machine list that this node's machine is leaving.
     async fn leave(&self) {
         // Fails only when the node is stopping anyway.
@@ -200,13 +220,39 @@
         }
     }
 
-    async fn send_records(&self, stream: StreamId, fetch: &ConfigurationFetch) {
-        let records = self.context.ask(RecordsAfter(Revision(fetch.after))).await;
+    async fn send_update(&self, stream: StreamId, fetch: &ConfigurationFetch) {
+        let Ok(update) = self.context.ask(UpdateAfter(Revision(fetch.after))).await else {
+            return;
+        };
+        self.reply(stream, configuration_message(&update)).await;
+    }
+
+    async fn reply(&self, stream: StreamId, message: Message) {
+        // A closed connection needs no answer.
+        let _ = self.sender.send(Frame::new(stream, message)).await;
+    }
+
+    /// Hands a message about claims to those that this node holds, and sends what they answer.
+    async fn vote(&self, stream: StreamId, message: Message) {
+        let Some(source) = self.peer else {
+            tracing::warn!("a peer spoke of claims before it introduced itself");
+            return;
+        };
+        let answer = self.context.ask(ClaimMessage { source, message }).await;
+        if let Ok(Some(answer)) = answer {
+            // A closed connection needs no answer.
+            let _ = self.sender.send(Frame::new(stream, answer)).await;
+        }
+    }
+
+    async fn send_map(&self, stream: StreamId, fetch: PartitionMapFetch) {
+        let reports_wanted = fetch.reports_wanted != 0;
+        let records = self.context.ask(GetMapRecords { reports_wanted }).await;
         let json = records
             .ok()
             .and_then(|records| serde_json::to_vec(&records).ok())
             .unwrap_or_default();
-        let message = Message::ConfigurationRecords(ConfigurationRecords::new(json));
+        let message = Message::PartitionMapRecords(PartitionMapRecords::new(json));
         // A closed connection needs no answer.
         let _ = self.sender.send(Frame::new(stream, message)).await;
     }
@@ -222,6 +268,21 @@
     }
 }
 
+/// The message that brings a peer up to date. One that can't be written is empty, and the peer
+/// asks another member.
+fn configuration_message(update: &ConfigurationUpdate) -> Message {
+    match update {
+        ConfigurationUpdate::Records(records) => {
+            let json = serde_json::to_vec(records).unwrap_or_default();
+            Message::ConfigurationRecords(ConfigurationRecords::new(json))
+        }
+        ConfigurationUpdate::Snapshot(document) => {
+            let json = serde_json::to_vec(&**document).unwrap_or_default();
+            Message::ConfigurationSnapshot(JsonReport::new(json))
+        }
+    }
+}
+
 /// Sends an answer; when the connection is gone the entry node has found that out already.
 async fn send_answer(sender: &mpsc::Sender<Frame>, stream: StreamId, executed: &Executed) {
     let head = Message::Answer(answer_head(executed));
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -22,6 +22,8 @@
         admin::{Admin, serve_operators},
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
+        catch_up::catch_up,
+        claims::{copies::copy_claims, map, planner::plan_partitions},
         discovery::follow_machine_list,
         gossip::gossip,
         peer::{
@@ -30,7 +32,7 @@
             links::{PeerLinks, close_idle_links},
             network::{Network, SocketNetwork},
         },
-        store::follow_configuration,
+        store::{StoreTimes, follow_configuration},
     },
     context::NodeContext,
     systems::membership::refresh_endpoints,
@@ -85,11 +87,14 @@
 
 /// What a node is built on: sockets and HTTP in the program, parts in memory in tests and in a
 /// process that runs many nodes.
+#[derive(Clone)]
 pub struct NodeParts {
     /// The way to other nodes.
     pub network: Arc<dyn Network>,
     /// The back end beside the node, if it has one.
     pub backend: Option<Arc<dyn BackendClient>>,
+    /// Times of the work with the store.
+    pub store_times: StoreTimes,
 }
 
 impl NodeParts {
@@ -102,6 +107,7 @@
         Ok(Self {
             network: Arc::new(SocketNetwork),
             backend: http_backend(settings)?,
+            store_times: StoreTimes::default(),
         })
     }
 }
@@ -112,9 +118,19 @@
 ///
 /// A refusal when an address can't be bound or the HTTP library can't be set up.
 pub async fn start(settings: Settings) -> Result<RunningNode, Refusal> {
+    let parts = NodeParts::real(&settings)?;
+    start_with(settings, parts).await
+}
+
+/// Starts a node on other parts than the usual ones.
+///
+/// # Errors
+///
+/// As [`start`].
+pub async fn start_with(settings: Settings, parts: NodeParts) -> Result<RunningNode, Refusal> {
+    let store_times = parts.store_times;
     let caller_listener = bind(settings.caller_address).await?;
     let admin_listener = bind(settings.admin_address).await?;
-    let parts = NodeParts::real(&settings)?;
     let node = start_core(settings, parts).await?;
     let admin = Admin {
         context: node.context.clone(),
@@ -125,7 +141,9 @@
     background.spawn(serve_callers(node.context.clone(), caller_listener));
     background.spawn(serve_operators(admin, admin_listener));
     background.spawn(follow_machine_list(node.context.clone()));
-    background.spawn(follow_configuration(node.context.clone()));
+    background.spawn(follow_configuration(node.context.clone(), store_times));
+    background.spawn(map::follow_map(node.context.clone()));
+    background.spawn(plan_partitions(node.context.clone()));
     Ok(node)
 }
 
@@ -152,6 +170,7 @@
         settings: Arc::new(settings),
         links: PeerLinks::new(hello.clone(), parts.network),
         calls: TaskTracker::new(),
+        peer_ahead: Arc::default(),
         shutdown: CancellationToken::new(),
     };
     let background = TaskTracker::new();
@@ -159,6 +178,9 @@
     background.spawn(accept_peers(context.clone(), listener, hello));
     background.spawn(gossip(context.clone(), socket));
     background.spawn(close_idle_links(context.clone()));
+    background.spawn(catch_up(context.clone()));
+    background.spawn(map::fetch_first_map(context.clone()));
+    background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
         leave: CancellationToken::new(),
--- a/crates/tallybridge-node/src/systems/mod.rs
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod begin;
+pub mod claims;
 pub mod membership;
 pub mod retry;
 pub mod tick;
--- a/crates/tallybridge-node/tests/idle_links.rs
+++ b/crates/tallybridge-node/tests/idle_links.rs
@@ -10,7 +10,10 @@
 use tallybridge_core::{RegionName, ZoneName};
 use tallybridge_node::{
     NodeParts, RunningNode,
-    connections::peer::{links::IDLE_TIMEOUT, network::SocketNetwork},
+    connections::{
+        peer::{links::IDLE_TIMEOUT, network::SocketNetwork},
+        store::StoreTimes,
+    },
     start_core,
 };
 use tallybridge_wire::{ConfigurationFetch, Message};
@@ -39,6 +42,7 @@
     let parts = NodeParts {
         network: Arc::new(SocketNetwork),
         backend: None,
+        store_times: StoreTimes::default(),
     };
     start_core(settings, parts).await.expect("the node starts")
 }
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -1,10 +1,12 @@
 //! The protocol between nodes: typed messages, their binary form and their framing.
 
+mod bytes_field;
 pub mod claim;
 pub mod codec;
 pub mod frame;
 pub mod gossip;
 pub mod message;
+pub mod report;
 pub mod text;
 
 pub use codec::{FrameCodec, FrameError};
@@ -15,8 +17,9 @@
 };
 pub use message::{
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
-    MessageError, WireHeader, WireHeaders, WireLoad,
+    MessageError, PartitionMapFetch, PartitionMapRecords, WireHeader, WireHeaders, WireLoad,
 };
+pub use report::{ExplainFetch, JsonReport};
 pub use text::Text;
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -6,7 +6,8 @@
 use crate::claim::{
     Claim, ClaimCopy, ClaimFinish, ClaimPage, ClaimQuery, ClaimQueryReply, ClaimRelease, ClaimReply,
 };
-use crate::text::Text;
+use crate::report::{ExplainFetch, JsonReport};
+use crate::{bytes_field::write_bytes, text::Text};
 
 /// First message of each side of a connection: who it is.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -126,7 +127,7 @@
 pub struct BodyChunk {
     length: u32,
     /// The bytes.
-    #[deku(count = "length")]
+    #[deku(count = "length", writer = "write_bytes(deku::writer, bytes)")]
     pub bytes: Vec<u8>,
 }
 
@@ -199,6 +200,9 @@
     pub error_kind: u8,
     /// Whether the call was handed to the back end, whatever came of it: 0 or 1.
     pub reached_backend: u8,
+    /// Whether the outcome takes every attempt under the key into account, wherever it entered:
+    /// 0 or 1.
+    pub outcome_settled: u8,
     /// HTTP status of the back end's answer; 0 for a refusal.
     pub status: u16,
     /// Retries of those lent that were not spent.
@@ -231,7 +235,7 @@
 pub struct ConfigurationRecords {
     length: u32,
     /// The records as JSON, in order of revision.
-    #[deku(count = "length")]
+    #[deku(count = "length", writer = "write_bytes(deku::writer, json)")]
     pub json: Vec<u8>,
 }
 
@@ -246,6 +250,35 @@
     }
 }
 
+/// Asks a peer for the replicas of the claim partitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+pub struct PartitionMapFetch {
+    /// Whether the peer's own synchronised partitions are wanted too: 0 or 1.
+    pub reports_wanted: u8,
+}
+
+/// The replicas of the claim partitions, answering a [`PartitionMapFetch`].
+#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+pub struct PartitionMapRecords {
+    length: u32,
+    /// The map and the reports as JSON.
+    #[deku(count = "length")]
+    pub json: Vec<u8>,
+}
+
+impl PartitionMapRecords {
+    /// Wraps the JSON of a map with reports.
+    #[must_use]
+    pub fn new(json: Vec<u8>) -> Self {
+        Self {
+            length: u32::try_from(json.len()).unwrap_or(u32::MAX),
+            json,
+        }
+    }
+}
+
 /// A payload is not a message of its kind.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum MessageError {
@@ -272,6 +305,8 @@
             Cancel,
             /// The receiver's machine is leaving, by the machine list that the sender read.
             LeaveNotice,
+            /// Asks a node what it says about itself.
+            StatusFetch,
         }
 
         impl Message {
@@ -282,6 +317,7 @@
                     $(Self::$name(_) => $kind,)*
                     Self::Cancel => CANCEL_KIND,
                     Self::LeaveNotice => LEAVE_NOTICE_KIND,
+                    Self::StatusFetch => STATUS_FETCH_KIND,
                 }
             }
 
@@ -293,7 +329,7 @@
             pub fn to_payload(&self) -> Result<Vec<u8>, MessageError> {
                 let bytes = match self {
                     $(Self::$name(payload) => payload.to_bytes(),)*
-                    Self::Cancel | Self::LeaveNotice => Ok(Vec::new()),
+                    Self::Cancel | Self::LeaveNotice | Self::StatusFetch => Ok(Vec::new()),
                 };
                 bytes.map_err(|error| MessageError::Malformed {
                     kind: self.kind(),
@@ -311,6 +347,7 @@
                     $($kind => parse::<$payload>(kind, payload).map(Self::$name),)*
                     CANCEL_KIND => Ok(Self::Cancel),
                     LEAVE_NOTICE_KIND => Ok(Self::LeaveNotice),
+                    STATUS_FETCH_KIND => Ok(Self::StatusFetch),
                     unknown => Err(MessageError::UnknownKind(unknown)),
                 }
             }
@@ -320,6 +357,7 @@
 
 const CANCEL_KIND: u8 = 5;
 const LEAVE_NOTICE_KIND: u8 = 8;
+const STATUS_FETCH_KIND: u8 = 12;
 
 messages! {
     /// Who the sender is.
@@ -334,6 +372,14 @@
     ConfigurationFetch(ConfigurationFetch) = 6,
     /// Configuration records.
     ConfigurationRecords(ConfigurationRecords) = 7,
+    /// The whole configuration at one revision, answering a fetch from far behind.
+    ConfigurationSnapshot(JsonReport) = 9,
+    /// Asks what was decided for one request.
+    ExplainFetch(ExplainFetch) = 10,
+    /// Decisions about one request.
+    ExplainRecords(JsonReport) = 11,
+    /// What a node says about itself.
+    StatusRecords(JsonReport) = 13,
     /// Asks for a run of a key.
     Claim(Claim) = 16,
     /// Answers a claim.
@@ -350,6 +396,10 @@
     ClaimCopy(ClaimCopy) = 22,
     /// A page of a partition's claims.
     ClaimPage(ClaimPage) = 23,
+    /// Asks for the replicas of the claim partitions.
+    PartitionMapFetch(PartitionMapFetch) = 24,
+    /// The replicas of the claim partitions.
+    PartitionMapRecords(PartitionMapRecords) = 25,
 }
 
 fn parse<T>(kind: u8, payload: &[u8]) -> Result<T, MessageError>
