--- a/crates/tallybridge-lab/src/lib.rs
+++ b/crates/tallybridge-lab/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod process;
 pub mod report;
 pub mod run;
+pub mod scale;
 pub mod scenario;
 pub mod standin;
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -29,7 +29,7 @@
         peer::{
             accept::accept_peers,
             introduction::Peer,
-            links::PeerLinks,
+            links::{PeerLinks, close_idle_links},
             network::{Network, SocketNetwork},
         },
         store::{StoreTimes, follow_configuration},
@@ -177,6 +177,7 @@
     background.spawn(tick(context.clone()));
     background.spawn(accept_peers(context.clone(), listener, hello));
     background.spawn(gossip(context.clone(), socket));
+    background.spawn(close_idle_links(context.clone()));
     background.spawn(catch_up(context.clone()));
     background.spawn(map::fetch_first_map(context.clone()));
     background.spawn(copy_claims(context.clone()));
--- a/crates/tallybridge-node/src/tables/configuration.rs
+++ b/crates/tallybridge-node/src/tables/configuration.rs
@@ -7,7 +7,7 @@
 };
 
 use serde::Serialize;
-use tallybridge_config::{CallPolicy, Document, Revision, RevisionRecord, Violation};
+use tallybridge_config::{CallPolicy, Document, PolicyIndex, Revision, RevisionRecord, Violation};
 use tallybridge_core::{NodeId, ServiceName, TenantName};
 
 /// Records kept for peers; one that is further behind gets the whole document.
@@ -22,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct Configuration {
     document: Arc<Document>,
+    policies: PolicyIndex,
     /// The last records up to the document's revision, without a gap.
     records: VecDeque<RevisionRecord>,
     refused: Option<Refused>,
@@ -130,6 +131,7 @@
         self.records.extend(passed);
         let surplus = self.records.len().saturating_sub(KEPT_RECORDS);
         self.records.drain(..surplus);
+        self.policies = PolicyIndex::of(&document);
         self.document = Arc::new(document);
         let revision = self.revision();
         self.refused = self
@@ -208,8 +210,8 @@
         method: &str,
         path: &str,
     ) -> Option<Arc<CallPolicy>> {
-        self.document
-            .policy(tenant, service, method, path)
+        self.policies
+            .policy(&self.document, tenant, service, method, path)
             .map(Arc::new)
     }
 
