Start no call that has less time left than it needs

Ruled out: lost slots (none are left over), early refusal (the calls reach the back ends). Change: the queue is told the moving average of the service time and drops what could not finish; a call that ran out of a time that was never enough says nothing about load; the queue's target is 100 ms instead of 400, as callers wait some hundreds of milliseconds for a whole chain.

--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -1,9 +1,9 @@
 //! Messages about attempts that the back end beside this node runs.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tallybridge_core::{AttemptId, LoadReport, Refusal, TemplateName};
-use tallybridge_limits::{Sample, Ticket, retry::Allowance};
+use tallybridge_limits::{Sample, SampleResult, Ticket, retry::Allowance};
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
@@ -79,8 +79,10 @@
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
             let nested = execution.nested_wait.total(now);
+            let latency = message.sample.latency.saturating_sub(nested);
             let sample = Sample {
-                latency: message.sample.latency.saturating_sub(nested),
+                latency,
+                result: self.judge(message.sample.result, latency),
                 ..message.sample
             };
             admission::release(&mut self.tables, &execution, sample, now);
@@ -144,6 +146,20 @@
 }
 
 impl NodeActor {
+    /// Learns the service time of an answered call; a call that ran out of a time too short to be
+    /// fair says nothing about load.
+    fn judge(&mut self, result: SampleResult, latency: Duration) -> SampleResult {
+        let service_time = &mut self.tables.admission.service_time;
+        match result {
+            SampleResult::Success => {
+                service_time.record(latency);
+                result
+            }
+            SampleResult::Overload if !service_time.was_fair(latency) => SampleResult::Ignore,
+            SampleResult::Overload | SampleResult::Ignore => result,
+        }
+    }
+
     fn load_report(&self, template: &TemplateName, now: Instant) -> LoadReport {
         let tables = &self.tables;
         tables.admission.load_report(template, tables.leaving, now)
--- a/crates/tallybridge-node/src/systems/admission.rs
+++ b/crates/tallybridge-node/src/systems/admission.rs
@@ -166,6 +166,11 @@
 
 /// Refuses those who waited too long, adapts the limit and the level, fills free slots.
 pub fn run(tables: &mut Tables, now: Instant) {
+    let service_time = tables.admission.service_time.average();
+    tables
+        .admission
+        .queue
+        .set_expected_service_time(service_time);
     for expired in tables.admission.queue.expire(now) {
         let refusal = if expired.execution.deadline <= now {
             deadline_passed()
--- a/crates/tallybridge-node/src/tables/admission.rs
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -13,7 +13,7 @@
 };
 use tokio::sync::oneshot;
 
-use super::executions::Execution;
+use super::{executions::Execution, service_time::ServiceTime};
 use crate::systems::record::Subject;
 
 /// Answers a call that waits in the queue: the granted attempt, or why it was refused.
@@ -96,6 +96,14 @@
     Some(one?.max(other?))
 }
 
+/// Bounds of the queue. Callers wait some hundreds of milliseconds for a whole chain, so a call
+/// that waited this long at one hop is better refused while there is time to try elsewhere.
+const QUEUE: QueueSettings = QueueSettings {
+    capacity: 64,
+    target_delay: Duration::from_millis(100),
+    interval: Duration::from_millis(300),
+};
+
 /// Smallest concurrency limit: a back end is never shut off by its latency alone.
 const MIN_LIMIT: u16 = 2;
 /// Time over which a back end that has just come up is given its whole limit.
@@ -117,6 +125,8 @@
     pub templates: BTreeMap<TemplateName, TemplateSlots>,
     /// What the services that the back end calls admit.
     pub downstream: DownstreamLevels,
+    /// How long calls take at the back end.
+    pub service_time: ServiceTime,
     /// Calls taken out of the queue without a slot that are not in the decision log yet.
     pub evicted: Vec<Evicted>,
 }
@@ -144,10 +154,11 @@
         Self {
             service: backend.map(|backend| backend.service.clone()),
             limit,
-            queue: AdmissionQueue::new(QueueSettings::default()),
+            queue: AdmissionQueue::new(QUEUE),
             level: AdmissionLevel::new(LevelSettings::default()),
             templates: BTreeMap::new(),
             downstream: DownstreamLevels::default(),
+            service_time: ServiceTime::default(),
             evicted: Vec::new(),
         }
     }
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
+pub mod service_time;
 
 use std::time::Instant;
 
