Send nothing to a node that has no configuration for nested calls

Change: such a node refuses to execute, as not-run, and the entry node sends the call elsewhere. Measured: not yet beyond the tests.

--- a/crates/tallybridge-node/src/systems/admission.rs
+++ b/crates/tallybridge-node/src/systems/admission.rs
@@ -42,6 +42,13 @@
     if tables.leaving {
         return Err(Refusal::new(ErrorKind::Leaving, "the back end is leaving"));
     }
+    if !tables.configuration.is_loaded() {
+        // The call itself needs none, but the nested calls that it makes would be refused here.
+        return Err(Refusal::new(
+            ErrorKind::NoConfiguration,
+            "this node has no configuration for nested calls yet",
+        ));
+    }
     if execution.deadline <= now {
         return Err(deadline_passed());
     }
--- a/crates/tallybridge-node/src/systems/retry.rs
+++ b/crates/tallybridge-node/src/systems/retry.rs
@@ -242,7 +242,10 @@
 /// Another node for a call that no back end has seen.
 fn may_reroute(call: &mut Call, refusal: &Refusal, budget: &mut Budget, now: Instant) -> bool {
     let worth_it = match refusal.kind {
-        ErrorKind::Leaving | ErrorKind::NoBackend | ErrorKind::PeerLost => true,
+        ErrorKind::Leaving
+        | ErrorKind::NoBackend
+        | ErrorKind::PeerLost
+        | ErrorKind::NoConfiguration => true,
         // Sending shed work round the fleet would multiply the overload that it was shed for.
         ErrorKind::Overloaded => budget.withdraw(now),
         _ => false,
