Fuzz a fleet of real nodes against what callers and back ends saw

Cause: the guarantees were proved crate by crate; no test ran whole nodes together through kills, freezes, cuts, failing back ends and planned stops.

Change: five real nodes of three services in one process on a paused clock, on a network and back ends in memory; an oracle reads only what callers and back ends noted. NodeParts takes the run's identity, which seeds a node's choices.

--- /dev/null
+++ b/crates/tallybridge-integration/tests/fleet/oracle.rs
@@ -0,0 +1,209 @@
+//! What must hold, judged by what callers and back ends saw.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tallybridge_core::{ErrorKind, Outcome};
+
+use super::history::{Call, End, Finish, History, Kind, RETRY_ALLOWANCE};
+
+/// Time after which a leaving back end gets no new work.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+/// Faults this long before an event may still show.
+const AFTERMATH: Duration = Duration::from_secs(5);
+/// Status by which a back end says that a service behind it failed.
+pub const FAILED_BEHIND: u16 = 502;
+
+pub fn check(history: &History) {
+    executions_stay_within_the_allowance(history);
+    payments_run_at_most_once(history);
+    answers_are_whole_and_the_callers_own(history);
+    not_run_is_true(history);
+    leaving_back_ends_get_no_new_work(history);
+    planned_stops_cut_nothing(history);
+    payments_are_shed_last(history);
+    revisions_never_go_back(history);
+}
+
+fn executions_by_position(history: &History) -> BTreeMap<(Kind, u64, usize), usize> {
+    let mut counts = BTreeMap::new();
+    for execution in &history.executions {
+        let position = (execution.kind, execution.request, execution.position);
+        *counts.entry(position).or_default() += 1;
+    }
+    counts
+}
+
+fn executions_stay_within_the_allowance(history: &History) {
+    for (position, count) in executions_by_position(history) {
+        assert!(
+            count <= 1 + RETRY_ALLOWANCE,
+            "retries: {position:?} ran {count} times"
+        );
+    }
+}
+
+fn payments_run_at_most_once(history: &History) {
+    for (position, count) in executions_by_position(history) {
+        assert!(
+            position.0 != Kind::Payment || count <= 1,
+            "at most once: {position:?} ran {count} times"
+        );
+    }
+}
+
+fn answers_are_whole_and_the_callers_own(history: &History) {
+    for call in &history.calls {
+        let Some((_, End::Answered { status, body })) = &call.end else {
+            continue;
+        };
+        let right = match *status {
+            200 => *body == call.kind.answer(call.position, call.request),
+            FAILED_BEHIND => body.as_ref() == call.request.to_be_bytes(),
+            _ => false,
+        };
+        assert!(right, "answer: {status}, {} bytes, of {call:?}", body.len());
+    }
+}
+
+/// Nothing of the request ran before the caller was told so; what runs later belongs to another
+/// attempt that was open then.
+fn not_run_is_true(history: &History) {
+    for call in &history.calls {
+        let Some((
+            told,
+            End::Refused {
+                outcome: Outcome::NotRun,
+                ..
+            },
+        )) = &call.end
+        else {
+            continue;
+        };
+        let of_call = |other: &&Call| other.request == call.request && !std::ptr::eq(*other, call);
+        for execution in &history.executions {
+            if execution.request != call.request || execution.position < call.position {
+                continue;
+            }
+            let by_another_attempt = history.calls.iter().filter(of_call).any(|other| {
+                other.end.as_ref().is_none_or(|(ended, _)| ended > told) || other.began >= *told
+            });
+            let is_true = execution.began > *told && by_another_attempt;
+            assert!(is_true, "not-run: {call:?} but {execution:?}");
+        }
+    }
+}
+
+fn leaving_back_ends_get_no_new_work(history: &History) {
+    for leaving in &history.leaving {
+        for execution in &history.executions {
+            let late = (execution.node, execution.run) == (leaving.node, leaving.run)
+                && execution.began > leaving.at + LEAVE_BOUND;
+            assert!(
+                !late || history.disturbed(leaving.at - AFTERMATH, execution.began),
+                "leaving: {leaving:?} but {execution:?}"
+            );
+        }
+    }
+}
+
+/// A stop ends with nothing left, cancels nothing, and the callers of what it had in flight get an
+/// answer or a refusal. Faults of the network and callers that give up excuse a cut.
+fn planned_stops_cut_nothing(history: &History) {
+    for stop in &history.stops {
+        let Some((ended, whole)) = stop.end else {
+            continue;
+        };
+        if history.disturbed(stop.began - AFTERMATH, ended) {
+            continue;
+        }
+        assert!(whole, "stop: {stop:?} cut calls off");
+        for execution in &history.executions {
+            let gave_up = |call: &Call| call.request == execution.request && call.gave_up;
+            let cancelled = matches!(execution.finish,
+                Some((at, Finish::Cancelled)) if at >= stop.began && at <= ended);
+            let excused = execution.node != stop.node
+                || history.calls.iter().any(gave_up)
+                || deadline_passed(history, execution.request);
+            assert!(
+                !cancelled || excused,
+                "stop: {stop:?} cancelled {execution:?}"
+            );
+        }
+        for call in &history.calls {
+            if call.began >= ended || call.gave_up {
+                continue;
+            }
+            let Some((at, end)) = &call.end else {
+                let entered_there = call.entry == stop.node && call.position == 0;
+                assert!(!entered_there, "stop: {stop:?} left {call:?} unanswered");
+                continue;
+            };
+            let cut = matches!(
+                end,
+                End::Refused {
+                    kind: ErrorKind::PeerLost | ErrorKind::Internal,
+                    outcome: Outcome::Unknown,
+                    ..
+                }
+            );
+            let during = *at >= stop.began && *at <= ended;
+            assert!(!(cut && during), "stop: {stop:?} cut {call:?}");
+        }
+    }
+}
+
+fn deadline_passed(history: &History, request: u64) -> bool {
+    history.calls.iter().any(|call| {
+        let timed_out = |kind| {
+            matches!(
+                kind,
+                ErrorKind::BackendTimeout | ErrorKind::DeadlineExceeded
+            )
+        };
+        call.request == request
+            && matches!(&call.end, Some((_, End::Refused { kind, .. })) if timed_out(*kind))
+    })
+}
+
+/// The last service has one back end. While a payment waits in its queue, until it is refused, no
+/// lesser call gets a slot there.
+fn payments_are_shed_last(history: &History) {
+    let last = Kind::Payment.chain().len() - 1;
+    for call in &history.calls {
+        let Some((
+            refused,
+            End::Refused {
+                kind: ErrorKind::Overloaded,
+                ..
+            },
+        )) = &call.end
+        else {
+            continue;
+        };
+        let excused = call.kind != Kind::Payment
+            || call.position != last
+            || history.shed.contains(&call.request)
+            || history.disturbed(call.began, *refused);
+        if excused {
+            continue;
+        }
+        for execution in &history.executions {
+            let overtook = execution.kind == Kind::Bulk
+                && execution.began > call.began
+                && execution.began < *refused;
+            assert!(!overtook, "shed last: {call:?} but {execution:?}");
+        }
+    }
+}
+
+fn revisions_never_go_back(history: &History) {
+    let mut newest = BTreeMap::new();
+    for (node, run, revision) in &history.revisions {
+        let newest = newest.entry((node, run)).or_insert(revision);
+        assert!(
+            revision >= *newest,
+            "revision: {node} run {run} went back to {revision}"
+        );
+        *newest = revision;
+    }
+}
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -90,6 +90,9 @@
     pub network: Arc<dyn Network>,
     /// The back end beside the node, if it has one.
     pub backend: Option<Arc<dyn BackendClient>>,
+    /// This run of the node, drawn at random in the program and fixed in tests; it seeds the
+    /// node's random choices.
+    pub instance: InstanceId,
 }
 
 impl NodeParts {
@@ -102,6 +105,7 @@
         Ok(Self {
             network: Arc::new(SocketNetwork),
             backend: http_backend(settings)?,
+            instance: InstanceId::random(),
         })
     }
 }
@@ -142,7 +146,7 @@
     let socket = socket.map_err(|error| bind_failed(peer_address, &error))?;
     let identity = NodeId {
         address: peer_address,
-        instance: InstanceId::random(),
+        instance: parts.instance,
     };
     let hello = introduction(identity, &settings).hello();
     let context = NodeContext {
