--- a/crates/tallybridge-node/src/connections/mod.rs
+++ b/crates/tallybridge-node/src/connections/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod caller;
 pub mod catch_up;
+pub mod claims;
 pub mod discovery;
 pub mod gossip;
 pub mod peer;
--- a/crates/tallybridge-node/src/lib.rs
+++ b/crates/tallybridge-node/src/lib.rs
@@ -6,11 +6,14 @@
 //! down in the task that carries it.
 
 pub mod actor;
+pub mod clock;
 pub mod connections;
 pub mod context;
 pub mod path;
 pub mod run;
 pub mod systems;
 pub mod tables;
+pub mod telemetry;
 
-pub use run::{NodeParts, RunningNode, run, start, start_core};
+pub use connections::store::StoreTimes;
+pub use run::{NodeParts, RunningNode, run, start, start_core, start_with};
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -111,7 +111,7 @@
     let criticality = inherited.criticality.max(policy.criticality);
     refuse_early(tables, &policy, criticality, now)?;
     let deadline = earliest_deadline(&policy, request.timeout, inherited.deadline, now);
-    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy)?;
+    let (allowance, lent_by_parent) = allowance_of(tables, &inherited, &policy, now)?;
     Ok(Call {
         request_id: inherited.request_id,
         key: inherited.key,
@@ -134,6 +134,17 @@
     })
 }
 
+/// The key of a request if attempts may exist under it that this node does not know of.
+pub fn shared_key(tables: &mut Tables, request: &CallRequest) -> Option<RequestKey> {
+    match &request.origin {
+        Origin::Root { key, caller_key } => caller_key.then_some(*key),
+        Origin::Nested { token, identity } => {
+            let parent = tables.executions.get_mut(token.0)?;
+            Some(nested_key(request, identity, parent))
+        }
+    }
+}
+
 fn inherit(tables: &mut Tables, request: &CallRequest) -> Result<Inheritance, Refusal> {
     match &request.origin {
         Origin::Root { key, caller_key } => root(request, *key, *caller_key),
@@ -181,18 +192,8 @@
             format!("the chain is deeper than {MAX_DEPTH} calls"),
         ));
     }
-    let call = tallybridge_core::key::NestedCall {
-        method: &request.method,
-        path: &identity.path_and_query,
-        body: &identity.body_digest,
-    };
-    let key = parent.key.nested(
-        request.service.as_str(),
-        identity.explicit_key.as_deref(),
-        &call,
-    );
     Ok(Inheritance {
-        key,
+        key: nested_key(request, identity, parent),
         // The parent may run again elsewhere and make this call under the same key.
         shared_key: true,
         request_id: parent.request_id.clone(),
@@ -207,6 +208,19 @@
     })
 }
 
+fn nested_key(request: &CallRequest, identity: &NestedIdentity, parent: &Execution) -> RequestKey {
+    let call = tallybridge_core::key::NestedCall {
+        method: &request.method,
+        path: &identity.path_and_query,
+        body: &identity.body_digest,
+    };
+    parent.key.nested(
+        request.service.as_str(),
+        identity.explicit_key.as_deref(),
+        &call,
+    )
+}
+
 fn unknown_parent() -> Refusal {
     Refusal::new(
         ErrorKind::UnknownParent,
@@ -270,6 +284,7 @@
     tables: &mut Tables,
     inherited: &Inheritance,
     policy: &CallPolicy,
+    now: Instant,
 ) -> Result<(Allowance, u8), Refusal> {
     let Some(parent) = inherited.parent else {
         return Ok((Allowance::root(policy.retry_allowance), 0));
@@ -287,6 +302,7 @@
         .with_outcome(Outcome::Unknown));
     }
     *times_made = times_made.saturating_add(1);
+    parent.nested_wait.begin(now);
     let lent = parent.allowance.lend();
     Ok((Allowance::root(lent), lent))
 }
--- a/crates/tallybridge-node/src/tables/mod.rs
+++ b/crates/tallybridge-node/src/tables/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod calls;
+pub mod claims;
 pub mod configuration;
 pub mod decisions;
 pub mod executions;
@@ -16,8 +17,8 @@
 use tallybridge_routing::{EndpointTable, Locality, RoutingSettings};
 
 use self::{
-    admission::Admission, calls::CallTable, configuration::Configuration, decisions::DecisionLog,
-    executions::ExecutionTable,
+    admission::Admission, calls::CallTable, claims::Claims, configuration::Configuration,
+    decisions::DecisionLog, executions::ExecutionTable,
 };
 
 /// All tables of one node.
@@ -38,6 +39,8 @@
     pub retry_budget: Budget,
     /// Configuration in force.
     pub configuration: Configuration,
+    /// Claims held for others, and where those of each key are.
+    pub claims: Claims,
     /// The fleet as this node sees it.
     pub members: MemberTable,
     /// What was decided lately, and why.
@@ -46,6 +49,8 @@
     pub leaving: bool,
     /// Whether this node takes no new calls from outside: it is about to end.
     pub stopping: bool,
+    /// Whether this node holds a duty to watch the store.
+    pub watches_store: bool,
     /// Source of random choices.
     pub rng: SmallRng,
 }
@@ -67,6 +72,7 @@
             early_refusal: EarlyRefusal::new(),
             retry_budget: Budget::new(BudgetSettings::default()),
             configuration: Configuration::default(),
+            claims: Claims::new(identity),
             members: MemberTable::new(
                 member_identity(identity, settings),
                 MembershipSettings::default(),
@@ -75,6 +81,7 @@
             decisions: DecisionLog::default(),
             leaving: false,
             stopping: false,
+            watches_store: false,
             rng: SmallRng::seed_from_u64(identity.instance.0),
         }
     }
