Fuzz: back ends that leave but take what they get, and slower ones

Cause: with leaving left unmarked, and with a stop that waits for nothing, 250 sequences each passed: a leaving back end refused all calls itself, and slow ones were done before the stop's notice was over.

Change: a back end may leave and still run what it gets; slow ones take 0.8 s.

--- a/crates/tallybridge-integration/tests/fleet/backend.rs
+++ b/crates/tallybridge-integration/tests/fleet/backend.rs
@@ -30,7 +30,7 @@
 /// Time that an execution takes, apart from nested calls.
 const SERVICE_TIME: Duration = Duration::from_millis(10);
 /// How much longer it takes at a slow back end.
-const SLOWDOWN: u32 = 30;
+const SLOWDOWN: u32 = 80;
 /// Pause before a back end repeats a nested call.
 const REPEAT_PAUSE: Duration = Duration::from_millis(5);
 /// Times that a back end makes a nested call, for requests whose back ends repeat.
@@ -49,6 +49,8 @@
     Shedding,
     /// It leaves: it says so and refuses calls.
     Draining,
+    /// It leaves: it says so with each answer, and relies on getting no new calls.
+    Leaving,
 }
 
 pub struct MemoryBackend {
@@ -142,7 +144,7 @@
                 self.say_leaving();
                 return Ok(refused(true));
             }
-            Mode::Well | Mode::Slow | Mode::Broken => {}
+            Mode::Well | Mode::Slow | Mode::Broken | Mode::Leaving => {}
         }
         let noted = self.begin(&request);
         let (status, body) = self.work(&request, call.token).await;
@@ -151,7 +153,7 @@
             noted.finish(Finish::Broken);
             return Err(BackendFailure::Broken("connection reset".to_owned()));
         }
-        let draining = self.mode() == Mode::Draining;
+        let draining = matches!(self.mode(), Mode::Draining | Mode::Leaving);
         if draining {
             self.say_leaving();
         }
--- a/crates/tallybridge-integration/tests/fleet_fuzz.rs
+++ b/crates/tallybridge-integration/tests/fleet_fuzz.rs
@@ -83,6 +83,7 @@
         1 => Just(Mode::Unreachable),
         1 => Just(Mode::Shedding),
         1 => Just(Mode::Draining),
+        1 => Just(Mode::Leaving),
     ]
 }
 
