--- a/crates/tallybridge-integration/tests/fleet/mod.rs
+++ b/crates/tallybridge-integration/tests/fleet/mod.rs
@@ -166,14 +166,20 @@
 
     /// A new revision reaches one node.
     pub async fn configure(&mut self, index: usize) {
+        self.revision += 1;
+        self.apply_records(index, self.revision).await;
+    }
+
+    /// Records that were held back reach a node: they end before the newest revision.
+    pub async fn configure_late(&mut self, index: usize) {
+        self.apply_records(index, self.revision.div_ceil(2)).await;
+    }
+
+    async fn apply_records(&self, index: usize, revision: u64) {
         let node = &self.nodes[index % NODES];
         if node.is_up() {
-            self.revision += 1;
-            let records = configuration::records_up_to(self.revision);
-            node.context
-                .ask(ApplyRecords(records))
-                .await
-                .expect("applies");
+            let records = ApplyRecords(configuration::records_up_to(revision));
+            node.context.ask(records).await.expect("applies");
         }
     }
 
--- a/crates/tallybridge-integration/tests/fleet_fuzz.rs
+++ b/crates/tallybridge-integration/tests/fleet_fuzz.rs
@@ -68,6 +68,7 @@
     },
     Stop(usize),
     Configure(usize),
+    ConfigureLate(usize),
     Advance(u64),
 }
 
@@ -116,6 +117,7 @@
         3 => (0..3_usize, mode()).prop_map(|(service, mode)| Event::Service { service, mode }),
         2 => node().prop_map(Event::Stop),
         1 => node().prop_map(Event::Configure),
+        1 => node().prop_map(Event::ConfigureLate),
     ];
     prop_oneof![3 => calls, 2 => faults].boxed()
 }
@@ -169,6 +171,7 @@
             Event::Service { service, mode } => fleet.set_service_mode(service, mode),
             Event::Stop(node) => fleet.stop(node),
             Event::Configure(node) => fleet.configure(node).await,
+            Event::ConfigureLate(node) => fleet.configure_late(node).await,
             Event::Advance(milliseconds) => {
                 fleet.advance(Duration::from_millis(milliseconds)).await;
             }
