Ask three members for the first partition map, not all

A node without a map asked every member that it had heard of, the dead included, each second. Found by tallybridge-lab scale at 50 nodes, which have no store and so no map: 4249 B/s on links and 101 writes a second at each node instead of 333 and 3.3 before the map was there, 3476 KiB instead of 350, and a link from every node to every other that never fell idle. At 920 nodes that are a fleet's start this is 845,480 links. The changes of configuration were ruled out: they were the same.

A node now asks three live members drawn at random each second.

--- a/crates/tallybridge-lab/src/scale/summary.rs
+++ b/crates/tallybridge-lab/src/scale/summary.rs
@@ -65,9 +65,9 @@
     /// Links that a node has open right after the changes, mean.
     pub links_after_changes: f64,
     /// Links that a node has open once those that nobody uses have been closed, mean.
-    pub links_after_idle: f64,
+    pub links_after_idle: Option<f64>,
     /// Memory of a node then, in KiB; what the allocator keeps for later is counted.
-    pub memory_after_idle_kib: f64,
+    pub memory_after_idle_kib: Option<f64>,
     /// Time until a revision is in force at each node.
     pub revision: Spread,
     /// Time until a death is known at each node.
--- a/crates/tallybridge-node/src/connections/claims/map.rs
+++ b/crates/tallybridge-node/src/connections/claims/map.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use rand::{SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tallybridge_claims::{PartitionEntry, PartitionId, PartitionMap};
 use tallybridge_core::NodeId;
 use tallybridge_store::{StoreClient, StoreClientOptions, StoreError};
@@ -26,6 +27,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two looks for a map at peers, while this node has none.
 const FETCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Members asked each time. Most have a map unless the whole fleet has none; then asking more would
+/// make every node open a link to every other.
+const FETCH_FANOUT: usize = 3;
 /// Wait for the store's watch to bring a map that no replica has yet.
 const NEWER_MAP_WAIT: Duration = Duration::from_millis(20);
 
@@ -104,6 +108,7 @@
 
 /// Fetches the map from peers as long as this node has none.
 pub async fn fetch_first_map(context: NodeContext) {
+    let mut random = SmallRng::seed_from_u64(context.identity.instance.0);
     let mut timer = tokio::time::interval(FETCH_INTERVAL);
     loop {
         tokio::select! {
@@ -120,7 +125,11 @@
         let Ok(status) = context.ask(GetStatus).await else {
             return;
         };
-        for member in status.members {
+        let live = status.members.into_iter().filter(|member| {
+            member.node != context.identity && !matches!(member.state, "dead" | "left")
+        });
+        let asked = live.choose_multiple(&mut random, FETCH_FANOUT);
+        for member in asked {
             fetch(&context, member.node, false).await;
         }
     }
