--- a/crates/tallybridge-lab/src/scale/fleet.rs
+++ b/crates/tallybridge-lab/src/scale/fleet.rs
@@ -1,6 +1,7 @@
 //! Hollow nodes in this process.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
@@ -8,6 +9,10 @@
 };
 
 use futures::future::join_all;
+use tallybridge_claims::{
+    PartitionMap,
+    plan::{Candidate, Presence, plan},
+};
 use tallybridge_config::{
     Edit, Revision, RevisionRecord, Settings, Tenant, settings::BackendSettings,
 };
@@ -15,6 +20,7 @@
 use tallybridge_node::{
     NodeParts, RunningNode,
     actor::{
+        claims::ApplyPartitionMap,
         configuration::{ApplyRecords, CurrentRevision},
         fleet::{Leave, Seeds},
         status::{CountMembers, MemberStateOf},
@@ -70,10 +76,31 @@
         for (position, network) in networks.into_iter().enumerate() {
             nodes.push(start_node(position, network, &seeds, options).await?);
         }
-        Ok(Self {
+        let fleet = Self {
             nodes,
             revision: Revision::default(),
-        })
+        };
+        fleet.share_partition_map().await;
+        Ok(fleet)
+    }
+
+    /// Gives every node a partition map, as the store would; a node without one looks for it.
+    async fn share_partition_map(&self) {
+        let candidates: Vec<Candidate> = self
+            .live()
+            .map(|node| Candidate {
+                node: node.identity,
+                region: node.settings.region.clone(),
+                zone: node.settings.zone.clone(),
+                rack: node.settings.rack.clone(),
+                presence: Presence::Live,
+            })
+            .collect();
+        let map = plan(&PartitionMap::default(), &candidates, &BTreeSet::new(), 0);
+        let asked = self
+            .live()
+            .map(|node| node.ask(ApplyPartitionMap(map.clone())));
+        join_all(asked).await;
     }
 
     fn live(&self) -> impl Iterator<Item = &NodeContext> {
