--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -1,9 +1,9 @@
 //! Messages about attempts that the back end beside this node runs.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tallybridge_core::{AttemptId, LoadReport, Refusal, TemplateName};
-use tallybridge_limits::{Sample, Ticket};
+use tallybridge_limits::{Sample, SampleResult, Ticket, retry::Allowance};
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
@@ -11,6 +11,7 @@
     systems::{
         admission::{self, Admitted},
         membership,
+        record::{self, Subject},
     },
     tables::{admission::TemplateBounds, executions::Execution},
 };
@@ -27,7 +28,15 @@
     type Return = Result<Admitted, Refusal>;
 
     async fn handle(&mut self, message: Admit, _context: &mut Context<Self>) -> Self::Return {
-        admission::admit(&mut self.tables, message.execution, message.bounds, now())
+        let subject = Subject::of_execution(&message.execution);
+        let admitted = admission::admit(&mut self.tables, message.execution, message.bounds, now());
+        match &admitted {
+            Ok(Admitted::Granted(_)) => record::admitted(&mut self.tables, &subject, false),
+            Ok(Admitted::Queued(..)) => record::admitted(&mut self.tables, &subject, true),
+            Err(refusal) => record::not_admitted(&mut self.tables, &subject, refusal),
+        }
+        record::evicted(&mut self.tables);
+        admitted
     }
 }
 
@@ -70,11 +79,19 @@
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
             let nested = execution.nested_wait.total(now);
+            let latency = message.sample.latency.saturating_sub(nested);
             let sample = Sample {
-                latency: message.sample.latency.saturating_sub(nested),
+                latency,
+                result: self.judge(message.sample.result, latency),
                 ..message.sample
             };
             admission::release(&mut self.tables, &execution, sample, now);
+            let subject = Subject::of_execution(&execution);
+            let Sample {
+                latency, result, ..
+            } = message.sample;
+            record::executed(&mut self.tables, &subject, result, latency);
+            record::evicted(&mut self.tables);
         }
         Closing {
             unused_allowance,
@@ -83,6 +100,25 @@
     }
 }
 
+/// Bounds the retries that an attempt may still spend on nested calls.
+pub struct BoundAllowance {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Most retries that are left to it.
+    pub retries: u8,
+}
+
+impl Handler<BoundAllowance> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: BoundAllowance, _context: &mut Context<Self>) {
+        if let Some(execution) = self.tables.executions.get_mut(message.attempt) {
+            let retries = execution.allowance.remaining().min(message.retries);
+            execution.allowance = Allowance::root(retries);
+        }
+    }
+}
+
 /// Asks for the load of this node, as a caller of a template meets it.
 pub struct ReportLoad(pub TemplateName);
 
@@ -110,6 +146,20 @@
 }
 
 impl NodeActor {
+    /// Learns the service time of an answered call; a call that ran out of a time too short to be
+    /// fair says nothing about load.
+    fn judge(&mut self, result: SampleResult, latency: Duration) -> SampleResult {
+        let service_time = &mut self.tables.admission.service_time;
+        match result {
+            SampleResult::Success => {
+                service_time.record(latency);
+                result
+            }
+            SampleResult::Overload if !service_time.was_fair(latency) => SampleResult::Ignore,
+            SampleResult::Overload | SampleResult::Ignore => result,
+        }
+    }
+
     fn load_report(&self, template: &TemplateName, now: Instant) -> LoadReport {
         let tables = &self.tables;
         tables.admission.load_report(template, tables.leaving, now)
--- a/crates/tallybridge-node/src/systems/admission.rs
+++ b/crates/tallybridge-node/src/systems/admission.rs
@@ -166,6 +166,11 @@
 
 /// Refuses those who waited too long, adapts the limit and the level, fills free slots.
 pub fn run(tables: &mut Tables, now: Instant) {
+    let service_time = tables.admission.service_time.average();
+    tables
+        .admission
+        .queue
+        .set_expected_service_time(service_time);
     for expired in tables.admission.queue.expire(now) {
         let refusal = if expired.execution.deadline <= now {
             deadline_passed()
@@ -183,6 +188,7 @@
     admission
         .level
         .record_refused(applicant.execution.criticality);
+    admission.note_evicted(&applicant.execution, &refusal);
     // Nobody is left to tell when the receiver is gone.
     let _ = applicant.reply.send(Err(refusal));
 }
--- a/crates/tallybridge-node/src/systems/mod.rs
+++ b/crates/tallybridge-node/src/systems/mod.rs
@@ -4,5 +4,6 @@
 pub mod begin;
 pub mod claims;
 pub mod membership;
+pub mod record;
 pub mod retry;
 pub mod tick;
--- a/crates/tallybridge-node/src/tables/admission.rs
+++ b/crates/tallybridge-node/src/tables/admission.rs
@@ -13,7 +13,8 @@
 };
 use tokio::sync::oneshot;
 
-use super::executions::Execution;
+use super::{executions::Execution, service_time::ServiceTime};
+use crate::systems::record::Subject;
 
 /// Answers a call that waits in the queue: the granted attempt, or why it was refused.
 pub type AdmissionReply = oneshot::Sender<Result<tallybridge_core::AttemptId, Refusal>>;
@@ -95,6 +96,14 @@
     Some(one?.max(other?))
 }
 
+/// Bounds of the queue. Callers wait some hundreds of milliseconds for a whole chain, so a call
+/// that waited this long at one hop is better refused while there is time to try elsewhere.
+const QUEUE: QueueSettings = QueueSettings {
+    capacity: 64,
+    target_delay: Duration::from_millis(100),
+    interval: Duration::from_millis(300),
+};
+
 /// Smallest concurrency limit: a back end is never shut off by its latency alone.
 const MIN_LIMIT: u16 = 2;
 /// Time over which a back end that has just come up is given its whole limit.
@@ -116,6 +125,19 @@
     pub templates: BTreeMap<TemplateName, TemplateSlots>,
     /// What the services that the back end calls admit.
     pub downstream: DownstreamLevels,
+    /// How long calls take at the back end.
+    pub service_time: ServiceTime,
+    /// Calls taken out of the queue without a slot that are not in the decision log yet.
+    pub evicted: Vec<Evicted>,
+}
+
+/// A call that waited and was refused.
+#[derive(Debug, Clone)]
+pub struct Evicted {
+    /// The request.
+    pub subject: Subject,
+    /// Why.
+    pub refusal: Refusal,
 }
 
 impl Admission {
@@ -132,13 +154,23 @@
         Self {
             service: backend.map(|backend| backend.service.clone()),
             limit,
-            queue: AdmissionQueue::new(QueueSettings::default()),
+            queue: AdmissionQueue::new(QUEUE),
             level: AdmissionLevel::new(LevelSettings::default()),
             templates: BTreeMap::new(),
             downstream: DownstreamLevels::default(),
+            service_time: ServiceTime::default(),
+            evicted: Vec::new(),
         }
     }
 
+    /// Notes that a call that waited is refused, for the decision log.
+    pub fn note_evicted(&mut self, execution: &Execution, refusal: &Refusal) {
+        self.evicted.push(Evicted {
+            subject: Subject::of_execution(execution),
+            refusal: refusal.clone(),
+        });
+    }
+
     /// The load to report on an answer to a call of a template. The level is the strictest of this
     /// back end's own and of those that its nested calls met, so that an entry node refuses early
     /// what a deep hop would refuse late (DAGOR, SoCC 2018).
