--- a/crates/tallybridge-node/src/connections/peer/accept.rs
+++ b/crates/tallybridge-node/src/connections/peer/accept.rs
@@ -1,6 +1,6 @@
 //! Links that peers open to this node: their calls run here.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -33,6 +33,9 @@
     path::{Executed, execute},
 };
 
+/// Time to wait after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
 /// Accepts peers until the node stops.
 pub async fn accept_peers(context: NodeContext, listener: Arc<dyn PeerListener>, hello: Hello) {
     loop {
@@ -45,7 +48,11 @@
             Ok(stream) => {
                 tokio::spawn(serve_peer(context.clone(), stream, hello.clone()));
             }
-            Err(error) => tracing::warn!(%error, "a peer's connection was not accepted"),
+            Err(error) => {
+                tracing::warn!(%error, "a peer's connection was not accepted");
+                // The cause, such as a want of file descriptors, lasts; trying at once would spin.
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
         }
     }
 }
