Spread the partition map by gossip instead of watching it from every node

Cause: every node watched the map's key, six requests a minute each, so the load on a rate-limited store grew with the fleet. Slower watches were ruled out: they only move the bound, and each change still costs a request a node.

Change: only nodes that hold a duty to watch the store follow the key; they read it first, since it may have changed while nobody watched. Every datagram carries the version of the sender's map. A node that hears a greater one fetches the map from a member that has it, one member at a time and another one when it brings nothing. It looks at each datagram, as for the configuration, and not at MemberEvent::PeerAhead: the event comes at most once a second for what was told, and may then name a member that is ahead in its revision alone. A node without a map asks three members a second instead of all. The planner's own write spreads the same way.

PartitionMap::version() counts epochs and, within an epoch, the replicas that are no longer joining. The sum of the epochs does not grow when a replica has joined, so such a map would neither spread nor stand against an older one. A map of equal version is not taken over again.

The store stand-in counts requests by key (requests_for).

Conclusion: the requests for the map depend on the watchers and the changes, not on the number of nodes. Not measured: the time until a map has reached a large fleet; now a round of gossip and a fetch instead of a watch. Planning is not a duty yet.

--- a/crates/tallybridge-claims/src/map.rs
+++ b/crates/tallybridge-claims/src/map.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tallybridge_core::NodeId;
 
-use crate::partition::{PARTITIONS, PartitionId};
+use crate::partition::{PARTITIONS, PartitionId, REPLICAS};
 
 /// A node that holds claims of a partition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +51,15 @@
         self.replicas.iter().map(|replica| replica.node)
     }
 
+    /// Number of the entry among those of its partition.
+    fn version(&self) -> u64 {
+        let steps_per_epoch = REPLICAS as u64 + 1;
+        let joined = REPLICAS.saturating_sub(self.joining.len()) as u64;
+        self.epoch
+            .saturating_mul(steps_per_epoch)
+            .saturating_add(joined)
+    }
+
     /// A node as replica, if it is one.
     #[must_use]
     pub fn replica(&self, node: NodeId) -> Option<&Replica> {
@@ -91,6 +100,17 @@
         self.entries.get(partition.index())
     }
 
+    /// Number of the map among those that follow each other, 0 before the first plan. Maps follow
+    /// each other by compare-and-swap, so of two the one with the greater number is the later one.
+    ///
+    /// It grows with every plan: a new epoch of a partition counts for more than the replicas that
+    /// may join in it, and within an epoch a replica can only cease to be joining.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        let versions = self.entries.iter().map(PartitionEntry::version);
+        versions.fold(0, u64::saturating_add)
+    }
+
     /// Every partition with its entry.
     pub fn iter(&self) -> impl Iterator<Item = (PartitionId, &PartitionEntry)> {
         PartitionId::all().zip(&self.entries)
--- a/crates/tallybridge-claims/tests/fleet/mod.rs
+++ b/crates/tallybridge-claims/tests/fleet/mod.rs
@@ -187,7 +187,12 @@
             });
         let candidates: Vec<Candidate> = candidates.collect();
         let now = self.now_unix_ms.saturating_add_signed(skew_ms);
-        self.store = plan(&self.store, &candidates, &self.reports, now);
+        let next = plan(&self.store, &candidates, &self.reports, now);
+        assert!(
+            next == self.store || next.version() > self.store.version(),
+            "a later map has a greater version"
+        );
+        self.store = next;
     }
 
     /// Plans anew, and all nodes but one take the map over at once and copy what they lack.
--- a/crates/tallybridge-lab/src/standin/store/operation.rs
+++ b/crates/tallybridge-lab/src/standin/store/operation.rs
@@ -43,6 +43,14 @@
             _ => "",
         }
     }
+
+    /// The key that the request names, or the prefix that it watches; empty when it has neither.
+    pub fn subject(&self) -> &str {
+        match self {
+            Self::Watch(query) => &query.prefix,
+            other => other.key(),
+        }
+    }
 }
 
 /// Parameters of a list.
--- a/crates/tallybridge-lab/src/standin/store/server.rs
+++ b/crates/tallybridge-lab/src/standin/store/server.rs
@@ -58,6 +58,12 @@
         self.shared.requests()
     }
 
+    /// Requests so far that name a key or watch exactly it as a prefix.
+    #[must_use]
+    pub fn requests_for(&self, key: &str) -> u64 {
+        self.shared.requests_for(key)
+    }
+
     /// The entries below a prefix as the store holds them, past all limits and faults.
     #[must_use]
     pub fn entries(&self, prefix: &str) -> Vec<Entry> {
--- a/crates/tallybridge-lab/src/standin/store/shared.rs
+++ b/crates/tallybridge-lab/src/standin/store/shared.rs
@@ -1,6 +1,7 @@
 //! The tables that all connections share, and what becomes of a request.
 
 use std::{
+    collections::BTreeMap,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -28,6 +29,8 @@
     pub store: StoreTable,
     faults: Faults,
     counts: RequestCounts,
+    /// Requests for each key and watched prefix.
+    counts_by_subject: BTreeMap<String, u64>,
     late: LateWrites,
     bucket: Option<TokenBucket>,
 }
@@ -51,6 +54,7 @@
                 store: StoreTable::default(),
                 faults: Faults::default(),
                 counts: RequestCounts::default(),
+                counts_by_subject: BTreeMap::new(),
                 late: LateWrites::default(),
                 bucket,
             }),
@@ -82,6 +86,12 @@
         self.tables().counts
     }
 
+    /// Requests so far that name a key or watch it as a prefix.
+    pub fn requests_for(&self, key: &str) -> u64 {
+        let tables = self.tables();
+        tables.counts_by_subject.get(key).copied().unwrap_or(0)
+    }
+
     /// Does one request, subject to the rate limit and the faults.
     pub async fn handle(&self, operation: Operation) -> Response {
         let slow = self.arrive(&operation);
@@ -102,6 +112,8 @@
     fn arrive(&self, operation: &Operation) -> Duration {
         let mut tables = self.tables();
         tables.counts.count(operation);
+        let subject = operation.subject().to_owned();
+        *tables.counts_by_subject.entry(subject).or_default() += 1;
         for write in tables.late.arrive() {
             apply(&mut tables.store, write);
         }
--- a/crates/tallybridge-node/src/actor/claims.rs
+++ b/crates/tallybridge-node/src/actor/claims.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// Takes over a map, from the store or from a peer.
+/// Takes over a map, from the store or from a peer, and tells the fleet of it.
 pub struct ApplyPartitionMap(pub PartitionMap);
 
 impl Handler<ApplyPartitionMap> for NodeActor {
@@ -58,7 +58,46 @@
         ApplyPartitionMap(map): ApplyPartitionMap,
         _context: &mut Context<Self>,
     ) {
-        self.tables.claims.apply(map);
+        let tables = &mut self.tables;
+        tables.claims.apply(map);
+        tables.members.set_partition_epoch(tables.claims.version());
+    }
+}
+
+/// Asks for the version of the map that this node has.
+pub struct MapVersion;
+
+impl Handler<MapVersion> for NodeActor {
+    type Return = u64;
+
+    async fn handle(&mut self, _message: MapVersion, _context: &mut Context<Self>) -> u64 {
+        self.tables.claims.version()
+    }
+}
+
+/// Asks which members have a newer map than this node.
+pub struct MapMembersAhead;
+
+impl Handler<MapMembersAhead> for NodeActor {
+    type Return = Vec<NodeId>;
+
+    async fn handle(
+        &mut self,
+        _message: MapMembersAhead,
+        _context: &mut Context<Self>,
+    ) -> Vec<NodeId> {
+        self.tables.claims.members_ahead()
+    }
+}
+
+/// A member that has a newer map could not be asked, or its answer did not help.
+pub struct ForgetMapAhead(pub NodeId);
+
+impl Handler<ForgetMapAhead> for NodeActor {
+    type Return = ();
+
+    async fn handle(&mut self, ForgetMapAhead(node): ForgetMapAhead, _context: &mut Context<Self>) {
+        self.tables.claims.forget_ahead(node);
     }
 }
 
--- a/crates/tallybridge-node/src/actor/fleet.rs
+++ b/crates/tallybridge-node/src/actor/fleet.rs
@@ -31,6 +31,7 @@
         let header = &message.datagram.header;
         let sender: NodeId = header.sender.into();
         let peer_ahead = membership::hear_revision(tables, sender, header.revision, now);
+        let map_ahead = membership::hear_map_version(tables, sender, header.partition_epoch);
         let outgoing = receive(
             &mut tables.members,
             message.from,
@@ -40,6 +41,7 @@
         );
         GossipEffects {
             peer_ahead,
+            map_ahead,
             ..membership::settle(tables, outgoing, now)
         }
     }
@@ -173,6 +175,17 @@
     }
 }
 
+/// Asks whether this node holds a duty to watch the store.
+pub struct HoldsWatch;
+
+impl Handler<HoldsWatch> for NodeActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _message: HoldsWatch, _context: &mut Context<Self>) -> bool {
+        self.tables.watches_store
+    }
+}
+
 /// Whether this node holds a duty to watch the store.
 pub struct WatchesStore(pub bool);
 
--- a/crates/tallybridge-node/src/connections/claims/map.rs
+++ b/crates/tallybridge-node/src/connections/claims/map.rs
@@ -1,9 +1,10 @@
-//! Keeps the partition map up to date: from the store, and from peers while the store is away.
+//! Keeps the partition map up to date: from the store at the nodes that watch it, and from peers.
 
-use std::time::Duration;
+use std::{convert::Infallible, time::Duration};
 
+use rand::{SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use tallybridge_claims::{PartitionEntry, PartitionId, PartitionMap};
-use tallybridge_core::NodeId;
+use tallybridge_core::{NodeId, Refusal};
 use tallybridge_store::{StoreClient, StoreClientOptions, StoreError};
 use tallybridge_wire::{Message, PartitionMapFetch};
 use tokio::time::Instant;
@@ -11,8 +12,9 @@
 use super::{REPLICA_TIMEOUT, ask_replica};
 use crate::{
     actor::{
-        claims::{ApplyPartitionMap, EntryOf, GetMapRecords, MapRecords},
-        status::GetStatus,
+        claims::{ApplyPartitionMap, EntryOf, GetMapRecords, MapRecords, MapVersion},
+        fleet::HoldsWatch,
+        status::OtherMembers,
     },
     context::NodeContext,
 };
@@ -24,9 +26,13 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time to wait after the store did not answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at whether this node is to watch the store.
+const DUTY_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two looks for a map at peers, while this node has none.
 const FETCH_INTERVAL: Duration = Duration::from_secs(1);
-/// Wait for the store's watch to bring a map that no replica has yet.
+/// Members that are asked for a first map at each look.
+const MEMBERS_PER_LOOK: usize = 3;
+/// Wait for the fleet or the store to bring a map that no replica has yet.
 const NEWER_MAP_WAIT: Duration = Duration::from_millis(20);
 
 /// A client of the store.
@@ -41,25 +47,49 @@
     }
 }
 
-/// Follows the map in the store until the node stops.
+/// Follows the map in the store until the node stops, while this node holds a duty to watch it.
+/// The other nodes learn of a newer map from the fleet.
 pub async fn follow_map(context: NodeContext) {
     let Some(store) = store_client(&context) else {
         return;
     };
-    let mut version = None;
     loop {
-        let step = async {
-            match version {
-                None => read_map(&context, &store).await,
-                Some(after) => watch_map(&context, &store, after).await,
+        let followed = async {
+            wait_for_duty(&context, true).await?;
+            tokio::select! {
+                biased;
+                lost = wait_for_duty(&context, false) => lost,
+                never = follow_under_duty(&context, &store) => match never {},
             }
         };
-        let stepped = tokio::select! {
+        let followed = tokio::select! {
             biased;
             () = context.shutdown.cancelled() => return,
-            stepped = step => stepped,
+            followed = followed => followed,
         };
-        match stepped {
+        if followed.is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits until this node holds a duty, or holds none. Fails when the node stops.
+async fn wait_for_duty(context: &NodeContext, held: bool) -> Result<(), Refusal> {
+    while context.ask(HoldsWatch).await? != held {
+        tokio::time::sleep(DUTY_INTERVAL).await;
+    }
+    Ok(())
+}
+
+/// Reads the map, since it may have changed while nobody watched, and watches it from there.
+async fn follow_under_duty(context: &NodeContext, store: &StoreClient) -> Infallible {
+    let mut version = None;
+    loop {
+        let step = match version {
+            None => read_map(context, store).await,
+            Some(after) => watch_map(context, store, after).await,
+        };
+        match step {
             Ok(next) => version = Some(next),
             Err(error) => {
                 tracing::debug!(%error, "the store did not answer about the partition map");
@@ -102,8 +132,9 @@
     }
 }
 
-/// Fetches the map from peers as long as this node has none.
+/// Fetches the map from a few peers at a time as long as this node has none.
 pub async fn fetch_first_map(context: NodeContext) {
+    let mut random = SmallRng::seed_from_u64(context.identity.instance.0);
     let mut timer = tokio::time::interval(FETCH_INTERVAL);
     loop {
         tokio::select! {
@@ -111,23 +142,34 @@
             () = context.shutdown.cancelled() => return,
             _ = timer.tick() => {}
         }
-        let Ok(entry) = context.ask(EntryOf(PartitionId(0))).await else {
-            return;
-        };
-        if entry.is_some() {
-            return;
-        }
-        let Ok(status) = context.ask(GetStatus).await else {
+        let Ok(members) = context.ask(OtherMembers).await else {
             return;
         };
-        for member in status.members {
-            fetch(&context, member.node, false).await;
+        let chosen = members.choose_multiple(&mut random, MEMBERS_PER_LOOK);
+        for node in chosen {
+            match context.ask(MapVersion).await {
+                Ok(0) => fetch(&context, *node, false).await,
+                // There is a map, or the node stops.
+                _ => return,
+            };
         }
     }
 }
 
-/// Fetches a node's map and takes it over.
+/// Fetches a node's map and takes it over; gives nothing when the node does not answer as soon as
+/// a replica has to.
 pub async fn fetch(context: &NodeContext, node: NodeId, reports_wanted: bool) -> MapRecords {
+    let until = Instant::now() + REPLICA_TIMEOUT;
+    fetch_until(context, node, reports_wanted, until).await
+}
+
+/// Fetches a node's map and takes it over; gives nothing when it does not come in time.
+pub(super) async fn fetch_until(
+    context: &NodeContext,
+    node: NodeId,
+    reports_wanted: bool,
+    until: Instant,
+) -> MapRecords {
     if node == context.identity {
         let records = context.ask(GetMapRecords { reports_wanted }).await;
         return records.unwrap_or_default();
@@ -135,7 +177,6 @@
     let message = Message::PartitionMapFetch(PartitionMapFetch {
         reports_wanted: reports_wanted.into(),
     });
-    let until = Instant::now() + REPLICA_TIMEOUT;
     let answer = ask_replica(context, node, message, until).await;
     let Some(Message::PartitionMapRecords(records)) = answer else {
         return MapRecords::default();
--- a/crates/tallybridge-node/src/connections/claims/mod.rs
+++ b/crates/tallybridge-node/src/connections/claims/mod.rs
@@ -1,5 +1,6 @@
 //! Claims between nodes: rounds of votes, the partition map, and copies for replicas that join.
 
+pub mod catch_up;
 pub mod copies;
 pub mod map;
 pub mod planner;
--- a/crates/tallybridge-node/src/connections/gossip.rs
+++ b/crates/tallybridge-node/src/connections/gossip.rs
@@ -54,6 +54,9 @@
     if effects.peer_ahead {
         context.peer_ahead.notify_one();
     }
+    if effects.map_ahead {
+        context.map_ahead.notify_one();
+    }
 }
 
 async fn send(socket: &dyn DatagramSocket, bytes: &[u8], to: SocketAddr) {
--- a/crates/tallybridge-node/src/context.rs
+++ b/crates/tallybridge-node/src/context.rs
@@ -30,6 +30,8 @@
     pub calls: TaskTracker,
     /// Wakes the task that catches up with members that are ahead.
     pub peer_ahead: Arc<Notify>,
+    /// Wakes the task that fetches the partition map from members that have a newer one.
+    pub map_ahead: Arc<Notify>,
     /// Ends the node's background tasks.
     pub shutdown: CancellationToken,
 }
--- a/crates/tallybridge-node/src/run.rs
+++ b/crates/tallybridge-node/src/run.rs
@@ -23,7 +23,7 @@
         backend::{BackendClient, HttpBackend},
         caller::serve_callers,
         catch_up::catch_up,
-        claims::{copies::copy_claims, map, planner::plan_partitions},
+        claims::{catch_up::catch_up_map, copies::copy_claims, map, planner::plan_partitions},
         discovery::follow_machine_list,
         gossip::gossip,
         peer::{
@@ -171,6 +171,7 @@
         links: PeerLinks::new(hello.clone(), parts.network),
         calls: TaskTracker::new(),
         peer_ahead: Arc::default(),
+        map_ahead: Arc::default(),
         shutdown: CancellationToken::new(),
     };
     let background = TaskTracker::new();
@@ -180,6 +181,7 @@
     background.spawn(close_idle_links(context.clone()));
     background.spawn(catch_up(context.clone()));
     background.spawn(map::fetch_first_map(context.clone()));
+    background.spawn(catch_up_map(context.clone()));
     background.spawn(copy_claims(context.clone()));
     Ok(RunningNode {
         context,
--- a/crates/tallybridge-node/src/systems/membership.rs
+++ b/crates/tallybridge-node/src/systems/membership.rs
@@ -16,6 +16,8 @@
     pub outgoing: Vec<Outgoing>,
     /// Whether a member has a greater configuration revision than this node.
     pub peer_ahead: bool,
+    /// Whether a member has a newer partition map than this node.
+    pub map_ahead: bool,
 }
 
 /// Takes in what the members table has found out.
@@ -23,11 +25,13 @@
     let effects = GossipEffects {
         outgoing,
         peer_ahead: false,
+        map_ahead: false,
     };
     let mut changed = false;
     for event in tables.members.events() {
         match event {
-            // Each datagram's revision is looked at when it arrives, by `hear_revision`.
+            // What each datagram says is looked at when it arrives, by `hear_revision` and
+            // `hear_map_version`.
             MemberEvent::PeerAhead { .. } => {}
             MemberEvent::Joined(record) => {
                 tracing::info!(member = %record.node, "member joined");
@@ -52,17 +56,23 @@
 
 /// Takes in the revision that a member has; `true` when it is ahead of this node.
 pub fn hear_revision(tables: &mut Tables, sender: NodeId, revision: u64, now: Instant) -> bool {
-    let is_live = tables
-        .members
-        .member(sender)
-        .is_some_and(|record| record.health.is_live());
-    is_live
-        && sender != tables.identity
+    is_live_peer(tables, sender)
         && tables
             .configuration
             .hear_peer(sender, Revision(revision), now)
 }
 
+/// Takes in the version of the partition map that a member has; `true` when it is ahead of this
+/// node.
+pub fn hear_map_version(tables: &mut Tables, sender: NodeId, version: u64) -> bool {
+    is_live_peer(tables, sender) && tables.claims.hear_peer(sender, version)
+}
+
+fn is_live_peer(tables: &Tables, node: NodeId) -> bool {
+    let record = tables.members.member(node);
+    node != tables.identity && record.is_some_and(|record| record.health.is_live())
+}
+
 /// Makes the members that have a back end the places to send to.
 pub fn refresh_endpoints(tables: &mut Tables, now: Instant) {
     let endpoints: Vec<Endpoint> = tables
