--- a/crates/tallybridge-lab/src/scale/calls/memory.rs
+++ b/crates/tallybridge-lab/src/scale/calls/memory.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use tallybridge_core::{RequestKey, ServiceName, TenantName};
+use tallybridge_core::{InstanceId, RequestKey, ServiceName, TenantName};
 use tallybridge_node::{
     NodeParts, RunningNode,
     connections::store::StoreTimes,
@@ -70,6 +70,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: has_backend.then(|| Arc::new(WaitingBackend(LATENCY)) as _),
+        instance: InstanceId::random(),
         store_times: StoreTimes::default(),
     };
     start_core(settings, parts).await.map_err(io::Error::other)
--- a/crates/tallybridge-lab/src/scale/calls/pair.rs
+++ b/crates/tallybridge-lab/src/scale/calls/pair.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tallybridge_config::settings::BackendSettings;
+use tallybridge_core::InstanceId;
 use tallybridge_node::{
     NodeParts,
     actor::{configuration::ApplyRecords, fleet::Seeds, status::CountMembers},
@@ -75,6 +76,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: client,
+        instance: InstanceId::random(),
         store_times: StoreTimes::default(),
     };
     let node = start_core(settings, parts)
--- a/crates/tallybridge-lab/src/scale/fleet.rs
+++ b/crates/tallybridge-lab/src/scale/fleet.rs
@@ -16,7 +16,7 @@
 use tallybridge_config::{
     Edit, Revision, RevisionRecord, Settings, Tenant, settings::BackendSettings,
 };
-use tallybridge_core::{NodeId, RegionName, ServiceName, TenantName, ZoneName};
+use tallybridge_core::{InstanceId, NodeId, RegionName, ServiceName, TenantName, ZoneName};
 use tallybridge_node::{
     NodeParts, RunningNode,
     actor::{
@@ -242,6 +242,7 @@
     let parts = NodeParts {
         network: Arc::new(network),
         backend: None,
+        instance: InstanceId::random(),
         store_times: StoreTimes::default(),
     };
     let running = start_core(settings, parts)
--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -30,6 +30,9 @@
     pub key: RequestKey,
     /// Whether attempts may exist that this node does not know of.
     pub shared_key: bool,
+    /// Runs of each position that the root allows, when the attempt that makes this call may run
+    /// elsewhere too.
+    pub shared_runs: Option<u8>,
     /// Tenant.
     pub tenant: TenantName,
     /// Target service.
@@ -48,10 +51,24 @@
 
 impl CallPlan {
     /// Whether each run of the call is claimed. The runs of an idempotent nested call are counted
-    /// by the attempt that makes it.
+    /// by the attempt that makes it, unless that attempt may itself run more than once under a
+    /// caller's key.
     #[must_use]
     pub fn is_claimed(&self) -> bool {
-        self.shared_key && (self.depth == 1 || !self.policy.idempotent)
+        let counted_by_parent =
+            self.depth > 1 && self.policy.idempotent && self.shared_runs.is_none();
+        self.shared_key && !counted_by_parent
+    }
+
+    /// Runs that the call's key allows over all its attempts: one for a call that must not be
+    /// repeated, else as many as the root of the chain allows at each position.
+    #[must_use]
+    pub fn max_runs(&self) -> u8 {
+        if !self.policy.idempotent {
+            return 1;
+        }
+        self.shared_runs
+            .unwrap_or(self.policy.retry_allowance.saturating_add(1))
     }
 }
 
@@ -92,6 +109,7 @@
                     request_id: call.request_id,
                     key: call.key,
                     shared_key: call.shared_key,
+                    shared_runs: call.shared_runs,
                     tenant: call.tenant,
                     service: call.service,
                     policy: call.policy,
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use tallybridge_config::CallPolicy;
 use tallybridge_core::{ErrorKind, Refusal};
 use tallybridge_wire::{CallHead, Text};
 use tokio_util::sync::CancellationToken;
@@ -137,7 +136,7 @@
         key_issued_unix_ms: plan.key.issued_unix_ms,
         key_digest: plan.key.digest,
         claim_needed: u8::from(plan.is_claimed()),
-        max_runs: max_runs(policy),
+        max_runs: plan.max_runs(),
         attempt: route.attempt,
         depth: plan.depth,
         criticality: plan.criticality as u8,
@@ -159,14 +158,6 @@
     }
 }
 
-fn max_runs(policy: &CallPolicy) -> u8 {
-    if policy.idempotent {
-        policy.retry_allowance.saturating_add(1)
-    } else {
-        1
-    }
-}
-
 fn remaining_ms(deadline: Instant) -> u32 {
     let remaining = deadline
         .saturating_duration_since(tokio::time::Instant::now().into_std())
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -100,6 +100,7 @@
         started: now,
         allowance: Allowance::root(head.allowance),
         nested: HashMap::new(),
+        shared_runs: (head.claim_needed != 0 && head.idempotent != 0).then_some(head.max_runs),
         nested_wait: NestedWait::default(),
     })
 }
--- a/crates/tallybridge-node/src/systems/begin.rs
+++ b/crates/tallybridge-node/src/systems/begin.rs
@@ -70,6 +70,7 @@
 struct Inheritance {
     key: RequestKey,
     shared_key: bool,
+    shared_runs: Option<u8>,
     request_id: Arc<str>,
     tenant: TenantName,
     criticality: Criticality,
@@ -116,6 +117,7 @@
         request_id: inherited.request_id,
         key: inherited.key,
         shared_key: inherited.shared_key,
+        shared_runs: inherited.shared_runs,
         tenant: inherited.tenant,
         service: request.service.clone(),
         criticality,
@@ -168,6 +170,7 @@
     Ok(Inheritance {
         key,
         shared_key: caller_key,
+        shared_runs: None,
         request_id: key.to_string().into(),
         tenant,
         criticality: Criticality::Sheddable,
@@ -196,6 +199,7 @@
         key: nested_key(request, identity, parent),
         // The parent may run again elsewhere and make this call under the same key.
         shared_key: true,
+        shared_runs: parent.shared_runs,
         request_id: parent.request_id.clone(),
         tenant: request
             .tenant
--- a/crates/tallybridge-node/src/tables/calls.rs
+++ b/crates/tallybridge-node/src/tables/calls.rs
@@ -19,6 +19,9 @@
     pub key: RequestKey,
     /// Whether attempts may exist that this node does not know of.
     pub shared_key: bool,
+    /// Runs of each position that the root allows, when the attempt that makes this call may run
+    /// elsewhere too.
+    pub shared_runs: Option<u8>,
     /// Tenant.
     pub tenant: TenantName,
     /// Target service.
--- a/crates/tallybridge-node/src/tables/executions.rs
+++ b/crates/tallybridge-node/src/tables/executions.rs
@@ -32,6 +32,9 @@
     pub allowance: Allowance,
     /// Nested calls made so far: how often each was made.
     pub nested: HashMap<RequestKey, u16>,
+    /// Runs that the request allows at each position of its chain, when attempts of the caller
+    /// elsewhere may run this call too; its nested calls are then counted over all of them.
+    pub shared_runs: Option<u8>,
     /// Time spent waiting for nested calls.
     pub nested_wait: NestedWait,
 }
--- a/crates/tallybridge-node/tests/idle_links.rs
+++ b/crates/tallybridge-node/tests/idle_links.rs
@@ -7,7 +7,7 @@
 };
 
 use tallybridge_config::Settings;
-use tallybridge_core::{RegionName, ZoneName};
+use tallybridge_core::{InstanceId, RegionName, ZoneName};
 use tallybridge_node::{
     NodeParts, RunningNode,
     connections::{
@@ -40,6 +40,7 @@
         drain_ms: 0,
     };
     let parts = NodeParts {
+        instance: InstanceId::random(),
         network: Arc::new(SocketNetwork),
         backend: None,
         store_times: StoreTimes::default(),
