--- a/crates/tallybridge-claims/src/lib.rs
+++ b/crates/tallybridge-claims/src/lib.rs
@@ -35,7 +35,7 @@
 //! majority is left there. Two sources that gave one run to different attempts leave it *contested*:
 //! nobody is given it again. A restarted process is another instance, hence no replica.
 //!
-//! **Loss.** When fewer than a read quorum of synchronised replicas can be left, [`plan`] resets the
+//! **Loss.** When fewer than a read quorum of synchronised replicas can be left, [`plan()`] resets the
 //! partition: those that join copy from every survivor, and keys dated before the reset, three skews
 //! ahead, are not voted on (`unknown`). This rests on the lost replicas having *ended*. One that only
 //! does not answer could still grant with others on its side of a cut, so it is replaced, one at a
