Split the peer messages, and let a call's plan hold its call

Change: headers and load reports have files of their own; the plan holds the row. No behaviour changes.

--- a/crates/tallybridge-node/src/actor/calls.rs
+++ b/crates/tallybridge-node/src/actor/calls.rs
@@ -1,9 +1,6 @@
 //! Messages about calls that enter at this node.
 
-use std::{sync::Arc, time::Instant};
-
-use tallybridge_config::CallPolicy;
-use tallybridge_core::{Criticality, NodeId, Refusal, RequestKey, ServiceName, TenantName};
+use tallybridge_core::{NodeId, Refusal, RequestKey};
 use xtra::prelude::*;
 
 use super::{NodeActor, now};
@@ -13,7 +10,7 @@
         record::{self, Subject},
         retry::{self, AttemptEnd, Next, Route},
     },
-    tables::calls::CallId,
+    tables::calls::{Call, CallId},
 };
 
 /// Starts a call.
@@ -22,29 +19,10 @@
 /// How a call is carried.
 #[derive(Debug, Clone)]
 pub struct CallPlan {
-    /// The call.
+    /// The call's number.
     pub id: CallId,
-    /// Identity of the whole request, for logs.
-    pub request_id: Arc<str>,
-    /// Identity over all attempts.
-    pub key: RequestKey,
-    /// Whether attempts may exist that this node does not know of.
-    pub shared_key: bool,
-    /// Runs of each position that the root allows, when the attempt that makes this call may run
-    /// elsewhere too.
-    pub shared_runs: Option<u8>,
-    /// Tenant.
-    pub tenant: TenantName,
-    /// Target service.
-    pub service: ServiceName,
-    /// How the call is treated.
-    pub policy: Arc<CallPolicy>,
-    /// Class.
-    pub criticality: Criticality,
-    /// Depth in the chain, from 1.
-    pub depth: u8,
-    /// When the call must be answered.
-    pub deadline: Instant,
+    /// The call as it begins.
+    pub call: Call,
     /// The first attempt.
     pub route: Route,
 }
@@ -55,20 +33,23 @@
     /// caller's key.
     #[must_use]
     pub fn is_claimed(&self) -> bool {
+        let call = &self.call;
         let counted_by_parent =
-            self.depth > 1 && self.policy.idempotent && self.shared_runs.is_none();
-        self.shared_key && !counted_by_parent
+            call.depth > 1 && call.policy.idempotent && call.shared_runs.is_none();
+        call.shared_key && !counted_by_parent
     }
 
     /// Runs that the call's key allows over all its attempts: one for a call that must not be
     /// repeated, else as many as the root of the chain allows at each position.
     #[must_use]
     pub fn max_runs(&self) -> u8 {
-        if !self.policy.idempotent {
+        let policy = &self.call.policy;
+        if !policy.idempotent {
             return 1;
         }
-        self.shared_runs
-            .unwrap_or(self.policy.retry_allowance.saturating_add(1))
+        self.call
+            .shared_runs
+            .unwrap_or(policy.retry_allowance.saturating_add(1))
     }
 }
 
@@ -105,20 +86,7 @@
         match retry::choose_route(&mut self.tables, id, now) {
             Ok(route) => {
                 record::begun(&mut self.tables, &call, &route);
-                Ok(CallPlan {
-                    id,
-                    request_id: call.request_id,
-                    key: call.key,
-                    shared_key: call.shared_key,
-                    shared_runs: call.shared_runs,
-                    tenant: call.tenant,
-                    service: call.service,
-                    policy: call.policy,
-                    criticality: call.criticality,
-                    depth: call.depth,
-                    deadline: call.deadline,
-                    route,
-                })
+                Ok(CallPlan { id, call, route })
             }
             Err(refusal) => {
                 record::refused_without_route(&mut self.tables, &call, &refusal);
--- a/crates/tallybridge-node/src/path/attempt.rs
+++ b/crates/tallybridge-node/src/path/attempt.rs
@@ -38,7 +38,7 @@
     cancelled: &CancellationToken,
 ) -> Attempted {
     let head = call_head(plan, route, carried);
-    let deadline = tokio::time::Instant::from_std(plan.deadline);
+    let deadline = tokio::time::Instant::from_std(plan.call.deadline);
     let executing = async {
         if route.node == context.identity {
             Ok(execute_here(context, head, carried.body.clone()).await)
@@ -131,26 +131,26 @@
 
 /// What the executing node is told of the call.
 pub(super) fn call_head(plan: &CallPlan, route: Route, carried: &CarriedRequest) -> CallHead {
-    let policy = &plan.policy;
+    let policy = &plan.call.policy;
     CallHead {
-        key_issued_unix_ms: plan.key.issued_unix_ms,
-        key_digest: plan.key.digest,
+        key_issued_unix_ms: plan.call.key.issued_unix_ms,
+        key_digest: plan.call.key.digest,
         claim_needed: u8::from(plan.is_claimed()),
         max_runs: plan.max_runs(),
         attempt: route.attempt,
         repeated: u8::from(route.repeated),
-        depth: plan.depth,
-        criticality: plan.criticality as u8,
+        depth: plan.call.depth,
+        criticality: plan.call.criticality as u8,
         idempotent: u8::from(policy.idempotent),
         allowance: route.allowance,
-        remaining_ms: remaining_ms(plan.deadline),
+        remaining_ms: remaining_ms(plan.call.deadline),
         max_answer_bytes: policy.max_answer_bytes,
         concurrency_limit: policy.concurrency_limit.unwrap_or(0),
         reserve: policy.reserve,
-        service: Text::new(plan.service.as_str()),
-        tenant: Text::new(plan.tenant.as_str()),
+        service: Text::new(plan.call.service.as_str()),
+        tenant: Text::new(plan.call.tenant.as_str()),
         template: Text::new(policy.template.as_str()),
-        request_id: Text::new(&plan.request_id),
+        request_id: Text::new(&plan.call.request_id),
         method: Text::new(&carried.method),
         path: Text::new(&carried.path_and_query),
         headers: carried.headers.clone(),
--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -40,11 +40,11 @@
     };
     log_end(&plan, &result);
     match &result {
-        Ok(_) => telemetry::call_answered(&plan.policy, entered.elapsed()),
-        Err(refusal) => telemetry::call_refused(Some(&plan.policy), refusal),
+        Ok(_) => telemetry::call_answered(&plan.call.policy, entered.elapsed()),
+        Err(refusal) => telemetry::call_refused(Some(&plan.call.policy), refusal),
     }
     CallEnd {
-        request_id: Some(plan.request_id),
+        request_id: Some(plan.call.request_id),
         result,
     }
 }
@@ -127,7 +127,7 @@
         return Err(refusal);
     }
     let scope = ReplayScope::of(&attempt::call_head(plan, plan.route, carried));
-    settle_refusal(context, plan.key, Some(scope), refusal).await
+    settle_refusal(context, plan.call.key, Some(scope), refusal).await
 }
 
 async fn refused_at_once(context: &NodeContext, refused: RefusedCall) -> CallEnd {
@@ -161,17 +161,17 @@
 fn log_end(plan: &CallPlan, result: &Result<WholeAnswer, Refusal>) {
     match result {
         Ok(answer) => tracing::debug!(
-            request_id = &*plan.request_id,
-            tenant = plan.tenant.as_str(),
-            template = plan.policy.template.as_str(),
+            request_id = &*plan.call.request_id,
+            tenant = plan.call.tenant.as_str(),
+            template = plan.call.policy.template.as_str(),
             decision = "completed",
             status = answer.status,
             "call answered"
         ),
         Err(refusal) => tracing::info!(
-            request_id = &*plan.request_id,
-            tenant = plan.tenant.as_str(),
-            template = plan.policy.template.as_str(),
+            request_id = &*plan.call.request_id,
+            tenant = plan.call.tenant.as_str(),
+            template = plan.call.policy.template.as_str(),
             decision = "refused",
             reason = refusal.kind.name(),
             outcome = refusal.outcome.as_str(),
--- a/crates/tallybridge-wire/src/claim.rs
+++ b/crates/tallybridge-wire/src/claim.rs
@@ -3,7 +3,7 @@
 use deku::prelude::*;
 use tallybridge_core::{AttemptId, InstanceId, RequestKey};
 
-use crate::message::WireHeaders;
+use crate::headers::WireHeaders;
 
 /// A [`RequestKey`] in its wire form.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
--- a/crates/tallybridge-wire/src/lib.rs
+++ b/crates/tallybridge-wire/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod codec;
 pub mod frame;
 pub mod gossip;
+pub mod headers;
+pub mod load;
 pub mod message;
 pub mod report;
 pub mod text;
@@ -15,9 +17,11 @@
     DIGEST_BUCKETS, Datagram, DatagramError, GossipHeader, GossipMessage, MAX_DATAGRAM_BYTES,
     ShortText, WireAddress, WireNode, WirePlacement, WireUpdate, decode_datagram, encode_datagram,
 };
+pub use headers::{WireHeader, WireHeaders};
+pub use load::WireLoad;
 pub use message::{
     AnswerHead, BodyChunk, CallHead, ConfigurationFetch, ConfigurationRecords, Hello, Message,
-    MessageError, PartitionMapFetch, PartitionMapRecords, WireHeader, WireHeaders, WireLoad,
+    MessageError, PartitionMapFetch, PartitionMapRecords,
 };
 pub use report::{ExplainFetch, JsonReport};
 pub use text::Text;
--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -1,13 +1,12 @@
 //! The messages that nodes exchange over a peer link.
 
 use deku::prelude::*;
-use tallybridge_core::{Criticality, LoadReport};
 
 use crate::claim::{
     Claim, ClaimCopy, ClaimFinish, ClaimPage, ClaimQuery, ClaimQueryReply, ClaimRelease, ClaimReply,
 };
 use crate::report::{ExplainFetch, JsonReport};
-use crate::{bytes_field::write_bytes, text::Text};
+use crate::{bytes_field::write_bytes, headers::WireHeaders, load::WireLoad, text::Text};
 
 /// First message of each side of a connection: who it is.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
@@ -27,49 +26,6 @@
     pub rack: Text,
 }
 
-/// One HTTP header.
-#[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(
-    endian = "endian",
-    ctx = "endian: deku::ctx::Endian",
-    ctx_default = "deku::ctx::Endian::Big"
-)]
-pub struct WireHeader {
-    /// Lower-case name.
-    pub name: Text,
-    /// Value; may hold any bytes that HTTP allows.
-    pub value: Text,
-}
-
-/// A list of HTTP headers with its length in front.
-#[derive(Debug, Clone, PartialEq, Eq, Default, DekuRead, DekuWrite)]
-#[deku(
-    endian = "endian",
-    ctx = "endian: deku::ctx::Endian",
-    ctx_default = "deku::ctx::Endian::Big"
-)]
-pub struct WireHeaders {
-    count: u16,
-    #[deku(count = "count")]
-    headers: Vec<WireHeader>,
-}
-
-impl WireHeaders {
-    /// Wraps a list; HTTP libraries refuse messages with anywhere near 65,535 headers.
-    #[must_use]
-    pub fn new(headers: Vec<WireHeader>) -> Self {
-        Self {
-            count: u16::try_from(headers.len()).unwrap_or(u16::MAX),
-            headers,
-        }
-    }
-
-    /// The headers in order.
-    pub fn iter(&self) -> impl Iterator<Item = &WireHeader> {
-        self.headers.iter()
-    }
-}
-
 /// Start of a call; `body_length` bytes follow in [`BodyChunk`]s on the same stream.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
@@ -148,50 +104,6 @@
     }
 }
 
-/// A [`LoadReport`] in its wire form.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
-#[deku(
-    endian = "endian",
-    ctx = "endian: deku::ctx::Endian",
-    ctx_default = "deku::ctx::Endian::Big"
-)]
-pub struct WireLoad {
-    in_flight: u16,
-    limit: u16,
-    queued: u16,
-    admitted_from: u8,
-    leaving: u8,
-}
-
-/// Wire value of "no class is admitted".
-const NONE_ADMITTED: u8 = u8::MAX;
-
-impl From<LoadReport> for WireLoad {
-    fn from(load: LoadReport) -> Self {
-        Self {
-            in_flight: load.in_flight,
-            limit: load.limit,
-            queued: load.queued,
-            admitted_from: load
-                .admitted_from
-                .map_or(NONE_ADMITTED, |class| class as u8),
-            leaving: u8::from(load.leaving),
-        }
-    }
-}
-
-impl From<WireLoad> for LoadReport {
-    fn from(load: WireLoad) -> Self {
-        Self {
-            in_flight: load.in_flight,
-            limit: load.limit,
-            queued: load.queued,
-            admitted_from: Criticality::from_wire(load.admitted_from),
-            leaving: load.leaving != 0,
-        }
-    }
-}
-
 /// Start of an answer; `body_length` bytes follow in [`BodyChunk`]s on the same stream.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
