--- a/crates/tallybridge-node/src/path/entry.rs
+++ b/crates/tallybridge-node/src/path/entry.rs
@@ -34,11 +34,12 @@
         Ok(Err(refused)) => return refused_at_once(context, refused).await,
         Err(refusal) => return log_refused(Err(refusal)),
     };
-    let result = match attempts(context, &plan, &carried, &cancelled).await {
+    let mut route = plan.route;
+    let result = match attempts(context, &plan, &mut route, &carried, &cancelled).await {
         Err(refused) => settle(context, &plan, &carried, refused).await,
         Ok(answer) => Ok(answer),
     };
-    log_end(&plan, &result);
+    log_end(&plan, route, &result);
     match &result {
         Ok(_) => telemetry::call_answered(&plan.call.policy, entered.elapsed()),
         Err(refusal) => telemetry::call_refused(Some(&plan.call.policy), refusal),
@@ -52,12 +53,12 @@
 async fn attempts(
     context: &NodeContext,
     plan: &CallPlan,
+    route: &mut Route,
     carried: &CarriedRequest,
     cancelled: &CancellationToken,
 ) -> Result<WholeAnswer, FinalRefusal> {
-    let mut route = plan.route;
     loop {
-        let attempted = attempt::run(context, plan, route, carried, cancelled).await;
+        let attempted = attempt::run(context, plan, *route, carried, cancelled).await;
         let next = context
             .ask(EndAttempt {
                 call: plan.id,
@@ -67,9 +68,9 @@
             .await?;
         match (next, attempted.answer) {
             (Next::Answer, Some(answer)) => return Ok(answer),
-            (Next::Retry(next_route), _) => route = next_route,
+            (Next::Retry(next_route), _) => *route = next_route,
             (Next::Wait(delay), _) => {
-                route = wait_and_choose(context, plan, delay, cancelled).await?;
+                *route = wait_and_choose(context, plan, delay, cancelled).await?;
             }
             (Next::Refuse(refusal), _) => {
                 return Err(FinalRefusal {
@@ -158,10 +159,12 @@
     }
 }
 
-fn log_end(plan: &CallPlan, result: &Result<WholeAnswer, Refusal>) {
+fn log_end(plan: &CallPlan, route: Route, result: &Result<WholeAnswer, Refusal>) {
     match result {
         Ok(answer) => tracing::debug!(
             request_id = &*plan.call.request_id,
+            attempt = route.attempt,
+            service = plan.call.service.as_str(),
             tenant = plan.call.tenant.as_str(),
             template = plan.call.policy.template.as_str(),
             decision = "completed",
@@ -170,6 +173,8 @@
         ),
         Err(refusal) => tracing::info!(
             request_id = &*plan.call.request_id,
+            attempt = route.attempt,
+            service = plan.call.service.as_str(),
             tenant = plan.call.tenant.as_str(),
             template = plan.call.policy.template.as_str(),
             decision = "refused",
