--- a/crates/tallybridge-store/tests/configuration_log.rs
+++ b/crates/tallybridge-store/tests/configuration_log.rs
@@ -8,14 +8,17 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use log_oracle::{Oracle, Told};
+use log_oracle::{
+    Oracle, Told,
+    edits::{REMOVAL, edit},
+};
 use proptest::{
     collection::vec,
     prelude::*,
     test_runner::{RngAlgorithm, RngSeed},
 };
 use rand::{SeedableRng, rngs::SmallRng};
-use tallybridge_config::{Document, Edit, Revision, Template};
+use tallybridge_config::{Document, Revision};
 use tallybridge_lab::standin::store::{FaultOrder, LossManner, StoreOptions, StoreStandin};
 use tallybridge_store::{
     Backoff, ChangeRequest, ConfigurationLog, LogCursor, StoreClient, StoreClientOptions,
@@ -230,30 +233,6 @@
     }
 }
 
-/// Entry whose template has the first one as its parent, so that it needs the first one.
-const CHILD_ENTRY: u8 = 3;
-
-/// Number that stands for the removal of the first template.
-const REMOVAL: u8 = 4;
-
-/// An edit of one of a few templates, told from all others by its deadline.
-fn edit(entry: u8, number: u32) -> Edit {
-    if entry == REMOVAL {
-        return Edit::RemoveTemplate("template-0".into());
-    }
-    let is_child = entry == CHILD_ENTRY;
-    // A child's deadline is below its parent's, as the rules ask for.
-    let deadline_ms = if is_child { 1_000 } else { 100_000 } + number;
-    let template: Template = serde_json::from_value(serde_json::json!({
-        "name": format!("template-{entry}"),
-        "service": format!("service-{entry}"),
-        "deadline_ms": deadline_ms,
-        "parent": is_child.then_some("template-0"),
-    }))
-    .unwrap();
-    Edit::PutTemplate(template)
-}
-
 fn run_case(steps: &[Step]) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/tallybridge-store/tests/log_oracle/mod.rs
+++ b/crates/tallybridge-store/tests/log_oracle/mod.rs
@@ -1,5 +1,7 @@
 //! What must hold of a configuration log, whatever its authors and the store went through.
 
+pub mod edits;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use tallybridge_config::{
