--- a/crates/tallybridge-wire/src/message.rs
+++ b/crates/tallybridge-wire/src/message.rs
@@ -45,7 +45,7 @@
     pub repeated: u8,
     /// Depth in the chain; a root call has 1.
     pub depth: u8,
-    /// [`Criticality`] as its wire value.
+    /// [`Criticality`](tallybridge_core::Criticality) as its wire value.
     pub criticality: u8,
     /// Whether running the call twice does no harm: 0 or 1.
     pub idempotent: u8,
