--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -165,6 +165,11 @@
         "cancelled", 499, Downstream, Unknown, false, 82,
         "nothing to do: the caller closed its connection"
     }
+    /// The back end took the request and said that it did not run it.
+    BackendRefused = 25 => {
+        "backend-refused", 503, Upstream, NotRun, true, 88,
+        "wait for the time in Retry-After: the back end was full or the time was up in its queue"
+    }
     /// A defect of tallybridge itself.
     Internal = 30 => {
         "internal", 500, Internal, Unknown, false, 83,
--- /dev/null
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -0,0 +1,73 @@
+//! The node's own figures, as text.
+
+use std::{
+    fmt::Write,
+    sync::{Arc, atomic::Ordering},
+};
+
+use crate::{
+    http::{Answer, HttpLimits, Request, RequestHandler},
+    node::Node,
+};
+
+/// Shows the figures in the text format of Prometheus.
+#[derive(Clone)]
+pub struct MetricsHandler(pub Arc<Node>);
+
+impl RequestHandler for MetricsHandler {
+    async fn handle(&self, _request: Request) -> Answer {
+        Answer::new(200, page(&self.0)).with_header("Content-Type", "text/plain; version=0.0.4")
+    }
+
+    fn limits(&self) -> HttpLimits {
+        HttpLimits::default()
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+fn page(node: &Node) -> String {
+    let counters = &node.counters;
+    let load = node.load();
+    let status = node.status();
+    let fleet = node.with_peers(|peers| (peers.fleet_size(), peers.links().count()));
+    let counts = [
+        ("requests_total", &counters.requests),
+        ("answered_total", &counters.answered),
+        ("refused_total", &counters.refused),
+        ("repeats_total", &counters.repeats),
+        ("executed_total", &counters.executed),
+        ("backend_connections_total", &counters.connections),
+        ("health_checks_total", &counters.health_checks),
+        ("store_calls_total", &counters.store_calls),
+    ];
+    let mut text = String::new();
+    for (name, value) in counts {
+        line(&mut text, name, "counter", value.load(Ordering::Relaxed));
+    }
+    let gauges = [
+        ("concurrency_limit", u64::from(load.limit)),
+        ("calls_in_flight", u64::from(load.in_flight)),
+        ("calls_queued", u64::from(load.queued)),
+        ("queue_wait_milliseconds", u64::from(load.wait_ms)),
+        ("configuration_version", status.version),
+        ("backend_state", status.backend as u64),
+        ("nodes_known", fleet.0 as u64),
+        ("links_open", fleet.1 as u64),
+        ("requests_in_flight", node.requests_in_flight() as u64),
+    ];
+    for (name, value) in gauges {
+        line(&mut text, name, "gauge", value);
+    }
+    text
+}
+
+fn line(text: &mut String, name: &str, kind: &str, value: u64) {
+    // Writing to a string can't fail.
+    let _ = writeln!(
+        text,
+        "# TYPE tallybridge_{name} {kind}\ntallybridge_{name} {value}"
+    );
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/http/body.rs
@@ -0,0 +1,268 @@
+//! Bodies: how their end is known, and reading them whole.
+
+use bytes::{Buf, BytesMut};
+
+use super::head::{HeaderLines, RequestHead, ResponseHead};
+
+/// Longest line that gives the size of a chunk, in bytes.
+const MAX_CHUNK_LINE: usize = 256;
+/// Most bytes of trailer lines.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
+
+/// Why a body can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    /// Its length is contradictory or its chunks are malformed.
+    #[error("malformed body framing")]
+    Malformed,
+    /// It is larger than the limit.
+    #[error("body above its limit")]
+    TooLarge,
+}
+
+/// How the end of a body is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyLength {
+    /// So many bytes.
+    Sized(u64),
+    /// In chunks.
+    Chunked,
+    /// It ends with its connection.
+    UntilClose,
+}
+
+impl BodyLength {
+    /// The framing of a request's body. Anything that two readers could take for different
+    /// lengths is refused (RFC 9112, section 6.3).
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::Malformed`] for contradictory or unreadable lengths.
+    pub fn of_request(head: &RequestHead) -> Result<Self, BodyError> {
+        let chunked = is_chunked(&head.headers)?;
+        let sized = content_length(&head.headers)?;
+        match (chunked, sized) {
+            (true, None) if head.is_version_1_1 => Ok(Self::Chunked),
+            (true, _) => Err(BodyError::Malformed),
+            (false, length) => Ok(Self::Sized(length.unwrap_or(0))),
+        }
+    }
+
+    /// The framing of an answer's body.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::Malformed`] for contradictory or unreadable lengths.
+    pub fn of_response(head: &ResponseHead, to_head_request: bool) -> Result<Self, BodyError> {
+        if to_head_request || matches!(head.status, 100..=199 | 204 | 304) {
+            return Ok(Self::Sized(0));
+        }
+        let chunked = is_chunked(&head.headers)?;
+        let sized = content_length(&head.headers)?;
+        match (chunked, sized) {
+            (true, None) => Ok(Self::Chunked),
+            (true, Some(_)) => Err(BodyError::Malformed),
+            (false, Some(length)) => Ok(Self::Sized(length)),
+            (false, None) => Ok(Self::UntilClose),
+        }
+    }
+}
+
+fn is_chunked(headers: &HeaderLines) -> Result<bool, BodyError> {
+    let mut values = headers.all("transfer-encoding");
+    match (values.next(), values.next()) {
+        (None, _) => Ok(false),
+        (Some(value), None) if value.trim_ascii().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(BodyError::Malformed),
+    }
+}
+
+fn content_length(headers: &HeaderLines) -> Result<Option<u64>, BodyError> {
+    let mut length = None;
+    for value in headers.all("content-length") {
+        let value = parse_decimal(value.trim_ascii()).ok_or(BodyError::Malformed)?;
+        if length.replace(value).is_some_and(|before| before != value) {
+            return Err(BodyError::Malformed);
+        }
+    }
+    Ok(length)
+}
+
+fn parse_decimal(digits: &[u8]) -> Option<u64> {
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(digits).ok()?.parse().ok()
+}
+
+/// Takes a body off a buffer as its bytes come.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: State,
+    max_bytes: usize,
+    body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Sized(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer(usize),
+    UntilClose,
+    Whole,
+}
+
+impl BodyReader {
+    /// A reader of a body that may have at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::TooLarge`] when the announced length is above the limit.
+    pub fn new(length: BodyLength, max_bytes: usize) -> Result<Self, BodyError> {
+        let state = match length {
+            BodyLength::Sized(0) => State::Whole,
+            BodyLength::Sized(length) if length > max_bytes as u64 => {
+                return Err(BodyError::TooLarge);
+            }
+            BodyLength::Sized(length) => State::Sized(length),
+            BodyLength::Chunked => State::ChunkSize,
+            BodyLength::UntilClose => State::UntilClose,
+        };
+        Ok(Self {
+            state,
+            max_bytes,
+            body: Vec::new(),
+        })
+    }
+
+    /// Takes what the buffer holds of the body; `true` once the body is whole.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError`] when the framing is malformed or the body too large.
+    pub fn read(&mut self, buffer: &mut BytesMut) -> Result<bool, BodyError> {
+        loop {
+            match self.state {
+                State::Whole => return Ok(true),
+                State::Sized(left) => {
+                    let left = self.take_data(buffer, left)?;
+                    if left > 0 {
+                        self.state = State::Sized(left);
+                        return Ok(false);
+                    }
+                    self.state = State::Whole;
+                }
+                State::UntilClose => {
+                    self.take_data(buffer, u64::MAX)?;
+                    return Ok(false);
+                }
+                State::ChunkSize => {
+                    let Some(line) = take_line(buffer, MAX_CHUNK_LINE)? else {
+                        return Ok(false);
+                    };
+                    self.state = match chunk_size(&line)? {
+                        0 => State::Trailer(0),
+                        size => State::ChunkData(size),
+                    };
+                }
+                State::ChunkData(left) => {
+                    let left = self.take_data(buffer, left)?;
+                    if left > 0 {
+                        self.state = State::ChunkData(left);
+                        return Ok(false);
+                    }
+                    self.state = State::ChunkEnd;
+                }
+                State::ChunkEnd => {
+                    if buffer.len() < 2 {
+                        return Ok(false);
+                    }
+                    if &buffer[..2] != b"\r\n" {
+                        return Err(BodyError::Malformed);
+                    }
+                    buffer.advance(2);
+                    self.state = State::ChunkSize;
+                }
+                State::Trailer(seen) => {
+                    let Some(line) = take_line(buffer, MAX_TRAILER_BYTES)? else {
+                        return Ok(false);
+                    };
+                    if line.is_empty() {
+                        self.state = State::Whole;
+                        continue;
+                    }
+                    let seen = seen + line.len();
+                    if seen > MAX_TRAILER_BYTES {
+                        return Err(BodyError::TooLarge);
+                    }
+                    self.state = State::Trailer(seen);
+                }
+            }
+        }
+    }
+
+    /// The end of the connection was read; `true` when that ends the body.
+    #[must_use]
+    pub fn ends_at_close(&self) -> bool {
+        matches!(self.state, State::UntilClose | State::Whole)
+    }
+
+    /// Bytes of the body so far.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.body.len()
+    }
+
+    /// Whether nothing of the body came yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.body.is_empty()
+    }
+
+    /// The body.
+    #[must_use]
+    pub fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// Takes at most `left` bytes and gives how many are still missing.
+    fn take_data(&mut self, buffer: &mut BytesMut, left: u64) -> Result<u64, BodyError> {
+        let taken = usize::try_from(left)
+            .unwrap_or(usize::MAX)
+            .min(buffer.len());
+        if self.body.len() + taken > self.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        self.body.extend_from_slice(&buffer[..taken]);
+        buffer.advance(taken);
+        Ok(left - taken as u64)
+    }
+}
+
+/// Takes a line that ends in CR LF, without its end.
+fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, BodyError> {
+    let Some(end) = buffer.windows(2).position(|part| part == b"\r\n") else {
+        if buffer.len() > max_bytes {
+            return Err(BodyError::Malformed);
+        }
+        return Ok(None);
+    };
+    if end > max_bytes {
+        return Err(BodyError::Malformed);
+    }
+    let line = buffer.split_to(end);
+    buffer.advance(2);
+    Ok(Some(line))
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(BodyError::Malformed);
+    }
+    let digits = std::str::from_utf8(digits).map_err(|_| BodyError::Malformed)?;
+    u64::from_str_radix(digits, 16).map_err(|_| BodyError::Malformed)
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -0,0 +1,340 @@
+//! At the entry: a request is routed, sent to an executor, and sent again where that is allowed.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rand::Rng;
+use tallybridge_core::{Criticality, ErrorKind, Outcome, Refusal};
+use tokio::time::{Instant, timeout_at};
+
+use super::execute::{Executed, execute, is_untouched};
+use crate::{
+    configuration::Route,
+    http::{Answer, Request, head::write_line},
+    node::Node,
+    peer::{
+        link::{Link, LinkError, Reply},
+        message::CallMessage,
+    },
+    tables::Executor,
+};
+
+/// Times a call is sent elsewhere after refusals that reached no back end.
+const MAX_REROUTES: usize = 4;
+/// Share of the target latency in which a request is refused rather than held.
+const REFUSE_WITHIN: f64 = 0.22;
+/// Share of the time left that a nested call may wait: the work above it is already paid for.
+const NESTED_WAIT: f64 = 0.6;
+/// When a caller may come back if nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(250);
+/// Age up to which the configuration is trusted to know all routes.
+const ROUTES_TRUSTED: Duration = Duration::from_secs(6);
+
+/// A request on its way.
+struct Call {
+    route: Arc<Route>,
+    service: Arc<str>,
+    message: CallMessage,
+    deadline: Instant,
+    wait_until: Instant,
+}
+
+/// Answers a request of a caller or of the back end beside this node.
+pub async fn handle(node: &Arc<Node>, request: Request) -> Answer {
+    let _in_flight = node.request_begins();
+    let counters = &node.counters;
+    counters.requests.fetch_add(1, Ordering::Relaxed);
+    let result = match prepare(node, request) {
+        Ok(call) => carry(node, call).await,
+        Err(refusal) => Err(refusal),
+    };
+    match result {
+        Ok(answer) => {
+            counters.answered.fetch_add(1, Ordering::Relaxed);
+            answer
+        }
+        Err(refusal) => {
+            counters.refused.fetch_add(1, Ordering::Relaxed);
+            refusal_answer(&refusal)
+        }
+    }
+}
+
+/// Finds the route of a request and makes the message that is sent.
+fn prepare(node: &Arc<Node>, request: Request) -> Result<Call, Refusal> {
+    let names = &node.names;
+    let head = &request.head;
+    let Some(configuration) = node.configuration() else {
+        let detail = "no configuration yet";
+        return Err(Refusal::new(ErrorKind::NoConfiguration, detail));
+    };
+    let host = head.headers.text("host").unwrap_or_default();
+    let Some(route) = configuration.route(host, &head.target) else {
+        return Err(no_route(node));
+    };
+    let Some(attempt) = head.headers.first(names.attempt) else {
+        let detail = format!("header {} is missing", names.attempt);
+        return Err(Refusal::new(ErrorKind::InvalidRequest, detail));
+    };
+    let Some(service) = route.next_service() else {
+        return Err(Refusal::new(ErrorKind::NoBackend, "route has no service"));
+    };
+    let patience = head
+        .headers
+        .text(names.deadline_ms)
+        .and_then(|value| value.parse::<f64>().ok())
+        .filter(|value| value.is_finite() && *value >= 0.0)
+        .map(|value| Duration::from_secs_f64(value / 1000.0));
+    let allowed = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+    let is_nested = is_nested(node, &request);
+    if is_nested {
+        node.back_end_called(service);
+    }
+    let wait = if is_nested {
+        allowed.mul_f64(NESTED_WAIT)
+    } else {
+        route.target_latency.mul_f64(REFUSE_WITHIN)
+    };
+    let message = CallMessage {
+        remaining_ms: 0,
+        wait_ms: 0,
+        criticality: criticality(route, is_nested) as u8,
+        may_repeat: route.kind.may_repeat(),
+        is_head_request: head.method == "HEAD",
+        attempt: Bytes::copy_from_slice(attempt),
+        head: passed_on(node, &request).into(),
+        body: request.body.clone(),
+    };
+    Ok(Call {
+        service: service.clone(),
+        route: route.clone(),
+        message,
+        deadline: request.arrived + allowed,
+        wait_until: request.arrived + wait.min(allowed),
+    })
+}
+
+/// A route may be missing since the configuration is old: only a fresh one says that there is none.
+fn no_route(node: &Node) -> Refusal {
+    if node.is_configuration_fresh(ROUTES_TRUSTED) {
+        return Refusal::new(ErrorKind::UnknownService, "no route for this host and path");
+    }
+    let detail = "no route, and the configuration may be old";
+    Refusal::new(ErrorKind::NoConfiguration, detail).with_retry_after(COME_BACK)
+}
+
+/// The back end beside the node calls from the machine's own address.
+fn is_nested(node: &Node, request: &Request) -> bool {
+    request.caller.ip() == node.settings.backend.address.ip()
+}
+
+/// Nested calls go before fresh requests: the work above them is already paid for.
+fn criticality(route: &Route, is_nested: bool) -> Criticality {
+    match (is_nested, route.priority) {
+        (true, 0) => Criticality::CriticalPlus,
+        (true, _) | (false, 0) => Criticality::Critical,
+        (false, 1) => Criticality::SheddablePlus,
+        (false, _) => Criticality::Sheddable,
+    }
+}
+
+/// The request line and header lines that the back end gets, without those that the executor adds.
+fn passed_on(node: &Node, request: &Request) -> Vec<u8> {
+    let names = &node.names;
+    let head = &request.head;
+    let mut bytes = Vec::with_capacity(512);
+    bytes.extend_from_slice(head.method.as_bytes());
+    bytes.push(b' ');
+    bytes.extend_from_slice(head.target.as_bytes());
+    bytes.extend_from_slice(b" HTTP/1.1\r\n");
+    let replaced = [
+        names.deadline_ms,
+        names.expected_instance,
+        names.caller_service,
+        "expect",
+    ];
+    head.headers.write_end_to_end(&replaced, &mut bytes);
+    let service = node.settings.backend.service.as_bytes();
+    write_line(names.caller_service, service, &mut bytes);
+    let had_body = head.headers.first("content-length").is_some()
+        || head.headers.first("transfer-encoding").is_some();
+    if had_body {
+        let length = request.body.len().to_string();
+        write_line("Content-Length", length.as_bytes(), &mut bytes);
+    }
+    bytes
+}
+
+/// What became of one attempt.
+enum Attempted {
+    Answered(Answer),
+    Refused(Refusal),
+}
+
+/// Sends a call until there is an answer, or nothing more may be done.
+async fn carry(node: &Arc<Node>, mut call: Call) -> Result<Answer, Refusal> {
+    let mut tried: Vec<SocketAddr> = Vec::new();
+    let mut back_ends = 0;
+    let mut may_have_run = false;
+    let mut last = Refusal::new(ErrorKind::NoBackend, "no back end takes work");
+    node.with_retries(|retries| retries.sent(&call.service, Instant::now()));
+    for _ in 0..=MAX_REROUTES {
+        let Some((address, executor)) = choose(node, &call, &tried) else {
+            break;
+        };
+        let attempted = attempt(node, &mut call, executor).await;
+        let refusal = match attempted {
+            Attempted::Answered(answer) => return Ok(answer),
+            Attempted::Refused(refusal) => refusal,
+        };
+        tried.push(address);
+        let untouched = is_untouched(&refusal);
+        may_have_run |= refusal.outcome != Outcome::NotRun;
+        last = refusal;
+        if Instant::now() >= call.deadline {
+            break;
+        }
+        if untouched {
+            node.with_peers(|peers| peers.avoid(address, Instant::now()));
+            continue;
+        }
+        back_ends += 1;
+        if !may_send_again(node, &call, back_ends, may_have_run) {
+            break;
+        }
+    }
+    if may_have_run {
+        last.outcome = Outcome::Unknown;
+    }
+    Err(last)
+}
+
+/// Whether a call that reached a back end may be sent to another one.
+fn may_send_again(node: &Node, call: &Call, back_ends: u32, may_have_run: bool) -> bool {
+    if may_have_run && !call.message.may_repeat {
+        return false;
+    }
+    if back_ends >= call.route.max_attempts {
+        return false;
+    }
+    let paid = node.with_retries(|retries| retries.pay(&call.service, Instant::now()));
+    if paid {
+        node.counters.repeats.fetch_add(1, Ordering::Relaxed);
+    }
+    paid
+}
+
+fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<(SocketAddr, Executor)> {
+    let is_own = *call.service == *node.settings.backend.service;
+    let takes_work = is_own && !node.is_stopping() && node.instance_for_work().is_some();
+    let local = takes_work.then(|| node.load());
+    let now = Instant::now();
+    let executor = node.with_peers(|peers| peers.choose(&call.service, local, tried, now))?;
+    let address = match &executor {
+        Executor::Local => node.record.address,
+        Executor::Peer(address, _) => *address,
+    };
+    Some((address, executor))
+}
+
+async fn attempt(node: &Arc<Node>, call: &mut Call, executor: Executor) -> Attempted {
+    let now = Instant::now();
+    let message = CallMessage {
+        remaining_ms: milliseconds(call.deadline.saturating_duration_since(now)),
+        wait_ms: milliseconds(call.wait_until.saturating_duration_since(now)),
+        ..call.message.clone()
+    };
+    let executing = async {
+        match executor {
+            Executor::Local => executed(execute(node, message).await),
+            Executor::Peer(address, link) => send(node, address, &link, message).await,
+        }
+    };
+    match timeout_at(call.deadline, executing).await {
+        Ok(attempted) => attempted,
+        Err(_) => {
+            let detail = "no answer before the deadline";
+            Attempted::Refused(Refusal::new(ErrorKind::BackendTimeout, detail))
+        }
+    }
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn executed(executed: Executed) -> Attempted {
+    match executed {
+        Executed::Answered(answer) => Attempted::Answered(answer),
+        Executed::Refused(refusal) => Attempted::Refused(refusal),
+    }
+}
+
+async fn send(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    link: &Arc<Link>,
+    message: CallMessage,
+) -> Attempted {
+    let mut under_way = match link.call(message) {
+        Ok(under_way) => under_way,
+        Err(error) => {
+            let refusal = Refusal::new(ErrorKind::PeerLost, error.to_string());
+            return Attempted::Refused(refusal.with_outcome(Outcome::NotRun));
+        }
+    };
+    node.with_peers(|peers| peers.sent(address));
+    match under_way.reply().await {
+        Ok(Reply::Answer {
+            status, head, body, ..
+        }) => Attempted::Answered(Answer {
+            status,
+            headers: head.to_vec(),
+            body,
+        }),
+        Ok(Reply::Refusal {
+            kind,
+            outcome,
+            retry_after_ms,
+            ..
+        }) => Attempted::Refused(peer_refusal(kind, outcome, retry_after_ms)),
+        Err(error @ (LinkError::Lost | LinkError::NotSent)) => {
+            node.with_peers(|peers| peers.avoid(address, Instant::now()));
+            Attempted::Refused(Refusal::new(ErrorKind::PeerLost, error.to_string()))
+        }
+    }
+}
+
+/// A refusal as a peer told it; one that can't be read promises nothing.
+fn peer_refusal(kind: u8, outcome: u8, retry_after_ms: u32) -> Refusal {
+    let kind = ErrorKind::from_wire(kind).unwrap_or(ErrorKind::PeerLost);
+    let outcome = Outcome::from_wire(outcome).unwrap_or(Outcome::Unknown);
+    let refusal = Refusal::new(kind, "refused by the executor").with_outcome(outcome);
+    if retry_after_ms == 0 {
+        return refusal;
+    }
+    refusal.with_retry_after(Duration::from_millis(retry_after_ms.into()))
+}
+
+/// The answer of a refusal. What has not run is told as such, with the time to come back.
+fn refusal_answer(refusal: &Refusal) -> Answer {
+    let row = refusal.kind.answer();
+    let status = match refusal.outcome {
+        Outcome::NotRun if row.status >= 500 => 503,
+        Outcome::Unknown if row.status == 503 || row.status == 429 => 502,
+        _ => row.status,
+    };
+    let answer = Answer::new(status, format!("{}\n", row.name));
+    let answer = answer.with_header("Tallybridge-Error", row.name);
+    if status != 503 && status != 429 {
+        return answer;
+    }
+    let after = refusal.retry_after.unwrap_or(COME_BACK);
+    let spread = rand::rng().random_range(0.8..1.4);
+    let seconds = format!("{:.3}", after.mul_f64(spread).as_secs_f64());
+    answer.with_header("Retry-After", &seconds)
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -0,0 +1,220 @@
+//! At the executor: a call waits for a slot and is handed to the back end, once.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tallybridge_core::{Criticality, ErrorKind, Outcome, Refusal};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    door::backend::Lent,
+    http::{Answer, ExchangeError, ExchangeStage, Received, head::write_line},
+    node::Node,
+    peer::message::CallMessage,
+    tables::InstanceState,
+    work::{NoSlot, Slot},
+};
+
+/// A call with less time left is not handed over.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Time that the back end is given to answer its own deadline, so that the connection stays.
+const BACKEND_GRACE: Duration = Duration::from_millis(120);
+/// Answers to other requests that are read past on one connection.
+const MAX_SURPLUS: usize = 2;
+
+/// How a call ended at its executor.
+#[derive(Debug)]
+pub enum Executed {
+    /// The back end answered.
+    Answered(Answer),
+    /// It did not, and this is known of the call.
+    Refused(Refusal),
+}
+
+impl From<Refusal> for Executed {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+/// Executes a call at the back end beside this node. Dropping the future withdraws the call: one
+/// that waits never runs, and one that runs loses its connection.
+pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Executed {
+    let arrived = Instant::now();
+    let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
+    let slot = match take_slot(node, &call, arrived).await {
+        Ok(slot) => slot,
+        Err(refusal) => return refusal.into(),
+    };
+    let result = hand_over(node, &call, deadline).await;
+    drop(slot);
+    match result {
+        Ok(answer) => Executed::Answered(answer),
+        Err(refusal) => Executed::Refused(refusal),
+    }
+}
+
+async fn take_slot(
+    node: &Arc<Node>,
+    call: &CallMessage,
+    arrived: Instant,
+) -> Result<Slot, Refusal> {
+    instance(node)?;
+    let criticality = Criticality::from_wire(call.criticality).unwrap_or_default();
+    let wait_until = arrived + Duration::from_millis(call.wait_ms.into());
+    let slot = node.work.slot(criticality, wait_until).await;
+    slot.map_err(|reason| match reason {
+        NoSlot::Full => {
+            let retry_after = node.work.service_time().max(Duration::from_millis(50));
+            Refusal::new(ErrorKind::Overloaded, "no slot in time").with_retry_after(retry_after)
+        }
+        NoSlot::Closed => Refusal::new(ErrorKind::Leaving, "back end is leaving"),
+    })
+}
+
+/// The instance that may be handed work now.
+fn instance(node: &Node) -> Result<Arc<str>, Refusal> {
+    if node.is_stopping() {
+        return Err(Refusal::new(ErrorKind::Leaving, "node is leaving"));
+    }
+    node.instance_for_work()
+        .ok_or_else(|| match node.instance_state() {
+            InstanceState::Leaving => Refusal::new(ErrorKind::Leaving, "back end is leaving"),
+            _ => Refusal::new(
+                ErrorKind::NoBackend,
+                "back end is not verified or not reached",
+            ),
+        })
+}
+
+async fn hand_over(
+    node: &Arc<Node>,
+    call: &CallMessage,
+    deadline: Instant,
+) -> Result<Answer, Refusal> {
+    // Asked again after the wait for a slot: the back end may have said that it leaves.
+    let instance = instance(node)?;
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    if remaining < LEAST_TIME {
+        let detail = "no time left to run";
+        return Err(Refusal::new(ErrorKind::DeadlineExceeded, detail));
+    }
+    let give_up = deadline + BACKEND_GRACE;
+    match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
+        Ok(Ok(received)) => judge(node, received),
+        Ok(Err(error)) => Err(failed(node, &error)),
+        Err(_) => Err(Refusal::new(
+            ErrorKind::BackendTimeout,
+            "back end did not answer",
+        )),
+    }
+}
+
+fn failed(node: &Node, error: &ExchangeError) -> Refusal {
+    match error.stage {
+        ExchangeStage::NotSent => {
+            node.instance_unreachable();
+            Refusal::new(ErrorKind::NoBackend, error.reason.clone())
+        }
+        ExchangeStage::Sent => Refusal::new(ErrorKind::BackendFailed, error.reason.clone()),
+    }
+}
+
+/// Sends the request on a connection that is kept, or on a new one, and reads its own answer.
+async fn exchange(
+    node: &Arc<Node>,
+    call: &CallMessage,
+    instance: &str,
+    deadline: Instant,
+) -> Result<Received, ExchangeError> {
+    if let Some(lent) = node.backend.take() {
+        match exchange_on(node, call, instance, deadline, lent).await {
+            // The back end had closed the connection: nothing was handed over.
+            Err(error) if error.stage == ExchangeStage::NotSent => {}
+            result => return result,
+        }
+    }
+    let lent = node.backend.open().await?;
+    node.counters.connections.fetch_add(1, Ordering::Relaxed);
+    node.instance_reached();
+    exchange_on(node, call, instance, deadline, lent).await
+}
+
+async fn exchange_on(
+    node: &Arc<Node>,
+    call: &CallMessage,
+    instance: &str,
+    deadline: Instant,
+    lent: Lent,
+) -> Result<Received, ExchangeError> {
+    let mut connection = lent.connection;
+    let request = request_bytes(node, call, instance, deadline);
+    let sent = connection.exchange(&request, &call.body, call.is_head_request);
+    let mut received = sent.await?;
+    let mut surplus = 0;
+    while !is_answer_to(node, &received, call) {
+        // An answer to another request stands in the place of this one's, which comes after it.
+        if surplus == MAX_SURPLUS || !received.reusable {
+            return Err(ExchangeError::sent("answer to another request"));
+        }
+        surplus += 1;
+        received = connection.next_answer(call.is_head_request).await?;
+    }
+    received.reusable &= surplus == 0;
+    node.backend.give_back(connection, &received);
+    Ok(received)
+}
+
+/// A refusal may come without the name of its attempt; anything else repeats it.
+fn is_answer_to(node: &Node, received: &Received, call: &CallMessage) -> bool {
+    let headers = &received.head.headers;
+    match headers.first(node.names.attempt) {
+        Some(attempt) => attempt == &call.attempt[..],
+        None => received.head.status == 421 || headers.first(node.names.not_run).is_some(),
+    }
+}
+
+fn request_bytes(node: &Node, call: &CallMessage, instance: &str, deadline: Instant) -> Vec<u8> {
+    node.counters.executed.fetch_add(1, Ordering::Relaxed);
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    let remaining = remaining.as_millis().max(1).to_string();
+    let mut request = Vec::with_capacity(call.head.len() + 96);
+    request.extend_from_slice(&call.head);
+    write_line(node.names.deadline_ms, remaining.as_bytes(), &mut request);
+    write_line(
+        node.names.expected_instance,
+        instance.as_bytes(),
+        &mut request,
+    );
+    request.extend_from_slice(b"\r\n");
+    request
+}
+
+/// Tells an answer from a refusal of the back end.
+fn judge(node: &Node, received: Received) -> Result<Answer, Refusal> {
+    let head = &received.head;
+    if head.status == 421 {
+        node.instance_misdirected();
+        let detail = "another instance has the address";
+        return Err(Refusal::new(ErrorKind::NoBackend, detail));
+    }
+    if head.headers.first(node.names.not_run).is_some() {
+        let detail = format!("back end refused with status {}", head.status);
+        return Err(Refusal::new(ErrorKind::BackendRefused, detail));
+    }
+    let mut headers = Vec::with_capacity(256);
+    head.headers.write_end_to_end(&[], &mut headers);
+    Ok(Answer {
+        status: head.status,
+        headers,
+        body: received.body,
+    })
+}
+
+/// Whether a refusal means that nothing was handed to the back end.
+#[must_use]
+pub fn is_untouched(refusal: &Refusal) -> bool {
+    refusal.outcome == Outcome::NotRun && refusal.kind != ErrorKind::BackendRefused
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/path/mod.rs
@@ -0,0 +1,4 @@
+//! The path of a request: the entry that routes it, and the executor beside the back end.
+
+pub mod entry;
+pub mod execute;
--- /dev/null
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -0,0 +1,188 @@
+//! Links that other nodes opened to this one: calls come in on them.
+
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::AbortHandle,
+    time::timeout,
+};
+
+use super::{
+    link::{LINK_SILENCE, next_frame, write_frames},
+    message::{CallMessage, Frame, Message},
+};
+use crate::{
+    http::client::notice_silence,
+    node::Node,
+    path::execute::{Executed, execute},
+    tables::NodeRecord,
+};
+
+/// Time in which a node that connects must say who it is.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Takes links until the process ends.
+pub async fn accept_peers(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = serve_peer(node, stream).await {
+                        tracing::debug!(%error, "peer's link ended");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a peer can't be accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+struct RunningCall {
+    may_repeat: bool,
+    task: AbortHandle,
+}
+
+/// Calls of one link that run, by their number.
+#[derive(Clone, Default)]
+struct RunningCalls(Arc<Mutex<HashMap<u32, RunningCall>>>);
+
+impl RunningCalls {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u32, RunningCall>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn cancel(&self, call: u32) {
+        if let Some(running) = self.lock().remove(&call) {
+            running.task.abort();
+        }
+    }
+
+    /// The link is lost. What may run again is ended, since its entry sends it elsewhere; what may
+    /// run once only goes on to its end, as its back end is at work on it.
+    fn link_lost(&self) {
+        for (_, running) in self.lock().drain() {
+            if running.may_repeat {
+                running.task.abort();
+            }
+        }
+    }
+}
+
+async fn serve_peer(node: Arc<Node>, stream: TcpStream) -> io::Result<()> {
+    notice_silence(&stream, LINK_SILENCE);
+    let (mut reader, writer) = stream.into_split();
+    let mut buffer = BytesMut::new();
+    let hello = timeout(HELLO_TIMEOUT, next_frame(&mut reader, &mut buffer)).await;
+    let hello = hello.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let Message::Hello(record) = hello.message else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    let record: NodeRecord = serde_json::from_slice(&record)?;
+    node.learn_node(&record);
+    let (sender, frames) = mpsc::unbounded_channel();
+    let writing = tokio::spawn(write_frames(writer, frames));
+    send(&sender, Message::Hello(node.hello()));
+    send(&sender, Message::Nodes(node.known_nodes()));
+    send(&sender, Message::Status(node.status()));
+    let mut published = node.published();
+    let running = RunningCalls::default();
+    let result = loop {
+        tokio::select! {
+            frame = next_frame(&mut reader, &mut buffer) => match frame {
+                Ok(frame) => take_in(&node, &sender, &running, frame),
+                Err(error) => break Err(error),
+            },
+            changed = published.changed() => {
+                if changed.is_err() {
+                    break Ok(());
+                }
+                send(&sender, Message::Status(node.status()));
+            }
+        }
+    };
+    writing.abort();
+    running.link_lost();
+    result
+}
+
+fn send(sender: &mpsc::UnboundedSender<Bytes>, message: Message) {
+    // Fails only when the link is lost, which its reader sees.
+    let _ = sender.send(Frame::of_link(message).encode());
+}
+
+fn take_in(
+    node: &Arc<Node>,
+    sender: &mpsc::UnboundedSender<Bytes>,
+    running: &RunningCalls,
+    frame: Frame,
+) {
+    match frame.message {
+        Message::Call(call) => start_call(node, sender, running, frame.call, call),
+        Message::Cancel => running.cancel(frame.call),
+        Message::Ping => send(sender, Message::Status(node.status())),
+        Message::FetchConfiguration => {
+            if let Some(document) = node.configuration_document() {
+                send(sender, Message::Configuration(document));
+            }
+        }
+        _ => {}
+    }
+}
+
+fn start_call(
+    node: &Arc<Node>,
+    sender: &mpsc::UnboundedSender<Bytes>,
+    running: &RunningCalls,
+    number: u32,
+    call: CallMessage,
+) {
+    let may_repeat = call.may_repeat;
+    let node = node.clone();
+    let sender = sender.clone();
+    let finished = running.clone();
+    // Held until the task is entered below, so that one that ends at once finds its entry.
+    let mut running = running.lock();
+    let task = tokio::spawn(async move {
+        let executed = execute(&node, call).await;
+        finished.lock().remove(&number);
+        let frame = Frame {
+            call: number,
+            message: reply(&node, executed),
+        };
+        let _ = sender.send(frame.encode());
+    });
+    let task = task.abort_handle();
+    running.insert(number, RunningCall { may_repeat, task });
+}
+
+fn reply(node: &Node, executed: Executed) -> Message {
+    let load = node.load();
+    match executed {
+        Executed::Answered(answer) => Message::Answer {
+            status: answer.status,
+            load,
+            head: answer.headers.into(),
+            body: answer.body,
+        },
+        Executed::Refused(refusal) => Message::Refusal {
+            kind: refusal.kind as u8,
+            outcome: refusal.outcome as u8,
+            retry_after_ms: refusal
+                .retry_after
+                .map_or(0, |after| after.as_millis() as u32),
+            load,
+        },
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -0,0 +1,385 @@
+//! Messages between nodes: a header of fixed fields (`deku`), then bytes that are passed on.
+
+use std::sync::Arc;
+
+use bytes::{Buf, Bytes, BytesMut};
+use deku::prelude::*;
+
+use crate::tables::{BackendState, Load, PeerStatus};
+
+/// Version of the protocol. Nodes refuse a peer that speaks another one.
+const PROTOCOL_VERSION: u8 = 1;
+/// Largest frame, in bytes.
+const MAX_FRAME_BYTES: u32 = 80 << 20;
+/// Size of a [`FrameHeader`], in bytes.
+const HEADER_BYTES: usize = 10;
+/// Size of a [`CallFields`], in bytes.
+const CALL_BYTES: usize = 16;
+/// Size of an [`AnswerFields`], in bytes.
+const ANSWER_BYTES: usize = 16;
+/// Size of a [`RefusalFields`], in bytes.
+const REFUSAL_BYTES: usize = 16;
+/// Size of a [`StatusFields`], in bytes.
+const STATUS_BYTES: usize = 23;
+
+/// Bytes that are no frames of this protocol.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The peer speaks another version.
+    #[error("peer speaks protocol version {0}, this node speaks {PROTOCOL_VERSION}")]
+    Version(u8),
+    /// The frame is larger than any message.
+    #[error("frame of {0} bytes is too large")]
+    TooLarge(u32),
+    /// Its fields can't be read.
+    #[error("malformed frame of kind {0}")]
+    Malformed(u8),
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct FrameHeader {
+    length: u32,
+    version: u8,
+    kind: u8,
+    call: u32,
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct CallFields {
+    remaining_ms: u32,
+    wait_ms: u32,
+    criticality: u8,
+    flags: u8,
+    attempt_length: u16,
+    head_length: u32,
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct AnswerFields {
+    status: u16,
+    head_length: u32,
+    load: Load,
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct RefusalFields {
+    kind: u8,
+    outcome: u8,
+    retry_after_ms: u32,
+    load: Load,
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct StatusFields {
+    backend: u8,
+    slots: u32,
+    version: u64,
+    load: Load,
+}
+
+/// A call for the back end beside the receiver.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallMessage {
+    /// Time left, in milliseconds.
+    pub remaining_ms: u32,
+    /// Longest that it may wait for a slot, in milliseconds.
+    pub wait_ms: u32,
+    /// Its class, as [`tallybridge_core::Criticality`] is numbered.
+    pub criticality: u8,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+    /// Whether its answer has no body.
+    pub is_head_request: bool,
+    /// The caller's name of the attempt, which the answer must repeat.
+    pub attempt: Bytes,
+    /// Request line and header lines, without the empty line.
+    pub head: Bytes,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Message {
+    /// Who the sender is, as a JSON [`crate::tables::NodeRecord`].
+    Hello(Bytes),
+    /// Other nodes that the sender knows, as a JSON list.
+    Nodes(Bytes),
+    /// A call.
+    Call(CallMessage),
+    /// The whole answer of a back end.
+    Answer {
+        /// Its status.
+        status: u16,
+        /// How busy the back end is.
+        load: Load,
+        /// Its header lines.
+        head: Bytes,
+        /// Its body.
+        body: Bytes,
+    },
+    /// The call ended without an answer.
+    Refusal {
+        /// Wire value of the error kind.
+        kind: u8,
+        /// Wire value of the outcome.
+        outcome: u8,
+        /// When to come back, in milliseconds; 0 when not told.
+        retry_after_ms: u32,
+        /// How busy the back end is.
+        load: Load,
+    },
+    /// Nobody waits for the call any more.
+    Cancel,
+    /// Asks for the status.
+    Ping,
+    /// The sender's status.
+    Status(PeerStatus),
+    /// Asks for the newest configuration.
+    FetchConfiguration,
+    /// The newest configuration document.
+    Configuration(Bytes),
+}
+
+/// A message with the call that it belongs to; 0 for none.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame {
+    /// Number of the call within its link.
+    pub call: u32,
+    /// The message.
+    pub message: Message,
+}
+
+const FLAG_MAY_REPEAT: u8 = 1;
+const FLAG_HEAD_REQUEST: u8 = 2;
+
+impl Message {
+    const fn kind(&self) -> u8 {
+        match self {
+            Self::Hello(_) => 1,
+            Self::Nodes(_) => 2,
+            Self::Call(_) => 3,
+            Self::Answer { .. } => 4,
+            Self::Refusal { .. } => 5,
+            Self::Cancel => 6,
+            Self::Ping => 7,
+            Self::Status(_) => 8,
+            Self::FetchConfiguration => 9,
+            Self::Configuration(_) => 10,
+        }
+    }
+}
+
+impl Frame {
+    /// A frame of a message that belongs to no call.
+    #[must_use]
+    pub const fn of_link(message: Message) -> Self {
+        Self { call: 0, message }
+    }
+
+    /// The frame's bytes.
+    #[must_use]
+    pub fn encode(&self) -> Bytes {
+        let mut payload = Vec::new();
+        self.message.encode_payload(&mut payload);
+        let header = FrameHeader {
+            length: u32::try_from(payload.len()).unwrap_or(u32::MAX),
+            version: PROTOCOL_VERSION,
+            kind: self.message.kind(),
+            call: self.call,
+        };
+        let mut bytes = fields(&header);
+        bytes.reserve(payload.len());
+        bytes.append(&mut payload);
+        bytes.into()
+    }
+
+    /// Takes a frame off a buffer; `None` while it is not whole.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError`] when the bytes are no frame; the link can't be used further.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, FrameError> {
+        if buffer.len() < HEADER_BYTES {
+            return Ok(None);
+        }
+        let (_, header) = FrameHeader::from_bytes((&buffer[..HEADER_BYTES], 0))
+            .map_err(|_| FrameError::Malformed(0))?;
+        if header.version != PROTOCOL_VERSION {
+            return Err(FrameError::Version(header.version));
+        }
+        if header.length > MAX_FRAME_BYTES {
+            return Err(FrameError::TooLarge(header.length));
+        }
+        let length = HEADER_BYTES + header.length as usize;
+        if buffer.len() < length {
+            buffer.reserve(length - buffer.len());
+            return Ok(None);
+        }
+        buffer.advance(HEADER_BYTES);
+        let payload = buffer.split_to(header.length as usize).freeze();
+        let message = decode_payload(header.kind, payload);
+        Ok(Some(Self {
+            call: header.call,
+            message: message.ok_or(FrameError::Malformed(header.kind))?,
+        }))
+    }
+}
+
+fn fields<T: DekuContainerWrite>(value: &T) -> Vec<u8> {
+    // Fails only for values that don't fit their fields, and these are whole bytes.
+    value.to_bytes().unwrap_or_default()
+}
+
+impl Message {
+    fn encode_payload(&self, out: &mut Vec<u8>) {
+        match self {
+            Self::Hello(bytes) | Self::Nodes(bytes) | Self::Configuration(bytes) => {
+                out.extend_from_slice(bytes);
+            }
+            Self::Call(call) => encode_call(call, out),
+            Self::Answer {
+                status,
+                load,
+                head,
+                body,
+            } => {
+                *out = fields(&AnswerFields {
+                    status: *status,
+                    head_length: head.len() as u32,
+                    load: *load,
+                });
+                out.reserve(head.len() + body.len());
+                out.extend_from_slice(head);
+                out.extend_from_slice(body);
+            }
+            Self::Refusal {
+                kind,
+                outcome,
+                retry_after_ms,
+                load,
+            } => {
+                *out = fields(&RefusalFields {
+                    kind: *kind,
+                    outcome: *outcome,
+                    retry_after_ms: *retry_after_ms,
+                    load: *load,
+                });
+            }
+            Self::Status(status) => encode_status(status, out),
+            Self::Cancel | Self::Ping | Self::FetchConfiguration => {}
+        }
+    }
+}
+
+fn encode_call(call: &CallMessage, out: &mut Vec<u8>) {
+    let mut flags = 0;
+    if call.may_repeat {
+        flags |= FLAG_MAY_REPEAT;
+    }
+    if call.is_head_request {
+        flags |= FLAG_HEAD_REQUEST;
+    }
+    *out = fields(&CallFields {
+        remaining_ms: call.remaining_ms,
+        wait_ms: call.wait_ms,
+        criticality: call.criticality,
+        flags,
+        attempt_length: call.attempt.len() as u16,
+        head_length: call.head.len() as u32,
+    });
+    out.reserve(call.attempt.len() + call.head.len() + call.body.len());
+    out.extend_from_slice(&call.attempt);
+    out.extend_from_slice(&call.head);
+    out.extend_from_slice(&call.body);
+}
+
+fn encode_status(status: &PeerStatus, out: &mut Vec<u8>) {
+    *out = fields(&StatusFields {
+        backend: status.backend as u8,
+        slots: status.slots,
+        version: status.version,
+        load: status.load,
+    });
+    out.extend_from_slice(status.calls.join("\n").as_bytes());
+}
+
+fn decode_payload(kind: u8, mut payload: Bytes) -> Option<Message> {
+    Some(match kind {
+        1 => Message::Hello(payload),
+        2 => Message::Nodes(payload),
+        3 => Message::Call(decode_call(payload)?),
+        4 => {
+            let fields: AnswerFields = take_fields(&mut payload, ANSWER_BYTES)?;
+            Message::Answer {
+                status: fields.status,
+                load: fields.load,
+                head: take_bytes(&mut payload, fields.head_length as usize)?,
+                body: payload,
+            }
+        }
+        5 => {
+            let fields: RefusalFields = take_fields(&mut payload, REFUSAL_BYTES)?;
+            Message::Refusal {
+                kind: fields.kind,
+                outcome: fields.outcome,
+                retry_after_ms: fields.retry_after_ms,
+                load: fields.load,
+            }
+        }
+        6 => Message::Cancel,
+        7 => Message::Ping,
+        8 => Message::Status(decode_status(payload)?),
+        9 => Message::FetchConfiguration,
+        10 => Message::Configuration(payload),
+        _ => return None,
+    })
+}
+
+fn decode_call(mut payload: Bytes) -> Option<CallMessage> {
+    let fields: CallFields = take_fields(&mut payload, CALL_BYTES)?;
+    Some(CallMessage {
+        remaining_ms: fields.remaining_ms,
+        wait_ms: fields.wait_ms,
+        criticality: fields.criticality,
+        may_repeat: fields.flags & FLAG_MAY_REPEAT != 0,
+        is_head_request: fields.flags & FLAG_HEAD_REQUEST != 0,
+        attempt: take_bytes(&mut payload, fields.attempt_length.into())?,
+        head: take_bytes(&mut payload, fields.head_length as usize)?,
+        body: payload,
+    })
+}
+
+fn decode_status(mut payload: Bytes) -> Option<PeerStatus> {
+    let fields: StatusFields = take_fields(&mut payload, STATUS_BYTES)?;
+    let names = std::str::from_utf8(&payload).ok()?;
+    let calls = names
+        .split('\n')
+        .filter(|name| !name.is_empty())
+        .map(Arc::from)
+        .collect();
+    Some(PeerStatus {
+        backend: BackendState::from_wire(fields.backend),
+        load: fields.load,
+        slots: fields.slots,
+        version: fields.version,
+        calls,
+    })
+}
+
+fn take_fields<T>(payload: &mut Bytes, length: usize) -> Option<T>
+where
+    T: for<'a> DekuContainerRead<'a>,
+{
+    let bytes = take_bytes(payload, length)?;
+    T::from_bytes((&bytes, 0)).ok().map(|(_, fields)| fields)
+}
+
+fn take_bytes(payload: &mut Bytes, length: usize) -> Option<Bytes> {
+    (payload.len() >= length).then(|| payload.split_to(length))
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -0,0 +1,136 @@
+//! Starts a node, keeps it running and stops it as planned.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use tallybridge_core::{ErrorKind, Refusal};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    signal::unix::{Signal, SignalKind, signal},
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    door::{
+        caller::{CallerHandler, serve},
+        control::{ControlHandler, verify_instance},
+        metrics::MetricsHandler,
+    },
+    node::Node,
+    peer::accept::accept_peers,
+    seam::Platform,
+    settings::MeshSettings,
+    store,
+};
+
+/// Time between looks at links and load.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between looks at resting connections to the back end.
+const PRUNE: Duration = Duration::from_secs(1);
+/// New connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// After an order to stop, callers are sent elsewhere in this time at the latest.
+const NOTICE: Duration = Duration::from_millis(2600);
+/// A node that has had no request for this time while it stops is done.
+const QUIET: Duration = Duration::from_millis(400);
+/// Kept off the time until the process is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(350);
+
+/// Runs a node until a signal stops it.
+///
+/// # Errors
+///
+/// A refusal when an address can't be bound.
+pub async fn run(settings: MeshSettings, platform: Arc<dyn Platform>) -> Result<(), Refusal> {
+    let mut terminate = stop_signal(SignalKind::terminate())?;
+    let node = start(settings, platform).await?;
+    tracing::info!(
+        node = node.record.node,
+        service = node.record.service,
+        zone = node.record.zone,
+        "node started"
+    );
+    terminate.recv().await;
+    stop(&node).await;
+    Ok(())
+}
+
+fn stop_signal(kind: SignalKind) -> Result<Signal, Refusal> {
+    signal(kind).map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))
+}
+
+/// Starts a node and returns once its addresses are bound.
+///
+/// # Errors
+///
+/// A refusal when an address can't be bound.
+pub async fn start(
+    settings: MeshSettings,
+    platform: Arc<dyn Platform>,
+) -> Result<Arc<Node>, Refusal> {
+    let peers = bind(settings.peer_address)?;
+    let callers = bind(settings.caller_address)?;
+    let ready = bind(settings.ready_address)?;
+    let reports = bind(settings.report_address)?;
+    let metrics = bind(settings.metrics_address)?;
+    let node = Arc::new(Node::new(settings, platform));
+    tokio::spawn(accept_peers(node.clone(), peers));
+    tokio::spawn(serve(CallerHandler(node.clone()), callers));
+    tokio::spawn(serve(ControlHandler(node.clone()), ready));
+    tokio::spawn(serve(ControlHandler(node.clone()), reports));
+    tokio::spawn(serve(MetricsHandler(node.clone()), metrics));
+    tokio::spawn(verify_instance(node.clone()));
+    tokio::spawn(store::follow_configuration(node.clone()));
+    tokio::spawn(store::follow_peers_configuration(node.clone()));
+    tokio::spawn(store::keep_registered(node.clone()));
+    tokio::spawn(tick(node.clone()));
+    Ok(node)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
+    let listen = || -> io::Result<TcpListener> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|error| {
+        let detail = format!("address {address} can't be bound: {error}");
+        Refusal::new(ErrorKind::NodeUnavailable, detail)
+    })
+}
+
+async fn tick(node: Arc<Node>) {
+    let mut prune_at = Instant::now() + PRUNE;
+    loop {
+        sleep(TICK).await;
+        node.tick();
+        if Instant::now() >= prune_at {
+            node.backend.prune();
+            prune_at = Instant::now() + PRUNE;
+        }
+    }
+}
+
+/// Takes no new work for others, finishes what is in flight and serves callers until they have
+/// gone elsewhere.
+async fn stop(node: &Arc<Node>) {
+    let told = Instant::now();
+    let grace = node.settings.stop_grace();
+    let last = told + grace.saturating_sub(STOP_MARGIN);
+    tracing::info!(in_flight = node.requests_in_flight(), "node stops");
+    node.begin_stop();
+    sleep_until((told + NOTICE).min(last)).await;
+    let mut quiet_since = Instant::now();
+    while Instant::now() < last && quiet_since.elapsed() < QUIET {
+        sleep(Duration::from_millis(20)).await;
+        let is_busy = node.requests_in_flight() > 0 || node.load().in_flight > 0;
+        if is_busy {
+            quiet_since = Instant::now();
+        }
+    }
+    store::unregister(node).await;
+    tracing::info!(cut_off = node.requests_in_flight(), "node stopped");
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -0,0 +1,163 @@
+//! Settings of a mesh node: read from a TOML file and checked as a whole.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+
+/// Everything that a mesh node is told. Times are in milliseconds.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct MeshSettings {
+    /// Name of the node, unique in the fleet.
+    pub node: String,
+    /// Zone of its machine.
+    pub zone: String,
+    /// Region of its machine.
+    pub region: String,
+    /// Where other nodes connect to.
+    pub peer_address: SocketAddr,
+    /// Where callers and the back end send requests to.
+    pub caller_address: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready_address: SocketAddr,
+    /// Where the back end reports itself.
+    pub report_address: SocketAddr,
+    /// Where metrics are shown.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// The back end beside the node.
+    pub backend: BackendSettings,
+    /// What bounds repeated requests over the fleet.
+    pub retry: RetrySettings,
+    /// Time from the order to stop until the process is killed.
+    pub stop_grace_ms: u64,
+    /// Log filter: `error`, `warn`, `info` or `debug`.
+    #[serde(default = "default_log")]
+    pub log: String,
+}
+
+/// The back end beside a node.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct BackendSettings {
+    /// Its service.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time between its reports.
+    pub report_interval_ms: u64,
+}
+
+/// Bounds of repeated requests to a service, over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct RetrySettings {
+    /// Repeats allowed for each first sending, 0 to 1.
+    pub ratio: f64,
+    /// Time over which both are counted.
+    pub window_ms: u64,
+    /// Repeats allowed besides.
+    pub slack: u32,
+}
+
+fn default_log() -> String {
+    "info".to_owned()
+}
+
+/// Settings that can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
+#[error("settings: {detail}")]
+#[diagnostic(help("{mend}"))]
+pub struct SettingsError {
+    /// The field, its line where known, and what is wrong with it.
+    pub detail: String,
+    /// What to do.
+    pub mend: String,
+}
+
+impl MeshSettings {
+    /// Reads and checks settings. Fields that are not known are passed over, as the platform may
+    /// add some.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] naming the field, the line and the mend.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text).map_err(|error| SettingsError {
+            detail: error.to_string().trim_end().to_owned(),
+            mend: "give the field that is named a value of the type that is named".to_owned(),
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        require(!self.node.is_empty(), "node", "is empty", "name the node")?;
+        require(!self.zone.is_empty(), "zone", "is empty", "name the zone")?;
+        require(
+            !self.backend.service.is_empty(),
+            "backend.service",
+            "is empty",
+            "name the service of the back end beside the node",
+        )?;
+        require(
+            (0.0..=1.0).contains(&self.retry.ratio),
+            "retry.ratio",
+            "is not between 0 and 1",
+            "give the share of requests that may be sent again, as 0.2",
+        )?;
+        require(
+            self.retry.window_ms >= 100,
+            "retry.window_ms",
+            "is below 100",
+            "give the window in milliseconds, as 10000",
+        )?;
+        require(
+            self.stop_grace_ms >= 500,
+            "stop_grace_ms",
+            "is below 500",
+            "give the time until the process is killed in milliseconds, as 6000",
+        )?;
+        self.check_addresses()
+    }
+
+    fn check_addresses(&self) -> Result<(), SettingsError> {
+        let own = [
+            ("peer_address", self.peer_address),
+            ("caller_address", self.caller_address),
+            ("ready_address", self.ready_address),
+            ("report_address", self.report_address),
+            ("metrics_address", self.metrics_address),
+        ];
+        for (index, (name, address)) in own.iter().enumerate() {
+            let taken = own[..index].iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = taken {
+                return Err(SettingsError {
+                    detail: format!("`{name}` and `{other}` are both {address}"),
+                    mend: "give each its own port".to_owned(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Time between reports of the back end.
+    #[must_use]
+    pub fn report_interval(&self) -> Duration {
+        Duration::from_millis(self.backend.report_interval_ms)
+    }
+
+    /// Time until the process is killed after an order to stop.
+    #[must_use]
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_millis(self.stop_grace_ms)
+    }
+}
+
+fn require(holds: bool, field: &str, wrong: &str, mend: &str) -> Result<(), SettingsError> {
+    if holds {
+        return Ok(());
+    }
+    Err(SettingsError {
+        detail: format!("`{field}` {wrong}"),
+        mend: mend.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/store.rs
@@ -0,0 +1,158 @@
+//! Work with the platform's store: the configuration, and the register of nodes.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use rand::Rng;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::{
+    node::Node,
+    peer::message::{Frame, Message},
+    seam::StoreError,
+    tables::NodeRecord,
+};
+
+/// Longest wait for a change in one call.
+const WATCH: Duration = Duration::from_secs(4);
+/// Wait after a change, so that several in quick succession are read in one call.
+const WATCH_PAUSE: Duration = Duration::from_millis(120);
+/// Waits after a call that failed.
+const RETRY_MIN: Duration = Duration::from_millis(150);
+const RETRY_MAX: Duration = Duration::from_millis(1200);
+/// Life of a node's registration without renewal.
+const REGISTRATION: Duration = Duration::from_secs(12);
+/// Time between renewals.
+const RENEWAL: Duration = Duration::from_secs(4);
+/// Renewals between looks at the register.
+const RENEWALS_PER_LOOK: u32 = 3;
+/// Time between looks whether a peer has a newer configuration.
+const PEER_LOOK: Duration = Duration::from_millis(300);
+/// Longest wait for the end of a registration at a stop.
+const UNREGISTER: Duration = Duration::from_millis(200);
+
+struct Backoff(Duration);
+
+impl Backoff {
+    const fn new() -> Self {
+        Self(RETRY_MIN)
+    }
+
+    async fn wait(&mut self) {
+        let jitter = rand::rng().random_range(0.6..1.4);
+        sleep(self.0.mul_f64(jitter)).await;
+        self.0 = (self.0 * 2).min(RETRY_MAX);
+    }
+}
+
+fn count(node: &Node) {
+    node.counters.store_calls.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Reads the configuration and watches it for as long as the process lives.
+pub async fn follow_configuration(node: Arc<Node>) {
+    let mut backoff = Backoff::new();
+    loop {
+        let reason = match read_and_watch(&node, &mut backoff).await {
+            Err(reason) => reason,
+            Ok(never) => match never {},
+        };
+        tracing::warn!(%reason, "configuration can't be followed, it is read anew");
+        backoff.wait().await;
+    }
+}
+
+async fn read_and_watch(
+    node: &Arc<Node>,
+    backoff: &mut Backoff,
+) -> Result<std::convert::Infallible, StoreError> {
+    count(node);
+    let stored = node.platform.read_configuration().await?;
+    let mut at = stored.at;
+    if let Some(document) = &stored.document {
+        node.offer_configuration(document);
+    }
+    node.configuration_confirmed();
+    loop {
+        count(node);
+        let watched = node.platform.watch_configuration(at, WATCH).await?;
+        *backoff = Backoff::new();
+        at = watched.at;
+        if let Some(document) = &watched.document {
+            node.offer_configuration(document);
+        }
+        node.configuration_confirmed();
+        if watched.document.is_some() {
+            sleep(WATCH_PAUSE).await;
+        }
+    }
+}
+
+/// Fetches the configuration from a peer that has had a newer one for a while.
+pub async fn follow_peers_configuration(node: Arc<Node>) {
+    let mut behind_since: Option<Instant> = None;
+    loop {
+        sleep(PEER_LOOK).await;
+        let Some(link) = node.peer_with_newer_configuration() else {
+            behind_since = None;
+            continue;
+        };
+        let since = *behind_since.get_or_insert_with(Instant::now);
+        if since.elapsed() >= PEER_LOOK {
+            link.send(&Frame::of_link(Message::FetchConfiguration));
+        }
+    }
+}
+
+/// Registers this node, renews that, and learns of other nodes.
+pub async fn keep_registered(node: Arc<Node>) {
+    let mut backoff = Backoff::new();
+    loop {
+        if let Err(reason) = register_and_renew(&node, &mut backoff).await {
+            tracing::warn!(%reason, "registration lost");
+        }
+        backoff.wait().await;
+    }
+}
+
+async fn register_and_renew(node: &Arc<Node>, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let platform = &node.platform;
+    count(node);
+    let record = node.hello();
+    let lease = platform.register(&node.record.node, record, REGISTRATION);
+    let lease = lease.await?;
+    node.registered(lease);
+    // Whoever registers later reads this registration, so one whole look is enough for both.
+    look(node, false).await?;
+    *backoff = Backoff::new();
+    loop {
+        for _ in 0..RENEWALS_PER_LOOK {
+            sleep(RENEWAL).await;
+            count(node);
+            platform.renew(lease).await?;
+        }
+        look(node, true).await?;
+    }
+}
+
+async fn look(node: &Arc<Node>, cheap: bool) -> Result<(), StoreError> {
+    count(node);
+    for record in node.platform.registered(cheap).await? {
+        match serde_json::from_slice::<NodeRecord>(&record) {
+            Ok(record) => node.learn_node(&record),
+            Err(error) => tracing::warn!(%error, "a registration can't be read"),
+        }
+    }
+    Ok(())
+}
+
+/// Ends the registration.
+pub async fn unregister(node: &Node) {
+    if let Some(lease) = node.lease() {
+        count(node);
+        // The lease ends by itself if this fails.
+        let _ = timeout(UNREGISTER, node.platform.end_lease(lease)).await;
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/tables/load.rs
@@ -0,0 +1,35 @@
+//! How busy a back end is, as the node beside it sees it.
+
+use deku::prelude::*;
+
+/// Calls at a back end and in front of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, DekuRead, DekuWrite)]
+#[deku(
+    endian = "endian",
+    ctx = "endian: deku::ctx::Endian",
+    ctx_default = "deku::ctx::Endian::Big"
+)]
+pub struct Load {
+    /// Calls that may be with the back end at once; 0 while it takes none.
+    pub limit: u16,
+    /// Calls that are with the back end.
+    pub in_flight: u16,
+    /// Calls that wait in front of it.
+    pub queued: u16,
+    /// Mean time that waiting calls wait, in milliseconds.
+    pub wait_ms: u16,
+    /// How many times longer than usual its calls take, in hundredths.
+    pub slowness: u16,
+}
+
+/// Slowness of a back end that is as fast as usual.
+pub const USUAL_SLOWNESS: u16 = 100;
+
+impl Load {
+    /// Calls as a share of the limit, counting `more` that the report doesn't know of yet.
+    #[must_use]
+    pub fn utilization(self, more: u32) -> f64 {
+        let calls = u32::from(self.in_flight) + u32::from(self.queued) + more;
+        f64::from(calls) / f64::from(self.limit.max(1))
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -0,0 +1,11 @@
+//! What a node knows: the back end beside it, and the other nodes.
+
+pub mod instance;
+pub mod load;
+pub mod peers;
+pub mod retries;
+
+pub use instance::{InstanceState, LocalInstance, ReportEffect};
+pub use load::Load;
+pub use peers::{BackendState, Executor, NodeRecord, PeerStatus, PeerTable};
+pub use retries::RetryBudgets;
--- /dev/null
+++ b/crates/tallybridge-mesh/src/tables/peers.rs
@@ -0,0 +1,304 @@
+//! The other nodes: where they are, what stands beside them, and how busy that is.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::load::Load;
+use crate::peer::link::Link;
+
+/// Added to the utilization of an executor in another zone: crossing costs bytes, not much time.
+const CROSSING_COST: f64 = 0.35;
+/// An executor above this utilization counts as full, wherever it is.
+const FULL: f64 = 0.9;
+/// Most that chance adds to a score, so that entries with the same news don't choose alike.
+const SPREAD: f64 = 0.06;
+/// Time that an executor is passed over after it was lost or refused a call.
+const AVOID: Duration = Duration::from_millis(300);
+/// Time without any contact after which a node that is not registered is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+/// A utilization far above any real one.
+const LAST_RESORT: f64 = 100.0;
+
+/// What a node tells of itself when it registers and when it opens a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Its name.
+    pub node: String,
+    /// Where it takes links.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Service of the back end beside it.
+    pub service: String,
+    /// This run of the process.
+    pub process: u64,
+}
+
+/// Whether the back end beside a node takes work, as that node says.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[repr(u8)]
+pub enum BackendState {
+    /// Not known yet, or not reachable.
+    #[default]
+    Unavailable = 0,
+    /// It takes work.
+    Ready = 1,
+    /// It, or its node, is leaving.
+    Leaving = 2,
+}
+
+impl BackendState {
+    /// The state of a wire value.
+    #[must_use]
+    pub fn from_wire(value: u8) -> Self {
+        match value {
+            1 => Self::Ready,
+            2 => Self::Leaving,
+            _ => Self::Unavailable,
+        }
+    }
+}
+
+/// What a node says of itself while it runs.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// Whether its back end takes work.
+    pub backend: BackendState,
+    /// How busy its back end is.
+    pub load: Load,
+    /// Slots of its back end; 0 while unknown.
+    pub slots: u32,
+    /// Version of its configuration; 0 for none.
+    pub version: u64,
+    /// Services that its back end called lately.
+    pub calls: Vec<Arc<str>>,
+}
+
+#[derive(Debug)]
+struct PeerRow {
+    record: NodeRecord,
+    service: Arc<str>,
+    link: Option<Arc<Link>>,
+    status: PeerStatus,
+    sent_since_report: u32,
+    avoid_until: Option<Instant>,
+    last_contact: Instant,
+}
+
+/// Where a call can be executed.
+#[derive(Debug, Clone)]
+pub enum Executor {
+    /// Beside this node.
+    Local,
+    /// Beside another node.
+    Peer(SocketAddr, Arc<Link>),
+}
+
+/// All other nodes, by address.
+#[derive(Debug)]
+pub struct PeerTable {
+    own: NodeRecord,
+    rows: HashMap<SocketAddr, PeerRow>,
+}
+
+impl PeerTable {
+    /// A table that knows of no other node.
+    #[must_use]
+    pub fn new(own: NodeRecord) -> Self {
+        Self {
+            own,
+            rows: HashMap::new(),
+        }
+    }
+
+    /// Takes in a record; `true` when its address was not known before, so that a link must be
+    /// opened.
+    pub fn learn(&mut self, record: NodeRecord, now: Instant) -> bool {
+        if record.address == self.own.address {
+            return false;
+        }
+        if let Some(row) = self.rows.get_mut(&record.address) {
+            if row.link.is_none() {
+                row.service = record.service.as_str().into();
+                row.record = record;
+            }
+            return false;
+        }
+        let row = PeerRow {
+            service: record.service.as_str().into(),
+            link: None,
+            status: PeerStatus::default(),
+            sent_since_report: 0,
+            avoid_until: None,
+            last_contact: now,
+            record,
+        };
+        self.rows.insert(row.record.address, row);
+        true
+    }
+
+    /// A link was opened, and the node at its end said who it is.
+    pub fn connected(&mut self, record: NodeRecord, link: Arc<Link>, now: Instant) {
+        let address = record.address;
+        self.learn(record.clone(), now);
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.service = record.service.as_str().into();
+            row.record = record;
+            row.link = Some(link);
+            row.status = PeerStatus::default();
+            row.sent_since_report = 0;
+            row.avoid_until = None;
+            row.last_contact = now;
+        }
+    }
+
+    /// The link to a node ended.
+    pub fn disconnected(&mut self, address: SocketAddr) {
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.link = None;
+            row.status = PeerStatus::default();
+        }
+    }
+
+    /// Drops a node that has not been in contact for long; `false` when it stays.
+    pub fn forget(&mut self, address: SocketAddr, now: Instant) -> bool {
+        let is_lost = self.rows.get(&address).is_some_and(|row| {
+            row.link.is_none() && now.saturating_duration_since(row.last_contact) > FORGET
+        });
+        if is_lost {
+            self.rows.remove(&address);
+        }
+        is_lost
+    }
+
+    /// A node told its status.
+    pub fn status(&mut self, address: SocketAddr, status: PeerStatus, now: Instant) {
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.status = status;
+            row.sent_since_report = 0;
+            row.last_contact = now;
+        }
+    }
+
+    /// An answer told how busy its executor is.
+    pub fn load(&mut self, address: SocketAddr, load: Load) {
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.status.load = load;
+            row.sent_since_report = 0;
+        }
+    }
+
+    /// A call is sent to a node.
+    pub fn sent(&mut self, address: SocketAddr) {
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.sent_since_report += 1;
+        }
+    }
+
+    /// A node lost or refused a call: it is passed over for a while.
+    pub fn avoid(&mut self, address: SocketAddr, now: Instant) {
+        if let Some(row) = self.rows.get_mut(&address) {
+            row.avoid_until = Some(now + AVOID);
+        }
+    }
+
+    /// Chooses where a call of a service is executed, among those not in `tried`.
+    #[must_use]
+    pub fn choose(
+        &self,
+        service: &str,
+        local: Option<Load>,
+        tried: &[SocketAddr],
+        now: Instant,
+    ) -> Option<Executor> {
+        let mut random = rand::rng();
+        let local = local
+            .filter(|_| !tried.contains(&self.own.address))
+            .map(|load| (score(load, 0, true, false), Executor::Local));
+        let peers = self.rows.iter().filter_map(|(address, row)| {
+            if &*row.service != service || tried.contains(address) {
+                return None;
+            }
+            let link = row.link.clone()?;
+            if row.status.backend != BackendState::Ready {
+                return None;
+            }
+            let is_home = row.record.zone == self.own.zone;
+            let is_avoided = row.avoid_until.is_some_and(|until| now < until) || link.is_suspect();
+            let score = score(row.status.load, row.sent_since_report, is_home, is_avoided);
+            Some((score, Executor::Peer(*address, link)))
+        });
+        local
+            .into_iter()
+            .chain(peers)
+            .map(|(score, executor)| (score + random.random_range(0.0..SPREAD), executor))
+            .min_by(|left, right| left.0.total_cmp(&right.0))
+            .map(|(_, executor)| executor)
+    }
+
+    /// Nodes that are linked or registered, this one included.
+    #[must_use]
+    pub fn fleet_size(&self) -> usize {
+        self.rows.len() + 1
+    }
+
+    /// Links that are open.
+    pub fn links(&self) -> impl Iterator<Item = (SocketAddr, &Arc<Link>)> {
+        self.rows
+            .iter()
+            .filter_map(|(address, row)| row.link.as_ref().map(|link| (*address, link)))
+    }
+
+    /// Records of all nodes that are linked.
+    #[must_use]
+    pub fn records(&self) -> Vec<NodeRecord> {
+        self.rows
+            .values()
+            .filter(|row| row.link.is_some())
+            .map(|row| row.record.clone())
+            .collect()
+    }
+
+    /// Status of every linked node, with its service.
+    pub fn statuses(&self) -> impl Iterator<Item = (&Arc<str>, &PeerStatus)> {
+        self.rows
+            .values()
+            .filter(|row| row.link.is_some())
+            .map(|row| (&row.service, &row.status))
+    }
+
+    /// Slots that other back ends of a service have, to start from before the own one told its.
+    #[must_use]
+    pub fn usual_slots(&self, service: &str) -> Option<u32> {
+        self.statuses()
+            .filter(|(of, status)| &***of == service && status.slots > 0)
+            .map(|(_, status)| status.slots)
+            .min()
+    }
+
+    /// A linked node with a newer configuration than `version`.
+    #[must_use]
+    pub fn with_newer(&self, version: u64) -> Option<Arc<Link>> {
+        self.rows
+            .values()
+            .filter(|row| row.status.version > version)
+            .max_by_key(|row| row.status.version)
+            .and_then(|row| row.link.clone())
+    }
+}
+
+fn score(load: Load, more: u32, is_home: bool, is_avoided: bool) -> f64 {
+    let slowness = f64::from(load.slowness.max(super::load::USUAL_SLOWNESS)) / 100.0;
+    let utilization = load.utilization(more) * slowness;
+    let crossing = if is_home { 0.0 } else { CROSSING_COST };
+    let full = if load.utilization(more) >= FULL {
+        1.0
+    } else {
+        0.0
+    };
+    let avoided = if is_avoided { LAST_RESORT } else { 0.0 };
+    utilization + crossing + full + avoided
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -0,0 +1,304 @@
+//! Slots of the back end beside this node, and the calls that wait for one.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tallybridge_core::Criticality;
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::tables::load::{Load, USUAL_SLOWNESS};
+
+/// Slots that a back end is given before it told how many it has.
+const FIRST_SLOTS: u32 = 16;
+/// Share of the slots that is used: back ends slow down when they are nearly full.
+const USED_SHARE: f64 = 0.95;
+/// Calls that may wait, for each slot.
+const QUEUE_PER_SLOT: usize = 4;
+/// Weight of the newest call in the mean time that calls take.
+const SERVICE_TIME_GAIN: f64 = 0.05;
+/// Weight of the newest call in the mean time that calls wait.
+const WAIT_GAIN: f64 = 0.1;
+
+/// Why a call gets no slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoSlot {
+    /// The back end is full for longer than the call may wait.
+    Full,
+    /// The back end takes no more work.
+    Closed,
+}
+
+#[derive(Debug)]
+struct WorkTable {
+    limit: u16,
+    in_flight: u16,
+    queue: AdmissionQueue<u64>,
+    waiting: HashMap<u64, oneshot::Sender<Result<(), NoSlot>>>,
+    next_waiter: u64,
+    service_seconds: f64,
+    wait_seconds: f64,
+}
+
+/// The slots of a back end.
+#[derive(Debug, Clone)]
+pub struct Work(Arc<Mutex<WorkTable>>);
+
+impl Default for Work {
+    fn default() -> Self {
+        let table = WorkTable {
+            limit: usable(FIRST_SLOTS),
+            in_flight: 0,
+            queue: queue_for(FIRST_SLOTS),
+            waiting: HashMap::new(),
+            next_waiter: 0,
+            service_seconds: 0.0,
+            wait_seconds: 0.0,
+        };
+        Self(Arc::new(Mutex::new(table)))
+    }
+}
+
+fn queue_for(slots: u32) -> AdmissionQueue<u64> {
+    AdmissionQueue::new(QueueSettings {
+        capacity: slots as usize * QUEUE_PER_SLOT,
+        ..QueueSettings::default()
+    })
+}
+
+fn usable(slots: u32) -> u16 {
+    let used = (f64::from(slots) * USED_SHARE).floor() as u16;
+    used.max(1)
+}
+
+/// A slot that is held; dropping it gives it back.
+#[derive(Debug)]
+pub struct Slot {
+    work: Work,
+    since: Instant,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let took = now.saturating_duration_since(self.since);
+        let mut table = self.work.table();
+        table.in_flight = table.in_flight.saturating_sub(1);
+        move_towards(&mut table.service_seconds, took, SERVICE_TIME_GAIN);
+        table.grant(now);
+    }
+}
+
+fn move_towards(mean: &mut f64, sample: Duration, gain: f64) {
+    *mean += (sample.as_secs_f64() - *mean) * gain;
+}
+
+/// A place in the queue; dropping it leaves the queue.
+struct Place {
+    work: Work,
+    ticket: Ticket,
+    waiter: u64,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut table = self.work.table();
+        if table.waiting.remove(&self.waiter).is_some() {
+            table.queue.cancel(self.ticket);
+        }
+    }
+}
+
+impl WorkTable {
+    fn grant(&mut self, now: Instant) {
+        for late in self.queue.expire(now.into_std()) {
+            self.refuse(late, NoSlot::Full);
+        }
+        while self.in_flight < self.limit {
+            let Some(next) = self.queue.take(now.into_std()) else {
+                return;
+            };
+            let Some(waiter) = self.waiting.remove(&next.item) else {
+                continue;
+            };
+            let waited = now.into_std().saturating_duration_since(next.arrived);
+            move_towards(&mut self.wait_seconds, waited, WAIT_GAIN);
+            if waiter.send(Ok(())).is_ok() {
+                self.in_flight += 1;
+            }
+        }
+    }
+
+    fn refuse(&mut self, waiter: u64, reason: NoSlot) {
+        if let Some(waiter) = self.waiting.remove(&waiter) {
+            let _ = waiter.send(Err(reason));
+        }
+    }
+
+    /// Time until a call of a class gets a slot, as far as can be told.
+    fn expected_wait(&self, criticality: Criticality) -> Duration {
+        let ahead: usize = Criticality::ALL
+            .into_iter()
+            .filter(|class| *class >= criticality)
+            .map(|class| self.queue.len_by_class(class))
+            .sum();
+        let rate = self.service_seconds / f64::from(self.limit.max(1));
+        Duration::from_secs_f64(ahead as f64 * rate)
+    }
+}
+
+impl Work {
+    fn table(&self) -> MutexGuard<'_, WorkTable> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gets a slot, waiting for it until `wait_until` at most.
+    ///
+    /// # Errors
+    ///
+    /// [`NoSlot`] when there is none in time, or the wait would be for nothing.
+    pub async fn slot(
+        &self,
+        criticality: Criticality,
+        wait_until: Instant,
+    ) -> Result<Slot, NoSlot> {
+        let (mut receiver, place) = {
+            let now = Instant::now();
+            let mut table = self.table();
+            if table.in_flight < table.limit && table.queue.is_empty() {
+                table.in_flight += 1;
+                move_towards(&mut table.wait_seconds, Duration::ZERO, WAIT_GAIN);
+                return Ok(self.held(now));
+            }
+            if now + table.expected_wait(criticality) >= wait_until {
+                return Err(NoSlot::Full);
+            }
+            let waiter = table.next_waiter;
+            table.next_waiter += 1;
+            let offer = table.queue.offer(
+                Waiting {
+                    criticality,
+                    deadline: wait_until.into_std(),
+                    arrived: now.into_std(),
+                    item: waiter,
+                },
+                now.into_std(),
+            );
+            let ticket = match offer {
+                Offer::Queued(ticket) => ticket,
+                Offer::QueuedDisplacing(ticket, displaced) => {
+                    table.refuse(displaced, NoSlot::Full);
+                    ticket
+                }
+                Offer::Refused(_) => return Err(NoSlot::Full),
+            };
+            let (sender, receiver) = oneshot::channel();
+            table.waiting.insert(waiter, sender);
+            let place = Place {
+                work: self.clone(),
+                ticket,
+                waiter,
+            };
+            (receiver, place)
+        };
+        let granted = GrantedSlot {
+            work: self,
+            receiver: &mut receiver,
+            taken: false,
+        };
+        let result = granted.wait(wait_until).await;
+        drop(place);
+        result
+    }
+
+    fn held(&self, since: Instant) -> Slot {
+        Slot {
+            work: self.clone(),
+            since,
+        }
+    }
+
+    /// Takes in how many requests the back end works on at once.
+    pub fn set_slots(&self, slots: u32) {
+        let slots = if slots == 0 { FIRST_SLOTS } else { slots };
+        let mut table = self.table();
+        let limit = usable(slots);
+        if table.limit == limit {
+            return;
+        }
+        table.limit = limit;
+        if table.queue.is_empty() {
+            table.queue = queue_for(slots);
+        }
+        table.grant(Instant::now());
+    }
+
+    /// Refuses every call that waits.
+    pub fn refuse_waiting(&self) {
+        let mut table = self.table();
+        let waiting: Vec<u64> = table.waiting.keys().copied().collect();
+        for waiter in waiting {
+            table.refuse(waiter, NoSlot::Closed);
+        }
+        let limit = u32::from(table.limit);
+        table.queue = queue_for(limit);
+    }
+
+    /// How busy the back end is.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        let table = self.table();
+        Load {
+            limit: table.limit,
+            in_flight: table.in_flight,
+            queued: u16::try_from(table.queue.len()).unwrap_or(u16::MAX),
+            wait_ms: (table.wait_seconds * 1000.0) as u16,
+            slowness: USUAL_SLOWNESS,
+        }
+    }
+
+    /// Mean time that a call is with the back end.
+    #[must_use]
+    pub fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.table().service_seconds.max(0.0))
+    }
+}
+
+/// Waits for a grant; one that comes when nobody waits any more gives its slot back.
+struct GrantedSlot<'a> {
+    work: &'a Work,
+    receiver: &'a mut oneshot::Receiver<Result<(), NoSlot>>,
+    taken: bool,
+}
+
+impl GrantedSlot<'_> {
+    async fn wait(mut self, wait_until: Instant) -> Result<Slot, NoSlot> {
+        let granted = tokio::time::timeout_at(wait_until, &mut *self.receiver).await;
+        match granted {
+            Ok(Ok(Ok(()))) => {
+                self.taken = true;
+                Ok(self.work.held(Instant::now()))
+            }
+            Ok(Ok(Err(reason))) => {
+                self.taken = true;
+                Err(reason)
+            }
+            Ok(Err(_)) | Err(_) => Err(NoSlot::Full),
+        }
+    }
+}
+
+impl Drop for GrantedSlot<'_> {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        self.receiver.close();
+        if let Ok(Ok(())) = self.receiver.try_recv() {
+            drop(self.work.held(Instant::now()));
+        }
+    }
+}
