--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod path;
 pub mod peer;
+pub mod reload;
 pub mod run;
 pub mod seam;
 pub mod settings;
@@ -18,6 +19,7 @@
 pub mod work;
 
 pub use configuration::{Configuration, Route, RouteKind, RoutePart, ServicePolicy};
+pub use reload::SettingsSource;
 pub use run::run;
 pub use seam::{
     ControlRequest, HeaderNames, InstanceReport, Platform, ReportedState, StoreError, StoreFuture,
--- a/crates/tallybridge-mesh/src/node.rs
+++ b/crates/tallybridge-mesh/src/node.rs
@@ -90,6 +90,7 @@
     requests_in_flight: AtomicUsize,
     verify: tokio::sync::Notify,
     lease: AtomicU64,
+    stop_grace_ms: AtomicU64,
 }
 
 impl Node {
@@ -123,6 +124,7 @@
             requests_in_flight: AtomicUsize::new(0),
             verify: tokio::sync::Notify::new(),
             lease: AtomicU64::new(0),
+            stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             record,
             settings,
             platform,
@@ -464,6 +466,19 @@
 
     // Life.
 
+    /// Takes in what of new settings can change while the node runs.
+    pub fn take_in_settings(&self, settings: &MeshSettings) {
+        let grace = settings.stop_grace_ms;
+        self.stop_grace_ms.store(grace, Ordering::Relaxed);
+        self.tables().retries.set(settings.retry);
+    }
+
+    /// Time until the process is killed after an order to stop.
+    #[must_use]
+    pub fn stop_grace(&self) -> Duration {
+        Duration::from_millis(self.stop_grace_ms.load(Ordering::Relaxed))
+    }
+
     /// Whether the node has been told to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -17,6 +17,7 @@
     },
     node::Node,
     peer::accept::accept_peers,
+    reload::{SettingsSource, reload_settings},
     seam::Platform,
     settings::MeshSettings,
     store,
@@ -40,9 +41,16 @@
 /// # Errors
 ///
 /// A refusal when an address can't be bound.
-pub async fn run(settings: MeshSettings, platform: Arc<dyn Platform>) -> Result<(), Refusal> {
-    let mut terminate = stop_signal(SignalKind::terminate())?;
+pub async fn run(
+    settings: MeshSettings,
+    source: Arc<dyn SettingsSource>,
+    platform: Arc<dyn Platform>,
+) -> Result<(), Refusal> {
+    let mut terminate = on_signal(SignalKind::terminate())?;
+    // Taken before anything else: without a handler the signal would end the process.
+    let hangup = on_signal(SignalKind::hangup())?;
     let node = start(settings, platform).await?;
+    tokio::spawn(reload_settings(node.clone(), source, hangup));
     tracing::info!(
         node = node.record.node,
         service = node.record.service,
@@ -54,7 +62,7 @@
     Ok(())
 }
 
-fn stop_signal(kind: SignalKind) -> Result<Signal, Refusal> {
+fn on_signal(kind: SignalKind) -> Result<Signal, Refusal> {
     signal(kind).map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))
 }
 
@@ -118,7 +126,7 @@
 /// gone elsewhere.
 async fn stop(node: &Arc<Node>) {
     let told = Instant::now();
-    let grace = node.settings.stop_grace();
+    let grace = node.stop_grace();
     let last = told + grace.saturating_sub(STOP_MARGIN);
     tracing::info!(in_flight = node.requests_in_flight(), "node stops");
     node.begin_stop();
--- a/crates/tallybridge-mesh/src/settings.rs
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -139,16 +139,39 @@
         Ok(())
     }
 
-    /// Time between reports of the back end.
+    /// Names of the fields in which other settings differ that only a start can take in.
     #[must_use]
-    pub fn report_interval(&self) -> Duration {
-        Duration::from_millis(self.backend.report_interval_ms)
+    pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
+        let pairs = [
+            ("node", self.node == other.node),
+            ("zone", self.zone == other.zone),
+            ("region", self.region == other.region),
+            ("peer_address", self.peer_address == other.peer_address),
+            (
+                "caller_address",
+                self.caller_address == other.caller_address,
+            ),
+            ("ready_address", self.ready_address == other.ready_address),
+            (
+                "report_address",
+                self.report_address == other.report_address,
+            ),
+            (
+                "metrics_address",
+                self.metrics_address == other.metrics_address,
+            ),
+            ("store_address", self.store_address == other.store_address),
+            ("backend", self.backend == other.backend),
+            ("log", self.log == other.log),
+        ];
+        let differing = pairs.into_iter().filter(|(_, same)| !same);
+        differing.map(|(name, _)| name).collect()
     }
 
-    /// Time until the process is killed after an order to stop.
+    /// Time between reports of the back end.
     #[must_use]
-    pub fn stop_grace(&self) -> Duration {
-        Duration::from_millis(self.stop_grace_ms)
+    pub fn report_interval(&self) -> Duration {
+        Duration::from_millis(self.backend.report_interval_ms)
     }
 }
 
--- a/crates/tallybridge-mesh/src/tables/retries.rs
+++ b/crates/tallybridge-mesh/src/tables/retries.rs
@@ -23,15 +23,20 @@
     #[must_use]
     pub fn new(settings: RetrySettings) -> Self {
         Self {
-            settings: BudgetSettings {
-                ratio: settings.ratio * OWN_SHARE,
-                min_per_second: 0,
-                ttl: Duration::from_millis(settings.window_ms),
-            },
+            settings: own_share(settings),
             budgets: HashMap::new(),
         }
     }
 
+    /// Changes the bounds. What was counted is forgotten where they differ.
+    pub fn set(&mut self, settings: RetrySettings) {
+        let settings = own_share(settings);
+        if settings != self.settings {
+            self.settings = settings;
+            self.budgets.clear();
+        }
+    }
+
     /// Counts a first sending.
     pub fn sent(&mut self, service: &Arc<str>, now: Instant) {
         self.budget(service).deposit(now.into_std());
@@ -50,3 +55,11 @@
             .or_insert_with(|| Budget::new(settings))
     }
 }
+
+fn own_share(settings: RetrySettings) -> BudgetSettings {
+    BudgetSettings {
+        ratio: settings.ratio * OWN_SHARE,
+        min_per_second: 0,
+        ttl: Duration::from_millis(settings.window_ms),
+    }
+}
