Shed fresh requests at the entry by how full the services below are; nested calls first

Cause: a call refused deep in a chain wastes the work above it. Now a call whose attempt name extends that of a call running at the node's back end is nested, and inherits the urgency of its chain's root.

--- a/crates/tallybridge-mesh/src/node.rs
+++ b/crates/tallybridge-mesh/src/node.rs
@@ -14,14 +14,14 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    configuration::Configuration,
+    configuration::{Configuration, Route},
     door::backend::BackendPool,
     peer::link::{Link, keep_link},
     seam::{HeaderNames, InstanceReport, Platform},
     settings::MeshSettings,
     tables::{
-        BackendState, InstanceState, Load, LocalInstance, NodeRecord, PeerStatus, PeerTable,
-        ReportEffect, RetryBudgets,
+        BackendState, InstanceState, Load, LocalInstance, NodeRecord, Parent, PeerStatus,
+        PeerTable, ReportEffect, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
     },
     work::Work,
 };
@@ -45,6 +45,9 @@
     configuration_confirmed: Option<Instant>,
     called: HashMap<Arc<str>, Instant>,
     told_utilization: f64,
+    shedding: RootShedding,
+    running: RunningAttempts,
+    own_service: Arc<str>,
 }
 
 /// Counts of a node's requests, for its metrics.
@@ -93,6 +96,20 @@
     stop_grace_ms: AtomicU64,
 }
 
+impl Tables {
+    /// Adapts the share of fresh requests that is let in to how full the services are.
+    fn adapt_shedding(&mut self, own: &PeerStatus) {
+        let mut services = ServiceViews::default();
+        for (service, status) in self.peers.statuses() {
+            let takes_work = status.backend == BackendState::Ready;
+            services.add(service, status, takes_work);
+        }
+        let takes_work = own.backend == BackendState::Ready;
+        services.add(&self.own_service, own, takes_work);
+        self.shedding.adapt(&services);
+    }
+}
+
 impl Node {
     /// A node that knows nothing yet.
     #[must_use]
@@ -112,6 +129,9 @@
             configuration_confirmed: None,
             called: HashMap::new(),
             told_utilization: 0.0,
+            shedding: RootShedding::default(),
+            running: RunningAttempts::default(),
+            own_service: settings.backend.service.as_str().into(),
         };
         Self {
             names: platform.header_names(),
@@ -392,6 +412,28 @@
         }
     }
 
+    /// A call begins to run at the back end; it ends when what is returned is dropped.
+    #[must_use]
+    pub fn attempt_runs(self: &Arc<Self>, attempt: &Bytes, parent: Parent) -> RunningAttempt {
+        self.tables().running.begin(attempt, parent);
+        RunningAttempt {
+            node: self.clone(),
+            attempt: attempt.clone(),
+        }
+    }
+
+    /// The call at the back end that made a nested one.
+    #[must_use]
+    pub fn parent_of(&self, attempt: &[u8]) -> Option<Parent> {
+        self.tables().running.parent_of(attempt)
+    }
+
+    /// Whether a fresh request is let in.
+    #[must_use]
+    pub fn admits(&self, route: &Route, service: &Arc<str>) -> bool {
+        self.tables().shedding.admits(route, service)
+    }
+
     /// What this node tells of itself.
     #[must_use]
     pub fn status(&self) -> PeerStatus {
@@ -436,11 +478,13 @@
     pub fn tick(&self) {
         let now = Instant::now();
         let utilization = self.load().utilization(0);
+        let own = self.status();
         let is_news = {
             let mut tables = self.tables();
             for (_, link) in tables.peers.links() {
                 link.check(now);
             }
+            tables.adapt_shedding(&own);
             let is_news = (tables.told_utilization - utilization).abs() > TOLD_CHANGE;
             if is_news {
                 tables.told_utilization = utilization;
@@ -520,3 +564,15 @@
         self.0.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// A call that runs at the back end beside the node.
+pub struct RunningAttempt {
+    node: Arc<Node>,
+    attempt: Bytes,
+}
+
+impl Drop for RunningAttempt {
+    fn drop(&mut self) {
+        self.node.tables().running.end(&self.attempt);
+    }
+}
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -31,6 +31,8 @@
 const NESTED_WAIT: f64 = 0.6;
 /// When a caller may come back if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// When a caller may come back whose request was shed at the entry: once load has been adapted.
+const SHED_COME_BACK: Duration = Duration::from_millis(400);
 /// Age up to which the configuration is trusted to know all routes.
 const ROUTES_TRUSTED: Duration = Duration::from_secs(6);
 
@@ -90,9 +92,15 @@
         .filter(|value| value.is_finite() && *value >= 0.0)
         .map(|value| Duration::from_secs_f64(value / 1000.0));
     let allowed = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-    let is_nested = is_nested(node, &request);
+    let parent = node.parent_of(attempt);
+    let is_nested = parent.is_some();
+    let is_urgent = parent.map_or(route.priority == 0, |parent| parent.is_urgent);
     if is_nested {
         node.back_end_called(service);
+    } else if !node.admits(route, service) {
+        let detail = "a service that the request needs is full";
+        let refusal = Refusal::new(ErrorKind::Overloaded, detail);
+        return Err(refusal.with_retry_after(SHED_COME_BACK));
     }
     let wait = if is_nested {
         allowed.mul_f64(NESTED_WAIT)
@@ -102,8 +110,9 @@
     let message = CallMessage {
         remaining_ms: 0,
         wait_ms: 0,
-        criticality: criticality(route, is_nested) as u8,
+        criticality: criticality(route, is_nested, is_urgent) as u8,
         may_repeat: route.kind.may_repeat(),
+        is_urgent,
         is_head_request: head.method == "HEAD",
         attempt: Bytes::copy_from_slice(attempt),
         head: passed_on(node, &request).into(),
@@ -127,18 +136,14 @@
     Refusal::new(ErrorKind::NoConfiguration, detail).with_retry_after(COME_BACK)
 }
 
-/// The back end beside the node calls from the machine's own address.
-fn is_nested(node: &Node, request: &Request) -> bool {
-    request.caller.ip() == node.settings.backend.address.ip()
-}
-
-/// Nested calls go before fresh requests: the work above them is already paid for.
-fn criticality(route: &Route, is_nested: bool) -> Criticality {
-    match (is_nested, route.priority) {
-        (true, 0) => Criticality::CriticalPlus,
-        (true, _) | (false, 0) => Criticality::Critical,
-        (false, 1) => Criticality::SheddablePlus,
-        (false, _) => Criticality::Sheddable,
+/// Urgent chains go first, and nested calls before fresh requests: the work above them is already
+/// paid for.
+fn criticality(route: &Route, is_nested: bool, is_urgent: bool) -> Criticality {
+    match (is_urgent, is_nested, route.priority) {
+        (true, _, _) => Criticality::CriticalPlus,
+        (false, true, _) => Criticality::Critical,
+        (false, false, 0 | 1) => Criticality::SheddablePlus,
+        (false, false, _) => Criticality::Sheddable,
     }
 }
 
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -13,7 +13,7 @@
     http::{Answer, ExchangeError, ExchangeStage, Received, head::write_line},
     node::Node,
     peer::message::CallMessage,
-    tables::InstanceState,
+    tables::{InstanceState, Parent},
     work::{NoSlot, Slot},
 };
 
@@ -101,6 +101,10 @@
         let detail = "no time left to run";
         return Err(Refusal::new(ErrorKind::DeadlineExceeded, detail));
     }
+    let parent = Parent {
+        is_urgent: call.is_urgent,
+    };
+    let _running = node.attempt_runs(&call.attempt, parent);
     let give_up = deadline + BACKEND_GRACE;
     match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
         Ok(Ok(received)) => judge(node, received),
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -93,6 +93,8 @@
     pub criticality: u8,
     /// Whether it may run more than once.
     pub may_repeat: bool,
+    /// Whether the request at the root of its chain is of the highest priority.
+    pub is_urgent: bool,
     /// Whether its answer has no body.
     pub is_head_request: bool,
     /// The caller's name of the attempt, which the answer must repeat.
@@ -157,6 +159,7 @@
 
 const FLAG_MAY_REPEAT: u8 = 1;
 const FLAG_HEAD_REQUEST: u8 = 2;
+const FLAG_URGENT: u8 = 4;
 
 impl Message {
     const fn kind(&self) -> u8 {
@@ -285,6 +288,9 @@
     if call.is_head_request {
         flags |= FLAG_HEAD_REQUEST;
     }
+    if call.is_urgent {
+        flags |= FLAG_URGENT;
+    }
     *out = fields(&CallFields {
         remaining_ms: call.remaining_ms,
         wait_ms: call.wait_ms,
@@ -348,6 +354,7 @@
         wait_ms: fields.wait_ms,
         criticality: fields.criticality,
         may_repeat: fields.flags & FLAG_MAY_REPEAT != 0,
+        is_urgent: fields.flags & FLAG_URGENT != 0,
         is_head_request: fields.flags & FLAG_HEAD_REQUEST != 0,
         attempt: take_bytes(&mut payload, fields.attempt_length.into())?,
         head: take_bytes(&mut payload, fields.head_length as usize)?,
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -4,8 +4,12 @@
 pub mod load;
 pub mod peers;
 pub mod retries;
+pub mod running;
+pub mod shedding;
 
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
 pub use peers::{BackendState, Executor, NodeRecord, PeerStatus, PeerTable};
 pub use retries::RetryBudgets;
+pub use running::{Parent, RunningAttempts};
+pub use shedding::{RootShedding, ServiceViews};
--- /dev/null
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -0,0 +1,151 @@
+//! Which fresh requests are refused at the entry, so that calls deeper down are not.
+//!
+//! A call that is refused deep in a chain wastes all the work above it. So each entry looks at how
+//! full the services are that a request will need, directly or through the calls of others, and
+//! lets in a share of the fresh requests that keeps the fullest of them just busy.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
+
+use super::{load::Load, peers::PeerStatus};
+use crate::configuration::Route;
+
+/// Calls, as a multiple of the limit, from which fresh requests of each priority are shed.
+/// Requests of higher priority are shed last.
+const SHED_FROM: [f64; 3] = [1.5, 1.25, 1.08];
+/// Taken off for requests that go straight to the full service: nothing has been paid for them.
+const DIRECT_FIRST: f64 = 0.1;
+/// Least share that is let in, of requests of priority 0 and of others: enough to see whether
+/// there is room again, and so that no kind of request starves.
+const LEAST_SHARE: [f64; 2] = [0.3, 0.2];
+/// Largest part of the share that is taken off at once.
+const MAX_CUT: f64 = 0.15;
+/// How much of the excess is taken off at once.
+const CUT_GAIN: f64 = 0.3;
+/// What is added to the share at once while there is room.
+const RAISE: f64 = 0.025;
+/// What is added at once while there is much room.
+const FAST_RAISE: f64 = 0.1;
+/// Fullness, as a share of the threshold, below which there is much room.
+const MUCH_ROOM: f64 = 0.75;
+
+#[derive(Debug)]
+struct Share {
+    service: Arc<str>,
+    priority: u8,
+    admitted: f64,
+    owed: f64,
+}
+
+/// What one service looks like from here.
+#[derive(Debug, Default)]
+struct ServiceView {
+    limit: f64,
+    calls: f64,
+    called: HashSet<Arc<str>>,
+}
+
+/// All services, as the nodes beside their back ends tell.
+#[derive(Debug, Default)]
+pub struct ServiceViews(HashMap<Arc<str>, ServiceView>);
+
+impl ServiceViews {
+    /// Takes in the status of a node beside a back end of a service.
+    pub fn add(&mut self, service: &Arc<str>, status: &PeerStatus, takes_work: bool) {
+        let view = self.0.entry(service.clone()).or_default();
+        view.called.extend(status.calls.iter().cloned());
+        if takes_work {
+            let Load {
+                limit,
+                in_flight,
+                queued,
+                ..
+            } = status.load;
+            view.limit += f64::from(limit);
+            view.calls += f64::from(in_flight) + f64::from(queued);
+        }
+    }
+
+    /// Calls of a service as a multiple of its limit; 0 when nobody tells.
+    fn fullness(&self, service: &str) -> f64 {
+        match self.0.get(service) {
+            Some(view) if view.limit > 0.0 => view.calls / view.limit,
+            _ => 0.0,
+        }
+    }
+
+    /// The fullness of the fullest service below one, that one left out.
+    fn fullness_below(&self, service: &Arc<str>) -> f64 {
+        let mut seen: HashSet<&Arc<str>> = HashSet::from([service]);
+        let mut open = vec![service];
+        let mut fullest = 0.0_f64;
+        while let Some(next) = open.pop() {
+            let Some(view) = self.0.get(next) else {
+                continue;
+            };
+            for called in &view.called {
+                if seen.insert(called) {
+                    fullest = fullest.max(self.fullness(called));
+                    open.push(called);
+                }
+            }
+        }
+        fullest
+    }
+}
+
+/// The share of fresh requests that is let in, for each route.
+#[derive(Debug, Default)]
+pub struct RootShedding {
+    shares: HashMap<Arc<str>, Share>,
+}
+
+impl RootShedding {
+    /// Whether a fresh request is let in. Those let in are spread evenly over those that come.
+    pub fn admits(&mut self, route: &Route, service: &Arc<str>) -> bool {
+        let share = self
+            .shares
+            .entry(route.name.clone())
+            .or_insert_with(|| Share {
+                service: service.clone(),
+                priority: route.priority,
+                admitted: 1.0,
+                owed: 0.0,
+            });
+        share.service = service.clone();
+        share.priority = route.priority;
+        share.owed += share.admitted;
+        if share.owed < 1.0 {
+            return false;
+        }
+        share.owed -= 1.0;
+        true
+    }
+
+    /// Whether every fresh request is let in.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.shares.values().all(|share| share.admitted >= 1.0)
+    }
+
+    /// Adapts the shares to what the services look like.
+    pub fn adapt(&mut self, services: &ServiceViews) {
+        for share in self.shares.values_mut() {
+            let threshold = SHED_FROM[usize::from(share.priority.min(2))];
+            let least = LEAST_SHARE[usize::from(share.priority.min(1))];
+            let below = services.fullness_below(&share.service) / threshold;
+            let direct = services.fullness(&share.service) / (threshold - DIRECT_FIRST);
+            let excess = below.max(direct) - 1.0;
+            share.admitted = if excess > 0.0 {
+                let cut = (excess * CUT_GAIN).min(MAX_CUT);
+                (share.admitted * (1.0 - cut)).max(least)
+            } else if excess < MUCH_ROOM - 1.0 {
+                (share.admitted + FAST_RAISE).min(1.0)
+            } else {
+                (share.admitted + RAISE).min(1.0)
+            };
+        }
+    }
+}
