Use a stopping node's back end when there is no other; avoid executors that lose calls; repeat more at the deepest service

(2) seconds 14 to 19, two of three back ends lost 40 % of their answers; 848 of some 3,000 repeats that the bound allows were used and calls went on to the losing ones. Ruled out: verification (the back ends were verified when reached).

--- a/crates/tallybridge-mesh/src/door/control.rs
+++ b/crates/tallybridge-mesh/src/door/control.rs
@@ -15,8 +15,10 @@
 const MAX_REPORT_BYTES: usize = 64 * 1024;
 /// Longest wait for a health check, which waits for a slot as a request does.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Wait between health checks while the back end says that it takes no work or can't be reached.
-const HEALTH_RETRY: Duration = Duration::from_millis(700);
+/// Wait between health checks while the back end says that it takes no work.
+const RETRY_UNHEALTHY: Duration = Duration::from_millis(700);
+/// Wait between health checks while the back end does not answer at all.
+const RETRY_SILENT: Duration = Duration::from_millis(250);
 
 /// Answers questions about readiness and reports of the back end.
 #[derive(Clone)]
@@ -57,29 +59,30 @@
 pub async fn verify_instance(node: Arc<Node>) {
     loop {
         node.verification_due().await;
-        while !verify_once(&node).await {
-            tokio::time::sleep(HEALTH_RETRY).await;
+        while let Some(wait) = verify_once(&node).await {
+            tokio::time::sleep(wait).await;
         }
     }
 }
 
-/// One health check. `false` when it is to be repeated.
-async fn verify_once(node: &Arc<Node>) -> bool {
-    let Some(configuration) = node.configuration() else {
-        // A new configuration wakes the task again.
-        return true;
-    };
+/// One health check; gives the wait until it is to be repeated.
+async fn verify_once(node: &Arc<Node>) -> Option<Duration> {
+    // Without a configuration, or without the service in it, the next configuration wakes the task.
+    let configuration = node.configuration()?;
     let service = node.settings.backend.service.as_str();
-    let Some(policy) = configuration.services.get(service) else {
-        return true;
-    };
-    match health_check(node, &policy.health_check_path).await {
+    let policy = configuration.services.get(service)?;
+    let checked = health_check(node, &policy.health_check_path).await;
+    let wait = match checked {
         Some((instance, is_healthy)) => {
             node.instance_verified(&instance, is_healthy);
-            is_healthy || node.instance_state() == InstanceState::Leaving
+            if is_healthy {
+                return None;
+            }
+            RETRY_UNHEALTHY
         }
-        None => node.instance_state() == InstanceState::Leaving,
-    }
+        None => RETRY_SILENT,
+    };
+    (node.instance_state() != InstanceState::Leaving).then_some(wait)
 }
 
 async fn health_check(node: &Node, path: &str) -> Option<(String, bool)> {
--- a/crates/tallybridge-mesh/src/node.rs
+++ b/crates/tallybridge-mesh/src/node.rs
@@ -90,6 +90,7 @@
     tables: Mutex<Tables>,
     publish: watch::Sender<u64>,
     is_stopping: AtomicBool,
+    refuses_work: AtomicBool,
     requests_in_flight: AtomicUsize,
     verify: tokio::sync::Notify,
     lease: AtomicU64,
@@ -97,14 +98,22 @@
 }
 
 impl Tables {
+    /// Whether back ends of a service make calls of their own.
+    fn calls_others(&self, service: &Arc<str>) -> bool {
+        let mut statuses = self.peers.statuses();
+        let is_own = *service == self.own_service;
+        (is_own && !self.called.is_empty())
+            || statuses.any(|(of, status)| of == service && !status.calls.is_empty())
+    }
+
     /// Adapts the share of fresh requests that is let in to how full the services are.
     fn adapt_shedding(&mut self, own: &PeerStatus) {
         let mut services = ServiceViews::default();
         for (service, status) in self.peers.statuses() {
-            let takes_work = status.backend == BackendState::Ready;
+            let takes_work = status.backend.takes_work();
             services.add(service, status, takes_work);
         }
-        let takes_work = own.backend == BackendState::Ready;
+        let takes_work = own.backend.takes_work();
         services.add(&self.own_service, own, takes_work);
         self.shedding.adapt(&services);
     }
@@ -141,6 +150,7 @@
             tables: Mutex::new(tables),
             publish: watch::Sender::new(0),
             is_stopping: AtomicBool::new(false),
+            refuses_work: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
             verify: tokio::sync::Notify::new(),
             lease: AtomicU64::new(0),
@@ -395,9 +405,17 @@
         look(&mut self.tables().peers)
     }
 
-    /// Looks at the retry budgets.
-    pub fn with_retries<T>(&self, look: impl FnOnce(&mut RetryBudgets) -> T) -> T {
-        look(&mut self.tables().retries)
+    /// Counts the first sending of a call.
+    pub fn first_sent(&self, service: &Arc<str>) {
+        self.tables().retries.sent(service, Instant::now());
+    }
+
+    /// Pays for sending a call again; `false` when it must not be sent.
+    #[must_use]
+    pub fn pays_for_repeat(&self, service: &Arc<str>) -> bool {
+        let mut tables = self.tables();
+        let calls_others = tables.calls_others(service);
+        tables.retries.pay(service, calls_others, Instant::now())
     }
 
     /// The back end called a service.
@@ -441,7 +459,8 @@
         let now = Instant::now();
         let tables = self.tables();
         let backend = match tables.instance.state() {
-            _ if self.is_stopping() => BackendState::Leaving,
+            _ if self.refuses_work() => BackendState::Leaving,
+            InstanceState::Ready if self.is_stopping() => BackendState::Stopping,
             InstanceState::Ready => BackendState::Ready,
             InstanceState::Leaving => BackendState::Leaving,
             InstanceState::Unknown | InstanceState::Unreachable { .. } => BackendState::Unavailable,
@@ -529,13 +548,26 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop: the others are told, and nothing new is executed for them.
+    /// Begins a planned stop: callers and the other nodes are told. Calls are still executed, for
+    /// those who find no other executor.
     pub fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
+        self.publish();
+    }
+
+    /// From now on nothing new is handed to the back end.
+    pub fn refuse_work(&self) {
+        self.refuses_work.store(true, Ordering::Relaxed);
         self.work.refuse_waiting();
         self.publish();
     }
 
+    /// Whether nothing new is handed to the back end since the node is about to end.
+    #[must_use]
+    pub fn refuses_work(&self) -> bool {
+        self.refuses_work.load(Ordering::Relaxed)
+    }
+
     /// Whether the node can serve callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -186,16 +186,21 @@
     let mut back_ends = 0;
     let mut may_have_run = false;
     let mut last = Refusal::new(ErrorKind::NoBackend, "no back end takes work");
-    node.with_retries(|retries| retries.sent(&call.service, Instant::now()));
+    node.first_sent(&call.service);
     for _ in 0..=MAX_REROUTES {
         let Some((address, executor)) = choose(node, &call, &tried) else {
             break;
         };
         let attempted = attempt(node, &mut call, executor).await;
         let refusal = match attempted {
-            Attempted::Answered(answer) => return Ok(answer),
+            Attempted::Answered(answer) => {
+                node.with_peers(|peers| peers.outcome(address, false));
+                return Ok(answer);
+            }
             Attempted::Refused(refusal) => refusal,
         };
+        let is_lost = refusal.outcome == Outcome::Unknown;
+        node.with_peers(|peers| peers.outcome(address, is_lost));
         tried.push(address);
         let untouched = is_untouched(&refusal);
         may_have_run |= refusal.outcome != Outcome::NotRun;
@@ -226,7 +231,7 @@
     if back_ends >= call.route.max_attempts {
         return false;
     }
-    let paid = node.with_retries(|retries| retries.pay(&call.service, Instant::now()));
+    let paid = node.pays_for_repeat(&call.service);
     if paid {
         node.counters.repeats.fetch_add(1, Ordering::Relaxed);
     }
@@ -235,7 +240,7 @@
 
 fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<(SocketAddr, Executor)> {
     let is_own = *call.service == *node.settings.backend.service;
-    let takes_work = is_own && !node.is_stopping() && node.instance_for_work().is_some();
+    let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
     let local = takes_work.then(|| node.load());
     let now = Instant::now();
     let executor = node.with_peers(|peers| peers.choose(&call.service, local, tried, now))?;
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -76,7 +76,7 @@
 
 /// The instance that may be handed work now.
 fn instance(node: &Node) -> Result<Arc<str>, Refusal> {
-    if node.is_stopping() {
+    if node.refuses_work() {
         return Err(Refusal::new(ErrorKind::Leaving, "node is leaving"));
     }
     node.instance_for_work()
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -131,6 +131,7 @@
     tracing::info!(in_flight = node.requests_in_flight(), "node stops");
     node.begin_stop();
     sleep_until((told + NOTICE).min(last)).await;
+    node.refuse_work();
     let mut quiet_since = Instant::now();
     while Instant::now() < last && quiet_since.elapsed() < QUIET {
         sleep(Duration::from_millis(20)).await;
--- a/crates/tallybridge-mesh/src/tables/load.rs
+++ b/crates/tallybridge-mesh/src/tables/load.rs
@@ -18,13 +18,8 @@
     pub queued: u16,
     /// Mean time that waiting calls wait, in milliseconds.
     pub wait_ms: u16,
-    /// How many times longer than usual its calls take, in hundredths.
-    pub slowness: u16,
 }
 
-/// Slowness of a back end that is as fast as usual.
-pub const USUAL_SLOWNESS: u16 = 100;
-
 impl Load {
     /// Calls as a share of the limit, counting `more` that the report doesn't know of yet.
     #[must_use]
--- a/crates/tallybridge-mesh/src/tables/peers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers.rs
@@ -21,6 +21,10 @@
 const FORGET: Duration = Duration::from_secs(60);
 /// A utilization far above any real one.
 const LAST_RESORT: f64 = 100.0;
+/// Weight of the newest outcome in the share of calls that an executor loses.
+const LOSS_GAIN: f64 = 0.08;
+/// What an executor that loses every call is put behind by, in utilization.
+const LOSS_COST: f64 = 2.0;
 
 /// What a node tells of itself when it registers and when it opens a link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,17 +50,26 @@
     Unavailable = 0,
     /// It takes work.
     Ready = 1,
-    /// It, or its node, is leaving.
+    /// It is leaving.
     Leaving = 2,
+    /// It takes work, but its node is about to stop: it is used when there is no other.
+    Stopping = 3,
 }
 
 impl BackendState {
+    /// Whether calls may be sent to it.
+    #[must_use]
+    pub const fn takes_work(self) -> bool {
+        matches!(self, Self::Ready | Self::Stopping)
+    }
+
     /// The state of a wire value.
     #[must_use]
     pub fn from_wire(value: u8) -> Self {
         match value {
             1 => Self::Ready,
             2 => Self::Leaving,
+            3 => Self::Stopping,
             _ => Self::Unavailable,
         }
     }
@@ -85,6 +98,7 @@
     status: PeerStatus,
     sent_since_report: u32,
     avoid_until: Option<Instant>,
+    lost_share: f64,
     last_contact: Instant,
 }
 
@@ -102,6 +116,7 @@
 pub struct PeerTable {
     own: NodeRecord,
     rows: HashMap<SocketAddr, PeerRow>,
+    own_lost_share: f64,
 }
 
 impl PeerTable {
@@ -111,6 +126,7 @@
         Self {
             own,
             rows: HashMap::new(),
+            own_lost_share: 0.0,
         }
     }
 
@@ -133,6 +149,7 @@
             status: PeerStatus::default(),
             sent_since_report: 0,
             avoid_until: None,
+            lost_share: 0.0,
             last_contact: now,
             record,
         };
@@ -151,6 +168,7 @@
             row.status = PeerStatus::default();
             row.sent_since_report = 0;
             row.avoid_until = None;
+            row.lost_share = 0.0;
             row.last_contact = now;
         }
     }
@@ -205,6 +223,17 @@
         }
     }
 
+    /// A call at an executor ended with an answer, or was lost there.
+    pub fn outcome(&mut self, address: SocketAddr, is_lost: bool) {
+        let sample = if is_lost { 1.0 } else { 0.0 };
+        let share = match self.rows.get_mut(&address) {
+            Some(row) => &mut row.lost_share,
+            None if address == self.own.address => &mut self.own_lost_share,
+            None => return,
+        };
+        *share += (sample - *share) * LOSS_GAIN;
+    }
+
     /// Chooses where a call of a service is executed, among those not in `tried`.
     #[must_use]
     pub fn choose(
@@ -217,18 +246,16 @@
         let mut random = rand::rng();
         let local = local
             .filter(|_| !tried.contains(&self.own.address))
-            .map(|load| (score(load, 0, true, false), Executor::Local));
+            .map(|load| (self.local_score(load), Executor::Local));
         let peers = self.rows.iter().filter_map(|(address, row)| {
             if &*row.service != service || tried.contains(address) {
                 return None;
             }
             let link = row.link.clone()?;
-            if row.status.backend != BackendState::Ready {
+            if !row.status.backend.takes_work() {
                 return None;
             }
-            let is_home = row.record.zone == self.own.zone;
-            let is_avoided = row.avoid_until.is_some_and(|until| now < until) || link.is_suspect();
-            let score = score(row.status.load, row.sent_since_report, is_home, is_avoided);
+            let score = row.score(&self.own.zone, link.is_suspect(), now);
             Some((score, Executor::Peer(*address, link)))
         });
         local
@@ -290,15 +317,35 @@
     }
 }
 
-fn score(load: Load, more: u32, is_home: bool, is_avoided: bool) -> f64 {
-    let slowness = f64::from(load.slowness.max(super::load::USUAL_SLOWNESS)) / 100.0;
-    let utilization = load.utilization(more) * slowness;
-    let crossing = if is_home { 0.0 } else { CROSSING_COST };
-    let full = if load.utilization(more) >= FULL {
-        1.0
+impl PeerTable {
+    fn local_score(&self, load: Load) -> f64 {
+        load_score(load, 0) + self.own_lost_share * LOSS_COST
+    }
+}
+
+impl PeerRow {
+    /// What speaks against sending a call here, in utilization.
+    fn score(&self, own_zone: &str, is_suspect: bool, now: Instant) -> f64 {
+        let mut score = load_score(self.status.load, self.sent_since_report);
+        score += self.lost_share * LOSS_COST;
+        if self.record.zone != own_zone {
+            score += CROSSING_COST;
+        }
+        if is_suspect || self.avoid_until.is_some_and(|until| now < until) {
+            score += LAST_RESORT;
+        }
+        if self.status.backend == BackendState::Stopping {
+            score += LAST_RESORT / 2.0;
+        }
+        score
+    }
+}
+
+fn load_score(load: Load, more: u32) -> f64 {
+    let utilization = load.utilization(more);
+    if utilization >= FULL {
+        utilization + 1.0
     } else {
-        0.0
-    };
-    let avoided = if is_avoided { LAST_RESORT } else { 0.0 };
-    utilization + crossing + full + avoided
+        utilization
+    }
 }
--- a/crates/tallybridge-mesh/src/tables/retries.rs
+++ b/crates/tallybridge-mesh/src/tables/retries.rs
@@ -7,15 +7,24 @@
 
 use crate::settings::RetrySettings;
 
-/// Share of the fleet's ratio that a node spends by itself. A repeat makes its calls again, and
-/// those count as repeats of the services below, so each level gets by with a part of the ratio.
-const OWN_SHARE: f64 = 0.3;
+/// Share of the fleet's ratio for repeats to services that make no calls of their own.
+const SHARE_DEEPEST: f64 = 0.6;
+/// Share for repeats to services that do. Such a repeat makes its calls again, and those count as
+/// repeats of the services below: the shares of a chain add up.
+const SHARE_ABOVE: f64 = 0.13;
+
+/// Budgets of one service.
+#[derive(Debug)]
+struct ServiceBudgets {
+    deepest: Budget,
+    above: Budget,
+}
 
 /// A budget for each service, in proportion to this node's own first sendings.
 #[derive(Debug)]
 pub struct RetryBudgets {
-    settings: BudgetSettings,
-    budgets: HashMap<Arc<str>, Budget>,
+    settings: RetrySettings,
+    services: HashMap<Arc<str>, ServiceBudgets>,
 }
 
 impl RetryBudgets {
@@ -23,43 +32,52 @@
     #[must_use]
     pub fn new(settings: RetrySettings) -> Self {
         Self {
-            settings: own_share(settings),
-            budgets: HashMap::new(),
+            settings,
+            services: HashMap::new(),
         }
     }
 
     /// Changes the bounds. What was counted is forgotten where they differ.
     pub fn set(&mut self, settings: RetrySettings) {
-        let settings = own_share(settings);
         if settings != self.settings {
             self.settings = settings;
-            self.budgets.clear();
+            self.services.clear();
         }
     }
 
     /// Counts a first sending.
     pub fn sent(&mut self, service: &Arc<str>, now: Instant) {
-        self.budget(service).deposit(now.into_std());
+        let budgets = self.budgets(service);
+        budgets.deepest.deposit(now.into_std());
+        budgets.above.deposit(now.into_std());
     }
 
-    /// Pays for a repeat; `false` when it must not be sent.
+    /// Pays for a repeat to a service; `false` when it must not be sent.
     #[must_use]
-    pub fn pay(&mut self, service: &Arc<str>, now: Instant) -> bool {
-        self.budget(service).withdraw(now.into_std())
+    pub fn pay(&mut self, service: &Arc<str>, calls_others: bool, now: Instant) -> bool {
+        let budgets = self.budgets(service);
+        if calls_others {
+            budgets.above.withdraw(now.into_std())
+        } else {
+            budgets.deepest.withdraw(now.into_std())
+        }
     }
 
-    fn budget(&mut self, service: &Arc<str>) -> &mut Budget {
+    fn budgets(&mut self, service: &Arc<str>) -> &mut ServiceBudgets {
         let settings = self.settings;
-        self.budgets
+        self.services
             .entry(service.clone())
-            .or_insert_with(|| Budget::new(settings))
+            .or_insert_with(|| ServiceBudgets {
+                deepest: budget(settings, SHARE_DEEPEST),
+                above: budget(settings, SHARE_ABOVE),
+            })
     }
 }
 
-fn own_share(settings: RetrySettings) -> BudgetSettings {
-    BudgetSettings {
-        ratio: settings.ratio * OWN_SHARE,
+fn budget(settings: RetrySettings, share: f64) -> Budget {
+    Budget::new(BudgetSettings {
+        ratio: settings.ratio * share,
         min_per_second: 0,
         ttl: Duration::from_millis(settings.window_ms),
-    }
+    })
 }
--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -20,6 +20,11 @@
 /// Least share that is let in, of requests of priority 0 and of others: enough to see whether
 /// there is room again, and so that no kind of request starves.
 const LEAST_SHARE: [f64; 2] = [0.3, 0.2];
+/// Fullness of a service of which no back end takes work.
+const UNAVAILABLE: f64 = 100.0;
+/// Share that is let in while a service that is needed is unavailable. The nodes tell when it is
+/// back, so hardly any request is needed to find out.
+const SHARE_UNAVAILABLE: f64 = 0.02;
 /// Largest part of the share that is taken off at once.
 const MAX_CUT: f64 = 0.15;
 /// How much of the excess is taken off at once.
@@ -68,11 +73,11 @@
         }
     }
 
-    /// Calls of a service as a multiple of its limit; 0 when nobody tells.
+    /// Calls of a service as a multiple of its limit.
     fn fullness(&self, service: &str) -> f64 {
         match self.0.get(service) {
             Some(view) if view.limit > 0.0 => view.calls / view.limit,
-            _ => 0.0,
+            _ => UNAVAILABLE,
         }
     }
 
@@ -138,7 +143,9 @@
             let below = services.fullness_below(&share.service) / threshold;
             let direct = services.fullness(&share.service) / (threshold - DIRECT_FIRST);
             let excess = below.max(direct) - 1.0;
-            share.admitted = if excess > 0.0 {
+            share.admitted = if excess > UNAVAILABLE / 4.0 {
+                SHARE_UNAVAILABLE
+            } else if excess > 0.0 {
                 let cut = (excess * CUT_GAIN).min(MAX_CUT);
                 (share.admitted * (1.0 - cut)).max(least)
             } else if excess < MUCH_ROOM - 1.0 {
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -10,7 +10,7 @@
 use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::tables::load::{Load, USUAL_SLOWNESS};
+use crate::tables::load::Load;
 
 /// Slots that a back end is given before it told how many it has.
 const FIRST_SLOTS: u32 = 16;
@@ -256,7 +256,6 @@
             in_flight: table.in_flight,
             queued: u16::try_from(table.queue.len()).unwrap_or(u16::MAX),
             wait_ms: (table.wait_seconds * 1000.0) as u16,
-            slowness: USUAL_SLOWNESS,
         }
     }
 
