--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -67,6 +67,8 @@
     pub head: ResponseHead,
     /// Its whole body.
     pub body: Bytes,
+    /// Whether more can come on the connection: the answer was framed and announced no close.
+    pub goes_on: bool,
     /// Whether the connection may carry another request: the answer was whole and framed, the
     /// request was sent to its end before, nothing is left over and nobody announced a close.
     pub reusable: bool,
@@ -216,11 +218,12 @@
             return Err(reason);
         }
     }
-    let reusable = length != BodyLength::UntilClose && !head.closes();
+    let goes_on = length != BodyLength::UntilClose && !head.closes();
     Ok(Received {
         head,
         body: body.into_body().into(),
-        reusable,
+        goes_on,
+        reusable: goes_on,
     })
 }
 
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -160,7 +160,7 @@
     let mut surplus = 0;
     while !is_answer_to(node, &received, call) {
         // An answer to another request stands in the place of this one's, which comes after it.
-        if surplus == MAX_SURPLUS || !received.reusable {
+        if surplus == MAX_SURPLUS || !received.goes_on {
             return Err(ExchangeError::sent("answer to another request"));
         }
         surplus += 1;
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -75,17 +75,14 @@
     settings: MeshSettings,
     platform: Arc<dyn Platform>,
 ) -> Result<Arc<Node>, Refusal> {
-    let peers = bind(settings.peer_address)?;
-    let callers = bind(settings.caller_address)?;
-    let ready = bind(settings.ready_address)?;
-    let reports = bind(settings.report_address)?;
-    let metrics = bind(settings.metrics_address)?;
+    let mut settings = settings;
+    let listeners = Listeners::bind(&mut settings)?;
     let node = Arc::new(Node::new(settings, platform));
-    tokio::spawn(accept_peers(node.clone(), peers));
-    tokio::spawn(serve(CallerHandler(node.clone()), callers));
-    tokio::spawn(serve(ControlHandler(node.clone()), ready));
-    tokio::spawn(serve(ControlHandler(node.clone()), reports));
-    tokio::spawn(serve(MetricsHandler(node.clone()), metrics));
+    tokio::spawn(accept_peers(node.clone(), listeners.peers));
+    tokio::spawn(serve(CallerHandler(node.clone()), listeners.callers));
+    tokio::spawn(serve(ControlHandler(node.clone()), listeners.ready));
+    tokio::spawn(serve(ControlHandler(node.clone()), listeners.reports));
+    tokio::spawn(serve(MetricsHandler(node.clone()), listeners.metrics));
     tokio::spawn(verify_instance(node.clone()));
     tokio::spawn(store::follow_configuration(node.clone()));
     tokio::spawn(store::follow_peers_configuration(node.clone()));
@@ -94,20 +91,47 @@
     Ok(node)
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Refusal> {
-    let listen = || -> io::Result<TcpListener> {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    listen().map_err(|error| {
+/// The addresses of a node, bound.
+struct Listeners {
+    peers: TcpListener,
+    callers: TcpListener,
+    ready: TcpListener,
+    reports: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings. A port 0 is replaced by the one that the system gave.
+    fn bind(settings: &mut MeshSettings) -> Result<Self, Refusal> {
+        Ok(Self {
+            peers: bind(&mut settings.peer_address)?,
+            callers: bind(&mut settings.caller_address)?,
+            ready: bind(&mut settings.ready_address)?,
+            reports: bind(&mut settings.report_address)?,
+            metrics: bind(&mut settings.metrics_address)?,
+        })
+    }
+}
+
+fn bind(address: &mut SocketAddr) -> Result<TcpListener, Refusal> {
+    let listener = listen(*address).map_err(|error| {
         let detail = format!("address {address} can't be bound: {error}");
         Refusal::new(ErrorKind::NodeUnavailable, detail)
-    })
+    })?;
+    if let Ok(bound) = listener.local_addr() {
+        *address = bound;
+    }
+    Ok(listener)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 async fn tick(node: Arc<Node>) {
@@ -124,7 +148,7 @@
 
 /// Takes no new work for others, finishes what is in flight and serves callers until they have
 /// gone elsewhere.
-async fn stop(node: &Arc<Node>) {
+pub async fn stop(node: &Arc<Node>) {
     let told = Instant::now();
     let grace = node.stop_grace();
     let last = told + grace.saturating_sub(STOP_MARGIN);
