--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -113,7 +113,9 @@
 }
 
 impl Link {
-    fn new(sender: mpsc::UnboundedSender<Bytes>) -> Self {
+    /// A link whose frames go to `sender`.
+    #[must_use]
+    pub fn new(sender: mpsc::UnboundedSender<Bytes>) -> Self {
         Self {
             sender,
             state: Mutex::new(LinkState {
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -0,0 +1,142 @@
+//! Messages between nodes survive their wire form, in any pieces, and no bytes make them panic.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use tallybridge_mesh::{
+    peer::{CallMessage, Frame, Message},
+    tables::{BackendState, Load, PeerStatus},
+};
+
+fn bytes() -> impl Strategy<Value = Bytes> {
+    prop::collection::vec(any::<u8>(), 0..200).prop_map(Bytes::from)
+}
+
+fn load() -> impl Strategy<Value = Load> {
+    (any::<u16>(), any::<u16>(), any::<u16>(), any::<u16>()).prop_map(
+        |(limit, in_flight, queued, wait_ms)| Load {
+            limit,
+            in_flight,
+            queued,
+            wait_ms,
+        },
+    )
+}
+
+fn call() -> impl Strategy<Value = CallMessage> {
+    (
+        any::<u32>(),
+        any::<u32>(),
+        0_u8..4,
+        any::<[bool; 3]>(),
+        bytes(),
+        bytes(),
+        bytes(),
+    )
+        .prop_map(
+            |(remaining_ms, wait_ms, criticality, flags, attempt, head, body)| CallMessage {
+                remaining_ms,
+                wait_ms,
+                criticality,
+                may_repeat: flags[0],
+                is_urgent: flags[1],
+                is_head_request: flags[2],
+                attempt,
+                head,
+                body,
+            },
+        )
+}
+
+fn status() -> impl Strategy<Value = PeerStatus> {
+    let names = prop::collection::vec("[a-z0-9]{1,8}", 0..4);
+    (0_u8..4, load(), any::<u32>(), any::<u64>(), names).prop_map(
+        |(backend, load, slots, version, names)| PeerStatus {
+            backend: BackendState::from_wire(backend),
+            load,
+            slots,
+            version,
+            calls: names.into_iter().map(Into::into).collect(),
+        },
+    )
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    prop_oneof![
+        bytes().prop_map(Message::Hello),
+        bytes().prop_map(Message::Nodes),
+        call().prop_map(Message::Call),
+        (any::<u16>(), load(), bytes(), bytes()).prop_map(|(status, load, head, body)| {
+            Message::Answer {
+                status,
+                load,
+                head,
+                body,
+            }
+        }),
+        (any::<u8>(), any::<u8>(), any::<u32>(), load()).prop_map(
+            |(kind, outcome, retry_after_ms, load)| Message::Refusal {
+                kind,
+                outcome,
+                retry_after_ms,
+                load
+            }
+        ),
+        Just(Message::Cancel),
+        Just(Message::Ping),
+        status().prop_map(Message::Status),
+        Just(Message::FetchConfiguration),
+        bytes().prop_map(Message::Configuration),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+
+    #[test]
+    fn frames_survive_their_wire_form_in_any_pieces(
+        frames in prop::collection::vec((any::<u32>(), message()), 1..6),
+        size in 1_usize..300,
+    ) {
+        let frames: Vec<Frame> = frames
+            .into_iter()
+            .map(|(call, message)| Frame { call, message })
+            .collect();
+        let wire: Vec<u8> = frames.iter().flat_map(|frame| frame.encode().to_vec()).collect();
+        let mut buffer = BytesMut::new();
+        let mut read = Vec::new();
+        for piece in wire.chunks(size) {
+            buffer.extend_from_slice(piece);
+            while let Some(frame) = Frame::take(&mut buffer).unwrap() {
+                read.push(frame);
+            }
+        }
+        prop_assert_eq!(read, frames);
+        prop_assert!(buffer.is_empty());
+    }
+
+    #[test]
+    fn no_bytes_make_the_reader_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        while let Ok(Some(_)) = Frame::take(&mut buffer) {}
+    }
+
+    #[test]
+    fn a_payload_that_is_cut_off_is_refused(message in message(), cut in 1_usize..20) {
+        let whole = Frame { call: 1, message }.encode();
+        if whole.len() <= 10 + cut {
+            return Ok(());
+        }
+        let mut bytes = whole[..whole.len() - cut].to_vec();
+        let length = u32::try_from(bytes.len() - 10).unwrap();
+        bytes[..4].copy_from_slice(&length.to_be_bytes());
+        // It is either refused or another whole message, never a panic.
+        let _ = Frame::take(&mut BytesMut::from(&bytes[..]));
+    }
+}
+
+#[test]
+fn another_version_is_refused() {
+    let mut bytes = Frame::of_link(Message::Ping).encode().to_vec();
+    bytes[4] = 9;
+    assert!(Frame::take(&mut BytesMut::from(&bytes[..])).is_err());
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -0,0 +1,90 @@
+//! Settings that can't be used are refused by field, line and mend.
+
+use tallybridge_mesh::MeshSettings;
+
+const SOUND: &str = r#"
+node = "n1"
+zone = "a"
+region = "r"
+peer_address = "10.0.0.1:7000"
+caller_address = "10.0.0.1:7001"
+ready_address = "10.0.0.1:7002"
+report_address = "10.0.0.1:7003"
+metrics_address = "10.0.0.1:7004"
+store_address = "10.9.0.1:80"
+stop_grace_ms = 6000
+unknown_field = "passed over"
+
+[backend]
+service = "ledger"
+address = "10.0.0.1:9000"
+report_interval_ms = 1500
+
+[retry]
+ratio = 0.2
+window_ms = 10000
+slack = 55
+"#;
+
+#[test]
+fn sound_settings_are_read_and_unknown_fields_passed_over() {
+    let settings = MeshSettings::parse(SOUND).unwrap();
+    assert_eq!(settings.backend.service, "ledger");
+    assert!(settings.fixed_differences(&settings).is_empty());
+}
+
+#[test]
+fn wrong_settings_name_the_field_and_the_mend() {
+    let wrong = [
+        ("node = \"n1\"", "node = \"\"", "`node` is empty"),
+        ("node = \"n1\"", "", "missing field `node`"),
+        ("10.0.0.1:7000", "10.0.0.1", "peer_address"),
+        (
+            "ratio = 0.2",
+            "ratio = 2.0",
+            "`retry.ratio` is not between 0 and 1",
+        ),
+        ("ratio = 0.2", "ratio = \"much\"", "ratio"),
+        (
+            "window_ms = 10000",
+            "window_ms = 10",
+            "`retry.window_ms` is below 100",
+        ),
+        (
+            "stop_grace_ms = 6000",
+            "stop_grace_ms = 3",
+            "`stop_grace_ms` is below 500",
+        ),
+        (
+            "10.0.0.1:7002",
+            "10.0.0.1:7001",
+            "`ready_address` and `caller_address` are both",
+        ),
+        (
+            "service = \"ledger\"",
+            "service = \"\"",
+            "`backend.service` is empty",
+        ),
+        ("[retry]", "[retry", "line 19"),
+    ];
+    for (sound, mistaken, expected) in wrong {
+        let text = SOUND.replacen(sound, mistaken, 1);
+        let error = MeshSettings::parse(&text).unwrap_err();
+        assert!(
+            error.detail.contains(expected),
+            "{expected}: {}",
+            error.detail
+        );
+        assert!(!error.mend.is_empty());
+    }
+}
+
+#[test]
+fn what_only_a_start_can_take_in_is_named() {
+    let settings = MeshSettings::parse(SOUND).unwrap();
+    let changed = SOUND
+        .replace("zone = \"a\"", "zone = \"b\"")
+        .replace("ratio = 0.2", "ratio = 0.1");
+    let changed = MeshSettings::parse(&changed).unwrap();
+    assert_eq!(settings.fixed_differences(&changed), ["zone"]);
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -0,0 +1,331 @@
+//! Routes, executors, budgets, shedding and nested calls, each by its table.
+
+use std::{
+    collections::HashMap, net::SocketAddr, sync::Arc, sync::atomic::AtomicU64, time::Duration,
+};
+
+use bytes::Bytes;
+use tallybridge_mesh::{
+    Configuration, Route, RouteKind, RoutePart,
+    http::HttpLimits,
+    peer::Link,
+    settings::RetrySettings,
+    tables::{
+        BackendState, Executor, Load, NodeRecord, Parent, PeerStatus, PeerTable, RetryBudgets,
+        RootShedding, RunningAttempts, ServiceViews,
+    },
+};
+use tokio::{sync::mpsc, time::Instant};
+
+fn route(name: &str, host: &str, prefix: &str, priority: u8, parts: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(1),
+        priority,
+        max_attempts: 2,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| RoutePart {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        taken: AtomicU64::new(0),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("all", "h", "/", 2, &[("a", 1)]),
+        route("deep", "h", "/x/y/", 2, &[("a", 1)]),
+        route("mid", "h", "/x/", 2, &[("a", 1)]),
+        route("other", "g", "/x/y/", 2, &[("a", 1)]),
+    ];
+    let configuration = Configuration::new(1, routes, Vec::new(), HttpLimits::default());
+    let found = |host, target| {
+        configuration
+            .route(host, target)
+            .map(|route| route.name.to_string())
+    };
+    assert_eq!(found("h", "/x/y/z?q=/x/").as_deref(), Some("deep"));
+    assert_eq!(found("h", "/x/y").as_deref(), Some("mid"));
+    assert_eq!(found("H:8080", "/xy").as_deref(), Some("all"));
+    assert_eq!(found("g", "/x/y/").as_deref(), Some("other"));
+    assert_eq!(found("g", "/?p=/x/y/"), None);
+    assert_eq!(found("k", "/"), None);
+}
+
+#[test]
+fn parts_get_their_weight_in_every_run_of_requests() {
+    let route = route("s", "h", "/", 2, &[("a", 70), ("b", 20), ("c", 10)]);
+    let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+    for _ in 0..100 {
+        *counts
+            .entry(route.next_service().unwrap().clone())
+            .or_default() += 1;
+    }
+    assert_eq!((counts["a"], counts["b"], counts["c"]), (70, 20, 10));
+    let mut first_twenty: HashMap<Arc<str>, i32> = HashMap::new();
+    for _ in 0..20 {
+        *first_twenty
+            .entry(route.next_service().unwrap().clone())
+            .or_default() += 1;
+    }
+    assert!((first_twenty["a"] - 14).abs() <= 2, "{first_twenty:?}");
+}
+
+fn record(port: u16, zone: &str, service: &str) -> NodeRecord {
+    NodeRecord {
+        node: format!("n{port}"),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: zone.to_owned(),
+        service: service.to_owned(),
+        process: 1,
+    }
+}
+
+fn load(limit: u16, in_flight: u16) -> Load {
+    Load {
+        limit,
+        in_flight,
+        ..Load::default()
+    }
+}
+
+fn status(backend: BackendState, load: Load) -> PeerStatus {
+    PeerStatus {
+        backend,
+        load,
+        slots: 10,
+        version: 1,
+        calls: Vec::new(),
+    }
+}
+
+fn table(peers: &[(u16, &str, BackendState, Load)]) -> PeerTable {
+    let now = Instant::now();
+    let mut table = PeerTable::new(record(1, "home", "portal"));
+    for (port, zone, backend, load) in peers {
+        let record = record(*port, zone, "ledger");
+        let address = record.address;
+        let link = Arc::new(Link::new(mpsc::unbounded_channel().0));
+        table.connected(record, link, now);
+        table.status(address, status(*backend, *load), now);
+    }
+    table
+}
+
+fn chosen(table: &PeerTable, tried: &[u16]) -> Option<u16> {
+    let tried: Vec<SocketAddr> = tried
+        .iter()
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], *port)))
+        .collect();
+    match table.choose("ledger", None, &tried, Instant::now())? {
+        Executor::Peer(address, _) => Some(address.port()),
+        Executor::Local => None,
+    }
+}
+
+#[tokio::test]
+async fn a_call_stays_at_home_until_home_is_much_busier() {
+    use BackendState::Ready;
+    let quiet = table(&[
+        (2, "home", Ready, load(10, 2)),
+        (3, "away", Ready, load(10, 0)),
+    ]);
+    let busy = table(&[
+        (2, "home", Ready, load(10, 8)),
+        (3, "away", Ready, load(10, 2)),
+    ]);
+    let full = table(&[
+        (2, "home", Ready, load(10, 10)),
+        (3, "away", Ready, load(10, 8)),
+    ]);
+    for _ in 0..50 {
+        assert_eq!(chosen(&quiet, &[]), Some(2));
+        assert_eq!(chosen(&busy, &[]), Some(3));
+        assert_eq!(chosen(&full, &[]), Some(3));
+        assert_eq!(chosen(&quiet, &[2]), Some(3));
+        assert_eq!(chosen(&quiet, &[2, 3]), None);
+    }
+}
+
+#[tokio::test]
+async fn leavers_get_nothing_and_those_that_stop_only_what_nobody_else_takes() {
+    use BackendState::{Leaving, Ready, Stopping, Unavailable};
+    let idle = load(10, 0);
+    let gone = table(&[(2, "home", Leaving, idle), (3, "home", Unavailable, idle)]);
+    assert_eq!(chosen(&gone, &[]), None);
+    let stopping = table(&[
+        (2, "home", Stopping, idle),
+        (3, "away", Ready, load(10, 10)),
+    ]);
+    assert_eq!(chosen(&stopping, &[]), Some(3));
+    assert_eq!(chosen(&stopping, &[3]), Some(2));
+}
+
+#[tokio::test]
+async fn an_executor_that_loses_calls_is_passed_over_until_it_answers_again() {
+    use BackendState::Ready;
+    let mut table = table(&[
+        (2, "home", Ready, load(10, 2)),
+        (3, "away", Ready, load(10, 2)),
+    ]);
+    let loser = SocketAddr::from(([127, 0, 0, 1], 2));
+    for _ in 0..10 {
+        table.outcome(loser, true);
+    }
+    assert_eq!(chosen(&table, &[]), Some(3));
+    for _ in 0..40 {
+        table.outcome(loser, false);
+    }
+    assert_eq!(chosen(&table, &[]), Some(2));
+}
+
+#[tokio::test]
+async fn an_address_that_another_service_took_gets_no_call_of_the_old_one() {
+    let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
+    table.disconnected(SocketAddr::from(([127, 0, 0, 1], 2)));
+    assert_eq!(chosen(&table, &[]), None, "nothing is sent without a link");
+    let link = Arc::new(Link::new(mpsc::unbounded_channel().0));
+    let taken = record(2, "home", "portal");
+    let address = taken.address;
+    table.connected(taken, link, Instant::now());
+    table.status(
+        address,
+        status(BackendState::Ready, load(10, 0)),
+        Instant::now(),
+    );
+    assert_eq!(chosen(&table, &[]), None);
+}
+
+#[test]
+fn repeats_are_a_bounded_share_and_fewer_where_they_make_calls_again() {
+    let settings = RetrySettings {
+        ratio: 0.2,
+        window_ms: 10_000,
+        slack: 55,
+    };
+    let mut budgets = RetryBudgets::new(settings);
+    let service: Arc<str> = "ledger".into();
+    let now = Instant::now();
+    assert!(!budgets.pay(&service, false, now), "nothing was earned");
+    for _ in 0..1000 {
+        budgets.sent(&service, now);
+    }
+    let paid = |budgets: &mut RetryBudgets, calls_others, now| {
+        (0..1000)
+            .filter(|_| budgets.pay(&service, calls_others, now))
+            .count()
+    };
+    let deepest = paid(&mut budgets, false, now);
+    let above = paid(&mut budgets, true, now);
+    assert!((100..=130).contains(&deepest), "{deepest}");
+    assert!((20..=30).contains(&above), "{above}");
+    assert!(
+        deepest + 3 * above <= 200,
+        "three levels above share the bound"
+    );
+    let later = now + Duration::from_secs(11);
+    assert_eq!(
+        paid(&mut budgets, false, later),
+        0,
+        "what was earned is forgotten"
+    );
+}
+
+fn views(services: &[(&str, u16, u16, &[&str])]) -> ServiceViews {
+    let mut views = ServiceViews::default();
+    for (service, limit, in_flight, called) in services {
+        let mut told = status(BackendState::Ready, load(*limit, *in_flight));
+        told.calls = called.iter().map(|name| Arc::from(*name)).collect();
+        views.add(&Arc::from(*service), &told, *limit > 0);
+    }
+    views
+}
+
+fn admitted(shedding: &mut RootShedding, route: &Route) -> usize {
+    let service = route.parts[0].service.clone();
+    (0..1000)
+        .filter(|_| shedding.admits(route, &service))
+        .count()
+}
+
+#[test]
+fn fresh_requests_are_shed_for_a_service_far_below_and_let_in_again() {
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::default();
+    assert_eq!(admitted(&mut shedding, &lookup), 1000);
+    let full = views(&[
+        ("top", 100, 10, &["middle"]),
+        ("middle", 100, 20, &["deep"]),
+        ("deep", 10, 20, &[]),
+    ]);
+    for _ in 0..20 {
+        shedding.adapt(&full);
+    }
+    let while_full = admitted(&mut shedding, &lookup);
+    assert!((150..=350).contains(&while_full), "{while_full} of 1000");
+    let relieved = views(&[
+        ("top", 100, 10, &["middle"]),
+        ("middle", 100, 20, &["deep"]),
+        ("deep", 10, 2, &[]),
+    ]);
+    for _ in 0..10 {
+        shedding.adapt(&relieved);
+    }
+    assert_eq!(admitted(&mut shedding, &lookup), 1000);
+    assert!(shedding.is_open());
+}
+
+#[test]
+fn payments_are_shed_last() {
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let payment = route("payment", "h", "/", 0, &[("top", 1)]);
+    let mut shedding = RootShedding::default();
+    admitted(&mut shedding, &lookup);
+    admitted(&mut shedding, &payment);
+    let full = views(&[("top", 100, 10, &["deep"]), ("deep", 10, 13, &[])]);
+    for _ in 0..20 {
+        shedding.adapt(&full);
+    }
+    assert!(admitted(&mut shedding, &lookup) < 400);
+    assert_eq!(admitted(&mut shedding, &payment), 1000);
+}
+
+#[test]
+fn hardly_anything_is_let_in_while_a_needed_service_has_no_back_end() {
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::default();
+    admitted(&mut shedding, &lookup);
+    shedding.adapt(&views(&[("top", 100, 10, &["deep"]), ("deep", 0, 0, &[])]));
+    assert!(admitted(&mut shedding, &lookup) <= 30);
+}
+
+#[test]
+fn a_nested_call_is_known_by_the_running_call_that_made_it() {
+    let mut running = RunningAttempts::default();
+    let root = Bytes::from_static(b"ab12");
+    running.begin(&root, Parent { is_urgent: true });
+    assert_eq!(
+        running.parent_of(b"ab12.cd"),
+        Some(Parent { is_urgent: true })
+    );
+    assert_eq!(
+        running.parent_of(b"ab12.cd.ef"),
+        Some(Parent { is_urgent: true })
+    );
+    assert_eq!(running.parent_of(b"ab12"), None, "it is no call of its own");
+    assert_eq!(running.parent_of(b"ab1.cd"), None);
+    assert_eq!(running.parent_of(b"zz"), None);
+    running.begin(&root, Parent { is_urgent: true });
+    running.end(&root);
+    assert!(running.parent_of(b"ab12.cd").is_some(), "it runs twice");
+    running.end(&root);
+    assert_eq!(running.parent_of(b"ab12.cd"), None);
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/work.rs
@@ -0,0 +1,159 @@
+//! Slots of a back end: never more than there are, given to what matters most.
+
+use std::time::Duration;
+
+use tallybridge_core::Criticality;
+use tallybridge_mesh::work::{NoSlot, Slot, Work};
+use tokio::time::{Instant, sleep};
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn work_with(slots: u32) -> Work {
+    let work = Work::default();
+    work.set_slots(slots);
+    work
+}
+
+async fn fill(work: &Work) -> Vec<Slot> {
+    let mut held = Vec::new();
+    for _ in 0..work.load().limit {
+        let until = Instant::now() + LONG;
+        held.push(work.slot(Criticality::Critical, until).await.unwrap());
+    }
+    held
+}
+
+#[tokio::test(start_paused = true)]
+async fn slots_are_never_all_used_nor_more_than_there_are() {
+    for (slots, limit) in [(1, 1), (2, 1), (20, 19), (22, 20), (38, 36), (142, 134)] {
+        assert_eq!(work_with(slots).load().limit, limit);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slot_that_is_given_back_goes_to_the_most_critical_that_waits() {
+    let work = work_with(4);
+    let mut held = fill(&work).await;
+    let mut waiting = Vec::new();
+    for class in [
+        Criticality::Sheddable,
+        Criticality::CriticalPlus,
+        Criticality::Critical,
+    ] {
+        let work = work.clone();
+        waiting.push(tokio::spawn(async move {
+            work.slot(class, Instant::now() + LONG).await
+        }));
+        sleep(Duration::from_millis(1)).await;
+    }
+    held.pop();
+    sleep(Duration::from_millis(1)).await;
+    let finished: Vec<bool> = waiting.iter().map(|task| task.is_finished()).collect();
+    assert_eq!(finished, [false, true, false]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wait_that_would_be_for_nothing_is_refused_at_once() {
+    let work = work_with(2);
+    for _ in 0..200 {
+        let slot = work
+            .slot(Criticality::Critical, Instant::now() + LONG)
+            .await;
+        sleep(Duration::from_millis(100)).await;
+        drop(slot);
+    }
+    let _held = fill(&work).await;
+    let first = work.clone();
+    let _waiting = tokio::spawn(async move {
+        let _ = first
+            .slot(Criticality::Critical, Instant::now() + LONG)
+            .await;
+    });
+    sleep(Duration::from_millis(1)).await;
+    let began = Instant::now();
+    let short = began + Duration::from_millis(50);
+    let refused = work.slot(Criticality::Critical, short).await;
+    assert_eq!(refused.unwrap_err(), NoSlot::Full);
+    assert_eq!(began.elapsed(), Duration::ZERO);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wait_ends_when_its_time_is_up_and_leaves_nothing_behind() {
+    let work = work_with(2);
+    let held = fill(&work).await;
+    let began = Instant::now();
+    let until = began + Duration::from_millis(80);
+    assert!(work.slot(Criticality::Critical, until).await.is_err());
+    assert_eq!(began.elapsed().as_millis() / 10, 8);
+    assert_eq!(work.load().queued, 0);
+    drop(held);
+    assert_eq!(work.load().in_flight, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_call_that_is_withdrawn_while_it_waits_never_gets_a_slot() {
+    let work = work_with(2);
+    let held = fill(&work).await;
+    let waiting = work.clone();
+    let task = tokio::spawn(async move {
+        let _ = waiting
+            .slot(Criticality::Critical, Instant::now() + LONG)
+            .await;
+        panic!("it was withdrawn");
+    });
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(work.load().queued, 1);
+    task.abort();
+    assert!(task.await.unwrap_err().is_cancelled());
+    drop(held);
+    let load = work.load();
+    assert_eq!((load.in_flight, load.queued), (0, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_that_wait_are_refused_when_the_back_end_leaves() {
+    let work = work_with(2);
+    let held = fill(&work).await;
+    let waiting = work.clone();
+    let task = tokio::spawn(async move {
+        waiting
+            .slot(Criticality::CriticalPlus, Instant::now() + LONG)
+            .await
+    });
+    sleep(Duration::from_millis(1)).await;
+    work.refuse_waiting();
+    assert_eq!(task.await.unwrap().unwrap_err(), NoSlot::Closed);
+    drop(held);
+    assert_eq!(work.load().in_flight, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn slots_balance_under_a_random_load() {
+    use rand::{Rng, SeedableRng};
+    let work = work_with(6);
+    let mut random = rand::rngs::StdRng::seed_from_u64(7);
+    let mut tasks = Vec::new();
+    for _ in 0..2000 {
+        let work = work.clone();
+        let wait = Duration::from_millis(random.random_range(0..40));
+        let hold = Duration::from_millis(random.random_range(0..20));
+        let class = Criticality::ALL[random.random_range(0..4)];
+        let patience = Duration::from_millis(random.random_range(0..60));
+        let task = tokio::spawn(async move {
+            let using = async {
+                let slot = work.slot(class, Instant::now() + wait).await;
+                assert!(work.load().in_flight <= work.load().limit);
+                sleep(hold).await;
+                drop(slot);
+            };
+            let _ = tokio::time::timeout(patience, using).await;
+        });
+        tasks.push(task);
+        sleep(Duration::from_millis(random.random_range(0..4))).await;
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let load = work.load();
+    assert_eq!((load.in_flight, load.queued), (0, 0));
+}
