--- a/crates/tallybridge-mesh/src/configuration.rs
+++ b/crates/tallybridge-mesh/src/configuration.rs
@@ -112,7 +112,7 @@
     /// The service.
     pub name: Arc<str>,
     /// Path of its health check.
-    pub health_check_path: String,
+    pub health_path: String,
     /// Connections that a back end accepts from all callers together.
     pub max_connections: usize,
 }
--- a/crates/tallybridge-mesh/src/door/control.rs
+++ b/crates/tallybridge-mesh/src/door/control.rs
@@ -71,7 +71,7 @@
     let configuration = node.configuration()?;
     let service = node.settings.backend.service.as_str();
     let policy = configuration.services.get(service)?;
-    let checked = health_check(node, &policy.health_check_path).await;
+    let checked = health_check(node, &policy.health_path).await;
     let wait = match checked {
         Some((instance, is_healthy)) => {
             node.instance_verified(&instance, is_healthy);
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -85,15 +85,14 @@
     let Some(service) = route.next_service() else {
         return Err(Refusal::new(ErrorKind::NoBackend, "route has no service"));
     };
-    let patience = head
-        .headers
-        .text(names.deadline_ms)
-        .and_then(|value| value.parse::<f64>().ok())
-        .filter(|value| value.is_finite() && *value >= 0.0)
-        .map(|value| Duration::from_secs_f64(value / 1000.0));
+    let patience = head.headers.text(names.deadline_ms).and_then(patience_of);
     let allowed = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
     let parent = node.parent_of(attempt);
     let is_nested = parent.is_some();
+    if node.refuses_work() && !is_nested {
+        let refusal = Refusal::new(ErrorKind::Leaving, "node is about to end");
+        return Err(refusal.with_retry_after(COME_BACK));
+    }
     let is_urgent = parent.map_or(route.priority == 0, |parent| parent.is_urgent);
     if is_nested {
         node.back_end_called(service);
@@ -127,6 +126,12 @@
     })
 }
 
+/// The time that a sender will wait; `None` when it tells none that can be read.
+fn patience_of(milliseconds: &str) -> Option<Duration> {
+    let milliseconds: f64 = milliseconds.parse().ok()?;
+    Duration::try_from_secs_f64(milliseconds / 1000.0).ok()
+}
+
 /// A route may be missing since the configuration is old: only a fresh one says that there is none.
 fn no_route(node: &Node) -> Refusal {
     if node.is_configuration_fresh(ROUTES_TRUSTED) {
--- a/crates/tallybridge-mesh/tests/http_messages.rs
+++ b/crates/tallybridge-mesh/tests/http_messages.rs
@@ -1,7 +1,7 @@
 //! Heads and bodies are read the same however their bytes come, and never in two ways.
 
 use bytes::BytesMut;
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::http::{BodyError, BodyLength, BodyReader, HeadError, RequestHead};
 
 const MAX_HEAD: usize = 4096;
@@ -65,7 +65,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     #[test]
     fn a_request_is_read_the_same_in_any_pieces(
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::{
     InstanceReport, ReportedState,
     tables::{InstanceState, LocalInstance},
@@ -54,7 +54,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(2), ..ProptestConfig::default() })]
 
     /// The oracle: an instance that said it leaves never gets work again, and none gets work that
     /// has not answered a health check as healthy.
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -1,7 +1,7 @@
 //! Messages between nodes survive their wire form, in any pieces, and no bytes make them panic.
 
 use bytes::{Bytes, BytesMut};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::{
     peer::{CallMessage, Frame, Message},
     tables::{BackendState, Load, PeerStatus},
@@ -90,7 +90,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
     #[test]
     fn frames_survive_their_wire_form_in_any_pieces(
