Register the slots of a back end, so that a fleet that lost all its nodes starts with them

Cause: a node that starts gave its back end 15 calls at once until the first report, up to 1.5 s, when no other node could tell the slots.

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -15,7 +15,11 @@
     pub fn report(&self, report: &InstanceReport) {
         let effect = {
             let mut tables = self.tables();
+            let slots_before = tables.instance.slots();
             let effect = tables.instance.report(report, Instant::now());
+            if tables.instance.slots() != slots_before {
+                self.record_changed.notify_one();
+            }
             self.adopt_slots(&tables);
             effect
         };
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -19,8 +19,12 @@
     /// The introduction of this node.
     #[must_use]
     pub fn hello(&self) -> Bytes {
+        let record = NodeRecord {
+            slots: self.tables().instance.slots(),
+            ..self.record.clone()
+        };
         // A record of plain fields always has a JSON form.
-        serde_json::to_vec(&self.record).unwrap_or_default().into()
+        serde_json::to_vec(&record).unwrap_or_default().into()
     }
 
     /// The nodes that this one is linked to.
@@ -192,6 +196,11 @@
         }
     }
 
+    /// Waits until what the node registers of itself has changed.
+    pub async fn record_changed(&self) {
+        self.record_changed.notified().await;
+    }
+
     /// The node is registered under a lease.
     pub fn registered(&self, lease: u64) {
         self.lease.store(lease, Ordering::Relaxed);
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -99,6 +99,7 @@
     verify: tokio::sync::Notify,
     lease: AtomicU64,
     stop_grace_ms: AtomicU64,
+    record_changed: tokio::sync::Notify,
 }
 
 impl Tables {
@@ -133,6 +134,7 @@
             zone: settings.zone.clone(),
             service: settings.backend.service.clone(),
             process: rand::random(),
+            slots: 0,
         };
         let tables = Tables {
             peers: PeerTable::new(record.clone()),
@@ -159,6 +161,7 @@
             verify: tokio::sync::Notify::new(),
             lease: AtomicU64::new(0),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
+            record_changed: tokio::sync::Notify::new(),
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -50,6 +50,8 @@
     let _in_flight = node.request_begins();
     let counters = &node.counters;
     counters.requests.fetch_add(1, Ordering::Relaxed);
+    let attempt = request.head.headers.text(node.names.attempt);
+    let attempt = attempt.unwrap_or_default().to_owned();
     let result = match prepare(node, request) {
         Ok(call) => carry(node, call).await,
         Err(refusal) => Err(refusal),
@@ -61,11 +63,22 @@
         }
         Err(refusal) => {
             counters.refused.fetch_add(1, Ordering::Relaxed);
+            log_refusal(&attempt, &refusal);
             refusal_answer(&refusal)
         }
     }
 }
 
+fn log_refusal(attempt: &str, refusal: &Refusal) {
+    tracing::debug!(
+        attempt,
+        reason = refusal.kind.name(),
+        outcome = refusal.outcome.as_str(),
+        detail = refusal.detail,
+        "request refused"
+    );
+}
+
 /// Finds the route of a request and makes the message that is sent.
 fn prepare(node: &Arc<Node>, request: Request) -> Result<Call, Refusal> {
     let names = &node.names;
--- a/crates/tallybridge-mesh/src/seam.rs
+++ b/crates/tallybridge-mesh/src/seam.rs
@@ -126,8 +126,15 @@
         wait: Duration,
     ) -> StoreFuture<'_, WatchedConfiguration>;
 
-    /// Registers this node under a lease of `ttl` and gives the lease.
-    fn register<'a>(&'a self, node: &'a str, record: Bytes, ttl: Duration) -> StoreFuture<'a, u64>;
+    /// Registers this node, or what has changed of it, and gives the lease under which it did: the
+    /// one that is given, or a new one of `ttl`.
+    fn register<'a>(
+        &'a self,
+        node: &'a str,
+        record: Bytes,
+        ttl: Duration,
+        lease: Option<u64>,
+    ) -> StoreFuture<'a, u64>;
 
     /// Renews a lease.
     fn renew(&self, lease: u64) -> StoreFuture<'_, ()>;
--- a/crates/tallybridge-mesh/src/store.rs
+++ b/crates/tallybridge-mesh/src/store.rs
@@ -118,25 +118,38 @@
 }
 
 async fn register_and_renew(node: &Arc<Node>, backoff: &mut Backoff) -> Result<(), StoreError> {
-    let platform = &node.platform;
-    count(node);
-    let record = node.hello();
-    let lease = platform.register(&node.record.node, record, REGISTRATION);
-    let lease = lease.await?;
-    node.registered(lease);
+    // What nodes registered before they ended tells how many slots their back ends have.
+    look(node, true).await?;
+    let lease = register(node, None).await?;
     // Whoever registers later reads this registration, so one whole look is enough for both.
     look(node, false).await?;
     *backoff = Backoff::new();
     loop {
         for _ in 0..RENEWALS_PER_LOOK {
-            sleep(RENEWAL).await;
-            count(node);
-            platform.renew(lease).await?;
+            tokio::select! {
+                () = sleep(RENEWAL) => {
+                    count(node);
+                    node.platform.renew(lease).await?;
+                }
+                () = node.record_changed() => {
+                    register(node, Some(lease)).await?;
+                }
+            }
         }
         look(node, true).await?;
     }
 }
 
+async fn register(node: &Node, lease: Option<u64>) -> Result<u64, StoreError> {
+    count(node);
+    let registering = node
+        .platform
+        .register(&node.record.node, node.hello(), REGISTRATION, lease);
+    let lease = registering.await?;
+    node.registered(lease);
+    Ok(lease)
+}
+
 async fn look(node: &Arc<Node>, cheap: bool) -> Result<(), StoreError> {
     count(node);
     for record in node.platform.registered(cheap).await? {
--- a/crates/tallybridge-mesh/src/tables/peers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers.rs
@@ -39,6 +39,9 @@
     pub service: String,
     /// This run of the process.
     pub process: u64,
+    /// Slots of the back end beside it; 0 while unknown.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 /// Whether the back end beside a node takes work, as that node says.
@@ -117,6 +120,7 @@
     own: NodeRecord,
     rows: HashMap<SocketAddr, PeerRow>,
     own_lost_share: f64,
+    usual_slots: HashMap<Arc<str>, u32>,
 }
 
 impl PeerTable {
@@ -127,12 +131,14 @@
             own,
             rows: HashMap::new(),
             own_lost_share: 0.0,
+            usual_slots: HashMap::new(),
         }
     }
 
     /// Takes in a record; `true` when its address was not known before, so that a link must be
     /// opened.
     pub fn learn(&mut self, record: NodeRecord, now: Instant) -> bool {
+        self.learn_slots(&record.service, record.slots);
         if record.address == self.own.address {
             return false;
         }
@@ -194,11 +200,15 @@
 
     /// A node told its status.
     pub fn status(&mut self, address: SocketAddr, status: PeerStatus, now: Instant) {
-        if let Some(row) = self.rows.get_mut(&address) {
-            row.status = status;
-            row.sent_since_report = 0;
-            row.last_contact = now;
-        }
+        let slots = status.slots;
+        let Some(row) = self.rows.get_mut(&address) else {
+            return;
+        };
+        row.status = status;
+        row.sent_since_report = 0;
+        row.last_contact = now;
+        let service = row.service.clone();
+        self.learn_slots(&service, slots);
     }
 
     /// An answer told how busy its executor is.
@@ -297,13 +307,16 @@
             .map(|row| (&row.service, &row.status))
     }
 
-    /// Slots that other back ends of a service have, to start from before the own one told its.
+    /// Slots that back ends of a service have, to start from before the own one told its.
     #[must_use]
     pub fn usual_slots(&self, service: &str) -> Option<u32> {
-        self.statuses()
-            .filter(|(of, status)| &***of == service && status.slots > 0)
-            .map(|(_, status)| status.slots)
-            .min()
+        self.usual_slots.get(service).copied()
+    }
+
+    fn learn_slots(&mut self, service: &str, slots: u32) {
+        if slots > 0 {
+            self.usual_slots.insert(service.into(), slots);
+        }
     }
 
     /// A linked node with a newer configuration than `version`.
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -86,6 +86,7 @@
         zone: zone.to_owned(),
         service: service.to_owned(),
         process: 1,
+        slots: 0,
     }
 }
 
