--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -16,11 +16,11 @@
 /// Size of a [`CallFields`], in bytes.
 const CALL_BYTES: usize = 16;
 /// Size of an [`AnswerFields`], in bytes.
-const ANSWER_BYTES: usize = 14;
+const ANSWER_BYTES: usize = 16;
 /// Size of a [`RefusalFields`], in bytes.
-const REFUSAL_BYTES: usize = 14;
+const REFUSAL_BYTES: usize = 16;
 /// Size of a [`StatusFields`], in bytes.
-const STATUS_BYTES: usize = 21;
+const STATUS_BYTES: usize = 23;
 
 /// Bytes that are no frames of this protocol.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/tallybridge-mesh/src/tables/load.rs
+++ b/crates/tallybridge-mesh/src/tables/load.rs
@@ -18,6 +18,8 @@
     pub queued: u16,
     /// Mean time that waiting calls wait, in milliseconds.
     pub wait_ms: u16,
+    /// Mean time that calls are with the back end, in milliseconds; 0 while unknown.
+    pub service_ms: u16,
 }
 
 impl Load {
--- a/crates/tallybridge-mesh/src/tables/peers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers.rs
@@ -13,6 +13,13 @@
 const CROSSING_COST: f64 = 0.35;
 /// An executor above this utilization counts as full, wherever it is.
 const FULL: f64 = 0.9;
+/// Back ends of a service differ in speed; one that takes more than this many times as long as the
+/// fastest is passed over for it.
+const USUAL_SLOWNESS: f64 = 4.0;
+/// What each further multiple of the fastest time costs, in utilization.
+const SLOWNESS_COST: f64 = 0.3;
+/// Most that slowness costs.
+const MAX_SLOWNESS_COST: f64 = 2.0;
 /// Most that chance adds to a score, so that entries with the same news don't choose alike.
 const SPREAD: f64 = 0.06;
 /// Time that an executor is passed over after it was lost or refused a call.
@@ -254,9 +261,33 @@
         now: Instant,
     ) -> Option<Executor> {
         let mut random = rand::rng();
+        let mut candidates = self.candidates(service, local, tried, now);
+        let times = candidates.iter().map(|candidate| candidate.service_ms);
+        let fastest = times.filter(|time| *time > 0).min().unwrap_or(0);
+        for candidate in &mut candidates {
+            candidate.score += slowness_cost(candidate.service_ms, fastest);
+            candidate.score += random.random_range(0.0..SPREAD);
+        }
+        candidates
+            .into_iter()
+            .min_by(|left, right| left.score.total_cmp(&right.score))
+            .map(|candidate| candidate.executor)
+    }
+
+    fn candidates(
+        &self,
+        service: &str,
+        local: Option<Load>,
+        tried: &[SocketAddr],
+        now: Instant,
+    ) -> Vec<Candidate> {
         let local = local
             .filter(|_| !tried.contains(&self.own.address))
-            .map(|load| (self.local_score(load), Executor::Local));
+            .map(|load| Candidate {
+                score: self.local_score(load),
+                service_ms: load.service_ms,
+                executor: Executor::Local,
+            });
         let peers = self.rows.iter().filter_map(|(address, row)| {
             if &*row.service != service || tried.contains(address) {
                 return None;
@@ -265,15 +296,13 @@
             if !row.status.backend.takes_work() {
                 return None;
             }
-            let score = row.score(&self.own.zone, link.is_suspect(), now);
-            Some((score, Executor::Peer(*address, link)))
+            Some(Candidate {
+                score: row.score(&self.own.zone, link.is_suspect(), now),
+                service_ms: row.status.load.service_ms,
+                executor: Executor::Peer(*address, link),
+            })
         });
-        local
-            .into_iter()
-            .chain(peers)
-            .map(|(score, executor)| (score + random.random_range(0.0..SPREAD), executor))
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, executor)| executor)
+        local.into_iter().chain(peers).collect()
     }
 
     /// Nodes that are linked or registered, this one included.
@@ -330,6 +359,18 @@
     }
 }
 
+/// An executor that may take a call, with what speaks against it.
+struct Candidate {
+    score: f64,
+    service_ms: u16,
+    executor: Executor,
+}
+
+fn slowness_cost(service_ms: u16, fastest_ms: u16) -> f64 {
+    let slowness = f64::from(service_ms) / f64::from(fastest_ms.max(1));
+    ((slowness - USUAL_SLOWNESS) * SLOWNESS_COST).clamp(0.0, MAX_SLOWNESS_COST)
+}
+
 impl PeerTable {
     fn local_score(&self, load: Load) -> f64 {
         load_score(load, 0) + self.own_lost_share * LOSS_COST
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -20,6 +20,11 @@
 const QUEUE_PER_SLOT: usize = 4;
 /// Weight of the newest call in the mean time that calls take.
 const SERVICE_TIME_GAIN: f64 = 0.05;
+/// After this time without a call that ended, the mean time that calls take is believed less and
+/// less: a back end that was slow gets calls again, and shows whether it still is.
+const SERVICE_TIME_TRUSTED: Duration = Duration::from_millis(1500);
+/// Time in which that belief shrinks to a third.
+const SERVICE_TIME_FADE: Duration = Duration::from_millis(2000);
 /// Weight of the newest call in the mean time that calls wait.
 const WAIT_GAIN: f64 = 0.1;
 
@@ -40,6 +45,7 @@
     waiting: HashMap<u64, oneshot::Sender<Result<(), NoSlot>>>,
     next_waiter: u64,
     service_seconds: f64,
+    served_at: Option<Instant>,
     wait_seconds: f64,
 }
 
@@ -56,6 +62,7 @@
             waiting: HashMap::new(),
             next_waiter: 0,
             service_seconds: 0.0,
+            served_at: None,
             wait_seconds: 0.0,
         };
         Self(Arc::new(Mutex::new(table)))
@@ -87,7 +94,7 @@
         let took = now.saturating_duration_since(self.since);
         let mut table = self.work.table();
         table.in_flight = table.in_flight.saturating_sub(1);
-        move_towards(&mut table.service_seconds, took, SERVICE_TIME_GAIN);
+        table.served(took, now);
         table.grant(now);
     }
 }
@@ -113,6 +120,24 @@
 }
 
 impl WorkTable {
+    fn served(&mut self, took: Duration, now: Instant) {
+        if self.served_at.is_none() {
+            self.service_seconds = took.as_secs_f64();
+        }
+        self.service_seconds = self.believed_service_seconds(now);
+        move_towards(&mut self.service_seconds, took, SERVICE_TIME_GAIN);
+        self.served_at = Some(now);
+    }
+
+    fn believed_service_seconds(&self, now: Instant) -> f64 {
+        let silent = self
+            .served_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let faded = silent.saturating_sub(SERVICE_TIME_TRUSTED);
+        let shrink = -faded.as_secs_f64() / SERVICE_TIME_FADE.as_secs_f64();
+        self.service_seconds * shrink.exp()
+    }
+
     fn grant(&mut self, now: Instant) {
         for late in self.queue.expire(now.into_std()) {
             self.refuse(late, NoSlot::Full);
@@ -256,6 +281,7 @@
             in_flight: table.in_flight,
             queued: u16::try_from(table.queue.len()).unwrap_or(u16::MAX),
             wait_ms: (table.wait_seconds * 1000.0) as u16,
+            service_ms: (table.believed_service_seconds(Instant::now()) * 1000.0) as u16,
         }
     }
 
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -12,14 +12,13 @@
 }
 
 fn load() -> impl Strategy<Value = Load> {
-    (any::<u16>(), any::<u16>(), any::<u16>(), any::<u16>()).prop_map(
-        |(limit, in_flight, queued, wait_ms)| Load {
-            limit,
-            in_flight,
-            queued,
-            wait_ms,
-        },
-    )
+    any::<[u16; 5]>().prop_map(|[limit, in_flight, queued, wait_ms, service_ms]| Load {
+        limit,
+        in_flight,
+        queued,
+        wait_ms,
+        service_ms,
+    })
 }
 
 fn call() -> impl Strategy<Value = CallMessage> {
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -188,6 +188,23 @@
     assert_eq!(chosen(&table, &[]), Some(2));
 }
 
+#[tokio::test]
+async fn an_executor_that_is_much_slower_than_another_is_passed_over() {
+    use BackendState::Ready;
+    let at = |service_ms| Load {
+        service_ms,
+        ..load(10, 1)
+    };
+    let usual = table(&[(2, "home", Ready, at(160)), (3, "away", Ready, at(70))]);
+    let slow = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(70))]);
+    let unknown = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(0))]);
+    for _ in 0..50 {
+        assert_eq!(chosen(&usual, &[]), Some(2));
+        assert_eq!(chosen(&slow, &[]), Some(3));
+        assert_eq!(chosen(&unknown, &[]), Some(2));
+    }
+}
+
 #[tokio::test]
 async fn an_address_that_another_service_took_gets_no_call_of_the_old_one() {
     let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
--- a/crates/tallybridge-mesh/tests/work.rs
+++ b/crates/tallybridge-mesh/tests/work.rs
@@ -157,3 +157,18 @@
     let load = work.load();
     assert_eq!((load.in_flight, load.queued), (0, 0));
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_slow_time_is_believed_less_while_nothing_shows_it() {
+    let work = work_with(4);
+    let slot = work
+        .slot(Criticality::Critical, Instant::now() + LONG)
+        .await;
+    sleep(Duration::from_secs(1)).await;
+    drop(slot);
+    assert_eq!(work.load().service_ms, 1000);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(work.load().service_ms, 1000);
+    sleep(Duration::from_secs(5)).await;
+    assert!(work.load().service_ms < 150, "{}", work.load().service_ms);
+}
