--- /dev/null
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -0,0 +1,235 @@
+//! A call on its way: attempts at executors until there is an answer.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tallybridge_core::{ErrorKind, Outcome, Refusal};
+use tokio::time::{Instant, timeout_at};
+
+use super::execute::{Executed, execute, is_untouched};
+use crate::{
+    configuration::Route,
+    http::Answer,
+    node::Node,
+    peer::{
+        link::{Link, LinkError, Reply},
+        message::CallMessage,
+    },
+    tables::Executor,
+};
+
+/// Times a call is sent elsewhere after refusals that reached no back end.
+const MAX_REROUTES: usize = 4;
+
+/// A request on its way.
+pub struct Call {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that answers it.
+    pub service: Arc<str>,
+    /// What is sent to executors.
+    pub message: CallMessage,
+    /// When its answer must be there.
+    pub deadline: Instant,
+    /// Until when it may wait for a slot.
+    pub wait_until: Instant,
+}
+
+/// What became of one attempt.
+enum Attempted {
+    Answered(Answer),
+    Refused(Refusal),
+}
+
+/// Where a call stands after the attempts so far.
+struct Progress {
+    tried: Vec<SocketAddr>,
+    back_ends: u32,
+    may_have_run: bool,
+    last: Refusal,
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self {
+            tried: Vec::new(),
+            back_ends: 0,
+            may_have_run: false,
+            last: Refusal::new(ErrorKind::NoBackend, "no back end takes work"),
+        }
+    }
+
+    /// The refusal that the call ends with. It says that nothing ran only if nothing did.
+    fn into_refusal(self) -> Refusal {
+        if self.may_have_run {
+            return self.last.with_outcome(Outcome::Unknown);
+        }
+        self.last
+    }
+}
+
+/// Sends a call until there is an answer, or nothing more may be done.
+///
+/// # Errors
+///
+/// A refusal that says whether the call may have run.
+pub async fn carry(node: &Arc<Node>, call: Call) -> Result<Answer, Refusal> {
+    node.first_sent(&call.service);
+    let mut progress = Progress::new();
+    for _ in 0..=MAX_REROUTES {
+        let Some(target) = choose(node, &call, &progress.tried) else {
+            break;
+        };
+        progress.tried.push(target.address);
+        let refusal = match attempt(node, &call, target).await {
+            Attempted::Answered(answer) => return Ok(answer),
+            Attempted::Refused(refusal) => refusal,
+        };
+        let untouched = is_untouched(&refusal);
+        progress.may_have_run |= refusal.outcome != Outcome::NotRun;
+        progress.last = refusal;
+        if Instant::now() >= call.deadline {
+            break;
+        }
+        if untouched {
+            continue;
+        }
+        progress.back_ends += 1;
+        if !may_send_again(node, &call, &progress) {
+            break;
+        }
+    }
+    Err(progress.into_refusal())
+}
+
+/// Whether a call that reached a back end may be sent to another one.
+fn may_send_again(node: &Node, call: &Call, progress: &Progress) -> bool {
+    if progress.may_have_run && !call.message.may_repeat {
+        return false;
+    }
+    if progress.back_ends >= call.route.max_attempts {
+        return false;
+    }
+    let paid = node.pays_for_repeat(&call.service);
+    if paid {
+        node.counters.repeats.fetch_add(1, Ordering::Relaxed);
+    }
+    paid
+}
+
+/// An executor that was chosen.
+struct Target {
+    address: SocketAddr,
+    executor: Executor,
+}
+
+fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
+    let is_own = *call.service == *node.settings.backend.service;
+    let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
+    let local = takes_work.then(|| node.load());
+    let now = Instant::now();
+    let executor = node.with_peers(|peers| peers.choose(&call.service, local, tried, now))?;
+    let address = match &executor {
+        Executor::Local => node.record.address,
+        Executor::Peer(address, _) => *address,
+    };
+    Some(Target { address, executor })
+}
+
+/// Runs one attempt and takes in what it shows of its executor.
+async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
+    let Target { address, executor } = target;
+    let now = Instant::now();
+    let message = CallMessage {
+        remaining_ms: milliseconds(call.deadline.saturating_duration_since(now)),
+        wait_ms: milliseconds(call.wait_until.saturating_duration_since(now)),
+        ..call.message.clone()
+    };
+    let executing = async {
+        match executor {
+            Executor::Local => executed(execute(node, message).await),
+            Executor::Peer(address, link) => send(node, address, &link, message).await,
+        }
+    };
+    let attempted = timeout_at(call.deadline, executing).await;
+    let attempted = attempted.unwrap_or_else(|_| {
+        let detail = "no answer before the deadline";
+        Attempted::Refused(Refusal::new(ErrorKind::BackendTimeout, detail))
+    });
+    note_outcome(node, address, &attempted);
+    attempted
+}
+
+fn note_outcome(node: &Node, address: SocketAddr, attempted: &Attempted) {
+    let refusal = match attempted {
+        Attempted::Answered(_) => None,
+        Attempted::Refused(refusal) => Some(refusal),
+    };
+    let is_lost = refusal.is_some_and(|refusal| refusal.outcome == Outcome::Unknown);
+    node.with_peers(|peers| {
+        peers.outcome(address, is_lost);
+        if refusal.is_some_and(is_untouched) {
+            peers.avoid(address, Instant::now());
+        }
+    });
+}
+
+fn milliseconds(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn executed(executed: Executed) -> Attempted {
+    match executed {
+        Executed::Answered(answer) => Attempted::Answered(answer),
+        Executed::Refused(refusal) => Attempted::Refused(refusal),
+    }
+}
+
+async fn send(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    link: &Arc<Link>,
+    message: CallMessage,
+) -> Attempted {
+    let mut under_way = match link.call(message) {
+        Ok(under_way) => under_way,
+        Err(error) => {
+            let refusal = Refusal::new(ErrorKind::PeerLost, error.to_string());
+            return Attempted::Refused(refusal.with_outcome(Outcome::NotRun));
+        }
+    };
+    node.with_peers(|peers| peers.sent(address));
+    match under_way.reply().await {
+        Ok(Reply::Answer {
+            status, head, body, ..
+        }) => Attempted::Answered(Answer {
+            status,
+            headers: head.to_vec(),
+            body,
+        }),
+        Ok(Reply::Refusal {
+            kind,
+            outcome,
+            retry_after_ms,
+            ..
+        }) => Attempted::Refused(peer_refusal(kind, outcome, retry_after_ms)),
+        Err(error @ (LinkError::Lost | LinkError::NotSent)) => {
+            node.with_peers(|peers| peers.avoid(address, Instant::now()));
+            Attempted::Refused(Refusal::new(ErrorKind::PeerLost, error.to_string()))
+        }
+    }
+}
+
+/// A refusal as a peer told it; one that can't be read promises nothing.
+fn peer_refusal(kind: u8, outcome: u8, retry_after_ms: u32) -> Refusal {
+    let kind = ErrorKind::from_wire(kind).unwrap_or(ErrorKind::PeerLost);
+    let outcome = Outcome::from_wire(outcome).unwrap_or(Outcome::Unknown);
+    let refusal = Refusal::new(kind, "refused by the executor").with_outcome(outcome);
+    if retry_after_ms == 0 {
+        return refusal;
+    }
+    refusal.with_retry_after(Duration::from_millis(retry_after_ms.into()))
+}
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -1,7 +1,6 @@
-//! At the entry: a request is routed, sent to an executor, and sent again where that is allowed.
+//! At the entry: a request is routed, let in or refused, and its answer written.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -9,22 +8,15 @@
 use bytes::Bytes;
 use rand::Rng;
 use tallybridge_core::{Criticality, ErrorKind, Outcome, Refusal};
-use tokio::time::{Instant, timeout_at};
 
-use super::execute::{Executed, execute, is_untouched};
+use super::carry::{Call, carry};
 use crate::{
     configuration::Route,
     http::{Answer, Request, head::write_line},
     node::Node,
-    peer::{
-        link::{Link, LinkError, Reply},
-        message::CallMessage,
-    },
-    tables::Executor,
+    peer::message::CallMessage,
 };
 
-/// Times a call is sent elsewhere after refusals that reached no back end.
-const MAX_REROUTES: usize = 4;
 /// Share of the target latency in which a request is refused rather than held.
 const REFUSE_WITHIN: f64 = 0.22;
 /// Share of the time left that a nested call may wait: the work above it is already paid for.
@@ -36,15 +28,6 @@
 /// Age up to which the configuration is trusted to know all routes.
 const ROUTES_TRUSTED: Duration = Duration::from_secs(6);
 
-/// A request on its way.
-struct Call {
-    route: Arc<Route>,
-    service: Arc<str>,
-    message: CallMessage,
-    deadline: Instant,
-    wait_until: Instant,
-}
-
 /// Answers a request of a caller or of the back end beside this node.
 pub async fn handle(node: &Arc<Node>, request: Request) -> Answer {
     let _in_flight = node.request_begins();
@@ -192,162 +175,6 @@
     bytes
 }
 
-/// What became of one attempt.
-enum Attempted {
-    Answered(Answer),
-    Refused(Refusal),
-}
-
-/// Sends a call until there is an answer, or nothing more may be done.
-async fn carry(node: &Arc<Node>, mut call: Call) -> Result<Answer, Refusal> {
-    let mut tried: Vec<SocketAddr> = Vec::new();
-    let mut back_ends = 0;
-    let mut may_have_run = false;
-    let mut last = Refusal::new(ErrorKind::NoBackend, "no back end takes work");
-    node.first_sent(&call.service);
-    for _ in 0..=MAX_REROUTES {
-        let Some((address, executor)) = choose(node, &call, &tried) else {
-            break;
-        };
-        let attempted = attempt(node, &mut call, executor).await;
-        let refusal = match attempted {
-            Attempted::Answered(answer) => {
-                node.with_peers(|peers| peers.outcome(address, false));
-                return Ok(answer);
-            }
-            Attempted::Refused(refusal) => refusal,
-        };
-        let is_lost = refusal.outcome == Outcome::Unknown;
-        node.with_peers(|peers| peers.outcome(address, is_lost));
-        tried.push(address);
-        let untouched = is_untouched(&refusal);
-        may_have_run |= refusal.outcome != Outcome::NotRun;
-        last = refusal;
-        if Instant::now() >= call.deadline {
-            break;
-        }
-        if untouched {
-            node.with_peers(|peers| peers.avoid(address, Instant::now()));
-            continue;
-        }
-        back_ends += 1;
-        if !may_send_again(node, &call, back_ends, may_have_run) {
-            break;
-        }
-    }
-    if may_have_run {
-        last.outcome = Outcome::Unknown;
-    }
-    Err(last)
-}
-
-/// Whether a call that reached a back end may be sent to another one.
-fn may_send_again(node: &Node, call: &Call, back_ends: u32, may_have_run: bool) -> bool {
-    if may_have_run && !call.message.may_repeat {
-        return false;
-    }
-    if back_ends >= call.route.max_attempts {
-        return false;
-    }
-    let paid = node.pays_for_repeat(&call.service);
-    if paid {
-        node.counters.repeats.fetch_add(1, Ordering::Relaxed);
-    }
-    paid
-}
-
-fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<(SocketAddr, Executor)> {
-    let is_own = *call.service == *node.settings.backend.service;
-    let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
-    let local = takes_work.then(|| node.load());
-    let now = Instant::now();
-    let executor = node.with_peers(|peers| peers.choose(&call.service, local, tried, now))?;
-    let address = match &executor {
-        Executor::Local => node.record.address,
-        Executor::Peer(address, _) => *address,
-    };
-    Some((address, executor))
-}
-
-async fn attempt(node: &Arc<Node>, call: &mut Call, executor: Executor) -> Attempted {
-    let now = Instant::now();
-    let message = CallMessage {
-        remaining_ms: milliseconds(call.deadline.saturating_duration_since(now)),
-        wait_ms: milliseconds(call.wait_until.saturating_duration_since(now)),
-        ..call.message.clone()
-    };
-    let executing = async {
-        match executor {
-            Executor::Local => executed(execute(node, message).await),
-            Executor::Peer(address, link) => send(node, address, &link, message).await,
-        }
-    };
-    match timeout_at(call.deadline, executing).await {
-        Ok(attempted) => attempted,
-        Err(_) => {
-            let detail = "no answer before the deadline";
-            Attempted::Refused(Refusal::new(ErrorKind::BackendTimeout, detail))
-        }
-    }
-}
-
-fn milliseconds(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn executed(executed: Executed) -> Attempted {
-    match executed {
-        Executed::Answered(answer) => Attempted::Answered(answer),
-        Executed::Refused(refusal) => Attempted::Refused(refusal),
-    }
-}
-
-async fn send(
-    node: &Arc<Node>,
-    address: SocketAddr,
-    link: &Arc<Link>,
-    message: CallMessage,
-) -> Attempted {
-    let mut under_way = match link.call(message) {
-        Ok(under_way) => under_way,
-        Err(error) => {
-            let refusal = Refusal::new(ErrorKind::PeerLost, error.to_string());
-            return Attempted::Refused(refusal.with_outcome(Outcome::NotRun));
-        }
-    };
-    node.with_peers(|peers| peers.sent(address));
-    match under_way.reply().await {
-        Ok(Reply::Answer {
-            status, head, body, ..
-        }) => Attempted::Answered(Answer {
-            status,
-            headers: head.to_vec(),
-            body,
-        }),
-        Ok(Reply::Refusal {
-            kind,
-            outcome,
-            retry_after_ms,
-            ..
-        }) => Attempted::Refused(peer_refusal(kind, outcome, retry_after_ms)),
-        Err(error @ (LinkError::Lost | LinkError::NotSent)) => {
-            node.with_peers(|peers| peers.avoid(address, Instant::now()));
-            Attempted::Refused(Refusal::new(ErrorKind::PeerLost, error.to_string()))
-        }
-    }
-}
-
-/// A refusal as a peer told it; one that can't be read promises nothing.
-fn peer_refusal(kind: u8, outcome: u8, retry_after_ms: u32) -> Refusal {
-    let kind = ErrorKind::from_wire(kind).unwrap_or(ErrorKind::PeerLost);
-    let outcome = Outcome::from_wire(outcome).unwrap_or(Outcome::Unknown);
-    let refusal = Refusal::new(kind, "refused by the executor").with_outcome(outcome);
-    if retry_after_ms == 0 {
-        return refusal;
-    }
-    refusal.with_retry_after(Duration::from_millis(retry_after_ms.into()))
-}
-
 /// The answer of a refusal. What has not run is told as such, with the time to come back.
 fn refusal_answer(refusal: &Refusal) -> Answer {
     let row = refusal.kind.answer();
--- a/crates/tallybridge-mesh/src/path/mod.rs
+++ b/crates/tallybridge-mesh/src/path/mod.rs
@@ -1,4 +1,5 @@
 //! The path of a request: the entry that routes it, and the executor beside the back end.
 
+pub mod carry;
 pub mod entry;
 pub mod execute;
