Log refused requests with what decided them, bounded for each kind; write the log through a queue

Cause: an own refusal left no line, and a standard output that nobody reads would have stopped the node's one thread. Lines of one request share its attempt at entry and executor; five a second of a kind, with the number left out.

--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -20,6 +20,7 @@
 pub use self::{fleet::RunningAttempt, life::RequestInFlight};
 use crate::{
     configuration::Configuration,
+    decision_log::DecisionLog,
     door::backend::BackendPool,
     seam::{HeaderNames, Platform},
     settings::MeshSettings,
@@ -91,6 +92,8 @@
     pub backend: BackendPool,
     /// Counts for its metrics.
     pub counters: Counters,
+    /// Log lines about single requests.
+    pub decisions: DecisionLog,
     tables: Mutex<Tables>,
     publish: watch::Sender<u64>,
     is_stopping: AtomicBool,
@@ -153,6 +156,7 @@
             backend: BackendPool::new(settings.backend.address),
             work: Work::default(),
             counters: Counters::default(),
+            decisions: DecisionLog::default(),
             tables: Mutex::new(tables),
             publish: watch::Sender::new(0),
             is_stopping: AtomicBool::new(false),
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -44,6 +44,15 @@
     Refused(Refusal),
 }
 
+/// A call that ended without an answer.
+#[derive(Debug)]
+pub struct Unanswered {
+    /// Why, and whether it may have run.
+    pub refusal: Refusal,
+    /// Executors that were tried.
+    pub tried: usize,
+}
+
 /// Where a call stands after the attempts so far.
 struct Progress {
     tried: Vec<SocketAddr>,
@@ -62,6 +71,14 @@
         }
     }
 
+    /// How the call ends without an answer.
+    fn into_unanswered(self) -> Unanswered {
+        Unanswered {
+            tried: self.tried.len(),
+            refusal: self.into_refusal(),
+        }
+    }
+
     /// The refusal that the call ends with. It says that nothing ran only if nothing did.
     fn into_refusal(self) -> Refusal {
         if self.may_have_run {
@@ -76,15 +93,15 @@
 /// # Errors
 ///
 /// A refusal that says whether the call may have run.
-pub async fn carry(node: &Arc<Node>, call: Call) -> Result<Answer, Refusal> {
+pub async fn carry(node: &Arc<Node>, call: &Call) -> Result<Answer, Unanswered> {
     node.first_sent(&call.service);
     let mut progress = Progress::new();
     for _ in 0..=MAX_REROUTES {
-        let Some(target) = choose(node, &call, &progress.tried) else {
+        let Some(target) = choose(node, call, &progress.tried) else {
             break;
         };
         progress.tried.push(target.address);
-        let refusal = match attempt(node, &call, target).await {
+        let refusal = match attempt(node, call, target).await {
             Attempted::Answered(answer) => return Ok(answer),
             Attempted::Refused(refusal) => refusal,
         };
@@ -98,11 +115,11 @@
             continue;
         }
         progress.back_ends += 1;
-        if !may_send_again(node, &call, &progress) {
+        if !may_send_again(node, call, &progress) {
             break;
         }
     }
-    Err(progress.into_refusal())
+    Err(progress.into_unanswered())
 }
 
 /// Whether a call that reached a back end may be sent to another one.
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -8,10 +8,12 @@
 use bytes::Bytes;
 use rand::Rng;
 use tallybridge_core::{Criticality, ErrorKind, Outcome, Refusal};
+use tokio::time::Instant;
 
-use super::carry::{Call, carry};
+use super::carry::{Call, Unanswered, carry};
 use crate::{
     configuration::Route,
+    decision_log::EntryFacts,
     http::{Answer, Request, head::write_line},
     node::Node,
     peer::message::CallMessage,
@@ -33,37 +35,52 @@
     let _in_flight = node.request_begins();
     let counters = &node.counters;
     counters.requests.fetch_add(1, Ordering::Relaxed);
-    let attempt = request.head.headers.text(node.names.attempt);
-    let attempt = attempt.unwrap_or_default().to_owned();
-    let result = match prepare(node, request) {
+    let arrived = request.arrived;
+    let prepared = prepare(node, &request);
+    let result = match &prepared {
         Ok(call) => carry(node, call).await,
-        Err(refusal) => Err(refusal),
+        Err(refusal) => Err(Unanswered {
+            refusal: refusal.clone(),
+            tried: 0,
+        }),
     };
     match result {
         Ok(answer) => {
             counters.answered.fetch_add(1, Ordering::Relaxed);
             answer
         }
-        Err(refusal) => {
+        Err(unanswered) => {
             counters.refused.fetch_add(1, Ordering::Relaxed);
-            log_refusal(&attempt, &refusal);
-            refusal_answer(&refusal)
+            log_refusal(node, &request, prepared.as_ref().ok(), &unanswered, arrived);
+            refusal_answer(&unanswered.refusal)
         }
     }
 }
 
-fn log_refusal(attempt: &str, refusal: &Refusal) {
-    tracing::debug!(
-        attempt,
-        reason = refusal.kind.name(),
-        outcome = refusal.outcome.as_str(),
-        detail = refusal.detail,
-        "request refused"
-    );
+fn log_refusal(
+    node: &Node,
+    request: &Request,
+    call: Option<&Call>,
+    unanswered: &Unanswered,
+    arrived: Instant,
+) {
+    let attempt = request.head.headers.text(node.names.attempt);
+    let version = node
+        .configuration()
+        .map_or(0, |configuration| configuration.version);
+    let facts = EntryFacts {
+        attempt: attempt.unwrap_or_default(),
+        route: call.map_or("", |call| &call.route.name),
+        service: call.map_or("", |call| &call.service),
+        version,
+        tried: unanswered.tried,
+        held: arrived.elapsed(),
+    };
+    node.decisions.refused_at_entry(&unanswered.refusal, &facts);
 }
 
 /// Finds the route of a request and makes the message that is sent.
-fn prepare(node: &Arc<Node>, request: Request) -> Result<Call, Refusal> {
+fn prepare(node: &Arc<Node>, request: &Request) -> Result<Call, Refusal> {
     let names = &node.names;
     let head = &request.head;
     let Some(configuration) = node.configuration() else {
@@ -110,7 +127,7 @@
         is_urgent,
         is_head_request: head.method == "HEAD",
         attempt: Bytes::copy_from_slice(attempt),
-        head: passed_on(node, &request).into(),
+        head: passed_on(node, request).into(),
         body: request.body.clone(),
     };
     Ok(Call {
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    decision_log::ExecutorFacts,
     door::backend::Lent,
     http::{Answer, ExchangeError, ExchangeStage, Received, head::write_line},
     node::Node,
@@ -33,29 +34,37 @@
     Refused(Refusal),
 }
 
-impl From<Refusal> for Executed {
-    fn from(refusal: Refusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
 /// Executes a call at the back end beside this node. Dropping the future withdraws the call: one
 /// that waits never runs, and one that runs loses its connection.
 pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Executed {
     let arrived = Instant::now();
-    let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
-    let slot = match take_slot(node, &call, arrived).await {
-        Ok(slot) => slot,
-        Err(refusal) => return refusal.into(),
-    };
-    let result = hand_over(node, &call, deadline).await;
-    drop(slot);
+    let result = run(node, &call, arrived).await;
     match result {
         Ok(answer) => Executed::Answered(answer),
-        Err(refusal) => Executed::Refused(refusal),
+        Err(refusal) => {
+            log_refusal(node, &call, &refusal, arrived);
+            Executed::Refused(refusal)
+        }
     }
 }
 
+async fn run(node: &Arc<Node>, call: &CallMessage, arrived: Instant) -> Result<Answer, Refusal> {
+    let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
+    let _slot = take_slot(node, call, arrived).await?;
+    hand_over(node, call, deadline).await
+}
+
+fn log_refusal(node: &Node, call: &CallMessage, refusal: &Refusal, arrived: Instant) {
+    let facts = ExecutorFacts {
+        attempt: std::str::from_utf8(&call.attempt).unwrap_or_default(),
+        load: node.load(),
+        held: arrived.elapsed(),
+        remaining_ms: call.remaining_ms,
+        wait_ms: call.wait_ms,
+    };
+    node.decisions.refused_at_executor(refusal, &facts);
+}
+
 async fn take_slot(
     node: &Arc<Node>,
     call: &CallMessage,
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -55,6 +55,8 @@
         node = node.record.node,
         service = node.record.service,
         zone = node.record.zone,
+        callers = %node.settings.caller_address,
+        ready = %node.settings.ready_address,
         "node started"
     );
     terminate.recv().await;
--- a/crates/tallybridge-mesh/src/settings.rs
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -128,7 +128,10 @@
             ("metrics_address", self.metrics_address),
         ];
         for (index, (name, address)) in own.iter().enumerate() {
-            let taken = own[..index].iter().find(|(_, other)| other == address);
+            // Port 0 is one that the system gives, another one each time.
+            let taken = own[..index]
+                .iter()
+                .find(|(_, other)| other == address && address.port() != 0);
             if let Some((other, _)) = taken {
                 return Err(SettingsError {
                     detail: format!("`{name}` and `{other}` are both {address}"),
@@ -146,19 +149,25 @@
             ("node", self.node == other.node),
             ("zone", self.zone == other.zone),
             ("region", self.region == other.region),
-            ("peer_address", self.peer_address == other.peer_address),
+            (
+                "peer_address",
+                is_bound_to(self.peer_address, other.peer_address),
+            ),
             (
                 "caller_address",
-                self.caller_address == other.caller_address,
+                is_bound_to(self.caller_address, other.caller_address),
+            ),
+            (
+                "ready_address",
+                is_bound_to(self.ready_address, other.ready_address),
             ),
-            ("ready_address", self.ready_address == other.ready_address),
             (
                 "report_address",
-                self.report_address == other.report_address,
+                is_bound_to(self.report_address, other.report_address),
             ),
             (
                 "metrics_address",
-                self.metrics_address == other.metrics_address,
+                is_bound_to(self.metrics_address, other.metrics_address),
             ),
             ("store_address", self.store_address == other.store_address),
             ("backend", self.backend == other.backend),
@@ -175,6 +184,11 @@
     }
 }
 
+/// Whether an address that was bound is the one that settings name, where port 0 names any.
+fn is_bound_to(bound: SocketAddr, named: SocketAddr) -> bool {
+    bound == named || (named.port() == 0 && bound.ip() == named.ip())
+}
+
 fn require(holds: bool, field: &str, wrong: &str, mend: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
