Let control traffic grow less with the fleet: tellings, pings and lists of nodes

Every node told its load ten times a second to all, pinged all each second, and each new link carried the list of all nodes: 300 times 45 KB a node.

--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
-use super::{CALLED_LATELY, Node, TOLD_CHANGE};
+use super::{CALLED_LATELY, LISTS_ASKED, Node};
 use crate::{
     configuration::Route,
     peer::link::{Link, keep_link},
@@ -34,6 +34,14 @@
         serde_json::to_vec(&records).unwrap_or_default().into()
     }
 
+    /// Whether a peer is to be asked for the nodes that it knows: the first few are, and any while
+    /// this node could not register. The list grows with the fleet, so not every link carries it.
+    #[must_use]
+    pub fn wants_nodes(&self) -> bool {
+        let asked = self.lists_asked.fetch_add(1, Ordering::Relaxed);
+        asked < LISTS_ASKED || self.lease().is_none()
+    }
+
     /// Takes in a list of nodes that a peer knows.
     pub fn learn_nodes(self: &Arc<Self>, nodes: &[u8]) {
         let records: Vec<NodeRecord> = serde_json::from_slice(nodes).unwrap_or_default();
@@ -181,15 +189,12 @@
         let own = self.status();
         let is_news = {
             let mut tables = self.tables();
+            let fleet_size = u32::try_from(tables.peers.fleet_size()).unwrap_or(u32::MAX);
             for (_, link) in tables.peers.links() {
-                link.check(now);
+                link.check(now, fleet_size);
             }
             tables.adapt_shedding(&own);
-            let is_news = (tables.told_utilization - utilization).abs() > TOLD_CHANGE;
-            if is_news {
-                tables.told_utilization = utilization;
-            }
-            is_news
+            tables.is_load_news(utilization, fleet_size, now)
         };
         if is_news {
             self.publish();
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -33,6 +33,11 @@
 
 /// Time for which a service counts as called by the back end.
 const CALLED_LATELY: Duration = Duration::from_secs(10);
+/// Each node of the fleet adds this to the least time between two tellings of the load. Whoever
+/// sends calls to a back end learns of its load with each answer; the tellings are for the others.
+const TELL_PER_NODE: Duration = Duration::from_millis(4);
+/// Peers that are asked for the nodes that they know, besides the register.
+const LISTS_ASKED: u64 = 3;
 /// Change of the utilization that other nodes are told of.
 const TOLD_CHANGE: f64 = 0.08;
 
@@ -50,6 +55,7 @@
     configuration_confirmed: Option<Instant>,
     called: HashMap<Arc<str>, Instant>,
     told_utilization: f64,
+    told_at: Option<Instant>,
     shedding: RootShedding,
     running: RunningAttempts,
     own_service: Arc<str>,
@@ -103,6 +109,7 @@
     lease: AtomicU64,
     stop_grace_ms: AtomicU64,
     record_changed: tokio::sync::Notify,
+    lists_asked: AtomicU64,
 }
 
 impl Tables {
@@ -114,6 +121,19 @@
             || statuses.any(|(of, status)| of == service && !status.calls.is_empty())
     }
 
+    /// Whether the other nodes are to be told of the load, which is then taken as told.
+    fn is_load_news(&mut self, utilization: f64, fleet_size: u32, now: Instant) -> bool {
+        let rests = self
+            .told_at
+            .is_some_and(|at| now.saturating_duration_since(at) < TELL_PER_NODE * fleet_size);
+        if rests || (self.told_utilization - utilization).abs() <= TOLD_CHANGE {
+            return false;
+        }
+        self.told_utilization = utilization;
+        self.told_at = Some(now);
+        true
+    }
+
     /// Adapts the share of fresh requests that is let in to how full the services are.
     fn adapt_shedding(&mut self, own: &PeerStatus) {
         let mut services = ServiceViews::default();
@@ -147,6 +167,7 @@
             configuration_confirmed: None,
             called: HashMap::new(),
             told_utilization: 0.0,
+            told_at: None,
             shedding: RootShedding::default(),
             running: RunningAttempts::default(),
             own_service: settings.backend.service.as_str().into(),
@@ -166,6 +187,7 @@
             lease: AtomicU64::new(0),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             record_changed: tokio::sync::Notify::new(),
+            lists_asked: AtomicU64::new(0),
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -94,7 +94,6 @@
     let (sender, frames) = mpsc::unbounded_channel();
     let writing = tokio::spawn(write_frames(writer, frames));
     send(&sender, Message::Hello(node.hello()));
-    send(&sender, Message::Nodes(node.known_nodes()));
     send(&sender, Message::Status(node.status()));
     let mut published = node.published();
     let running = RunningCalls::default();
@@ -132,6 +131,7 @@
         Message::Call(call) => start_call(node, sender, running, frame.call, call),
         Message::Cancel => running.cancel(frame.call),
         Message::Ping => send(sender, Message::Status(node.status())),
+        Message::FetchNodes => send(sender, Message::Nodes(node.known_nodes())),
         Message::FetchConfiguration => {
             if let Some(document) = node.configuration_document() {
                 send(sender, Message::Configuration(document));
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -39,14 +39,17 @@
 const REOPEN_MAX: Duration = Duration::from_millis(1000);
 /// A link that carries calls is asked for a sign of life after this time without one.
 const PING_BUSY: Duration = Duration::from_millis(300);
-/// A link at rest is asked this often.
+/// A link at rest is asked this often, in a small fleet.
 const PING_IDLE: Duration = Duration::from_millis(1000);
+/// In a large fleet, each node of it adds this to the time between two such questions, so that
+/// what a node sends at rest does not grow with the fleet.
+const PING_IDLE_PER_NODE: Duration = Duration::from_millis(12);
 /// A link that leaves a ping unanswered for this time is suspect: calls go elsewhere.
 const SUSPECT_AFTER: Duration = Duration::from_millis(700);
 /// A link that leaves a ping unanswered for this time is closed.
 const CLOSE_AFTER: Duration = Duration::from_millis(2500);
 /// Room that is made for each read, in bytes.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
 /// Frames that are written in one call.
 const MAX_BATCH: usize = 64;
 
@@ -169,12 +172,12 @@
     }
 
     /// Asks for a sign of life where one is due, and draws the conclusions of silence.
-    pub fn check(&self, now: Instant) {
+    pub fn check(&self, now: Instant, fleet_size: u32) {
         let mut state = self.state();
         let Some(pinged_at) = state.pinged_at else {
             let silent = now.saturating_duration_since(state.received_at);
             let due = if state.waiting.is_empty() {
-                PING_IDLE
+                PING_IDLE.max(PING_IDLE_PER_NODE * fleet_size)
             } else {
                 PING_BUSY
             };
@@ -342,6 +345,9 @@
     // The record's own address may differ from the one dialled only by mistake of its sender.
     let address = record.address;
     node.peer_connected(record, link.clone());
+    if node.wants_nodes() {
+        link.send(&Frame::of_link(Message::FetchNodes));
+    }
     let writing = tokio::spawn(write_frames(writer, frames));
     let reading = async {
         loop {
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -110,6 +110,8 @@
 pub enum Message {
     /// Who the sender is, as a JSON [`crate::tables::NodeRecord`].
     Hello(Bytes),
+    /// Asks for the other nodes that the receiver knows.
+    FetchNodes,
     /// Other nodes that the sender knows, as a JSON list.
     Nodes(Bytes),
     /// A call.
@@ -174,6 +176,7 @@
             Self::Status(_) => 8,
             Self::FetchConfiguration => 9,
             Self::Configuration(_) => 10,
+            Self::FetchNodes => 11,
         }
     }
 }
@@ -275,7 +278,7 @@
                 });
             }
             Self::Status(status) => encode_status(status, out),
-            Self::Cancel | Self::Ping | Self::FetchConfiguration => {}
+            Self::Cancel | Self::Ping | Self::FetchConfiguration | Self::FetchNodes => {}
         }
     }
 }
@@ -343,6 +346,7 @@
         8 => Message::Status(decode_status(payload)?),
         9 => Message::FetchConfiguration,
         10 => Message::Configuration(payload),
+        11 => Message::FetchNodes,
         _ => return None,
     })
 }
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -84,6 +84,7 @@
         Just(Message::Ping),
         status().prop_map(Message::Status),
         Just(Message::FetchConfiguration),
+        Just(Message::FetchNodes),
         bytes().prop_map(Message::Configuration),
     ]
 }
