--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -44,8 +44,10 @@
 /// In a large fleet, each node of it adds this to the time between two such questions, so that
 /// what a node sends at rest does not grow with the fleet.
 const PING_IDLE_PER_NODE: Duration = Duration::from_millis(12);
-/// A link that leaves a ping unanswered for this time is suspect: calls go elsewhere.
-const SUSPECT_AFTER: Duration = Duration::from_millis(700);
+/// A link that leaves a ping unanswered for this time is suspect: new calls go elsewhere.
+const SUSPECT_AFTER: Duration = Duration::from_millis(350);
+/// After this time the calls on it that may run again are given up, to be sent elsewhere.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
 /// A link that leaves a ping unanswered for this time is closed.
 const CLOSE_AFTER: Duration = Duration::from_millis(2500);
 /// Room that is made for each read, in bytes.
@@ -109,6 +111,7 @@
 /// An open link.
 #[derive(Debug)]
 pub struct Link {
+    peer: String,
     sender: mpsc::UnboundedSender<Bytes>,
     state: Mutex<LinkState>,
     is_suspect: AtomicBool,
@@ -116,10 +119,11 @@
 }
 
 impl Link {
-    /// A link whose frames go to `sender`.
+    /// A link to the node of a name, whose frames go to `sender`.
     #[must_use]
-    pub fn new(sender: mpsc::UnboundedSender<Bytes>) -> Self {
+    pub fn new(peer: &str, sender: mpsc::UnboundedSender<Bytes>) -> Self {
         Self {
+            peer: peer.to_owned(),
             sender,
             state: Mutex::new(LinkState {
                 next_call: 1,
@@ -191,7 +195,13 @@
         let unanswered = now.saturating_duration_since(pinged_at);
         if unanswered >= CLOSE_AFTER {
             self.closing.notify_one();
-        } else if unanswered >= SUSPECT_AFTER && !self.is_suspect.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        if unanswered >= SUSPECT_AFTER && !self.is_suspect.swap(true, Ordering::Relaxed) {
+            let calls = state.waiting.len();
+            tracing::warn!(peer = self.peer, calls, "link suspect");
+        }
+        if unanswered >= GIVE_UP_AFTER {
             give_up_repeatable(&mut state);
         }
     }
@@ -200,7 +210,9 @@
         let mut state = self.state();
         state.received_at = now;
         state.pinged_at = None;
-        self.is_suspect.store(false, Ordering::Relaxed);
+        if self.is_suspect.swap(false, Ordering::Relaxed) {
+            tracing::info!(peer = self.peer, "link sound again");
+        }
     }
 
     fn complete(&self, call: u32, reply: Reply) {
@@ -317,10 +329,10 @@
     let Message::Hello(record) = frame.message else {
         return Err(invalid("the first frame is no introduction"));
     };
-    let record = serde_json::from_slice(&record).map_err(invalid)?;
+    let record: NodeRecord = serde_json::from_slice(&record).map_err(invalid)?;
     let (sender, frames) = mpsc::unbounded_channel();
     let open = OpenLink {
-        link: Arc::new(Link::new(sender)),
+        link: Arc::new(Link::new(&record.node, sender)),
         reader,
         writer,
         frames,
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -114,7 +114,7 @@
     for (port, zone, backend, load) in peers {
         let record = record(*port, zone, "ledger");
         let address = record.address;
-        let link = Arc::new(Link::new(mpsc::unbounded_channel().0));
+        let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
         table.connected(record, link, now);
         table.status(address, status(*backend, *load), now);
     }
@@ -210,7 +210,7 @@
     let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
     table.disconnected(SocketAddr::from(([127, 0, 0, 1], 2)));
     assert_eq!(chosen(&table, &[]), None, "nothing is sent without a link");
-    let link = Arc::new(Link::new(mpsc::unbounded_channel().0));
+    let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     let taken = record(2, "home", "portal");
     let address = taken.address;
     table.connected(taken, link, Instant::now());
