--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
-use super::{CALLED_LATELY, LISTS_ASKED, Node};
+use super::{CALLED_LATELY, LIST_PAUSE, LISTS_ASKED, Node};
 use crate::{
     configuration::Route,
     peer::link::{Link, keep_link},
@@ -34,12 +34,23 @@
         serde_json::to_vec(&records).unwrap_or_default().into()
     }
 
-    /// Whether a peer is to be asked for the nodes that it knows: the first few are, and any while
-    /// this node could not register. The list grows with the fleet, so not every link carries it.
+    /// Whether a peer is to be asked for the nodes that it knows: the first few are, and one now and
+    /// then while this node could not register. The list grows with the fleet, so not every link
+    /// carries it.
     #[must_use]
     pub fn wants_nodes(&self) -> bool {
-        let asked = self.lists_asked.fetch_add(1, Ordering::Relaxed);
-        asked < LISTS_ASKED || self.lease().is_none()
+        let is_registered = self.lease().is_some();
+        let now = Instant::now();
+        let mut tables = self.tables();
+        let rests = tables
+            .list_asked_at
+            .is_some_and(|at| now.saturating_duration_since(at) < LIST_PAUSE);
+        let wants = tables.lists_asked < LISTS_ASKED || (!is_registered && !rests);
+        if wants {
+            tables.lists_asked += 1;
+            tables.list_asked_at = Some(now);
+        }
+        wants
     }
 
     /// Takes in a list of nodes that a peer knows.
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -37,7 +37,9 @@
 /// sends calls to a back end learns of its load with each answer; the tellings are for the others.
 const TELL_PER_NODE: Duration = Duration::from_millis(4);
 /// Peers that are asked for the nodes that they know, besides the register.
-const LISTS_ASKED: u64 = 3;
+const LISTS_ASKED: u32 = 3;
+/// Least time between further lists, while this node is not registered.
+const LIST_PAUSE: Duration = Duration::from_millis(500);
 /// Change of the utilization that other nodes are told of.
 const TOLD_CHANGE: f64 = 0.08;
 
@@ -56,6 +58,8 @@
     called: HashMap<Arc<str>, Instant>,
     told_utilization: f64,
     told_at: Option<Instant>,
+    lists_asked: u32,
+    list_asked_at: Option<Instant>,
     shedding: RootShedding,
     running: RunningAttempts,
     own_service: Arc<str>,
@@ -109,7 +113,6 @@
     lease: AtomicU64,
     stop_grace_ms: AtomicU64,
     record_changed: tokio::sync::Notify,
-    lists_asked: AtomicU64,
 }
 
 impl Tables {
@@ -168,6 +171,8 @@
             called: HashMap::new(),
             told_utilization: 0.0,
             told_at: None,
+            lists_asked: 0,
+            list_asked_at: None,
             shedding: RootShedding::default(),
             running: RunningAttempts::default(),
             own_service: settings.backend.service.as_str().into(),
@@ -187,7 +192,6 @@
             lease: AtomicU64::new(0),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             record_changed: tokio::sync::Notify::new(),
-            lists_asked: AtomicU64::new(0),
             record,
             settings,
             platform,
