--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -26,13 +26,13 @@
 /// back, so hardly any request is needed to find out.
 const SHARE_UNAVAILABLE: f64 = 0.02;
 /// Largest part of the share that is taken off at once.
-const MAX_CUT: f64 = 0.15;
+const MAX_CUT: f64 = 0.08;
 /// How much of the excess is taken off at once.
-const CUT_GAIN: f64 = 0.3;
+const CUT_GAIN: f64 = 0.12;
 /// What is added to the share at once while there is room.
-const RAISE: f64 = 0.025;
+const RAISE: f64 = 0.03;
 /// What is added at once while there is much room.
-const FAST_RAISE: f64 = 0.1;
+const FAST_RAISE: f64 = 0.08;
 /// Fullness, as a share of the threshold, below which there is much room.
 const MUCH_ROOM: f64 = 0.75;
 
