Begin to shed later: 1.2 times the limit for ordinary requests, 1.8 for urgent ones

Cause: requests were refused while the queue before the deepest service was a few milliseconds long; its waiting calls are short and the time left for them is not.

--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -14,7 +14,7 @@
 
 /// Calls, as a multiple of the limit, from which fresh requests of each priority are shed.
 /// Requests of higher priority are shed last.
-const SHED_FROM: [f64; 3] = [1.5, 1.25, 1.08];
+const SHED_FROM: [f64; 3] = [1.8, 1.4, 1.2];
 /// Taken off for requests that go straight to the full service: nothing has been paid for them.
 const DIRECT_FIRST: f64 = 0.1;
 /// Least share that is let in, of requests of priority 0 and of others: enough to see whether
