Count what the scale test's nodes send after the change, not the streams of a first map

A node that learns of another before the partition map is shared fetches one from it, once a second: where the start takes longer than that, the author of the revision has a stream as well. Ruled out: the author asking for its own revision (its streams are now asserted not to grow after the change, which the old test could not tell). The new assertion is as strict: each of the four others must send on a stream after the change, and the author must open none.

--- a/crates/tallybridge-lab/tests/scale.rs
+++ b/crates/tallybridge-lab/tests/scale.rs
@@ -81,12 +81,17 @@
     let options = FleetOptions::of_size(5);
     let mut fleet = Fleet::start(&options).await.expect("starts");
     assert!(fleet.meet(LIMIT).await.is_some());
+    // A node that learns of another before it has a partition map has fetched one by now, so only
+    // what is sent after the change tells of the revision.
+    let before = fleet.sent();
     fleet.change(0).await;
     assert!(fleet.time_revision(LIMIT).await.max.is_some());
     let sent = fleet.sent();
     assert!(sent.iter().all(|node| node.datagrams > 0));
-    // The four nodes that did not make the revision have fetched it.
-    let fetched = sent.iter().filter(|node| node.streams > 0);
+    // The four nodes that did not make the revision have fetched it; its author has asked nobody.
+    assert_eq!(sent[0].streams, before[0].streams);
+    let pairs = before[1..].iter().zip(&sent[1..]);
+    let fetched = pairs.filter(|(before, after)| after.stream_writes > before.stream_writes);
     assert_eq!(fetched.count(), 4);
     assert!(fleet.time_leave(4, LIMIT).await.max.is_some());
     assert!(fleet.time_death(3, LIMIT).await.max.is_some());
