Hold the port of a store that is gone, so that no other test can get it

Cause: two tests bound a port, gave it back and called it as a dead one; tests beside them bind ports of the system's choice, so the port could be another test's store by then, which answers. A port that is bound and never listened on refuses every connection and stays taken.

--- a/crates/tallybridge-store/tests/client.rs
+++ b/crates/tallybridge-store/tests/client.rs
@@ -208,9 +208,10 @@
 
 #[tokio::test]
 async fn a_store_that_is_gone_did_not_take_the_write() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let gone = listener.local_addr().unwrap();
-    drop(listener);
+    // Held and never listened on: the port refuses connections and can't become another test's.
+    let held = tokio::net::TcpSocket::new_v4().unwrap();
+    held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let gone = held.local_addr().unwrap();
     let failure = client_of(vec![gone])
         .put("k", String::new(), Expectation::Any)
         .await;
--- a/crates/tallybridge/tests/command_line/config_commands.rs
+++ b/crates/tallybridge/tests/command_line/config_commands.rs
@@ -191,11 +191,12 @@
 
 #[tokio::test]
 async fn an_unreachable_store_is_told_as_such() {
-    let gone = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
-    let address = gone.local_addr().expect("an address").to_string();
-    drop(gone);
+    // A port that is held and never listened on refuses every connection. One that is given back
+    // may be another test's by the time it is called.
+    let held = tokio::net::TcpSocket::new_v4().expect("a socket");
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    held.bind(any_port).expect("a port");
+    let address = held.local_addr().expect("an address").to_string();
     let report = tallybridge(&["config", "get", "--timeout", "0", "--store", &address])
         .await
         .refusal(86);
