Watch the configuration for 25 s a call, kept honest by the renewals and the peers

Cause: each node asked the store anew every 4 s, since a watch that the store lost in silence is noticed only at its end. Change: a watch waits 25 s. It is given up at once when a renewal of the registration fails (a tenth of the price, each 4 s, no longer all together) or when a peer has had a newer configuration for 0.7 s. A renewal that succeeds while the watch waits confirms the configuration. The rest after a change grows from 120 to 400 ms, so a storm is read in fewer calls. Ruled out: few watchers that tell the others. A node that is cut off from its peers but not from the store must still know a change within the bound.

--- a/crates/tallybridge-mesh/src/node/configuration.rs
+++ b/crates/tallybridge-mesh/src/node/configuration.rs
@@ -1,6 +1,12 @@
 //! The configuration in force at a node.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -56,6 +62,32 @@
         self.tables().configuration_confirmed = Some(Instant::now());
     }
 
+    /// A watch waits for the store for as long as what is returned lives.
+    #[must_use]
+    pub fn watch_waits(&self) -> WaitingWatch<'_> {
+        self.watch_waits.store(true, Ordering::Relaxed);
+        WaitingWatch(&self.watch_waits)
+    }
+
+    /// The store answered something else: a watch that waits would have told of a change.
+    pub fn confirm_by_waiting_watch(&self) {
+        if self.watch_waits.load(Ordering::Relaxed) {
+            self.configuration_confirmed();
+        }
+    }
+
+    /// Something shows that the watch that waits, if there is one, may never be answered.
+    pub fn doubt_watch(&self) {
+        if self.watch_waits.load(Ordering::Relaxed) {
+            self.watch_doubted.notify_one();
+        }
+    }
+
+    /// Waits until the watch that waits is doubted.
+    pub async fn watch_doubted(&self) {
+        self.watch_doubted.notified().await;
+    }
+
     /// Whether the configuration was confirmed within a time.
     #[must_use]
     pub fn is_configuration_fresh(&self, within: Duration) -> bool {
@@ -74,3 +106,13 @@
         tables.peers.with_newer(version)
     }
 }
+
+/// A watch that waits for the store.
+#[derive(Debug)]
+pub struct WaitingWatch<'a>(&'a AtomicBool);
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
+    }
+}
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
-pub use self::{fleet::RunningAttempt, life::RequestInFlight};
+pub use self::{configuration::WaitingWatch, fleet::RunningAttempt, life::RequestInFlight};
 use crate::{
     configuration::Configuration,
     decision_log::DecisionLog,
@@ -113,6 +113,8 @@
     lease: AtomicU64,
     stop_grace_ms: AtomicU64,
     record_changed: tokio::sync::Notify,
+    watch_waits: AtomicBool,
+    watch_doubted: tokio::sync::Notify,
 }
 
 impl Tables {
@@ -192,6 +194,8 @@
             lease: AtomicU64::new(0),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             record_changed: tokio::sync::Notify::new(),
+            watch_waits: AtomicBool::new(false),
+            watch_doubted: tokio::sync::Notify::new(),
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/store.rs
+++ b/crates/tallybridge-mesh/src/store.rs
@@ -11,14 +11,15 @@
 use crate::{
     node::Node,
     peer::message::{Frame, Message},
-    seam::StoreError,
+    seam::{StoreError, WatchedConfiguration},
     tables::NodeRecord,
 };
 
-/// Longest wait for a change in one call.
-const WATCH: Duration = Duration::from_secs(4);
+/// Longest wait for a change in one call. Every call is paid for, so a watch waits long; that the
+/// store still answers is told by the renewals of the registration, which cost far less.
+const WATCH: Duration = Duration::from_secs(25);
 /// Wait after a change, so that several in quick succession are read in one call.
-const WATCH_PAUSE: Duration = Duration::from_millis(120);
+const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Waits after a call that failed.
 const RETRY_MIN: Duration = Duration::from_millis(150);
 const RETRY_MAX: Duration = Duration::from_millis(1200);
@@ -30,6 +31,12 @@
 const RENEWALS_PER_LOOK: u32 = 3;
 /// Time between looks whether a peer has a newer configuration.
 const PEER_LOOK: Duration = Duration::from_millis(300);
+/// Time that a peer must have had a newer configuration before it is asked for it: longer than the
+/// wait after a change, in which each node is a little behind the others.
+const PEER_AHEAD: Duration = Duration::from_millis(700);
+/// Least part of the time between renewals that passes before the first one: nodes that start
+/// together don't renew together.
+const FIRST_RENEWAL_MIN: f64 = 0.25;
 /// Longest wait for the end of a registration at a stop.
 const UNREGISTER: Duration = Duration::from_millis(200);
 
@@ -77,7 +84,7 @@
     node.configuration_confirmed();
     loop {
         count(node);
-        let watched = node.platform.watch_configuration(at, WATCH).await?;
+        let watched = watch(node, at).await?;
         *backoff = Backoff::new();
         at = watched.at;
         if let Some(document) = &watched.document {
@@ -90,7 +97,18 @@
     }
 }
 
-/// Fetches the configuration from a peer that has had a newer one for a while.
+/// Waits for a change. A watch that the store lost says nothing for the rest of its time, so it is
+/// given up as soon as something else shows that it may be lost.
+async fn watch(node: &Node, at: u64) -> Result<WatchedConfiguration, StoreError> {
+    let _waiting = node.watch_waits();
+    tokio::select! {
+        watched = node.platform.watch_configuration(at, WATCH) => watched,
+        () = node.watch_doubted() => Err(StoreError::Unknown("the watch may be lost".to_owned())),
+    }
+}
+
+/// Fetches the configuration from a peer that has had a newer one for a while. Where this node's
+/// own watch should have told of it, the watch is not trusted any more.
 pub async fn follow_peers_configuration(node: Arc<Node>) {
     let mut behind_since: Option<Instant> = None;
     loop {
@@ -100,8 +118,9 @@
             continue;
         };
         let since = *behind_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= PEER_LOOK {
+        if since.elapsed() >= PEER_AHEAD {
             link.send(&Frame::of_link(Message::FetchConfiguration));
+            node.doubt_watch();
         }
     }
 }
@@ -112,6 +131,7 @@
     loop {
         if let Err(reason) = register_and_renew(&node, &mut backoff).await {
             tracing::warn!(%reason, "registration lost");
+            node.doubt_watch();
         }
         backoff.wait().await;
     }
@@ -124,12 +144,16 @@
     // Whoever registers later reads this registration, so one whole look is enough for both.
     look(node, false).await?;
     *backoff = Backoff::new();
+    let mut wait = RENEWAL.mul_f64(rand::rng().random_range(FIRST_RENEWAL_MIN..1.0));
     loop {
         for _ in 0..RENEWALS_PER_LOOK {
             tokio::select! {
-                () = sleep(RENEWAL) => {
+                () = sleep(wait) => {
+                    wait = RENEWAL;
                     count(node);
                     node.platform.renew(lease).await?;
+                    // The store answers, and the watch has told of nothing.
+                    node.confirm_by_waiting_watch();
                 }
                 () = node.record_changed() => {
                     register(node, Some(lease)).await?;
--- a/crates/tallybridge-mesh/src/tables/peers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers.rs
@@ -348,13 +348,14 @@
         }
     }
 
-    /// A linked node with a newer configuration than `version`.
+    /// A linked node with a newer configuration than `version`: the newest, in this zone rather
+    /// than another.
     #[must_use]
     pub fn with_newer(&self, version: u64) -> Option<Arc<Link>> {
         self.rows
             .values()
             .filter(|row| row.status.version > version)
-            .max_by_key(|row| row.status.version)
+            .max_by_key(|row| (row.status.version, row.record.zone == self.own.zone))
             .and_then(|row| row.link.clone())
     }
 }
