Pass over back ends that fail far more calls than others of their service

Cause: a back end that answers its health check well and fails whatever it is given answers within a millisecond and so looks idle: it drew most calls to itself. Losses were seen by each entry for itself and counted only calls without any answer. Change: the node beside a back end keeps the share of its calls that end badly (failures of its own, refusals, resets, calls that hang to their deadline) and tells it with its load; a rise is told at once. An entry passes over those that exceed the lower quarter of their service by a fifth or more. Each entry sends such an outlier a call that may be repeated once every 50 ms a node of the fleet, so some twenty a second in all, to see whether it has recovered. A failure of an outlier is sent elsewhere if the call may run again and the budget pays. Peers' protocol is version 2.

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -72,6 +72,10 @@
     pub fn instance_verified(&self, instance: &str, is_healthy: bool) {
         let changed = {
             let mut tables = self.tables();
+            let is_other = tables.instance.id().is_none_or(|id| **id != *instance);
+            if is_other {
+                tables.failing.forget();
+            }
             let changed = tables.instance.verified(instance, is_healthy);
             self.adopt_slots(&tables);
             changed
@@ -112,9 +116,18 @@
         self.verify.notified().await;
     }
 
-    /// How busy the back end is.
+    /// How busy the back end is, and how many of its calls end badly.
     #[must_use]
     pub fn load(&self) -> Load {
-        self.work.load()
+        let failing = self.tables().failing.get();
+        Load {
+            failing: Load::wire_of(failing),
+            ..self.work.load()
+        }
+    }
+
+    /// A call that was handed to the back end ended.
+    pub fn call_ended(&self, badly: bool) {
+        self.tables().failing.ended(badly);
     }
 }
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -25,7 +25,7 @@
     seam::{HeaderNames, Platform},
     settings::MeshSettings,
     tables::{
-        LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets, RootShedding,
+        FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets, RootShedding,
         RunningAttempts, ServiceViews,
     },
     work::Work,
@@ -42,6 +42,8 @@
 const LIST_PAUSE: Duration = Duration::from_millis(500);
 /// Change of the utilization that other nodes are told of.
 const TOLD_CHANGE: f64 = 0.08;
+/// Change of the share of calls that end badly that other nodes are told of.
+const TOLD_FAILING: f64 = 0.1;
 
 /// The configuration in force, with the document that it was read from.
 struct InForce {
@@ -57,11 +59,13 @@
     configuration_confirmed: Option<Instant>,
     called: HashMap<Arc<str>, Instant>,
     told_utilization: f64,
+    told_failing: f64,
     told_at: Option<Instant>,
     lists_asked: u32,
     list_asked_at: Option<Instant>,
     shedding: RootShedding,
     running: RunningAttempts,
+    failing: FailingShare,
     own_service: Arc<str>,
 }
 
@@ -131,10 +135,16 @@
         let rests = self
             .told_at
             .is_some_and(|at| now.saturating_duration_since(at) < TELL_PER_NODE * fleet_size);
-        if rests || (self.told_utilization - utilization).abs() <= TOLD_CHANGE {
+        let failing = self.failing.get();
+        // A back end that begins to fail draws calls at once, so that news does not rest.
+        let fails_more = failing - self.told_failing > TOLD_FAILING;
+        let has_changed = (self.told_utilization - utilization).abs() > TOLD_CHANGE
+            || (self.told_failing - failing).abs() > TOLD_FAILING;
+        if !fails_more && (rests || !has_changed) {
             return false;
         }
         self.told_utilization = utilization;
+        self.told_failing = failing;
         self.told_at = Some(now);
         true
     }
@@ -172,11 +182,13 @@
             configuration_confirmed: None,
             called: HashMap::new(),
             told_utilization: 0.0,
+            told_failing: 0.0,
             told_at: None,
             lists_asked: 0,
             list_asked_at: None,
             shedding: RootShedding::default(),
             running: RunningAttempts::default(),
+            failing: FailingShare::default(),
             own_service: settings.backend.service.as_str().into(),
         };
         Self {
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -18,7 +18,7 @@
         link::{Link, LinkError, Reply},
         message::CallMessage,
     },
-    tables::Executor,
+    tables::{Choice, Executor},
 };
 
 /// Times a call is sent elsewhere after refusals that reached no back end.
@@ -59,6 +59,8 @@
     back_ends: u32,
     may_have_run: bool,
     last: Refusal,
+    /// A back end's own failure, which is the answer unless another one does better.
+    failure: Option<Answer>,
 }
 
 impl Progress {
@@ -68,15 +70,19 @@
             back_ends: 0,
             may_have_run: false,
             last: Refusal::new(ErrorKind::NoBackend, "no back end takes work"),
+            failure: None,
         }
     }
 
-    /// How the call ends without an answer.
-    fn into_unanswered(self) -> Unanswered {
-        Unanswered {
+    /// How the call ends after its last attempt.
+    fn into_result(self) -> Result<Answer, Unanswered> {
+        if let Some(failure) = self.failure {
+            return Ok(failure);
+        }
+        Err(Unanswered {
             tried: self.tried.len(),
             refusal: self.into_refusal(),
-        }
+        })
     }
 
     /// The refusal that the call ends with. It says that nothing ran only if nothing did.
@@ -101,13 +107,21 @@
             break;
         };
         progress.tried.push(target.address);
-        let refusal = match attempt(node, call, target).await {
+        let address = target.address;
+        let untouched = match attempt(node, call, target).await {
+            Attempted::Answered(answer) if is_worth_another(node, call, address, &answer) => {
+                progress.may_have_run = true;
+                progress.failure = Some(answer);
+                false
+            }
             Attempted::Answered(answer) => return Ok(answer),
-            Attempted::Refused(refusal) => refusal,
+            Attempted::Refused(refusal) => {
+                let untouched = is_untouched(&refusal);
+                progress.may_have_run |= refusal.outcome != Outcome::NotRun;
+                progress.last = refusal;
+                untouched
+            }
         };
-        let untouched = is_untouched(&refusal);
-        progress.may_have_run |= refusal.outcome != Outcome::NotRun;
-        progress.last = refusal;
         if Instant::now() >= call.deadline {
             break;
         }
@@ -119,7 +133,18 @@
             break;
         }
     }
-    Err(progress.into_unanswered())
+    progress.into_result()
+}
+
+/// Whether a failure says more of its back end than of the call: that back end fails far more
+/// calls than others of its service, so another one may well succeed.
+fn is_worth_another(node: &Node, call: &Call, executor: SocketAddr, answer: &Answer) -> bool {
+    let is_failure = answer.status >= 500;
+    if !is_failure || !call.message.may_repeat {
+        return false;
+    }
+    let choice = choice(node, call, &[]);
+    node.with_peers(|peers| peers.is_outlier(&choice, executor, Instant::now()))
 }
 
 /// Whether a call that reached a back end may be sent to another one.
@@ -143,12 +168,20 @@
     executor: Executor,
 }
 
-fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
+fn choice<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> Choice<'a> {
     let is_own = *call.service == *node.settings.backend.service;
     let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
-    let local = takes_work.then(|| node.load());
-    let now = Instant::now();
-    let executor = node.with_peers(|peers| peers.choose(&call.service, local, tried, now))?;
+    Choice {
+        service: &call.service,
+        local: takes_work.then(|| node.load()),
+        tried,
+        may_repeat: call.message.may_repeat,
+    }
+}
+
+fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
+    let choice = choice(node, call, tried);
+    let executor = node.with_peers(|peers| peers.choose(&choice, Instant::now()))?;
     let address = match &executor {
         Executor::Local => node.record.address,
         Executor::Peer(address, _) => *address,
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -22,6 +22,8 @@
 const LEAST_TIME: Duration = Duration::from_millis(5);
 /// Time that the back end is given to answer its own deadline, so that the connection stays.
 const BACKEND_GRACE: Duration = Duration::from_millis(120);
+/// A call that is withdrawn so close to its deadline was given up for want of an answer.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
 /// Answers to other requests that are read past on one connection.
 const MAX_SURPLUS: usize = 2;
 
@@ -114,14 +116,54 @@
         is_urgent: call.is_urgent,
     };
     let _running = node.attempt_runs(&call.attempt, parent);
+    let ending = CallEnding::begin(node, deadline);
     let give_up = deadline + BACKEND_GRACE;
-    match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
+    let result = match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
         Ok(Ok(received)) => judge(node, received),
         Ok(Err(error)) => Err(failed(node, &error)),
         Err(_) => Err(Refusal::new(
             ErrorKind::BackendTimeout,
             "back end did not answer",
         )),
+    };
+    ending.end(&result);
+    result
+}
+
+/// Takes in how a call ends at the back end, also when it is withdrawn at its deadline.
+struct CallEnding<'a> {
+    node: &'a Node,
+    deadline: Instant,
+    is_counted: bool,
+}
+
+impl<'a> CallEnding<'a> {
+    const fn begin(node: &'a Node, deadline: Instant) -> Self {
+        Self {
+            node,
+            deadline,
+            is_counted: false,
+        }
+    }
+
+    /// A failure of the back end's own counts as badly ended as one without an answer.
+    fn end(mut self, result: &Result<Answer, Refusal>) {
+        self.is_counted = true;
+        let badly = match result {
+            Ok(answer) => answer.status >= 500,
+            Err(_) => true,
+        };
+        self.node.call_ended(badly);
+    }
+}
+
+impl Drop for CallEnding<'_> {
+    /// A caller that leaves says nothing of the back end; one that waited to the end does.
+    fn drop(&mut self) {
+        let waited_out = Instant::now() + DEADLINE_MARGIN >= self.deadline;
+        if !self.is_counted && waited_out {
+            self.node.call_ended(true);
+        }
     }
 }
 
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -8,7 +8,7 @@
 use crate::tables::{BackendState, Load, PeerStatus};
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
 /// Size of a [`FrameHeader`], in bytes.
@@ -16,11 +16,11 @@
 /// Size of a [`CallFields`], in bytes.
 const CALL_BYTES: usize = 16;
 /// Size of an [`AnswerFields`], in bytes.
-const ANSWER_BYTES: usize = 16;
+const ANSWER_BYTES: usize = 17;
 /// Size of a [`RefusalFields`], in bytes.
-const REFUSAL_BYTES: usize = 16;
+const REFUSAL_BYTES: usize = 17;
 /// Size of a [`StatusFields`], in bytes.
-const STATUS_BYTES: usize = 23;
+const STATUS_BYTES: usize = 24;
 
 /// Bytes that are no frames of this protocol.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/crates/tallybridge-mesh/src/tables/load.rs
+++ b/crates/tallybridge-mesh/src/tables/load.rs
@@ -20,9 +20,29 @@
     pub wait_ms: u16,
     /// Mean time that calls are with the back end, in milliseconds; 0 while unknown.
     pub service_ms: u16,
+    /// Share of the calls handed to the back end that end badly, in 255ths; the newest count most.
+    pub failing: u8,
 }
 
 impl Load {
+    /// The share that a wire value stands for.
+    #[must_use]
+    pub fn share_of(wire: u8) -> f64 {
+        f64::from(wire) / f64::from(u8::MAX)
+    }
+
+    /// The wire value of a share.
+    #[must_use]
+    pub fn wire_of(share: f64) -> u8 {
+        (share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8
+    }
+
+    /// Share of the calls handed to the back end that end badly.
+    #[must_use]
+    pub fn failing_share(self) -> f64 {
+        Self::share_of(self.failing)
+    }
+
     /// Calls as a share of the limit, counting `more` that the report doesn't know of yet.
     #[must_use]
     pub fn utilization(self, more: u32) -> f64 {
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,5 +1,6 @@
 //! What a node knows: the back end beside it, and the other nodes.
 
+pub mod failures;
 pub mod instance;
 pub mod load;
 pub mod peers;
@@ -7,9 +8,10 @@
 pub mod running;
 pub mod shedding;
 
+pub use failures::FailingShare;
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
-pub use peers::{BackendState, Executor, NodeRecord, PeerStatus, PeerTable};
+pub use peers::{BackendState, Choice, Executor, NodeRecord, PeerStatus, PeerTable};
 pub use retries::RetryBudgets;
 pub use running::{Parent, RunningAttempts};
 pub use shedding::{RootShedding, ServiceViews};
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -272,7 +272,7 @@
         table.queue = queue_for(limit);
     }
 
-    /// How busy the back end is.
+    /// How busy the back end is; slots don't know how calls end.
     #[must_use]
     pub fn load(&self) -> Load {
         let table = self.table();
@@ -282,6 +282,7 @@
             queued: u16::try_from(table.queue.len()).unwrap_or(u16::MAX),
             wait_ms: (table.wait_seconds * 1000.0) as u16,
             service_ms: (table.believed_service_seconds(Instant::now()) * 1000.0) as u16,
+            failing: 0,
         }
     }
 
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -12,13 +12,16 @@
 }
 
 fn load() -> impl Strategy<Value = Load> {
-    any::<[u16; 5]>().prop_map(|[limit, in_flight, queued, wait_ms, service_ms]| Load {
-        limit,
-        in_flight,
-        queued,
-        wait_ms,
-        service_ms,
-    })
+    (any::<[u16; 5]>(), any::<u8>()).prop_map(
+        |([limit, in_flight, queued, wait_ms, service_ms], failing)| Load {
+            limit,
+            in_flight,
+            queued,
+            wait_ms,
+            service_ms,
+            failing,
+        },
+    )
 }
 
 fn call() -> impl Strategy<Value = CallMessage> {
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -11,8 +11,8 @@
     peer::Link,
     settings::RetrySettings,
     tables::{
-        BackendState, Executor, Load, NodeRecord, Parent, PeerStatus, PeerTable, RetryBudgets,
-        RootShedding, RunningAttempts, ServiceViews,
+        BackendState, Choice, Executor, FailingShare, Load, NodeRecord, Parent, PeerStatus,
+        PeerTable, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
     },
 };
 use tokio::{sync::mpsc, time::Instant};
@@ -121,12 +121,23 @@
     table
 }
 
-fn chosen(table: &PeerTable, tried: &[u16]) -> Option<u16> {
-    let tried: Vec<SocketAddr> = tried
-        .iter()
-        .map(|port| SocketAddr::from(([127, 0, 0, 1], *port)))
-        .collect();
-    match table.choose("ledger", None, &tried, Instant::now())? {
+fn at_port(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn chosen(table: &mut PeerTable, tried: &[u16]) -> Option<u16> {
+    chosen_for(table, tried, false, Instant::now())
+}
+
+fn chosen_for(table: &mut PeerTable, tried: &[u16], may_repeat: bool, now: Instant) -> Option<u16> {
+    let tried: Vec<SocketAddr> = tried.iter().copied().map(at_port).collect();
+    let choice = Choice {
+        service: "ledger",
+        local: None,
+        tried: &tried,
+        may_repeat,
+    };
+    match table.choose(&choice, now)? {
         Executor::Peer(address, _) => Some(address.port()),
         Executor::Local => None,
     }
@@ -135,24 +146,24 @@
 #[tokio::test]
 async fn a_call_stays_at_home_until_home_is_much_busier() {
     use BackendState::Ready;
-    let quiet = table(&[
+    let mut quiet = table(&[
         (2, "home", Ready, load(10, 2)),
         (3, "away", Ready, load(10, 0)),
     ]);
-    let busy = table(&[
+    let mut busy = table(&[
         (2, "home", Ready, load(10, 8)),
         (3, "away", Ready, load(10, 2)),
     ]);
-    let full = table(&[
+    let mut full = table(&[
         (2, "home", Ready, load(10, 10)),
         (3, "away", Ready, load(10, 8)),
     ]);
     for _ in 0..50 {
-        assert_eq!(chosen(&quiet, &[]), Some(2));
-        assert_eq!(chosen(&busy, &[]), Some(3));
-        assert_eq!(chosen(&full, &[]), Some(3));
-        assert_eq!(chosen(&quiet, &[2]), Some(3));
-        assert_eq!(chosen(&quiet, &[2, 3]), None);
+        assert_eq!(chosen(&mut quiet, &[]), Some(2));
+        assert_eq!(chosen(&mut busy, &[]), Some(3));
+        assert_eq!(chosen(&mut full, &[]), Some(3));
+        assert_eq!(chosen(&mut quiet, &[2]), Some(3));
+        assert_eq!(chosen(&mut quiet, &[2, 3]), None);
     }
 }
 
@@ -160,14 +171,14 @@
 async fn leavers_get_nothing_and_those_that_stop_only_what_nobody_else_takes() {
     use BackendState::{Leaving, Ready, Stopping, Unavailable};
     let idle = load(10, 0);
-    let gone = table(&[(2, "home", Leaving, idle), (3, "home", Unavailable, idle)]);
-    assert_eq!(chosen(&gone, &[]), None);
-    let stopping = table(&[
+    let mut gone = table(&[(2, "home", Leaving, idle), (3, "home", Unavailable, idle)]);
+    assert_eq!(chosen(&mut gone, &[]), None);
+    let mut stopping = table(&[
         (2, "home", Stopping, idle),
         (3, "away", Ready, load(10, 10)),
     ]);
-    assert_eq!(chosen(&stopping, &[]), Some(3));
-    assert_eq!(chosen(&stopping, &[3]), Some(2));
+    assert_eq!(chosen(&mut stopping, &[]), Some(3));
+    assert_eq!(chosen(&mut stopping, &[3]), Some(2));
 }
 
 #[tokio::test]
@@ -181,11 +192,79 @@
     for _ in 0..10 {
         table.outcome(loser, true);
     }
-    assert_eq!(chosen(&table, &[]), Some(3));
+    assert_eq!(chosen(&mut table, &[]), Some(3));
     for _ in 0..40 {
         table.outcome(loser, false);
     }
-    assert_eq!(chosen(&table, &[]), Some(2));
+    assert_eq!(chosen(&mut table, &[]), Some(2));
+}
+
+fn failing(share: f64, in_flight: u16) -> Load {
+    Load {
+        failing: Load::wire_of(share),
+        ..load(10, in_flight)
+    }
+}
+
+#[tokio::test]
+async fn a_back_end_that_fails_at_once_draws_no_calls_although_it_looks_idle() {
+    use BackendState::Ready;
+    let mut table = table(&[
+        (2, "home", Ready, failing(1.0, 0)),
+        (3, "home", Ready, failing(0.02, 10)),
+        (4, "away", Ready, failing(0.0, 10)),
+    ]);
+    for _ in 0..50 {
+        assert_ne!(chosen(&mut table, &[]), Some(2), "a payment");
+    }
+    assert_eq!(chosen(&mut table, &[3, 4]), Some(2), "better than none");
+}
+
+#[tokio::test]
+async fn one_call_now_and_then_finds_out_whether_an_outlier_has_recovered() {
+    use BackendState::Ready;
+    let mut table = table(&[
+        (2, "home", Ready, failing(1.0, 0)),
+        (3, "home", Ready, failing(0.0, 2)),
+    ]);
+    let now = Instant::now();
+    let probes = |table: &mut PeerTable, at| {
+        let chosen = (0..100).filter(|_| chosen_for(table, &[], true, at) == Some(2));
+        chosen.count()
+    };
+    assert_eq!(probes(&mut table, now), 1);
+    assert_eq!(probes(&mut table, now + Duration::from_millis(100)), 0);
+    assert_eq!(probes(&mut table, now + Duration::from_millis(200)), 1);
+    let recovered = status(Ready, failing(0.1, 0));
+    table.status(at_port(2), recovered, now);
+    assert!(probes(&mut table, now) > 50, "it is used as before");
+}
+
+#[tokio::test]
+async fn what_fails_everywhere_alike_makes_nobody_an_outlier() {
+    use BackendState::Ready;
+    let mut table = table(&[
+        (2, "home", Ready, failing(0.6, 1)),
+        (3, "home", Ready, failing(0.5, 5)),
+        (4, "home", Ready, failing(0.7, 5)),
+    ]);
+    for _ in 0..50 {
+        assert_eq!(chosen(&mut table, &[]), Some(2));
+    }
+}
+
+#[test]
+fn the_share_of_failing_calls_follows_them_both_ways() {
+    let mut share = FailingShare::default();
+    for _ in 0..20 {
+        share.ended(true);
+    }
+    assert!(share.get() > 0.75, "{}", share.get());
+    for _ in 0..20 {
+        share.ended(false);
+    }
+    assert!(share.get() < 0.2, "{}", share.get());
+    assert_eq!(Load::share_of(Load::wire_of(1.0)), 1.0);
 }
 
 #[tokio::test]
@@ -195,13 +274,13 @@
         service_ms,
         ..load(10, 1)
     };
-    let usual = table(&[(2, "home", Ready, at(160)), (3, "away", Ready, at(70))]);
-    let slow = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(70))]);
-    let unknown = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(0))]);
+    let mut usual = table(&[(2, "home", Ready, at(160)), (3, "away", Ready, at(70))]);
+    let mut slow = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(70))]);
+    let mut unknown = table(&[(2, "home", Ready, at(900)), (3, "away", Ready, at(0))]);
     for _ in 0..50 {
-        assert_eq!(chosen(&usual, &[]), Some(2));
-        assert_eq!(chosen(&slow, &[]), Some(3));
-        assert_eq!(chosen(&unknown, &[]), Some(2));
+        assert_eq!(chosen(&mut usual, &[]), Some(2));
+        assert_eq!(chosen(&mut slow, &[]), Some(3));
+        assert_eq!(chosen(&mut unknown, &[]), Some(2));
     }
 }
 
@@ -209,7 +288,11 @@
 async fn an_address_that_another_service_took_gets_no_call_of_the_old_one() {
     let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
     table.disconnected(SocketAddr::from(([127, 0, 0, 1], 2)));
-    assert_eq!(chosen(&table, &[]), None, "nothing is sent without a link");
+    assert_eq!(
+        chosen(&mut table, &[]),
+        None,
+        "nothing is sent without a link"
+    );
     let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     let taken = record(2, "home", "portal");
     let address = taken.address;
@@ -219,7 +302,7 @@
         status(BackendState::Ready, load(10, 0)),
         Instant::now(),
     );
-    assert_eq!(chosen(&table, &[]), None);
+    assert_eq!(chosen(&mut table, &[]), None);
 }
 
 #[test]
