Blame a back end only for failures that are its own, and only when they stand out

Change: a failure counts only where none of the calls that the running call made has failed or is still open (the table of running calls knows). Below the threshold differences cost nothing; above it the cost is in proportion. Tests: tables (a call that may fail for another; an outlier that recovered is used as before).

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use super::{Node, Tables};
@@ -126,8 +127,13 @@
         }
     }
 
-    /// A call that was handed to the back end ended.
-    pub fn call_ended(&self, badly: bool) {
-        self.tables().failing.ended(badly);
+    /// A call that was handed to the back end ended. A failure that may be that of a call which
+    /// it made itself says nothing of the back end.
+    pub fn call_ended(&self, attempt: &Bytes, badly: bool) {
+        let mut tables = self.tables();
+        if badly && tables.running.may_fail_for_another(attempt) {
+            return;
+        }
+        tables.failing.ended(badly);
     }
 }
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -12,7 +12,9 @@
 use crate::{
     configuration::Route,
     peer::link::{Link, keep_link},
-    tables::{BackendState, InstanceState, Load, NodeRecord, Parent, PeerStatus, PeerTable},
+    tables::{
+        BackendState, FoundParent, InstanceState, Load, NodeRecord, Parent, PeerStatus, PeerTable,
+    },
 };
 
 impl Node {
@@ -140,10 +142,18 @@
         }
     }
 
-    /// The call at the back end that made a nested one.
+    /// The call at the back end that made the one of this name, which is nested for as long as
+    /// what is returned lives.
     #[must_use]
-    pub fn parent_of(&self, attempt: &[u8]) -> Option<Parent> {
-        self.tables().running.parent_of(attempt)
+    pub fn nested(self: &Arc<Self>, attempt: &[u8]) -> Option<NestedCall> {
+        let mut tables = self.tables();
+        let found = tables.running.parent_of(attempt)?;
+        tables.running.nested_begins(&found.attempt);
+        Some(NestedCall {
+            node: self.clone(),
+            found,
+            ended_well: false,
+        })
     }
 
     /// Whether a fresh request is let in.
@@ -236,6 +246,34 @@
     attempt: Bytes,
 }
 
+/// A call that the back end beside the node made for one that runs there.
+pub struct NestedCall {
+    node: Arc<Node>,
+    found: FoundParent,
+    ended_well: bool,
+}
+
+impl NestedCall {
+    /// What it inherits.
+    #[must_use]
+    pub const fn parent(&self) -> Parent {
+        self.found.parent
+    }
+
+    /// It got an answer that is no failure. Otherwise the call that made it may fail for it.
+    pub const fn end_well(&mut self) {
+        self.ended_well = true;
+    }
+}
+
+impl Drop for NestedCall {
+    fn drop(&mut self) {
+        let parent = &self.found.attempt;
+        let mut tables = self.node.tables();
+        tables.running.nested_ended(parent, !self.ended_well);
+    }
+}
+
 impl Drop for RunningAttempt {
     fn drop(&mut self) {
         self.node.tables().running.end(&self.attempt);
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -17,7 +17,11 @@
 use bytes::Bytes;
 use tokio::{sync::watch, time::Instant};
 
-pub use self::{configuration::WaitingWatch, fleet::RunningAttempt, life::RequestInFlight};
+pub use self::{
+    configuration::WaitingWatch,
+    fleet::{NestedCall, RunningAttempt},
+    life::RequestInFlight,
+};
 use crate::{
     configuration::Configuration,
     decision_log::DecisionLog,
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -15,8 +15,9 @@
     configuration::Route,
     decision_log::EntryFacts,
     http::{Answer, Request, head::write_line},
-    node::Node,
+    node::{NestedCall, Node},
     peer::message::CallMessage,
+    tables::Parent,
 };
 
 /// Share of the target latency in which a request is refused rather than held.
@@ -36,7 +37,10 @@
     let counters = &node.counters;
     counters.requests.fetch_add(1, Ordering::Relaxed);
     let arrived = request.arrived;
-    let prepared = prepare(node, &request);
+    let attempt = request.head.headers.first(node.names.attempt);
+    let mut nested = attempt.and_then(|attempt| node.nested(attempt));
+    let parent = nested.as_ref().map(NestedCall::parent);
+    let prepared = prepare(node, &request, parent);
     let result = match &prepared {
         Ok(call) => carry(node, call).await,
         Err(refusal) => Err(Unanswered {
@@ -47,6 +51,11 @@
     match result {
         Ok(answer) => {
             counters.answered.fetch_add(1, Ordering::Relaxed);
+            if let Some(nested) = &mut nested
+                && answer.status < 500
+            {
+                nested.end_well();
+            }
             answer
         }
         Err(unanswered) => {
@@ -80,7 +89,7 @@
 }
 
 /// Finds the route of a request and makes the message that is sent.
-fn prepare(node: &Arc<Node>, request: &Request) -> Result<Call, Refusal> {
+fn prepare(node: &Arc<Node>, request: &Request, parent: Option<Parent>) -> Result<Call, Refusal> {
     let names = &node.names;
     let head = &request.head;
     let Some(configuration) = node.configuration() else {
@@ -100,7 +109,6 @@
     };
     let patience = head.headers.text(names.deadline_ms).and_then(patience_of);
     let allowed = patience.map_or(route.timeout, |patience| patience.min(route.timeout));
-    let parent = node.parent_of(attempt);
     let is_nested = parent.is_some();
     if node.refuses_work() && !is_nested {
         let refusal = Refusal::new(ErrorKind::Leaving, "node is about to end");
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tallybridge_core::{Criticality, ErrorKind, Outcome, Refusal};
 use tokio::time::{Instant, timeout_at};
 
@@ -116,7 +117,7 @@
         is_urgent: call.is_urgent,
     };
     let _running = node.attempt_runs(&call.attempt, parent);
-    let ending = CallEnding::begin(node, deadline);
+    let ending = CallEnding::begin(node, &call.attempt, deadline);
     let give_up = deadline + BACKEND_GRACE;
     let result = match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
         Ok(Ok(received)) => judge(node, received),
@@ -133,14 +134,16 @@
 /// Takes in how a call ends at the back end, also when it is withdrawn at its deadline.
 struct CallEnding<'a> {
     node: &'a Node,
+    attempt: &'a Bytes,
     deadline: Instant,
     is_counted: bool,
 }
 
 impl<'a> CallEnding<'a> {
-    const fn begin(node: &'a Node, deadline: Instant) -> Self {
+    const fn begin(node: &'a Node, attempt: &'a Bytes, deadline: Instant) -> Self {
         Self {
             node,
+            attempt,
             deadline,
             is_counted: false,
         }
@@ -153,7 +156,7 @@
             Ok(answer) => answer.status >= 500,
             Err(_) => true,
         };
-        self.node.call_ended(badly);
+        self.node.call_ended(self.attempt, badly);
     }
 }
 
@@ -162,7 +165,7 @@
     fn drop(&mut self) {
         let waited_out = Instant::now() + DEADLINE_MARGIN >= self.deadline;
         if !self.is_counted && waited_out {
-            self.node.call_ended(true);
+            self.node.call_ended(self.attempt, true);
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -13,5 +13,5 @@
 pub use load::Load;
 pub use peers::{BackendState, Choice, Executor, NodeRecord, PeerStatus, PeerTable};
 pub use retries::RetryBudgets;
-pub use running::{Parent, RunningAttempts};
+pub use running::{FoundParent, Parent, RunningAttempts};
 pub use shedding::{RootShedding, ServiceViews};
--- a/crates/tallybridge-mesh/src/tables/peers/choose.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/choose.rs
@@ -23,15 +23,16 @@
 const SPREAD: f64 = 0.06;
 /// A utilization far above any real one.
 const LAST_RESORT: f64 = 100.0;
-/// What an executor that loses or fails every call is put behind by, in utilization.
+/// What an executor that loses every call is put behind by, in utilization.
 const LOSS_COST: f64 = 2.0;
 /// A back end that fails this much larger a share of its calls than is usual in its service is an
 /// outlier: it answers fast, looks idle, and would draw all calls to itself.
 const OUTLIER: f64 = 0.2;
 /// Added to that for each part of the calls that usually fail, as shares then differ more by chance.
 const OUTLIER_PER_USUAL: f64 = 0.5;
-/// What an outlier is put behind by: far more than load, far less than a node out of contact.
-const OUTLIER_COST: f64 = 10.0;
+/// What an outlier that fails every call is put behind by: others are filled to the end of their
+/// queues first. One that fails some calls is still better than a refusal.
+const OUTLIER_COST: f64 = 6.0;
 /// Each node of the fleet adds this to the time between two calls by which one entry finds out
 /// whether an outlier has recovered, so that all entries together send about twenty a second.
 const PROBE_PER_NODE: Duration = Duration::from_millis(50);
@@ -79,13 +80,13 @@
         for candidate in &mut candidates {
             candidate.score += slowness_cost(candidate.load.service_ms, fastest);
             candidate.score += random.random_range(0.0..SPREAD);
-            let excess = usual.excess(candidate.load);
             if !usual.is_exceeded_by(candidate.load) {
-                candidate.score += excess * LOSS_COST;
-            } else if choice.may_repeat && candidate.probe_due && probed.is_none() {
+                continue;
+            }
+            if choice.may_repeat && candidate.probe_due && probed.is_none() {
                 probed = Some(candidate.address);
             } else {
-                candidate.score += OUTLIER_COST * (1.0 + excess);
+                candidate.score += usual.excess(candidate.load) * OUTLIER_COST;
             }
         }
         let best = candidates
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -11,42 +11,92 @@
     pub is_urgent: bool,
 }
 
+/// The running call that made a nested one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FoundParent {
+    /// Its attempt.
+    pub attempt: Bytes,
+    /// What the nested call inherits.
+    pub parent: Parent,
+}
+
+#[derive(Debug)]
+struct Running {
+    parent: Parent,
+    /// Times that it runs at once.
+    runs: u32,
+    /// Nested calls that have not ended.
+    open: u32,
+    /// Whether a nested call ended badly.
+    has_failed_below: bool,
+}
+
 /// Running calls, by the name of their attempt.
 ///
 /// Back ends name a nested call after the one that makes it: the parent's name, a separator, a
 /// part of its own. A call whose name extends that of none that runs here is a fresh request.
 #[derive(Debug, Default)]
-pub struct RunningAttempts(HashMap<Bytes, (Parent, u32)>);
+pub struct RunningAttempts(HashMap<Bytes, Running>);
 
 impl RunningAttempts {
     /// A call begins to run.
     pub fn begin(&mut self, attempt: &Bytes, parent: Parent) {
-        let entry = self.0.entry(attempt.clone()).or_insert((parent, 0));
-        entry.1 += 1;
+        let running = self.0.entry(attempt.clone()).or_insert(Running {
+            parent,
+            runs: 0,
+            open: 0,
+            has_failed_below: false,
+        });
+        running.runs += 1;
     }
 
     /// A call has ended.
     pub fn end(&mut self, attempt: &Bytes) {
-        let Some(entry) = self.0.get_mut(attempt) else {
+        let Some(running) = self.0.get_mut(attempt) else {
             return;
         };
-        entry.1 -= 1;
-        if entry.1 == 0 {
+        running.runs -= 1;
+        if running.runs == 0 {
             self.0.remove(attempt);
         }
     }
 
     /// The running call that made the one of this name.
     #[must_use]
-    pub fn parent_of(&self, attempt: &[u8]) -> Option<Parent> {
+    pub fn parent_of(&self, attempt: &[u8]) -> Option<FoundParent> {
         let is_separator = |byte: &u8| !byte.is_ascii_alphanumeric();
         let mut name = attempt;
         while let Some(end) = name.iter().rposition(is_separator) {
             name = &name[..end];
-            if let Some((parent, _)) = self.0.get(name) {
-                return Some(*parent);
+            if let Some((attempt, running)) = self.0.get_key_value(name) {
+                return Some(FoundParent {
+                    attempt: attempt.clone(),
+                    parent: running.parent,
+                });
             }
         }
         None
     }
+
+    /// A running call made a nested one.
+    pub fn nested_begins(&mut self, parent: &Bytes) {
+        if let Some(running) = self.0.get_mut(parent) {
+            running.open += 1;
+        }
+    }
+
+    /// A nested call ended.
+    pub fn nested_ended(&mut self, parent: &Bytes, badly: bool) {
+        if let Some(running) = self.0.get_mut(parent) {
+            running.open = running.open.saturating_sub(1);
+            running.has_failed_below |= badly;
+        }
+    }
+
+    /// Whether a failure of a running call may be that of a call that it made.
+    #[must_use]
+    pub fn may_fail_for_another(&self, attempt: &Bytes) -> bool {
+        let running = self.0.get(attempt);
+        running.is_some_and(|running| running.open > 0 || running.has_failed_below)
+    }
 }
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -11,8 +11,8 @@
     peer::Link,
     settings::RetrySettings,
     tables::{
-        BackendState, Choice, Executor, FailingShare, Load, NodeRecord, Parent, PeerStatus,
-        PeerTable, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
+        BackendState, Choice, Executor, FailingShare, FoundParent, Load, NodeRecord, Parent,
+        PeerStatus, PeerTable, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
     },
 };
 use tokio::{sync::mpsc, time::Instant};
@@ -237,7 +237,7 @@
     assert_eq!(probes(&mut table, now + Duration::from_millis(200)), 1);
     let recovered = status(Ready, failing(0.1, 0));
     table.status(at_port(2), recovered, now);
-    assert!(probes(&mut table, now) > 50, "it is used as before");
+    assert_eq!(probes(&mut table, now), 100, "it is used as before");
 }
 
 #[tokio::test]
@@ -412,21 +412,37 @@
 fn a_nested_call_is_known_by_the_running_call_that_made_it() {
     let mut running = RunningAttempts::default();
     let root = Bytes::from_static(b"ab12");
-    running.begin(&root, Parent { is_urgent: true });
-    assert_eq!(
-        running.parent_of(b"ab12.cd"),
-        Some(Parent { is_urgent: true })
-    );
-    assert_eq!(
-        running.parent_of(b"ab12.cd.ef"),
-        Some(Parent { is_urgent: true })
-    );
+    let parent = Parent { is_urgent: true };
+    running.begin(&root, parent);
+    let found = FoundParent {
+        attempt: root.clone(),
+        parent,
+    };
+    assert_eq!(running.parent_of(b"ab12.cd").as_ref(), Some(&found));
+    assert_eq!(running.parent_of(b"ab12.cd.ef").as_ref(), Some(&found));
     assert_eq!(running.parent_of(b"ab12"), None, "it is no call of its own");
     assert_eq!(running.parent_of(b"ab1.cd"), None);
     assert_eq!(running.parent_of(b"zz"), None);
-    running.begin(&root, Parent { is_urgent: true });
+    running.begin(&root, parent);
     running.end(&root);
     assert!(running.parent_of(b"ab12.cd").is_some(), "it runs twice");
     running.end(&root);
     assert_eq!(running.parent_of(b"ab12.cd"), None);
 }
+
+#[test]
+fn a_call_may_fail_for_one_that_it_made_and_that_failed_or_is_still_open() {
+    let mut running = RunningAttempts::default();
+    let root = Bytes::from_static(b"ab12");
+    running.begin(&root, Parent { is_urgent: false });
+    assert!(!running.may_fail_for_another(&root), "it made none");
+    running.nested_begins(&root);
+    assert!(running.may_fail_for_another(&root), "one is open");
+    running.nested_ended(&root, false);
+    assert!(!running.may_fail_for_another(&root), "it ended well");
+    running.nested_begins(&root);
+    running.nested_ended(&root, true);
+    assert!(running.may_fail_for_another(&root), "it failed");
+    running.end(&root);
+    assert!(!running.may_fail_for_another(&root), "nothing is kept");
+}
