Tell when a back end begins to fail its calls, and when it does not any more

Cause: the executor's belief decided where calls go and stood in no log and no metric, so nobody could see afterwards why a back end got no work. Change: one line at the executor when the share passes 0.3 and one when it falls below 0.1, with the attempt that tipped it; two gauges (mean time of a call, calls that fail in 100).

--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -52,6 +52,11 @@
         ("calls_in_flight", u64::from(load.in_flight)),
         ("calls_queued", u64::from(load.queued)),
         ("queue_wait_milliseconds", u64::from(load.wait_ms)),
+        ("call_milliseconds", u64::from(load.service_ms)),
+        (
+            "calls_failing_percent",
+            (load.failing_share() * 100.0) as u64,
+        ),
         ("configuration_version", status.version),
         ("backend_state", status.backend as u64),
         ("nodes_known", fleet.0 as u64),
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -8,7 +8,7 @@
 use super::{Node, Tables};
 use crate::{
     seam::InstanceReport,
-    tables::{InstanceState, Load, ReportEffect},
+    tables::{FailingChange, InstanceState, Load, ReportEffect},
 };
 
 impl Node {
@@ -130,10 +130,20 @@
     /// A call that was handed to the back end ended. A failure that may be that of a call which
     /// it made itself says nothing of the back end.
     pub fn call_ended(&self, attempt: &Bytes, badly: bool) {
-        let mut tables = self.tables();
-        if badly && tables.running.may_fail_for_another(attempt) {
-            return;
+        let change = {
+            let mut tables = self.tables();
+            if badly && tables.running.may_fail_for_another(attempt) {
+                return;
+            }
+            tables.failing.ended(badly)
+        };
+        match change {
+            Some(FailingChange::Began) => {
+                let attempt = String::from_utf8_lossy(attempt);
+                tracing::warn!(%attempt, "back end fails many calls, others are preferred to it");
+            }
+            Some(FailingChange::Ended) => tracing::info!("back end fails few calls again"),
+            None => {}
         }
-        tables.failing.ended(badly);
     }
 }
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -8,7 +8,7 @@
 pub mod running;
 pub mod shedding;
 
-pub use failures::FailingShare;
+pub use failures::{FailingChange, FailingShare};
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
 pub use peers::{BackendState, Choice, Executor, NodeRecord, PeerStatus, PeerTable};
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -11,8 +11,8 @@
     peer::Link,
     settings::RetrySettings,
     tables::{
-        BackendState, Choice, Executor, FailingShare, FoundParent, Load, NodeRecord, Parent,
-        PeerStatus, PeerTable, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
+        BackendState, Choice, Executor, FailingChange, FailingShare, FoundParent, Load, NodeRecord,
+        Parent, PeerStatus, PeerTable, RetryBudgets, RootShedding, RunningAttempts, ServiceViews,
     },
 };
 use tokio::{sync::mpsc, time::Instant};
@@ -256,14 +256,12 @@
 #[test]
 fn the_share_of_failing_calls_follows_them_both_ways() {
     let mut share = FailingShare::default();
-    for _ in 0..20 {
-        share.ended(true);
-    }
+    let told: Vec<_> = (0..20).filter_map(|_| share.ended(true)).collect();
+    assert_eq!(told, [FailingChange::Began], "told once");
     assert!(share.get() > 0.75, "{}", share.get());
-    for _ in 0..20 {
-        share.ended(false);
-    }
-    assert!(share.get() < 0.2, "{}", share.get());
+    let told: Vec<_> = (0..30).filter_map(|_| share.ended(false)).collect();
+    assert_eq!(told, [FailingChange::Ended], "told once");
+    assert!(share.get() < 0.1, "{}", share.get());
     assert_eq!(Load::share_of(Load::wire_of(1.0)), 1.0);
 }
 
