Split the link and the caller's connection: dialling, frames, answers in files of their own

link.rs held an open link, opening and keeping links, and framing; server.rs the connection and the writing of answers.

--- /dev/null
+++ b/crates/tallybridge-mesh/src/http/answer.rs
@@ -0,0 +1,98 @@
+//! Answers to callers, and how they are written.
+
+use std::io;
+
+use bytes::Bytes;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+/// Body bytes that are written together with the head, in one call.
+const JOINED_BODY_BYTES: usize = 64 * 1024;
+
+/// An answer to a caller.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// Its header lines, each ended by CR LF, without those that frame the message.
+    pub headers: Vec<u8>,
+    /// Its whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// An answer without header lines.
+    #[must_use]
+    pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            body: body.into(),
+        }
+    }
+
+    /// The same answer with one more header line.
+    #[must_use]
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        super::head::write_line(name, value.as_bytes(), &mut self.headers);
+        self
+    }
+}
+
+/// An answer with what its request says of its form.
+pub(super) struct PendingAnswer {
+    /// The answer.
+    pub answer: Answer,
+    /// Whether it goes without its body.
+    pub is_head_request: bool,
+}
+
+impl PendingAnswer {
+    /// Writes the answer; `closes` announces the end of the connection.
+    pub async fn write(&self, stream: &mut TcpStream, closes: bool) -> io::Result<()> {
+        let answer = &self.answer;
+        let has_body = !self.is_head_request && !matches!(answer.status, 204 | 304);
+        let mut bytes = Vec::with_capacity(256 + answer.headers.len() + answer.body.len());
+        bytes.extend_from_slice(b"HTTP/1.1 ");
+        bytes.extend_from_slice(answer.status.to_string().as_bytes());
+        bytes.push(b' ');
+        bytes.extend_from_slice(reason_phrase(answer.status).as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&answer.headers);
+        if !matches!(answer.status, 204 | 304) {
+            let length = answer.body.len().to_string();
+            super::head::write_line("Content-Length", length.as_bytes(), &mut bytes);
+        }
+        if closes {
+            bytes.extend_from_slice(b"Connection: close\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        if has_body && answer.body.len() <= JOINED_BODY_BYTES {
+            bytes.extend_from_slice(&answer.body);
+            return stream.write_all(&bytes).await;
+        }
+        stream.write_all(&bytes).await?;
+        if has_body {
+            stream.write_all(&answer.body).await?;
+        }
+        Ok(())
+    }
+}
+
+/// The phrase of a status; callers look at the number alone.
+fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -4,12 +4,14 @@
 //! what the doors must decide themselves: answering pipelined requests side by side, telling a
 //! caller that closed from one that waits, and refusing to reuse a connection with surplus bytes.
 
+mod answer;
 pub mod body;
 pub mod client;
 pub mod head;
 pub mod server;
 
+pub use answer::Answer;
 pub use body::{BodyError, BodyLength, BodyReader};
 pub use client::{Connection, ExchangeError, ExchangeStage, Received};
 pub use head::{HeadError, HeaderLines, RequestHead, ResponseHead};
-pub use server::{Answer, HttpLimits, Request, RequestHandler, serve_connection};
+pub use server::{HttpLimits, Request, RequestHandler, serve_connection};
--- a/crates/tallybridge-mesh/src/http/server.rs
+++ b/crates/tallybridge-mesh/src/http/server.rs
@@ -15,6 +15,7 @@
 };
 
 use super::{
+    answer::{Answer, PendingAnswer},
     body::{BodyError, BodyLength, BodyReader},
     head::{HeadError, RequestHead},
 };
@@ -25,8 +26,6 @@
 const MAX_READ_AHEAD: usize = 64 * 1024;
 /// Room that is made for each read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
-/// Body bytes that are written together with the head, in one call.
-const JOINED_BODY_BYTES: usize = 64 * 1024;
 /// Time in which a caller must take an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time in which a closed connection is still read, so that unread bytes don't reset it before
@@ -70,36 +69,6 @@
     pub caller: SocketAddr,
 }
 
-/// An answer to a caller.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    /// The status.
-    pub status: u16,
-    /// Its header lines, each ended by CR LF, without those that frame the message.
-    pub headers: Vec<u8>,
-    /// Its whole body.
-    pub body: Bytes,
-}
-
-impl Answer {
-    /// An answer without header lines.
-    #[must_use]
-    pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
-        Self {
-            status,
-            headers: Vec::new(),
-            body: body.into(),
-        }
-    }
-
-    /// The same answer with one more header line.
-    #[must_use]
-    pub fn with_header(mut self, name: &str, value: &str) -> Self {
-        super::head::write_line(name, value.as_bytes(), &mut self.headers);
-        self
-    }
-}
-
 /// What answers the requests of a listener.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
     /// Answers one request. The future is dropped when the caller closes its connection.
@@ -143,11 +112,6 @@
     body: BodyReader,
 }
 
-struct PendingAnswer {
-    answer: Answer,
-    is_head_request: bool,
-}
-
 struct ServerConnection {
     caller: SocketAddr,
     buffer: BytesMut,
@@ -317,7 +281,7 @@
             self.end_intake();
         }
         let closes = self.intake == Intake::Ended && self.pending.is_empty();
-        let writing = write_answer(stream, pending, closes);
+        let writing = pending.write(stream, closes);
         let written = timeout(WRITE_TIMEOUT, writing).await;
         self.resting_since = Instant::now();
         self.is_resting = self.is_at_rest();
@@ -344,39 +308,6 @@
     stream.read_buf(buffer).await
 }
 
-async fn write_answer(
-    stream: &mut TcpStream,
-    pending: &PendingAnswer,
-    closes: bool,
-) -> io::Result<()> {
-    let answer = &pending.answer;
-    let has_body = !pending.is_head_request && !matches!(answer.status, 204 | 304);
-    let mut bytes = Vec::with_capacity(256 + answer.headers.len() + answer.body.len());
-    bytes.extend_from_slice(b"HTTP/1.1 ");
-    bytes.extend_from_slice(answer.status.to_string().as_bytes());
-    bytes.push(b' ');
-    bytes.extend_from_slice(reason_phrase(answer.status).as_bytes());
-    bytes.extend_from_slice(b"\r\n");
-    bytes.extend_from_slice(&answer.headers);
-    if !matches!(answer.status, 204 | 304) {
-        let length = answer.body.len().to_string();
-        super::head::write_line("Content-Length", length.as_bytes(), &mut bytes);
-    }
-    if closes {
-        bytes.extend_from_slice(b"Connection: close\r\n");
-    }
-    bytes.extend_from_slice(b"\r\n");
-    if has_body && answer.body.len() <= JOINED_BODY_BYTES {
-        bytes.extend_from_slice(&answer.body);
-        return stream.write_all(&bytes).await;
-    }
-    stream.write_all(&bytes).await?;
-    if has_body {
-        stream.write_all(&answer.body).await?;
-    }
-    Ok(())
-}
-
 /// Ends a connection so that its last answer arrives.
 async fn linger(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
@@ -387,22 +318,3 @@
     };
     timeout(LINGER, reading).await.unwrap_or(Ok(()))
 }
-
-/// The phrase of a status; callers look at the number alone.
-fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -11,7 +11,7 @@
 use super::{CALLED_LATELY, LIST_PAUSE, LISTS_ASKED, Node};
 use crate::{
     configuration::Route,
-    peer::link::{Link, keep_link},
+    peer::{dial::keep_link, link::Link},
     tables::{
         BackendState, FoundParent, InstanceState, Load, NodeRecord, Parent, PeerStatus, PeerTable,
     },
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    link::{LINK_SILENCE, next_frame, write_frames},
+    frames::{LINK_SILENCE, next_frame, write_frames},
     message::{CallMessage, Frame, Message},
 };
 use crate::{
--- /dev/null
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -0,0 +1,162 @@
+//! Opens links to other nodes and keeps them.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use rand::Rng;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{
+    frames::{LINK_SILENCE, invalid, next_frame, write_frames},
+    link::{Link, Reply},
+    message::{Frame, Message},
+};
+use crate::{http::client::connect, node::Node, tables::NodeRecord};
+
+/// Time in which a connection must come up and the other node must say who it is.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Waits between attempts to open a link.
+const REOPEN_MIN: Duration = Duration::from_millis(100);
+const REOPEN_MAX: Duration = Duration::from_millis(1000);
+
+/// Keeps a link to the node at an address for as long as that node is part of the fleet.
+pub async fn keep_link(node: Arc<Node>, address: SocketAddr) {
+    let mut wait = REOPEN_MIN;
+    loop {
+        match open(&node, address).await {
+            Ok((record, link)) => {
+                wait = REOPEN_MIN;
+                tracing::info!(peer = record.node, service = record.service, "link opened");
+                let reason = run(&node, record, link).await;
+                tracing::info!(%address, reason, "link lost");
+            }
+            Err(error) => tracing::debug!(%address, %error, "link not opened"),
+        }
+        if node.forget_peer(address) {
+            return;
+        }
+        let jitter = rand::rng().random_range(0.7..1.3);
+        sleep(wait.mul_f64(jitter)).await;
+        wait = (wait * 2).min(REOPEN_MAX);
+    }
+}
+
+struct OpenLink {
+    link: Arc<Link>,
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    frames: mpsc::UnboundedReceiver<Bytes>,
+    buffer: BytesMut,
+}
+
+async fn open(node: &Arc<Node>, address: SocketAddr) -> io::Result<(NodeRecord, OpenLink)> {
+    let stream = connect(address, OPEN_TIMEOUT, LINK_SILENCE).await?;
+    timeout(OPEN_TIMEOUT, introduce(node, stream))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+async fn introduce(node: &Arc<Node>, stream: TcpStream) -> io::Result<(NodeRecord, OpenLink)> {
+    let (mut reader, mut writer) = stream.into_split();
+    let hello = Frame::of_link(Message::Hello(node.hello()));
+    writer.write_all(&hello.encode()).await?;
+    let mut buffer = BytesMut::new();
+    let frame = next_frame(&mut reader, &mut buffer).await?;
+    let Message::Hello(record) = frame.message else {
+        return Err(invalid("the first frame is no introduction"));
+    };
+    let record: NodeRecord = serde_json::from_slice(&record).map_err(invalid)?;
+    let (sender, frames) = mpsc::unbounded_channel();
+    let open = OpenLink {
+        link: Arc::new(Link::new(&record.node, sender)),
+        reader,
+        writer,
+        frames,
+        buffer,
+    };
+    Ok((record, open))
+}
+
+/// Runs a link until it is lost; gives the reason.
+async fn run(node: &Arc<Node>, record: NodeRecord, open: OpenLink) -> String {
+    let OpenLink {
+        link,
+        mut reader,
+        writer,
+        frames,
+        mut buffer,
+    } = open;
+    // The record's own address may differ from the one dialled only by mistake of its sender.
+    let address = record.address;
+    node.peer_connected(record, link.clone());
+    if node.wants_nodes() {
+        link.send(&Frame::of_link(Message::FetchNodes));
+    }
+    let writing = tokio::spawn(write_frames(writer, frames));
+    let reading = async {
+        loop {
+            match next_frame(&mut reader, &mut buffer).await {
+                Ok(frame) => {
+                    link.received(Instant::now());
+                    take_in(node, address, &link, frame);
+                }
+                Err(error) => return error.to_string(),
+            }
+        }
+    };
+    let reason = tokio::select! {
+        reason = reading => reason,
+        () = link.silent_too_long() => "no sign of life".to_owned(),
+    };
+    writing.abort();
+    link.close();
+    node.peer_disconnected(address);
+    reason
+}
+
+fn take_in(node: &Arc<Node>, address: SocketAddr, link: &Link, frame: Frame) {
+    match frame.message {
+        Message::Answer {
+            status,
+            load,
+            head,
+            body,
+        } => {
+            node.peer_load(address, load);
+            let reply = Reply::Answer {
+                status,
+                load,
+                head,
+                body,
+            };
+            link.complete(frame.call, reply);
+        }
+        Message::Refusal {
+            kind,
+            outcome,
+            retry_after_ms,
+            load,
+        } => {
+            node.peer_load(address, load);
+            let reply = Reply::Refusal {
+                kind,
+                outcome,
+                retry_after_ms,
+                load,
+            };
+            link.complete(frame.call, reply);
+        }
+        Message::Status(status) => node.peer_status(address, status),
+        Message::Nodes(nodes) => node.learn_nodes(&nodes),
+        Message::Configuration(document) => node.offer_configuration(&document),
+        _ => {}
+    }
+}
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -2,8 +2,6 @@
 
 use std::{
     collections::HashMap,
-    io,
-    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -11,32 +9,15 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
-use rand::Rng;
+use bytes::Bytes;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
     sync::{Notify, mpsc, oneshot},
-    time::{Instant, sleep, timeout},
+    time::Instant,
 };
 
 use super::message::{CallMessage, Frame, Message};
-use crate::{
-    http::client::connect,
-    node::Node,
-    tables::{Load, NodeRecord},
-};
+use crate::tables::Load;
 
-/// Time in which a connection must come up and the other node must say who it is.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which unacknowledged bytes end a link.
-pub const LINK_SILENCE: Duration = Duration::from_millis(2500);
-/// Waits between attempts to open a link.
-const REOPEN_MIN: Duration = Duration::from_millis(100);
-const REOPEN_MAX: Duration = Duration::from_millis(1000);
 /// A link that carries calls is asked for a sign of life after this time without one.
 const PING_BUSY: Duration = Duration::from_millis(300);
 /// A link at rest is asked this often, in a small fleet.
@@ -50,11 +31,6 @@
 const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
 /// A link that leaves a ping unanswered for this time is closed.
 const CLOSE_AFTER: Duration = Duration::from_millis(2500);
-/// Room that is made for each read, in bytes.
-const READ_BYTES: usize = 4 * 1024;
-/// Frames that are written in one call.
-const MAX_BATCH: usize = 64;
-
 /// A call that got no answer over its link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum LinkError {
@@ -206,7 +182,8 @@
         }
     }
 
-    fn received(&self, now: Instant) {
+    /// Something came from the other node: it lives.
+    pub(super) fn received(&self, now: Instant) {
         let mut state = self.state();
         state.received_at = now;
         state.pinged_at = None;
@@ -215,7 +192,8 @@
         }
     }
 
-    fn complete(&self, call: u32, reply: Reply) {
+    /// A call came back.
+    pub(super) fn complete(&self, call: u32, reply: Reply) {
         let waiting = self.state().waiting.remove(&call);
         if let Some(waiting) = waiting {
             // The caller may have given up meanwhile.
@@ -223,7 +201,13 @@
         }
     }
 
-    fn close(&self) {
+    /// Waits until the other node has been silent for too long.
+    pub(super) async fn silent_too_long(&self) {
+        self.closing.notified().await;
+    }
+
+    /// The connection is lost, and with it every call under way.
+    pub(super) fn close(&self) {
         let mut state = self.state();
         state.is_closed = true;
         for (_, waiting) in state.waiting.drain() {
@@ -282,175 +266,3 @@
         }
     }
 }
-
-/// Keeps a link to the node at an address for as long as that node is part of the fleet.
-pub async fn keep_link(node: Arc<Node>, address: SocketAddr) {
-    let mut wait = REOPEN_MIN;
-    loop {
-        match open(&node, address).await {
-            Ok((record, link)) => {
-                wait = REOPEN_MIN;
-                tracing::info!(peer = record.node, service = record.service, "link opened");
-                let reason = run(&node, record, link).await;
-                tracing::info!(%address, reason, "link lost");
-            }
-            Err(error) => tracing::debug!(%address, %error, "link not opened"),
-        }
-        if node.forget_peer(address) {
-            return;
-        }
-        let jitter = rand::rng().random_range(0.7..1.3);
-        sleep(wait.mul_f64(jitter)).await;
-        wait = (wait * 2).min(REOPEN_MAX);
-    }
-}
-
-struct OpenLink {
-    link: Arc<Link>,
-    reader: OwnedReadHalf,
-    writer: OwnedWriteHalf,
-    frames: mpsc::UnboundedReceiver<Bytes>,
-    buffer: BytesMut,
-}
-
-async fn open(node: &Arc<Node>, address: SocketAddr) -> io::Result<(NodeRecord, OpenLink)> {
-    let stream = connect(address, OPEN_TIMEOUT, LINK_SILENCE).await?;
-    timeout(OPEN_TIMEOUT, introduce(node, stream))
-        .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
-}
-
-async fn introduce(node: &Arc<Node>, stream: TcpStream) -> io::Result<(NodeRecord, OpenLink)> {
-    let (mut reader, mut writer) = stream.into_split();
-    let hello = Frame::of_link(Message::Hello(node.hello()));
-    writer.write_all(&hello.encode()).await?;
-    let mut buffer = BytesMut::new();
-    let frame = next_frame(&mut reader, &mut buffer).await?;
-    let Message::Hello(record) = frame.message else {
-        return Err(invalid("the first frame is no introduction"));
-    };
-    let record: NodeRecord = serde_json::from_slice(&record).map_err(invalid)?;
-    let (sender, frames) = mpsc::unbounded_channel();
-    let open = OpenLink {
-        link: Arc::new(Link::new(&record.node, sender)),
-        reader,
-        writer,
-        frames,
-        buffer,
-    };
-    Ok((record, open))
-}
-
-fn invalid(error: impl ToString) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, error.to_string())
-}
-
-/// Runs a link until it is lost; gives the reason.
-async fn run(node: &Arc<Node>, record: NodeRecord, open: OpenLink) -> String {
-    let OpenLink {
-        link,
-        mut reader,
-        writer,
-        frames,
-        mut buffer,
-    } = open;
-    // The record's own address may differ from the one dialled only by mistake of its sender.
-    let address = record.address;
-    node.peer_connected(record, link.clone());
-    if node.wants_nodes() {
-        link.send(&Frame::of_link(Message::FetchNodes));
-    }
-    let writing = tokio::spawn(write_frames(writer, frames));
-    let reading = async {
-        loop {
-            match next_frame(&mut reader, &mut buffer).await {
-                Ok(frame) => {
-                    link.received(Instant::now());
-                    take_in(node, address, &link, frame);
-                }
-                Err(error) => return error.to_string(),
-            }
-        }
-    };
-    let reason = tokio::select! {
-        reason = reading => reason,
-        () = link.closing.notified() => "no sign of life".to_owned(),
-    };
-    writing.abort();
-    link.close();
-    node.peer_disconnected(address);
-    reason
-}
-
-fn take_in(node: &Arc<Node>, address: SocketAddr, link: &Link, frame: Frame) {
-    match frame.message {
-        Message::Answer {
-            status,
-            load,
-            head,
-            body,
-        } => {
-            node.peer_load(address, load);
-            let reply = Reply::Answer {
-                status,
-                load,
-                head,
-                body,
-            };
-            link.complete(frame.call, reply);
-        }
-        Message::Refusal {
-            kind,
-            outcome,
-            retry_after_ms,
-            load,
-        } => {
-            node.peer_load(address, load);
-            let reply = Reply::Refusal {
-                kind,
-                outcome,
-                retry_after_ms,
-                load,
-            };
-            link.complete(frame.call, reply);
-        }
-        Message::Status(status) => node.peer_status(address, status),
-        Message::Nodes(nodes) => node.learn_nodes(&nodes),
-        Message::Configuration(document) => node.offer_configuration(&document),
-        _ => {}
-    }
-}
-
-/// Reads the next frame.
-///
-/// # Errors
-///
-/// What the connection says, or that what comes is no frame.
-pub async fn next_frame(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Frame> {
-    loop {
-        if let Some(frame) = Frame::take(buffer).map_err(invalid)? {
-            return Ok(frame);
-        }
-        buffer.reserve(READ_BYTES);
-        if reader.read_buf(buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-    }
-}
-
-/// Writes frames as they come, many in one call where many wait.
-pub async fn write_frames(
-    mut writer: OwnedWriteHalf,
-    mut frames: mpsc::UnboundedReceiver<Bytes>,
-) -> io::Result<()> {
-    let mut batch = Vec::with_capacity(MAX_BATCH);
-    while frames.recv_many(&mut batch, MAX_BATCH).await > 0 {
-        if let [frame] = &batch[..] {
-            writer.write_all(frame).await?;
-        } else {
-            writer.write_all(&batch.concat()).await?;
-        }
-        batch.clear();
-    }
-    Ok(())
-}
--- a/crates/tallybridge-mesh/src/peer/mod.rs
+++ b/crates/tallybridge-mesh/src/peer/mod.rs
@@ -2,6 +2,8 @@
 //! answer.
 
 pub mod accept;
+pub mod dial;
+pub mod frames;
 pub mod link;
 pub mod message;
 
