Shed a route only for services that its own requests need

Cause: an entry shed downloads with all else that goes to their service, since back ends of that service call the full one for other routes. Change: the executor tells with each answer whether the back end made nested calls for it (one byte); after twenty answers in a row without any, a route is taken to need its own service only, until one tells otherwise. Ruled out: asking the configuration (it does not say who calls whom); learning by service alone (as before). Tests: tables (a route that calls nobody stays open, one that calls now and then is shed, one that calls after all is shed again). Peers' protocol is version 3.

--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -156,6 +156,17 @@
         })
     }
 
+    /// Whether a call that runs at the back end has made a nested one.
+    #[must_use]
+    pub fn has_called(&self, attempt: &Bytes) -> bool {
+        self.tables().running.has_called(attempt)
+    }
+
+    /// A request of a route was answered well; `made_calls` says whether that took nested calls.
+    pub fn route_answered(&self, route: &Route, made_calls: bool) {
+        self.tables().shedding.answered(route, made_calls);
+    }
+
     /// Whether a fresh request is let in.
     #[must_use]
     pub fn admits(&self, route: &Route, service: &Arc<str>) -> bool {
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -9,7 +9,7 @@
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
 use tokio::time::{Instant, timeout_at};
 
-use super::execute::{Executed, execute, is_untouched};
+use super::execute::{Answered, Executed, execute, is_untouched};
 use crate::{
     configuration::Route,
     http::Answer,
@@ -40,7 +40,7 @@
 
 /// What became of one attempt.
 enum Attempted {
-    Answered(Answer),
+    Answered(Answered),
     Refused(Refusal),
 }
 
@@ -109,12 +109,19 @@
         progress.tried.push(target.address);
         let address = target.address;
         let untouched = match attempt(node, call, target).await {
-            Attempted::Answered(answer) if is_worth_another(node, call, address, &answer) => {
+            Attempted::Answered(Answered { answer, .. })
+                if is_worth_another(node, call, address, &answer) =>
+            {
                 progress.may_have_run = true;
                 progress.failure = Some(answer);
                 false
             }
-            Attempted::Answered(answer) => return Ok(answer),
+            Attempted::Answered(Answered { answer, made_calls }) => {
+                if answer.status < 500 {
+                    node.route_answered(&call.route, made_calls);
+                }
+                return Ok(answer);
+            }
             Attempted::Refused(refusal) => {
                 let untouched = is_untouched(&refusal);
                 progress.may_have_run |= refusal.outcome != Outcome::NotRun;
@@ -233,7 +240,7 @@
 
 fn executed(executed: Executed) -> Attempted {
     match executed {
-        Executed::Answered(answer) => Attempted::Answered(answer),
+        Executed::Answered(answered) => Attempted::Answered(answered),
         Executed::Refused(refusal) => Attempted::Refused(refusal),
     }
 }
@@ -254,11 +261,18 @@
     node.with_peers(|peers| peers.sent(address));
     match under_way.reply().await {
         Ok(Reply::Answer {
-            status, head, body, ..
-        }) => Attempted::Answered(Answer {
             status,
-            headers: head.to_vec(),
+            made_calls,
+            head,
             body,
+            ..
+        }) => Attempted::Answered(Answered {
+            answer: Answer {
+                status,
+                headers: head.to_vec(),
+                body,
+            },
+            made_calls,
         }),
         Ok(Reply::Refusal {
             kind,
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -28,11 +28,20 @@
 /// Answers to other requests that are read past on one connection.
 const MAX_SURPLUS: usize = 2;
 
+/// What a back end answered.
+#[derive(Debug)]
+pub struct Answered {
+    /// Its answer.
+    pub answer: Answer,
+    /// Whether it made nested calls for it.
+    pub made_calls: bool,
+}
+
 /// How a call ended at its executor.
 #[derive(Debug)]
 pub enum Executed {
     /// The back end answered.
-    Answered(Answer),
+    Answered(Answered),
     /// It did not, and this is known of the call.
     Refused(Refusal),
 }
@@ -43,7 +52,7 @@
     let arrived = Instant::now();
     let result = run(node, &call, arrived).await;
     match result {
-        Ok(answer) => Executed::Answered(answer),
+        Ok(answered) => Executed::Answered(answered),
         Err(refusal) => {
             log_refusal(node, &call, &refusal, arrived);
             Executed::Refused(refusal)
@@ -51,7 +60,7 @@
     }
 }
 
-async fn run(node: &Arc<Node>, call: &CallMessage, arrived: Instant) -> Result<Answer, Refusal> {
+async fn run(node: &Arc<Node>, call: &CallMessage, arrived: Instant) -> Result<Answered, Refusal> {
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
     let _slot = take_slot(node, call, arrived).await?;
     hand_over(node, call, deadline).await
@@ -105,7 +114,7 @@
     node: &Arc<Node>,
     call: &CallMessage,
     deadline: Instant,
-) -> Result<Answer, Refusal> {
+) -> Result<Answered, Refusal> {
     // Asked again after the wait for a slot: the back end may have said that it leaves.
     let instance = instance(node)?;
     let remaining = deadline.saturating_duration_since(Instant::now());
@@ -128,7 +137,10 @@
         )),
     };
     ending.end(&result);
-    result
+    result.map(|answer| Answered {
+        answer,
+        made_calls: node.has_called(&call.attempt),
+    })
 }
 
 /// Takes in how a call ends at the back end, also when it is withdrawn at its deadline.
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -22,7 +22,7 @@
 use crate::{
     http::client::notice_silence,
     node::Node,
-    path::execute::{Executed, execute},
+    path::execute::{Answered, Executed, execute},
     tables::NodeRecord,
 };
 
@@ -170,8 +170,9 @@
 fn reply(node: &Node, executed: Executed) -> Message {
     let load = node.load();
     match executed {
-        Executed::Answered(answer) => Message::Answer {
+        Executed::Answered(Answered { answer, made_calls }) => Message::Answer {
             status: answer.status,
+            made_calls,
             load,
             head: answer.headers.into(),
             body: answer.body,
--- a/crates/tallybridge-mesh/src/peer/dial.rs
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -126,6 +126,7 @@
     match frame.message {
         Message::Answer {
             status,
+            made_calls,
             load,
             head,
             body,
@@ -133,6 +134,7 @@
             node.peer_load(address, load);
             let reply = Reply::Answer {
                 status,
+                made_calls,
                 load,
                 head,
                 body,
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -49,6 +49,8 @@
     Answer {
         /// Its status.
         status: u16,
+        /// Whether the back end made nested calls for it.
+        made_calls: bool,
         /// How busy the back end is.
         load: Load,
         /// Its header lines.
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -8,7 +8,7 @@
 use crate::tables::{BackendState, Load, PeerStatus};
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
-const PROTOCOL_VERSION: u8 = 2;
+const PROTOCOL_VERSION: u8 = 3;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
 /// Size of a [`FrameHeader`], in bytes.
@@ -16,7 +16,7 @@
 /// Size of a [`CallFields`], in bytes.
 const CALL_BYTES: usize = 16;
 /// Size of an [`AnswerFields`], in bytes.
-const ANSWER_BYTES: usize = 17;
+const ANSWER_BYTES: usize = 18;
 /// Size of a [`RefusalFields`], in bytes.
 const REFUSAL_BYTES: usize = 17;
 /// Size of a [`StatusFields`], in bytes.
@@ -60,6 +60,7 @@
 #[deku(endian = "big")]
 struct AnswerFields {
     status: u16,
+    made_calls: u8,
     head_length: u32,
     load: Load,
 }
@@ -120,6 +121,8 @@
     Answer {
         /// Its status.
         status: u16,
+        /// Whether the back end made nested calls for it.
+        made_calls: bool,
         /// How busy the back end is.
         load: Load,
         /// Its header lines.
@@ -251,12 +254,14 @@
             Self::Call(call) => encode_call(call, out),
             Self::Answer {
                 status,
+                made_calls,
                 load,
                 head,
                 body,
             } => {
                 *out = fields(&AnswerFields {
                     status: *status,
+                    made_calls: u8::from(*made_calls),
                     head_length: head.len() as u32,
                     load: *load,
                 });
@@ -327,6 +332,7 @@
             let fields: AnswerFields = take_fields(&mut payload, ANSWER_BYTES)?;
             Message::Answer {
                 status: fields.status,
+                made_calls: fields.made_calls != 0,
                 load: fields.load,
                 head: take_bytes(&mut payload, fields.head_length as usize)?,
                 body: payload,
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -25,6 +25,8 @@
     parent: Parent,
     /// Times that it runs at once.
     runs: u32,
+    /// Whether it made a nested call.
+    has_called: bool,
     /// Nested calls that have not ended.
     open: u32,
     /// Whether a nested call ended badly.
@@ -44,6 +46,7 @@
         let running = self.0.entry(attempt.clone()).or_insert(Running {
             parent,
             runs: 0,
+            has_called: false,
             open: 0,
             has_failed_below: false,
         });
@@ -81,6 +84,7 @@
     /// A running call made a nested one.
     pub fn nested_begins(&mut self, parent: &Bytes) {
         if let Some(running) = self.0.get_mut(parent) {
+            running.has_called = true;
             running.open += 1;
         }
     }
@@ -93,6 +97,13 @@
         }
     }
 
+    /// Whether a running call has made a nested one.
+    #[must_use]
+    pub fn has_called(&self, attempt: &Bytes) -> bool {
+        let running = self.0.get(attempt);
+        running.is_some_and(|running| running.has_called)
+    }
+
     /// Whether a failure of a running call may be that of a call that it made.
     #[must_use]
     pub fn may_fail_for_another(&self, attempt: &Bytes) -> bool {
--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -36,10 +36,16 @@
 /// Fullness, as a share of the threshold, below which there is much room.
 const MUCH_ROOM: f64 = 0.75;
 
+/// Answers in a row that took no nested call, after which a route is taken to need its own service
+/// only.
+const LEAF_ANSWERS: u32 = 20;
+
 #[derive(Debug)]
 struct Share {
     service: Arc<str>,
     priority: u8,
+    /// Answers in a row that took no nested call.
+    leaf_answers: u32,
     admitted: f64,
     owed: f64,
 }
@@ -116,6 +122,7 @@
             .or_insert_with(|| Share {
                 service: service.clone(),
                 priority: route.priority,
+                leaf_answers: 0,
                 admitted: 1.0,
                 owed: 0.0,
             });
@@ -129,6 +136,17 @@
         true
     }
 
+    /// A request of a route was answered well. The back ends of one service may call others for
+    /// some routes only: those that call nobody need not be shed for what is full below.
+    pub fn answered(&mut self, route: &Route, made_calls: bool) {
+        if let Some(share) = self.shares.get_mut(&route.name) {
+            share.leaf_answers = match made_calls {
+                true => 0,
+                false => share.leaf_answers.saturating_add(1),
+            };
+        }
+    }
+
     /// Whether every fresh request is let in.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -140,7 +158,11 @@
         for share in self.shares.values_mut() {
             let threshold = SHED_FROM[usize::from(share.priority.min(2))];
             let least = LEAST_SHARE[usize::from(share.priority.min(1))];
-            let below = services.fullness_below(&share.service) / threshold;
+            let below = if share.leaf_answers >= LEAF_ANSWERS {
+                0.0
+            } else {
+                services.fullness_below(&share.service) / threshold
+            };
             let direct = services.fullness(&share.service) / (threshold - DIRECT_FIRST);
             let excess = below.max(direct) - 1.0;
             share.admitted = if excess > UNAVAILABLE / 4.0 {
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -67,9 +67,11 @@
         bytes().prop_map(Message::Hello),
         bytes().prop_map(Message::Nodes),
         call().prop_map(Message::Call),
-        (any::<u16>(), load(), bytes(), bytes()).prop_map(|(status, load, head, body)| {
+        (any::<(u16, bool)>(), load(), bytes(), bytes()).prop_map(|(first, load, head, body)| {
+            let (status, made_calls) = first;
             Message::Answer {
                 status,
+                made_calls,
                 load,
                 head,
                 body,
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -382,6 +382,34 @@
     assert!(shedding.is_open());
 }
 
+#[test]
+fn a_route_that_calls_nobody_is_not_shed_for_what_is_full_below_its_service() {
+    let download = route("download", "h", "/d/", 2, &[("top", 1)]);
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::default();
+    admitted(&mut shedding, &download);
+    admitted(&mut shedding, &lookup);
+    for number in 0..40 {
+        shedding.answered(&download, false);
+        // Of the other route, most requests call somebody.
+        shedding.answered(&lookup, number % 4 != 0);
+    }
+    let full = views(&[("top", 100, 10, &["deep"]), ("deep", 10, 20, &[])]);
+    for _ in 0..20 {
+        shedding.adapt(&full);
+    }
+    assert_eq!(admitted(&mut shedding, &download), 1000);
+    assert!(admitted(&mut shedding, &lookup) < 400);
+    shedding.answered(&download, true);
+    for _ in 0..20 {
+        shedding.adapt(&full);
+    }
+    assert!(
+        admitted(&mut shedding, &download) < 400,
+        "it calls after all"
+    );
+}
+
 #[test]
 fn payments_are_shed_last() {
     let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
