--- /dev/null
+++ b/crates/tallybridge-mesh/tests/running.rs
@@ -0,0 +1,43 @@
+//! Running calls and the nested calls that they make.
+
+use bytes::Bytes;
+use tallybridge_mesh::tables::{FoundParent, Parent, RunningAttempts};
+
+#[test]
+fn a_nested_call_is_known_by_the_running_call_that_made_it() {
+    let mut running = RunningAttempts::default();
+    let root = Bytes::from_static(b"ab12");
+    let parent = Parent { is_urgent: true };
+    running.begin(&root, parent);
+    let found = FoundParent {
+        attempt: root.clone(),
+        parent,
+    };
+    assert_eq!(running.parent_of(b"ab12.cd").as_ref(), Some(&found));
+    assert_eq!(running.parent_of(b"ab12.cd.ef").as_ref(), Some(&found));
+    assert_eq!(running.parent_of(b"ab12"), None, "it is no call of its own");
+    assert_eq!(running.parent_of(b"ab1.cd"), None);
+    assert_eq!(running.parent_of(b"zz"), None);
+    running.begin(&root, parent);
+    running.end(&root);
+    assert!(running.parent_of(b"ab12.cd").is_some(), "it runs twice");
+    running.end(&root);
+    assert_eq!(running.parent_of(b"ab12.cd"), None);
+}
+
+#[test]
+fn a_call_may_fail_for_one_that_it_made_and_that_failed_or_is_still_open() {
+    let mut running = RunningAttempts::default();
+    let root = Bytes::from_static(b"ab12");
+    running.begin(&root, Parent { is_urgent: false });
+    assert!(!running.may_fail_for_another(&root), "it made none");
+    running.nested_begins(&root);
+    assert!(running.may_fail_for_another(&root), "one is open");
+    running.nested_ended(&root, false);
+    assert!(!running.may_fail_for_another(&root), "it ended well");
+    running.nested_begins(&root);
+    running.nested_ended(&root, true);
+    assert!(running.may_fail_for_another(&root), "it failed");
+    running.end(&root);
+    assert!(!running.may_fail_for_another(&root), "nothing is kept");
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -0,0 +1,27 @@
+//! A route for tests.
+
+use std::{sync::atomic::AtomicU64, time::Duration};
+
+use tallybridge_mesh::{Route, RouteKind, RoutePart};
+
+/// A route for repeatable requests, with its parts as service and weight.
+pub fn route(name: &str, host: &str, prefix: &str, priority: u8, parts: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_secs(1),
+        priority,
+        max_attempts: 2,
+        parts: parts
+            .iter()
+            .map(|(service, weight)| RoutePart {
+                service: (*service).into(),
+                weight: *weight,
+            })
+            .collect(),
+        taken: AtomicU64::new(0),
+    }
+}
