Link to a subset of the executors of a large service

Change: a node links to every executor of a service while they are at most 32, and to 32 otherwise, 20 of them in its own zone, chosen by rendezvous hashing; one out of contact is replaced until it is back; a link that gives way ends after its last call. A large register is read behind the own place only. Nothing changes on sites with fewer than 33 back ends of a service.

Ruled out: telling loads less often (entries far from a service would shed late); links to called services only (shares of fresh requests need to know services further down).

--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -32,7 +32,7 @@
     let counters = &node.counters;
     let load = node.load();
     let status = node.status();
-    let fleet = node.with_peers(|peers| (peers.fleet_size(), peers.links().count()));
+    let fleet = node.with_peers(|peers| (peers.known_size(), peers.links().count()));
     let counts = [
         ("requests_total", &counters.requests),
         ("answered_total", &counters.answered),
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -23,7 +23,7 @@
 pub use reload::SettingsSource;
 pub use run::run;
 pub use seam::{
-    ControlRequest, HeaderNames, InstanceReport, Platform, ReportedState, StoreError, StoreFuture,
-    StoredConfiguration, WatchedConfiguration,
+    ControlRequest, HeaderNames, InstanceReport, Platform, RegisterPage, ReportedState, StoreError,
+    StoreFuture, StoredConfiguration, WatchedConfiguration,
 };
 pub use settings::{MeshSettings, SettingsError};
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -13,7 +13,8 @@
     configuration::Route,
     peer::{dial::keep_link, link::Link},
     tables::{
-        BackendState, FoundParent, InstanceState, Load, NodeRecord, Parent, PeerStatus, PeerTable,
+        BackendState, FoundParent, InstanceState, LinkOrder, Load, NodeRecord, Parent, PeerStatus,
+        PeerTable,
     },
 };
 
@@ -58,34 +59,53 @@
     /// Takes in a list of nodes that a peer knows.
     pub fn learn_nodes(self: &Arc<Self>, nodes: &[u8]) {
         let records: Vec<NodeRecord> = serde_json::from_slice(nodes).unwrap_or_default();
-        for record in &records {
-            self.learn_node(record);
+        self.learn_records(records);
+    }
+
+    /// Takes in nodes, and opens links to those that are to be linked to.
+    pub fn learn_records(self: &Arc<Self>, records: impl IntoIterator<Item = NodeRecord>) {
+        let now = Instant::now();
+        let mut tables = self.tables();
+        for record in records {
+            tables.peers.learn(record, now);
         }
+        drop(tables);
+        self.settle_links(now);
     }
 
-    /// Takes in a node, and opens a link to one that was not known.
-    pub fn learn_node(self: &Arc<Self>, record: &NodeRecord) {
-        let is_new = self.tables().peers.learn(record.clone(), Instant::now());
-        if is_new {
-            tokio::spawn(keep_link(self.clone(), record.address));
+    /// Opens the links that are wanted and not there.
+    fn settle_links(self: &Arc<Self>, now: Instant) {
+        let orders = self.tables().peers.settle(now);
+        for order in orders {
+            tokio::spawn(keep_link(self.clone(), order));
         }
     }
 
-    /// A link to a node is open.
-    pub fn peer_connected(&self, record: NodeRecord, link: Arc<Link>) {
-        let mut tables = self.tables();
-        tables.peers.connected(record, link, Instant::now());
+    /// A link to a node is open; `false` when it is not wanted any more.
+    pub fn peer_connected(&self, order: LinkOrder, record: NodeRecord, link: Arc<Link>) -> bool {
+        let peers = &mut self.tables().peers;
+        peers.is_wanted(order) && peers.connected(record, link, Instant::now())
     }
 
     /// The link to a node is lost.
-    pub fn peer_disconnected(&self, address: SocketAddr) {
-        self.tables().peers.disconnected(address);
+    pub fn peer_disconnected(&self, address: SocketAddr, link: &Arc<Link>) {
+        self.tables().peers.disconnected(address, link);
     }
 
-    /// Forgets a node that has been out of contact for long.
+    /// A link could not be opened.
+    pub fn peer_unreachable(&self, order: LinkOrder) {
+        self.tables().peers.unreachable(order);
+    }
+
+    /// Whether a link is not to be opened again.
     #[must_use]
-    pub fn forget_peer(&self, address: SocketAddr) -> bool {
-        self.tables().peers.forget(address, Instant::now())
+    pub fn forget_peer(&self, order: LinkOrder) -> bool {
+        self.tables().peers.forget(order, Instant::now())
+    }
+
+    /// Drops spare nodes that nobody has named for long.
+    pub fn forget_spare_nodes(&self) {
+        self.tables().peers.forget_spares(Instant::now());
     }
 
     /// A node told its status.
@@ -215,19 +235,20 @@
     }
 
     /// Looks after the links, and tells the other nodes when the load has changed much.
-    pub fn tick(&self) {
+    pub fn tick(self: &Arc<Self>) {
         let now = Instant::now();
         let utilization = self.load().utilization(0);
         let own = self.status();
         let is_news = {
             let mut tables = self.tables();
-            let fleet_size = u32::try_from(tables.peers.fleet_size()).unwrap_or(u32::MAX);
+            let subset_size = u32::try_from(tables.peers.subset_size()).unwrap_or(u32::MAX);
             for (_, link) in tables.peers.links() {
-                link.check(now, fleet_size);
+                link.check(now, subset_size);
             }
             tables.adapt_shedding(&own);
-            tables.is_load_news(utilization, fleet_size, now)
+            tables.is_load_news(utilization, subset_size, now)
         };
+        self.settle_links(now);
         if is_news {
             self.publish();
         }
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -37,8 +37,9 @@
 
 /// Time for which a service counts as called by the back end.
 const CALLED_LATELY: Duration = Duration::from_secs(10);
-/// Each node of the fleet adds this to the least time between two tellings of the load. Whoever
-/// sends calls to a back end learns of its load with each answer; the tellings are for the others.
+/// Each node that this one links to, and that is about as likely to have linked to it, adds this to
+/// the least time between two tellings of the load. Whoever sends calls to a back end learns of its
+/// load with each answer; the tellings are for the others.
 const TELL_PER_NODE: Duration = Duration::from_millis(4);
 /// Peers that are asked for the nodes that they know, besides the register.
 const LISTS_ASKED: u32 = 3;
@@ -135,10 +136,10 @@
     }
 
     /// Whether the other nodes are to be told of the load, which is then taken as told.
-    fn is_load_news(&mut self, utilization: f64, fleet_size: u32, now: Instant) -> bool {
+    fn is_load_news(&mut self, utilization: f64, subset_size: u32, now: Instant) -> bool {
         let rests = self
             .told_at
-            .is_some_and(|at| now.saturating_duration_since(at) < TELL_PER_NODE * fleet_size);
+            .is_some_and(|at| now.saturating_duration_since(at) < TELL_PER_NODE * subset_size);
         let failing = self.failing.get();
         // A back end that begins to fail draws calls at once, so that news does not rest.
         let fails_more = failing - self.told_failing > TOLD_FAILING;
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -90,7 +90,7 @@
         return Err(io::ErrorKind::InvalidData.into());
     };
     let record: NodeRecord = serde_json::from_slice(&record)?;
-    node.learn_node(&record);
+    node.learn_records([record]);
     let (sender, frames) = mpsc::unbounded_channel();
     let writing = tokio::spawn(write_frames(writer, frames));
     send(&sender, Message::Hello(node.hello()));
--- a/crates/tallybridge-mesh/src/peer/dial.rs
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -19,28 +19,38 @@
     link::{Link, Reply},
     message::{Frame, Message},
 };
-use crate::{http::client::connect, node::Node, tables::NodeRecord};
+use crate::{
+    http::client::connect,
+    node::Node,
+    tables::{LinkOrder, NodeRecord},
+};
 
 /// Time in which a connection must come up and the other node must say who it is.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Waits between attempts to open a link.
 const REOPEN_MIN: Duration = Duration::from_millis(100);
 const REOPEN_MAX: Duration = Duration::from_millis(1000);
+/// Reason for the end of a link that is not wanted.
+const NOT_NEEDED: &str = "not needed any more";
 
-/// Keeps a link to the node at an address for as long as that node is part of the fleet.
-pub async fn keep_link(node: Arc<Node>, address: SocketAddr) {
+/// Keeps a link to a node for as long as that node is one of those that are linked to.
+pub async fn keep_link(node: Arc<Node>, order: LinkOrder) {
+    let address = order.address;
     let mut wait = REOPEN_MIN;
     loop {
         match open(&node, address).await {
             Ok((record, link)) => {
                 wait = REOPEN_MIN;
                 tracing::info!(peer = record.node, service = record.service, "link opened");
-                let reason = run(&node, record, link).await;
+                let reason = run(&node, order, record, link).await;
                 tracing::info!(%address, reason, "link lost");
             }
-            Err(error) => tracing::debug!(%address, %error, "link not opened"),
+            Err(error) => {
+                tracing::debug!(%address, %error, "link not opened");
+                node.peer_unreachable(order);
+            }
         }
-        if node.forget_peer(address) {
+        if node.forget_peer(order) {
             return;
         }
         let jitter = rand::rng().random_range(0.7..1.3);
@@ -86,7 +96,7 @@
 }
 
 /// Runs a link until it is lost; gives the reason.
-async fn run(node: &Arc<Node>, record: NodeRecord, open: OpenLink) -> String {
+async fn run(node: &Arc<Node>, order: LinkOrder, record: NodeRecord, open: OpenLink) -> String {
     let OpenLink {
         link,
         mut reader,
@@ -96,7 +106,9 @@
     } = open;
     // The record's own address may differ from the one dialled only by mistake of its sender.
     let address = record.address;
-    node.peer_connected(record, link.clone());
+    if !node.peer_connected(order, record, link.clone()) {
+        return NOT_NEEDED.to_owned();
+    }
     if node.wants_nodes() {
         link.send(&Frame::of_link(Message::FetchNodes));
     }
@@ -115,10 +127,11 @@
     let reason = tokio::select! {
         reason = reading => reason,
         () = link.silent_too_long() => "no sign of life".to_owned(),
+        () = link.retired() => NOT_NEEDED.to_owned(),
     };
     writing.abort();
     link.close();
-    node.peer_disconnected(address);
+    node.peer_disconnected(address, &link);
     reason
 }
 
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use tokio::{
     sync::{Notify, mpsc, oneshot},
-    time::Instant,
+    time::{Instant, sleep},
 };
 
 use super::message::{CallMessage, Frame, Message};
@@ -20,17 +20,20 @@
 
 /// A link that carries calls is asked for a sign of life after this time without one.
 const PING_BUSY: Duration = Duration::from_millis(300);
-/// A link at rest is asked this often, in a small fleet.
+/// A link at rest is asked this often, where there are few.
 const PING_IDLE: Duration = Duration::from_millis(1000);
-/// In a large fleet, each node of it adds this to the time between two such questions, so that
-/// what a node sends at rest does not grow with the fleet.
-const PING_IDLE_PER_NODE: Duration = Duration::from_millis(12);
+/// Where there are many links, each adds this to the time between two such questions, so that
+/// what a node sends at rest does not grow with them.
+const PING_IDLE_PER_LINK: Duration = Duration::from_millis(12);
 /// A link that leaves a ping unanswered for this time is suspect: new calls go elsewhere.
 const SUSPECT_AFTER: Duration = Duration::from_millis(350);
 /// After this time the calls on it that may run again are given up, to be sent elsewhere.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
 /// A link that leaves a ping unanswered for this time is closed.
 const CLOSE_AFTER: Duration = Duration::from_millis(2500);
+/// Time between looks whether the last call on a link that is not needed has ended.
+const RETIRE_LOOK: Duration = Duration::from_millis(50);
+
 /// A call that got no answer over its link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum LinkError {
@@ -94,6 +97,7 @@
     state: Mutex<LinkState>,
     is_suspect: AtomicBool,
     closing: Notify,
+    retiring: Notify,
 }
 
 impl Link {
@@ -112,6 +116,7 @@
             }),
             is_suspect: AtomicBool::new(false),
             closing: Notify::new(),
+            retiring: Notify::new(),
         }
     }
 
@@ -154,12 +159,12 @@
     }
 
     /// Asks for a sign of life where one is due, and draws the conclusions of silence.
-    pub fn check(&self, now: Instant, fleet_size: u32) {
+    pub fn check(&self, now: Instant, links: u32) {
         let mut state = self.state();
         let Some(pinged_at) = state.pinged_at else {
             let silent = now.saturating_duration_since(state.received_at);
             let due = if state.waiting.is_empty() {
-                PING_IDLE.max(PING_IDLE_PER_NODE * fleet_size)
+                PING_IDLE.max(PING_IDLE_PER_LINK * links)
             } else {
                 PING_BUSY
             };
@@ -208,6 +213,19 @@
         self.closing.notified().await;
     }
 
+    /// The link is not needed any more: it is closed when no call is under way on it.
+    pub fn retire(&self) {
+        self.retiring.notify_one();
+    }
+
+    /// Waits until the link is not needed and no call is under way on it.
+    pub(super) async fn retired(&self) {
+        self.retiring.notified().await;
+        while !self.state().waiting.is_empty() {
+            sleep(RETIRE_LOOK).await;
+        }
+    }
+
     /// The connection is lost, and with it every call under way.
     pub(super) fn close(&self) {
         let mut state = self.state();
--- a/crates/tallybridge-mesh/src/seam.rs
+++ b/crates/tallybridge-mesh/src/seam.rs
@@ -98,6 +98,15 @@
     pub document: Option<Bytes>,
 }
 
+/// A page of the register, in the order of the names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegisterPage {
+    /// Records of nodes.
+    pub records: Vec<Bytes>,
+    /// The name after which the next page begins; `None` at the end of the register.
+    pub next_after: Option<String>,
+}
+
 /// A call to the platform's store.
 pub type StoreFuture<'a, T> = BoxFuture<'a, Result<T, StoreError>>;
 
@@ -126,11 +135,11 @@
         wait: Duration,
     ) -> StoreFuture<'_, WatchedConfiguration>;
 
-    /// Registers this node, or what has changed of it, and gives the lease under which it did: the
+    /// Registers this node under a name, or what has changed of it, and gives the lease under which it did: the
     /// one that is given, or a new one of `ttl`.
     fn register<'a>(
         &'a self,
-        node: &'a str,
+        name: &'a str,
         record: Bytes,
         ttl: Duration,
         lease: Option<u64>,
@@ -142,6 +151,6 @@
     /// Ends a lease, and with it the registration.
     fn end_lease(&self, lease: u64) -> StoreFuture<'_, ()>;
 
-    /// The records of all registered nodes; a cheap read may be seconds old.
-    fn registered(&self, cheap: bool) -> StoreFuture<'_, Vec<Bytes>>;
+    /// A page of the register, of the names after one; a cheap read may be seconds old.
+    fn registered<'a>(&'a self, after: &'a str, cheap: bool) -> StoreFuture<'a, RegisterPage>;
 }
--- a/crates/tallybridge-mesh/src/store.rs
+++ b/crates/tallybridge-mesh/src/store.rs
@@ -5,8 +5,10 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     node::Node,
@@ -29,6 +31,11 @@
 const RENEWAL: Duration = Duration::from_secs(4);
 /// Renewals between looks at the register.
 const RENEWALS_PER_LOOK: u32 = 3;
+/// The same where the register is large, so that all looks together are within the store's means;
+/// nodes that start make themselves known to those that they link to.
+const RENEWALS_PER_LOOK_LARGE: u32 = 15;
+/// Nodes that are read in one look: enough to choose those that are linked to.
+const ENOUGH_NODES: usize = 500;
 /// Time between looks whether a peer has a newer configuration.
 const PEER_LOOK: Duration = Duration::from_millis(300);
 /// Time that a peer must have had a newer configuration before it is asked for it: longer than the
@@ -128,8 +135,9 @@
 /// Registers this node, renews that, and learns of other nodes.
 pub async fn keep_registered(node: Arc<Node>) {
     let mut backoff = Backoff::new();
+    let mut register = Register::default();
     loop {
-        if let Err(reason) = register_and_renew(&node, &mut backoff).await {
+        if let Err(reason) = register_and_renew(&node, &mut register, &mut backoff).await {
             tracing::warn!(%reason, "registration lost");
             node.doubt_watch();
         }
@@ -137,16 +145,20 @@
     }
 }
 
-async fn register_and_renew(node: &Arc<Node>, backoff: &mut Backoff) -> Result<(), StoreError> {
+async fn register_and_renew(
+    node: &Arc<Node>,
+    register: &mut Register,
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
     // What nodes registered before they ended tells how many slots their back ends have.
-    look(node, true).await?;
-    let lease = register(node, None).await?;
-    // Whoever registers later reads this registration, so one whole look is enough for both.
-    look(node, false).await?;
+    register.look(node, true).await?;
+    let lease = register_self(node, None).await?;
+    // Whoever registers later reads this registration, so one look after it is enough for both.
+    register.look(node, false).await?;
     *backoff = Backoff::new();
     let mut wait = RENEWAL.mul_f64(rand::rng().random_range(FIRST_RENEWAL_MIN..1.0));
     loop {
-        for _ in 0..RENEWALS_PER_LOOK {
+        for _ in 0..register.renewals_per_look() {
             tokio::select! {
                 () = sleep(wait) => {
                     wait = RENEWAL;
@@ -156,33 +168,94 @@
                     node.confirm_by_waiting_watch();
                 }
                 () = node.record_changed() => {
-                    register(node, Some(lease)).await?;
+                    register_self(node, Some(lease)).await?;
                 }
             }
         }
-        look(node, true).await?;
+        register.look(node, true).await?;
+        node.forget_spare_nodes();
     }
 }
 
-async fn register(node: &Node, lease: Option<u64>) -> Result<u64, StoreError> {
+async fn register_self(node: &Node, lease: Option<u64>) -> Result<u64, StoreError> {
     count(node);
+    let name = register_name(&node.record.node);
     let registering = node
         .platform
-        .register(&node.record.node, node.hello(), REGISTRATION, lease);
+        .register(&name, node.hello(), REGISTRATION, lease);
     let lease = registering.await?;
     node.registered(lease);
     Ok(lease)
 }
 
-async fn look(node: &Arc<Node>, cheap: bool) -> Result<(), StoreError> {
-    count(node);
-    for record in node.platform.registered(cheap).await? {
-        match serde_json::from_slice::<NodeRecord>(&record) {
-            Ok(record) => node.learn_node(&record),
-            Err(error) => tracing::warn!(%error, "a registration can't be read"),
+/// The name under which a node registers: a hash goes before its own, so that the nodes around it
+/// in the register are of all zones and services.
+fn register_name(node: &str) -> String {
+    let place = xxh3_64(node.as_bytes()) >> (u64::BITS - u16::BITS);
+    format!("{place:04x}-{node}")
+}
+
+/// What is known of the register as a whole.
+#[derive(Debug, Default)]
+struct Register {
+    /// Whether it has more nodes than are read in one look.
+    is_large: bool,
+}
+
+impl Register {
+    /// Learns of registered nodes: of all in a small register, of those behind this node's own
+    /// place in a large one, as a node links to some of each service only.
+    async fn look(&mut self, node: &Arc<Node>, cheap: bool) -> Result<(), StoreError> {
+        if !self.is_large {
+            self.is_large = !read_register(node, "", cheap).await?;
+        }
+        if self.is_large {
+            let own = register_name(&node.record.node);
+            self.is_large = !read_register(node, &own, cheap).await?;
+        }
+        Ok(())
+    }
+
+    const fn renewals_per_look(&self) -> u32 {
+        match self.is_large {
+            true => RENEWALS_PER_LOOK_LARGE,
+            false => RENEWALS_PER_LOOK,
+        }
+    }
+}
+
+/// Reads the register from a name on and round to it again, until enough nodes are read; `true`
+/// when these are all.
+async fn read_register(node: &Arc<Node>, start: &str, cheap: bool) -> Result<bool, StoreError> {
+    let mut after = start.to_owned();
+    let mut has_turned = start.is_empty();
+    let mut read = 0;
+    loop {
+        count(node);
+        let page = node.platform.registered(&after, cheap).await?;
+        read += page.records.len();
+        node.learn_records(page.records.iter().filter_map(parse_record));
+        match page.next_after {
+            Some(_) if read >= ENOUGH_NODES => return Ok(false),
+            Some(next) if has_turned && !start.is_empty() && *next > *start => return Ok(true),
+            Some(next) => after = next,
+            None if has_turned => return Ok(true),
+            None => {
+                has_turned = true;
+                after.clear();
+            }
+        }
+    }
+}
+
+fn parse_record(record: &Bytes) -> Option<NodeRecord> {
+    match serde_json::from_slice(record) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            tracing::warn!(%error, "a registration can't be read");
+            None
         }
     }
-    Ok(())
 }
 
 /// Ends the registration.
--- a/crates/tallybridge-mesh/src/tables/peers/choose.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/choose.rs
@@ -33,7 +33,7 @@
 /// What an outlier that fails every call is put behind by: others are filled to the end of their
 /// queues first. One that fails some calls is still better than a refusal.
 const OUTLIER_COST: f64 = 6.0;
-/// Each node of the fleet adds this to the time between two calls by which one entry finds out
+/// Each node that an entry links to adds this to the time between two calls by which it finds out
 /// whether an outlier has recovered, so that all entries together send about twenty a second.
 const PROBE_PER_NODE: Duration = Duration::from_millis(50);
 
@@ -113,7 +113,7 @@
     }
 
     fn candidates(&self, choice: &Choice<'_>, now: Instant) -> Vec<Candidate> {
-        let probe_pause = PROBE_PER_NODE * u32::try_from(self.fleet_size()).unwrap_or(u32::MAX);
+        let probe_pause = PROBE_PER_NODE * u32::try_from(self.subset_size()).unwrap_or(u32::MAX);
         let probe_due = |probed_at: Option<Instant>| {
             probed_at.is_none_or(|at| now.saturating_duration_since(at) >= probe_pause)
         };
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -2,27 +2,36 @@
 
 mod choose;
 mod record;
-
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+mod settle;
+mod subset;
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
+use self::settle::{Contact, SpareNode};
 pub use self::{
     choose::{Choice, Executor},
     record::{BackendState, NodeRecord, PeerStatus},
+    settle::LinkOrder,
 };
 use super::load::Load;
 use crate::peer::link::Link;
 
 /// Time that an executor is passed over after it was lost or refused a call.
 const AVOID: Duration = Duration::from_millis(300);
-/// Time without any contact after which a node that is not registered is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
 /// Weight of the newest outcome in the share of calls that an executor loses.
 const LOSS_GAIN: f64 = 0.08;
 
 #[derive(Debug)]
 struct PeerRow {
+    /// Tells this row from an earlier or later one of the same address.
+    number: u64,
     record: NodeRecord,
     service: Arc<str>,
     link: Option<Arc<Link>>,
@@ -33,13 +42,19 @@
     /// When a call was last sent here although the back end fails more calls than others do.
     probed_at: Option<Instant>,
     last_contact: Instant,
+    contact: Contact,
 }
 
-/// All other nodes, by address.
+/// The other nodes, by address: those that this one links to, each with a row, and spare ones.
 #[derive(Debug)]
 pub struct PeerTable {
     own: NodeRecord,
     rows: HashMap<SocketAddr, PeerRow>,
+    spares: HashMap<SocketAddr, SpareNode>,
+    services: HashSet<Arc<str>>,
+    /// Services for which the nodes that are linked to must be chosen anew.
+    unsettled: HashSet<Arc<str>>,
+    next_row: u64,
     own_lost_share: f64,
     own_probed_at: Option<Instant>,
     usual_slots: HashMap<Arc<str>, u32>,
@@ -52,76 +67,49 @@
         Self {
             own,
             rows: HashMap::new(),
+            spares: HashMap::new(),
+            services: HashSet::new(),
+            unsettled: HashSet::new(),
+            next_row: 0,
             own_lost_share: 0.0,
             own_probed_at: None,
             usual_slots: HashMap::new(),
         }
     }
 
-    /// Takes in a record; `true` when its address was not known before, so that a link must be
-    /// opened.
-    pub fn learn(&mut self, record: NodeRecord, now: Instant) -> bool {
+    /// A link was opened, and the node at its end said who it is; `false` when that node is not to
+    /// be linked to.
+    pub fn connected(&mut self, record: NodeRecord, link: Arc<Link>, now: Instant) -> bool {
+        let address = record.address;
         self.learn_slots(&record.service, record.slots);
-        if record.address == self.own.address {
-            return false;
-        }
-        if let Some(row) = self.rows.get_mut(&record.address) {
-            if row.link.is_none() {
-                row.service = record.service.as_str().into();
-                row.record = record;
-            }
+        self.replace_record(record);
+        let Some(row) = self.rows.get_mut(&address) else {
             return false;
-        }
-        let row = PeerRow {
-            service: record.service.as_str().into(),
-            link: None,
-            status: PeerStatus::default(),
-            sent_since_report: 0,
-            avoid_until: None,
-            lost_share: 0.0,
-            probed_at: None,
-            last_contact: now,
-            record,
         };
-        self.rows.insert(row.record.address, row);
+        row.link = Some(link);
+        row.status = PeerStatus::default();
+        row.sent_since_report = 0;
+        row.avoid_until = None;
+        row.lost_share = 0.0;
+        row.last_contact = now;
+        row.contact = Contact::Had;
+        // Those that had taken its place may give way to it.
+        self.unsettled.insert(row.service.clone());
         true
     }
 
-    /// A link was opened, and the node at its end said who it is.
-    pub fn connected(&mut self, record: NodeRecord, link: Arc<Link>, now: Instant) {
-        let address = record.address;
-        self.learn(record.clone(), now);
-        if let Some(row) = self.rows.get_mut(&address) {
-            row.service = record.service.as_str().into();
-            row.record = record;
-            row.link = Some(link);
-            row.status = PeerStatus::default();
-            row.sent_since_report = 0;
-            row.avoid_until = None;
-            row.lost_share = 0.0;
-            row.last_contact = now;
-        }
-    }
-
-    /// The link to a node ended.
-    pub fn disconnected(&mut self, address: SocketAddr) {
-        if let Some(row) = self.rows.get_mut(&address) {
+    /// A link to a node ended.
+    pub fn disconnected(&mut self, address: SocketAddr, link: &Arc<Link>) {
+        let Some(row) = self.rows.get_mut(&address) else {
+            return;
+        };
+        if row.link.as_ref().is_some_and(|of| Arc::ptr_eq(of, link)) {
             row.link = None;
             row.status = PeerStatus::default();
+            self.unsettled.insert(row.service.clone());
         }
     }
 
-    /// Drops a node that has not been in contact for long; `false` when it stays.
-    pub fn forget(&mut self, address: SocketAddr, now: Instant) -> bool {
-        let is_lost = self.rows.get(&address).is_some_and(|row| {
-            row.link.is_none() && now.saturating_duration_since(row.last_contact) > FORGET
-        });
-        if is_lost {
-            self.rows.remove(&address);
-        }
-        is_lost
-    }
-
     /// A node told its status.
     pub fn status(&mut self, address: SocketAddr, status: PeerStatus, now: Instant) {
         let slots = status.slots;
@@ -168,12 +156,18 @@
         *share += (sample - *share) * LOSS_GAIN;
     }
 
-    /// Nodes that are linked or registered, this one included.
+    /// Nodes that this one links to or tries to, itself included.
     #[must_use]
-    pub fn fleet_size(&self) -> usize {
+    pub fn subset_size(&self) -> usize {
         self.rows.len() + 1
     }
 
+    /// Nodes that this one knows of, itself included.
+    #[must_use]
+    pub fn known_size(&self) -> usize {
+        self.rows.len() + self.spares.len() + 1
+    }
+
     /// Links that are open.
     pub fn links(&self) -> impl Iterator<Item = (SocketAddr, &Arc<Link>)> {
         self.rows
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -94,13 +94,20 @@
     for (port, zone, backend, load) in peers {
         let record = record(*port, zone, "ledger");
         let address = record.address;
-        let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
-        table.connected(record, link, now);
+        connect(&mut table, record, now);
         table.status(address, status(*backend, *load), now);
     }
     table
 }
 
+fn connect(table: &mut PeerTable, record: NodeRecord, now: Instant) -> Arc<Link> {
+    let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
+    table.learn(record.clone(), now);
+    let _ = table.settle(now);
+    assert!(table.connected(record, link.clone(), now));
+    link
+}
+
 fn at_port(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
@@ -265,16 +272,16 @@
 #[tokio::test]
 async fn an_address_that_another_service_took_gets_no_call_of_the_old_one() {
     let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
-    table.disconnected(SocketAddr::from(([127, 0, 0, 1], 2)));
+    let link = table.links().next().unwrap().1.clone();
+    table.disconnected(at_port(2), &link);
     assert_eq!(
         chosen(&mut table, &[]),
         None,
         "nothing is sent without a link"
     );
-    let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     let taken = record(2, "home", "portal");
     let address = taken.address;
-    table.connected(taken, link, Instant::now());
+    connect(&mut table, taken, Instant::now());
     table.status(
         address,
         status(BackendState::Ready, load(10, 0)),
