A node that is cut off from the fleet is not ready

Ruled out: slow detection (links are suspect after 0.65 to 1 s, as before); the back ends beside the nodes that were cut off (others of their service had room).

Change: a node that reaches fewer than a tenth of the nodes that it links to answers the question for readiness with 503 and says so in its log; one that reaches its own zone only stays ready.

--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -246,6 +246,7 @@
                 link.check(now, subset_size);
             }
             tables.adapt_shedding(&own);
+            self.set_isolated(tables.peers.is_isolated());
             tables.is_load_news(utilization, subset_size, now)
         };
         self.settle_links(now);
--- a/crates/tallybridge-mesh/src/node/life.rs
+++ b/crates/tallybridge-mesh/src/node/life.rs
@@ -48,10 +48,22 @@
         self.refuses_work.load(Ordering::Relaxed)
     }
 
-    /// Whether the node can serve callers.
+    /// Whether the node can serve callers: one that is cut off from the fleet refuses nearly all
+    /// that comes, so callers are to go elsewhere.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.tables().configuration.is_some()
+        let is_isolated = self.is_isolated.load(Ordering::Relaxed);
+        !self.is_stopping() && !is_isolated && self.tables().configuration.is_some()
+    }
+
+    /// Takes in whether the node is cut off from the fleet.
+    pub(super) fn set_isolated(&self, is_isolated: bool) {
+        let was_isolated = self.is_isolated.swap(is_isolated, Ordering::Relaxed);
+        match (was_isolated, is_isolated) {
+            (false, true) => tracing::warn!("most peers can't be reached, the node is not ready"),
+            (true, false) => tracing::info!("peers are reached again"),
+            _ => {}
+        }
     }
 
     /// Requests that are being worked on.
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -25,6 +25,9 @@
 
 /// Time that an executor is passed over after it was lost or refused a call.
 const AVOID: Duration = Duration::from_millis(300);
+/// Part of the nodes that are linked to below which a node counts as isolated. A node that is cut off
+/// from all other zones reaches its own, a sixth of the fleet where there are six, and still serves.
+const REACHED_AT_LEAST: f64 = 0.1;
 /// Weight of the newest outcome in the share of calls that an executor loses.
 const LOSS_GAIN: f64 = 0.08;
 
@@ -168,6 +171,15 @@
         self.rows.len() + self.spares.len() + 1
     }
 
+    /// Whether this node reaches so few of the nodes that it links to that it is rather cut off
+    /// itself than they are gone: callers are better served elsewhere.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        let links = self.rows.values().filter_map(|row| row.link.as_ref());
+        let reached = links.filter(|link| !link.is_suspect()).count();
+        (reached as f64) < self.rows.len() as f64 * REACHED_AT_LEAST
+    }
+
     /// Links that are open.
     pub fn links(&self) -> impl Iterator<Item = (SocketAddr, &Arc<Link>)> {
         self.rows
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -290,6 +290,41 @@
     assert_eq!(chosen(&mut table, &[]), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_node_that_reaches_few_of_its_peers_is_isolated_until_it_reaches_them_again() {
+    use BackendState::Ready;
+    let now = Instant::now();
+    let alone = PeerTable::new(record(1, "home", "portal"));
+    assert!(!alone.is_isolated(), "a fleet of one has lost nobody");
+    let peers: Vec<_> = (2..10)
+        .map(|port| (port, "home", Ready, load(10, 0)))
+        .collect();
+    let mut table = table(&peers);
+    assert!(!table.is_isolated());
+    for port in (2..10).filter(|port| *port != 8) {
+        let link = link_at(&table, port);
+        table.disconnected(at_port(port), &link);
+    }
+    assert!(!table.is_isolated(), "one of eight is reached");
+    // A link that is suspect counts as none.
+    let silent = link_at(&table, 8);
+    silent.check(now, 8);
+    for _ in 0..20 {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        silent.check(Instant::now(), 8);
+    }
+    assert!(silent.is_suspect());
+    assert!(table.is_isolated());
+    connect(&mut table, record(2, "home", "ledger"), now);
+    assert!(!table.is_isolated());
+}
+
+fn link_at(table: &PeerTable, port: u16) -> Arc<Link> {
+    let mut links = table.links();
+    let found = links.find(|(address, _)| *address == at_port(port));
+    found.unwrap().1.clone()
+}
+
 #[test]
 fn repeats_are_a_bounded_share_and_fewer_where_they_make_calls_again() {
     let settings = RetrySettings {
