--- a/crates/tallybridge/src/command_line/explain.rs
+++ b/crates/tallybridge/src/command_line/explain/mod.rs
@@ -1,13 +1,19 @@
-//! `tallybridge explain`.
+//! `tallybridge explain`: of the nodes that run, or of their log files.
+
+mod from_logs;
+mod log_file;
+
+use std::{net::SocketAddr, path::PathBuf};
 
 use clap::Args;
 use serde::Deserialize;
 use serde_json::json;
 use tallybridge_core::ErrorKind;
 
+use self::from_logs::LoggedPath;
 use super::{
     Failure,
-    admin::{AdminArguments, AdminClient, NodeDecision, unreachable},
+    admin::{AdminClient, NodeDecision, unreachable},
     fleet::{FleetReport, FleetRow},
     table::Table,
     utc::Utc,
@@ -17,30 +23,56 @@
 Examples:
   tallybridge explain 0190f0c45a7e-0190f0c45a7e7cc39c1d2f0a6b1e4d55 \\
       --admin 192.0.2.21:7403
+  tallybridge explain 9c41d07be2a35f68 --logs logs/*.log
 
 The node at the address asks the others. The request id is in the Tallybridge-Request-Id header of
 every answer. Nodes remember the latest refusals, those of each class apart, and everything about
-one of 64 requests.";
+one of 64 requests.
+
+With --logs nothing is asked: the lines of the request and of the calls that were made for it are
+taken from files, with what the same nodes wrote around them, and the last line says which hop ended
+it. A line may have anything before its JSON; the word next to it names the node then.";
 
 /// Show what was decided for one request, where and why.
 #[derive(Debug, Args)]
 #[command(after_help = EXAMPLES)]
 pub struct Explain {
-    /// The request id.
+    /// The request id, or the attempt's name in log files.
     #[arg(value_name = "REQUEST-ID")]
     request_id: String,
-    #[command(flatten)]
-    admin: AdminArguments,
+    /// Admin address of a node; give it once for each node, or several with commas between them.
+    #[arg(
+        long = "admin",
+        required_unless_present = "logs",
+        value_name = "ADDRESS",
+        value_delimiter = ','
+    )]
+    addresses: Vec<SocketAddr>,
+    /// Log files of nodes, one or more of each.
+    #[arg(long, num_args = 1.., value_name = "FILE", conflicts_with = "addresses")]
+    logs: Vec<PathBuf>,
     /// Print JSON lines.
     #[arg(long)]
     json: bool,
 }
 
 impl Explain {
-    /// Gathers the decisions from the nodes, in the order of their clocks.
+    /// Gathers what is known of the request, in the order of the nodes' clocks.
     pub async fn run(&self) -> Result<String, Failure> {
+        if self.logs.is_empty() {
+            return self.ask_nodes().await;
+        }
+        let path = LoggedPath::find(&self.request_id, &self.logs)?;
+        Ok(if self.json {
+            path.json_lines()
+        } else {
+            path.table()
+        })
+    }
+
+    async fn ask_nodes(&self) -> Result<String, Failure> {
         let path = self.path()?;
-        let client = AdminClient::new(&self.admin.addresses)?;
+        let client = AdminClient::new(&self.addresses)?;
         let answers = client.get(&path).await;
         let report = FleetReport::gather(&answers);
         let output = if self.json {
@@ -75,7 +107,7 @@
     fn unknown(&self) -> Failure {
         let detail = format!(
             "none of the {} nodes remembers request {}",
-            self.admin.addresses.len(),
+            self.addresses.len(),
             self.request_id
         );
         Failure::new(ErrorKind::InvalidRequest, detail)
--- a/crates/tallybridge/src/command_line/utc.rs
+++ b/crates/tallybridge/src/command_line/utc.rs
@@ -2,8 +2,16 @@
 
 use std::fmt;
 
-const MS_OF_SECOND: u64 = 1_000;
-const SECONDS_OF_DAY: u64 = 86_400;
+use time::{
+    OffsetDateTime,
+    format_description::{BorrowedFormatItem, well_known::Rfc3339},
+    macros::format_description,
+};
+
+/// RFC 3339 with milliseconds.
+const FORMAT: &[BorrowedFormatItem<'_>] =
+    format_description!("[year]-[month]-[day]T[hour]:[minute]:[second].[subsecond digits:3]Z");
+const NANOSECONDS_OF_MS: i128 = 1_000_000;
 
 /// A time as RFC 3339 writes it, in UTC.
 #[derive(Debug, Clone, Copy)]
@@ -14,37 +22,17 @@
 
 impl fmt::Display for Utc {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let seconds = self.unix_ms / MS_OF_SECOND;
-        let (year, month, day) = civil_date(seconds / SECONDS_OF_DAY);
-        let second_of_day = seconds % SECONDS_OF_DAY;
-        write!(
-            formatter,
-            "{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}.{:03}Z",
-            second_of_day / 3_600,
-            second_of_day / 60 % 60,
-            second_of_day % 60,
-            self.unix_ms % MS_OF_SECOND
-        )
+        let nanoseconds = i128::from(self.unix_ms) * NANOSECONDS_OF_MS;
+        let time = OffsetDateTime::from_unix_timestamp_nanos(nanoseconds);
+        let text = time.ok().and_then(|time| time.format(FORMAT).ok());
+        // Years after 9999 have no such form.
+        formatter.write_str(text.as_deref().unwrap_or("-"))
     }
 }
 
-/// Year, month and day of a day since the Unix epoch, by `civil_from_days` of Howard Hinnant,
-/// "chrono-Compatible Low-Level Date Algorithms" (2013): years there start in March, so that the
-/// leap day comes last.
-const fn civil_date(day_since_epoch: u64) -> (u64, u64, u64) {
-    const DAYS_FROM_YEAR_0_TO_EPOCH: u64 = 719_468;
-    const DAYS_OF_ERA: u64 = 146_097;
-    const YEARS_OF_ERA: u64 = 400;
-    let days = day_since_epoch + DAYS_FROM_YEAR_0_TO_EPOCH;
-    let era = days / DAYS_OF_ERA;
-    let day_of_era = days % DAYS_OF_ERA;
-    let leap_days = day_of_era / 1_460 - day_of_era / 36_524 + day_of_era / 146_096;
-    let year_of_era = (day_of_era - leap_days) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let month_from_march = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
-    let month = (month_from_march + 2) % 12 + 1;
-    let starts_before_march = if month <= 2 { 1 } else { 0 };
-    let year = year_of_era + era * YEARS_OF_ERA + starts_before_march;
-    (year, month, day)
+/// Milliseconds since the Unix epoch of a time that RFC 3339 writes; `None` for anything else.
+#[must_use]
+pub fn unix_ms_of(text: &str) -> Option<u64> {
+    let time = OffsetDateTime::parse(text, &Rfc3339).ok()?;
+    u64::try_from(time.unix_timestamp_nanos() / NANOSECONDS_OF_MS).ok()
 }
