Use only the slots on which a back end does not slow down

Cause: a node used 95% of the slots that its back end tells.

Change: SlotShare in tallybridge-limits. Times of calls that made no calls of their own are compared by route between low load and saturation; where they are 1.25 times as long, lower shares are tried for 120 calls each and the one with the greatest throughput is kept; higher ones are tried each 4 s. A back end slow at every load keeps its slots. Calls tell their route's number to the executor (protocol 4).

--- a/crates/tallybridge-limits/src/lib.rs
+++ b/crates/tallybridge-limits/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod limit;
 pub mod queue;
 pub mod retry;
+pub mod slots;
 
 pub use limit::{ConcurrencyLimit, LimitSettings, Ramp, Sample, SampleResult};
 pub use queue::{
@@ -14,3 +15,4 @@
     Waiting,
 };
 pub use retry::{Allowance, Backoff, Budget, BudgetSettings};
+pub use slots::SlotShare;
--- a/crates/tallybridge-mesh/src/configuration.rs
+++ b/crates/tallybridge-mesh/src/configuration.rs
@@ -9,6 +9,8 @@
     time::Duration,
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::http::HttpLimits;
 
 /// What may be done with a request that failed.
@@ -65,6 +67,12 @@
 }
 
 impl Route {
+    /// A number that all nodes give to calls of this route.
+    #[must_use]
+    pub fn number(&self) -> u16 {
+        (xxh3_64(self.name.as_bytes()) >> (u64::BITS - u16::BITS)) as u16
+    }
+
     /// The service of the next request. The parts are spread by their weights over each run of
     /// requests, not by chance, so that few requests already show the weights.
     pub fn next_service(&self) -> Option<&Arc<str>> {
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -76,6 +76,7 @@
             let is_other = tables.instance.id().is_none_or(|id| **id != *instance);
             if is_other {
                 tables.failing.forget();
+                self.work.forget_instance();
             }
             let changed = tables.instance.verified(instance, is_healthy);
             self.adopt_slots(&tables);
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -237,6 +237,7 @@
     /// Looks after the links, and tells the other nodes when the load has changed much.
     pub fn tick(self: &Arc<Self>) {
         let now = Instant::now();
+        self.work.tick();
         let utilization = self.load().utilization(0);
         let own = self.status();
         let is_news = {
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -131,6 +131,7 @@
         remaining_ms: 0,
         wait_ms: 0,
         criticality: criticality(route, is_nested, is_urgent) as u8,
+        kind: route.number(),
         may_repeat: route.kind.may_repeat(),
         is_urgent,
         is_head_request: head.method == "HEAD",
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -62,8 +62,12 @@
 
 async fn run(node: &Arc<Node>, call: &CallMessage, arrived: Instant) -> Result<Answered, Refusal> {
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
-    let _slot = take_slot(node, call, arrived).await?;
-    hand_over(node, call, deadline).await
+    let mut slot = take_slot(node, call, arrived).await?;
+    let answered = hand_over(node, call, deadline).await?;
+    if answered.answer.status < 500 && !answered.made_calls {
+        slot.ended_well(call.kind);
+    }
+    Ok(answered)
 }
 
 fn log_refusal(node: &Node, call: &CallMessage, refusal: &Refusal, arrived: Instant) {
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -8,13 +8,13 @@
 use crate::tables::{BackendState, Load, PeerStatus};
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
-const PROTOCOL_VERSION: u8 = 3;
+const PROTOCOL_VERSION: u8 = 4;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
 /// Size of a [`FrameHeader`], in bytes.
 const HEADER_BYTES: usize = 10;
 /// Size of a [`CallFields`], in bytes.
-const CALL_BYTES: usize = 16;
+const CALL_BYTES: usize = 18;
 /// Size of an [`AnswerFields`], in bytes.
 const ANSWER_BYTES: usize = 18;
 /// Size of a [`RefusalFields`], in bytes.
@@ -52,6 +52,7 @@
     wait_ms: u32,
     criticality: u8,
     flags: u8,
+    kind: u16,
     attempt_length: u16,
     head_length: u32,
 }
@@ -92,6 +93,8 @@
     pub wait_ms: u32,
     /// Its class, as [`tallybridge_core::Criticality`] is numbered.
     pub criticality: u8,
+    /// Calls of one route have the same number, and take about the same time.
+    pub kind: u16,
     /// Whether it may run more than once.
     pub may_repeat: bool,
     /// Whether the request at the root of its chain is of the highest priority.
@@ -304,6 +307,7 @@
         wait_ms: call.wait_ms,
         criticality: call.criticality,
         flags,
+        kind: call.kind,
         attempt_length: call.attempt.len() as u16,
         head_length: call.head.len() as u32,
     });
@@ -363,6 +367,7 @@
         remaining_ms: fields.remaining_ms,
         wait_ms: fields.wait_ms,
         criticality: fields.criticality,
+        kind: fields.kind,
         may_repeat: fields.flags & FLAG_MAY_REPEAT != 0,
         is_urgent: fields.flags & FLAG_URGENT != 0,
         is_head_request: fields.flags & FLAG_HEAD_REQUEST != 0,
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -7,15 +7,13 @@
 };
 
 use tallybridge_core::Criticality;
-use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, SlotShare, Ticket, Waiting};
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::tables::load::Load;
 
 /// Slots that a back end is given before it told how many it has.
 const FIRST_SLOTS: u32 = 16;
-/// Share of the slots that is used: back ends slow down when they are nearly full.
-const USED_SHARE: f64 = 0.95;
 /// Calls that may wait, for each slot.
 const QUEUE_PER_SLOT: usize = 4;
 /// Weight of the newest call in the mean time that calls take.
@@ -39,6 +37,8 @@
 
 #[derive(Debug)]
 struct WorkTable {
+    slots: u32,
+    share: SlotShare,
     limit: u16,
     in_flight: u16,
     queue: AdmissionQueue<u64>,
@@ -55,8 +55,11 @@
 
 impl Default for Work {
     fn default() -> Self {
+        let share = SlotShare::default();
         let table = WorkTable {
-            limit: usable(FIRST_SLOTS),
+            slots: FIRST_SLOTS,
+            limit: usable(FIRST_SLOTS, share.share()),
+            share,
             in_flight: 0,
             queue: queue_for(FIRST_SLOTS),
             waiting: HashMap::new(),
@@ -76,8 +79,9 @@
     })
 }
 
-fn usable(slots: u32) -> u16 {
-    let used = (f64::from(slots) * USED_SHARE).floor() as u16;
+/// Slots that are used: back ends slow down when they are nearly full.
+fn usable(slots: u32, share: f64) -> u16 {
+    let used = (f64::from(slots) * share).floor() as u16;
     used.max(1)
 }
 
@@ -86,6 +90,18 @@
 pub struct Slot {
     work: Work,
     since: Instant,
+    /// Share of the slots that was taken when it was, this one included.
+    load: f64,
+    /// Kind of the call that ran on it, if its time says how busy the back end is.
+    timed: Option<u16>,
+}
+
+impl Slot {
+    /// The call ended well and made no calls of its own, so that the time that it took is the back
+    /// end's. Calls of one kind take about the same time.
+    pub const fn ended_well(&mut self, kind: u16) {
+        self.timed = Some(kind);
+    }
 }
 
 impl Drop for Slot {
@@ -95,6 +111,9 @@
         let mut table = self.work.table();
         table.in_flight = table.in_flight.saturating_sub(1);
         table.served(took, now);
+        if let Some(kind) = self.timed {
+            table.timed(kind, took, self.load, now);
+        }
         table.grant(now);
     }
 }
@@ -129,6 +148,33 @@
         self.served_at = Some(now);
     }
 
+    fn timed(&mut self, kind: u16, took: Duration, load: f64, now: Instant) {
+        let kept = self.share.kept();
+        let in_flight = self.in_flight.into();
+        let share = &mut self.share;
+        if !share.ended(kind, took, load, in_flight, now.into_std()) {
+            return;
+        }
+        self.adopt_share();
+        let share = self.share.kept();
+        if share != kept {
+            tracing::info!(
+                share,
+                before = kept,
+                slots = self.slots,
+                "other share of slots used"
+            );
+        }
+    }
+
+    fn adopt_share(&mut self) {
+        self.limit = usable(self.slots, self.share.share());
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots)
+    }
+
     fn believed_service_seconds(&self, now: Instant) -> f64 {
         let silent = self
             .served_at
@@ -196,7 +242,7 @@
             if table.in_flight < table.limit && table.queue.is_empty() {
                 table.in_flight += 1;
                 move_towards(&mut table.wait_seconds, Duration::ZERO, WAIT_GAIN);
-                return Ok(self.held(now));
+                return Ok(self.held(now, table.load()));
             }
             if now + table.expected_wait(criticality) >= wait_until {
                 return Err(NoSlot::Full);
@@ -239,22 +285,41 @@
         result
     }
 
-    fn held(&self, since: Instant) -> Slot {
+    fn held(&self, since: Instant, load: f64) -> Slot {
         Slot {
             work: self.clone(),
             since,
+            load,
+            timed: None,
         }
     }
 
+    /// Gives up a trial of another share of the slots when load no longer fills it.
+    pub fn tick(&self) {
+        let now = Instant::now();
+        let mut table = self.table();
+        if table.share.is_idle(now.into_std()) {
+            table.adopt_share();
+            table.grant(now);
+        }
+    }
+
+    /// Another instance has the place of the one that had the slots.
+    pub fn forget_instance(&self) {
+        let mut table = self.table();
+        table.share.forget();
+        table.adopt_share();
+    }
+
     /// Takes in how many requests the back end works on at once.
     pub fn set_slots(&self, slots: u32) {
         let slots = if slots == 0 { FIRST_SLOTS } else { slots };
         let mut table = self.table();
-        let limit = usable(slots);
-        if table.limit == limit {
+        if table.slots == slots {
             return;
         }
-        table.limit = limit;
+        table.slots = slots;
+        table.adopt_share();
         if table.queue.is_empty() {
             table.queue = queue_for(slots);
         }
@@ -306,7 +371,8 @@
         match granted {
             Ok(Ok(Ok(()))) => {
                 self.taken = true;
-                Ok(self.work.held(Instant::now()))
+                let load = self.work.table().load();
+                Ok(self.work.held(Instant::now(), load))
             }
             Ok(Ok(Err(reason))) => {
                 self.taken = true;
@@ -324,7 +390,7 @@
         }
         self.receiver.close();
         if let Ok(Ok(())) = self.receiver.try_recv() {
-            drop(self.work.held(Instant::now()));
+            drop(self.work.held(Instant::now(), 0.0));
         }
     }
 }
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -16,6 +16,7 @@
         remaining_ms: 1000,
         wait_ms: 100,
         criticality: 0,
+        kind: 1,
         may_repeat,
         is_urgent: false,
         is_head_request: false,
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -29,16 +29,18 @@
         any::<u32>(),
         any::<u32>(),
         0_u8..4,
+        any::<u16>(),
         any::<[bool; 3]>(),
         bytes(),
         bytes(),
         bytes(),
     )
         .prop_map(
-            |(remaining_ms, wait_ms, criticality, flags, attempt, head, body)| CallMessage {
+            |(remaining_ms, wait_ms, criticality, kind, flags, attempt, head, body)| CallMessage {
                 remaining_ms,
                 wait_ms,
                 criticality,
+                kind,
                 may_repeat: flags[0],
                 is_urgent: flags[1],
                 is_head_request: flags[2],
--- a/crates/tallybridge-mesh/tests/work.rs
+++ b/crates/tallybridge-mesh/tests/work.rs
@@ -172,3 +172,41 @@
     sleep(Duration::from_secs(5)).await;
     assert!(work.load().service_ms < 150, "{}", work.load().service_ms);
 }
+
+/// Keeps the slots of a back end taken that takes longer over its calls from a share of them on.
+async fn saturate(work: &Work, slots: u32, slow_from: f64, seconds: u64) {
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let callers = (0..slots * 2).map(|_| {
+        let work = work.clone();
+        tokio::spawn(async move {
+            while Instant::now() < end {
+                let wait_until = Instant::now() + Duration::from_secs(1);
+                let Ok(mut slot) = work.slot(Criticality::Critical, wait_until).await else {
+                    continue;
+                };
+                let taken = f64::from(work.load().in_flight) / f64::from(slots);
+                let took = if taken > slow_from { 64 } else { 40 };
+                sleep(Duration::from_millis(took)).await;
+                slot.ended_well(1);
+            }
+        })
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        caller.await.unwrap();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn slots_on_which_a_back_end_slows_down_are_not_used_under_saturation() {
+    let sound = Work::default();
+    sound.set_slots(38);
+    saturate(&sound, 38, 1.0, 8).await;
+    assert_eq!(sound.load().limit, 36);
+    let slowing = Work::default();
+    slowing.set_slots(38);
+    saturate(&slowing, 38, 0.85, 8).await;
+    let limit = slowing.load().limit;
+    assert!((27..=32).contains(&limit), "{limit}");
+    slowing.forget_instance();
+    assert_eq!(slowing.load().limit, 36, "another instance may differ");
+}
--- a/crates/tallybridge/tests/command_line/explain_logs.rs
+++ b/crates/tallybridge/tests/command_line/explain_logs.rs
@@ -126,7 +126,9 @@
         line("aabb", 5),
     );
     let file = files.write("collected.log", &text);
-    let table = explain("aa", &[], std::slice::from_ref(&file)).await.output();
+    let table = explain("aa", &[], std::slice::from_ref(&file))
+        .await
+        .output();
     row(&table, &["node-1", "aa ", "overloaded"]);
     row(&table, &["collected", "aa.bb", "overloaded"]);
     assert!(
