Let in less of every route where most of a service is gone

Cause: fresh requests of a route were let in by 0.2 at the least (0.3 of the most urgent), whatever the service could do.

Change: the least share of a route is at most 0.35 of what is let in of all requests lately, and 0.03 at the least; so shares shrink until what is let in fits, and no route falls behind the others by so much that it starves.

Tests: mesh/tests/shedding.rs, seen failing with the old least shares.

--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -17,9 +17,16 @@
 const SHED_FROM: [f64; 3] = [1.8, 1.4, 1.2];
 /// Taken off for requests that go straight to the full service: nothing has been paid for them.
 const DIRECT_FIRST: f64 = 0.1;
-/// Least share that is let in, of requests of priority 0 and of others: enough to see whether
-/// there is room again, and so that no kind of request starves.
+/// Least share that is let in, of requests of priority 0 and of others, while most requests are let
+/// in: enough to see whether there is room again, and so that no kind of request starves.
 const LEAST_SHARE: [f64; 2] = [0.3, 0.2];
+/// Least share of a route as a part of what is let in of all requests. Where most of a service is
+/// gone, fixed shares would let in more than it can do, and what fails deep down wastes the rest.
+const LEAST_PART: f64 = 0.35;
+/// Least share of any route.
+const LEAST_OF_ALL: f64 = 0.03;
+/// What is left of the counts of requests with each look: they are those of some three seconds.
+const COUNT_DECAY: f64 = 0.97;
 /// Fullness of a service of which no back end takes work.
 const UNAVAILABLE: f64 = 100.0;
 /// Share that is let in while a service that is needed is unavailable. The nodes tell when it is
@@ -107,10 +114,40 @@
     }
 }
 
+/// Fresh requests of all routes, the newest counting most.
+#[derive(Debug, Default)]
+struct RecentRequests {
+    came: f64,
+    admitted: f64,
+}
+
+impl RecentRequests {
+    fn add(&mut self, is_admitted: bool) {
+        self.came += 1.0;
+        if is_admitted {
+            self.admitted += 1.0;
+        }
+    }
+
+    fn decay(&mut self) {
+        self.came *= COUNT_DECAY;
+        self.admitted *= COUNT_DECAY;
+    }
+
+    /// The share that was let in.
+    fn share(&self) -> f64 {
+        if self.came < 1.0 {
+            return 1.0;
+        }
+        self.admitted / self.came
+    }
+}
+
 /// The share of fresh requests that is let in, for each route.
 #[derive(Debug, Default)]
 pub struct RootShedding {
     shares: HashMap<Arc<str>, Share>,
+    recent: RecentRequests,
 }
 
 impl RootShedding {
@@ -129,11 +166,12 @@
         share.service = service.clone();
         share.priority = route.priority;
         share.owed += share.admitted;
-        if share.owed < 1.0 {
-            return false;
+        let is_admitted = share.owed >= 1.0;
+        if is_admitted {
+            share.owed -= 1.0;
         }
-        share.owed -= 1.0;
-        true
+        self.recent.add(is_admitted);
+        is_admitted
     }
 
     /// A request of a route was answered well. The back ends of one service may call others for
@@ -155,9 +193,11 @@
 
     /// Adapts the shares to what the services look like.
     pub fn adapt(&mut self, services: &ServiceViews) {
+        self.recent.decay();
+        let of_all = (self.recent.share() * LEAST_PART).max(LEAST_OF_ALL);
         for share in self.shares.values_mut() {
             let threshold = SHED_FROM[usize::from(share.priority.min(2))];
-            let least = LEAST_SHARE[usize::from(share.priority.min(1))];
+            let least = LEAST_SHARE[usize::from(share.priority.min(1))].min(of_all);
             let below = if share.leaf_answers >= LEAF_ANSWERS {
                 0.0
             } else {
--- a/crates/tallybridge-mesh/tests/shedding.rs
+++ b/crates/tallybridge-mesh/tests/shedding.rs
@@ -114,3 +114,36 @@
     shedding.adapt(&views(&[("top", 100, 10, &["deep"]), ("deep", 0, 0, &[])]));
     assert!(admitted(&mut shedding, &lookup) <= 30);
 }
+
+#[test]
+fn where_most_of_a_service_is_gone_less_is_let_in_and_still_no_route_starves() {
+    let routes = [
+        route("payment", "h", "/pay/", 0, &[("top", 1)]),
+        route("lookup", "h", "/look/", 2, &[("top", 1)]),
+        route("balance", "h", "/balance/", 2, &[("deep", 1)]),
+    ];
+    let mut shedding = RootShedding::default();
+    let overloaded = views(&[("top", 100, 10, &["deep"]), ("deep", 10, 40, &[])]);
+    let mut let_in = [0_usize; 3];
+    for tick in 0..300 {
+        for (route, count) in routes.iter().zip(&mut let_in) {
+            let service = route.parts[0].service.clone();
+            let admitted = (0..20).filter(|_| shedding.admits(route, &service)).count();
+            // The last ten seconds count.
+            *count += if tick < 200 { 0 } else { admitted };
+        }
+        shedding.adapt(&overloaded);
+    }
+    let all: usize = let_in.iter().sum();
+    assert!(all < 600, "a tenth of 6,000 at the most: {let_in:?}");
+    for count in let_in {
+        let share = count as f64 / 2000.0;
+        let of_all = all as f64 / 6000.0;
+        assert!(share > of_all * 0.25, "{let_in:?}");
+    }
+    let relieved = views(&[("top", 100, 10, &["deep"]), ("deep", 10, 2, &[])]);
+    for _ in 0..20 {
+        shedding.adapt(&relieved);
+    }
+    assert!(shedding.is_open());
+}
