Integration support: the back end of a hop in a file of its own

The back end is a struct with the same parts and order of steps; the tests that use it (whole path, claims, nested reads, explain, damaged peer) pass as before.

--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A chain of services in one process: each with a back end, a node beside it and real sockets.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+mod backend;
 pub mod fleet;
 pub mod switch;
 
@@ -28,7 +29,8 @@
     start,
 };
 use tokio::sync::RwLock;
-use warp::Filter;
+
+use self::backend::Backend;
 
 pub const TENANT: &str = "market";
 
@@ -116,67 +118,6 @@
     }
 }
 
-/// A back end that records each execution and answers with what the next service answered.
-fn spawn_backend(
-    listener: std::net::TcpListener,
-    executions: Arc<Mutex<Vec<String>>>,
-    tokens: Arc<Mutex<Vec<String>>>,
-    hold: Arc<RwLock<()>>,
-    fails: Arc<AtomicBool>,
-    next: Option<String>,
-    client: reqwest::Client,
-) {
-    let route = warp::any()
-        .and(warp::path::full())
-        .and(warp::header::headers_cloned())
-        .and(warp::body::bytes())
-        .then(
-            move |path: warp::path::FullPath,
-                  headers: warp::http::HeaderMap,
-                  body: bytes::Bytes| {
-                let request_id = headers[header::REQUEST_ID]
-                    .to_str()
-                    .unwrap_or("")
-                    .to_owned();
-                let token = headers[header::CALL_TOKEN].to_str().unwrap_or("");
-                tokens.lock().expect("lock").push(token.to_owned());
-                executions.lock().expect("lock").push(request_id);
-                let next = next.clone();
-                let client = client.clone();
-                let hold = Arc::clone(&hold);
-                let fails = fails.load(Ordering::Relaxed);
-                async move {
-                    drop(hold.read().await);
-                    if fails {
-                        let mut response = warp::http::Response::new("failed".to_owned());
-                        *response.status_mut() = warp::http::StatusCode::INTERNAL_SERVER_ERROR;
-                        return response;
-                    }
-                    let Some(next) = next else {
-                        let text = format!("leaf {} {}", path.as_str(), body.len());
-                        return warp::http::Response::new(text);
-                    };
-                    let url = format!("{next}{}", path.as_str());
-                    let nested = client
-                        .post(url)
-                        .header(header::CALL_TOKEN, headers[header::CALL_TOKEN].clone())
-                        .body(body)
-                        .send()
-                        .await
-                        .expect("the node answers");
-                    let status = nested.status();
-                    let text = format!("via {}", nested.text().await.expect("whole"));
-                    let mut response = warp::http::Response::new(text);
-                    *response.status_mut() = status;
-                    response
-                }
-            },
-        );
-    listener.set_nonblocking(true).expect("nonblocking");
-    let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
-    tokio::spawn(warp::serve(route).incoming(listener).run());
-}
-
 fn candidate(hop: &Hop) -> Candidate {
     Candidate {
         node: hop.node.context.identity,
@@ -272,15 +213,15 @@
             let tokens = Arc::default();
             let hold = Arc::default();
             let fails = Arc::default();
-            spawn_backend(
-                listener,
-                Arc::clone(&executions),
-                Arc::clone(&tokens),
-                Arc::clone(&hold),
-                Arc::clone(&fails),
+            let backend = Backend {
+                executions: Arc::clone(&executions),
+                tokens: Arc::clone(&tokens),
+                hold: Arc::clone(&hold),
+                fails: Arc::clone(&fails),
                 next,
-                client.clone(),
-            );
+                client: client.clone(),
+            };
+            backend.spawn(listener);
             let mut settings = Settings {
                 seeds: addresses.clone(),
                 ..all_settings[position].clone()
