Split work with the store into the configuration and the register

Cause: one file held two jobs, following the configuration and keeping the register, and both are to change for large fleets. Change: moved to store/configuration.rs and store/register.rs, the waits between tries stay in store/mod.rs. No behaviour changes.

--- a/crates/tallybridge-mesh/src/store.rs
+++ b/crates/tallybridge-mesh/src/store/register.rs
@@ -1,30 +1,15 @@
-//! Work with the platform's store: the configuration, and the register of nodes.
+//! The register of nodes in the store: this node's entry, and the entries of the others.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use rand::Rng;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{
-    node::Node,
-    peer::message::{Frame, Message},
-    seam::{StoreError, WatchedConfiguration},
-    tables::NodeRecord,
-};
+use super::{Backoff, count};
+use crate::{node::Node, seam::StoreError, tables::NodeRecord};
 
-/// Longest wait for a change in one call. Every call is paid for, so a watch waits long; that the
-/// store still answers is told by the renewals of the registration, which cost far less.
-const WATCH: Duration = Duration::from_secs(25);
-/// Wait after a change, so that several in quick succession are read in one call.
-const WATCH_PAUSE: Duration = Duration::from_millis(400);
-/// Waits after a call that failed.
-const RETRY_MIN: Duration = Duration::from_millis(150);
-const RETRY_MAX: Duration = Duration::from_millis(1200);
 /// Life of a node's registration without renewal.
 const REGISTRATION: Duration = Duration::from_secs(12);
 /// Time between renewals.
@@ -36,102 +21,12 @@
 const RENEWALS_PER_LOOK_LARGE: u32 = 15;
 /// Nodes that are read in one look: enough to choose those that are linked to.
 const ENOUGH_NODES: usize = 500;
-/// Time between looks whether a peer has a newer configuration.
-const PEER_LOOK: Duration = Duration::from_millis(300);
-/// Time that a peer must have had a newer configuration before it is asked for it: longer than the
-/// wait after a change, in which each node is a little behind the others.
-const PEER_AHEAD: Duration = Duration::from_millis(700);
 /// Least part of the time between renewals that passes before the first one: nodes that start
 /// together don't renew together.
 const FIRST_RENEWAL_MIN: f64 = 0.25;
 /// Longest wait for the end of a registration at a stop.
 const UNREGISTER: Duration = Duration::from_millis(200);
 
-struct Backoff(Duration);
-
-impl Backoff {
-    const fn new() -> Self {
-        Self(RETRY_MIN)
-    }
-
-    async fn wait(&mut self) {
-        let jitter = rand::rng().random_range(0.6..1.4);
-        sleep(self.0.mul_f64(jitter)).await;
-        self.0 = (self.0 * 2).min(RETRY_MAX);
-    }
-}
-
-fn count(node: &Node) {
-    node.counters.store_calls.fetch_add(1, Ordering::Relaxed);
-}
-
-/// Reads the configuration and watches it for as long as the process lives.
-pub async fn follow_configuration(node: Arc<Node>) {
-    let mut backoff = Backoff::new();
-    loop {
-        let reason = match read_and_watch(&node, &mut backoff).await {
-            Err(reason) => reason,
-            Ok(never) => match never {},
-        };
-        tracing::warn!(%reason, "configuration can't be followed, it is read anew");
-        backoff.wait().await;
-    }
-}
-
-async fn read_and_watch(
-    node: &Arc<Node>,
-    backoff: &mut Backoff,
-) -> Result<std::convert::Infallible, StoreError> {
-    count(node);
-    let stored = node.platform.read_configuration().await?;
-    let mut at = stored.at;
-    if let Some(document) = &stored.document {
-        node.offer_configuration(document);
-    }
-    node.configuration_confirmed();
-    loop {
-        count(node);
-        let watched = watch(node, at).await?;
-        *backoff = Backoff::new();
-        at = watched.at;
-        if let Some(document) = &watched.document {
-            node.offer_configuration(document);
-        }
-        node.configuration_confirmed();
-        if watched.document.is_some() {
-            sleep(WATCH_PAUSE).await;
-        }
-    }
-}
-
-/// Waits for a change. A watch that the store lost says nothing for the rest of its time, so it is
-/// given up as soon as something else shows that it may be lost.
-async fn watch(node: &Node, at: u64) -> Result<WatchedConfiguration, StoreError> {
-    let _waiting = node.watch_waits();
-    tokio::select! {
-        watched = node.platform.watch_configuration(at, WATCH) => watched,
-        () = node.watch_doubted() => Err(StoreError::Unknown("the watch may be lost".to_owned())),
-    }
-}
-
-/// Fetches the configuration from a peer that has had a newer one for a while. Where this node's
-/// own watch should have told of it, the watch is not trusted any more.
-pub async fn follow_peers_configuration(node: Arc<Node>) {
-    let mut behind_since: Option<Instant> = None;
-    loop {
-        sleep(PEER_LOOK).await;
-        let Some(link) = node.peer_with_newer_configuration() else {
-            behind_since = None;
-            continue;
-        };
-        let since = *behind_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= PEER_AHEAD {
-            link.send(&Frame::of_link(Message::FetchConfiguration));
-            node.doubt_watch();
-        }
-    }
-}
-
 /// Registers this node, renews that, and learns of other nodes.
 pub async fn keep_registered(node: Arc<Node>) {
     let mut backoff = Backoff::new();
