Keep a lease through failed renewals, and register slots and read the register cheaply

A node registered a second time as soon as its back end told its slots, read the register linearizably after it, and after one failed renewal granted itself a new lease, wrote its entry anew and read the register twice. Change: a renewal that fails is tried again under the same lease each 600 ms; a lease lives 20 s; slots are registered by some four nodes of a service, and a node that does not know its own registers those that others have; the register is read with reads that may be seconds old, right after registering and 4 s later. platform/tests/path/register.rs fails without it twice (22 transactions of 11 nodes, leases taken anew).

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -18,7 +18,9 @@
             let mut tables = self.tables();
             let slots_before = tables.instance.slots();
             let effect = tables.instance.report(report, Instant::now());
-            if tables.instance.slots() != slots_before {
+            let slots = tables.instance.slots();
+            let service = &self.settings.backend.service;
+            if slots != slots_before && !tables.peers.tell_slots(service, slots) {
                 self.record_changed.notify_one();
             }
             self.adopt_slots(&tables);
@@ -40,14 +42,18 @@
     }
 
     pub(super) fn adopt_slots(&self, tables: &Tables) {
+        self.work.set_slots(self.own_or_usual_slots(tables));
+    }
+
+    /// Slots of the back end, or while it has told none those of others of its service; 0 while
+    /// nobody has told any.
+    pub(super) fn own_or_usual_slots(&self, tables: &Tables) -> u32 {
         let own = tables.instance.slots();
-        let slots = if own > 0 {
-            own
-        } else {
-            let usual = tables.peers.usual_slots(&self.settings.backend.service);
-            usual.unwrap_or(0)
-        };
-        self.work.set_slots(slots);
+        if own > 0 {
+            return own;
+        }
+        let usual = tables.peers.usual_slots(&self.settings.backend.service);
+        usual.unwrap_or(0)
     }
 
     fn instance_changed(&self) {
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -19,11 +19,12 @@
 };
 
 impl Node {
-    /// The introduction of this node.
+    /// The introduction of this node. Until its back end has told how many slots it has, it gives
+    /// the number that others of the service have, so that the register does not lose it.
     #[must_use]
     pub fn hello(&self) -> Bytes {
         let record = NodeRecord {
-            slots: self.tables().instance.slots(),
+            slots: self.own_or_usual_slots(&self.tables()),
             ..self.record.clone()
         };
         // A record of plain fields always has a JSON form.
--- a/crates/tallybridge-mesh/src/seam.rs
+++ b/crates/tallybridge-mesh/src/seam.rs
@@ -151,6 +151,6 @@
     /// Ends a lease, and with it the registration.
     fn end_lease(&self, lease: u64) -> StoreFuture<'_, ()>;
 
-    /// A page of the register, of the names after one; a cheap read may be seconds old.
-    fn registered<'a>(&'a self, after: &'a str, cheap: bool) -> StoreFuture<'a, RegisterPage>;
+    /// A page of the register, of the names after one. It may be seconds old.
+    fn registered<'a>(&'a self, after: &'a str) -> StoreFuture<'a, RegisterPage>;
 }
--- a/crates/tallybridge-mesh/src/store/register.rs
+++ b/crates/tallybridge-mesh/src/store/register.rs
@@ -1,24 +1,30 @@
 //! The register of nodes in the store: this node's entry, and the entries of the others.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use rand::Rng;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Backoff, count};
 use crate::{node::Node, seam::StoreError, tables::NodeRecord};
 
-/// Life of a node's registration without renewal.
-const REGISTRATION: Duration = Duration::from_secs(12);
+/// Life of a node's registration without renewal: an outage of the store that is shorter ends none.
+const REGISTRATION: Duration = Duration::from_secs(20);
 /// Time between renewals.
-const RENEWAL: Duration = Duration::from_secs(4);
-/// Renewals between looks at the register.
-const RENEWALS_PER_LOOK: u32 = 3;
+const RENEWAL: Duration = Duration::from_secs(6);
+/// Time between tries to renew while the store does not answer. A lease that lapsed meanwhile is
+/// found out, and the node registered again, within some 2 s of the store's return.
+const RENEWAL_RETRY: Duration = Duration::from_millis(600);
+/// Looks at the register right after registering. Each may show a register that is seconds old and
+/// costs a tenth of one that does not: nodes that start together find each other with the later one.
+const EARLY_LOOKS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(4)];
+/// Time between looks after those.
+const LOOK: Duration = Duration::from_secs(12);
 /// The same where the register is large, so that all looks together are within the store's means;
 /// nodes that start make themselves known to those that they link to.
-const RENEWALS_PER_LOOK_LARGE: u32 = 15;
+const LOOK_LARGE: Duration = Duration::from_secs(60);
 /// Nodes that are read in one look: enough to choose those that are linked to.
 const ENOUGH_NODES: usize = 500;
 /// Least part of the time between renewals that passes before the first one: nodes that start
@@ -32,10 +38,12 @@
     let mut backoff = Backoff::new();
     let mut register = Register::default();
     loop {
-        if let Err(reason) = register_and_renew(&node, &mut register, &mut backoff).await {
-            tracing::warn!(%reason, "registration lost");
-            node.doubt_watch();
-        }
+        let reason = match register_and_renew(&node, &mut register, &mut backoff).await {
+            Err(reason) => reason,
+            Ok(never) => match never {},
+        };
+        tracing::warn!(%reason, "registration lost");
+        node.doubt_watch();
         backoff.wait().await;
     }
 }
@@ -44,31 +52,56 @@
     node: &Arc<Node>,
     register: &mut Register,
     backoff: &mut Backoff,
-) -> Result<(), StoreError> {
+) -> Result<Infallible, StoreError> {
     // What nodes registered before they ended tells how many slots their back ends have.
-    register.look(node, true).await?;
+    register.look(node).await?;
     let lease = register_self(node, None).await?;
-    // Whoever registers later reads this registration, so one look after it is enough for both.
-    register.look(node, false).await?;
     *backoff = Backoff::new();
-    let mut wait = RENEWAL.mul_f64(rand::rng().random_range(FIRST_RENEWAL_MIN..1.0));
+    let mut early_looks = EARLY_LOOKS.into_iter();
+    let mut look_at = Instant::now() + early_looks.next().unwrap_or(LOOK);
+    let first_renewal = rand::rng().random_range(FIRST_RENEWAL_MIN..1.0);
+    let mut renew_at = Instant::now() + RENEWAL.mul_f64(first_renewal);
     loop {
-        for _ in 0..register.renewals_per_look() {
-            tokio::select! {
-                () = sleep(wait) => {
-                    wait = RENEWAL;
-                    count(node);
-                    node.platform.renew(lease).await?;
-                    // The store answers, and the watch has told of nothing.
-                    node.confirm_by_waiting_watch();
-                }
-                () = node.record_changed() => {
-                    register_self(node, Some(lease)).await?;
+        tokio::select! {
+            () = sleep_until(renew_at) => {
+                renew(node, lease).await?;
+                renew_at = Instant::now() + RENEWAL;
+            }
+            () = sleep_until(look_at) => {
+                if let Err(reason) = register.look(node).await {
+                    tracing::warn!(%reason, "register can't be read, the nodes known so far stay");
+                    node.doubt_watch();
                 }
+                node.forget_spare_nodes();
+                let pause = early_looks.next().unwrap_or_else(|| register.pause());
+                look_at = Instant::now() + pause;
+            }
+            () = node.record_changed() => {
+                register_self(node, Some(lease)).await?;
+            }
+        }
+    }
+}
+
+/// Renews a lease, and tries again for as long as nothing shows that it is over: a new registration
+/// costs many times as much as a renewal.
+async fn renew(node: &Node, lease: u64) -> Result<(), StoreError> {
+    loop {
+        count(node);
+        match node.platform.renew(lease).await {
+            Ok(()) => {
+                // The store answers, and the watch has told of nothing.
+                node.confirm_by_waiting_watch();
+                return Ok(());
+            }
+            Err(StoreError::LeaseOver) => return Err(StoreError::LeaseOver),
+            Err(reason) => {
+                tracing::warn!(%reason, "registration not renewed, it is tried again");
+                node.doubt_watch();
+                let jitter = rand::rng().random_range(0.6..1.4);
+                sleep(RENEWAL_RETRY.mul_f64(jitter)).await;
             }
         }
-        register.look(node, true).await?;
-        node.forget_spare_nodes();
     }
 }
 
@@ -100,34 +133,35 @@
 impl Register {
     /// Learns of registered nodes: of all in a small register, of those behind this node's own
     /// place in a large one, as a node links to some of each service only.
-    async fn look(&mut self, node: &Arc<Node>, cheap: bool) -> Result<(), StoreError> {
+    async fn look(&mut self, node: &Arc<Node>) -> Result<(), StoreError> {
         if !self.is_large {
-            self.is_large = !read_register(node, "", cheap).await?;
+            self.is_large = !read_register(node, "").await?;
         }
         if self.is_large {
             let own = register_name(&node.record.node);
-            self.is_large = !read_register(node, &own, cheap).await?;
+            self.is_large = !read_register(node, &own).await?;
         }
         Ok(())
     }
 
-    const fn renewals_per_look(&self) -> u32 {
+    /// Time until the next look.
+    const fn pause(&self) -> Duration {
         match self.is_large {
-            true => RENEWALS_PER_LOOK_LARGE,
-            false => RENEWALS_PER_LOOK,
+            true => LOOK_LARGE,
+            false => LOOK,
         }
     }
 }
 
 /// Reads the register from a name on and round to it again, until enough nodes are read; `true`
 /// when these are all.
-async fn read_register(node: &Arc<Node>, start: &str, cheap: bool) -> Result<bool, StoreError> {
+async fn read_register(node: &Arc<Node>, start: &str) -> Result<bool, StoreError> {
     let mut after = start.to_owned();
     let mut has_turned = start.is_empty();
     let mut read = 0;
     loop {
         count(node);
-        let page = node.platform.registered(&after, cheap).await?;
+        let page = node.platform.registered(&after).await?;
         read += page.records.len();
         node.learn_records(page.records.iter().filter_map(parse_record));
         match page.next_after {
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -28,6 +28,9 @@
 /// Part of the nodes that are linked to below which a node counts as isolated. A node that is cut off
 /// from all other zones reaches its own, a sixth of the fleet where there are six, and still serves.
 const REACHED_AT_LEAST: f64 = 0.1;
+/// Nodes of a service whose registrations hold the slots of its back ends: enough that some are left
+/// when nodes that have just started ask for it.
+const SLOTS_TOLD_BY: usize = 4;
 /// Weight of the newest outcome in the share of calls that an executor loses.
 const LOSS_GAIN: f64 = 0.08;
 
@@ -211,6 +214,15 @@
         self.usual_slots.get(service).copied()
     }
 
+    /// Whether enough peers beside back ends of a service tell that these have so many slots: the
+    /// register need not hold it of this node as well.
+    #[must_use]
+    pub fn tell_slots(&self, service: &str, slots: u32) -> bool {
+        let rows = self.rows.values().filter(|row| row.link.is_some());
+        let telling = rows.filter(|row| *row.service == *service && row.status.slots == slots);
+        telling.count() >= SLOTS_TOLD_BY
+    }
+
     fn learn_slots(&mut self, service: &str, slots: u32) {
         if slots > 0 {
             self.usual_slots.insert(service.into(), slots);
