Let a few nodes of a large fleet watch the store for the rest

Change: in a fleet of 24 nodes or more a node watches only if fewer than four of its peers have confirmed its version within the time that a confirmation counts. Watchers renew their lease often and pass each confirmation on with its age; a node that is not covered begins to watch after a random time that grows with the peers that it reaches. A node that does not watch fetches a newer document from a peer at once. At the very first start of the fleet nodes wait until they know each other. Protocol version 5.

--- a/crates/tallybridge-mesh/src/node/configuration.rs
+++ b/crates/tallybridge-mesh/src/node/configuration.rs
@@ -1,6 +1,8 @@
 //! The configuration in force at a node.
 
 use std::{
+    cmp,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -9,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 use super::{InForce, Node};
 use crate::{configuration::Configuration, peer::link::Link};
@@ -57,9 +59,83 @@
         self.publish();
     }
 
-    /// The store, or a peer, confirmed that nothing newer is there.
-    pub fn configuration_confirmed(&self) {
-        self.tables().configuration_confirmed = Some(Instant::now());
+    /// The store confirmed to this node, which asked it at a time, that nothing newer is there.
+    pub fn configuration_confirmed(&self, asked_at: Instant) {
+        let mut tables = self.tables();
+        tables.configuration_confirmed = tables.configuration_confirmed.max(Some(asked_at));
+        tables.confirmed_by_store = Some(asked_at);
+        drop(tables);
+        self.confirmations.send_modify(|epoch| *epoch += 1);
+    }
+
+    /// The store confirmed the configuration of a peer that watches it. Where it is the one in force
+    /// here, that confirms it here as well; a newer one is asked for.
+    pub fn peer_confirmed(&self, peer: SocketAddr, confirmed: Confirmed) {
+        let Some(asked_at) = Instant::now().checked_sub(confirmed.age) else {
+            return;
+        };
+        let mut tables = self.tables();
+        tables.watchers.confirmed(peer, confirmed.version, asked_at);
+        match confirmed.version.cmp(&tables.version()) {
+            cmp::Ordering::Less => {}
+            cmp::Ordering::Equal => {
+                tables.configuration_confirmed = tables.configuration_confirmed.max(Some(asked_at));
+            }
+            cmp::Ordering::Greater => self.peer_ahead.notify_one(),
+        }
+    }
+
+    /// What the store last confirmed to this node; `None` while it does not watch the store.
+    #[must_use]
+    pub fn confirmed_by_store(&self) -> Option<Confirmed> {
+        let tables = self.tables();
+        let asked_at = tables.confirmed_by_store?;
+        self.is_watcher().then(|| Confirmed {
+            version: tables.version(),
+            age: asked_at.elapsed(),
+        })
+    }
+
+    /// Fires when the store has confirmed the configuration to this node.
+    #[must_use]
+    pub fn confirmations(&self) -> watch::Receiver<u64> {
+        self.confirmations.subscribe()
+    }
+
+    /// Waits until a peer has told of a newer configuration.
+    pub async fn peer_ahead(&self) {
+        self.peer_ahead.notified().await;
+    }
+
+    /// Who watches the store, as far as this node sees.
+    #[must_use]
+    pub fn watch_view(&self) -> WatchView {
+        let tables = self.tables();
+        WatchView {
+            known: tables.peers.known_size(),
+            wanted: tables.peers.subset_size() - 1,
+            reached: tables.peers.reached(),
+            confirming: tables.watchers.confirming(tables.version(), Instant::now()),
+        }
+    }
+
+    /// This node watches the store for as long as what is returned lives.
+    #[must_use]
+    pub fn watches(&self) -> WatcherRole<'_> {
+        self.is_watcher.store(true, Ordering::Relaxed);
+        self.became_watcher.notify_one();
+        WatcherRole(&self.is_watcher)
+    }
+
+    /// Whether this node watches the store.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        self.is_watcher.load(Ordering::Relaxed)
+    }
+
+    /// Waits until this node begins to watch the store.
+    pub async fn became_watcher(&self) {
+        self.became_watcher.notified().await;
     }
 
     /// A watch waits for the store for as long as what is returned lives.
@@ -69,10 +145,11 @@
         WaitingWatch(&self.watch_waits)
     }
 
-    /// The store answered something else: a watch that waits would have told of a change.
-    pub fn confirm_by_waiting_watch(&self) {
+    /// The store answered something else that it was asked at a time: a watch that waits would have
+    /// told of a change.
+    pub fn confirm_by_waiting_watch(&self, asked_at: Instant) {
         if self.watch_waits.load(Ordering::Relaxed) {
-            self.configuration_confirmed();
+            self.configuration_confirmed(asked_at);
         }
     }
 
@@ -99,11 +176,39 @@
     #[must_use]
     pub fn peer_with_newer_configuration(&self) -> Option<Arc<Link>> {
         let tables = self.tables();
-        let version = tables
-            .configuration
-            .as_ref()
-            .map_or(0, |in_force| in_force.configuration.version);
-        tables.peers.with_newer(version)
+        tables.peers.with_newer(tables.version())
+    }
+}
+
+/// A version that the store confirmed to be the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Confirmed {
+    /// The version; 0 for none.
+    pub version: u64,
+    /// Time since the store was asked.
+    pub age: Duration,
+}
+
+/// Who watches the store, as a node sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchView {
+    /// Nodes that it knows of, itself included.
+    pub known: usize,
+    /// Nodes that it links to, or tries to.
+    pub wanted: usize,
+    /// Those of them that it reaches.
+    pub reached: usize,
+    /// Those of them to which the store confirmed its version, or a newer one, lately.
+    pub confirming: usize,
+}
+
+/// A node that watches the store.
+#[derive(Debug)]
+pub struct WatcherRole<'a>(&'a AtomicBool);
+
+impl Drop for WatcherRole<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Relaxed);
     }
 }
 
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -90,7 +90,9 @@
 
     /// The link to a node is lost.
     pub fn peer_disconnected(&self, address: SocketAddr, link: &Arc<Link>) {
-        self.tables().peers.disconnected(address, link);
+        let mut tables = self.tables();
+        tables.peers.disconnected(address, link);
+        tables.watchers.remove(address);
     }
 
     /// A link could not be opened.
@@ -112,7 +114,11 @@
     /// A node told its status.
     pub fn peer_status(&self, address: SocketAddr, status: PeerStatus) {
         let mut tables = self.tables();
+        let version = status.version;
         tables.peers.status(address, status, Instant::now());
+        if version > tables.version() {
+            self.peer_ahead.notify_one();
+        }
         if tables.instance.slots() == 0 {
             self.adopt_slots(&tables);
         }
@@ -216,10 +222,7 @@
             backend,
             load,
             slots: tables.instance.slots(),
-            version: tables
-                .configuration
-                .as_ref()
-                .map_or(0, |in_force| in_force.configuration.version),
+            version: tables.version(),
             calls,
         }
     }
@@ -262,6 +265,17 @@
         self.record_changed.notified().await;
     }
 
+    /// The register was read: the nodes that were there are known.
+    pub fn register_read(&self) {
+        self.has_read_register.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the register was read since the start.
+    #[must_use]
+    pub fn has_read_register(&self) -> bool {
+        self.has_read_register.load(Ordering::Relaxed)
+    }
+
     /// The node is registered under a lease.
     pub fn registered(&self, lease: u64) {
         self.lease.store(lease, Ordering::Relaxed);
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -18,7 +18,7 @@
 use tokio::{sync::watch, time::Instant};
 
 pub use self::{
-    configuration::WaitingWatch,
+    configuration::{Confirmed, WaitingWatch, WatchView, WatcherRole},
     fleet::{NestedCall, RunningAttempt},
     life::RequestInFlight,
 };
@@ -30,7 +30,7 @@
     settings::MeshSettings,
     tables::{
         FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets, RootShedding,
-        RunningAttempts, ServiceViews,
+        RunningAttempts, ServiceViews, WatcherTable,
     },
     work::Work,
 };
@@ -61,7 +61,11 @@
     instance: LocalInstance,
     retries: RetryBudgets,
     configuration: Option<InForce>,
+    /// When the store, or a peer that watches it, last confirmed the configuration.
     configuration_confirmed: Option<Instant>,
+    /// When the store last confirmed it to this node itself.
+    confirmed_by_store: Option<Instant>,
+    watchers: WatcherTable,
     called: HashMap<Arc<str>, Instant>,
     told_utilization: f64,
     told_failing: f64,
@@ -125,9 +129,20 @@
     record_changed: tokio::sync::Notify,
     watch_waits: AtomicBool,
     watch_doubted: tokio::sync::Notify,
+    is_watcher: AtomicBool,
+    became_watcher: tokio::sync::Notify,
+    confirmations: watch::Sender<u64>,
+    peer_ahead: tokio::sync::Notify,
+    has_read_register: AtomicBool,
 }
 
 impl Tables {
+    /// Version of the configuration in force; 0 for none.
+    fn version(&self) -> u64 {
+        let in_force = self.configuration.as_ref();
+        in_force.map_or(0, |in_force| in_force.configuration.version)
+    }
+
     /// Whether back ends of a service make calls of their own.
     fn calls_others(&self, service: &Arc<str>) -> bool {
         let mut statuses = self.peers.statuses();
@@ -186,6 +201,8 @@
             retries: RetryBudgets::new(settings.retry),
             configuration: None,
             configuration_confirmed: None,
+            confirmed_by_store: None,
+            watchers: WatcherTable::default(),
             called: HashMap::new(),
             told_utilization: 0.0,
             told_failing: 0.0,
@@ -215,6 +232,11 @@
             record_changed: tokio::sync::Notify::new(),
             watch_waits: AtomicBool::new(false),
             watch_doubted: tokio::sync::Notify::new(),
+            is_watcher: AtomicBool::new(false),
+            became_watcher: tokio::sync::Notify::new(),
+            confirmations: watch::Sender::new(0),
+            peer_ahead: tokio::sync::Notify::new(),
+            has_read_register: AtomicBool::new(false),
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     http::client::notice_silence,
-    node::Node,
+    node::{Confirmed, Node},
     path::execute::{Answered, Executed, execute},
     tables::NodeRecord,
 };
@@ -95,7 +95,9 @@
     let writing = tokio::spawn(write_frames(writer, frames));
     send(&sender, Message::Hello(node.hello()));
     send(&sender, Message::Status(node.status()));
+    send_confirmation(&node, &sender);
     let mut published = node.published();
+    let mut confirmed = node.confirmations();
     let running = RunningCalls::default();
     let result = loop {
         tokio::select! {
@@ -109,6 +111,12 @@
                 }
                 send(&sender, Message::Status(node.status()));
             }
+            changed = confirmed.changed() => {
+                if changed.is_err() {
+                    break Ok(());
+                }
+                send_confirmation(&node, &sender);
+            }
         }
     };
     writing.abort();
@@ -121,6 +129,14 @@
     let _ = sender.send(Frame::of_link(message).encode());
 }
 
+/// Passes on how lately the store confirmed the configuration to this node, if it watches the store.
+fn send_confirmation(node: &Node, sender: &mpsc::UnboundedSender<Bytes>) {
+    if let Some(Confirmed { version, age }) = node.confirmed_by_store() {
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        send(sender, Message::Confirmed { version, age_ms });
+    }
+}
+
 fn take_in(
     node: &Arc<Node>,
     sender: &mpsc::UnboundedSender<Bytes>,
--- a/crates/tallybridge-mesh/src/peer/dial.rs
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     http::client::connect,
-    node::Node,
+    node::{Confirmed, Node},
     tables::{LinkOrder, NodeRecord},
 };
 
@@ -172,6 +172,10 @@
         Message::Status(status) => node.peer_status(address, status),
         Message::Nodes(nodes) => node.learn_nodes(&nodes),
         Message::Configuration(document) => node.offer_configuration(&document),
+        Message::Confirmed { version, age_ms } => {
+            let age = Duration::from_millis(age_ms.into());
+            node.peer_confirmed(address, Confirmed { version, age });
+        }
         _ => {}
     }
 }
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -8,7 +8,7 @@
 use crate::tables::{BackendState, Load, PeerStatus};
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
-const PROTOCOL_VERSION: u8 = 4;
+const PROTOCOL_VERSION: u8 = 5;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
 /// Size of a [`FrameHeader`], in bytes.
@@ -21,6 +21,8 @@
 const REFUSAL_BYTES: usize = 17;
 /// Size of a [`StatusFields`], in bytes.
 const STATUS_BYTES: usize = 24;
+/// Size of [`ConfirmedFields`], in bytes.
+const CONFIRMED_BYTES: usize = 12;
 
 /// Bytes that are no frames of this protocol.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -84,6 +86,13 @@
     load: Load,
 }
 
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct ConfirmedFields {
+    version: u64,
+    age_ms: u32,
+}
+
 /// A call for the back end beside the receiver.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallMessage {
@@ -154,6 +163,13 @@
     FetchConfiguration,
     /// The newest configuration document.
     Configuration(Bytes),
+    /// The sender watches the store, which confirmed that no configuration is newer.
+    Confirmed {
+        /// Version of the sender's configuration; 0 for none.
+        version: u64,
+        /// Time since the sender asked the store, in milliseconds.
+        age_ms: u32,
+    },
 }
 
 /// A message with the call that it belongs to; 0 for none.
@@ -183,6 +199,7 @@
             Self::FetchConfiguration => 9,
             Self::Configuration(_) => 10,
             Self::FetchNodes => 11,
+            Self::Confirmed { .. } => 12,
         }
     }
 }
@@ -286,6 +303,12 @@
                 });
             }
             Self::Status(status) => encode_status(status, out),
+            Self::Confirmed { version, age_ms } => {
+                *out = fields(&ConfirmedFields {
+                    version: *version,
+                    age_ms: *age_ms,
+                });
+            }
             Self::Cancel | Self::Ping | Self::FetchConfiguration | Self::FetchNodes => {}
         }
     }
@@ -357,6 +380,13 @@
         9 => Message::FetchConfiguration,
         10 => Message::Configuration(payload),
         11 => Message::FetchNodes,
+        12 => {
+            let fields: ConfirmedFields = take_fields(&mut payload, CONFIRMED_BYTES)?;
+            Message::Confirmed {
+                version: fields.version,
+                age_ms: fields.age_ms,
+            }
+        }
         _ => return None,
     })
 }
--- a/crates/tallybridge-mesh/src/store/configuration.rs
+++ b/crates/tallybridge-mesh/src/store/configuration.rs
@@ -2,11 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rand::Rng;
 use tokio::time::{Instant, sleep};
 
 use super::{Backoff, count};
 use crate::{
-    node::Node,
+    node::{Node, WatchView},
     peer::message::{Frame, Message},
     seam::{StoreError, WatchedConfiguration},
 };
@@ -18,34 +19,139 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(400);
 /// Time between looks whether a peer has a newer configuration.
 const PEER_LOOK: Duration = Duration::from_millis(300);
+/// Time in which an answer to a fetch is expected before a peer is asked again.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Time that a peer must have had a newer configuration before it is asked for it: longer than the
 /// wait after a change, in which each node is a little behind the others.
 const PEER_AHEAD: Duration = Duration::from_millis(700);
+/// Peers that must watch the store for a node that does not: losing all of them at once is as
+/// unlikely as losing the store.
+const WATCHERS: usize = 4;
+/// Peers that watch the store that a node leaves, at least and on average, when it stops watching.
+const WATCHERS_KEPT: usize = 2 * WATCHERS;
+/// Time between checks whether enough peers watch the store, while they don't.
+const WATCH_CHECK: Duration = Duration::from_millis(25);
+/// The same while they do: each check wakes the process, and 100 ms are little beside the 1.5 s for
+/// which a confirmation counts.
+const WATCH_CHECK_COVERED: Duration = Duration::from_millis(100);
+/// Each peer that a node reaches, and that sees about the same, adds this to the time in which nodes
+/// begin to watch one after the other.
+const WINDOW_PER_PEER: Duration = Duration::from_millis(30);
+/// Time that nodes need at the first start of the whole fleet until they know each other.
+const FIRST_START: Duration = Duration::from_millis(2000);
+/// Longest wait for the register after a start.
+const REGISTER_PATIENCE: Duration = Duration::from_millis(500);
+/// Longest wait for links after the register was read.
+const LINK_PATIENCE: Duration = Duration::from_millis(400);
+/// Nodes below which each watches the store for itself: with so few, watching for others would cost
+/// as many calls as it saves.
+const FEW_NODES: usize = 24;
 
-/// Reads the configuration and watches it for as long as the process lives.
+impl WatchView {
+    /// Whether the fleet is so large that a few nodes watch the store for the rest.
+    #[must_use]
+    pub const fn is_shared(&self) -> bool {
+        self.known >= FEW_NODES
+    }
+}
+
+/// How a node stopped watching the store.
+enum WatchEnd {
+    /// Enough others watch it.
+    Relieved,
+}
+
+/// Follows the configuration for as long as the process lives: in a small fleet by watching the
+/// store, in a large one by what peers tell, unless too few of them watch.
 pub async fn follow_configuration(node: Arc<Node>) {
     let mut backoff = Backoff::new();
+    know_peers(&node).await;
     loop {
-        let reason = match read_and_watch(&node, &mut backoff).await {
-            Err(reason) => reason,
-            Ok(never) => match never {},
-        };
-        tracing::warn!(%reason, "configuration can't be followed, it is read anew");
-        backoff.wait().await;
+        watch_needed(&node).await;
+        match read_and_watch(&node, &mut backoff).await {
+            Ok(WatchEnd::Relieved) => {
+                tracing::info!("enough peers watch the store, they are followed")
+            }
+            Err(reason) => {
+                tracing::warn!(%reason, "configuration can't be followed, it is read anew");
+                backoff.wait().await;
+            }
+        }
     }
 }
 
-async fn read_and_watch(
-    node: &Arc<Node>,
-    backoff: &mut Backoff,
-) -> Result<std::convert::Infallible, StoreError> {
+/// Waits until the node is linked to peers that may tell it the configuration, if there are any.
+async fn know_peers(node: &Node) {
+    if node.settings.is_first_start {
+        sleep(FIRST_START).await;
+    }
+    let begun = Instant::now();
+    while !node.has_read_register() && begun.elapsed() < REGISTER_PATIENCE {
+        sleep(WATCH_CHECK).await;
+    }
+    let begun = Instant::now();
+    while !has_linked(node.watch_view()) && begun.elapsed() < LINK_PATIENCE {
+        sleep(WATCH_CHECK).await;
+    }
+}
+
+/// Whether as many links are open as can be expected soon after a start.
+const fn has_linked(view: WatchView) -> bool {
+    !view.is_shared() || view.reached * 2 >= view.wanted
+}
+
+/// Waits until this node should watch the store: at once in a small fleet, and in a large one when
+/// too few peers do. All nodes see that at about the same time, so each waits for a random time in
+/// which the first ones make up for what is missing.
+async fn watch_needed(node: &Node) {
+    loop {
+        let view = node.watch_view();
+        if !view.is_shared() {
+            return;
+        }
+        if view.confirming >= WATCHERS {
+            sleep(WATCH_CHECK_COVERED).await;
+            continue;
+        }
+        let window = WINDOW_PER_PEER.mul_f64(view.reached as f64) + WATCH_CHECK;
+        let chance = WATCH_CHECK.as_secs_f64() / window.as_secs_f64();
+        if rand::rng().random_bool(chance.min(1.0)) {
+            let WatchView {
+                confirming,
+                reached,
+                ..
+            } = view;
+            tracing::info!(
+                confirming,
+                reached,
+                "too few peers watch the store, this node does"
+            );
+            return;
+        }
+        sleep(WATCH_CHECK).await;
+    }
+}
+
+/// Whether this node may stop watching. All watchers decide that at the same time, after a change, so
+/// each stops with a probability that leaves enough.
+fn is_relieved(view: WatchView) -> bool {
+    if !view.is_shared() || view.confirming <= WATCHERS_KEPT {
+        return false;
+    }
+    let kept = WATCHERS_KEPT as f64 / view.confirming as f64;
+    rand::rng().random_bool(1.0 - kept)
+}
+
+async fn read_and_watch(node: &Arc<Node>, backoff: &mut Backoff) -> Result<WatchEnd, StoreError> {
     count(node);
+    let asked_at = Instant::now();
     let stored = node.platform.read_configuration().await?;
+    let _role = node.watches();
     let mut at = stored.at;
     if let Some(document) = &stored.document {
         node.offer_configuration(document);
     }
-    node.configuration_confirmed();
+    node.configuration_confirmed(asked_at);
     loop {
         count(node);
         let watched = watch(node, at).await?;
@@ -54,10 +160,13 @@
         if let Some(document) = &watched.document {
             node.offer_configuration(document);
         }
-        node.configuration_confirmed();
+        node.configuration_confirmed(Instant::now());
         if watched.document.is_some() {
             sleep(WATCH_PAUSE).await;
         }
+        if is_relieved(node.watch_view()) {
+            return Ok(WatchEnd::Relieved);
+        }
     }
 }
 
@@ -71,20 +180,29 @@
     }
 }
 
-/// Fetches the configuration from a peer that has had a newer one for a while. Where this node's
-/// own watch should have told of it, the watch is not trusted any more.
+/// Fetches the configuration from a peer that has a newer one: at once if this node follows its
+/// peers, and after a while if it watches the store itself. Its own watch should have told it by then,
+/// so that is not trusted any more.
 pub async fn follow_peers_configuration(node: Arc<Node>) {
     let mut behind_since: Option<Instant> = None;
     loop {
-        sleep(PEER_LOOK).await;
+        tokio::select! {
+            () = sleep(PEER_LOOK) => {}
+            () = node.peer_ahead() => {}
+        }
         let Some(link) = node.peer_with_newer_configuration() else {
             behind_since = None;
             continue;
         };
         let since = *behind_since.get_or_insert_with(Instant::now);
-        if since.elapsed() >= PEER_AHEAD {
-            link.send(&Frame::of_link(Message::FetchConfiguration));
+        let is_watcher = node.is_watcher();
+        if is_watcher && since.elapsed() < PEER_AHEAD {
+            continue;
+        }
+        link.send(&Frame::of_link(Message::FetchConfiguration));
+        if is_watcher {
             node.doubt_watch();
         }
+        sleep(FETCH_PAUSE).await;
     }
 }
--- a/crates/tallybridge-mesh/src/store/register.rs
+++ b/crates/tallybridge-mesh/src/store/register.rs
@@ -12,8 +12,14 @@
 
 /// Life of a node's registration without renewal: an outage of the store that is shorter ends none.
 const REGISTRATION: Duration = Duration::from_secs(20);
-/// Time between renewals.
+/// Time between renewals of a node that learns of changes from peers.
 const RENEWAL: Duration = Duration::from_secs(6);
+/// The same of a node that watches the store for itself: each renewal confirms the configuration,
+/// which is trusted to know all routes for 6 s.
+const RENEWAL_WATCHING: Duration = Duration::from_secs(4);
+/// The same of a node that watches the store for others as well, which trust a confirmation for
+/// 1.5 s.
+const RENEWAL_CONFIRMING: Duration = Duration::from_millis(600);
 /// Time between tries to renew while the store does not answer. A lease that lapsed meanwhile is
 /// found out, and the node registered again, within some 2 s of the store's return.
 const RENEWAL_RETRY: Duration = Duration::from_millis(600);
@@ -59,14 +65,18 @@
     *backoff = Backoff::new();
     let mut early_looks = EARLY_LOOKS.into_iter();
     let mut look_at = Instant::now() + early_looks.next().unwrap_or(LOOK);
-    let first_renewal = rand::rng().random_range(FIRST_RENEWAL_MIN..1.0);
-    let mut renew_at = Instant::now() + RENEWAL.mul_f64(first_renewal);
+    let mut renewed_at = Instant::now();
+    // Part of the time between renewals that passes before the next one.
+    let mut part = rand::rng().random_range(FIRST_RENEWAL_MIN..1.0);
     loop {
         tokio::select! {
-            () = sleep_until(renew_at) => {
+            () = sleep_until(renewed_at + renewal(node).mul_f64(part)) => {
                 renew(node, lease).await?;
-                renew_at = Instant::now() + RENEWAL;
+                renewed_at = Instant::now();
+                part = 1.0;
             }
+            // The time between renewals is another one now.
+            () = node.became_watcher() => {}
             () = sleep_until(look_at) => {
                 if let Err(reason) = register.look(node).await {
                     tracing::warn!(%reason, "register can't be read, the nodes known so far stay");
@@ -83,15 +93,25 @@
     }
 }
 
+/// Time between two renewals.
+fn renewal(node: &Node) -> Duration {
+    match node.is_watcher() {
+        false => RENEWAL,
+        true if node.watch_view().is_shared() => RENEWAL_CONFIRMING,
+        true => RENEWAL_WATCHING,
+    }
+}
+
 /// Renews a lease, and tries again for as long as nothing shows that it is over: a new registration
 /// costs many times as much as a renewal.
 async fn renew(node: &Node, lease: u64) -> Result<(), StoreError> {
     loop {
         count(node);
+        let asked_at = Instant::now();
         match node.platform.renew(lease).await {
             Ok(()) => {
                 // The store answers, and the watch has told of nothing.
-                node.confirm_by_waiting_watch();
+                node.confirm_by_waiting_watch(asked_at);
                 return Ok(());
             }
             Err(StoreError::LeaseOver) => return Err(StoreError::LeaseOver),
@@ -141,6 +161,7 @@
             let own = register_name(&node.record.node);
             self.is_large = !read_register(node, &own).await?;
         }
+        node.register_read();
         Ok(())
     }
 
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -7,6 +7,7 @@
 pub mod retries;
 pub mod running;
 pub mod shedding;
+pub mod watchers;
 
 pub use failures::{FailingChange, FailingShare};
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
@@ -15,3 +16,4 @@
 pub use retries::RetryBudgets;
 pub use running::{FoundParent, Parent, RunningAttempts};
 pub use shedding::{RootShedding, ServiceViews};
+pub use watchers::WatcherTable;
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -178,9 +178,14 @@
     /// itself than they are gone: callers are better served elsewhere.
     #[must_use]
     pub fn is_isolated(&self) -> bool {
+        (self.reached() as f64) < self.rows.len() as f64 * REACHED_AT_LEAST
+    }
+
+    /// Nodes that are linked to and answer.
+    #[must_use]
+    pub fn reached(&self) -> usize {
         let links = self.rows.values().filter_map(|row| row.link.as_ref());
-        let reached = links.filter(|link| !link.is_suspect()).count();
-        (reached as f64) < self.rows.len() as f64 * REACHED_AT_LEAST
+        links.filter(|link| !link.is_suspect()).count()
     }
 
     /// Links that are open.
@@ -236,6 +241,7 @@
         self.rows
             .values()
             .filter(|row| row.status.version > version)
+            .filter(|row| row.link.as_ref().is_some_and(|link| !link.is_suspect()))
             .max_by_key(|row| (row.status.version, row.record.zone == self.own.zone))
             .and_then(|row| row.link.clone())
     }
--- /dev/null
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -0,0 +1,48 @@
+//! Which peers watch the store, and how lately it confirmed their configuration to them.
+//!
+//! In a large fleet a few nodes watch the store for all: see docs/PLATFORM.md.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use tokio::time::Instant;
+
+/// Age up to which a confirmation of a peer counts. A watcher confirms every 600 ms, so that one
+/// confirmation may be lost, and what nobody confirms any more is asked for again well within the
+/// shortest time that users give a change to be in force, 2 s.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(1500);
+
+/// What the store last confirmed to one peer.
+#[derive(Debug, Clone, Copy)]
+struct Confirmation {
+    version: u64,
+    /// When the peer asked the store.
+    asked_at: Instant,
+}
+
+/// The newest confirmation of each peer that watches the store, by address.
+#[derive(Debug, Default)]
+pub struct WatcherTable(HashMap<SocketAddr, Confirmation>);
+
+impl WatcherTable {
+    /// A peer tells that the store confirmed a version to it, which it had asked for at a time.
+    pub fn confirmed(&mut self, peer: SocketAddr, version: u64, asked_at: Instant) {
+        let confirmation = Confirmation { version, asked_at };
+        self.0.insert(peer, confirmation);
+    }
+
+    /// The link to a peer is lost.
+    pub fn remove(&mut self, peer: SocketAddr) {
+        self.0.remove(&peer);
+    }
+
+    /// Peers to which the store confirmed a version, or a newer one, lately.
+    #[must_use]
+    pub fn confirming(&self, version: u64, now: Instant) -> usize {
+        let confirmations = self.0.values();
+        let fresh = confirmations.filter(|confirmation| {
+            let age = now.saturating_duration_since(confirmation.asked_at);
+            confirmation.version >= version && age <= CONFIRMED_WITHIN
+        });
+        fresh.count()
+    }
+}
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -93,6 +93,7 @@
         Just(Message::FetchConfiguration),
         Just(Message::FetchNodes),
         bytes().prop_map(Message::Configuration),
+        any::<(u64, u32)>().prop_map(|(version, age_ms)| Message::Confirmed { version, age_ms }),
     ]
 }
 
