--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -32,6 +32,7 @@
     let counters = &node.counters;
     let load = node.load();
     let status = node.status();
+    let watch_view = node.watch_view();
     let fleet = node.with_peers(|peers| (peers.known_size(), peers.links().count()));
     let counts = [
         ("requests_total", &counters.requests),
@@ -61,6 +62,8 @@
         ("backend_state", status.backend as u64),
         ("nodes_known", fleet.0 as u64),
         ("links_open", fleet.1 as u64),
+        ("watches_store", u64::from(node.is_watcher())),
+        ("peers_confirming", watch_view.confirming as u64),
         ("requests_in_flight", node.requests_in_flight() as u64),
     ];
     for (name, value) in gauges {
