Spread calls over executors by what they complete, where many entries send to each

Change: with 24 nodes or more executors are chosen at random, by slots and mean time of a call, those behind a long queue less; the part of the calls that leaves the own zone grows with how busy it is. What speaks against an executor besides its load rules it out as before. Below 24 nodes nothing changes.

--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -4,6 +4,7 @@
 mod record;
 mod settle;
 mod subset;
+mod weighted;
 
 use std::{
     collections::{HashMap, HashSet},
