--- a/crates/tallybridge-mesh/src/tables/peers/choose.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/choose.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use super::{BackendState, PeerRow, PeerTable, weighted::choose_by_capacity};
+use super::{BackendState, PeerRow, PeerTable};
 use crate::{peer::link::Link, tables::Load};
 
 /// Added to the utilization of an executor in another zone: crossing costs bytes, not much time.
@@ -21,9 +21,6 @@
 const MAX_SLOWNESS_COST: f64 = 2.0;
 /// Most that chance adds to a score, so that entries with the same news don't choose alike.
 const SPREAD: f64 = 0.06;
-/// Nodes from which on so many entries send calls to an executor that the choice does not go by how
-/// busy each seems, which is old news.
-const MANY_ENTRIES: usize = 24;
 /// A utilization far above any real one.
 const LAST_RESORT: f64 = 100.0;
 /// What an executor that loses every call is put behind by, in utilization.
@@ -62,38 +59,15 @@
     pub may_repeat: bool,
 }
 
-/// An executor that may take a call.
-pub(super) struct Candidate {
+/// An executor that may take a call, with what speaks against it.
+struct Candidate {
     address: SocketAddr,
-    pub(super) is_home: bool,
-    pub(super) load: Load,
-    /// Calls that this node has sent to it since it told its load.
-    sent: u32,
-    /// What speaks against it besides its load and its place, in utilization.
-    pub(super) penalty: f64,
+    score: f64,
+    load: Load,
     probe_due: bool,
     executor: Executor,
 }
 
-impl Candidate {
-    /// Calls at the executor as a part of its limit, as far as is known here.
-    pub(super) fn utilization(&self) -> f64 {
-        self.load.utilization(self.sent)
-    }
-
-    /// What speaks against sending a call here, in utilization.
-    fn score(&self) -> f64 {
-        let mut score = self.penalty + self.utilization();
-        if self.utilization() >= FULL {
-            score += 1.0;
-        }
-        if !self.is_home {
-            score += CROSSING_COST;
-        }
-        score
-    }
-}
-
 impl PeerTable {
     /// Chooses where a call is executed, among those that were not tried.
     #[must_use]
@@ -104,21 +78,20 @@
         let usual = UsualFailing::of(&candidates);
         let mut probed = None;
         for candidate in &mut candidates {
-            candidate.penalty += slowness_cost(candidate.load.service_ms, fastest);
+            candidate.score += slowness_cost(candidate.load.service_ms, fastest);
+            candidate.score += random.random_range(0.0..SPREAD);
             if !usual.is_exceeded_by(candidate.load) {
                 continue;
             }
             if choice.may_repeat && candidate.probe_due && probed.is_none() {
                 probed = Some(candidate.address);
             } else {
-                candidate.penalty += usual.excess(candidate.load) * OUTLIER_COST;
+                candidate.score += usual.excess(candidate.load) * OUTLIER_COST;
             }
         }
-        let best = if self.known_size() < MANY_ENTRIES {
-            least_busy(candidates, &mut random)?
-        } else {
-            choose_by_capacity(candidates, &mut random)?
-        };
+        let best = candidates
+            .into_iter()
+            .min_by(|left, right| left.score.total_cmp(&right.score))?;
         if probed == Some(best.address) {
             self.note_probe(best.address, now);
         }
@@ -149,10 +122,8 @@
             .filter(|_| !choice.tried.contains(&self.own.address))
             .map(|load| Candidate {
                 address: self.own.address,
-                is_home: true,
+                score: load_score(load, 0) + self.own_lost_share * LOSS_COST,
                 load,
-                sent: 0,
-                penalty: self.own_lost_share * LOSS_COST,
                 probe_due: probe_due(self.own_probed_at),
                 executor: Executor::Local,
             });
@@ -166,10 +137,8 @@
             }
             Some(Candidate {
                 address: *address,
-                is_home: row.record.zone == self.own.zone,
+                score: row.score(&self.own.zone, link.is_suspect(), now),
                 load: row.status.load,
-                sent: row.sent_since_report,
-                penalty: row.penalty(link.is_suspect(), now),
                 probe_due: probe_due(row.probed_at),
                 executor: Executor::Peer(*address, link),
             })
@@ -185,16 +154,6 @@
     }
 }
 
-/// The executor against which least speaks.
-fn least_busy(candidates: Vec<Candidate>, random: &mut impl Rng) -> Option<Candidate> {
-    let scored = candidates.into_iter().map(|candidate| {
-        let score = candidate.score() + random.random_range(0.0..SPREAD);
-        (score, candidate)
-    });
-    let best = scored.min_by(|(left, _), (right, _)| left.total_cmp(right));
-    best.map(|(_, candidate)| candidate)
-}
-
 fn fastest_ms(candidates: &[Candidate]) -> u16 {
     let times = candidates.iter().map(|candidate| candidate.load.service_ms);
     times.filter(|time| *time > 0).min().unwrap_or(0)
@@ -230,15 +189,28 @@
 }
 
 impl PeerRow {
-    /// What speaks against sending a call here besides load and place, in utilization.
-    fn penalty(&self, is_suspect: bool, now: Instant) -> f64 {
-        let mut penalty = self.lost_share * LOSS_COST;
+    /// What speaks against sending a call here, in utilization.
+    fn score(&self, own_zone: &str, is_suspect: bool, now: Instant) -> f64 {
+        let mut score = load_score(self.status.load, self.sent_since_report);
+        score += self.lost_share * LOSS_COST;
+        if self.record.zone != own_zone {
+            score += CROSSING_COST;
+        }
         if is_suspect || self.avoid_until.is_some_and(|until| now < until) {
-            penalty += LAST_RESORT;
+            score += LAST_RESORT;
         }
         if self.status.backend == BackendState::Stopping {
-            penalty += LAST_RESORT / 2.0;
+            score += LAST_RESORT / 2.0;
         }
-        penalty
+        score
+    }
+}
+
+fn load_score(load: Load, more: u32) -> f64 {
+    let utilization = load.utilization(more);
+    if utilization >= FULL {
+        utilization + 1.0
+    } else {
+        utilization
     }
 }
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -4,7 +4,6 @@
 mod record;
 mod settle;
 mod subset;
-mod weighted;
 
 use std::{
     collections::{HashMap, HashSet},
