--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -3,7 +3,6 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -201,12 +200,6 @@
         self.tables().shedding.admits(route, service)
     }
 
-    /// When a caller that has so much time left may come back whose request was shed.
-    #[must_use]
-    pub fn come_back(&self, route: &Route, time_left: Duration) -> Duration {
-        self.tables().shedding.come_back(route, time_left)
-    }
-
     /// What this node tells of itself.
     #[must_use]
     pub fn status(&self) -> PeerStatus {
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -26,6 +26,8 @@
 const NESTED_WAIT: f64 = 0.6;
 /// When a caller may come back if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// When a caller may come back whose request was shed at the entry: once load has been adapted.
+const SHED_COME_BACK: Duration = Duration::from_millis(400);
 /// Age up to which the configuration is trusted to know all routes.
 const ROUTES_TRUSTED: Duration = Duration::from_secs(6);
 
@@ -118,8 +120,7 @@
     } else if !node.admits(route, service) {
         let detail = "a service that the request needs is full";
         let refusal = Refusal::new(ErrorKind::Overloaded, detail);
-        let time_left = patience.unwrap_or(route.timeout);
-        return Err(refusal.with_retry_after(node.come_back(route, time_left)));
+        return Err(refusal.with_retry_after(SHED_COME_BACK));
     }
     let wait = if is_nested {
         allowed.mul_f64(NESTED_WAIT)
--- a/crates/tallybridge-mesh/src/tables/shedding.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding.rs
@@ -7,7 +7,6 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
-    time::Duration,
 };
 
 use super::{load::Load, peers::PeerStatus};
@@ -48,12 +47,6 @@
 /// only.
 const LEAF_ANSWERS: u32 = 20;
 
-/// When a caller may come back at the earliest whose request was shed: once load has been adapted.
-const MIN_COME_BACK: Duration = Duration::from_millis(400);
-/// Part of the time left that callers wait at most before they come back, as the platform's pages
-/// say. One that comes back later has time enough for its request.
-const MAX_COME_BACK: f64 = 1.0 / 3.0;
-
 #[derive(Debug)]
 struct Share {
     service: Arc<str>,
@@ -181,18 +174,6 @@
         is_admitted
     }
 
-    /// When a caller that has so much time left may come back whose request was shed. While most
-    /// requests of its route are let in there is room again soon. The fewer are, the longer the
-    /// overload lasts, and a caller that comes back into it is refused once more: the later it does,
-    /// the more likely it meets the end.
-    #[must_use]
-    pub fn come_back(&self, route: &Route, time_left: Duration) -> Duration {
-        let share = self.shares.get(&route.name);
-        let shed = share.map_or(0.0, |share| 1.0 - share.admitted);
-        let longest = time_left.mul_f64(MAX_COME_BACK);
-        longest.mul_f64(shed).max(MIN_COME_BACK)
-    }
-
     /// A request of a route was answered well. The back ends of one service may call others for
     /// some routes only: those that call nobody need not be shed for what is full below.
     pub fn answered(&mut self, route: &Route, made_calls: bool) {
