--- a/crates/tallybridge-mesh/src/settings.rs
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -31,9 +31,9 @@
     pub retry: RetrySettings,
     /// Time from the order to stop until the process is killed.
     pub stop_grace_ms: u64,
-    /// Whether this is the very first start of the whole fleet, at which no node knows another.
+    /// Whether the whole fleet starts for the first time, so that no node knows another.
     #[serde(default)]
-    pub is_first_start: bool,
+    pub new_fleet: bool,
     /// Log filter: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log")]
     pub log: String,
--- a/crates/tallybridge-mesh/src/store/configuration.rs
+++ b/crates/tallybridge-mesh/src/store/configuration.rs
@@ -88,7 +88,7 @@
 
 /// Waits until the node is linked to peers that may tell it the configuration, if there are any.
 async fn know_peers(node: &Node) {
-    if node.settings.is_first_start {
+    if node.settings.new_fleet {
         sleep(FIRST_START).await;
     }
     let begun = Instant::now();
