--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -31,6 +31,13 @@
     let settings = MeshSettings::parse(SOUND).unwrap();
     assert_eq!(settings.backend.service, "ledger");
     assert!(settings.fixed_differences(&settings).is_empty());
+    assert!(
+        !settings.new_fleet,
+        "a fleet runs already, unless it is said"
+    );
+    let first = SOUND.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
+    let first = MeshSettings::parse(&first).unwrap();
+    assert!(first.new_fleet);
 }
 
 #[test]
