--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod node;
 pub mod path;
 pub mod peer;
+pub mod policy;
 pub mod reload;
 pub mod run;
 pub mod seam;
@@ -20,10 +21,11 @@
 pub mod work;
 
 pub use configuration::{Configuration, Route, RouteKind, RoutePart, ServicePolicy};
+pub use policy::{PolicySettings, PolicySwitch};
 pub use reload::SettingsSource;
 pub use run::run;
 pub use seam::{
     ControlRequest, HeaderNames, InstanceReport, Platform, RegisterPage, ReportedState, StoreError,
     StoreFuture, StoredConfiguration, WatchedConfiguration,
 };
-pub use settings::{MeshSettings, SettingsError};
+pub use settings::{MeshSettings, SettingOrigin, SettingRow, SettingsError};
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -29,8 +29,8 @@
     seam::{HeaderNames, Platform},
     settings::MeshSettings,
     tables::{
-        FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets, RootShedding,
-        RunningAttempts, ServiceViews, WatcherTable,
+        AnswerTimes, FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets,
+        RootShedding, RunningAttempts, ServiceViews, WatcherTable,
     },
     work::Work,
 };
@@ -77,6 +77,7 @@
     shedding: RootShedding,
     running: RunningAttempts,
     failing: FailingShare,
+    answer_times: AnswerTimes,
     own_service: Arc<str>,
 }
 
@@ -198,7 +199,7 @@
             slots: 0,
         };
         let tables = Tables {
-            peers: PeerTable::new(record.clone()),
+            peers: PeerTable::new(record.clone()).with_policy(settings.policy),
             instance: LocalInstance::default(),
             retries: RetryBudgets::new(settings.retry),
             configuration: None,
@@ -212,9 +213,10 @@
             told_at: None,
             lists_asked: 0,
             list_asked_at: None,
-            shedding: RootShedding::default(),
+            shedding: RootShedding::new(settings.policy),
             running: RunningAttempts::default(),
             failing: FailingShare::default(),
+            answer_times: AnswerTimes::default(),
             own_service: settings.backend.service.as_str().into(),
         };
         Self {
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -6,8 +6,9 @@
     time::Duration,
 };
 
+use futures::future::{Either, select};
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::execute::{Answered, Executed, execute, is_untouched};
 use crate::{
@@ -44,6 +45,20 @@
     Refused(Refusal),
 }
 
+impl Attempted {
+    /// Whether a back end answered, and not with a failure of its own.
+    const fn is_success(&self) -> bool {
+        matches!(self, Self::Answered(answered) if answered.answer.status < 500)
+    }
+
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Answered(_) => true,
+            Self::Refused(refusal) => refusal.outcome != Outcome::NotRun,
+        }
+    }
+}
+
 /// A call that ended without an answer.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -108,7 +123,7 @@
         };
         progress.tried.push(target.address);
         let address = target.address;
-        let untouched = match attempt(node, call, target).await {
+        let untouched = match attempt_and_second(node, call, target, &mut progress).await {
             Attempted::Answered(answered)
                 if is_worth_another(node, call, address, &answered.answer) =>
             {
@@ -151,12 +166,17 @@
 
 /// Whether a call that reached a back end may be sent to another one.
 fn may_send_again(node: &Node, call: &Call, progress: &Progress) -> bool {
-    if progress.may_have_run && !call.message.may_repeat {
+    if !node.settings.policy.repeats || (progress.may_have_run && !call.message.may_repeat) {
         return false;
     }
     if progress.back_ends >= call.route.max_attempts {
         return false;
     }
+    pays(node, call)
+}
+
+/// Pays for a repeat of a call out of the budget of its service.
+fn pays(node: &Node, call: &Call) -> bool {
     let paid = node.pays_for_repeat(&call.service);
     if paid {
         node.counters.repeats.fetch_add(1, Ordering::Relaxed);
@@ -191,6 +211,56 @@
     Some(Target { address, executor })
 }
 
+/// Runs an attempt, and beside it a second one elsewhere once the first is late: its answer may be
+/// lost, which shows only at the deadline.
+async fn attempt_and_second(
+    node: &Arc<Node>,
+    call: &Call,
+    target: Target,
+    progress: &mut Progress,
+) -> Attempted {
+    let late_after = node
+        .late_after(call.message.kind)
+        .filter(|_| call.message.may_repeat && node.settings.policy.second_attempts);
+    let first = attempt(node, call, target);
+    let Some(late_after) = late_after else {
+        return first.await;
+    };
+    tokio::pin!(first);
+    if let Ok(attempted) = timeout(late_after, &mut first).await {
+        return attempted;
+    }
+    let Some(target) = second_target(node, call, progress) else {
+        return first.await;
+    };
+    progress.tried.push(target.address);
+    progress.back_ends += 1;
+    let second = attempt(node, call, target);
+    tokio::pin!(second);
+    let (earlier, other) = match select(first, second).await {
+        Either::Left((attempted, second)) => (attempted, second),
+        Either::Right((attempted, first)) => (attempted, first),
+    };
+    if earlier.is_success() {
+        return earlier;
+    }
+    progress.may_have_run |= earlier.may_have_run();
+    other.await
+}
+
+/// Where a late call is sent besides, if it may be and there is room for it.
+fn second_target(node: &Arc<Node>, call: &Call, progress: &Progress) -> Option<Target> {
+    let choice = choice(node, call, &progress.tried);
+    if !node.with_peers(|peers| peers.has_room(&choice, Instant::now())) {
+        return None;
+    }
+    // The first back end counts besides those that were tried before.
+    if progress.back_ends + 1 >= call.route.max_attempts || !pays(node, call) {
+        return None;
+    }
+    choose(node, call, &progress.tried)
+}
+
 /// Runs one attempt and takes in what it shows of its executor.
 async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
     let Target { address, executor } = target;
@@ -212,6 +282,9 @@
         Attempted::Refused(Refusal::new(ErrorKind::BackendTimeout, detail))
     });
     note_outcome(node, address, &attempted);
+    if attempted.is_success() {
+        node.call_answered(call.message.kind, now.elapsed());
+    }
     attempted
 }
 
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -115,7 +115,8 @@
         let refusal = Refusal::new(ErrorKind::Leaving, "node is about to end");
         return Err(refusal.with_retry_after(COME_BACK));
     }
-    let is_urgent = parent.map_or(route.priority == 0, |parent| parent.is_urgent);
+    let is_urgent = parent.map_or(route.priority == 0, |parent| parent.is_urgent)
+        && node.settings.policy.order_by_priority;
     if is_nested {
         node.back_end_called(service);
     } else if !node.admits(route, service) {
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -66,7 +66,8 @@
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
     let mut slot = take_slot(node, call, arrived).await?;
     let answered = hand_over(node, call, &slot, deadline).await?;
-    if answered.answer.status < 500 && !answered.made_calls {
+    let is_leaf = answered.answer.status < 500 && !answered.made_calls;
+    if is_leaf && node.settings.policy.adapt_slots {
         slot.ended_well(call.kind);
     }
     Ok(answered)
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -59,6 +59,11 @@
         ready = %node.settings.ready_address,
         "node started"
     );
+    for switch in node.settings.policy.switches() {
+        if !switch.is_on {
+            tracing::warn!(policy = switch.name, "a policy is switched off");
+        }
+    }
     terminate.recv().await;
     stop(&node).await;
     Ok(())
--- a/crates/tallybridge-mesh/src/settings.rs
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::policy::PolicySettings;
+
 /// Everything that a mesh node is told. Times are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct MeshSettings {
@@ -34,6 +36,9 @@
     /// Whether the whole fleet starts for the first time, so that no node knows another.
     #[serde(default)]
     pub new_fleet: bool,
+    /// Switches of the policies by which the node decides.
+    #[serde(default)]
+    pub policy: PolicySettings,
     /// Log filter: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_log")]
     pub log: String,
@@ -65,6 +70,28 @@
     "info".to_owned()
 }
 
+/// Where the value of a setting comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SettingOrigin {
+    /// The settings file gives it.
+    File,
+    /// The file leaves it out.
+    Default,
+}
+
+/// A setting as it is in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingRow {
+    /// Its table and name.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+    /// Unit of the value.
+    pub unit: &'static str,
+    /// Where it comes from.
+    pub origin: SettingOrigin,
+}
+
 /// Settings that can't be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
 #[error("settings: {detail}")]
@@ -92,6 +119,37 @@
         Ok(settings)
     }
 
+    /// The settings that decide how the node treats calls, those of `text` with their defaults.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] naming the field, the line and the mend.
+    pub fn effective(text: &str) -> Result<Vec<SettingRow>, SettingsError> {
+        let settings = Self::parse(text)?;
+        // It has just been read as a table.
+        let given: toml::Table = toml::from_str(text).unwrap_or_default();
+        let origin = |table: &str, name: &str| {
+            let found = given.get(table).and_then(|table| table.get(name));
+            found.map_or(SettingOrigin::Default, |_| SettingOrigin::File)
+        };
+        let row = |table: &str, name: &str, value: String, unit| SettingRow {
+            name: format!("{table}.{name}"),
+            value,
+            unit,
+            origin: origin(table, name),
+        };
+        let retry = settings.retry;
+        let mut rows = vec![
+            row("retry", "ratio", retry.ratio.to_string(), "repeats a call"),
+            row("retry", "window_ms", retry.window_ms.to_string(), "ms"),
+            row("retry", "slack", retry.slack.to_string(), "repeats"),
+        ];
+        for switch in settings.policy.switches() {
+            rows.push(row("policy", switch.name, switch.is_on.to_string(), "on"));
+        }
+        Ok(rows)
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
         require(!self.node.is_empty(), "node", "is empty", "name the node")?;
         require(!self.zone.is_empty(), "zone", "is empty", "name the zone")?;
@@ -174,6 +232,7 @@
             ),
             ("store_address", self.store_address == other.store_address),
             ("backend", self.backend == other.backend),
+            ("policy", self.policy == other.policy),
             ("log", self.log == other.log),
         ];
         let differing = pairs.into_iter().filter(|(_, same)| !same);
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,5 +1,6 @@
 //! What a node knows: the back end beside it, and the other nodes.
 
+pub mod answer_times;
 pub mod failures;
 pub mod instance;
 pub mod load;
@@ -10,6 +11,7 @@
 pub mod slot_times;
 pub mod watchers;
 
+pub use answer_times::AnswerTimes;
 pub use failures::{FailingChange, FailingShare};
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
--- a/crates/tallybridge-mesh/src/tables/peers/choose.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/choose.rs
@@ -12,6 +12,9 @@
 const CROSSING_COST: f64 = 0.35;
 /// An executor above this utilization counts as full, wherever it is.
 const FULL: f64 = 0.9;
+/// An executor below this utilization has room for second attempts of late calls, which are worth
+/// less than first ones.
+const ROOM_BELOW: f64 = 0.8;
 /// Back ends of a service differ in speed; one that takes more than this many times as long as the
 /// fastest is passed over for it.
 const USUAL_SLOWNESS: f64 = 4.0;
@@ -78,9 +81,11 @@
         let usual = UsualFailing::of(&candidates);
         let mut probed = None;
         for candidate in &mut candidates {
-            candidate.score += slowness_cost(candidate.load.service_ms, fastest);
+            if self.policy.slow_last {
+                candidate.score += slowness_cost(candidate.load.service_ms, fastest);
+            }
             candidate.score += random.random_range(0.0..SPREAD);
-            if !usual.is_exceeded_by(candidate.load) {
+            if !self.policy.outliers_last || !usual.is_exceeded_by(candidate.load) {
                 continue;
             }
             if choice.may_repeat && candidate.probe_due && probed.is_none() {
@@ -98,6 +103,14 @@
         Some(best.executor)
     }
 
+    /// Whether an executor that was not tried has room for more than it does now.
+    #[must_use]
+    pub fn has_room(&self, choice: &Choice<'_>, now: Instant) -> bool {
+        let candidates = self.candidates(choice, now);
+        let mut loads = candidates.iter().map(|candidate| candidate.load);
+        loads.any(|load| load.utilization(0) < ROOM_BELOW)
+    }
+
     /// Whether a back end fails so much larger a share of its calls than others of its service
     /// that a failure says more of it than of the call.
     #[must_use]
@@ -109,7 +122,7 @@
         let candidates = self.candidates(&untried, now);
         let usual = UsualFailing::of(&candidates);
         let mut found = candidates.iter().filter(|other| other.address == address);
-        found.any(|candidate| usual.is_exceeded_by(candidate.load))
+        self.policy.outliers_last && found.any(|candidate| usual.is_exceeded_by(candidate.load))
     }
 
     fn candidates(&self, choice: &Choice<'_>, now: Instant) -> Vec<Candidate> {
@@ -137,7 +150,7 @@
             }
             Some(Candidate {
                 address: *address,
-                score: row.score(&self.own.zone, link.is_suspect(), now),
+                score: row.score(link.is_suspect(), now) + self.crossing_cost(row),
                 load: row.status.load,
                 probe_due: probe_due(row.probed_at),
                 executor: Executor::Peer(*address, link),
@@ -146,6 +159,14 @@
         local.into_iter().chain(peers).collect()
     }
 
+    fn crossing_cost(&self, row: &PeerRow) -> f64 {
+        if self.policy.prefer_own_zone && row.record.zone != self.own.zone {
+            CROSSING_COST
+        } else {
+            0.0
+        }
+    }
+
     fn note_probe(&mut self, address: SocketAddr, now: Instant) {
         match self.rows.get_mut(&address) {
             Some(row) => row.probed_at = Some(now),
@@ -190,12 +211,9 @@
 
 impl PeerRow {
     /// What speaks against sending a call here, in utilization.
-    fn score(&self, own_zone: &str, is_suspect: bool, now: Instant) -> f64 {
+    fn score(&self, is_suspect: bool, now: Instant) -> f64 {
         let mut score = load_score(self.status.load, self.sent_since_report);
         score += self.lost_share * LOSS_COST;
-        if self.record.zone != own_zone {
-            score += CROSSING_COST;
-        }
         if is_suspect || self.avoid_until.is_some_and(|until| now < until) {
             score += LAST_RESORT;
         }
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -21,7 +21,7 @@
     settle::LinkOrder,
 };
 use super::load::Load;
-use crate::peer::link::Link;
+use crate::{peer::link::Link, policy::PolicySettings};
 
 /// Time that an executor is passed over after it was lost or refused a call.
 const AVOID: Duration = Duration::from_millis(300);
@@ -64,6 +64,7 @@
     own_lost_share: f64,
     own_probed_at: Option<Instant>,
     usual_slots: HashMap<Arc<str>, u32>,
+    policy: PolicySettings,
 }
 
 impl PeerTable {
@@ -80,9 +81,17 @@
             own_lost_share: 0.0,
             own_probed_at: None,
             usual_slots: HashMap::new(),
+            policy: PolicySettings::default(),
         }
     }
 
+    /// The same table with other switches of its choices.
+    #[must_use]
+    pub fn with_policy(mut self, policy: PolicySettings) -> Self {
+        self.policy = policy;
+        self
+    }
+
     /// A link was opened, and the node at its end said who it is; `false` when that node is not to
     /// be linked to.
     pub fn connected(&mut self, record: NodeRecord, link: Arc<Link>, now: Instant) -> bool {
@@ -178,7 +187,8 @@
     /// itself than they are gone: callers are better served elsewhere.
     #[must_use]
     pub fn is_isolated(&self) -> bool {
-        (self.reached() as f64) < self.rows.len() as f64 * REACHED_AT_LEAST
+        self.policy.unready_when_isolated
+            && (self.reached() as f64) < self.rows.len() as f64 * REACHED_AT_LEAST
     }
 
     /// Nodes that are linked to and answer.
--- a/crates/tallybridge-mesh/src/tables/shedding/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/mod.rs
@@ -18,11 +18,13 @@
     level::{AdmissionLevel, weight},
 };
 use super::SlotTimes;
-use crate::configuration::Route;
+use crate::{configuration::Route, policy::PolicySettings};
 
 /// Share that is let in while a service that is needed has no back end. The nodes tell when it is
 /// back, so hardly any request is needed to find out.
 const SHARE_UNAVAILABLE: f64 = 0.02;
+/// Priority of all routes where priorities are switched off.
+const EQUAL_PRIORITY: u8 = 2;
 /// Looks after which a route that nobody asked for is forgotten: a minute of them.
 const FORGET_AFTER: u32 = 600;
 
@@ -83,9 +85,19 @@
 pub struct RootShedding {
     shares: HashMap<Arc<str>, RouteShare>,
     levels: HashMap<Arc<str>, AdmissionLevel>,
+    policy: PolicySettings,
 }
 
 impl RootShedding {
+    /// Shedding by other switches than the usual ones.
+    #[must_use]
+    pub fn new(policy: PolicySettings) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
     /// Whether a fresh request is let in. Those let in are spread evenly over those that come.
     pub fn admits(&mut self, route: &Route, service: &Arc<str>) -> bool {
         let share = self
@@ -93,8 +105,15 @@
             .entry(route.name.clone())
             .or_insert_with(|| RouteShare::new(service, route.priority));
         share.service = service.clone();
-        share.priority = route.priority;
+        share.priority = if self.policy.order_by_priority {
+            route.priority
+        } else {
+            EQUAL_PRIORITY
+        };
         share.idle_looks = 0;
+        if !self.policy.shed_at_entry {
+            return true;
+        }
         share.owed += share.admitted;
         let is_admitted = share.owed >= 1.0;
         if is_admitted {
@@ -106,6 +125,9 @@
     /// A back end answered a request of a route, well or with a failure of its own, after it held
     /// slots for these times.
     pub fn answered(&mut self, route: &Route, well: bool, times: &SlotTimes) {
+        if !self.policy.shed_by_cost {
+            return;
+        }
         if let Some(share) = self.shares.get_mut(&route.name) {
             share.costs.answered(well, times);
         }
@@ -132,7 +154,11 @@
                 level.map_or(1.0, |level| level.share(need.weight))
             });
             let admitted = shares.fold(1.0, f64::min);
-            share.admitted = admitted.max(share.costs.least_share());
+            share.admitted = if self.policy.shed_by_cost {
+                admitted.max(share.costs.least_share())
+            } else {
+                admitted
+            };
         }
     }
 
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings that can't be used are refused by field, line and mend.
 
-use tallybridge_mesh::MeshSettings;
+use tallybridge_mesh::{MeshSettings, PolicySettings, SettingOrigin};
 
 const SOUND: &str = r#"
 node = "n1"
@@ -95,3 +95,30 @@
     let changed = MeshSettings::parse(&changed).unwrap();
     assert_eq!(settings.fixed_differences(&changed), ["zone"]);
 }
+
+#[test]
+fn policies_are_on_unless_a_switch_is_given() {
+    let settings = MeshSettings::parse(SOUND).unwrap();
+    assert_eq!(settings.policy, PolicySettings::default());
+    assert!(settings.policy.switches().iter().all(|switch| switch.is_on));
+    let text = format!("{SOUND}\n[policy]\nsecond_attempts = false\n");
+    let other = MeshSettings::parse(&text).unwrap();
+    assert!(!other.policy.second_attempts && other.policy.shed_at_entry);
+    assert_eq!(settings.fixed_differences(&other), ["policy"]);
+    let rows = MeshSettings::effective(&text).unwrap();
+    let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
+    let switched = row("policy.second_attempts");
+    assert_eq!(
+        (&*switched.value, switched.origin),
+        ("false", SettingOrigin::File)
+    );
+    let usual = row("policy.shed_at_entry");
+    assert_eq!(
+        (&*usual.value, usual.origin),
+        ("true", SettingOrigin::Default)
+    );
+    assert_eq!(row("retry.ratio").origin, SettingOrigin::File);
+    let wrong = format!("{SOUND}\n[policy]\nsecond_attempts = \"no\"\n");
+    let error = MeshSettings::parse(&wrong).unwrap_err();
+    assert!(error.to_string().contains("second_attempts"), "{error}");
+}
