--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -27,7 +27,7 @@
 /// When a caller may come back if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(250);
 /// When a caller may come back whose request was shed at the entry: once load has been adapted.
-const SHED_COME_BACK: Duration = Duration::from_millis(400);
+const SHED_COME_BACK: Duration = Duration::from_millis(900);
 /// Age up to which the configuration is trusted to know all routes.
 const ROUTES_TRUSTED: Duration = Duration::from_secs(6);
 
