--- a/crates/tallybridge-mesh/src/tables/shedding/level.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/level.rs
@@ -48,6 +48,9 @@
     level: f64,
     /// Levels of the looks before, the oldest first.
     earlier: VecDeque<f64>,
+    /// Whether a back end of the service took work since the node started. Before that the node
+    /// does not know it yet, and there may be no overload at all.
+    was_available: bool,
 }
 
 impl Default for AdmissionLevel {
@@ -55,6 +58,7 @@
         Self {
             level: OPEN,
             earlier: VecDeque::new(),
+            was_available: false,
         }
     }
 }
@@ -69,10 +73,13 @@
     /// Adapts to how busy the service is; `None` while no back end of it takes work.
     pub fn adapt(&mut self, pressure: Option<ServicePressure>) {
         let Some(pressure) = pressure else {
-            self.level = self.level.min(LEVEL_AFTER_OUTAGE);
+            if self.was_available {
+                self.level = self.level.min(LEVEL_AFTER_OUTAGE);
+            }
             self.earlier.clear();
             return;
         };
+        self.was_available = true;
         let backlog = (pressure.fullness - BACKLOG_FROM).max(0.0) * BACKLOG_GAIN;
         let offered = (pressure.offered + backlog).clamp(OFFERED[0], OFFERED[1]);
         let sought = self.mean_of_earlier() * TARGET / offered;
--- a/crates/tallybridge-mesh/tests/shedding.rs
+++ b/crates/tallybridge-mesh/tests/shedding.rs
@@ -168,6 +168,26 @@
     assert!(admitted(&mut shedding, &lookup) <= 30);
 }
 
+#[test]
+fn a_node_that_has_just_started_lets_all_in_once_it_knows_a_back_end() {
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::default();
+    let unknown = views(&[seen("top", (0, 0, 0), &[])]);
+    let idle = views(&[seen("top", (100, 10, 10), &[])]);
+    admitted(&mut shedding, &lookup);
+    shedding.adapt(&unknown);
+    shedding.adapt(&idle);
+    assert_eq!(admitted(&mut shedding, &lookup), 1000);
+    // After an outage calls come back little by little, within a second.
+    shedding.adapt(&unknown);
+    shedding.adapt(&idle);
+    assert!(admitted(&mut shedding, &lookup) < 500);
+    for _ in 0..10 {
+        shedding.adapt(&idle);
+    }
+    assert_eq!(admitted(&mut shedding, &lookup), 1000);
+}
+
 #[test]
 fn a_route_of_which_nothing_is_known_is_let_in_a_little_until_it_is() {
     let download = route("download", "h", "/d/", 2, &[("top", 1)]);
