--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -171,8 +171,8 @@
     match (is_urgent, is_nested, route.priority) {
         (true, _, _) => Criticality::CriticalPlus,
         (false, true, _) => Criticality::Critical,
-        (false, false, 0 | 1) => Criticality::Critical,
-        (false, false, _) => Criticality::Critical,
+        (false, false, 0 | 1) => Criticality::SheddablePlus,
+        (false, false, _) => Criticality::Sheddable,
     }
 }
 
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -25,6 +25,11 @@
 const SERVICE_TIME_FADE: Duration = Duration::from_millis(2000);
 /// Time over which the rate of arrivals is taken.
 const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
+/// Time over which the mean time that calls hold a slot is taken: long enough for several of those
+/// few that take many times as long as the others.
+const HELD_SPAN: Duration = Duration::from_millis(1000);
+/// Calls that must have ended lately for that mean to say anything.
+const LEAST_ENDED: f64 = 0.5;
 /// Weight of the newest call in the mean time that calls wait.
 const WAIT_GAIN: f64 = 0.1;
 
@@ -49,7 +54,7 @@
     service_seconds: f64,
     served_at: Option<Instant>,
     wait_seconds: f64,
-    arrivals: ArrivalRate,
+    offered: OfferedWork,
 }
 
 /// The slots of a back end.
@@ -70,7 +75,7 @@
             service_seconds: 0.0,
             served_at: None,
             wait_seconds: 0.0,
-            arrivals: ArrivalRate::default(),
+            offered: OfferedWork::default(),
         };
         Self(Arc::new(Mutex::new(table)))
     }
@@ -89,26 +94,69 @@
     used.max(1)
 }
 
-/// How many calls arrive, the newest counting most.
-#[derive(Debug, Default)]
-struct ArrivalRate {
-    per_second: f64,
+/// A sum that fades with time, so that the newest of what was added counts most.
+#[derive(Debug)]
+struct FadingSum {
+    span: Duration,
+    sum: f64,
     at: Option<Instant>,
 }
 
-impl ArrivalRate {
-    fn add(&mut self, now: Instant) {
-        self.per_second = self.per_second(now) + 1.0 / ARRIVAL_SPAN.as_secs_f64();
+impl FadingSum {
+    const fn over(span: Duration) -> Self {
+        Self {
+            span,
+            sum: 0.0,
+            at: None,
+        }
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        self.sum = self.get(now) + amount;
         self.at = Some(now);
     }
 
-    fn per_second(&self, now: Instant) -> f64 {
+    fn get(&self, now: Instant) -> f64 {
         let Some(at) = self.at else {
             return 0.0;
         };
         let silent = now.saturating_duration_since(at);
-        let faded = -silent.as_secs_f64() / ARRIVAL_SPAN.as_secs_f64();
-        self.per_second * faded.exp()
+        self.sum * (-silent.as_secs_f64() / self.span.as_secs_f64()).exp()
+    }
+}
+
+/// The work that arrives at a back end: the rate of its calls and the time that they take.
+#[derive(Debug)]
+struct OfferedWork {
+    arrived: FadingSum,
+    ended: FadingSum,
+    held_seconds: FadingSum,
+}
+
+impl Default for OfferedWork {
+    fn default() -> Self {
+        Self {
+            arrived: FadingSum::over(ARRIVAL_SPAN),
+            ended: FadingSum::over(HELD_SPAN),
+            held_seconds: FadingSum::over(HELD_SPAN),
+        }
+    }
+}
+
+impl OfferedWork {
+    fn ended(&mut self, took: Duration, now: Instant) {
+        self.ended.add(1.0, now);
+        self.held_seconds.add(took.as_secs_f64(), now);
+    }
+
+    /// Slots that what arrives would hold.
+    fn slots(&self, now: Instant) -> f64 {
+        let ended = self.ended.get(now);
+        if ended < LEAST_ENDED {
+            return 0.0;
+        }
+        let per_second = self.arrived.get(now) / ARRIVAL_SPAN.as_secs_f64();
+        per_second * self.held_seconds.get(now) / ended
     }
 }
 
@@ -144,6 +192,7 @@
         let mut table = self.work.table();
         table.in_flight = table.in_flight.saturating_sub(1);
         table.served(took, now);
+        table.offered.ended(took, now);
         if let Some(kind) = self.timed {
             table.timed(kind, took, self.load, now);
         }
@@ -206,8 +255,7 @@
 
     /// Work that arrives as a share of what the slots in use can do.
     fn offered(&self, now: Instant) -> f64 {
-        let slots = self.arrivals.per_second(now) * self.believed_service_seconds(now);
-        slots / f64::from(self.limit.max(1))
+        self.offered.slots(now) / f64::from(self.limit.max(1))
     }
 
     fn load(&self) -> f64 {
@@ -278,7 +326,7 @@
         let (mut receiver, place) = {
             let now = Instant::now();
             let mut table = self.table();
-            table.arrivals.add(now);
+            table.offered.arrived.add(1.0, now);
             if table.in_flight < table.limit && table.queue.is_empty() {
                 table.in_flight += 1;
                 move_towards(&mut table.wait_seconds, Duration::ZERO, WAIT_GAIN);
