--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod door;
 pub mod http;
 pub mod node;
+pub mod offered_work;
 pub mod path;
 pub mod peer;
 pub mod policy;
--- /dev/null
+++ b/crates/tallybridge-mesh/src/offered_work.rs
@@ -0,0 +1,86 @@
+//! How much work arrives at a back end, what is refused included.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Time over which the rate of arrivals is taken.
+const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
+/// Time over which the mean time that calls hold a slot is taken: long enough for several of those
+/// few that take many times as long as the others.
+const HELD_SPAN: Duration = Duration::from_millis(1000);
+/// Calls that must have ended lately for that mean to say anything.
+const LEAST_ENDED: f64 = 0.5;
+
+/// A sum that fades with time, so that the newest of what was added counts most.
+#[derive(Debug)]
+struct FadingSum {
+    span: Duration,
+    sum: f64,
+    at: Option<Instant>,
+}
+
+impl FadingSum {
+    const fn over(span: Duration) -> Self {
+        Self {
+            span,
+            sum: 0.0,
+            at: None,
+        }
+    }
+
+    fn add(&mut self, amount: f64, now: Instant) {
+        self.sum = self.get(now) + amount;
+        self.at = Some(now);
+    }
+
+    fn get(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else {
+            return 0.0;
+        };
+        let silent = now.saturating_duration_since(at);
+        self.sum * (-silent.as_secs_f64() / self.span.as_secs_f64()).exp()
+    }
+}
+
+/// The work that arrives at a back end: the rate of its calls and the time that they take.
+#[derive(Debug)]
+pub struct OfferedWork {
+    arrived: FadingSum,
+    ended: FadingSum,
+    held_seconds: FadingSum,
+}
+
+impl Default for OfferedWork {
+    fn default() -> Self {
+        Self {
+            arrived: FadingSum::over(ARRIVAL_SPAN),
+            ended: FadingSum::over(HELD_SPAN),
+            held_seconds: FadingSum::over(HELD_SPAN),
+        }
+    }
+}
+
+impl OfferedWork {
+    /// A call arrived, whatever becomes of it.
+    pub fn arrived(&mut self, now: Instant) {
+        self.arrived.add(1.0, now);
+    }
+
+    /// A call ended that held a slot for some time.
+    pub fn ended(&mut self, took: Duration, now: Instant) {
+        self.ended.add(1.0, now);
+        self.held_seconds.add(took.as_secs_f64(), now);
+    }
+
+    /// Slots that what arrives would hold; 0 while too few calls have ended lately.
+    #[must_use]
+    pub fn slots(&self, now: Instant) -> f64 {
+        let ended = self.ended.get(now);
+        if ended < LEAST_ENDED {
+            return 0.0;
+        }
+        let per_second = self.arrived.get(now) / ARRIVAL_SPAN.as_secs_f64();
+        per_second * self.held_seconds.get(now) / ended
+    }
+}
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -6,11 +6,13 @@
     time::Duration,
 };
 
-use futures::future::{Either, select};
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
-use super::execute::{Answered, Executed, execute, is_untouched};
+use super::{
+    execute::{Answered, Executed, execute, is_untouched},
+    second_attempt::attempt_and_second,
+};
 use crate::{
     configuration::Route,
     http::Answer,
@@ -40,18 +42,18 @@
 }
 
 /// What became of one attempt.
-enum Attempted {
+pub(super) enum Attempted {
     Answered(Answered),
     Refused(Refusal),
 }
 
 impl Attempted {
     /// Whether a back end answered, and not with a failure of its own.
-    const fn is_success(&self) -> bool {
+    pub(super) const fn is_success(&self) -> bool {
         matches!(self, Self::Answered(answered) if answered.answer.status < 500)
     }
 
-    fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         match self {
             Self::Answered(_) => true,
             Self::Refused(refusal) => refusal.outcome != Outcome::NotRun,
@@ -69,10 +71,10 @@
 }
 
 /// Where a call stands after the attempts so far.
-struct Progress {
-    tried: Vec<SocketAddr>,
-    back_ends: u32,
-    may_have_run: bool,
+pub(super) struct Progress {
+    pub(super) tried: Vec<SocketAddr>,
+    pub(super) back_ends: u32,
+    pub(super) may_have_run: bool,
     last: Refusal,
     /// A back end's own failure, which is the answer unless another one does better.
     failure: Option<Answered>,
@@ -176,7 +178,7 @@
 }
 
 /// Pays for a repeat of a call out of the budget of its service.
-fn pays(node: &Node, call: &Call) -> bool {
+pub(super) fn pays(node: &Node, call: &Call) -> bool {
     let paid = node.pays_for_repeat(&call.service);
     if paid {
         node.counters.repeats.fetch_add(1, Ordering::Relaxed);
@@ -185,12 +187,12 @@
 }
 
 /// An executor that was chosen.
-struct Target {
-    address: SocketAddr,
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
     executor: Executor,
 }
 
-fn choice<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> Choice<'a> {
+pub(super) fn choice<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> Choice<'a> {
     let is_own = *call.service == *node.settings.backend.service;
     let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
     Choice {
@@ -201,7 +203,7 @@
     }
 }
 
-fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
+pub(super) fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
     let choice = choice(node, call, tried);
     let executor = node.with_peers(|peers| peers.choose(&choice, Instant::now()))?;
     let address = match &executor {
@@ -211,58 +213,8 @@
     Some(Target { address, executor })
 }
 
-/// Runs an attempt, and beside it a second one elsewhere once the first is late: its answer may be
-/// lost, which shows only at the deadline.
-async fn attempt_and_second(
-    node: &Arc<Node>,
-    call: &Call,
-    target: Target,
-    progress: &mut Progress,
-) -> Attempted {
-    let late_after = node
-        .late_after(call.message.kind)
-        .filter(|_| call.message.may_repeat && node.settings.policy.second_attempts);
-    let first = attempt(node, call, target);
-    let Some(late_after) = late_after else {
-        return first.await;
-    };
-    tokio::pin!(first);
-    if let Ok(attempted) = timeout(late_after, &mut first).await {
-        return attempted;
-    }
-    let Some(target) = second_target(node, call, progress) else {
-        return first.await;
-    };
-    progress.tried.push(target.address);
-    progress.back_ends += 1;
-    let second = attempt(node, call, target);
-    tokio::pin!(second);
-    let (earlier, other) = match select(first, second).await {
-        Either::Left((attempted, second)) => (attempted, second),
-        Either::Right((attempted, first)) => (attempted, first),
-    };
-    if earlier.is_success() {
-        return earlier;
-    }
-    progress.may_have_run |= earlier.may_have_run();
-    other.await
-}
-
-/// Where a late call is sent besides, if it may be and there is room for it.
-fn second_target(node: &Arc<Node>, call: &Call, progress: &Progress) -> Option<Target> {
-    let choice = choice(node, call, &progress.tried);
-    if !node.with_peers(|peers| peers.has_room(&choice, Instant::now())) {
-        return None;
-    }
-    // The first back end counts besides those that were tried before.
-    if progress.back_ends + 1 >= call.route.max_attempts || !pays(node, call) {
-        return None;
-    }
-    choose(node, call, &progress.tried)
-}
-
 /// Runs one attempt and takes in what it shows of its executor.
-async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
+pub(super) async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
     let Target { address, executor } = target;
     let now = Instant::now();
     let message = CallMessage {
--- a/crates/tallybridge-mesh/src/path/mod.rs
+++ b/crates/tallybridge-mesh/src/path/mod.rs
@@ -3,3 +3,4 @@
 pub mod carry;
 pub mod entry;
 pub mod execute;
+mod second_attempt;
--- a/crates/tallybridge-mesh/src/tables/shedding/level.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/level.rs
@@ -25,8 +25,12 @@
 const STEP: [f64; 2] = [0.2, 0.35];
 /// Lowest level: enough to see whether there is room again.
 const LOWEST: f64 = 0.01;
+/// Least weight of all requests.
+const LEAST_WEIGHT: f64 = PRIORITY_WEIGHT[2] * LEAST_COST_WEIGHT;
 /// Level at which every request is let in, whatever its weight.
-const OPEN: f64 = 1.0 / LEAST_COST_WEIGHT;
+const OPEN: f64 = 1.0 / LEAST_WEIGHT;
+/// Share of the requests of least weight below which the log says that some are shed.
+const SHEDS_BELOW: f64 = 0.7;
 /// Level after a time without any back end.
 const LEVEL_AFTER_OUTAGE: f64 = 0.3;
 
@@ -48,6 +52,8 @@
     level: f64,
     /// Levels of the looks before, the oldest first.
     earlier: VecDeque<f64>,
+    /// Whether requests are shed for the service, as told last.
+    sheds: bool,
     /// Whether a back end of the service took work since the node started. Before that the node
     /// does not know it yet, and there may be no overload at all.
     was_available: bool,
@@ -58,6 +64,7 @@
         Self {
             level: OPEN,
             earlier: VecDeque::new(),
+            sheds: false,
             was_available: false,
         }
     }
@@ -96,6 +103,18 @@
         self.level = next.clamp(LOWEST, OPEN);
     }
 
+    /// Whether shedding for the service has begun (`true`) or ended (`false`) since it was asked
+    /// last; `None` when neither has.
+    pub fn shedding_change(&mut self) -> Option<bool> {
+        let share = self.share(LEAST_WEIGHT);
+        let sheds = if self.sheds {
+            share < 1.0
+        } else {
+            share < SHEDS_BELOW
+        };
+        (std::mem::replace(&mut self.sheds, sheds) != sheds).then_some(sheds)
+    }
+
     fn mean_of_earlier(&self) -> f64 {
         if self.earlier.is_empty() {
             return self.level;
--- a/crates/tallybridge-mesh/src/tables/shedding/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/mod.rs
@@ -165,7 +165,17 @@
     fn adapt_levels(&mut self, services: &ServiceViews) {
         for service in services.names() {
             let level = self.levels.entry(service.clone()).or_default();
-            level.adapt(services.pressure(service));
+            let pressure = services.pressure(service);
+            level.adapt(pressure);
+            match level.shedding_change() {
+                Some(true) => {
+                    tracing::info!(%service, ?pressure, "requests are shed for a service")
+                }
+                Some(false) => {
+                    tracing::info!(%service, "no request is shed for a service any more")
+                }
+                None => {}
+            }
         }
     }
 
--- a/crates/tallybridge-mesh/src/work.rs
+++ b/crates/tallybridge-mesh/src/work.rs
@@ -10,7 +10,7 @@
 use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, SlotShare, Ticket, Waiting};
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::tables::load::Load;
+use crate::{offered_work::OfferedWork, tables::load::Load};
 
 /// Slots that a back end is given before it told how many it has.
 const FIRST_SLOTS: u32 = 16;
@@ -23,13 +23,6 @@
 const SERVICE_TIME_TRUSTED: Duration = Duration::from_millis(1500);
 /// Time in which that belief shrinks to a third.
 const SERVICE_TIME_FADE: Duration = Duration::from_millis(2000);
-/// Time over which the rate of arrivals is taken.
-const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
-/// Time over which the mean time that calls hold a slot is taken: long enough for several of those
-/// few that take many times as long as the others.
-const HELD_SPAN: Duration = Duration::from_millis(1000);
-/// Calls that must have ended lately for that mean to say anything.
-const LEAST_ENDED: f64 = 0.5;
 /// Weight of the newest call in the mean time that calls wait.
 const WAIT_GAIN: f64 = 0.1;
 
@@ -94,72 +87,6 @@
     used.max(1)
 }
 
-/// A sum that fades with time, so that the newest of what was added counts most.
-#[derive(Debug)]
-struct FadingSum {
-    span: Duration,
-    sum: f64,
-    at: Option<Instant>,
-}
-
-impl FadingSum {
-    const fn over(span: Duration) -> Self {
-        Self {
-            span,
-            sum: 0.0,
-            at: None,
-        }
-    }
-
-    fn add(&mut self, amount: f64, now: Instant) {
-        self.sum = self.get(now) + amount;
-        self.at = Some(now);
-    }
-
-    fn get(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else {
-            return 0.0;
-        };
-        let silent = now.saturating_duration_since(at);
-        self.sum * (-silent.as_secs_f64() / self.span.as_secs_f64()).exp()
-    }
-}
-
-/// The work that arrives at a back end: the rate of its calls and the time that they take.
-#[derive(Debug)]
-struct OfferedWork {
-    arrived: FadingSum,
-    ended: FadingSum,
-    held_seconds: FadingSum,
-}
-
-impl Default for OfferedWork {
-    fn default() -> Self {
-        Self {
-            arrived: FadingSum::over(ARRIVAL_SPAN),
-            ended: FadingSum::over(HELD_SPAN),
-            held_seconds: FadingSum::over(HELD_SPAN),
-        }
-    }
-}
-
-impl OfferedWork {
-    fn ended(&mut self, took: Duration, now: Instant) {
-        self.ended.add(1.0, now);
-        self.held_seconds.add(took.as_secs_f64(), now);
-    }
-
-    /// Slots that what arrives would hold.
-    fn slots(&self, now: Instant) -> f64 {
-        let ended = self.ended.get(now);
-        if ended < LEAST_ENDED {
-            return 0.0;
-        }
-        let per_second = self.arrived.get(now) / ARRIVAL_SPAN.as_secs_f64();
-        per_second * self.held_seconds.get(now) / ended
-    }
-}
-
 /// A slot that is held; dropping it gives it back.
 #[derive(Debug)]
 pub struct Slot {
@@ -326,7 +253,7 @@
         let (mut receiver, place) = {
             let now = Instant::now();
             let mut table = self.table();
-            table.offered.arrived.add(1.0, now);
+            table.offered.arrived(now);
             if table.in_flight < table.limit && table.queue.is_empty() {
                 table.in_flight += 1;
                 move_towards(&mut table.wait_seconds, Duration::ZERO, WAIT_GAIN);
