--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -148,17 +148,6 @@
         tables.retries.pay(service, calls_others, Instant::now())
     }
 
-    /// A call of a route was answered well after some time.
-    pub fn call_answered(&self, route: u16, took: Duration) {
-        self.tables().answer_times.answered(route, took);
-    }
-
-    /// Time after which a call of a route is late; `None` while that is not known.
-    #[must_use]
-    pub fn late_after(&self, route: u16) -> Option<Duration> {
-        self.tables().answer_times.late_after(route)
-    }
-
     /// The back end called a service.
     pub fn back_end_called(&self, service: &Arc<str>) {
         let now = Instant::now();
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -29,8 +29,8 @@
     seam::{HeaderNames, Platform},
     settings::MeshSettings,
     tables::{
-        AnswerTimes, FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets,
-        RootShedding, RunningAttempts, ServiceViews, WatcherTable,
+        FailingShare, LocalInstance, NodeRecord, PeerStatus, PeerTable, RetryBudgets, RootShedding,
+        RunningAttempts, ServiceViews, WatcherTable,
     },
     work::Work,
 };
@@ -77,7 +77,6 @@
     shedding: RootShedding,
     running: RunningAttempts,
     failing: FailingShare,
-    answer_times: AnswerTimes,
     own_service: Arc<str>,
 }
 
@@ -216,7 +215,6 @@
             shedding: RootShedding::new(settings.policy),
             running: RunningAttempts::default(),
             failing: FailingShare::default(),
-            answer_times: AnswerTimes::default(),
             own_service: settings.backend.service.as_str().into(),
         };
         Self {
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -9,10 +9,7 @@
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
 use tokio::time::{Instant, timeout_at};
 
-use super::{
-    execute::{Answered, Executed, execute, is_untouched},
-    second_attempt::attempt_and_second,
-};
+use super::execute::{Answered, Executed, execute, is_untouched};
 use crate::{
     configuration::Route,
     http::Answer,
@@ -42,25 +39,11 @@
 }
 
 /// What became of one attempt.
-pub(super) enum Attempted {
+enum Attempted {
     Answered(Answered),
     Refused(Refusal),
 }
 
-impl Attempted {
-    /// Whether a back end answered, and not with a failure of its own.
-    pub(super) const fn is_success(&self) -> bool {
-        matches!(self, Self::Answered(answered) if answered.answer.status < 500)
-    }
-
-    pub(super) fn may_have_run(&self) -> bool {
-        match self {
-            Self::Answered(_) => true,
-            Self::Refused(refusal) => refusal.outcome != Outcome::NotRun,
-        }
-    }
-}
-
 /// A call that ended without an answer.
 #[derive(Debug)]
 pub struct Unanswered {
@@ -71,10 +54,10 @@
 }
 
 /// Where a call stands after the attempts so far.
-pub(super) struct Progress {
-    pub(super) tried: Vec<SocketAddr>,
-    pub(super) back_ends: u32,
-    pub(super) may_have_run: bool,
+struct Progress {
+    tried: Vec<SocketAddr>,
+    back_ends: u32,
+    may_have_run: bool,
     last: Refusal,
     /// A back end's own failure, which is the answer unless another one does better.
     failure: Option<Answered>,
@@ -125,7 +108,7 @@
         };
         progress.tried.push(target.address);
         let address = target.address;
-        let untouched = match attempt_and_second(node, call, target, &mut progress).await {
+        let untouched = match attempt(node, call, target).await {
             Attempted::Answered(answered)
                 if is_worth_another(node, call, address, &answered.answer) =>
             {
@@ -174,11 +157,6 @@
     if progress.back_ends >= call.route.max_attempts {
         return false;
     }
-    pays(node, call)
-}
-
-/// Pays for a repeat of a call out of the budget of its service.
-pub(super) fn pays(node: &Node, call: &Call) -> bool {
     let paid = node.pays_for_repeat(&call.service);
     if paid {
         node.counters.repeats.fetch_add(1, Ordering::Relaxed);
@@ -187,12 +165,12 @@
 }
 
 /// An executor that was chosen.
-pub(super) struct Target {
-    pub(super) address: SocketAddr,
+struct Target {
+    address: SocketAddr,
     executor: Executor,
 }
 
-pub(super) fn choice<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> Choice<'a> {
+fn choice<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> Choice<'a> {
     let is_own = *call.service == *node.settings.backend.service;
     let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
     Choice {
@@ -203,7 +181,7 @@
     }
 }
 
-pub(super) fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
+fn choose(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
     let choice = choice(node, call, tried);
     let executor = node.with_peers(|peers| peers.choose(&choice, Instant::now()))?;
     let address = match &executor {
@@ -214,7 +192,7 @@
 }
 
 /// Runs one attempt and takes in what it shows of its executor.
-pub(super) async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
+async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
     let Target { address, executor } = target;
     let now = Instant::now();
     let message = CallMessage {
@@ -234,9 +212,6 @@
         Attempted::Refused(Refusal::new(ErrorKind::BackendTimeout, detail))
     });
     note_outcome(node, address, &attempted);
-    if attempted.is_success() {
-        node.call_answered(call.message.kind, now.elapsed());
-    }
     attempted
 }
 
--- a/crates/tallybridge-mesh/src/path/mod.rs
+++ b/crates/tallybridge-mesh/src/path/mod.rs
@@ -3,4 +3,3 @@
 pub mod carry;
 pub mod entry;
 pub mod execute;
-mod second_attempt;
--- a/crates/tallybridge-mesh/src/policy.rs
+++ b/crates/tallybridge-mesh/src/policy.rs
@@ -19,9 +19,6 @@
     pub shed_by_cost: bool,
     /// Urgent requests are shed last and served first. Off: all are treated alike.
     pub order_by_priority: bool,
-    /// A late call that may be repeated is sent to a second back end beside the first. Off: it is
-    /// waited for.
-    pub second_attempts: bool,
     /// Calls that failed are sent again where that is allowed. Off: only those that reached no
     /// back end.
     pub repeats: bool,
@@ -46,7 +43,6 @@
             shed_at_entry: true,
             shed_by_cost: true,
             order_by_priority: true,
-            second_attempts: true,
             repeats: true,
             outliers_last: true,
             slow_last: true,
@@ -69,13 +65,12 @@
 impl PolicySettings {
     /// All switches, in the order of the settings.
     #[must_use]
-    pub fn switches(&self) -> [PolicySwitch; 10] {
+    pub fn switches(&self) -> [PolicySwitch; 9] {
         let switch = |name, is_on| PolicySwitch { name, is_on };
         [
             switch("shed_at_entry", self.shed_at_entry),
             switch("shed_by_cost", self.shed_by_cost),
             switch("order_by_priority", self.order_by_priority),
-            switch("second_attempts", self.second_attempts),
             switch("repeats", self.repeats),
             switch("outliers_last", self.outliers_last),
             switch("slow_last", self.slow_last),
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,6 +1,5 @@
 //! What a node knows: the back end beside it, and the other nodes.
 
-pub mod answer_times;
 pub mod failures;
 pub mod instance;
 pub mod load;
@@ -11,7 +10,6 @@
 pub mod slot_times;
 pub mod watchers;
 
-pub use answer_times::AnswerTimes;
 pub use failures::{FailingChange, FailingShare};
 pub use instance::{InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
--- a/crates/tallybridge-mesh/src/tables/peers/choose.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/choose.rs
@@ -12,9 +12,6 @@
 const CROSSING_COST: f64 = 0.35;
 /// An executor above this utilization counts as full, wherever it is.
 const FULL: f64 = 0.9;
-/// An executor below this utilization has room for second attempts of late calls, which are worth
-/// less than first ones.
-const ROOM_BELOW: f64 = 0.8;
 /// Back ends of a service differ in speed; one that takes more than this many times as long as the
 /// fastest is passed over for it.
 const USUAL_SLOWNESS: f64 = 4.0;
@@ -103,14 +100,6 @@
         Some(best.executor)
     }
 
-    /// Whether an executor that was not tried has room for more than it does now.
-    #[must_use]
-    pub fn has_room(&self, choice: &Choice<'_>, now: Instant) -> bool {
-        let candidates = self.candidates(choice, now);
-        let mut loads = candidates.iter().map(|candidate| candidate.load);
-        loads.any(|load| load.utilization(0) < ROOM_BELOW)
-    }
-
     /// Whether a back end fails so much larger a share of its calls than others of its service
     /// that a failure says more of it than of the call.
     #[must_use]
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -101,13 +101,13 @@
     let settings = MeshSettings::parse(SOUND).unwrap();
     assert_eq!(settings.policy, PolicySettings::default());
     assert!(settings.policy.switches().iter().all(|switch| switch.is_on));
-    let text = format!("{SOUND}\n[policy]\nsecond_attempts = false\n");
+    let text = format!("{SOUND}\n[policy]\nrepeats = false\n");
     let other = MeshSettings::parse(&text).unwrap();
-    assert!(!other.policy.second_attempts && other.policy.shed_at_entry);
+    assert!(!other.policy.repeats && other.policy.shed_at_entry);
     assert_eq!(settings.fixed_differences(&other), ["policy"]);
     let rows = MeshSettings::effective(&text).unwrap();
     let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
-    let switched = row("policy.second_attempts");
+    let switched = row("policy.repeats");
     assert_eq!(
         (&*switched.value, switched.origin),
         ("false", SettingOrigin::File)
@@ -118,7 +118,7 @@
         ("true", SettingOrigin::Default)
     );
     assert_eq!(row("retry.ratio").origin, SettingOrigin::File);
-    let wrong = format!("{SOUND}\n[policy]\nsecond_attempts = \"no\"\n");
+    let wrong = format!("{SOUND}\n[policy]\nrepeats = \"no\"\n");
     let error = MeshSettings::parse(&wrong).unwrap_err();
-    assert!(error.to_string().contains("second_attempts"), "{error}");
+    assert!(error.to_string().contains("repeats"), "{error}");
 }
