--- a/crates/tallybridge-mesh/tests/shedding.rs
+++ b/crates/tallybridge-mesh/tests/shedding.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tallybridge_mesh::{
-    Route,
+    PolicySettings, Route,
     tables::{BackendState, Load, PeerStatus, RootShedding, ServiceViews, SlotTimes},
 };
 
@@ -188,6 +188,40 @@
     assert_eq!(admitted(&mut shedding, &lookup), 1000);
 }
 
+#[test]
+fn with_its_switch_off_nothing_is_shed() {
+    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::new(PolicySettings {
+        shed_at_entry: false,
+        ..PolicySettings::default()
+    });
+    learn(&mut shedding, &lookup, &[("top", 50), ("deep", 20)]);
+    for _ in 0..20 {
+        shedding.adapt(&views(&[
+            seen("top", (100, 10, 10), &["deep"]),
+            seen("deep", (10, 20, 200), &[]),
+        ]));
+    }
+    assert_eq!(admitted(&mut shedding, &lookup), 1000);
+}
+
+#[test]
+fn with_costs_switched_off_a_download_is_shed_for_what_is_full_below() {
+    let download = route("download", "h", "/d/", 2, &[("top", 1)]);
+    let mut shedding = RootShedding::new(PolicySettings {
+        shed_by_cost: false,
+        ..PolicySettings::default()
+    });
+    learn(&mut shedding, &download, &[("top", 50)]);
+    for _ in 0..20 {
+        shedding.adapt(&views(&[
+            seen("top", (100, 10, 10), &["deep"]),
+            seen("deep", (10, 20, 200), &[]),
+        ]));
+    }
+    assert!(admitted(&mut shedding, &download) < 400);
+}
+
 #[test]
 fn a_route_of_which_nothing_is_known_is_let_in_a_little_until_it_is() {
     let download = route("download", "h", "/d/", 2, &[("top", 1)]);
