Believe that a call has not run only where nothing speaks against it

Cause: the executor told "not run" in three cases in which a back end may have begun. An answer without the name of an attempt that refuses was taken for the present request's, also on a kept connection, where late second answers come. A refusal was believed of a back end that had made nested calls for the very request: it hands on what it was told of one of them. A back end's own 408, 421, 429 or 503 without the header went through to the caller, for whom these statuses are a promise.

Change: an unnamed refusal counts only on a connection that carried nothing before; a refusal after a nested call, and the four statuses without the header, end as 502 without a signature. A 421 is believed with the header or where it names another instance.

--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -137,7 +137,7 @@
     let ending = CallEnding::begin(node, &call.attempt, deadline);
     let give_up = deadline + BACKEND_GRACE;
     let result = match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
-        Ok(Ok(received)) => judge(node, received),
+        Ok(Ok(received)) => judge(node, call, &instance, received),
         Ok(Err(error)) => Err(failed(node, &error)),
         Err(_) => Err(Refusal::new(
             ErrorKind::BackendTimeout,
@@ -233,7 +233,7 @@
     let sent = connection.exchange(&request, &call.body, call.is_head_request);
     let mut received = sent.await?;
     let mut surplus = 0;
-    while !is_answer_to(node, &received, call) {
+    while !is_answer_to(node, &received, call, surplus == 0 && !lent.is_reused) {
         // An answer to another request stands in the place of this one's, which comes after it.
         if surplus == MAX_SURPLUS || !received.goes_on {
             return Err(ExchangeError::sent("answer to another request"));
@@ -246,15 +246,21 @@
     Ok(received)
 }
 
-/// A refusal may come without the name of its attempt; anything else repeats it.
-fn is_answer_to(node: &Node, received: &Received, call: &CallMessage) -> bool {
-    let headers = &received.head.headers;
-    match headers.first(node.names.attempt) {
+/// Whether an answer is that to a call. One that names no attempt may be a late second answer to an
+/// earlier request on the connection, while the back end is at work on this one; on a connection that
+/// carried no other request it can only be the answer to this one.
+fn is_answer_to(node: &Node, received: &Received, call: &CallMessage, is_first: bool) -> bool {
+    match received.head.headers.first(node.names.attempt) {
         Some(attempt) => attempt == &call.attempt[..],
-        None => received.head.status == 421 || headers.first(node.names.not_run).is_some(),
+        None => is_first && is_refusal(node, received),
     }
 }
 
+/// Whether an answer says that its request was not run.
+fn is_refusal(node: &Node, received: &Received) -> bool {
+    received.head.status == 421 || received.head.headers.first(node.names.not_run).is_some()
+}
+
 fn request_bytes(node: &Node, call: &CallMessage, instance: &str, deadline: Instant) -> Vec<u8> {
     node.counters.executed.fetch_add(1, Ordering::Relaxed);
     let remaining = deadline.saturating_duration_since(Instant::now());
@@ -271,27 +277,58 @@
     request
 }
 
-/// Tells an answer from a refusal of the back end.
-fn judge(node: &Node, received: Received) -> Result<Answer, Refusal> {
+/// Tells an answer from a refusal of the back end. That a call has not run is believed only where
+/// nothing speaks against it: a caller that is told so sends the same work again.
+fn judge(
+    node: &Node,
+    call: &CallMessage,
+    instance: &str,
+    received: Received,
+) -> Result<Answer, Refusal> {
     let head = &received.head;
-    if head.status == 421 {
+    let status = head.status;
+    // A back end that made calls of its own has begun. Its refusal is one that it was given for such
+    // a call and hands on as its own.
+    let has_begun = node.has_called(&call.attempt);
+    if is_misdirected(node, &received, instance) && !has_begun {
         node.instance_misdirected();
         let detail = "another instance has the address";
         return Err(Refusal::new(ErrorKind::NoBackend, detail));
     }
-    if head.headers.first(node.names.not_run).is_some() {
-        let detail = format!("back end refused with status {}", head.status);
+    let says_not_run = head.headers.first(node.names.not_run).is_some();
+    if says_not_run && !has_begun {
+        let detail = format!("back end refused with status {status}");
         return Err(Refusal::new(ErrorKind::BackendRefused, detail));
     }
+    if says_not_run || promises_not_run(status) {
+        let detail = format!("back end may have run the call that it answers with {status}");
+        return Err(Refusal::new(ErrorKind::BackendFailed, detail));
+    }
     let mut headers = Vec::with_capacity(256);
     head.headers.write_end_to_end(&[], &mut headers);
     Ok(Answer {
-        status: head.status,
+        status,
         headers,
         body: received.body,
     })
 }
 
+/// Whether another instance than the expected one turned a call away.
+fn is_misdirected(node: &Node, received: &Received, expected: &str) -> bool {
+    let headers = &received.head.headers;
+    let says_not_run = headers.first(node.names.not_run).is_some();
+    let by_other = headers
+        .text(node.names.instance)
+        .is_some_and(|by| by != expected);
+    received.head.status == 421 && (says_not_run || by_other)
+}
+
+/// Whether callers take a status for the promise that a request has not run and never will. A back
+/// end that gives it without saying so may have run the request, so it is not passed on.
+const fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Whether a refusal means that nothing was handed to the back end.
 #[must_use]
 pub fn is_untouched(refusal: &Refusal) -> bool {
