Node crate: a back end that made calls is not believed that it has not run

Cause: a back end that was refused a nested call may hand on that refusal, header and all, and the node took it for the back end's own: the caller was told not-run although the back end had begun. On any other status the outcome header of the back end went through beside the node's own.

Change: the end of an execution tells whether nested calls were made, and such a refusal ends as backend-failed, unknown; the back end's outcome header is no longer forwarded.

Measured: whole_path.rs, a_back_end_that_made_a_call_is_not_believed_that_it_has_not_run, fails with the code before (not-run told for 503).

--- a/crates/tallybridge-integration/tests/support/backend.rs
+++ b/crates/tallybridge-integration/tests/support/backend.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicU16, Ordering},
 };
 
 use bytes::Bytes;
@@ -21,6 +21,8 @@
     pub tokens: Arc<Mutex<Vec<String>>>,
     pub hold: Arc<RwLock<()>>,
     pub fails: Arc<AtomicBool>,
+    /// Status with which it says, after its nested call, that it has not run; 0 for never.
+    pub hands_on: Arc<AtomicU16>,
     /// Where the next service is called; the last back end of a chain calls none.
     pub next: Option<String>,
     pub client: reqwest::Client,
@@ -67,10 +69,23 @@
         let nested = nested.body(body).send().await.expect("the node answers");
         let status = nested.status();
         let text = nested.text().await.expect("whole");
+        if let status @ 1.. = self.hands_on.load(Ordering::Relaxed) {
+            return not_run(status);
+        }
         answer(status, format!("via {text}"))
     }
 }
 
+fn not_run(status: u16) -> Response<String> {
+    let status = StatusCode::from_u16(status).expect("a status");
+    let mut response = answer(status, "not run".to_owned());
+    let outcome = header::OUTCOME.parse::<warp::http::HeaderName>();
+    let outcome = outcome.expect("a name");
+    let not_run = warp::http::HeaderValue::from_static("not-run");
+    response.headers_mut().insert(outcome, not_run);
+    response
+}
+
 fn answer(status: StatusCode, text: String) -> Response<String> {
     let mut response = Response::new(text);
     *response.status_mut() = status;
--- a/crates/tallybridge-integration/tests/support/mod.rs
+++ b/crates/tallybridge-integration/tests/support/mod.rs
@@ -48,6 +48,8 @@
     pub tokens: Arc<Mutex<Vec<String>>>,
     /// Whether the back end answers with status 500.
     pub fails: Arc<AtomicBool>,
+    /// Status with which the back end says, after its nested call, that it has not run; 0 for never.
+    pub hands_on: Arc<AtomicU16>,
 }
 
 /// Which service each node's back end belongs to, and whether a back end calls the next service.
@@ -213,11 +215,13 @@
             let tokens = Arc::default();
             let hold = Arc::default();
             let fails = Arc::default();
+            let hands_on = Arc::default();
             let backend = Backend {
                 executions: Arc::clone(&executions),
                 tokens: Arc::clone(&tokens),
                 hold: Arc::clone(&hold),
                 fails: Arc::clone(&fails),
+                hands_on: Arc::clone(&hands_on),
                 next,
                 client: client.clone(),
             };
@@ -236,6 +240,7 @@
                 tokens,
                 hold,
                 fails,
+                hands_on,
             });
         }
         let chain = Self { hops, client };
--- a/crates/tallybridge-integration/tests/whole_path.rs
+++ b/crates/tallybridge-integration/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use support::Chain;
 use tallybridge_core::header;
@@ -139,3 +139,17 @@
     let response = chain.call(0, 0).send().await.expect("answer");
     assert_eq!(header_of(&response, header::OUTCOME), "completed");
 }
+
+#[tokio::test]
+async fn a_back_end_that_made_a_call_is_not_believed_that_it_has_not_run() {
+    let chain = Chain::start(2, None).await;
+    for status in [503, 500] {
+        let before = chain.executions(1);
+        chain.hops[0].hands_on.store(status, Ordering::Relaxed);
+        let response = chain.call(1, 0).body("1").send().await.expect("answer");
+        assert!(chain.executions(1) > before, "its nested call ran");
+        let outcomes: Vec<_> = response.headers().get_all(header::OUTCOME).iter().collect();
+        assert_eq!(outcomes.len(), 1, "one outcome: {outcomes:?}");
+        assert_ne!(header_of(&response, header::OUTCOME), "not-run", "{status}");
+    }
+}
--- a/crates/tallybridge-node/src/actor/executions.rs
+++ b/crates/tallybridge-node/src/actor/executions.rs
@@ -70,14 +70,39 @@
     pub load: LoadReport,
 }
 
+/// An attempt that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EndedExecution {
+    /// What the entry node is told.
+    pub closing: Closing,
+    /// Whether the back end made nested calls for it, or may have: it had begun, whatever it says.
+    pub made_calls: bool,
+}
+
+impl Default for EndedExecution {
+    /// Of a node whose tables are gone: nothing is given back, and nothing is promised.
+    fn default() -> Self {
+        Self {
+            closing: Closing::default(),
+            made_calls: true,
+        }
+    }
+}
+
 impl Handler<EndExecution> for NodeActor {
-    type Return = Closing;
+    type Return = EndedExecution;
 
-    async fn handle(&mut self, message: EndExecution, _context: &mut Context<Self>) -> Closing {
+    async fn handle(
+        &mut self,
+        message: EndExecution,
+        _context: &mut Context<Self>,
+    ) -> EndedExecution {
         let now = now();
         let mut unused_allowance = 0;
+        let mut made_calls = true;
         if let Some(execution) = self.tables.executions.remove(message.attempt) {
             unused_allowance = execution.allowance.remaining();
+            made_calls = !execution.nested.is_empty();
             let nested = execution.nested_wait.total(now);
             let latency = message.sample.latency.saturating_sub(nested);
             let sample = Sample {
@@ -93,9 +118,13 @@
             record::executed(&mut self.tables, &subject, result, latency);
             record::evicted(&mut self.tables);
         }
-        Closing {
+        let closing = Closing {
             unused_allowance,
             load: self.load_report(&message.template, now),
+        };
+        EndedExecution {
+            closing,
+            made_calls,
         }
     }
 }
--- a/crates/tallybridge-node/src/path/execute.rs
+++ b/crates/tallybridge-node/src/path/execute.rs
@@ -21,7 +21,9 @@
     claim::{Settled, claim_run, end_run},
 };
 use crate::{
-    actor::executions::{Admit, BackendDraining, Closing, EndExecution, ReportLoad, Withdraw},
+    actor::executions::{
+        Admit, BackendDraining, Closing, EndExecution, EndedExecution, ReportLoad, Withdraw,
+    },
     clock::unix_ms,
     connections::backend::{BackendAnswer, BackendFailure, BackendRequest},
     context::NodeContext,
@@ -247,13 +249,14 @@
         answer,
         Err(NoAnswer::Failed(BackendFailure::NotConnected(_)))
     );
-    let closing = end_execution(context, head, run.attempt, sample).await;
-    let ended = end_run(context, head, run.round, into_result(answer)).await;
+    let execution = end_execution(context, head, run.attempt, sample).await;
+    let result = into_result(answer, execution.made_calls);
+    let ended = end_run(context, head, run.round, result).await;
     Executed {
         result: ended.result,
         reached_backend,
         outcome_settled: ended.outcome_settled,
-        closing,
+        closing: execution.closing,
     }
 }
 
@@ -262,13 +265,12 @@
     head: &CallHead,
     attempt: AttemptId,
     sample: Sample,
-) -> Closing {
+) -> EndedExecution {
     let end = EndExecution {
         attempt,
         template: TemplateName::from(head.template.to_string_lossy()),
         sample,
     };
-    // The default, which gives nothing back, is for a node whose tables are gone.
     context.ask(end).await.unwrap_or_default()
 }
 
@@ -287,8 +289,17 @@
     }
 }
 
-fn into_result(answer: Result<BackendAnswer, NoAnswer>) -> Result<WholeAnswer, Refusal> {
+/// The result of an attempt. A back end that made nested calls had begun: its refusal is one that it
+/// was given for such a call and hands on as its own.
+fn into_result(
+    answer: Result<BackendAnswer, NoAnswer>,
+    made_calls: bool,
+) -> Result<WholeAnswer, Refusal> {
     match answer {
+        Ok(answer) if answer.refused_unrun && made_calls => Err(Refusal::new(
+            ErrorKind::BackendFailed,
+            "the back end made calls and then said that it had not run the call",
+        )),
         Ok(answer) if answer.refused_unrun && answer.draining => Err(Refusal::new(
             ErrorKind::Leaving,
             "the back end is leaving and refused the call",
@@ -322,7 +333,7 @@
         result: ended.result,
         reached_backend: false,
         outcome_settled: ended.outcome_settled,
-        closing: end_execution(context, head, attempt, sample).await,
+        closing: end_execution(context, head, attempt, sample).await.closing,
     }
 }
 
--- a/crates/tallybridge-node/src/path/headers.rs
+++ b/crates/tallybridge-node/src/path/headers.rs
@@ -6,7 +6,7 @@
 
 /// Headers of one connection only (RFC 9110 section 7.6.1), those that the next hop makes anew,
 /// and tallybridge's own, which each hop sets itself.
-const NOT_FORWARDED: [&str; 16] = [
+const NOT_FORWARDED: [&str; 17] = [
     "connection",
     "content-length",
     "host",
@@ -23,6 +23,7 @@
     header::CALL_TOKEN,
     header::REQUEST_ID,
     header::DRAINING,
+    header::OUTCOME,
 ];
 
 /// The headers of a message that pass through.
