A tenant's new home begins with half of what is allowed beyond the limit

Cause: after all processes are killed every home begins with an empty bucket, while tenants that are within their limits come back all at once; and tokens that entries ask for ahead expire unused, which a tenant near its limit misses.

Change: a new home begins with half of the overage and slack of the users' rule, which covers two replacements of a home within a window; tokens are given ahead only from a bucket that is more than half full.

--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -215,7 +215,7 @@
             configuration_confirmed: None,
             confirmed_by_store: None,
             read_at: None,
-            quota: QuotaTables::new(Instant::now()),
+            quota: QuotaTables::new(settings.tenants.slack(), Instant::now()),
             version_from_store: 0,
             watchers: WatcherTable::default(),
             called: HashMap::new(),
--- a/crates/tallybridge-mesh/src/node/tenants.rs
+++ b/crates/tallybridge-mesh/src/node/tenants.rs
@@ -9,7 +9,7 @@
     tables::TenantHome,
     tenants::{
         Tenant,
-        quota::{HeldAnswer, HeldTokens, QuotaGrant, QuotaHome},
+        quota::{HeldAnswer, HeldTokens, QuotaGrant, QuotaHome, QuotaSlack},
     },
 };
 
@@ -30,10 +30,10 @@
 }
 
 impl QuotaTables {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(slack: QuotaSlack, now: Instant) -> Self {
         Self {
             held: HeldTokens::default(),
-            home: QuotaHome::default(),
+            home: QuotaHome::new(slack),
             reached: 0,
             home_since: now,
             minority_since: None,
@@ -66,12 +66,12 @@
         since.is_none_or(|since| self.read_at.is_some_and(|read_at| read_at > since))
     }
 
-    fn grant(&mut self, tenant: &Tenant, wanted: u32, now: Instant) -> QuotaGrant {
+    fn grant(&mut self, tenant: &Tenant, ahead: u32, now: Instant) -> QuotaGrant {
         if !self.may_be_home() {
             return QuotaGrant::NotHome;
         }
         let since = self.quota.home_since;
-        self.quota.home.grant(tenant, wanted, since, now)
+        self.quota.home.grant(tenant, ahead, since, now)
     }
 }
 
@@ -127,20 +127,20 @@
 
     /// Tokens of a tenant whose home this node is.
     #[must_use]
-    pub fn grant_own(&self, tenant: &Tenant, wanted: u32) -> QuotaGrant {
-        self.tables().grant(tenant, wanted, Instant::now())
+    pub fn grant_own(&self, tenant: &Tenant, ahead: u32) -> QuotaGrant {
+        self.tables().grant(tenant, ahead, Instant::now())
     }
 
     /// Answers a peer that takes this node for the home of a tenant.
     #[must_use]
-    pub fn grant_quota(&self, tenant: &[u8], wanted: u32) -> QuotaGrant {
+    pub fn grant_quota(&self, tenant: &[u8], ahead: u32) -> QuotaGrant {
         let Some(tenant) = self.tenant_named(tenant) else {
             return QuotaGrant::NotHome;
         };
         if !matches!(self.tenant_home(&tenant), TenantHome::Own) {
             return QuotaGrant::NotHome;
         }
-        self.grant_own(&tenant, wanted)
+        self.grant_own(&tenant, ahead)
     }
 
     fn tenant_named(&self, name: &[u8]) -> Option<Arc<Tenant>> {
--- a/crates/tallybridge-mesh/src/path/quota.rs
+++ b/crates/tallybridge-mesh/src/path/quota.rs
@@ -38,13 +38,13 @@
     if tenant.limit.is_none() {
         return Ok(());
     }
-    let wanted = match node.take_held_token(tenant) {
+    let ahead = match node.take_held_token(tenant) {
         HeldAnswer::Admitted => return Ok(()),
         HeldAnswer::Spent(wait) => return Err(over_quota(wait)),
-        HeldAnswer::Ask(wanted) => wanted,
+        HeldAnswer::Ask(ahead) => ahead,
     };
     loop {
-        match ask(node, tenant, wanted).await {
+        match ask(node, tenant, ahead).await {
             Some(QuotaGrant::Tokens(tokens)) => {
                 node.keep_tokens(tenant, tokens.saturating_sub(1));
                 return Ok(());
@@ -69,16 +69,16 @@
 }
 
 /// Asks the tenant's home for tokens; `None` when it does not answer.
-async fn ask(node: &Node, tenant: &Tenant, wanted: u32) -> Option<QuotaGrant> {
+async fn ask(node: &Node, tenant: &Tenant, ahead: u32) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.tenant_home(tenant) {
-        TenantHome::Own => Some(node.grant_own(tenant, wanted)),
-        TenantHome::Peer(link) => ask_peer(&link, tenant, wanted).await,
+        TenantHome::Own => Some(node.grant_own(tenant, ahead)),
+        TenantHome::Peer(link) => ask_peer(&link, tenant, ahead).await,
     }
 }
 
-async fn ask_peer(link: &Arc<Link>, tenant: &Tenant, wanted: u32) -> Option<QuotaGrant> {
-    let mut asked = link.ask_quota(&tenant.name, wanted).ok()?;
+async fn ask_peer(link: &Arc<Link>, tenant: &Tenant, ahead: u32) -> Option<QuotaGrant> {
+    let mut asked = link.ask_quota(&tenant.name, ahead).ok()?;
     match timeout(ANSWER_WITHIN, asked.reply()).await {
         Ok(Ok(Reply::Quota(grant))) => Some(grant),
         _ => None,
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -166,10 +166,10 @@
                 send(sender, Message::Configuration(document));
             }
         }
-        Message::QuotaAsk { tenant, wanted } => {
+        Message::QuotaAsk { tenant, ahead } => {
             let frame = Frame {
                 call: frame.call,
-                message: Message::QuotaGrant(node.grant_quota(&tenant, wanted)),
+                message: Message::QuotaGrant(node.grant_quota(&tenant, ahead)),
             };
             // Fails only when the link is lost, which its reader sees.
             let _ = sender.send(frame.encode());
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -172,9 +172,9 @@
     /// # Errors
     ///
     /// [`LinkError::NotSent`] when the link is closed.
-    pub fn ask_quota(self: &Arc<Self>, tenant: &str, wanted: u32) -> Result<LinkCall, LinkError> {
+    pub fn ask_quota(self: &Arc<Self>, tenant: &str, ahead: u32) -> Result<LinkCall, LinkError> {
         let tenant = Bytes::copy_from_slice(tenant.as_bytes());
-        self.request(Message::QuotaAsk { tenant, wanted }, true)
+        self.request(Message::QuotaAsk { tenant, ahead }, true)
     }
 
     /// Sends what is answered by number.
@@ -249,7 +249,7 @@
     }
 
     /// The other node told its clock in answer to what was sent at a time.
-    pub(super) fn learn_clock(&self, sent_at: Instant, peer_ms: u64) {
+    pub fn learn_clock(&self, sent_at: Instant, peer_ms: u64) {
         self.state().peer_clock = Some(PeerClock {
             not_before: sent_at,
             peer_ms,
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -125,7 +125,7 @@
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct QuotaAskFields {
-    wanted: u32,
+    ahead: u32,
 }
 
 /// A grant: tokens, or the time to come back in milliseconds.
@@ -227,8 +227,8 @@
     QuotaAsk {
         /// The tenant's name.
         tenant: Bytes,
-        /// Tokens that are wanted.
-        wanted: u32,
+        /// Tokens that are wanted beyond the first.
+        ahead: u32,
     },
     /// What the home of a tenant gives.
     QuotaGrant(QuotaGrant),
@@ -383,8 +383,8 @@
                 });
             }
             Self::Clock { now_ms } => *out = fields(&ClockFields { now_ms: *now_ms }),
-            Self::QuotaAsk { tenant, wanted } => {
-                *out = fields(&QuotaAskFields { wanted: *wanted });
+            Self::QuotaAsk { tenant, ahead } => {
+                *out = fields(&QuotaAskFields { ahead: *ahead });
                 out.extend_from_slice(tenant);
             }
             Self::QuotaGrant(grant) => *out = fields(&grant_fields(*grant)),
@@ -531,7 +531,7 @@
             let fields: QuotaAskFields = take_fields(&mut payload, QUOTA_ASK_BYTES)?;
             Message::QuotaAsk {
                 tenant: payload,
-                wanted: fields.wanted,
+                ahead: fields.ahead,
             }
         }
         15 => Message::QuotaGrant(decode_grant(payload)?),
--- a/crates/tallybridge-mesh/src/settings.rs
+++ b/crates/tallybridge-mesh/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::policy::PolicySettings;
+use crate::{policy::PolicySettings, tenants::quota::QuotaSlack};
 
 /// Everything that a mesh node is told. Times are in milliseconds.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -70,12 +70,49 @@
 }
 
 /// What holds for keys and limits of tenants, where the configuration has any.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 pub struct TenantSettings {
     /// Time after which a key that was taken away works nowhere: a node that can't tell refuses
     /// requests with keys. Without it, a node goes by the configuration that it has.
     #[serde(default)]
     pub revoke_within_ms: Option<u64>,
+    /// Span over which requests are counted against limits, in milliseconds; by default 5000.
+    #[serde(default = "default_quota_window_ms")]
+    pub quota_window_ms: u64,
+    /// Share of a limit by which the requests of all nodes together may exceed it, 0 to 1.
+    #[serde(default)]
+    pub quota_overage: f64,
+    /// Requests of a window that may exceed it on top of that.
+    #[serde(default)]
+    pub quota_slack: u32,
+}
+
+/// Span of the users' rule on limits.
+const fn default_quota_window_ms() -> u64 {
+    5000
+}
+
+impl Default for TenantSettings {
+    fn default() -> Self {
+        Self {
+            revoke_within_ms: None,
+            quota_window_ms: default_quota_window_ms(),
+            quota_overage: 0.0,
+            quota_slack: 0,
+        }
+    }
+}
+
+impl TenantSettings {
+    /// By how much requests may exceed the limits.
+    #[must_use]
+    pub fn slack(&self) -> QuotaSlack {
+        QuotaSlack {
+            window: Duration::from_millis(self.quota_window_ms),
+            overage: self.quota_overage,
+            requests: self.quota_slack.into(),
+        }
+    }
 }
 
 fn default_log() -> String {
@@ -158,7 +195,16 @@
         ];
         let revoke = settings.tenants.revoke_within_ms;
         let revoke = revoke.map_or_else(|| "never".to_owned(), |ms| ms.to_string());
-        rows.push(row("tenants", "revoke_within_ms", revoke, "ms"));
+        let tenants = settings.tenants;
+        let window = tenants.quota_window_ms.to_string();
+        let overage = tenants.quota_overage.to_string();
+        let slack = tenants.quota_slack.to_string();
+        rows.extend([
+            row("tenants", "revoke_within_ms", revoke, "ms"),
+            row("tenants", "quota_window_ms", window, "ms"),
+            row("tenants", "quota_overage", overage, "of the limit"),
+            row("tenants", "quota_slack", slack, "requests"),
+        ]);
         for switch in settings.policy.switches() {
             rows.push(row("policy", switch.name, switch.is_on.to_string(), "on"));
         }
@@ -193,6 +239,18 @@
             "give the time in which a key that was taken away must stop working in milliseconds, \
              as 5000",
         )?;
+        require(
+            (0.0..=1.0).contains(&self.tenants.quota_overage),
+            "tenants.quota_overage",
+            "is not between 0 and 1",
+            "give the share of a limit by which it may be exceeded, as 0.1",
+        )?;
+        require(
+            self.tenants.quota_window_ms >= 100,
+            "tenants.quota_window_ms",
+            "is below 100",
+            "give the window in milliseconds, as 5000",
+        )?;
         require(
             self.stop_grace_ms >= 500,
             "stop_grace_ms",
--- a/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
@@ -18,12 +18,12 @@
 }
 
 impl TokenBucket {
-    /// A bucket that was empty at a time.
+    /// A bucket that held so many tokens at a time, as far as they fit.
     #[must_use]
-    pub const fn empty_at(limit: RateLimit, since: Instant) -> Self {
+    pub const fn new(limit: RateLimit, level: f64, since: Instant) -> Self {
         Self {
             limit,
-            level: 0.0,
+            level,
             filled_at: since,
             promised_until: since,
         }
@@ -38,10 +38,15 @@
         }
     }
 
-    /// Takes up to `wanted` whole tokens.
-    pub fn take(&mut self, wanted: u32, now: Instant) -> u32 {
+    /// Takes a token, and up to `ahead` more if the bucket is more than half full without them:
+    /// tokens that are held elsewhere may expire unused, which a tenant near its limit would miss.
+    pub fn take(&mut self, ahead: u32, now: Instant) -> u32 {
         self.fill(now);
-        let taken = self.level.floor().min(f64::from(wanted)).max(0.0);
+        if self.level < 1.0 {
+            return 0;
+        }
+        let spare = (self.level - 1.0 - self.capacity() / 2.0).max(0.0);
+        let taken = 1.0 + spare.floor().min(f64::from(ahead));
         self.level -= taken;
         taken as u32
     }
--- a/crates/tallybridge-mesh/src/tenants/quota/held.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/held.rs
@@ -36,7 +36,7 @@
     Admitted,
     /// The home said a moment ago that the tenant is at its limit.
     Spent(Duration),
-    /// So many tokens are to be asked for, this request's own among them.
+    /// A token is to be asked for, and so many ahead.
     Ask(u32),
 }
 
@@ -56,7 +56,7 @@
         if now < row.spent_until {
             return HeldAnswer::Spent(row.spent_wait);
         }
-        HeldAnswer::Ask(1 + (row.rate * AHEAD_S) as u32)
+        HeldAnswer::Ask((row.rate * AHEAD_S) as u32)
     }
 
     /// Tokens came beyond the one that a request needs, or one was not used after all.
--- a/crates/tallybridge-mesh/src/tenants/quota/home.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/home.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Duration, Instant};
 
 use super::{QuotaGrant, TokenBucket};
-use crate::tenants::Tenant;
+use crate::tenants::{RateLimit, Tenant};
 
 /// Time without a question after which a bucket is forgotten. It is full again by then, or nearly.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -16,33 +16,67 @@
     asked_at: Instant,
 }
 
+/// By how much the tenants' requests may exceed their limits over all nodes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaSlack {
+    /// The span over which requests are counted.
+    pub window: Duration,
+    /// Share of the limit that they may exceed it by.
+    pub overage: f64,
+    /// Requests on top.
+    pub requests: f64,
+}
+
+impl QuotaSlack {
+    /// Tokens that a home begins with that knows nothing of the one before it. Within a window a
+    /// tenant may get a new home twice, as when its node restarts: half of what is allowed beyond the
+    /// limit covers that even if the bucket had just been emptied each time. With an empty bucket a
+    /// loss of all nodes would be followed by refusals of tenants that were within their limits.
+    fn first_level(self, limit: RateLimit) -> f64 {
+        let allowed = limit.per_second * self.window.as_secs_f64() + limit.burst;
+        (allowed * self.overage + self.requests) / 2.0
+    }
+}
+
 /// Buckets of tenants, by name.
-#[derive(Debug, Default)]
-pub struct QuotaHome(HashMap<Arc<str>, HomeRow>);
+#[derive(Debug)]
+pub struct QuotaHome {
+    rows: HashMap<Arc<str>, HomeRow>,
+    slack: QuotaSlack,
+}
 
 impl QuotaHome {
-    /// Gives up to `wanted` tokens of a tenant. A bucket that this node has not kept so far was empty
-    /// at `since`, when another node may still have been the tenant's home.
+    /// No buckets yet.
+    #[must_use]
+    pub fn new(slack: QuotaSlack) -> Self {
+        Self {
+            rows: HashMap::new(),
+            slack,
+        }
+    }
+
+    /// Gives a tenant a token, and up to `ahead` more if it is far from its limit. A bucket that this
+    /// node has not kept so far begins at `since`, when another node may still have been the tenant's
+    /// home.
     pub fn grant(
         &mut self,
         tenant: &Tenant,
-        wanted: u32,
+        ahead: u32,
         since: Instant,
         now: Instant,
     ) -> QuotaGrant {
         let Some(limit) = tenant.limit else {
-            return QuotaGrant::Tokens(wanted);
+            return QuotaGrant::Tokens(1 + ahead);
         };
-        let row = self
-            .0
-            .entry(tenant.name.clone())
-            .or_insert_with(|| HomeRow {
-                bucket: TokenBucket::empty_at(limit, since),
-                asked_at: now,
-            });
+        let level = self.slack.first_level(limit);
+        let row = self.rows.entry(tenant.name.clone());
+        let row = row.or_insert_with(|| HomeRow {
+            bucket: TokenBucket::new(limit, level, since),
+            asked_at: now,
+        });
         row.asked_at = now;
         row.bucket.set_limit(limit, now);
-        match row.bucket.take(wanted, now) {
+        match row.bucket.take(ahead, now) {
             0 => QuotaGrant::Spent(row.bucket.promise(now)),
             tokens => QuotaGrant::Tokens(tokens),
         }
@@ -50,7 +84,7 @@
 
     /// Forgets buckets that nobody has asked for.
     pub fn forget_idle(&mut self, now: Instant) {
-        self.0
+        self.rows
             .retain(|_, row| now.saturating_duration_since(row.asked_at) < FORGET_AFTER);
     }
 }
--- a/crates/tallybridge-mesh/src/tenants/quota/mod.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/mod.rs
@@ -3,9 +3,9 @@
 //! Each tenant has a *home*: the node that ranks first for it among those that a node reaches
 //! (rendezvous hashing). The home keeps one token bucket for the tenant; an entry asks it for a
 //! token before it lets a request in, and for a few ahead where the tenant's requests come fast.
-//! Tokens expire soon, so that few lie unused. A node that has just become a home begins with an
-//! empty bucket: what the home before it gave out is not known any more, and the sum of both stays
-//! within the limit.
+//! Tokens expire soon, so that few lie unused. A node that has just become a home begins with
+//! no more than half of what users allow beyond the limit: what the home before it gave out is not
+//! known any more.
 
 mod bucket;
 mod held;
@@ -16,7 +16,7 @@
 pub use self::{
     bucket::TokenBucket,
     held::{HeldAnswer, HeldTokens},
-    home::QuotaHome,
+    home::{QuotaHome, QuotaSlack},
 };
 
 /// What a home answers an entry that asks for tokens.
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -127,7 +127,7 @@
             read_at_ms,
         }),
         any::<u64>().prop_map(|now_ms| Message::Clock { now_ms }),
-        (bytes(), any::<u32>()).prop_map(|(tenant, wanted)| Message::QuotaAsk { tenant, wanted }),
+        (bytes(), any::<u32>()).prop_map(|(tenant, ahead)| Message::QuotaAsk { tenant, ahead }),
         grant().prop_map(Message::QuotaGrant),
     ]
 }
