Repeats to the full ratio, charged down the chain, first to urgent calls

The parts by level, 0.6 and 0.13, were fixed since nobody saw which calls belong to a run that is itself a repeat.

Change: calls carry whether a run above them is a repeat, and whoever sends them charges them to its own budget. While urgent calls ask for repeats, others leave them as many as they ask for.

--- a/crates/tallybridge-limits/src/retry/budget.rs
+++ b/crates/tallybridge-limits/src/retry/budget.rs
@@ -68,19 +68,36 @@
     /// Pays for one retry; `false` when the share of retries is used up.
     #[must_use = "a retry may run only if it was paid for"]
     pub fn withdraw(&mut self, now: Instant) -> bool {
+        self.withdraw_above(0.0, now)
+    }
+
+    /// Pays for one retry that must leave a share of all deposits to others, 0 to 1; `false` when it
+    /// would not.
+    #[must_use = "a retry may run only if it was paid for"]
+    pub fn withdraw_above(&mut self, left: f64, now: Instant) -> bool {
         self.current(now);
-        if self.balance() < UNITS_PER_RETRY {
+        let left = (self.deposited() as f64 * left.clamp(0.0, 1.0)) as u64;
+        if self.balance() < UNITS_PER_RETRY + left {
             return false;
         }
-        self.current(now).withdrawn += UNITS_PER_RETRY;
+        self.charge(now);
         true
     }
 
+    /// Counts one retry that was made whatever the balance, as it was paid for elsewhere.
+    pub fn charge(&mut self, now: Instant) {
+        self.current(now).withdrawn += UNITS_PER_RETRY;
+    }
+
+    fn deposited(&self) -> u64 {
+        self.slices.iter().map(|slice| slice.deposited).sum()
+    }
+
     /// Units that may still be withdrawn.
     fn balance(&self) -> u64 {
         let reserve = f64::from(self.settings.min_per_second) * self.settings.ttl.as_secs_f64();
         let reserve = (reserve * UNITS_PER_RETRY as f64) as u64;
-        let deposited: u64 = self.slices.iter().map(|slice| slice.deposited).sum();
+        let deposited = self.deposited();
         let withdrawn: u64 = self.slices.iter().map(|slice| slice.withdrawn).sum();
         (reserve + deposited).saturating_sub(withdrawn)
     }
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -14,8 +14,8 @@
     configuration::Route,
     peer::{dial::keep_link, link::Link},
     tables::{
-        BackendState, FoundParent, InstanceState, LinkOrder, Load, NodeRecord, Parent, PeerStatus,
-        PeerTable, SlotTimes,
+        BackendState, FirstSending, FoundParent, InstanceState, LinkOrder, Load, NodeRecord,
+        Parent, PeerStatus, PeerTable, Repeat, SlotTimes,
     },
 };
 
@@ -136,16 +136,19 @@
     }
 
     /// Counts the first sending of a call.
-    pub fn first_sent(&self, service: &Arc<str>) {
-        self.tables().retries.sent(service, Instant::now());
+    pub fn first_sent(&self, service: &Arc<str>, sending: FirstSending) {
+        self.tables().retries.sent(service, sending, Instant::now());
     }
 
     /// Pays for sending a call again; `false` when it must not be sent.
     #[must_use]
-    pub fn pays_for_repeat(&self, service: &Arc<str>) -> bool {
+    pub fn pays_for_repeat(&self, service: &Arc<str>, is_urgent: bool) -> bool {
         let mut tables = self.tables();
-        let calls_others = tables.calls_others(service);
-        tables.retries.pay(service, calls_others, Instant::now())
+        let repeat = Repeat {
+            calls_others: tables.calls_others(service),
+            is_urgent,
+        };
+        tables.retries.pay(service, repeat, Instant::now())
     }
 
     /// The back end called a service.
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -18,7 +18,7 @@
         link::{Link, LinkError, Reply},
         message::CallMessage,
     },
-    tables::{Choice, Executor},
+    tables::{Choice, Executor, FirstSending},
     tenants::Tenant,
 };
 
@@ -111,7 +111,10 @@
 ///
 /// A refusal that says whether the call may have run.
 pub async fn carry(node: &Arc<Node>, call: &Call) -> Result<Answered, Unanswered> {
-    node.first_sent(&call.service);
+    let sending = FirstSending {
+        is_below_repeat: call.message.is_repeat,
+    };
+    node.first_sent(&call.service, sending);
     let mut progress = Progress::new();
     for _ in 0..=MAX_REROUTES {
         let Some(target) = choose(node, call, &progress.tried) else {
@@ -119,7 +122,8 @@
         };
         progress.tried.push(target.address);
         let address = target.address;
-        let untouched = match attempt(node, call, target).await {
+        let is_repeat = call.message.is_repeat || progress.back_ends > 0;
+        let untouched = match attempt(node, call, is_repeat, target).await {
             Attempted::Answered(answered)
                 if is_worth_another(node, call, address, &answered.answer) =>
             {
@@ -168,7 +172,7 @@
     if progress.back_ends >= call.route.max_attempts {
         return false;
     }
-    let paid = node.pays_for_repeat(&call.service);
+    let paid = node.pays_for_repeat(&call.service, call.message.is_urgent);
     if paid {
         node.counters.repeats.fetch_add(1, Ordering::Relaxed);
     }
@@ -203,12 +207,13 @@
 }
 
 /// Runs one attempt and takes in what it shows of its executor.
-async fn attempt(node: &Arc<Node>, call: &Call, target: Target) -> Attempted {
+async fn attempt(node: &Arc<Node>, call: &Call, is_repeat: bool, target: Target) -> Attempted {
     let Target { address, executor } = target;
     let now = Instant::now();
     let message = CallMessage {
         remaining_ms: milliseconds(call.deadline.saturating_duration_since(now)),
         wait_ms: milliseconds(call.wait_until.saturating_duration_since(now)),
+        is_repeat,
         ..call.message.clone()
     };
     let executing = async {
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -160,6 +160,7 @@
         kind: route.number(),
         may_repeat: route.kind.may_repeat(),
         is_urgent,
+        is_repeat: parent.is_some_and(|parent| parent.is_repeat),
         is_head_request: head.method == "HEAD",
         attempt: Bytes::copy_from_slice(attempt),
         head: passed_on(node, request, tenant.as_deref()).into(),
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -132,6 +132,7 @@
     }
     let parent = Parent {
         is_urgent: call.is_urgent,
+        is_repeat: call.is_repeat,
     };
     let _running = node.attempt_runs(&call.attempt, parent);
     let ending = CallEnding::begin(node, &call.attempt, deadline);
--- a/crates/tallybridge-mesh/src/peer/message.rs
+++ b/crates/tallybridge-mesh/src/peer/message.rs
@@ -151,6 +151,8 @@
     pub may_repeat: bool,
     /// Whether the request at the root of its chain is of the highest priority.
     pub is_urgent: bool,
+    /// Whether it, or a run above it, is a repeat.
+    pub is_repeat: bool,
     /// Whether its answer has no body.
     pub is_head_request: bool,
     /// The caller's name of the attempt, which the answer must repeat.
@@ -246,6 +248,7 @@
 const FLAG_MAY_REPEAT: u8 = 1;
 const FLAG_HEAD_REQUEST: u8 = 2;
 const FLAG_URGENT: u8 = 4;
+const FLAG_REPEAT: u8 = 8;
 
 impl Message {
     const fn kind(&self) -> u8 {
@@ -425,6 +428,9 @@
     if call.is_urgent {
         flags |= FLAG_URGENT;
     }
+    if call.is_repeat {
+        flags |= FLAG_REPEAT;
+    }
     *out = fields(&CallFields {
         remaining_ms: call.remaining_ms,
         wait_ms: call.wait_ms,
@@ -548,6 +554,7 @@
         kind: fields.kind,
         may_repeat: fields.flags & FLAG_MAY_REPEAT != 0,
         is_urgent: fields.flags & FLAG_URGENT != 0,
+        is_repeat: fields.flags & FLAG_REPEAT != 0,
         is_head_request: fields.flags & FLAG_HEAD_REQUEST != 0,
         attempt: take_bytes(&mut payload, fields.attempt_length.into())?,
         head: take_bytes(&mut payload, fields.head_length as usize)?,
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -16,7 +16,7 @@
 pub use peers::{
     BackendState, Choice, Executor, LinkOrder, NodeRecord, PeerStatus, PeerTable, TenantHome,
 };
-pub use retries::RetryBudgets;
+pub use retries::{FirstSending, Repeat, RetryBudgets};
 pub use running::{FoundParent, Parent, RunningAttempts};
 pub use shedding::{RootShedding, ServiceViews};
 pub use slot_times::{ServiceTime, SlotTimes};
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -11,6 +11,8 @@
 pub struct Parent {
     /// Whether the request at the root of the chain is of the highest priority.
     pub is_urgent: bool,
+    /// Whether it, or a run above it, is a repeat: its calls are then repeats as well.
+    pub is_repeat: bool,
 }
 
 /// The running call that made a nested one.
@@ -56,6 +58,7 @@
             times_below: SlotTimes::default(),
         });
         running.runs += 1;
+        running.parent.is_repeat |= parent.is_repeat;
     }
 
     /// A call has ended.
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -19,6 +19,7 @@
         kind: 1,
         may_repeat,
         is_urgent: false,
+        is_repeat: false,
         is_head_request: false,
         attempt: Bytes::from_static(b"a"),
         head: Bytes::new(),
