--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -43,11 +43,27 @@
         ("backend_connections_total", &counters.connections),
         ("health_checks_total", &counters.health_checks),
         ("store_calls_total", &counters.store_calls),
+        ("quota_asks_total", &counters.quota_asks),
+        ("refused_unknown_key_total", &counters.unknown_keys),
+        ("refused_over_quota_total", &counters.over_quota),
+        (
+            "refused_stale_configuration_total",
+            &counters.stale_configuration,
+        ),
     ];
     let mut text = String::new();
     for (name, value) in counts {
         line(&mut text, name, "counter", value.load(Ordering::Relaxed));
     }
+    if let Some(age) = node.read_age() {
+        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        line(
+            &mut text,
+            "configuration_read_age_milliseconds",
+            "gauge",
+            age,
+        );
+    }
     let gauges = [
         ("concurrency_limit", u64::from(load.limit)),
         ("calls_in_flight", u64::from(load.in_flight)),
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -10,12 +10,13 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
+use tallybridge_core::ErrorKind;
 use tokio::{sync::watch, time::Instant};
 
 use self::tenants::QuotaTables;
@@ -106,8 +107,28 @@
     pub health_checks: AtomicU64,
     /// Calls to the platform's store.
     pub store_calls: AtomicU64,
-    /// Tokens asked of the homes of tenants.
+    /// Times that the home of a tenant was asked for tokens.
     pub quota_asks: AtomicU64,
+    /// Requests refused for want of a known key.
+    pub unknown_keys: AtomicU64,
+    /// Requests refused since their tenant is at its limit.
+    pub over_quota: AtomicU64,
+    /// Requests with a key refused since the configuration may be too old.
+    pub stale_configuration: AtomicU64,
+}
+
+impl Counters {
+    /// Counts a request that was refused at its entry.
+    pub fn count_refused(&self, kind: ErrorKind) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        let of_kind = match kind {
+            ErrorKind::UnknownKey => &self.unknown_keys,
+            ErrorKind::OverQuota => &self.over_quota,
+            ErrorKind::StaleConfiguration => &self.stale_configuration,
+            _ => return,
+        };
+        of_kind.fetch_add(1, Ordering::Relaxed);
+    }
 }
 
 /// One node. Tasks share it; each look at its tables is short and holds no other lock.
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -63,7 +63,7 @@
             answered.answer
         }
         Err(unanswered) => {
-            counters.refused.fetch_add(1, Ordering::Relaxed);
+            counters.count_refused(unanswered.refusal.kind);
             log_refusal(node, &request, prepared.as_ref().ok(), &unanswered, arrived);
             refusal_answer(&unanswered.refusal)
         }
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -122,3 +122,36 @@
     let error = MeshSettings::parse(&wrong).unwrap_err();
     assert!(error.to_string().contains("repeats"), "{error}");
 }
+
+#[test]
+fn what_holds_for_tenants_is_read_and_checked() {
+    let usual = MeshSettings::parse(SOUND).unwrap();
+    assert_eq!(usual.tenants.revoke_within_ms, None);
+    let given =
+        "revoke_within_ms = 5000\nquota_window_ms = 5000\nquota_overage = 0.1\nquota_slack = 20";
+    let text = format!("{SOUND}\n[tenants]\n{given}\n");
+    let settings = MeshSettings::parse(&text).unwrap();
+    assert_eq!(settings.tenants.revoke_within_ms, Some(5000));
+    assert_eq!(usual.fixed_differences(&settings), ["tenants"]);
+    let rows = MeshSettings::effective(&text).unwrap();
+    let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
+    assert_eq!(row("tenants.quota_slack").value, "20");
+    assert_eq!(row("tenants.quota_slack").origin, SettingOrigin::File);
+    let wrong = [
+        ("5000\n", "10\n", "`tenants.revoke_within_ms` is below 1000"),
+        (
+            "= 0.1",
+            "= 1.5",
+            "`tenants.quota_overage` is not between 0 and 1",
+        ),
+        (
+            "quota_window_ms = 5000",
+            "quota_window_ms = 5",
+            "`tenants.quota_window_ms` is below 100",
+        ),
+    ];
+    for (sound, replaced, expected) in wrong {
+        let error = MeshSettings::parse(&text.replacen(sound, replaced, 1)).unwrap_err();
+        assert!(error.to_string().contains(expected), "{error}");
+    }
+}
