Notice a caller that leaves a connection for one request

Cause: once a request said that its connection ends with it, the connection was not read any more, so a caller that left before its answer was not noticed: its request ran on to its deadline at the back end and at every hop.

Change: what comes after the last request is read and thrown away, and the end of the connection drops the work, as on a kept connection.

--- a/crates/tallybridge-mesh/src/http/server.rs
+++ b/crates/tallybridge-mesh/src/http/server.rs
@@ -144,7 +144,10 @@
                     if read? == 0 {
                         return Ok(());
                     }
-                    self.note_progress();
+                    match self.intake {
+                        Intake::Open => self.note_progress(),
+                        Intake::Ended => self.buffer.clear(),
+                    }
                 }
                 () = sleep_until(deadline), if self.pending.is_empty() => {
                     if self.is_at_rest() {
@@ -167,9 +170,10 @@
 
     fn may_read(&self) -> bool {
         match self.intake {
-            // A caller that closes is noticed while its requests are worked on.
             Intake::Open => self.buffer.len() < MAX_READ_AHEAD || self.partial.is_some(),
-            Intake::Ended => false,
+            // What comes is thrown away; it is read so that a caller that closes is noticed while its
+            // last request is worked on.
+            Intake::Ended => true,
         }
     }
 
