Limits where nodes would not agree on a home: each keeps a part

Cause: in a fleet in which every service has more nodes than a node links to, nodes rank different homes, each of which would give out the whole limit.

Change: there each node keeps an equal part of the limit by the nodes that it knows; elsewhere only the nodes of services that are linked to in full are homes. docs/design/quotas.md gives the ways weighed.

--- a/crates/tallybridge-mesh/src/node/tenants.rs
+++ b/crates/tallybridge-mesh/src/node/tenants.rs
@@ -131,6 +131,13 @@
         self.tables().grant(tenant, ahead, Instant::now())
     }
 
+    /// A token of one of so many equal parts of a tenant's limit.
+    #[must_use]
+    pub fn grant_part(&self, tenant: &Tenant, parts: usize) -> QuotaGrant {
+        let part = tenant.part(parts);
+        self.tables().grant(&part, 0, Instant::now())
+    }
+
     /// Answers a peer that takes this node for the home of a tenant.
     #[must_use]
     pub fn grant_quota(&self, tenant: &[u8], ahead: u32) -> QuotaGrant {
--- a/crates/tallybridge-mesh/src/path/quota.rs
+++ b/crates/tallybridge-mesh/src/path/quota.rs
@@ -74,6 +74,7 @@
     match node.tenant_home(tenant) {
         TenantHome::Own => Some(node.grant_own(tenant, ahead)),
         TenantHome::Peer(link) => ask_peer(&link, tenant, ahead).await,
+        TenantHome::Parts(parts) => Some(node.grant_part(tenant, parts)),
     }
 }
 
--- a/crates/tallybridge-mesh/src/tables/peers/home.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/home.rs
@@ -14,20 +14,24 @@
     Own,
     /// Another one.
     Peer(Arc<Link>),
+    /// None that all nodes agree on: each keeps one of so many equal parts of the limit.
+    Parts(usize),
 }
 
 impl PeerTable {
     /// The node that ranks first for a tenant among those that this one reaches. Only nodes beside
     /// back ends of services count whose nodes are all linked to, so that every node ranks the same
-    /// ones; where there is none of these, all that are linked to do.
+    /// ones; where there is none of these, there is no home.
     #[must_use]
     pub fn tenant_home(&self, tenant: &str) -> TenantHome {
         let seed = xxh3_64(tenant.as_bytes());
         let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
         let spares = self.spares.values();
         let partial: HashSet<&str> = spares.map(|spare| &*spare.record.service).collect();
-        let all_partial = partial.len() >= self.services.len();
-        let counts = |service: &str| all_partial || !partial.contains(service);
+        if !self.services.is_empty() && partial.len() >= self.services.len() {
+            return TenantHome::Parts(self.known_size());
+        }
+        let counts = |service: &str| !partial.contains(service);
         let own = counts(&self.own.service).then(|| (rank(&self.own.node), TenantHome::Own));
         let peers = self.rows.values().filter_map(|row| {
             let link = row.link.as_ref().filter(|link| !link.is_suspect())?;
--- a/crates/tallybridge-mesh/src/tenants/directory.rs
+++ b/crates/tallybridge-mesh/src/tenants/directory.rs
@@ -37,6 +37,22 @@
     pub limit: Option<RateLimit>,
 }
 
+impl Tenant {
+    /// The same tenant with one of so many equal parts of its limit.
+    #[must_use]
+    pub fn part(&self, parts: usize) -> Self {
+        let parts = parts.max(1) as f64;
+        let limit = self.limit.map(|limit| RateLimit {
+            per_second: limit.per_second / parts,
+            burst: limit.burst / parts,
+        });
+        Self {
+            limit,
+            ..self.clone()
+        }
+    }
+}
+
 /// Why tenants can't be taken as they are given. Keys themselves are never shown.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum TenantError {
