--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -234,7 +234,13 @@
     let sent = connection.exchange(&request, &call.body, call.is_head_request);
     let mut received = sent.await?;
     let mut surplus = 0;
-    while !is_answer_to(node, &received, call, surplus == 0 && !lent.is_reused) {
+    while !is_answer_to(
+        node,
+        &received,
+        call,
+        instance,
+        surplus == 0 && !lent.is_reused,
+    ) {
         // An answer to another request stands in the place of this one's, which comes after it.
         if surplus == MAX_SURPLUS || !received.goes_on {
             return Err(ExchangeError::sent("answer to another request"));
@@ -248,20 +254,21 @@
 }
 
 /// Whether an answer is that to a call. One that names no attempt may be a late second answer to an
-/// earlier request on the connection, while the back end is at work on this one; on a connection that
-/// carried no other request it can only be the answer to this one.
-fn is_answer_to(node: &Node, received: &Received, call: &CallMessage, is_first: bool) -> bool {
+/// earlier request, while the back end is at work on this one. Only another instance that turns away
+/// the first request of a connection need not name it: nothing else can be answered there.
+fn is_answer_to(
+    node: &Node,
+    received: &Received,
+    call: &CallMessage,
+    instance: &str,
+    is_first: bool,
+) -> bool {
     match received.head.headers.first(node.names.attempt) {
         Some(attempt) => attempt == &call.attempt[..],
-        None => is_first && is_refusal(node, received),
+        None => is_first && is_misdirected(node, received, instance),
     }
 }
 
-/// Whether an answer says that its request was not run.
-fn is_refusal(node: &Node, received: &Received) -> bool {
-    received.head.status == 421 || received.head.headers.first(node.names.not_run).is_some()
-}
-
 fn request_bytes(node: &Node, call: &CallMessage, instance: &str, deadline: Instant) -> Vec<u8> {
     node.counters.executed.fetch_add(1, Ordering::Relaxed);
     let remaining = deadline.saturating_duration_since(Instant::now());
