A tenant's priority goes before that of the route

Cause: tenants have priorities, and nothing looked at them: a payment of the least important tenant went before every read of the most important one.

Change: each tenant has a rank among the priorities that its configuration gives; what is shed and who waits first goes by the tenant's rank, then by the route.

--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -17,6 +17,7 @@
         BackendState, FirstSending, FoundParent, InstanceState, LinkOrder, Load, NodeRecord,
         Parent, PeerStatus, PeerTable, Repeat, SlotTimes,
     },
+    tenants::TenantRank,
 };
 
 impl Node {
@@ -204,14 +205,14 @@
 
     /// A back end answered a request of a route, well or with a failure of its own, after it held
     /// slots for these times.
-    pub fn route_answered(&self, route: &Route, well: bool, times: &SlotTimes) {
-        self.tables().shedding.answered(route, well, times);
+    pub fn route_answered(&self, route: &Route, rank: TenantRank, well: bool, times: &SlotTimes) {
+        self.tables().shedding.answered(route, rank, well, times);
     }
 
     /// Whether a fresh request is let in.
     #[must_use]
-    pub fn admits(&self, route: &Route, service: &Arc<str>) -> bool {
-        self.tables().shedding.admits(route, service)
+    pub fn admits(&self, route: &Route, service: &Arc<str>, rank: TenantRank) -> bool {
+        self.tables().shedding.admits(route, service, rank)
     }
 
     /// What this node tells of itself.
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -23,7 +23,7 @@
     path::execute::Answered,
     peer::message::CallMessage,
     tables::Parent,
-    tenants::Tenant,
+    tenants::{Tenant, TenantRank},
 };
 
 /// Share of the target latency in which a request is refused rather than held.
@@ -57,7 +57,10 @@
             let well = answered.answer.status < 500;
             match (&mut nested, &prepared) {
                 (Some(nested), _) if well => nested.end_well(answered.times),
-                (None, Ok(call)) => node.route_answered(&call.route, well, &answered.times),
+                (None, Ok(call)) => {
+                    let rank = rank_of(call.tenant.as_deref());
+                    node.route_answered(&call.route, rank, well, &answered.times);
+                }
                 _ => {}
             }
             answered.answer
@@ -139,11 +142,13 @@
         let refusal = Refusal::new(ErrorKind::Leaving, "node is about to end");
         return Err(refusal.with_retry_after(COME_BACK));
     }
-    let is_urgent = parent.map_or(route.priority == 0, |parent| parent.is_urgent)
+    let rank = rank_of(tenant.as_deref());
+    let is_first = route.priority == 0 && rank.before == 0;
+    let is_urgent = parent.map_or(is_first, |parent| parent.is_urgent)
         && node.settings.policy.order_by_priority;
     if is_nested {
         node.back_end_called(service);
-    } else if !node.admits(route, service) {
+    } else if !node.admits(route, service, rank) {
         let detail = "a service that the request needs is full";
         let refusal = Refusal::new(ErrorKind::Overloaded, detail);
         return Err(refusal.with_retry_after(SHED_COME_BACK));
@@ -156,7 +161,7 @@
     let message = CallMessage {
         remaining_ms: 0,
         wait_ms: 0,
-        criticality: criticality(route, is_nested, is_urgent) as u8,
+        criticality: criticality(route, rank, is_nested, is_urgent) as u8,
         kind: route.number(),
         may_repeat: route.kind.may_repeat(),
         is_urgent,
@@ -191,14 +196,25 @@
     Refusal::new(ErrorKind::NoConfiguration, detail).with_retry_after(COME_BACK)
 }
 
+/// The rank of a request; without a tenant none goes before another.
+fn rank_of(tenant: Option<&Tenant>) -> TenantRank {
+    tenant.map_or_else(TenantRank::default, |tenant| tenant.rank)
+}
+
 /// Urgent chains go first, and nested calls before fresh requests: the work above them is already
-/// paid for.
-fn criticality(route: &Route, is_nested: bool, is_urgent: bool) -> Criticality {
-    match (is_urgent, is_nested, route.priority) {
+/// paid for. Of fresh requests those of tenants that go before others come next, whatever their
+/// routes, and those of routes that do where all tenants are alike.
+fn criticality(route: &Route, rank: TenantRank, is_nested: bool, is_urgent: bool) -> Criticality {
+    let are_alike = rank == TenantRank::default();
+    let is_ahead = match are_alike {
+        true => route.priority <= 1,
+        false => rank.before == 0,
+    };
+    match (is_urgent, is_nested, is_ahead) {
         (true, _, _) => Criticality::CriticalPlus,
         (false, true, _) => Criticality::Critical,
-        (false, false, 0 | 1) => Criticality::SheddablePlus,
-        (false, false, _) => Criticality::Sheddable,
+        (false, false, true) => Criticality::SheddablePlus,
+        (false, false, false) => Criticality::Sheddable,
     }
 }
 
--- a/crates/tallybridge-mesh/src/tables/shedding/level.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/level.rs
@@ -6,6 +6,9 @@
 /// once both are shed. The most urgent are let in whole until two thirds of the rest are shed, and
 /// the rest never starves behind them, whatever fraction of a service is left.
 const PRIORITY_WEIGHT: [f64; 3] = [3.0, 1.74, 1.0];
+/// Weight of a tenant against one of the next priority: above the ratio of the greatest weight of a
+/// route to the least.
+const TENANT_WEIGHT: f64 = 5.4;
 /// Least weight that a costly route keeps against the cheapest one of its priority. The weights of
 /// two priorities differ by more, so that urgent requests stay ahead of all others.
 const LEAST_COST_WEIGHT: f64 = 0.58;
@@ -123,6 +126,13 @@
     }
 }
 
+/// What the weight of a request is multiplied by, for each priority of tenants that comes after its
+/// tenant's: the least of its requests goes before the most urgent one of theirs.
+#[must_use]
+pub fn tenant_weight(tenants_after: u8) -> f64 {
+    TENANT_WEIGHT.powi(tenants_after.into())
+}
+
 /// The weight of a request of a priority that costs a service `cost`, where the cheapest one of its
 /// priority costs `cheapest`. A costly request frees more when it is refused: more requests are
 /// served if it is shed first.
--- a/crates/tallybridge-mesh/src/tables/shedding/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/mod.rs
@@ -15,10 +15,10 @@
 pub use self::services::ServiceViews;
 use self::{
     costs::RouteCosts,
-    level::{AdmissionLevel, weight},
+    level::{AdmissionLevel, tenant_weight, weight},
 };
 use super::SlotTimes;
-use crate::{configuration::Route, policy::PolicySettings};
+use crate::{configuration::Route, policy::PolicySettings, tenants::TenantRank};
 
 /// Share that is let in while a service that is needed has no back end. The nodes tell when it is
 /// back, so hardly any request is needed to find out.
@@ -32,6 +32,8 @@
 struct RouteShare {
     service: Arc<str>,
     priority: u8,
+    /// Priorities of tenants that come after that of these requests.
+    tenants_after: u8,
     costs: RouteCosts,
     admitted: f64,
     owed: f64,
@@ -39,10 +41,11 @@
 }
 
 impl RouteShare {
-    fn new(service: &Arc<str>, priority: u8) -> Self {
+    fn new(service: &Arc<str>, priority: u8, tenants_after: u8) -> Self {
         Self {
             service: service.clone(),
             priority,
+            tenants_after,
             costs: RouteCosts::default(),
             admitted: 1.0,
             owed: 0.0,
@@ -83,7 +86,8 @@
 /// The share of fresh requests that is let in, for each route.
 #[derive(Debug, Default)]
 pub struct RootShedding {
-    shares: HashMap<Arc<str>, RouteShare>,
+    /// By route, and by the priorities of tenants that come after that of the request.
+    shares: HashMap<(Arc<str>, u8), RouteShare>,
     levels: HashMap<Arc<str>, AdmissionLevel>,
     policy: PolicySettings,
 }
@@ -99,11 +103,11 @@
     }
 
     /// Whether a fresh request is let in. Those let in are spread evenly over those that come.
-    pub fn admits(&mut self, route: &Route, service: &Arc<str>) -> bool {
+    pub fn admits(&mut self, route: &Route, service: &Arc<str>, rank: TenantRank) -> bool {
         let share = self
             .shares
-            .entry(route.name.clone())
-            .or_insert_with(|| RouteShare::new(service, route.priority));
+            .entry((route.name.clone(), rank.after))
+            .or_insert_with(|| RouteShare::new(service, route.priority, rank.after));
         share.service = service.clone();
         share.priority = if self.policy.order_by_priority {
             route.priority
@@ -124,11 +128,12 @@
 
     /// A back end answered a request of a route, well or with a failure of its own, after it held
     /// slots for these times.
-    pub fn answered(&mut self, route: &Route, well: bool, times: &SlotTimes) {
+    pub fn answered(&mut self, route: &Route, rank: TenantRank, well: bool, times: &SlotTimes) {
         if !self.policy.shed_by_cost {
             return;
         }
-        if let Some(share) = self.shares.get_mut(&route.name) {
+        let key = (route.name.clone(), rank.after);
+        if let Some(share) = self.shares.get_mut(&key) {
             share.costs.answered(well, times);
         }
     }
@@ -191,24 +196,25 @@
 /// them did, all that can be reached from its service.
 fn needs(share: &RouteShare, services: &ServiceViews, cheapest: &CheapestCosts) -> Vec<Need> {
     let priority = share.priority;
+    let tenant = tenant_weight(share.tenants_after);
     let Some(known) = share.costs.known() else {
         let reachable = services.reachable_from(&share.service).into_iter();
         let needs = reachable.map(|service| Need {
             service,
-            weight: weight(priority, 0.0, 0.0),
+            weight: tenant * weight(priority, 0.0, 0.0),
         });
         return needs.collect();
     };
     let mut needs: Vec<Need> = known
         .map(|(service, cost)| Need {
             service: service.clone(),
-            weight: weight(priority, cost, cheapest.get(service, priority)),
+            weight: tenant * weight(priority, cost, cheapest.get(service, priority)),
         })
         .collect();
     if needs.iter().all(|need| need.service != share.service) {
         needs.push(Need {
             service: share.service.clone(),
-            weight: weight(priority, 0.0, 0.0),
+            weight: tenant * weight(priority, 0.0, 0.0),
         });
     }
     needs
--- a/crates/tallybridge-mesh/src/tenants/directory.rs
+++ b/crates/tallybridge-mesh/src/tenants/directory.rs
@@ -1,6 +1,9 @@
 //! Which tenant a key belongs to.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use sha2::{Digest, Sha256};
 
@@ -26,13 +29,35 @@
     pub burst: f64,
 }
 
+/// Where a tenant stands among the priorities that tenants of a configuration have. Where all have the
+/// same one, none goes before another, and the priority of the route alone decides.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct TenantRank {
+    /// Priorities that go before its own.
+    pub before: u8,
+    /// Priorities that come after its own.
+    pub after: u8,
+}
+
+impl TenantRank {
+    fn of(priority: u8, all: &BTreeSet<u8>) -> Self {
+        let count = |priorities: usize| u8::try_from(priorities).unwrap_or(u8::MAX);
+        Self {
+            before: count(all.range(..priority).count()),
+            after: count(all.range(priority..).count().saturating_sub(1)),
+        }
+    }
+}
+
 /// A customer of the operator, with keys of its own.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
     /// Its name, which back ends are told.
     pub name: Arc<str>,
-    /// Its rank, which goes before that of a route; 0 is the most important.
+    /// Its priority, which goes before that of a route; 0 is the most important.
     pub priority: u8,
+    /// Where that places it among the tenants of its configuration.
+    pub rank: TenantRank,
     /// Its limit; `None` for no limit.
     pub limit: Option<RateLimit>,
 }
@@ -77,14 +102,16 @@
 }
 
 impl TenantDirectory {
-    /// Tenants with the keys of each.
+    /// Tenants with the keys of each; the ranks of the tenants follow from their priorities.
     ///
     /// # Errors
     ///
     /// [`TenantError`] when a key or a name is given to two tenants.
     pub fn new(tenants: Vec<(Tenant, Vec<KeyDigest>)>) -> Result<Self, TenantError> {
         let mut directory = Self::default();
-        for (tenant, keys) in tenants {
+        let priorities = tenants.iter().map(|(tenant, _)| tenant.priority).collect();
+        for (mut tenant, keys) in tenants {
+            tenant.rank = TenantRank::of(tenant.priority, &priorities);
             let tenant = Arc::new(tenant);
             let name = tenant.name.clone();
             if directory.by_name.insert(name, tenant.clone()).is_some() {
--- a/crates/tallybridge-mesh/src/tenants/mod.rs
+++ b/crates/tallybridge-mesh/src/tenants/mod.rs
@@ -8,4 +8,4 @@
 mod directory;
 pub mod quota;
 
-pub use self::directory::{KeyDigest, RateLimit, Tenant, TenantDirectory, TenantError};
+pub use self::directory::{KeyDigest, RateLimit, Tenant, TenantDirectory, TenantError, TenantRank};
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -5,7 +5,7 @@
 
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::tenants::{
-    RateLimit, Tenant,
+    RateLimit, Tenant, TenantRank,
     quota::{HeldAnswer, HeldTokens, QuotaGrant, QuotaHome, QuotaSlack, TokenBucket},
 };
 use tokio::time::Instant;
@@ -21,6 +21,7 @@
     Tenant {
         name: "ana".into(),
         priority: 1,
+        rank: TenantRank::default(),
         limit: Some(RateLimit {
             per_second: rate,
             burst: rate,
--- a/crates/tallybridge-mesh/tests/shedding.rs
+++ b/crates/tallybridge-mesh/tests/shedding.rs
@@ -7,6 +7,7 @@
 use tallybridge_mesh::{
     PolicySettings, Route,
     tables::{BackendState, Load, PeerStatus, RootShedding, ServiceViews, SlotTimes},
+    tenants::TenantRank,
 };
 
 use self::support::{
@@ -55,12 +56,50 @@
 }
 
 fn admitted(shedding: &mut RootShedding, route: &Route) -> usize {
+    admitted_of(shedding, route, rank())
+}
+
+fn admitted_of(shedding: &mut RootShedding, route: &Route, rank: TenantRank) -> usize {
     let service = route.parts[0].service.clone();
     (0..1000)
-        .filter(|_| shedding.admits(route, &service))
+        .filter(|_| shedding.admits(route, &service, rank))
         .count()
 }
 
+/// The rank of requests where no tenant goes before another.
+fn rank() -> TenantRank {
+    TenantRank::default()
+}
+
+#[test]
+fn a_tenant_that_goes_before_another_is_shed_after_it_whatever_the_routes() {
+    let mut shedding = RootShedding::default();
+    let payments = route("payments", "h", "/p/", 0, &[("ledger", 1)]);
+    let reads = route("reads", "h", "/r/", 2, &[("ledger", 1)]);
+    let first = TenantRank {
+        before: 0,
+        after: 1,
+    };
+    let second = TenantRank {
+        before: 1,
+        after: 0,
+    };
+    let full = views(&[seen("ledger", (20, 20, 400), &[])]);
+    for _ in 0..30 {
+        for (route, rank) in [(&payments, second), (&reads, first)] {
+            admitted_of(&mut shedding, route, rank);
+        }
+        shedding.adapt(&full);
+    }
+    let reads_of_first = admitted_of(&mut shedding, &reads, first);
+    let payments_of_second = admitted_of(&mut shedding, &payments, second);
+    assert!(
+        reads_of_first > payments_of_second,
+        "{reads_of_first} and {payments_of_second}"
+    );
+    assert!(payments_of_second < 1000, "something is shed");
+}
+
 /// Ten answers of a route that cost each service the given milliseconds.
 fn learn(shedding: &mut RootShedding, route: &Route, costs: &[(&str, u64)]) {
     let mut times = SlotTimes::default();
@@ -69,7 +108,7 @@
     }
     admitted(shedding, route);
     for _ in 0..10 {
-        shedding.answered(route, true, &times);
+        shedding.answered(route, rank(), true, &times);
     }
 }
 
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -10,6 +10,7 @@
 use tallybridge_mesh::{
     Route,
     tables::{BackendState, Load, PeerStatus, RootShedding, ServiceViews, SlotTimes},
+    tenants::TenantRank,
 };
 
 use super::route;
@@ -88,9 +89,9 @@
         let mut shedding = RootShedding::default();
         for demand in demands {
             let service = demand.route.parts[0].service.clone();
-            shedding.admits(&demand.route, &service);
+            shedding.admits(&demand.route, &service, TenantRank::default());
             for _ in 0..10 {
-                shedding.answered(&demand.route, true, &demand.costs);
+                shedding.answered(&demand.route, TenantRank::default(), true, &demand.costs);
             }
         }
         Self {
@@ -156,7 +157,10 @@
             let mut count = 0.0;
             while *due >= 1.0 {
                 *due -= 1.0;
-                if self.shedding.admits(&demand.route, service) {
+                if self
+                    .shedding
+                    .admits(&demand.route, service, TenantRank::default())
+                {
                     count += 1.0;
                 }
             }
