A node that does not reach the home of a tenant is helped by one that does

Cause: by reading. Where a connection between an entry and a tenant's home goes silent, or a cut parts just these two, the entry takes the next node for the home, which does not take itself for it: all requests of the tenant there would be refused until a new link is open, up to 2.5 s.

Change: a node that is asked and is not the home asks the one that it takes for it, once.

--- a/crates/tallybridge-mesh/src/node/tenants.rs
+++ b/crates/tallybridge-mesh/src/node/tenants.rs
@@ -150,7 +150,9 @@
         self.grant_own(&tenant, ahead)
     }
 
-    fn tenant_named(&self, name: &[u8]) -> Option<Arc<Tenant>> {
+    /// The tenant of a name by the configuration in force.
+    #[must_use]
+    pub fn tenant_named(&self, name: &[u8]) -> Option<Arc<Tenant>> {
         let configuration = self.configuration()?;
         let name = std::str::from_utf8(name).ok()?;
         configuration.tenants.as_ref()?.named(name).cloned()
--- a/crates/tallybridge-mesh/src/path/mod.rs
+++ b/crates/tallybridge-mesh/src/path/mod.rs
@@ -4,4 +4,4 @@
 mod credentials;
 pub mod entry;
 pub mod execute;
-mod quota;
+pub mod quota;
--- a/crates/tallybridge-mesh/src/path/quota.rs
+++ b/crates/tallybridge-mesh/src/path/quota.rs
@@ -73,13 +73,31 @@
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.tenant_home(tenant) {
         TenantHome::Own => Some(node.grant_own(tenant, ahead)),
-        TenantHome::Peer(link) => ask_peer(&link, tenant, ahead).await,
+        TenantHome::Peer(link) => ask_peer(&link, tenant, ahead, false).await,
         TenantHome::Parts(parts) => Some(node.grant_part(tenant, parts)),
     }
 }
 
-async fn ask_peer(link: &Arc<Link>, tenant: &Tenant, ahead: u32) -> Option<QuotaGrant> {
-    let mut asked = link.ask_quota(&tenant.name, ahead).ok()?;
+/// Asks the home of a tenant for another node. That one may reach this node and not the home, as when a
+/// connection between them has gone silent: its requests would be refused until a new one is open.
+pub async fn forward(node: &Node, tenant: &[u8], ahead: u32) -> QuotaGrant {
+    let Some(tenant) = node.tenant_named(tenant) else {
+        return QuotaGrant::NotHome;
+    };
+    let TenantHome::Peer(link) = node.tenant_home(&tenant) else {
+        return QuotaGrant::NotHome;
+    };
+    let grant = ask_peer(&link, &tenant, ahead, true).await;
+    grant.unwrap_or(QuotaGrant::NotHome)
+}
+
+async fn ask_peer(
+    link: &Arc<Link>,
+    tenant: &Tenant,
+    ahead: u32,
+    is_forwarded: bool,
+) -> Option<QuotaGrant> {
+    let mut asked = link.ask_quota(&tenant.name, ahead, is_forwarded).ok()?;
     match timeout(ANSWER_WITHIN, asked.reply()).await {
         Ok(Ok(Reply::Quota(grant))) => Some(grant),
         _ => None,
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -22,8 +22,12 @@
 use crate::{
     http::client::notice_silence,
     node::{Confirmed, Node},
-    path::execute::{Answered, Executed, execute},
+    path::{
+        execute::{Answered, Executed, execute},
+        quota,
+    },
     tables::NodeRecord,
+    tenants::quota::QuotaGrant,
 };
 
 /// Time in which a node that connects must say who it is.
@@ -166,18 +170,45 @@
                 send(sender, Message::Configuration(document));
             }
         }
-        Message::QuotaAsk { tenant, ahead } => {
-            let frame = Frame {
-                call: frame.call,
-                message: Message::QuotaGrant(node.grant_quota(&tenant, ahead)),
-            };
-            // Fails only when the link is lost, which its reader sees.
-            let _ = sender.send(frame.encode());
-        }
+        Message::QuotaAsk {
+            tenant,
+            ahead,
+            is_forwarded,
+        } => match node.grant_quota(&tenant, ahead) {
+            QuotaGrant::NotHome if !is_forwarded => {
+                forward_ask(node, sender, frame.call, tenant, ahead);
+            }
+            grant => send_grant(sender, frame.call, grant),
+        },
         _ => {}
     }
 }
 
+fn send_grant(sender: &mpsc::UnboundedSender<Bytes>, number: u32, grant: QuotaGrant) {
+    let frame = Frame {
+        call: number,
+        message: Message::QuotaGrant(grant),
+    };
+    // Fails only when the link is lost, which its reader sees.
+    let _ = sender.send(frame.encode());
+}
+
+/// Asks the home of a tenant for a node that does not reach it, or does not know yet that it is.
+fn forward_ask(
+    node: &Arc<Node>,
+    sender: &mpsc::UnboundedSender<Bytes>,
+    number: u32,
+    tenant: Bytes,
+    ahead: u32,
+) {
+    let node = node.clone();
+    let sender = sender.clone();
+    tokio::spawn(async move {
+        let grant = quota::forward(&node, &tenant, ahead).await;
+        send_grant(&sender, number, grant);
+    });
+}
+
 fn start_call(
     node: &Arc<Node>,
     sender: &mpsc::UnboundedSender<Bytes>,
--- a/crates/tallybridge-mesh/src/peer/link.rs
+++ b/crates/tallybridge-mesh/src/peer/link.rs
@@ -167,14 +167,23 @@
         self.request(Message::Call(message), may_repeat)
     }
 
-    /// Asks the node, as the home of a tenant, for tokens.
+    /// Asks the node, as the home of a tenant, for tokens; for another node if `is_forwarded`.
     ///
     /// # Errors
     ///
     /// [`LinkError::NotSent`] when the link is closed.
-    pub fn ask_quota(self: &Arc<Self>, tenant: &str, ahead: u32) -> Result<LinkCall, LinkError> {
-        let tenant = Bytes::copy_from_slice(tenant.as_bytes());
-        self.request(Message::QuotaAsk { tenant, ahead }, true)
+    pub fn ask_quota(
+        self: &Arc<Self>,
+        tenant: &str,
+        ahead: u32,
+        is_forwarded: bool,
+    ) -> Result<LinkCall, LinkError> {
+        let ask = Message::QuotaAsk {
+            tenant: Bytes::copy_from_slice(tenant.as_bytes()),
+            ahead,
+            is_forwarded,
+        };
+        self.request(ask, true)
     }
 
     /// Sends what is answered by number.
--- a/crates/tallybridge-mesh/src/peer/message/mod.rs
+++ b/crates/tallybridge-mesh/src/peer/message/mod.rs
@@ -136,6 +136,8 @@
         tenant: Bytes,
         /// Tokens that are wanted beyond the first.
         ahead: u32,
+        /// Whether the sender asks for another node, which does not reach the home itself.
+        is_forwarded: bool,
     },
     /// What the home of a tenant gives.
     QuotaGrant(QuotaGrant),
--- a/crates/tallybridge-mesh/src/peer/message/payload.rs
+++ b/crates/tallybridge-mesh/src/peer/message/payload.rs
@@ -28,7 +28,7 @@
 /// Size of [`ClockFields`], in bytes.
 const CLOCK_BYTES: usize = 8;
 /// Size of a [`QuotaAskFields`], in bytes.
-const QUOTA_ASK_BYTES: usize = 4;
+const QUOTA_ASK_BYTES: usize = 5;
 /// Size of a [`QuotaGrantFields`], in bytes.
 const QUOTA_GRANT_BYTES: usize = 5;
 
@@ -103,6 +103,7 @@
 #[deku(endian = "big")]
 struct QuotaAskFields {
     ahead: u32,
+    is_forwarded: u8,
 }
 
 /// A grant: tokens, or the time to come back in milliseconds.
@@ -171,8 +172,15 @@
                 });
             }
             Self::Clock { now_ms } => *out = fields(&ClockFields { now_ms: *now_ms }),
-            Self::QuotaAsk { tenant, ahead } => {
-                *out = fields(&QuotaAskFields { ahead: *ahead });
+            Self::QuotaAsk {
+                tenant,
+                ahead,
+                is_forwarded,
+            } => {
+                *out = fields(&QuotaAskFields {
+                    ahead: *ahead,
+                    is_forwarded: u8::from(*is_forwarded),
+                });
                 out.extend_from_slice(tenant);
             }
             Self::QuotaGrant(grant) => *out = fields(&grant_fields(*grant)),
@@ -323,6 +331,7 @@
             Message::QuotaAsk {
                 tenant: payload,
                 ahead: fields.ahead,
+                is_forwarded: fields.is_forwarded != 0,
             }
         }
         15 => Message::QuotaGrant(decode_grant(payload)?),
