Requests under which back ends end are held back everywhere

Cause: what a node saw of a crash was forgotten with the call, so one request ended back end after back end, by our own repeats and by its callers'.

Change: a call is known by a digest of what it asks for. When the back end beside a node ends without notice (all its calls break off and it refuses connections, or another instance answers), what it was at work on are suspects, but for what was answered several times lately. A report goes to all nodes, by links drawn at random. A suspect of three crashes that no back end has answered meanwhile is refused at entries and executors, 503 with the time to come back; one answered run clears it. What is held is told to nodes that start, and stored for the loss of all.

--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -185,6 +185,11 @@
         "backend-refused", 503, Upstream, NotRun, true, 88,
         "wait for the time in Retry-After: the back end was full or the time was up in its queue"
     }
+    /// Back ends ended under the same request before.
+    Quarantined = 26 => {
+        "quarantined", 503, Downstream, NotRun, true, 92,
+        "wait for the time in Retry-After; find what the request does to its back ends, by its digest"
+    }
     /// A defect of tallybridge itself.
     Internal = 30 => {
         "internal", 500, Internal, Unknown, false, 83,
--- /dev/null
+++ b/crates/tallybridge-mesh/src/crashes/exposed.rs
@@ -0,0 +1,204 @@
+//! Calls that the back end beside this node was handed, and which of them are suspects when it ends.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{
+    digest::{CallContent, ContentHashes, RequestDigest, RequestDigests},
+    recent::RecentAnswers,
+};
+use crate::{peer::message::CallMessage, seam::HeaderNames};
+
+/// A call that was broken off is a suspect if the back end is found to have ended within this time:
+/// a back end is back some seconds after it ended, and is known by another instance then.
+const BROKEN_FOR: Duration = Duration::from_secs(10);
+/// The same of one that was withdrawn: most back ends drop it at once, some work on.
+const WITHDRAWN_FOR: Duration = Duration::from_secs(1);
+/// Ended calls that are remembered, some 100 bytes each.
+const MAX_ENDED: usize = 1024;
+/// Calls whose digests one report holds. Above it those that began last go first, as a request ends
+/// its back end soon after it begins.
+const MAX_SUSPECTS: usize = 64;
+
+/// One call at the back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ExposureId(u64);
+
+/// How a call at the back end ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExposureEnd {
+    /// The back end ran it and answered, well or with a failure of its own.
+    Answered,
+    /// Its connection ended before the answer.
+    Broken,
+    /// It was given up while the back end may have been at work on it.
+    Withdrawn,
+    /// Nothing was handed over, or the back end refused it.
+    NotRun,
+}
+
+/// A call that the back end is at work on.
+#[derive(Debug)]
+pub struct RunningCall {
+    head: Bytes,
+    body: Bytes,
+    instance: Arc<str>,
+    began: Instant,
+}
+
+impl RunningCall {
+    /// What it asks for.
+    #[must_use]
+    pub fn content(&self, names: &HeaderNames) -> CallContent<'_> {
+        CallContent::of_parts(&self.head, &self.body, names)
+    }
+}
+
+#[derive(Debug)]
+struct EndedCall {
+    digests: RequestDigests,
+    hashes: ContentHashes,
+    instance: Arc<str>,
+    began: Instant,
+    ended: Instant,
+    is_broken: bool,
+}
+
+impl EndedCall {
+    fn is_remembered(&self, now: Instant) -> bool {
+        let kept = match self.is_broken {
+            true => BROKEN_FOR,
+            false => WITHDRAWN_FOR,
+        };
+        now.saturating_duration_since(self.ended) < kept
+    }
+}
+
+/// What a back end had been handed when it ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Exposure {
+    /// Calls that were broken off or just withdrawn.
+    pub calls: usize,
+    /// Digests of requests that were answered several times lately, and so are no suspects.
+    pub popular: usize,
+    /// Digests of the suspects.
+    pub suspects: Vec<RequestDigest>,
+}
+
+/// Calls at the back end beside this node.
+#[derive(Debug)]
+pub struct ExposedCalls {
+    names: HeaderNames,
+    secret: u64,
+    next: u64,
+    running: HashMap<ExposureId, RunningCall>,
+    ended: VecDeque<EndedCall>,
+    recent: RecentAnswers,
+}
+
+impl ExposedCalls {
+    /// No calls. Header names are those of the platform.
+    #[must_use]
+    pub fn new(names: HeaderNames, now: Instant) -> Self {
+        Self {
+            names,
+            secret: rand::random(),
+            next: 0,
+            running: HashMap::new(),
+            ended: VecDeque::new(),
+            recent: RecentAnswers::new(now),
+        }
+    }
+
+    /// A call is handed to an instance.
+    pub fn begin(&mut self, call: &CallMessage, instance: &Arc<str>, now: Instant) -> ExposureId {
+        let id = ExposureId(self.next);
+        self.next += 1;
+        let running = RunningCall {
+            head: call.head.clone(),
+            body: call.body.clone(),
+            instance: instance.clone(),
+            began: now,
+        };
+        self.running.insert(id, running);
+        id
+    }
+
+    /// A call has ended. Gives one that was answered.
+    pub fn end(&mut self, id: ExposureId, end: ExposureEnd, now: Instant) -> Option<RunningCall> {
+        let call = self.running.remove(&id)?;
+        let content = call.content(&self.names);
+        match end {
+            ExposureEnd::NotRun => {}
+            ExposureEnd::Answered => {
+                let hashes = content.hashes(self.secret);
+                self.recent.note(hashes.content, now);
+                self.recent.note(hashes.from_caller, now);
+                return Some(call);
+            }
+            ExposureEnd::Broken | ExposureEnd::Withdrawn => {
+                if self.ended.len() >= MAX_ENDED {
+                    self.ended.pop_front();
+                }
+                self.ended.push_back(EndedCall {
+                    digests: content.digests(),
+                    hashes: content.hashes(self.secret),
+                    instance: call.instance,
+                    began: call.began,
+                    ended: now,
+                    is_broken: end == ExposureEnd::Broken,
+                });
+            }
+        }
+        None
+    }
+
+    /// Whether calls were broken off and none is left that was not: so it looks when a back end ends.
+    #[must_use]
+    pub fn all_broke(&self) -> bool {
+        self.running.is_empty() && self.ended.iter().any(|call| call.is_broken)
+    }
+
+    /// The back end lives: what was broken off was not broken off by its end.
+    pub fn forget_broken(&mut self) {
+        self.ended.retain(|call| !call.is_broken);
+    }
+
+    /// An instance ended. Gives what it had been handed, once.
+    pub fn take(&mut self, instance: &str, now: Instant) -> Exposure {
+        let ended = std::mem::take(&mut self.ended);
+        let of_instance = |call: &EndedCall| *call.instance == *instance && call.is_remembered(now);
+        let mut calls: Vec<_> = ended.into_iter().filter(of_instance).collect();
+        calls.sort_by_key(|call| std::cmp::Reverse(call.began));
+        let mut exposure = Exposure {
+            calls: calls.len(),
+            popular: 0,
+            suspects: Vec::new(),
+        };
+        let mut judged = HashSet::new();
+        for call in &calls {
+            let [content, from_caller] = call.digests.both();
+            let ways = [
+                (content, call.hashes.content),
+                (from_caller, call.hashes.from_caller),
+            ];
+            for (digest, hash) in ways {
+                if !judged.insert(digest) {
+                    continue;
+                }
+                if self.recent.take_popular(hash) {
+                    exposure.popular += 1;
+                } else if exposure.suspects.len() < 2 * MAX_SUSPECTS {
+                    exposure.suspects.push(digest);
+                }
+            }
+        }
+        exposure
+    }
+}
--- /dev/null
+++ b/crates/tallybridge-mesh/src/crashes/quarantine.rs
@@ -0,0 +1,283 @@
+//! Requests that are suspects of crashes, and those that are held back for them.
+//!
+//! Each node keeps the whole table from the reports of all, so that whoever hands a call to a back end
+//! knows. What a suspect has to do to be cleared is to be answered once: a request that ends each back
+//! end which begins to run it never is.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::digest::RequestDigest;
+
+/// Crashes after which a request is held back: fewer would hold back what happened to be under way
+/// when back ends ended for reasons of their own.
+pub const CRASHES_TO_HOLD: u8 = 3;
+/// How long a request is held back after the third crash, the fourth, the fifth and any further one.
+/// The first is short, as calls that were cut at one back end and tried at the next to end are held
+/// with the one to blame, and are cleared by their next run; it grows so that a request that ends
+/// every back end ends three more in the day after.
+const HOLDS: [Duration; 4] = [
+    Duration::from_secs(30),
+    Duration::from_secs(10 * 60),
+    Duration::from_secs(60 * 60),
+    Duration::from_secs(24 * 60 * 60),
+];
+/// Nodes release a request up to this part of its hold later than it ends, each at a time of its own, so
+/// that one of them tries it first and the others learn of it.
+const RELEASE_SPREAD: f64 = 0.2;
+/// Time for which a request is held elsewhere while one node tries it again. A run that ends a back end
+/// does so well within it, and its crash holds the request for longer.
+const TRIAL: Duration = Duration::from_secs(2);
+/// Time after the last crash for which a suspect that is not held is remembered.
+const SUSPECT_FOR: Duration = Duration::from_secs(120);
+/// Least time for which one that was held is remembered after its hold.
+const REMEMBERED_FOR: Duration = Duration::from_secs(10 * 60);
+/// Requests in the table, some 100 bytes each.
+const MAX_REQUESTS: usize = 4096;
+/// Requests that are held back at once.
+const MAX_HELD: usize = 256;
+/// Reports that are remembered, so that one which comes twice counts once.
+const MAX_REPORTS: usize = 512;
+/// Cleared requests that are remembered, so that late news does not hold them again.
+const MAX_CLEARED: usize = 1024;
+/// Time for which they are.
+const CLEARED_FOR: Duration = Duration::from_secs(60);
+
+/// A back end ended without notice, and these requests may be why.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashReport {
+    /// Which report: drawn at random by its node.
+    pub id: u64,
+    /// Digests of what the back end was at work on.
+    pub suspects: Vec<RequestDigest>,
+}
+
+/// A request that is held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeldRequest {
+    /// Which.
+    pub digest: RequestDigest,
+    /// Back ends that ended under it.
+    pub crashes: u8,
+    /// For how long it is still held back.
+    pub left: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    crashes: u8,
+    last_crash: Instant,
+    /// When the hold ends; `None` for a suspect that was never held.
+    held_until: Option<Instant>,
+    /// When this node releases it, at that time or somewhat later.
+    released_at: Instant,
+}
+
+impl Record {
+    const fn suspect(now: Instant) -> Self {
+        Self {
+            crashes: 0,
+            last_crash: now,
+            held_until: None,
+            released_at: now,
+        }
+    }
+
+    fn hold(&mut self, hold: Duration, now: Instant) {
+        let spread = rand::rng().random_range(0.0..RELEASE_SPREAD);
+        self.held_until = Some(now + hold);
+        self.released_at = now + hold.mul_f64(1.0 + spread);
+    }
+
+    fn is_held(&self, now: Instant) -> bool {
+        self.held_until.is_some() && now < self.released_at
+    }
+
+    fn left(&self, now: Instant) -> Duration {
+        let until = self.held_until.unwrap_or(now);
+        until.saturating_duration_since(now)
+    }
+
+    fn is_remembered(&self, now: Instant) -> bool {
+        let (since, kept) = match self.held_until {
+            Some(_) => (self.released_at, REMEMBERED_FOR),
+            None => (self.last_crash, SUSPECT_FOR),
+        };
+        now.saturating_duration_since(since) < kept
+    }
+}
+
+/// The hold after so many crashes.
+fn hold_after(crashes: u8) -> Duration {
+    let step = usize::from(crashes.saturating_sub(CRASHES_TO_HOLD));
+    HOLDS[step.min(HOLDS.len() - 1)]
+}
+
+/// Suspects of crashes and held requests.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<RequestDigest, Record>,
+    reports: VecDeque<u64>,
+    cleared: VecDeque<(RequestDigest, Instant)>,
+}
+
+impl Quarantine {
+    /// Whether no request is a suspect: then nothing need be asked of any call.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Requests in the table, and those of them that are held back.
+    #[must_use]
+    pub fn sizes(&self, now: Instant) -> (usize, usize) {
+        let held = self.records.values().filter(|record| record.is_held(now));
+        (self.records.len(), held.count())
+    }
+
+    /// Takes in a report. Gives the requests that are held back for it, or `None` for a report that was
+    /// taken in before.
+    pub fn take_in(&mut self, report: &CrashReport, now: Instant) -> Option<Vec<HeldRequest>> {
+        if self.reports.contains(&report.id) {
+            return None;
+        }
+        if self.reports.len() >= MAX_REPORTS {
+            self.reports.pop_front();
+        }
+        self.reports.push_back(report.id);
+        let mut held = Vec::new();
+        for digest in &report.suspects {
+            let record = self.records.entry(*digest);
+            let record = record.or_insert_with(|| Record::suspect(now));
+            record.crashes = record.crashes.saturating_add(1);
+            record.last_crash = now;
+            if record.crashes >= CRASHES_TO_HOLD {
+                record.hold(hold_after(record.crashes), now);
+                held.push(HeldRequest {
+                    digest: *digest,
+                    crashes: record.crashes,
+                    left: record.left(now),
+                });
+            }
+        }
+        self.bound(now);
+        Some(held)
+    }
+
+    /// Takes in that another node holds a request back; `true` when that is news.
+    pub fn learn(&mut self, held: HeldRequest, now: Instant) -> bool {
+        if self.was_cleared(held.digest, now) || held.left.is_zero() {
+            return false;
+        }
+        let record = self.records.entry(held.digest);
+        let record = record.or_insert_with(|| Record::suspect(now));
+        let is_longer = record.left(now) + TRIAL / 2 < held.left;
+        let is_news = is_longer || record.crashes < held.crashes;
+        record.crashes = record.crashes.max(held.crashes);
+        if is_longer {
+            record.hold(held.left.min(HOLDS[HOLDS.len() - 1]), now);
+        }
+        self.bound(now);
+        is_news
+    }
+
+    /// The hold of a request, if any of its digests is held back.
+    #[must_use]
+    pub fn held(&self, digests: &[RequestDigest], now: Instant) -> Option<HeldRequest> {
+        digests.iter().find_map(|digest| {
+            let record = self.records.get(digest)?;
+            record.is_held(now).then(|| HeldRequest {
+                digest: *digest,
+                crashes: record.crashes,
+                left: record.released_at.saturating_duration_since(now),
+            })
+        })
+    }
+
+    /// A request is about to run here. If it was held back before, this run tries it: it is held for a
+    /// moment more, here and by those that are told.
+    pub fn begin_trial(&mut self, digests: &[RequestDigest], now: Instant) -> Vec<HeldRequest> {
+        let mut trials = Vec::new();
+        for digest in digests {
+            let Some(record) = self.records.get_mut(digest) else {
+                continue;
+            };
+            if record.held_until.is_none() || record.is_held(now) {
+                continue;
+            }
+            record.hold(TRIAL, now);
+            trials.push(HeldRequest {
+                digest: *digest,
+                crashes: record.crashes,
+                left: TRIAL,
+            });
+        }
+        trials
+    }
+
+    /// A run of a request was answered: it is no suspect any more. `true` when it was one.
+    pub fn clear(&mut self, digest: RequestDigest, now: Instant) -> bool {
+        if self.records.remove(&digest).is_none() {
+            return false;
+        }
+        if self.cleared.len() >= MAX_CLEARED {
+            self.cleared.pop_front();
+        }
+        self.cleared.push_back((digest, now));
+        true
+    }
+
+    fn was_cleared(&self, digest: RequestDigest, now: Instant) -> bool {
+        self.cleared.iter().any(|(cleared, at)| {
+            *cleared == digest && now.saturating_duration_since(*at) < CLEARED_FOR
+        })
+    }
+
+    /// All requests that are held back.
+    #[must_use]
+    pub fn all_held(&self, now: Instant) -> Vec<HeldRequest> {
+        let held = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_held(now));
+        held.map(|(digest, record)| HeldRequest {
+            digest: *digest,
+            crashes: record.crashes,
+            left: record.left(now),
+        })
+        .filter(|held| !held.left.is_zero())
+        .collect()
+    }
+
+    /// Forgets what is too old.
+    pub fn forget(&mut self, now: Instant) {
+        self.records.retain(|_, record| record.is_remembered(now));
+    }
+
+    /// Keeps the table within its bounds: those with the fewest crashes go first, the oldest of them
+    /// before the others.
+    fn bound(&mut self, now: Instant) {
+        let held = self.records.values().filter(|record| record.is_held(now));
+        let too_many_held = held.count().saturating_sub(MAX_HELD);
+        let too_many = self.records.len().saturating_sub(MAX_REQUESTS);
+        if too_many_held == 0 && too_many == 0 {
+            return;
+        }
+        self.forget(now);
+        let mut all: Vec<_> = self.records.iter().collect();
+        all.sort_by_key(|(_, record)| (record.crashes, record.last_crash));
+        let held = all.iter().filter(|(_, record)| record.is_held(now));
+        let held = held.take(too_many_held).map(|(digest, _)| **digest);
+        let excess = all.len().saturating_sub(MAX_REQUESTS);
+        let oldest = all[..excess].iter().map(|(digest, _)| **digest);
+        let gone: Vec<RequestDigest> = held.chain(oldest).collect();
+        for digest in gone {
+            self.records.remove(&digest);
+        }
+    }
+}
--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -50,6 +50,8 @@
             "refused_stale_configuration_total",
             &counters.stale_configuration,
         ),
+        ("backend_crashes_total", &counters.crashes),
+        ("refused_quarantined_total", &counters.quarantined),
     ];
     let mut text = String::new();
     for (name, value) in counts {
@@ -64,6 +66,7 @@
             age,
         );
     }
+    let (suspects, held) = node.quarantine_sizes();
     let gauges = [
         ("concurrency_limit", u64::from(load.limit)),
         ("calls_in_flight", u64::from(load.in_flight)),
@@ -80,6 +83,8 @@
         ("links_open", fleet.1 as u64),
         ("watches_store", u64::from(node.is_watcher())),
         ("peers_confirming", watch_view.confirming as u64),
+        ("requests_suspected", suspects as u64),
+        ("requests_held_back", held as u64),
         ("requests_in_flight", node.requests_in_flight() as u64),
     ];
     for (name, value) in gauges {
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! back end beside it. Everything that depends on the platform comes in through [`seam`].
 
 pub mod configuration;
+pub mod crashes;
 pub mod decision_log;
 pub mod door;
 pub mod http;
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -77,9 +77,14 @@
 
     /// The back end answered a health check.
     pub fn instance_verified(&self, instance: &str, is_healthy: bool) {
+        let mut ended = None;
         let changed = {
             let mut tables = self.tables();
-            let is_other = tables.instance.id().is_none_or(|id| **id != *instance);
+            let before = tables.instance.id().cloned();
+            let is_other = before.as_deref().is_none_or(|id| id != instance);
+            if let Some(before) = before.filter(|_| is_other) {
+                ended = tables.take_crash(&before, Instant::now());
+            }
             if is_other {
                 tables.failing.forget();
                 self.work.forget_instance();
@@ -88,6 +93,9 @@
             self.adopt_slots(&tables);
             changed
         };
+        if let Some(crash) = ended {
+            self.report_crash(crash);
+        }
         if changed {
             tracing::info!(instance, is_healthy, "back end verified");
             self.instance_changed();
--- /dev/null
+++ b/crates/tallybridge-mesh/src/node/crashes.rs
@@ -0,0 +1,269 @@
+//! What a node does when the back end beside it ends without notice, and how all nodes learn of it.
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use rand::seq::IteratorRandom;
+use tallybridge_core::{ErrorKind, Refusal};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+use super::{Node, Tables};
+use crate::{
+    crashes::{
+        CallContent, CrashReport, ExposureEnd, ExposureId, HeldRequest, RequestDigest,
+        exposed::Exposure,
+    },
+    peer::message::{CallMessage, Frame, Message},
+};
+
+/// Time in which all calls at a back end that has ended are found to be broken off.
+const SETTLE: Duration = Duration::from_millis(5);
+/// Longest wait for a connection that shows whether the back end, on the same machine, still listens.
+const PROBE: Duration = Duration::from_millis(500);
+/// Peers that a node passes news of crashes on to, drawn at random. With 12 each, one node in 160,000 is
+/// passed over by all others; it learns from the first link that it opens next.
+const PASSED_ON_TO: usize = 12;
+
+/// A back end that ended without notice.
+#[derive(Debug)]
+pub(super) struct Crash {
+    instance: Arc<str>,
+    exposure: Exposure,
+}
+
+impl Tables {
+    /// What an instance that ended had been handed; `None` where it had said that it leaves, or where
+    /// this is known already.
+    pub(super) fn take_crash(&mut self, instance: &Arc<str>, now: Instant) -> Option<Crash> {
+        let exposure = self.exposed.take(instance, now);
+        let has_left = self.instance.has_left(instance);
+        let is_crash = exposure.calls > 0 && !has_left;
+        is_crash.then(|| Crash {
+            instance: instance.clone(),
+            exposure,
+        })
+    }
+}
+
+/// Finds out whether the back end ended whenever all calls at it broke off.
+pub async fn watch_for_crashes(node: Arc<Node>) {
+    loop {
+        node.call_broke.notified().await;
+        sleep(SETTLE).await;
+        if node.tables().exposed.all_broke() {
+            node.probe_back_end().await;
+        }
+    }
+}
+
+impl Node {
+    /// A back end that refuses connections has ended: nothing but a process that is gone does, on the
+    /// same machine. One that lets a connection in lives, and what broke off was a connection each. If
+    /// neither shows, the instance that answers next tells.
+    async fn probe_back_end(&self) {
+        let connecting = TcpStream::connect(self.settings.backend.address);
+        let is_gone = match timeout(PROBE, connecting).await {
+            Ok(Ok(_)) => false,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => true,
+            _ => return,
+        };
+        if !is_gone {
+            self.tables().exposed.forget_broken();
+            return;
+        }
+        let crash = {
+            let mut tables = self.tables();
+            let instance = tables.instance.id().cloned();
+            instance.and_then(|instance| tables.take_crash(&instance, Instant::now()))
+        };
+        self.instance_unreachable();
+        if let Some(crash) = crash {
+            self.report_crash(crash);
+        }
+    }
+
+    /// Tells all nodes which requests may be why the back end ended.
+    pub(super) fn report_crash(&self, crash: Crash) {
+        let Crash { instance, exposure } = crash;
+        self.counters.crashes.fetch_add(1, Ordering::Relaxed);
+        let digests: Vec<_> = exposure.suspects.iter().map(ToString::to_string).collect();
+        tracing::warn!(
+            instance = &*instance,
+            calls = exposure.calls,
+            popular = exposure.popular,
+            suspects = digests.join(" "),
+            "back end ended without notice"
+        );
+        if exposure.suspects.is_empty() {
+            return;
+        }
+        let report = CrashReport {
+            id: rand::random(),
+            suspects: exposure.suspects,
+        };
+        if self.take_in_crash(report) {
+            self.holds_changed.notify_one();
+        }
+    }
+
+    /// Takes in a report of a crash, and passes it on if it is news; `true` when requests are held back
+    /// for it.
+    pub fn take_in_crash(&self, report: CrashReport) -> bool {
+        let held = self.tables().quarantine.take_in(&report, Instant::now());
+        let Some(held) = held else {
+            return false;
+        };
+        for request in &held {
+            tracing::warn!(
+                digest = %request.digest,
+                crashes = request.crashes,
+                for_ms = request.left.as_millis() as u64,
+                "request held back"
+            );
+        }
+        self.pass_on(Message::Crashed(report));
+        !held.is_empty()
+    }
+
+    /// Takes in that another node holds a request back, and passes that on if it is news.
+    pub fn learn_held(&self, held: HeldRequest) {
+        if self.tables().quarantine.learn(held, Instant::now()) {
+            self.pass_on(Message::Held(held));
+        }
+    }
+
+    /// A run of requests was answered, here or elsewhere: they are no suspects any more.
+    pub fn clear_suspects(&self, digests: &[RequestDigest]) {
+        let now = Instant::now();
+        for digest in digests {
+            if self.tables().quarantine.clear(*digest, now) {
+                tracing::info!(%digest, "request cleared, a back end answered it");
+                self.pass_on(Message::Cleared(*digest));
+            }
+        }
+    }
+
+    fn pass_on(&self, message: Message) {
+        let frame = Frame::of_link(message);
+        let tables = self.tables();
+        let links = tables.peers.links().map(|(_, link)| link);
+        for link in links.choose_multiple(&mut rand::rng(), PASSED_ON_TO) {
+            link.send(&frame);
+        }
+    }
+
+    /// All requests that are held back, for a node that may not know of them.
+    #[must_use]
+    pub fn held_requests(&self) -> Vec<HeldRequest> {
+        self.tables().quarantine.all_held(Instant::now())
+    }
+
+    /// Requests that are suspects, and those of them that are held back.
+    #[must_use]
+    pub fn quarantine_sizes(&self) -> (usize, usize) {
+        self.tables().quarantine.sizes(Instant::now())
+    }
+
+    /// Waits until requests are held back for a crash of the back end beside this node.
+    pub async fn holds_changed(&self) {
+        self.holds_changed.notified().await;
+    }
+
+    /// Forgets suspects and holds that are too old.
+    pub fn forget_suspects(&self) {
+        self.tables().quarantine.forget(Instant::now());
+    }
+
+    /// The digests of a call, if any request is a suspect.
+    fn digests_if_suspects(&self, call: &CallMessage) -> Option<[RequestDigest; 2]> {
+        let is_any = !self.tables().quarantine.is_empty();
+        is_any.then(|| CallContent::of(call, &self.names).digests().both())
+    }
+
+    /// Refuses a request under which back ends ended.
+    ///
+    /// # Errors
+    ///
+    /// A refusal that says for how long it is held back.
+    pub fn refuse_quarantined(&self, call: &CallMessage) -> Result<(), Refusal> {
+        let Some(digests) = self.digests_if_suspects(call) else {
+            return Ok(());
+        };
+        let held = self.tables().quarantine.held(&digests, Instant::now());
+        match held {
+            None => Ok(()),
+            Some(HeldRequest {
+                digest,
+                crashes,
+                left,
+            }) => {
+                let detail =
+                    format!("{crashes} back ends ended under this request, digest {digest}");
+                let refusal = Refusal::new(ErrorKind::Quarantined, detail);
+                Err(refusal.with_retry_after(left))
+            }
+        }
+    }
+
+    /// A call is handed to the back end beside this node.
+    #[must_use]
+    pub fn exposes_to(self: &Arc<Self>, call: &CallMessage, instance: &Arc<str>) -> ExposedCall {
+        let digests = self.digests_if_suspects(call);
+        let now = Instant::now();
+        let mut tables = self.tables();
+        let id = tables.exposed.begin(call, instance, now);
+        let trials = match &digests {
+            Some(digests) => tables.quarantine.begin_trial(digests, now),
+            None => Vec::new(),
+        };
+        drop(tables);
+        for trial in trials {
+            tracing::info!(digest = %trial.digest, crashes = trial.crashes, "request tried again");
+            self.pass_on(Message::Held(trial));
+        }
+        ExposedCall {
+            node: self.clone(),
+            id,
+            end: ExposureEnd::Withdrawn,
+        }
+    }
+}
+
+/// A call at the back end. One that is dropped before its end was withdrawn.
+pub struct ExposedCall {
+    node: Arc<Node>,
+    id: ExposureId,
+    end: ExposureEnd,
+}
+
+impl ExposedCall {
+    /// The call has ended.
+    pub fn end(mut self, end: ExposureEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for ExposedCall {
+    fn drop(&mut self) {
+        let node = &self.node;
+        let answered = {
+            let mut tables = node.tables();
+            let are_suspects = !tables.quarantine.is_empty();
+            let answered = tables.exposed.end(self.id, self.end, Instant::now());
+            answered.filter(|_| are_suspects)
+        };
+        if let Some(answered) = answered {
+            let digests = answered.content(&node.names).digests();
+            node.clear_suspects(&digests.both());
+        }
+        if self.end == ExposureEnd::Broken {
+            node.call_broke.notify_one();
+        }
+    }
+}
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod configuration;
+mod crashes;
 mod fleet;
 mod life;
 mod tenants;
@@ -22,11 +23,13 @@
 use self::tenants::QuotaTables;
 pub use self::{
     configuration::{Confirmed, WaitingWatch, WatchView, WatcherRole},
+    crashes::{ExposedCall, watch_for_crashes},
     fleet::{NestedCall, RunningAttempt},
     life::RequestInFlight,
 };
 use crate::{
     configuration::Configuration,
+    crashes::{ExposedCalls, Quarantine},
     decision_log::DecisionLog,
     door::backend::BackendPool,
     seam::{HeaderNames, Platform},
@@ -84,6 +87,8 @@
     list_asked_at: Option<Instant>,
     shedding: RootShedding,
     running: RunningAttempts,
+    exposed: ExposedCalls,
+    quarantine: Quarantine,
     failing: FailingShare,
     own_service: Arc<str>,
 }
@@ -115,6 +120,10 @@
     pub over_quota: AtomicU64,
     /// Requests with a key refused since the configuration may be too old.
     pub stale_configuration: AtomicU64,
+    /// Times that the back end beside the node ended without notice.
+    pub crashes: AtomicU64,
+    /// Requests refused since back ends ended under the same request before.
+    pub quarantined: AtomicU64,
 }
 
 impl Counters {
@@ -125,6 +134,7 @@
             ErrorKind::UnknownKey => &self.unknown_keys,
             ErrorKind::OverQuota => &self.over_quota,
             ErrorKind::StaleConfiguration => &self.stale_configuration,
+            ErrorKind::Quarantined => &self.quarantined,
             _ => return,
         };
         of_kind.fetch_add(1, Ordering::Relaxed);
@@ -167,6 +177,8 @@
     confirmations: watch::Sender<u64>,
     peer_ahead: tokio::sync::Notify,
     has_read_register: AtomicBool,
+    call_broke: tokio::sync::Notify,
+    holds_changed: tokio::sync::Notify,
 }
 
 impl Tables {
@@ -247,6 +259,8 @@
             list_asked_at: None,
             shedding: RootShedding::new(settings.policy),
             running: RunningAttempts::default(),
+            exposed: ExposedCalls::new(platform.header_names(), Instant::now()),
+            quarantine: Quarantine::default(),
             failing: FailingShare::default(),
             own_service: settings.backend.service.as_str().into(),
         };
@@ -274,6 +288,8 @@
             confirmations: watch::Sender::new(0),
             peer_ahead: tokio::sync::Notify::new(),
             has_read_register: AtomicBool::new(false),
+            call_broke: tokio::sync::Notify::new(),
+            holds_changed: tokio::sync::Notify::new(),
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/path/carry.rs
+++ b/crates/tallybridge-mesh/src/path/carry.rs
@@ -139,7 +139,8 @@
                 untouched
             }
         };
-        if Instant::now() >= call.deadline {
+        let is_quarantined = progress.last.kind == ErrorKind::Quarantined;
+        if Instant::now() >= call.deadline || is_quarantined {
             break;
         }
         if untouched {
@@ -149,6 +150,11 @@
         if !may_send_again(node, call, &progress) {
             break;
         }
+        // The back end that it was sent to may be one of several that ended under it.
+        if let Err(refusal) = node.refuse_quarantined(&call.message) {
+            progress.last = refusal;
+            break;
+        }
     }
     progress.into_result()
 }
@@ -239,7 +245,8 @@
     let is_lost = refusal.is_some_and(|refusal| refusal.outcome == Outcome::Unknown);
     node.with_peers(|peers| {
         peers.outcome(address, is_lost);
-        if refusal.is_some_and(is_untouched) {
+        let is_of_executor = |refusal: &Refusal| refusal.kind != ErrorKind::Quarantined;
+        if refusal.is_some_and(|refusal| is_untouched(refusal) && is_of_executor(refusal)) {
             peers.avoid(address, Instant::now());
         }
     });
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -47,6 +47,10 @@
     let mut nested = attempt.and_then(|attempt| node.nested(attempt));
     let parent = nested.as_ref().map(NestedCall::parent);
     let prepared = prepare(node, &request, parent);
+    let prepared = prepared.and_then(|call| {
+        node.refuse_quarantined(&call.message)?;
+        Ok(call)
+    });
     let result = match &prepared {
         Ok(call) => carry_within_quota(node, call).await,
         Err(refusal) => Err(Unanswered::untried(refusal.clone())),
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    crashes::ExposureEnd,
     decision_log::ExecutorFacts,
     door::backend::Lent,
     http::{Answer, ExchangeError, ExchangeStage, Received, head::write_line},
@@ -64,6 +65,7 @@
 
 async fn run(node: &Arc<Node>, call: &CallMessage, arrived: Instant) -> Result<Answered, Refusal> {
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
+    node.refuse_quarantined(call)?;
     let mut slot = take_slot(node, call, arrived).await?;
     let answered = hand_over(node, call, &slot, deadline).await?;
     let is_leaf = answered.answer.status < 500 && !answered.made_calls;
@@ -130,21 +132,29 @@
         let detail = "no time left to run";
         return Err(Refusal::new(ErrorKind::DeadlineExceeded, detail));
     }
+    // So may other back ends have ended under it.
+    node.refuse_quarantined(call)?;
     let parent = Parent {
         is_urgent: call.is_urgent,
         is_repeat: call.is_repeat,
     };
     let _running = node.attempt_runs(&call.attempt, parent);
+    let exposed = node.exposes_to(call, &instance);
     let ending = CallEnding::begin(node, &call.attempt, deadline);
     let give_up = deadline + BACKEND_GRACE;
-    let result = match timeout_at(give_up, exchange(node, call, &instance, deadline)).await {
-        Ok(Ok(received)) => judge(node, call, &instance, received),
-        Ok(Err(error)) => Err(failed(node, &error)),
-        Err(_) => Err(Refusal::new(
-            ErrorKind::BackendTimeout,
-            "back end did not answer",
-        )),
+    let exchanged = timeout_at(give_up, exchange(node, call, &instance, deadline)).await;
+    let (result, end) = match exchanged {
+        Ok(Ok(received)) => match judge(node, call, &instance, received) {
+            Ok(answer) => (Ok(answer), ExposureEnd::Answered),
+            Err(refusal) => (Err(refusal), ExposureEnd::NotRun),
+        },
+        Ok(Err(error)) => (Err(failed(node, &error)), exposure_end(error.stage)),
+        Err(_) => {
+            let refusal = Refusal::new(ErrorKind::BackendTimeout, "back end did not answer");
+            (Err(refusal), ExposureEnd::Withdrawn)
+        }
     };
+    exposed.end(end);
     ending.end(&result);
     result.map(|answer| Answered {
         answer,
@@ -192,6 +202,14 @@
     }
 }
 
+/// What a failed exchange says of what the back end was handed.
+const fn exposure_end(stage: ExchangeStage) -> ExposureEnd {
+    match stage {
+        ExchangeStage::NotSent => ExposureEnd::NotRun,
+        ExchangeStage::Sent => ExposureEnd::Broken,
+    }
+}
+
 fn failed(node: &Node, error: &ExchangeError) -> Refusal {
     match error.stage {
         ExchangeStage::NotSent => {
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -102,6 +102,9 @@
     send(&sender, Message::Clock { now_ms });
     send(&sender, Message::Status(node.status()));
     send_confirmation(&node, &sender);
+    for held in node.held_requests() {
+        send(&sender, Message::Held(held));
+    }
     let mut published = node.published();
     let mut confirmed = node.confirmations();
     let running = RunningCalls::default();
@@ -180,6 +183,11 @@
             }
             grant => send_grant(sender, frame.call, grant),
         },
+        Message::Crashed(report) => {
+            node.take_in_crash(report);
+        }
+        Message::Held(held) => node.learn_held(held),
+        Message::Cleared(digest) => node.clear_suspects(&[digest]),
         _ => {}
     }
 }
--- a/crates/tallybridge-mesh/src/peer/dial.rs
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -117,6 +117,9 @@
     if node.wants_nodes() {
         link.send(&Frame::of_link(Message::FetchNodes));
     }
+    for held in node.held_requests() {
+        link.send(&Frame::of_link(Message::Held(held)));
+    }
     let writing = tokio::spawn(write_frames(writer, frames));
     let reading = async {
         loop {
@@ -199,6 +202,7 @@
             node.peer_confirmed(address, confirmed);
         }
         Message::QuotaGrant(grant) => link.complete(frame.call, Reply::Quota(grant)),
+        Message::Held(held) => node.learn_held(held),
         _ => {}
     }
 }
--- a/crates/tallybridge-mesh/src/peer/message/mod.rs
+++ b/crates/tallybridge-mesh/src/peer/message/mod.rs
@@ -7,12 +7,13 @@
 
 use self::payload::{decode_payload, fields};
 use crate::{
+    crashes::{CrashReport, HeldRequest, RequestDigest},
     tables::{Load, PeerStatus, SlotTimes},
     tenants::quota::QuotaGrant,
 };
 
 /// Version of the protocol. Nodes refuse a peer that speaks another one.
-const PROTOCOL_VERSION: u8 = 7;
+const PROTOCOL_VERSION: u8 = 8;
 /// Largest frame, in bytes.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
 /// Size of a [`FrameHeader`], in bytes.
@@ -141,6 +142,12 @@
     },
     /// What the home of a tenant gives.
     QuotaGrant(QuotaGrant),
+    /// A back end ended without notice.
+    Crashed(CrashReport),
+    /// A request is held back, or tried again for a moment.
+    Held(HeldRequest),
+    /// A suspect was answered by a back end.
+    Cleared(RequestDigest),
 }
 
 /// A message with the call that it belongs to; 0 for none.
@@ -170,6 +177,9 @@
             Self::Clock { .. } => 13,
             Self::QuotaAsk { .. } => 14,
             Self::QuotaGrant(_) => 15,
+            Self::Crashed(_) => 16,
+            Self::Held(_) => 17,
+            Self::Cleared(_) => 18,
         }
     }
 }
--- a/crates/tallybridge-mesh/src/peer/message/payload.rs
+++ b/crates/tallybridge-mesh/src/peer/message/payload.rs
@@ -7,6 +7,7 @@
 
 use super::{CallMessage, Message};
 use crate::{
+    crashes::{CrashReport, HeldRequest, RequestDigest, digest::DIGEST_BYTES},
     tables::{BackendState, Load, PeerStatus, ServiceTime, SlotTimes},
     tenants::quota::QuotaGrant,
 };
@@ -31,6 +32,10 @@
 const QUOTA_ASK_BYTES: usize = 5;
 /// Size of a [`QuotaGrantFields`], in bytes.
 const QUOTA_GRANT_BYTES: usize = 5;
+/// Size of [`CrashFields`], in bytes.
+const CRASH_BYTES: usize = 8;
+/// Size of [`HeldFields`], in bytes.
+const HELD_BYTES: usize = 25;
 
 const FLAG_MAY_REPEAT: u8 = 1;
 const FLAG_HEAD_REQUEST: u8 = 2;
@@ -114,6 +119,21 @@
     amount: u32,
 }
 
+/// A crash: the digests of its suspects follow.
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct CrashFields {
+    id: u64,
+}
+
+#[derive(Debug, DekuRead, DekuWrite)]
+#[deku(endian = "big")]
+struct HeldFields {
+    digest: [u8; DIGEST_BYTES],
+    crashes: u8,
+    left_ms: u64,
+}
+
 pub(super) fn fields<T: DekuContainerWrite>(value: &T) -> Vec<u8> {
     // Fails only for values that don't fit their fields, and these are whole bytes.
     value.to_bytes().unwrap_or_default()
@@ -184,6 +204,14 @@
                 out.extend_from_slice(tenant);
             }
             Self::QuotaGrant(grant) => *out = fields(&grant_fields(*grant)),
+            Self::Crashed(report) => {
+                *out = fields(&CrashFields { id: report.id });
+                for suspect in &report.suspects {
+                    out.extend_from_slice(&suspect.0);
+                }
+            }
+            Self::Held(held) => *out = fields(&held_fields(*held)),
+            Self::Cleared(digest) => out.extend_from_slice(&digest.0),
             Self::Cancel | Self::Ping | Self::FetchConfiguration | Self::FetchNodes => {}
         }
     }
@@ -210,6 +238,36 @@
     }
 }
 
+fn held_fields(held: HeldRequest) -> HeldFields {
+    HeldFields {
+        digest: held.digest.0,
+        crashes: held.crashes,
+        left_ms: u64::try_from(held.left.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn decode_held(mut payload: Bytes) -> Option<HeldRequest> {
+    let fields: HeldFields = take_fields(&mut payload, HELD_BYTES)?;
+    Some(HeldRequest {
+        digest: RequestDigest(fields.digest),
+        crashes: fields.crashes,
+        left: Duration::from_millis(fields.left_ms),
+    })
+}
+
+fn decode_crash(mut payload: Bytes) -> Option<CrashReport> {
+    let fields: CrashFields = take_fields(&mut payload, CRASH_BYTES)?;
+    let suspects = payload.chunks(DIGEST_BYTES).map(decode_digest);
+    Some(CrashReport {
+        id: fields.id,
+        suspects: suspects.collect::<Option<_>>()?,
+    })
+}
+
+fn decode_digest(bytes: &[u8]) -> Option<RequestDigest> {
+    bytes.try_into().ok().map(RequestDigest)
+}
+
 fn encode_call(call: &CallMessage, out: &mut Vec<u8>) {
     let mut flags = 0;
     if call.may_repeat {
@@ -335,6 +393,9 @@
             }
         }
         15 => Message::QuotaGrant(decode_grant(payload)?),
+        16 => Message::Crashed(decode_crash(payload)?),
+        17 => Message::Held(decode_held(payload)?),
+        18 => Message::Cleared(decode_digest(&payload)?),
         _ => return None,
     })
 }
--- a/crates/tallybridge-mesh/src/run.rs
+++ b/crates/tallybridge-mesh/src/run.rs
@@ -15,7 +15,7 @@
         control::{ControlHandler, verify_instance},
         metrics::MetricsHandler,
     },
-    node::Node,
+    node::{Node, watch_for_crashes},
     peer::accept::accept_peers,
     reload::{SettingsSource, reload_settings},
     seam::Platform,
@@ -91,10 +91,12 @@
     tokio::spawn(serve(ControlHandler(node.clone()), listeners.reports));
     tokio::spawn(serve(MetricsHandler(node.clone()), listeners.metrics));
     tokio::spawn(verify_instance(node.clone()));
+    tokio::spawn(watch_for_crashes(node.clone()));
     tokio::spawn(store::follow_configuration(node.clone()));
     tokio::spawn(store::follow_peers_configuration(node.clone()));
     tokio::spawn(store::read_for_keys(node.clone()));
     tokio::spawn(store::keep_registered(node.clone()));
+    tokio::spawn(store::keep_holds(node.clone()));
     tokio::spawn(tick(node.clone()));
     Ok(node)
 }
@@ -149,6 +151,7 @@
         node.tick();
         if Instant::now() >= prune_at {
             node.backend.prune();
+            node.forget_suspects();
             prune_at = Instant::now() + PRUNE;
         }
     }
--- /dev/null
+++ b/crates/tallybridge-mesh/src/store/holds.rs
@@ -0,0 +1,111 @@
+//! Held requests in the store, so that they outlive the loss of all nodes.
+//!
+//! The node beside the back end whose crash made a request held writes all that are held into the
+//! register, behind the nodes. Whoever reads the register learns of them, so a node that starts needs no
+//! call of its own.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
+
+use super::{Backoff, count};
+use crate::{
+    crashes::{HeldRequest, RequestDigest},
+    node::Node,
+    seam::StoreError,
+};
+
+/// Begins the names under which holds are registered: after those of nodes, which begin with a digit or
+/// a letter.
+pub const HOLDS_PREFIX: &str = "~";
+/// Life of an entry without renewal: the longest that the store grants.
+const LEASE: Duration = Duration::from_secs(600);
+/// Time between renewals.
+const RENEWAL: Duration = Duration::from_secs(240);
+/// Time in which further holds of one series of crashes are written with the first.
+const GATHER: Duration = Duration::from_millis(150);
+
+/// A held request as it is stored.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredHold {
+    digest: RequestDigest,
+    crashes: u8,
+    left_ms: u64,
+}
+
+/// An entry of the register.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct StoredHolds {
+    held: Vec<StoredHold>,
+}
+
+impl StoredHolds {
+    fn of(held: &[HeldRequest]) -> Self {
+        let held = held.iter().map(|held| StoredHold {
+            digest: held.digest,
+            crashes: held.crashes,
+            left_ms: u64::try_from(held.left.as_millis()).unwrap_or(u64::MAX),
+        });
+        Self {
+            held: held.collect(),
+        }
+    }
+
+    /// Takes in what another node stored. A hold that was stored a while ago is counted from its reading,
+    /// so it lasts longer here by that time.
+    pub fn take_in(&self, node: &Node) {
+        for hold in &self.held {
+            node.learn_held(HeldRequest {
+                digest: hold.digest,
+                crashes: hold.crashes,
+                left: Duration::from_millis(hold.left_ms),
+            });
+        }
+    }
+}
+
+/// Stores what is held whenever a crash of the own back end adds to it, and renews that.
+pub async fn keep_holds(node: Arc<Node>) {
+    loop {
+        node.holds_changed().await;
+        while let Err(reason) = store_until_over(&node).await {
+            tracing::warn!(%reason, "held requests are not stored, peers hold them back meanwhile");
+        }
+    }
+}
+
+async fn store_until_over(node: &Node) -> Result<(), StoreError> {
+    let mut backoff = Backoff::new();
+    loop {
+        sleep(GATHER).await;
+        let held = node.held_requests();
+        if held.is_empty() {
+            return Ok(());
+        }
+        let lease = match store(node, &held).await {
+            Ok(lease) => lease,
+            Err(reason) => {
+                backoff.wait().await;
+                return Err(reason);
+            }
+        };
+        // Written anew when there is more, renewed until then.
+        while timeout(RENEWAL, node.holds_changed()).await.is_err() {
+            if node.held_requests().is_empty() {
+                return Ok(());
+            }
+            count(node);
+            node.platform.renew(lease).await?;
+        }
+    }
+}
+
+async fn store(node: &Node, held: &[HeldRequest]) -> Result<u64, StoreError> {
+    count(node);
+    let name = format!("{HOLDS_PREFIX}held-{}", node.record.node);
+    // Plain fields always have a JSON form.
+    let entry = serde_json::to_vec(&StoredHolds::of(held)).unwrap_or_default();
+    let registering = node.platform.register(&name, entry.into(), LEASE, None);
+    registering.await
+}
--- a/crates/tallybridge-mesh/src/store/mod.rs
+++ b/crates/tallybridge-mesh/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! Work with the platform's store: the configuration, and the register of nodes.
 
 mod configuration;
+mod holds;
 mod register;
 
 use std::{sync::atomic::Ordering, time::Duration};
@@ -10,6 +11,7 @@
 
 pub use self::{
     configuration::{follow_configuration, follow_peers_configuration, read_for_keys},
+    holds::keep_holds,
     register::{keep_registered, unregister},
 };
 use crate::node::Node;
--- a/crates/tallybridge-mesh/src/store/register.rs
+++ b/crates/tallybridge-mesh/src/store/register.rs
@@ -4,10 +4,14 @@
 
 use bytes::Bytes;
 use rand::Rng;
+use serde::Deserialize;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Backoff, count};
+use super::{
+    Backoff, count,
+    holds::{HOLDS_PREFIX, StoredHolds},
+};
 use crate::{node::Node, seam::StoreError, tables::NodeRecord};
 
 /// Life of a node's registration without renewal: an outage of the store that is shorter ends none.
@@ -160,6 +164,8 @@
         if self.is_large {
             let own = register_name(&node.record.node);
             self.is_large = !read_register(node, &own).await?;
+            // Holds stand behind all nodes, out of reach of a look that ends before.
+            read_register(node, HOLDS_PREFIX).await?;
         }
         node.register_read();
         Ok(())
@@ -184,7 +190,7 @@
         count(node);
         let page = node.platform.registered(&after).await?;
         read += page.records.len();
-        node.learn_records(page.records.iter().filter_map(parse_record));
+        take_in(node, &page.records);
         match page.next_after {
             Some(_) if read >= ENOUGH_NODES => return Ok(false),
             Some(next) if has_turned && !start.is_empty() && *next > *start => return Ok(true),
@@ -198,14 +204,24 @@
     }
 }
 
-fn parse_record(record: &Bytes) -> Option<NodeRecord> {
-    match serde_json::from_slice(record) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            tracing::warn!(%error, "a registration can't be read");
-            None
+/// What stands in the register.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Registered {
+    Node(NodeRecord),
+    Holds(StoredHolds),
+}
+
+fn take_in(node: &Arc<Node>, records: &[Bytes]) {
+    let mut nodes = Vec::with_capacity(records.len());
+    for record in records {
+        match serde_json::from_slice(record) {
+            Ok(Registered::Node(record)) => nodes.push(record),
+            Ok(Registered::Holds(holds)) => holds.take_in(node),
+            Err(error) => tracing::warn!(%error, "a registration can't be read"),
         }
     }
+    node.learn_records(nodes);
 }
 
 /// Ends the registration.
--- a/crates/tallybridge-mesh/src/tables/instance.rs
+++ b/crates/tallybridge-mesh/src/tables/instance.rs
@@ -191,7 +191,9 @@
         }
     }
 
-    fn has_left(&self, instance: &str) -> bool {
+    /// Whether an instance said that it leaves.
+    #[must_use]
+    pub fn has_left(&self, instance: &str) -> bool {
         self.left.iter().any(|left| left == instance)
     }
 }
