Crashes: tests of what is the same, who is to blame, who knows, what is forgotten

Cause: the mend of repeated crashes had one test.

A request that is held back is told so before it is shed for load.

--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -47,10 +47,6 @@
     let mut nested = attempt.and_then(|attempt| node.nested(attempt));
     let parent = nested.as_ref().map(NestedCall::parent);
     let prepared = prepare(node, &request, parent);
-    let prepared = prepared.and_then(|call| {
-        node.refuse_quarantined(&call.message)?;
-        Ok(call)
-    });
     let result = match &prepared {
         Ok(call) => carry_within_quota(node, call).await,
         Err(refusal) => Err(Unanswered::untried(refusal.clone())),
@@ -150,13 +146,6 @@
     let is_first = route.priority == 0 && rank.before == 0;
     let is_urgent = parent.map_or(is_first, |parent| parent.is_urgent)
         && node.settings.policy.order_by_priority;
-    if is_nested {
-        node.back_end_called(service);
-    } else if !node.admits(route, service, rank) {
-        let detail = "a service that the request needs is full";
-        let refusal = Refusal::new(ErrorKind::Overloaded, detail);
-        return Err(refusal.with_retry_after(SHED_COME_BACK));
-    }
     let wait = if is_nested {
         allowed.mul_f64(NESTED_WAIT)
     } else {
@@ -175,6 +164,15 @@
         head: passed_on(node, request, tenant.as_deref()).into(),
         body: request.body.clone(),
     };
+    // Before what is shed for load: a request that is held back must not return in a second.
+    node.refuse_quarantined(&message)?;
+    if is_nested {
+        node.back_end_called(service);
+    } else if !node.admits(route, service, rank) {
+        let detail = "a service that the request needs is full";
+        let refusal = Refusal::new(ErrorKind::Overloaded, detail);
+        return Err(refusal.with_retry_after(SHED_COME_BACK));
+    }
     Ok(Call {
         service: service.clone(),
         route: route.clone(),
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -0,0 +1,437 @@
+//! Which requests are the same, which calls are suspects when a back end ends, and which requests are
+//! held back for it.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tallybridge_mesh::{
+    crashes::{
+        CallContent, CrashReport, ExposedCalls, ExposureEnd, HeldRequest, Quarantine,
+        RequestDigest, quarantine::CRASHES_TO_HOLD,
+    },
+    peer::message::CallMessage,
+    seam::HeaderNames,
+};
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn names() -> HeaderNames {
+    HeaderNames {
+        attempt: "Attempt",
+        deadline_ms: "Deadline",
+        expected_instance: "Expected",
+        not_run: "Not-Run",
+        caller_service: "Caller",
+        instance: "Instance",
+        credential: "Credential",
+        tenant: "Tenant",
+    }
+}
+
+/// A call, as a back end gets it.
+#[derive(Debug, Clone, Copy)]
+struct Asked<'a> {
+    line: &'a str,
+    host: &'a str,
+    caller: &'a str,
+    tenant: &'a str,
+    attempt: &'a str,
+    body: &'a str,
+}
+
+const ASKED: Asked<'_> = Asked {
+    line: "POST /pay/1?account=4711 HTTP/1.1",
+    host: "pay.example",
+    caller: "portal",
+    tenant: "ana",
+    attempt: "a1",
+    body: "ten for 4711",
+};
+
+impl Asked<'_> {
+    fn message(&self) -> CallMessage {
+        let Self {
+            line,
+            host,
+            caller,
+            tenant,
+            attempt,
+            body,
+        } = self;
+        let head = format!(
+            "{line}\r\nAttempt: {attempt}\r\nhOST: {host}\r\nCaller: {caller}\r\nTenant: {tenant}\r\n"
+        );
+        CallMessage {
+            remaining_ms: 1000,
+            wait_ms: 100,
+            criticality: 0,
+            kind: 0,
+            may_repeat: true,
+            is_urgent: false,
+            is_repeat: false,
+            is_head_request: false,
+            attempt: Bytes::copy_from_slice(attempt.as_bytes()),
+            head: head.into(),
+            body: Bytes::copy_from_slice(body.as_bytes()),
+        }
+    }
+
+    fn digests(&self) -> [RequestDigest; 2] {
+        CallContent::of(&self.message(), &names()).digests().both()
+    }
+}
+
+fn digest(number: u16) -> RequestDigest {
+    let mut bytes = [0; 16];
+    bytes[..2].copy_from_slice(&number.to_be_bytes());
+    RequestDigest(bytes)
+}
+
+#[test]
+fn attempts_that_ask_for_the_same_are_the_same_request() {
+    let again = Asked {
+        attempt: "another-name",
+        ..ASKED
+    };
+    assert_eq!(again.digests(), ASKED.digests());
+}
+
+#[test]
+fn what_asks_for_something_else_or_for_another_tenant_is_another_request() {
+    let others = [
+        Asked {
+            line: "POST /pay/2 HTTP/1.1",
+            ..ASKED
+        },
+        Asked {
+            line: "PUT /pay/1?account=4711 HTTP/1.1",
+            ..ASKED
+        },
+        Asked {
+            host: "other.example",
+            ..ASKED
+        },
+        Asked {
+            tenant: "rui",
+            ..ASKED
+        },
+        Asked {
+            body: "ten for 4712",
+            ..ASKED
+        },
+        // The same bytes, with the border between two parts elsewhere.
+        Asked {
+            tenant: "anap",
+            host: "ay.example",
+            ..ASKED
+        },
+    ];
+    for other in others {
+        let [content, from_caller] = other.digests();
+        assert_ne!(content, ASKED.digests()[0], "{other:?}");
+        assert_ne!(from_caller, ASKED.digests()[1], "{other:?}");
+    }
+}
+
+#[test]
+fn a_request_is_known_by_what_it_asks_and_by_that_with_its_caller() {
+    let elsewhere = Asked {
+        caller: "ledger",
+        ..ASKED
+    };
+    let [content, from_caller] = elsewhere.digests();
+    assert_eq!(content, ASKED.digests()[0]);
+    assert_ne!(from_caller, ASKED.digests()[1]);
+}
+
+#[test]
+fn nothing_that_a_request_holds_can_be_read_from_its_digest() {
+    let text = format!("{:?}", ASKED.digests());
+    for part in ["4711", "pay", "ana", "portal", "ten"] {
+        assert!(!text.contains(part), "{part} in {text}");
+    }
+}
+
+/// Calls at one back end, by the letter of what they ask for.
+struct Exposed {
+    calls: ExposedCalls,
+    instance: Arc<str>,
+    now: Instant,
+}
+
+impl Exposed {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            calls: ExposedCalls::new(names(), now),
+            instance: "i-1".into(),
+            now,
+        }
+    }
+
+    fn run(&mut self, body: &str, end: ExposureEnd) {
+        let asked = Asked { body, ..ASKED };
+        let id = self.calls.begin(&asked.message(), &self.instance, self.now);
+        self.calls.end(id, end, self.now);
+    }
+
+    /// Whether the request of a body is a suspect when the instance ends.
+    fn suspects(&mut self, instance: &str, bodies: &[&str]) -> Vec<bool> {
+        let exposure = self.calls.take(instance, self.now);
+        let is_suspect = |body: &&str| {
+            let digests = Asked { body, ..ASKED }.digests();
+            digests
+                .iter()
+                .all(|digest| exposure.suspects.contains(digest))
+        };
+        bodies.iter().map(is_suspect).collect()
+    }
+}
+
+#[test]
+fn what_was_broken_off_or_just_withdrawn_is_a_suspect_and_nothing_else() {
+    let mut exposed = Exposed::new();
+    exposed.run("broken", ExposureEnd::Broken);
+    exposed.run("withdrawn", ExposureEnd::Withdrawn);
+    exposed.run("answered", ExposureEnd::Answered);
+    exposed.run("refused", ExposureEnd::NotRun);
+    let bodies = ["broken", "withdrawn", "answered", "refused"];
+    assert_eq!(exposed.suspects("i-1", &bodies), [true, true, false, false]);
+    assert_eq!(exposed.suspects("i-1", &bodies), [false; 4], "told once");
+}
+
+#[test]
+fn what_another_instance_ran_or_was_long_ago_is_no_suspect() {
+    let mut exposed = Exposed::new();
+    exposed.run("broken", ExposureEnd::Broken);
+    assert_eq!(exposed.suspects("i-2", &["broken"]), [false]);
+    exposed.run("withdrawn", ExposureEnd::Withdrawn);
+    exposed.now += 2 * SECOND;
+    exposed.run("broken", ExposureEnd::Broken);
+    let bodies = ["withdrawn", "broken"];
+    assert_eq!(exposed.suspects("i-1", &bodies), [false, true]);
+}
+
+#[test]
+fn a_back_end_at_which_a_call_goes_on_does_not_look_ended() {
+    let mut exposed = Exposed::new();
+    assert!(!exposed.calls.all_broke());
+    let message = ASKED.message();
+    let id = exposed
+        .calls
+        .begin(&message, &exposed.instance, exposed.now);
+    exposed.run("broken", ExposureEnd::Broken);
+    assert!(!exposed.calls.all_broke(), "one goes on");
+    exposed.calls.end(id, ExposureEnd::Broken, exposed.now);
+    assert!(exposed.calls.all_broke());
+    exposed.calls.forget_broken();
+    assert!(!exposed.calls.all_broke());
+    assert_eq!(exposed.suspects("i-1", &["broken"]), [false], "it lives");
+}
+
+#[test]
+fn a_request_that_was_answered_often_lately_is_no_suspect_of_the_next_crash() {
+    let mut exposed = Exposed::new();
+    for _ in 0..3 {
+        exposed.run("popular", ExposureEnd::Answered);
+    }
+    exposed.run("popular", ExposureEnd::Broken);
+    exposed.run("popular", ExposureEnd::Broken);
+    exposed.run("deadly", ExposureEnd::Broken);
+    let bodies = ["popular", "deadly"];
+    assert_eq!(exposed.suspects("i-1", &bodies), [false, true]);
+    // It may have begun to end back ends just now: it is cleared by what was before once only.
+    exposed.run("popular", ExposureEnd::Broken);
+    assert_eq!(exposed.suspects("i-1", &["popular"]), [true]);
+}
+
+#[test]
+fn a_caller_s_own_request_is_a_suspect_though_the_same_of_others_is_answered() {
+    let mut exposed = Exposed::new();
+    let others = Asked {
+        caller: "ledger",
+        ..ASKED
+    };
+    for _ in 0..3 {
+        let id = exposed
+            .calls
+            .begin(&others.message(), &exposed.instance, exposed.now);
+        exposed.calls.end(id, ExposureEnd::Answered, exposed.now);
+    }
+    exposed.run(ASKED.body, ExposureEnd::Broken);
+    let suspects = exposed.calls.take("i-1", exposed.now).suspects;
+    let [content, from_caller] = ASKED.digests();
+    assert!(!suspects.contains(&content), "others are answered");
+    assert!(suspects.contains(&from_caller));
+}
+
+/// A table, and its crashes.
+struct Table {
+    quarantine: Quarantine,
+    now: Instant,
+    reports: u64,
+}
+
+impl Table {
+    fn new() -> Self {
+        Self {
+            quarantine: Quarantine::default(),
+            now: Instant::now(),
+            reports: 0,
+        }
+    }
+
+    fn crash(&mut self, suspects: &[RequestDigest]) -> Vec<HeldRequest> {
+        self.reports += 1;
+        let report = CrashReport {
+            id: self.reports,
+            suspects: suspects.to_vec(),
+        };
+        self.quarantine
+            .take_in(&report, self.now)
+            .expect("a new report")
+    }
+
+    fn is_held(&self, digest: RequestDigest) -> bool {
+        self.quarantine.held(&[digest], self.now).is_some()
+    }
+
+    /// Time until it is released.
+    fn release(&mut self, digest: RequestDigest) -> Duration {
+        let held = self
+            .quarantine
+            .held(&[digest], self.now)
+            .expect("it is held");
+        self.now += held.left;
+        assert!(!self.is_held(digest));
+        held.left
+    }
+}
+
+#[test]
+fn a_suspect_of_three_crashes_is_held_back() {
+    let mut table = Table::new();
+    for crash in 1..=CRASHES_TO_HOLD {
+        assert!(!table.is_held(digest(1)));
+        let held = table.crash(&[digest(1)]);
+        assert_eq!(held.len(), usize::from(crash == CRASHES_TO_HOLD));
+    }
+    assert!(table.is_held(digest(1)));
+    assert!(!table.is_held(digest(2)));
+    assert_eq!(table.quarantine.all_held(table.now).len(), 1);
+}
+
+#[test]
+fn a_report_that_comes_by_two_ways_counts_once() {
+    let mut table = Table::new();
+    let report = CrashReport {
+        id: 7,
+        suspects: vec![digest(1)],
+    };
+    assert!(table.quarantine.take_in(&report, table.now).is_some());
+    for _ in 0..3 {
+        assert!(table.quarantine.take_in(&report, table.now).is_none());
+    }
+    assert!(!table.is_held(digest(1)));
+}
+
+#[test]
+fn an_answered_run_clears_a_suspect_and_late_news_does_not_hold_it_again() {
+    let mut table = Table::new();
+    table.crash(&[digest(1)]);
+    table.crash(&[digest(1)]);
+    assert!(table.quarantine.clear(digest(1), table.now));
+    assert!(
+        !table.quarantine.clear(digest(1), table.now),
+        "it is no suspect"
+    );
+    let late = HeldRequest {
+        digest: digest(1),
+        crashes: 3,
+        left: 30 * SECOND,
+    };
+    assert!(!table.quarantine.learn(late, table.now));
+    table.crash(&[digest(1)]);
+    assert!(!table.is_held(digest(1)), "counted from anew");
+}
+
+#[test]
+fn a_request_that_ends_back_ends_ends_three_more_in_a_day() {
+    let mut table = Table::new();
+    for _ in 0..3 {
+        table.crash(&[digest(1)]);
+    }
+    let began = table.now;
+    let mut trials = 0;
+    loop {
+        table.release(digest(1));
+        if table.now >= began + 86_400 * SECOND {
+            break;
+        }
+        table.quarantine.forget(table.now);
+        let trial = table.quarantine.begin_trial(&[digest(1)], table.now);
+        assert_eq!(trial.len(), 1);
+        assert!(table.is_held(digest(1)), "held while it is tried");
+        table.crash(&[digest(1)]);
+        trials += 1;
+    }
+    assert_eq!(trials, 3);
+}
+
+#[test]
+fn a_hold_that_is_learned_lasts_no_longer_than_a_day() {
+    let mut table = Table::new();
+    let held = HeldRequest {
+        digest: digest(1),
+        crashes: 200,
+        left: Duration::from_millis(u64::MAX),
+    };
+    assert!(table.quarantine.learn(held, table.now));
+    assert!(table.release(digest(1)) <= 2 * 86_400 * SECOND);
+}
+
+#[test]
+fn what_is_learned_twice_is_no_news() {
+    let mut table = Table::new();
+    let held = HeldRequest {
+        digest: digest(1),
+        crashes: 3,
+        left: 30 * SECOND,
+    };
+    assert!(table.quarantine.learn(held, table.now));
+    assert!(!table.quarantine.learn(held, table.now));
+    assert!(table.is_held(digest(1)));
+}
+
+#[test]
+fn suspects_are_forgotten() {
+    let mut table = Table::new();
+    table.crash(&[digest(1)]);
+    table.now += 121 * SECOND;
+    table.quarantine.forget(table.now);
+    assert!(table.quarantine.is_empty());
+}
+
+#[test]
+fn the_table_stays_bounded_and_keeps_what_ended_most() {
+    let mut table = Table::new();
+    for _ in 0..4 {
+        table.crash(&[digest(0)]);
+    }
+    for number in 1..10_000 {
+        table.crash(&[digest(number)]);
+    }
+    let (all, held) = table.quarantine.sizes(table.now);
+    assert_eq!((all, held), (4096, 1));
+    for number in 1..1000 {
+        for _ in 0..3 {
+            table.crash(&[digest(number)]);
+        }
+    }
+    let (all, held) = table.quarantine.sizes(table.now);
+    assert!(all <= 4096 && held <= 256, "{all} suspects, {held} held");
+    assert!(table.is_held(digest(0)), "it ended more than the others");
+}
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::{
+    crashes::{CrashReport, HeldRequest, RequestDigest},
     peer::{CallMessage, Frame, Message},
     tables::{BackendState, Load, PeerStatus, ServiceTime, SlotTimes},
     tenants::quota::QuotaGrant,
@@ -22,6 +23,10 @@
     ]
 }
 
+fn digest() -> impl Strategy<Value = RequestDigest> {
+    any::<[u8; 16]>().prop_map(RequestDigest)
+}
+
 fn load() -> impl Strategy<Value = Load> {
     (any::<[u16; 6]>(), any::<u8>()).prop_map(
         |([limit, in_flight, queued, wait_ms, service_ms, offered], failing)| Load {
@@ -136,6 +141,16 @@
             }
         }),
         grant().prop_map(Message::QuotaGrant),
+        (any::<u64>(), prop::collection::vec(digest(), 0..8))
+            .prop_map(|(id, suspects)| Message::Crashed(CrashReport { id, suspects })),
+        (digest(), any::<u8>(), any::<u64>()).prop_map(|(digest, crashes, left_ms)| {
+            Message::Held(HeldRequest {
+                digest,
+                crashes,
+                left: Duration::from_millis(left_ms),
+            })
+        }),
+        digest().prop_map(Message::Cleared),
     ]
 }
 
