--- a/crates/tallybridge-mesh/src/crashes/exposed.rs
+++ b/crates/tallybridge-mesh/src/crashes/exposed.rs
@@ -159,10 +159,16 @@
         None
     }
 
-    /// Whether calls were broken off and none is left that was not: so it looks when a back end ends.
+    /// Whether calls were broken off and none goes on that began before: so it looks when a back end
+    /// ends.
     #[must_use]
     pub fn all_broke(&self) -> bool {
-        self.running.is_empty() && self.ended.iter().any(|call| call.is_broken)
+        let broken = self.ended.iter().filter(|call| call.is_broken);
+        let Some(last_broke) = broken.map(|call| call.ended).max() else {
+            return false;
+        };
+        let mut running = self.running.values();
+        running.all(|call| call.began > last_broke)
     }
 
     /// The back end lives: what was broken off was not broken off by its end.
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -227,6 +227,14 @@
     assert!(!exposed.calls.all_broke(), "one goes on");
     exposed.calls.end(id, ExposureEnd::Broken, exposed.now);
     assert!(exposed.calls.all_broke());
+    exposed.now += Duration::from_millis(1);
+    exposed
+        .calls
+        .begin(&message, &exposed.instance, exposed.now);
+    assert!(
+        exposed.calls.all_broke(),
+        "the new one finds out for itself"
+    );
     exposed.calls.forget_broken();
     assert!(!exposed.calls.all_broke());
     assert_eq!(exposed.suspects("i-1", &["broken"]), [false], "it lives");
--- a/crates/tallybridge/src/command_line/explain/from_logs.rs
+++ b/crates/tallybridge/src/command_line/explain/from_logs.rs
@@ -10,6 +10,8 @@
 
 /// What stands between the name of an attempt and that of a call that it made.
 const NESTED: char = '.';
+/// Hexadecimal digits of the digest by which nodes know a request.
+const DIGEST_DIGITS: usize = 32;
 /// Lines about no request are shown from this long before the request's first line to as long
 /// after its last: a link that falls silent is told of up to a second after the calls on it began.
 const AROUND_MS: u64 = 1500;
@@ -17,8 +19,9 @@
 /// What the logs say of a request.
 #[derive(Debug)]
 pub struct LoggedPath {
-    /// Lines about the request and the calls that were made for it, and lines about no request of
-    /// the nodes that wrote those, in the order of their clocks.
+    /// Lines about the request and the calls that were made for it, lines about no request of the nodes
+    /// that wrote those, and those of the crashes for which it is held back, in the order of their
+    /// clocks.
     pub lines: Vec<LogLine>,
     /// Lines that could not be read, in all files.
     unreadable: usize,
@@ -46,9 +49,12 @@
             return Err(unknown(attempt, files.len(), lines.len(), unreadable));
         };
         let nodes: BTreeSet<&str> = own.iter().map(|line| line.node.as_str()).collect();
+        let digests = digests_held_back(&own);
         let is_shown = |line: &&LogLine| {
             let is_around = line.attempt.is_none() && nodes.contains(line.node.as_str());
-            speaks_of(line, attempt) || (is_around && span.has(line))
+            let is_of_crash =
+                line.attempt.is_none() && digests.iter().any(|digest| line.facts.contains(digest));
+            speaks_of(line, attempt) || is_of_crash || (is_around && span.has(line))
         };
         let mut shown: Vec<LogLine> = lines.iter().filter(is_shown).cloned().collect();
         shown.sort_by(|left, right| left.time.cmp(&right.time));
@@ -135,6 +141,17 @@
         .map_or_else(String::new, |kind| format!(": {}", kind.answer().hint))
 }
 
+/// Digests of the request and its calls where they were held back for crashes: the crashes are told of by
+/// other nodes and at other times, with the digest alone.
+fn digests_held_back<'a>(lines: &[&'a LogLine]) -> BTreeSet<&'a str> {
+    let quarantined = ErrorKind::Quarantined.name();
+    let held = lines
+        .iter()
+        .filter(|line| line.reason.as_deref() == Some(quarantined));
+    let words = held.flat_map(|line| line.facts.split(|sign: char| !sign.is_ascii_hexdigit()));
+    words.filter(|word| word.len() == DIGEST_DIGITS).collect()
+}
+
 fn speaks_of(line: &LogLine, attempt: &str) -> bool {
     let Some(of) = &line.attempt else {
         return false;
