A home of limits that is one again gives out nothing of the time between

Cause: a node that was the home of a tenant, was not for a while (lost, paused, or thought so by others) and is one again kept its bucket, which had filled meanwhile as if nobody had given out anything. Found by the soak of processes: 287 requests of 284 allowed in five seconds.

Change: a bucket that was not asked for until the nodes in reach changed begins at that change, with no more than a new home has. A pause of the process counts as such a change.

A request may run that is read after its key was given again: the soak's oracle took it for a broken revocation; traced (sent 0.45 s before the node took the version with the key, read after).

--- a/crates/tallybridge-mesh/src/node/tenants.rs
+++ b/crates/tallybridge-mesh/src/node/tenants.rs
@@ -57,9 +57,8 @@
         self.quota.home.forget_idle(now);
     }
 
-    /// Forgets the buckets that were kept here: another node may have kept them since.
+    /// What was kept here counts as not kept until now: another node may have been the home meanwhile.
     pub(super) fn begin_quota_anew(&mut self, now: Moment) {
-        self.quota.home.forget_all();
         self.quota.home_since = now;
     }
 
--- a/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Holds no more than so many tokens, with none that came before a time.
+    pub fn begin_anew(&mut self, most: f64, since: Moment) {
+        self.level = self.level.min(most);
+        self.filled_at = since;
+    }
+
     /// Takes a token, and up to `ahead` more if the bucket is more than half full without them:
     /// tokens that are held elsewhere may expire unused, which a tenant near its limit would miss.
     pub fn take(&mut self, ahead: u32, now: Moment) -> u32 {
--- a/crates/tallybridge-mesh/src/tenants/quota/home.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/home.rs
@@ -14,6 +14,10 @@
 /// Part of what is allowed beyond a limit that a new home begins with.
 const FIRST_PART: f64 = 0.25;
 
+/// A home that was not asked for this time before the nodes in reach changed may have been none meanwhile.
+/// A tenant that matters for its limit asks several times in it.
+const SHORTEST_BREAK: Duration = Duration::from_millis(150);
+
 #[derive(Debug)]
 struct HomeRow {
     bucket: TokenBucket,
@@ -61,8 +65,8 @@
     }
 
     /// Gives a tenant a token, and up to `ahead` more if it is far from its limit. A bucket that this
-    /// node has not kept so far begins at `since`, when another node may still have been the tenant's
-    /// home.
+    /// node has not kept so far, or not without a break, begins at `since`: before that another node may
+    /// have been the tenant's home.
     pub fn grant(&mut self, tenant: &Tenant, ahead: u32, since: Moment, now: Moment) -> QuotaGrant {
         let Some(limit) = tenant.limit else {
             return QuotaGrant::Tokens(1 + ahead);
@@ -73,6 +77,12 @@
             bucket: TokenBucket::new(limit, level, since),
             asked_at: now,
         });
+        // It was the home of the tenant without a break only if it was asked until then. What came to the
+        // bucket in a break may have been given out by another home.
+        let break_length = since.saturating_duration_since(row.asked_at);
+        if break_length >= SHORTEST_BREAK {
+            row.bucket.begin_anew(level, since);
+        }
         row.asked_at = now;
         row.bucket.set_limit(limit, now);
         match row.bucket.take(ahead, now) {
@@ -81,11 +91,6 @@
         }
     }
 
-    /// Forgets all buckets.
-    pub fn forget_all(&mut self) {
-        self.rows.clear();
-    }
-
     /// Forgets buckets that nobody has asked for.
     pub fn forget_idle(&mut self, now: Moment) {
         self.rows
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -117,6 +117,36 @@
         prop_assert!(most as f64 <= allowed(rate), "{most} of {}", allowed(rate));
     }
 
+    /// Three nodes take turns as the home, as when one of them is lost and found again. Each knows what it
+    /// gave out itself, and nothing of what the others did meanwhile. Seen on a fleet of processes that are
+    /// paused and killed: 287 requests of 284 allowed in five seconds, and on large fleets 635 above a
+    /// tenant's rate and burst: a home that was one again gave out what had come since it last was.
+    #[test]
+    fn homes_that_take_turns_give_out_no_more_than_one(
+        rate in 5.0..300.0_f64,
+        entries in 1_usize..40,
+        gaps_us in prop::collection::vec(10_u64..4_000, 2_000..4_000),
+        turn_ms in 200_u64..900,
+    ) {
+        let began = Moment::now();
+        let tenant = tenant(rate);
+        let mut homes = [0; 3].map(|_| QuotaHome::new(SLACK));
+        let mut nodes: Vec<Entry> = (0..entries).map(|_| Entry::default()).collect();
+        let mut now = began;
+        let mut admitted = Vec::new();
+        for (number, gap) in gaps_us.iter().enumerate() {
+            now += Duration::from_micros(*gap);
+            let turn = now.saturating_duration_since(began).as_millis() as u64 / turn_ms;
+            let since = began + Duration::from_millis(turn * turn_ms);
+            let home = &mut homes[(turn % 3) as usize];
+            if nodes[number % entries].admits(&tenant, home, since, now) {
+                admitted.push(now);
+            }
+        }
+        let most = busiest_window(&admitted);
+        prop_assert!(most as f64 <= allowed(rate), "{most} of {}", allowed(rate));
+    }
+
     /// A tenant that asks for four fifths of its limit, at any number of entries, is never refused,
     /// also right after all nodes have lost what they knew.
     #[test]
