--- a/crates/tallybridge-mesh/src/crashes/quarantine.rs
+++ b/crates/tallybridge-mesh/src/crashes/quarantine.rs
@@ -57,14 +57,14 @@
     pub suspects: Vec<RequestDigest>,
 }
 
-/// A request that is held back.
+/// A request that is held back, or a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldRequest {
     /// Which.
     pub digest: RequestDigest,
     /// Back ends that ended under it.
     pub crashes: u8,
-    /// For how long it is still held back.
+    /// For how long it is still held back; zero for a suspect that is not.
     pub left: Duration,
 }
 
@@ -169,14 +169,14 @@
         Some(held)
     }
 
-    /// Takes in that another node holds a request back; `true` when that is news.
+    /// Takes in what another node knows of a request; `true` when that is news.
     pub fn learn(&mut self, held: HeldRequest, now: Moment) -> bool {
-        if self.was_cleared(held.digest, now) || held.left.is_zero() {
+        if self.was_cleared(held.digest, now) {
             return false;
         }
         let record = self.records.entry(held.digest);
         let record = record.or_insert_with(|| Record::suspect(now));
-        let is_longer = record.left(now) + TRIAL / 2 < held.left;
+        let is_longer = !held.left.is_zero() && record.left(now) + TRIAL / 2 < held.left;
         let is_news = is_longer || record.crashes < held.crashes;
         record.crashes = record.crashes.max(held.crashes);
         if is_longer {
@@ -254,6 +254,24 @@
         .collect()
     }
 
+    /// What a node that may have lost it has to know: requests that are held back, and suspects of one crash
+    /// less. Those with the most crashes, where there are many.
+    #[must_use]
+    pub fn worth_keeping(&self, now: Moment) -> Vec<HeldRequest> {
+        let is_kept = |record: &Record| record.crashes + 1 >= CRASHES_TO_HOLD;
+        let kept = self.records.iter().filter(|(_, record)| is_kept(record));
+        let mut kept: Vec<_> = kept
+            .map(|(digest, record)| HeldRequest {
+                digest: *digest,
+                crashes: record.crashes,
+                left: record.left(now),
+            })
+            .collect();
+        kept.sort_by_key(|held| std::cmp::Reverse((held.crashes, held.left)));
+        kept.truncate(MAX_HELD);
+        kept
+    }
+
     /// Forgets what is too old.
     pub fn forget(&mut self, now: Moment) {
         self.records.retain(|_, record| record.is_remembered(now));
--- a/crates/tallybridge-mesh/src/node/crashes.rs
+++ b/crates/tallybridge-mesh/src/node/crashes.rs
@@ -113,10 +113,11 @@
         }
     }
 
-    /// Takes in a report of a crash, and passes it on if it is news; `true` when requests are held back
-    /// for it.
+    /// Takes in a report of a crash, and passes it on if it is news; `true` when there is more to be kept for
+    /// nodes that lose what they know.
     pub fn take_in_crash(&self, report: CrashReport) -> bool {
-        let held = self.tables().quarantine.take_in(&report, Moment::now());
+        let now = Moment::now();
+        let held = self.tables().quarantine.take_in(&report, now);
         let Some(held) = held else {
             return false;
         };
@@ -128,11 +129,14 @@
                 "request held back"
             );
         }
+        let kept = self.tables().quarantine.worth_keeping(now);
+        let is_kept = |suspect: &RequestDigest| kept.iter().any(|kept| kept.digest == *suspect);
+        let is_more = report.suspects.iter().any(is_kept);
         self.pass_on(Message::Crashed(report));
-        !held.is_empty()
+        is_more
     }
 
-    /// Takes in that another node holds a request back, and passes that on if it is news.
+    /// Takes in what another node knows of a request, and passes that on if it is news.
     pub fn learn_held(&self, held: HeldRequest) {
         if self.tables().quarantine.learn(held, Moment::now()) {
             self.pass_on(Message::Held(held));
@@ -159,7 +163,13 @@
         }
     }
 
-    /// All requests that are held back, for a node that may not know of them.
+    /// Held requests and suspects of which a node that starts has to know.
+    #[must_use]
+    pub fn suspects_worth_keeping(&self) -> Vec<HeldRequest> {
+        self.tables().quarantine.worth_keeping(Moment::now())
+    }
+
+    /// All requests that are held back.
     #[must_use]
     pub fn held_requests(&self) -> Vec<HeldRequest> {
         self.tables().quarantine.all_held(Moment::now())
@@ -171,7 +181,7 @@
         self.tables().quarantine.sizes(Moment::now())
     }
 
-    /// Waits until requests are held back for a crash of the back end beside this node.
+    /// Waits until there is more to be kept for a crash of the back end beside this node.
     pub async fn holds_changed(&self) {
         self.holds_changed.notified().await;
     }
--- a/crates/tallybridge-mesh/src/peer/accept.rs
+++ b/crates/tallybridge-mesh/src/peer/accept.rs
@@ -103,7 +103,7 @@
     send(&sender, Message::Clock { now_ms });
     send(&sender, Message::Status(node.status()));
     send_confirmation(&node, &sender);
-    for held in node.held_requests() {
+    for held in node.suspects_worth_keeping() {
         send(&sender, Message::Held(held));
     }
     let mut published = node.published();
--- a/crates/tallybridge-mesh/src/peer/dial.rs
+++ b/crates/tallybridge-mesh/src/peer/dial.rs
@@ -118,7 +118,7 @@
     if node.wants_nodes() {
         link.send(&Frame::of_link(Message::FetchNodes));
     }
-    for held in node.held_requests() {
+    for held in node.suspects_worth_keeping() {
         link.send(&Frame::of_link(Message::Held(held)));
     }
     let writing = tokio::spawn(write_frames(writer, frames));
--- a/crates/tallybridge-mesh/src/store/holds.rs
+++ b/crates/tallybridge-mesh/src/store/holds.rs
@@ -1,7 +1,7 @@
 //! Held requests in the store, so that they outlive the loss of all nodes.
 //!
-//! The node beside the back end whose crash made a request held writes all that are held into the
-//! register, behind the nodes. Whoever reads the register learns of them, so a node that starts needs no
+//! The node beside a back end whose crash made a request held, or all but held, writes all such requests into
+//! the register, behind the nodes. Whoever reads the register learns of them, so a node that starts needs no
 //! call of its own.
 
 use std::{sync::Arc, time::Duration};
@@ -26,7 +26,7 @@
 /// Time in which further holds of one series of crashes are written with the first.
 const GATHER: Duration = Duration::from_millis(150);
 
-/// A held request as it is stored.
+/// A held request, or a suspect, as it is stored.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredHold {
     digest: RequestDigest,
@@ -79,7 +79,7 @@
     let mut backoff = Backoff::new();
     loop {
         sleep(GATHER).await;
-        let held = node.held_requests();
+        let held = node.suspects_worth_keeping();
         if held.is_empty() {
             return Ok(());
         }
@@ -92,7 +92,7 @@
         };
         // Written anew when there is more, renewed until then.
         while timeout(RENEWAL, node.holds_changed()).await.is_err() {
-            if node.held_requests().is_empty() {
+            if node.suspects_worth_keeping().is_empty() {
                 return Ok(());
             }
             count(node);
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -414,6 +414,25 @@
     assert!(table.is_held(digest(1)));
 }
 
+#[test]
+fn a_suspect_of_two_crashes_is_held_at_the_next_by_a_node_that_was_told() {
+    let mut table = Table::new();
+    table.crash(&[digest(1), digest(2)]);
+    table.crash(&[digest(1)]);
+    let kept = table.quarantine.worth_keeping(table.now);
+    let told: Vec<_> = kept
+        .iter()
+        .map(|kept| (kept.digest, kept.crashes))
+        .collect();
+    assert_eq!(told, [(digest(1), 2)], "one crash says little");
+    let mut started = Table::new();
+    started.now = table.now;
+    assert!(started.quarantine.learn(kept[0], started.now));
+    assert!(!started.is_held(digest(1)));
+    started.crash(&[digest(1)]);
+    assert!(started.is_held(digest(1)));
+}
+
 #[test]
 fn suspects_are_forgotten() {
     let mut table = Table::new();
