--- a/crates/tallybridge/tests/command_line/explain_logs.rs
+++ b/crates/tallybridge/tests/command_line/explain_logs.rs
@@ -153,3 +153,31 @@
     let report = explain("cc", &both, &missing).await.refusal(64);
     assert!(report.contains("cannot be used with"), "{report}");
 }
+
+#[tokio::test]
+async fn a_request_held_back_for_crashes_shows_those_of_other_nodes_and_times() {
+    let table = explain("c4x334", &[], &logs("crashed")).await.output();
+    let digest = "0d6c92893e58bf87994c6e1e726e24f1";
+    let crash = row(
+        &table,
+        &["node-4", "back end ended without notice", digest, "calls=1"],
+    );
+    let held = row(
+        &table,
+        &["node-2", "request held back", digest, "crashes=4"],
+    );
+    let refused = row(
+        &table,
+        &["c4x334", "request refused at its entry", "quarantined"],
+    );
+    assert!(crash < held && held < refused, "in the order of time");
+    assert!(refused.contains("outcome=\"not-run\""), "{refused}");
+    assert!(
+        !table.contains("c11x70"),
+        "another attempt of the same request"
+    );
+    row(
+        &table,
+        &["ended by quarantined of c4x334 at", "node-0", "its digest"],
+    );
+}
