--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -90,9 +90,23 @@
     for (name, value) in gauges {
         line(&mut text, name, "gauge", value);
     }
+    shed_routes(&mut text, node);
     text
 }
 
+/// The share of fresh requests that is let in, of routes of which some are refused.
+fn shed_routes(text: &mut String, node: &Node) {
+    let _ = writeln!(text, "# TYPE tallybridge_route_admitted_percent gauge");
+    for (route, share) in node.shed_routes() {
+        let percent = (share * 100.0) as u64;
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "tallybridge_route_admitted_percent{{route={route:?}}} {percent}"
+        );
+    }
+}
+
 fn line(text: &mut String, name: &str, kind: &str, value: u64) {
     // Writing to a string can't fail.
     let _ = writeln!(
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -1,6 +1,7 @@
 //! What a node tells the others, and knows of them.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -210,6 +211,18 @@
         self.tables().shedding.answered(route, rank, well, times);
     }
 
+    /// Routes of which not every fresh request is let in, with the least share that is.
+    #[must_use]
+    pub fn shed_routes(&self) -> BTreeMap<Arc<str>, f64> {
+        let tables = self.tables();
+        let mut routes = BTreeMap::new();
+        for (route, share) in tables.shedding.shed_routes() {
+            let least = routes.entry(route.clone()).or_insert(share);
+            *least = share.min(*least);
+        }
+        routes
+    }
+
     /// Whether a fresh request is let in.
     #[must_use]
     pub fn admits(&self, route: &Route, service: &Arc<str>, rank: TenantRank) -> bool {
--- a/crates/tallybridge-mesh/src/tables/shedding/costs.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/costs.rs
@@ -23,10 +23,12 @@
 
 impl RouteCosts {
     /// Takes in what an answer cost. A failure may have ended before all its calls were made: it
-    /// tells something only while nothing better is known.
-    pub fn answered(&mut self, well: bool, times: &SlotTimes) {
-        if !well && self.is_known() {
-            return;
+    /// tells something only while nothing better is known. Returns whether this answer made the
+    /// services known that the route needs.
+    pub fn answered(&mut self, well: bool, times: &SlotTimes) -> bool {
+        let was_known = self.is_known();
+        if !well && was_known {
+            return false;
         }
         self.answers = self.answers.saturating_add(1);
         let gain = GAIN.max(1.0 / f64::from(self.answers));
@@ -41,6 +43,7 @@
         }
         self.seconds
             .retain(|_, seconds| *seconds > LEAST_COST / 8.0);
+        !was_known && self.is_known()
     }
 
     /// The least share that is let in, to learn what the route costs.
--- a/crates/tallybridge-mesh/src/tables/shedding/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/mod.rs
@@ -133,11 +133,22 @@
             return;
         }
         let key = (route.name.clone(), rank.after);
-        if let Some(share) = self.shares.get_mut(&key) {
-            share.costs.answered(well, times);
+        let Some(share) = self.shares.get_mut(&key) else {
+            return;
+        };
+        if share.costs.answered(well, times) {
+            let needs: Vec<_> = share.costs.known().into_iter().flatten().collect();
+            tracing::info!(route = %route.name, ?needs, "services that a route needs are known");
         }
     }
 
+    /// Routes of which not every fresh request is let in, with the share that is.
+    pub fn shed_routes(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let shares = self.shares.iter();
+        let shed = shares.filter(|(_, share)| share.admitted < 1.0);
+        shed.map(|((route, _), share)| (route, share.admitted))
+    }
+
     /// Whether every fresh request is let in.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod chain;
 pub mod overload;
 
 use std::{sync::atomic::AtomicU64, time::Duration};
