Failures teach which services a route needs, and never that it does not need one

Cause: what a request costs each service was learned from the first four answers of its route, also from failures, and a failure told only of calls that had ended well. After a loss of all nodes into an overload these four were failures of chains whose deepest call was turned away: the route was taken to need nothing but its own service, was let in whole, failed, and later failures were passed over. Change: a nested call that ends badly adds what it cost at the least to its parent; an entry takes failures as a lower bound. Metric tallybridge_route_cost_milliseconds.

--- a/crates/tallybridge-mesh/src/door/metrics.rs
+++ b/crates/tallybridge-mesh/src/door/metrics.rs
@@ -91,9 +91,22 @@
         line(&mut text, name, "gauge", value);
     }
     shed_routes(&mut text, node);
+    route_costs(&mut text, node);
     text
 }
 
+/// What a request of each route costs each service, as its answers told.
+fn route_costs(text: &mut String, node: &Node) {
+    let _ = writeln!(text, "# TYPE tallybridge_route_cost_milliseconds gauge");
+    for ((route, service), cost) in node.route_costs() {
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "tallybridge_route_cost_milliseconds{{route={route:?},service={service:?}}} {cost:.1}"
+        );
+    }
+}
+
 /// The share of fresh requests that is let in, of routes of which some are refused.
 fn shed_routes(text: &mut String, node: &Node) {
     let _ = writeln!(text, "# TYPE tallybridge_route_admitted_percent gauge");
--- a/crates/tallybridge-mesh/src/node/fleet.rs
+++ b/crates/tallybridge-mesh/src/node/fleet.rs
@@ -16,12 +16,16 @@
     configuration::Route,
     peer::{dial::keep_link, link::Link},
     tables::{
-        BackendState, FirstSending, FoundParent, InstanceState, LinkOrder, Load, NodeRecord,
-        Parent, PeerStatus, PeerTable, Repeat, SlotTimes,
+        BackendState, FirstSending, FoundParent, InstanceState, LinkOrder, Load, NestedEnd,
+        NodeRecord, Parent, PeerStatus, PeerTable, Repeat, SlotTimes,
     },
     tenants::TenantRank,
 };
 
+/// Time that a call of a service takes at the least as long as nobody told: enough for the service
+/// to count as needed by the request that it is part of.
+const LEAST_CALL_TIME: Duration = Duration::from_millis(1);
+
 impl Node {
     /// The introduction of this node. Until its back end has told how many slots it has, it gives
     /// the number that others of the service have, so that the register does not lose it.
@@ -186,7 +190,7 @@
         Some(NestedCall {
             node: self.clone(),
             found,
-            times: None,
+            end: NestedEnd::Badly(SlotTimes::default()),
         })
     }
 
@@ -205,12 +209,39 @@
         times
     }
 
+    /// Time for which a call holds a slot of a service at its fastest back end, as the nodes beside
+    /// these tell; [`LEAST_CALL_TIME`] while none does.
+    fn least_call_time(&self, service: &str) -> Duration {
+        let tables = self.tables();
+        let told = tables.peers.call_times(service).min();
+        told.unwrap_or_default().max(LEAST_CALL_TIME)
+    }
+
     /// A back end answered a request of a route, well or with a failure of its own, after it held
     /// slots for these times.
     pub fn route_answered(&self, route: &Route, rank: TenantRank, well: bool, times: &SlotTimes) {
         self.tables().shedding.answered(route, rank, well, times);
     }
 
+    /// A request of a route that was let in ended without an answer of a back end.
+    pub fn route_unanswered(&self, route: &Route, rank: TenantRank) {
+        self.tables().shedding.unanswered(route, rank);
+    }
+
+    /// What a request of each route costs each service that it is known to need: the route, the
+    /// service, milliseconds of slots. Of ranks of tenants the greatest counts.
+    #[must_use]
+    pub fn route_costs(&self) -> BTreeMap<(Arc<str>, Arc<str>), f64> {
+        let tables = self.tables();
+        let mut costs = BTreeMap::new();
+        for cost in tables.shedding.route_costs() {
+            let key = (cost.route.clone(), cost.service.clone());
+            let greatest: &mut f64 = costs.entry(key).or_default();
+            *greatest = greatest.max(cost.seconds * 1000.0);
+        }
+        costs
+    }
+
     /// Routes of which not every fresh request is let in, with the least share that is.
     #[must_use]
     pub fn shed_routes(&self) -> BTreeMap<Arc<str>, f64> {
@@ -330,7 +361,7 @@
 pub struct NestedCall {
     node: Arc<Node>,
     found: FoundParent,
-    times: Option<SlotTimes>,
+    end: NestedEnd,
 }
 
 impl NestedCall {
@@ -340,10 +371,16 @@
         self.found.parent
     }
 
-    /// It got an answer that is no failure, at this cost. Otherwise the call that made it may fail
-    /// for it.
-    pub fn end_well(&mut self, times: SlotTimes) {
-        self.times = Some(times);
+    /// It is sent to a service. If it gets no answer, that service was needed all the same.
+    pub fn sent_to(&mut self, service: &Arc<str>) {
+        let mut least = SlotTimes::default();
+        least.add(service, self.node.least_call_time(service));
+        self.end = NestedEnd::Badly(least);
+    }
+
+    /// It ended like this. If it ended badly, the call that made it may fail for it.
+    pub fn ended(&mut self, end: NestedEnd) {
+        self.end = end;
     }
 }
 
@@ -351,7 +388,7 @@
     fn drop(&mut self) {
         let parent = &self.found.attempt;
         let mut tables = self.node.tables();
-        tables.running.nested_ended(parent, self.times.as_ref());
+        tables.running.nested_ended(parent, &self.end);
     }
 }
 
--- a/crates/tallybridge-mesh/src/path/entry.rs
+++ b/crates/tallybridge-mesh/src/path/entry.rs
@@ -22,7 +22,7 @@
     node::{NestedCall, Node},
     path::execute::Answered,
     peer::message::CallMessage,
-    tables::Parent,
+    tables::{NestedEnd, Parent},
     tenants::{Tenant, TenantRank},
 };
 
@@ -47,6 +47,9 @@
     let mut nested = attempt.and_then(|attempt| node.nested(attempt));
     let parent = nested.as_ref().map(NestedCall::parent);
     let prepared = prepare(node, &request, parent);
+    if let (Some(nested), Ok(call)) = (&mut nested, &prepared) {
+        nested.sent_to(&call.service);
+    }
     let result = match &prepared {
         Ok(call) => carry_within_quota(node, call).await,
         Err(refusal) => Err(Unanswered::untried(refusal.clone())),
@@ -56,7 +59,8 @@
             counters.answered.fetch_add(1, Ordering::Relaxed);
             let well = answered.answer.status < 500;
             match (&mut nested, &prepared) {
-                (Some(nested), _) if well => nested.end_well(answered.times),
+                (Some(nested), _) if well => nested.ended(NestedEnd::Well(answered.times)),
+                (Some(nested), _) => nested.ended(NestedEnd::Badly(answered.times)),
                 (None, Ok(call)) => {
                     let rank = rank_of(call.tenant.as_deref());
                     node.route_answered(&call.route, rank, well, &answered.times);
@@ -66,6 +70,9 @@
             answered.answer
         }
         Err(unanswered) => {
+            if let (None, Ok(call)) = (&nested, &prepared) {
+                node.route_unanswered(&call.route, rank_of(call.tenant.as_deref()));
+            }
             counters.count_refused(unanswered.refusal.kind);
             log_refusal(node, &request, prepared.as_ref().ok(), &unanswered, arrived);
             refusal_answer(&unanswered.refusal)
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -17,7 +17,7 @@
     BackendState, Choice, Executor, LinkOrder, NodeRecord, PeerStatus, PeerTable, TenantHome,
 };
 pub use retries::{FirstSending, Repeat, RetryBudgets};
-pub use running::{FoundParent, Parent, RunningAttempts};
+pub use running::{FoundParent, NestedEnd, Parent, RunningAttempts};
 pub use shedding::{RootShedding, ServiceViews};
 pub use slot_times::{ServiceTime, SlotTimes};
 pub use watchers::WatcherTable;
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -225,6 +225,14 @@
             .map(|row| (&row.service, &row.status))
     }
 
+    /// Mean times that calls of a service are with its back ends, as far as these are told.
+    pub fn call_times(&self, service: &str) -> impl Iterator<Item = Duration> {
+        let of_service = self.statuses().filter(move |(name, _)| &***name == service);
+        let told = of_service.map(|(_, status)| status.load.service_ms);
+        told.filter(|service_ms| *service_ms > 0)
+            .map(|service_ms| Duration::from_millis(service_ms.into()))
+    }
+
     /// Slots that back ends of a service have, to start from before the own one told its.
     #[must_use]
     pub fn usual_slots(&self, service: &str) -> Option<u32> {
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -24,6 +24,15 @@
     pub parent: Parent,
 }
 
+/// How a nested call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NestedEnd {
+    /// With an answer that is no failure, at this cost.
+    Well(SlotTimes),
+    /// With a failure, a refusal or not at all, at this cost at the least.
+    Badly(SlotTimes),
+}
+
 #[derive(Debug)]
 struct Running {
     parent: Parent,
@@ -97,19 +106,19 @@
         }
     }
 
-    /// A nested call ended: with what it cost, or badly with `None`.
-    pub fn nested_ended(&mut self, parent: &Bytes, times: Option<&SlotTimes>) {
+    /// A nested call ended. What one that ended badly cost counts as well: a request that fails
+    /// since a service deep down is full would otherwise never show that it needs that service.
+    pub fn nested_ended(&mut self, parent: &Bytes, end: &NestedEnd) {
         let Some(running) = self.0.get_mut(parent) else {
             return;
         };
         running.open = running.open.saturating_sub(1);
-        match times {
-            Some(times) => running.times_below.add_all(times),
-            None => running.has_failed_below = true,
-        }
+        let (NestedEnd::Well(times) | NestedEnd::Badly(times)) = end;
+        running.times_below.add_all(times);
+        running.has_failed_below |= matches!(end, NestedEnd::Badly(_));
     }
 
-    /// What the nested calls of a running call cost that ended well.
+    /// What the nested calls of a running call cost that have ended.
     #[must_use]
     pub fn times_below(&self, attempt: &Bytes) -> SlotTimes {
         let running = self.0.get(attempt);
--- a/crates/tallybridge-mesh/src/tables/shedding/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/shedding/mod.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// What a request of a route costs a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RouteCost<'a> {
+    /// The route.
+    pub route: &'a Arc<str>,
+    /// The service.
+    pub service: &'a Arc<str>,
+    /// Time for which its slots are held, in seconds.
+    pub seconds: f64,
+}
+
 /// The share of fresh requests that is let in, for each route.
 #[derive(Debug, Default)]
 pub struct RootShedding {
@@ -142,6 +153,26 @@
         }
     }
 
+    /// A request of a route ended without an answer of a back end.
+    pub fn unanswered(&mut self, route: &Route, rank: TenantRank) {
+        let key = (route.name.clone(), rank.after);
+        if let Some(share) = self.shares.get_mut(&key) {
+            share.costs.unanswered();
+        }
+    }
+
+    /// What a request of each route costs each service that it is known to need, in seconds.
+    pub fn route_costs(&self) -> impl Iterator<Item = RouteCost<'_>> {
+        self.shares.iter().flat_map(|((route, _), share)| {
+            let costs = share.costs.known().into_iter().flatten();
+            costs.map(move |(service, seconds)| RouteCost {
+                route,
+                service,
+                seconds,
+            })
+        })
+    }
+
     /// Routes of which not every fresh request is let in, with the share that is.
     pub fn shed_routes(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
         let shares = self.shares.iter();
@@ -198,6 +229,7 @@
     fn forget_idle(&mut self) {
         self.shares.retain(|_, share| {
             share.idle_looks += 1;
+            share.costs.look();
             share.idle_looks <= FORGET_AFTER
         });
     }
--- a/crates/tallybridge-mesh/tests/recovery.rs
+++ b/crates/tallybridge-mesh/tests/recovery.rs
@@ -12,7 +12,11 @@
 
 use std::{fmt, time::Duration};
 
-use self::support::chain::{CallPlan, ChainFleet, ChainPlan, Counts, Demand, ServicePlan};
+use self::support::chain::{
+    ChainFleet,
+    node::Counts,
+    plan::{CallPlan, ChainPlan, Demand, ServicePlan},
+};
 
 const DEEPEST: usize = 3;
 /// Place of the urgent route.
@@ -137,3 +141,56 @@
     }
     assert!(failed.is_empty(), "not back: {failed:?}");
 }
+
+/// A chain of so many services, of which one has few slots. Reads and payments go all the way down
+/// and payments make twice the calls there; visits end at the first service.
+fn chain_of(depth: usize, narrow: usize) -> ChainPlan {
+    let service = |index: usize| {
+        let slots = if index == narrow { 12 } else { 400 };
+        ServicePlan::new(&format!("s{index}"), slots, &[0.7, 0.9, 1.4])
+    };
+    let way = |calls: usize| {
+        let deepest = CallPlan::new(depth - 1, 20, Vec::new());
+        let above = (0..depth - 1).rev();
+        let whole = above.fold(deepest.times(calls), |calls, service| {
+            vec![CallPlan::new(service, 10, calls)]
+        });
+        whole.into_iter().next().unwrap().within(1500)
+    };
+    ChainPlan {
+        services: (0..depth).map(service).collect(),
+        demands: vec![
+            demand("read", 2, 60.0, way(2)),
+            demand("payment", 0, 20.0, way(4)),
+            demand("visit", 2, 20.0, CallPlan::new(0, 20, Vec::new())),
+        ],
+        cold: Duration::from_secs(3),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_chain_of_any_depth_with_any_service_short_is_back_after_a_loss_of_all() {
+    let mut failed = Vec::new();
+    for (depth, short, shortage, late_ms) in [
+        (2, 1, 1.5, 0),
+        (2, 1, 8.0, 1000),
+        (5, 2, 3.0, 500),
+        (5, 4, 1.2, 0),
+        (5, 4, 5.0, 300),
+        (12, 6, 4.0, 1000),
+        (12, 11, 2.0, 0),
+        (23, 22, 4.0, 500),
+    ] {
+        let plan = chain_of(depth, short).asking(short, 1, shortage);
+        let mut fleet = ChainFleet::new(plan);
+        fleet.run(Duration::from_secs(3)).await;
+        fleet.leave(short, 1);
+        let course = Course::run(fleet, short, Duration::from_millis(late_ms)).await;
+        let case = (depth, short, shortage, late_ms);
+        println!("{case:?}: {course}");
+        if !course.is_back() {
+            failed.push(case);
+        }
+    }
+    assert!(failed.is_empty(), "not back: {failed:?}");
+}
--- a/crates/tallybridge-mesh/tests/running.rs
+++ b/crates/tallybridge-mesh/tests/running.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tallybridge_mesh::tables::{FoundParent, Parent, RunningAttempts, SlotTimes};
+use tallybridge_mesh::tables::{FoundParent, NestedEnd, Parent, RunningAttempts, SlotTimes};
 
 fn parent_of(is_urgent: bool) -> Parent {
     Parent {
@@ -42,10 +42,10 @@
     assert!(!running.may_fail_for_another(&root), "it made none");
     running.nested_begins(&root);
     assert!(running.may_fail_for_another(&root), "one is open");
-    running.nested_ended(&root, Some(&SlotTimes::default()));
+    running.nested_ended(&root, &NestedEnd::Well(SlotTimes::default()));
     assert!(!running.may_fail_for_another(&root), "it ended well");
     running.nested_begins(&root);
-    running.nested_ended(&root, None);
+    running.nested_ended(&root, &NestedEnd::Badly(SlotTimes::default()));
     assert!(running.may_fail_for_another(&root), "it failed");
     running.end(&root);
     assert!(!running.may_fail_for_another(&root), "nothing is kept");
@@ -61,10 +61,10 @@
     times.add(&"middle".into(), Duration::from_millis(50));
     for _ in 0..2 {
         running.nested_begins(&root);
-        running.nested_ended(&root, Some(&times));
+        running.nested_ended(&root, &NestedEnd::Well(times.clone()));
     }
     running.nested_begins(&root);
-    running.nested_ended(&root, None);
+    running.nested_ended(&root, &NestedEnd::Badly(SlotTimes::default()));
     let below = running.times_below(&root);
     assert_eq!(below.of("deep"), Duration::from_millis(40));
     assert_eq!(below.of("middle"), Duration::from_millis(100));
@@ -84,3 +84,17 @@
     let found = running.parent_of(b"a.b").expect("it runs");
     assert!(found.parent.is_repeat);
 }
+
+#[test]
+fn what_a_failed_call_cost_adds_up_as_well() {
+    let mut running = RunningAttempts::default();
+    let root = Bytes::from_static(b"ab12");
+    running.begin(&root, parent_of(false));
+    let mut least = SlotTimes::default();
+    least.add(&"deep".into(), Duration::from_millis(30));
+    running.nested_begins(&root);
+    running.nested_ended(&root, &NestedEnd::Badly(least));
+    assert!(running.may_fail_for_another(&root));
+    let below = running.times_below(&root);
+    assert_eq!(below.of("deep"), Duration::from_millis(30));
+}
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -6,8 +6,8 @@
 //! do. What an answer tells is put together by the product's own table of running calls. Left out:
 //! links and their delays, budgets of repeats, the choice among back ends by news that is old.
 
-mod node;
-mod plan;
+pub mod node;
+pub mod plan;
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,10 +22,9 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use self::node::{ChainNode, Tally};
-pub use self::{
-    node::Counts,
-    plan::{CallPlan, ChainPlan, Demand, ServicePlan},
+use self::{
+    node::{ChainNode, Counts, Tally},
+    plan::{CallPlan, ChainPlan, Demand},
 };
 use super::route;
 
@@ -35,6 +34,8 @@
 const STEPS_PER_LOOK: u32 = 10;
 /// Time in which a request is refused rather than held.
 const WAIT: Duration = Duration::from_millis(300);
+/// Time that a call is taken to hold a slot at the least.
+const LEAST_CALL_TIME: Duration = Duration::from_millis(1);
 /// Share of the time left that a nested call may wait.
 const NESTED_WAIT: f64 = 0.6;
 
@@ -172,7 +173,7 @@
 }
 
 /// How a call ended.
-enum Ended {
+pub enum Ended {
     Answered { well: bool, times: SlotTimes },
     Refused,
 }
@@ -203,7 +204,10 @@
                 entry.answered(&self.route, well, &times);
                 self.tally.ended(self.demand, well);
             }
-            Ended::Refused => self.tally.refused(self.demand),
+            Ended::Refused => {
+                entry.unanswered(&self.route);
+                self.tally.refused(self.demand);
+            }
         }
     }
 
@@ -275,7 +279,15 @@
         node.nested_begins(&call.name, plan.service);
         let ended = self.carry(&nested).await;
         let well = matches!(ended, Ended::Answered { well: true, .. });
-        node.nested_ended(&call.name, &ended);
+        let of_service = self
+            .nodes
+            .iter()
+            .filter(|node| node.service == plan.service);
+        let times = of_service.map(ChainNode::call_time);
+        let least = times.filter(|time| !time.is_zero()).min();
+        let least = least.unwrap_or_default().max(LEAST_CALL_TIME);
+        let service = &self.plan.services[plan.service].name;
+        node.nested_ended(&call.name, &ended, service, least);
         well
     }
 }
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -14,7 +14,8 @@
 use tallybridge_mesh::{
     Route,
     tables::{
-        BackendState, Parent, PeerStatus, RootShedding, RunningAttempts, ServiceViews, SlotTimes,
+        BackendState, NestedEnd, Parent, PeerStatus, RootShedding, RunningAttempts, ServiceViews,
+        SlotTimes,
     },
     work::{NoSlot, Slot, Work},
 };
@@ -148,6 +149,10 @@
         self.state().shedding.answered(route, rank(), well, times);
     }
 
+    pub fn unanswered(&self, route: &Route) {
+        self.state().shedding.unanswered(route, rank());
+    }
+
     pub fn begin(&self, name: &str, parent: Parent) -> RunningCall<'_> {
         let name = Bytes::copy_from_slice(name.as_bytes());
         self.state().running.begin(&name, parent);
@@ -161,13 +166,24 @@
         state.called.insert(service);
     }
 
-    pub fn nested_ended(&self, parent: &str, ended: &Ended) {
+    /// A call of a service ended, which takes so long at the least.
+    pub fn nested_ended(&self, parent: &str, ended: &Ended, service: &Arc<str>, least: Duration) {
         let parent = Bytes::copy_from_slice(parent.as_bytes());
-        let times = match ended {
-            Ended::Answered { well: true, times } => Some(times),
-            _ => None,
+        let end = match ended {
+            Ended::Answered { well: true, times } => NestedEnd::Well(times.clone()),
+            Ended::Answered { well: false, times } => NestedEnd::Badly(times.clone()),
+            Ended::Refused => {
+                let mut times = SlotTimes::default();
+                times.add(service, least);
+                NestedEnd::Badly(times)
+            }
         };
-        self.state().running.nested_ended(&parent, times);
+        self.state().running.nested_ended(&parent, &end);
+    }
+
+    /// Mean time that calls are with the back end.
+    pub fn call_time(&self) -> Duration {
+        Duration::from_millis(self.work.load().service_ms.into())
     }
 }
 
--- a/crates/tallybridge-mesh/tests/support/chain/plan.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/plan.rs
@@ -103,15 +103,18 @@
 }
 
 impl ChainPlan {
-    /// Times as much as a service can do that is asked of it.
-    pub fn shortage(&self, service: usize) -> f64 {
-        let asked = self
-            .demands
-            .iter()
-            .map(|demand| demand.per_second * demand.call.seconds_at(service));
+    /// The same fleet with so much traffic that of a service of which so many back ends are left so
+    /// many times as much is asked as these can do.
+    pub fn asking(mut self, service: usize, left: usize, shortage: f64) -> Self {
         let plan = &self.services[service];
-        let left = &plan.speeds[..plan.left];
-        let speed: f64 = left.iter().sum::<f64>() / plan.slowed;
-        asked.sum::<f64>() / (speed * f64::from(plan.slots))
+        let speed: f64 = plan.speeds[..left].iter().sum();
+        let can_do = speed * f64::from(plan.slots);
+        let asked = self.demands.iter();
+        let asked = asked.map(|demand| demand.per_second * demand.call.seconds_at(service));
+        let factor = shortage * can_do / asked.sum::<f64>();
+        for demand in &mut self.demands {
+            demand.per_second *= factor;
+        }
+        self
     }
 }
