A back end that starts again under its id is another start; entries of other writers name nobody

Cause: a start of a back end was known by its id alone. One that crashed and came back under its id had its reports dropped as late, stayed out for good if it had left, and its crash was not seen; calls that hung at the start before, as behind a cut, went on to their deadline. Change: `Incarnation`, an id with the number of its start, wherever this start is meant (calls handed over, suspects of crashes, restarts); ids stay text and do not mix with it. Reports tell when their start began: later ones void what was learned of the start before (sequence, cold time, failures, slots in use, connections, calls under way, which may have run), earlier ones change nothing. One that seems earlier and was never heard of is believed after a second in which the known one says nothing, as its clock was set back; its notice to leave holds at once, until the known one reports. What broke off before a back end was found to be back is blamed once a later start shows that it ended. Weighed: comparing beginnings alone (a clock that steps back makes the newer start look old for ever); a counter of our own by what connections do (a back end that is back within 5 ms looks alive).

--- a/crates/tallybridge-mesh/examples/crash_cost.rs
+++ b/crates/tallybridge-mesh/examples/crash_cost.rs
@@ -3,7 +3,7 @@
 //!
 //! `cargo run --release -p tallybridge-mesh --example crash_cost`
 
-use std::{hint::black_box, sync::Arc, time::Instant as Clock};
+use std::{hint::black_box, time::Instant as Clock};
 
 use bytes::Bytes;
 use tallybridge_mesh::clock::Moment;
@@ -11,6 +11,7 @@
     crashes::{CallContent, CrashReport, ExposedCalls, ExposureEnd, Quarantine, RequestDigest},
     peer::message::CallMessage,
     seam::HeaderNames,
+    tables::Incarnation,
 };
 
 const ROUNDS: usize = 21;
@@ -62,12 +63,12 @@
 }
 
 fn main() {
-    let instance: Arc<str> = "i-1".into();
+    let incarnation = Incarnation::new("i-1".into(), 1);
     let mut exposed = ExposedCalls::new(NAMES, Moment::now());
     report("handed over and answered", |calls| {
         let now = Moment::now();
         for call in calls {
-            let id = exposed.begin(call, &instance, now);
+            let id = exposed.begin(call, &incarnation, now);
             black_box(exposed.end(id, ExposureEnd::Answered, now));
         }
     });
--- a/crates/tallybridge-mesh/src/crashes/exposed.rs
+++ b/crates/tallybridge-mesh/src/crashes/exposed.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
-    sync::Arc,
     time::Duration,
 };
 
@@ -12,10 +11,10 @@
     digest::{CallContent, ContentHashes, RequestDigest, RequestDigests},
     recent::RecentAnswers,
 };
-use crate::{clock::Moment, peer::message::CallMessage, seam::HeaderNames};
+use crate::{clock::Moment, peer::message::CallMessage, seam::HeaderNames, tables::Incarnation};
 
 /// A call that was broken off is a suspect if the back end is found to have ended within this time:
-/// a back end is back some seconds after it ended, and is known by another instance then.
+/// a back end is back some seconds after it ended, and is known by another id or start then.
 const BROKEN_FOR: Duration = Duration::from_secs(10);
 /// The same of one that was withdrawn: most back ends drop it at once, some work on.
 const WITHDRAWN_FOR: Duration = Duration::from_secs(1);
@@ -47,7 +46,7 @@
 pub struct RunningCall {
     head: Bytes,
     body: Bytes,
-    instance: Arc<str>,
+    incarnation: Incarnation,
     began: Moment,
 }
 
@@ -63,10 +62,13 @@
 struct EndedCall {
     digests: RequestDigests,
     hashes: ContentHashes,
-    instance: Arc<str>,
+    incarnation: Incarnation,
     began: Moment,
     ended: Moment,
     is_broken: bool,
+    /// Whether a connection went through after it broke off: only a newer start under the same id
+    /// shows that its back end ended nevertheless.
+    is_absolved: bool,
 }
 
 impl EndedCall {
@@ -115,14 +117,19 @@
         }
     }
 
-    /// A call is handed to an instance.
-    pub fn begin(&mut self, call: &CallMessage, instance: &Arc<str>, now: Moment) -> ExposureId {
+    /// A call is handed to a back end.
+    pub fn begin(
+        &mut self,
+        call: &CallMessage,
+        incarnation: &Incarnation,
+        now: Moment,
+    ) -> ExposureId {
         let id = ExposureId(self.next);
         self.next += 1;
         let running = RunningCall {
             head: call.head.clone(),
             body: call.body.clone(),
-            instance: instance.clone(),
+            incarnation: incarnation.clone(),
             began: now,
         };
         self.running.insert(id, running);
@@ -145,14 +152,9 @@
                 if self.ended.len() >= MAX_ENDED {
                     self.ended.pop_front();
                 }
-                self.ended.push_back(EndedCall {
-                    digests: content.digests(),
-                    hashes: content.hashes(self.secret),
-                    instance: call.instance,
-                    began: call.began,
-                    ended: now,
-                    is_broken: end == ExposureEnd::Broken,
-                });
+                let is_broken = end == ExposureEnd::Broken;
+                let ended = self.ended_call(&call, is_broken, now);
+                self.ended.push_back(ended);
             }
         }
         None
@@ -162,7 +164,8 @@
     /// ends.
     #[must_use]
     pub fn all_broke(&self) -> bool {
-        let broken = self.ended.iter().filter(|call| call.is_broken);
+        let broken = self.ended.iter();
+        let broken = broken.filter(|call| call.is_broken && !call.is_absolved);
         let Some(last_broke) = broken.map(|call| call.ended).max() else {
             return false;
         };
@@ -170,16 +173,56 @@
         running.all(|call| call.began > last_broke)
     }
 
-    /// The back end lives: what was broken off was not broken off by its end.
-    pub fn forget_broken(&mut self) {
-        self.ended.retain(|call| !call.is_broken);
+    /// The back end lives, or is back already: as far as is known, what was broken off was not
+    /// broken off by its end.
+    pub fn absolve_broken(&mut self) {
+        for call in self.ended.iter_mut().filter(|call| call.is_broken) {
+            call.is_absolved = true;
+        }
+    }
+
+    /// A back end ended. Gives what it had been handed, once.
+    pub fn take(&mut self, incarnation: &Incarnation, now: Moment) -> Exposure {
+        let mut calls = self.take_ended(incarnation, now);
+        calls.retain(|call| !call.is_absolved);
+        self.judge(calls)
+    }
+
+    /// A back end ended, as it has started again under its id. Gives what it had been handed, once:
+    /// also what it is still believed to be at work on, and, if nothing else shows what broke off at
+    /// its end, what broke off before it was found to be back.
+    pub fn take_restarted(&mut self, incarnation: &Incarnation, now: Moment) -> Exposure {
+        let mut calls = self.take_ended(incarnation, now);
+        let running = self.running.values();
+        let running = running.filter(|call| call.incarnation == *incarnation);
+        calls.extend(running.map(|call| self.ended_call(call, true, now)));
+        if calls.iter().any(|call| call.is_broken && !call.is_absolved) {
+            calls.retain(|call| !call.is_absolved);
+        }
+        self.judge(calls)
+    }
+
+    fn ended_call(&self, call: &RunningCall, is_broken: bool, now: Moment) -> EndedCall {
+        let content = call.content(&self.names);
+        EndedCall {
+            digests: content.digests(),
+            hashes: content.hashes(self.secret),
+            incarnation: call.incarnation.clone(),
+            began: call.began,
+            ended: now,
+            is_broken,
+            is_absolved: false,
+        }
+    }
+
+    fn take_ended(&mut self, incarnation: &Incarnation, now: Moment) -> Vec<EndedCall> {
+        let ended = std::mem::take(&mut self.ended).into_iter();
+        let of_this =
+            |call: &EndedCall| call.incarnation == *incarnation && call.is_remembered(now);
+        ended.filter(of_this).collect()
     }
 
-    /// An instance ended. Gives what it had been handed, once.
-    pub fn take(&mut self, instance: &str, now: Moment) -> Exposure {
-        let ended = std::mem::take(&mut self.ended);
-        let of_instance = |call: &EndedCall| *call.instance == *instance && call.is_remembered(now);
-        let mut calls: Vec<_> = ended.into_iter().filter(of_instance).collect();
+    fn judge(&mut self, mut calls: Vec<EndedCall>) -> Exposure {
         calls.sort_by_key(|call| std::cmp::Reverse(call.began));
         let mut exposure = Exposure {
             calls: calls.len(),
--- a/crates/tallybridge-mesh/src/door/control.rs
+++ b/crates/tallybridge-mesh/src/door/control.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     http::{Answer, Connection, HttpLimits, Request, RequestHandler, client::connect},
+    log_limit::LogLimit,
     node::Node,
-    seam::ControlRequest,
+    seam::{ControlRequest, InstanceReport},
     tables::InstanceState,
 };
 
@@ -30,14 +31,14 @@
         match node.platform.control_request(&request.head, &request.body) {
             ControlRequest::Readiness if node.is_ready() => Answer::new(200, "ready\n"),
             ControlRequest::Readiness => Answer::new(503, "not ready\n"),
-            ControlRequest::Report(report) => {
-                node.report(&report);
-                Answer::new(200, "{}").with_header("Content-Type", "application/json")
-            }
-            ControlRequest::Malformed(reason) => {
-                tracing::warn!(reason, "malformed report, the last belief stays");
-                Answer::new(400, reason)
-            }
+            ControlRequest::Report(report) => match self.of_other_service(&report) {
+                Some(reason) => malformed(reason),
+                None => {
+                    node.report(&report);
+                    Answer::new(200, "{}").with_header("Content-Type", "application/json")
+                }
+            },
+            ControlRequest::Malformed(reason) => malformed(reason),
             ControlRequest::Unknown => Answer::new(404, "unknown path\n"),
         }
     }
@@ -55,6 +56,26 @@
     }
 }
 
+impl ControlHandler {
+    /// Why a report names no back end to use here: it is of another service.
+    fn of_other_service(&self, report: &InstanceReport) -> Option<String> {
+        let own = &self.0.settings.backend.service;
+        let other = report.service.as_ref().filter(|service| *service != own)?;
+        Some(format!(
+            "service {other:?} has no back end beside this node"
+        ))
+    }
+}
+
+/// Answers a report that names no back end to use. Others may send any number of them.
+fn malformed(reason: String) -> Answer {
+    static MALFORMED: LogLimit = LogLimit::new();
+    if let Some(left_out) = MALFORMED.line() {
+        tracing::warn!(reason, left_out, "malformed report, the last belief stays");
+    }
+    Answer::new(400, reason)
+}
+
 /// Asks the back end who it is, whenever that must be known before it gets work.
 pub async fn verify_instance(node: Arc<Node>) {
     loop {
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -8,10 +8,12 @@
 pub mod body;
 pub mod client;
 pub mod head;
+mod kept;
 pub mod server;
 
 pub use answer::Answer;
 pub use body::{BodyError, BodyLength, BodyReader};
 pub use client::{Connection, ExchangeError, ExchangeStage, Received};
 pub use head::{HeadError, HeaderLines, RequestHead, ResponseHead};
+pub use kept::KeptConnection;
 pub use server::{HttpLimits, Request, RequestHandler, serve_connection};
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decision_log;
 pub mod door;
 pub mod http;
+pub mod log_limit;
 pub mod node;
 pub mod offered_work;
 pub mod path;
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -1,7 +1,5 @@
 //! What a node does about the back end beside it.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -9,7 +7,7 @@
 use crate::{
     clock::Moment,
     seam::InstanceReport,
-    tables::{FailingChange, InstanceState, Load, ReportEffect},
+    tables::{Ended, FailingChange, Incarnation, InstanceState, Load, ReportEffect},
 };
 
 impl Node {
@@ -30,6 +28,7 @@
         match effect {
             ReportEffect::Nothing => {}
             ReportEffect::Verify => self.verify.notify_one(),
+            ReportEffect::Restarted(ended) => self.instance_restarted(&ended),
             ReportEffect::Changed => {
                 tracing::info!(
                     instance = report.instance,
@@ -42,6 +41,40 @@
         }
     }
 
+    /// The back end has started again under its id. It knows nothing of what the start before it was
+    /// handed, and nothing that was learned of that one holds.
+    fn instance_restarted(&self, ended: &Ended) {
+        tracing::warn!(
+            instance = ended.incarnation.id(),
+            had_left = ended.had_left,
+            "back end has started again under its id"
+        );
+        let crash = {
+            let mut tables = self.tables();
+            tables.failing.forget();
+            tables.take_crash_before_restart(ended, Moment::now())
+        };
+        self.work.forget_instance();
+        self.backend.clear();
+        self.restarts.send_modify(|starts| *starts += 1);
+        if let Some(crash) = crash {
+            self.report_crash(crash);
+        }
+        self.verify.notify_one();
+        self.instance_changed();
+    }
+
+    /// Waits until the back end has started again after a start of it.
+    pub async fn start_is_over(&self, incarnation: &Incarnation) {
+        let mut restarts = self.restarts.subscribe();
+        loop {
+            let is_over = self.tables().instance.is_restarted_after(incarnation);
+            if is_over || restarts.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     pub(super) fn adopt_slots(&self, tables: &Tables) {
         self.work.set_slots(self.own_or_usual_slots(tables));
     }
@@ -72,7 +105,7 @@
 
     /// The instance that may be handed work now.
     #[must_use]
-    pub fn instance_for_work(&self) -> Option<Arc<str>> {
+    pub fn instance_for_work(&self) -> Option<Incarnation> {
         self.tables().instance.takes_work(Instant::now())
     }
 
@@ -81,16 +114,16 @@
         let mut ended = None;
         let changed = {
             let mut tables = self.tables();
-            let before = tables.instance.id().cloned();
-            let is_other = before.as_deref().is_none_or(|id| id != instance);
-            if let Some(before) = before.filter(|_| is_other) {
-                ended = tables.take_crash(&before, Moment::now());
-            }
+            let current = tables.instance.current();
+            let is_other = current.is_none_or(|current| current.id() != instance);
             if is_other {
+                ended = tables.take_crash(Moment::now());
                 tables.failing.forget();
                 self.work.forget_instance();
             }
-            let changed = tables.instance.verified(instance, is_healthy);
+            let changed = tables
+                .instance
+                .verified(instance, is_healthy, Instant::now());
             self.adopt_slots(&tables);
             changed
         };
--- a/crates/tallybridge-mesh/src/node/crashes.rs
+++ b/crates/tallybridge-mesh/src/node/crashes.rs
@@ -21,6 +21,7 @@
         exposed::Exposure,
     },
     peer::message::{CallMessage, Frame, Message},
+    tables::{Ended, Incarnation},
 };
 
 /// Time in which all calls at a back end that has ended are found to be broken off.
@@ -34,24 +35,42 @@
 /// A back end that ended without notice.
 #[derive(Debug)]
 pub(super) struct Crash {
-    instance: Arc<str>,
+    incarnation: Incarnation,
     exposure: Exposure,
 }
 
-impl Tables {
-    /// What an instance that ended had been handed; `None` where it had said that it leaves, or where
-    /// this is known already.
-    pub(super) fn take_crash(&mut self, instance: &Arc<str>, now: Moment) -> Option<Crash> {
-        let exposure = self.exposed.take(instance, now);
-        let has_left = self.instance.has_left(instance);
-        let is_crash = exposure.calls > 0 && !has_left;
-        is_crash.then(|| Crash {
-            instance: instance.clone(),
+impl Crash {
+    /// A crash, if the back end was at work and had not said that it leaves.
+    fn of(incarnation: &Incarnation, exposure: Exposure, had_left: bool) -> Option<Self> {
+        let is_crash = exposure.calls > 0 && !had_left;
+        is_crash.then(|| Self {
+            incarnation: incarnation.clone(),
             exposure,
         })
     }
 }
 
+impl Tables {
+    /// What the current start of the back end, which ended, had been handed; `None` where it had said
+    /// that it leaves, or where this is known already.
+    pub(super) fn take_crash(&mut self, now: Moment) -> Option<Crash> {
+        let incarnation = self.instance.current()?.clone();
+        let had_left = self.instance.has_left(now.if_awake());
+        let exposure = self.exposed.take(&incarnation, now);
+        Crash::of(&incarnation, exposure, had_left)
+    }
+
+    /// The same of a start after which the back end has started again under its id.
+    pub(super) fn take_crash_before_restart(
+        &mut self,
+        ended: &Ended,
+        now: Moment,
+    ) -> Option<Crash> {
+        let exposure = self.exposed.take_restarted(&ended.incarnation, now);
+        Crash::of(&ended.incarnation, exposure, ended.had_left)
+    }
+}
+
 /// Finds out whether the back end ended whenever all calls at it broke off.
 pub async fn watch_for_crashes(node: Arc<Node>) {
     loop {
@@ -66,7 +85,7 @@
 impl Node {
     /// A back end that refuses connections has ended: nothing but a process that is gone does, on the
     /// same machine. One that lets a connection in lives, and what broke off was a connection each. If
-    /// neither shows, the instance that answers next tells.
+    /// neither shows, the instance that answers next tells, or the start that its reports name.
     async fn probe_back_end(&self) {
         let connecting = TcpStream::connect(self.settings.backend.address);
         let is_gone = match timeout(PROBE, connecting).await {
@@ -75,13 +94,12 @@
             _ => return,
         };
         if !is_gone {
-            self.tables().exposed.forget_broken();
+            self.tables().exposed.absolve_broken();
             return;
         }
         let crash = {
             let mut tables = self.tables();
-            let instance = tables.instance.id().cloned();
-            instance.and_then(|instance| tables.take_crash(&instance, Moment::now()))
+            tables.take_crash(Moment::now())
         };
         self.instance_unreachable();
         if let Some(crash) = crash {
@@ -91,11 +109,14 @@
 
     /// Tells all nodes which requests may be why the back end ended.
     pub(super) fn report_crash(&self, crash: Crash) {
-        let Crash { instance, exposure } = crash;
+        let Crash {
+            incarnation,
+            exposure,
+        } = crash;
         self.counters.crashes.fetch_add(1, Ordering::Relaxed);
         let digests: Vec<_> = exposure.suspects.iter().map(ToString::to_string).collect();
         tracing::warn!(
-            instance = &*instance,
+            instance = incarnation.id(),
             calls = exposure.calls,
             popular = exposure.popular,
             suspects = digests.join(" "),
@@ -224,11 +245,15 @@
 
     /// A call is handed to the back end beside this node.
     #[must_use]
-    pub fn exposes_to(self: &Arc<Self>, call: &CallMessage, instance: &Arc<str>) -> ExposedCall {
+    pub fn exposes_to(
+        self: &Arc<Self>,
+        call: &CallMessage,
+        incarnation: &Incarnation,
+    ) -> ExposedCall {
         let digests = self.digests_if_suspects(call);
         let now = Moment::now();
         let mut tables = self.tables();
-        let id = tables.exposed.begin(call, instance, now);
+        let id = tables.exposed.begin(call, incarnation, now);
         let trials = match &digests {
             Some(digests) => tables.quarantine.begin_trial(digests, now),
             None => Vec::new(),
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -168,6 +168,8 @@
     is_isolated: AtomicBool,
     requests_in_flight: AtomicUsize,
     verify: tokio::sync::Notify,
+    /// Counts the times that the back end started again under its id.
+    restarts: watch::Sender<u64>,
     lease: AtomicU64,
     stop_grace_ms: AtomicU64,
     record_changed: tokio::sync::Notify,
@@ -281,6 +283,7 @@
             is_isolated: AtomicBool::new(false),
             requests_in_flight: AtomicUsize::new(0),
             verify: tokio::sync::Notify::new(),
+            restarts: watch::Sender::new(0),
             lease: AtomicU64::new(0),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             record_changed: tokio::sync::Notify::new(),
--- a/crates/tallybridge-mesh/src/path/execute.rs
+++ b/crates/tallybridge-mesh/src/path/execute.rs
@@ -16,7 +16,7 @@
     http::{Answer, ExchangeError, ExchangeStage, Received, head::write_line},
     node::Node,
     peer::message::CallMessage,
-    tables::{InstanceState, Parent, SlotTimes},
+    tables::{Incarnation, InstanceState, Parent, SlotTimes},
     work::{NoSlot, Slot},
 };
 
@@ -101,7 +101,7 @@
 }
 
 /// The instance that may be handed work now.
-fn instance(node: &Node) -> Result<Arc<str>, Refusal> {
+fn instance(node: &Node) -> Result<Incarnation, Refusal> {
     if node.refuses_work() {
         return Err(Refusal::new(ErrorKind::Leaving, "node is leaving"));
     }
@@ -122,7 +122,7 @@
     deadline: Moment,
 ) -> Result<Answered, Refusal> {
     // Asked again after the wait for a slot: the back end may have said that it leaves.
-    let instance = instance(node)?;
+    let incarnation = instance(node)?;
     let remaining = deadline.saturating_duration_since(Moment::now());
     if remaining < LEAST_TIME {
         let detail = "no time left to run";
@@ -135,12 +135,14 @@
         is_repeat: call.is_repeat,
     };
     let _running = node.attempt_runs(&call.attempt, parent);
-    let exposed = node.exposes_to(call, &instance);
+    let exposed = node.exposes_to(call, &incarnation);
     let ending = CallEnding::begin(node, &call.attempt, deadline);
     let give_up = deadline + BACKEND_GRACE;
-    let exchanged = timeout_at(give_up, exchange(node, call, &instance, deadline)).await;
+    let exchanging = exchange(node, call, incarnation.id(), deadline);
+    let exchanging = unless_restarted(node, &incarnation, exchanging);
+    let exchanged = timeout_at(give_up, exchanging).await;
     let (result, end) = match exchanged {
-        Ok(Ok(received)) => match judge(node, call, &instance, received) {
+        Ok(Ok(received)) => match judge(node, call, incarnation.id(), received) {
             Ok(answer) => (Ok(answer), ExposureEnd::Answered),
             Err(refusal) => (Err(refusal), ExposureEnd::NotRun),
         },
@@ -159,6 +161,22 @@
     })
 }
 
+/// An exchange with one start of the back end. Once that one is over nothing will answer: behind a cut
+/// its connections stay open in silence. The call may have run.
+async fn unless_restarted(
+    node: &Node,
+    incarnation: &Incarnation,
+    exchanging: impl Future<Output = Result<Received, ExchangeError>>,
+) -> Result<Received, ExchangeError> {
+    tokio::select! {
+        biased;
+        exchanged = exchanging => exchanged,
+        () = node.start_is_over(incarnation) => {
+            Err(ExchangeError::sent("back end has started again"))
+        }
+    }
+}
+
 /// Takes in how a call ends at the back end, also when it is withdrawn at its deadline.
 struct CallEnding<'a> {
     node: &'a Node,
--- a/crates/tallybridge-mesh/src/seam.rs
+++ b/crates/tallybridge-mesh/src/seam.rs
@@ -40,8 +40,12 @@
 /// A report of a back end about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceReport {
-    /// Which start of the back end reports.
+    /// The id under which the back end reports; an earlier start may have had it as well.
     pub instance: String,
+    /// When this start of it began, in Unix milliseconds of its clock; `None` when it does not tell.
+    pub born: Option<u64>,
+    /// Its service, when the report says.
+    pub service: Option<String>,
     /// What it says.
     pub state: ReportedState,
     /// Grows with each report; 0 when the report carries none.
--- a/crates/tallybridge-mesh/src/store/register.rs
+++ b/crates/tallybridge-mesh/src/store/register.rs
@@ -12,7 +12,7 @@
     Backoff, count,
     holds::{HOLDS_PREFIX, StoredHolds},
 };
-use crate::{clock::Moment, node::Node, seam::StoreError, tables::NodeRecord};
+use crate::{clock::Moment, log_limit::LogLimit, node::Node, seam::StoreError, tables::NodeRecord};
 
 /// Life of a node's registration without renewal: an outage of the store that is shorter ends none.
 const REGISTRATION: Duration = Duration::from_secs(20);
@@ -40,6 +40,8 @@
 /// Least part of the time between renewals that passes before the first one: nodes that start
 /// together don't renew together.
 const FIRST_RENEWAL_MIN: f64 = 0.25;
+/// Bytes of an entry that can't be read that the log shows.
+const SHOWN_BYTES: usize = 80;
 /// Longest wait for the end of a registration at a stop.
 const UNREGISTER: Duration = Duration::from_millis(200);
 
@@ -220,12 +222,22 @@
         match serde_json::from_slice(record) {
             Ok(Registered::Node(record)) => nodes.push(record),
             Ok(Registered::Holds(holds)) => holds.take_in(node),
-            Err(error) => tracing::warn!(%error, "a registration can't be read"),
+            Err(error) => unreadable(record, &error),
         }
     }
     node.learn_records(nodes);
 }
 
+/// Tells of an entry that another writer made, or that is spoilt: the others hold.
+fn unreadable(record: &[u8], error: &serde_json::Error) {
+    static UNREADABLE: LogLimit = LogLimit::new();
+    if let Some(left_out) = UNREADABLE.line() {
+        let shown = &record[..record.len().min(SHOWN_BYTES)];
+        let record = String::from_utf8_lossy(shown);
+        tracing::warn!(%error, %record, left_out, "a registration can't be read");
+    }
+}
+
 /// Ends the registration.
 pub async fn unregister(node: &Node) {
     if let Some(lease) = node.lease() {
--- a/crates/tallybridge-mesh/src/tables/instance.rs
+++ b/crates/tallybridge-mesh/src/tables/instance.rs
@@ -1,15 +1,20 @@
 //! What a node believes of the back end beside it.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
+use super::{incarnation::Incarnation, leavers::Leavers};
 use crate::seam::{InstanceReport, ReportedState};
 
-/// Instances that have left and are remembered, so that a late report can't revive them.
-const REMEMBERED_LEAVERS: usize = 64;
 /// Time after which a back end that could not be reached is tried again.
 const RETRY_UNREACHABLE: Duration = Duration::from_millis(400);
+/// A start that says that it began before the one that is known, and was never heard of, is believed
+/// once it has reported for so long while the known one said nothing: its clock was set back. Reports of
+/// an older start that were held up come together, and between those of the one that runs.
+const BELIEVE_EARLIER_AFTER: Duration = Duration::from_millis(1000);
+/// Starts of an id that are remembered as over.
+const REMEMBERED_STARTS: usize = 16;
 
 /// Whether the back end takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,7 +33,7 @@
 }
 
 /// What a report changed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReportEffect {
     /// Nothing that others must know.
     Nothing,
@@ -36,28 +41,71 @@
     Verify,
     /// The back end's state changed.
     Changed,
+    /// The back end has started again under its id: the start before it is over.
+    Restarted(Ended),
+}
+
+/// A start of the back end that is over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// The start.
+    pub incarnation: Incarnation,
+    /// Whether it had said that it leaves.
+    pub had_left: bool,
+}
+
+/// Where a report stands to the start that is known.
+enum Reporter {
+    /// It is of that start, or tells nothing else.
+    Known,
+    /// It is of a later one under the same id.
+    Later,
+    /// It is of one that is over, or seems so.
+    Earlier,
+    /// It is of another id.
+    Other,
+}
+
+/// A start that says that it began before the one that is known.
+#[derive(Debug)]
+struct Doubted {
+    born: u64,
+    since: Instant,
 }
 
 /// The back end beside this node.
 #[derive(Debug)]
 pub struct LocalInstance {
     state: InstanceState,
-    id: Option<Arc<str>>,
+    current: Option<Incarnation>,
+    /// When the current start began, in Unix milliseconds of the back end's clock, if it has told.
+    born: Option<u64>,
+    /// Starts of the same id that are over, by when they began.
+    over: Vec<u64>,
+    doubted: Option<Doubted>,
+    /// Id and beginning in the last report of a back end that is to be verified.
+    announced: Option<(String, Option<u64>)>,
+    starts: u64,
     sequence: u64,
     slots: u32,
     cold_until: Option<Instant>,
-    left: VecDeque<String>,
+    leavers: Leavers,
 }
 
 impl Default for LocalInstance {
     fn default() -> Self {
         Self {
             state: InstanceState::Unknown,
-            id: None,
+            current: None,
+            born: None,
+            over: Vec::new(),
+            doubted: None,
+            announced: None,
+            starts: 0,
             sequence: 0,
             slots: 0,
             cold_until: None,
-            left: VecDeque::new(),
+            leavers: Leavers::default(),
         }
     }
 }
@@ -69,10 +117,10 @@
         self.state
     }
 
-    /// The instance that is known, whatever its state.
+    /// The start that is known, whatever its state.
     #[must_use]
-    pub fn id(&self) -> Option<&Arc<str>> {
-        self.id.as_ref()
+    pub fn current(&self) -> Option<&Incarnation> {
+        self.current.as_ref()
     }
 
     /// Requests that it works on at once; 0 while unknown.
@@ -87,79 +135,157 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
-    /// The instance that may be handed work now.
+    /// The start that may be handed work now.
     #[must_use]
-    pub fn takes_work(&self, now: Instant) -> Option<Arc<str>> {
+    pub fn takes_work(&self, now: Instant) -> Option<Incarnation> {
         let takes = match self.state {
             InstanceState::Ready => true,
             InstanceState::Unreachable { retry_at } => now >= retry_at,
             InstanceState::Unknown | InstanceState::Leaving => false,
         };
-        self.id.as_ref().filter(|_| takes).cloned()
+        self.current.as_ref().filter(|_| takes).cloned()
     }
 
-    /// Takes in a report. Once an instance said that it leaves, no report makes it ready again:
-    /// reports may come late and out of order.
+    /// Takes in a report. Once a start said that it leaves, no report makes it ready again: reports
+    /// may come late and out of order.
     pub fn report(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
-        match report.state {
-            ReportedState::Leaving => self.leave(&report.instance),
-            ReportedState::Ready => self.ready(report, now),
+        let reporter = self.reporter(report, now);
+        let ended = match reporter {
+            Reporter::Later => self.restart(report.born, now),
+            _ => None,
+        };
+        let effect = match (reporter, report.state) {
+            (Reporter::Earlier, ReportedState::Ready) => ReportEffect::Nothing,
+            (Reporter::Other, ReportedState::Ready) => self.announce(report, now),
+            (_, ReportedState::Ready) => self.ready(report, now),
+            (reporter, ReportedState::Leaving) => self.leave(&reporter, report, now),
+        };
+        ended.map_or(effect, ReportEffect::Restarted)
+    }
+
+    fn reporter(&mut self, report: &InstanceReport, now: Instant) -> Reporter {
+        if self.current_id() != Some(&*report.instance) {
+            return Reporter::Other;
+        }
+        let Some(born) = report.born else {
+            return Reporter::Known;
+        };
+        let known = *self.born.get_or_insert(born);
+        if born == known {
+            self.doubted = None;
+            return Reporter::Known;
+        }
+        if self.over.contains(&born) {
+            return Reporter::Earlier;
+        }
+        if born > known || self.is_believed(born, now) {
+            return Reporter::Later;
         }
+        Reporter::Earlier
     }
 
-    fn leave(&mut self, instance: &str) -> ReportEffect {
-        if !self.has_left(instance) {
-            self.left.push_back(instance.to_owned());
-            if self.left.len() > REMEMBERED_LEAVERS {
-                self.left.pop_front();
-            }
+    /// Whether a start that says that it began earlier is later all the same.
+    fn is_believed(&mut self, born: u64, now: Instant) -> bool {
+        let doubted = self.doubted.take().filter(|doubted| doubted.born == born);
+        let doubted = doubted.unwrap_or(Doubted { born, since: now });
+        let since = doubted.since;
+        self.doubted = Some(doubted);
+        now.saturating_duration_since(since) >= BELIEVE_EARLIER_AFTER
+    }
+
+    /// Another start has the place of the current one, which is over.
+    fn restart(&mut self, born: Option<u64>, now: Instant) -> Option<Ended> {
+        let before = self.current.clone()?;
+        let had_left = self.leavers.have(before.id(), self.born, now);
+        if self.over.len() == REMEMBERED_STARTS {
+            self.over.remove(0);
         }
-        let is_current = self.id.as_deref().is_none_or(|id| id == instance);
-        if !is_current || self.state == InstanceState::Leaving {
+        self.over.extend(self.born);
+        self.begin(before.id().into(), born);
+        self.state = InstanceState::Unknown;
+        Some(Ended {
+            incarnation: before,
+            had_left,
+        })
+    }
+
+    fn begin(&mut self, id: Arc<str>, born: Option<u64>) {
+        self.starts += 1;
+        self.current = Some(Incarnation::new(id, self.starts));
+        self.born = born;
+        self.doubted = None;
+        self.sequence = 0;
+        self.cold_until = None;
+    }
+
+    fn leave(
+        &mut self,
+        reporter: &Reporter,
+        report: &InstanceReport,
+        now: Instant,
+    ) -> ReportEffect {
+        let is_known = matches!(reporter, Reporter::Known | Reporter::Later);
+        let born = match is_known {
+            true => report.born.or(self.born),
+            false => report.born,
+        };
+        self.leavers.add(&report.instance, born, now);
+        // A start that seems to be over may be the one that runs, behind a clock that was set back: it
+        // gets no work until the one that is known reports again.
+        let is_over = report.born.is_some_and(|born| self.over.contains(&born));
+        let is_here = self.current.is_none() || (self.is_current(&report.instance) && !is_over);
+        if !is_here || self.state == InstanceState::Leaving {
             return ReportEffect::Nothing;
         }
         self.state = InstanceState::Leaving;
         ReportEffect::Changed
     }
 
-    fn ready(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
-        if self.has_left(&report.instance) {
+    fn announce(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
+        if self.leavers.have(&report.instance, report.born, now) {
             return ReportEffect::Nothing;
         }
-        if self.id.as_deref() != Some(&report.instance) || self.state == InstanceState::Unknown {
-            return ReportEffect::Verify;
+        self.announced = Some((report.instance.clone(), report.born));
+        ReportEffect::Verify
+    }
+
+    fn ready(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
+        if self.leavers.have(&report.instance, self.born, now) {
+            return ReportEffect::Nothing;
         }
         if report.sequence < self.sequence {
             return ReportEffect::Nothing;
         }
         self.sequence = report.sequence;
-        let before = (self.state, self.slots);
-        self.slots = report.slots;
+        let slots_before = std::mem::replace(&mut self.slots, report.slots);
         self.cold_until = Some(now + report.cold);
-        if matches!(self.state, InstanceState::Unreachable { .. }) {
-            self.state = InstanceState::Ready;
-        }
-        if before == (self.state, self.slots) {
-            return ReportEffect::Nothing;
+        match self.state {
+            InstanceState::Unknown | InstanceState::Leaving => return ReportEffect::Verify,
+            InstanceState::Unreachable { .. } => self.state = InstanceState::Ready,
+            InstanceState::Ready if slots_before == self.slots => return ReportEffect::Nothing,
+            InstanceState::Ready => {}
         }
         ReportEffect::Changed
     }
 
     /// The back end itself answered a health check. `true` when that changed something.
-    pub fn verified(&mut self, instance: &str, is_healthy: bool) -> bool {
-        let state = if self.has_left(instance) {
+    pub fn verified(&mut self, id: &str, is_healthy: bool, now: Instant) -> bool {
+        let is_other = self.current_id() != Some(id);
+        if is_other {
+            let announced = self
+                .announced
+                .take()
+                .filter(|(announced, _)| announced == id);
+            self.begin(id.into(), announced.and_then(|(_, born)| born));
+            self.over.clear();
+        }
+        let state = if self.leavers.have(id, self.born, now) {
             InstanceState::Leaving
         } else if is_healthy {
             InstanceState::Ready
         } else {
             InstanceState::Unknown
         };
-        let is_other = self.id.as_deref() != Some(instance);
-        if is_other {
-            self.id = Some(instance.into());
-            self.sequence = 0;
-            self.cold_until = None;
-        }
         let changed = is_other || self.state != state;
         self.state = state;
         changed
@@ -191,9 +317,25 @@
         }
     }
 
-    /// Whether an instance said that it leaves.
+    /// Whether the back end has started again under its id since a start.
+    #[must_use]
+    pub fn is_restarted_after(&self, incarnation: &Incarnation) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.id() == incarnation.id() && current != incarnation)
+    }
+
+    /// Whether the current start said that it leaves.
     #[must_use]
-    pub fn has_left(&self, instance: &str) -> bool {
-        self.left.iter().any(|left| left == instance)
+    pub fn has_left(&self, now: Instant) -> bool {
+        let id = self.current_id();
+        id.is_some_and(|id| self.leavers.have(id, self.born, now))
+    }
+
+    fn current_id(&self) -> Option<&str> {
+        self.current.as_ref().map(Incarnation::id)
+    }
+
+    fn is_current(&self, id: &str) -> bool {
+        self.current_id() == Some(id)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,7 +1,9 @@
 //! What a node knows: the back end beside it, and the other nodes.
 
 pub mod failures;
+pub mod incarnation;
 pub mod instance;
+pub mod leavers;
 pub mod load;
 pub mod peers;
 pub mod retries;
@@ -11,7 +13,8 @@
 pub mod watchers;
 
 pub use failures::{FailingChange, FailingShare};
-pub use instance::{InstanceState, LocalInstance, ReportEffect};
+pub use incarnation::Incarnation;
+pub use instance::{Ended, InstanceState, LocalInstance, ReportEffect};
 pub use load::Load;
 pub use peers::{
     BackendState, Choice, Executor, LinkOrder, NodeRecord, PeerStatus, PeerTable, TenantHome,
--- a/crates/tallybridge-mesh/src/tenants/quota/home.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/home.rs
@@ -136,7 +136,8 @@
         let told = row.told.tell(ask, window, now);
         let spent = told.max(row.fleet.within(window, now).into());
         let is_new = now.saturating_duration_since(row.began) < GATHER;
-        if is_new && spent > 0.0 {
+        let knows_earlier = told > 0.0 || ask.fleet.sum() > 0;
+        if is_new && knows_earlier {
             return QuotaGrant::NotHome;
         }
         if spent + 1.0 > self.slack.most_in_window(limit) {
--- a/crates/tallybridge-mesh/src/tenants/quota/window.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/window.rs
@@ -21,7 +21,9 @@
 }
 
 impl WindowParts {
-    fn sum(&self) -> u32 {
+    /// Requests of all parts.
+    #[must_use]
+    pub fn sum(&self) -> u32 {
         self.requests.iter().copied().map(u32::from).sum()
     }
 }
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tallybridge_mesh::clock::Moment;
@@ -14,6 +14,7 @@
     },
     peer::message::CallMessage,
     seam::HeaderNames,
+    tables::Incarnation,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -158,29 +159,36 @@
 /// Calls at one back end, by the letter of what they ask for.
 struct Exposed {
     calls: ExposedCalls,
-    instance: Arc<str>,
+    incarnation: Incarnation,
     now: Moment,
 }
 
+/// The only start of an id.
+fn start_of(id: &str) -> Incarnation {
+    Incarnation::new(id.into(), 1)
+}
+
 impl Exposed {
     fn new() -> Self {
         let now = Moment::now();
         Self {
             calls: ExposedCalls::new(names(), now),
-            instance: "i-1".into(),
+            incarnation: start_of("i-1"),
             now,
         }
     }
 
     fn run(&mut self, body: &str, end: ExposureEnd) {
         let asked = Asked { body, ..ASKED };
-        let id = self.calls.begin(&asked.message(), &self.instance, self.now);
+        let id = self
+            .calls
+            .begin(&asked.message(), &self.incarnation, self.now);
         self.calls.end(id, end, self.now);
     }
 
     /// Whether the request of a body is a suspect when the instance ends.
     fn suspects(&mut self, instance: &str, bodies: &[&str]) -> Vec<bool> {
-        let exposure = self.calls.take(instance, self.now);
+        let exposure = self.calls.take(&start_of(instance), self.now);
         let is_suspect = |body: &&str| {
             let digests = Asked { body, ..ASKED }.digests();
             digests
@@ -222,7 +230,7 @@
     let message = ASKED.message();
     let id = exposed
         .calls
-        .begin(&message, &exposed.instance, exposed.now);
+        .begin(&message, &exposed.incarnation, exposed.now);
     exposed.run("broken", ExposureEnd::Broken);
     assert!(!exposed.calls.all_broke(), "one goes on");
     exposed.calls.end(id, ExposureEnd::Broken, exposed.now);
@@ -230,16 +238,57 @@
     exposed.now += Duration::from_millis(1);
     exposed
         .calls
-        .begin(&message, &exposed.instance, exposed.now);
+        .begin(&message, &exposed.incarnation, exposed.now);
     assert!(
         exposed.calls.all_broke(),
         "the new one finds out for itself"
     );
-    exposed.calls.forget_broken();
+    exposed.calls.absolve_broken();
     assert!(!exposed.calls.all_broke());
     assert_eq!(exposed.suspects("i-1", &["broken"]), [false], "it lives");
 }
 
+#[test]
+fn a_start_under_the_same_id_shows_that_the_back_end_ended_though_it_was_back_at_once() {
+    let mut exposed = Exposed::new();
+    exposed.run("broken", ExposureEnd::Broken);
+    // A connection went through right after: the next start had it already.
+    exposed.calls.absolve_broken();
+    let later = Asked {
+        body: "later",
+        ..ASKED
+    };
+    let next = Incarnation::new("i-1".into(), 2);
+    exposed.calls.begin(&later.message(), &next, exposed.now);
+    let open = Asked {
+        body: "open",
+        ..ASKED
+    };
+    let before = &exposed.incarnation.clone();
+    exposed.calls.begin(&open.message(), before, exposed.now);
+    let exposure = exposed.calls.take_restarted(before, exposed.now);
+    let is_suspect = |body| {
+        let digests = Asked { body, ..ASKED }.digests();
+        digests
+            .iter()
+            .all(|digest| exposure.suspects.contains(digest))
+    };
+    assert!(is_suspect("open"), "it was at work on it");
+    assert!(!is_suspect("broken"), "its end shows at another call");
+    assert!(!is_suspect("later"), "that is at the next start");
+    assert_eq!(exposure.calls, 1);
+}
+
+#[test]
+fn what_broke_off_before_the_back_end_was_back_is_a_suspect_if_nothing_else_is() {
+    let mut exposed = Exposed::new();
+    exposed.run("broken", ExposureEnd::Broken);
+    exposed.calls.absolve_broken();
+    let before = exposed.incarnation.clone();
+    let exposure = exposed.calls.take_restarted(&before, exposed.now);
+    assert_eq!(exposure.calls, 1);
+}
+
 #[test]
 fn a_request_that_was_answered_often_lately_is_no_suspect_of_the_next_crash() {
     let mut exposed = Exposed::new();
@@ -266,11 +315,11 @@
     for _ in 0..3 {
         let id = exposed
             .calls
-            .begin(&others.message(), &exposed.instance, exposed.now);
+            .begin(&others.message(), &exposed.incarnation, exposed.now);
         exposed.calls.end(id, ExposureEnd::Answered, exposed.now);
     }
     exposed.run(ASKED.body, ExposureEnd::Broken);
-    let suspects = exposed.calls.take("i-1", exposed.now).suspects;
+    let suspects = exposed.calls.take(&start_of("i-1"), exposed.now).suspects;
     let [content, from_caller] = ASKED.digests();
     assert!(!suspects.contains(&content), "others are answered");
     assert!(suspects.contains(&from_caller));
