Recovery: half of the nodes lost, one after the other, and costs that were learned wrong

Change: tests in virtual time only: half of all nodes lost, each in turn, and entries that are certain that no route needs any service but its own.

--- a/crates/tallybridge-mesh/tests/recovery.rs
+++ b/crates/tallybridge-mesh/tests/recovery.rs
@@ -194,3 +194,66 @@
     }
     assert!(failed.is_empty(), "not back: {failed:?}");
 }
+
+/// How nodes are lost, though never all at once.
+#[derive(Debug, Clone, Copy)]
+enum Losses {
+    /// Every second node at once.
+    Half,
+    /// One after the other, one a second.
+    InTurn,
+}
+
+#[tokio::test(start_paused = true)]
+async fn losses_of_nodes_one_by_one_or_half_of_them_leave_what_is_served_as_it_was() {
+    let mut failed = Vec::new();
+    for losses in [Losses::Half, Losses::InTurn] {
+        let mut plan = chain();
+        for demand in &mut plan.demands {
+            demand.per_second *= 1.5;
+        }
+        let mut fleet = ChainFleet::new(plan);
+        fleet.run(Duration::from_secs(5)).await;
+        fleet.leave(DEEPEST, 1);
+        fleet.run(Duration::from_secs(10)).await;
+        let before = fleet.run(Duration::from_secs(5)).await;
+        match losses {
+            Losses::Half => fleet.lose_some(0, 2),
+            Losses::InTurn => {
+                let nodes = fleet.len();
+                for node in 0..nodes {
+                    fleet.lose_some(node, nodes);
+                    fleet.run(Duration::from_secs(1)).await;
+                }
+            }
+        }
+        fleet.run(COMES_BACK).await;
+        let after = fleet.run(Duration::from_secs(5)).await;
+        let course = Course { before, after };
+        println!("{losses:?}: {course}");
+        if !course.is_back() {
+            failed.push(losses);
+        }
+    }
+    assert!(failed.is_empty(), "not back: {failed:?}");
+}
+
+/// The most wrong that can be learned: that no route costs any service but its own anything.
+#[tokio::test(start_paused = true)]
+async fn what_is_learned_wrong_is_put_right_within_seconds() {
+    let mut plan = chain();
+    for demand in &mut plan.demands {
+        demand.per_second *= 2.5;
+    }
+    let mut fleet = ChainFleet::new(plan);
+    fleet.run(Duration::from_secs(5)).await;
+    fleet.leave(DEEPEST, 1);
+    fleet.run(Duration::from_secs(10)).await;
+    let before = fleet.run(Duration::from_secs(5)).await;
+    fleet.mislead();
+    fleet.run(COMES_BACK).await;
+    let after = fleet.run(Duration::from_secs(5)).await;
+    let course = Course { before, after };
+    println!("misled: {course}");
+    assert!(course.is_back(), "{course}");
+}
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -43,7 +43,7 @@
 pub struct ChainFleet {
     plan: Arc<ChainPlan>,
     routes: Vec<Arc<Route>>,
-    nodes: Arc<Vec<ChainNode>>,
+    nodes: Arc<Vec<Arc<ChainNode>>>,
     under_way: JoinSet<()>,
     due: Vec<f64>,
     steps: u32,
@@ -77,6 +77,36 @@
         }
     }
 
+    /// Every so many-th node is lost, beginning with the one at a place, with all that it knew, and starts
+    /// again. Back ends live on.
+    pub fn lose_some(&mut self, first: usize, every: usize) {
+        let nodes = self.nodes.iter().enumerate();
+        let nodes = nodes.map(|(index, node)| match index % every == first {
+            true => Arc::new(node.begin_anew()),
+            false => node.clone(),
+        });
+        self.nodes = Arc::new(nodes.collect());
+    }
+
+    /// Every entry takes it for certain that no route costs any service but its own anything.
+    pub fn mislead(&mut self) {
+        for node in self.nodes.iter() {
+            for (route, demand) in self.routes.iter().zip(&self.plan.demands) {
+                let mut times = SlotTimes::default();
+                let own = &self.plan.services[demand.call.service].name;
+                times.add(own, demand.call.work);
+                for _ in 0..200 {
+                    node.answered(route, true, &times);
+                }
+            }
+        }
+    }
+
+    /// Nodes of the fleet.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Nothing but so many back ends of a service are left, from the slowest on.
     pub fn leave(&mut self, service: usize, backends: usize) {
         let nodes = self.nodes.iter().filter(|node| node.service == service);
@@ -156,7 +186,7 @@
 /// A request on its way.
 struct Request {
     plan: Arc<ChainPlan>,
-    nodes: Arc<Vec<ChainNode>>,
+    nodes: Arc<Vec<Arc<ChainNode>>>,
     entry: usize,
     route: Arc<Route>,
     demand: usize,
@@ -231,7 +261,7 @@
         let usable = nodes.filter(|(index, node)| {
             node.service == service && node.takes_work() && !tried.contains(index)
         });
-        let by_room = |node: &ChainNode| (node.utilization() * 1000.0) as u64;
+        let by_room = |node: &Arc<ChainNode>| (node.utilization() * 1000.0) as u64;
         usable
             .min_by_key(|(_, node)| by_room(node))
             .map(|(index, _)| index)
@@ -283,7 +313,7 @@
             .nodes
             .iter()
             .filter(|node| node.service == plan.service);
-        let times = of_service.map(ChainNode::call_time);
+        let times = of_service.map(|node| node.call_time());
         let least = times.filter(|time| !time.is_zero()).min();
         let least = least.unwrap_or_default().max(LEAST_CALL_TIME);
         let service = &self.plan.services[plan.service].name;
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -39,6 +39,7 @@
 #[derive(Debug)]
 pub struct ChainNode {
     pub service: usize,
+    slots: u32,
     work: Work,
     cold: Duration,
     state: Mutex<NodeState>,
@@ -46,7 +47,7 @@
 
 impl ChainNode {
     /// All nodes of a fleet, as they are when they start.
-    pub fn all(plan: &ChainPlan) -> Vec<Self> {
+    pub fn all(plan: &ChainPlan) -> Vec<Arc<Self>> {
         let services = plan.services.iter().enumerate();
         let of_service = services.flat_map(|(index, service)| {
             let backends = service.speeds.iter().enumerate();
@@ -56,8 +57,9 @@
             .map(|(index, service, place, speed)| {
                 let work = Work::default();
                 work.set_slots(service.slots);
-                Self {
+                Arc::new(Self {
                     service: index,
+                    slots: service.slots,
                     work,
                     cold: plan.cold,
                     state: Mutex::new(NodeState {
@@ -69,11 +71,30 @@
                         speed,
                         slowed: service.slowed,
                     }),
-                }
+                })
             })
             .collect()
     }
 
+    /// The node that starts in the place of this one, beside the same back end.
+    pub fn begin_anew(&self) -> Self {
+        let work = Work::default();
+        work.set_slots(self.slots);
+        let state = self.state();
+        Self {
+            service: self.service,
+            slots: self.slots,
+            work,
+            cold: self.cold,
+            state: Mutex::new(NodeState {
+                shedding: RootShedding::default(),
+                running: RunningAttempts::default(),
+                called: HashSet::new(),
+                ..*state
+            }),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, NodeState> {
         self.state.lock().unwrap()
     }
