A node that has just started is no home of tenants until it has found the others

Cause: a node that knows nobody, or reaches none of those in the register and has read the configuration, took itself for the home of every tenant. After a loss of all nodes each did so until its links were up, and gave out a first level. Change: a node can be a home once it reaches most of the nodes in the register, or has tried to for a second since it read it or was first linked to. Requests of limited tenants wait meanwhile as they do for a home that changes. Besides, a token that is all but there was promised for 0.000 s, which means at once: 2 ms at the least.

--- a/crates/tallybridge-mesh/src/node/tenants.rs
+++ b/crates/tallybridge-mesh/src/node/tenants.rs
@@ -18,6 +18,10 @@
 /// configuration. The rest covers the rounding of times that peers tell.
 const REVOKE_PART: f64 = 0.85;
 
+/// Longest time for which a node that has started tries to reach others before it is a home of tenants:
+/// several times what it takes to open links to all.
+const SETTLE: Duration = Duration::from_millis(1000);
+
 /// Limits of tenants at one node.
 pub(super) struct QuotaTables {
     held: HeldTokens,
@@ -28,6 +32,11 @@
     home_since: Moment,
     /// Since when most nodes are out of reach: others may have become the homes meanwhile.
     minority_since: Option<Moment>,
+    /// Since when a node that has started knows others, or that there may be none.
+    knows_since: Option<Moment>,
+    /// Whether it has had time to reach those that it knows. Before that it would take itself for the
+    /// home of every tenant, as would all others that start with it.
+    is_settled: bool,
 }
 
 impl QuotaTables {
@@ -38,13 +47,18 @@
             reached: 0,
             home_since: now,
             minority_since: None,
+            knows_since: None,
+            is_settled: false,
         }
     }
 }
 
 impl Tables {
     /// Takes in which nodes are reached.
-    pub(super) fn note_reached(&mut self, now: Moment) {
+    pub(super) fn note_reached(&mut self, has_read_register: bool, now: Moment) {
+        if !self.quota.is_settled {
+            self.settle_homes(has_read_register, now);
+        }
         let reached = self.peers.reached_fingerprint();
         if reached != self.quota.reached {
             self.quota.reached = reached;
@@ -59,6 +73,18 @@
         self.quota.home.forget_idle(now);
     }
 
+    /// A node that has started can be a home once it reaches most of the nodes in the register, or
+    /// has tried to for a while.
+    fn settle_homes(&mut self, has_read_register: bool, now: Moment) {
+        let has_reached_most = self.peers.reaches_any() && self.peers.reaches_most();
+        if has_read_register || self.peers.reaches_any() {
+            self.quota.knows_since.get_or_insert(now);
+        }
+        let since = self.quota.knows_since;
+        let has_tried = since.is_some_and(|since| now >= since + SETTLE);
+        self.quota.is_settled = has_tried || (has_read_register && has_reached_most);
+    }
+
     /// What was kept here counts as not kept until now: another node may have been the home meanwhile.
     pub(super) fn begin_quota_anew(&mut self, now: Moment) {
         self.quota.home_since = now;
@@ -68,6 +94,9 @@
     /// whether it is cut off, and they have chosen other homes, until the store is read by it or by
     /// a node that it still reaches.
     fn may_be_home(&self) -> bool {
+        if !self.quota.is_settled {
+            return false;
+        }
         let since = self.quota.minority_since;
         since.is_none_or(|since| self.read_at.is_some_and(|read_at| read_at > since))
     }
--- a/crates/tallybridge-mesh/src/tables/peers/home.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/home.rs
@@ -53,6 +53,12 @@
         digests.fold(0, |sum, digest| sum ^ digest)
     }
 
+    /// Whether any node is reached.
+    #[must_use]
+    pub fn reaches_any(&self) -> bool {
+        self.reached() > 0
+    }
+
     /// Whether at least half of the nodes that this one links to are reached.
     #[must_use]
     pub fn reaches_most(&self) -> bool {
--- a/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
+++ b/crates/tallybridge-mesh/src/tenants/quota/bucket.rs
@@ -4,6 +4,9 @@
 
 use crate::{clock::Moment, tenants::RateLimit};
 
+/// Shortest time to come back that is told, in whole milliseconds as callers read it: none would mean
+/// at once.
+const LEAST_WAIT: Duration = Duration::from_millis(2);
 /// Longest time to come back that is told.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
@@ -67,7 +70,7 @@
         let latest = now + MAX_WAIT;
         let place = (self.promised_until + interval).clamp(first, latest);
         self.promised_until = place;
-        place.saturating_duration_since(now)
+        place.saturating_duration_since(now).max(LEAST_WAIT)
     }
 
     /// At least one token fits, or a small limit would never let a request in.
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -423,3 +423,14 @@
     }
     assert_eq!(bucket.take(0, now), 0);
 }
+
+#[test]
+fn a_token_that_is_all_but_there_is_not_promised_for_at_once() {
+    let began = Moment::now();
+    let limit = RateLimit {
+        per_second: 100.0,
+        burst: 1.0,
+    };
+    let mut bucket = TokenBucket::new(limit, 0.999_99, began);
+    assert!(bucket.promise(began) >= Duration::from_millis(2));
+}
