--- a/crates/tallybridge-mesh/tests/shedding.rs
+++ b/crates/tallybridge-mesh/tests/shedding.rs
@@ -2,75 +2,14 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
-
-use tallybridge_mesh::{
-    PolicySettings, Route,
-    tables::{BackendState, Load, PeerStatus, RootShedding, ServiceViews, SlotTimes},
-    tenants::TenantRank,
-};
+use tallybridge_mesh::{PolicySettings, tables::RootShedding, tenants::TenantRank};
 
 use self::support::{
     overload::{ChainFleet, Demand},
     route,
+    shedding::{admitted, admitted_of, learn, seen, views},
 };
 
-/// What one service is told to look like.
-struct Seen {
-    service: &'static str,
-    limit: u16,
-    in_flight: u16,
-    /// Work that arrives, in hundredths of what it can do.
-    offered: u16,
-    called: &'static [&'static str],
-}
-
-fn seen(service: &'static str, busy: (u16, u16, u16), called: &'static [&'static str]) -> Seen {
-    let (limit, in_flight, offered) = busy;
-    Seen {
-        service,
-        limit,
-        in_flight,
-        offered,
-        called,
-    }
-}
-
-fn views(services: &[Seen]) -> ServiceViews {
-    let mut views = ServiceViews::default();
-    for seen in services {
-        let told = PeerStatus {
-            backend: BackendState::Ready,
-            load: Load {
-                limit: seen.limit,
-                in_flight: seen.in_flight,
-                offered: seen.offered,
-                ..Load::default()
-            },
-            calls: seen.called.iter().map(|name| Arc::from(*name)).collect(),
-            ..PeerStatus::default()
-        };
-        views.add(&Arc::from(seen.service), &told, seen.limit > 0);
-    }
-    views
-}
-
-fn admitted(shedding: &mut RootShedding, route: &Route) -> usize {
-    admitted_of(shedding, route, rank())
-}
-
-fn admitted_of(shedding: &mut RootShedding, route: &Route, rank: TenantRank) -> usize {
-    let service = route.parts[0].service.clone();
-    (0..1000)
-        .filter(|_| shedding.admits(route, &service, rank))
-        .count()
-}
-
-/// The rank of requests where no tenant goes before another.
-fn rank() -> TenantRank {
-    TenantRank::default()
-}
-
 #[test]
 fn a_tenant_that_goes_before_another_is_shed_after_it_whatever_the_routes() {
     let mut shedding = RootShedding::default();
@@ -100,18 +39,6 @@
     assert!(payments_of_second < 1000, "something is shed");
 }
 
-/// Ten answers of a route that cost each service the given milliseconds.
-fn learn(shedding: &mut RootShedding, route: &Route, costs: &[(&str, u64)]) {
-    let mut times = SlotTimes::default();
-    for (service, held_ms) in costs {
-        times.add(&Arc::from(*service), Duration::from_millis(*held_ms));
-    }
-    admitted(shedding, route);
-    for _ in 0..10 {
-        shedding.answered(route, rank(), true, &times);
-    }
-}
-
 #[test]
 fn fresh_requests_are_shed_for_a_service_far_below_and_let_in_again() {
     let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
@@ -261,116 +188,6 @@
     assert!(admitted(&mut shedding, &download) < 400);
 }
 
-#[test]
-fn a_route_of_which_nothing_is_known_is_let_in_a_little_until_it_is() {
-    let download = route("download", "h", "/d/", 2, &[("top", 1)]);
-    let mut shedding = RootShedding::default();
-    let full = views(&[
-        seen("top", (100, 10, 10), &["deep"]),
-        seen("deep", (10, 50, 300), &[]),
-    ]);
-    admitted(&mut shedding, &download);
-    for _ in 0..60 {
-        shedding.adapt(&full);
-    }
-    let unknown = admitted(&mut shedding, &download);
-    assert!((100..=200).contains(&unknown), "{unknown} of 1000");
-    learn(&mut shedding, &download, &[("top", 50)]);
-    shedding.adapt(&full);
-    assert_eq!(admitted(&mut shedding, &download), 1000);
-}
-
-/// Answers of a route that are failures, after which it was known to cost this much at the least.
-fn fail(shedding: &mut RootShedding, route: &Route, answers: usize, costs: &[(&str, u64)]) {
-    let mut times = SlotTimes::default();
-    for (service, held_ms) in costs {
-        times.add(&Arc::from(*service), Duration::from_millis(*held_ms));
-    }
-    for _ in 0..answers {
-        shedding.answered(route, rank(), false, &times);
-    }
-}
-
-/// A deep service that is asked for three times what it can do.
-fn full_below() -> ServiceViews {
-    views(&[
-        seen("top", (100, 10, 10), &["deep"]),
-        seen("deep", (10, 50, 300), &[]),
-    ])
-}
-
-#[test]
-fn a_route_that_fails_for_a_service_is_shed_for_it_though_it_once_did_without() {
-    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
-    for first in [true, false] {
-        let mut shedding = RootShedding::default();
-        admitted(&mut shedding, &lookup);
-        if first {
-            learn(&mut shedding, &lookup, &[("top", 50)]);
-        } else {
-            // It failed above the deep service as long as that had no back end.
-            fail(&mut shedding, &lookup, 10, &[("top", 50)]);
-        }
-        fail(&mut shedding, &lookup, 10, &[("top", 50), ("deep", 20)]);
-        for _ in 0..20 {
-            shedding.adapt(&full_below());
-        }
-        let while_full = admitted(&mut shedding, &lookup);
-        assert!(while_full < 400, "{while_full} of 1000");
-    }
-}
-
-#[test]
-fn failures_never_lower_what_a_route_costs() {
-    let balance = route("balance", "h", "/b/", 2, &[("top", 1)]);
-    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
-    let mut shedding = RootShedding::default();
-    learn(&mut shedding, &balance, &[("top", 50), ("deep", 480)]);
-    learn(&mut shedding, &lookup, &[("top", 50), ("deep", 120)]);
-    fail(&mut shedding, &balance, 200, &[("top", 50), ("deep", 1)]);
-    for _ in 0..8 {
-        shedding.adapt(&full_below());
-    }
-    let costly = admitted(&mut shedding, &balance);
-    let cheap = admitted(&mut shedding, &lookup);
-    assert!(costly * 3 < cheap * 2, "{costly} and {cheap} of 1000");
-}
-
-#[test]
-fn a_route_of_which_nothing_is_answered_is_not_let_in_to_learn_for_ever() {
-    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
-    let mut shedding = RootShedding::default();
-    admitted(&mut shedding, &lookup);
-    for _ in 0..8 {
-        shedding.unanswered(&lookup, rank());
-    }
-    for _ in 0..60 {
-        shedding.adapt(&full_below());
-    }
-    let unknown = admitted(&mut shedding, &lookup);
-    assert!(unknown < 50, "{unknown} of 1000");
-}
-
-/// Looks of five seconds.
-const FIVE_SECONDS: usize = 50;
-
-#[test]
-fn what_a_route_needed_before_it_changed_is_forgotten_with_an_answer_now_and_then() {
-    let lookup = route("lookup", "h", "/", 2, &[("top", 1)]);
-    let mut shedding = RootShedding::default();
-    learn(&mut shedding, &lookup, &[("top", 50), ("deep", 100)]);
-    let mut times = SlotTimes::default();
-    times.add(&Arc::from("top"), Duration::from_millis(50));
-    for _ in 0..6 {
-        for _ in 0..FIVE_SECONDS {
-            shedding.adapt(&full_below());
-        }
-        shedding.answered(&lookup, rank(), true, &times);
-    }
-    shedding.adapt(&full_below());
-    assert_eq!(admitted(&mut shedding, &lookup), 1000);
-}
-
 /// Payments that need eight lookups, histories that need four, and direct lookups: what the deepest
 /// service is asked for is a multiple of what it can do.
 fn demands() -> [Demand; 3] {
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod chain;
 pub mod overload;
+pub mod shedding;
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
--- /dev/null
+++ b/crates/tallybridge-mesh/tests/support/shedding.rs
@@ -0,0 +1,96 @@
+//! What services look like to the table that sheds, and what its answers teach it.
+
+use std::{sync::Arc, time::Duration};
+
+use tallybridge_mesh::{
+    Route,
+    tables::{BackendState, Load, PeerStatus, RootShedding, ServiceViews, SlotTimes},
+    tenants::TenantRank,
+};
+
+/// What one service is told to look like.
+pub struct Seen {
+    pub service: &'static str,
+    pub limit: u16,
+    pub in_flight: u16,
+    /// Work that arrives, in hundredths of what it can do.
+    pub offered: u16,
+    pub called: &'static [&'static str],
+}
+
+pub fn seen(service: &'static str, busy: (u16, u16, u16), called: &'static [&'static str]) -> Seen {
+    let (limit, in_flight, offered) = busy;
+    Seen {
+        service,
+        limit,
+        in_flight,
+        offered,
+        called,
+    }
+}
+
+pub fn views(services: &[Seen]) -> ServiceViews {
+    let mut views = ServiceViews::default();
+    for seen in services {
+        let told = PeerStatus {
+            backend: BackendState::Ready,
+            load: Load {
+                limit: seen.limit,
+                in_flight: seen.in_flight,
+                offered: seen.offered,
+                ..Load::default()
+            },
+            calls: seen.called.iter().map(|name| Arc::from(*name)).collect(),
+            ..PeerStatus::default()
+        };
+        views.add(&Arc::from(seen.service), &told, seen.limit > 0);
+    }
+    views
+}
+
+pub fn admitted(shedding: &mut RootShedding, route: &Route) -> usize {
+    admitted_of(shedding, route, rank())
+}
+
+pub fn admitted_of(shedding: &mut RootShedding, route: &Route, rank: TenantRank) -> usize {
+    let service = route.parts[0].service.clone();
+    (0..1000)
+        .filter(|_| shedding.admits(route, &service, rank))
+        .count()
+}
+
+/// The rank of requests where no tenant goes before another.
+pub fn rank() -> TenantRank {
+    TenantRank::default()
+}
+
+/// Ten answers of a route that cost each service the given milliseconds.
+pub fn learn(shedding: &mut RootShedding, route: &Route, costs: &[(&str, u64)]) {
+    let mut times = SlotTimes::default();
+    for (service, held_ms) in costs {
+        times.add(&Arc::from(*service), Duration::from_millis(*held_ms));
+    }
+    admitted(shedding, route);
+    for _ in 0..10 {
+        shedding.answered(route, rank(), true, &times);
+    }
+}
+
+/// Answers of a route that are failures, after which it was known to cost this much at the least.
+pub fn fail(shedding: &mut RootShedding, route: &Route, answers: usize, costs: &[(&str, u64)]) {
+    let mut times = SlotTimes::default();
+    for (service, held_ms) in costs {
+        times.add(&Arc::from(*service), Duration::from_millis(*held_ms));
+    }
+    for _ in 0..answers {
+        shedding.answered(route, rank(), false, &times);
+    }
+}
+
+/// A deep service that is asked for three times what it can do.
+pub fn full_below() -> ServiceViews {
+    views(&[
+        seen("top", (100, 10, 10), &["deep"]),
+        seen("deep", (10, 50, 300), &[]),
+    ])
+}
