--- a/crates/tallybridge-mesh/src/tables/backend/instance/departures.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/departures.rs
@@ -1,56 +1,54 @@
-//! Starts of back ends that said that they leave, so that a late report can't bring one back.
+//! Incarnations that announced that they leave. A late report must not make one of them ready again.
 
 use std::{collections::VecDeque, time::Duration};
 
 use tokio::time::Instant;
 
-/// Departures that are remembered: bounds the memory. Origin not recorded.
-const REMEMBERED: usize = 64;
-/// Time for which an id that left stays out if its reports don't say when a start began, so that a new
-/// start can't be told from a late report of the one that left. Many times as long as reports are late,
-/// and as back ends serve on after their notice. Origin of the figure not recorded.
-const UNIDENTIFIED_FOR: Duration = Duration::from_secs(60);
+/// Bounds the memory use.
+const MAX_DEPARTURES: usize = 64;
+/// Time for which an id stays excluded after its departure if a start time is unknown, because a new
+/// incarnation then cannot be distinguished from a late report of the old one.
+const EXCLUSION_WITHOUT_START_TIME: Duration = Duration::from_secs(60);
 
-/// A start that left.
 #[derive(Debug)]
 struct Departure {
     id: String,
-    /// When it began, in Unix milliseconds of the back end's clock, if known.
+    /// Start time in Unix milliseconds of the back end's clock, if known.
     started_at_ms: Option<u64>,
-    /// When it said that it leaves.
-    at: Instant,
+    announced_at: Instant,
 }
 
-/// The last starts that left, the oldest first.
+/// The most recent departures, oldest first.
 #[derive(Debug, Default)]
 pub(super) struct Departures(VecDeque<Departure>);
 
 impl Departures {
-    /// A start of an id said that it leaves.
-    pub(super) fn add(&mut self, id: &str, started_at_ms: Option<u64>, now: Instant) {
-        let is_same = |left: &Departure| left.id == id && left.started_at_ms == started_at_ms;
-        self.0.retain(|left| !is_same(left));
+    /// Records that an incarnation announced that it leaves.
+    pub(super) fn record(&mut self, id: &str, started_at_ms: Option<u64>, now: Instant) {
+        let is_same =
+            |departure: &Departure| departure.id == id && departure.started_at_ms == started_at_ms;
+        self.0.retain(|departure| !is_same(departure));
         self.0.push_back(Departure {
             id: id.to_owned(),
             started_at_ms,
-            at: now,
+            announced_at: now,
         });
-        if self.0.len() > REMEMBERED {
+        if self.0.len() > MAX_DEPARTURES {
             self.0.pop_front();
         }
     }
 
-    /// Whether a start of an id has left. If it is unknown when either of two starts of one id began,
-    /// they count as the same for a while.
-    pub(super) fn contain(&self, id: &str, started_at_ms: Option<u64>, now: Instant) -> bool {
-        self.0.iter().any(|left| {
-            let are_identified = left.started_at_ms.is_some() && started_at_ms.is_some();
-            let is_same = if are_identified {
-                left.started_at_ms == started_at_ms
+    /// Returns whether an incarnation has announced that it leaves. Incarnations of one id count as the
+    /// same for [`EXCLUSION_WITHOUT_START_TIME`] if the start time of either is unknown.
+    pub(super) fn contains(&self, id: &str, started_at_ms: Option<u64>, now: Instant) -> bool {
+        self.0.iter().any(|departure| {
+            let start_times_known = departure.started_at_ms.is_some() && started_at_ms.is_some();
+            let is_same = if start_times_known {
+                departure.started_at_ms == started_at_ms
             } else {
-                now.saturating_duration_since(left.at) < UNIDENTIFIED_FOR
+                now.saturating_duration_since(departure.announced_at) < EXCLUSION_WITHOUT_START_TIME
             };
-            left.id == id && is_same
+            departure.id == id && is_same
         })
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
@@ -1,43 +1,43 @@
-//! State of the back end, and what a report changes.
+//! State of the back end, and the effects of a report on it.
 
 use tokio::time::Instant;
 
 use crate::tables::backend::incarnation::Incarnation;
 
-/// Whether the back end takes work.
+/// Whether the back end accepts work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InstanceState {
-    /// Not known yet: it is verified before it gets work.
+    /// No health check has verified the back end yet, so it gets no work.
     Unknown,
-    /// It takes work.
+    /// The back end accepts work.
     Ready,
-    /// It said that it leaves: it gets no work.
+    /// The back end announced that it leaves, so it gets no work.
     Leaving,
-    /// It could not be reached.
+    /// The node could not connect to the back end.
     Unreachable {
-        /// When it is tried again.
+        /// Time from which the back end gets work again, to find out whether it can be reached.
         retry_at: Instant,
     },
 }
 
-/// What a report changed.
+/// What the node must do after a report.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReportEffect {
-    /// Nothing that others must know.
+    /// The report changed nothing that other nodes need.
     Nothing,
-    /// The back end must be asked who it is before it gets work.
+    /// The node must run a health check before the back end gets work.
     Verify,
-    /// The back end's state or slots changed.
+    /// The node must publish the new state or number of slots.
     Changed,
-    /// The back end has started again under its id: the start before it is over.
+    /// The back end restarted under its id, which ended the contained incarnation.
     Restarted(EndedStart),
 }
 
-/// A start of the back end that is over.
+/// An incarnation that ended because the back end restarted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedStart {
-    /// The start.
+    /// Identity of the ended incarnation.
     pub incarnation: Incarnation,
-    /// Whether it had said that it leaves.
+    /// Whether the incarnation had announced that it leaves. If not, the restart counts as a crash.
     pub had_left: bool,
 }
--- a/crates/tallybridge-mesh/src/tables/backend/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/mod.rs
@@ -1,10 +1,10 @@
-//! The back end beside this node. Each file owns one part of what is known of it:
+//! State of the back end beside this node:
 //!
-//! - `instance`: which start of it runs, and whether that takes work;
-//! - `slots`: how many calls it gets at once, and the calls that wait;
-//! - `slot_share`: which share of its slots is used;
-//! - `offered_load`: how much work it is offered;
-//! - `failures`: how many of its calls end badly.
+//! - `instance`: its identity, and whether it accepts work;
+//! - `slots`: how many calls it gets at once, and the calls that wait for a slot;
+//! - `slot_share`: the share of its slots that is used;
+//! - `offered_load`: how much work arrives for it;
+//! - `failures`: the share of its calls that fail.
 
 mod failures;
 mod incarnation;
--- a/crates/tallybridge-mesh/src/tables/backend/offered_load.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/offered_load.rs
@@ -1,91 +1,90 @@
-//! How much work is offered to a back end, what is refused included.
+//! Load offered to a back end, in slots, including the calls that are refused.
 //!
-//! **Rule.** Work offered, in slots, is the rate of arrivals times the mean time that calls hold a slot.
-//! A call that is cut short counts with the time until then, so a slow back end looks less offered.
+//! By Little's law, the offered load is the rate of arrivals times the mean time that a call holds a slot.
+//! A call that is cut short counts with the time until then, so the load of a slow back end is
+//! underestimated.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Time over which the rate of arrivals is taken. Origin of the figure not recorded.
-const ARRIVAL_SPAN: Duration = Duration::from_millis(300);
-/// Time over which the mean time that calls hold a slot is taken. The mean of the last twenty calls said
-/// 30 or 75 ms by chance where calls of 30 and of 480 ms are mixed, so admission swung. A mean over
-/// a second, together with nested calls going first, raised a recorded day from 0.769 to 0.867 of the value
-/// of its requests, one run each (`docs/DECISIONS.md`).
-const HELD_SPAN: Duration = Duration::from_millis(1000);
-/// Sum of the faded counts of ended calls below which that mean says nothing. Origin not recorded.
-const LEAST_ENDED: f64 = 0.5;
+/// Time constant of the arrival rate.
+const ARRIVAL_RATE_WINDOW: Duration = Duration::from_millis(300);
+/// Time constant of the mean hold time. A shorter window lets the mean swing where short and long calls
+/// are mixed.
+const HOLD_TIME_WINDOW: Duration = Duration::from_millis(1000);
+/// Decayed number of ended calls below which the mean hold time is not used.
+const MIN_ENDED_CALLS: f64 = 0.5;
 
-/// A sum that shrinks to a third in `span`, so that the newest of what was added counts most.
+/// A sum that decays exponentially with time.
 #[derive(Debug)]
 struct DecayingSum {
-    span: Duration,
+    time_constant: Duration,
     sum: f64,
-    at: Option<Instant>,
+    updated_at: Option<Instant>,
 }
 
 impl DecayingSum {
-    const fn over(span: Duration) -> Self {
+    const fn new(time_constant: Duration) -> Self {
         Self {
-            span,
+            time_constant,
             sum: 0.0,
-            at: None,
+            updated_at: None,
         }
     }
 
     fn add(&mut self, amount: f64, now: Instant) {
         self.sum = self.get(now) + amount;
-        self.at = Some(now);
+        self.updated_at = Some(now);
     }
 
     fn get(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else {
+        let Some(updated_at) = self.updated_at else {
             return 0.0;
         };
-        let silent = now.saturating_duration_since(at);
-        self.sum * (-silent.as_secs_f64() / self.span.as_secs_f64()).exp()
+        let elapsed = now.saturating_duration_since(updated_at);
+        self.sum * (-elapsed.as_secs_f64() / self.time_constant.as_secs_f64()).exp()
     }
 }
 
-/// The work offered to a back end.
 #[derive(Debug)]
 pub struct OfferedLoad {
-    arrived: DecayingSum,
-    ended: DecayingSum,
-    held_seconds: DecayingSum,
+    arrivals: DecayingSum,
+    ended_calls: DecayingSum,
+    hold_seconds: DecayingSum,
 }
 
 impl Default for OfferedLoad {
     fn default() -> Self {
         Self {
-            arrived: DecayingSum::over(ARRIVAL_SPAN),
-            ended: DecayingSum::over(HELD_SPAN),
-            held_seconds: DecayingSum::over(HELD_SPAN),
+            arrivals: DecayingSum::new(ARRIVAL_RATE_WINDOW),
+            ended_calls: DecayingSum::new(HOLD_TIME_WINDOW),
+            hold_seconds: DecayingSum::new(HOLD_TIME_WINDOW),
         }
     }
 }
 
 impl OfferedLoad {
-    /// A call arrived, whatever becomes of it.
-    pub fn arrived(&mut self, now: Instant) {
-        self.arrived.add(1.0, now);
+    /// Records the arrival of a call, including one that is refused later.
+    pub fn record_arrival(&mut self, now: Instant) {
+        self.arrivals.add(1.0, now);
     }
 
-    /// A call ended that held a slot for some time.
-    pub fn ended(&mut self, took: Duration, now: Instant) {
-        self.ended.add(1.0, now);
-        self.held_seconds.add(took.as_secs_f64(), now);
+    /// Records the end of a call that held a slot for `hold_time`.
+    pub fn record_end(&mut self, hold_time: Duration, now: Instant) {
+        self.ended_calls.add(1.0, now);
+        self.hold_seconds.add(hold_time.as_secs_f64(), now);
     }
 
-    /// Slots that the arriving calls would hold; 0 while too few calls have ended in the last second.
+    /// Returns the number of slots that the arriving calls would hold, or 0 while too few calls have ended
+    /// recently.
     #[must_use]
     pub fn slots(&self, now: Instant) -> f64 {
-        let ended = self.ended.get(now);
-        if ended < LEAST_ENDED {
+        let ended_calls = self.ended_calls.get(now);
+        if ended_calls < MIN_ENDED_CALLS {
             return 0.0;
         }
-        let per_second = self.arrived.get(now) / ARRIVAL_SPAN.as_secs_f64();
-        per_second * self.held_seconds.get(now) / ended
+        let arrivals_per_second = self.arrivals.get(now) / ARRIVAL_RATE_WINDOW.as_secs_f64();
+        arrivals_per_second * self.hold_seconds.get(now) / ended_calls
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slot_share/low_load.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slot_share/low_load.rs
@@ -1,40 +1,36 @@
-//! How long calls take at low load.
+//! Times that calls take at low load.
 
 use std::time::{Duration, Instant};
 
-use super::means::KindMeans;
+use super::means::MeanTimesByKind;
 
-/// Time without a call at low load after which what is known of it no longer counts. Origin of the
-/// figure not recorded.
-const KNOWN_FOR: Duration = Duration::from_secs(30);
+/// Time since the last call at low load after which the times are discarded.
+const MAX_AGE: Duration = Duration::from_secs(30);
 
-/// Times of calls that ran at low load.
 #[derive(Debug, Clone, Default)]
-pub(super) struct LowLoad {
-    times: KindMeans,
-    at: Option<Instant>,
+pub(super) struct LowLoadTimes {
+    times: MeanTimesByKind,
+    updated_at: Option<Instant>,
 }
 
-impl LowLoad {
-    /// Times that were taken at once.
-    pub(super) const fn measured(times: KindMeans, now: Instant) -> Self {
+impl LowLoadTimes {
+    pub(super) const fn new(times: MeanTimesByKind, now: Instant) -> Self {
         Self {
             times,
-            at: Some(now),
+            updated_at: Some(now),
         }
     }
 
-    /// Counts a call that ended.
-    pub(super) fn add(&mut self, kind: u16, seconds: f64, now: Instant) {
-        self.times.add(kind, seconds);
-        self.at = Some(now);
+    pub(super) fn record(&mut self, kind: u16, seconds: f64, now: Instant) {
+        self.times.record(kind, seconds);
+        self.updated_at = Some(now);
     }
 
-    /// The times, if they are young enough to compare with.
-    pub(super) fn known(&self, now: Instant) -> Option<&KindMeans> {
-        let is_known = self
-            .at
-            .is_some_and(|at| now.saturating_duration_since(at) < KNOWN_FOR);
-        is_known.then_some(&self.times)
+    /// Returns the times, or `None` if they are older than [`MAX_AGE`].
+    pub(super) fn recent(&self, now: Instant) -> Option<&MeanTimesByKind> {
+        let is_recent = self
+            .updated_at
+            .is_some_and(|updated_at| now.saturating_duration_since(updated_at) < MAX_AGE);
+        is_recent.then_some(&self.times)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slot_share/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slot_share/mod.rs
@@ -1,32 +1,10 @@
-//! Which share of a back end's slots is worth using.
+//! Adapts the share of a back end's slots that is used.
 //!
-//! **Rule.** `MOST` of the slots are used, unless calls take `SLOWED` times as long under saturation
-//! as at low load: then lower shares are tried one after the other, and the one with the greatest
-//! throughput (share over time, by Little's law) is used if it beats the one before by `WORTH_LESS`.
-//! From there higher shares are tried now and then.
-//!
-//! **Inputs.** Each call that ended well and made no calls of its own: its kind, its time in seconds and
-//! the share of the slots that was taken while it ran. Nothing is older than the start of the back end;
-//! times at low load count for 30 s (`low_load.rs`).
-//!
-//! **Output.** [`SlotShare::share`], 0 to 1, used from the next call on.
-//!
-//! **Why.** A back end may slow down before all its slots are taken. With calls that take 1.6 times as
-//! long from 85% on, the last tenth of the slots costs a third of the throughput, and the queue that a
-//! surge builds up keeps the back end there when the surge is over. A back end that became slow at every
-//! load shows no gain at a lower share, and keeps all of them.
-//!
-//! **Measured and not better.** A smaller fixed share of 82%: better than trials where back ends
-//! slow down from 85% on (0.411 beside 0.365 of the value of the requests of a recorded day), and
-//! 0.482 to 0.415 and 0.742 to 0.640 where they don't. The adaptive limit of the standalone
-//! program: its probe by a quarter sees no gain where the best share lies further down
-//! ([DESIGN.md](../../../../../../docs/DESIGN.md), "Ways weighed").
-//!
-//! **Constants.** They were measured together, against a fixed 95%: 0.254 to 0.365 and 0.158 to
-//! 0.321 of the value of the requests of a recorded day where back ends slow down by 1.6 from 85%
-//! or by 2.5 from 60% of their slots on, and within noise where they don't
-//! ([MEASUREMENTS.md](../../../../../../docs/MEASUREMENTS.md), "Slots"). No trial of a single
-//! constant is recorded.
+//! A back end may slow down before all of its slots are in use, and a queue then keeps it slow after a
+//! surge. If calls take longer under saturation than at low load, lower shares are tried in turn, and the
+//! one with the highest throughput is kept. By Little's law, throughput is the share divided by the time
+//! of a call. Higher shares are tried from time to time. A back end that is slow at any load gains nothing
+//! at a lower share, and keeps its slots. All state is discarded when the back end restarts.
 
 mod low_load;
 mod means;
@@ -36,199 +14,210 @@
 use std::time::{Duration, Instant};
 
 use self::{
-    low_load::LowLoad,
-    means::KindMeans,
-    schedule::Schedule,
-    trial::{Gain, Purpose, Trial},
+    low_load::LowLoadTimes,
+    means::MeanTimesByKind,
+    schedule::TrialSchedule,
+    trial::{Purpose, Trial, TrialResult},
 };
 
-/// Share that is used unless less is found to be better: back ends hang and spoil connections when all
-/// of their slots are taken. Origin of the figure not recorded.
-const MOST: f64 = 0.95;
-/// Lower shares that are tried one after the other. Origin not recorded.
-const SCANNED: [f64; 5] = [0.87, 0.78, 0.68, 0.58, 0.48];
-/// Share of the slots taken up to which a call counts as running at low load. Origin not recorded.
-const LOW: f64 = 0.6;
-/// Part of the share in use from which a call counts as running under saturation. Origin not recorded.
-const SATURATED: f64 = 0.9;
-/// Share that is tried to learn how long calls take at lower load, where that is unknown. Origin not
-/// recorded.
-const CHECKED: f64 = 0.75;
-/// How many times as long calls must take under saturation before lower shares are tried. Origin not
-/// recorded.
-const SLOWED: f64 = 1.25;
-/// Throughput, as a multiple of the one before, for which a lower share is kept. Origin not recorded.
-const WORTH_LESS: f64 = 1.08;
-/// What is added to the share when a higher one is tried. Origin not recorded.
-const RAISE: f64 = 0.06;
-/// Calls that are compared: their mean then lies within some 6 in 100 of the true one.
-const WINDOW: u32 = 120;
-
-/// The share of a back end's slots that is used.
+/// Below 1, because back ends hang and corrupt connections when all of their slots are in use.
+const MAX_SHARE: f64 = 0.95;
+/// Lower shares, in the order in which a scan tries them.
+const SCANNED_SHARES: [f64; 5] = [0.87, 0.78, 0.68, 0.58, 0.48];
+/// Share of the slots in use up to which a call counts as running at low load.
+const MAX_LOW_LOAD_OCCUPANCY: f64 = 0.6;
+/// Fraction of the current share from which a call counts as running under saturation.
+const MIN_SATURATED_FRACTION: f64 = 0.9;
+/// Share at which the times at low load are measured if they are unknown.
+const LOW_LOAD_CHECK_SHARE: f64 = 0.75;
+/// Time of calls under saturation, relative to low load, from which lower shares are tried.
+const MIN_SLOWDOWN: f64 = 1.25;
+/// Throughput, relative to the baseline, from which a lower share replaces the baseline.
+const MIN_THROUGHPUT_RATIO: f64 = 1.08;
+/// Difference between the baseline and the higher share that is tried.
+const RAISE_STEP: f64 = 0.06;
+/// Number of calls in a comparison, enough for a mean time within about 6% of the true one.
+const CALLS_PER_WINDOW: u32 = 120;
+
+/// Share of a back end's slots that is used.
 #[derive(Debug, Clone)]
 pub struct SlotShare {
-    /// Share that is used when none is being tried.
-    kept: f64,
+    /// Share that is used while no trial runs.
+    baseline: f64,
     /// Share that is used now.
     current: f64,
     trial: Option<Trial>,
-    /// The best share of the scan under way.
-    best: Option<Gain>,
-    /// Times under saturation since the last window of calls.
-    saturated: KindMeans,
-    /// Times under saturation that a trial is compared with.
-    reference: KindMeans,
-    low: LowLoad,
-    schedule: Schedule,
+    /// Best result of the running scan.
+    best: Option<TrialResult>,
+    /// Times under saturation in the current window of calls.
+    saturated_times: MeanTimesByKind,
+    /// Times under saturation at the baseline, with which trials are compared.
+    reference_times: MeanTimesByKind,
+    low_load: LowLoadTimes,
+    schedule: TrialSchedule,
 }
 
 impl Default for SlotShare {
     fn default() -> Self {
         Self {
-            kept: MOST,
-            current: MOST,
+            baseline: MAX_SHARE,
+            current: MAX_SHARE,
             trial: None,
             best: None,
-            saturated: KindMeans::default(),
-            reference: KindMeans::default(),
-            low: LowLoad::default(),
-            schedule: Schedule::default(),
+            saturated_times: MeanTimesByKind::default(),
+            reference_times: MeanTimesByKind::default(),
+            low_load: LowLoadTimes::default(),
+            schedule: TrialSchedule::default(),
         }
     }
 }
 
 impl SlotShare {
-    /// The share of the slots to use now, above 0 and at most 0.95.
+    /// Returns the share of the slots to use now, above 0 and at most 0.95.
     #[must_use]
     pub const fn share(&self) -> f64 {
         self.current
     }
 
-    /// The share that is used when none is being tried.
+    /// Returns the share that is used while no trial runs.
     #[must_use]
-    pub const fn kept(&self) -> f64 {
-        self.kept
+    pub const fn baseline(&self) -> f64 {
+        self.baseline
     }
 
-    /// Takes in a call that ended well and made no calls of its own. `occupancy` is the share of the
-    /// slots that was taken while it ran, `in_flight` the calls that run on after it.
+    /// Records a call that succeeded without nested calls. `occupancy` is the share of the slots in use
+    /// when the call started, and `in_flight` is the number of calls that are still running.
     ///
     /// Returns whether the share to use may have changed.
-    pub fn ended(
+    pub fn record_call(
         &mut self,
         kind: u16,
-        took: Duration,
+        time: Duration,
         occupancy: f64,
         in_flight: u32,
         now: Instant,
     ) -> bool {
-        let seconds = took.as_secs_f64();
+        let seconds = time.as_secs_f64();
         if let Some(trial) = &mut self.trial {
             trial.record(kind, seconds);
-            return self.conclude(in_flight, now);
+            return self.finish_trial(in_flight, now);
         }
-        if occupancy <= LOW {
-            self.low.add(kind, seconds, now);
+        if occupancy <= MAX_LOW_LOAD_OCCUPANCY {
+            self.low_load.record(kind, seconds, now);
         }
-        if occupancy < self.current * SATURATED {
+        if occupancy < self.current * MIN_SATURATED_FRACTION {
             return false;
         }
-        self.saturated.add(kind, seconds);
-        if self.saturated.count() < WINDOW {
+        self.saturated_times.record(kind, seconds);
+        if self.saturated_times.count() < CALLS_PER_WINDOW {
             return false;
         }
-        self.judge_saturation(in_flight, now)
+        self.start_due_trial(in_flight, now)
     }
 
-    /// Ends a trial that load no longer fills, so that it holds nobody back. Returns whether there was
-    /// one.
-    pub fn end_stale_trial(&mut self, now: Instant) -> bool {
-        let is_stale = self.trial.as_ref().is_some_and(|trial| trial.is_stale(now));
-        if is_stale {
+    /// Ends a trial that has lasted too long because the load is too low, so that a lower share does not
+    /// limit later calls. Returns whether there was one.
+    pub fn end_expired_trial(&mut self, now: Instant) -> bool {
+        let is_expired = self
+            .trial
+            .as_ref()
+            .is_some_and(|trial| trial.is_expired(now));
+        if is_expired {
             self.trial = None;
             self.best = None;
-            self.current = self.kept;
+            self.current = self.baseline;
         }
-        is_stale
+        is_expired
     }
 
-    /// Begins a trial after a window of calls under saturation, if one is due.
-    fn judge_saturation(&mut self, in_flight: u32, now: Instant) -> bool {
-        let saturated = std::mem::take(&mut self.saturated);
-        let Some(purpose) = self.due_trial(&saturated, now) else {
+    /// Closes the window of calls under saturation, and starts a trial if one is due. Returns whether it
+    /// started one.
+    fn start_due_trial(&mut self, in_flight: u32, now: Instant) -> bool {
+        let saturated_times = std::mem::take(&mut self.saturated_times);
+        let Some(purpose) = self.due_trial(&saturated_times, now) else {
             return false;
         };
-        self.reference = saturated;
+        self.reference_times = saturated_times;
         self.best = None;
-        self.begin(purpose, in_flight, now);
+        self.start_trial(purpose, in_flight, now);
         true
     }
 
-    fn due_trial(&self, saturated: &KindMeans, now: Instant) -> Option<Purpose> {
-        let low = self.low.known(now);
-        let slowed = low.and_then(|low| saturated.relative_to(low));
+    fn due_trial(&self, saturated_times: &MeanTimesByKind, now: Instant) -> Option<Purpose> {
+        let low_load_times = self.low_load.recent(now);
+        let slowdown = low_load_times.and_then(|times| saturated_times.ratio_to(times));
         let may_scan = self.schedule.may_scan(now);
-        match slowed {
-            Some(slowed) if slowed >= SLOWED && may_scan => Some(Purpose::Scan { place: 0 }),
-            None if may_scan && self.kept > CHECKED => Some(Purpose::Check),
+        match slowdown {
+            Some(slowdown) if slowdown >= MIN_SLOWDOWN && may_scan => {
+                Some(Purpose::Scan { index: 0 })
+            }
+            None if may_scan && self.baseline > LOW_LOAD_CHECK_SHARE => Some(Purpose::CheckLowLoad),
             _ if self.schedule.may_raise(now) => Some(Purpose::Raise),
             _ => None,
         }
     }
 
-    fn begin(&mut self, purpose: Purpose, in_flight: u32, now: Instant) {
+    fn start_trial(&mut self, purpose: Purpose, in_flight: u32, now: Instant) {
         self.current = match purpose {
-            Purpose::Check => CHECKED.min(self.kept),
-            Purpose::Scan { place } => SCANNED[place],
-            Purpose::Raise => (self.kept + RAISE).min(MOST),
+            Purpose::CheckLowLoad => LOW_LOAD_CHECK_SHARE.min(self.baseline),
+            Purpose::Scan { index } => SCANNED_SHARES[index],
+            Purpose::Raise => (self.baseline + RAISE_STEP).min(MAX_SHARE),
         };
         self.trial = Some(Trial::new(purpose, in_flight, now));
     }
 
-    /// Ends the trial if it has seen enough calls or lasted too long; returns whether it has.
-    fn conclude(&mut self, in_flight: u32, now: Instant) -> bool {
-        let is_over = |trial: &mut Trial| trial.is_complete() || trial.is_stale(now);
-        let Some(trial) = self.trial.take_if(is_over) else {
+    /// Ends the trial if it is complete or expired. Returns whether it ended.
+    fn finish_trial(&mut self, in_flight: u32, now: Instant) -> bool {
+        let has_ended = |trial: &mut Trial| trial.is_complete() || trial.is_expired(now);
+        let Some(trial) = self.trial.take_if(has_ended) else {
             return false;
         };
-        let gain = self.gain_of(&trial);
+        let result = self.evaluate(&trial);
         match trial.purpose {
-            Purpose::Check => self.finish_check(trial.times, now),
-            Purpose::Scan { place } => self.finish_scanned(place, gain, in_flight, now),
-            Purpose::Raise => self.finish_raise(gain, now),
+            Purpose::CheckLowLoad => self.finish_check(trial.times, now),
+            Purpose::Scan { index } => self.finish_scan_step(index, result, in_flight, now),
+            Purpose::Raise => self.finish_raise(result, now),
         }
         true
     }
 
-    /// What a trial gained; `None` if its calls can't be compared with those before.
-    fn gain_of(&self, trial: &Trial) -> Option<Gain> {
+    /// Returns the result of a trial, or `None` if its calls cannot be compared with the reference.
+    fn evaluate(&self, trial: &Trial) -> Option<TrialResult> {
         if !trial.is_complete() {
             return None;
         }
-        let slower = trial.times.relative_to(&self.reference)?;
-        Some(Gain {
+        let time_ratio = trial.times.ratio_to(&self.reference_times)?;
+        Some(TrialResult {
             share: self.current,
-            throughput: self.current / self.kept / slower,
+            throughput: self.current / self.baseline / time_ratio,
         })
     }
 
-    fn finish_check(&mut self, times: KindMeans, now: Instant) {
-        self.current = self.kept;
-        self.low = LowLoad::measured(times, now);
+    fn finish_check(&mut self, times: MeanTimesByKind, now: Instant) {
+        self.current = self.baseline;
+        self.low_load = LowLoadTimes::new(times, now);
     }
 
-    /// Goes on to the next lower share, until throughput falls again or a share can't be compared.
-    fn finish_scanned(&mut self, place: usize, gain: Option<Gain>, in_flight: u32, now: Instant) {
-        let before = self.best;
-        self.best = Gain::better(before, gain);
-        let has_passed_best = before.is_some_and(|before| {
-            before.throughput >= WORTH_LESS
-                && gain.is_none_or(|gain| gain.throughput < before.throughput)
+    /// Continues the scan with the next lower share. Ends it if the throughput fell after a result good
+    /// enough to keep, if the share gave no result, or if no lower share remains.
+    fn finish_scan_step(
+        &mut self,
+        index: usize,
+        result: Option<TrialResult>,
+        in_flight: u32,
+        now: Instant,
+    ) {
+        let previous_best = self.best;
+        self.best = TrialResult::best_of(previous_best, result);
+        let has_passed_best = previous_best.is_some_and(|best| {
+            best.throughput >= MIN_THROUGHPUT_RATIO
+                && result.is_none_or(|result| result.throughput < best.throughput)
         });
-        let next = (place + 1..SCANNED.len()).find(|next| SCANNED[*next] < self.kept);
-        match next {
-            Some(place) if gain.is_some() && !has_passed_best => {
-                self.begin(Purpose::Scan { place }, in_flight, now);
+        let next_index = (index + 1..SCANNED_SHARES.len())
+            .find(|next_index| SCANNED_SHARES[*next_index] < self.baseline);
+        match next_index {
+            Some(index) if result.is_some() && !has_passed_best => {
+                self.start_trial(Purpose::Scan { index }, in_flight, now);
             }
             _ => self.finish_scan(now),
         }
@@ -236,23 +225,24 @@
 
     fn finish_scan(&mut self, now: Instant) {
         let best = self.best.take();
-        let better = best.filter(|best| best.throughput >= WORTH_LESS);
+        let better = best.filter(|best| best.throughput >= MIN_THROUGHPUT_RATIO);
         match better {
-            Some(better) => self.kept = better.share,
-            // What is known of low load may be out of date.
-            None => self.low = LowLoad::default(),
+            Some(better) => self.baseline = better.share,
+            // The times at low load that led to the scan may be outdated.
+            None => self.low_load = LowLoadTimes::default(),
         }
-        self.current = self.kept;
+        self.current = self.baseline;
         self.schedule
-            .scanned(better.is_some(), self.kept < MOST, now);
+            .record_scan(better.is_some(), self.baseline < MAX_SHARE, now);
     }
 
-    fn finish_raise(&mut self, gain: Option<Gain>, now: Instant) {
-        let is_better = gain.is_some_and(|gain| gain.throughput > 1.0);
+    fn finish_raise(&mut self, result: Option<TrialResult>, now: Instant) {
+        let is_better = result.is_some_and(|result| result.throughput > 1.0);
         if is_better {
-            self.kept = self.current;
+            self.baseline = self.current;
         }
-        self.current = self.kept;
-        self.schedule.raised(is_better, self.kept < MOST, now);
+        self.current = self.baseline;
+        self.schedule
+            .record_raise(is_better, self.baseline < MAX_SHARE, now);
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slot_share/schedule.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slot_share/schedule.rs
@@ -1,63 +1,62 @@
-//! When another share may be tried again.
+//! Times at which the next trials of other shares may start.
 
 use std::time::{Duration, Instant};
 
-/// Least time between two scans of lower shares, after one that found a better share. Origin of the
-/// figure not recorded.
-const SCAN_PAUSE: Duration = Duration::from_secs(12);
-/// Longest such time: it doubles with each scan that found none. Origin of the figure not recorded.
-const SCAN_PAUSE_MAX: Duration = Duration::from_secs(60);
-/// Time until a higher share is tried, after a scan or after a higher one that was not better. Origin
-/// of the figure not recorded.
-const RAISE_PAUSE: Duration = Duration::from_secs(4);
+/// Interval between two scans of lower shares after a scan that found a better share.
+const MIN_SCAN_INTERVAL: Duration = Duration::from_secs(12);
+/// Upper bound of the interval, which doubles with each scan that finds no better share.
+const MAX_SCAN_INTERVAL: Duration = Duration::from_secs(60);
+/// Delay before a higher share is tried, after a scan or after a higher share that was not better.
+const RAISE_DELAY: Duration = Duration::from_secs(4);
 
-/// When lower shares may be scanned and when a higher one may be tried.
 #[derive(Debug, Clone)]
-pub(super) struct Schedule {
+pub(super) struct TrialSchedule {
+    /// Earliest time of the next scan; `None` before the first one.
     scan_at: Option<Instant>,
-    scan_pause: Duration,
+    scan_interval: Duration,
+    /// Earliest time of the next trial of a higher share; `None` if there is no higher share to try.
     raise_at: Option<Instant>,
 }
 
-impl Default for Schedule {
+impl Default for TrialSchedule {
     fn default() -> Self {
         Self {
             scan_at: None,
-            scan_pause: SCAN_PAUSE,
+            scan_interval: MIN_SCAN_INTERVAL,
             raise_at: None,
         }
     }
 }
 
-impl Schedule {
-    /// Whether lower shares may be scanned, or low load checked.
+impl TrialSchedule {
+    /// Returns whether a scan of lower shares, or a check of the times at low load, may start.
     pub(super) fn may_scan(&self, now: Instant) -> bool {
-        self.scan_at.is_none_or(|at| now >= at)
+        self.scan_at.is_none_or(|scan_at| now >= scan_at)
     }
 
-    /// Whether a higher share may be tried.
     pub(super) fn may_raise(&self, now: Instant) -> bool {
-        self.raise_at.is_some_and(|at| now >= at)
+        self.raise_at.is_some_and(|raise_at| now >= raise_at)
     }
 
-    /// A scan ended; `can_raise` tells whether a higher share is left to try.
-    pub(super) fn scanned(&mut self, found_better: bool, can_raise: bool, now: Instant) {
-        self.scan_pause = if found_better {
-            SCAN_PAUSE
+    /// Records the end of a scan. `can_raise` is whether a share above the baseline remains to be tried.
+    pub(super) fn record_scan(&mut self, found_better: bool, can_raise: bool, now: Instant) {
+        self.scan_interval = if found_better {
+            MIN_SCAN_INTERVAL
         } else {
-            (self.scan_pause * 2).min(SCAN_PAUSE_MAX)
+            (self.scan_interval * 2).min(MAX_SCAN_INTERVAL)
         };
-        self.scan_at = Some(now + self.scan_pause);
-        self.raise_at = can_raise.then(|| now + RAISE_PAUSE);
+        self.scan_at = Some(now + self.scan_interval);
+        self.raise_at = can_raise.then(|| now + RAISE_DELAY);
     }
 
-    /// A higher share was tried; `can_raise` tells whether a still higher one is left to try.
-    pub(super) fn raised(&mut self, was_better: bool, can_raise: bool, now: Instant) {
-        let pause = if was_better {
+    /// Records the trial of a higher share. `can_raise` is whether a share above the baseline remains to
+    /// be tried.
+    pub(super) fn record_raise(&mut self, was_better: bool, can_raise: bool, now: Instant) {
+        let delay = if was_better {
             Duration::ZERO
         } else {
-            RAISE_PAUSE
+            RAISE_DELAY
         };
-        self.raise_at = can_raise.then(|| now + pause);
+        self.raise_at = can_raise.then(|| now + delay);
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slot_share/trial.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slot_share/trial.rs
@@ -1,80 +1,77 @@
-//! A trial of another share of the slots.
+//! Trial of a share of the slots other than the baseline.
 
 use std::time::{Duration, Instant};
 
-use super::{WINDOW, means::KindMeans};
+use super::{CALLS_PER_WINDOW, means::MeanTimesByKind};
 
-/// Time after which a trial ends without a result: load is too low to compare. Origin of the figure not
-/// recorded.
-const TIME_LIMIT: Duration = Duration::from_millis(1500);
+/// Duration after which a trial ends without a result because the load is too low for a comparison.
+const MAX_TRIAL_DURATION: Duration = Duration::from_millis(1500);
 
-/// What a share is tried for.
+/// Why a share is tried.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Purpose {
-    /// To learn how long calls take at lower load.
-    Check,
-    /// To find a better share among [`super::SCANNED`], this one by its place.
-    Scan { place: usize },
-    /// To use more again.
+    /// Measures how long calls take at low load.
+    CheckLowLoad,
+    /// Looks for a better share; `index` is the position in [`super::SCANNED_SHARES`].
+    Scan { index: usize },
+    /// Finds out whether a higher share is better than the baseline.
     Raise,
 }
 
-/// A share that is being tried.
 #[derive(Debug, Clone)]
 pub(super) struct Trial {
     pub(super) purpose: Purpose,
-    /// Times of calls that began during the trial.
-    pub(super) times: KindMeans,
-    began: Instant,
-    /// Calls under way that began before the trial.
-    settling: u32,
+    /// Times of the calls that started during the trial.
+    pub(super) times: MeanTimesByKind,
+    started_at: Instant,
+    /// Number of calls in flight that started before the trial.
+    earlier_calls: u32,
 }
 
 impl Trial {
-    /// A trial that begins while so many calls run.
     pub(super) fn new(purpose: Purpose, in_flight: u32, now: Instant) -> Self {
         Self {
             purpose,
-            times: KindMeans::default(),
-            began: now,
-            settling: in_flight,
+            times: MeanTimesByKind::default(),
+            started_at: now,
+            earlier_calls: in_flight,
         }
     }
 
-    /// Counts a call that ended, unless it began before the trial: as many as ran then are left out.
+    /// Records a call that ended. Skips as many calls as were in flight when the trial started, because
+    /// they ran at the previous share.
     pub(super) fn record(&mut self, kind: u16, seconds: f64) {
-        if self.settling > 0 {
-            self.settling -= 1;
+        if self.earlier_calls > 0 {
+            self.earlier_calls -= 1;
         } else {
-            self.times.add(kind, seconds);
+            self.times.record(kind, seconds);
         }
     }
 
-    /// Whether enough calls were counted to compare them.
+    /// Returns whether enough calls were recorded for a comparison.
     pub(super) const fn is_complete(&self) -> bool {
-        self.times.count() >= WINDOW
+        self.times.count() >= CALLS_PER_WINDOW
     }
 
-    /// Whether it has lasted for as long as one may.
-    pub(super) fn is_stale(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.began) >= TIME_LIMIT
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started_at) >= MAX_TRIAL_DURATION
     }
 }
 
-/// A share and its throughput, as a multiple of that of the share in use before.
+/// A tried share and its throughput relative to that of the baseline.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Gain {
+pub(super) struct TrialResult {
     pub(super) share: f64,
     pub(super) throughput: f64,
 }
 
-impl Gain {
-    /// The greater of two, the left one if they are equal.
-    pub(super) fn better(left: Option<Self>, right: Option<Self>) -> Option<Self> {
-        match (left, right) {
-            (Some(left), Some(right)) if right.throughput > left.throughput => Some(right),
-            (None, right) => right,
-            (left, _) => left,
+impl TrialResult {
+    /// Returns the result with the higher throughput, or `first` if the throughputs are equal.
+    pub(super) fn best_of(first: Option<Self>, second: Option<Self>) -> Option<Self> {
+        match (first, second) {
+            (Some(first), Some(second)) if second.throughput > first.throughput => Some(second),
+            (None, second) => second,
+            (first, _) => first,
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slots/waiting.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/waiting.rs
@@ -1,4 +1,4 @@
-//! Calls that wait for a slot, and how each of them learns whether it got one.
+//! Queue of the calls that wait for a slot, and the channels that deliver the results.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -8,41 +8,38 @@
 
 use super::NoSlot;
 
-/// Calls that may wait, for each slot. Origin not recorded.
-const QUEUE_PER_SLOT: usize = 4;
+const QUEUE_CAPACITY_PER_SLOT: usize = 4;
 
-/// A granted slot, or why there is none.
-pub(super) type Grant = Result<(), NoSlot>;
+/// Whether a waiting call gets a slot.
+pub(super) type GrantResult = Result<(), NoSlot>;
 
-/// A call that was put into the queue.
-pub(super) struct Queued {
+pub(super) struct QueueEntry {
     pub(super) ticket: Ticket,
-    pub(super) waiter: u64,
-    pub(super) grant: oneshot::Receiver<Grant>,
+    /// Identifies the call in [`WaitingCalls`].
+    pub(super) call_number: u64,
+    pub(super) receiver: oneshot::Receiver<GrantResult>,
 }
 
-/// A call whose turn it is.
+/// The most critical waiting call, removed from the queue.
 pub(super) struct NextCall {
-    pub(super) grant: oneshot::Sender<Grant>,
+    pub(super) sender: oneshot::Sender<GrantResult>,
     pub(super) waited: Duration,
 }
 
-/// The calls that wait for a slot.
 #[derive(Debug)]
 pub(super) struct WaitingCalls {
     queue: AdmissionQueue<u64>,
-    /// By the number that the queue knows each call by.
-    grants: HashMap<u64, oneshot::Sender<Grant>>,
-    next_waiter: u64,
+    /// Senders of the results by call number.
+    senders: HashMap<u64, oneshot::Sender<GrantResult>>,
+    next_call_number: u64,
 }
 
 impl WaitingCalls {
-    /// An empty queue in front of so many slots.
     pub(super) fn new(slots: u32) -> Self {
         Self {
-            queue: queue_for(slots),
-            grants: HashMap::new(),
-            next_waiter: 0,
+            queue: new_queue(slots),
+            senders: HashMap::new(),
+            next_call_number: 0,
         }
     }
 
@@ -54,8 +51,8 @@
         self.queue.len()
     }
 
-    /// Calls that go before one of a class.
-    pub(super) fn ahead_of(&self, criticality: Criticality) -> usize {
+    /// Returns the number of waiting calls that are at least as critical as `criticality`.
+    pub(super) fn count_ahead_of(&self, criticality: Criticality) -> usize {
         Criticality::ALL
             .into_iter()
             .filter(|class| *class >= criticality)
@@ -63,20 +60,20 @@
             .sum()
     }
 
-    /// Adds a call, at the cost of a less critical one if the queue is full.
+    /// Adds a call. If the queue is full, refuses a less critical call in its place, or else this one.
     pub(super) fn enqueue(
         &mut self,
         criticality: Criticality,
         wait_until: Instant,
         now: Instant,
-    ) -> Result<Queued, NoSlot> {
-        let waiter = self.next_waiter;
-        self.next_waiter += 1;
+    ) -> Result<QueueEntry, NoSlot> {
+        let call_number = self.next_call_number;
+        self.next_call_number += 1;
         let call = Waiting {
             criticality,
             deadline: wait_until.into_std(),
             arrived: now.into_std(),
-            item: waiter,
+            item: call_number,
         };
         let ticket = match self.queue.offer(call, now.into_std()) {
             Offer::Queued(ticket) => ticket,
@@ -86,68 +83,66 @@
             }
             Offer::Refused(_) => return Err(NoSlot::Full),
         };
-        let (sender, grant) = oneshot::channel();
-        self.grants.insert(waiter, sender);
-        Ok(Queued {
+        let (sender, receiver) = oneshot::channel();
+        self.senders.insert(call_number, sender);
+        Ok(QueueEntry {
             ticket,
-            waiter,
-            grant,
+            call_number,
+            receiver,
         })
     }
 
-    /// Takes out the call whose turn it is.
+    /// Removes the most critical call that still waits.
     pub(super) fn take_next(&mut self, now: Instant) -> Option<NextCall> {
         loop {
             let next = self.queue.take(now.into_std())?;
-            if let Some(grant) = self.grants.remove(&next.item) {
+            if let Some(sender) = self.senders.remove(&next.item) {
                 let waited = now.into_std().saturating_duration_since(next.arrived);
-                return Some(NextCall { grant, waited });
+                return Some(NextCall { sender, waited });
             }
         }
     }
 
-    /// Takes out a call that gave up, if it still waits.
-    pub(super) fn leave(&mut self, waiter: u64, ticket: Ticket) {
-        if self.grants.remove(&waiter).is_some() {
+    /// Removes a call that stopped waiting, if it is still in the queue.
+    pub(super) fn remove(&mut self, call_number: u64, ticket: Ticket) {
+        if self.senders.remove(&call_number).is_some() {
             self.queue.cancel(ticket);
         }
     }
 
-    /// Refuses the calls that waited too long.
-    pub(super) fn refuse_late(&mut self, now: Instant) {
-        for late in self.queue.expire(now.into_std()) {
-            self.refuse(late, NoSlot::Full);
+    pub(super) fn refuse_expired(&mut self, now: Instant) {
+        for expired in self.queue.expire(now.into_std()) {
+            self.refuse(expired, NoSlot::Full);
         }
     }
 
-    /// Refuses every call, as the back end takes no more work. The queue then is in front of so many
-    /// slots.
+    /// Refuses all calls with [`NoSlot::Closed`], and replaces the queue by one for `slots` slots.
     pub(super) fn refuse_all(&mut self, slots: u32) {
-        let waiting: Vec<u64> = self.grants.keys().copied().collect();
-        for waiter in waiting {
-            self.refuse(waiter, NoSlot::Closed);
+        let call_numbers: Vec<u64> = self.senders.keys().copied().collect();
+        for call_number in call_numbers {
+            self.refuse(call_number, NoSlot::Closed);
         }
-        self.queue = queue_for(slots);
+        self.queue = new_queue(slots);
     }
 
-    /// Fits the queue to so many slots, unless calls wait in it.
+    /// Adapts the capacity of the queue to the number of slots. Does nothing while calls wait.
     pub(super) fn resize(&mut self, slots: u32) {
         if self.queue.is_empty() {
-            self.queue = queue_for(slots);
+            self.queue = new_queue(slots);
         }
     }
 
-    fn refuse(&mut self, waiter: u64, reason: NoSlot) {
-        if let Some(grant) = self.grants.remove(&waiter) {
-            // Fails only if the call gave up meanwhile, and then nobody needs the answer.
-            let _ = grant.send(Err(reason));
+    fn refuse(&mut self, call_number: u64, reason: NoSlot) {
+        if let Some(sender) = self.senders.remove(&call_number) {
+            // Sending fails only if the call has stopped waiting.
+            let _ = sender.send(Err(reason));
         }
     }
 }
 
-fn queue_for(slots: u32) -> AdmissionQueue<u64> {
+fn new_queue(slots: u32) -> AdmissionQueue<u64> {
     AdmissionQueue::new(QueueSettings {
-        capacity: slots as usize * QUEUE_PER_SLOT,
+        capacity: slots as usize * QUEUE_CAPACITY_PER_SLOT,
         ..QueueSettings::default()
     })
 }
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -1,4 +1,4 @@
-//! What a node believes of its back end, under reports in any order.
+//! State of the local back end under late, reordered and conflicting reports.
 
 use std::{collections::HashSet, time::Duration};
 
@@ -13,37 +13,37 @@
 enum Event {
     Report {
         instance: u8,
-        leaving: bool,
+        is_leaving: bool,
         sequence: u64,
     },
-    Verified {
+    HealthCheck {
         instance: u8,
-        healthy: bool,
+        is_healthy: bool,
     },
     Unreachable,
-    Reached,
+    Reachable,
     Misdirected,
 }
 
-fn event() -> impl Strategy<Value = Event> {
+fn any_event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        4 => (0_u8..3, any::<bool>(), 0_u64..6).prop_map(|(instance, leaving, sequence)| {
-            Event::Report { instance, leaving, sequence }
+        4 => (0_u8..3, any::<bool>(), 0_u64..6).prop_map(|(instance, is_leaving, sequence)| {
+            Event::Report { instance, is_leaving, sequence }
         }),
         3 => (0_u8..3, any::<bool>())
-            .prop_map(|(instance, healthy)| Event::Verified { instance, healthy }),
+            .prop_map(|(instance, is_healthy)| Event::HealthCheck { instance, is_healthy }),
         1 => Just(Event::Unreachable),
-        1 => Just(Event::Reached),
+        1 => Just(Event::Reachable),
         1 => Just(Event::Misdirected),
     ]
 }
 
-fn report(instance: u8, leaving: bool, sequence: u64) -> InstanceReport {
+fn report(instance: u8, is_leaving: bool, sequence: u64) -> InstanceReport {
     InstanceReport {
         instance: instance.to_string(),
         started_at_ms: None,
         service: None,
-        state: if leaving {
+        state: if is_leaving {
             ReportedState::Leaving
         } else {
             ReportedState::Ready
@@ -56,54 +56,54 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(2), ..ProptestConfig::default() })]
 
-    /// The oracle: an instance that said it leaves never gets work again, and none gets work that
-    /// has not answered a health check as healthy.
+    /// An instance gets no work after it announced that it leaves, or before it answered a health check
+    /// as healthy.
     #[test]
-    fn leavers_and_strangers_get_no_work(events in prop::collection::vec(event(), 1..60)) {
+    fn leaving_and_unverified_instances_get_no_work(events in prop::collection::vec(any_event(), 1..60)) {
         let now = Instant::now();
         let mut instance = LocalInstance::default();
-        let mut left = HashSet::new();
-        let mut healthy = HashSet::new();
+        let mut left_ids = HashSet::new();
+        let mut healthy_ids = HashSet::new();
         for event in events {
             match event {
-                Event::Report { instance: id, leaving, sequence } => {
-                    if leaving {
-                        left.insert(id.to_string());
+                Event::Report { instance: id, is_leaving, sequence } => {
+                    if is_leaving {
+                        left_ids.insert(id.to_string());
                     }
-                    instance.report(&report(id, leaving, sequence), now);
+                    instance.report(&report(id, is_leaving, sequence), now);
                 }
-                Event::Verified { instance: id, healthy: is_healthy } => {
+                Event::HealthCheck { instance: id, is_healthy } => {
                     if is_healthy {
-                        healthy.insert(id.to_string());
+                        healthy_ids.insert(id.to_string());
                     }
                     instance.verified(&id.to_string(), is_healthy, now);
                 }
                 Event::Unreachable => {
                     instance.unreachable(now);
                 }
-                Event::Reached => {
+                Event::Reachable => {
                     instance.reached();
                 }
                 Event::Misdirected => instance.misdirected(),
             }
             if let Some(incarnation) = instance.takes_work(now) {
                 let id = incarnation.id();
-                prop_assert!(!left.contains(id), "{id} has left");
-                prop_assert!(healthy.contains(id), "{id} was never verified");
+                prop_assert!(!left_ids.contains(id), "{id} got work after it left");
+                prop_assert!(healthy_ids.contains(id), "{id} got work before a health check");
             }
         }
     }
 }
 
 #[test]
-fn a_ready_report_alone_is_no_proof() {
+fn ready_report_alone_does_not_verify() {
     let mut instance = LocalInstance::default();
     instance.report(&report(1, false, 3), Instant::now());
     assert_eq!(instance.state(), InstanceState::Unknown);
 }
 
 #[test]
-fn a_late_report_does_not_change_the_slots() {
+fn late_report_does_not_change_slots() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
     instance.verified("1", true, now);
@@ -117,35 +117,38 @@
 }
 
 #[test]
-fn an_unreachable_back_end_is_tried_again_after_a_while() {
+fn retries_unreachable_back_end_after_delay() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
     instance.verified("1", true, now);
     assert!(instance.unreachable(now));
-    assert!(!instance.unreachable(now), "no news the second time");
+    assert!(
+        !instance.unreachable(now),
+        "the second failure was returned as a change"
+    );
     assert!(instance.takes_work(now).is_none());
     assert!(instance.takes_work(now + Duration::from_secs(1)).is_some());
     assert!(instance.reached());
     assert!(instance.takes_work(now).is_some());
 }
 
-/// A report of the start that began at a time, under one id.
-fn report_of(started_at_ms: u64, leaving: bool, sequence: u64) -> InstanceReport {
+/// Builds a report of the back end with id 1 and the start time `started_at_ms`.
+fn report_with_start_time(started_at_ms: u64, is_leaving: bool, sequence: u64) -> InstanceReport {
     InstanceReport {
         started_at_ms: Some(started_at_ms),
-        ..report(1, leaving, sequence)
+        ..report(1, is_leaving, sequence)
     }
 }
 
-/// A back end that began at 100, verified and ready.
-fn known(now: Instant) -> LocalInstance {
+/// Builds the table of a verified, ready back end with id 1 and start time 100.
+fn ready_instance(now: Instant) -> LocalInstance {
     let mut instance = LocalInstance::default();
     assert_eq!(
-        instance.report(&report_of(100, false, 7), now),
+        instance.report(&report_with_start_time(100, false, 7), now),
         ReportEffect::Verify
     );
     instance.verified("1", true, now);
-    instance.report(&report_of(100, false, 8), now);
+    instance.report(&report_with_start_time(100, false, 8), now);
     assert_eq!(instance.state(), InstanceState::Ready);
     instance
 }
@@ -155,37 +158,42 @@
 }
 
 #[test]
-fn a_back_end_that_starts_again_under_its_id_is_another_start() {
+fn restart_under_same_id_is_new_incarnation() {
     let now = Instant::now();
-    let mut instance = known(now);
-    let before = instance.current().unwrap().clone();
-    // Its sequence begins anew.
-    let again = InstanceReport {
+    let mut instance = ready_instance(now);
+    let previous = instance.current().unwrap().clone();
+    let restart_report = InstanceReport {
         slots: 9,
-        ..report_of(200, false, 1)
+        ..report_with_start_time(200, false, 1)
     };
-    let effect = instance.report(&again, now);
+    let effect = instance.report(&restart_report, now);
     let ended = EndedStart {
-        incarnation: before.clone(),
+        incarnation: previous.clone(),
         had_left: false,
     };
     assert_eq!(effect, ReportEffect::Restarted(ended));
-    assert!(instance.takes_work(now).is_none(), "it is verified first");
-    assert!(instance.is_restarted_after(&before));
+    assert!(
+        instance.takes_work(now).is_none(),
+        "the new incarnation got work before a health check"
+    );
+    assert!(instance.is_restarted_after(&previous));
     assert_eq!(instance.slots(), 9);
     instance.verified("1", true, now);
-    let after = instance.takes_work(now).unwrap();
-    assert_eq!(after.id(), before.id());
-    assert_ne!(after, before);
+    let restarted = instance.takes_work(now).unwrap();
+    assert_eq!(restarted.id(), previous.id());
+    assert_ne!(restarted, previous);
 }
 
 #[test]
-fn late_reports_of_an_earlier_start_change_nothing() {
+fn ignores_reports_of_previous_incarnation() {
     let now = Instant::now();
-    let mut instance = known(now);
-    instance.report(&report_of(200, false, 1), now);
+    let mut instance = ready_instance(now);
+    instance.report(&report_with_start_time(200, false, 1), now);
     instance.verified("1", true, now);
-    for late in [report_of(100, false, 99), report_of(100, true, 99)] {
+    for late in [
+        report_with_start_time(100, false, 99),
+        report_with_start_time(100, true, 99),
+    ] {
         let late = InstanceReport { slots: 3, ..late };
         assert_eq!(instance.report(&late, now), ReportEffect::Nothing);
     }
@@ -195,74 +203,86 @@
 }
 
 #[test]
-fn a_start_that_left_stays_out_and_the_next_one_under_its_id_does_not() {
+fn only_new_incarnation_returns_after_leaving() {
     let now = Instant::now();
-    let mut instance = known(now);
-    instance.report(&report_of(100, true, 9), now);
+    let mut instance = ready_instance(now);
+    instance.report(&report_with_start_time(100, true, 9), now);
     assert_eq!(instance.state(), InstanceState::Leaving);
-    instance.report(&report_of(100, false, 10), now);
+    instance.report(&report_with_start_time(100, false, 10), now);
     instance.verified("1", true, now);
-    assert!(instance.takes_work(now).is_none(), "it said that it leaves");
-    let effect = instance.report(&report_of(200, false, 1), now);
+    assert!(
+        instance.takes_work(now).is_none(),
+        "a leaving incarnation got work"
+    );
+    let effect = instance.report(&report_with_start_time(200, false, 1), now);
     let ReportEffect::Restarted(ended) = effect else {
         panic!("{effect:?}");
     };
-    assert!(ended.had_left, "its end is no crash");
+    assert!(
+        ended.had_left,
+        "the restart of a leaving back end counts as a crash"
+    );
     instance.verified("1", true, now);
     assert!(instance.takes_work(now).is_some());
 }
 
 #[test]
-fn a_farewell_that_tells_no_start_is_of_the_one_that_is_known() {
+fn leaving_report_without_start_time_applies_to_current() {
     let now = Instant::now();
-    let mut instance = known(now);
+    let mut instance = ready_instance(now);
     instance.report(&report(1, true, 0), now);
     assert_eq!(instance.state(), InstanceState::Leaving);
-    assert!(is_restart(&instance.report(&report_of(200, false, 1), now)));
+    assert!(is_restart(
+        &instance.report(&report_with_start_time(200, false, 1), now)
+    ));
     instance.verified("1", true, now);
     assert!(instance.takes_work(now).is_some());
 }
 
 #[test]
-fn a_clock_that_was_set_back_does_not_make_the_newer_start_look_old_for_long() {
+fn accepts_restart_after_clock_rollback() {
     let mut now = Instant::now();
-    let mut instance = known(now);
-    assert!(!is_restart(&instance.report(&report_of(50, false, 1), now)));
+    let mut instance = ready_instance(now);
+    assert!(!is_restart(
+        &instance.report(&report_with_start_time(50, false, 1), now)
+    ));
     now += Duration::from_millis(1500);
-    assert!(is_restart(&instance.report(&report_of(50, false, 2), now)));
-    // What it came after is over, though its clock showed more.
-    let late = instance.report(&report_of(100, false, 99), now);
+    assert!(is_restart(
+        &instance.report(&report_with_start_time(50, false, 2), now)
+    ));
+    // The replaced incarnation has ended, although its start time is later.
+    let late = instance.report(&report_with_start_time(100, false, 99), now);
     assert_eq!(late, ReportEffect::Nothing);
 }
 
 #[test]
-fn reports_of_an_unknown_earlier_start_between_those_of_the_known_one_are_late_ones() {
+fn interleaved_older_reports_are_no_restart() {
     let mut now = Instant::now();
-    let mut instance = known(now);
+    let mut instance = ready_instance(now);
     for sequence in 0..4 {
-        let late = report_of(50, false, sequence);
+        let late = report_with_start_time(50, false, sequence);
         assert_eq!(instance.report(&late, now), ReportEffect::Nothing);
         now += Duration::from_millis(750);
-        instance.report(&report_of(100, false, 9 + sequence), now);
+        instance.report(&report_with_start_time(100, false, 9 + sequence), now);
         now += Duration::from_millis(750);
     }
     assert!(instance.takes_work(now).is_some());
 }
 
 #[test]
-fn a_late_notice_of_an_unknown_earlier_start_holds_the_known_one_up_until_it_reports() {
+fn late_leaving_report_pauses_work_until_next_report() {
     let now = Instant::now();
-    let mut instance = known(now);
-    instance.report(&report_of(50, true, 3), now);
+    let mut instance = ready_instance(now);
+    instance.report(&report_with_start_time(50, true, 3), now);
     assert!(instance.takes_work(now).is_none());
-    let effect = instance.report(&report_of(100, false, 9), now);
+    let effect = instance.report(&report_with_start_time(100, false, 9), now);
     assert_eq!(effect, ReportEffect::Verify);
     instance.verified("1", true, now);
     assert!(instance.takes_work(now).is_some());
 }
 
 #[test]
-fn an_id_that_left_without_telling_its_start_comes_back_after_a_while() {
+fn id_without_start_time_returns_after_exclusion() {
     let mut now = Instant::now();
     let mut instance = LocalInstance::default();
     instance.verified("1", true, now);
@@ -272,7 +292,7 @@
     instance.verified("1", true, now);
     assert!(
         instance.takes_work(now).is_none(),
-        "a late report may be of it"
+        "a possibly late report made a leaving id available"
     );
     now += Duration::from_secs(31);
     assert_eq!(
--- a/crates/tallybridge-mesh/tests/slots.rs
+++ b/crates/tallybridge-mesh/tests/slots.rs
@@ -1,4 +1,4 @@
-//! Slots of a back end: never more than there are, given to what matters most.
+//! Slots of a back end: the limit holds, critical calls go first, and no slot leaks.
 
 use std::time::Duration;
 
@@ -6,100 +6,103 @@
 use tallybridge_mesh::tables::backend::slots::{BackendSlots, NoSlot, Slot};
 use tokio::time::{Instant, sleep};
 
-const LONG: Duration = Duration::from_secs(60);
+const LONG_WAIT: Duration = Duration::from_secs(60);
 
-fn slots_of(count: u32) -> BackendSlots {
+fn slots_with(count: u32) -> BackendSlots {
     let slots = BackendSlots::default();
     slots.set_slots(count);
     slots
 }
 
-async fn fill(slots: &BackendSlots) -> Vec<Slot> {
+async fn acquire_all(slots: &BackendSlots) -> Vec<Slot> {
     let mut held = Vec::new();
     for _ in 0..slots.load().limit {
-        let until = Instant::now() + LONG;
-        held.push(slots.slot(Criticality::Critical, until).await.unwrap());
+        let wait_until = Instant::now() + LONG_WAIT;
+        held.push(slots.slot(Criticality::Critical, wait_until).await.unwrap());
     }
     held
 }
 
 #[tokio::test(start_paused = true)]
-async fn slots_are_never_all_used_nor_more_than_there_are() {
+async fn limit_is_95_percent_and_at_least_one() {
     for (slots, limit) in [(1, 1), (2, 1), (20, 19), (22, 20), (38, 36), (142, 134)] {
-        assert_eq!(slots_of(slots).load().limit, limit);
+        assert_eq!(slots_with(slots).load().limit, limit);
     }
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_slot_that_is_given_back_goes_to_the_most_critical_that_waits() {
-    let slots = slots_of(4);
-    let mut held = fill(&slots).await;
-    let mut waiting = Vec::new();
+async fn released_slot_goes_to_most_critical_call() {
+    let slots = slots_with(4);
+    let mut held = acquire_all(&slots).await;
+    let mut waiting_tasks = Vec::new();
     for class in [
         Criticality::Sheddable,
         Criticality::CriticalPlus,
         Criticality::Critical,
     ] {
         let slots = slots.clone();
-        waiting.push(tokio::spawn(async move {
-            slots.slot(class, Instant::now() + LONG).await
+        waiting_tasks.push(tokio::spawn(async move {
+            slots.slot(class, Instant::now() + LONG_WAIT).await
         }));
         sleep(Duration::from_millis(1)).await;
     }
     held.pop();
     sleep(Duration::from_millis(1)).await;
-    let finished: Vec<bool> = waiting.iter().map(|task| task.is_finished()).collect();
+    let finished: Vec<bool> = waiting_tasks
+        .iter()
+        .map(|task| task.is_finished())
+        .collect();
     assert_eq!(finished, [false, true, false]);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_wait_that_would_be_for_nothing_is_refused_at_once() {
-    let slots = slots_of(2);
+async fn refuses_call_that_would_wait_too_long() {
+    let slots = slots_with(2);
     for _ in 0..200 {
         let slot = slots
-            .slot(Criticality::Critical, Instant::now() + LONG)
+            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
         sleep(Duration::from_millis(100)).await;
         drop(slot);
     }
-    let _held = fill(&slots).await;
-    let first = slots.clone();
-    let _waiting = tokio::spawn(async move {
-        let _ = first
-            .slot(Criticality::Critical, Instant::now() + LONG)
+    let _held = acquire_all(&slots).await;
+    let waiting_slots = slots.clone();
+    let _waiting_task = tokio::spawn(async move {
+        let _ = waiting_slots
+            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
     });
     sleep(Duration::from_millis(1)).await;
-    let began = Instant::now();
-    let short = began + Duration::from_millis(50);
-    let refused = slots.slot(Criticality::Critical, short).await;
-    assert_eq!(refused.unwrap_err(), NoSlot::Full);
-    assert_eq!(began.elapsed(), Duration::ZERO);
+    let started_at = Instant::now();
+    let wait_until = started_at + Duration::from_millis(50);
+    let result = slots.slot(Criticality::Critical, wait_until).await;
+    assert_eq!(result.unwrap_err(), NoSlot::Full);
+    assert_eq!(started_at.elapsed(), Duration::ZERO);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_wait_ends_when_its_time_is_up_and_leaves_nothing_behind() {
-    let slots = slots_of(2);
-    let held = fill(&slots).await;
-    let began = Instant::now();
-    let until = began + Duration::from_millis(80);
-    assert!(slots.slot(Criticality::Critical, until).await.is_err());
-    assert_eq!(began.elapsed().as_millis() / 10, 8);
+async fn expired_wait_leaves_queue() {
+    let slots = slots_with(2);
+    let held = acquire_all(&slots).await;
+    let started_at = Instant::now();
+    let wait_until = started_at + Duration::from_millis(80);
+    assert!(slots.slot(Criticality::Critical, wait_until).await.is_err());
+    assert_eq!(started_at.elapsed().as_millis() / 10, 8);
     assert_eq!(slots.load().queued, 0);
     drop(held);
     assert_eq!(slots.load().in_flight, 0);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_call_that_is_withdrawn_while_it_waits_never_gets_a_slot() {
-    let slots = slots_of(2);
-    let held = fill(&slots).await;
-    let waiting = slots.clone();
+async fn cancelled_call_gets_no_slot() {
+    let slots = slots_with(2);
+    let held = acquire_all(&slots).await;
+    let waiting_slots = slots.clone();
     let task = tokio::spawn(async move {
-        let _ = waiting
-            .slot(Criticality::Critical, Instant::now() + LONG)
+        let _ = waiting_slots
+            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
-        panic!("it was withdrawn");
+        panic!("the cancelled call ran");
     });
     sleep(Duration::from_millis(1)).await;
     assert_eq!(slots.load().queued, 1);
@@ -111,13 +114,13 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn all_that_wait_are_refused_when_the_back_end_leaves() {
-    let slots = slots_of(2);
-    let held = fill(&slots).await;
-    let waiting = slots.clone();
+async fn refuses_waiting_calls_of_leaving_back_end() {
+    let slots = slots_with(2);
+    let held = acquire_all(&slots).await;
+    let waiting_slots = slots.clone();
     let task = tokio::spawn(async move {
-        waiting
-            .slot(Criticality::CriticalPlus, Instant::now() + LONG)
+        waiting_slots
+            .slot(Criticality::CriticalPlus, Instant::now() + LONG_WAIT)
             .await
     });
     sleep(Duration::from_millis(1)).await;
@@ -128,25 +131,25 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn slots_balance_under_a_random_load() {
+async fn releases_all_slots_after_random_load() {
     use rand::{Rng, SeedableRng};
-    let slots = slots_of(6);
+    let slots = slots_with(6);
     let mut random = rand::rngs::StdRng::seed_from_u64(7);
     let mut tasks = Vec::new();
     for _ in 0..2000 {
         let slots = slots.clone();
-        let wait = Duration::from_millis(random.random_range(0..40));
-        let hold = Duration::from_millis(random.random_range(0..20));
+        let max_wait = Duration::from_millis(random.random_range(0..40));
+        let hold_time = Duration::from_millis(random.random_range(0..20));
         let class = Criticality::ALL[random.random_range(0..4)];
-        let patience = Duration::from_millis(random.random_range(0..60));
+        let cancel_after = Duration::from_millis(random.random_range(0..60));
         let task = tokio::spawn(async move {
-            let using = async {
-                let slot = slots.slot(class, Instant::now() + wait).await;
+            let use_slot = async {
+                let slot = slots.slot(class, Instant::now() + max_wait).await;
                 assert!(slots.load().in_flight <= slots.load().limit);
-                sleep(hold).await;
+                sleep(hold_time).await;
                 drop(slot);
             };
-            let _ = tokio::time::timeout(patience, using).await;
+            let _ = tokio::time::timeout(cancel_after, use_slot).await;
         });
         tasks.push(task);
         sleep(Duration::from_millis(random.random_range(0..4))).await;
@@ -159,10 +162,10 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_slow_time_is_believed_less_while_nothing_shows_it() {
-    let slots = slots_of(4);
+async fn service_time_decays_without_calls() {
+    let slots = slots_with(4);
     let slot = slots
-        .slot(Criticality::Critical, Instant::now() + LONG)
+        .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
         .await;
     sleep(Duration::from_secs(1)).await;
     drop(slot);
@@ -173,8 +176,8 @@
     assert!(slots.load().service_ms < 150, "{}", slots.load().service_ms);
 }
 
-/// Keeps the slots of a back end taken that takes longer over its calls from a share of them on.
-async fn saturate(slots: &BackendSlots, count: u32, slow_from: f64, seconds: u64) {
+/// Saturates a back end that slows down while more than the share `slow_above` of its slots is in use.
+async fn saturate(slots: &BackendSlots, count: u32, slow_above: f64, seconds: u64) {
     let end = Instant::now() + Duration::from_secs(seconds);
     let callers = (0..count * 2).map(|_| {
         let slots = slots.clone();
@@ -184,9 +187,9 @@
                 let Ok(mut slot) = slots.slot(Criticality::Critical, wait_until).await else {
                     continue;
                 };
-                let taken = f64::from(slots.load().in_flight) / f64::from(count);
-                let took = if taken > slow_from { 64 } else { 40 };
-                sleep(Duration::from_millis(took)).await;
+                let occupancy = f64::from(slots.load().in_flight) / f64::from(count);
+                let work_ms = if occupancy > slow_above { 64 } else { 40 };
+                sleep(Duration::from_millis(work_ms)).await;
                 slot.ended_well(1);
             }
         })
@@ -197,16 +200,20 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn slots_on_which_a_back_end_slows_down_are_not_used_under_saturation() {
-    let sound = BackendSlots::default();
-    sound.set_slots(38);
-    saturate(&sound, 38, 1.0, 8).await;
-    assert_eq!(sound.load().limit, 36);
+async fn avoids_slots_that_slow_back_end_down() {
+    let healthy = BackendSlots::default();
+    healthy.set_slots(38);
+    saturate(&healthy, 38, 1.0, 8).await;
+    assert_eq!(healthy.load().limit, 36);
     let slowing = BackendSlots::default();
     slowing.set_slots(38);
     saturate(&slowing, 38, 0.85, 8).await;
     let limit = slowing.load().limit;
     assert!((27..=32).contains(&limit), "{limit}");
     slowing.forget_instance();
-    assert_eq!(slowing.load().limit, 36, "another instance may differ");
+    assert_eq!(
+        slowing.load().limit,
+        36,
+        "the limit learned for the previous instance still applies"
+    );
 }
