Backend tables: clearer doc comments and names of the slot acquisition

A few comments still made a reader stop: which report counts as the current incarnation's, and what a fraction refers to. Arrival is Acquisition now.

--- a/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
@@ -1,4 +1,4 @@
-//! Identity, state and slots of the back end beside this node, and whether it may get work.
+//! Tracks the back end beside this node, and decides whether it may get work.
 //!
 //! An incarnation of the back end gets work once it answers a health check as healthy, until it announces
 //! that it leaves, cannot be reached, or is replaced. Once it announced that it leaves, it never gets work
@@ -32,7 +32,7 @@
     started_at_ms: Option<u64>,
 }
 
-/// Table of the back end beside this node.
+/// Identity, state and slots of the back end beside this node.
 #[derive(Debug)]
 pub struct LocalInstance {
     state: InstanceState,
@@ -94,7 +94,7 @@
         current.is_some_and(|current| self.has_departed(current.id(), now))
     }
 
-    /// Returns whether the back end has restarted under the id of `incarnation` since that incarnation.
+    /// Returns whether the back end has restarted under the same id since `incarnation`.
     #[must_use]
     pub fn is_restarted_after(&self, incarnation: &Incarnation) -> bool {
         let current = self.current();
--- a/crates/tallybridge-mesh/src/tables/backend/instance/tracker.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/tracker.rs
@@ -12,7 +12,7 @@
 
 use crate::tables::backend::incarnation::Incarnation;
 
-/// Longer than late reports of an ended incarnation keep arriving.
+/// Long enough for the late reports of an ended incarnation to have arrived.
 const ROLLBACK_CONFIRMATION_DELAY: Duration = Duration::from_millis(1000);
 /// Bounds the memory use.
 const MAX_ENDED_START_TIMES: usize = 16;
@@ -20,7 +20,7 @@
 /// The sender of a report, relative to the current incarnation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Reporter {
-    /// The current incarnation, or one of the same id without a start time.
+    /// The current incarnation; also assumed for a report without a start time.
     Current,
     /// A newer incarnation of the current id.
     Newer,
--- a/crates/tallybridge-mesh/src/tables/backend/slot_share/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slot_share/mod.rs
@@ -26,7 +26,7 @@
 const SCANNED_SHARES: [f64; 5] = [0.87, 0.78, 0.68, 0.58, 0.48];
 /// Share of the slots in use up to which a call counts as running at low load.
 const MAX_LOW_LOAD_OCCUPANCY: f64 = 0.6;
-/// Fraction of the current share from which a call counts as running under saturation.
+/// Occupancy, relative to the current share, from which a call counts as running under saturation.
 const MIN_SATURATED_FRACTION: f64 = 0.9;
 /// Share at which the times at low load are measured if they are unknown.
 const LOW_LOAD_CHECK_SHARE: f64 = 0.75;
--- a/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
@@ -34,8 +34,8 @@
     Closed,
 }
 
-enum Arrival {
-    Slot(Slot),
+enum Acquisition {
+    Acquired(Slot),
     Queued(QueuedCall),
 }
 
@@ -55,25 +55,29 @@
         criticality: Criticality,
         wait_until: Instant,
     ) -> Result<Slot, NoSlot> {
-        match self.arrive(criticality, wait_until)? {
-            Arrival::Slot(slot) => Ok(slot),
-            Arrival::Queued(call) => call.wait(wait_until).await,
+        match self.acquire_or_enqueue(criticality, wait_until)? {
+            Acquisition::Acquired(slot) => Ok(slot),
+            Acquisition::Queued(call) => call.wait(wait_until).await,
         }
     }
 
-    fn arrive(&self, criticality: Criticality, wait_until: Instant) -> Result<Arrival, NoSlot> {
+    fn acquire_or_enqueue(
+        &self,
+        criticality: Criticality,
+        wait_until: Instant,
+    ) -> Result<Acquisition, NoSlot> {
         let now = Instant::now();
         let mut table = self.table();
         table.record_arrival(now);
         if table.try_take_slot() {
             let slot = Slot::new(self.clone(), now, table.occupancy());
-            return Ok(Arrival::Slot(slot));
+            return Ok(Acquisition::Acquired(slot));
         }
         if now + table.expected_wait(criticality) >= wait_until {
             return Err(NoSlot::Full);
         }
         let entry = table.waiting.enqueue(criticality, wait_until, now)?;
-        Ok(Arrival::Queued(QueuedCall::new(self.clone(), entry)))
+        Ok(Acquisition::Queued(QueuedCall::new(self.clone(), entry)))
     }
 
     /// Ends an expired trial of another slot share. The node calls this once per tick of 100 ms.
