Rename operations of the back end's tables after what they do

Names were participles for actions (verified, reached, ended) or figurative.

EndedStart -> EndedIncarnation EndedStart::had_left -> EndedIncarnation::was_leaving (the log key stays) LocalInstance::report -> apply_report LocalInstance::takes_work -> available_incarnation LocalInstance::has_left -> is_leaving LocalInstance::is_restarted_after -> has_restarted_since LocalInstance::verified -> record_health_check LocalInstance::unreachable -> mark_unreachable LocalInstance::reached -> mark_reachable LocalInstance::misdirected -> mark_unverified FailureRate::ended -> record FailureRateChange::Began -> BecameHigh FailureRateChange::Ended -> Recovered BackendSlots::slot -> acquire BackendSlots::forget_instance -> reset_share Slot::held -> held_for Slot::ended_well -> record_success

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -13,7 +13,7 @@
     platform::InstanceReport,
     protocol::Load,
     tables::{
-        EndedStart, FailureRate, FailureRateChange, Incarnation, InstanceState, ReportEffect,
+        EndedIncarnation, FailureRate, FailureRateChange, Incarnation, InstanceState, ReportEffect,
     },
 };
 
@@ -23,7 +23,7 @@
         let effect = {
             let mut tables = self.tables();
             let slots_before = tables.instance.slots();
-            let effect = tables.instance.report(report, Instant::now());
+            let effect = tables.instance.apply_report(report, Instant::now());
             let slots = tables.instance.slots();
             let service = &self.settings.backend.service;
             if slots != slots_before && !tables.peers.has_enough_slot_reports(service, slots) {
@@ -50,10 +50,10 @@
 
     /// The back end has started again under its id. It knows nothing of the calls that were dispatched to
     /// the start before it, and nothing that was learned of that one holds.
-    fn instance_restarted(&self, ended: &EndedStart) {
+    fn instance_restarted(&self, ended: &EndedIncarnation) {
         tracing::warn!(
             instance = ended.incarnation.id(),
-            had_left = ended.had_left,
+            had_left = ended.was_leaving,
             "back end has started again under its id"
         );
         let crash = {
@@ -61,7 +61,7 @@
             tables.failing = FailureRate::default();
             tables.take_crash_before_restart(ended, BootInstant::now())
         };
-        self.slots.forget_instance();
+        self.slots.reset_share();
         self.backend.clear();
         self.signals.restarts.send_modify(|starts| *starts += 1);
         if let Some(crash) = crash {
@@ -75,7 +75,7 @@
     pub async fn start_is_over(&self, incarnation: &Incarnation) {
         let mut restarts = self.signals.restarts.subscribe();
         loop {
-            let is_over = self.tables().instance.is_restarted_after(incarnation);
+            let is_over = self.tables().instance.has_restarted_since(incarnation);
             if is_over || restarts.changed().await.is_err() {
                 return;
             }
@@ -113,7 +113,7 @@
     /// The start of the back end that may be given work now.
     #[must_use]
     pub fn instance_for_work(&self) -> Option<Incarnation> {
-        self.tables().instance.takes_work(Instant::now())
+        self.tables().instance.available_incarnation(Instant::now())
     }
 
     /// The back end answered a health check under an id.
@@ -126,11 +126,11 @@
             if is_other {
                 ended = tables.take_crash(true, BootInstant::now());
                 tables.failing = FailureRate::default();
-                self.slots.forget_instance();
+                self.slots.reset_share();
             }
             let changed = tables
                 .instance
-                .verified(instance, is_healthy, Instant::now());
+                .record_health_check(instance, is_healthy, Instant::now());
             self.adopt_slots(&tables);
             changed
         };
@@ -145,7 +145,7 @@
 
     /// The back end could not be reached.
     pub fn instance_unreachable(&self) {
-        if self.tables().instance.unreachable(Instant::now()) {
+        if self.tables().instance.mark_unreachable(Instant::now()) {
             tracing::warn!("back end can't be reached");
             self.backend.clear();
             self.instance_changed();
@@ -154,7 +154,7 @@
 
     /// The back end took a connection.
     pub fn instance_reached(&self) {
-        if self.tables().instance.reached() {
+        if self.tables().instance.mark_reachable() {
             tracing::info!("back end is reached again");
             self.instance_changed();
         }
@@ -162,7 +162,7 @@
 
     /// Another instance answered in the place of the one that is known.
     pub fn instance_misdirected(&self) {
-        self.tables().instance.misdirected();
+        self.tables().instance.mark_unverified();
         self.backend.clear();
         self.signals.verify.notify_one();
         self.instance_changed();
@@ -191,14 +191,14 @@
             if badly && tables.running.may_fail_for_another(attempt) {
                 return;
             }
-            tables.failing.ended(badly)
+            tables.failing.record(badly)
         };
         match change {
-            Some(FailureRateChange::Began) => {
+            Some(FailureRateChange::BecameHigh) => {
                 let attempt = String::from_utf8_lossy(attempt);
                 tracing::warn!(%attempt, "back end fails many calls, others are preferred to it");
             }
-            Some(FailureRateChange::Ended) => tracing::info!("back end fails few calls again"),
+            Some(FailureRateChange::Recovered) => tracing::info!("back end fails few calls again"),
             None => {}
         }
     }
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -13,7 +13,7 @@
     clock::BootInstant,
     protocol::{CrashReport, Frame, Message, QuarantinedRequest, RequestDigest, ServiceTag},
     tables::{
-        EndedStart, Incarnation,
+        EndedIncarnation, Incarnation,
         quarantine::{InterruptedCalls, QuarantineCounts},
     },
 };
@@ -53,7 +53,7 @@
     /// follows (`is_replaced`).
     pub(super) fn take_crash(&mut self, is_replaced: bool, now: BootInstant) -> Option<Crash> {
         let incarnation = self.instance.current()?.clone();
-        let had_left = self.instance.has_left(now.if_awake());
+        let had_left = self.instance.is_leaving(now.if_awake());
         let counts_idle = is_replaced && !self.dispatched.has_crashed(&incarnation);
         let interrupted = self.dispatched.take_after_crash(&incarnation, now);
         Crash::of(&incarnation, interrupted, had_left, counts_idle)
@@ -62,12 +62,17 @@
     /// The same of a start after which the back end has started again under its id.
     pub(super) fn take_crash_before_restart(
         &mut self,
-        ended: &EndedStart,
+        ended: &EndedIncarnation,
         now: BootInstant,
     ) -> Option<Crash> {
         let counts_idle = !self.dispatched.has_crashed(&ended.incarnation);
         let interrupted = self.dispatched.take_after_restart(&ended.incarnation, now);
-        Crash::of(&ended.incarnation, interrupted, ended.had_left, counts_idle)
+        Crash::of(
+            &ended.incarnation,
+            interrupted,
+            ended.was_leaving,
+            counts_idle,
+        )
     }
 
     /// Counts a report of a crash, beside the back ends that its service has.
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -89,7 +89,7 @@
     let answered = dispatch(node, call, &slot, deadline).await?;
     let is_leaf = answered.answer.status < 500 && !answered.made_calls;
     if is_leaf && node.settings.policy.adapt_slots {
-        slot.ended_well(call.kind);
+        slot.record_success(call.kind);
     }
     Ok(answered)
 }
@@ -116,7 +116,7 @@
     // An entry of a later version may know classes that this node doesn't: they get the default one.
     let criticality = Criticality::from_wire(call.criticality).unwrap_or_default();
     let wait_until = arrived + Duration::from_millis(call.wait_ms.into());
-    let slot = node.slots.slot(criticality, wait_until.if_awake()).await;
+    let slot = node.slots.acquire(criticality, wait_until.if_awake()).await;
     slot.map_err(|reason| match reason {
         NoSlot::Full => {
             let retry_after = node.slots.service_time().max(LEAST_RETRY_AFTER);
@@ -176,7 +176,7 @@
     result.map(|answer| Answered {
         answer,
         made_calls: node.has_called(&call.attempt),
-        times: node.slot_times(&call.attempt, slot.held()),
+        times: node.slot_times(&call.attempt, slot.held_for()),
     })
 }
 
--- a/crates/tallybridge-mesh/src/tables/backend/failures.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/failures.rs
@@ -19,9 +19,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailureRateChange {
     /// The failure rate rose above 0.3.
-    Began,
+    BecameHigh,
     /// The failure rate fell below 0.1 again.
-    Ended,
+    Recovered,
 }
 
 /// Failure rate of the calls dispatched to a back end, weighted towards recent calls.
@@ -33,16 +33,16 @@
 
 impl FailureRate {
     /// Records the end of a call, and returns a change that the caller should log.
-    pub fn ended(&mut self, has_failed: bool) -> Option<FailureRateChange> {
+    pub fn record(&mut self, has_failed: bool) -> Option<FailureRateChange> {
         let sample = if has_failed { 1.0 } else { 0.0 };
         self.rate += (sample - self.rate) * NEWEST_CALL_WEIGHT;
         if !self.is_high && self.rate > HIGH_FAILURE_RATE {
             self.is_high = true;
-            return Some(FailureRateChange::Began);
+            return Some(FailureRateChange::BecameHigh);
         }
         if self.is_high && self.rate < RECOVERED_FAILURE_RATE {
             self.is_high = false;
-            return Some(FailureRateChange::Ended);
+            return Some(FailureRateChange::Recovered);
         }
         None
     }
--- a/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
@@ -15,7 +15,7 @@
 
 use tokio::time::Instant;
 
-pub use self::state::{EndedStart, InstanceState, ReportEffect};
+pub use self::state::{EndedIncarnation, InstanceState, ReportEffect};
 use self::{
     departures::Departures,
     tracker::{IncarnationTracker, Reporter},
@@ -78,7 +78,7 @@
 
     /// Returns the current incarnation if it may get work now.
     #[must_use]
-    pub fn takes_work(&self, now: Instant) -> Option<Incarnation> {
+    pub fn available_incarnation(&self, now: Instant) -> Option<Incarnation> {
         let is_available = match self.state {
             InstanceState::Ready => true,
             InstanceState::Unreachable { retry_at } => now >= retry_at,
@@ -89,21 +89,21 @@
 
     /// Returns whether the current incarnation has announced that it leaves.
     #[must_use]
-    pub fn has_left(&self, now: Instant) -> bool {
+    pub fn is_leaving(&self, now: Instant) -> bool {
         let current = self.current();
         current.is_some_and(|current| self.has_departed(current.id(), now))
     }
 
     /// Returns whether the back end has restarted under the same id since `incarnation`.
     #[must_use]
-    pub fn is_restarted_after(&self, incarnation: &Incarnation) -> bool {
+    pub fn has_restarted_since(&self, incarnation: &Incarnation) -> bool {
         let current = self.current();
         current.is_some_and(|current| current.id() == incarnation.id() && current != incarnation)
     }
 
     /// Applies a report of a back end. Reports may arrive late and out of order, so no report makes an
     /// incarnation ready that has announced that it leaves.
-    pub fn report(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
+    pub fn apply_report(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
         let started_at_ms = report.started_at_ms;
         let reporter = self
             .incarnations
@@ -123,14 +123,18 @@
         ended.map_or(effect, ReportEffect::Restarted)
     }
 
-    fn apply_restart(&mut self, started_at_ms: Option<u64>, now: Instant) -> Option<EndedStart> {
-        let had_left = self.has_left(now);
+    fn apply_restart(
+        &mut self,
+        started_at_ms: Option<u64>,
+        now: Instant,
+    ) -> Option<EndedIncarnation> {
+        let was_leaving = self.is_leaving(now);
         let incarnation = self.incarnations.restart(started_at_ms)?;
         self.last_sequence = 0;
         self.state = InstanceState::Unknown;
-        Some(EndedStart {
+        Some(EndedIncarnation {
             incarnation,
-            had_left,
+            was_leaving,
         })
     }
 
@@ -196,7 +200,7 @@
 
     /// Records that the back end answered a health check under the id `id`. Returns whether its state or
     /// id changed.
-    pub fn verified(&mut self, id: &str, is_healthy: bool, now: Instant) -> bool {
+    pub fn record_health_check(&mut self, id: &str, is_healthy: bool, now: Instant) -> bool {
         let is_other_id = !self.incarnations.is_current_id(id);
         if is_other_id {
             self.replace(id);
@@ -223,7 +227,7 @@
     }
 
     /// Records that a connection to the back end failed. Returns whether the back end was ready before.
-    pub fn unreachable(&mut self, now: Instant) -> bool {
+    pub fn mark_unreachable(&mut self, now: Instant) -> bool {
         let was_ready = self.state == InstanceState::Ready;
         if was_ready || matches!(self.state, InstanceState::Unreachable { .. }) {
             let retry_at = now + UNREACHABLE_RETRY_DELAY;
@@ -233,7 +237,7 @@
     }
 
     /// Records that the back end accepted a connection. Returns whether it was unreachable before.
-    pub fn reached(&mut self) -> bool {
+    pub fn mark_reachable(&mut self) -> bool {
         let was_unreachable = matches!(self.state, InstanceState::Unreachable { .. });
         if was_unreachable {
             self.state = InstanceState::Ready;
@@ -243,7 +247,7 @@
 
     /// Stops work for the back end until a health check verifies it, because another instance answered a
     /// call in its place. A leaving back end stays leaving.
-    pub fn misdirected(&mut self) {
+    pub fn mark_unverified(&mut self) {
         if self.state != InstanceState::Leaving {
             self.state = InstanceState::Unknown;
         }
--- a/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
@@ -30,14 +30,14 @@
     /// The node must publish the new state or number of slots.
     Changed,
     /// The back end restarted under its id, which ended the contained incarnation.
-    Restarted(EndedStart),
+    Restarted(EndedIncarnation),
 }
 
 /// An incarnation that ended because the back end restarted.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EndedStart {
+pub struct EndedIncarnation {
     /// Identity of the ended incarnation.
     pub incarnation: Incarnation,
     /// Whether the incarnation had announced that it leaves. If not, the restart counts as a crash.
-    pub had_left: bool,
+    pub was_leaving: bool,
 }
--- a/crates/tallybridge-mesh/src/tables/backend/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/mod.rs
@@ -15,4 +15,4 @@
 
 pub use failures::{FailureRate, FailureRateChange};
 pub use incarnation::Incarnation;
-pub use instance::{EndedStart, InstanceState, LocalInstance, ReportEffect};
+pub use instance::{EndedIncarnation, InstanceState, LocalInstance, ReportEffect};
--- a/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
@@ -50,7 +50,7 @@
     ///
     /// [`NoSlot::Full`] if no slot is free in time or is expected to be, and [`NoSlot::Closed`] if the
     /// waiting calls are refused meanwhile.
-    pub async fn slot(
+    pub async fn acquire(
         &self,
         criticality: Criticality,
         wait_until: Instant,
@@ -86,7 +86,7 @@
     }
 
     /// Resets the slot share. The node calls this when another incarnation replaces the back end.
-    pub fn forget_instance(&self) {
+    pub fn reset_share(&self) {
         self.table().reset_share();
     }
 
--- a/crates/tallybridge-mesh/src/tables/backend/slots/slot.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/slot.rs
@@ -36,13 +36,13 @@
 
     /// Returns the time since the slot was acquired.
     #[must_use]
-    pub fn held(&self) -> Duration {
+    pub fn held_for(&self) -> Duration {
         self.acquired_at.elapsed()
     }
 
     /// Marks the call as one that succeeded without nested calls, so that its time adapts the slot share.
     /// `kind` groups calls that take about the same time.
-    pub const fn ended_well(&mut self, kind: u16) {
+    pub const fn record_success(&mut self, kind: u16) {
         self.sample_kind = Some(kind);
     }
 }
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -13,7 +13,7 @@
 
 pub use admission::{AdmissionControl, ServiceLoads};
 pub use backend::{
-    EndedStart, FailureRate, FailureRateChange, Incarnation, InstanceState, LocalInstance,
+    EndedIncarnation, FailureRate, FailureRateChange, Incarnation, InstanceState, LocalInstance,
     ReportEffect,
 };
 pub use configuration::{ConfigurationTable, Confirmed};
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -5,7 +5,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::{
     InstanceReport, ReportedState,
-    tables::{EndedStart, InstanceState, LocalInstance, ReportEffect},
+    tables::{EndedIncarnation, InstanceState, LocalInstance, ReportEffect},
 };
 use tokio::time::Instant;
 
@@ -70,23 +70,23 @@
                     if is_leaving {
                         left_ids.insert(id.to_string());
                     }
-                    instance.report(&report(id, is_leaving, sequence), now);
+                    instance.apply_report(&report(id, is_leaving, sequence), now);
                 }
                 Event::HealthCheck { instance: id, is_healthy } => {
                     if is_healthy {
                         healthy_ids.insert(id.to_string());
                     }
-                    instance.verified(&id.to_string(), is_healthy, now);
+                    instance.record_health_check(&id.to_string(), is_healthy, now);
                 }
                 Event::Unreachable => {
-                    instance.unreachable(now);
+                    instance.mark_unreachable(now);
                 }
                 Event::Reachable => {
-                    instance.reached();
+                    instance.mark_reachable();
                 }
-                Event::Misdirected => instance.misdirected(),
+                Event::Misdirected => instance.mark_unverified(),
             }
-            if let Some(incarnation) = instance.takes_work(now) {
+            if let Some(incarnation) = instance.available_incarnation(now) {
                 let id = incarnation.id();
                 prop_assert!(!left_ids.contains(id), "{id} got work after it left");
                 prop_assert!(healthy_ids.contains(id), "{id} got work before a health check");
@@ -98,7 +98,7 @@
 #[test]
 fn ready_report_alone_does_not_verify() {
     let mut instance = LocalInstance::default();
-    instance.report(&report(1, false, 3), Instant::now());
+    instance.apply_report(&report(1, false, 3), Instant::now());
     assert_eq!(instance.state(), InstanceState::Unknown);
 }
 
@@ -106,13 +106,13 @@
 fn late_report_does_not_change_slots() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
-    instance.verified("1", true, now);
-    instance.report(&report(1, false, 5), now);
+    instance.record_health_check("1", true, now);
+    instance.apply_report(&report(1, false, 5), now);
     let late = InstanceReport {
         slots: 99,
         ..report(1, false, 4)
     };
-    instance.report(&late, now);
+    instance.apply_report(&late, now);
     assert_eq!(instance.slots(), 7);
 }
 
@@ -120,16 +120,20 @@
 fn retries_unreachable_back_end_after_delay() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
-    instance.verified("1", true, now);
-    assert!(instance.unreachable(now));
+    instance.record_health_check("1", true, now);
+    assert!(instance.mark_unreachable(now));
     assert!(
-        !instance.unreachable(now),
+        !instance.mark_unreachable(now),
         "the second failure was returned as a change"
     );
-    assert!(instance.takes_work(now).is_none());
-    assert!(instance.takes_work(now + Duration::from_secs(1)).is_some());
-    assert!(instance.reached());
-    assert!(instance.takes_work(now).is_some());
+    assert!(instance.available_incarnation(now).is_none());
+    assert!(
+        instance
+            .available_incarnation(now + Duration::from_secs(1))
+            .is_some()
+    );
+    assert!(instance.mark_reachable());
+    assert!(instance.available_incarnation(now).is_some());
 }
 
 /// Builds a report of the back end with id 1 and the start time `started_at_ms`.
@@ -144,11 +148,11 @@
 fn ready_instance(now: Instant) -> LocalInstance {
     let mut instance = LocalInstance::default();
     assert_eq!(
-        instance.report(&report_with_start_time(100, false, 7), now),
+        instance.apply_report(&report_with_start_time(100, false, 7), now),
         ReportEffect::Verify
     );
-    instance.verified("1", true, now);
-    instance.report(&report_with_start_time(100, false, 8), now);
+    instance.record_health_check("1", true, now);
+    instance.apply_report(&report_with_start_time(100, false, 8), now);
     assert_eq!(instance.state(), InstanceState::Ready);
     instance
 }
@@ -166,20 +170,20 @@
         slots: 9,
         ..report_with_start_time(200, false, 1)
     };
-    let effect = instance.report(&restart_report, now);
-    let ended = EndedStart {
+    let effect = instance.apply_report(&restart_report, now);
+    let ended = EndedIncarnation {
         incarnation: previous.clone(),
-        had_left: false,
+        was_leaving: false,
     };
     assert_eq!(effect, ReportEffect::Restarted(ended));
     assert!(
-        instance.takes_work(now).is_none(),
+        instance.available_incarnation(now).is_none(),
         "the new incarnation got work before a health check"
     );
-    assert!(instance.is_restarted_after(&previous));
+    assert!(instance.has_restarted_since(&previous));
     assert_eq!(instance.slots(), 9);
-    instance.verified("1", true, now);
-    let restarted = instance.takes_work(now).unwrap();
+    instance.record_health_check("1", true, now);
+    let restarted = instance.available_incarnation(now).unwrap();
     assert_eq!(restarted.id(), previous.id());
     assert_ne!(restarted, previous);
 }
@@ -188,55 +192,55 @@
 fn ignores_reports_of_previous_incarnation() {
     let now = Instant::now();
     let mut instance = ready_instance(now);
-    instance.report(&report_with_start_time(200, false, 1), now);
-    instance.verified("1", true, now);
+    instance.apply_report(&report_with_start_time(200, false, 1), now);
+    instance.record_health_check("1", true, now);
     for late in [
         report_with_start_time(100, false, 99),
         report_with_start_time(100, true, 99),
     ] {
         let late = InstanceReport { slots: 3, ..late };
-        assert_eq!(instance.report(&late, now), ReportEffect::Nothing);
+        assert_eq!(instance.apply_report(&late, now), ReportEffect::Nothing);
     }
     assert_eq!(instance.slots(), 7);
-    assert!(instance.takes_work(now).is_some());
-    assert!(!instance.has_left(now));
+    assert!(instance.available_incarnation(now).is_some());
+    assert!(!instance.is_leaving(now));
 }
 
 #[test]
 fn only_new_incarnation_returns_after_leaving() {
     let now = Instant::now();
     let mut instance = ready_instance(now);
-    instance.report(&report_with_start_time(100, true, 9), now);
+    instance.apply_report(&report_with_start_time(100, true, 9), now);
     assert_eq!(instance.state(), InstanceState::Leaving);
-    instance.report(&report_with_start_time(100, false, 10), now);
-    instance.verified("1", true, now);
+    instance.apply_report(&report_with_start_time(100, false, 10), now);
+    instance.record_health_check("1", true, now);
     assert!(
-        instance.takes_work(now).is_none(),
+        instance.available_incarnation(now).is_none(),
         "a leaving incarnation got work"
     );
-    let effect = instance.report(&report_with_start_time(200, false, 1), now);
+    let effect = instance.apply_report(&report_with_start_time(200, false, 1), now);
     let ReportEffect::Restarted(ended) = effect else {
         panic!("{effect:?}");
     };
     assert!(
-        ended.had_left,
+        ended.was_leaving,
         "the restart of a leaving back end counts as a crash"
     );
-    instance.verified("1", true, now);
-    assert!(instance.takes_work(now).is_some());
+    instance.record_health_check("1", true, now);
+    assert!(instance.available_incarnation(now).is_some());
 }
 
 #[test]
 fn leaving_report_without_start_time_applies_to_current() {
     let now = Instant::now();
     let mut instance = ready_instance(now);
-    instance.report(&report(1, true, 0), now);
+    instance.apply_report(&report(1, true, 0), now);
     assert_eq!(instance.state(), InstanceState::Leaving);
     assert!(is_restart(
-        &instance.report(&report_with_start_time(200, false, 1), now)
+        &instance.apply_report(&report_with_start_time(200, false, 1), now)
     ));
-    instance.verified("1", true, now);
-    assert!(instance.takes_work(now).is_some());
+    instance.record_health_check("1", true, now);
+    assert!(instance.available_incarnation(now).is_some());
 }
 
 #[test]
@@ -244,14 +248,14 @@
     let mut now = Instant::now();
     let mut instance = ready_instance(now);
     assert!(!is_restart(
-        &instance.report(&report_with_start_time(50, false, 1), now)
+        &instance.apply_report(&report_with_start_time(50, false, 1), now)
     ));
     now += Duration::from_millis(1500);
     assert!(is_restart(
-        &instance.report(&report_with_start_time(50, false, 2), now)
+        &instance.apply_report(&report_with_start_time(50, false, 2), now)
     ));
     // The replaced incarnation has ended, although its start time is later.
-    let late = instance.report(&report_with_start_time(100, false, 99), now);
+    let late = instance.apply_report(&report_with_start_time(100, false, 99), now);
     assert_eq!(late, ReportEffect::Nothing);
 }
 
@@ -261,44 +265,44 @@
     let mut instance = ready_instance(now);
     for sequence in 0..4 {
         let late = report_with_start_time(50, false, sequence);
-        assert_eq!(instance.report(&late, now), ReportEffect::Nothing);
+        assert_eq!(instance.apply_report(&late, now), ReportEffect::Nothing);
         now += Duration::from_millis(750);
-        instance.report(&report_with_start_time(100, false, 9 + sequence), now);
+        instance.apply_report(&report_with_start_time(100, false, 9 + sequence), now);
         now += Duration::from_millis(750);
     }
-    assert!(instance.takes_work(now).is_some());
+    assert!(instance.available_incarnation(now).is_some());
 }
 
 #[test]
 fn late_leaving_report_pauses_work_until_next_report() {
     let now = Instant::now();
     let mut instance = ready_instance(now);
-    instance.report(&report_with_start_time(50, true, 3), now);
-    assert!(instance.takes_work(now).is_none());
-    let effect = instance.report(&report_with_start_time(100, false, 9), now);
+    instance.apply_report(&report_with_start_time(50, true, 3), now);
+    assert!(instance.available_incarnation(now).is_none());
+    let effect = instance.apply_report(&report_with_start_time(100, false, 9), now);
     assert_eq!(effect, ReportEffect::Verify);
-    instance.verified("1", true, now);
-    assert!(instance.takes_work(now).is_some());
+    instance.record_health_check("1", true, now);
+    assert!(instance.available_incarnation(now).is_some());
 }
 
 #[test]
 fn id_without_start_time_returns_after_exclusion() {
     let mut now = Instant::now();
     let mut instance = LocalInstance::default();
-    instance.verified("1", true, now);
-    instance.report(&report(1, true, 1), now);
+    instance.record_health_check("1", true, now);
+    instance.apply_report(&report(1, true, 1), now);
     now += Duration::from_secs(30);
-    instance.report(&report(1, false, 1), now);
-    instance.verified("1", true, now);
+    instance.apply_report(&report(1, false, 1), now);
+    instance.record_health_check("1", true, now);
     assert!(
-        instance.takes_work(now).is_none(),
+        instance.available_incarnation(now).is_none(),
         "a possibly late report made a leaving id available"
     );
     now += Duration::from_secs(31);
     assert_eq!(
-        instance.report(&report(1, false, 2), now),
+        instance.apply_report(&report(1, false, 2), now),
         ReportEffect::Verify
     );
-    instance.verified("1", true, now);
-    assert!(instance.takes_work(now).is_some());
+    instance.record_health_check("1", true, now);
+    assert!(instance.available_incarnation(now).is_some());
 }
--- a/crates/tallybridge-mesh/tests/slots.rs
+++ b/crates/tallybridge-mesh/tests/slots.rs
@@ -18,7 +18,12 @@
     let mut held = Vec::new();
     for _ in 0..slots.load().limit {
         let wait_until = Instant::now() + LONG_WAIT;
-        held.push(slots.slot(Criticality::Critical, wait_until).await.unwrap());
+        held.push(
+            slots
+                .acquire(Criticality::Critical, wait_until)
+                .await
+                .unwrap(),
+        );
     }
     held
 }
@@ -42,7 +47,7 @@
     ] {
         let slots = slots.clone();
         waiting_tasks.push(tokio::spawn(async move {
-            slots.slot(class, Instant::now() + LONG_WAIT).await
+            slots.acquire(class, Instant::now() + LONG_WAIT).await
         }));
         sleep(Duration::from_millis(1)).await;
     }
@@ -60,7 +65,7 @@
     let slots = slots_with(2);
     for _ in 0..200 {
         let slot = slots
-            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
+            .acquire(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
         sleep(Duration::from_millis(100)).await;
         drop(slot);
@@ -69,13 +74,13 @@
     let waiting_slots = slots.clone();
     let _waiting_task = tokio::spawn(async move {
         let _ = waiting_slots
-            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
+            .acquire(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
     });
     sleep(Duration::from_millis(1)).await;
     let started_at = Instant::now();
     let wait_until = started_at + Duration::from_millis(50);
-    let result = slots.slot(Criticality::Critical, wait_until).await;
+    let result = slots.acquire(Criticality::Critical, wait_until).await;
     assert_eq!(result.unwrap_err(), NoSlot::Full);
     assert_eq!(started_at.elapsed(), Duration::ZERO);
 }
@@ -86,7 +91,12 @@
     let held = acquire_all(&slots).await;
     let started_at = Instant::now();
     let wait_until = started_at + Duration::from_millis(80);
-    assert!(slots.slot(Criticality::Critical, wait_until).await.is_err());
+    assert!(
+        slots
+            .acquire(Criticality::Critical, wait_until)
+            .await
+            .is_err()
+    );
     assert_eq!(started_at.elapsed().as_millis() / 10, 8);
     assert_eq!(slots.load().queued, 0);
     drop(held);
@@ -100,7 +110,7 @@
     let waiting_slots = slots.clone();
     let task = tokio::spawn(async move {
         let _ = waiting_slots
-            .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
+            .acquire(Criticality::Critical, Instant::now() + LONG_WAIT)
             .await;
         panic!("the cancelled call ran");
     });
@@ -120,7 +130,7 @@
     let waiting_slots = slots.clone();
     let task = tokio::spawn(async move {
         waiting_slots
-            .slot(Criticality::CriticalPlus, Instant::now() + LONG_WAIT)
+            .acquire(Criticality::CriticalPlus, Instant::now() + LONG_WAIT)
             .await
     });
     sleep(Duration::from_millis(1)).await;
@@ -144,7 +154,7 @@
         let cancel_after = Duration::from_millis(random.random_range(0..60));
         let task = tokio::spawn(async move {
             let use_slot = async {
-                let slot = slots.slot(class, Instant::now() + max_wait).await;
+                let slot = slots.acquire(class, Instant::now() + max_wait).await;
                 assert!(slots.load().in_flight <= slots.load().limit);
                 sleep(hold_time).await;
                 drop(slot);
@@ -165,7 +175,7 @@
 async fn service_time_decays_without_calls() {
     let slots = slots_with(4);
     let slot = slots
-        .slot(Criticality::Critical, Instant::now() + LONG_WAIT)
+        .acquire(Criticality::Critical, Instant::now() + LONG_WAIT)
         .await;
     sleep(Duration::from_secs(1)).await;
     drop(slot);
@@ -184,13 +194,13 @@
         tokio::spawn(async move {
             while Instant::now() < end {
                 let wait_until = Instant::now() + Duration::from_secs(1);
-                let Ok(mut slot) = slots.slot(Criticality::Critical, wait_until).await else {
+                let Ok(mut slot) = slots.acquire(Criticality::Critical, wait_until).await else {
                     continue;
                 };
                 let occupancy = f64::from(slots.load().in_flight) / f64::from(count);
                 let work_ms = if occupancy > slow_above { 64 } else { 40 };
                 sleep(Duration::from_millis(work_ms)).await;
-                slot.ended_well(1);
+                slot.record_success(1);
             }
         })
     });
@@ -210,7 +220,7 @@
     saturate(&slowing, 38, 0.85, 8).await;
     let limit = slowing.load().limit;
     assert!((27..=32).contains(&limit), "{limit}");
-    slowing.forget_instance();
+    slowing.reset_share();
     assert_eq!(
         slowing.load().limit,
         36,
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -286,7 +286,7 @@
                 break;
             }
         }
-        let times = running.times(&self.plan.services[node.service].name, slot.held());
+        let times = running.times(&self.plan.services[node.service].name, slot.held_for());
         Ended::Answered { well, times }
     }
 
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -135,7 +135,7 @@
         criticality: Criticality,
         wait_until: Instant,
     ) -> Result<Slot, NoSlot> {
-        self.backend_slots.slot(criticality, wait_until).await
+        self.backend_slots.acquire(criticality, wait_until).await
     }
 
     /// What the node tells of itself.
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -245,11 +245,11 @@
 #[test]
 fn the_share_of_failing_calls_follows_them_both_ways() {
     let mut share = FailureRate::default();
-    let told: Vec<_> = (0..20).filter_map(|_| share.ended(true)).collect();
-    assert_eq!(told, [FailureRateChange::Began], "told once");
+    let told: Vec<_> = (0..20).filter_map(|_| share.record(true)).collect();
+    assert_eq!(told, [FailureRateChange::BecameHigh], "told once");
     assert!(share.get() > 0.75, "{}", share.get());
-    let told: Vec<_> = (0..30).filter_map(|_| share.ended(false)).collect();
-    assert_eq!(told, [FailureRateChange::Ended], "told once");
+    let told: Vec<_> = (0..30).filter_map(|_| share.record(false)).collect();
+    assert_eq!(told, [FailureRateChange::Recovered], "told once");
     assert!(share.get() < 0.1, "{}", share.get());
     assert_eq!(Load::share_of(Load::wire_of(1.0)), 1.0);
 }
