Peers, retries, running calls: plain comments, names and test messages

Comments were written in clipped sentences, named things by figures of speech ("gives way", "told", "silent") and carried notes on where figures came from. They now state in present tense what the code does or which failure it guards against; notes on measurements are gone. Tests are named after the behaviour that they check, and their messages say what went wrong.

No behaviour changes.

--- a/crates/tallybridge-mesh/src/policy.rs
+++ b/crates/tallybridge-mesh/src/policy.rs
@@ -1,42 +1,40 @@
-//! The switches of the policies by which a node decides.
+//! Switches that turn single policies of a node off.
 //!
-//! Each is on by default. One that is off leaves the simplest behaviour in its place, never a promise
-//! without a guard: what keeps an answer complete, a call run once, a refusal true, a leaving back end
-//! without new work or the fleet within its retry ratio has no switch. What each is worth stands in
-//! [docs/DECISIONS.md](../../../docs/DECISIONS.md), by the names of the settings, which
-//! [`PolicySettings::switches`] lists.
+//! All policies are on by default. Turning one off selects the simplest behaviour instead.
+//! Guarantees have no switch: complete answers, at most one execution of a call that must not run
+//! twice, correct refusals, no new work for a leaving back end, and the retry ratio of the fleet.
 
 use serde::Deserialize;
 
-/// Which policies are on.
+/// Policies that can be turned off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct PolicySettings {
-    /// Fresh requests are refused at their entry while a service that they need is full. Off: all
-    /// are admitted, and refused where there is no slot.
+    /// Refuses fresh requests at their entry while a service that they need is full. When off, all
+    /// requests are admitted and refused at executors without a free slot.
     pub shed_at_entry: bool,
-    /// What is shed depends on what a request costs the full service. Off: on its priority alone,
-    /// and a route needs every service below its own.
+    /// Sheds requests by their cost at the full service. When off, requests are shed by priority
+    /// only, and each route counts as needing every service further down.
     pub shed_by_cost: bool,
-    /// Urgent requests are shed last and served first. Off: all are treated alike.
+    /// Sheds urgent requests last and serves them first. When off, all requests are equal.
     pub order_by_priority: bool,
-    /// Calls that failed are retried where that is allowed. Off: only calls that no back end got are
-    /// sent to another executor.
+    /// Retries failed calls where that is allowed. When off, only calls that reached no back end
+    /// are sent to another executor.
     #[serde(rename = "repeats")]
     pub retries: bool,
-    /// Back ends that fail more calls than others of their service come last. Off: the least busy
-    /// comes first, whatever becomes of its calls.
+    /// Avoids back ends that fail more calls than others of their service. When off, failure rates
+    /// are ignored.
     pub outliers_last: bool,
-    /// Back ends that take many times as long as the fastest come last. Off: the least busy comes
-    /// first.
+    /// Avoids back ends that take many times as long as the fastest one. When off, call times are
+    /// ignored.
     pub slow_last: bool,
-    /// Calls stay in their zone while it has room. Off: the least busy comes first, wherever it is.
+    /// Keeps calls in their zone while it has room. When off, zones are ignored.
     pub prefer_own_zone: bool,
-    /// Fewer slots of a back end are used where it completes more calls with fewer. Off: always 95% of
-    /// them.
+    /// Uses fewer slots of a back end if it then completes more calls. When off, 95% of the slots
+    /// are used.
     pub adapt_slots: bool,
-    /// A node that reaches hardly any other reports to the platform that it is not ready. Off: it is
-    /// ready while it runs.
+    /// Reports a node that reaches hardly any peer as not ready to the platform. When off, a
+    /// running node is ready.
     pub unready_when_isolated: bool,
 }
 
@@ -56,17 +54,17 @@
     }
 }
 
-/// A switch, by its name in the settings.
+/// A policy switch and its state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PolicySwitch {
-    /// Its name.
+    /// Name in the settings.
     pub name: &'static str,
     /// Whether the policy is on.
     pub is_on: bool,
 }
 
 impl PolicySettings {
-    /// All switches, in the order of the settings.
+    /// Returns all switches in the order of the settings.
     #[must_use]
     pub fn switches(&self) -> [PolicySwitch; 9] {
         let switch = |name, is_on| PolicySwitch { name, is_on };
--- a/crates/tallybridge-mesh/src/tables/configuration.rs
+++ b/crates/tallybridge-mesh/src/tables/configuration.rs
@@ -1,8 +1,8 @@
-//! The configuration in force at a node, and how sure the node is that it is the newest.
+//! The configuration in force at a node, and when it was last known to be the newest.
 //!
-//! Confirmed and read are two grades of that; what each means and what it is good for stands in
-//! [`tasks::configuration`](crate::tasks::configuration). The document is the operator's and lies in
-//! the platform's store; this table owns only what the node has of it.
+//! A configuration is *confirmed* by a watch of the store and *read* by a request to the store.
+//! [`tasks::configuration`](crate::tasks::configuration) documents what each guarantees. The store
+//! holds the document; this table owns the node's copy.
 
 use std::{cmp::Ordering, sync::Arc, time::Duration};
 
@@ -13,9 +13,9 @@
 /// A version that the store confirmed to be the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmed {
-    /// The version; 0 for none.
+    /// Version of the configuration; 0 if there is none.
     pub version: u64,
-    /// Time since the store was asked.
+    /// Time since the store was asked for the confirmation.
     pub age: Duration,
     /// When the store was asked for the configuration that was last read.
     pub read_at: Option<BootInstant>,
@@ -25,46 +25,45 @@
 #[derive(Debug, Default)]
 pub struct ConfigurationTable {
     in_force: Option<InForce>,
-    /// When the store, or a peer that watches it, last confirmed the configuration.
+    /// When the store was asked for the last confirmation, received by this node or by a peer.
     confirmed_at: Option<BootInstant>,
-    /// When the store last confirmed it to this node itself.
+    /// When the store was asked for the last confirmation that this node itself received.
     confirmed_by_store_at: Option<BootInstant>,
-    /// When the store was asked for the newest configuration that is known to have been read, here
-    /// or at a peer, and that is not newer than the one in force. A confirmation rests on a watch
-    /// that may be lost; a read does not, so no key that was removed before it can still be in
-    /// force.
+    /// When the store was asked for the last read, by this node or by a peer, of a version that is
+    /// not newer than the one in force. A watch may miss changes, a read does not: no key that was
+    /// removed before this time is still in force.
     read_at: Option<BootInstant>,
-    /// Version in force when the store last gave one to this node.
+    /// Version in force when the store last sent a version to this node.
     version_from_store: u64,
 }
 
 #[derive(Debug)]
 struct InForce {
     configuration: Arc<Configuration>,
-    /// What it was read from.
+    /// The document that the configuration was decoded from.
     document: Bytes,
 }
 
 impl ConfigurationTable {
-    /// The configuration in force.
+    /// Returns the configuration in force.
     #[must_use]
     pub fn in_force(&self) -> Option<&Arc<Configuration>> {
         self.in_force.as_ref().map(|current| &current.configuration)
     }
 
-    /// The document of the configuration in force.
+    /// Returns the document of the configuration in force.
     #[must_use]
     pub fn document(&self) -> Option<&Bytes> {
         self.in_force.as_ref().map(|current| &current.document)
     }
 
-    /// Version of the configuration in force; 0 for none.
+    /// Returns the version of the configuration in force, or 0 if there is none.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.in_force().map_or(0, |current| current.version)
     }
 
-    /// Puts a configuration in force if it is newer than the one that is; `false` if it is not.
+    /// Puts a configuration in force if it is newer than the current one. Returns whether it did.
     pub fn put_in_force(&mut self, configuration: Configuration, document: Bytes) -> bool {
         let current = self.in_force();
         if current.is_some_and(|current| current.version >= configuration.version) {
@@ -77,61 +76,65 @@
         true
     }
 
-    /// The store reported the newest version to this node, which has it in force now.
+    /// Records that the store sent the version in force, its newest, to this node.
     pub fn record_version_from_store(&mut self) {
         self.version_from_store = self.version();
     }
 
-    /// Whether a version is in force that came from a peer and that the store has not reported to
-    /// this node.
+    /// Whether the version in force came from a peer and the store has not yet sent it to this
+    /// node.
     #[must_use]
     pub fn is_ahead_of_store(&self) -> bool {
         self.version() > self.version_from_store
     }
 
-    /// The store, which this node asked at `asked_at`, confirmed that nothing newer is there.
+    /// Records that the store, asked at `asked_at`, confirmed to this node that the version in
+    /// force is the newest.
     pub fn record_confirmation(&mut self, asked_at: BootInstant) {
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
         self.confirmed_by_store_at = Some(asked_at);
     }
 
-    /// This node read the newest configuration from the store, which it asked at `asked_at`, and has
-    /// it in force.
+    /// Records that this node read the version in force from the store, which was asked at
+    /// `asked_at`.
     pub fn record_read(&mut self, asked_at: BootInstant) {
         self.read_at = self.read_at.max(Some(asked_at));
     }
 
-    /// The store, asked at `asked_at`, confirmed the configuration of a peer. Gives how that version
-    /// compares with the one in force; the same one is confirmed here as well.
+    /// Records that the store, asked at `asked_at`, confirmed the configuration of a peer. Returns
+    /// how that version compares with the version in force; an equal version is confirmed here as
+    /// well.
     pub fn record_peer_confirmation(
         &mut self,
         confirmed: Confirmed,
         asked_at: BootInstant,
     ) -> Ordering {
-        let order = confirmed.version.cmp(&self.version());
-        if order.is_le() {
-            // Whatever this node has in force is at least as new as what was read then.
+        let ordering = confirmed.version.cmp(&self.version());
+        if ordering.is_le() {
+            // The version in force is at least as new as the version that the peer read.
             self.read_at = self.read_at.max(confirmed.read_at);
         }
-        if order.is_eq() {
+        if ordering.is_eq() {
             self.confirmed_at = self.confirmed_at.max(Some(asked_at));
         }
-        order
+        ordering
     }
 
-    /// When the store, or a peer that watches it, was last asked and confirmed the configuration.
+    /// Returns when the store was asked for the last confirmation, received by this node or by a
+    /// peer.
     #[must_use]
     pub const fn confirmed_at(&self) -> Option<BootInstant> {
         self.confirmed_at
     }
 
-    /// When the store was asked for the newest configuration that was read, here or at a peer.
+    /// Returns when the store was asked for the last read, by this node or by a peer, of a version
+    /// that is not newer than the one in force.
     #[must_use]
     pub const fn read_at(&self) -> Option<BootInstant> {
         self.read_at
     }
 
-    /// What the store last confirmed to this node itself.
+    /// Returns the last confirmation that this node itself received from the store.
     #[must_use]
     pub fn confirmed_by_store(&self) -> Option<Confirmed> {
         let asked_at = self.confirmed_by_store_at?;
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,5 +1,5 @@
-//! What a node knows and decides by: the back end beside it, the other nodes, and what was learned of
-//! requests. Each table is plain state that is told the time; [`crate::node`] guards them by one lock.
+//! State of a node: its back end, its peers, and what it learned from requests. Methods that depend
+//! on the time take it as an argument; [`crate::node`] guards all tables with one lock.
 
 pub mod admission;
 pub mod backend;
--- a/crates/tallybridge-mesh/src/tables/peers/linking.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/linking.rs
@@ -1,7 +1,7 @@
-//! Linking: nodes are learned of, selected to be linked to, and retired.
+//! Learns of nodes and selects which of them to link to.
 //!
-//! The selection of a service ([`super::subset`]) is made again when something that it depends on has
-//! changed: a node that is learned of, reached, lost or down for some time, or a service more.
+//! The selection for a service ([`super::subset`]) is repeated when one of its inputs changes: a
+//! node is discovered, reached, lost or down, or the number of services changes.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -9,7 +9,7 @@
 
 use super::{
     LinkRequest, PeerRow, PeerTable,
-    contact::{Contact, UnlinkedNode},
+    contact::{Reachability, UnlinkedNode},
     subset::{LinkCandidate, choose_subset, subset_size},
 };
 use crate::protocol::{NodeRecord, PeerStatus};
@@ -23,18 +23,18 @@
             status: PeerStatus::default(),
             sent_since_report: 0,
             avoid_until: None,
-            lost_share: 0.0,
+            loss_rate: 0.0,
             probed_at: None,
             last_contact: now,
-            contact: Contact::Untried,
+            reachability: Reachability::Unknown,
             record,
         }
     }
 }
 
 impl PeerTable {
-    /// Takes in a record. Whether its node is linked to is decided by
-    /// [`select_links`](Self::select_links).
+    /// Adds or updates the record of a node. [`select_links`](Self::select_links) decides whether
+    /// to link to it.
     pub fn learn(&mut self, record: NodeRecord, now: Instant) {
         self.learn_slots(&record.service, record.slots);
         if record.address == self.own.address {
@@ -47,8 +47,8 @@
             return;
         }
         let service: Arc<str> = record.service.as_str().into();
-        let known = self.unlinked.get(&record.address);
-        let is_new = known.is_none_or(|node| node.record.service != record.service);
+        let known_node = self.unlinked.get(&record.address);
+        let is_new = known_node.is_none_or(|node| node.record.service != record.service);
         let known_at = now;
         let node = UnlinkedNode { record, known_at };
         self.unlinked.insert(node.record.address, node);
@@ -58,34 +58,34 @@
         }
     }
 
-    /// Takes in the record of a node that has a row; another service may have its address now.
+    /// Replaces the record of a node that has a row. The node at this address may now belong to
+    /// another service.
     pub(super) fn replace_record(&mut self, record: NodeRecord) {
         let Some(row) = self.rows.get_mut(&record.address) else {
             return;
         };
         if *row.service != *record.service {
             let service: Arc<str> = record.service.as_str().into();
-            let before = std::mem::replace(&mut row.service, service.clone());
+            let previous_service = std::mem::replace(&mut row.service, service.clone());
             row.record = record;
             self.learn_service(&service);
-            self.to_reselect.extend([before, service]);
+            self.to_reselect.extend([previous_service, service]);
         } else {
             row.record = record;
         }
     }
 
-    /// One more service may mean fewer links to each.
+    /// Adds a service. A larger number of services may reduce the number of links to each of them.
     fn learn_service(&mut self, service: &Arc<str>) {
-        let size = subset_size(self.services.len());
+        let previous_size = subset_size(self.services.len());
         self.services.insert(service.clone());
-        if subset_size(self.services.len()) != size {
+        if subset_size(self.services.len()) != previous_size {
             self.to_reselect.extend(self.services.iter().cloned());
         }
     }
 
-    /// Selects again which nodes are linked to, for the services where something has changed, and
-    /// gives the links to open. Links to nodes that are not selected any more end once no call is under
-    /// way on them.
+    /// Repeats the selection for services whose inputs changed and returns the links to open. A
+    /// link to a node that is no longer selected closes after its last call.
     #[must_use = "the links must be opened"]
     pub fn select_links(&mut self, now: Instant) -> Vec<LinkRequest> {
         let mut requests = Vec::new();
@@ -110,7 +110,7 @@
             }
         }
         if self.may_need_replacement(service, now) {
-            // Selected again at the next tick.
+            // A node may count as down at the next tick.
             self.to_reselect.insert(service.clone());
         }
     }
@@ -122,12 +122,12 @@
         let unlinked = unlinked.filter(|record| *record.service == **service);
         rows.map(|row| &row.record)
             .chain(unlinked)
-            .map(|record| LinkCandidate::of(&self.own, record))
+            .map(|record| LinkCandidate::new(&self.own, record))
             .collect()
     }
 
-    /// Ends the links to nodes of a service that are not selected. Rows of nodes that are down stay, so
-    /// that these are tried again.
+    /// Retires the links to unselected nodes of a service. Rows of nodes that are down stay, so
+    /// that this node keeps trying to reconnect.
     fn retire_unselected(&mut self, service: &Arc<str>, selected: &[SocketAddr], now: Instant) {
         let is_unselected = |address: &SocketAddr, row: &mut PeerRow| {
             row.service == *service && !row.is_down(now) && !selected.contains(address)
@@ -153,13 +153,13 @@
         LinkRequest { address, row_id }
     }
 
-    /// Whether a node of a service is out of contact and may soon count as down, while there are others
-    /// to take its place.
+    /// Whether a node of a service has lost its link and may soon count as down while unselected
+    /// nodes could replace it.
     fn may_need_replacement(&self, service: &Arc<str>, now: Instant) -> bool {
         let mut unlinked = self.unlinked.values();
         let has_unlinked = unlinked.any(|node| *node.record.service == **service);
-        let may_go_down =
+        let may_soon_be_down =
             |row: &PeerRow| row.service == *service && row.link.is_none() && !row.is_down(now);
-        has_unlinked && self.rows.values().any(may_go_down)
+        has_unlinked && self.rows.values().any(may_soon_be_down)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
@@ -1,5 +1,5 @@
-//! Which node owns the rate limit of a tenant. The rule of limits:
-//! [`tables::quotas`](crate::tables::quotas).
+//! Selects the node that owns the rate limit of a tenant. [`tables::quotas`](crate::tables::quotas)
+//! documents how owners enforce limits.
 
 use std::{collections::HashSet, sync::Arc};
 
@@ -11,18 +11,20 @@
 /// The owner of a tenant's limit.
 #[derive(Debug, Clone)]
 pub enum QuotaOwner {
-    /// This node.
+    /// This node owns the limit.
     Local,
-    /// Another node.
+    /// The node at the other end of this link owns the limit.
     Peer(Arc<Link>),
-    /// None on which all nodes would agree: each keeps one of so many equal parts of the limit.
+    /// No node owns the limit because the nodes could not agree on one. Each node enforces an equal
+    /// part; the value is the number of parts.
     Split(usize),
 }
 
 impl PeerTable {
-    /// The node that ranks first for a tenant, by rendezvous hashing, among those that this one
-    /// reaches. Only nodes of services count whose nodes are all linked to, so that every node
-    /// ranks the same ones; where no service is, the limit is split.
+    /// Returns the owner of a tenant's limit: the first reachable node by rendezvous hashing.
+    ///
+    /// Only nodes of services whose nodes are all linked to are ranked, so that every node ranks
+    /// the same candidates. If there is no such service, the limit is split.
     #[must_use]
     pub fn quota_owner(&self, tenant: &str) -> QuotaOwner {
         let partly_linked = self.partly_linked_services();
@@ -31,24 +33,24 @@
         }
         let seed = xxh3_64(tenant.as_bytes());
         let rank = |node: &str| xxh3_64_with_seed(node.as_bytes(), seed);
-        let counts = |service: &str| !partly_linked.contains(service);
-        let own = counts(&self.own.service).then(|| (rank(&self.own.node), QuotaOwner::Local));
+        let is_eligible = |service: &str| !partly_linked.contains(service);
+        let own = is_eligible(&self.own.service).then(|| (rank(&self.own.node), QuotaOwner::Local));
         let peers = self.rows.values().filter_map(|row| {
             let link = row.link.as_ref().filter(|link| !link.is_suspect())?;
-            let ranked = || (rank(&row.record.node), QuotaOwner::Peer(link.clone()));
-            counts(&row.record.service).then(ranked)
+            let ranked_peer = || (rank(&row.record.node), QuotaOwner::Peer(link.clone()));
+            is_eligible(&row.record.service).then(ranked_peer)
         });
-        let first = own.into_iter().chain(peers).max_by_key(|(rank, _)| *rank);
-        first.map_or(QuotaOwner::Local, |(_, owner)| owner)
+        let highest = own.into_iter().chain(peers).max_by_key(|(rank, _)| *rank);
+        highest.map_or(QuotaOwner::Local, |(_, owner)| owner)
     }
 
-    /// Services of which this node links to a subset only.
+    /// Returns the services that have known nodes without a link.
     fn partly_linked_services(&self) -> HashSet<&str> {
         let unlinked = self.unlinked.values();
         unlinked.map(|node| &*node.record.service).collect()
     }
 
-    /// The nodes in reach as one number, which changes when they do.
+    /// Returns a value that changes when the set of reachable peers changes.
     #[must_use]
     pub fn reached_fingerprint(&self) -> u64 {
         let reached = self.rows.values().filter(|row| {
@@ -59,13 +61,13 @@
         digests.fold(0, |sum, digest| sum ^ digest)
     }
 
-    /// Whether any node is in reach.
+    /// Whether any peer is reachable.
     #[must_use]
     pub fn reaches_any(&self) -> bool {
         self.reached() > 0
     }
 
-    /// Whether at least half of the nodes that this one links to are in reach.
+    /// Whether at least half of the selected peers are reachable.
     #[must_use]
     pub fn reaches_most(&self) -> bool {
         self.reached() * 2 >= self.rows.len()
--- a/crates/tallybridge-mesh/src/tables/peers/reports.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/reports.rs
@@ -1,7 +1,7 @@
-//! What is known of executors: what their nodes report, and what this node's own calls show.
+//! State of executors: what their nodes report and what the calls of this node show.
 //!
-//! A report replaces the one before it, and calls sent since then are added to it, until a newer report
-//! or an answer counts them.
+//! Each report replaces the one before. Calls sent after a report are added to the reported load
+//! until a newer report or an answer includes them.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -10,19 +10,16 @@
 use super::PeerTable;
 use crate::protocol::{Load, PeerStatus};
 
-/// Time for which an executor is avoided after it was lost or refused a call. Origin not recorded.
-const AVOID: Duration = Duration::from_millis(300);
-/// Weight of the newest outcome in the share of calls that an executor loses, so that some twelve calls
-/// make up the share. Set together with the cost of lost calls in placement. Origin of the figure not
-/// recorded.
-const LOSS_GAIN: f64 = 0.08;
-/// Nodes of a service whose registrations hold the slots of its back ends: enough that some are left
-/// when nodes that have just started read the registry. With this, cheap reads and kept leases, 560 calls
-/// to the store were left of 688 on a calm day of 65 machines. Origin of the figure itself not recorded.
-const SLOT_REPORTERS: usize = 4;
+/// Time for which an executor is avoided after its link was lost or it refused a call.
+const AVOIDANCE_PERIOD: Duration = Duration::from_millis(300);
+/// Weight of the newest outcome in the loss rate, which thus covers about twelve calls.
+const LOSS_RATE_SMOOTHING: f64 = 0.08;
+/// Peers that must report the slots of a service before a node omits its own from the registry.
+/// Nodes that start need some registrations with slots.
+const MIN_SLOT_REPORTERS: usize = 4;
 
 impl PeerTable {
-    /// A node reported its status.
+    /// Records the status that a node reported.
     pub fn record_status(&mut self, address: SocketAddr, status: PeerStatus, now: Instant) {
         let slots = status.slots;
         let Some(row) = self.rows.get_mut(&address) else {
@@ -35,7 +32,7 @@
         self.learn_slots(&service, slots);
     }
 
-    /// An answer reported the load of its executor.
+    /// Records the load of an executor that an answer carried.
     pub fn record_load(&mut self, address: SocketAddr, load: Load) {
         if let Some(row) = self.rows.get_mut(&address) {
             row.status.load = load;
@@ -43,37 +40,38 @@
         }
     }
 
-    /// A call is sent to a node.
+    /// Counts a call that was sent to a node.
     pub fn record_sent(&mut self, address: SocketAddr) {
         if let Some(row) = self.rows.get_mut(&address) {
             row.sent_since_report += 1;
         }
     }
 
-    /// A call at an executor ended with an answer, or got lost there.
+    /// Records whether an executor answered a call or the call was lost.
     pub fn record_outcome(&mut self, address: SocketAddr, is_lost: bool) {
         let sample = if is_lost { 1.0 } else { 0.0 };
-        let share = match self.rows.get_mut(&address) {
-            Some(row) => &mut row.lost_share,
-            None if address == self.own.address => &mut self.own_lost_share,
+        let loss_rate = match self.rows.get_mut(&address) {
+            Some(row) => &mut row.loss_rate,
+            None if address == self.own.address => &mut self.own_loss_rate,
             None => return,
         };
-        *share += (sample - *share) * LOSS_GAIN;
+        *loss_rate += (sample - *loss_rate) * LOSS_RATE_SMOOTHING;
     }
 
-    /// A node was lost or refused a call: others are preferred to it for `AVOID`.
+    /// Makes placement prefer other executors to this one for `AVOIDANCE_PERIOD`.
     pub fn avoid(&mut self, address: SocketAddr, now: Instant) {
         if let Some(row) = self.rows.get_mut(&address) {
-            row.avoid_until = Some(now + AVOID);
+            row.avoid_until = Some(now + AVOIDANCE_PERIOD);
         }
     }
 
-    /// Status of every linked node, with its service.
+    /// Iterates over the service and the last status of each peer with an open link.
     pub fn statuses(&self) -> impl Iterator<Item = (&Arc<str>, &PeerStatus)> {
         self.linked_rows().map(|row| (&row.service, &row.status))
     }
 
-    /// Mean times that calls of a service are with its back ends, as far as these are reported.
+    /// Iterates over the mean times that back ends of a service reported for a call. Skips back
+    /// ends that have not reported one.
     pub fn call_times(&self, service: &str) -> impl Iterator<Item = Duration> {
         let of_service = self.statuses().filter(move |(name, _)| &***name == service);
         let reported = of_service.map(|(_, status)| status.load.service_ms);
@@ -82,23 +80,24 @@
             .map(|service_ms| Duration::from_millis(service_ms.into()))
     }
 
-    /// Slots that back ends of a service have, to start from before the own one reported its.
+    /// Returns the slots that a back end of a service last reported. A node uses this value until
+    /// its own back end reports one.
     #[must_use]
     pub fn usual_slots(&self, service: &str) -> Option<u32> {
         self.usual_slots.get(service).copied()
     }
 
-    /// Whether enough peers beside back ends of a service report that these have so many slots: the
-    /// registry need not hold it of this node as well.
+    /// Whether enough peers of a service report this number of slots, so that the registration of
+    /// this node need not repeat it.
     #[must_use]
     pub fn has_enough_slot_reports(&self, service: &str, slots: u32) -> bool {
         let agreeing = self
             .linked_rows()
             .filter(|row| *row.service == *service && row.status.slots == slots);
-        agreeing.count() >= SLOT_REPORTERS
+        agreeing.count() >= MIN_SLOT_REPORTERS
     }
 
-    /// Takes in how many slots a back end of a service has; 0 stands for unknown.
+    /// Records the slots of a back end of a service; 0 means unknown and is ignored.
     pub(super) fn learn_slots(&mut self, service: &str, slots: u32) {
         if slots > 0 {
             self.usual_slots.insert(service.into(), slots);
--- a/crates/tallybridge-mesh/src/tables/peers/subset.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/subset.rs
@@ -1,22 +1,12 @@
-//! Which of the known nodes this one links to.
+//! Chooses which of the known nodes a node links to.
 //!
-//! **Rule.** A node links to at most `MAX_PER_SERVICE` executors of each service, five eighths of them in
-//! its own zone as far as it has so many, the rest in others. Among the candidates of a zone it takes
-//! the first in an order of its own, by rendezvous hashing (Thaler and Ravishankar, 1998).
+//! A node links to at most `MAX_LINKS_PER_SERVICE` executors of each service. `OWN_ZONE_SHARE` of
+//! them are in its own zone if there are enough. A link to every node would cost descriptors,
+//! memory and heartbeats in proportion to the fleet.
 //!
-//! **Inputs.** The names and zones of the known nodes of a service that are not down, from the registry
-//! and from peers, up to a minute old; the number of services.
-//!
-//! **Output.** The addresses to link to.
-//!
-//! **Why.** A link to every node would cost descriptors, memory and heartbeats that grow with the fleet,
-//! and a node needs only so many executors of each service that its calls find one with room. Each node
-//! ranks the others in an order of its own, so all are chosen about equally often, and a node that comes
-//! or goes changes few links.
-//!
-//! **Constants.** At 300 machines subsets took connections from 632 to 279, memory from 8.6 to 4.1 MB and
-//! the day's worth from 0.852 to 0.887 (docs/MEASUREMENTS.md). The ways that lost (the nearest on a ring
-//! of hashes, a random choice, a full mesh) are in docs/DESIGN.md, "Ways weighed".
+//! Each node ranks the candidates of a zone by rendezvous hashing with its own name. All nodes are
+//! therefore chosen about equally often, and a node that joins or leaves changes few links. The
+//! names and zones of candidates come from the registry and from peers and are up to a minute old.
 
 use std::net::SocketAddr;
 
@@ -24,18 +14,14 @@
 
 use crate::protocol::NodeRecord;
 
-/// Links that a node wants to have to the executors of all services together. Origin not recorded.
-const LINKS_WANTED: usize = 256;
-/// Most executors of one service that a node links to. A choice among so many is as good as one among
-/// all: two random ones would nearly do (Mitzenmacher, 2001). Origin of the figure not recorded.
-const MAX_PER_SERVICE: usize = 32;
-/// Fewest executors of one service that a node links to, while there are so many. Origin not recorded.
-const MIN_PER_SERVICE: usize = 8;
-/// Part of the executors of a service that are taken from the own zone, if it has so many: most calls
-/// stay there, and enough are left in others to do without it. Origin of the figure not recorded.
-const OWN_ZONE_PART: f64 = 0.625;
+/// Links to the executors of all services together that a node aims for.
+const TARGET_LINKS: usize = 256;
+const MAX_LINKS_PER_SERVICE: usize = 32;
+const MIN_LINKS_PER_SERVICE: usize = 8;
+/// Share of the executors of a service that are chosen from the own zone. The rest can take over
+/// when the zone fails.
+const OWN_ZONE_SHARE: f64 = 0.625;
 
-/// A node that may be linked to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct LinkCandidate {
     pub(super) address: SocketAddr,
@@ -44,8 +30,8 @@
 }
 
 impl LinkCandidate {
-    /// The candidate that a record stands for, as the node of the record `own` ranks it.
-    pub(super) fn of(own: &NodeRecord, record: &NodeRecord) -> Self {
+    /// Creates the candidate for `record`, with its rank at the node of `own`.
+    pub(super) fn new(own: &NodeRecord, record: &NodeRecord) -> Self {
         Self {
             address: record.address,
             is_in_own_zone: record.zone == own.zone,
@@ -54,23 +40,25 @@
     }
 }
 
-/// Executors of one service that a node links to in a fleet of so many services.
+/// Returns the number of executors of each service to link to, given the number of services.
 pub(super) fn subset_size(services: usize) -> usize {
-    (LINKS_WANTED / services.max(1)).clamp(MIN_PER_SERVICE, MAX_PER_SERVICE)
+    (TARGET_LINKS / services.max(1)).clamp(MIN_LINKS_PER_SERVICE, MAX_LINKS_PER_SERVICE)
 }
 
-/// The addresses to link to among the candidates of one service.
+/// Chooses the addresses to link to among the candidates of one service.
 pub(super) fn choose_subset(mut candidates: Vec<LinkCandidate>, size: usize) -> Vec<SocketAddr> {
     candidates.sort_unstable_by_key(|candidate| (candidate.rank, candidate.address));
-    let (own_zone, others): (Vec<_>, Vec<_>) = candidates
+    let (own_zone, other_zones): (Vec<_>, Vec<_>) = candidates
         .into_iter()
         .partition(|candidate| candidate.is_in_own_zone);
-    let own_wanted = (size as f64 * OWN_ZONE_PART) as usize;
-    let others_taken = others.len().min(size - own_zone.len().min(own_wanted));
-    let own_taken = own_zone.len().min(size - others_taken);
+    let own_zone_target = (size as f64 * OWN_ZONE_SHARE) as usize;
+    let other_zone_count = other_zones
+        .len()
+        .min(size - own_zone.len().min(own_zone_target));
+    let own_zone_count = own_zone.len().min(size - other_zone_count);
     let chosen = own_zone
         .iter()
-        .take(own_taken)
-        .chain(others.iter().take(others_taken));
+        .take(own_zone_count)
+        .chain(other_zones.iter().take(other_zone_count));
     chosen.map(|candidate| candidate.address).collect()
 }
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -1,9 +1,9 @@
-//! Running calls: those that are at the back end beside this node, with the nested calls that they make.
+//! Calls that are running at the back end beside this node, and their nested calls.
 //!
-//! Owns a row for each call from its dispatch to its end. By it the entry tells a nested call from a
-//! fresh request, and the node knows what a call cost further down and whether a failure of it may be
-//! that of a nested call. Relies on the names of attempts: back ends name a nested call after the one
-//! that makes it.
+//! Owns a row for each call from its dispatch to its end. The entry uses the table to distinguish
+//! nested calls from fresh requests. The node uses it to sum up the cost of nested calls and to
+//! tell whether a failure may come from one. Relies on back ends to derive the name of a nested
+//! call from the name of the calling attempt.
 
 use std::collections::HashMap;
 
@@ -11,19 +11,20 @@
 
 use crate::protocol::SlotTimes;
 
-/// What a nested call inherits from the call that makes it.
+/// What a nested call inherits from its parent, the call that makes it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Parent {
-    /// Whether the request at the root of the chain is of the highest priority.
+    /// Whether the request at the root of the call chain has the highest priority.
     pub is_urgent: bool,
-    /// Whether it, or a run above it, is a retry: its calls are then retries as well.
+    /// Whether the parent, or an execution further up the chain, is a retry. Nested calls then
+    /// count as retries as well.
     pub is_retry: bool,
 }
 
-/// The running call that made a nested one.
+/// The running call that made a nested call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FoundParent {
-    /// Its attempt.
+    /// Name of the parent's attempt.
     pub attempt: Bytes,
     /// What the nested call inherits.
     pub parent: Parent,
@@ -32,61 +33,61 @@
 /// How a nested call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NestedEnd {
-    /// With an answer that is no failure, after it held slots for these times.
+    /// The call was answered without a failure. Carries the times for which the call held slots.
     Succeeded(SlotTimes),
-    /// With a failure, a refusal or no answer, after it held slots for these times at the least.
+    /// The call failed, was refused or got no answer. Carries a lower bound of the times for which
+    /// the call held slots.
     Failed(SlotTimes),
 }
 
 #[derive(Debug)]
-struct Running {
+struct AttemptState {
     parent: Parent,
-    /// Runs of this attempt that go on here at once.
-    runs: u32,
-    /// Whether it made a nested call.
-    has_called: bool,
+    /// Concurrent executions of this attempt at the back end.
+    active_executions: u32,
+    has_made_nested_call: bool,
     /// Nested calls that have not ended.
-    open_calls: u32,
-    /// Whether a nested call failed.
-    has_failed_below: bool,
-    /// How long its nested calls held slots.
-    times_below: SlotTimes,
+    open_nested_calls: u32,
+    has_nested_failure: bool,
+    /// Times for which ended nested calls held slots, by service.
+    nested_slot_times: SlotTimes,
 }
 
-/// Running calls, by the name of their attempt.
+/// Running calls by the name of their attempt.
 ///
-/// The name of a nested call is its parent's name, a separator that is no letter or digit, and a part of
-/// its own. A call whose name extends that of none that runs here is a fresh request.
+/// The name of a nested call consists of its parent's name, a separator that is neither a letter
+/// nor a digit, and a suffix. A call is a fresh request if its name extends the name of no running
+/// call.
 #[derive(Debug, Default)]
-pub struct RunningAttempts(HashMap<Bytes, Running>);
+pub struct RunningAttempts(HashMap<Bytes, AttemptState>);
 
 impl RunningAttempts {
-    /// A call begins to run.
+    /// Records that an attempt was dispatched to the back end.
     pub fn begin(&mut self, attempt: &Bytes, parent: Parent) {
-        let running = self.0.entry(attempt.clone()).or_insert(Running {
+        let running = self.0.entry(attempt.clone()).or_insert(AttemptState {
             parent,
-            runs: 0,
-            has_called: false,
-            open_calls: 0,
-            has_failed_below: false,
-            times_below: SlotTimes::default(),
+            active_executions: 0,
+            has_made_nested_call: false,
+            open_nested_calls: 0,
+            has_nested_failure: false,
+            nested_slot_times: SlotTimes::default(),
         });
-        running.runs += 1;
+        running.active_executions += 1;
         running.parent.is_retry |= parent.is_retry;
     }
 
-    /// A call has ended.
+    /// Records that an execution of an attempt ended.
     pub fn end(&mut self, attempt: &Bytes) {
         let Some(running) = self.0.get_mut(attempt) else {
             return;
         };
-        running.runs -= 1;
-        if running.runs == 0 {
+        running.active_executions -= 1;
+        if running.active_executions == 0 {
             self.0.remove(attempt);
         }
     }
 
-    /// The running call that made the one of this name.
+    /// Returns the running call that made the nested call with this name.
     #[must_use]
     pub fn parent_of(&self, attempt: &[u8]) -> Option<FoundParent> {
         let is_separator = |byte: &u8| !byte.is_ascii_alphanumeric();
@@ -103,44 +104,46 @@
         None
     }
 
-    /// A running call made a nested one.
+    /// Records that a running call made a nested call.
     pub fn begin_nested(&mut self, parent: &Bytes) {
         if let Some(running) = self.0.get_mut(parent) {
-            running.has_called = true;
-            running.open_calls += 1;
+            running.has_made_nested_call = true;
+            running.open_nested_calls += 1;
         }
     }
 
-    /// A nested call ended. What a failed one cost counts as well: a request that fails since a service
-    /// deep down is full would otherwise never show that it needs that service.
+    /// Records how a nested call ended. The cost of a failed call is included: otherwise a request
+    /// that fails because of a full service would never show that it needs this service.
     pub fn end_nested(&mut self, parent: &Bytes, end: &NestedEnd) {
         let Some(running) = self.0.get_mut(parent) else {
             return;
         };
-        running.open_calls = running.open_calls.saturating_sub(1);
+        running.open_nested_calls = running.open_nested_calls.saturating_sub(1);
         let (NestedEnd::Succeeded(times) | NestedEnd::Failed(times)) = end;
-        running.times_below.add_all(times);
-        running.has_failed_below |= matches!(end, NestedEnd::Failed(_));
+        running.nested_slot_times.add_all(times);
+        running.has_nested_failure |= matches!(end, NestedEnd::Failed(_));
     }
 
-    /// How long the ended nested calls of a running call held slots, by service.
+    /// Returns the times for which ended nested calls of a running call held slots, by service.
     #[must_use]
     pub fn times_below(&self, attempt: &Bytes) -> SlotTimes {
         let running = self.0.get(attempt);
-        running.map_or_else(SlotTimes::default, |running| running.times_below.clone())
+        running.map_or_else(SlotTimes::default, |running| {
+            running.nested_slot_times.clone()
+        })
     }
 
-    /// Whether a running call has made a nested one.
+    /// Whether a running call has made a nested call.
     #[must_use]
     pub fn has_called(&self, attempt: &Bytes) -> bool {
         let running = self.0.get(attempt);
-        running.is_some_and(|running| running.has_called)
+        running.is_some_and(|running| running.has_made_nested_call)
     }
 
-    /// Whether a failure of a running call may be that of a call that it made.
+    /// Whether a failure of a running call may come from one of its nested calls.
     #[must_use]
     pub fn may_fail_for_another(&self, attempt: &Bytes) -> bool {
         let running = self.0.get(attempt);
-        running.is_some_and(|running| running.open_calls > 0 || running.has_failed_below)
+        running.is_some_and(|running| running.open_nested_calls > 0 || running.has_nested_failure)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/watchers.rs
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -1,18 +1,18 @@
-//! Which peers watch the store, and when it last confirmed their configuration to them.
+//! Peers that watch the store, and the last confirmation that each of them passed on.
 //!
-//! In a large fleet a few nodes watch the store for all; the rule stands in
+//! In a large fleet a few nodes watch the store for all others; see
 //! [`tasks::configuration`](crate::tasks::configuration).
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use crate::clock::BootInstant;
 
-/// Age up to which a confirmation of a peer counts. A watcher confirms every 500 ms, so one
-/// confirmation may be lost; and a node that nobody confirms any more watches itself well within
-/// the shortest time that users allow a change to be in force, 2 s.
-const CONFIRMED_WITHIN: Duration = Duration::from_millis(1200);
+/// Age up to which a confirmation counts. A watcher confirms every 500 ms, so one confirmation may
+/// be lost. A node without confirmations still starts its own watch in time to apply a change
+/// within 2 s.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1200);
 
-/// What the store last confirmed to one peer.
+/// The last confirmation that a peer received from the store.
 #[derive(Debug, Clone, Copy)]
 struct Confirmation {
     version: u64,
@@ -25,24 +25,25 @@
 pub struct WatcherTable(HashMap<SocketAddr, Confirmation>);
 
 impl WatcherTable {
-    /// The store confirmed a version to a peer, which had asked it at a time.
+    /// Records that the store, asked by a peer at `asked_at`, confirmed a version.
     pub fn confirmed(&mut self, peer: SocketAddr, version: u64, asked_at: BootInstant) {
         let confirmation = Confirmation { version, asked_at };
         self.0.insert(peer, confirmation);
     }
 
-    /// The link to a peer is lost.
+    /// Removes a peer whose link closed.
     pub fn remove(&mut self, peer: SocketAddr) {
         self.0.remove(&peer);
     }
 
-    /// Peers to which the store confirmed a version, or a newer one, within 1.2 s.
+    /// Counts the peers to which the store confirmed `version` or a newer one within the last 1.2
+    /// s.
     #[must_use]
     pub fn confirming(&self, version: u64, now: BootInstant) -> usize {
         let confirmations = self.0.values();
         let fresh = confirmations.filter(|confirmation| {
             let age = now.saturating_duration_since(confirmation.asked_at);
-            confirmation.version >= version && age <= CONFIRMED_WITHIN
+            confirmation.version >= version && age <= MAX_CONFIRMATION_AGE
         });
         fresh.count()
     }
--- a/crates/tallybridge-mesh/tests/running.rs
+++ b/crates/tallybridge-mesh/tests/running.rs
@@ -1,4 +1,4 @@
-//! Running calls and the nested calls that they make.
+//! Running calls and their nested calls.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
     tables::{FoundParent, NestedEnd, Parent, RunningAttempts},
 };
 
-fn parent_of(is_urgent: bool) -> Parent {
+fn new_parent(is_urgent: bool) -> Parent {
     Parent {
         is_urgent,
         is_retry: false,
@@ -16,10 +16,10 @@
 }
 
 #[test]
-fn a_nested_call_is_known_by_the_running_call_that_made_it() {
+fn finds_parent_of_nested_call() {
     let mut running = RunningAttempts::default();
     let root = Bytes::from_static(b"ab12");
-    let parent = parent_of(true);
+    let parent = new_parent(true);
     running.begin(&root, parent);
     let found = FoundParent {
         attempt: root.clone(),
@@ -27,38 +27,57 @@
     };
     assert_eq!(running.parent_of(b"ab12.cd").as_ref(), Some(&found));
     assert_eq!(running.parent_of(b"ab12.cd.ef").as_ref(), Some(&found));
-    assert_eq!(running.parent_of(b"ab12"), None, "it is no call of its own");
+    assert_eq!(
+        running.parent_of(b"ab12"),
+        None,
+        "the call was found as its own parent"
+    );
     assert_eq!(running.parent_of(b"ab1.cd"), None);
     assert_eq!(running.parent_of(b"zz"), None);
     running.begin(&root, parent);
     running.end(&root);
-    assert!(running.parent_of(b"ab12.cd").is_some(), "it runs twice");
+    assert!(
+        running.parent_of(b"ab12.cd").is_some(),
+        "the second execution is still running"
+    );
     running.end(&root);
     assert_eq!(running.parent_of(b"ab12.cd"), None);
 }
 
 #[test]
-fn a_call_may_fail_for_one_that_it_made_and_that_failed_or_is_still_open() {
+fn call_may_fail_due_to_nested_call() {
     let mut running = RunningAttempts::default();
     let root = Bytes::from_static(b"ab12");
-    running.begin(&root, parent_of(false));
-    assert!(!running.may_fail_for_another(&root), "it made none");
+    running.begin(&root, new_parent(false));
+    assert!(
+        !running.may_fail_for_another(&root),
+        "the call has made no nested call"
+    );
     running.begin_nested(&root);
-    assert!(running.may_fail_for_another(&root), "one is open");
+    assert!(
+        running.may_fail_for_another(&root),
+        "a nested call is still open"
+    );
     running.end_nested(&root, &NestedEnd::Succeeded(SlotTimes::default()));
-    assert!(!running.may_fail_for_another(&root), "it ended well");
+    assert!(
+        !running.may_fail_for_another(&root),
+        "the nested call succeeded"
+    );
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(SlotTimes::default()));
-    assert!(running.may_fail_for_another(&root), "it failed");
+    assert!(
+        running.may_fail_for_another(&root),
+        "the nested call failed"
+    );
     running.end(&root);
-    assert!(!running.may_fail_for_another(&root), "nothing is kept");
+    assert!(!running.may_fail_for_another(&root), "the call has ended");
 }
 
 #[test]
-fn what_nested_calls_cost_adds_up_at_the_call_that_made_them() {
+fn sums_slot_times_of_nested_calls() {
     let mut running = RunningAttempts::default();
     let root = Bytes::from_static(b"ab12");
-    running.begin(&root, parent_of(false));
+    running.begin(&root, new_parent(false));
     let mut times = SlotTimes::default();
     times.add(&"deep".into(), Duration::from_millis(20));
     times.add(&"middle".into(), Duration::from_millis(50));
@@ -68,36 +87,36 @@
     }
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(SlotTimes::default()));
-    let below = running.times_below(&root);
-    assert_eq!(below.of("deep"), Duration::from_millis(40));
-    assert_eq!(below.of("middle"), Duration::from_millis(100));
-    assert_eq!(below.of("other"), Duration::ZERO);
+    let nested_times = running.times_below(&root);
+    assert_eq!(nested_times.of("deep"), Duration::from_millis(40));
+    assert_eq!(nested_times.of("middle"), Duration::from_millis(100));
+    assert_eq!(nested_times.of("other"), Duration::ZERO);
 }
 
 #[test]
-fn the_calls_of_a_run_are_repeats_if_any_run_of_that_attempt_is_one() {
+fn nested_calls_inherit_retry_of_any_execution() {
     let mut running = RunningAttempts::default();
     let attempt = Bytes::from_static(b"a");
-    let repeat = Parent {
+    let retry = Parent {
         is_retry: true,
-        ..parent_of(false)
+        ..new_parent(false)
     };
-    running.begin(&attempt, parent_of(false));
-    running.begin(&attempt, repeat);
-    let found = running.parent_of(b"a.b").expect("it runs");
+    running.begin(&attempt, new_parent(false));
+    running.begin(&attempt, retry);
+    let found = running.parent_of(b"a.b").expect("the parent is running");
     assert!(found.parent.is_retry);
 }
 
 #[test]
-fn what_a_failed_call_cost_adds_up_as_well() {
+fn includes_slot_times_of_failed_calls() {
     let mut running = RunningAttempts::default();
     let root = Bytes::from_static(b"ab12");
-    running.begin(&root, parent_of(false));
-    let mut least = SlotTimes::default();
-    least.add(&"deep".into(), Duration::from_millis(30));
+    running.begin(&root, new_parent(false));
+    let mut min_times = SlotTimes::default();
+    min_times.add(&"deep".into(), Duration::from_millis(30));
     running.begin_nested(&root);
-    running.end_nested(&root, &NestedEnd::Failed(least));
+    running.end_nested(&root, &NestedEnd::Failed(min_times));
     assert!(running.may_fail_for_another(&root));
-    let below = running.times_below(&root);
-    assert_eq!(below.of("deep"), Duration::from_millis(30));
+    let nested_times = running.times_below(&root);
+    assert_eq!(nested_times.of("deep"), Duration::from_millis(30));
 }
--- a/crates/tallybridge-mesh/tests/watchers.rs
+++ b/crates/tallybridge-mesh/tests/watchers.rs
@@ -1,4 +1,4 @@
-//! Which confirmations of peers count.
+//! Confirmations by peers that watch the store.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -10,22 +10,30 @@
 }
 
 #[test]
-fn a_confirmation_counts_for_its_version_and_older_ones_and_ages() {
+fn confirmation_covers_older_versions_until_it_expires() {
     let now = BootInstant::now();
     let mut watchers = WatcherTable::default();
     watchers.confirmed(peer(1), 7, now);
     watchers.confirmed(peer(2), 8, now);
     assert_eq!(watchers.confirming(7, now), 2);
-    assert_eq!(watchers.confirming(8, now), 1, "one is behind");
-    assert_eq!(watchers.confirming(9, now), 0, "both are");
+    assert_eq!(
+        watchers.confirming(8, now),
+        1,
+        "only one peer confirmed version 8"
+    );
+    assert_eq!(
+        watchers.confirming(9, now),
+        0,
+        "no peer confirmed version 9"
+    );
     let later = now + Duration::from_millis(1100);
     assert_eq!(watchers.confirming(7, later), 2);
-    let too_late = now + Duration::from_millis(1300);
-    assert_eq!(watchers.confirming(7, too_late), 0);
+    let expired = now + Duration::from_millis(1300);
+    assert_eq!(watchers.confirming(7, expired), 0);
 }
 
 #[test]
-fn what_a_frozen_peer_asked_long_ago_confirms_nothing_and_a_lost_one_neither() {
+fn ignores_stale_and_removed_peers() {
     let asked_at = BootInstant::now();
     let now = asked_at + Duration::from_secs(5);
     let mut watchers = WatcherTable::default();
