Tables: public names of the peer, retry, watcher and running-call tables

Several methods were named by a bare participle or left out what they return, so their calls did not read as actions or values. Renamed throughout the workspace, without any change of behaviour:

PeerTable::connected -> record_link_opened PeerTable::disconnected -> record_link_closed PeerTable::unreachable -> record_link_failure PeerTable::nodes_where -> count_nodes PeerTable::with_newer -> link_with_newer_configuration PeerTable::usual_slots -> reported_slots WatcherTable::confirmed -> record_confirmation WatcherTable::confirming -> count_confirming RunningAttempts::may_fail_for_another -> may_fail_due_to_nested_call RunningAttempts::times_below -> nested_slot_times RunningAttempts::has_called -> has_made_nested_call RetryBudgets::set -> update_settings tables::Confirmed -> ConfirmedVersion

--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -27,7 +27,7 @@
         ClockMessage, ConfirmationMessage, Frame, Message, QuotaAsk, QuotaAskMessage, QuotaGrant,
     },
     request::quota,
-    tables::Confirmed,
+    tables::ConfirmedVersion,
 };
 
 /// Time in which a node that connects must send its hello: twice what it waits for the answer.
@@ -127,7 +127,7 @@
 
     /// Passes on when the store confirmed the configuration to this node, if it watches the store.
     fn send_confirmation(&self) {
-        let Some(Confirmed {
+        let Some(ConfirmedVersion {
             version,
             age,
             read_at,
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -93,7 +93,7 @@
         if own > 0 {
             return own;
         }
-        let usual = tables.peers.usual_slots(&self.settings.backend.service);
+        let usual = tables.peers.reported_slots(&self.settings.backend.service);
         usual.unwrap_or(0)
     }
 
@@ -188,7 +188,7 @@
     pub fn call_ended(&self, attempt: &Bytes, badly: bool) {
         let change = {
             let mut tables = self.tables();
-            if badly && tables.running.may_fail_for_another(attempt) {
+            if badly && tables.running.may_fail_due_to_nested_call(attempt) {
                 return;
             }
             tables.failing.ended(badly)
--- a/crates/tallybridge-mesh/src/node/configuration.rs
+++ b/crates/tallybridge-mesh/src/node/configuration.rs
@@ -9,7 +9,9 @@
 use tokio::sync::watch;
 
 use super::Node;
-use crate::{clock::BootInstant, configuration::Configuration, link::Link, tables::Confirmed};
+use crate::{
+    clock::BootInstant, configuration::Configuration, link::Link, tables::ConfirmedVersion,
+};
 
 impl Node {
     /// The configuration in force.
@@ -100,13 +102,15 @@
 
     /// The store confirmed the configuration of a peer that watches it. Where it is the one in force here,
     /// that confirms it here as well; a newer one is fetched.
-    pub fn peer_confirmed(&self, peer: SocketAddr, confirmed: Confirmed) {
+    pub fn peer_confirmed(&self, peer: SocketAddr, confirmed: ConfirmedVersion) {
         let Some(asked_at) = BootInstant::now().checked_sub(confirmed.age) else {
             // From before this machine's clock began: it confirms nothing.
             return;
         };
         let mut tables = self.tables();
-        tables.watchers.confirmed(peer, confirmed.version, asked_at);
+        tables
+            .watchers
+            .record_confirmation(peer, confirmed.version, asked_at);
         let order = tables
             .configuration
             .record_peer_confirmation(confirmed, asked_at);
@@ -117,7 +121,7 @@
 
     /// What the store last confirmed to this node; `None` while it does not watch the store.
     #[must_use]
-    pub fn confirmed_by_store(&self) -> Option<Confirmed> {
+    pub fn confirmed_by_store(&self) -> Option<ConfirmedVersion> {
         let confirmed = self.tables().configuration.confirmed_by_store();
         confirmed.filter(|_| self.is_watcher())
     }
@@ -144,6 +148,8 @@
     #[must_use]
     pub fn peer_with_newer_configuration(&self) -> Option<Arc<Link>> {
         let tables = self.tables();
-        tables.peers.with_newer(tables.configuration.version())
+        tables
+            .peers
+            .link_with_newer_configuration(tables.configuration.version())
     }
 }
--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -50,7 +50,7 @@
     pub fn apply_settings(&self, settings: &MeshSettings) {
         let grace = settings.stop_grace_ms;
         self.lifecycle.stop_grace_ms.store(grace, Ordering::Relaxed);
-        self.tables().retries.set(settings.retry);
+        self.tables().retries.update_settings(settings.retry);
     }
 
     /// Time from the order to stop until the process is killed.
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -91,19 +91,19 @@
         link: Arc<Link>,
     ) -> bool {
         let peers = &mut self.tables().peers;
-        peers.is_wanted(request) && peers.connected(record, link, Instant::now())
+        peers.is_wanted(request) && peers.record_link_opened(record, link, Instant::now())
     }
 
     /// The link to a node is lost.
     pub fn peer_disconnected(&self, address: SocketAddr, link: &Arc<Link>) {
         let mut tables = self.tables();
-        tables.peers.disconnected(address, link);
+        tables.peers.record_link_closed(address, link);
         tables.watchers.remove(address);
     }
 
     /// A link could not be opened.
     pub fn peer_unreachable(&self, request: LinkRequest) {
-        self.tables().peers.unreachable(request);
+        self.tables().peers.record_link_failure(request);
     }
 
     /// Whether a link is not to be opened again. Forgets its node if it was out of contact for too
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -79,7 +79,7 @@
         let service = report.service();
         let back_ends = self
             .peers
-            .nodes_where(|name| ServiceTag::of(name) == service);
+            .count_nodes(|name| ServiceTag::of(name) == service);
         // An id of an earlier release names no service: nobody has back ends of it.
         if back_ends > 0 {
             self.quarantine.set_back_ends(service, back_ends);
--- a/crates/tallybridge-mesh/src/node/running.rs
+++ b/crates/tallybridge-mesh/src/node/running.rs
@@ -57,7 +57,7 @@
     /// Whether a call that runs at the back end has made a nested one.
     #[must_use]
     pub fn has_called(&self, attempt: &Bytes) -> bool {
-        self.tables().running.has_called(attempt)
+        self.tables().running.has_made_nested_call(attempt)
     }
 
     /// Time for which a call that runs at the back end, and has held its slot for `held`, and its nested
@@ -65,7 +65,7 @@
     #[must_use]
     pub fn slot_times(&self, attempt: &Bytes, held: Duration) -> SlotTimes {
         let tables = self.tables();
-        let mut times = tables.running.times_below(attempt);
+        let mut times = tables.running.nested_slot_times(attempt);
         times.add(&tables.own_service, held);
         times
     }
--- a/crates/tallybridge-mesh/src/node/store_watch.rs
+++ b/crates/tallybridge-mesh/src/node/store_watch.rs
@@ -52,7 +52,7 @@
             reached: tables.peers.reached(),
             confirming: tables
                 .watchers
-                .confirming(tables.configuration.version(), BootInstant::now()),
+                .count_confirming(tables.configuration.version(), BootInstant::now()),
         }
     }
 
--- a/crates/tallybridge-mesh/src/tables/configuration.rs
+++ b/crates/tallybridge-mesh/src/tables/configuration.rs
@@ -12,7 +12,7 @@
 
 /// A version that the store confirmed to be the newest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Confirmed {
+pub struct ConfirmedVersion {
     /// Version of the configuration; 0 if there is none.
     pub version: u64,
     /// Time since the store was asked for the confirmation.
@@ -106,7 +106,7 @@
     /// well.
     pub fn record_peer_confirmation(
         &mut self,
-        confirmed: Confirmed,
+        confirmed: ConfirmedVersion,
         asked_at: BootInstant,
     ) -> Ordering {
         let ordering = confirmed.version.cmp(&self.version());
@@ -136,9 +136,9 @@
 
     /// Returns the last confirmation that this node itself received from the store.
     #[must_use]
-    pub fn confirmed_by_store(&self) -> Option<Confirmed> {
+    pub fn confirmed_by_store(&self) -> Option<ConfirmedVersion> {
         let asked_at = self.confirmed_by_store_at?;
-        Some(Confirmed {
+        Some(ConfirmedVersion {
             version: self.version(),
             age: asked_at.elapsed(),
             read_at: self.read_at,
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -16,7 +16,7 @@
     EndedStart, FailureRate, FailureRateChange, Incarnation, InstanceState, LocalInstance,
     ReportEffect,
 };
-pub use configuration::{ConfigurationTable, Confirmed};
+pub use configuration::{ConfigurationTable, ConfirmedVersion};
 pub use peers::{Executor, LinkRequest, PeerTable, PlacementQuery, QuotaOwner};
 pub use retries::{FirstAttempt, RetryBudgets, RetryRequest};
 pub use running::{FoundParent, NestedEnd, Parent, RunningAttempts};
--- a/crates/tallybridge-mesh/src/tables/peers/contact.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/contact.rs
@@ -60,7 +60,12 @@
 impl PeerTable {
     /// Records that a link to a node opened, with the record that the node sent on it. Returns
     /// `false` if the node is not selected and the link must be closed.
-    pub fn connected(&mut self, record: NodeRecord, link: Arc<Link>, now: Instant) -> bool {
+    pub fn record_link_opened(
+        &mut self,
+        record: NodeRecord,
+        link: Arc<Link>,
+        now: Instant,
+    ) -> bool {
         let address = record.address;
         self.learn_slots(&record.service, record.slots);
         self.replace_record(record);
@@ -80,7 +85,7 @@
     }
 
     /// Records that a link closed. A link that is no longer the current one of its node is ignored.
-    pub fn disconnected(&mut self, address: SocketAddr, link: &Arc<Link>) {
+    pub fn record_link_closed(&mut self, address: SocketAddr, link: &Arc<Link>) {
         let Some(row) = self.rows.get_mut(&address) else {
             return;
         };
@@ -96,7 +101,7 @@
     }
 
     /// Records that a link could not be opened. A node that was never reached is replaced at once.
-    pub fn unreachable(&mut self, request: LinkRequest) {
+    pub fn record_link_failure(&mut self, request: LinkRequest) {
         if let Some(row) = self.rows.get_mut(&request.address)
             && row.id == request.row_id
             && row.reachability == Reachability::Unknown
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -78,7 +78,7 @@
     own_loss_rate: f64,
     own_probed_at: Option<Instant>,
     /// Slots that a back end of a service last reported.
-    usual_slots: HashMap<Arc<str>, u32>,
+    reported_slots: HashMap<Arc<str>, u32>,
     policy: PolicySettings,
 }
 
@@ -95,7 +95,7 @@
             next_row_id: 0,
             own_loss_rate: 0.0,
             own_probed_at: None,
-            usual_slots: HashMap::new(),
+            reported_slots: HashMap::new(),
             policy: PolicySettings::default(),
         }
     }
@@ -121,7 +121,7 @@
 
     /// Counts the known nodes, including this one, whose service matches `predicate`.
     #[must_use]
-    pub fn nodes_where(&self, predicate: impl Fn(&str) -> bool) -> usize {
+    pub fn count_nodes(&self, predicate: impl Fn(&str) -> bool) -> usize {
         let linked = self.rows.values().map(|row| &*row.record.service);
         let unlinked = self.unlinked.values().map(|node| &*node.record.service);
         let own = std::iter::once(&*self.own.service);
@@ -160,7 +160,7 @@
     /// Returns the link to the reachable peer with the newest configuration after `version`.
     /// Prefers a peer in the same zone.
     #[must_use]
-    pub fn with_newer(&self, version: u64) -> Option<Arc<Link>> {
+    pub fn link_with_newer_configuration(&self, version: u64) -> Option<Arc<Link>> {
         self.rows
             .values()
             .filter(|row| row.status.version > version)
--- a/crates/tallybridge-mesh/src/tables/peers/reports.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/reports.rs
@@ -83,8 +83,8 @@
     /// Returns the slots that a back end of a service last reported. A node uses this value until
     /// its own back end reports one.
     #[must_use]
-    pub fn usual_slots(&self, service: &str) -> Option<u32> {
-        self.usual_slots.get(service).copied()
+    pub fn reported_slots(&self, service: &str) -> Option<u32> {
+        self.reported_slots.get(service).copied()
     }
 
     /// Whether enough peers of a service report this number of slots, so that the registration of
@@ -100,7 +100,7 @@
     /// Records the slots of a back end of a service; 0 means unknown and is ignored.
     pub(super) fn learn_slots(&mut self, service: &str, slots: u32) {
         if slots > 0 {
-            self.usual_slots.insert(service.into(), slots);
+            self.reported_slots.insert(service.into(), slots);
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/retries.rs
+++ b/crates/tallybridge-mesh/src/tables/retries.rs
@@ -76,7 +76,7 @@
     }
 
     /// Replaces the settings. Empties all budgets if the settings differ.
-    pub fn set(&mut self, settings: RetrySettings) {
+    pub fn update_settings(&mut self, settings: RetrySettings) {
         if settings != self.settings {
             self.settings = settings;
             self.services.clear();
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -126,7 +126,7 @@
 
     /// Returns the times for which ended nested calls of a running call held slots, by service.
     #[must_use]
-    pub fn times_below(&self, attempt: &Bytes) -> SlotTimes {
+    pub fn nested_slot_times(&self, attempt: &Bytes) -> SlotTimes {
         let running = self.0.get(attempt);
         running.map_or_else(SlotTimes::default, |running| {
             running.nested_slot_times.clone()
@@ -135,14 +135,14 @@
 
     /// Whether a running call has made a nested call.
     #[must_use]
-    pub fn has_called(&self, attempt: &Bytes) -> bool {
+    pub fn has_made_nested_call(&self, attempt: &Bytes) -> bool {
         let running = self.0.get(attempt);
         running.is_some_and(|running| running.has_made_nested_call)
     }
 
     /// Whether a failure of a running call may come from one of its nested calls.
     #[must_use]
-    pub fn may_fail_for_another(&self, attempt: &Bytes) -> bool {
+    pub fn may_fail_due_to_nested_call(&self, attempt: &Bytes) -> bool {
         let running = self.0.get(attempt);
         running.is_some_and(|running| running.open_nested_calls > 0 || running.has_nested_failure)
     }
--- a/crates/tallybridge-mesh/src/tables/watchers.rs
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -26,7 +26,7 @@
 
 impl WatcherTable {
     /// Records that the store, asked by a peer at `asked_at`, confirmed a version.
-    pub fn confirmed(&mut self, peer: SocketAddr, version: u64, asked_at: BootInstant) {
+    pub fn record_confirmation(&mut self, peer: SocketAddr, version: u64, asked_at: BootInstant) {
         let confirmation = Confirmation { version, asked_at };
         self.0.insert(peer, confirmation);
     }
@@ -39,7 +39,7 @@
     /// Counts the peers to which the store confirmed `version` or a newer one within the last 1.2
     /// s.
     #[must_use]
-    pub fn confirming(&self, version: u64, now: BootInstant) -> usize {
+    pub fn count_confirming(&self, version: u64, now: BootInstant) -> usize {
         let confirmations = self.0.values();
         let fresh = confirmations.filter(|confirmation| {
             let age = now.saturating_duration_since(confirmation.asked_at);
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -27,7 +27,7 @@
     },
     node::Node,
     protocol::{ConfirmationMessage, Frame, Message, NodeRecord},
-    tables::{Confirmed, LinkRequest},
+    tables::{ConfirmedVersion, LinkRequest},
 };
 
 /// Time in which a connection must come up, and again time in which the other node must answer the
@@ -203,9 +203,9 @@
 }
 
 /// A confirmation, with the time on the other node's clock translated into one here.
-fn confirmed(link: &Link, confirmation: ConfirmationMessage) -> Confirmed {
+fn confirmed(link: &Link, confirmation: ConfirmationMessage) -> ConfirmedVersion {
     let read_at_ms = Some(confirmation.read_at_ms).filter(|milliseconds| *milliseconds > 0);
-    Confirmed {
+    ConfirmedVersion {
         version: confirmation.version,
         age: Duration::from_millis(confirmation.age_ms.into()),
         read_at: read_at_ms.and_then(|milliseconds| link.to_local_time(milliseconds)),
--- a/crates/tallybridge-mesh/tests/configuration.rs
+++ b/crates/tallybridge-mesh/tests/configuration.rs
@@ -7,7 +7,7 @@
     Configuration,
     clock::BootInstant,
     http::HttpLimits,
-    tables::{ConfigurationTable, Confirmed},
+    tables::{ConfigurationTable, ConfirmedVersion},
 };
 
 fn version(version: u64) -> Configuration {
@@ -20,8 +20,8 @@
     table
 }
 
-fn confirmed(version: u64, read_at: BootInstant) -> Confirmed {
-    Confirmed {
+fn confirmed(version: u64, read_at: BootInstant) -> ConfirmedVersion {
+    ConfirmedVersion {
         version,
         age: Duration::ZERO,
         read_at: Some(read_at),
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -118,7 +118,7 @@
         table.learn(record.clone(), now);
         let _ = table.select_links(now);
         let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
-        assert!(table.connected(record, link, now));
+        assert!(table.record_link_opened(record, link, now));
         let status = PeerStatus {
             backend,
             load,
--- a/crates/tallybridge-mesh/tests/quota_owner.rs
+++ b/crates/tallybridge-mesh/tests/quota_owner.rs
@@ -45,7 +45,7 @@
         let number = order.address.port();
         if !lost.contains(&number) {
             let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
-            assert!(table.connected(record(number, service_of), link, now));
+            assert!(table.record_link_opened(record(number, service_of), link, now));
         }
     }
     table
--- a/crates/tallybridge-mesh/tests/running.rs
+++ b/crates/tallybridge-mesh/tests/running.rs
@@ -50,27 +50,30 @@
     let root = Bytes::from_static(b"ab12");
     running.begin(&root, new_parent(false));
     assert!(
-        !running.may_fail_for_another(&root),
+        !running.may_fail_due_to_nested_call(&root),
         "the call has made no nested call"
     );
     running.begin_nested(&root);
     assert!(
-        running.may_fail_for_another(&root),
+        running.may_fail_due_to_nested_call(&root),
         "a nested call is still open"
     );
     running.end_nested(&root, &NestedEnd::Succeeded(SlotTimes::default()));
     assert!(
-        !running.may_fail_for_another(&root),
+        !running.may_fail_due_to_nested_call(&root),
         "the nested call succeeded"
     );
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(SlotTimes::default()));
     assert!(
-        running.may_fail_for_another(&root),
+        running.may_fail_due_to_nested_call(&root),
         "the nested call failed"
     );
     running.end(&root);
-    assert!(!running.may_fail_for_another(&root), "the call has ended");
+    assert!(
+        !running.may_fail_due_to_nested_call(&root),
+        "the call has ended"
+    );
 }
 
 #[test]
@@ -87,7 +90,7 @@
     }
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(SlotTimes::default()));
-    let nested_times = running.times_below(&root);
+    let nested_times = running.nested_slot_times(&root);
     assert_eq!(nested_times.of("deep"), Duration::from_millis(40));
     assert_eq!(nested_times.of("middle"), Duration::from_millis(100));
     assert_eq!(nested_times.of("other"), Duration::ZERO);
@@ -116,7 +119,7 @@
     min_times.add(&"deep".into(), Duration::from_millis(30));
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(min_times));
-    assert!(running.may_fail_for_another(&root));
-    let nested_times = running.times_below(&root);
+    assert!(running.may_fail_due_to_nested_call(&root));
+    let nested_times = running.nested_slot_times(&root);
     assert_eq!(nested_times.of("deep"), Duration::from_millis(30));
 }
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -45,7 +45,7 @@
     opened.sort_unstable();
     for number in &opened {
         let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
-        assert!(table.connected(record(*number, services), link, now));
+        assert!(table.record_link_opened(record(*number, services), link, now));
     }
     opened
 }
@@ -150,7 +150,7 @@
     let opened = select_and_open_links(&mut table, 1, start);
     let lost = opened[0];
     let link = link_to(&table, lost).unwrap();
-    table.disconnected(record(lost, 1).address, &link);
+    table.record_link_closed(record(lost, 1).address, &link);
     assert_eq!(
         table.select_links(start),
         [],
@@ -168,7 +168,7 @@
 
     let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     assert!(
-        table.connected(record(lost, 1), link, later),
+        table.record_link_opened(record(lost, 1), link, later),
         "the reconnected peer was rejected"
     );
     assert_eq!(table.select_links(later), []);
@@ -187,14 +187,14 @@
     learn(&mut table, 1..101, 1, now);
     let requests = table.select_links(now);
     open_links(&mut table, &requests[1..], 1, now);
-    table.unreachable(requests[0]);
+    table.record_link_failure(requests[0]);
     let replacements = table.select_links(now);
     assert_eq!(replacements.len(), 1);
 
     let restarting = requests[1];
     let link = link_to(&table, restarting.address.port()).unwrap();
-    table.disconnected(restarting.address, &link);
-    table.unreachable(restarting);
+    table.record_link_closed(restarting.address, &link);
+    table.record_link_failure(restarting);
     assert_eq!(table.select_links(now), []);
 }
 
@@ -241,7 +241,7 @@
         let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
         let record = record(request.address.port(), 1);
         assert!(
-            !table.connected(record, link, now),
+            !table.record_link_opened(record, link, now),
             "a link to an unselected node was accepted"
         );
     }
@@ -297,7 +297,7 @@
         for request in requests {
             match request.address.port() {
                 1..61 => reselected.push(request),
-                _ => table.unreachable(request),
+                _ => table.record_link_failure(request),
             }
         }
     }
@@ -318,7 +318,7 @@
         );
         assert!(!table.forget(request, now));
         let old_link = old_links[index].as_ref().unwrap();
-        table.disconnected(request.address, old_link);
+        table.record_link_closed(request.address, old_link);
         let port = request.address.port();
         assert!(
             link_to(&table, port).is_some(),
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -217,7 +217,7 @@
 impl RunningCall<'_> {
     /// What it cost, after it held its slot for some time.
     pub fn times(&self, own_service: &Arc<str>, held: Duration) -> SlotTimes {
-        let mut times = self.node.state().running.times_below(&self.name);
+        let mut times = self.node.state().running.nested_slot_times(&self.name);
         times.add(own_service, held);
         times
     }
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -101,7 +101,7 @@
     let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     table.learn(record.clone(), now);
     let _ = table.select_links(now);
-    assert!(table.connected(record, link.clone(), now));
+    assert!(table.record_link_opened(record, link.clone(), now));
     link
 }
 
@@ -304,7 +304,7 @@
 async fn reused_address_gets_no_old_calls() {
     let mut table = table(&[(2, "home", BackendState::Ready, load(10, 0))]);
     let link = table.links().next().unwrap().1.clone();
-    table.disconnected(at_port(2), &link);
+    table.record_link_closed(at_port(2), &link);
     assert_eq!(
         choose_port(&mut table, &[]),
         None,
@@ -337,7 +337,7 @@
     assert!(!table.is_isolated());
     for port in (2..10).filter(|port| *port != 8) {
         let link = link_at(&table, port);
-        table.disconnected(at_port(port), &link);
+        table.record_link_closed(at_port(port), &link);
     }
     assert!(
         !table.is_isolated(),
