Tables: last comments and locals of the peer and retry tables

A second reading found a few comments that were ambiguous (which node is "selected", when a limit is split, what a confirmation depends on) and locals named after other things than they hold. Only comments and private names change.

--- a/crates/tallybridge-mesh/src/policy.rs
+++ b/crates/tallybridge-mesh/src/policy.rs
@@ -1,4 +1,4 @@
-//! Switches that turn single policies of a node off.
+//! Switches for the policies of a node.
 //!
 //! All policies are on by default. Turning one off selects the simplest behaviour instead.
 //! Guarantees have no switch: complete answers, at most one execution of a call that must not run
@@ -14,7 +14,7 @@
     /// requests are admitted and refused at executors without a free slot.
     pub shed_at_entry: bool,
     /// Sheds requests by their cost at the full service. When off, requests are shed by priority
-    /// only, and each route counts as needing every service further down.
+    /// only, and each route counts as needing every service further down its call chain.
     pub shed_by_cost: bool,
     /// Sheds urgent requests last and serves them first. When off, all requests are equal.
     pub order_by_priority: bool,
--- a/crates/tallybridge-mesh/src/tables/configuration.rs
+++ b/crates/tallybridge-mesh/src/tables/configuration.rs
@@ -30,8 +30,8 @@
     /// When the store was asked for the last confirmation that this node itself received.
     confirmed_by_store_at: Option<BootInstant>,
     /// When the store was asked for the last read, by this node or by a peer, of a version that is
-    /// not newer than the one in force. A watch may miss changes, a read does not: no key that was
-    /// removed before this time is still in force.
+    /// not newer than the one in force. A confirmation depends on a watch, which may be lost; a
+    /// read does not. A key that was removed before this time is therefore no longer in force.
     read_at: Option<BootInstant>,
     /// Version in force when the store last sent a version to this node.
     version_from_store: u64,
@@ -76,7 +76,7 @@
         true
     }
 
-    /// Records that the store sent the version in force, its newest, to this node.
+    /// Records that the version in force is the newest that the store sent to this node.
     pub fn record_version_from_store(&mut self) {
         self.version_from_store = self.version();
     }
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,5 +1,5 @@
-//! State of a node: its back end, its peers, and what it learned from requests. Methods that depend
-//! on the time take it as an argument; [`crate::node`] guards all tables with one lock.
+//! State of a node: its back end, its peers, and what it learned from requests. Callers pass the
+//! current time to decisions that depend on it; [`crate::node`] guards all tables with one lock.
 
 pub mod admission;
 pub mod backend;
--- a/crates/tallybridge-mesh/src/tables/peers/contact.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/contact.rs
@@ -17,8 +17,8 @@
 const FORGET_UNREACHABLE_AFTER: Duration = Duration::from_secs(60);
 /// Time without a link after which another node is selected instead. A node restarts in less time.
 const REPLACE_AFTER: Duration = Duration::from_secs(3);
-/// Time after which an unselected node that no source has named is forgotten. Covers several reads
-/// of the registry, which are at most 60 s apart.
+/// Time after which an unselected node is forgotten if neither a peer nor the registry has named
+/// it. Covers several reads of the registry, which are at most 60 s apart.
 const FORGET_UNLINKED_AFTER: Duration = Duration::from_secs(300);
 
 /// A request to open a link and to keep it open while the peer's row exists.
@@ -34,7 +34,7 @@
 pub(super) struct UnlinkedNode {
     pub(super) record: NodeRecord,
     /// When a peer or the registry last named the node, or when its link was retired.
-    pub(super) known_at: Instant,
+    pub(super) last_seen: Instant,
 }
 
 /// Result of the attempts to open a link to a node.
@@ -137,9 +137,11 @@
         is_expired
     }
 
-    /// Forgets unselected nodes that no source has named for `FORGET_UNLINKED_AFTER`.
+    /// Forgets unselected nodes that neither a peer nor the registry has named for
+    /// `FORGET_UNLINKED_AFTER`.
     pub fn forget_unlinked(&mut self, now: Instant) {
-        self.unlinked
-            .retain(|_, node| now.saturating_duration_since(node.known_at) < FORGET_UNLINKED_AFTER);
+        self.unlinked.retain(|_, node| {
+            now.saturating_duration_since(node.last_seen) < FORGET_UNLINKED_AFTER
+        });
     }
 }
--- a/crates/tallybridge-mesh/src/tables/peers/linking.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/linking.rs
@@ -49,8 +49,8 @@
         let service: Arc<str> = record.service.as_str().into();
         let known_node = self.unlinked.get(&record.address);
         let is_new = known_node.is_none_or(|node| node.record.service != record.service);
-        let known_at = now;
-        let node = UnlinkedNode { record, known_at };
+        let last_seen = now;
+        let node = UnlinkedNode { record, last_seen };
         self.unlinked.insert(node.record.address, node);
         if is_new {
             self.learn_service(&service);
@@ -139,7 +139,7 @@
             }
             let node = UnlinkedNode {
                 record: row.record,
-                known_at: now,
+                last_seen: now,
             };
             self.unlinked.insert(address, node);
         }
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -1,9 +1,9 @@
 //! The peers of a node: which nodes it knows, which of them it links to, and what they reported.
 //!
-//! Owns a `PeerRow` with the link and the last report for each selected node, and the record of
-//! each other known node. The table is not persisted: after a restart a node learns of its peers
-//! from the registry and from other nodes. Relies on [`crate::link`] for links. Callers pass the
-//! current time.
+//! A node links to a selection of the nodes that it knows. The table owns a `PeerRow` with the link
+//! and the last report for each selected node, and the record of each other known node. It is not
+//! persisted: after a restart a node learns of its peers from the registry and from other nodes.
+//! Relies on [`crate::link`] for links. Callers pass the current time.
 //!
 //! * `placement` chooses the executor of a call.
 //! * `subset` chooses the nodes to link to; `linking` applies the choice and `contact` records the
@@ -57,7 +57,7 @@
     avoid_until: Option<Instant>,
     /// Moving average of the share of calls that were lost at the node, 0 to 1.
     loss_rate: f64,
-    /// When this node last sent a probe to the back end as an outlier.
+    /// When this node last probed the back end, while it was an outlier.
     probed_at: Option<Instant>,
     last_contact: Instant,
     reachability: Reachability,
--- a/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
@@ -3,10 +3,10 @@
 //! A call goes to the executor of its service with the lowest score, among the executors that were
 //! not tried and whose back ends accept work. The score is the utilization of the back end plus
 //! costs in the same unit: for another zone, a full back end, slow calls, lost calls, failures
-//! ([`outliers`]) and suspect links.
+//! ([`outliers`]), suspect links and a planned stop. A small random part is added.
 //!
-//! Every disadvantage is a cost and not a filter, so a call is still sent when all executors have
-//! some. An entry sees few calls of each back end and therefore relies on the [`Load`] that nodes
+//! Every disadvantage is a cost and not a filter, so a call is still sent when every executor has
+//! one. An entry sees few calls of each back end and therefore relies on the [`Load`] that nodes
 //! report: with each answer, when the load changes, and in reply to each ping. Calls sent since a
 //! report are added to the load.
 
--- a/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
@@ -37,10 +37,10 @@
 
 impl BaselineFailureRate {
     pub(super) fn from_loads(loads: impl Iterator<Item = Load>) -> Self {
-        let mut shares: Vec<u8> = loads.map(|load| load.failing).collect();
-        shares.sort_unstable();
-        let quartile = shares.len().saturating_sub(1) / 4;
-        let baseline = shares.get(quartile).copied().unwrap_or(0);
+        let mut failure_rates: Vec<u8> = loads.map(|load| load.failing).collect();
+        failure_rates.sort_unstable();
+        let quartile_index = failure_rates.len().saturating_sub(1) / 4;
+        let baseline = failure_rates.get(quartile_index).copied().unwrap_or(0);
         Self(Load::share_of(baseline))
     }
 
@@ -64,11 +64,11 @@
         address: SocketAddr,
         now: Instant,
     ) -> bool {
-        let all_executors = PlacementQuery {
+        let unfiltered_query = PlacementQuery {
             tried: &[],
             ..*query
         };
-        let candidates = self.candidates(&all_executors, now);
+        let candidates = self.candidates(&unfiltered_query, now);
         let baseline =
             BaselineFailureRate::from_loads(candidates.iter().map(|candidate| candidate.load));
         let mut matching = candidates.iter().filter(|other| other.address == address);
--- a/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
@@ -15,8 +15,8 @@
     Local,
     /// The node at the other end of this link owns the limit.
     Peer(Arc<Link>),
-    /// No node owns the limit because the nodes could not agree on one. Each node enforces an equal
-    /// part; the value is the number of parts.
+    /// The limit has no owner, because nodes with different links would choose different ones. Each
+    /// node enforces an equal part; the value is the number of parts.
     Split(usize),
 }
 
--- a/crates/tallybridge-mesh/src/tables/peers/reports.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/reports.rs
@@ -15,7 +15,7 @@
 /// Weight of the newest outcome in the loss rate, which thus covers about twelve calls.
 const LOSS_RATE_SMOOTHING: f64 = 0.08;
 /// Peers that must report the slots of a service before a node omits its own from the registry.
-/// Nodes that start need some registrations with slots.
+/// Nodes that have just started read the slots from these registrations.
 const MIN_SLOT_REPORTERS: usize = 4;
 
 impl PeerTable {
@@ -32,7 +32,7 @@
         self.learn_slots(&service, slots);
     }
 
-    /// Records the load of an executor that an answer carried.
+    /// Records the load that an answer from an executor reported.
     pub fn record_load(&mut self, address: SocketAddr, load: Load) {
         if let Some(row) = self.rows.get_mut(&address) {
             row.status.load = load;
@@ -70,11 +70,11 @@
         self.linked_rows().map(|row| (&row.service, &row.status))
     }
 
-    /// Iterates over the mean times that back ends of a service reported for a call. Skips back
-    /// ends that have not reported one.
+    /// Iterates over the mean call times that back ends of a service reported. Skips back ends that
+    /// have not reported one.
     pub fn call_times(&self, service: &str) -> impl Iterator<Item = Duration> {
-        let of_service = self.statuses().filter(move |(name, _)| &***name == service);
-        let reported = of_service.map(|(_, status)| status.load.service_ms);
+        let service_statuses = self.statuses().filter(move |(name, _)| &***name == service);
+        let reported = service_statuses.map(|(_, status)| status.load.service_ms);
         reported
             .filter(|service_ms| *service_ms > 0)
             .map(|service_ms| Duration::from_millis(service_ms.into()))
@@ -91,10 +91,10 @@
     /// this node need not repeat it.
     #[must_use]
     pub fn has_enough_slot_reports(&self, service: &str, slots: u32) -> bool {
-        let agreeing = self
+        let agreeing_peers = self
             .linked_rows()
             .filter(|row| *row.service == *service && row.status.slots == slots);
-        agreeing.count() >= MIN_SLOT_REPORTERS
+        agreeing_peers.count() >= MIN_SLOT_REPORTERS
     }
 
     /// Records the slots of a back end of a service; 0 means unknown and is ignored.
--- a/crates/tallybridge-mesh/src/tables/retries.rs
+++ b/crates/tallybridge-mesh/src/tables/retries.rs
@@ -2,8 +2,8 @@
 //!
 //! Over a window of `window_ms`, the retries that a node sends to a service stay below a ratio of
 //! the first attempts that it sends there. If every node keeps its own bound, the whole fleet does,
-//! without any exchange between nodes. A retry that is not urgent must leave as much of the budget
-//! as urgent calls need.
+//! without any exchange between nodes. Calls of requests with the highest priority are urgent;
+//! other retries must leave them as much of the budget as they need.
 //!
 //! A retry repeats its nested calls, which are retries for the services further down. Calls carry
 //! this fact, and the sender of such a nested call charges the call to its own budget. Each service
--- a/crates/tallybridge-mesh/src/tables/watchers.rs
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -36,8 +36,7 @@
         self.0.remove(&peer);
     }
 
-    /// Counts the peers to which the store confirmed `version` or a newer one within the last 1.2
-    /// s.
+    /// Counts the peers to which the store confirmed `version` or newer within the last 1.2 s.
     #[must_use]
     pub fn count_confirming(&self, version: u64, now: BootInstant) -> usize {
         let confirmations = self.0.values();
