--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -1,5 +1,5 @@
-//! What a node knows and decides by: the back end beside it, the other nodes, and what was learned of
-//! requests. Each table is plain state that is told the time; [`crate::node`] guards them by one lock.
+//! State of a node: its back end, its peers, and what it learned from requests. Callers pass the
+//! current time to decisions that depend on it; [`crate::node`] guards all tables with one lock.
 
 pub mod admission;
 pub mod backend;
@@ -16,7 +16,7 @@
     EndedIncarnation, FailureRate, FailureRateChange, Incarnation, InstanceState, LocalInstance,
     ReportEffect,
 };
-pub use configuration::{ConfigurationTable, Confirmed};
+pub use configuration::{ConfigurationTable, ConfirmedVersion};
 pub use peers::{Executor, LinkRequest, PeerTable, PlacementQuery, QuotaOwner};
 pub use retries::{FirstAttempt, RetryBudgets, RetryRequest};
 pub use running::{FoundParent, NestedEnd, Parent, RunningAttempts};
