--- a/crates/tallybridge-mesh/src/tables/quarantine/digest.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/digest.rs
@@ -1,8 +1,8 @@
-//! The identity of a request.
+//! Identity of a request: digests of its content.
 //!
-//! Two attempts are the same request if tenant, host, request line and body are equal byte by byte.
-//! The id of the attempt, the time left and other header fields differ from one attempt to the
-//! next. Nodes store, send and log digests only, never the content of a request.
+//! Two attempts belong to the same request if tenant, host, request line and body are equal byte by
+//! byte. The attempt id, the remaining time and other header fields differ between attempts and are
+//! ignored. Nodes store, send and log only digests, never the content of a request.
 
 use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -12,33 +12,32 @@
     protocol::{CallMessage, DIGEST_BYTES, RequestDigest},
 };
 
-/// The two digests of a request: whether it crashes back ends may depend on the service that calls, or not.
+/// Digests of a request with and without its calling service, because a request may crash back ends only
+/// when a certain service sends it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestDigests {
-    /// Of the content alone, whichever service calls.
+    /// Digest of tenant, host, request line and body.
     pub content: RequestDigest,
-    /// Of the content and the calling service.
-    pub from_caller: RequestDigest,
+    /// Digest of the content and the calling service.
+    pub with_caller: RequestDigest,
 }
 
 impl RequestDigests {
-    /// Both, the one of the content alone first.
+    /// Returns the content digest, followed by the digest with the calling service.
     #[must_use]
     pub const fn both(self) -> [RequestDigest; 2] {
-        [self.content, self.from_caller]
+        [self.content, self.with_caller]
     }
 }
 
-/// Short hashes in place of the digests, cheap to make, for tables that stay within one process.
+/// Hashes of the same parts as [`RequestDigests`]. They are cheaper to compute but valid in one process only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ContentHashes {
-    /// Of the content alone, whichever service calls.
+pub struct RequestHashes {
     pub content: u64,
-    /// Of the content and the calling service.
-    pub from_caller: u64,
+    pub with_caller: u64,
 }
 
-/// The parts of a call that make up its identity, borrowed from its bytes.
+/// Parts of a call that identify its request, borrowed from the bytes of the call.
 #[derive(Debug, Clone, Copy)]
 pub struct CallContent<'a> {
     request_line: &'a [u8],
@@ -49,18 +48,18 @@
 }
 
 impl<'a> CallContent<'a> {
-    /// The content of a call as it travels between nodes.
+    /// Extracts the parts from a call as sent between nodes.
     #[must_use]
     pub fn of(call: &'a CallMessage, names: &HeaderNames) -> Self {
-        Self::of_parts(&call.head, &call.body, names)
+        Self::from_head_and_body(&call.head, &call.body, names)
     }
 
-    /// The content of a call by the head and body that its back end gets. A head without a line,
-    /// host, tenant or caller has an empty part in its place.
+    /// Extracts the parts from the head and body that the back end receives. A part that the head does
+    /// not contain is empty.
     #[must_use]
-    pub fn of_parts(head: &'a [u8], body: &'a [u8], names: &HeaderNames) -> Self {
+    pub fn from_head_and_body(head: &'a [u8], body: &'a [u8], names: &HeaderNames) -> Self {
         let mut lines = head.split(|byte| *byte == b'\n');
-        // A split always has a first part.
+        // `split` always yields at least one item.
         let request_line = lines.next().unwrap_or(b"");
         let mut content = Self {
             request_line,
@@ -74,56 +73,56 @@
                 continue;
             };
             let (name, value) = line.split_at(colon);
-            let is = |other: &str| name.eq_ignore_ascii_case(other.as_bytes());
-            if is("host") {
+            let is_header = |header: &str| name.eq_ignore_ascii_case(header.as_bytes());
+            if is_header("host") {
                 content.host = value;
-            } else if is(names.tenant) {
+            } else if is_header(names.tenant) {
                 content.tenant = value;
-            } else if is(names.caller_service) {
+            } else if is_header(names.caller_service) {
                 content.caller = value;
             }
         }
         content
     }
 
-    /// The parts apart from the calling service.
-    const fn parts(&self) -> [&'a [u8]; 4] {
+    const fn parts_without_caller(&self) -> [&'a [u8]; 4] {
         [self.tenant, self.host, self.request_line, self.body]
     }
 
-    /// Digests that are the same at all nodes.
+    /// Computes the digests. They are equal on all nodes.
     #[must_use]
     pub fn digests(&self) -> RequestDigests {
         let mut hasher = Sha256::new();
-        for part in self.parts() {
-            // With its length before each part, different parts never hash the same bytes.
+        for part in self.parts_without_caller() {
+            // The length prefix makes different splits of the same bytes hash differently.
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
         }
-        let content = first_half(hasher);
+        let content = finalize_truncated(hasher);
         let mut hasher = Sha256::new();
         hasher.update(content.0);
         hasher.update(self.caller);
         RequestDigests {
             content,
-            from_caller: first_half(hasher),
+            with_caller: finalize_truncated(hasher),
         }
     }
 
-    /// Hashes by a secret of this process, so that a caller can't work out requests that collide.
+    /// Computes the hashes, seeded with a secret of this process so that a caller cannot construct requests
+    /// that collide.
     #[must_use]
-    pub fn hashes(&self, secret: u64) -> ContentHashes {
-        let parts = self.parts();
-        let add = |seed: u64, part: &&[u8]| xxh3_64_with_seed(part, seed.rotate_left(7));
-        let content = parts.iter().fold(secret, add);
-        ContentHashes {
+    pub fn hashes(&self, secret: u64) -> RequestHashes {
+        let parts = self.parts_without_caller();
+        let hash_part = |seed: u64, part: &&[u8]| xxh3_64_with_seed(part, seed.rotate_left(7));
+        let content = parts.iter().fold(secret, hash_part);
+        RequestHashes {
             content,
-            from_caller: add(content, &self.caller),
+            with_caller: hash_part(content, &self.caller),
         }
     }
 }
 
-fn first_half(hasher: Sha256) -> RequestDigest {
+fn finalize_truncated(hasher: Sha256) -> RequestDigest {
     let hash = hasher.finalize();
     let mut digest = [0; DIGEST_BYTES];
     digest.copy_from_slice(&hash[..DIGEST_BYTES]);
--- a/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
@@ -1,4 +1,4 @@
-//! Calls that were dispatched to the back end beside this node, and what of them a crash interrupts.
+//! Calls dispatched to the back end of this node, tracked to find those that a crash interrupts.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -13,92 +13,91 @@
     clock::BootInstant, platform::HeaderNames, protocol::CallMessage, tables::Incarnation,
 };
 
-/// Calls that are remembered after they ended unanswered, some 100 bytes each. Origin not recorded.
-const MAX_UNANSWERED: usize = 1024;
+/// Bounds memory, at about 100 bytes per call.
+const MAX_UNANSWERED_CALLS: usize = 1024;
 
-/// Calls at the back end beside this node: those that run, and those that ended unanswered just before.
+/// Calls that are running on the back end of this node, and calls that recently ended without an answer.
 #[derive(Debug)]
 pub struct DispatchedCalls {
-    names: HeaderNames,
-    /// Seed of the hashes of this process, so that a caller can't work out requests whose hashes collide.
+    header_names: HeaderNames,
+    /// Random seed of the request hashes, so that a caller cannot construct requests that collide.
     secret: u64,
-    next: u64,
+    next_id: u64,
     running: HashMap<DispatchId, RunningCall>,
     unanswered: VecDeque<UnansweredCall>,
-    answers: RecentAnswers,
-    /// The last start of the back end that is known to have crashed with calls.
-    crashed: Option<Incarnation>,
+    recent_answers: RecentAnswers,
+    /// Last incarnation known to have crashed while calls were running.
+    last_crashed: Option<Incarnation>,
 }
 
-/// One dispatched call.
+/// Identifies a dispatched call within one [`DispatchedCalls`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct DispatchId(u64);
 
 /// How a dispatched call ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DispatchEnd {
-    /// The back end ran it and answered, with success or a failure of its own.
+    /// The back end answered, with a success or with an error of its own.
     Answered,
-    /// Its connection was lost before the answer.
+    /// The connection closed before the answer arrived.
     ConnectionLost,
-    /// It was given up while the back end may have been running it.
+    /// The node cancelled the call while the back end may have been running it.
     Cancelled,
-    /// It was not sent, or the back end refused it.
+    /// The call was not sent, or the back end refused it.
     NotRun,
 }
 
-/// A call that the back end is running.
 #[derive(Debug)]
 pub struct RunningCall {
     head: Bytes,
     body: Bytes,
     incarnation: Incarnation,
-    began: BootInstant,
+    started_at: BootInstant,
 }
 
 impl RunningCall {
-    /// What it asks for.
+    /// Returns the parts of the call that identify its request.
     #[must_use]
     pub fn content(&self, names: &HeaderNames) -> CallContent<'_> {
-        CallContent::of_parts(&self.head, &self.body, names)
+        CallContent::from_head_and_body(&self.head, &self.body, names)
     }
 }
 
 impl DispatchedCalls {
-    /// No calls. Header names are those of the platform.
+    /// Creates an empty table. `header_names` are the names that the platform uses.
     #[must_use]
-    pub fn new(names: HeaderNames, now: BootInstant) -> Self {
+    pub fn new(header_names: HeaderNames, now: BootInstant) -> Self {
         Self {
-            names,
+            header_names,
             secret: rand::random(),
-            next: 0,
+            next_id: 0,
             running: HashMap::new(),
             unanswered: VecDeque::new(),
-            answers: RecentAnswers::new(now),
-            crashed: None,
+            recent_answers: RecentAnswers::new(now),
+            last_crashed: None,
         }
     }
 
-    /// A call is dispatched to one start of the back end.
+    /// Records a call that is dispatched to an incarnation of the back end.
     pub fn begin(
         &mut self,
         call: &CallMessage,
         incarnation: &Incarnation,
         now: BootInstant,
     ) -> DispatchId {
-        let id = DispatchId(self.next);
-        self.next += 1;
+        let id = DispatchId(self.next_id);
+        self.next_id += 1;
         let running = RunningCall {
             head: call.head.clone(),
             body: call.body.clone(),
             incarnation: incarnation.clone(),
-            began: now,
+            started_at: now,
         };
         self.running.insert(id, running);
         id
     }
 
-    /// A call has ended. Returns it if it was answered.
+    /// Records the end of a call. Returns the call if the back end answered it.
     pub fn end(
         &mut self,
         id: DispatchId,
@@ -109,58 +108,64 @@
         match end {
             DispatchEnd::NotRun => None,
             DispatchEnd::Answered => {
-                let hashes = call.content(&self.names).hashes(self.secret);
-                self.answers.add(hashes.content, now);
-                self.answers.add(hashes.from_caller, now);
+                let hashes = call.content(&self.header_names).hashes(self.secret);
+                self.recent_answers.add(hashes.content, now);
+                self.recent_answers.add(hashes.with_caller, now);
                 Some(call)
             }
             DispatchEnd::ConnectionLost | DispatchEnd::Cancelled => {
-                if self.unanswered.len() >= MAX_UNANSWERED {
+                if self.unanswered.len() >= MAX_UNANSWERED_CALLS {
                     self.unanswered.pop_front();
                 }
-                let is_lost = end == DispatchEnd::ConnectionLost;
-                let call = self.unanswered(&call, is_lost, now);
+                let lost_connection = end == DispatchEnd::ConnectionLost;
+                let call = self.unanswered_call(&call, lost_connection, now);
                 self.unanswered.push_back(call);
                 None
             }
         }
     }
 
-    /// Whether calls lost their connections and none runs that began before: what a crash looks like from
-    /// here. A connection to the back end then shows whether it was one.
+    /// Returns whether calls lost their connections and every running call started after the last loss.
+    /// The caller then connects to the back end to find out whether it crashed.
     #[must_use]
     pub fn is_crash_suspected(&self) -> bool {
         let lost = self.unanswered.iter();
-        let lost = lost.filter(|call| call.is_lost && !call.was_reachable_after);
-        let Some(last_lost) = lost.map(|call| call.ended).max() else {
+        let lost = lost.filter(|call| call.lost_connection && !call.backend_reachable_after);
+        let Some(last_loss) = lost.map(|call| call.ended_at).max() else {
             return false;
         };
         let mut running = self.running.values();
-        running.all(|call| call.began > last_lost)
+        running.all(|call| call.started_at > last_loss)
     }
 
-    /// The back end takes connections: it runs, or was replaced already. As far as is known the calls that
-    /// lost their connections did not lose them in a crash.
+    /// Records that the back end accepts connections, so that earlier connection losses are attributed to a
+    /// crash only if [`take_after_restart`](Self::take_after_restart) shows one.
     pub fn backend_reachable(&mut self) {
-        for call in self.unanswered.iter_mut().filter(|call| call.is_lost) {
-            call.was_reachable_after = true;
+        for call in self
+            .unanswered
+            .iter_mut()
+            .filter(|call| call.lost_connection)
+        {
+            call.backend_reachable_after = true;
         }
     }
 
-    /// The back end has crashed. Returns the calls that this interrupted, once.
+    /// Returns the calls that a crash of `incarnation` interrupted, and forgets all unanswered calls.
     pub fn take_after_crash(
         &mut self,
         incarnation: &Incarnation,
         now: BootInstant,
     ) -> InterruptedCalls {
         let mut calls = self.take_unanswered(incarnation, now);
-        calls.retain(|call| !call.was_reachable_after);
-        self.interrupted(incarnation, calls)
+        calls.retain(|call| !call.backend_reachable_after);
+        self.record_crash(incarnation, calls)
     }
 
-    /// The back end has started again under its id, so its start before has crashed. Returns the calls that
-    /// this interrupted, once: also those that still seem to run there, and, where no other call shows the
-    /// crash, those that lost their connections before the back end was found reachable.
+    /// Returns the calls that a crash of `incarnation` interrupted, after the back end restarted under the
+    /// same id, and forgets all unanswered calls.
+    ///
+    /// Calls that still appear to run on `incarnation` are included. Calls that lost their connections
+    /// before the back end was found reachable are included only if no other call shows the crash.
     pub fn take_after_restart(
         &mut self,
         incarnation: &Incarnation,
@@ -169,45 +174,51 @@
         let mut calls = self.take_unanswered(incarnation, now);
         let running = self.running.values();
         let running = running.filter(|call| call.incarnation == *incarnation);
-        calls.extend(running.map(|call| self.unanswered(call, true, now)));
-        let shows_crash = |call: &UnansweredCall| call.is_lost && !call.was_reachable_after;
+        calls.extend(running.map(|call| self.unanswered_call(call, true, now)));
+        let shows_crash =
+            |call: &UnansweredCall| call.lost_connection && !call.backend_reachable_after;
         if calls.iter().any(shows_crash) {
-            calls.retain(|call| !call.was_reachable_after);
+            calls.retain(|call| !call.backend_reachable_after);
         }
-        self.interrupted(incarnation, calls)
+        self.record_crash(incarnation, calls)
     }
 
-    /// Whether a start of the back end is known to have crashed with calls.
+    /// Returns whether `incarnation` is the last one known to have crashed while calls were running.
     #[must_use]
     pub fn has_crashed(&self, incarnation: &Incarnation) -> bool {
-        self.crashed.as_ref() == Some(incarnation)
+        self.last_crashed.as_ref() == Some(incarnation)
     }
 
-    fn interrupted(
+    fn record_crash(
         &mut self,
         incarnation: &Incarnation,
         calls: Vec<UnansweredCall>,
     ) -> InterruptedCalls {
         if !calls.is_empty() {
-            self.crashed = Some(incarnation.clone());
+            self.last_crashed = Some(incarnation.clone());
         }
-        suspects::choose(calls, &mut self.answers)
+        suspects::select(calls, &mut self.recent_answers)
     }
 
-    fn unanswered(&self, call: &RunningCall, is_lost: bool, now: BootInstant) -> UnansweredCall {
-        let content = call.content(&self.names);
+    fn unanswered_call(
+        &self,
+        call: &RunningCall,
+        lost_connection: bool,
+        now: BootInstant,
+    ) -> UnansweredCall {
+        let content = call.content(&self.header_names);
         UnansweredCall {
             digests: content.digests(),
             hashes: content.hashes(self.secret),
             incarnation: call.incarnation.clone(),
-            began: call.began,
-            ended: now,
-            is_lost,
-            was_reachable_after: false,
+            started_at: call.started_at,
+            ended_at: now,
+            lost_connection,
+            backend_reachable_after: false,
         }
     }
 
-    /// Removes all calls that ended unanswered, and returns those of one start that are recent.
+    /// Removes all unanswered calls, and returns the recent ones of `incarnation`.
     fn take_unanswered(
         &mut self,
         incarnation: &Incarnation,
--- a/crates/tallybridge-mesh/src/tables/quarantine/history.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/history.rs
@@ -1,20 +1,10 @@
-//! Crashes that back ends had by themselves, and how many crashes it takes to blame a request beside them.
+//! History of recent crashes, and the number of crashes that it takes to quarantine a request.
 //!
-//! **Rule.** Three crashes without an answer blame a request. Where back ends of its service often crash by
-//! themselves ([`LEAST_CHANCE`]), so many are needed that a run which crashes nothing is cut by chance so
-//! often in a row in one of a thousand cases only ([`MAX_CHANCE`]).
-//!
-//! **Inputs.** The crashes of the last moments, from the reports of all nodes; which of their suspects were
-//! answered since; how many back ends the service has. A crash was certainly a back end's own if it
-//! interrupted no call, or only suspects that were answered since: nothing is left that could have caused
-//! it. Beside such ones, a crash also counts as own whose suspects are suspects of no other crash.
-//!
-//! **Output.** [`CrashHistory::crashes_needed`].
-//!
-//! **Why.** Nothing tells a request that crashes back ends from one that is cut by crashes of their own,
-//! but how often that would happen by chance. In a service of four back ends that each crashed twice a
-//! second, reads of 60 ms were cut in three runs in a row, each at another back end, and refused for 30 s:
-//! one or two of 48 in a third of the plays (docs/incidents/sound-reads-quarantined.md).
+//! Three crashes quarantine a request. If back ends of its service often crash spontaneously, that is, without
+//! a request as the cause, the number rises. Otherwise, harmless requests that are interrupted three times by
+//! chance would be quarantined. A crash is certainly spontaneous if it interrupted no call, or only suspects
+//! that were answered since. Once a service had such a crash, crashes whose suspects are suspects of no other
+//! crash also count as spontaneous.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -27,129 +17,136 @@
     protocol::{CrashReport, RequestDigest, ServiceTag},
 };
 
-/// Crashes that are remembered, of at most 128 digests of 16 bytes each, 0.5 MB: two crashes a second of each
-/// of 60 back ends for the shortest span.
-const MAX_CRASHES: usize = 256;
-/// Shortest time over which a rate of crashes is taken: with less, two crashes that come together would
-/// already be a rate. Origin of the figure not recorded.
-const SHORTEST_SPAN: Duration = Duration::from_secs(2);
-/// Length of a run for which the chance of a cut is taken: the longest that requests take at most back ends
-/// of the users' sites (0.36 to 0.63 s). Reports do not tell it.
-const RUN: Duration = Duration::from_millis(500);
-/// Chance up to which a request that crashes nothing may be cut so often in a row.
-const MAX_CHANCE: f64 = 0.001;
-/// Chance of a cut from which on more than three crashes are asked for: 0.2 is a crash of each back end by
-/// itself in two and a half seconds. With less, a run that is cut three times in a row is an exception, and a
-/// request that crashes back ends would end more of them: in a soak of seven back ends with 0.7 crashes of
-/// their own a second together, the chance reached 0.14 for a moment.
-const LEAST_CHANCE: f64 = 0.2;
-/// Most crashes that are asked for. A request that crashes back ends ends no more than that, where its
-/// service loses each of them about once a second without it. Origin of the figure not recorded.
-const MOST_NEEDED: u8 = 12;
+/// Enough for two crashes per second of each of 60 back ends during [`MIN_RATE_WINDOW`]. The history takes at
+/// most 0.5 MB, with 128 digests of 16 bytes per crash.
+const MAX_RECENT_CRASHES: usize = 256;
+/// Keeps two crashes in quick succession from counting as a high rate.
+const MIN_RATE_WINDOW: Duration = Duration::from_secs(2);
+/// Run time that is assumed for every request, because crash reports do not carry run times.
+const ASSUMED_RUN_TIME: Duration = Duration::from_millis(500);
+/// Probability at which a series of interruptions no longer counts as a coincidence.
+const MAX_COINCIDENCE_PROBABILITY: f64 = 0.001;
+/// Probability of one interruption from which a request needs more than [`CRASHES_TO_QUARANTINE`] crashes. The
+/// value corresponds to one spontaneous crash per back end in 2.5 s. A lower value would let requests that do
+/// crash back ends crash more of them.
+const MIN_INTERRUPTION_PROBABILITY: f64 = 0.2;
+/// Limits the number of back ends that a request can crash before it is quarantined.
+const MAX_CRASHES_NEEDED: u8 = 12;
 
-/// Crashes of the last moments in the whole fleet.
+/// Recent crashes of the back ends of all services.
 #[derive(Debug, Default)]
 pub(super) struct CrashHistory {
     crashes: VecDeque<RecentCrash>,
-    back_ends: HashMap<ServiceTag, usize>,
+    back_end_counts: HashMap<ServiceTag, usize>,
 }
 
 #[derive(Debug)]
 struct RecentCrash {
     service: ServiceTag,
-    at: BootInstant,
-    /// Whether all calls that it interrupted were named.
+    recorded_at: BootInstant,
+    /// Whether the crash report named every interrupted call.
     names_all: bool,
-    /// Suspects that were not answered since.
-    unanswered: Vec<RequestDigest>,
+    unanswered_suspects: Vec<RequestDigest>,
 }
 
 impl RecentCrash {
-    /// Whether nothing is left that could have caused it.
-    const fn was_own(&self) -> bool {
-        self.names_all && self.unanswered.is_empty()
+    /// Returns whether no suspect remains that could have caused the crash.
+    const fn is_spontaneous(&self) -> bool {
+        self.names_all && self.unanswered_suspects.is_empty()
     }
 
-    /// Whether nothing is left that other crashes speak against as well. `crashes` gives those of a suspect.
-    fn may_be_own(&self, crashes: impl Fn(&RequestDigest) -> u8) -> bool {
-        self.names_all && self.unanswered.iter().all(|suspect| crashes(suspect) <= 1)
+    /// Returns whether all remaining suspects are suspects of this crash only. `crash_count` returns the number
+    /// of crashes of a suspect.
+    fn may_be_spontaneous(&self, crash_count: impl Fn(&RequestDigest) -> u8) -> bool {
+        self.names_all
+            && self
+                .unanswered_suspects
+                .iter()
+                .all(|suspect| crash_count(suspect) <= 1)
     }
 }
 
 impl CrashHistory {
-    /// Takes note of how many back ends a service has, at least one.
+    /// Sets the number of back ends of a service, which must not be zero.
     pub(super) fn set_back_ends(&mut self, service: ServiceTag, back_ends: usize) {
-        self.back_ends.insert(service, back_ends);
+        self.back_end_counts.insert(service, back_ends);
     }
 
-    /// Remembers a crash.
     pub(super) fn record(&mut self, report: &CrashReport, now: BootInstant) {
-        if self.crashes.len() >= MAX_CRASHES {
+        if self.crashes.len() >= MAX_RECENT_CRASHES {
             self.crashes.pop_front();
         }
         self.crashes.push_back(RecentCrash {
             service: report.service(),
-            at: now,
+            recorded_at: now,
             names_all: report.names_all(),
-            unanswered: report.suspects.clone(),
+            unanswered_suspects: report.suspects.clone(),
         });
     }
 
-    /// A suspect was answered.
-    pub(super) fn answered(&mut self, suspect: RequestDigest) {
+    /// Removes an answered request from the suspects of all recent crashes.
+    pub(super) fn mark_answered(&mut self, suspect: RequestDigest) {
         for crash in &mut self.crashes {
-            crash.unanswered.retain(|digest| *digest != suspect);
+            crash
+                .unanswered_suspects
+                .retain(|digest| *digest != suspect);
         }
     }
 
-    /// Crashes that it takes to blame a request of a service that is a suspect `since` then. `crashes` gives
-    /// those of any suspect.
+    /// Returns the number of crashes that it takes to quarantine a request of `service` that became a suspect
+    /// at `suspect_since`. `crash_count` returns the number of crashes of any suspect.
     pub(super) fn crashes_needed(
         &self,
         service: ServiceTag,
-        since: BootInstant,
+        suspect_since: BootInstant,
         now: BootInstant,
-        crashes: impl Fn(&RequestDigest) -> u8,
+        crash_count: impl Fn(&RequestDigest) -> u8,
     ) -> u8 {
-        let Some(back_ends) = self.back_ends.get(&service) else {
+        let Some(back_ends) = self.back_end_counts.get(&service) else {
             return CRASHES_TO_QUARANTINE;
         };
-        let span = now.saturating_duration_since(since).max(SHORTEST_SPAN);
-        let own = self.own_crashes(service, span, now, crashes);
-        let per_back_end = own as f64 / *back_ends as f64;
-        // The chance that a run which crashes nothing is cut by a crash of its back end's own.
-        let chance = per_back_end * RUN.as_secs_f64() / span.as_secs_f64();
-        in_a_row(chance).clamp(CRASHES_TO_QUARANTINE, MOST_NEEDED)
+        let window = now
+            .saturating_duration_since(suspect_since)
+            .max(MIN_RATE_WINDOW);
+        let spontaneous_crashes = self.count_spontaneous_crashes(service, window, now, crash_count);
+        let crashes_per_back_end = spontaneous_crashes as f64 / *back_ends as f64;
+        // Probability that a spontaneous crash interrupts a run of a harmless request.
+        let probability =
+            crashes_per_back_end * ASSUMED_RUN_TIME.as_secs_f64() / window.as_secs_f64();
+        interruptions_beyond_coincidence(probability)
+            .clamp(CRASHES_TO_QUARANTINE, MAX_CRASHES_NEEDED)
     }
 
-    /// Crashes that back ends of a service had by themselves within a time.
-    fn own_crashes(
+    fn count_spontaneous_crashes(
         &self,
         service: ServiceTag,
-        span: Duration,
+        window: Duration,
         now: BootInstant,
-        crashes: impl Fn(&RequestDigest) -> u8,
+        crash_count: impl Fn(&RequestDigest) -> u8,
     ) -> usize {
         let of_service = self.crashes.iter().filter(|crash| crash.service == service);
         let recent: Vec<_> = of_service
-            .filter(|crash| now.saturating_duration_since(crash.at) <= span)
+            .filter(|crash| now.saturating_duration_since(crash.recorded_at) <= window)
             .collect();
-        if !recent.iter().any(|crash| crash.was_own()) {
+        if !recent.iter().any(|crash| crash.is_spontaneous()) {
             return 0;
         }
-        let own = recent.iter().filter(|crash| crash.may_be_own(&crashes));
-        own.count()
+        let spontaneous = recent
+            .iter()
+            .filter(|crash| crash.may_be_spontaneous(&crash_count));
+        spontaneous.count()
     }
 }
 
-/// How often in a row something of the given chance happens in fewer than [`MAX_CHANCE`] of all cases.
-fn in_a_row(chance: f64) -> u8 {
-    if chance < LEAST_CHANCE {
+/// Returns how many interruptions in a row rule out a coincidence if each run is interrupted with
+/// `probability`. Returns 0 below [`MIN_INTERRUPTION_PROBABILITY`].
+fn interruptions_beyond_coincidence(probability: f64) -> u8 {
+    if probability < MIN_INTERRUPTION_PROBABILITY {
         return 0;
     }
-    if chance >= 1.0 {
+    if probability >= 1.0 {
         return u8::MAX;
     }
-    // Saturates at the bounds of the type.
-    (MAX_CHANCE.ln() / chance.ln()).ceil() as u8
+    // The cast saturates at `u8::MAX`.
+    (MAX_COINCIDENCE_PROBABILITY.ln() / probability.ln()).ceil() as u8
 }
--- a/crates/tallybridge-mesh/src/tables/quarantine/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/mod.rs
@@ -1,40 +1,15 @@
-//! Quarantine: requests that crash the back ends that run them are refused everywhere for a time.
+//! Quarantine of requests that crash back ends, so that retries of one request cannot crash them one by one.
 //!
-//! **Rule.** A request that was a suspect of three crashes, with no answered run in between, is quarantined
-//! for 30 s, then after each further crash for 10 minutes, an hour and a day; when the time is up one run
-//! tries it again while the others stay refused, and an answer clears it. Where back ends of its service
-//! also crash by themselves, it takes more crashes than three, twelve at most (`history`).
+//! A request that is a suspect of three crashes without an answered run in between is refused on all nodes
+//! for 30 s, and after each further crash for 10 minutes, an hour and a day. Then one run tries the request
+//! again, and an answer clears the request. If back ends of the service also crash for other reasons, up to
+//! twelve crashes are needed. Suspects are the calls that lost their connections up to 10 s before the crash
+//! and those cancelled up to 1 s before, except requests that the back end answered at least twice in the
+//! last 10 s to 20 s.
 //!
-//! **Inputs**
-//! - Calls that were running at the back end beside this node when it crashed, or ended shortly
-//!   before without an answer ([`DispatchedCalls`]): connections lost up to 10 s before,
-//!   cancellations up to 1 s before.
-//! - Requests that the same back end answered at least twice within the last 10 s to 20 s
-//!   (`recent_answers`); they are no suspects.
-//! - How many back ends a service has, as far as this node knows.
-//! - Crash reports, cleared requests and quarantined requests of the other nodes, some round trips old.
-//!
-//! **Output.** [`Quarantine::find`]: whether a call is refused, after how many crashes, and for how
-//! long. It is asked at the entry, before the load is looked at, before each retry, and at the
-//! executor when the call arrives and again when it has a slot. A refused call has not run.
-//!
-//! **Why.** Retries of one request, by this system and by its callers, would otherwise crash one
-//! back end after another. All calls of a crash are suspects, since nothing shows which of them
-//! caused it; the bound of three crashes and the clearing by an answer tell the cause from requests
-//! that were running by chance.
-//!
-//! **Constants** stand beside the code that uses them: crashes and times in `record`, crashes of back ends
-//! by themselves in `history`, ages of calls in `suspects`, popular requests in `recent_answers`, bounds of
-//! memory in `table` and `recent_events`.
-//! [docs/design/quarantine.md](../../../../../docs/design/quarantine.md) weighs the rule against others
-//! (blame by share of the running calls, quarantine at the first or the fourth crash) and lists what bounds
-//! it.
-//!
-//! This module owns the state of one process and nothing else. [`crate::node`] sends and takes in
-//! reports, [`crate::tasks::crash_detection`] finds crashes, and
-//! [`crate::tasks::stored_quarantine`] stores the table's snapshot. It relies on
-//! [`BootInstant`](crate::clock::BootInstant), so that a quarantine also passes while the machine
-//! is suspended.
+//! The module owns only the state of one process. [`crate::node`] exchanges reports with other nodes,
+//! [`crate::tasks::crash_detection`] detects crashes, and [`crate::tasks::stored_quarantine`] stores snapshots
+//! of the table. [`BootInstant`](crate::clock::BootInstant) lets a quarantine elapse during a system suspend.
 
 mod digest;
 mod dispatched;
--- a/crates/tallybridge-mesh/src/tables/quarantine/recent_answers.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/recent_answers.rs
@@ -1,56 +1,50 @@
-//! Popular requests: what the back end answered several times in the last seconds.
+//! Popular requests: requests that the back end answered several times in the last 10 s to 20 s.
 //!
-//! A popular request is running at most crashes. Three back ends may crash within one run of it, so that no
-//! answer clears it in between. Therefore it is no suspect of a crash at a node that got answers to it just
-//! before. Without this exemption 165 innocent requests were quarantined in one run of `path/crashes.rs`
-//! (docs/design/quarantine.md, "Which call is to blame").
+//! A popular request is running during most crashes, so three crashes can interrupt it before an answer clears
+//! it. A node that received answers to such a request shortly before a crash does not suspect the request.
 
 use std::{collections::HashMap, time::Duration};
 
 use crate::clock::BootInstant;
 
-/// Age of a generation: an answer counts for at least this time and at most twice as long. Origin
-/// not recorded.
-const GENERATION: Duration = Duration::from_secs(10);
-/// Requests in one generation: two of them take some 200 KB. Origin not recorded.
-const MAX_REQUESTS: usize = 4096;
-/// Answered runs from which on a request is popular. Origin not recorded.
-const POPULAR_FROM: u8 = 2;
+/// An answer counts for one to two generations.
+const GENERATION_LENGTH: Duration = Duration::from_secs(10);
+/// Bounds memory to about 200 KB for two generations.
+const MAX_REQUESTS_PER_GENERATION: usize = 4096;
+const MIN_POPULAR_ANSWERS: u8 = 2;
 
-/// Answered runs by the hash of their request, in two generations.
+/// Number of answers by request hash, in two generations.
 #[derive(Debug)]
 pub(super) struct RecentAnswers {
-    newer: HashMap<u64, u8>,
-    older: HashMap<u64, u8>,
-    newer_since: BootInstant,
+    current: HashMap<u64, u8>,
+    previous: HashMap<u64, u8>,
+    current_since: BootInstant,
 }
 
 impl RecentAnswers {
-    /// No answers yet.
     pub(super) fn new(now: BootInstant) -> Self {
         Self {
-            newer: HashMap::new(),
-            older: HashMap::new(),
-            newer_since: now,
+            current: HashMap::new(),
+            previous: HashMap::new(),
+            current_since: now,
         }
     }
 
-    /// Counts an answered run of a request.
     pub(super) fn add(&mut self, hash: u64, now: BootInstant) {
-        let is_old = now.saturating_duration_since(self.newer_since) >= GENERATION;
-        if is_old || self.newer.len() >= MAX_REQUESTS {
-            self.older = std::mem::take(&mut self.newer);
-            self.newer_since = now;
+        let is_expired = now.saturating_duration_since(self.current_since) >= GENERATION_LENGTH;
+        if is_expired || self.current.len() >= MAX_REQUESTS_PER_GENERATION {
+            self.previous = std::mem::take(&mut self.current);
+            self.current_since = now;
         }
-        let runs = self.newer.entry(hash).or_insert(0);
-        *runs = runs.saturating_add(1);
+        let answers = self.current.entry(hash).or_insert(0);
+        *answers = answers.saturating_add(1);
     }
 
-    /// Whether a request is popular. Its answers are forgotten: a request that has just begun to crash back
-    /// ends is a suspect from the next crash on.
+    /// Returns whether a request is popular and forgets its answers, so that a request that starts to crash
+    /// back ends is a suspect of the next crash.
     pub(super) fn take_popular(&mut self, hash: u64) -> bool {
-        let newer = self.newer.remove(&hash).unwrap_or(0);
-        let older = self.older.remove(&hash).unwrap_or(0);
-        newer.saturating_add(older) >= POPULAR_FROM
+        let current = self.current.remove(&hash).unwrap_or(0);
+        let previous = self.previous.remove(&hash).unwrap_or(0);
+        current.saturating_add(previous) >= MIN_POPULAR_ANSWERS
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quarantine/recent_events.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/recent_events.rs
@@ -1,23 +1,22 @@
-//! Reports and clearings of the last minutes, so that what arrives twice or late changes nothing.
+//! Recently counted crash reports and recently cleared requests, kept to ignore duplicate and late messages.
 
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{clock::BootInstant, protocol::RequestDigest};
 
-/// Reports that are remembered, 8 bytes each. Origin not recorded.
+/// Bounds memory, at 8 bytes per report.
 const MAX_REPORTS: usize = 512;
-/// Cleared requests that are remembered, 32 bytes each. Origin not recorded.
-const MAX_CLEARED: usize = 1024;
-/// Time for which a cleared request is not quarantined by what other nodes still report of it.
-/// Origin not recorded.
+/// Bounds memory, at 32 bytes per request.
+const MAX_CLEARED_REQUESTS: usize = 1024;
+/// Time after a clearing during which quarantine records from other nodes are ignored as outdated.
 const CLEARED_TTL: Duration = Duration::from_secs(60);
 
-/// Crash reports that were counted, by id: a report arrives over several links and counts once.
+/// Ids of counted crash reports. A report arrives over several links but must count only once.
 #[derive(Debug, Default)]
 pub(super) struct CountedReports(VecDeque<u64>);
 
 impl CountedReports {
-    /// Remembers a report; `false` for one that was counted before.
+    /// Adds a report id. Returns `false` if the report was already counted.
     pub(super) fn insert(&mut self, id: u64) -> bool {
         if self.0.contains(&id) {
             return false;
@@ -30,23 +29,22 @@
     }
 }
 
-/// Requests that an answer cleared, with the time of it.
+/// Requests cleared by an answer, with the time of the clearing.
 #[derive(Debug, Default)]
 pub(super) struct ClearedRequests(VecDeque<(RequestDigest, BootInstant)>);
 
 impl ClearedRequests {
-    /// Remembers a request that was cleared.
     pub(super) fn insert(&mut self, digest: RequestDigest, now: BootInstant) {
-        if self.0.len() >= MAX_CLEARED {
+        if self.0.len() >= MAX_CLEARED_REQUESTS {
             self.0.pop_front();
         }
         self.0.push_back((digest, now));
     }
 
-    /// Whether a request was cleared within [`CLEARED_TTL`].
+    /// Returns whether a request was cleared within [`CLEARED_TTL`].
     pub(super) fn contains(&self, digest: RequestDigest, now: BootInstant) -> bool {
-        self.0.iter().any(|(cleared, at)| {
-            *cleared == digest && now.saturating_duration_since(*at) < CLEARED_TTL
+        self.0.iter().any(|(cleared, cleared_at)| {
+            *cleared == digest && now.saturating_duration_since(*cleared_at) < CLEARED_TTL
         })
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
@@ -1,49 +1,43 @@
-//! Which calls are suspects of a crash.
+//! Selection of the calls suspected of a crash.
 //!
-//! **Rule.** A crash has as suspects the calls that lost their connection within the 10 s before it
-//! was found and those that were cancelled within the second before, except for popular requests;
-//! the last to begin are named first, at most 64 of them with both their digests.
-//!
-//! **Why.** Nothing shows which of them caused the crash. docs/design/quarantine.md, "Which call is
-//! to blame", weighs this against blame by share of the running calls.
+//! Nothing shows which call caused a crash. All calls that lost their connections within 10 s before its
+//! detection and all calls cancelled within 1 s before are suspects, except popular requests. A crash report
+//! names at most 64 calls, those that started last, each by its two digests.
 
 use std::{cmp::Reverse, collections::HashSet, time::Duration};
 
 use super::{
-    digest::{ContentHashes, RequestDigests},
+    digest::{RequestDigests, RequestHashes},
     recent_answers::RecentAnswers,
 };
 use crate::{clock::BootInstant, protocol::RequestDigest, tables::Incarnation};
 
-/// Age up to which a call that lost its connection is a suspect: a crashed back end is replaced
-/// some seconds later, and its crash may be known only by the id or start of its successor. Origin
-/// not recorded.
-const LOST_FOR: Duration = Duration::from_secs(10);
-/// Age up to which a cancelled call is a suspect: most back ends stop at once when a call is
-/// cancelled, some work on. Origin not recorded.
-const CANCELLED_FOR: Duration = Duration::from_secs(1);
-/// Calls of which a report has both digests, 2 KB in all. Where there are more those that began last are
-/// named, as a request crashes its back end soon after it begins. Origin not recorded.
-const MAX_SUSPECTS: usize = 64;
+/// Long enough for a replacement to start, which may be the first sign of the crash.
+const MAX_LOST_CALL_AGE: Duration = Duration::from_secs(10);
+/// Some back ends keep working on a call for a moment after its cancellation.
+const MAX_CANCELLED_CALL_AGE: Duration = Duration::from_secs(1);
+/// Limits a crash report to 2 KB of digests.
+const MAX_SUSPECT_CALLS: usize = 64;
 
-/// What was running at a back end when it crashed.
+/// Calls that a crash of the back end interrupted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InterruptedCalls {
-    /// Calls that lost their connection or were just cancelled.
+    /// Number of calls that lost their connection or were cancelled shortly before the crash.
     pub calls: usize,
-    /// Digests that are no suspects, as their request was answered several times just before.
+    /// Number of digests that are exempt because the back end answered their requests several times
+    /// shortly before the crash.
     pub popular: usize,
-    /// Digests beyond those that a report has room for.
-    pub unnamed: usize,
-    /// Digests of the suspects, those of the last call to begin first.
+    /// Number of digests that exceed the limit of a crash report.
+    pub omitted: usize,
+    /// Digests of the suspects, ordered from the last call started to the first.
     pub suspects: Vec<RequestDigest>,
 }
 
 impl InterruptedCalls {
-    /// Whether all calls that the crash interrupted are suspects.
+    /// Returns whether `suspects` covers every interrupted call.
     #[must_use]
     pub const fn names_all(&self) -> bool {
-        self.popular == 0 && self.unnamed == 0
+        self.popular == 0 && self.omitted == 0
     }
 }
 
@@ -51,57 +45,58 @@
 #[derive(Debug)]
 pub(super) struct UnansweredCall {
     pub(super) digests: RequestDigests,
-    pub(super) hashes: ContentHashes,
+    pub(super) hashes: RequestHashes,
     pub(super) incarnation: Incarnation,
-    pub(super) began: BootInstant,
-    pub(super) ended: BootInstant,
-    /// Whether it lost its connection; otherwise it was cancelled.
-    pub(super) is_lost: bool,
-    /// Whether the back end took a connection after this call had lost its own. It was running then or had
-    /// been replaced already: only a newer start under the same id shows that it had crashed.
-    pub(super) was_reachable_after: bool,
+    pub(super) started_at: BootInstant,
+    pub(super) ended_at: BootInstant,
+    /// `false` if the call was cancelled.
+    pub(super) lost_connection: bool,
+    /// Whether the back end accepted a connection after this call lost its own. If so, only a newer
+    /// incarnation under the same id shows that the back end crashed.
+    pub(super) backend_reachable_after: bool,
 }
 
 impl UnansweredCall {
-    /// Whether the call may have to do with a crash that is found now.
+    /// Returns whether the call ended recently enough to be a suspect of a crash detected at `now`.
     pub(super) fn is_recent(&self, now: BootInstant) -> bool {
-        let limit = match self.is_lost {
-            true => LOST_FOR,
-            false => CANCELLED_FOR,
+        let max_age = match self.lost_connection {
+            true => MAX_LOST_CALL_AGE,
+            false => MAX_CANCELLED_CALL_AGE,
         };
-        now.saturating_duration_since(self.ended) < limit
+        now.saturating_duration_since(self.ended_at) < max_age
     }
 }
 
-/// Chooses the suspects among the calls of one crash. Popular requests are exempted, once.
-pub(super) fn choose(
+/// Selects the suspects among the calls that a crash interrupted. A popular request is exempt and loses its
+/// popularity.
+pub(super) fn select(
     mut calls: Vec<UnansweredCall>,
     answers: &mut RecentAnswers,
 ) -> InterruptedCalls {
-    calls.sort_by_key(|call| Reverse(call.began));
+    calls.sort_by_key(|call| Reverse(call.started_at));
     let mut interrupted = InterruptedCalls {
         calls: calls.len(),
         popular: 0,
-        unnamed: 0,
+        omitted: 0,
         suspects: Vec::new(),
     };
     let mut seen = HashSet::new();
     for call in &calls {
-        let [content, from_caller] = call.digests.both();
-        let ways = [
+        let [content, with_caller] = call.digests.both();
+        let identities = [
             (content, call.hashes.content),
-            (from_caller, call.hashes.from_caller),
+            (with_caller, call.hashes.with_caller),
         ];
-        for (digest, hash) in ways {
+        for (digest, hash) in identities {
             if !seen.insert(digest) {
                 continue;
             }
             if answers.take_popular(hash) {
                 interrupted.popular += 1;
-            } else if interrupted.suspects.len() < 2 * MAX_SUSPECTS {
+            } else if interrupted.suspects.len() < 2 * MAX_SUSPECT_CALLS {
                 interrupted.suspects.push(digest);
             } else {
-                interrupted.unnamed += 1;
+                interrupted.omitted += 1;
             }
         }
     }
--- a/crates/tallybridge-mesh/src/tables/quarantine/table.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/table.rs
@@ -1,52 +1,50 @@
-//! The table of suspected and quarantined requests.
+//! Table of suspected and quarantined requests.
 //!
-//! Each node keeps the whole table from the reports of all, so that whoever dispatches a call knows without
-//! asking.
+//! Each node builds the whole table from the reports of all nodes, so a lookup sends no message.
 
 use std::{cmp::Reverse, collections::HashMap};
 
 use super::{
     history::CrashHistory,
     recent_events::{ClearedRequests, CountedReports},
-    record::{CRASHES_TO_QUARANTINE, LONGEST_QUARANTINE, Record, TRIAL},
+    record::{CRASHES_TO_QUARANTINE, MAX_QUARANTINE_DURATION, SuspectRecord, TRIAL_DURATION},
 };
 use crate::{
     clock::BootInstant,
     protocol::{CrashReport, QuarantinedRequest, RequestDigest, ServiceTag},
 };
 
-/// Requests in the table, some 100 bytes each: 0.4 MB (docs/CAPACITY.md). Origin not recorded.
-const MAX_REQUESTS: usize = 4096;
-/// Requests that are quarantined at once, and records in a snapshot: 25 bytes each for a node that links
-/// (docs/CAPACITY.md). Origin not recorded.
-const MAX_QUARANTINED: usize = 256;
+/// Bounds memory to 0.4 MB, at about 100 bytes per record.
+const MAX_RECORDS: usize = 4096;
+/// Also limits the records in a snapshot, which is sent over each new link at 25 bytes per record.
+const MAX_QUARANTINED_REQUESTS: usize = 256;
 
-/// Suspects of crashes, and those of them that are quarantined.
+/// Requests suspected of crashing back ends, including the quarantined ones.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<RequestDigest, Record>,
+    records: HashMap<RequestDigest, SuspectRecord>,
     reports: CountedReports,
     cleared: ClearedRequests,
     history: CrashHistory,
 }
 
-/// How many requests a quarantine knows.
+/// Sizes of a [`Quarantine`], for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct QuarantineCounts {
-    /// Requests in the table, quarantined or not.
+    /// Number of requests in the table, quarantined or not.
     pub suspects: usize,
-    /// Requests that are refused now.
+    /// Number of requests that are refused at present.
     pub quarantined: usize,
 }
 
 impl Quarantine {
-    /// Whether no request is a suspect, so that no call need be looked up.
+    /// Returns whether no request is a suspect, so that calls need no lookup.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Size of the table.
+    /// Counts the requests in the table and those that are refused at `now`.
     #[must_use]
     pub fn counts(&self, now: BootInstant) -> QuarantineCounts {
         QuarantineCounts {
@@ -55,14 +53,14 @@
         }
     }
 
-    /// Takes note of how many back ends a service has, at least one. Of a service for which this was never told no crash
-    /// is taken for one that a back end had by itself.
+    /// Sets the number of back ends of a service, which must not be zero. Without this number, three crashes
+    /// always quarantine a request of the service.
     pub fn set_back_ends(&mut self, service: ServiceTag, back_ends: usize) {
         self.history.set_back_ends(service, back_ends);
     }
 
-    /// Counts a crash against its suspects. Gives the requests that are quarantined for it, or `None` for a
-    /// report that was counted before.
+    /// Counts a crash against its suspects. Returns the requests that the crash quarantines, or `None` if the
+    /// report was already counted.
     pub fn record_crash(
         &mut self,
         report: &CrashReport,
@@ -74,13 +72,18 @@
         let mut quarantined = Vec::new();
         for digest in &report.suspects {
             let record = self.records.get(digest).copied();
-            let mut record = record.unwrap_or_else(|| Record::suspect(now));
+            let mut record = record.unwrap_or_else(|| SuspectRecord::new(now));
             let needed = self.crashes_needed(report.service(), &record, now);
             if record.add_crash(needed, now) {
-                quarantined.push(record.to_shared(*digest, now));
+                quarantined.push(record.to_message(*digest, now));
             } else if record.crashes >= CRASHES_TO_QUARANTINE {
                 let crashes = record.crashes;
-                tracing::info!(%digest, crashes, needed, "not held back, back ends end without it");
+                tracing::info!(
+                    %digest,
+                    crashes,
+                    needed,
+                    "request not quarantined yet; back ends of its service also crash without it"
+                );
             }
             self.records.insert(*digest, record);
         }
@@ -89,37 +92,40 @@
         Some(quarantined)
     }
 
-    /// Crashes that it takes to quarantine a request that is a suspect of one more.
-    fn crashes_needed(&self, service: ServiceTag, record: &Record, now: BootInstant) -> u8 {
+    /// Returns the number of crashes that it takes to quarantine a request. The latest crash is not in `record`
+    /// yet.
+    fn crashes_needed(&self, service: ServiceTag, record: &SuspectRecord, now: BootInstant) -> u8 {
         if record.crashes + 1 < CRASHES_TO_QUARANTINE {
             return CRASHES_TO_QUARANTINE;
         }
-        let crashes =
+        let crash_count =
             |other: &RequestDigest| self.records.get(other).map_or(0, |other| other.crashes);
-        let since = record.first_crash;
-        self.history.crashes_needed(service, since, now, crashes)
+        let suspect_since = record.first_crash;
+        self.history
+            .crashes_needed(service, suspect_since, now, crash_count)
     }
 
-    /// Merges what another node knows of a request; `true` when that changed the table.
+    /// Merges the record of another node. Returns `true` if the table changed.
     pub fn merge(&mut self, request: QuarantinedRequest, now: BootInstant) -> bool {
         if self.cleared.contains(request.digest, now) {
             return false;
         }
         let record = self.records.entry(request.digest);
-        let record = record.or_insert_with(|| Record::suspect(now));
-        // Nodes measure what is left at different times: a difference below half a trial is none.
-        let is_longer = !request.left.is_zero() && record.left(now) + TRIAL / 2 < request.left;
+        let record = record.or_insert_with(|| SuspectRecord::new(now));
+        // Nodes compute the remaining time at different moments, so small differences are ignored.
+        let is_longer =
+            !request.left.is_zero() && record.remaining(now) + TRIAL_DURATION / 2 < request.left;
         let has_changed = is_longer || record.crashes < request.crashes;
         record.merge_crashes(request.crashes);
         if is_longer {
-            record.quarantine(request.left.min(LONGEST_QUARANTINE), now);
+            record.quarantine(request.left.min(MAX_QUARANTINE_DURATION), now);
         }
         self.evict(now);
         has_changed
     }
 
-    /// The quarantine of a call, by the first of its digests that is quarantined. `left` is the
-    /// time until this node releases it.
+    /// Returns the quarantine of a call, for the first of its digests that is quarantined. The duration in the
+    /// result is the time until this node releases the request.
     #[must_use]
     pub fn find(&self, digests: &[RequestDigest], now: BootInstant) -> Option<QuarantinedRequest> {
         digests.iter().find_map(|digest| {
@@ -132,8 +138,8 @@
         })
     }
 
-    /// A call is about to run here. Where it was quarantined before, this run is its trial: other runs are
-    /// refused for two seconds more, here and at the nodes that get what this returns.
+    /// Begins the trial of a request whose quarantine has ended, for a call that is about to run. Other runs are
+    /// refused for two seconds on this node, and on the nodes that receive the returned records.
     pub fn begin_trial(
         &mut self,
         digests: &[RequestDigest],
@@ -147,56 +153,58 @@
             if !record.is_due_for_trial(now) {
                 continue;
             }
-            record.quarantine(TRIAL, now);
+            record.quarantine(TRIAL_DURATION, now);
             trials.push(QuarantinedRequest {
                 digest: *digest,
                 crashes: record.crashes,
-                left: TRIAL,
+                left: TRIAL_DURATION,
             });
         }
         trials
     }
 
-    /// A run of a request was answered, so it is no suspect any more; `true` when it was one.
+    /// Removes a request from the suspects because a back end answered it. Returns `true` if the request was a
+    /// suspect.
     pub fn clear(&mut self, digest: RequestDigest, now: BootInstant) -> bool {
         if self.records.remove(&digest).is_none() {
             return false;
         }
-        self.history.answered(digest);
+        self.history.mark_answered(digest);
         self.cleared.insert(digest, now);
         true
     }
 
-    /// The records that a node without a table needs: requests with at least one crash less than
-    /// quarantines them, at most 256, those with the most crashes and the longest time left first.
+    /// Returns the records for a node whose table is empty: requests with at least two crashes, at most 256,
+    /// in descending order of crashes and remaining time.
     #[must_use]
     pub fn snapshot(&self, now: BootInstant) -> Vec<QuarantinedRequest> {
-        let is_shared = |record: &Record| record.crashes >= CRASHES_TO_QUARANTINE - 1;
-        let shared = self.records.iter();
-        let shared = shared.filter(|(_, record)| is_shared(record));
-        let mut shared: Vec<_> = shared
-            .map(|(digest, record)| record.to_shared(*digest, now))
+        let is_included = |record: &SuspectRecord| record.crashes >= CRASHES_TO_QUARANTINE - 1;
+        let records = self.records.iter();
+        let records = records.filter(|(_, record)| is_included(record));
+        let mut records: Vec<_> = records
+            .map(|(digest, record)| record.to_message(*digest, now))
             .collect();
-        shared.sort_by_key(|request| Reverse((request.crashes, request.left)));
-        shared.truncate(MAX_QUARANTINED);
-        shared
+        records.sort_by_key(|request| Reverse((request.crashes, request.left)));
+        records.truncate(MAX_QUARANTINED_REQUESTS);
+        records
     }
 
-    /// All requests that are quarantined, for tests: nothing in the program needs the list.
+    /// Returns all quarantined requests. Only tests use the list.
     #[doc(hidden)]
     #[must_use]
     pub fn quarantined(&self, now: BootInstant) -> Vec<QuarantinedRequest> {
         self.records
             .iter()
             .filter(|(_, record)| record.is_quarantined(now))
-            .map(|(digest, record)| record.to_shared(*digest, now))
+            .map(|(digest, record)| record.to_message(*digest, now))
             .filter(|request| !request.left.is_zero())
             .collect()
     }
 
-    /// Removes records that are too old to be of use.
+    /// Removes suspects two minutes after their last crash, and released requests ten minutes after their
+    /// release.
     pub fn remove_expired(&mut self, now: BootInstant) {
-        self.records.retain(|_, record| record.is_remembered(now));
+        self.records.retain(|_, record| record.is_unexpired(now));
     }
 
     fn count_quarantined(&self, now: BootInstant) -> usize {
@@ -204,22 +212,26 @@
         records.filter(|record| record.is_quarantined(now)).count()
     }
 
-    /// Keeps the table within its bounds: records with the fewest crashes go first, of those the ones whose
-    /// last crash is oldest.
+    /// Removes records beyond the limits of the table: those with the fewest crashes first, and among those the
+    /// ones with the oldest last crash.
     fn evict(&mut self, now: BootInstant) {
-        let excess_quarantined = self.count_quarantined(now).saturating_sub(MAX_QUARANTINED);
-        if excess_quarantined == 0 && self.records.len() <= MAX_REQUESTS {
+        let excess_quarantined = self
+            .count_quarantined(now)
+            .saturating_sub(MAX_QUARANTINED_REQUESTS);
+        if excess_quarantined == 0 && self.records.len() <= MAX_RECORDS {
             return;
         }
         self.remove_expired(now);
-        let mut all: Vec<_> = self.records.iter().collect();
-        all.sort_by_key(|(_, record)| (record.crashes, record.last_crash));
-        let excess = all.len().saturating_sub(MAX_REQUESTS);
-        let oldest = all[..excess].iter();
-        let quarantined = all.iter().filter(|(_, record)| record.is_quarantined(now));
+        let mut sorted: Vec<_> = self.records.iter().collect();
+        sorted.sort_by_key(|(_, record)| (record.crashes, record.last_crash));
+        let excess_count = sorted.len().saturating_sub(MAX_RECORDS);
+        let excess_records = sorted[..excess_count].iter();
+        let quarantined = sorted
+            .iter()
+            .filter(|(_, record)| record.is_quarantined(now));
         let evicted: Vec<RequestDigest> = quarantined
             .take(excess_quarantined)
-            .chain(oldest)
+            .chain(excess_records)
             .map(|(digest, _)| **digest)
             .collect();
         for digest in evicted {
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -1,5 +1,4 @@
-//! Which requests are the same, which calls are suspects when a back end ends, and which requests are
-//! quarantined for it.
+//! Identity of requests, selection of the suspects of a crash, and quarantine of requests.
 
 mod support;
 
@@ -21,9 +20,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// A call, as a back end gets it.
+/// Parts of a call that a test can vary.
 #[derive(Debug, Clone, Copy)]
-struct Asked<'a> {
+struct TestCall<'a> {
     line: &'a str,
     host: &'a str,
     caller: &'a str,
@@ -32,7 +31,7 @@
     body: &'a str,
 }
 
-const ASKED: Asked<'_> = Asked {
+const DEFAULT_CALL: TestCall<'_> = TestCall {
     line: "POST /pay/1?account=4711 HTTP/1.1",
     host: "pay.example",
     caller: "portal",
@@ -41,7 +40,7 @@
     body: "ten for 4711",
 };
 
-impl Asked<'_> {
+impl TestCall<'_> {
     fn message(&self) -> CallMessage {
         let Self {
             line,
@@ -81,105 +80,113 @@
 }
 
 #[test]
-fn attempts_that_ask_for_the_same_are_the_same_request() {
-    let again = Asked {
-        attempt: "another-name",
-        ..ASKED
+fn digests_ignore_the_attempt_id() {
+    let retry = TestCall {
+        attempt: "another-id",
+        ..DEFAULT_CALL
     };
-    assert_eq!(again.digests(), ASKED.digests());
+    assert_eq!(retry.digests(), DEFAULT_CALL.digests());
 }
 
 #[test]
-fn what_asks_for_something_else_or_for_another_tenant_is_another_request() {
+fn digests_depend_on_content_host_and_tenant() {
     let others = [
-        Asked {
+        TestCall {
             line: "POST /pay/2 HTTP/1.1",
-            ..ASKED
+            ..DEFAULT_CALL
         },
-        Asked {
+        TestCall {
             line: "PUT /pay/1?account=4711 HTTP/1.1",
-            ..ASKED
+            ..DEFAULT_CALL
         },
-        Asked {
+        TestCall {
             host: "other.example",
-            ..ASKED
+            ..DEFAULT_CALL
         },
-        Asked {
+        TestCall {
             tenant: "rui",
-            ..ASKED
+            ..DEFAULT_CALL
         },
-        Asked {
+        TestCall {
             body: "ten for 4712",
-            ..ASKED
+            ..DEFAULT_CALL
         },
-        // The same bytes, with the border between two parts elsewhere.
-        Asked {
+        // Tenant and host concatenate to the same bytes as in the default call.
+        TestCall {
             tenant: "anap",
             host: "ay.example",
-            ..ASKED
+            ..DEFAULT_CALL
         },
     ];
     for other in others {
-        let [content, from_caller] = other.digests();
-        assert_ne!(content, ASKED.digests()[0], "{other:?}");
-        assert_ne!(from_caller, ASKED.digests()[1], "{other:?}");
+        let [content, with_caller] = other.digests();
+        assert_ne!(content, DEFAULT_CALL.digests()[0], "{other:?}");
+        assert_ne!(with_caller, DEFAULT_CALL.digests()[1], "{other:?}");
     }
 }
 
 #[test]
-fn a_request_is_known_by_what_it_asks_and_by_that_with_its_caller() {
-    let elsewhere = Asked {
+fn only_one_digest_depends_on_the_caller() {
+    let other_caller = TestCall {
         caller: "ledger",
-        ..ASKED
+        ..DEFAULT_CALL
     };
-    let [content, from_caller] = elsewhere.digests();
-    assert_eq!(content, ASKED.digests()[0]);
-    assert_ne!(from_caller, ASKED.digests()[1]);
+    let [content, with_caller] = other_caller.digests();
+    assert_eq!(content, DEFAULT_CALL.digests()[0]);
+    assert_ne!(with_caller, DEFAULT_CALL.digests()[1]);
 }
 
 #[test]
-fn nothing_that_a_request_holds_can_be_read_from_its_digest() {
-    let text = format!("{:?}", ASKED.digests());
+fn digest_text_reveals_no_content() {
+    let text = format!("{:?}", DEFAULT_CALL.digests());
     for part in ["4711", "pay", "ana", "portal", "ten"] {
         assert!(!text.contains(part), "{part} in {text}");
     }
 }
 
-/// Calls at one back end, by the letter of what they ask for.
-struct Dispatched {
+/// Calls dispatched to one back end. The body tells requests apart.
+struct TestBackEnd {
     calls: DispatchedCalls,
     incarnation: Incarnation,
     now: BootInstant,
 }
 
-/// The only start of an id.
-fn start_of(id: &str) -> Incarnation {
+fn first_incarnation(id: &str) -> Incarnation {
     Incarnation::new(id.into(), 1)
 }
 
-impl Dispatched {
+impl TestBackEnd {
     fn new() -> Self {
         let now = BootInstant::now();
         Self {
             calls: DispatchedCalls::new(names(), now),
-            incarnation: start_of("i-1"),
+            incarnation: first_incarnation("i-1"),
             now,
         }
     }
 
     fn run(&mut self, body: &str, end: DispatchEnd) {
-        let asked = Asked { body, ..ASKED };
+        let call = TestCall {
+            body,
+            ..DEFAULT_CALL
+        };
         let id = self
             .calls
-            .begin(&asked.message(), &self.incarnation, self.now);
+            .begin(&call.message(), &self.incarnation, self.now);
         self.calls.end(id, end, self.now);
     }
 
-    /// Whether the request of a body is a suspect when the instance ends.
-    fn suspects(&mut self, instance: &str, bodies: &[&str]) -> Vec<bool> {
-        let interrupted = self.calls.take_after_crash(&start_of(instance), self.now);
+    /// Returns for each body whether its request is a suspect after a crash of the instance.
+    fn are_suspects(&mut self, instance: &str, bodies: &[&str]) -> Vec<bool> {
+        let interrupted = self
+            .calls
+            .take_after_crash(&first_incarnation(instance), self.now);
         let is_suspect = |body: &&str| {
-            let digests = Asked { body, ..ASKED }.digests();
+            let digests = TestCall {
+                body,
+                ..DEFAULT_CALL
+            }
+            .digests();
             digests
                 .iter()
                 .all(|digest| interrupted.suspects.contains(digest))
@@ -189,150 +196,179 @@
 }
 
 #[test]
-fn what_was_broken_off_or_just_withdrawn_is_a_suspect_and_nothing_else() {
-    let mut dispatched = Dispatched::new();
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    dispatched.run("withdrawn", DispatchEnd::Cancelled);
-    dispatched.run("answered", DispatchEnd::Answered);
-    dispatched.run("refused", DispatchEnd::NotRun);
-    let bodies = ["broken", "withdrawn", "answered", "refused"];
+fn only_unanswered_calls_are_suspects() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    back_end.run("cancelled", DispatchEnd::Cancelled);
+    back_end.run("answered", DispatchEnd::Answered);
+    back_end.run("refused", DispatchEnd::NotRun);
+    let bodies = ["lost", "cancelled", "answered", "refused"];
     assert_eq!(
-        dispatched.suspects("i-1", &bodies),
+        back_end.are_suspects("i-1", &bodies),
         [true, true, false, false]
     );
-    assert_eq!(dispatched.suspects("i-1", &bodies), [false; 4], "told once");
+    assert_eq!(
+        back_end.are_suspects("i-1", &bodies),
+        [false; 4],
+        "the suspects of one crash were returned twice"
+    );
 }
 
 #[test]
-fn what_another_instance_ran_or_was_long_ago_is_no_suspect() {
-    let mut dispatched = Dispatched::new();
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    assert_eq!(dispatched.suspects("i-2", &["broken"]), [false]);
-    dispatched.run("withdrawn", DispatchEnd::Cancelled);
-    dispatched.now += 2 * SECOND;
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    let bodies = ["withdrawn", "broken"];
-    assert_eq!(dispatched.suspects("i-1", &bodies), [false, true]);
+fn calls_of_other_instances_and_old_calls_are_exempt() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    assert_eq!(back_end.are_suspects("i-2", &["lost"]), [false]);
+    back_end.run("cancelled", DispatchEnd::Cancelled);
+    back_end.now += 2 * SECOND;
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    let bodies = ["cancelled", "lost"];
+    assert_eq!(back_end.are_suspects("i-1", &bodies), [false, true]);
 }
 
 #[test]
-fn a_back_end_at_which_a_call_goes_on_does_not_look_ended() {
-    let mut dispatched = Dispatched::new();
-    assert!(!dispatched.calls.is_crash_suspected());
-    let message = ASKED.message();
-    let id = dispatched
+fn older_running_call_rules_out_a_crash() {
+    let mut back_end = TestBackEnd::new();
+    assert!(!back_end.calls.is_crash_suspected());
+    let message = DEFAULT_CALL.message();
+    let id = back_end
         .calls
-        .begin(&message, &dispatched.incarnation, dispatched.now);
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    assert!(!dispatched.calls.is_crash_suspected(), "one goes on");
-    dispatched
+        .begin(&message, &back_end.incarnation, back_end.now);
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    assert!(
+        !back_end.calls.is_crash_suspected(),
+        "a crash is suspected while an older call is still running"
+    );
+    back_end
         .calls
-        .end(id, DispatchEnd::ConnectionLost, dispatched.now);
-    assert!(dispatched.calls.is_crash_suspected());
-    dispatched.now += Duration::from_millis(1);
-    dispatched
+        .end(id, DispatchEnd::ConnectionLost, back_end.now);
+    assert!(back_end.calls.is_crash_suspected());
+    back_end.now += Duration::from_millis(1);
+    back_end
         .calls
-        .begin(&message, &dispatched.incarnation, dispatched.now);
+        .begin(&message, &back_end.incarnation, back_end.now);
     assert!(
-        dispatched.calls.is_crash_suspected(),
-        "the new one finds out for itself"
+        back_end.calls.is_crash_suspected(),
+        "a call that started later hides the crash"
+    );
+    back_end.calls.backend_reachable();
+    assert!(!back_end.calls.is_crash_suspected());
+    assert_eq!(
+        back_end.are_suspects("i-1", &["lost"]),
+        [false],
+        "a call is a suspect although the back end was reachable afterwards"
     );
-    dispatched.calls.backend_reachable();
-    assert!(!dispatched.calls.is_crash_suspected());
-    assert_eq!(dispatched.suspects("i-1", &["broken"]), [false], "it lives");
 }
 
 #[test]
-fn a_start_under_the_same_id_shows_that_the_back_end_ended_though_it_was_back_at_once() {
-    let mut dispatched = Dispatched::new();
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    // A connection went through right after: the next start had it already.
-    dispatched.calls.backend_reachable();
-    let later = Asked {
+fn restart_under_the_same_id_reveals_a_crash() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    // The restarted back end accepts a connection at once.
+    back_end.calls.backend_reachable();
+    let later = TestCall {
         body: "later",
-        ..ASKED
+        ..DEFAULT_CALL
     };
-    let next = Incarnation::new("i-1".into(), 2);
-    dispatched
+    let new_incarnation = Incarnation::new("i-1".into(), 2);
+    back_end
         .calls
-        .begin(&later.message(), &next, dispatched.now);
-    let open = Asked {
-        body: "open",
-        ..ASKED
+        .begin(&later.message(), &new_incarnation, back_end.now);
+    let running = TestCall {
+        body: "running",
+        ..DEFAULT_CALL
     };
-    let before = &dispatched.incarnation.clone();
-    dispatched
+    let old_incarnation = &back_end.incarnation.clone();
+    back_end
         .calls
-        .begin(&open.message(), before, dispatched.now);
-    let interrupted = dispatched.calls.take_after_restart(before, dispatched.now);
+        .begin(&running.message(), old_incarnation, back_end.now);
+    let interrupted = back_end
+        .calls
+        .take_after_restart(old_incarnation, back_end.now);
     let is_suspect = |body| {
-        let digests = Asked { body, ..ASKED }.digests();
+        let digests = TestCall {
+            body,
+            ..DEFAULT_CALL
+        }
+        .digests();
         digests
             .iter()
             .all(|digest| interrupted.suspects.contains(digest))
     };
-    assert!(is_suspect("open"), "it was at work on it");
-    assert!(!is_suspect("broken"), "its end shows at another call");
-    assert!(!is_suspect("later"), "that is at the next start");
+    assert!(
+        is_suspect("running"),
+        "a call still running on the old incarnation is no suspect"
+    );
+    assert!(
+        !is_suspect("lost"),
+        "a call lost before the back end was reachable is a suspect"
+    );
+    assert!(
+        !is_suspect("later"),
+        "a call on the new incarnation is a suspect"
+    );
     assert_eq!(interrupted.calls, 1);
 }
 
 #[test]
-fn what_broke_off_before_the_back_end_was_back_is_a_suspect_if_nothing_else_is() {
-    let mut dispatched = Dispatched::new();
-    dispatched.run("broken", DispatchEnd::ConnectionLost);
-    dispatched.calls.backend_reachable();
-    let before = dispatched.incarnation.clone();
-    let interrupted = dispatched.calls.take_after_restart(&before, dispatched.now);
+fn restart_blames_lost_calls_without_other_suspects() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    back_end.calls.backend_reachable();
+    let old_incarnation = back_end.incarnation.clone();
+    let interrupted = back_end
+        .calls
+        .take_after_restart(&old_incarnation, back_end.now);
     assert_eq!(interrupted.calls, 1);
 }
 
 #[test]
-fn a_request_that_was_answered_often_lately_is_no_suspect_of_the_next_crash() {
-    let mut dispatched = Dispatched::new();
+fn popular_request_is_exempt_from_one_crash() {
+    let mut back_end = TestBackEnd::new();
     for _ in 0..3 {
-        dispatched.run("popular", DispatchEnd::Answered);
+        back_end.run("popular", DispatchEnd::Answered);
     }
-    dispatched.run("popular", DispatchEnd::ConnectionLost);
-    dispatched.run("popular", DispatchEnd::ConnectionLost);
-    dispatched.run("deadly", DispatchEnd::ConnectionLost);
-    let bodies = ["popular", "deadly"];
-    assert_eq!(dispatched.suspects("i-1", &bodies), [false, true]);
-    // It may have begun to end back ends just now: it is cleared by what was before once only.
-    dispatched.run("popular", DispatchEnd::ConnectionLost);
-    assert_eq!(dispatched.suspects("i-1", &["popular"]), [true]);
+    back_end.run("popular", DispatchEnd::ConnectionLost);
+    back_end.run("popular", DispatchEnd::ConnectionLost);
+    back_end.run("lethal", DispatchEnd::ConnectionLost);
+    let bodies = ["popular", "lethal"];
+    assert_eq!(back_end.are_suspects("i-1", &bodies), [false, true]);
+    // The request may have started to crash back ends, so earlier answers exempt it only once.
+    back_end.run("popular", DispatchEnd::ConnectionLost);
+    assert_eq!(back_end.are_suspects("i-1", &["popular"]), [true]);
 }
 
 #[test]
-fn a_caller_s_own_request_is_a_suspect_though_the_same_of_others_is_answered() {
-    let mut dispatched = Dispatched::new();
-    let others = Asked {
+fn answers_to_other_callers_exempt_content_digest_only() {
+    let mut back_end = TestBackEnd::new();
+    let other_caller = TestCall {
         caller: "ledger",
-        ..ASKED
+        ..DEFAULT_CALL
     };
     for _ in 0..3 {
-        let id = dispatched
-            .calls
-            .begin(&others.message(), &dispatched.incarnation, dispatched.now);
-        dispatched
+        let id = back_end
             .calls
-            .end(id, DispatchEnd::Answered, dispatched.now);
+            .begin(&other_caller.message(), &back_end.incarnation, back_end.now);
+        back_end.calls.end(id, DispatchEnd::Answered, back_end.now);
     }
-    dispatched.run(ASKED.body, DispatchEnd::ConnectionLost);
-    let suspects = dispatched
+    back_end.run(DEFAULT_CALL.body, DispatchEnd::ConnectionLost);
+    let suspects = back_end
         .calls
-        .take_after_crash(&start_of("i-1"), dispatched.now)
+        .take_after_crash(&first_incarnation("i-1"), back_end.now)
         .suspects;
-    let [content, from_caller] = ASKED.digests();
-    assert!(!suspects.contains(&content), "others are answered");
-    assert!(suspects.contains(&from_caller));
+    let [content, with_caller] = DEFAULT_CALL.digests();
+    assert!(
+        !suspects.contains(&content),
+        "the content digest is a suspect although other callers got answers"
+    );
+    assert!(suspects.contains(&with_caller));
 }
 
-/// A table, and its crashes.
+/// Quarantine table of one node, with a simulated clock.
 struct Table {
     quarantine: Quarantine,
     now: BootInstant,
-    reports: u64,
+    last_report_id: u64,
 }
 
 impl Table {
@@ -340,34 +376,34 @@
         Self {
             quarantine: Quarantine::default(),
             now: BootInstant::now(),
-            reports: 0,
+            last_report_id: 0,
         }
     }
 
-    fn crash(&mut self, suspects: &[RequestDigest]) -> Vec<QuarantinedRequest> {
-        self.reports += 1;
+    fn report_crash(&mut self, suspects: &[RequestDigest]) -> Vec<QuarantinedRequest> {
+        self.last_report_id += 1;
         let report = CrashReport {
-            id: self.reports,
+            id: self.last_report_id,
             suspects: suspects.to_vec(),
         };
         self.quarantine
             .record_crash(&report, self.now)
-            .expect("a new report")
+            .expect("the report id is new")
     }
 
     fn is_quarantined(&self, digest: RequestDigest) -> bool {
         self.quarantine.find(&[digest], self.now).is_some()
     }
 
-    /// Time until it is released.
+    /// Advances the clock until the request is released. Returns how far the clock advanced.
     fn release(&mut self, digest: RequestDigest) -> Duration {
-        let held = self
+        let quarantined = self
             .quarantine
             .find(&[digest], self.now)
-            .expect("it is held");
-        self.now += held.left;
+            .expect("the request is quarantined");
+        self.now += quarantined.left;
         assert!(!self.is_quarantined(digest));
-        held.left
+        quarantined.left
     }
 }
 
@@ -376,8 +412,11 @@
     let mut table = Table::new();
     for crash in 1..=CRASHES_TO_QUARANTINE {
         assert!(!table.is_quarantined(digest(1)));
-        let held = table.crash(&[digest(1)]);
-        assert_eq!(held.len(), usize::from(crash == CRASHES_TO_QUARANTINE));
+        let quarantined = table.report_crash(&[digest(1)]);
+        assert_eq!(
+            quarantined.len(),
+            usize::from(crash == CRASHES_TO_QUARANTINE)
+        );
     }
     assert!(table.is_quarantined(digest(1)));
     assert!(!table.is_quarantined(digest(2)));
@@ -385,7 +424,7 @@
 }
 
 #[test]
-fn a_report_that_comes_by_two_ways_counts_once() {
+fn duplicate_report_counts_once() {
     let mut table = Table::new();
     let report = CrashReport {
         id: 7,
@@ -399,115 +438,125 @@
 }
 
 #[test]
-fn an_answered_run_clears_a_suspect_and_late_news_does_not_hold_it_again() {
+fn answer_clears_suspect_despite_late_record() {
     let mut table = Table::new();
-    table.crash(&[digest(1)]);
-    table.crash(&[digest(1)]);
+    table.report_crash(&[digest(1)]);
+    table.report_crash(&[digest(1)]);
     assert!(table.quarantine.clear(digest(1), table.now));
     assert!(
         !table.quarantine.clear(digest(1), table.now),
-        "it is no suspect"
+        "a cleared request was still a suspect"
     );
-    let late = QuarantinedRequest {
+    let late_record = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
         left: 30 * SECOND,
     };
-    assert!(!table.quarantine.merge(late, table.now));
-    table.crash(&[digest(1)]);
-    assert!(!table.is_quarantined(digest(1)), "counted from anew");
+    assert!(!table.quarantine.merge(late_record, table.now));
+    table.report_crash(&[digest(1)]);
+    assert!(
+        !table.is_quarantined(digest(1)),
+        "crashes before the answer were counted"
+    );
 }
 
 #[test]
-fn a_request_that_ends_back_ends_ends_three_more_in_a_day() {
+fn lethal_request_crashes_three_more_per_day() {
     let mut table = Table::new();
     for _ in 0..3 {
-        table.crash(&[digest(1)]);
+        table.report_crash(&[digest(1)]);
     }
-    let began = table.now;
+    let quarantined_at = table.now;
     let mut trials = 0;
     loop {
         table.release(digest(1));
-        if table.now >= began + 86_400 * SECOND {
+        if table.now >= quarantined_at + 86_400 * SECOND {
             break;
         }
         table.quarantine.remove_expired(table.now);
-        let trial = table.quarantine.begin_trial(&[digest(1)], table.now);
-        assert_eq!(trial.len(), 1);
-        assert!(table.is_quarantined(digest(1)), "held while it is tried");
-        table.crash(&[digest(1)]);
+        let started_trials = table.quarantine.begin_trial(&[digest(1)], table.now);
+        assert_eq!(started_trials.len(), 1);
+        assert!(
+            table.is_quarantined(digest(1)),
+            "the request is not refused during its trial"
+        );
+        table.report_crash(&[digest(1)]);
         trials += 1;
     }
     assert_eq!(trials, 3);
 }
 
 #[test]
-fn a_hold_that_is_learned_lasts_no_longer_than_a_day() {
+fn limits_the_duration_of_learned_quarantines() {
     let mut table = Table::new();
-    let held = QuarantinedRequest {
+    let quarantined = QuarantinedRequest {
         digest: digest(1),
         crashes: 200,
         left: Duration::from_millis(u64::MAX),
     };
-    assert!(table.quarantine.merge(held, table.now));
+    assert!(table.quarantine.merge(quarantined, table.now));
     assert!(table.release(digest(1)) <= 2 * 86_400 * SECOND);
 }
 
 #[test]
-fn what_is_learned_twice_is_no_news() {
+fn repeated_record_does_not_change_the_table() {
     let mut table = Table::new();
-    let held = QuarantinedRequest {
+    let quarantined = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
         left: 30 * SECOND,
     };
-    assert!(table.quarantine.merge(held, table.now));
-    assert!(!table.quarantine.merge(held, table.now));
+    assert!(table.quarantine.merge(quarantined, table.now));
+    assert!(!table.quarantine.merge(quarantined, table.now));
     assert!(table.is_quarantined(digest(1)));
 }
 
 #[test]
-fn a_suspect_of_two_crashes_is_held_at_the_next_by_a_node_that_was_told() {
+fn snapshot_shares_suspects_of_two_crashes() {
     let mut table = Table::new();
-    table.crash(&[digest(1), digest(2)]);
-    table.crash(&[digest(1)]);
-    let kept = table.quarantine.snapshot(table.now);
-    let told: Vec<_> = kept
+    table.report_crash(&[digest(1), digest(2)]);
+    table.report_crash(&[digest(1)]);
+    let snapshot = table.quarantine.snapshot(table.now);
+    let shared: Vec<_> = snapshot
         .iter()
-        .map(|kept| (kept.digest, kept.crashes))
+        .map(|request| (request.digest, request.crashes))
         .collect();
-    assert_eq!(told, [(digest(1), 2)], "one crash says little");
-    let mut started = Table::new();
-    started.now = table.now;
-    assert!(started.quarantine.merge(kept[0], started.now));
-    assert!(!started.is_quarantined(digest(1)));
-    started.crash(&[digest(1)]);
-    assert!(started.is_quarantined(digest(1)));
+    assert_eq!(
+        shared,
+        [(digest(1), 2)],
+        "the snapshot must hold only the suspect of two crashes"
+    );
+    let mut new_node = Table::new();
+    new_node.now = table.now;
+    assert!(new_node.quarantine.merge(snapshot[0], new_node.now));
+    assert!(!new_node.is_quarantined(digest(1)));
+    new_node.report_crash(&[digest(1)]);
+    assert!(new_node.is_quarantined(digest(1)));
 }
 
 #[test]
-fn suspects_are_forgotten() {
+fn suspects_expire() {
     let mut table = Table::new();
-    table.crash(&[digest(1)]);
+    table.report_crash(&[digest(1)]);
     table.now += 121 * SECOND;
     table.quarantine.remove_expired(table.now);
     assert!(table.quarantine.is_empty());
 }
 
 #[test]
-fn the_table_stays_bounded_and_keeps_what_ended_most() {
+fn full_table_keeps_requests_with_most_crashes() {
     let mut table = Table::new();
     for _ in 0..4 {
-        table.crash(&[digest(0)]);
+        table.report_crash(&[digest(0)]);
     }
     for number in 1..10_000 {
-        table.crash(&[digest(number)]);
+        table.report_crash(&[digest(number)]);
     }
     let counts = table.quarantine.counts(table.now);
     assert_eq!((counts.suspects, counts.quarantined), (4096, 1));
     for number in 1..1000 {
         for _ in 0..3 {
-            table.crash(&[digest(number)]);
+            table.report_crash(&[digest(number)]);
         }
     }
     let counts = table.quarantine.counts(table.now);
@@ -517,6 +566,6 @@
     );
     assert!(
         table.is_quarantined(digest(0)),
-        "it ended more than the others"
+        "the request with the most crashes was removed"
     );
 }
--- a/crates/tallybridge-mesh/tests/support/crashing_service.rs
+++ b/crates/tallybridge-mesh/tests/support/crashing_service.rs
@@ -1,6 +1,7 @@
-//! A service in virtual time, whose back ends crash by themselves and by what they run. Calls that run,
-//! suspects and the quarantine are the product's own tables; all nodes share one quarantine, as if reports
-//! took no time.
+//! Simulation, in virtual time, of a service whose back ends crash spontaneously and due to lethal requests.
+//!
+//! Dispatched calls and the quarantine use the tables of the product. All back ends share one quarantine table,
+//! as if crash reports arrived instantly.
 
 use std::{ops::Add, time::Duration};
 
@@ -17,60 +18,58 @@
 
 use super::names;
 
-/// Step of the time.
-const STEP: Duration = Duration::from_millis(5);
-/// Length of a play.
-const LENGTH: Duration = Duration::from_secs(10);
-/// Time for which a back end that crashed is away.
-const AWAY: Duration = Duration::from_millis(250);
-/// Time for which a lethal request runs before its back end crashes.
-const RUNS_BEFORE_CRASH: Duration = Duration::from_millis(30);
-/// Back ends that one attempt may be sent to.
+const TIME_STEP: Duration = Duration::from_millis(5);
+const SIMULATED_TIME: Duration = Duration::from_secs(10);
+/// Time from a crash until the back end accepts calls again.
+const RESTART_TIME: Duration = Duration::from_millis(250);
+/// Time from the dispatch of a lethal request to the crash of its back end.
+const TIME_TO_CRASH: Duration = Duration::from_millis(30);
 const MAX_ATTEMPTS: u32 = 2;
-/// Share of the retries that are paid.
-const PAID: f64 = 0.5;
+const RETRY_PROBABILITY: f64 = 0.5;
 
-/// What is asked of the service, and what it bears.
+/// Load on the service, and the rate of its spontaneous crashes.
 #[derive(Debug, Clone)]
-pub struct Demand {
+pub struct Workload {
     pub back_ends: usize,
-    /// Things that are asked for again and again and crash nothing.
-    pub things: usize,
-    /// How long a run of these takes.
-    pub run: Duration,
-    /// Time from one request for a thing to the next, give or take a tenth.
-    pub ask_each: Duration,
-    /// Crashes of each back end by itself, a second that it runs.
-    pub own_crashes_per_s: f64,
-    /// Requests that crash each back end which runs them.
-    pub lethal: usize,
-    /// Time from one request of these to the next.
-    pub lethal_each: Duration,
+    /// Number of distinct requests that crash no back end.
+    pub harmless_requests: usize,
+    /// Run time of a harmless request.
+    pub run_time: Duration,
+    /// Mean interval between calls of the same harmless request; varies by up to 10%.
+    pub harmless_interval: Duration,
+    /// Mean rate of spontaneous crashes of each running back end.
+    pub spontaneous_crashes_per_s: f64,
+    /// Number of distinct requests that crash every back end that runs them.
+    pub lethal_requests: usize,
+    /// Mean interval between calls of the same lethal request; varies by up to 10%.
+    pub lethal_interval: Duration,
 }
 
-/// What came of a play.
+/// Counts of one or several simulations.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Outcome {
-    pub own_crashes: usize,
+pub struct Totals {
+    pub spontaneous_crashes: usize,
     pub lethal_crashes: usize,
-    /// The most back ends that one lethal request ended in a play.
-    pub most_by_one: usize,
-    pub sound_asked: usize,
-    pub sound_held_back: usize,
-    pub sound_answered: usize,
+    /// Maximum number of back ends that one lethal request crashed in one simulation.
+    pub max_crashes_per_request: usize,
+    pub harmless_calls: usize,
+    pub harmless_refused: usize,
+    pub harmless_answered: usize,
 }
 
-impl Add for Outcome {
+impl Add for Totals {
     type Output = Self;
 
     fn add(self, other: Self) -> Self {
         Self {
-            own_crashes: self.own_crashes + other.own_crashes,
+            spontaneous_crashes: self.spontaneous_crashes + other.spontaneous_crashes,
             lethal_crashes: self.lethal_crashes + other.lethal_crashes,
-            most_by_one: self.most_by_one.max(other.most_by_one),
-            sound_asked: self.sound_asked + other.sound_asked,
-            sound_held_back: self.sound_held_back + other.sound_held_back,
-            sound_answered: self.sound_answered + other.sound_answered,
+            max_crashes_per_request: self
+                .max_crashes_per_request
+                .max(other.max_crashes_per_request),
+            harmless_calls: self.harmless_calls + other.harmless_calls,
+            harmless_refused: self.harmless_refused + other.harmless_refused,
+            harmless_answered: self.harmless_answered + other.harmless_answered,
         }
     }
 }
@@ -78,73 +77,72 @@
 struct BackEnd {
     calls: DispatchedCalls,
     incarnation: Incarnation,
-    starts: u64,
-    up_at: BootInstant,
-    /// Whether it crashed with no call, which shows once it is back.
+    incarnation_number: u64,
+    available_at: BootInstant,
+    /// Whether the last crash interrupted no call. Such a crash is reported after the restart.
     crashed_idle: bool,
-    running: Vec<Run>,
+    runs: Vec<Run>,
 }
 
 struct Run {
-    request: usize,
+    request_index: usize,
     attempt: u32,
     id: DispatchId,
     ends_at: BootInstant,
 }
 
-/// One request that is asked for again and again.
-struct Asked {
+struct RecurringRequest {
     message: CallMessage,
     digests: [RequestDigest; 2],
     is_lethal: bool,
-    each: Duration,
-    next_at: BootInstant,
+    interval: Duration,
+    next_call_at: BootInstant,
     crashes: usize,
 }
 
-/// One play of a service.
-pub struct Play {
-    demand: Demand,
+pub struct Simulation {
+    workload: Workload,
     service: ServiceTag,
-    random: SmallRng,
+    rng: SmallRng,
     now: BootInstant,
     back_ends: Vec<BackEnd>,
-    requests: Vec<Asked>,
+    requests: Vec<RecurringRequest>,
     quarantine: Quarantine,
-    outcome: Outcome,
+    totals: Totals,
 }
 
-impl Play {
-    pub fn new(demand: &Demand, weighs_own_crashes: bool, seed: u64) -> Self {
-        let mut random = SmallRng::seed_from_u64(seed);
+impl Simulation {
+    /// Creates a simulation. If `adapts_threshold` is `false`, three crashes always quarantine a request.
+    pub fn new(workload: &Workload, adapts_threshold: bool, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
         let now = BootInstant::now();
         let service = ServiceTag::of("ledger");
         let mut quarantine = Quarantine::default();
-        if weighs_own_crashes {
-            quarantine.set_back_ends(service, demand.back_ends);
+        if adapts_threshold {
+            quarantine.set_back_ends(service, workload.back_ends);
         }
-        let back_ends = (0..demand.back_ends).map(|_| BackEnd {
+        let back_ends = (0..workload.back_ends).map(|_| BackEnd {
             calls: DispatchedCalls::new(names(), now),
             incarnation: Incarnation::new("i".into(), 0),
-            starts: 0,
-            up_at: now,
+            incarnation_number: 0,
+            available_at: now,
             crashed_idle: false,
-            running: Vec::new(),
+            runs: Vec::new(),
         });
-        let requests = (0..demand.things + demand.lethal).map(|number| {
-            let is_lethal = number >= demand.things;
-            let each = if is_lethal {
-                demand.lethal_each
+        let requests = (0..workload.harmless_requests + workload.lethal_requests).map(|number| {
+            let is_lethal = number >= workload.harmless_requests;
+            let interval = if is_lethal {
+                workload.lethal_interval
             } else {
-                demand.ask_each
+                workload.harmless_interval
             };
             let message = message(number);
-            Asked {
+            RecurringRequest {
                 digests: CallContent::of(&message, &names()).digests().both(),
                 message,
                 is_lethal,
-                each,
-                next_at: now + each.mul_f64(random.random_range(0.0..1.0)),
+                interval,
+                next_call_at: now + interval.mul_f64(rng.random_range(0.0..1.0)),
                 crashes: 0,
             }
         });
@@ -152,128 +150,132 @@
         Self {
             back_ends: back_ends.collect(),
             requests,
-            demand: demand.clone(),
+            workload: workload.clone(),
             service,
-            random,
+            rng,
             now,
             quarantine,
-            outcome: Outcome::default(),
+            totals: Totals::default(),
         }
     }
 
-    pub fn run(mut self) -> Outcome {
-        let end = self.now + LENGTH;
+    pub fn run(mut self) -> Totals {
+        let end = self.now + SIMULATED_TIME;
         while self.now < end {
-            self.now += STEP;
-            for back_end in 0..self.back_ends.len() {
-                self.end_runs(back_end);
-                self.crash_by_itself(back_end);
+            self.now += TIME_STEP;
+            for back_end_index in 0..self.back_ends.len() {
+                self.end_runs(back_end_index);
+                self.crash_spontaneously(back_end_index);
             }
-            for request in 0..self.requests.len() {
-                self.ask(request);
+            for request_index in 0..self.requests.len() {
+                self.call_if_due(request_index);
             }
         }
-        let lethal = self.requests.iter().filter(|asked| asked.is_lethal);
-        self.outcome.most_by_one = lethal.map(|asked| asked.crashes).max().unwrap_or(0);
-        self.outcome
+        let lethal = self.requests.iter().filter(|request| request.is_lethal);
+        self.totals.max_crashes_per_request =
+            lethal.map(|request| request.crashes).max().unwrap_or(0);
+        self.totals
     }
 
-    /// Asks for a request whose time has come.
-    fn ask(&mut self, request: usize) {
-        let asked = &mut self.requests[request];
-        if self.now < asked.next_at {
+    fn call_if_due(&mut self, request_index: usize) {
+        let request = &mut self.requests[request_index];
+        if self.now < request.next_call_at {
             return;
         }
-        let spread = self.random.random_range(0.9..1.1);
-        asked.next_at = self.now + asked.each.mul_f64(spread);
-        let is_sound = !asked.is_lethal;
-        self.outcome.sound_asked += usize::from(is_sound);
-        let is_held_back = self.is_quarantined(request);
-        self.outcome.sound_held_back += usize::from(is_sound && is_held_back);
-        self.dispatch(request, 1);
+        let jitter = self.rng.random_range(0.9..1.1);
+        request.next_call_at = self.now + request.interval.mul_f64(jitter);
+        let is_harmless = !request.is_lethal;
+        self.totals.harmless_calls += usize::from(is_harmless);
+        let is_refused = self.is_quarantined(request_index);
+        self.totals.harmless_refused += usize::from(is_harmless && is_refused);
+        self.dispatch(request_index, 1);
     }
 
-    fn is_quarantined(&self, request: usize) -> bool {
-        let digests = &self.requests[request].digests;
+    fn is_quarantined(&self, request_index: usize) -> bool {
+        let digests = &self.requests[request_index].digests;
         self.quarantine.find(digests, self.now).is_some()
     }
 
-    /// Runs a request at a back end that is up, if there is one.
-    fn dispatch(&mut self, request: usize, attempt: u32) {
-        if self.is_quarantined(request) {
+    /// Dispatches a request to a random available back end, if any, unless the request is quarantined.
+    fn dispatch(&mut self, request_index: usize, attempt: u32) {
+        if self.is_quarantined(request_index) {
             return;
         }
-        let asked = &self.requests[request];
-        let up = self
+        let request = &self.requests[request_index];
+        let available = self
             .back_ends
             .iter_mut()
-            .filter(|back_end| self.now >= back_end.up_at);
-        let Some(back_end) = up.choose(&mut self.random) else {
+            .filter(|back_end| self.now >= back_end.available_at);
+        let Some(back_end) = available.choose(&mut self.rng) else {
             return;
         };
         let id = back_end
             .calls
-            .begin(&asked.message, &back_end.incarnation, self.now);
-        let _ = self.quarantine.begin_trial(&asked.digests, self.now);
-        let runs = if asked.is_lethal {
-            RUNS_BEFORE_CRASH
+            .begin(&request.message, &back_end.incarnation, self.now);
+        let _ = self.quarantine.begin_trial(&request.digests, self.now);
+        let run_time = if request.is_lethal {
+            TIME_TO_CRASH
         } else {
-            self.demand.run
+            self.workload.run_time
         };
-        back_end.running.push(Run {
-            request,
+        back_end.runs.push(Run {
+            request_index,
             attempt,
             id,
-            ends_at: self.now + runs,
+            ends_at: self.now + run_time,
         });
     }
 
-    /// Answers the runs that are done; a lethal one ends the back end.
-    fn end_runs(&mut self, index: usize) {
-        let back_end = &mut self.back_ends[index];
-        let done = |run: &Run| self.now >= run.ends_at;
+    /// Answers the finished runs, or crashes the back end if a lethal run has finished.
+    fn end_runs(&mut self, back_end_index: usize) {
+        let back_end = &mut self.back_ends[back_end_index];
+        let is_finished = |run: &Run| self.now >= run.ends_at;
         let lethal = back_end
-            .running
+            .runs
             .iter()
-            .find(|run| done(run) && self.requests[run.request].is_lethal);
+            .find(|run| is_finished(run) && self.requests[run.request_index].is_lethal);
         if let Some(run) = lethal {
-            self.requests[run.request].crashes += 1;
-            self.outcome.lethal_crashes += 1;
-            self.crash(index);
+            self.requests[run.request_index].crashes += 1;
+            self.totals.lethal_crashes += 1;
+            self.crash(back_end_index);
             return;
         }
-        let answered: Vec<_> = back_end.running.extract_if(.., |run| done(run)).collect();
-        self.outcome.sound_answered += answered.len();
+        let answered: Vec<_> = back_end
+            .runs
+            .extract_if(.., |run| is_finished(run))
+            .collect();
+        self.totals.harmless_answered += answered.len();
         for run in answered {
             back_end.calls.end(run.id, DispatchEnd::Answered, self.now);
-            for digest in self.requests[run.request].digests {
+            for digest in self.requests[run.request_index].digests {
                 self.quarantine.clear(digest, self.now);
             }
         }
     }
 
-    fn crash_by_itself(&mut self, index: usize) {
-        let back_end = &mut self.back_ends[index];
-        if self.now < back_end.up_at {
+    /// Reports an earlier idle crash of a restarted back end, then crashes the back end at random.
+    fn crash_spontaneously(&mut self, back_end_index: usize) {
+        let back_end = &mut self.back_ends[back_end_index];
+        if self.now < back_end.available_at {
             return;
         }
         if std::mem::take(&mut back_end.crashed_idle) {
             let report = CrashReport::new(self.service, true, Vec::new());
             self.quarantine.record_crash(&report, self.now);
         }
-        let chance = self.demand.own_crashes_per_s * STEP.as_secs_f64();
-        if self.random.random_bool(chance.min(1.0)) {
-            self.outcome.own_crashes += 1;
-            self.crash(index);
+        let probability = self.workload.spontaneous_crashes_per_s * TIME_STEP.as_secs_f64();
+        if self.rng.random_bool(probability.min(1.0)) {
+            self.totals.spontaneous_crashes += 1;
+            self.crash(back_end_index);
         }
     }
 
-    /// A back end ends, and with it all that it runs. Some of that goes to another one.
-    fn crash(&mut self, index: usize) {
-        let back_end = &mut self.back_ends[index];
-        back_end.up_at = self.now + AWAY;
-        let cut = std::mem::take(&mut back_end.running);
-        for run in &cut {
+    /// Crashes a back end, reports the suspects and retries some of the interrupted runs.
+    fn crash(&mut self, back_end_index: usize) {
+        let back_end = &mut self.back_ends[back_end_index];
+        back_end.available_at = self.now + RESTART_TIME;
+        let interrupted_runs = std::mem::take(&mut back_end.runs);
+        for run in &interrupted_runs {
             back_end
                 .calls
                 .end(run.id, DispatchEnd::ConnectionLost, self.now);
@@ -281,17 +283,17 @@
         let interrupted = back_end
             .calls
             .take_after_crash(&back_end.incarnation, self.now);
-        back_end.starts += 1;
-        back_end.incarnation = Incarnation::new("i".into(), back_end.starts);
+        back_end.incarnation_number += 1;
+        back_end.incarnation = Incarnation::new("i".into(), back_end.incarnation_number);
         back_end.crashed_idle = interrupted.calls == 0;
         let names_all = interrupted.names_all();
         if !interrupted.suspects.is_empty() {
             let report = CrashReport::new(self.service, names_all, interrupted.suspects);
             self.quarantine.record_crash(&report, self.now);
         }
-        for run in cut {
-            if run.attempt < MAX_ATTEMPTS && self.random.random_bool(PAID) {
-                self.dispatch(run.request, run.attempt + 1);
+        for run in interrupted_runs {
+            if run.attempt < MAX_ATTEMPTS && self.rng.random_bool(RETRY_PROBABILITY) {
+                self.dispatch(run.request_index, run.attempt + 1);
             }
         }
     }
