Rename four public functions of the quarantine tables

RequestDigests::both -> RequestDigests::to_array CallContent::of -> CallContent::new Quarantine::set_back_ends -> Quarantine::set_back_end_count DispatchedCalls::backend_reachable -> DispatchedCalls::mark_backend_reachable

The old names did not say what the functions return or do: set_back_ends takes a number, backend_reachable changes the table. Node::backend_reachable keeps its name. No behaviour changes.

--- a/crates/tallybridge-mesh/examples/crash_cost.rs
+++ b/crates/tallybridge-mesh/examples/crash_cost.rs
@@ -75,7 +75,7 @@
     });
     report("digests, while any request is a suspect", |calls| {
         for call in calls {
-            black_box(CallContent::of(call, &NAMES).digests());
+            black_box(CallContent::new(call, &NAMES).digests());
         }
     });
     let mut quarantine = Quarantine::default();
@@ -89,7 +89,7 @@
         suspects: suspects.collect(),
     };
     quarantine.record_crash(&full, BootInstant::now());
-    let digests = CallContent::of(&call(1), &NAMES).digests().both();
+    let digests = CallContent::new(&call(1), &NAMES).digests().to_array();
     report("looked up, full table", |calls| {
         let now = BootInstant::now();
         for _ in calls {
--- a/crates/tallybridge-mesh/src/node/dispatched.rs
+++ b/crates/tallybridge-mesh/src/node/dispatched.rs
@@ -72,7 +72,7 @@
     /// The digests of a call, or `None` while no request at all is a suspect, which saves their cost.
     fn digests_if_suspects(&self, call: &CallMessage) -> Option<[RequestDigest; 2]> {
         let has_suspects = !self.tables().quarantine.is_empty();
-        has_suspects.then(|| CallContent::of(call, &self.names).digests().both())
+        has_suspects.then(|| CallContent::new(call, &self.names).digests().to_array())
     }
 }
 
@@ -101,7 +101,7 @@
         };
         if let Some(answered) = answered {
             let digests = answered.content(&node.names).digests();
-            node.clear_suspects(&digests.both());
+            node.clear_suspects(&digests.to_array());
         }
         if self.end == DispatchEnd::ConnectionLost {
             node.signals.call_lost.notify_one();
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -82,7 +82,7 @@
             .nodes_where(|name| ServiceTag::of(name) == service);
         // An id of an earlier release names no service: nobody has back ends of it.
         if back_ends > 0 {
-            self.quarantine.set_back_ends(service, back_ends);
+            self.quarantine.set_back_end_count(service, back_ends);
         }
         self.quarantine.record_crash(report, now)
     }
@@ -103,7 +103,7 @@
 
     /// The back end takes connections: the calls that lost theirs did not lose them in a crash.
     pub fn backend_reachable(&self) {
-        self.tables().dispatched.backend_reachable();
+        self.tables().dispatched.mark_backend_reachable();
     }
 
     /// The back end refuses connections: its process is gone.
--- a/crates/tallybridge-mesh/src/tables/quarantine/digest.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/digest.rs
@@ -25,7 +25,7 @@
 impl RequestDigests {
     /// Returns the content digest, followed by the digest with the calling service.
     #[must_use]
-    pub const fn both(self) -> [RequestDigest; 2] {
+    pub const fn to_array(self) -> [RequestDigest; 2] {
         [self.content, self.with_caller]
     }
 }
@@ -50,7 +50,7 @@
 impl<'a> CallContent<'a> {
     /// Extracts the parts from a call as sent between nodes.
     #[must_use]
-    pub fn of(call: &'a CallMessage, names: &HeaderNames) -> Self {
+    pub fn new(call: &'a CallMessage, names: &HeaderNames) -> Self {
         Self::from_head_and_body(&call.head, &call.body, names)
     }
 
--- a/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
@@ -140,7 +140,7 @@
 
     /// Records that the back end accepts connections, so that earlier connection losses are attributed to a
     /// crash only if [`take_after_restart`](Self::take_after_restart) shows one.
-    pub fn backend_reachable(&mut self) {
+    pub fn mark_backend_reachable(&mut self) {
         for call in self
             .unanswered
             .iter_mut()
--- a/crates/tallybridge-mesh/src/tables/quarantine/history.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/history.rs
@@ -68,7 +68,7 @@
 
 impl CrashHistory {
     /// Sets the number of back ends of a service, which must not be zero.
-    pub(super) fn set_back_ends(&mut self, service: ServiceTag, back_ends: usize) {
+    pub(super) fn set_back_end_count(&mut self, service: ServiceTag, back_ends: usize) {
         self.back_end_counts.insert(service, back_ends);
     }
 
--- a/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
@@ -82,7 +82,7 @@
     };
     let mut seen = HashSet::new();
     for call in &calls {
-        let [content, with_caller] = call.digests.both();
+        let [content, with_caller] = call.digests.to_array();
         let identities = [
             (content, call.hashes.content),
             (with_caller, call.hashes.with_caller),
--- a/crates/tallybridge-mesh/src/tables/quarantine/table.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/table.rs
@@ -55,8 +55,8 @@
 
     /// Sets the number of back ends of a service, which must not be zero. Without this number, three crashes
     /// always quarantine a request of the service.
-    pub fn set_back_ends(&mut self, service: ServiceTag, back_ends: usize) {
-        self.history.set_back_ends(service, back_ends);
+    pub fn set_back_end_count(&mut self, service: ServiceTag, back_ends: usize) {
+        self.history.set_back_end_count(service, back_ends);
     }
 
     /// Counts a crash against its suspects. Returns the requests that the crash quarantines, or `None` if the
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -135,7 +135,7 @@
     fn new() -> Self {
         let service = ServiceTag::of("ledger");
         let mut quarantine = Quarantine::default();
-        quarantine.set_back_ends(service, 4);
+        quarantine.set_back_end_count(service, 4);
         Self {
             quarantine,
             service,
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -69,7 +69,9 @@
     }
 
     fn digests(&self) -> [RequestDigest; 2] {
-        CallContent::of(&self.message(), &names()).digests().both()
+        CallContent::new(&self.message(), &names())
+            .digests()
+            .to_array()
     }
 }
 
@@ -251,7 +253,7 @@
         back_end.calls.is_crash_suspected(),
         "a call that started later hides the crash"
     );
-    back_end.calls.backend_reachable();
+    back_end.calls.mark_backend_reachable();
     assert!(!back_end.calls.is_crash_suspected());
     assert_eq!(
         back_end.are_suspects("i-1", &["lost"]),
@@ -265,7 +267,7 @@
     let mut back_end = TestBackEnd::new();
     back_end.run("lost", DispatchEnd::ConnectionLost);
     // The restarted back end accepts a connection at once.
-    back_end.calls.backend_reachable();
+    back_end.calls.mark_backend_reachable();
     let later = TestCall {
         body: "later",
         ..DEFAULT_CALL
@@ -314,7 +316,7 @@
 fn restart_blames_lost_calls_without_other_suspects() {
     let mut back_end = TestBackEnd::new();
     back_end.run("lost", DispatchEnd::ConnectionLost);
-    back_end.calls.backend_reachable();
+    back_end.calls.mark_backend_reachable();
     let old_incarnation = back_end.incarnation.clone();
     let interrupted = back_end
         .calls
--- a/crates/tallybridge-mesh/tests/support/crashing_service.rs
+++ b/crates/tallybridge-mesh/tests/support/crashing_service.rs
@@ -119,7 +119,7 @@
         let service = ServiceTag::of("ledger");
         let mut quarantine = Quarantine::default();
         if adapts_threshold {
-            quarantine.set_back_ends(service, workload.back_ends);
+            quarantine.set_back_end_count(service, workload.back_ends);
         }
         let back_ends = (0..workload.back_ends).map(|_| BackEnd {
             calls: DispatchedCalls::new(names(), now),
@@ -138,7 +138,7 @@
             };
             let message = message(number);
             RecurringRequest {
-                digests: CallContent::of(&message, &names()).digests().both(),
+                digests: CallContent::new(&message, &names()).digests().to_array(),
                 message,
                 is_lethal,
                 interval,
