--- a/crates/tallybridge-mesh/src/tables/quarantine/history.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/history.rs
@@ -1,8 +1,8 @@
 //! History of recent crashes, and the number of crashes that it takes to quarantine a request.
 //!
-//! Three crashes quarantine a request. If back ends of its service often crash spontaneously, that is, without
-//! a request as the cause, the number rises. Otherwise, harmless requests that are interrupted three times by
-//! chance would be quarantined. A crash is certainly spontaneous if it interrupted no call, or only suspects
+//! Three crashes quarantine a request. The number rises if back ends of its service often crash spontaneously,
+//! that is, without a request as the cause, so that harmless requests that are interrupted three times by
+//! chance are not quarantined. A crash is certainly spontaneous if it interrupted no call, or only suspects
 //! that were answered since. Once a service had such a crash, crashes whose suspects are suspects of no other
 //! crash also count as spontaneous.
 
@@ -24,7 +24,7 @@
 const MIN_RATE_WINDOW: Duration = Duration::from_secs(2);
 /// Run time that is assumed for every request, because crash reports do not carry run times.
 const ASSUMED_RUN_TIME: Duration = Duration::from_millis(500);
-/// Probability at which a series of interruptions no longer counts as a coincidence.
+/// Probability below which a series of interruptions no longer counts as a coincidence.
 const MAX_COINCIDENCE_PROBABILITY: f64 = 0.001;
 /// Probability of one interruption from which a request needs more than [`CRASHES_TO_QUARANTINE`] crashes. The
 /// value corresponds to one spontaneous crash per back end in 2.5 s. A lower value would let requests that do
--- a/crates/tallybridge-mesh/src/tables/quarantine/record.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/record.rs
@@ -125,7 +125,7 @@
         now.saturating_duration_since(since) < ttl
     }
 
-    /// Returns the crash count for other nodes, scaled as if [`CRASHES_TO_QUARANTINE`] crashes had quarantined
+    /// Returns the crash count for other nodes, adjusted as if [`CRASHES_TO_QUARANTINE`] crashes had quarantined
     /// the request. A suspect that is not quarantined yet always has a lower count.
     fn crashes_for_peers(&self) -> u8 {
         self.crashes_at_first_quarantine.map_or_else(
--- a/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/suspects.rs
@@ -67,8 +67,8 @@
     }
 }
 
-/// Selects the suspects among the calls that a crash interrupted. A popular request is exempt and loses its
-/// popularity.
+/// Selects the suspects among the calls that a crash interrupted. A popular request is exempt, and its answers
+/// are forgotten.
 pub(super) fn select(
     mut calls: Vec<UnansweredCall>,
     answers: &mut RecentAnswers,
