Rename the result of an executed call and the overload model

"Answered" read as a state and shared its name with unrelated variants; the overload model shared its name with the fleet of tests/support/chain.

request::execute: Answered -> ExecutedCall tests/support/overload: ChainFleet -> OverloadModel, Demand::slots -> required_slots, of_all -> total_share, used -> utilization, wasted -> wasted_share

--- a/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
@@ -12,7 +12,7 @@
     link::framing::FrameSender,
     node::Node,
     protocol::{AnswerMessage, CallMessage, Frame, Message, RefusalMessage},
-    request::execute::{Answered, execute},
+    request::execute::{ExecutedCall, execute},
 };
 
 /// Calls of one link that run, by their number.
@@ -70,10 +70,10 @@
     }
 }
 
-fn reply(node: &Node, executed: Result<Answered, Refusal>) -> Message {
+fn reply(node: &Node, executed: Result<ExecutedCall, Refusal>) -> Message {
     let load = node.load();
     match executed {
-        Ok(Answered {
+        Ok(ExecutedCall {
             answer,
             made_calls,
             times,
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -21,7 +21,7 @@
     refusal::refusal_answer,
 };
 use super::{
-    execute::Answered,
+    execute::ExecutedCall,
     forward::{Call, ForwardError, forward},
     quota,
 };
@@ -68,7 +68,7 @@
 }
 
 /// Forwards a call if its tenant's rate limit admits it. Keeps the token of a call that has not run.
-async fn forward_within_quota(node: &Arc<Node>, call: &Call) -> Result<Answered, ForwardError> {
+async fn forward_within_quota(node: &Arc<Node>, call: &Call) -> Result<ExecutedCall, ForwardError> {
     let Some(tenant) = &call.tenant else {
         return forward(node, call).await;
     };
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -44,7 +44,7 @@
 
 /// A back end's answer to a call, with what the entry learns from the execution.
 #[derive(Debug)]
-pub struct Answered {
+pub struct ExecutedCall {
     /// The answer of the back end, including one whose status reports a failure.
     pub answer: Answer,
     /// Whether the back end made nested calls to answer the call.
@@ -61,7 +61,7 @@
 /// # Errors
 ///
 /// Returns a refusal that says whether the call may have run. This function also logs the refusal.
-pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Result<Answered, Refusal> {
+pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Result<ExecutedCall, Refusal> {
     let arrived = BootInstant::of_arrival();
     let result = wait_and_dispatch(node, &call, arrived).await;
     if let Err(refusal) = &result {
@@ -74,7 +74,7 @@
     node: &Arc<Node>,
     call: &CallMessage,
     arrived: BootInstant,
-) -> Result<Answered, Refusal> {
+) -> Result<ExecutedCall, Refusal> {
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
     node.refuse_quarantined(call)?;
     let mut slot = acquire_slot(node, call, arrived).await?;
@@ -156,7 +156,7 @@
     call: &CallMessage,
     slot: &Slot,
     deadline: BootInstant,
-) -> Result<Answered, Refusal> {
+) -> Result<ExecutedCall, Refusal> {
     let incarnation = check_before_dispatch(node, call, deadline)?;
     let parent = Parent {
         is_urgent: call.is_urgent,
@@ -169,7 +169,7 @@
     let (result, end) = exchange_with_back_end(node, call, &incarnation, deadline).await;
     tracked_dispatch.end(end);
     recorder.record(&result);
-    result.map(|answer| Answered {
+    result.map(|answer| ExecutedCall {
         answer,
         made_calls: node.has_called(&call.attempt),
         times: node.slot_times(&call.attempt, slot.held()),
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -8,7 +8,7 @@
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
 use tokio::time::Instant;
 
-use super::{Answered, Call, retry::is_undispatched};
+use super::{Call, ExecutedCall, retry::is_undispatched};
 use crate::{
     clock::{BootInstant, timeout_at},
     http::Answer,
@@ -34,7 +34,7 @@
     call: &Call,
     is_retry: bool,
     target: Target,
-) -> Result<Answered, Refusal> {
+) -> Result<ExecutedCall, Refusal> {
     let Target { address, executor } = target;
     let now = BootInstant::now();
     let message = CallMessage {
@@ -81,7 +81,7 @@
     address: SocketAddr,
     link: &Arc<Link>,
     message: CallMessage,
-) -> Result<Answered, Refusal> {
+) -> Result<ExecutedCall, Refusal> {
     let mut pending_call = link.call(message).map_err(|error| {
         Refusal::new(ErrorKind::PeerLost, error.to_string()).with_outcome(Outcome::NotRun)
     })?;
@@ -95,9 +95,9 @@
     }
 }
 
-fn result_of_reply(reply: Reply) -> Result<Answered, Refusal> {
+fn result_of_reply(reply: Reply) -> Result<ExecutedCall, Refusal> {
     match reply {
-        Reply::Answer(answer) => Ok(Answered {
+        Reply::Answer(answer) => Ok(ExecutedCall {
             answer: Answer {
                 status: answer.status,
                 headers: answer.head.to_vec(),
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -15,7 +15,7 @@
     attempt::{Target, attempt},
     retry::{Attempts, MAX_FURTHER_ATTEMPTS, is_failure_of_outlier},
 };
-use super::execute::Answered;
+use super::execute::ExecutedCall;
 use crate::{
     clock::BootInstant,
     configuration::{Route, tenants::Tenant},
@@ -65,7 +65,7 @@
 /// # Errors
 ///
 /// Returns a refusal that says whether the call may have run.
-pub async fn forward(node: &Arc<Node>, call: &Call) -> Result<Answered, ForwardError> {
+pub async fn forward(node: &Arc<Node>, call: &Call) -> Result<ExecutedCall, ForwardError> {
     let first_attempt = FirstAttempt {
         is_below_retry: call.message.is_retry,
     };
--- a/crates/tallybridge-mesh/src/request/forward/retry.rs
+++ b/crates/tallybridge-mesh/src/request/forward/retry.rs
@@ -17,7 +17,7 @@
 use tallybridge_core::{ErrorKind, Outcome, Refusal};
 use tokio::time::Instant;
 
-use super::{Answered, Call, ForwardError, placement_query};
+use super::{Call, ExecutedCall, ForwardError, placement_query};
 use crate::{clock::BootInstant, http::Answer, node::Node};
 
 /// Maximum number of executors after the first, for reroutes and retries together.
@@ -31,7 +31,7 @@
     may_have_run: bool,
     last_refusal: Refusal,
     /// Error answer of an outlier; becomes the result unless a later attempt succeeds.
-    outlier_failure: Option<Answered>,
+    outlier_failure: Option<ExecutedCall>,
 }
 
 impl Attempts {
@@ -60,7 +60,7 @@
     }
 
     /// Records an error answer of an outlier.
-    pub(super) fn record_failure(&mut self, answered: Answered) {
+    pub(super) fn record_failure(&mut self, answered: ExecutedCall) {
         self.may_have_run = true;
         self.outlier_failure = Some(answered);
     }
@@ -123,7 +123,7 @@
     }
 
     /// Returns the result of the call after its last attempt.
-    pub(super) fn into_result(self) -> Result<Answered, ForwardError> {
+    pub(super) fn into_result(self) -> Result<ExecutedCall, ForwardError> {
         if let Some(outlier_failure) = self.outlier_failure {
             return Ok(outlier_failure);
         }
--- a/crates/tallybridge-mesh/tests/admission.rs
+++ b/crates/tallybridge-mesh/tests/admission.rs
@@ -8,7 +8,7 @@
 
 use self::support::{
     admission::{admitted, admitted_of, learn, loads, seen},
-    overload::{ChainFleet, Demand},
+    overload::{Demand, OverloadModel},
     route,
 };
 
@@ -96,8 +96,11 @@
 #[test]
 fn payments_are_shed_last() {
     let demands = demands();
-    let needed: f64 = demands.iter().map(|demand| demand.slots("deep")).sum();
-    let mut fleet = ChainFleet::new(&demands, needed * 0.7);
+    let needed: f64 = demands
+        .iter()
+        .map(|demand| demand.required_slots("deep"))
+        .sum();
+    let mut fleet = OverloadModel::new(&demands, needed * 0.7);
     fleet.run(100);
     let served = fleet.run(300);
     assert!(served.shares[0] > 0.97, "payments: {served:?}");
@@ -204,19 +207,22 @@
 fn at_any_fraction_of_the_deepest_service_it_is_used_and_urgent_requests_stay_ahead() {
     for fraction in [0.9, 0.6, 0.33, 0.1, 0.034] {
         let demands = demands();
-        let needed: f64 = demands.iter().map(|demand| demand.slots("deep")).sum();
-        let mut fleet = ChainFleet::new(&demands, needed * fraction);
+        let needed: f64 = demands
+            .iter()
+            .map(|demand| demand.required_slots("deep"))
+            .sum();
+        let mut fleet = OverloadModel::new(&demands, needed * fraction);
         fleet.run(300);
         let served = fleet.run(150);
         let [payment, history, mark] = served.shares[..] else {
             panic!("three routes");
         };
         let context = format!("{fraction}: {served:?}");
-        assert!(served.used > 0.85, "{context}");
-        assert!(served.wasted < 0.1, "{context}");
+        assert!(served.utilization > 0.85, "{context}");
+        assert!(served.wasted_share < 0.1, "{context}");
         assert!(payment >= history && payment >= mark, "{context}");
         // No kind falls to a quarter of what is served of all.
-        let of_all = served.of_all;
+        let of_all = served.total_share;
         assert!(history > of_all * 0.3 && mark > of_all * 0.3, "{context}");
         // Equal shares of all kinds would serve the fraction of all.
         assert!(of_all > fraction * 0.6, "{context}");
@@ -226,10 +232,13 @@
 #[test]
 fn what_is_admitted_does_not_swing_while_demand_is_steady() {
     let demands = demands();
-    let needed: f64 = demands.iter().map(|demand| demand.slots("deep")).sum();
-    let mut fleet = ChainFleet::new(&demands, needed * 0.4);
+    let needed: f64 = demands
+        .iter()
+        .map(|demand| demand.required_slots("deep"))
+        .sum();
+    let mut fleet = OverloadModel::new(&demands, needed * 0.4);
     fleet.run(300);
-    let spans: Vec<f64> = (0..10).map(|_| fleet.run(20).of_all).collect();
+    let spans: Vec<f64> = (0..10).map(|_| fleet.run(20).total_share).collect();
     let highest = spans.iter().copied().fold(0.0, f64::max);
     let lowest = spans.iter().copied().fold(1.0, f64::min);
     assert!(highest < lowest * 1.25, "{spans:?}");
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns the number of slots of a service that all requests together occupy.
-    pub fn slots(&self, service: &str) -> f64 {
+    pub fn required_slots(&self, service: &str) -> f64 {
         self.per_second * self.costs.of(service).as_secs_f64()
     }
 }
@@ -64,15 +64,15 @@
     /// Served share of each route's requests.
     pub shares: Vec<f64>,
     /// Served share of all requests.
-    pub of_all: f64,
+    pub total_share: f64,
     /// Share of the deepest service's capacity that was in use.
-    pub used: f64,
+    pub utilization: f64,
     /// Share of the deepest service's work that was done for failed requests.
-    pub wasted: f64,
+    pub wasted_share: f64,
 }
 
 /// The modelled chain with the admission control of its entry.
-pub struct ChainFleet<'a> {
+pub struct OverloadModel<'a> {
     demands: &'a [Demand],
     slots: f64,
     admission: AdmissionControl,
@@ -83,7 +83,7 @@
     offered: f64,
 }
 
-impl<'a> ChainFleet<'a> {
+impl<'a> OverloadModel<'a> {
     /// Creates a chain whose deepest service has `slots` slots and whose route costs are learned.
     pub fn new(demands: &'a [Demand], slots: f64) -> Self {
         let mut admission = AdmissionControl::default();
@@ -141,12 +141,12 @@
         let total_requests: f64 = self.demands.iter().map(requested).sum();
         let by_route = self.demands.iter().zip(&served);
         ModelResult {
-            of_all: served.iter().sum::<f64>() / total_requests,
+            total_share: served.iter().sum::<f64>() / total_requests,
             shares: by_route
                 .map(|(demand, count)| count / requested(demand))
                 .collect(),
-            used: total_work / (self.slots * seconds),
-            wasted: wasted_work / total_work.max(f64::MIN_POSITIVE),
+            utilization: total_work / (self.slots * seconds),
+            wasted_share: wasted_work / total_work.max(f64::MIN_POSITIVE),
         }
     }
 
