Shorten comments of the request path and name executed calls alike

Two module heads had overlong lines, the head of the executor did not name the minimum remaining time, and local variables of type ExecutedCall were still called "answered".

--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -50,11 +50,11 @@
     };
     let call = prepared.as_ref().ok();
     match result {
-        Ok(answered) => {
+        Ok(executed) => {
             node.counters.answered.fetch_add(1, Ordering::Relaxed);
-            let is_success = answered.answer.status < 500;
-            record_answer(node, call, nested.as_mut(), is_success, answered.times);
-            answered.answer
+            let is_success = executed.answer.status < 500;
+            record_answer(node, call, nested.as_mut(), is_success, executed.times);
+            executed.answer
         }
         Err(error) => {
             if nested.is_none() {
--- a/crates/tallybridge-mesh/src/request/entry/prepare.rs
+++ b/crates/tallybridge-mesh/src/request/entry/prepare.rs
@@ -2,8 +2,8 @@
 //!
 //! The order of the checks decides which refusal a caller gets: an invalid request, then a leaving
 //! node, then quarantine, then overload. Quarantine must come before overload, because a quarantined
-//! request must not get the short `Retry-After` of a shed request. [`crate::tables::admission`] decides which fresh requests
-//! are shed.
+//! request must not get the short `Retry-After` of a shed request. [`crate::tables::admission`]
+//! decides which fresh requests are shed.
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/tallybridge-mesh/src/request/entry/times.rs
+++ b/crates/tallybridge-mesh/src/request/entry/times.rs
@@ -1,9 +1,10 @@
 //! Deadline of a call, and how long the call may wait for a slot.
 //!
-//! A call must be answered within the timeout of its sender and within the timeout of its route. A fresh request waits for a slot for a small part of its route's target latency: it is
-//! refused early, so that its caller can still retry in time. A nested call may wait for the greater
-//! part of its time, because the work that made the nested call is lost if it is refused. All times
-//! count from when the head of the request was read.
+//! A call must be answered within the timeout of its sender and within the timeout of its route. A
+//! fresh request waits for a slot for a small part of its route's target latency: it is refused early,
+//! so that its caller can still retry in time. A nested call may wait for the greater part of its
+//! time, because the work above it is lost if the nested call is refused. All times count from when
+//! the head of the request was read.
 
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 }
 
 impl CallTimes {
-    /// Computes the times of a call. `requested_timeout_ms` is the value of the sender's deadline header.
+    /// Computes the times of a call. `requested_timeout_ms` is the sender's deadline header.
     pub(super) fn new(
         arrived: BootInstant,
         requested_timeout_ms: Option<&str>,
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -1,10 +1,10 @@
 //! The executor: a call waits for a slot of the back end beside this node and is dispatched once.
 //!
 //! A call is refused without a dispatch if its request is quarantined, if the node or the back end is
-//! leaving, if the back end is not verified, or if no slot becomes free in time. The state of the
-//! node and the back end, the remaining time and the quarantine are checked after the wait for a
-//! slot, because they may have changed. A dispatched call is abandoned `DEADLINE_GRACE` after its
-//! deadline, or when the back end restarts.
+//! leaving, if the back end is not verified, or if no slot becomes free in time. All but the
+//! last condition may change during the wait and are checked again after it. A call is also refused
+//! if less than `MIN_REMAINING_TIME` is left before its deadline. A dispatched call is abandoned
+//! `DEADLINE_GRACE` after its deadline, or when the back end restarts.
 //!
 //! Slots and their queue belong to [`crate::tables::backend::slots`].
 
@@ -78,12 +78,12 @@
     let deadline = arrived + Duration::from_millis(call.remaining_ms.into());
     node.refuse_quarantined(call)?;
     let mut slot = acquire_slot(node, call, arrived).await?;
-    let answered = dispatch(node, call, &slot, deadline).await?;
-    let is_successful_leaf = answered.answer.status < 500 && !answered.made_calls;
+    let executed = dispatch(node, call, &slot, deadline).await?;
+    let is_successful_leaf = executed.answer.status < 500 && !executed.made_calls;
     if is_successful_leaf && node.settings.policy.adapt_slots {
         slot.ended_well(call.kind);
     }
-    Ok(answered)
+    Ok(executed)
 }
 
 fn log_refusal(node: &Node, call: &CallMessage, refusal: &Refusal, arrived: BootInstant) {
--- a/crates/tallybridge-mesh/src/request/execute/outcome.rs
+++ b/crates/tallybridge-mesh/src/request/execute/outcome.rs
@@ -11,7 +11,8 @@
 /// caller waited until the end. An earlier cancellation says nothing about the back end.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
 
-/// Records the result of a dispatched call, even if the future of the call is dropped.
+/// Records the result of a dispatched call. When the future of the call is dropped, the call counts as
+/// failed if its deadline is near.
 pub(super) struct OutcomeRecorder<'a> {
     node: &'a Node,
     attempt: &'a Bytes,
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -80,11 +80,11 @@
         attempts.start(address);
         let is_retry = call.message.is_retry || attempts.has_dispatched_before();
         let has_dispatched = match attempt(node, call, is_retry, target).await {
-            Ok(answered) if !is_failure_of_outlier(node, call, address, &answered.answer) => {
-                return Ok(answered);
+            Ok(executed) if !is_failure_of_outlier(node, call, address, &executed.answer) => {
+                return Ok(executed);
             }
-            Ok(answered) => {
-                attempts.record_failure(answered);
+            Ok(executed) => {
+                attempts.record_failure(executed);
                 true
             }
             Err(refusal) => attempts.record_refusal(refusal),
--- a/crates/tallybridge-mesh/src/request/forward/retry.rs
+++ b/crates/tallybridge-mesh/src/request/forward/retry.rs
@@ -60,9 +60,9 @@
     }
 
     /// Records an error answer of an outlier.
-    pub(super) fn record_failure(&mut self, answered: ExecutedCall) {
+    pub(super) fn record_failure(&mut self, executed: ExecutedCall) {
         self.may_have_run = true;
-        self.outlier_failure = Some(answered);
+        self.outlier_failure = Some(executed);
     }
 
     /// Records an attempt that ended without an answer. Returns whether a back end may have received
@@ -90,7 +90,7 @@
             return true;
         }
         self.dispatch_count += 1;
-        self.authorize_retry(node, call) && self.check_quarantine(node, call)
+        self.authorize_retry(node, call) && self.passes_quarantine_check(node, call)
     }
 
     /// Returns whether a call that a back end received may be retried. If so, withdraws the retry from
@@ -112,7 +112,7 @@
 
     /// Returns whether the request is not quarantined. The last attempt may have crashed the back end
     /// and put the request into quarantine; the refusal then becomes the last one.
-    fn check_quarantine(&mut self, node: &Node, call: &Call) -> bool {
+    fn passes_quarantine_check(&mut self, node: &Node, call: &Call) -> bool {
         match node.refuse_quarantined(&call.message) {
             Ok(()) => true,
             Err(refusal) => {
