Plain wording in the code and tests of admission control and quotas

Module heads now say what a module is for and which failure it guards against; constants name their quantity; functions that act are verbs; tests name the behaviour they check.

--- a/crates/tallybridge-mesh/src/tables/admission/route.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/route.rs
@@ -1,4 +1,4 @@
-//! The share of one route's fresh requests that is admitted, and which requests make up that share.
+//! Admits a share of the fresh requests of one route.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -6,66 +6,61 @@
     costs::RouteCosts,
     level::AdmissionLevel,
     services::ServiceLoads,
-    weights::{CheapestCosts, priority_weight, tenant_weight},
+    weights::{CheapestCosts, priority_factor, tenant_factor},
 };
 
-/// Share of requests admitted while a service that they need has no back end. Other nodes report one
-/// that is back, so hardly any request is needed to find out. Origin of the figure not recorded.
-const SHARE_UNAVAILABLE: f64 = 0.02;
-/// Ticks of 100 ms without a request after which a route is forgotten: one minute. Bounds the table
-/// to the routes in use. Origin not recorded.
-const FORGET_AFTER: u32 = 600;
+/// Share of requests admitted while a needed service has no back end. It can be small because other
+/// nodes report a back end that returns.
+const UNAVAILABLE_SERVICE_SHARE: f64 = 0.02;
+/// Number of 100 ms ticks without a request after which a route is removed.
+const MAX_IDLE_TICKS: u32 = 600;
 
-/// What the shares of all routes are computed from in one tick.
+/// Inputs of one tick that all routes share.
 pub(super) struct Conditions<'a> {
-    /// Load of each service.
     pub(super) loads: &'a ServiceLoads,
-    /// Level of each service.
     pub(super) levels: &'a HashMap<Arc<str>, AdmissionLevel>,
-    /// Cost of the cheapest route of each priority.
     pub(super) cheapest: CheapestCosts,
 }
 
 impl Conditions<'_> {
-    /// Share of the requests with this need that the needed service allows, 0 to 1.
-    fn share_allowed(&self, need: &Need) -> f64 {
-        if self.loads.pressure(&need.service).is_none() {
-            return SHARE_UNAVAILABLE;
+    /// Returns the share of requests, 0 to 1, that the needed service allows.
+    fn allowed_share(&self, needed: &NeededService) -> f64 {
+        if self.loads.pressure(&needed.service).is_none() {
+            return UNAVAILABLE_SERVICE_SHARE;
         }
-        let level = self.levels.get(&need.service);
-        level.map_or(1.0, |level| level.share(need.weight))
+        let level = self.levels.get(&needed.service);
+        level.map_or(1.0, |level| level.share(needed.weight))
     }
 }
 
-/// A service that requests of a route need, and the weight of the route there.
-struct Need {
+/// A service that the requests of a route need, and the weight of the route there.
+struct NeededService {
     service: Arc<str>,
     weight: f64,
 }
 
-/// Admission of the fresh requests of one route that come from tenants of one rank.
+/// Admission of the fresh requests that one route receives from tenants of one rank.
 #[derive(Debug)]
 pub(super) struct RouteAdmission {
-    /// Service to which its last request went first.
+    /// First service of the newest request.
     service: Arc<str>,
     priority: u8,
-    tenants_after: u8,
-    /// What its requests cost each service.
+    /// Number of tenant priorities below the priority of these tenants.
+    lower_tenant_ranks: u8,
     pub(super) costs: RouteCosts,
     admitted_share: f64,
-    /// Requests that may be admitted by now; a request takes 1.
+    /// Accumulated share of the requests so far; admitting a request takes 1.
     credit: f64,
-    /// Ticks since its last request.
     idle_ticks: u32,
 }
 
 impl RouteAdmission {
-    /// A route all requests of which are admitted, for tenants with so many priorities after theirs.
-    pub(super) fn new(service: &Arc<str>, priority: u8, tenants_after: u8) -> Self {
+    /// Creates the admission of a route that admits all requests.
+    pub(super) fn new(service: &Arc<str>, priority: u8, lower_tenant_ranks: u8) -> Self {
         Self {
             service: service.clone(),
             priority,
-            tenants_after,
+            lower_tenant_ranks,
             costs: RouteCosts::default(),
             admitted_share: 1.0,
             credit: 0.0,
@@ -77,20 +72,20 @@
         self.priority
     }
 
-    /// The share of requests that is admitted, 0 to 1.
+    /// Returns the share of requests, 0 to 1, that is admitted.
     pub(super) const fn admitted_share(&self) -> f64 {
         self.admitted_share
     }
 
-    /// A request arrived, under the configuration of now.
-    pub(super) fn requested(&mut self, service: &Arc<str>, priority: u8) {
+    /// Records a request with the service and priority of the current configuration.
+    pub(super) fn record_request(&mut self, service: &Arc<str>, priority: u8) {
         self.service = service.clone();
         self.priority = priority;
         self.idle_ticks = 0;
     }
 
-    /// Whether the request that arrived is admitted: every n-th one at a share of 1/n.
-    pub(super) fn admits_next(&mut self) -> bool {
+    /// Decides whether to admit the next request; a share of 1/n admits every n-th one.
+    pub(super) fn admit_next(&mut self) -> bool {
         self.credit += self.admitted_share;
         let is_admitted = self.credit >= 1.0;
         if is_admitted {
@@ -99,57 +94,64 @@
         is_admitted
     }
 
-    /// Counts a tick; `false` when the route has been idle for so long that it is to be forgotten.
+    /// Counts a tick and returns whether to keep the route, which is false once it has been idle
+    /// too long.
     pub(super) fn tick(&mut self) -> bool {
         self.idle_ticks += 1;
         self.costs.tick();
-        self.idle_ticks <= FORGET_AFTER
+        self.idle_ticks <= MAX_IDLE_TICKS
     }
 
-    /// Sets the share to what the service that allows the least does.
-    pub(super) fn adapt(&mut self, conditions: &Conditions<'_>, by_cost: bool) {
-        let needs = self.needs(conditions).into_iter();
-        let shares = needs.map(|need| conditions.share_allowed(&need));
+    /// Sets the admitted share to the smallest share that a needed service allows.
+    pub(super) fn adapt(&mut self, conditions: &Conditions<'_>, shed_by_cost: bool) {
+        let services = self.needed_services(conditions).into_iter();
+        let shares = services.map(|needed| conditions.allowed_share(&needed));
         let allowed = shares.fold(1.0, f64::min);
-        self.admitted_share = if by_cost {
-            allowed.max(self.costs.least_share())
+        self.admitted_share = if shed_by_cost {
+            allowed.max(self.costs.min_share())
         } else {
             allowed
         };
     }
 
-    /// The services that its requests need: those named by its answers, or all that can be reached
-    /// from its service until enough answers have come.
-    fn needs(&self, conditions: &Conditions<'_>) -> Vec<Need> {
-        let Some(known) = self.costs.known() else {
+    /// Returns the services with known costs and the first service of the route. While the costs
+    /// are unknown, returns all services that are reachable from the first service.
+    fn needed_services(&self, conditions: &Conditions<'_>) -> Vec<NeededService> {
+        let Some(costs) = self.costs.known_costs() else {
             let reachable = conditions.loads.reachable_from(&self.service).into_iter();
             return reachable
-                .map(|service| self.uncosted_need(service))
+                .map(|service| self.needed_service_without_cost(service))
                 .collect();
         };
-        let mut needs: Vec<Need> = known
-            .map(|(service, cost)| self.need(service, cost, &conditions.cheapest))
+        let mut services: Vec<NeededService> = costs
+            .map(|(service, cost)| self.needed_service(service, cost, &conditions.cheapest))
             .collect();
-        if needs.iter().all(|need| need.service != self.service) {
-            needs.push(self.uncosted_need(self.service.clone()));
+        if services.iter().all(|needed| needed.service != self.service) {
+            services.push(self.needed_service_without_cost(self.service.clone()));
         }
-        needs
+        services
     }
 
-    fn need(&self, service: &Arc<str>, cost: f64, cheapest: &CheapestCosts) -> Need {
-        let of_cost = cheapest.cost_weight(service, self.priority, cost);
-        let of_route = priority_weight(self.priority) * of_cost;
-        Need {
+    fn needed_service(
+        &self,
+        service: &Arc<str>,
+        cost: f64,
+        cheapest: &CheapestCosts,
+    ) -> NeededService {
+        let cost_factor = cheapest.cost_factor(service, self.priority, cost);
+        let route_factor = priority_factor(self.priority) * cost_factor;
+        NeededService {
             service: service.clone(),
-            weight: tenant_weight(self.tenants_after) * of_route,
+            weight: tenant_factor(self.lower_tenant_ranks) * route_factor,
         }
     }
 
-    /// The need of a service whose cost to it is unknown or nothing.
-    fn uncosted_need(&self, service: Arc<str>) -> Need {
-        Need {
+    /// Returns a needed service whose cost is unknown or negligible, weighted by rank and priority
+    /// only.
+    fn needed_service_without_cost(&self, service: Arc<str>) -> NeededService {
+        NeededService {
             service,
-            weight: tenant_weight(self.tenants_after) * priority_weight(self.priority),
+            weight: tenant_factor(self.lower_tenant_ranks) * priority_factor(self.priority),
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/admission/services.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/services.rs
@@ -1,4 +1,4 @@
-//! Load of all services, as one node sees it in one tick.
+//! Load of all services in one tick, as seen by one node.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -8,17 +8,17 @@
 use super::level::ServicePressure;
 use crate::protocol::{Load, PeerStatus};
 
-/// Sums over the back ends of one service that take work.
+/// Sums over the back ends of one service that accept work.
 #[derive(Debug, Default)]
 struct ServiceLoad {
     /// Slots in use.
     limit: f64,
-    /// Calls that run or wait.
+    /// Running and waiting calls.
     calls: f64,
-    /// Work that arrives, in slots.
+    /// Offered load in slots.
     offered: f64,
-    /// Services that its back ends call, also those of back ends that take no work.
-    called: HashSet<Arc<str>>,
+    /// Services called by any back end of the service, including back ends that accept no work.
+    called_services: HashSet<Arc<str>>,
 }
 
 /// Load of all services, as reported by the nodes beside their back ends.
@@ -26,10 +26,11 @@
 pub struct ServiceLoads(HashMap<Arc<str>, ServiceLoad>);
 
 impl ServiceLoads {
-    /// Adds the status of a node beside a back end of a service.
+    /// Adds the status of one node. `takes_work` is false if its back end accepts no work; the
+    /// status then contributes only the services that the back end calls.
     pub fn add(&mut self, service: &Arc<str>, status: &PeerStatus, takes_work: bool) {
-        let sums = self.0.entry(service.clone()).or_default();
-        sums.called.extend(status.calls.iter().cloned());
+        let totals = self.0.entry(service.clone()).or_default();
+        totals.called_services.extend(status.calls.iter().cloned());
         if takes_work {
             let Load {
                 limit,
@@ -37,41 +38,40 @@
                 queued,
                 ..
             } = status.load;
-            sums.limit += f64::from(limit);
-            sums.calls += f64::from(in_flight) + f64::from(queued);
-            sums.offered += f64::from(limit) * status.load.offered_share();
+            totals.limit += f64::from(limit);
+            totals.calls += f64::from(in_flight) + f64::from(queued);
+            totals.offered += f64::from(limit) * status.load.offered_share();
         }
     }
 
-    /// Names of all services.
     pub(super) fn names(&self) -> impl Iterator<Item = &Arc<str>> {
         self.0.keys()
     }
 
-    /// How busy a service is; `None` while no back end of it takes work.
+    /// Returns the load relative to the capacity, or `None` while no back end accepts work.
     pub(super) fn pressure(&self, service: &str) -> Option<ServicePressure> {
-        let sums = self.0.get(service).filter(|sums| sums.limit > 0.0)?;
+        let totals = self.0.get(service).filter(|totals| totals.limit > 0.0)?;
         Some(ServicePressure {
-            offered: sums.offered / sums.limit,
-            fullness: sums.calls / sums.limit,
+            offered: totals.offered / totals.limit,
+            fullness: totals.calls / totals.limit,
         })
     }
 
-    /// A service and all services below it, by the calls that back ends report.
+    /// Returns the service and all services that its calls reach, directly or indirectly.
     pub(super) fn reachable_from(&self, service: &Arc<str>) -> Vec<Arc<str>> {
-        let mut found = vec![service.clone()];
-        let mut next = 0;
-        while let Some(service) = found.get(next).cloned() {
-            next += 1;
-            let Some(sums) = self.0.get(&service) else {
+        let mut reachable = vec![service.clone()];
+        let mut next_index = 0;
+        while let Some(service) = reachable.get(next_index).cloned() {
+            next_index += 1;
+            let Some(totals) = self.0.get(&service) else {
                 continue;
             };
-            for called in &sums.called {
-                if !found.contains(called) {
-                    found.push(called.clone());
+            for called in &totals.called_services {
+                if !reachable.contains(called) {
+                    reachable.push(called.clone());
                 }
             }
         }
-        found
+        reachable
     }
 }
--- a/crates/tallybridge-mesh/src/tables/admission/weights.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/weights.rs
@@ -1,67 +1,60 @@
-//! The weight of a route at a service: which requests are refused first, and in what proportion.
+//! The weight of a route at a service determines which requests are shed first.
 //!
-//! **Rule.** The weight is the product of three factors: the rank of the tenant, the priority of the
-//! route, and the square root of how much cheaper the cheapest route of that priority is for the
-//! service. The admitted shares of two routes keep the proportion of their weights once both are
-//! shed.
-//!
-//! **Why.** Refusing a costly request frees more than refusing a cheap one, so more requests are
-//! served if costly ones go first. Why by the square root: Origin not recorded.
+//! The weight is the product of three factors: the rank of the tenant, the priority of the route,
+//! and the square root of *cost of the cheapest route of that priority / cost of this route*.
+//! Shedding costly requests first serves more requests with the same capacity. The admitted shares
+//! of two routes that are both shed have the ratio of their weights.
 
 use std::{collections::HashMap, sync::Arc};
 
 use super::route::RouteAdmission;
 
-/// Weight by priority, the most urgent first.
+/// Factor by priority, the most urgent first.
 ///
-/// At 3 the most urgent requests are all admitted until two thirds of the least urgent ones are
-/// shed. A weight of 4 made no difference on recorded days, and at a third of the deepest service
-/// the simulated chain served 0.22 of all requests instead of the 0.25 required
-/// (`docs/DECISIONS.md`). 1.74 equals 3 x [`LEAST_COST_WEIGHT`], so that no costly request falls
-/// behind a cheap one of the next priority.
-const PRIORITY_WEIGHT: [f64; 3] = [3.0, 1.74, 1.0];
-/// Factor for each priority of tenants below a tenant's own. It exceeds 3 / [`LEAST_WEIGHT`] = 5.17,
-/// the greatest ratio of two routes' weights, so that a tenant's rank goes before any priority.
-const TENANT_WEIGHT: f64 = 5.4;
-/// Least factor by cost, for a route that costs the service three times as much as the cheapest one
-/// or more. The weights of two priorities differ by more than that, and no route starves behind
-/// cheaper ones. Origin of the figure not recorded.
-const LEAST_COST_WEIGHT: f64 = 0.58;
-/// Least weight that a request can have, of all tenants, priorities and costs.
-pub(super) const LEAST_WEIGHT: f64 = PRIORITY_WEIGHT[2] * LEAST_COST_WEIGHT;
-
-/// Factor by the rank of the tenant: `tenants_after` priorities of tenants come after its own.
-pub(super) fn tenant_weight(tenants_after: u8) -> f64 {
-    TENANT_WEIGHT.powi(tenants_after.into())
+/// The middle value is 3 x [`MIN_COST_FACTOR`], so that the costliest request of the most urgent
+/// priority does not rank below a cheap request of the next priority.
+const PRIORITY_FACTORS: [f64; 3] = [3.0, 1.74, 1.0];
+/// Factor for each tenant priority below that of the tenant. It exceeds 3 / [`MIN_WEIGHT`] = 5.17,
+/// the largest ratio of the weights of two routes, so that the tenant rank takes precedence over
+/// the priority.
+const TENANT_RANK_FACTOR: f64 = 5.4;
+/// Minimum cost factor, which keeps costly routes from starving.
+const MIN_COST_FACTOR: f64 = 0.58;
+/// Minimum weight of a request.
+pub(super) const MIN_WEIGHT: f64 = PRIORITY_FACTORS[2] * MIN_COST_FACTOR;
+
+/// Returns the factor of a tenant; `lower_tenant_ranks` counts the tenant priorities below its own.
+pub(super) fn tenant_factor(lower_tenant_ranks: u8) -> f64 {
+    TENANT_RANK_FACTOR.powi(lower_tenant_ranks.into())
 }
 
-/// Factor by the priority of the route; 0 is the most urgent, and all above 2 count as 2.
-pub(super) fn priority_weight(priority: u8) -> f64 {
-    PRIORITY_WEIGHT[usize::from(priority.min(2))]
+/// Returns the factor of a priority; 0 is the most urgent, and values above 2 count as 2.
+pub(super) fn priority_factor(priority: u8) -> f64 {
+    PRIORITY_FACTORS[usize::from(priority.min(2))]
 }
 
-/// The least that a request of each priority costs each service, in seconds of its slots.
+/// Lowest cost, in slot seconds, of a request of each priority at each service.
 #[derive(Default)]
 pub(super) struct CheapestCosts(HashMap<(Arc<str>, u8), f64>);
 
 impl CheapestCosts {
-    /// The least costs among routes, of those whose costs are known.
-    pub(super) fn of<'a>(routes: impl Iterator<Item = &'a RouteAdmission>) -> Self {
+    /// Collects the lowest costs among the routes with known costs.
+    pub(super) fn from_routes<'a>(routes: impl Iterator<Item = &'a RouteAdmission>) -> Self {
         let mut cheapest = Self::default();
         for route in routes {
-            for (service, cost) in route.costs.known().into_iter().flatten() {
+            for (service, cost) in route.costs.known_costs().into_iter().flatten() {
                 let key = (service.clone(), route.priority());
-                let least = cheapest.0.entry(key).or_insert(cost);
-                *least = least.min(cost);
+                let lowest = cheapest.0.entry(key).or_insert(cost);
+                *lowest = lowest.min(cost);
             }
         }
         cheapest
     }
 
-    /// Factor for a route that costs a service `cost` seconds, above 0.
-    pub(super) fn cost_weight(&self, service: &Arc<str>, priority: u8, cost: f64) -> f64 {
+    /// Returns the factor of a route that costs a service `cost` seconds. `cost` must be positive.
+    pub(super) fn cost_factor(&self, service: &Arc<str>, priority: u8, cost: f64) -> f64 {
         let key = (service.clone(), priority);
         let cheapest = self.0.get(&key).copied().unwrap_or(cost);
-        (cheapest / cost).sqrt().clamp(LEAST_COST_WEIGHT, 1.0)
+        (cheapest / cost).sqrt().clamp(MIN_COST_FACTOR, 1.0)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/entry.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/entry.rs
@@ -1,4 +1,4 @@
-//! Tokens that an entry holds, and how many it asks for.
+//! Tokens that an entry stores, and the number of tokens that it requests from an owner.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -6,80 +6,79 @@
 use crate::clock::BootInstant;
 use crate::protocol::{EpochSpending, WindowSpending};
 
-/// Time after which tokens that were asked for ahead expire. What all entries hold together is missing from
-/// the owner's bucket, so it must be little beside the overage that users allow (a tenth of five seconds'
-/// worth).
+/// Lifetime of prefetched tokens. It is short because unused tokens at entries are missing from the
+/// bucket of the owner.
 const TOKEN_LIFETIME: Duration = Duration::from_millis(250);
-/// Part of a second for which tokens are asked ahead. A tenant that sends fewer than ten requests a second
-/// to an entry is asked for one by one; one with a limit of 1,000 a second over 82 nodes then costs 0.36
-/// messages a request (`docs/design/quotas.md`).
-const AHEAD_S: f64 = 0.1;
-/// Time constant in seconds over which the rate decays by which tokens are asked ahead. Origin not
-/// recorded.
-const RATE_DECAY_S: f64 = 1.0;
-/// Longest time for which requests are refused without asking the owner again: shorter than the 55 ms for
-/// which a new owner waits for reports of what was granted before.
-const SPENT_MAX: Duration = Duration::from_millis(50);
-/// Time without a request after which a tenant's row is forgotten. Origin not recorded.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Time, in seconds, for which an entry prefetches the tokens that a tenant is expected to need. A
+/// tenant that sends fewer than ten requests per second to the entry gets no prefetched tokens.
+const PREFETCH_SECONDS: f64 = 0.1;
+/// Time constant, in seconds, of the decaying request rate.
+const RATE_DECAY_SECONDS: f64 = 1.0;
+/// Maximum time for which an entry refuses requests without asking the owner. It must be shorter
+/// than the 55 ms for which a new owner collects reports of earlier grants.
+const MAX_LOCAL_REFUSAL: Duration = Duration::from_millis(50);
+/// Time without a request after which the state of a tenant is dropped.
+const FORGET_IDLE_AFTER: Duration = Duration::from_secs(30);
 
-/// What an entry can say of a request without asking the tenant's owner.
+/// Decision that an entry makes without asking the owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TokenAnswer {
-    /// It held a token, which is spent now.
+    /// The request is admitted with a stored token.
     Admitted,
-    /// The owner said a moment ago that the tenant is at its limit; with the time after which to come back.
+    /// The owner recently reported that the tenant is at its limit. Contains the time after which
+    /// to retry.
     Spent(Duration),
-    /// A token is to be asked for.
+    /// The entry must ask the owner for a token.
     Ask {
-        /// Tokens that are wanted besides.
+        /// Tokens to prefetch in addition to the first.
         ahead: u32,
-        /// Requests that this entry admitted within the last window.
+        /// Requests of the tenant that this entry admitted within the last window.
         spent: u32,
-        /// What owners granted, as they reported it to this entry.
+        /// Grants of all owners within the last window, as far as this entry knows.
         fleet: WindowSpending,
     },
 }
 
-/// Tokens of one entry, by the tenant's name.
+/// Tokens that one entry stores for each tenant.
 #[derive(Debug)]
 pub struct EntryTokens {
-    rows: HashMap<Arc<str>, EntryRow>,
+    tenants: HashMap<Arc<str>, TenantState>,
     window: Duration,
 }
 
 impl EntryTokens {
-    /// No tokens. `window` is the span over which a limit holds.
+    /// Creates an empty table; `window` is the time over which requests are counted against a
+    /// limit.
     #[must_use]
     pub fn new(window: Duration) -> Self {
         Self {
-            rows: HashMap::new(),
+            tenants: HashMap::new(),
             window,
         }
     }
 
-    /// A request of a tenant has come.
+    /// Decides on a request of a tenant and takes a stored token if one is available.
     pub fn request(&mut self, tenant: &Arc<str>, now: BootInstant) -> TokenAnswer {
         let window = self.window;
-        let row = self.row(tenant, now);
-        row.note_request(now);
-        if row.tokens > 0 && now < row.expire_at {
-            row.tokens -= 1;
-            row.spending.note(window, now);
+        let state = self.tenant_state(tenant, now);
+        state.record_request(now);
+        if state.tokens > 0 && now < state.tokens_expire_at {
+            state.tokens -= 1;
+            state.admitted.record(window, now);
             return TokenAnswer::Admitted;
         }
-        if now < row.spent_until {
-            return TokenAnswer::Spent(row.spent_wait);
+        if now < state.at_limit_until {
+            return TokenAnswer::Spent(state.retry_after);
         }
         TokenAnswer::Ask {
-            ahead: (row.rate * AHEAD_S) as u32,
-            spent: row.spending.within(window, now),
-            fleet: row.fleet.report(now),
+            ahead: (state.request_rate * PREFETCH_SECONDS) as u32,
+            spent: state.admitted.in_window(window, now),
+            fleet: state.fleet.report(now),
         }
     }
 
-    /// The owner granted tokens: one for a request that is admitted now, the others are kept. `fleet` is
-    /// what it knows of all grants within the last window.
+    /// Records a grant of the owner. One token admits a request now, and the others are stored.
+    /// `fleet` holds the grants within the last window that the owner knows.
     pub fn granted(
         &mut self,
         tenant: &Arc<str>,
@@ -88,27 +87,28 @@
         now: BootInstant,
     ) {
         let window = self.window;
-        let row = self.row(tenant, now);
-        row.spending.note(window, now);
-        row.fleet.merge(fleet, now);
+        let state = self.tenant_state(tenant, now);
+        state.admitted.record(window, now);
+        state.fleet.merge(fleet, now);
         self.keep(tenant, tokens.saturating_sub(1), now);
     }
 
-    /// Keeps tokens beyond the one that a request needs, or one that was not used after all.
+    /// Stores prefetched tokens, or a token whose request did not run.
     pub fn keep(&mut self, tenant: &Arc<str>, tokens: u32, now: BootInstant) {
         if tokens == 0 {
             return;
         }
-        let row = self.row(tenant, now);
-        if now >= row.expire_at {
-            row.tokens = 0;
+        let state = self.tenant_state(tenant, now);
+        if now >= state.tokens_expire_at {
+            state.tokens = 0;
         }
-        row.tokens += tokens;
-        row.expire_at = now + TOKEN_LIFETIME;
+        state.tokens += tokens;
+        state.tokens_expire_at = now + TOKEN_LIFETIME;
     }
 
-    /// The owner says that the tenant is at its limit, with the time after which to come back and what it
-    /// knows of all grants within the last window.
+    /// Records that the owner refused a token because the tenant is at its limit. `wait` is the
+    /// time after which to retry, and `fleet` holds the grants within the last window that the
+    /// owner knows.
     pub fn spent(
         &mut self,
         tenant: &Arc<str>,
@@ -116,55 +116,61 @@
         fleet: &[EpochSpending],
         now: BootInstant,
     ) {
-        let row = self.row(tenant, now);
-        row.fleet.merge(fleet, now);
-        row.spent_until = now + wait.min(SPENT_MAX);
-        row.spent_wait = wait;
+        let state = self.tenant_state(tenant, now);
+        state.fleet.merge(fleet, now);
+        state.at_limit_until = now + wait.min(MAX_LOCAL_REFUSAL);
+        state.retry_after = wait;
     }
 
-    /// Forgets tenants that send nothing.
+    /// Drops the state of tenants that have sent no request recently.
     pub fn forget_idle(&mut self, now: BootInstant) {
-        self.rows
-            .retain(|_, row| now.saturating_duration_since(row.rate_at) < FORGET_AFTER);
+        self.tenants.retain(|_, state| {
+            now.saturating_duration_since(state.rate_updated_at) < FORGET_IDLE_AFTER
+        });
     }
 
-    fn row(&mut self, tenant: &Arc<str>, now: BootInstant) -> &mut EntryRow {
+    fn tenant_state(&mut self, tenant: &Arc<str>, now: BootInstant) -> &mut TenantState {
         let window = self.window;
-        self.rows.entry(tenant.clone()).or_insert_with(|| EntryRow {
-            tokens: 0,
-            expire_at: now,
-            rate: 0.0,
-            rate_at: now,
-            spent_until: now,
-            spent_wait: Duration::ZERO,
-            spending: EntrySpending::default(),
-            fleet: FleetSpending::new(window),
-        })
+        self.tenants
+            .entry(tenant.clone())
+            .or_insert_with(|| TenantState {
+                tokens: 0,
+                tokens_expire_at: now,
+                request_rate: 0.0,
+                rate_updated_at: now,
+                at_limit_until: now,
+                retry_after: Duration::ZERO,
+                admitted: EntrySpending::default(),
+                fleet: FleetSpending::new(window),
+            })
     }
 }
 
-/// One tenant at an entry.
+/// State of one tenant at an entry.
 #[derive(Debug)]
-struct EntryRow {
+struct TenantState {
     tokens: u32,
-    expire_at: BootInstant,
-    /// Requests a second, decaying.
-    rate: f64,
-    rate_at: BootInstant,
-    /// Until when requests are refused without an ask.
-    spent_until: BootInstant,
-    /// Time to come back that the owner last gave.
-    spent_wait: Duration,
-    /// What this entry admitted, whoever the owner was.
-    spending: EntrySpending,
-    /// What owners granted, to be passed on.
+    tokens_expire_at: BootInstant,
+    /// Requests per second, with exponential decay.
+    request_rate: f64,
+    rate_updated_at: BootInstant,
+    /// Time until which requests are refused without asking the owner.
+    at_limit_until: BootInstant,
+    /// Time after which to retry, from the last refusal of the owner.
+    retry_after: Duration,
+    /// Requests that this entry admitted, whichever node was the owner.
+    admitted: EntrySpending,
+    /// Known grants of all owners, which the entry reports to the next owner.
     fleet: FleetSpending,
 }
 
-impl EntryRow {
-    fn note_request(&mut self, now: BootInstant) {
-        let elapsed = now.saturating_duration_since(self.rate_at).as_secs_f64();
-        self.rate = self.rate * (-elapsed / RATE_DECAY_S).exp() + 1.0 / RATE_DECAY_S;
-        self.rate_at = now;
+impl TenantState {
+    fn record_request(&mut self, now: BootInstant) {
+        let elapsed = now
+            .saturating_duration_since(self.rate_updated_at)
+            .as_secs_f64();
+        self.request_rate =
+            self.request_rate * (-elapsed / RATE_DECAY_SECONDS).exp() + 1.0 / RATE_DECAY_SECONDS;
+        self.rate_updated_at = now;
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/epochs.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/epochs.rs
@@ -1,10 +1,11 @@
-//! How many tokens of a tenant its owners granted, by epochs of owners and parts of the window.
+//! Counts the tokens that all owners of a tenant granted within the last window.
 //!
-//! An owner reports this with each grant, and entries pass it on to the next owner. An *epoch* is a
-//! time for which one node is the owner without a break. What was granted in one epoch only grows,
-//! so of two reports of it the one with the greater total is the newer: no grant counts twice or is
-//! missed, whichever way the reports came. The window is counted in parts since a burst must leave
-//! it when it is over, not before. Other ways and their counts: `docs/design/quotas.md`.
+//! An *epoch* is a time for which one node is the owner without interruption. Owners report their
+//! grants by epoch to entries, and entries pass the reports on to the next owner. The total of an
+//! epoch never decreases, so the report with the greater total is the newer one, and merging
+//! reports in any order neither misses a grant nor counts a grant twice.
+//!
+//! The window is divided into parts, so that a burst leaves the count only after a whole window.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -14,42 +15,41 @@
     protocol::{EpochSpending, WindowSpending},
 };
 
-/// Parts that are kept of an epoch: those of a window, and the one before them.
-const KEPT_PARTS: usize = WINDOW_PARTS as usize + 1;
-/// Most epochs in a report, the newest first: far more than owners that a tenant has within a window.
-/// Origin of the figure not recorded.
-const MAX_EPOCHS: usize = 64;
+/// Number of parts stored for each epoch: those of a window and one more.
+const STORED_PARTS: usize = WINDOW_PARTS as usize + 1;
+/// Maximum number of epochs in a report. A tenant has far fewer owners within a window.
+const MAX_REPORTED_EPOCHS: usize = 64;
 
-/// What one node knows of the grants by all owners of a tenant.
+/// Grants of all owners of one tenant, as far as one node knows.
 #[derive(Debug)]
 pub struct FleetSpending {
     epochs: HashMap<u32, EpochWindow>,
-    part: Duration,
+    part_length: Duration,
 }
 
 impl FleetSpending {
-    /// Nothing is known yet of what was granted within `window`.
     #[must_use]
     pub fn new(window: Duration) -> Self {
         Self {
             epochs: HashMap::new(),
-            part: (window / WINDOW_PARTS).max(Duration::from_millis(1)),
+            part_length: (window / WINDOW_PARTS).max(Duration::from_millis(1)),
         }
     }
 
-    /// Tokens that were granted within the last window, and up to one part of it before that.
-    pub fn within(&mut self, now: BootInstant) -> u32 {
+    /// Returns the number of tokens granted within the last window. The count may include up to one
+    /// more part of the window.
+    pub fn in_window(&mut self, now: BootInstant) -> u32 {
         self.advance(now);
         self.epochs.values().map(EpochWindow::sum).sum()
     }
 
-    /// The same without those of one epoch.
-    pub fn within_except(&mut self, epoch: u32, now: BootInstant) -> u32 {
-        let all = self.within(now);
-        all - self.epochs.get(&epoch).map_or(0, EpochWindow::sum)
+    /// Returns the same count without the grants of one epoch.
+    pub fn in_window_except(&mut self, epoch: u32, now: BootInstant) -> u32 {
+        let total = self.in_window(now);
+        total - self.epochs.get(&epoch).map_or(0, EpochWindow::sum)
     }
 
-    /// What this node knows, for another one: the epochs with the newest grants.
+    /// Returns a report for another node with the epochs that have the newest grants.
     pub fn report(&mut self, now: BootInstant) -> WindowSpending {
         self.advance(now);
         let epochs = self.epochs.iter();
@@ -60,91 +60,94 @@
             let newest_part = epoch.requests.iter().position(|count| *count > 0);
             (newest_part, epoch.age_ms)
         });
-        report.truncate(MAX_EPOCHS);
+        report.truncate(MAX_REPORTED_EPOCHS);
         report
     }
 
-    /// Takes in what another node knows.
+    /// Merges the report of another node.
     pub fn merge(&mut self, report: &[EpochSpending], now: BootInstant) {
         for reported in report {
-            let known = self.epochs.get(&reported.epoch);
-            if known.is_none_or(|known| reported.total > known.total) {
-                let window = EpochWindow::reported(reported, now);
+            let stored = self.epochs.get(&reported.epoch);
+            if stored.is_none_or(|stored| reported.total > stored.total) {
+                let window = EpochWindow::from_report(reported, now);
                 self.epochs.insert(reported.epoch, window);
             }
         }
         self.advance(now);
     }
 
-    /// This node granted tokens in an epoch of its own.
-    pub fn add(&mut self, epoch: u32, tokens: u32, now: BootInstant) {
+    /// Records tokens that this node granted as the owner in `epoch`.
+    pub fn record_grant(&mut self, epoch: u32, tokens: u32, now: BootInstant) {
         self.advance(now);
         let window = self.epochs.entry(epoch).or_insert(EpochWindow {
             total: 0,
-            requests: [0; KEPT_PARTS],
-            began: now,
+            tokens_by_part: [0; STORED_PARTS],
+            part_started_at: now,
         });
         window.total = window.total.saturating_add(tokens);
         let tokens = u16::try_from(tokens).unwrap_or(u16::MAX);
-        window.requests[0] = window.requests[0].saturating_add(tokens);
+        window.tokens_by_part[0] = window.tokens_by_part[0].saturating_add(tokens);
     }
 
+    /// Moves the window to `now` and drops epochs without a grant in it.
     fn advance(&mut self, now: BootInstant) {
         for window in self.epochs.values_mut() {
-            window.advance(self.part, now);
+            window.advance(self.part_length, now);
         }
         self.epochs.retain(|_, window| window.sum() > 0);
     }
 }
 
-/// What was granted in one epoch.
+/// Grants of one epoch.
 #[derive(Debug)]
 struct EpochWindow {
-    /// All that was granted since the epoch began.
+    /// Tokens granted since the epoch started.
     total: u32,
-    /// By part of the window, the newest first.
-    requests: [u16; KEPT_PARTS],
-    /// When the newest part began.
-    began: BootInstant,
+    /// Tokens granted in each part of the window, the newest first.
+    tokens_by_part: [u16; STORED_PARTS],
+    /// Start of the newest part.
+    part_started_at: BootInstant,
 }
 
 impl EpochWindow {
-    /// What another node reported of an epoch.
-    fn reported(report: &EpochSpending, now: BootInstant) -> Self {
-        let mut requests = [0; KEPT_PARTS];
-        for (count, reported) in requests.iter_mut().zip(&report.requests) {
+    fn from_report(report: &EpochSpending, now: BootInstant) -> Self {
+        let mut tokens_by_part = [0; STORED_PARTS];
+        for (count, reported) in tokens_by_part.iter_mut().zip(&report.requests) {
             *count = *reported;
         }
         let age = Duration::from_millis(report.age_ms.into());
         Self {
             total: report.total,
-            requests,
-            began: now.checked_sub(age).unwrap_or(now),
+            tokens_by_part,
+            part_started_at: now.checked_sub(age).unwrap_or(now),
         }
     }
 
-    /// Lets parts leave the window.
-    fn advance(&mut self, part: Duration, now: BootInstant) {
-        let age = now.saturating_duration_since(self.began);
-        let passed = u32::try_from(age.as_nanos() / part.as_nanos()).unwrap_or(u32::MAX);
-        let shifted = (passed as usize).min(self.requests.len());
-        self.requests.rotate_right(shifted);
-        self.requests[..shifted].fill(0);
-        self.began += part.saturating_mul(passed);
+    /// Drops the parts that have left the window.
+    fn advance(&mut self, part_length: Duration, now: BootInstant) {
+        let age = now.saturating_duration_since(self.part_started_at);
+        let elapsed_parts =
+            u32::try_from(age.as_nanos() / part_length.as_nanos()).unwrap_or(u32::MAX);
+        let shifted = (elapsed_parts as usize).min(self.tokens_by_part.len());
+        self.tokens_by_part.rotate_right(shifted);
+        self.tokens_by_part[..shifted].fill(0);
+        self.part_started_at += part_length.saturating_mul(elapsed_parts);
     }
 
     fn sum(&self) -> u32 {
-        self.requests.iter().copied().map(u32::from).sum()
+        self.tokens_by_part.iter().copied().map(u32::from).sum()
     }
 
     fn report(&self, epoch: u32, now: BootInstant) -> EpochSpending {
-        let age = now.saturating_duration_since(self.began).as_millis();
-        let used = self.requests.iter().rposition(|requests| *requests > 0);
+        let age = now
+            .saturating_duration_since(self.part_started_at)
+            .as_millis();
+        let last_used = self.tokens_by_part.iter().rposition(|tokens| *tokens > 0);
         EpochSpending {
             epoch,
             total: self.total,
             age_ms: u16::try_from(age).unwrap_or(u16::MAX),
-            requests: self.requests[..used.map_or(0, |last| last + 1)].to_vec(),
+            requests: self.tokens_by_part[..last_used.map_or(0, |index| index + 1)].to_vec(),
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -1,4 +1,4 @@
-//! The buckets of the tenants that this node owns: who is given a token.
+//! Token buckets of the tenants that this node owns.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -9,45 +9,40 @@
     configuration::tenants::{RateLimit, Tenant},
 };
 
-/// Time without an ask after which a bucket is forgotten: it is full again by then, or nearly.
-/// Origin of the figure not recorded.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Time without an ask after which a bucket is dropped.
+const FORGET_IDLE_AFTER: Duration = Duration::from_secs(60);
 
-/// An owner that was not asked for this time before the nodes in reach changed may have lost the
-/// role meanwhile. A tenant at its limit is asked for by each of its entries every 50 ms, so
-/// several times in it.
-const SHORTEST_BREAK: Duration = Duration::from_millis(150);
+/// Minimum time without an ask, before a change of the reachable nodes, after which this node may
+/// have lost the ownership. Each entry of a tenant at its limit asks every 50 ms.
+const MIN_OWNERSHIP_GAP: Duration = Duration::from_millis(150);
 
-/// Time for which a new owner gives nothing, if another node may have granted tokens within the window:
-/// longer than the 50 ms after which entries at the limit ask again, so that they have reported to it. An
-/// entry that has just started knows of no grants and has nothing to wait for, so it asks first; a token
-/// for it at once is one for each new owner on top of a full window (54 requests of 53 allowed with an owner
-/// each 0.2 s, 52 to 54 of 40 with one each 0.13 s). Entries that are turned away ask again after 30 ms, so
-/// that their requests wait and none is refused.
-const GATHER: Duration = Duration::from_millis(55);
+/// Time for which a new owner collects reports of earlier grants before its first grant. It must be
+/// longer than the 50 ms after which entries of a tenant at its limit ask again; otherwise each new
+/// owner would grant tokens in addition to a full window.
+const REPORT_COLLECTION_TIME: Duration = Duration::from_millis(55);
 
-/// Part of the window after which to come back when the window is full. Origin not recorded.
-const FULL_WAIT: f64 = 0.1;
+/// Fraction of the window after which to retry when the window is full.
+const FULL_WINDOW_RETRY_FRACTION: f64 = 0.1;
 
-/// Buckets of the tenants that this node owns or owned, by name.
+/// Buckets of the tenants that this node owns or has owned.
 #[derive(Debug)]
 pub struct OwnedQuotas {
-    rows: HashMap<Arc<str>, OwnedRow>,
+    quotas: HashMap<Arc<str>, OwnedQuota>,
     slack: QuotaSlack,
 }
 
 impl OwnedQuotas {
-    /// No buckets yet.
+    /// Creates an empty table.
     #[must_use]
     pub fn new(slack: QuotaSlack) -> Self {
         Self {
-            rows: HashMap::new(),
+            quotas: HashMap::new(),
             slack,
         }
     }
 
-    /// Gives a tenant a token, and up to [`QuotaAsk::ahead`] more if it is far from its limit.
-    /// `since` is when this node became the owner at the latest ([`Ownership::since`]).
+    /// Grants a token, and up to [`QuotaAsk::ahead`] more if the tenant is far from its limit.
+    /// `since` is the start of the current ownership ([`Ownership::since`]).
     ///
     /// [`Ownership::since`]: super::Ownership::since
     pub fn grant(
@@ -64,78 +59,86 @@
             };
         };
         let slack = self.slack;
-        let row = self.rows.entry(tenant.name.clone());
-        let row = row.or_insert_with(|| OwnedRow::new(limit, slack, since, now));
-        row.restart_after_break(slack.first_level(limit), since, now);
-        row.asked_at = now;
-        row.bucket.set_limit(limit, now);
-        row.fleet.merge(&ask.fleet, now);
-        let reported = row.reported.report(&ask, slack.window, now);
-        let may_have_followed = now.saturating_duration_since(since) < slack.window;
-        if row.is_gathering(may_have_followed, reported, now) {
+        let quota = self.quotas.entry(tenant.name.clone());
+        let quota = quota.or_insert_with(|| OwnedQuota::new(limit, slack, since, now));
+        quota.start_epoch_after_gap(slack.initial_tokens(limit), since, now);
+        quota.last_asked_at = now;
+        quota.bucket.set_limit(limit, now);
+        quota.fleet.merge(&ask.fleet, now);
+        let reported_total = quota.reported.record_report(&ask, slack.window, now);
+        let may_have_predecessor = now.saturating_duration_since(since) < slack.window;
+        if quota.is_collecting_reports(may_have_predecessor, reported_total, now) {
             return QuotaGrant::NotOwner;
         }
-        let in_window = reported.max(row.fleet.within(now).into());
-        if in_window + 1.0 > slack.most_in_window(limit) {
-            return row.refuse(slack.window.mul_f64(FULL_WAIT), now);
+        let window_total = reported_total.max(quota.fleet.in_window(now).into());
+        if window_total + 1.0 > slack.max_in_window(limit) {
+            return quota.refuse(slack.window.mul_f64(FULL_WINDOW_RETRY_FRACTION), now);
         }
-        row.grant(&ask, now)
+        quota.grant(&ask, now)
     }
 
-    /// Forgets buckets that nobody has asked for.
+    /// Drops buckets that no entry has asked for recently.
     pub fn forget_idle(&mut self, now: BootInstant) {
-        self.rows
-            .retain(|_, row| now.saturating_duration_since(row.asked_at) < FORGET_AFTER);
+        self.quotas.retain(|_, quota| {
+            now.saturating_duration_since(quota.last_asked_at) < FORGET_IDLE_AFTER
+        });
     }
 }
 
-/// One tenant at its owner.
+/// State of one tenant at its owner.
 #[derive(Debug)]
-struct OwnedRow {
+struct OwnedQuota {
     bucket: TokenBucket,
-    asked_at: BootInstant,
-    /// What entries admitted, as each reported it.
+    last_asked_at: BootInstant,
+    /// Requests that each entry reported as admitted.
     reported: ReportedSpending,
-    /// What owners granted, as entries passed it on and as this one did.
+    /// Grants of all owners, including this node.
     fleet: FleetSpending,
-    /// The number of this epoch: the time since this node is the owner without a break.
+    /// Random number of the current epoch.
     epoch: u32,
-    epoch_began: BootInstant,
+    epoch_started_at: BootInstant,
 }
 
-impl OwnedRow {
-    /// A row that begins at `since`: before that another node may have been the owner.
+impl OwnedQuota {
+    /// Creates a bucket that accumulates tokens from `since` on, because another node may have been
+    /// the owner before.
     fn new(limit: RateLimit, slack: QuotaSlack, since: BootInstant, now: BootInstant) -> Self {
         Self {
-            bucket: TokenBucket::new(limit, slack.first_level(limit), since),
-            asked_at: now,
+            bucket: TokenBucket::new(limit, slack.initial_tokens(limit), since),
+            last_asked_at: now,
             reported: ReportedSpending::default(),
             fleet: FleetSpending::new(slack.window),
             epoch: rand::random(),
-            epoch_began: now,
+            epoch_started_at: now,
         }
     }
 
-    /// Begins a new epoch if the node may not have been the owner for a while before `since`: what came to
-    /// the bucket meanwhile may have been granted by another owner.
-    fn restart_after_break(&mut self, first_level: f64, since: BootInstant, now: BootInstant) {
-        let break_length = since.saturating_duration_since(self.asked_at);
-        if break_length >= SHORTEST_BREAK {
-            self.bucket.restart(first_level, since);
+    /// Starts a new epoch if another node may have been the owner before `since`. The tokens that
+    /// arrived in the meantime are discarded, because the other owner may have granted them.
+    fn start_epoch_after_gap(&mut self, initial_tokens: f64, since: BootInstant, now: BootInstant) {
+        let gap = since.saturating_duration_since(self.last_asked_at);
+        if gap >= MIN_OWNERSHIP_GAP {
+            self.bucket.restart(initial_tokens, since);
             self.reported = ReportedSpending::default();
             self.epoch = rand::random();
-            self.epoch_began = now;
+            self.epoch_started_at = now;
         }
     }
 
-    /// Whether entries have yet to report what others granted before this epoch. Another node may have
-    /// been the owner within the window (`may_have_followed`), though nobody has said so yet.
-    fn is_gathering(&mut self, may_have_followed: bool, reported: f64, now: BootInstant) -> bool {
-        let is_new = now.saturating_duration_since(self.epoch_began) < GATHER;
-        is_new
-            && (may_have_followed
-                || reported > 0.0
-                || self.fleet.within_except(self.epoch, now) > 0)
+    /// Returns whether to wait for reports of earlier grants. `may_have_predecessor` is true if
+    /// another node may have been the owner within the window.
+    fn is_collecting_reports(
+        &mut self,
+        may_have_predecessor: bool,
+        reported_total: f64,
+        now: BootInstant,
+    ) -> bool {
+        let is_new_epoch =
+            now.saturating_duration_since(self.epoch_started_at) < REPORT_COLLECTION_TIME;
+        is_new_epoch
+            && (may_have_predecessor
+                || reported_total > 0.0
+                || self.fleet.in_window_except(self.epoch, now) > 0)
     }
 
     fn refuse(&mut self, wait: Duration, now: BootInstant) -> QuotaGrant {
@@ -146,11 +149,11 @@
     fn grant(&mut self, ask: &QuotaAsk, now: BootInstant) -> QuotaGrant {
         let tokens = self.bucket.take(ask.ahead, now);
         if tokens == 0 {
-            let wait = self.bucket.promise(now);
+            let wait = self.bucket.schedule_retry(now);
             return self.refuse(wait, now);
         }
-        self.reported.granted(ask.entry, tokens);
-        self.fleet.add(self.epoch, tokens, now);
+        self.reported.add_grant(ask.entry, tokens);
+        self.fleet.record_grant(self.epoch, tokens, now);
         let fleet = self.fleet.report(now);
         QuotaGrant::Tokens { tokens, fleet }
     }
--- a/crates/tallybridge-mesh/src/tables/quotas/spending.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/spending.rs
@@ -1,4 +1,4 @@
-//! How many requests of a tenant entries admitted within the last window.
+//! Counts the requests of a tenant that entries admitted within the last window.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -9,45 +9,47 @@
 use crate::clock::BootInstant;
 use crate::protocol::QuotaAsk;
 
-/// An entry at which a tenant is at its limit asks again within a window divided by this. Origin not
-/// recorded.
-const ASKS_WITHIN: u32 = 10;
+/// Minimum number of asks that an entry of a tenant at its limit sends in each window.
+const ASKS_PER_WINDOW: u32 = 10;
 
-/// What one entry admitted, by parts of the window.
+/// Requests that one entry admitted, by parts of the window.
 #[derive(Debug, Default)]
 pub struct EntrySpending(VecDeque<Part>);
 
 #[derive(Debug)]
 struct Part {
-    began: BootInstant,
+    started_at: BootInstant,
     requests: u32,
 }
 
 impl EntrySpending {
-    /// A request was admitted.
-    pub fn note(&mut self, window: Duration, now: BootInstant) {
-        self.forget(window, now);
+    /// Records an admitted request.
+    pub fn record(&mut self, window: Duration, now: BootInstant) {
+        self.drop_expired(window, now);
         match self.0.back_mut() {
-            Some(part) if now.saturating_duration_since(part.began) < window / WINDOW_PARTS => {
+            Some(part)
+                if now.saturating_duration_since(part.started_at) < window / WINDOW_PARTS =>
+            {
                 part.requests += 1;
             }
             _ => self.0.push_back(Part {
-                began: now,
+                started_at: now,
                 requests: 1,
             }),
         }
     }
 
-    /// Requests that were admitted within the last window, and up to one part of it before that.
-    pub fn within(&mut self, window: Duration, now: BootInstant) -> u32 {
-        self.forget(window, now);
+    /// Returns the number of requests admitted within the last window. The count may include up to
+    /// one more part of the window.
+    pub fn in_window(&mut self, window: Duration, now: BootInstant) -> u32 {
+        self.drop_expired(window, now);
         self.0.iter().map(|part| part.requests).sum()
     }
 
-    fn forget(&mut self, window: Duration, now: BootInstant) {
-        let kept = window + window / WINDOW_PARTS;
+    fn drop_expired(&mut self, window: Duration, now: BootInstant) {
+        let retention = window + window / WINDOW_PARTS;
         while let Some(first) = self.0.front() {
-            if now.saturating_duration_since(first.began) < kept {
+            if now.saturating_duration_since(first.started_at) < retention {
                 return;
             }
             self.0.pop_front();
@@ -55,45 +57,47 @@
     }
 }
 
-/// What all entries admitted, as they reported it to an owner, by the process of the entry.
+/// Newest report of each entry, by the process number of the entry.
 #[derive(Debug, Default)]
 pub struct ReportedSpending(HashMap<u64, EntryReport>);
 
 #[derive(Debug)]
 struct EntryReport {
     requests: f64,
-    at: BootInstant,
+    received_at: BootInstant,
 }
 
 impl EntryReport {
-    /// Requests of the report that the window still holds. A report counts in full until its entry is due
-    /// to send the next one; from then on its requests leave the window evenly.
-    fn within(&self, window: Duration, now: BootInstant) -> f64 {
-        let age = now.saturating_duration_since(self.at);
-        let age = age.saturating_sub(window / ASKS_WITHIN);
-        let left = age.as_secs_f64() / window.as_secs_f64().max(f64::MIN_POSITIVE);
-        self.requests * (1.0 - left).max(0.0)
+    /// Returns the number of reported requests still in the window. A report counts in full until
+    /// the next one is due; after that, its requests expire evenly.
+    fn in_window(&self, window: Duration, now: BootInstant) -> f64 {
+        let age = now.saturating_duration_since(self.received_at);
+        let age = age.saturating_sub(window / ASKS_PER_WINDOW);
+        let expired_fraction = age.as_secs_f64() / window.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.requests * (1.0 - expired_fraction).max(0.0)
     }
 }
 
 impl ReportedSpending {
-    /// Takes the report of an entry; gives what all admitted within the last window.
-    pub fn report(&mut self, ask: &QuotaAsk, window: Duration, now: BootInstant) -> f64 {
+    /// Records the report of an entry and returns the number of requests that all entries admitted
+    /// within the last window.
+    pub fn record_report(&mut self, ask: &QuotaAsk, window: Duration, now: BootInstant) -> f64 {
         let report = EntryReport {
             requests: ask.spent.into(),
-            at: now,
+            received_at: now,
         };
         self.0.insert(ask.entry, report);
         self.0
-            .retain(|_, report| now.saturating_duration_since(report.at) < window);
+            .retain(|_, report| now.saturating_duration_since(report.received_at) < window);
         self.0
             .values()
-            .map(|report| report.within(window, now))
+            .map(|report| report.in_window(window, now))
             .sum()
     }
 
-    /// An entry was granted tokens, with which it will admit requests.
-    pub fn granted(&mut self, entry: u64, tokens: u32) {
+    /// Counts granted tokens as requests of an entry, because the entry will admit requests with
+    /// them.
+    pub fn add_grant(&mut self, entry: u64, tokens: u32) {
         if let Some(report) = self.0.get_mut(&entry) {
             report.requests += f64::from(tokens);
         }
