Name the methods of AdmissionControl and EntryTokens after what they do

answered, granted or spent read as predicates, though they record events.

AdmissionControl::answered -> record_answer AdmissionControl::unanswered -> record_unanswered EntryTokens::request -> take_token EntryTokens::granted -> record_grant EntryTokens::keep -> store_tokens EntryTokens::spent -> record_limit_reached TokenAnswer::Spent -> TokenAnswer::AtLimit

Checked with cargo check and clippy of the workspace (all targets) and cargo doc of tallybridge-mesh: clean.

--- a/crates/tallybridge-mesh/src/node/admission.rs
+++ b/crates/tallybridge-mesh/src/node/admission.rs
@@ -19,12 +19,14 @@
     /// A back end answered a request of a route, well or with a failure of its own, after it held
     /// slots for these times.
     pub fn route_answered(&self, route: &Route, rank: TenantRank, well: bool, times: &SlotTimes) {
-        self.tables().admission.answered(route, rank, well, times);
+        self.tables()
+            .admission
+            .record_answer(route, rank, well, times);
     }
 
     /// An admitted request of a route ended without an answer of a back end.
     pub fn route_unanswered(&self, route: &Route, rank: TenantRank) {
-        self.tables().admission.unanswered(route, rank);
+        self.tables().admission.record_unanswered(route, rank);
     }
 
     /// What a request of each route costs each service that it is known to need, by route and service,
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -64,25 +64,25 @@
     #[must_use]
     pub fn take_held_token(&self, tenant: &Tenant) -> TokenAnswer {
         let entry = &mut self.tables().quota.entry;
-        entry.request(&tenant.name, BootInstant::now())
+        entry.take_token(&tenant.name, BootInstant::now())
     }
 
     /// The owner granted tokens, one of them for a request that is admitted now.
     pub fn tokens_granted(&self, tenant: &Tenant, tokens: u32, fleet: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
-        entry.granted(&tenant.name, tokens, fleet, BootInstant::now());
+        entry.record_grant(&tenant.name, tokens, fleet, BootInstant::now());
     }
 
     /// Keeps tokens that were granted and not used.
     pub fn keep_tokens(&self, tenant: &Tenant, tokens: u32) {
         let entry = &mut self.tables().quota.entry;
-        entry.keep(&tenant.name, tokens, BootInstant::now());
+        entry.store_tokens(&tenant.name, tokens, BootInstant::now());
     }
 
     /// The owner answered that the tenant is at its limit.
     pub fn tenant_spent(&self, tenant: &Tenant, wait: Duration, fleet: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
-        entry.spent(&tenant.name, wait, fleet, BootInstant::now());
+        entry.record_limit_reached(&tenant.name, wait, fleet, BootInstant::now());
     }
 
     /// The owner of a tenant's limit by the nodes that this one reaches.
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -41,7 +41,7 @@
     }
     let ask = match node.take_held_token(tenant) {
         TokenAnswer::Admitted => return Ok(()),
-        TokenAnswer::Spent(wait) => return Err(over_quota(wait)),
+        TokenAnswer::AtLimit(wait) => return Err(over_quota(wait)),
         TokenAnswer::Ask {
             ahead,
             spent,
--- a/crates/tallybridge-mesh/src/tables/admission/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/mod.rs
@@ -82,7 +82,7 @@
 
     /// Records that a back end answered a request; `succeeded` is false for a failure of the back
     /// end, and `times` holds the time for which the request held slots of each service.
-    pub fn answered(
+    pub fn record_answer(
         &mut self,
         route: &Route,
         rank: TenantRank,
@@ -108,7 +108,7 @@
     }
 
     /// Records that an admitted request ended without an answer of a back end.
-    pub fn unanswered(&mut self, route: &Route, rank: TenantRank) {
+    pub fn record_unanswered(&mut self, route: &Route, rank: TenantRank) {
         let key = (route.name.clone(), rank.after);
         if let Some(admission) = self.routes.get_mut(&key) {
             admission.costs.record_unanswered();
--- a/crates/tallybridge-mesh/src/tables/quotas/entry.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/entry.rs
@@ -27,7 +27,7 @@
     Admitted,
     /// The owner recently reported that the tenant is at its limit. Contains the time after which
     /// to retry.
-    Spent(Duration),
+    AtLimit(Duration),
     /// The entry must ask the owner for a token.
     Ask {
         /// Tokens to prefetch in addition to the first.
@@ -58,7 +58,7 @@
     }
 
     /// Decides on a request of a tenant and takes a stored token if one is available.
-    pub fn request(&mut self, tenant: &Arc<str>, now: BootInstant) -> TokenAnswer {
+    pub fn take_token(&mut self, tenant: &Arc<str>, now: BootInstant) -> TokenAnswer {
         let window = self.window;
         let state = self.tenant_state(tenant, now);
         state.record_request(now);
@@ -68,7 +68,7 @@
             return TokenAnswer::Admitted;
         }
         if now < state.at_limit_until {
-            return TokenAnswer::Spent(state.retry_after);
+            return TokenAnswer::AtLimit(state.retry_after);
         }
         TokenAnswer::Ask {
             ahead: (state.request_rate * PREFETCH_SECONDS) as u32,
@@ -79,7 +79,7 @@
 
     /// Records a grant of the owner. One token admits a request now, and the others are stored.
     /// `fleet` holds the grants within the last window that the owner knows.
-    pub fn granted(
+    pub fn record_grant(
         &mut self,
         tenant: &Arc<str>,
         tokens: u32,
@@ -90,11 +90,11 @@
         let state = self.tenant_state(tenant, now);
         state.admitted.record(window, now);
         state.fleet.merge(fleet, now);
-        self.keep(tenant, tokens.saturating_sub(1), now);
+        self.store_tokens(tenant, tokens.saturating_sub(1), now);
     }
 
     /// Stores prefetched tokens, or a token whose request did not run.
-    pub fn keep(&mut self, tenant: &Arc<str>, tokens: u32, now: BootInstant) {
+    pub fn store_tokens(&mut self, tenant: &Arc<str>, tokens: u32, now: BootInstant) {
         if tokens == 0 {
             return;
         }
@@ -109,7 +109,7 @@
     /// Records that the owner refused a token because the tenant is at its limit. `wait` is the
     /// time after which to retry, and `fleet` holds the grants within the last window that the
     /// owner knows.
-    pub fn spent(
+    pub fn record_limit_reached(
         &mut self,
         tenant: &Arc<str>,
         wait: Duration,
--- a/crates/tallybridge-mesh/tests/route_costs.rs
+++ b/crates/tallybridge-mesh/tests/route_costs.rs
@@ -86,7 +86,7 @@
     let mut admission = AdmissionControl::default();
     count_admitted(&mut admission, &lookup);
     for _ in 0..8 {
-        admission.unanswered(&lookup, default_rank());
+        admission.record_unanswered(&lookup, default_rank());
     }
     for _ in 0..60 {
         admission.adapt(&overloaded_deep_service());
@@ -111,7 +111,7 @@
         for _ in 0..TICKS_IN_FIVE_SECONDS {
             admission.adapt(&overloaded_deep_service());
         }
-        admission.answered(&lookup, default_rank(), true, &times);
+        admission.record_answer(&lookup, default_rank(), true, &times);
     }
     admission.adapt(&overloaded_deep_service());
     assert_eq!(count_admitted(&mut admission, &lookup), 1000);
--- a/crates/tallybridge-mesh/tests/support/admission.rs
+++ b/crates/tallybridge-mesh/tests/support/admission.rs
@@ -88,7 +88,7 @@
     }
     count_admitted(admission, route);
     for _ in 0..10 {
-        admission.answered(route, default_rank(), true, &times);
+        admission.record_answer(route, default_rank(), true, &times);
     }
 }
 
@@ -104,7 +104,7 @@
         times.add(&Arc::from(*service), Duration::from_millis(*held_ms));
     }
     for _ in 0..count {
-        admission.answered(route, default_rank(), false, &times);
+        admission.record_answer(route, default_rank(), false, &times);
     }
 }
 
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -167,11 +167,13 @@
     }
 
     pub fn answered(&self, route: &Route, well: bool, times: &SlotTimes) {
-        self.state().admission.answered(route, rank(), well, times);
+        self.state()
+            .admission
+            .record_answer(route, rank(), well, times);
     }
 
     pub fn unanswered(&self, route: &Route) {
-        self.state().admission.unanswered(route, rank());
+        self.state().admission.record_unanswered(route, rank());
     }
 
     pub fn begin(&self, name: &str, parent: Parent) -> RunningCall<'_> {
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -92,7 +92,7 @@
             let service = demand.route.parts[0].service.clone();
             admission.admits(&demand.route, &service, TenantRank::default());
             for _ in 0..10 {
-                admission.answered(&demand.route, TenantRank::default(), true, &demand.costs);
+                admission.record_answer(&demand.route, TenantRank::default(), true, &demand.costs);
             }
         }
         Self {
--- a/crates/tallybridge-mesh/tests/support/quota.rs
+++ b/crates/tallybridge-mesh/tests/support/quota.rs
@@ -56,9 +56,9 @@
         now: BootInstant,
         ask_owner: impl FnOnce(QuotaAsk) -> QuotaGrant,
     ) -> Decision {
-        let (ahead, spent, fleet) = match self.tokens.request(&tenant.name, now) {
+        let (ahead, spent, fleet) = match self.tokens.take_token(&tenant.name, now) {
             TokenAnswer::Admitted => return Decision::Admitted,
-            TokenAnswer::Spent(_) => return Decision::Refused,
+            TokenAnswer::AtLimit(_) => return Decision::Refused,
             TokenAnswer::Ask {
                 ahead,
                 spent,
@@ -73,11 +73,12 @@
         };
         match ask_owner(ask) {
             QuotaGrant::Tokens { tokens, fleet } => {
-                self.tokens.granted(&tenant.name, tokens, &fleet, now);
+                self.tokens.record_grant(&tenant.name, tokens, &fleet, now);
                 Decision::Admitted
             }
             QuotaGrant::Spent { wait, fleet } => {
-                self.tokens.spent(&tenant.name, wait, &fleet, now);
+                self.tokens
+                    .record_limit_reached(&tenant.name, wait, &fleet, now);
                 Decision::Refused
             }
             QuotaGrant::NotOwner => Decision::Pending,
