Clearer comments on the offered load range and the ownership gap

Two constants said their purpose in clipped sentences. Comments only; cargo fmt, clippy and doc of tallybridge-mesh are clean, no tests were run again.

--- a/crates/tallybridge-mesh/src/tables/admission/level.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/level.rs
@@ -20,7 +20,7 @@
 /// Factor by which a backlog adds to the offered load. A larger factor sheds requests in short
 /// overloads that the queue could absorb.
 const BACKLOG_FACTOR: f64 = 0.25;
-/// Range to which the offered load is clamped, so that one tick changes a level only so far.
+/// Range to which the offered load is clamped, which limits how far one tick changes a level.
 const OFFERED_LOAD_RANGE: [f64; 2] = [0.4, 3.0];
 /// Number of 100 ms ticks over which levels are averaged: the time until calls of an admitted
 /// request reach a deep service and its load is reported back.
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -12,8 +12,8 @@
 /// Time without an ask after which a bucket is dropped.
 const FORGET_IDLE_AFTER: Duration = Duration::from_secs(60);
 
-/// Minimum time without an ask, before a change of the reachable nodes, after which this node may
-/// have lost the ownership. Each entry of a tenant at its limit asks every 50 ms.
+/// Minimum time between the last ask and a change of the reachable nodes in which another node may
+/// have been the owner. Each entry of a tenant at its limit asks every 50 ms.
 const MIN_OWNERSHIP_GAP: Duration = Duration::from_millis(150);
 
 /// Time for which a new owner collects reports of earlier grants before its first grant. It must be
