--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -40,7 +40,7 @@
     }
     let ask = match node.take_held_token(tenant) {
         TokenAnswer::Admitted => return Ok(()),
-        TokenAnswer::Spent(wait) => return Err(over_quota_refusal(wait)),
+        TokenAnswer::AtLimit(wait) => return Err(over_quota_refusal(wait)),
         TokenAnswer::Ask {
             ahead,
             spent,
