--- a/crates/tallybridge-mesh/src/configuration/mod.rs
+++ b/crates/tallybridge-mesh/src/configuration/mod.rs
@@ -1,8 +1,9 @@
-//! The configuration that the platform's operator owns: routes, services, limits and tenants, by version.
+//! The configuration of the fleet: routes, services, limits and tenants.
 //!
-//! Owns the types and the look-up of a request's route; the adapter decodes the operator's document
-//! into them ([`Platform::configuration`](crate::platform::Platform::configuration)). Which version
-//! is in force, and how it is learned: [`tasks::configuration`](crate::tasks::configuration).
+//! The platform's operator owns the configuration, and the platform adapter decodes its document
+//! into these types ([`Platform::configuration`](crate::platform::Platform::configuration)). This
+//! module finds the route of a request. [`tasks::configuration`](crate::tasks::configuration)
+//! decides which version is in force.
 
 mod route;
 pub mod tenants;
@@ -16,19 +17,19 @@
 /// One version of the configuration.
 #[derive(Debug)]
 pub struct Configuration {
-    /// Its version; versions only grow.
+    /// Version number, which only increases.
     pub version: u64,
-    /// Its services by name.
+    /// Services by name.
     pub services: HashMap<Arc<str>, ServicePolicy>,
-    /// Bounds of what callers may send.
+    /// Limits on the HTTP requests of callers.
     pub limits: HttpLimits,
-    /// The tenants, by their keys; `None` where requests carry no keys.
+    /// Tenants by key, or `None` if requests need no keys.
     pub tenants: Option<TenantDirectory>,
     hosts: HashMap<String, Vec<Arc<Route>>>,
 }
 
 impl Configuration {
-    /// A configuration with an index of its routes.
+    /// Creates a configuration without tenants, and indexes its routes by host.
     #[must_use]
     pub fn new(
         version: u64,
@@ -38,11 +39,11 @@
     ) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
-            let of_host = hosts.entry(route.host.clone()).or_default();
-            of_host.push(Arc::new(route));
+            let host_routes = hosts.entry(route.host.clone()).or_default();
+            host_routes.push(Arc::new(route));
         }
-        for of_host in hosts.values_mut() {
-            of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        for host_routes in hosts.values_mut() {
+            host_routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services = services
             .into_iter()
@@ -57,55 +58,59 @@
         }
     }
 
-    /// The same configuration, where requests carry keys of these tenants.
+    /// Sets the tenants whose keys requests must carry.
     #[must_use]
     pub fn with_tenants(mut self, tenants: TenantDirectory) -> Self {
         self.tenants = Some(tenants);
         self
     }
 
-    /// The route of a request: of its host's routes the one with the longest prefix of the path.
+    /// Returns the route of the host with the longest prefix that matches the path of `target`.
     #[must_use]
     pub fn route(&self, host: &str, target: &str) -> Option<&Arc<Route>> {
-        let path = path_of(target);
-        let host = host_name(host);
-        let of_host = match self.hosts.get(host) {
+        let path = target_path(target);
+        let host = without_port(host);
+        let host_routes = match self.hosts.get(host) {
             Some(routes) => routes,
             None => self.hosts.get(&host.to_ascii_lowercase())?,
         };
-        of_host
+        host_routes
             .iter()
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// All routes.
+    /// Iterates over the routes of all hosts, in no particular order.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
     }
 }
 
-/// How back ends of one service are called.
+/// Rules for calls to the back ends of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServicePolicy {
-    /// The service.
+    /// Name of the service.
     pub name: Arc<str>,
-    /// Path of their health check.
+    /// Path of the health check of its back ends.
     pub health_path: String,
-    /// Most connections that one of its back ends accepts from all callers together.
+    /// Maximum number of connections that one back end accepts from all callers together.
     pub max_connections: usize,
 }
 
-/// The path of a target, which may be in absolute form.
-fn path_of(target: &str) -> &str {
+/// Returns the path of a request target, which may be in absolute form, without its query.
+fn target_path(target: &str) -> &str {
     let path = target
         .strip_prefix("http://")
-        .and_then(|rest| rest.find('/').map(|start| &rest[start..]))
+        .and_then(|authority_and_path| {
+            authority_and_path
+                .find('/')
+                .map(|start| &authority_and_path[start..])
+        })
         .unwrap_or(target);
     path.split('?').next().unwrap_or(path)
 }
 
-/// The name in a host header, without its port.
-fn host_name(host: &str) -> &str {
+/// Returns the name in a host header without its port.
+fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
         _ => host,
--- a/crates/tallybridge-mesh/src/configuration/route.rs
+++ b/crates/tallybridge-mesh/src/configuration/route.rs
@@ -1,4 +1,4 @@
-//! A route: which requests it takes, how they are treated, and the services that share them.
+//! A route, which selects requests and defines their treatment and their services.
 
 use std::{
     sync::{
@@ -10,108 +10,113 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Steps of this part of a round spread points most evenly over it (1 over the golden ratio).
-const GOLDEN_SECTION: f64 = 0.618;
+/// Inverse of the golden ratio. Steps of this fraction of a cycle spread most evenly over it.
+const INVERSE_GOLDEN_RATIO: f64 = 0.618;
 
-/// How requests of one host and path prefix are treated.
+/// Treatment of the requests of one host and path prefix.
 #[derive(Debug)]
 pub struct Route {
-    /// Its name.
+    /// Name of the route.
     pub name: Arc<str>,
-    /// Host of its requests, in lower case and without a port.
+    /// Host name of its requests, in lower case and without a port.
     pub host: String,
-    /// What its paths begin with.
+    /// Prefix of the request paths.
     pub path_prefix: String,
-    /// How often they may run.
+    /// Whether its requests may run more than once, and whether their answers are large.
     pub kind: RouteKind,
-    /// The longest time for which a request may be held.
+    /// Maximum duration of a request.
     pub timeout: Duration,
-    /// The time within which answers are wanted.
+    /// Latency that answers should not exceed.
     pub target_latency: Duration,
-    /// Its rank; 0 is the most important.
+    /// Priority of its requests; 0 is the most important.
     pub priority: u8,
-    /// Most back ends that a request may be sent to.
+    /// Maximum number of back ends to which a request may be sent.
     pub max_attempts: u32,
-    /// Whether its requests need no key.
+    /// Whether its requests are admitted without a key.
     pub is_public: bool,
-    /// The services that share its requests.
+    /// Services that share its requests.
     pub parts: Vec<RoutePart>,
-    /// Requests for which a service was chosen so far, by which the parts are spread evenly.
+    /// Number of requests for which a service was selected. It determines the next selection.
     pub taken: AtomicU64,
 }
 
-/// How often a request may run.
+/// Whether a request may run more than once, and whether its answer is large.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
-    /// More than once.
+    /// Requests may run more than once.
     Idempotent,
-    /// At most once for each attempt of its caller.
+    /// Requests run at most once for each attempt of the caller.
     NonIdempotent,
-    /// More than once, with a large answer.
+    /// Requests may run more than once and have large answers.
     Download,
 }
 
 impl RouteKind {
-    /// Whether a request may run more than once.
+    /// Returns whether a request may run more than once.
     #[must_use]
     pub const fn is_idempotent(self) -> bool {
         !matches!(self, Self::NonIdempotent)
     }
 }
 
-/// A service that gets a share of a route's requests.
+/// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoutePart {
-    /// The service.
+    /// Name of the service.
     pub service: Arc<str>,
-    /// Its share, relative to the other parts.
+    /// Share of the requests, relative to the weights of the route's other services.
     pub weight: u32,
 }
 
 impl Route {
-    /// A number for this route that is the same at all nodes, from its name.
+    /// Returns a hash of the name, which identifies the route at all nodes.
     #[must_use]
     pub fn number(&self) -> u16 {
         (xxh3_64(self.name.as_bytes()) >> (u64::BITS - u16::BITS)) as u16
     }
 
-    /// The service of the next request. The parts are spread by their weights over each run of
-    /// requests, not by chance, so that few requests already show the weights.
+    /// Selects the service of the next request, or `None` if the route has no services.
+    ///
+    /// The selection is deterministic, so even a short sequence of requests follows the weights.
     pub fn next_service(&self) -> Option<&Arc<str>> {
-        if let [part] = &self.parts[..] {
-            return Some(&part.service);
+        if let [single] = &self.parts[..] {
+            return Some(&single.service);
         }
-        let total: u64 = self.parts.iter().map(|part| u64::from(part.weight)).sum();
-        if total == 0 {
-            return self.parts.first().map(|part| &part.service);
+        let total_weight: u64 = self
+            .parts
+            .iter()
+            .map(|candidate| u64::from(candidate.weight))
+            .sum();
+        if total_weight == 0 {
+            return self.parts.first().map(|candidate| &candidate.service);
         }
-        // A step that shares no factor with the total visits each residue once in a round.
-        let step = coprime_step(total);
-        let taken = self.taken.fetch_add(1, Ordering::Relaxed);
-        let mut point = (taken % total) * step % total;
-        for part in &self.parts {
-            let weight = u64::from(part.weight);
-            if point < weight {
-                return Some(&part.service);
+        // A step that is coprime to the total visits each position once per cycle.
+        let step = coprime_step(total_weight);
+        let index = self.taken.fetch_add(1, Ordering::Relaxed);
+        let mut position = (index % total_weight) * step % total_weight;
+        for candidate in &self.parts {
+            let weight = u64::from(candidate.weight);
+            if position < weight {
+                return Some(&candidate.service);
             }
-            point -= weight;
+            position -= weight;
         }
         None
     }
 }
 
-/// A step near the golden section of `total` that shares no factor with it.
-fn coprime_step(total: u64) -> u64 {
-    let golden = (total as f64 * GOLDEN_SECTION) as u64;
-    (golden.max(1)..total.max(2))
-        .find(|step| greatest_common_divisor(*step, total) == 1)
+/// Returns a step that is coprime to `total_weight` and close to its golden section.
+fn coprime_step(total_weight: u64) -> u64 {
+    let preferred_step = (total_weight as f64 * INVERSE_GOLDEN_RATIO) as u64;
+    (preferred_step.max(1)..total_weight.max(2))
+        .find(|step| greatest_common_divisor(*step, total_weight) == 1)
         .unwrap_or(1)
 }
 
-fn greatest_common_divisor(left: u64, right: u64) -> u64 {
-    if right == 0 {
-        left
+fn greatest_common_divisor(a: u64, b: u64) -> u64 {
+    if b == 0 {
+        a
     } else {
-        greatest_common_divisor(right, left % right)
+        greatest_common_divisor(b, a % b)
     }
 }
--- a/crates/tallybridge-mesh/src/configuration/tenants.rs
+++ b/crates/tallybridge-mesh/src/configuration/tenants.rs
@@ -1,7 +1,7 @@
-//! Tenants: customers of the operator, with keys, a priority and a rate limit over the whole fleet.
+//! Tenants: customers of the operator, with keys, a priority and a rate limit for the whole fleet.
 //!
-//! Keys are known and compared by their digests only. Which request a key admits:
-//! [`request::credentials`](crate::request); the rate limits: [`tables::quotas`](crate::tables::quotas).
+//! Keys are stored and compared only as digests. [`request::credentials`](crate::request) checks the
+//! key of a request, and [`tables::quotas`](crate::tables::quotas) enforces the rate limits.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -10,63 +10,62 @@
 
 use sha2::{Digest, Sha256};
 
-/// Digest of a key (SHA-256). Keys are compared by their digests, so that the time of a comparison reveals
-/// nothing of a key.
+/// SHA-256 digest of a key. Comparing digests instead of keys prevents timing attacks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
-    /// The digest of a key.
+    /// Computes the digest of a key.
     #[must_use]
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
 }
 
-/// How many requests of a tenant the whole fleet admits.
+/// Limit on the requests of a tenant that the whole fleet admits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RateLimit {
-    /// Requests a second.
+    /// Sustained rate, in requests per second.
     pub per_second: f64,
-    /// Requests on top of that after a time with fewer of them.
+    /// Number of requests that may exceed the rate after a time of fewer requests.
     pub burst: f64,
 }
 
-/// The rank of a tenant's priority among those that tenants of a configuration have. Where all have
-/// the same one, the priority of the route alone decides.
+/// Rank of a tenant's priority among the distinct priorities of all tenants. If all tenants have the
+/// same priority, only the priority of the route matters.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct TenantRank {
-    /// Priorities that go before its own.
+    /// Number of distinct priorities that are more important.
     pub before: u8,
-    /// Priorities that come after its own.
+    /// Number of distinct priorities that are less important.
     pub after: u8,
 }
 
 impl TenantRank {
-    fn of(priority: u8, all: &BTreeSet<u8>) -> Self {
-        let count = |priorities: usize| u8::try_from(priorities).unwrap_or(u8::MAX);
+    fn of(priority: u8, priorities: &BTreeSet<u8>) -> Self {
+        let to_u8 = |count: usize| u8::try_from(count).unwrap_or(u8::MAX);
         Self {
-            before: count(all.range(..priority).count()),
-            after: count(all.range(priority..).count().saturating_sub(1)),
+            before: to_u8(priorities.range(..priority).count()),
+            after: to_u8(priorities.range(priority..).count().saturating_sub(1)),
         }
     }
 }
 
-/// A customer of the operator, with keys of its own.
+/// A customer of the operator.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
-    /// Its name, which is passed on to back ends.
+    /// Name of the tenant, which is sent to back ends.
     pub name: Arc<str>,
-    /// Its priority, which goes before that of a route; 0 is the most important.
+    /// Priority, which outranks the priority of a route; 0 is the most important.
     pub priority: u8,
-    /// The rank of that among the tenants of its configuration.
+    /// Rank of the priority among all tenants of the configuration.
     pub rank: TenantRank,
-    /// Its limit; `None` for no limit.
+    /// Rate limit, or `None` if the tenant is unlimited.
     pub limit: Option<RateLimit>,
 }
 
 impl Tenant {
-    /// The same tenant with one of so many equal parts of its limit.
+    /// Returns the tenant with its limit divided by `parts`, or by 1 if `parts` is 0.
     #[must_use]
     pub fn part(&self, parts: usize) -> Self {
         let parts = parts.max(1) as f64;
@@ -81,23 +80,23 @@
     }
 }
 
-/// Why tenants can't be used. Keys themselves are never shown.
+/// Error in the tenants of a configuration. Its text never contains a key.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum TenantError {
-    /// A key has two owners.
+    /// Two tenants have the same key.
     #[error("tenants {first} and {second} share a key")]
     SharedKey {
-        /// The tenant that was given it first.
+        /// Tenant that comes first in the configuration.
         first: Arc<str>,
-        /// The other one.
+        /// Tenant that comes second in the configuration.
         second: Arc<str>,
     },
-    /// Two tenants have one name.
-    #[error("tenant {0} is given twice")]
+    /// Two tenants have the same name.
+    #[error("tenant {0} is defined twice")]
     NameTwice(Arc<str>),
 }
 
-/// The tenants of one configuration, by their keys.
+/// Tenants of one configuration, by key and by name.
 #[derive(Debug, Clone, Default)]
 pub struct TenantDirectory {
     by_key: HashMap<KeyDigest, Arc<Tenant>>,
@@ -105,11 +104,11 @@
 }
 
 impl TenantDirectory {
-    /// Tenants with the keys of each; the ranks of the tenants follow from their priorities.
+    /// Indexes tenants by key and by name, and computes their ranks.
     ///
     /// # Errors
     ///
-    /// [`TenantError`] when a key or a name is given to two tenants.
+    /// Returns [`TenantError`] if two tenants have the same key or name.
     pub fn new(tenants: Vec<(Tenant, Vec<KeyDigest>)>) -> Result<Self, TenantError> {
         let mut directory = Self::default();
         let priorities = tenants.iter().map(|(tenant, _)| tenant.priority).collect();
@@ -137,13 +136,13 @@
         }
     }
 
-    /// The tenant that holds a key.
+    /// Returns the tenant to which a key belongs, or `None` if the key is unknown.
     #[must_use]
     pub fn holder(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
         self.by_key.get(&KeyDigest::of(key))
     }
 
-    /// The tenant of a name.
+    /// Returns the tenant with this name.
     #[must_use]
     pub fn named(&self, name: &str) -> Option<&Arc<Tenant>> {
         self.by_name.get(name)
--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -1,4 +1,4 @@
-//! Frames on a connection between two nodes: reading them, and queueing and writing them.
+//! Reads, queues and writes frames on a connection between two nodes.
 
 use std::io;
 
@@ -11,83 +11,83 @@
 
 use crate::protocol::{Frame, Message, NodeRecord};
 
-/// Room that is made for each read, in bytes. Small, since a node has hundreds of links and most
-/// are idle (`docs/CAPACITY.md`, memory).
-const READ_BYTES: usize = 4 * 1024;
-/// Most frames that are written in one call. Origin not recorded.
-const MAX_BATCH: usize = 64;
+/// Buffer space reserved for each read. It is small because a node has hundreds of links, most of
+/// which are idle.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
+const MAX_FRAMES_PER_WRITE: usize = 64;
 
-/// Queues frames for one connection, without waiting.
+/// Queues frames for one connection without blocking.
 #[derive(Debug, Clone)]
 pub struct FrameSender(mpsc::UnboundedSender<Bytes>);
 
 impl FrameSender {
-    /// Queues into a channel that [`write_frames`] empties.
+    /// Creates a sender whose frames go to a channel that [`write_frames`] drains.
     #[must_use]
     pub const fn new(sender: mpsc::UnboundedSender<Bytes>) -> Self {
         Self(sender)
     }
 
-    /// Queues a frame.
+    /// Queues a frame. Drops the frame if the connection is closed.
     pub fn send(&self, frame: &Frame) {
-        // Fails only when the connection is lost. Its reader sees that and ends the calls on it.
+        // Fails only if the connection is closed. The connection's reader then ends its calls.
         let _ = self.0.send(frame.encode());
     }
 
-    /// Queues a message that belongs to no call.
+    /// Queues a message about the link itself, which belongs to no call.
     pub fn send_message(&self, message: Message) {
         self.send(&Frame::of_link(message));
     }
 }
 
-fn invalid(error: impl ToString) -> io::Error {
+fn invalid_data(error: impl ToString) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error.to_string())
 }
 
-/// Reads the next frame.
+/// Reads the next frame, and keeps any further bytes in `buffer`.
 ///
 /// # Errors
 ///
-/// Errors of the connection, `UnexpectedEof` when it ends, `InvalidData` when what comes is no frame.
+/// Returns I/O errors of the connection, `UnexpectedEof` if the peer closes it, and `InvalidData` if
+/// the received bytes are not a valid frame.
 pub async fn next_frame(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Frame> {
     loop {
-        if let Some(frame) = Frame::take(buffer).map_err(invalid)? {
+        if let Some(frame) = Frame::take(buffer).map_err(invalid_data)? {
             return Ok(frame);
         }
-        buffer.reserve(READ_BYTES);
+        buffer.reserve(READ_BUFFER_BYTES);
         if reader.read_buf(buffer).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
     }
 }
 
-/// Reads the first frame, by which the other node says who it is.
+/// Reads the first frame of a connection, which must be a hello, and returns the peer's record.
 ///
 /// # Errors
 ///
-/// As [`next_frame`], and `InvalidData` also for another message.
+/// Returns the errors of [`next_frame`], and `InvalidData` if the message is not a valid hello.
 pub async fn read_hello(
     reader: &mut OwnedReadHalf,
     buffer: &mut BytesMut,
 ) -> io::Result<NodeRecord> {
     let frame = next_frame(reader, buffer).await?;
     let Message::Hello(record) = frame.message else {
-        return Err(invalid("the first frame is no hello"));
+        return Err(invalid_data("the first frame is not a hello"));
     };
-    serde_json::from_slice(&record).map_err(invalid)
+    serde_json::from_slice(&record).map_err(invalid_data)
 }
 
-/// Writes queued frames as they come, many in one call where many wait.
+/// Writes queued frames until the queue is closed, and joins waiting frames into one write.
 ///
 /// # Errors
 ///
-/// Errors of the connection.
+/// Returns I/O errors of the connection.
 pub async fn write_frames(
     mut writer: OwnedWriteHalf,
     mut frames: mpsc::UnboundedReceiver<Bytes>,
 ) -> io::Result<()> {
-    let mut batch = Vec::with_capacity(MAX_BATCH);
-    while frames.recv_many(&mut batch, MAX_BATCH).await > 0 {
+    let mut batch = Vec::with_capacity(MAX_FRAMES_PER_WRITE);
+    while frames.recv_many(&mut batch, MAX_FRAMES_PER_WRITE).await > 0 {
         if let [frame] = &batch[..] {
             writer.write_all(frame).await?;
         } else {
--- a/crates/tallybridge-mesh/src/link/liveness.rs
+++ b/crates/tallybridge-mesh/src/link/liveness.rs
@@ -1,71 +1,55 @@
-//! The rule by which a link's other node is judged alive, suspect or lost.
+//! Judges from received frames whether the node at the other end of a link is alive.
 //!
-//! **Rule.** A link on which nothing came for a while is pinged; the longer the ping stays
-//! unanswered, the less is expected of the link: new calls avoid it, then idempotent calls on it are
-//! given up, then it is closed.
+//! A link without traffic is pinged. While the ping remains unanswered, the link goes through three
+//! steps: new calls avoid it, its idempotent calls are abandoned so that they can be retried, and
+//! finally it is closed. Any received frame makes the link alive again. Non-idempotent calls wait
+//! until the link is closed, because they may still be running.
 //!
-//! **Inputs.** When the last frame came and when the outstanding ping was sent (monotonic clock, of
-//! this node alone); whether calls wait on the link; how many links this node has. All are exact at
-//! the tick that judges; a tick comes each 100 ms, so each step may be that much late. The clock
-//! stands still while the machine is suspended, so that a wake does not look like the loss of all
-//! peers (`docs/DESIGN.md`).
-//!
-//! **Output.** One `Verdict` a tick. Any frame from the other node makes the link alive again.
-//!
-//! **Why.** A call that is sent to a silent node waits there for its full time. Placing new calls
-//! elsewhere does no harm if the node was merely slow, so that comes first. A call that is given up
-//! may still run there and runs again elsewhere, which only idempotent calls may; of the others
-//! nothing can be said, and they wait until the link is closed. Weighed instead of contact on links:
-//! SWIM over UDP, a second protocol beside the link (`docs/DESIGN.md`).
+//! The judgement runs on every tick, so each step may be one tick late. The clock does not count
+//! suspended time, so a resumed machine does not lose all its links.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Silence after which a link with calls on it is pinged. Origin not recorded.
-const PING_BUSY: Duration = Duration::from_millis(300);
-/// Silence after which a link without calls is pinged, where there are few links. Origin not
-/// recorded.
-const PING_IDLE: Duration = Duration::from_millis(1000);
-/// Where there are many links, the silence after which one without calls is pinged is this for each
-/// of them, so that pings stay at 83 a second of a node whatever the number of its links: 5.2 s at
-/// the 432 links of the largest site (`docs/CAPACITY.md`).
-const PING_IDLE_PER_LINK: Duration = Duration::from_millis(12);
-/// Time without an answer to a ping after which new calls avoid the link. At 700 ms calls went to a
-/// silent executor for a second; this raised the share of requests served by 0.005 to 0.006 in three
-/// of four recorded incidents and left it as it was in one, one run each.
+/// Time without a frame after which a link with pending calls is pinged.
+const BUSY_PING_DELAY: Duration = Duration::from_millis(300);
+/// Minimum time without a frame after which a link without calls is pinged.
+const MIN_IDLE_PING_DELAY: Duration = Duration::from_millis(1000);
+/// Share of each of the node's links in the ping delay of a link without calls. The delay grows with
+/// the number of links to bound the total rate of pings.
+const IDLE_PING_DELAY_PER_LINK: Duration = Duration::from_millis(12);
+/// Age of an unanswered ping at which new calls avoid the link.
 const SUSPECT_AFTER: Duration = Duration::from_millis(350);
-/// Time without an answer to a ping after which the idempotent calls on the link are given up, to be
-/// retried elsewhere. Origin not recorded.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(700);
-/// Time without an answer to a ping after which the link is closed. Origin not recorded.
+/// Age of an unanswered ping at which the idempotent calls on the link are abandoned.
+const ABANDON_AFTER: Duration = Duration::from_millis(700);
+/// Age of an unanswered ping at which the link is closed.
 const CLOSE_AFTER: Duration = Duration::from_millis(2500);
 
-/// Time after which the kernel ends a connection whose sent bytes are not acknowledged, at both ends
-/// of a link. The end that accepted it sends no pings, and learns by this and by keep-alive probes
-/// that the other one is gone; it takes as long as the opener to close the link.
+/// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
+///
+/// The accepting side of a link sends no pings. It detects a lost peer by this timeout and by
+/// keep-alive probes.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = CLOSE_AFTER;
 
-/// When the other node was last heard, and whether it owes an answer.
 #[derive(Debug)]
 pub(super) struct Liveness {
     received_at: Instant,
-    /// When the ping was sent that is not answered yet.
+    /// Send time of the unanswered ping, if there is one.
     pinged_at: Option<Instant>,
 }
 
-/// What is to be done about a link.
+/// Action that a judgement asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
-    /// Nothing: it was heard recently, or a ping is on its way.
+    /// No action. A frame arrived recently, or the unanswered ping is recent.
     Alive,
-    /// It was silent for so long that a ping is to be sent now.
     PingDue,
-    /// New calls are to avoid it.
+    /// New calls must avoid the link.
     Suspect,
-    /// Besides, the idempotent calls on it are to be given up.
-    GiveUpCalls,
-    /// It is to be closed.
+    /// New calls must avoid the link, and its idempotent calls must be abandoned.
+    AbandonCalls,
+    /// The link must be closed.
     Lost,
 }
 
@@ -77,19 +61,19 @@
         }
     }
 
-    /// A frame came.
-    pub const fn received(&mut self, now: Instant) {
+    /// Records the arrival of a frame, which also answers an outstanding ping.
+    pub const fn record_frame(&mut self, now: Instant) {
         self.received_at = now;
         self.pinged_at = None;
     }
 
-    /// Judges the link. [`Verdict::PingDue`] is given once for each ping.
-    pub fn judge(&mut self, now: Instant, has_calls: bool, links: u32) -> Verdict {
+    /// Judges the link. Returns [`Verdict::PingDue`] once for each ping.
+    pub fn judge(&mut self, now: Instant, has_calls: bool, link_count: u32) -> Verdict {
         if let Some(pinged_at) = self.pinged_at {
-            return judge_unanswered(now.saturating_duration_since(pinged_at));
+            return judge_unanswered_ping(now.saturating_duration_since(pinged_at));
         }
-        let silence = now.saturating_duration_since(self.received_at);
-        if silence < ping_after(has_calls, links) {
+        let idle_time = now.saturating_duration_since(self.received_at);
+        if idle_time < ping_delay(has_calls, link_count) {
             return Verdict::Alive;
         }
         self.pinged_at = Some(now);
@@ -97,20 +81,20 @@
     }
 }
 
-fn ping_after(has_calls: bool, links: u32) -> Duration {
+fn ping_delay(has_calls: bool, link_count: u32) -> Duration {
     if has_calls {
-        PING_BUSY
+        BUSY_PING_DELAY
     } else {
-        PING_IDLE.max(PING_IDLE_PER_LINK * links)
+        MIN_IDLE_PING_DELAY.max(IDLE_PING_DELAY_PER_LINK * link_count)
     }
 }
 
-fn judge_unanswered(unanswered: Duration) -> Verdict {
-    if unanswered >= CLOSE_AFTER {
+fn judge_unanswered_ping(ping_age: Duration) -> Verdict {
+    if ping_age >= CLOSE_AFTER {
         Verdict::Lost
-    } else if unanswered >= GIVE_UP_AFTER {
-        Verdict::GiveUpCalls
-    } else if unanswered >= SUSPECT_AFTER {
+    } else if ping_age >= ABANDON_AFTER {
+        Verdict::AbandonCalls
+    } else if ping_age >= SUSPECT_AFTER {
         Verdict::Suspect
     } else {
         Verdict::Alive
--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -1,14 +1,13 @@
-//! A link that this node opened to another: calls go out on it, answers come back.
+//! Links that this node opened to other nodes. Calls are sent on a link, and replies return on it.
 //!
-//! A [`Link`] owns the calls that wait for an answer on it and numbers them, so that many share one
-//! connection and answers come in any order. It decides by [`liveness`] whether the other node is
-//! still there. Opening connections and reading frames is the work of `tasks::links`; the other
-//! end is `listener::peers`.
+//! A [`Link`] owns and numbers its pending calls, so that many calls share one connection and replies
+//! may arrive in any order. [`liveness`] judges whether the peer is alive. `tasks::links` opens the
+//! connections and reads the frames, and `listener::peers` is the accepting side.
 
 pub mod framing;
 pub mod liveness;
 mod peer_clock;
-mod waiting;
+mod pending;
 
 use std::{
     sync::{
@@ -28,7 +27,7 @@
     framing::FrameSender,
     liveness::{Liveness, Verdict},
     peer_clock::PeerClock,
-    waiting::{CallResult, WaitingCalls},
+    pending::{CallResult, PendingCalls},
 };
 use crate::{
     clock::BootInstant,
@@ -38,33 +37,32 @@
     },
 };
 
-/// Time between two checks whether the last call on a retired link has ended. Nothing waits for the
-/// link to close, so it need not be short. Origin not recorded.
-const RETIRE_CHECK: Duration = Duration::from_millis(50);
+/// Time between checks whether the last call on a retired link has ended.
+const RETIRE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// A call that got no answer over its link.
+/// Reason why a call received no reply over its link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum LinkError {
-    /// The call was not sent.
+    /// The link was closed before the call was sent.
     #[error("link is closed")]
     NotSent,
-    /// The link was lost, or the call given up, after it was sent.
-    #[error("link was lost")]
+    /// The link closed, or the call was abandoned, after the call was sent.
+    #[error("link closed or call abandoned before a reply arrived")]
     Lost,
 }
 
-/// What came back for a call.
+/// Reply of the peer to a call.
 #[derive(Debug)]
 pub enum Reply {
-    /// The complete answer of a back end.
+    /// Complete answer of a back end.
     Answer(AnswerMessage),
-    /// No answer, and why.
+    /// Refusal of the call, with the reason.
     Refusal(RefusalMessage),
-    /// The answer to a request for tokens.
+    /// Reply to a request for quota tokens.
     Quota(QuotaGrant),
 }
 
-/// An open link.
+/// An open link to another node, on which this node sends calls.
 #[derive(Debug)]
 pub struct Link {
     peer: String,
@@ -72,56 +70,56 @@
     state: Mutex<LinkState>,
     is_suspect: AtomicBool,
     unresponsive: Notify,
-    retiring: Notify,
+    retire_requested: Notify,
 }
 
 #[derive(Debug)]
 struct LinkState {
-    waiting: WaitingCalls,
+    pending: PendingCalls,
     liveness: Liveness,
     peer_clock: Option<PeerClock>,
 }
 
 impl Link {
-    /// A link to the node named `peer`, whose frames go to `sender`.
+    /// Creates a link to the node named `peer`, which queues its frames in `sender`.
     #[must_use]
     pub fn new(peer: &str, sender: mpsc::UnboundedSender<Bytes>) -> Self {
         Self {
             peer: peer.to_owned(),
             sender: FrameSender::new(sender),
             state: Mutex::new(LinkState {
-                waiting: WaitingCalls::new(),
+                pending: PendingCalls::new(),
                 liveness: Liveness::new(Instant::now()),
                 peer_clock: None,
             }),
             is_suspect: AtomicBool::new(false),
             unresponsive: Notify::new(),
-            retiring: Notify::new(),
+            retire_requested: Notify::new(),
         }
     }
 
-    /// Whether the other node has been silent for so long that new calls should go elsewhere.
+    /// Returns whether new calls should avoid the link because the peer does not answer a ping.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
         self.is_suspect.load(Ordering::Relaxed)
     }
 
-    /// Sends a call. Dropping what is returned cancels the call.
+    /// Sends a call. Dropping the returned [`LinkCall`] cancels the call.
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] when the link is closed.
+    /// Returns [`LinkError::NotSent`] if the link is closed.
     pub fn call(self: &Arc<Self>, message: CallMessage) -> Result<LinkCall, LinkError> {
         let is_idempotent = message.is_idempotent;
-        self.request(Message::Call(message), is_idempotent)
+        self.send_request(Message::Call(message), is_idempotent)
     }
 
-    /// Asks the node, as the owner of a tenant's quota, for tokens; for another node if
-    /// `is_forwarded`.
+    /// Requests tokens from the peer as the owner of a tenant's quota. `is_forwarded` means that the
+    /// request is on behalf of another node.
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] when the link is closed.
+    /// Returns [`LinkError::NotSent`] if the link is closed.
     pub fn ask_quota(
         self: &Arc<Self>,
         tenant: &str,
@@ -133,17 +131,17 @@
             ask,
             is_forwarded,
         };
-        self.request(Message::QuotaAsk(message), true)
+        self.send_request(Message::QuotaAsk(message), true)
     }
 
-    /// Sends a message to which the reply has the same call number.
-    fn request(
+    /// Sends a message under a new call number, which its reply repeats.
+    fn send_request(
         self: &Arc<Self>,
         message: Message,
         is_idempotent: bool,
     ) -> Result<LinkCall, LinkError> {
         let (reply, receiver) = oneshot::channel();
-        let call = self.state().waiting.add(is_idempotent, reply)?;
+        let call = self.state().pending.add(is_idempotent, reply)?;
         self.send(&Frame { call, message });
         Ok(LinkCall {
             link: self.clone(),
@@ -152,86 +150,92 @@
         })
     }
 
-    /// Sends a frame; a closed link drops it.
+    /// Queues a frame. A closed link drops the frame.
     pub fn send(&self, frame: &Frame) {
         self.sender.send(frame);
     }
 
-    /// Judges the link by its [`liveness`] and acts on that. Called with each tick of the node,
-    /// which has `links` links.
-    pub fn check(&self, now: Instant, links: u32) {
+    /// Applies the [`liveness`] rules to the link. The node calls this on every tick with the number
+    /// of its links.
+    pub fn check(&self, now: Instant, link_count: u32) {
         let mut state = self.state();
-        let has_calls = !state.waiting.is_empty();
-        match state.liveness.judge(now, has_calls, links) {
+        let has_calls = !state.pending.is_empty();
+        match state.liveness.judge(now, has_calls, link_count) {
             Verdict::Alive => {}
             Verdict::PingDue => {
                 drop(state);
                 self.send(&Frame::of_link(Message::Ping));
             }
-            Verdict::Suspect => self.suspect(&state),
-            Verdict::GiveUpCalls => {
-                self.suspect(&state);
-                state.waiting.give_up_idempotent();
+            Verdict::Suspect => self.mark_suspect(&state),
+            Verdict::AbandonCalls => {
+                self.mark_suspect(&state);
+                state.pending.abandon_idempotent();
             }
             Verdict::Lost => self.unresponsive.notify_one(),
         }
     }
 
-    fn suspect(&self, state: &LinkState) {
+    fn mark_suspect(&self, state: &LinkState) {
         if !self.is_suspect.swap(true, Ordering::Relaxed) {
-            let calls = state.waiting.len();
-            tracing::warn!(peer = self.peer, calls, "link suspect");
+            let calls = state.pending.len();
+            tracing::warn!(
+                peer = self.peer,
+                calls,
+                "link is suspect; new calls avoid it"
+            );
         }
     }
 
-    /// A frame came from the other node: it is alive.
-    pub(crate) fn received(&self, now: Instant) {
+    /// Records the arrival of a frame, which shows that the peer is alive.
+    pub(crate) fn record_frame(&self, now: Instant) {
         let mut state = self.state();
-        state.liveness.received(now);
+        state.liveness.record_frame(now);
         if self.is_suspect.swap(false, Ordering::Relaxed) {
-            tracing::info!(peer = self.peer, "link sound again");
+            tracing::info!(peer = self.peer, "link is healthy again");
         }
     }
 
-    /// The other node sent its clock, in milliseconds, in answer to a hello that was sent at
+    /// Sets the reading of the peer's clock, in milliseconds, that answered the hello sent at
     /// `hello_sent_at`.
     pub fn set_peer_clock(&self, hello_sent_at: BootInstant, peer_ms: u64) {
         self.state().peer_clock = Some(PeerClock::new(hello_sent_at, peer_ms));
     }
 
-    /// A time on the other node's clock, in milliseconds, as one here, or an earlier one; `None`
-    /// while its clock is not known.
+    /// Translates a time in milliseconds on the peer's clock to the local clock.
+    ///
+    /// The result may be too early by the duration of the handshake, but is never too late. Returns
+    /// `None` if the peer's clock is unknown or the time is out of range.
     #[must_use]
     pub fn to_local_time(&self, peer_ms: u64) -> Option<BootInstant> {
         self.state().peer_clock?.to_local(peer_ms)
     }
 
-    /// A call came back.
+    /// Delivers the reply to a pending call.
     pub(crate) fn complete(&self, call: u32, reply: Reply) {
-        self.state().waiting.complete(call, reply);
+        self.state().pending.complete(call, reply);
     }
 
-    /// Waits until the other node has been silent for so long that the link is to be closed.
-    pub(crate) async fn unresponsive(&self) {
+    /// Waits until the link must be closed because the peer is unresponsive.
+    pub(crate) async fn wait_until_unresponsive(&self) {
         self.unresponsive.notified().await;
     }
 
-    /// The link is not needed any more: it is closed once no call is under way on it.
+    /// Requests that the link be closed after its last pending call ends.
     pub fn retire(&self) {
-        self.retiring.notify_one();
+        self.retire_requested.notify_one();
     }
 
-    /// Waits until the link is not needed and no call is under way on it.
-    pub(crate) async fn retired(&self) {
-        self.retiring.notified().await;
-        while !self.state().waiting.is_empty() {
-            sleep(RETIRE_CHECK).await;
+    /// Waits until the link is retired and has no pending calls.
+    pub(crate) async fn wait_until_retired(&self) {
+        self.retire_requested.notified().await;
+        while !self.state().pending.is_empty() {
+            sleep(RETIRE_CHECK_INTERVAL).await;
         }
     }
 
-    /// The connection is lost, and with it every call under way.
+    /// Fails all pending calls, and every later call.
     pub(crate) fn close(&self) {
-        self.state().waiting.close();
+        self.state().pending.close();
     }
 
     fn state(&self) -> MutexGuard<'_, LinkState> {
@@ -239,7 +243,7 @@
     }
 }
 
-/// A call under way.
+/// A pending call on a link. Dropping it cancels the call.
 #[derive(Debug)]
 pub struct LinkCall {
     link: Arc<Link>,
@@ -248,11 +252,11 @@
 }
 
 impl LinkCall {
-    /// Waits for what comes back.
+    /// Waits for the reply.
     ///
     /// # Errors
     ///
-    /// [`LinkError::Lost`] when the link is lost or the call given up first.
+    /// Returns [`LinkError::Lost`] if the link closes or the call is abandoned first.
     pub async fn reply(&mut self) -> Result<Reply, LinkError> {
         (&mut self.receiver).await.unwrap_or(Err(LinkError::Lost))
     }
@@ -260,10 +264,10 @@
 
 impl Drop for LinkCall {
     fn drop(&mut self) {
-        let was_waiting = self.link.state().waiting.remove(self.call);
-        // A call that was given up is not waiting any more, but may still run at the other node.
-        let may_be_given_up = self.link.is_suspect();
-        if was_waiting || may_be_given_up {
+        let was_pending = self.link.state().pending.remove(self.call);
+        // An abandoned call is no longer pending, but may still run at the peer.
+        let may_be_abandoned = self.link.is_suspect();
+        if was_pending || may_be_abandoned {
             self.link.send(&Frame {
                 call: self.call,
                 message: Message::Cancel,
--- a/crates/tallybridge-mesh/src/link/peer_clock.rs
+++ b/crates/tallybridge-mesh/src/link/peer_clock.rs
@@ -1,21 +1,19 @@
-//! Translation of times on another node's clock into times here.
+//! Translates times on a peer's clock to the local clock.
 //!
-//! A message may be held up for seconds on a link that was cut, so an age that it gives is too small
-//! when it arrives. A node sends times on its own clock instead, and its clock once, in answer to
-//! the hello of the node that opens the link. That clock was read no earlier than the hello was
-//! sent, so each time is translated too early by at most the duration of the handshake, and what is
-//! judged by it looks too old rather than too fresh.
+//! A message may be delayed for seconds on an interrupted link, so an age in it would be too small
+//! on arrival. A node sends times on its own clock instead, and one reading of this clock in answer
+//! to the hello. The reading is assumed to be from the time when the hello was sent. Translated
+//! times are therefore too early by at most the handshake, and never look too recent.
 
 use std::time::Duration;
 
 use crate::clock::BootInstant;
 
-/// A point in time on both clocks.
+/// One point in time on the local clock and on the peer's clock.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PeerClock {
-    /// When the hello was sent.
     hello_sent_at: BootInstant,
-    /// The other node's clock in its answer to that, in milliseconds.
+    /// Reading of the peer's clock that answered the hello, in milliseconds.
     peer_ms: u64,
 }
 
@@ -27,14 +25,14 @@
         }
     }
 
-    /// A time on the other node's clock, in milliseconds, as one here, or an earlier one; `None`
-    /// for one before this clock began or beyond its end.
+    /// Translates a time in milliseconds on the peer's clock. Returns `None` if the result is out of
+    /// range of the local clock.
     pub fn to_local(self, peer_ms: u64) -> Option<BootInstant> {
-        let distance = Duration::from_millis(peer_ms.abs_diff(self.peer_ms));
+        let offset = Duration::from_millis(peer_ms.abs_diff(self.peer_ms));
         if peer_ms >= self.peer_ms {
-            self.hello_sent_at.checked_add(distance)
+            self.hello_sent_at.checked_add(offset)
         } else {
-            self.hello_sent_at.checked_sub(distance)
+            self.hello_sent_at.checked_sub(offset)
         }
     }
 }
--- a/crates/tallybridge-mesh/src/link/waiting.rs
+++ b/crates/tallybridge-mesh/src/link/pending.rs
@@ -1,4 +1,4 @@
-//! Calls that wait for their reply on one link, by their number.
+//! Calls that wait for their reply on one link, by call number.
 
 use std::collections::HashMap;
 
@@ -6,23 +6,23 @@
 
 use super::{LinkError, Reply};
 
-/// What ends a call: its reply, or why there is none.
+/// Result that ends a call.
 pub(super) type CallResult = Result<Reply, LinkError>;
 
 #[derive(Debug)]
-pub(super) struct WaitingCalls {
+pub(super) struct PendingCalls {
     next_number: u32,
-    calls: HashMap<u32, WaitingCall>,
+    calls: HashMap<u32, PendingCall>,
     is_closed: bool,
 }
 
 #[derive(Debug)]
-struct WaitingCall {
+struct PendingCall {
     is_idempotent: bool,
     reply: oneshot::Sender<CallResult>,
 }
 
-impl WaitingCalls {
+impl PendingCalls {
     pub fn new() -> Self {
         Self {
             next_number: 1,
@@ -31,11 +31,11 @@
         }
     }
 
-    /// Numbers a call, whose end goes to `reply`.
+    /// Adds a call whose result goes to `reply`, and returns its number.
     ///
     /// # Errors
     ///
-    /// [`LinkError::NotSent`] when the link is closed.
+    /// Returns [`LinkError::NotSent`] if the link is closed.
     pub fn add(
         &mut self,
         is_idempotent: bool,
@@ -45,9 +45,9 @@
             return Err(LinkError::NotSent);
         }
         let number = self.next_number;
-        // 0 is the number of messages that belong to no call.
+        // The number 0 is reserved for messages that belong to no call.
         self.next_number = self.next_number.wrapping_add(1).max(1);
-        let call = WaitingCall {
+        let call = PendingCall {
             is_idempotent,
             reply,
         };
@@ -63,36 +63,36 @@
         self.calls.is_empty()
     }
 
-    /// A call came back. One that nobody waits for any more is ignored.
+    /// Delivers a reply. Ignores the reply if the call is no longer pending.
     pub fn complete(&mut self, number: u32, reply: Reply) {
         if let Some(call) = self.calls.remove(&number) {
-            call.end(Ok(reply));
+            call.finish(Ok(reply));
         }
     }
 
-    /// Nobody waits for a call any more; whether it was still waiting.
+    /// Removes a call without a result. Returns whether the call was pending.
     pub fn remove(&mut self, number: u32) -> bool {
         self.calls.remove(&number).is_some()
     }
 
-    /// Ends the calls that may run again elsewhere.
-    pub fn give_up_idempotent(&mut self) {
-        let given_up = self.calls.extract_if(|_, call| call.is_idempotent);
-        given_up.for_each(|(_, call)| call.end(Err(LinkError::Lost)));
+    /// Fails the idempotent calls, which may be retried at another node.
+    pub fn abandon_idempotent(&mut self) {
+        let abandoned = self.calls.extract_if(|_, call| call.is_idempotent);
+        abandoned.for_each(|(_, call)| call.finish(Err(LinkError::Lost)));
     }
 
-    /// The link is lost: ends all calls, and takes no more.
+    /// Fails all calls and rejects later ones.
     pub fn close(&mut self) {
         self.is_closed = true;
         for (_, call) in self.calls.drain() {
-            call.end(Err(LinkError::Lost));
+            call.finish(Err(LinkError::Lost));
         }
     }
 }
 
-impl WaitingCall {
-    fn end(self, result: CallResult) {
-        // Fails only when nobody waits for the call any more: its deadline passed, or its caller left.
+impl PendingCall {
+    fn finish(self, result: CallResult) {
+        // Fails only if the receiver was dropped, which happens when the call is cancelled.
         let _ = self.reply.send(result);
     }
 }
--- a/crates/tallybridge-mesh/src/run/listeners.rs
+++ b/crates/tallybridge-mesh/src/run/listeners.rs
@@ -1,4 +1,4 @@
-//! The addresses of a node, bound before anything else of it starts.
+//! Listening sockets of a node, bound before its tasks start.
 
 use std::{io, net::SocketAddr};
 
@@ -7,10 +7,8 @@
 
 use crate::settings::MeshSettings;
 
-/// New connections that may wait to be accepted, at each address. Origin not recorded.
-const BACKLOG: u32 = 1024;
+const ACCEPT_BACKLOG: u32 = 1024;
 
-/// One bound socket for each listener.
 pub(super) struct Listeners {
     pub(super) peers: TcpListener,
     pub(super) callers: TcpListener,
@@ -20,11 +18,11 @@
 }
 
 impl Listeners {
-    /// Binds the addresses of the settings. A port 0 there is replaced by the one that the system chose.
+    /// Binds the addresses in the settings, and replaces each port 0 with the assigned port.
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::NodeUnavailable`] with the first address that can't be bound.
+    /// Returns [`ErrorKind::NodeUnavailable`] for the first address that cannot be bound.
     pub(super) fn bind(settings: &mut MeshSettings) -> Result<Self, Refusal> {
         Ok(Self {
             peers: bind(&mut settings.peer_address)?,
@@ -37,24 +35,26 @@
 }
 
 fn bind(address: &mut SocketAddr) -> Result<TcpListener, Refusal> {
-    let listener = listen(*address).map_err(|error| {
-        let detail = format!("address {address} can't be bound: {error}");
+    let listener = open_listener(*address).map_err(|error| {
+        let detail = format!("cannot bind address {address}: {error}");
         Refusal::new(ErrorKind::NodeUnavailable, detail)
     })?;
     match listener.local_addr() {
         Ok(bound) => *address = bound,
-        Err(error) => tracing::warn!(%address, %error, "port of a bound address is not known"),
+        Err(error) => {
+            tracing::warn!(%address, %error, "cannot determine the bound port; keeping the configured address")
+        }
     }
     Ok(listener)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn open_listener(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    // A restarted node binds its port though connections of the process before it still linger.
+    // Allows a restarted node to bind its port while old connections are in TIME_WAIT.
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(ACCEPT_BACKLOG)
 }
--- a/crates/tallybridge-mesh/src/run/mod.rs
+++ b/crates/tallybridge-mesh/src/run/mod.rs
@@ -1,9 +1,6 @@
-//! Runs a node: binds its addresses, starts its tasks, and stops it as planned on a signal.
+//! Runs a node: binds its addresses, starts its tasks, and stops it in order on a signal.
 //!
-//! | file | job |
-//! |---|---|
-//! | `listeners` | binds the addresses |
-//! | `stop` | the phases of the planned stop, with their times |
+//! `listeners` binds the addresses, and `stop` has the phases of the planned stop.
 
 mod listeners;
 mod stop;
@@ -39,24 +36,24 @@
     },
 };
 
-/// Time between ticks, in which links, load and admission are looked at. Origin not recorded.
-const TICK: Duration = Duration::from_millis(100);
-/// Time between removals of idle connections to the back end and of expired suspects. Origin not recorded.
-const CLEAN_UP: Duration = Duration::from_secs(1);
+/// Time between ticks, which update links, load and admission.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between removals of idle back-end connections and expired suspects.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Runs a node until a signal stops it.
+/// Runs a node until SIGTERM, then stops it in order.
 ///
 /// # Errors
 ///
-/// A refusal when an address can't be bound or a signal can't be handled.
+/// Returns a refusal if an address cannot be bound or a signal handler cannot be installed.
 pub async fn run(
     settings: MeshSettings,
     source: Arc<dyn SettingsSource>,
     platform: Arc<dyn Platform>,
 ) -> Result<(), Refusal> {
-    // Before anything else: a signal without a handler would end the process.
-    let mut terminate = on_signal(SignalKind::terminate())?;
-    let hangup = on_signal(SignalKind::hangup())?;
+    // Installed first, because a signal without a handler ends the process.
+    let mut terminate = install_signal_handler(SignalKind::terminate())?;
+    let hangup = install_signal_handler(SignalKind::hangup())?;
     let node = start(settings, platform).await?;
     tokio::spawn(reload_settings(node.clone(), source, hangup));
     log_start(&node);
@@ -74,22 +71,22 @@
         ready = %node.settings.ready_address,
         "node started"
     );
-    for switch in node.settings.policy.switches() {
-        if !switch.is_on {
-            tracing::warn!(policy = switch.name, "a policy is switched off");
+    for policy in node.settings.policy.switches() {
+        if !policy.is_on {
+            tracing::warn!(policy = policy.name, "policy is disabled in the settings");
         }
     }
 }
 
-fn on_signal(kind: SignalKind) -> Result<Signal, Refusal> {
+fn install_signal_handler(kind: SignalKind) -> Result<Signal, Refusal> {
     signal(kind).map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))
 }
 
-/// Starts a node and returns once its addresses are bound.
+/// Binds the addresses of a node, spawns its tasks and returns the running node.
 ///
 /// # Errors
 ///
-/// A refusal when an address can't be bound.
+/// Returns a refusal if an address cannot be bound.
 pub async fn start(
     settings: MeshSettings,
     platform: Arc<dyn Platform>,
@@ -110,19 +107,19 @@
     tokio::spawn(refresh_for_revocations(node.clone()));
     tokio::spawn(maintain_registration(node.clone()));
     tokio::spawn(store_quarantine(node.clone()));
-    tokio::spawn(tick(node.clone()));
+    tokio::spawn(run_ticks(node.clone()));
     Ok(node)
 }
 
-async fn tick(node: Arc<Node>) {
-    let mut clean_up_at = Instant::now() + CLEAN_UP;
+async fn run_ticks(node: Arc<Node>) {
+    let mut next_cleanup = Instant::now() + CLEANUP_INTERVAL;
     loop {
-        sleep(TICK).await;
+        sleep(TICK_INTERVAL).await;
         node.tick();
-        if Instant::now() >= clean_up_at {
+        if Instant::now() >= next_cleanup {
             node.backend.prune();
             node.remove_expired_suspects();
-            clean_up_at = Instant::now() + CLEAN_UP;
+            next_cleanup = Instant::now() + CLEANUP_INTERVAL;
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/backoff.rs
+++ b/crates/tallybridge-mesh/src/tasks/backoff.rs
@@ -1,4 +1,4 @@
-//! What the tasks share that call the platform's store: waits after a failure, and the count of calls.
+//! Backoff and call counting for the tasks that call the platform's store.
 
 use std::{ops::Range, sync::atomic::Ordering, time::Duration};
 
@@ -7,35 +7,33 @@
 
 use crate::node::Node;
 
-/// Wait after the first call that failed. Origin not recorded.
-const RETRY_MIN: Duration = Duration::from_millis(150);
-/// Longest wait after a call that failed. Origin not recorded.
-const RETRY_MAX: Duration = Duration::from_millis(1200);
+const INITIAL_WAIT: Duration = Duration::from_millis(150);
+const MAX_WAIT: Duration = Duration::from_millis(1200);
 
-/// Factors by which a wait after a failure varies, so that nodes that failed together don't call
-/// again together. Origin not recorded.
-const JITTER: Range<f64> = 0.6..1.4;
+/// Range of the random factor on each wait, which keeps nodes that failed together from retrying
+/// together.
+const JITTER_FACTOR: Range<f64> = 0.6..1.4;
 
-/// Waits that double with each failure in a row.
+/// Exponential backoff with jitter.
 pub(super) struct Backoff(Duration);
 
 impl Backoff {
     pub(super) const fn new() -> Self {
-        Self(RETRY_MIN)
+        Self(INITIAL_WAIT)
     }
 
     pub(super) async fn wait(&mut self) {
         sleep(jittered(self.0)).await;
-        self.0 = (self.0 * 2).min(RETRY_MAX);
+        self.0 = (self.0 * 2).min(MAX_WAIT);
     }
 }
 
-/// A wait after a failure, varied by [`JITTER`].
+/// Returns `wait` multiplied by a random factor from [`JITTER_FACTOR`].
 pub(super) fn jittered(wait: Duration) -> Duration {
-    wait.mul_f64(rand::rng().random_range(JITTER))
+    wait.mul_f64(rand::rng().random_range(JITTER_FACTOR))
 }
 
-/// Counts a call to the store in the node's metrics; each caller does so before it calls.
+/// Counts a call to the store in the node's metrics. Must be called before each call to the store.
 pub(super) fn count_store_call(node: &Node) {
     node.counters.store_calls.fetch_add(1, Ordering::Relaxed);
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
@@ -1,43 +1,43 @@
-//! Reads of the configuration by which nodes know that no key was removed since.
+//! Regular reads of the configuration, which show that no key has been revoked since.
 
 use std::{sync::Arc, time::Duration};
 
 use rand::Rng;
 use tokio::time::sleep;
 
-use super::watch::read;
+use super::watch::read_configuration;
 use crate::node::Node;
 
-/// Part of `revoke_within_ms` after which the configuration is read anew. A fifth leaves room for
-/// three reads that fail before a key is refused for it. Origin of the figure not recorded.
-const READ_PART: f64 = 0.2;
-/// Time between reads where settings give no `revoke_within_ms`. Origin not recorded.
-const READ_INTERVAL: Duration = Duration::from_secs(2);
-/// Wait after a read that failed. Origin not recorded.
-const READ_RETRY: Duration = Duration::from_millis(400);
+/// Interval between reads as a fraction of `revoke_within_ms`. It leaves time for three failed reads
+/// before keys are refused.
+const READ_INTERVAL_FRACTION: f64 = 0.2;
+/// Time between reads if `revoke_within_ms` is not set.
+const DEFAULT_READ_INTERVAL: Duration = Duration::from_secs(2);
+const READ_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Reads the configuration now and then for as long as this node watches the store and requests carry keys,
-/// so that it and its peers know that no key was removed since: a watch that is lost in silence reports no
-/// removal, a read does. What a peer has read meanwhile need not be read again.
+/// Reads the configuration regularly while this node watches the store and requests carry keys.
+///
+/// The store may lose a watch without an error, and a lost watch never reports a revoked key. The
+/// node skips a read if a peer has read the configuration recently.
 pub async fn refresh_for_revocations(node: Arc<Node>) {
-    let within = node.settings.tenants.revoke_within_ms;
-    let interval = within.map_or(READ_INTERVAL, |ms| {
-        Duration::from_millis(ms).mul_f64(READ_PART)
+    let max_revocation_ms = node.settings.tenants.revoke_within_ms;
+    let interval = max_revocation_ms.map_or(DEFAULT_READ_INTERVAL, |ms| {
+        Duration::from_millis(ms).mul_f64(READ_INTERVAL_FRACTION)
     });
     loop {
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(interval.mul_f64(jitter)).await;
         while is_read_due(&node, interval) {
-            match read(&node).await {
+            match read_configuration(&node).await {
                 Ok(_) => break,
-                Err(reason) => tracing::debug!(%reason, "configuration can't be read"),
+                Err(reason) => tracing::debug!(%reason, "cannot read the configuration; retrying"),
             }
-            sleep(READ_RETRY).await;
+            sleep(READ_RETRY_INTERVAL).await;
         }
     }
 }
 
 fn is_read_due(node: &Node, interval: Duration) -> bool {
-    let is_old = || node.read_age().is_none_or(|age| age >= interval);
-    node.is_watcher() && node.has_keys() && is_old()
+    let is_stale = || node.read_age().is_none_or(|age| age >= interval);
+    node.is_watcher() && node.has_keys() && is_stale()
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -1,10 +1,10 @@
-//! Reading the configuration from the store and watching it there.
+//! Reads the configuration from the store and watches it for changes.
 
 use std::{sync::Arc, time::Duration};
 
 use tokio::time::sleep;
 
-use super::watchers::{links_opened, relieved, watch_needed};
+use super::watchers::{wait_for_links, wait_until_watch_needed, wait_until_watch_unneeded};
 use crate::{
     clock::BootInstant,
     node::Node,
@@ -12,61 +12,58 @@
     tasks::backoff::{Backoff, count_store_call},
 };
 
-/// Longest wait for a change in one call. Every call is paid for, so a watch waits long; that the
-/// store still answers is shown by the renewals of the registration, which cost far less. Watches
-/// of 4 s took 245 calls of twelve nodes on a calm day, these 127.
-const WATCH: Duration = Duration::from_secs(25);
-/// Wait after a change, so that several in quick succession are read in one call. Origin of the figure not
-/// recorded.
-const WATCH_PAUSE: Duration = Duration::from_millis(400);
+/// Longest wait for a change in one call. Each call to the store is billed, so the timeout is long;
+/// renewals of the registration show whether the store still answers.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Pause after a change, which lets one call return several changes in quick succession.
+const PAUSE_AFTER_CHANGE: Duration = Duration::from_millis(400);
 
-/// Follows the configuration for as long as the process lives: by watching the store while that is needed,
-/// and else by what peers report.
+/// Watches the store for changes whenever too few peers do, for as long as the process runs.
 pub async fn follow_configuration(node: Arc<Node>) {
     let mut backoff = Backoff::new();
-    links_opened(&node).await;
+    wait_for_links(&node).await;
     loop {
-        watch_needed(&node).await;
+        wait_until_watch_needed(&node).await;
         match read_and_watch(&node, &mut backoff).await {
-            Ok(()) => tracing::info!("enough peers watch the store, they are followed"),
+            Ok(()) => tracing::info!("enough peers watch the store; following their configuration"),
             Err(reason) => {
-                tracing::warn!(%reason, "configuration can't be followed, it is read anew");
+                tracing::warn!(%reason, "cannot watch the configuration; reading it again after a delay");
                 backoff.wait().await;
             }
         }
     }
 }
 
-/// Watches the store until enough others do.
+/// Reads the configuration, then watches it until enough peers watch it.
 async fn read_and_watch(node: &Arc<Node>, backoff: &mut Backoff) -> Result<(), StoreError> {
-    // `read` counts this call once more.
+    // This counts the read twice, because `read_configuration` counts it as well.
     count_store_call(node);
-    let mut revision = read(node).await?;
-    let _role = node.start_watching();
+    let mut revision = read_configuration(node).await?;
+    let _watcher_role = node.start_watching();
     loop {
         count_store_call(node);
         let watched = tokio::select! {
-            watched = watch(node, revision) => watched?,
-            () = relieved(node) => return Ok(()),
+            watched = watch_configuration(node, revision) => watched?,
+            () = wait_until_watch_unneeded(node) => return Ok(()),
         };
         *backoff = Backoff::new();
         revision = watched.revision;
         if let Some(document) = &watched.document {
-            // One that can't be read is logged there, and the last one stays.
+            // Logs a document that cannot be decoded and keeps the previous one.
             let _ = node.offer_configuration(document);
             node.note_version_from_store();
         }
         node.configuration_confirmed(BootInstant::now());
         if watched.document.is_some() {
-            sleep(WATCH_PAUSE).await;
+            sleep(PAUSE_AFTER_CHANGE).await;
         }
     }
 }
 
-/// Reads the newest configuration and takes it into force; gives the store's revision.
-pub(super) async fn read(node: &Node) -> Result<u64, StoreError> {
+/// Reads the newest configuration, puts it in force and returns the store's revision.
+pub(super) async fn read_configuration(node: &Node) -> Result<u64, StoreError> {
     count_store_call(node);
-    let asked_at = BootInstant::now();
+    let requested_at = BootInstant::now();
     let stored = node.platform.read_configuration().await?;
     let is_in_force = match &stored.document {
         Some(document) => node.offer_configuration(document),
@@ -74,17 +71,20 @@
     };
     node.note_version_from_store();
     if is_in_force {
-        node.configuration_read(asked_at);
+        node.configuration_read(requested_at);
     }
     Ok(stored.revision)
 }
 
-/// Waits for a change. A watch that the store lost says nothing for the rest of its time, so it is given up
-/// as soon as something else shows that it may be lost.
-async fn watch(node: &Node, revision: u64) -> Result<WatchedConfiguration, StoreError> {
-    let _pending = node.watch_pending();
+/// Waits for a change after `revision`. A watch that the store lost stays pending until its timeout,
+/// so a suspected watch is cancelled.
+async fn watch_configuration(
+    node: &Node,
+    revision: u64,
+) -> Result<WatchedConfiguration, StoreError> {
+    let _pending_watch = node.watch_pending();
     tokio::select! {
-        watched = node.platform.watch_configuration(revision, WATCH) => watched,
-        () = node.watch_suspected() => Err(StoreError::Unknown("the watch may be lost".to_owned())),
+        watched = node.platform.watch_configuration(revision, WATCH_TIMEOUT) => watched,
+        () = node.watch_suspected() => Err(StoreError::Unknown("the watch may have been lost".to_owned())),
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
@@ -1,20 +1,12 @@
-//! Who watches the store.
+//! Decides which nodes watch the store.
 //!
-//! **Rule.** A node watches the store while the fleet is small, or while fewer than [`WATCHERS`] of
-//! the peers that it links to have confirmed its version. One that watches in vain stops while more
-//! than [`WATCHERS_KEPT`] peers do.
+//! In a small fleet every node watches. In a large fleet a node starts to watch while fewer than
+//! [`MIN_WATCHERS`] of the peers that it links to have confirmed its configuration version recently,
+//! and may stop while more than [`MAX_WATCHERS`] peers watch. The decision uses [`WatchView`], which
+//! counts confirmations that are at most 1.2 s old.
 //!
-//! **Inputs.** [`WatchView`]: the number of nodes known, linked to and in reach, and of peers whose
-//! confirmation of this version or a newer one is at most 1.2 s old ([`WatcherTable`]).
-//!
-//! **Output.** When a node begins and stops to watch.
-//!
-//! **Why.** There is no election: a watcher that is killed, frozen, cut off or refused by the store
-//! is the same as one too few, so one rule covers the start, the loss of any watchers and a fleet
-//! cut in two. Leases and ranks lost since a holder that is cut off must first be found out
-//! (docs/DESIGN.md, "Ways weighed").
-//!
-//! [`WatcherTable`]: crate::tables::WatcherTable
+//! There is no election. A watcher that crashes, is isolated or is refused by the store stops
+//! confirming, and other nodes replace it.
 
 use std::time::Duration;
 
@@ -23,113 +15,105 @@
 
 use crate::node::{Node, WatchView};
 
-/// Nodes below which each watches the store for itself: with so few, watching for others would cost as many
-/// calls as it saves. Origin of the figure not recorded.
-const FEW_NODES: usize = 24;
-/// Peers that must watch the store for a node that does not: losing all of them at once is as unlikely as
-/// losing the store. Origin of the figure not recorded.
-const WATCHERS: usize = 4;
-/// Peers that watch the store above which a node that does as well may stop: twice those that are needed,
-/// since all decide that for themselves.
-const WATCHERS_KEPT: usize = 2 * WATCHERS;
-/// Time between two decisions of a watcher whether it stops. Origin of the figure not recorded.
-const RELIEF_CHECK: Duration = Duration::from_secs(2);
-/// Time between checks whether enough peers watch the store, while they don't. Origin of the figure not
-/// recorded.
-const WATCH_CHECK: Duration = Duration::from_millis(25);
-/// The same while they do: each check wakes the process, and 100 ms are little beside the 1.2 s for which a
-/// confirmation counts.
-const WATCH_CHECK_COVERED: Duration = Duration::from_millis(100);
-/// Each peer in reach, which sees about the same as this node, adds this to the time within which
-/// nodes begin to watch one after the other. With confirmations each 500 ms a change stays within 2
-/// s in `platform/tests/path/watchers.rs`. Origin of the figure not recorded.
-const WINDOW_PER_PEER: Duration = Duration::from_millis(20);
-/// Time that nodes need at the first start of the whole fleet until they know each other. Origin of the
-/// figure not recorded.
-const FIRST_START: Duration = Duration::from_millis(2000);
-/// Longest wait for the registry after a start. Origin of the figure not recorded.
-const REGISTRY_PATIENCE: Duration = Duration::from_millis(500);
-/// Longest wait for links after the registry was read. Origin of the figure not recorded.
-const LINK_PATIENCE: Duration = Duration::from_millis(400);
+/// Fleet size from which a few nodes watch for the others. In a smaller fleet, sharing costs as many
+/// calls as it saves.
+const MIN_NODES_TO_SHARE_WATCHES: usize = 24;
+/// Number of watching peers below which a node starts to watch.
+const MIN_WATCHERS: usize = 4;
+/// Number of watching peers above which a watcher may stop. The margin is wide because nodes decide
+/// independently.
+const MAX_WATCHERS: usize = 2 * MIN_WATCHERS;
+/// Time between a watcher's checks whether it may stop.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between checks whether to start watching, while too few peers watch.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between the same checks while enough peers watch. It is longer because each check wakes the
+/// process.
+const COVERED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Length that each reachable peer adds to the window in which nodes start to watch at random times.
+const START_WINDOW_PER_PEER: Duration = Duration::from_millis(20);
+/// Time that the nodes of a new fleet need to discover each other.
+const NEW_FLEET_DELAY: Duration = Duration::from_millis(2000);
+const REGISTRY_TIMEOUT: Duration = Duration::from_millis(500);
+const LINKS_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl WatchView {
-    /// Whether the fleet is so large that a few nodes watch the store for the rest.
+    /// Returns whether the fleet is large enough for a few nodes to watch the store for all.
     #[must_use]
-    pub const fn is_shared(&self) -> bool {
-        self.known >= FEW_NODES
+    pub const fn shares_watches(&self) -> bool {
+        self.known >= MIN_NODES_TO_SHARE_WATCHES
     }
 
-    /// Whether as many links are open as can be expected soon after a start.
-    const fn has_linked(&self) -> bool {
-        !self.is_shared() || self.reached * 2 >= self.wanted
+    /// Returns whether at least half of the wanted links are open, or the fleet is small.
+    const fn has_expected_links(&self) -> bool {
+        !self.shares_watches() || self.reached * 2 >= self.wanted
     }
 
-    /// The time within which the nodes that lack watchers begin to watch, one after the other.
-    fn begin_window(&self) -> Duration {
-        WINDOW_PER_PEER.mul_f64(self.reached as f64) + WATCH_CHECK
+    /// Returns the time over which the starts of new watchers are spread.
+    fn start_window(&self) -> Duration {
+        START_WINDOW_PER_PEER.mul_f64(self.reached as f64) + START_CHECK_INTERVAL
     }
 
-    /// Whether a watcher may stop. Others may decide that at the same time, so each stops with a
-    /// probability that leaves [`WATCHERS_KEPT`] on average.
-    fn may_stop(&self) -> bool {
-        if !self.is_shared() || self.confirming <= WATCHERS_KEPT {
+    /// Decides at random whether a watcher stops. Several watchers may decide at the same time, so
+    /// the probability leaves [`MAX_WATCHERS`] watchers on average.
+    fn should_stop(&self) -> bool {
+        if !self.shares_watches() || self.confirming <= MAX_WATCHERS {
             return false;
         }
-        let kept = WATCHERS_KEPT as f64 / self.confirming as f64;
-        rand::rng().random_bool(1.0 - kept)
+        let stay_probability = MAX_WATCHERS as f64 / self.confirming as f64;
+        rand::rng().random_bool(1.0 - stay_probability)
     }
 }
 
-/// Waits after a start until the node is linked to peers from which it may learn the configuration,
-/// if there are any.
-pub(super) async fn links_opened(node: &Node) {
+/// Waits after a start until the node has read the registry and opened links, for a limited time.
+pub(super) async fn wait_for_links(node: &Node) {
     if node.settings.new_fleet {
-        sleep(FIRST_START).await;
+        sleep(NEW_FLEET_DELAY).await;
     }
-    let began = Instant::now();
-    while !node.has_read_registry() && began.elapsed() < REGISTRY_PATIENCE {
-        sleep(WATCH_CHECK).await;
+    let started_at = Instant::now();
+    while !node.has_read_registry() && started_at.elapsed() < REGISTRY_TIMEOUT {
+        sleep(START_CHECK_INTERVAL).await;
     }
-    let began = Instant::now();
-    while !node.watch_view().has_linked() && began.elapsed() < LINK_PATIENCE {
-        sleep(WATCH_CHECK).await;
+    let started_at = Instant::now();
+    while !node.watch_view().has_expected_links() && started_at.elapsed() < LINKS_TIMEOUT {
+        sleep(START_CHECK_INTERVAL).await;
     }
 }
 
-/// Waits until this node should watch the store: at once in a small fleet, and in a large one when too few
-/// peers do. All nodes see that at about the same time, so each waits for a random time, in which the first
-/// ones make up for what is missing.
-pub(super) async fn watch_needed(node: &Node) {
+/// Waits until this node should watch the store.
+///
+/// In a large fleet all nodes notice missing watchers at about the same time. Each waits for a random
+/// time, so the first nodes to start replace the missing watchers.
+pub(super) async fn wait_until_watch_needed(node: &Node) {
     loop {
         let view = node.watch_view();
-        if !view.is_shared() {
+        if !view.shares_watches() {
             return;
         }
-        if view.confirming >= WATCHERS {
-            sleep(WATCH_CHECK_COVERED).await;
+        if view.confirming >= MIN_WATCHERS {
+            sleep(COVERED_CHECK_INTERVAL).await;
             continue;
         }
-        let chance = WATCH_CHECK.as_secs_f64() / view.begin_window().as_secs_f64();
-        if rand::rng().random_bool(chance.min(1.0)) {
+        let probability = START_CHECK_INTERVAL.as_secs_f64() / view.start_window().as_secs_f64();
+        if rand::rng().random_bool(probability.min(1.0)) {
             let confirming = view.confirming;
             let reached = view.reached;
             tracing::info!(
                 confirming,
                 reached,
-                "too few peers watch the store, this node does"
+                "too few peers watch the store; starting to watch it"
             );
             return;
         }
-        sleep(WATCH_CHECK).await;
+        sleep(START_CHECK_INTERVAL).await;
     }
 }
 
-/// Waits until so many peers watch the store that this node need not. A watch that is given up
-/// costs nothing more.
-pub(super) async fn relieved(node: &Node) {
+/// Waits until enough peers watch the store for this node to stop.
+pub(super) async fn wait_until_watch_unneeded(node: &Node) {
     loop {
-        sleep(RELIEF_CHECK).await;
-        if node.watch_view().may_stop() {
+        sleep(STOP_CHECK_INTERVAL).await;
+        if node.watch_view().should_stop() {
             return;
         }
     }
--- a/crates/tallybridge-mesh/src/tasks/crash_detection.rs
+++ b/crates/tallybridge-mesh/src/tasks/crash_detection.rs
@@ -1,13 +1,12 @@
-//! Detects a crash of the back end beside this node when calls lose their connections to it.
+//! Detects a crash of the back end beside this node when its calls lose their connections.
 //!
-//! **Rule.** When every call at the back end has lost its connection, one connection is tried:
-//! refused, the back end has crashed; accepted, it runs; neither, the next health check or report
-//! shows which instance and start is there.
+//! When every running call has lost its connection, the node opens one test connection. If the
+//! connection is refused, the back end has crashed. If it is accepted, the back end is running.
+//! Otherwise the next health check or report shows which incarnation is running.
 //!
-//! **Why.** On the same machine only a process that is gone refuses connections. Lost connections
-//! alone are no proof: a back end above its bound of connections resets them too. A new instance
-//! alone shows a crash seconds late, and the same request crashes others meanwhile
-//! (docs/design/quarantine.md, "What shows that a back end crashed").
+//! Lost connections alone are not proof, because a back end over its connection limit resets them
+//! too. Waiting for a new instance detects a crash too late: the same request crashes other back
+//! ends in the meantime.
 
 use std::{io, sync::Arc, time::Duration};
 
@@ -18,17 +17,16 @@
 
 use crate::node::Node;
 
-/// Time from the first lost connection in which the other calls at a crashed back end lose theirs.
-/// Origin not recorded.
-const SETTLE: Duration = Duration::from_millis(5);
-/// Longest wait for the connection that is tried, to a process on the same machine. Origin not recorded.
+/// Time within which all calls at a crashed back end lose their connections.
+const CONNECTION_LOSS_WINDOW: Duration = Duration::from_millis(5);
+/// Timeout of the test connection, which stays on this machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Detects crashes for as long as the process runs.
 pub async fn watch_for_crashes(node: Arc<Node>) {
     loop {
         node.call_lost().await;
-        sleep(SETTLE).await;
+        sleep(CONNECTION_LOSS_WINDOW).await;
         if node.is_crash_suspected() {
             probe_back_end(&node).await;
         }
@@ -40,7 +38,7 @@
     match timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(_)) => node.backend_reachable(),
         Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => node.backend_gone(),
-        // Nothing shown: the next health check or report tells a new instance or start from this one.
+        // Inconclusive: the next health check or report shows whether the incarnation changed.
         Ok(Err(_)) | Err(_) => {}
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -1,10 +1,9 @@
-//! Health checks of the back end beside this node, by which it is verified before it gets work.
+//! Health checks, which verify the back end beside this node before it receives work.
 //!
-//! **Rule.** A check is made whenever the node asks for one: when a configuration comes into force, when a
-//! back end has reported that is not verified yet, and when another instance answered a call. It is
-//! repeated until the back end answers that it is healthy, or has said that it leaves.
-//!
-//! **Why.** Reports may be late, out of order or of another start; an answer is the back end's own.
+//! A check runs when a configuration comes into force, when an unverified back end reports, and when
+//! a call is answered by another instance. It repeats until the back end is healthy or leaving.
+//! Reports do not verify a back end, because they may be late, reordered or from another
+//! incarnation.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -19,17 +18,15 @@
     tables::InstanceState,
 };
 
-/// Longest wait for a health check, which waits for a slot of the back end as a request does. Origin of
-/// the figure not recorded.
+/// Timeout of a health check. It includes the wait for a slot, because the back end queues health
+/// checks together with requests.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Wait between health checks while the back end answers that it takes no work. Origin of the figure not
-/// recorded.
-const RETRY_UNHEALTHY: Duration = Duration::from_millis(700);
-/// Wait between health checks while the back end does not answer at all. Origin of the figure not
-/// recorded.
-const RETRY_SILENT: Duration = Duration::from_millis(250);
+/// Wait after a health check that the back end answered as unhealthy.
+const UNHEALTHY_RETRY_WAIT: Duration = Duration::from_millis(700);
+/// Wait after a health check without a valid answer.
+const NO_ANSWER_RETRY_WAIT: Duration = Duration::from_millis(250);
 
-/// Asks the back end who it is, whenever that must be known before it gets work. Never returns.
+/// Runs health checks whenever the back end must be verified. Never returns.
 pub async fn verify_instance(node: Arc<Node>) {
     loop {
         node.verification_due().await;
@@ -39,52 +36,51 @@
     }
 }
 
-/// What a back end answered to a health check.
 struct HealthAnswer {
     instance: String,
     is_healthy: bool,
 }
 
-/// Makes one health check; returns the wait until it is to be repeated, if it is.
+/// Runs one health check. Returns the wait before the next one, or `None` if none is needed.
 async fn verify_once(node: &Arc<Node>) -> Option<Duration> {
     // Without a configuration, or without the service in it, the next configuration wakes the task.
     let configuration = node.configuration()?;
     let service = node.settings.backend.service.as_str();
     let policy = configuration.services.get(service)?;
-    let started = Instant::now();
-    let wait = match health_check(node, &policy.health_path).await {
+    let started_at = Instant::now();
+    let wait = match check_health(node, &policy.health_path).await {
         Ok(answer) => {
             node.instance_verified(&answer.instance, answer.is_healthy);
             if answer.is_healthy {
                 return None;
             }
-            RETRY_UNHEALTHY
+            UNHEALTHY_RETRY_WAIT
         }
         Err(error) => {
-            tracing::debug!(elapsed = ?started.elapsed(), %error, "no answer to a health check");
-            RETRY_SILENT
+            tracing::debug!(elapsed = ?started_at.elapsed(), %error, "health check got no valid answer");
+            NO_ANSWER_RETRY_WAIT
         }
     };
     (node.instance_state() != InstanceState::Leaving).then_some(wait)
 }
 
-async fn health_check(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
+async fn check_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
     node.counters.health_checks.fetch_add(1, Ordering::Relaxed);
-    let checked = timeout(HEALTH_TIMEOUT, ask_health(node, path)).await;
-    checked.unwrap_or_else(|_| Err(ExchangeError::given_up("no answer in time")))
+    let result = timeout(HEALTH_TIMEOUT, request_health(node, path)).await;
+    result.unwrap_or_else(|_| Err(ExchangeError::given_up("the health check timed out")))
 }
 
-async fn ask_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
+async fn request_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
     let address = node.settings.backend.address;
     let stream = connect(address, HEALTH_TIMEOUT, HEALTH_TIMEOUT).await;
     let mut connection = Connection::new(stream.map_err(ExchangeError::not_sent)?);
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    let received = connection.exchange(request.as_bytes(), b"", false).await?;
-    let Some(instance) = received.head.headers.text(node.names.instance) else {
-        return Err(ExchangeError::given_up("the answer names no instance"));
+    let response = connection.exchange(request.as_bytes(), b"", false).await?;
+    let Some(instance) = response.head.headers.text(node.names.instance) else {
+        return Err(ExchangeError::given_up("the answer has no instance header"));
     };
     Ok(HealthAnswer {
         instance: instance.to_owned(),
-        is_healthy: received.head.status == 200,
+        is_healthy: response.head.status == 200,
     })
 }
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -1,7 +1,7 @@
-//! Opens links to other nodes, keeps them open and handles what arrives on them.
+//! Opens links to other nodes, reconnects them and handles the frames that arrive on them.
 //!
-//! The table of peers decides which links there should be (`tables::peers`); each gets a task here.
-//! The other end of a link is `listener::peers`.
+//! The table of peers (`tables::peers`) selects the links, and one task maintains each of them. The
+//! accepting side of a link is `listener::peers`.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -30,80 +30,75 @@
     tables::{Confirmed, LinkRequest},
 };
 
-/// Time in which a connection must come up, and again time in which the other node must answer the
-/// hello. Origin not recorded.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Wait after the first failed attempt to open a link; it doubles with each. Origin not recorded.
-const REOPEN_MIN: Duration = Duration::from_millis(100);
-/// Longest wait between attempts to open a link. Origin not recorded.
-const REOPEN_MAX: Duration = Duration::from_millis(1000);
-/// Share by which each of these waits is shortened or lengthened at random, so that the nodes that
-/// lost the same peer don't return to it at once. Origin not recorded.
+/// Timeout of the connection attempt and, separately, of the handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// First wait before a link is opened again. The wait doubles with each failed attempt.
+const MIN_REOPEN_WAIT: Duration = Duration::from_millis(100);
+const MAX_REOPEN_WAIT: Duration = Duration::from_millis(1000);
+/// Largest random change of a wait, as a fraction of it. Jitter keeps nodes that lost the same peer
+/// from reconnecting at the same time.
 const REOPEN_JITTER: f64 = 0.3;
 
-/// Reason for the close of a link whose other node was silent for too long.
-const UNRESPONSIVE: &str = "no sign of life";
-/// Reason for the close of a link that is not wanted.
-const NOT_NEEDED: &str = "not needed any more";
+const UNRESPONSIVE: &str = "peer is unresponsive";
+const NOT_NEEDED: &str = "link is no longer needed";
 
-/// Opens the links that the node's table of peers wants, and keeps each in a task of its own.
+/// Starts a task for each link that the table of peers requests. Never returns.
 pub async fn open_links(node: Arc<Node>) {
     loop {
         for request in node.next_link_requests().await {
-            tokio::spawn(keep_link(node.clone(), request));
+            tokio::spawn(maintain_link(node.clone(), request));
         }
     }
 }
 
-/// Keeps a link to a node for as long as that node is one of those that are linked to.
-async fn keep_link(node: Arc<Node>, request: LinkRequest) {
+/// Opens a link and reopens it until the table of peers no longer requests it.
+async fn maintain_link(node: Arc<Node>, request: LinkRequest) {
     let address = request.address;
-    let mut wait = REOPEN_MIN;
+    let mut wait = MIN_REOPEN_WAIT;
     loop {
-        match open(&node, address).await {
+        match open_link(&node, address).await {
             Ok(opened) => {
-                wait = REOPEN_MIN;
+                wait = MIN_REOPEN_WAIT;
                 let record = &opened.record;
                 tracing::info!(peer = record.node, service = record.service, "link opened");
-                let reason = run(&node, request, opened).await;
-                tracing::info!(%address, reason, "link lost");
+                let reason = run_link(&node, request, opened).await;
+                tracing::info!(%address, reason, "link closed");
             }
             Err(error) => {
-                tracing::debug!(%address, %error, "link not opened");
+                tracing::debug!(%address, %error, "cannot open the link");
                 node.peer_unreachable(request);
             }
         }
         if node.forget_peer(request) {
             return;
         }
-        let jitter = rand::rng().random_range(1.0 - REOPEN_JITTER..1.0 + REOPEN_JITTER);
-        sleep(wait.mul_f64(jitter)).await;
-        wait = (wait * 2).min(REOPEN_MAX);
+        let jitter_factor = rand::rng().random_range(1.0 - REOPEN_JITTER..1.0 + REOPEN_JITTER);
+        sleep(wait.mul_f64(jitter_factor)).await;
+        wait = (wait * 2).min(MAX_REOPEN_WAIT);
     }
 }
 
-/// A link after its handshake.
+/// An open link, whose handshake is complete.
 struct OpenedLink {
     link: Arc<Link>,
-    /// What the other node said of itself.
+    /// Record that the peer sent in its hello.
     record: NodeRecord,
-    /// When this node sent its hello.
     hello_sent_at: BootInstant,
     reader: OwnedReadHalf,
     buffer: BytesMut,
     writer: OwnedWriteHalf,
-    /// Frames that wait to be written.
+    /// Queue of frames to write.
     frames: mpsc::UnboundedReceiver<Bytes>,
 }
 
-async fn open(node: &Node, address: SocketAddr) -> io::Result<OpenedLink> {
-    let stream = connect(address, OPEN_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await?;
-    timeout(OPEN_TIMEOUT, shake_hands(node, stream))
+async fn open_link(node: &Node, address: SocketAddr) -> io::Result<OpenedLink> {
+    let stream = connect(address, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await?;
+    timeout(CONNECT_TIMEOUT, handshake(node, stream))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-async fn shake_hands(node: &Node, stream: TcpStream) -> io::Result<OpenedLink> {
+async fn handshake(node: &Node, stream: TcpStream) -> io::Result<OpenedLink> {
     let (mut reader, mut writer) = stream.into_split();
     let hello = Frame::of_link(Message::Hello(node.hello()));
     let hello_sent_at = BootInstant::now();
@@ -122,8 +117,8 @@
     })
 }
 
-/// Runs a link until it is lost; gives the reason.
-async fn run(node: &Arc<Node>, request: LinkRequest, opened: OpenedLink) -> String {
+/// Runs a link until it closes, and returns the reason.
+async fn run_link(node: &Arc<Node>, request: LinkRequest, opened: OpenedLink) -> String {
     let OpenedLink {
         link,
         record,
@@ -133,18 +128,18 @@
         writer,
         frames,
     } = opened;
-    // Other than the address that was dialled only by a mistake in the other node's settings.
+    // Differs from the requested address only if the peer's settings are wrong.
     let address = record.address;
     if !node.peer_connected(request, record, link.clone()) {
         return NOT_NEEDED.to_owned();
     }
-    greet(node, &link);
-    let writing = tokio::spawn(write_frames(writer, frames));
-    let reading = async {
+    send_initial_messages(node, &link);
+    let write_task = tokio::spawn(write_frames(writer, frames));
+    let read_loop = async {
         loop {
             match next_frame(&mut reader, &mut buffer).await {
                 Ok(frame) => {
-                    link.received(Instant::now());
+                    link.record_frame(Instant::now());
                     if let Message::Clock(clock) = frame.message {
                         link.set_peer_clock(hello_sent_at, clock.now_ms);
                     } else {
@@ -156,23 +151,23 @@
         }
     };
     let reason = tokio::select! {
-        reason = reading => reason,
-        () = link.unresponsive() => UNRESPONSIVE.to_owned(),
-        () = link.retired() => NOT_NEEDED.to_owned(),
+        reason = read_loop => reason,
+        () = link.wait_until_unresponsive() => UNRESPONSIVE.to_owned(),
+        () = link.wait_until_retired() => NOT_NEEDED.to_owned(),
     };
-    writing.abort();
+    write_task.abort();
     link.close();
     node.peer_disconnected(address, &link);
     reason
 }
 
-/// Sends what a node that was linked to anew should know, and asks for what this one wants to know.
-fn greet(node: &Node, link: &Link) {
+/// Sends the quarantined requests to a newly linked peer, and requests its node list if needed.
+fn send_initial_messages(node: &Node, link: &Link) {
     if node.wants_nodes() {
         link.send(&Frame::of_link(Message::FetchNodes));
     }
-    for suspect in node.quarantine_snapshot() {
-        link.send(&Frame::of_link(Message::Quarantined(suspect)));
+    for request in node.quarantine_snapshot() {
+        link.send(&Frame::of_link(Message::Quarantined(request)));
     }
 }
 
@@ -190,24 +185,24 @@
         Message::Status(status) => node.peer_status(address, status),
         Message::Nodes(nodes) => node.learn_nodes(&nodes),
         Message::Configuration(document) => {
-            // One that can't be read is logged there, and the last one stays.
+            // Logs a document that cannot be decoded and keeps the previous one.
             let _ = node.offer_configuration(&document);
         }
         Message::Confirmed(confirmation) => {
-            node.peer_confirmed(address, confirmed(link, confirmation));
+            node.peer_confirmed(address, to_confirmed(link, confirmation));
         }
-        Message::Quarantined(suspect) => node.merge_quarantined(suspect),
-        // The other kinds only go from the node that opened a link to the one that accepted it.
+        Message::Quarantined(request) => node.merge_quarantined(request),
+        // The other kinds are sent only to the accepting side of a link.
         _ => {}
     }
 }
 
-/// A confirmation, with the time on the other node's clock translated into one here.
-fn confirmed(link: &Link, confirmation: ConfirmationMessage) -> Confirmed {
-    let read_at_ms = Some(confirmation.read_at_ms).filter(|milliseconds| *milliseconds > 0);
+/// Converts a confirmation, with its read time translated to the local clock.
+fn to_confirmed(link: &Link, confirmation: ConfirmationMessage) -> Confirmed {
+    let read_at_ms = Some(confirmation.read_at_ms).filter(|peer_ms| *peer_ms > 0);
     Confirmed {
         version: confirmation.version,
         age: Duration::from_millis(confirmation.age_ms.into()),
-        read_at: read_at_ms.and_then(|milliseconds| link.to_local_time(milliseconds)),
+        read_at: read_at_ms.and_then(|peer_ms| link.to_local_time(peer_ms)),
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/mod.rs
+++ b/crates/tallybridge-mesh/src/tasks/mod.rs
@@ -1,8 +1,8 @@
-//! Tasks that run beside requests for as long as the process does.
+//! Background tasks that run for as long as the process.
 //!
 //! They keep the node's tables up to date with the store, the other nodes, the back end and the
-//! settings. A task owns no state that requests need: it changes the node by its methods and waits
-//! for the node's signals.
+//! settings. A task owns no state that requests need: it changes the node through its methods and
+//! waits for its signals.
 
 mod backoff;
 pub mod configuration;
--- a/crates/tallybridge-mesh/src/tasks/registration.rs
+++ b/crates/tallybridge-mesh/src/tasks/registration.rs
@@ -1,16 +1,11 @@
-//! Keeps this node registered in the store, and the nodes of the registry known.
+//! Keeps this node registered in the store, and reads the registry of the other nodes.
 //!
-//! **Rule.** A node reads the registry, registers under a lease, and renews that for as long as the
-//! process lives. A renewal that fails is tried again under the same lease; a node registers anew
-//! only once the store says that the lease is over. A node that watches the store renews more
-//! often, since each renewal confirms its configuration ([`configuration`](super::configuration)).
-//!
-//! **Why.** Calls are paid for, and a new registration costs many times as much as a renewal:
-//! leases that are kept and reads that may be seconds old took a large site from 688 calls a day to
-//! 560. A lease that lapses takes no node out of service: peers judge each other by the contact on
-//! their links (docs/DESIGN.md, "Registry").
-//!
-//! Reading the registry: `registry.rs`.
+//! A node reads the registry, registers under a lease and renews the lease. A failed renewal is
+//! retried under the same lease, because a new registration costs many times as much as a renewal.
+//! The node registers again only after the store reports that the lease has expired. Watchers renew
+//! more often, because each renewal confirms the configuration
+//! ([`configuration`](super::configuration)). An expired lease takes no node out of service: peers
+//! judge each other by their links.
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
@@ -23,30 +18,28 @@
 };
 use crate::{clock::BootInstant, node::Node, platform::StoreError};
 
-/// Lifetime of a registration without renewal: an outage of the store that is shorter ends none. Origin of
-/// the figure not recorded.
-const REGISTRATION: Duration = Duration::from_secs(20);
-/// Time between renewals of a node that learns of changes from peers: three within a lifetime.
-/// Origin of the figure not recorded.
-const RENEWAL: Duration = Duration::from_secs(6);
-/// The same of a node that watches the store for itself: each renewal confirms the configuration, which is
-/// trusted to know all routes for 6 s.
-const RENEWAL_WATCHING: Duration = Duration::from_secs(4);
-/// The same of a node that watches the store for others as well, which trust a confirmation for 1.2 s.
-const RENEWAL_CONFIRMING: Duration = Duration::from_millis(500);
-/// Time between attempts to renew while the store does not answer: a node whose lease lapsed in an
-/// outage is registered again within some 2 s of the store's return.
-const RENEWAL_RETRY: Duration = Duration::from_millis(600);
-/// Least part of the time between renewals that passes before the first one: nodes that start
-/// together don't renew together. Origin of the figure not recorded.
-const FIRST_RENEWAL_MIN: f64 = 0.25;
-/// Times between registering and the first reads of the registry after it. Each may show a registry that is
-/// seconds old: nodes that start together find each other with the later one.
-const EARLY_READS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(4)];
-/// Longest wait for the end of a registration at a stop. Origin not recorded.
-const UNREGISTER: Duration = Duration::from_millis(200);
+/// Time to live of the lease without renewal. Registrations survive shorter outages of the store.
+const LEASE_TTL: Duration = Duration::from_secs(20);
+/// Time between renewals of a node that does not watch the store.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(6);
+/// Time between renewals of a watcher in a small fleet. Each renewal confirms the configuration,
+/// and a confirmation is trusted for 6 s.
+const WATCHER_RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
+/// Time between renewals of a watcher in a large fleet, where peers trust a confirmation for 1.2 s.
+const SHARED_WATCH_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between attempts to renew while the store does not answer. It is short, so that a node whose
+/// lease expired in an outage registers again soon after it.
+const RENEWAL_RETRY_WAIT: Duration = Duration::from_millis(600);
+/// Lower bound of the random fraction of the interval before the first renewal, which keeps nodes
+/// that start together from renewing together.
+const MIN_FIRST_RENEWAL_FRACTION: f64 = 0.25;
+/// Times from registration to the first read of the registry, and from that read to the second. A
+/// read may be seconds out of date, so nodes that start together find each other with the second.
+const EARLY_READ_DELAYS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(4)];
+/// Timeout of the call that ends the registration when the node stops.
+const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Registers this node, renews that, and learns of other nodes.
+/// Maintains the registration and reads the registry for as long as the process runs.
 pub async fn maintain_registration(node: Arc<Node>) {
     let mut backoff = Backoff::new();
     let mut registry = RegistryReader::default();
@@ -55,18 +48,18 @@
             Err(reason) => reason,
             Ok(never) => match never {},
         };
-        tracing::warn!(%reason, "registration lost");
+        tracing::warn!(%reason, "registration failed or expired; registering again");
         node.suspect_watch();
         backoff.wait().await;
     }
 }
 
-/// Ends the registration.
+/// Ends the registration, if there is one. Waits for the store for a bounded time.
 pub async fn unregister(node: &Node) {
     if let Some(lease) = node.lease() {
         count_store_call(node);
-        // The lease ends by itself if this fails.
-        let _ = timeout(UNREGISTER, node.platform.end_lease(lease)).await;
+        // If the call fails, the lease expires later.
+        let _ = timeout(UNREGISTER_TIMEOUT, node.platform.end_lease(lease)).await;
     }
 }
 
@@ -75,29 +68,28 @@
     registry: &mut RegistryReader,
     backoff: &mut Backoff,
 ) -> Result<Infallible, StoreError> {
-    // What nodes registered before they ended says how many slots their back ends have.
+    // Reads the registry first, because earlier records show how many slots back ends have.
     registry.read(node).await?;
     let lease = register_self(node, None).await?;
     *backoff = Backoff::new();
-    let mut early_reads = EARLY_READS.into_iter();
-    let mut read_at = Instant::now() + early_reads.next().unwrap_or_else(|| registry.interval());
+    let mut delays = EARLY_READ_DELAYS.into_iter();
+    let mut next_read_at = Instant::now() + delays.next().unwrap_or_else(|| registry.interval());
     let mut renewed_at = Instant::now();
-    // Part of the time between renewals that passes before the next one.
-    let mut part = rand::rng().random_range(FIRST_RENEWAL_MIN..1.0);
+    let mut interval_fraction = rand::rng().random_range(MIN_FIRST_RENEWAL_FRACTION..1.0);
     loop {
         tokio::select! {
-            () = sleep_until(renewed_at + renewal_interval(node).mul_f64(part)) => {
+            () = sleep_until(renewed_at + renewal_interval(node).mul_f64(interval_fraction)) => {
                 renew(node, lease).await?;
                 renewed_at = Instant::now();
-                part = 1.0;
+                interval_fraction = 1.0;
             }
-            // The time between renewals is another one now.
+            // Restarts the loop, which computes the renewal time with the shorter interval.
             () = node.became_watcher() => {}
-            // The lease ran on while the process did not.
-            () = node.resumed() => part = 0.0,
-            () = sleep_until(read_at) => {
-                read_again(node, registry).await;
-                read_at = Instant::now() + early_reads.next().unwrap_or_else(|| registry.interval());
+            // The lease kept running during the pause, so it is renewed immediately.
+            () = node.resumed() => interval_fraction = 0.0,
+            () = sleep_until(next_read_at) => {
+                reread_registry(node, registry).await;
+                next_read_at = Instant::now() + delays.next().unwrap_or_else(|| registry.interval());
             }
             () = node.record_changed() => {
                 register_self(node, Some(lease)).await?;
@@ -106,9 +98,9 @@
     }
 }
 
-async fn read_again(node: &Arc<Node>, registry: &mut RegistryReader) {
+async fn reread_registry(node: &Arc<Node>, registry: &mut RegistryReader) {
     if let Err(reason) = registry.read(node).await {
-        tracing::warn!(%reason, "register can't be read, the nodes known so far stay");
+        tracing::warn!(%reason, "cannot read the registry; keeping the known nodes");
         node.suspect_watch();
     }
     node.forget_unlinked_nodes();
@@ -116,28 +108,28 @@
 
 fn renewal_interval(node: &Node) -> Duration {
     match node.is_watcher() {
-        false => RENEWAL,
-        true if node.watch_view().is_shared() => RENEWAL_CONFIRMING,
-        true => RENEWAL_WATCHING,
+        false => RENEWAL_INTERVAL,
+        true if node.watch_view().shares_watches() => SHARED_WATCH_RENEWAL_INTERVAL,
+        true => WATCHER_RENEWAL_INTERVAL,
     }
 }
 
-/// Renews a lease, and tries again for as long as nothing shows that it is over.
+/// Renews a lease. Retries until the renewal succeeds or the lease has expired.
 async fn renew(node: &Node, lease: u64) -> Result<(), StoreError> {
     loop {
         count_store_call(node);
-        let asked_at = BootInstant::now();
+        let requested_at = BootInstant::now();
         match node.platform.renew(lease).await {
             Ok(()) => {
-                // The store answers, and the watch has reported no change.
-                node.confirm_by_pending_watch(asked_at);
+                // The store answered while the watch reported no change.
+                node.confirm_by_pending_watch(requested_at);
                 return Ok(());
             }
             Err(StoreError::LeaseExpired) => return Err(StoreError::LeaseExpired),
             Err(reason) => {
-                tracing::warn!(%reason, "registration not renewed, it is tried again");
+                tracing::warn!(%reason, "cannot renew the registration; retrying");
                 node.suspect_watch();
-                sleep(jittered(RENEWAL_RETRY)).await;
+                sleep(jittered(RENEWAL_RETRY_WAIT)).await;
             }
         }
     }
@@ -146,10 +138,10 @@
 async fn register_self(node: &Node, lease: Option<u64>) -> Result<u64, StoreError> {
     count_store_call(node);
     let name = registry_name(&node.record.node);
-    let registering = node
+    let registration = node
         .platform
-        .register(&name, node.hello(), REGISTRATION, lease);
-    let lease = registering.await?;
+        .register(&name, node.hello(), LEASE_TTL, lease);
+    let lease = registration.await?;
     node.registered(lease);
     Ok(lease)
 }
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -1,11 +1,8 @@
-//! Reading the registry: the list in the store of nodes, and behind them of quarantined requests.
+//! Reads the registry, which lists the nodes and, after them, the quarantined requests.
 //!
-//! **Rule.** A small registry is read as a whole. Of a large one a node reads [`ENOUGH_NODES`]
-//! behind its own place, as it links to some nodes of each service only.
-//!
-//! **Why.** Names begin with a hash, so the nodes behind a place are of all zones and services, and
-//! each node reads others. Nodes also learn of those that link to them, so these reads only
-//! complete the choice.
+//! A small registry is read as a whole. A node reads only [`NODES_PER_READ`] nodes of a large one,
+//! starting after its own entry, because it links to only some nodes of each service. Entry names
+//! begin with a hash, so each node reads a different mix of zones and services.
 
 use std::{sync::Arc, time::Duration};
 
@@ -21,68 +18,65 @@
     log::rate_limit::LogRateLimit, node::Node, platform::StoreError, protocol::NodeRecord,
 };
 
-/// Time between reads. Origin of the figure not recorded.
 const READ_INTERVAL: Duration = Duration::from_secs(12);
-/// The same where the registry is large, so that all reads together are within the store's means. Origin of
-/// the figure not recorded.
-const READ_INTERVAL_LARGE: Duration = Duration::from_secs(60);
-/// Nodes that are read at a time: enough to choose those that are linked to, and about what the store gives
-/// in one answer.
-const ENOUGH_NODES: usize = 500;
-/// Bytes of an unreadable entry that the log shows.
-const SHOWN_BYTES: usize = 80;
+/// Time between reads of a large registry. It is longer to limit the total load on the store.
+const LARGE_REGISTRY_READ_INTERVAL: Duration = Duration::from_secs(60);
+/// Number of nodes after which a read of a large registry stops, about one page of the store.
+const NODES_PER_READ: usize = 500;
+const MAX_LOGGED_BYTES: usize = 80;
 
-/// The name under which a node registers: a hash goes before its own.
+/// Returns the name of a node's entry, which is the node's name after a hash of it.
 pub(super) fn registry_name(node: &str) -> String {
     let hash = xxh3_64(node.as_bytes()) >> (u64::BITS - u16::BITS);
     format!("{hash:04x}-{node}")
 }
 
-/// Reads the registry, and knows how large it was found.
+/// Reads the registry, and remembers whether it is large.
 #[derive(Debug, Default)]
 pub(super) struct RegistryReader {
-    /// Whether it has more nodes than are read at a time.
+    /// Whether the last read found more than [`NODES_PER_READ`] nodes.
     is_large: bool,
 }
 
 impl RegistryReader {
-    /// Learns of registered nodes: of all in a small registry, of those behind this node's own place in a
-    /// large one.
+    /// Reads all entries of a small registry. Reads the nodes after this node's own entry, and the
+    /// quarantined requests, of a large one.
     pub(super) async fn read(&mut self, node: &Arc<Node>) -> Result<(), StoreError> {
         if !self.is_large {
             self.is_large = !read_from(node, "").await?;
         }
         if self.is_large {
-            let own = registry_name(&node.record.node);
-            self.is_large = !read_from(node, &own).await?;
-            // Quarantined requests stand behind all nodes, where a read that ends before does not get.
+            let own_name = registry_name(&node.record.node);
+            self.is_large = !read_from(node, &own_name).await?;
+            // Quarantined requests sort after all nodes, so a partial read does not reach them.
             read_from(node, QUARANTINE_PREFIX).await?;
         }
         node.registry_read();
         Ok(())
     }
 
-    /// Time until the next read.
+    /// Returns the time until the next read.
     pub(super) const fn interval(&self) -> Duration {
         match self.is_large {
-            true => READ_INTERVAL_LARGE,
+            true => LARGE_REGISTRY_READ_INTERVAL,
             false => READ_INTERVAL,
         }
     }
 }
 
-/// Reads from a name on and round to it again, until enough nodes are read; `true` when these are all.
+/// Reads the entries after `start`, wraps around, and stops at `start` or after [`NODES_PER_READ`]
+/// entries. Returns whether it read all entries.
 async fn read_from(node: &Arc<Node>, start: &str) -> Result<bool, StoreError> {
     let mut after = start.to_owned();
     let mut has_wrapped = start.is_empty();
-    let mut read = 0;
+    let mut entries_read = 0;
     loop {
         count_store_call(node);
         let page = node.platform.registry_page(&after).await?;
-        read += page.records.len();
-        learn(node, &page.records);
+        entries_read += page.records.len();
+        learn_entries(node, &page.records);
         match page.next_after {
-            Some(_) if read >= ENOUGH_NODES => return Ok(false),
+            Some(_) if entries_read >= NODES_PER_READ => return Ok(false),
             Some(next) if has_wrapped && !start.is_empty() && *next > *start => return Ok(true),
             Some(next) => after = next,
             None if has_wrapped => return Ok(true),
@@ -94,32 +88,31 @@
     }
 }
 
-/// An entry of the registry.
 #[derive(Deserialize)]
 #[serde(untagged)]
-enum Registered {
+enum RegistryEntry {
     Node(NodeRecord),
     Quarantine(StoredQuarantine),
 }
 
-fn learn(node: &Arc<Node>, entries: &[Bytes]) {
+fn learn_entries(node: &Arc<Node>, entries: &[Bytes]) {
     let mut nodes = Vec::with_capacity(entries.len());
     for entry in entries {
         match serde_json::from_slice(entry) {
-            Ok(Registered::Node(record)) => nodes.push(record),
-            Ok(Registered::Quarantine(stored)) => stored.merge_into(node),
-            Err(error) => log_unreadable(entry, &error),
+            Ok(RegistryEntry::Node(record)) => nodes.push(record),
+            Ok(RegistryEntry::Quarantine(stored)) => stored.merge_into(node),
+            Err(error) => log_undecodable(entry, &error),
         }
     }
     node.learn_records(nodes);
 }
 
-/// Logs an entry that another writer made, or that is damaged; the others are used.
-fn log_unreadable(entry: &[u8], error: &serde_json::Error) {
-    static UNREADABLE: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = UNREADABLE.line() {
-        let shown = &entry[..entry.len().min(SHOWN_BYTES)];
-        let record = String::from_utf8_lossy(shown);
-        tracing::warn!(%error, %record, left_out, "a registration can't be read");
+/// Logs an entry that is damaged or was written by another program.
+fn log_undecodable(entry: &[u8], error: &serde_json::Error) {
+    static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+    if let Some(left_out) = LOG_RATE_LIMIT.line() {
+        let prefix = &entry[..entry.len().min(MAX_LOGGED_BYTES)];
+        let record = String::from_utf8_lossy(prefix);
+        tracing::warn!(%error, %record, left_out, "cannot decode a registry entry; skipping it");
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/reload.rs
+++ b/crates/tallybridge-mesh/src/tasks/reload.rs
@@ -1,6 +1,8 @@
-//! Settings that change while the node runs. They are read again at SIGHUP, and each second, as the
-//! platform may lay out a new file without a signal. What can't change while the node runs is named
-//! in the log ([`MeshSettings::fixed_differences`]).
+//! Reloads the settings while the node runs.
+//!
+//! The settings are read again on SIGHUP, and regularly because the platform may replace the file
+//! without a signal. Changes that need a restart are logged
+//! ([`MeshSettings::fixed_differences`]).
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,45 +13,44 @@
     settings::{MeshSettings, SettingsError},
 };
 
-/// Time between reads of settings that may have changed without a signal. Origin not recorded.
-const READ_INTERVAL: Duration = Duration::from_millis(1000);
+const POLL_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Where the settings come from.
+/// Source of the settings text, such as a file.
 pub trait SettingsSource: Send + Sync + 'static {
-    /// The settings as text, as they are now.
+    /// Reads the current settings as TOML.
     ///
     /// # Errors
     ///
-    /// [`SettingsError`] when they can't be read.
+    /// Returns [`SettingsError`] if the source cannot be read.
     fn read(&self) -> Result<String, SettingsError>;
 }
 
-/// Applies changed settings for as long as the process lives. Settings that can't be used are
-/// logged, and the last good ones stay in force.
+/// Applies changed settings for as long as the process runs. Logs invalid settings and keeps the
+/// previous ones.
 pub async fn reload_settings(node: Arc<Node>, source: Arc<dyn SettingsSource>, mut hangup: Signal) {
-    // No settings are empty, so that the next read that succeeds counts as a change.
-    let mut last = read(&*source).unwrap_or_default();
+    // Valid settings are never empty, so the next successful read counts as a change.
+    let mut previous = read_settings(&*source).unwrap_or_default();
     loop {
         let signalled = tokio::select! {
             _ = hangup.recv() => true,
-            () = sleep(READ_INTERVAL) => false,
+            () = sleep(POLL_INTERVAL) => false,
         };
-        let Some(text) = read(&*source) else {
+        let Some(text) = read_settings(&*source) else {
             continue;
         };
-        if text == last && !signalled {
+        if text == previous && !signalled {
             continue;
         }
         apply(&node, &text, signalled);
-        last = text;
+        previous = text;
     }
 }
 
-fn read(source: &dyn SettingsSource) -> Option<String> {
+fn read_settings(source: &dyn SettingsSource) -> Option<String> {
     match source.read() {
         Ok(text) => Some(text),
         Err(error) => {
-            tracing::error!(%error, "settings can't be read, the last ones stay");
+            tracing::error!(%error, "cannot read the settings; keeping the previous ones");
             None
         }
     }
--- a/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
+++ b/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
@@ -1,10 +1,9 @@
-//! Stores the quarantine in the registry, so that it outlasts the loss of all nodes.
+//! Stores the quarantine in the registry, so that it survives a loss of all nodes.
 //!
-//! The node beside the back end that crashed last writes the snapshot of its table as one entry,
-//! under its own lease and behind the entries of the nodes. Whoever reads the registry reads it
-//! too, so a node that starts needs no call of its own to the store. The entry is renewed while the
-//! snapshot is not empty and written anew when a crash adds to it. While the store is down, peers
-//! pass the quarantine on.
+//! The node whose back end crashed last writes a snapshot of its quarantine table as one entry,
+//! under a lease of its own. Other nodes receive the entry with their regular reads of the registry.
+//! The node renews the entry while the snapshot is not empty, and writes it again when a crash adds
+//! to it. While the store is unavailable, nodes exchange the quarantine over their links.
 
 use std::{sync::Arc, time::Duration};
 
@@ -19,36 +18,34 @@
     protocol::{QuarantinedRequest, RequestDigest},
 };
 
-/// First character of the names of these entries: it sorts after those of nodes, which begin with a
-/// digit or a letter.
+/// Prefix of the entry names. It sorts after the names of nodes, which begin with a digit or a
+/// letter.
 pub const QUARANTINE_PREFIX: &str = "~";
-/// Lease of an entry, the longest that the platform's store grants.
-const LEASE: Duration = Duration::from_secs(600);
-/// Time between renewals: two fit into a lease. Origin not recorded.
-const RENEWAL: Duration = Duration::from_secs(240);
-/// Wait before an entry is written, so that one write has all requests of a series of crashes.
-/// Origin not recorded.
-const GATHER: Duration = Duration::from_millis(150);
+/// Time to live of an entry's lease, the longest that the platform's store grants.
+const LEASE_TTL: Duration = Duration::from_secs(600);
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(240);
+/// Wait before a write, which lets one write include all requests of a series of crashes.
+const WRITE_DELAY: Duration = Duration::from_millis(150);
 
-/// An entry of the registry: the snapshot of one node.
+/// Registry entry with the quarantine snapshot of one node.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct StoredQuarantine {
     #[serde(rename = "held")]
     requests: Vec<StoredRequest>,
 }
 
-/// A quarantined request, or a suspect, in its stored form.
+/// Stored form of a quarantined or suspect request.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredRequest {
     /// 32 hexadecimal digits.
     digest: RequestDigest,
     crashes: u8,
-    /// Time left of the quarantine when the entry was written, in milliseconds; 0 for a suspect.
+    /// Remaining quarantine at the time of writing, in milliseconds; 0 for a suspect.
     left_ms: u64,
 }
 
 impl StoredQuarantine {
-    fn of(snapshot: &[QuarantinedRequest]) -> Self {
+    fn from_snapshot(snapshot: &[QuarantinedRequest]) -> Self {
         let requests = snapshot.iter().map(|request| StoredRequest {
             digest: request.digest,
             crashes: request.crashes,
@@ -59,8 +56,8 @@
         }
     }
 
-    /// Merges the entry of another node. The time left counts from now, so a quarantine lasts
-    /// longer here by the age of the entry.
+    /// Merges the entry of another node into this node's quarantine. The remaining time counts from
+    /// now, so the age of the entry extends each quarantine.
     pub fn merge_into(&self, node: &Node) {
         for request in &self.requests {
             node.merge_quarantined(QuarantinedRequest {
@@ -72,12 +69,13 @@
     }
 }
 
-/// Stores the quarantine whenever a crash of the own back end adds to it, and renews the entry.
+/// Stores the quarantine whenever a crash of this node's back end adds to it, and renews the entry.
+/// Never returns.
 pub async fn store_quarantine(node: Arc<Node>) {
     loop {
         node.quarantine_grew().await;
         while let Err(reason) = store_until_empty(&node).await {
-            tracing::warn!(%reason, "quarantined requests are not stored, peers refuse them meanwhile");
+            tracing::warn!(%reason, "cannot store the quarantined requests; retrying");
         }
     }
 }
@@ -85,7 +83,7 @@
 async fn store_until_empty(node: &Node) -> Result<(), StoreError> {
     let mut backoff = Backoff::new();
     loop {
-        sleep(GATHER).await;
+        sleep(WRITE_DELAY).await;
         let snapshot = node.quarantine_snapshot();
         if snapshot.is_empty() {
             return Ok(());
@@ -97,8 +95,11 @@
                 return Err(reason);
             }
         };
-        // Renewed until a crash adds to the snapshot, then written anew.
-        while timeout(RENEWAL, node.quarantine_grew()).await.is_err() {
+        // Renews the entry until a crash adds to the snapshot, then writes it again.
+        while timeout(RENEWAL_INTERVAL, node.quarantine_grew())
+            .await
+            .is_err()
+        {
             if node.quarantine_snapshot().is_empty() {
                 return Ok(());
             }
@@ -111,16 +112,18 @@
 async fn store(node: &Node, snapshot: &[QuarantinedRequest]) -> Result<u64, StoreError> {
     count_store_call(node);
     let name = format!("{QUARANTINE_PREFIX}held-{}", node.record.node);
-    let registering = node.platform.register(&name, encode(snapshot), LEASE, None);
-    registering.await
+    let registration = node
+        .platform
+        .register(&name, encode(snapshot), LEASE_TTL, None);
+    registration.await
 }
 
 fn encode(snapshot: &[QuarantinedRequest]) -> Bytes {
-    match serde_json::to_vec(&StoredQuarantine::of(snapshot)) {
+    match serde_json::to_vec(&StoredQuarantine::from_snapshot(snapshot)) {
         Ok(json) => json.into(),
         Err(error) => {
-            // Numbers and texts always have a JSON form.
-            tracing::error!(%error, "quarantine can't be encoded, an empty entry is stored");
+            // Unreachable: numbers and strings always have a JSON form.
+            tracing::error!(%error, "cannot encode the quarantined requests; storing an empty entry");
             Bytes::new()
         }
     }
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -1,4 +1,4 @@
-//! A link to a node that falls silent: new calls avoid it first, then calls under way are given up.
+//! Reaction of a link to an unresponsive peer: new calls avoid it first, then pending calls fail.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,9 +13,9 @@
     time::{Instant, advance},
 };
 
-const FLEET: u32 = 12;
+const LINK_COUNT: u32 = 12;
 
-fn call(is_idempotent: bool) -> CallMessage {
+fn call_message(is_idempotent: bool) -> CallMessage {
     CallMessage {
         remaining_ms: 1000,
         wait_ms: 100,
@@ -31,7 +31,7 @@
     }
 }
 
-fn sent(frames: &mut UnboundedReceiver<Bytes>) -> Vec<Message> {
+fn take_sent(frames: &mut UnboundedReceiver<Bytes>) -> Vec<Message> {
     let mut messages = Vec::new();
     while let Ok(frame) = frames.try_recv() {
         let mut buffer = BytesMut::from(&frame[..]);
@@ -40,74 +40,73 @@
     messages
 }
 
-async fn pass(link: &Link, milliseconds: u64) {
-    for _ in 0..milliseconds / 50 {
+async fn advance_and_check(link: &Link, duration_ms: u64) {
+    for _ in 0..duration_ms / 50 {
         advance(Duration::from_millis(50)).await;
-        link.check(Instant::now(), FLEET);
+        link.check(Instant::now(), LINK_COUNT);
     }
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_silent_link_is_asked_then_avoided_then_its_repeatable_calls_are_given_up() {
+async fn abandons_idempotent_calls_on_unresponsive_link() {
     let (sender, mut frames) = mpsc::unbounded_channel();
     let link = Arc::new(Link::new("peer", sender));
-    let mut read = link.call(call(true)).unwrap();
-    let mut payment = link.call(call(false)).unwrap();
-    sent(&mut frames);
-    pass(&link, 300).await;
-    assert_eq!(sent(&mut frames), [Message::Ping]);
+    let mut idempotent = link.call(call_message(true)).unwrap();
+    let mut non_idempotent = link.call(call_message(false)).unwrap();
+    take_sent(&mut frames);
+    advance_and_check(&link, 300).await;
+    assert_eq!(take_sent(&mut frames), [Message::Ping]);
     assert!(!link.is_suspect());
-    pass(&link, 350).await;
+    advance_and_check(&link, 350).await;
     assert!(link.is_suspect());
-    pass(&link, 400).await;
-    assert_eq!(read.reply().await.unwrap_err(), LinkError::Lost);
-    let waiting = tokio::time::timeout(Duration::from_millis(1), payment.reply()).await;
-    assert!(waiting.is_err(), "a payment waits for its answer");
-    assert_eq!(sent(&mut frames), [], "asked once");
+    advance_and_check(&link, 400).await;
+    assert_eq!(idempotent.reply().await.unwrap_err(), LinkError::Lost);
+    let result = tokio::time::timeout(Duration::from_millis(1), non_idempotent.reply()).await;
+    assert!(result.is_err(), "a non-idempotent call was abandoned");
+    assert_eq!(take_sent(&mut frames), [], "the link was pinged again");
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_call_that_is_dropped_is_cancelled_at_the_other_node() {
+async fn dropped_call_is_cancelled_at_peer() {
     let (sender, mut frames) = mpsc::unbounded_channel();
     let link = Arc::new(Link::new("peer", sender));
-    let under_way = link.call(call(true)).unwrap();
-    sent(&mut frames);
-    drop(under_way);
-    assert_eq!(sent(&mut frames), [Message::Cancel]);
+    let pending = link.call(call_message(true)).unwrap();
+    take_sent(&mut frames);
+    drop(pending);
+    assert_eq!(take_sent(&mut frames), [Message::Cancel]);
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_link_at_rest_is_asked_less_often_in_a_larger_fleet() {
-    for (fleet, due_ms) in [(12, 1000), (300, 3600)] {
+async fn pings_idle_links_less_often_with_many_links() {
+    for (link_count, ping_delay_ms) in [(12, 1000), (300, 3600)] {
         let (sender, mut frames) = mpsc::unbounded_channel();
         let link = Link::new("peer", sender);
-        advance(Duration::from_millis(due_ms - 1)).await;
-        link.check(Instant::now(), fleet);
-        assert_eq!(sent(&mut frames), []);
+        advance(Duration::from_millis(ping_delay_ms - 1)).await;
+        link.check(Instant::now(), link_count);
+        assert_eq!(take_sent(&mut frames), []);
         advance(Duration::from_millis(1)).await;
-        link.check(Instant::now(), fleet);
-        assert_eq!(sent(&mut frames), [Message::Ping]);
+        link.check(Instant::now(), link_count);
+        assert_eq!(take_sent(&mut frames), [Message::Ping]);
     }
 }
 
-/// What a peer tells may be held up for seconds on a link that was cut. It is dated by the peer's
-/// clock, so it does not look fresh when it comes.
+/// A delayed message must not look recent: its times are on the peer's clock.
 #[tokio::test(start_paused = true)]
-async fn news_that_was_held_up_on_the_way_is_as_old_as_it_is() {
+async fn delayed_peer_times_keep_their_age() {
     let (sender, _frames) = mpsc::unbounded_channel();
     let link = Link::new("peer", sender);
     assert_eq!(
         link.to_local_time(7_000),
         None,
-        "the peer's clock is not known yet"
+        "a time was translated without the peer's clock"
     );
-    let introduced_at = BootInstant::now();
+    let hello_sent_at = BootInstant::now();
     advance(Duration::from_millis(40)).await;
-    link.set_peer_clock(introduced_at, 5_000);
+    link.set_peer_clock(hello_sent_at, 5_000);
     advance(Duration::from_secs(10)).await;
-    let dated = link.to_local_time(7_000).expect("the clock is known");
-    assert_eq!(dated, introduced_at + Duration::from_secs(2));
-    assert!(dated.elapsed() >= Duration::from_secs(8));
-    let before = link.to_local_time(4_000).expect("the clock is known");
-    assert_eq!(before + Duration::from_secs(1), introduced_at);
+    let translated = link.to_local_time(7_000).expect("the peer's clock is set");
+    assert_eq!(translated, hello_sent_at + Duration::from_secs(2));
+    assert!(translated.elapsed() >= Duration::from_secs(8));
+    let earlier = link.to_local_time(4_000).expect("the peer's clock is set");
+    assert_eq!(earlier + Duration::from_secs(1), hello_sent_at);
 }
