Rename routes, tenants and ranks in the usual terms

Other modules use these names, which were vague or figurative:

RoutePart -> WeightedService Route::parts -> Route::services Route::taken -> Route::selections Route::number -> Route::stable_id Tenant::part -> Tenant::with_divided_limit TenantDirectory::holder -> TenantDirectory::tenant_by_key TenantDirectory::named -> TenantDirectory::tenant_by_name TenantError::NameTwice -> TenantError::DuplicateName TenantRank::before -> TenantRank::higher_priorities TenantRank::after -> TenantRank::lower_priorities "settings can't be used, the last ones stay" -> "settings are invalid; keeping the previous ones"

Nothing changes on the wire, in settings or in metrics.

--- a/crates/tallybridge-mesh/src/configuration/mod.rs
+++ b/crates/tallybridge-mesh/src/configuration/mod.rs
@@ -10,7 +10,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-pub use self::route::{Route, RouteKind, RoutePart};
+pub use self::route::{Route, RouteKind, WeightedService};
 use self::tenants::TenantDirectory;
 use crate::http::HttpLimits;
 
--- a/crates/tallybridge-mesh/src/configuration/route.rs
+++ b/crates/tallybridge-mesh/src/configuration/route.rs
@@ -35,9 +35,9 @@
     /// Whether its requests are admitted without a key.
     pub is_public: bool,
     /// Services that share its requests.
-    pub parts: Vec<RoutePart>,
+    pub services: Vec<WeightedService>,
     /// Number of requests for which a service was selected. It determines the next selection.
-    pub taken: AtomicU64,
+    pub selections: AtomicU64,
 }
 
 /// Whether a request may run more than once, and whether its answer is large.
@@ -61,7 +61,7 @@
 
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RoutePart {
+pub struct WeightedService {
     /// Name of the service.
     pub service: Arc<str>,
     /// Share of the requests, relative to the weights of the route's other services.
@@ -71,7 +71,7 @@
 impl Route {
     /// Returns a hash of the name, which identifies the route at all nodes.
     #[must_use]
-    pub fn number(&self) -> u16 {
+    pub fn stable_id(&self) -> u16 {
         (xxh3_64(self.name.as_bytes()) >> (u64::BITS - u16::BITS)) as u16
     }
 
@@ -79,22 +79,22 @@
     ///
     /// The selection is deterministic, so even a short sequence of requests follows the weights.
     pub fn next_service(&self) -> Option<&Arc<str>> {
-        if let [single] = &self.parts[..] {
+        if let [single] = &self.services[..] {
             return Some(&single.service);
         }
         let total_weight: u64 = self
-            .parts
+            .services
             .iter()
             .map(|candidate| u64::from(candidate.weight))
             .sum();
         if total_weight == 0 {
-            return self.parts.first().map(|candidate| &candidate.service);
+            return self.services.first().map(|candidate| &candidate.service);
         }
         // A step that is coprime to the total visits each position once per cycle.
         let step = coprime_step(total_weight);
-        let index = self.taken.fetch_add(1, Ordering::Relaxed);
+        let index = self.selections.fetch_add(1, Ordering::Relaxed);
         let mut position = (index % total_weight) * step % total_weight;
-        for candidate in &self.parts {
+        for candidate in &self.services {
             let weight = u64::from(candidate.weight);
             if position < weight {
                 return Some(&candidate.service);
--- a/crates/tallybridge-mesh/src/configuration/tenants.rs
+++ b/crates/tallybridge-mesh/src/configuration/tenants.rs
@@ -36,17 +36,17 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct TenantRank {
     /// Number of distinct priorities that are more important.
-    pub before: u8,
+    pub higher_priorities: u8,
     /// Number of distinct priorities that are less important.
-    pub after: u8,
+    pub lower_priorities: u8,
 }
 
 impl TenantRank {
     fn of(priority: u8, priorities: &BTreeSet<u8>) -> Self {
         let to_u8 = |count: usize| u8::try_from(count).unwrap_or(u8::MAX);
         Self {
-            before: to_u8(priorities.range(..priority).count()),
-            after: to_u8(priorities.range(priority..).count().saturating_sub(1)),
+            higher_priorities: to_u8(priorities.range(..priority).count()),
+            lower_priorities: to_u8(priorities.range(priority..).count().saturating_sub(1)),
         }
     }
 }
@@ -67,7 +67,7 @@
 impl Tenant {
     /// Returns the tenant with its limit divided by `parts`, or by 1 if `parts` is 0.
     #[must_use]
-    pub fn part(&self, parts: usize) -> Self {
+    pub fn with_divided_limit(&self, parts: usize) -> Self {
         let parts = parts.max(1) as f64;
         let limit = self.limit.map(|limit| RateLimit {
             per_second: limit.per_second / parts,
@@ -93,7 +93,7 @@
     },
     /// Two tenants have the same name.
     #[error("tenant {0} is defined twice")]
-    NameTwice(Arc<str>),
+    DuplicateName(Arc<str>),
 }
 
 /// Tenants of one configuration, by key and by name.
@@ -117,7 +117,7 @@
             let tenant = Arc::new(tenant);
             let name = tenant.name.clone();
             if directory.by_name.insert(name, tenant.clone()).is_some() {
-                return Err(TenantError::NameTwice(tenant.name.clone()));
+                return Err(TenantError::DuplicateName(tenant.name.clone()));
             }
             for key in keys {
                 directory.insert(key, &tenant)?;
@@ -138,13 +138,13 @@
 
     /// Returns the tenant to which a key belongs, or `None` if the key is unknown.
     #[must_use]
-    pub fn holder(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
+    pub fn tenant_by_key(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
         self.by_key.get(&KeyDigest::of(key))
     }
 
     /// Returns the tenant with this name.
     #[must_use]
-    pub fn named(&self, name: &str) -> Option<&Arc<Tenant>> {
+    pub fn tenant_by_name(&self, name: &str) -> Option<&Arc<Tenant>> {
         self.by_name.get(name)
     }
 }
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod tables;
 pub mod tasks;
 
-pub use configuration::{Configuration, Route, RouteKind, RoutePart, ServicePolicy};
+pub use configuration::{Configuration, Route, RouteKind, ServicePolicy, WeightedService};
 pub use platform::{
     ControlRequest, HeaderNames, InstanceReport, Platform, RegistryPage, ReportedState, StoreError,
     StoreFuture, StoredConfiguration, WatchedConfiguration,
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -100,7 +100,7 @@
     /// Grants a token of one of `parts` equal parts of a tenant's limit.
     #[must_use]
     pub fn grant_part(&self, tenant: &Tenant, parts: usize, ask: QuotaAsk) -> QuotaGrant {
-        let part = tenant.part(parts);
+        let part = tenant.with_divided_limit(parts);
         // What the fleet granted of the limit says nothing of a part of it.
         let ask = QuotaAsk {
             ahead: 0,
@@ -128,6 +128,10 @@
         let configuration = self.configuration()?;
         // A name that is no text is no tenant's.
         let name = std::str::from_utf8(name).ok()?;
-        configuration.tenants.as_ref()?.named(name).cloned()
+        configuration
+            .tenants
+            .as_ref()?
+            .tenant_by_name(name)
+            .cloned()
     }
 }
--- a/crates/tallybridge-mesh/src/request/credentials.rs
+++ b/crates/tallybridge-mesh/src/request/credentials.rs
@@ -54,7 +54,7 @@
     }
     let mut keys = headers.all(node.names.credential);
     let holder = match (keys.next(), keys.next()) {
-        (Some(key), None) => tenants.holder(key.trim_ascii()),
+        (Some(key), None) => tenants.tenant_by_key(key.trim_ascii()),
         _ => None,
     };
     holder.cloned().map(Some).ok_or_else(|| unknown_key(node))
--- a/crates/tallybridge-mesh/src/request/entry/class.rs
+++ b/crates/tallybridge-mesh/src/request/entry/class.rs
@@ -43,7 +43,7 @@
         parent: Option<Parent>,
         orders_by_priority: bool,
     ) -> Self {
-        let is_first = route.priority == 0 && rank.before == 0;
+        let is_first = route.priority == 0 && rank.higher_priorities == 0;
         let is_root_urgent = parent.map_or(is_first, |parent| parent.is_urgent);
         let is_urgent = is_root_urgent && orders_by_priority;
         let criticality = match (is_urgent, parent.is_some()) {
@@ -64,6 +64,6 @@
     if are_tenants_alike {
         route.priority <= LAST_PREFERRED_PRIORITY
     } else {
-        rank.before == 0
+        rank.higher_priorities == 0
     }
 }
--- a/crates/tallybridge-mesh/src/tables/admission/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/mod.rs
@@ -63,7 +63,7 @@
 /// Admission of fresh requests at one entry. Nothing of it outlives the process.
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
-    /// By name of the route and [`TenantRank::after`], so that tenants of one rank share a row.
+    /// By name of the route and [`TenantRank::lower_priorities`], so that tenants of one rank share a row.
     routes: HashMap<(Arc<str>, u8), RouteAdmission>,
     levels: HashMap<Arc<str>, AdmissionLevel>,
     policy: PolicySettings,
@@ -88,8 +88,8 @@
         };
         let row = self
             .routes
-            .entry((route.name.clone(), rank.after))
-            .or_insert_with(|| RouteAdmission::new(service, priority, rank.after));
+            .entry((route.name.clone(), rank.lower_priorities))
+            .or_insert_with(|| RouteAdmission::new(service, priority, rank.lower_priorities));
         row.requested(service, priority);
         !self.policy.shed_at_entry || row.admits_next()
     }
@@ -100,7 +100,7 @@
         if !self.policy.shed_by_cost {
             return;
         }
-        let key = (route.name.clone(), rank.after);
+        let key = (route.name.clone(), rank.lower_priorities);
         let Some(row) = self.routes.get_mut(&key) else {
             return;
         };
@@ -112,7 +112,7 @@
 
     /// An admitted request of a route ended without an answer of a back end.
     pub fn unanswered(&mut self, route: &Route, rank: TenantRank) {
-        let key = (route.name.clone(), rank.after);
+        let key = (route.name.clone(), rank.lower_priorities);
         if let Some(row) = self.routes.get_mut(&key) {
             row.costs.unanswered();
         }
--- a/crates/tallybridge-mesh/src/tasks/reload.rs
+++ b/crates/tallybridge-mesh/src/tasks/reload.rs
@@ -65,7 +65,7 @@
         }
         Err(error) => {
             let mend = error.mend.as_str();
-            tracing::error!(%error, mend, "settings can't be used, the last ones stay");
+            tracing::error!(%error, mend, "settings are invalid; keeping the previous ones");
         }
     }
 }
--- a/crates/tallybridge-mesh/tests/admission.rs
+++ b/crates/tallybridge-mesh/tests/admission.rs
@@ -18,12 +18,12 @@
     let payments = route("payments", "h", "/p/", 0, &[("ledger", 1)]);
     let reads = route("reads", "h", "/r/", 2, &[("ledger", 1)]);
     let first = TenantRank {
-        before: 0,
-        after: 1,
+        higher_priorities: 0,
+        lower_priorities: 1,
     };
     let second = TenantRank {
-        before: 1,
-        after: 0,
+        higher_priorities: 1,
+        lower_priorities: 0,
     };
     let full = loads(&[seen("ledger", (20, 20, 400), &[])]);
     for _ in 0..30 {
--- a/crates/tallybridge-mesh/tests/support/admission.rs
+++ b/crates/tallybridge-mesh/tests/support/admission.rs
@@ -54,7 +54,7 @@
 }
 
 pub fn admitted_of(admission: &mut AdmissionControl, route: &Route, rank: TenantRank) -> usize {
-    let service = route.parts[0].service.clone();
+    let service = route.services[0].service.clone();
     (0..1000)
         .filter(|_| admission.admits(route, &service, rank))
         .count()
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
-use tallybridge_mesh::{Route, RouteKind, RoutePart, platform::HeaderNames};
+use tallybridge_mesh::{Route, RouteKind, WeightedService, platform::HeaderNames};
 
 /// A route for repeatable requests, with its parts as service and weight.
 pub fn route(name: &str, host: &str, prefix: &str, priority: u8, parts: &[(&str, u32)]) -> Route {
@@ -24,14 +24,14 @@
         priority,
         max_attempts: 2,
         is_public: false,
-        parts: parts
+        services: parts
             .iter()
-            .map(|(service, weight)| RoutePart {
+            .map(|(service, weight)| WeightedService {
                 service: (*service).into(),
                 weight: *weight,
             })
             .collect(),
-        taken: AtomicU64::new(0),
+        selections: AtomicU64::new(0),
     }
 }
 
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -89,7 +89,7 @@
     pub fn new(demands: &'a [Demand], slots: f64) -> Self {
         let mut admission = AdmissionControl::default();
         for demand in demands {
-            let service = demand.route.parts[0].service.clone();
+            let service = demand.route.services[0].service.clone();
             admission.admits(&demand.route, &service, TenantRank::default());
             for _ in 0..10 {
                 admission.answered(&demand.route, TenantRank::default(), true, &demand.costs);
@@ -154,7 +154,7 @@
         let mut admitted = Vec::new();
         for (demand, due) in self.demands.iter().zip(&mut self.due) {
             *due += demand.per_second * STEP_SECONDS;
-            let service = &demand.route.parts[0].service;
+            let service = &demand.route.services[0].service;
             let mut count = 0.0;
             while *due >= 1.0 {
                 *due -= 1.0;
--- a/crates/tallybridge-mesh/tests/tenants.rs
+++ b/crates/tallybridge-mesh/tests/tenants.rs
@@ -27,14 +27,14 @@
     let directory = TenantDirectory::new(all).unwrap();
     let holder = |key: &str| {
         directory
-            .holder(key.as_bytes())
+            .tenant_by_key(key.as_bytes())
             .map(|of| of.name.to_string())
     };
     assert_eq!(holder("a2").as_deref(), Some("ana"));
     assert_eq!(holder("r1").as_deref(), Some("rui"));
     assert_eq!(holder("a"), None);
     assert_eq!(holder(""), None);
-    assert!(directory.named("ana").is_some() && directory.named("eva").is_none());
+    assert!(directory.tenant_by_name("ana").is_some() && directory.tenant_by_name("eva").is_none());
 }
 
 #[test]
@@ -48,7 +48,7 @@
     assert!(!error.to_string().contains("secret"), "{error}");
     let twice = vec![(tenant("ana", 1), keys(&[])), (tenant("ana", 1), keys(&[]))];
     let error = TenantDirectory::new(twice).unwrap_err();
-    assert_eq!(error, TenantError::NameTwice("ana".into()));
+    assert_eq!(error, TenantError::DuplicateName("ana".into()));
 }
 
 #[test]
@@ -60,13 +60,19 @@
         (tenant("last", 7), keys(&["l"])),
     ];
     let directory = TenantDirectory::new(all).unwrap();
-    let rank = |name: &str| directory.named(name).expect("it is there").rank;
-    let expect = |before, after| TenantRank { before, after };
+    let rank = |name: &str| directory.tenant_by_name(name).expect("it is there").rank;
+    let expect = |before, after| TenantRank {
+        higher_priorities: before,
+        lower_priorities: after,
+    };
     assert_eq!(rank("first"), expect(0, 2));
     assert_eq!(rank("second"), expect(1, 1));
     assert_eq!(rank("too"), expect(1, 1));
     assert_eq!(rank("last"), expect(2, 0));
     let alike = vec![(tenant("ana", 4), keys(&[])), (tenant("rui", 4), keys(&[]))];
     let alike = TenantDirectory::new(alike).unwrap();
-    assert_eq!(alike.named("ana").expect("there").rank, expect(0, 0));
+    assert_eq!(
+        alike.tenant_by_name("ana").expect("there").rank,
+        expect(0, 0)
+    );
 }
