--- a/crates/tallybridge-mesh/src/configuration/route.rs
+++ b/crates/tallybridge-mesh/src/configuration/route.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Inverse of the golden ratio. Steps of this fraction of a cycle spread most evenly over it.
+/// Inverse of the golden ratio. Steps of this fraction of a cycle cover the cycle most evenly.
 const INVERSE_GOLDEN_RATIO: f64 = 0.618;
 
 /// Treatment of the requests of one host and path prefix.
--- a/crates/tallybridge-mesh/src/link/liveness.rs
+++ b/crates/tallybridge-mesh/src/link/liveness.rs
@@ -16,8 +16,7 @@
 const BUSY_PING_DELAY: Duration = Duration::from_millis(300);
 /// Minimum time without a frame after which a link without calls is pinged.
 const MIN_IDLE_PING_DELAY: Duration = Duration::from_millis(1000);
-/// Share of each of the node's links in the ping delay of a link without calls. The delay grows with
-/// the number of links to bound the total rate of pings.
+/// Increase of the idle ping delay with each link of the node, which bounds the total rate of pings.
 const IDLE_PING_DELAY_PER_LINK: Duration = Duration::from_millis(12);
 /// Age of an unanswered ping at which new calls avoid the link.
 const SUSPECT_AFTER: Duration = Duration::from_millis(350);
@@ -39,7 +38,7 @@
     pinged_at: Option<Instant>,
 }
 
-/// Action that a judgement asks for.
+/// Action that is required after a judgement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
     /// No action. A frame arrived recently, or the unanswered ping is recent.
--- a/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
@@ -13,8 +13,8 @@
 const FETCH_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a watcher waits for its own watch before it fetches a newer version from a peer.
 const WATCHER_FETCH_DELAY: Duration = Duration::from_millis(200);
-/// Time for which a watch may lag behind before it is suspected. It exceeds the pause that a watcher
-/// makes after each change.
+/// Time for which a watch may lag behind peers before it is suspected. It exceeds the pause that a
+/// watcher makes after each change.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(700);
 
 /// Fetches newer configurations from peers for as long as the process runs.
--- a/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
@@ -25,8 +25,8 @@
         Duration::from_millis(ms).mul_f64(READ_INTERVAL_FRACTION)
     });
     loop {
-        let jitter = rand::rng().random_range(0.5..1.0);
-        sleep(interval.mul_f64(jitter)).await;
+        let jitter_factor = rand::rng().random_range(0.5..1.0);
+        sleep(interval.mul_f64(jitter_factor)).await;
         while is_read_due(&node, interval) {
             match read_configuration(&node).await {
                 Ok(_) => break,
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -18,7 +18,7 @@
 /// Pause after a change, which lets one call return several changes in quick succession.
 const PAUSE_AFTER_CHANGE: Duration = Duration::from_millis(400);
 
-/// Watches the store for changes whenever too few peers do, for as long as the process runs.
+/// Watches the store for changes; in a large fleet only while too few peers do. Never returns.
 pub async fn follow_configuration(node: Arc<Node>) {
     let mut backoff = Backoff::new();
     wait_for_links(&node).await;
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -39,8 +39,8 @@
 /// from reconnecting at the same time.
 const REOPEN_JITTER: f64 = 0.3;
 
-const UNRESPONSIVE: &str = "peer is unresponsive";
-const NOT_NEEDED: &str = "link is no longer needed";
+const REASON_UNRESPONSIVE: &str = "peer is unresponsive";
+const REASON_NOT_NEEDED: &str = "link is no longer needed";
 
 /// Starts a task for each link that the table of peers requests. Never returns.
 pub async fn open_links(node: Arc<Node>) {
@@ -131,7 +131,7 @@
     // Differs from the requested address only if the peer's settings are wrong.
     let address = record.address;
     if !node.peer_connected(request, record, link.clone()) {
-        return NOT_NEEDED.to_owned();
+        return REASON_NOT_NEEDED.to_owned();
     }
     send_initial_messages(node, &link);
     let write_task = tokio::spawn(write_frames(writer, frames));
@@ -152,8 +152,8 @@
     };
     let reason = tokio::select! {
         reason = read_loop => reason,
-        () = link.wait_until_unresponsive() => UNRESPONSIVE.to_owned(),
-        () = link.wait_until_retired() => NOT_NEEDED.to_owned(),
+        () = link.wait_until_unresponsive() => REASON_UNRESPONSIVE.to_owned(),
+        () = link.wait_until_retired() => REASON_NOT_NEEDED.to_owned(),
     };
     write_task.abort();
     link.close();
@@ -189,7 +189,7 @@
             let _ = node.offer_configuration(&document);
         }
         Message::Confirmed(confirmation) => {
-            node.peer_confirmed(address, to_confirmed(link, confirmation));
+            node.peer_confirmed(address, to_local_confirmation(link, confirmation));
         }
         Message::Quarantined(request) => node.merge_quarantined(request),
         // The other kinds are sent only to the accepting side of a link.
@@ -198,7 +198,7 @@
 }
 
 /// Converts a confirmation, with its read time translated to the local clock.
-fn to_confirmed(link: &Link, confirmation: ConfirmationMessage) -> Confirmed {
+fn to_local_confirmation(link: &Link, confirmation: ConfirmationMessage) -> Confirmed {
     let read_at_ms = Some(confirmation.read_at_ms).filter(|peer_ms| *peer_ms > 0);
     Confirmed {
         version: confirmation.version,
--- a/crates/tallybridge-mesh/src/tasks/registration.rs
+++ b/crates/tallybridge-mesh/src/tasks/registration.rs
@@ -1,11 +1,10 @@
 //! Keeps this node registered in the store, and reads the registry of the other nodes.
 //!
 //! A node reads the registry, registers under a lease and renews the lease. A failed renewal is
-//! retried under the same lease, because a new registration costs many times as much as a renewal.
-//! The node registers again only after the store reports that the lease has expired. Watchers renew
-//! more often, because each renewal confirms the configuration
-//! ([`configuration`](super::configuration)). An expired lease takes no node out of service: peers
-//! judge each other by their links.
+//! retried until the store reports that the lease has expired, because a new registration costs many
+//! times as much as a renewal. Watchers renew more often, because each renewal confirms the
+//! configuration ([`configuration`](super::configuration)). An expired lease takes no node out of
+//! service: peers judge each other by their links.
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -1,8 +1,8 @@
 //! Reads the registry, which lists the nodes and, after them, the quarantined requests.
 //!
-//! A small registry is read as a whole. A node reads only [`NODES_PER_READ`] nodes of a large one,
-//! starting after its own entry, because it links to only some nodes of each service. Entry names
-//! begin with a hash, so each node reads a different mix of zones and services.
+//! A small registry is read as a whole. A node reads about [`ENTRIES_PER_READ`] entries of a large
+//! one, starting after its own entry, because it links to only some nodes of each service. Entry
+//! names begin with a hash, so each node reads a different mix of zones and services.
 
 use std::{sync::Arc, time::Duration};
 
@@ -21,8 +21,9 @@
 const READ_INTERVAL: Duration = Duration::from_secs(12);
 /// Time between reads of a large registry. It is longer to limit the total load on the store.
 const LARGE_REGISTRY_READ_INTERVAL: Duration = Duration::from_secs(60);
-/// Number of nodes after which a read of a large registry stops, about one page of the store.
-const NODES_PER_READ: usize = 500;
+/// Number of entries after which a read stops and the registry counts as large. It is about one page
+/// of the store.
+const ENTRIES_PER_READ: usize = 500;
 const MAX_LOGGED_BYTES: usize = 80;
 
 /// Returns the name of a node's entry, which is the node's name after a hash of it.
@@ -34,7 +35,7 @@
 /// Reads the registry, and remembers whether it is large.
 #[derive(Debug, Default)]
 pub(super) struct RegistryReader {
-    /// Whether the last read found more than [`NODES_PER_READ`] nodes.
+    /// Whether the last read found more than [`ENTRIES_PER_READ`] entries.
     is_large: bool,
 }
 
@@ -64,7 +65,7 @@
     }
 }
 
-/// Reads the entries after `start`, wraps around, and stops at `start` or after [`NODES_PER_READ`]
+/// Reads the entries after `start`, wraps around, and stops at `start` or after [`ENTRIES_PER_READ`]
 /// entries. Returns whether it read all entries.
 async fn read_from(node: &Arc<Node>, start: &str) -> Result<bool, StoreError> {
     let mut after = start.to_owned();
@@ -76,7 +77,7 @@
         entries_read += page.records.len();
         learn_entries(node, &page.records);
         match page.next_after {
-            Some(_) if entries_read >= NODES_PER_READ => return Ok(false),
+            Some(_) if entries_read >= ENTRIES_PER_READ => return Ok(false),
             Some(next) if has_wrapped && !start.is_empty() && *next > *start => return Ok(true),
             Some(next) => after = next,
             None if has_wrapped => return Ok(true),
