--- a/crates/tallybridge-mesh/src/request/credentials.rs
+++ b/crates/tallybridge-mesh/src/request/credentials.rs
@@ -48,7 +48,7 @@
     }
     let mut keys = headers.all(node.names.credential);
     let tenant = match (keys.next(), keys.next()) {
-        (Some(key), None) => tenants.holder(key.trim_ascii()),
+        (Some(key), None) => tenants.tenant_by_key(key.trim_ascii()),
         _ => None,
     };
     tenant
--- a/crates/tallybridge-mesh/src/request/entry/class.rs
+++ b/crates/tallybridge-mesh/src/request/entry/class.rs
@@ -34,7 +34,7 @@
         parent: Option<Parent>,
         orders_by_priority: bool,
     ) -> Self {
-        let has_top_priority = route.priority == 0 && rank.before == 0;
+        let has_top_priority = route.priority == 0 && rank.higher_priorities == 0;
         let is_root_urgent = parent.map_or(has_top_priority, |parent| parent.is_urgent);
         let is_urgent = is_root_urgent && orders_by_priority;
         let criticality = match (is_urgent, parent.is_some()) {
@@ -55,6 +55,6 @@
     if tenants_have_equal_priority {
         route.priority <= MAX_PREFERRED_PRIORITY
     } else {
-        rank.before == 0
+        rank.higher_priorities == 0
     }
 }
--- a/crates/tallybridge-mesh/src/tables/admission/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/mod.rs
@@ -47,7 +47,7 @@
 /// Admission of fresh requests at one entry. The state is not persisted.
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
-    /// Admission by route name and [`TenantRank::after`]; tenants of equal rank share a route's
+    /// Admission by route name and [`TenantRank::lower_priorities`]; tenants of equal rank share a route's
     /// state.
     routes: HashMap<(Arc<str>, u8), RouteAdmission>,
     levels: HashMap<Arc<str>, AdmissionLevel>,
@@ -74,8 +74,8 @@
         };
         let admission = self
             .routes
-            .entry((route.name.clone(), rank.after))
-            .or_insert_with(|| RouteAdmission::new(service, priority, rank.after));
+            .entry((route.name.clone(), rank.lower_priorities))
+            .or_insert_with(|| RouteAdmission::new(service, priority, rank.lower_priorities));
         admission.record_request(service, priority);
         !self.policy.shed_at_entry || admission.admit_next()
     }
@@ -92,7 +92,7 @@
         if !self.policy.shed_by_cost {
             return;
         }
-        let key = (route.name.clone(), rank.after);
+        let key = (route.name.clone(), rank.lower_priorities);
         let Some(admission) = self.routes.get_mut(&key) else {
             return;
         };
@@ -109,7 +109,7 @@
 
     /// Records that an admitted request ended without an answer of a back end.
     pub fn record_unanswered(&mut self, route: &Route, rank: TenantRank) {
-        let key = (route.name.clone(), rank.after);
+        let key = (route.name.clone(), rank.lower_priorities);
         if let Some(admission) = self.routes.get_mut(&key) {
             admission.costs.record_unanswered();
         }
--- a/crates/tallybridge-mesh/tests/admission.rs
+++ b/crates/tallybridge-mesh/tests/admission.rs
@@ -18,12 +18,12 @@
     let payments = route("payments", "h", "/p/", 0, &[("ledger", 1)]);
     let reads = route("reads", "h", "/r/", 2, &[("ledger", 1)]);
     let higher_rank = TenantRank {
-        before: 0,
-        after: 1,
+        higher_priorities: 0,
+        lower_priorities: 1,
     };
     let lower_rank = TenantRank {
-        before: 1,
-        after: 0,
+        higher_priorities: 1,
+        lower_priorities: 0,
     };
     let overloaded = service_loads(&[reported_load("ledger", (20, 20, 400), &[])]);
     for _ in 0..30 {
--- a/crates/tallybridge-mesh/tests/tenants.rs
+++ b/crates/tallybridge-mesh/tests/tenants.rs
@@ -27,14 +27,14 @@
     let directory = TenantDirectory::new(tenants).unwrap();
     let holder = |key: &str| {
         directory
-            .holder(key.as_bytes())
+            .tenant_by_key(key.as_bytes())
             .map(|tenant| tenant.name.to_string())
     };
     assert_eq!(holder("a2").as_deref(), Some("ana"));
     assert_eq!(holder("r1").as_deref(), Some("rui"));
     assert_eq!(holder("a"), None);
     assert_eq!(holder(""), None);
-    assert!(directory.named("ana").is_some() && directory.named("eva").is_none());
+    assert!(directory.tenant_by_name("ana").is_some() && directory.tenant_by_name("eva").is_none());
 }
 
 #[test]
@@ -48,7 +48,7 @@
     assert!(!error.to_string().contains("secret"), "{error}");
     let duplicate_name = vec![(tenant("ana", 1), keys(&[])), (tenant("ana", 1), keys(&[]))];
     let error = TenantDirectory::new(duplicate_name).unwrap_err();
-    assert_eq!(error, TenantError::NameTwice("ana".into()));
+    assert_eq!(error, TenantError::DuplicateName("ana".into()));
 }
 
 #[test]
@@ -62,11 +62,14 @@
     let directory = TenantDirectory::new(tenants).unwrap();
     let rank = |name: &str| {
         directory
-            .named(name)
+            .tenant_by_name(name)
             .expect("the tenant is in the directory")
             .rank
     };
-    let expected_rank = |before, after| TenantRank { before, after };
+    let expected_rank = |before, after| TenantRank {
+        higher_priorities: before,
+        lower_priorities: after,
+    };
     assert_eq!(rank("first"), expected_rank(0, 2));
     assert_eq!(rank("second"), expected_rank(1, 1));
     assert_eq!(rank("too"), expected_rank(1, 1));
@@ -75,7 +78,7 @@
     let equal_directory = TenantDirectory::new(equal_tenants).unwrap();
     assert_eq!(
         equal_directory
-            .named("ana")
+            .tenant_by_name("ana")
             .expect("the tenant is in the directory")
             .rank,
         expected_rank(0, 0)
