--- a/crates/tallybridge-mesh/src/listener/callers.rs
+++ b/crates/tallybridge-mesh/src/listener/callers.rs
@@ -1,4 +1,4 @@
-//! The address to which callers, and the back end with its nested calls, send requests.
+//! Serves requests of callers and nested calls of the back end beside the node.
 
 use std::sync::Arc;
 
@@ -8,7 +8,7 @@
     request::entry,
 };
 
-/// Passes each request to [`entry::handle`], within the bounds of the configuration in force.
+/// Passes each request to [`entry::handle`] and applies the HTTP limits of the configuration.
 #[derive(Clone)]
 pub struct CallerHandler(pub Arc<Node>);
 
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -1,4 +1,4 @@
-//! The address for readiness probes and for the heartbeats of the back end.
+//! Serves readiness probes, and heartbeats and deregistrations of the back end.
 
 use std::{sync::Arc, time::Duration};
 
@@ -9,12 +9,10 @@
     platform::{ControlRequest, InstanceReport},
 };
 
-/// Largest report, in bytes. Origin not recorded.
 const MAX_REPORT_BYTES: usize = 64 * 1024;
-/// Time that a connection may be idle between two reports. Origin not recorded.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Answers readiness probes and takes in reports of the back end.
+/// Answers readiness probes and records reports of the back end.
 #[derive(Clone)]
 pub struct ControlHandler(pub Arc<Node>);
 
@@ -24,14 +22,14 @@
         match node.platform.control_request(&request.head, &request.body) {
             ControlRequest::Readiness if node.is_ready() => Answer::new(200, "ready\n"),
             ControlRequest::Readiness => Answer::new(503, "not ready\n"),
-            ControlRequest::Report(report) => match self.of_other_service(&report) {
-                Some(reason) => malformed(reason),
+            ControlRequest::Report(report) => match self.service_mismatch(&report) {
+                Some(reason) => reject_report(reason),
                 None => {
                     node.report(&report);
                     Answer::new(200, "{}").with_header("Content-Type", "application/json")
                 }
             },
-            ControlRequest::Malformed(reason) => malformed(reason),
+            ControlRequest::Malformed(reason) => reject_report(reason),
             ControlRequest::Unknown => Answer::new(404, "unknown path\n"),
         }
     }
@@ -50,25 +48,27 @@
 }
 
 impl ControlHandler {
-    /// Why a report names no back end to use here: it is of another service.
-    fn of_other_service(&self, report: &InstanceReport) -> Option<String> {
-        let own = &self.0.settings.backend.service;
-        let other = report.service.as_ref().filter(|service| *service != own)?;
+    /// Returns a reason to reject the report if it names another service than the settings.
+    fn service_mismatch(&self, report: &InstanceReport) -> Option<String> {
+        let expected = &self.0.settings.backend.service;
+        let other = report
+            .service
+            .as_ref()
+            .filter(|service| *service != expected)?;
         Some(format!(
             "service {other:?} has no back end beside this node"
         ))
     }
 }
 
-/// Answers a report that can't be used; what is known of the back end stays. The log is rate-limited,
-/// since anybody may send any number of them.
-fn malformed(reason: String) -> Answer {
-    static MALFORMED: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = MALFORMED.line() {
+/// Rejects a report. Limits the rate of log lines, since any client can send invalid reports.
+fn reject_report(reason: String) -> Answer {
+    static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+    if let Some(left_out) = LOG_RATE_LIMIT.line() {
         tracing::warn!(
             reason,
             left_out,
-            "malformed report, the last known state stays"
+            "invalid report rejected; keeping the last known state of the back end"
         );
     }
     Answer::new(400, reason)
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -1,4 +1,4 @@
-//! The node's own figures in the text format of Prometheus.
+//! Serves the node's metrics in the Prometheus text format.
 
 use std::{
     fmt::{Arguments, Write},
@@ -13,13 +13,14 @@
     node::{Counters, Node},
 };
 
-/// Answers each request with all figures.
+/// Answers every request, whatever its path, with all metrics.
 #[derive(Clone)]
 pub struct MetricsHandler(pub Arc<Node>);
 
 impl RequestHandler for MetricsHandler {
     async fn handle(&self, _request: Request) -> Answer {
-        Answer::new(200, page(&self.0)).with_header("Content-Type", "text/plain; version=0.0.4")
+        Answer::new(200, render_page(&self.0))
+            .with_header("Content-Type", "text/plain; version=0.0.4")
     }
 
     fn limits(&self) -> HttpLimits {
@@ -31,24 +32,23 @@
     }
 }
 
-fn page(node: &Node) -> String {
+fn render_page(node: &Node) -> String {
     let mut page = Page::default();
     for (name, value) in counters(&node.counters) {
-        page.figure(name, "counter", value.load(Ordering::Relaxed));
+        page.push_metric(name, "counter", value.load(Ordering::Relaxed));
     }
     if let Some(age) = node.read_age() {
         let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        page.figure("configuration_read_age_milliseconds", "gauge", age);
+        page.push_metric("configuration_read_age_milliseconds", "gauge", age);
     }
     for (name, value) in gauges(node) {
-        page.figure(name, "gauge", value);
+        page.push_metric(name, "gauge", value);
     }
-    page.admitted_shares(node);
-    page.route_costs(node);
+    page.push_admitted_percentages(node);
+    page.push_route_costs(node);
     page.0
 }
 
-/// Counts since the process began.
 fn counters(counters: &Counters) -> [(&'static str, &AtomicU64); 14] {
     [
         ("requests_total", &counters.requests),
@@ -71,12 +71,12 @@
     ]
 }
 
-/// What holds at this moment.
 fn gauges(node: &Node) -> [(&'static str, u64); 15] {
     let load = node.load();
     let status = node.status();
     let watch_view = node.watch_view();
-    let (known, links) = node.with_peers(|peers| (peers.known_size(), peers.links().count()));
+    let (known_nodes, open_links) =
+        node.with_peers(|peers| (peers.known_size(), peers.links().count()));
     let quarantine = node.quarantine_counts();
     let failing_percent = (load.failing_share() * 100.0) as u64;
     [
@@ -88,8 +88,8 @@
         ("calls_failing_percent", failing_percent),
         ("configuration_version", status.version),
         ("backend_state", status.backend as u64),
-        ("nodes_known", known as u64),
-        ("links_open", links as u64),
+        ("nodes_known", known_nodes as u64),
+        ("links_open", open_links as u64),
         ("watches_store", node.is_watcher().into()),
         ("peers_confirming", watch_view.confirming as u64),
         ("requests_suspected", quarantine.suspects as u64),
@@ -98,41 +98,40 @@
     ]
 }
 
-/// The text so far.
 #[derive(Default)]
 struct Page(String);
 
 impl Page {
-    fn line(&mut self, line: Arguments<'_>) {
-        // Writing to a string can't fail.
+    fn push_line(&mut self, line: Arguments<'_>) {
+        // Writing to a `String` never fails.
         let _ = writeln!(self.0, "{line}");
     }
 
-    fn figure(&mut self, name: &str, kind: &str, value: u64) {
-        self.line(format_args!("# TYPE tallybridge_{name} {kind}"));
-        self.line(format_args!("tallybridge_{name} {value}"));
+    fn push_metric(&mut self, name: &str, kind: &str, value: u64) {
+        self.push_line(format_args!("# TYPE tallybridge_{name} {kind}"));
+        self.push_line(format_args!("tallybridge_{name} {value}"));
     }
 
-    /// The share of fresh requests that is admitted, of routes of which some are refused.
-    fn admitted_shares(&mut self, node: &Node) {
-        self.line(format_args!(
+    /// Writes the percentage of new requests admitted on each route that sheds load.
+    fn push_admitted_percentages(&mut self, node: &Node) {
+        self.push_line(format_args!(
             "# TYPE tallybridge_route_admitted_percent gauge"
         ));
         for (route, share) in node.shed_routes() {
             let percent = (share * 100.0) as u64;
-            self.line(format_args!(
+            self.push_line(format_args!(
                 "tallybridge_route_admitted_percent{{route={route:?}}} {percent}"
             ));
         }
     }
 
-    /// Slot time that a request of each route takes of each service, as learned from answers.
-    fn route_costs(&mut self, node: &Node) {
-        self.line(format_args!(
+    /// Writes the estimated slot time that one request of a route uses at each service.
+    fn push_route_costs(&mut self, node: &Node) {
+        self.push_line(format_args!(
             "# TYPE tallybridge_route_cost_milliseconds gauge"
         ));
         for ((route, service), cost) in node.route_costs() {
-            self.line(format_args!(
+            self.push_line(format_args!(
                 "tallybridge_route_cost_milliseconds{{route={route:?},service={service:?}}} {cost:.1}"
             ));
         }
--- a/crates/tallybridge-mesh/src/listener/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/mod.rs
@@ -1,7 +1,7 @@
-//! The addresses at which a node is reached: by callers ([`callers`]), by the back end's reports and
-//! readiness probes ([`control`]), by other nodes ([`peers`]), and for its metrics ([`metrics`]).
+//! The servers of a node: for callers ([`callers`]), for readiness probes and reports of the back end
+//! ([`control`]), for links from other nodes ([`peers`]), and for metrics ([`metrics`]).
 //!
-//! The topmost layer: it reads what comes and passes it down to `request` and `node`.
+//! This is the topmost layer. It decodes incoming requests and passes them to `request` and `node`.
 
 pub mod callers;
 pub mod control;
@@ -14,21 +14,21 @@
 
 use crate::http::{RequestHandler, serve_connection};
 
-/// Wait after an accept that failed, as when descriptors have run out. Origin not recorded.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// Avoids a busy loop while accepting fails, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves every HTTP connection of a listener, each in a task of its own.
+/// Serves the HTTP connections of a listener, each in its own task. Never returns.
 pub async fn serve<H: RequestHandler>(handler: H, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => {
-                // Without it answers may be delayed, but they come.
+                // A failure only delays answers.
                 let _ = stream.set_nodelay(true);
                 tokio::spawn(serve_connection(handler.clone(), stream, caller));
             }
             Err(error) => {
-                tracing::warn!(%error, "a connection can't be accepted");
-                tokio::time::sleep(ACCEPT_RETRY).await;
+                tracing::warn!(%error, "failed to accept a connection; retrying");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -1,7 +1,7 @@
-//! Links that other nodes opened to this one: calls come in on them.
+//! Accepts links from other nodes, and executes the calls that arrive on them.
 //!
-//! Accepts connections, answers the hello, and handles each frame. The calls that run for a link
-//! are in `running_calls`. The other end is `tasks::links`.
+//! Answers the hello of each link, handles its frames, and sends changes of this node's status. The
+//! module `running_calls` tracks the calls of a link. `tasks::links` implements the opposite side.
 
 mod running_calls;
 
@@ -30,13 +30,12 @@
     tables::Confirmed,
 };
 
-/// Time in which a node that connects must send its hello: twice what it waits for the answer.
-/// Origin not recorded.
+/// Twice the time that the connecting node waits for this node's hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
-/// Wait after an accept that failed, as when descriptors have run out. Origin not recorded.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Avoids a busy loop while accepting fails, for example for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts links until the process ends.
+/// Accepts links from other nodes, each in its own task. Never returns.
 pub async fn accept_peers(node: Arc<Node>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -44,13 +43,13 @@
                 let node = node.clone();
                 tokio::spawn(async move {
                     if let Err(error) = serve_peer(node, stream).await {
-                        tracing::debug!(%error, "peer's link ended");
+                        tracing::debug!(%error, "link from a peer closed");
                     }
                 });
             }
             Err(error) => {
-                tracing::warn!(%error, "a peer can't be accepted");
-                tokio::time::sleep(ACCEPT_RETRY).await;
+                tracing::warn!(%error, "failed to accept a link from a peer; retrying");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -63,21 +62,21 @@
     let hello = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &mut buffer)).await;
     let record = hello.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     node.learn_records([record]);
-    let (sender, frames) = mpsc::unbounded_channel();
-    let writing = tokio::spawn(write_frames(writer, frames));
+    let (sender, outgoing_frames) = mpsc::unbounded_channel();
+    let writer_task = tokio::spawn(write_frames(writer, outgoing_frames));
     let link = AcceptedLink::new(node, FrameSender::new(sender));
-    link.greet();
+    link.send_initial_state();
     let result = link.run(&mut reader, &mut buffer).await;
-    writing.abort();
-    link.running.link_lost();
+    writer_task.abort();
+    link.running_calls.abort_idempotent();
     result
 }
 
-/// A link that another node opened, after its hello.
+/// A link from another node whose hello has arrived.
 struct AcceptedLink {
     node: Arc<Node>,
     sender: FrameSender,
-    running: RunningCalls,
+    running_calls: RunningCalls,
 }
 
 impl AcceptedLink {
@@ -85,12 +84,12 @@
         Self {
             node,
             sender,
-            running: RunningCalls::default(),
+            running_calls: RunningCalls::default(),
         }
     }
 
-    /// Answers the hello, and sends what a node that links to this one should know.
-    fn greet(&self) {
+    /// Answers the hello, and sends the clock, status, store confirmation and quarantine of this node.
+    fn send_initial_state(&self) {
         let Self { node, sender, .. } = self;
         sender.send_message(Message::Hello(node.hello()));
         let now_ms = node.clock_ms(BootInstant::now());
@@ -102,20 +101,20 @@
         }
     }
 
-    /// Handles what comes, and sends the status and the store's confirmations when they change.
+    /// Handles frames until the link closes. Sends the status and the store's confirmation on change.
     async fn run(&self, reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<()> {
-        let mut published = self.node.published();
-        let mut confirmed = self.node.confirmations();
+        let mut status_changes = self.node.published();
+        let mut confirmation_changes = self.node.confirmations();
         loop {
             tokio::select! {
                 frame = next_frame(reader, buffer) => self.handle_frame(frame?),
-                changed = published.changed() => {
+                changed = status_changes.changed() => {
                     if changed.is_err() {
                         return Ok(());
                     }
                     self.sender.send_message(Message::Status(self.node.status()));
                 }
-                changed = confirmed.changed() => {
+                changed = confirmation_changes.changed() => {
                     if changed.is_err() {
                         return Ok(());
                     }
@@ -125,7 +124,7 @@
         }
     }
 
-    /// Passes on when the store confirmed the configuration to this node, if it watches the store.
+    /// Sends the store's last confirmation of the configuration, if this node watches the store.
     fn send_confirmation(&self) {
         let Some(Confirmed {
             version,
@@ -147,11 +146,11 @@
         let Self {
             node,
             sender,
-            running,
+            running_calls,
         } = self;
         match frame.message {
-            Message::Call(call) => running.start(node, sender, frame.call, call),
-            Message::Cancel => running.cancel(frame.call),
+            Message::Call(call) => running_calls.start(node, sender, frame.call, call),
+            Message::Cancel => running_calls.cancel(frame.call),
             Message::Ping => sender.send_message(Message::Status(node.status())),
             Message::FetchNodes => sender.send_message(Message::Nodes(node.known_nodes())),
             Message::FetchConfiguration => {
@@ -159,42 +158,44 @@
                     sender.send_message(Message::Configuration(document));
                 }
             }
-            Message::QuotaAsk(asked) => self.grant(frame.call, asked),
+            Message::QuotaAsk(message) => self.answer_quota_ask(frame.call, message),
             Message::Crash(report) => {
-                // What the store must keep of it is written by the node whose back end crashed.
+                // The node whose back end crashed writes the report to the store.
                 node.record_crash(report);
             }
             Message::Quarantined(suspect) => node.merge_quarantined(suspect),
             Message::Cleared(digest) => node.clear_suspects(&[digest]),
-            // The other kinds only go from the node that accepted a link to the one that opened it.
+            // Only the node that accepted a link sends the other messages.
             _ => {}
         }
     }
 
-    fn grant(&self, number: u32, asked: QuotaAskMessage) {
+    fn answer_quota_ask(&self, call_number: u32, message: QuotaAskMessage) {
         let QuotaAskMessage {
             tenant,
             ask,
             is_forwarded,
-        } = asked;
+        } = message;
         match self.node.grant_quota(&tenant, ask.clone()) {
-            QuotaGrant::NotOwner if !is_forwarded => self.forward_ask(number, tenant, ask),
-            grant => send_grant(&self.sender, number, grant),
+            QuotaGrant::NotOwner if !is_forwarded => {
+                self.forward_quota_ask(call_number, tenant, ask)
+            }
+            grant => send_quota_grant(&self.sender, call_number, grant),
         }
     }
 
-    /// Asks the owner of a quota for a node that does not reach it, or does not know yet that it is.
-    fn forward_ask(&self, number: u32, tenant: Bytes, ask: QuotaAsk) {
+    /// Asks the owner of a quota on behalf of a node that cannot reach or does not know the owner.
+    fn forward_quota_ask(&self, call_number: u32, tenant: Bytes, ask: QuotaAsk) {
         let node = self.node.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
             let grant = quota::forward(&node, &tenant, ask).await;
-            send_grant(&sender, number, grant);
+            send_quota_grant(&sender, call_number, grant);
         });
     }
 }
 
-fn send_grant(sender: &FrameSender, call: u32, grant: QuotaGrant) {
+fn send_quota_grant(sender: &FrameSender, call: u32, grant: QuotaGrant) {
     sender.send(&Frame {
         call,
         message: Message::QuotaGrant(grant),
--- a/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
@@ -1,4 +1,4 @@
-//! Calls that run here for one link, each in a task of its own.
+//! Runs the calls of one link, each in its own task, and aborts them on request.
 
 use std::{
     collections::HashMap,
@@ -15,7 +15,7 @@
     request::execute::{Answered, execute},
 };
 
-/// Calls of one link that run, by their number.
+/// The running calls of one link, by call number.
 #[derive(Clone, Default)]
 pub(super) struct RunningCalls(Arc<Mutex<HashMap<u32, RunningCall>>>);
 
@@ -25,42 +25,48 @@
 }
 
 impl RunningCalls {
-    /// Starts a call; how it ends is sent to `sender`.
-    pub fn start(&self, node: &Arc<Node>, sender: &FrameSender, number: u32, call: CallMessage) {
+    /// Starts a call. Sends the answer or refusal to `sender`.
+    pub fn start(
+        &self,
+        node: &Arc<Node>,
+        sender: &FrameSender,
+        call_number: u32,
+        call: CallMessage,
+    ) {
         let is_idempotent = call.is_idempotent;
         let node = node.clone();
         let sender = sender.clone();
-        let finished = self.clone();
-        // Locked until the task is entered below, so that one that ends at once finds its entry.
-        let mut running = self.lock();
+        let running_calls = self.clone();
+        // Holds the lock until the entry exists: a task that ends at once must find it to remove it.
+        let mut calls = self.lock();
         let task = tokio::spawn(async move {
-            let executed = execute(&node, call).await;
-            finished.lock().remove(&number);
+            let result = execute(&node, call).await;
+            running_calls.lock().remove(&call_number);
             sender.send(&Frame {
-                call: number,
-                message: reply(&node, executed),
+                call: call_number,
+                message: reply(&node, result),
             });
         });
-        let entered = RunningCall {
+        let running_call = RunningCall {
             is_idempotent,
             task: task.abort_handle(),
         };
-        running.insert(number, entered);
+        calls.insert(call_number, running_call);
     }
 
-    /// Nobody waits for a call any more.
-    pub fn cancel(&self, number: u32) {
-        if let Some(running) = self.lock().remove(&number) {
-            running.task.abort();
+    /// Aborts a call whose caller no longer waits for the answer.
+    pub fn cancel(&self, call_number: u32) {
+        if let Some(call) = self.lock().remove(&call_number) {
+            call.task.abort();
         }
     }
 
-    /// The link is lost. Idempotent calls are aborted, since their entry retries them elsewhere; the
-    /// others go on, because their back end is at work on them and nobody may run them again.
-    pub fn link_lost(&self) {
-        for (_, running) in self.lock().drain() {
-            if running.is_idempotent {
-                running.task.abort();
+    /// Aborts the idempotent calls of a closed link, since their entry retries them elsewhere. Lets
+    /// the other calls finish, since no other back end may run them.
+    pub fn abort_idempotent(&self) {
+        for (_, call) in self.lock().drain() {
+            if call.is_idempotent {
+                call.task.abort();
             }
         }
     }
@@ -70,9 +76,9 @@
     }
 }
 
-fn reply(node: &Node, executed: Result<Answered, Refusal>) -> Message {
+fn reply(node: &Node, result: Result<Answered, Refusal>) -> Message {
     let load = node.load();
-    match executed {
+    match result {
         Ok(Answered {
             answer,
             made_calls,
--- a/crates/tallybridge-mesh/src/settings/effective.rs
+++ b/crates/tallybridge-mesh/src/settings/effective.rs
@@ -1,39 +1,39 @@
-//! The settings by which a node treats calls, as they are in force with their defaults.
+//! Lists the effective settings: the values from the file, and the defaults of those that it omits.
 
 use super::{MeshSettings, SettingsError};
 
-/// Where the value of a setting comes from.
+/// The source of a setting's value.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SettingOrigin {
-    /// The settings file gives it.
+    /// The settings file sets the value.
     File,
-    /// The file leaves it out.
+    /// The settings file omits the setting.
     Default,
 }
 
-/// A setting as it is in force.
+/// An effective setting.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingRow {
-    /// Its table and name.
+    /// Table and key in the settings file, for example `retry.ratio`.
     pub name: String,
-    /// Its value.
+    /// Value as text; `never` for a time limit that is not set.
     pub value: String,
-    /// Unit of the value.
+    /// Unit of the value, for example `ms`.
     pub unit: &'static str,
-    /// Where it comes from.
+    /// Whether the file or a default sets the value.
     pub origin: SettingOrigin,
 }
 
 impl MeshSettings {
-    /// The settings that decide how the node treats calls, those of `text` with their defaults.
+    /// Returns the retry, tenant and policy settings that take effect with the settings file `text`.
     ///
     /// # Errors
     ///
-    /// [`SettingsError`] naming the field, the line and the mend.
+    /// Returns a [`SettingsError`] that names the field, its line where known, and the correction.
     pub fn effective(text: &str) -> Result<Vec<SettingRow>, SettingsError> {
         let settings = Self::parse(text)?;
         let file: toml::Table =
-            toml::from_str(text).map_err(|error| SettingsError::unreadable(&error))?;
+            toml::from_str(text).map_err(|error| SettingsError::from_toml(&error))?;
         let row = |table: &str, name: &str, value: String, unit| SettingRow {
             name: format!("{table}.{name}"),
             value,
@@ -48,9 +48,14 @@
         let quota_overage = tenants.quota_overage.to_string();
         let quota_slack = tenants.quota_slack.to_string();
         let mut rows = vec![
-            row("retry", "ratio", retry.ratio.to_string(), "repeats a call"),
+            row(
+                "retry",
+                "ratio",
+                retry.ratio.to_string(),
+                "retries per call",
+            ),
             row("retry", "window_ms", retry.window_ms.to_string(), "ms"),
-            row("retry", "slack", retry.slack.to_string(), "repeats"),
+            row("retry", "slack", retry.slack.to_string(), "retries"),
             row("tenants", "revoke_within_ms", revoke_within_ms, "ms"),
             row("tenants", "quota_window_ms", quota_window_ms, "ms"),
             row("tenants", "quota_overage", quota_overage, "of the limit"),
@@ -66,6 +71,6 @@
 }
 
 fn origin(file: &toml::Table, table: &str, name: &str) -> SettingOrigin {
-    let given = file.get(table).and_then(|table| table.get(name));
-    given.map_or(SettingOrigin::Default, |_| SettingOrigin::File)
+    let file_value = file.get(table).and_then(|table| table.get(name));
+    file_value.map_or(SettingOrigin::Default, |_| SettingOrigin::File)
 }
--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -1,8 +1,8 @@
 //! Settings of a mesh node, read from a TOML file.
 //!
-//! Owns their form and their defaults; `check` says which values can be used, `effective` lists
-//! those by which the node treats calls. The file is laid out by the platform and read again while
-//! the node runs ([`tasks::reload`](crate::tasks::reload)).
+//! Owns the format and the defaults; `check` validates the values, `effective` lists the settings
+//! in force. The platform writes the file, and [`tasks::reload`](crate::tasks::reload) reads it
+//! again while the node runs.
 
 mod check;
 mod effective;
@@ -14,40 +14,40 @@
 pub use self::effective::{SettingOrigin, SettingRow};
 use crate::policy::PolicySettings;
 
-/// Everything that is set for a mesh node.
+/// All settings of a mesh node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct MeshSettings {
     /// Name of the node, unique in the fleet.
     pub node: String,
-    /// Zone of its machine.
+    /// Zone of the node's machine.
     pub zone: String,
-    /// Region of its machine.
+    /// Region of the node's machine.
     pub region: String,
     /// Address on which the node accepts links of other nodes.
     pub peer_address: SocketAddr,
-    /// Address for the requests of callers and of the back end.
+    /// Address for requests of callers and nested calls of the back end.
     pub caller_address: SocketAddr,
     /// Address for readiness probes.
     pub ready_address: SocketAddr,
     /// Address for the heartbeats of the back end.
     pub report_address: SocketAddr,
-    /// Address of the metrics page.
+    /// Address for metrics requests.
     pub metrics_address: SocketAddr,
-    /// The platform's store.
+    /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// The back end beside the node.
     pub backend: BackendSettings,
-    /// Bounds of retries over the fleet.
+    /// Limits on retries to each service, over all nodes.
     pub retry: RetrySettings,
     /// Revocation of keys, and limits of tenants.
     #[serde(default)]
     pub tenants: TenantSettings,
-    /// Time from the order to stop until the process is killed, in milliseconds.
+    /// Time between SIGTERM and SIGKILL, in milliseconds.
     pub stop_grace_ms: u64,
-    /// Whether the whole fleet starts for the first time, so that no node knows another.
+    /// Whether this is the first start of the whole fleet, when no node knows another one yet.
     #[serde(default)]
     pub new_fleet: bool,
-    /// Switches of the policies by which the node decides.
+    /// Switches that turn single policies off.
     #[serde(default)]
     pub policy: PolicySettings,
     /// Log filter: `error`, `warn`, `info` or `debug`.
@@ -58,39 +58,40 @@
 /// The back end beside a node.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct BackendSettings {
-    /// Its service.
+    /// Name of the service that the back end belongs to.
     pub service: String,
-    /// Its address.
+    /// Address at which the back end accepts requests.
     pub address: SocketAddr,
-    /// Time between its heartbeats, in milliseconds. Required and not used.
+    /// Time between heartbeats, in milliseconds. Required but not used.
     pub report_interval_ms: u64,
 }
 
-/// Bounds of retries to a service, over all nodes.
+/// Limits on retries to a service, over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 pub struct RetrySettings {
-    /// Retries for each first attempt, 0 to 1.
+    /// Maximum ratio of retries to first attempts, 0 to 1.
     pub ratio: f64,
-    /// Time over which both are counted, in milliseconds.
+    /// Window over which retries and first attempts are counted, in milliseconds.
     pub window_ms: u64,
-    /// Retries of a window on top of that.
+    /// Retries per window that are allowed in addition to `ratio`.
     pub slack: u32,
 }
 
-/// Revocation of keys, and limits of tenants, where the configuration has any.
+/// Key revocation and rate limits, for configurations that have tenants.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 pub struct TenantSettings {
-    /// Time in milliseconds after which a key that was removed works nowhere: a node that can't
-    /// tell refuses requests with keys. Without it, a node goes by the configuration that it has.
+    /// Time in milliseconds within which every node rejects a removed key. A node that cannot
+    /// confirm its configuration in that time refuses requests with keys. `None` allows a
+    /// configuration of any age.
     #[serde(default)]
     pub revoke_within_ms: Option<u64>,
-    /// Span over which requests are counted against limits, in milliseconds.
+    /// Window over which requests are counted against limits, in milliseconds.
     #[serde(default = "default_quota_window_ms")]
     pub quota_window_ms: u64,
-    /// Share of a limit by which the requests of all nodes together may exceed it, 0 to 1.
+    /// Fraction by which requests over all nodes may exceed a limit, 0 to 1.
     #[serde(default)]
     pub quota_overage: f64,
-    /// Requests of a window that may exceed it on top of that.
+    /// Requests per window that may exceed a limit in addition to `quota_overage`.
     #[serde(default)]
     pub quota_slack: u32,
 }
@@ -106,7 +107,6 @@
     }
 }
 
-/// The window of the users' rule on limits, in milliseconds.
 const fn default_quota_window_ms() -> u64 {
     5000
 }
@@ -115,65 +115,83 @@
     "info".to_owned()
 }
 
-/// Settings that can't be used.
+/// Why settings are rejected.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
 #[error("settings: {detail}")]
 #[diagnostic(help("{mend}"))]
 pub struct SettingsError {
-    /// The field, its line where known, and what is wrong with it.
+    /// The field, its line where known, and the problem.
     pub detail: String,
-    /// What to do.
+    /// How to correct the settings.
     pub mend: String,
 }
 
 impl SettingsError {
-    fn unreadable(error: &toml::de::Error) -> Self {
+    fn from_toml(error: &toml::de::Error) -> Self {
         Self {
             detail: error.to_string().trim_end().to_owned(),
-            mend: "give the field that is named a value of the type that is named".to_owned(),
+            mend: "correct the syntax, or set the named field to a value of the named type"
+                .to_owned(),
         }
     }
 }
 
 impl MeshSettings {
-    /// Reads and checks settings. Unknown fields are passed over, as the platform may add some.
+    /// Parses and validates settings. Ignores unknown fields, since the platform may add some.
     ///
     /// # Errors
     ///
-    /// [`SettingsError`] naming the field, the line and the mend.
+    /// Returns a [`SettingsError`] that names the field, its line where known, and the correction.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let settings: Self =
-            toml::from_str(text).map_err(|error| SettingsError::unreadable(&error))?;
+            toml::from_str(text).map_err(|error| SettingsError::from_toml(&error))?;
         settings.check()?;
         Ok(settings)
     }
 
-    /// Names of the fields that differ in other settings and take effect at a start only.
+    /// Returns the names of the fields that differ in `other` and take effect only at a restart.
+    ///
+    /// Addresses with port 0 in `other` match any port of the same host.
     #[must_use]
     pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
         let is_same_address =
             |address: fn(&Self) -> SocketAddr| is_bound_to(address(self), address(other));
-        let pairs = [
+        let comparisons = [
             ("node", self.node == other.node),
             ("zone", self.zone == other.zone),
             ("region", self.region == other.region),
-            ("peer_address", is_same_address(|of| of.peer_address)),
-            ("caller_address", is_same_address(|of| of.caller_address)),
-            ("ready_address", is_same_address(|of| of.ready_address)),
-            ("report_address", is_same_address(|of| of.report_address)),
-            ("metrics_address", is_same_address(|of| of.metrics_address)),
+            (
+                "peer_address",
+                is_same_address(|settings| settings.peer_address),
+            ),
+            (
+                "caller_address",
+                is_same_address(|settings| settings.caller_address),
+            ),
+            (
+                "ready_address",
+                is_same_address(|settings| settings.ready_address),
+            ),
+            (
+                "report_address",
+                is_same_address(|settings| settings.report_address),
+            ),
+            (
+                "metrics_address",
+                is_same_address(|settings| settings.metrics_address),
+            ),
             ("store_address", self.store_address == other.store_address),
             ("backend", self.backend == other.backend),
             ("tenants", self.tenants == other.tenants),
             ("policy", self.policy == other.policy),
             ("log", self.log == other.log),
         ];
-        let differing = pairs.into_iter().filter(|(_, is_same)| !is_same);
+        let differing = comparisons.into_iter().filter(|(_, is_same)| !is_same);
         differing.map(|(name, _)| name).collect()
     }
 }
 
-/// Whether an address that was bound is the one that settings name, where port 0 names any.
-fn is_bound_to(bound: SocketAddr, named: SocketAddr) -> bool {
-    bound == named || (named.port() == 0 && bound.ip() == named.ip())
+/// Returns whether a bound address matches the configured one. Port 0 matches any port.
+fn is_bound_to(bound: SocketAddr, configured: SocketAddr) -> bool {
+    bound == configured || (configured.port() == 0 && bound.ip() == configured.ip())
 }
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -1,8 +1,8 @@
-//! Settings that can't be used are refused by field, line and mend.
+//! Parsing and validation of settings. Guards against errors that do not name the invalid field.
 
 use tallybridge_mesh::{MeshSettings, PolicySettings, SettingOrigin};
 
-const SOUND: &str = r#"
+const VALID: &str = r#"
 node = "n1"
 zone = "a"
 region = "r"
@@ -13,7 +13,7 @@
 metrics_address = "10.0.0.1:7004"
 store_address = "10.9.0.1:80"
 stop_grace_ms = 6000
-unknown_field = "passed over"
+unknown_field = "ignored"
 
 [backend]
 service = "ledger"
@@ -27,22 +27,19 @@
 "#;
 
 #[test]
-fn sound_settings_are_read_and_unknown_fields_passed_over() {
-    let settings = MeshSettings::parse(SOUND).unwrap();
+fn accepts_valid_settings_and_ignores_unknown_fields() {
+    let settings = MeshSettings::parse(VALID).unwrap();
     assert_eq!(settings.backend.service, "ledger");
     assert!(settings.fixed_differences(&settings).is_empty());
-    assert!(
-        !settings.new_fleet,
-        "a fleet runs already, unless it is said"
-    );
-    let first = SOUND.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
-    let first = MeshSettings::parse(&first).unwrap();
-    assert!(first.new_fleet);
+    assert!(!settings.new_fleet, "`new_fleet` must default to false");
+    let new_fleet = VALID.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
+    let new_fleet = MeshSettings::parse(&new_fleet).unwrap();
+    assert!(new_fleet.new_fleet);
 }
 
 #[test]
-fn wrong_settings_name_the_field_and_the_mend() {
-    let wrong = [
+fn rejects_invalid_settings_by_field() {
+    let cases = [
         ("node = \"n1\"", "node = \"\"", "`node` is empty"),
         ("node = \"n1\"", "", "missing field `node`"),
         ("10.0.0.1:7000", "10.0.0.1", "peer_address"),
@@ -74,8 +71,8 @@
         ),
         ("[retry]", "[retry", "line 19"),
     ];
-    for (sound, mistaken, expected) in wrong {
-        let text = SOUND.replacen(sound, mistaken, 1);
+    for (valid, invalid, expected) in cases {
+        let text = VALID.replacen(valid, invalid, 1);
         let error = MeshSettings::parse(&text).unwrap_err();
         assert!(
             error.detail.contains(expected),
@@ -87,9 +84,9 @@
 }
 
 #[test]
-fn what_only_a_start_can_take_in_is_named() {
-    let settings = MeshSettings::parse(SOUND).unwrap();
-    let changed = SOUND
+fn lists_changes_that_require_a_restart() {
+    let settings = MeshSettings::parse(VALID).unwrap();
+    let changed = VALID
         .replace("zone = \"a\"", "zone = \"b\"")
         .replace("ratio = 0.2", "ratio = 0.1");
     let changed = MeshSettings::parse(&changed).unwrap();
@@ -97,47 +94,47 @@
 }
 
 #[test]
-fn policies_are_on_unless_a_switch_is_given() {
-    let settings = MeshSettings::parse(SOUND).unwrap();
+fn policies_default_to_on() {
+    let settings = MeshSettings::parse(VALID).unwrap();
     assert_eq!(settings.policy, PolicySettings::default());
     assert!(settings.policy.switches().iter().all(|switch| switch.is_on));
-    let text = format!("{SOUND}\n[policy]\nrepeats = false\n");
-    let other = MeshSettings::parse(&text).unwrap();
-    assert!(!other.policy.retries && other.policy.shed_at_entry);
-    assert_eq!(settings.fixed_differences(&other), ["policy"]);
+    let text = format!("{VALID}\n[policy]\nrepeats = false\n");
+    let without_retries = MeshSettings::parse(&text).unwrap();
+    assert!(!without_retries.policy.retries && without_retries.policy.shed_at_entry);
+    assert_eq!(settings.fixed_differences(&without_retries), ["policy"]);
     let rows = MeshSettings::effective(&text).unwrap();
     let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
-    let switched = row("policy.repeats");
+    let retry_switch = row("policy.repeats");
     assert_eq!(
-        (&*switched.value, switched.origin),
+        (&*retry_switch.value, retry_switch.origin),
         ("false", SettingOrigin::File)
     );
-    let usual = row("policy.shed_at_entry");
+    let shedding_switch = row("policy.shed_at_entry");
     assert_eq!(
-        (&*usual.value, usual.origin),
+        (&*shedding_switch.value, shedding_switch.origin),
         ("true", SettingOrigin::Default)
     );
     assert_eq!(row("retry.ratio").origin, SettingOrigin::File);
-    let wrong = format!("{SOUND}\n[policy]\nrepeats = \"no\"\n");
-    let error = MeshSettings::parse(&wrong).unwrap_err();
+    let invalid = format!("{VALID}\n[policy]\nrepeats = \"no\"\n");
+    let error = MeshSettings::parse(&invalid).unwrap_err();
     assert!(error.to_string().contains("repeats"), "{error}");
 }
 
 #[test]
-fn what_holds_for_tenants_is_read_and_checked() {
-    let usual = MeshSettings::parse(SOUND).unwrap();
-    assert_eq!(usual.tenants.revoke_within_ms, None);
-    let given =
+fn parses_and_validates_tenant_settings() {
+    let defaults = MeshSettings::parse(VALID).unwrap();
+    assert_eq!(defaults.tenants.revoke_within_ms, None);
+    let table =
         "revoke_within_ms = 5000\nquota_window_ms = 5000\nquota_overage = 0.1\nquota_slack = 20";
-    let text = format!("{SOUND}\n[tenants]\n{given}\n");
+    let text = format!("{VALID}\n[tenants]\n{table}\n");
     let settings = MeshSettings::parse(&text).unwrap();
     assert_eq!(settings.tenants.revoke_within_ms, Some(5000));
-    assert_eq!(usual.fixed_differences(&settings), ["tenants"]);
+    assert_eq!(defaults.fixed_differences(&settings), ["tenants"]);
     let rows = MeshSettings::effective(&text).unwrap();
     let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
     assert_eq!(row("tenants.quota_slack").value, "20");
     assert_eq!(row("tenants.quota_slack").origin, SettingOrigin::File);
-    let wrong = [
+    let cases = [
         ("5000\n", "10\n", "`tenants.revoke_within_ms` is below 1000"),
         (
             "= 0.1",
@@ -150,8 +147,8 @@
             "`tenants.quota_window_ms` is below 100",
         ),
     ];
-    for (sound, replaced, expected) in wrong {
-        let error = MeshSettings::parse(&text.replacen(sound, replaced, 1)).unwrap_err();
+    for (valid, invalid, expected) in cases {
+        let error = MeshSettings::parse(&text.replacen(valid, invalid, 1)).unwrap_err();
         assert!(error.to_string().contains(expected), "{error}");
     }
 }
