--- a/crates/tallybridge-mesh/src/settings/check.rs
+++ b/crates/tallybridge-mesh/src/settings/check.rs
@@ -54,7 +54,7 @@
             if let Some((other, _)) = conflict {
                 return Err(SettingsError {
                     detail: format!("`{name}` and `{other}` are both {address}"),
-                    mend: "set a different port for each listener".to_owned(),
+                    help: "set a different port for each listener".to_owned(),
                 });
             }
         }
@@ -110,6 +110,6 @@
     }
     Err(SettingsError {
         detail: format!("`{field}` {problem}"),
-        mend: help.to_owned(),
+        help: help.to_owned(),
     })
 }
--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -118,19 +118,19 @@
 /// Why settings are rejected.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
 #[error("settings: {detail}")]
-#[diagnostic(help("{mend}"))]
+#[diagnostic(help("{help}"))]
 pub struct SettingsError {
     /// The field, its line where known, and the problem.
     pub detail: String,
     /// How to correct the settings.
-    pub mend: String,
+    pub help: String,
 }
 
 impl SettingsError {
     fn from_toml(error: &toml::de::Error) -> Self {
         Self {
             detail: error.to_string().trim_end().to_owned(),
-            mend: "correct the syntax, or set the named field to a value of the named type"
+            help: "correct the syntax, or set the named field to a value of the named type"
                 .to_owned(),
         }
     }
@@ -153,7 +153,7 @@
     ///
     /// Addresses with port 0 in `other` match any port of the same host.
     #[must_use]
-    pub fn fixed_differences(&self, other: &Self) -> Vec<&'static str> {
+    pub fn changes_requiring_restart(&self, other: &Self) -> Vec<&'static str> {
         let is_same_address =
             |address: fn(&Self) -> SocketAddr| is_bound_to(address(self), address(other));
         let comparisons = [
--- a/crates/tallybridge-mesh/src/tasks/reload.rs
+++ b/crates/tallybridge-mesh/src/tasks/reload.rs
@@ -1,6 +1,6 @@
 //! Settings that change while the node runs. They are read again at SIGHUP, and each second, as the
 //! platform may lay out a new file without a signal. What can't change while the node runs is named
-//! in the log ([`MeshSettings::fixed_differences`]).
+//! in the log ([`MeshSettings::changes_requiring_restart`]).
 
 use std::{sync::Arc, time::Duration};
 
@@ -58,12 +58,12 @@
 fn apply(node: &Node, text: &str, signalled: bool) {
     match MeshSettings::parse(text) {
         Ok(settings) => {
-            let at_next_start = node.settings.fixed_differences(&settings);
+            let at_next_start = node.settings.changes_requiring_restart(&settings);
             node.apply_settings(&settings);
             tracing::info!(signalled, ?at_next_start, "settings reloaded");
         }
         Err(error) => {
-            let mend = error.mend.as_str();
+            let mend = error.help.as_str();
             tracing::error!(%error, mend, "settings can't be used, the last ones stay");
         }
     }
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -30,7 +30,7 @@
 fn accepts_valid_settings_and_ignores_unknown_fields() {
     let settings = MeshSettings::parse(VALID).unwrap();
     assert_eq!(settings.backend.service, "ledger");
-    assert!(settings.fixed_differences(&settings).is_empty());
+    assert!(settings.changes_requiring_restart(&settings).is_empty());
     assert!(!settings.new_fleet, "`new_fleet` must default to false");
     let new_fleet = VALID.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
     let new_fleet = MeshSettings::parse(&new_fleet).unwrap();
@@ -79,7 +79,7 @@
             "{expected}: {}",
             error.detail
         );
-        assert!(!error.mend.is_empty());
+        assert!(!error.help.is_empty());
     }
 }
 
@@ -90,7 +90,7 @@
         .replace("zone = \"a\"", "zone = \"b\"")
         .replace("ratio = 0.2", "ratio = 0.1");
     let changed = MeshSettings::parse(&changed).unwrap();
-    assert_eq!(settings.fixed_differences(&changed), ["zone"]);
+    assert_eq!(settings.changes_requiring_restart(&changed), ["zone"]);
 }
 
 #[test]
@@ -101,7 +101,10 @@
     let text = format!("{VALID}\n[policy]\nrepeats = false\n");
     let without_retries = MeshSettings::parse(&text).unwrap();
     assert!(!without_retries.policy.retries && without_retries.policy.shed_at_entry);
-    assert_eq!(settings.fixed_differences(&without_retries), ["policy"]);
+    assert_eq!(
+        settings.changes_requiring_restart(&without_retries),
+        ["policy"]
+    );
     let rows = MeshSettings::effective(&text).unwrap();
     let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
     let retry_switch = row("policy.repeats");
@@ -129,7 +132,7 @@
     let text = format!("{VALID}\n[tenants]\n{table}\n");
     let settings = MeshSettings::parse(&text).unwrap();
     assert_eq!(settings.tenants.revoke_within_ms, Some(5000));
-    assert_eq!(defaults.fixed_differences(&settings), ["tenants"]);
+    assert_eq!(defaults.changes_requiring_restart(&settings), ["tenants"]);
     let rows = MeshSettings::effective(&text).unwrap();
     let row = |name: &str| rows.iter().find(|row| row.name == name).unwrap();
     assert_eq!(row("tenants.quota_slack").value, "20");
