--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -47,7 +47,7 @@
     /// Whether this is the first start of the whole fleet, when no node knows another one yet.
     #[serde(default)]
     pub new_fleet: bool,
-    /// Switches that turn single policies off.
+    /// On/off switches of the individual policies.
     #[serde(default)]
     pub policy: PolicySettings,
     /// Log filter: `error`, `warn`, `info` or `debug`.
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use tallybridge_mesh::{MeshSettings, PolicySettings, SettingOrigin};
 
-const VALID: &str = r#"
+const VALID_SETTINGS: &str = r#"
 node = "n1"
 zone = "a"
 region = "r"
@@ -28,11 +28,11 @@
 
 #[test]
 fn accepts_valid_settings_and_ignores_unknown_fields() {
-    let settings = MeshSettings::parse(VALID).unwrap();
+    let settings = MeshSettings::parse(VALID_SETTINGS).unwrap();
     assert_eq!(settings.backend.service, "ledger");
     assert!(settings.changes_requiring_restart(&settings).is_empty());
     assert!(!settings.new_fleet, "`new_fleet` must default to false");
-    let new_fleet = VALID.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
+    let new_fleet = VALID_SETTINGS.replace("stop_grace_ms", "new_fleet = true\nstop_grace_ms");
     let new_fleet = MeshSettings::parse(&new_fleet).unwrap();
     assert!(new_fleet.new_fleet);
 }
@@ -72,7 +72,7 @@
         ("[retry]", "[retry", "line 19"),
     ];
     for (valid, invalid, expected) in cases {
-        let text = VALID.replacen(valid, invalid, 1);
+        let text = VALID_SETTINGS.replacen(valid, invalid, 1);
         let error = MeshSettings::parse(&text).unwrap_err();
         assert!(
             error.detail.contains(expected),
@@ -85,8 +85,8 @@
 
 #[test]
 fn lists_changes_that_require_a_restart() {
-    let settings = MeshSettings::parse(VALID).unwrap();
-    let changed = VALID
+    let settings = MeshSettings::parse(VALID_SETTINGS).unwrap();
+    let changed = VALID_SETTINGS
         .replace("zone = \"a\"", "zone = \"b\"")
         .replace("ratio = 0.2", "ratio = 0.1");
     let changed = MeshSettings::parse(&changed).unwrap();
@@ -95,10 +95,10 @@
 
 #[test]
 fn policies_default_to_on() {
-    let settings = MeshSettings::parse(VALID).unwrap();
+    let settings = MeshSettings::parse(VALID_SETTINGS).unwrap();
     assert_eq!(settings.policy, PolicySettings::default());
     assert!(settings.policy.switches().iter().all(|switch| switch.is_on));
-    let text = format!("{VALID}\n[policy]\nrepeats = false\n");
+    let text = format!("{VALID_SETTINGS}\n[policy]\nrepeats = false\n");
     let without_retries = MeshSettings::parse(&text).unwrap();
     assert!(!without_retries.policy.retries && without_retries.policy.shed_at_entry);
     assert_eq!(
@@ -118,18 +118,18 @@
         ("true", SettingOrigin::Default)
     );
     assert_eq!(row("retry.ratio").origin, SettingOrigin::File);
-    let invalid = format!("{VALID}\n[policy]\nrepeats = \"no\"\n");
+    let invalid = format!("{VALID_SETTINGS}\n[policy]\nrepeats = \"no\"\n");
     let error = MeshSettings::parse(&invalid).unwrap_err();
     assert!(error.to_string().contains("repeats"), "{error}");
 }
 
 #[test]
 fn parses_and_validates_tenant_settings() {
-    let defaults = MeshSettings::parse(VALID).unwrap();
+    let defaults = MeshSettings::parse(VALID_SETTINGS).unwrap();
     assert_eq!(defaults.tenants.revoke_within_ms, None);
     let table =
         "revoke_within_ms = 5000\nquota_window_ms = 5000\nquota_overage = 0.1\nquota_slack = 20";
-    let text = format!("{VALID}\n[tenants]\n{table}\n");
+    let text = format!("{VALID_SETTINGS}\n[tenants]\n{table}\n");
     let settings = MeshSettings::parse(&text).unwrap();
     assert_eq!(settings.tenants.revoke_within_ms, Some(5000));
     assert_eq!(defaults.changes_requiring_restart(&settings), ["tenants"]);
