--- a/crates/tallybridge-mesh/src/tasks/reload.rs
+++ b/crates/tallybridge-mesh/src/tasks/reload.rs
@@ -2,7 +2,7 @@
 //!
 //! The settings are read again on SIGHUP, and regularly because the platform may replace the file
 //! without a signal. Changes that need a restart are logged
-//! ([`MeshSettings::fixed_differences`]).
+//! ([`MeshSettings::changes_requiring_restart`]).
 
 use std::{sync::Arc, time::Duration};
 
@@ -59,12 +59,12 @@
 fn apply(node: &Node, text: &str, signalled: bool) {
     match MeshSettings::parse(text) {
         Ok(settings) => {
-            let at_next_start = node.settings.fixed_differences(&settings);
+            let at_next_start = node.settings.changes_requiring_restart(&settings);
             node.apply_settings(&settings);
             tracing::info!(signalled, ?at_next_start, "settings reloaded");
         }
         Err(error) => {
-            let mend = error.mend.as_str();
+            let mend = error.help.as_str();
             tracing::error!(%error, mend, "settings are invalid; keeping the previous ones");
         }
     }
