--- a/crates/tallybridge-core/src/criticality.rs
+++ b/crates/tallybridge-core/src/criticality.rs
@@ -1,30 +1,30 @@
-//! How much a call matters when not all calls can be served.
+//! Criticality classes, which decide the calls that are shed first under overload.
 //!
 //! The four classes and their names follow "Handling Overload" in *Site Reliability Engineering*
 //! (Beyer et al., 2016, chapter 21).
 
 use serde::{Deserialize, Serialize};
 
-/// The class of a call; a greater value is shed later.
+/// Criticality class of a call. Classes with a greater value are shed later.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
 #[serde(rename_all = "kebab-case")]
 #[repr(u8)]
 pub enum Criticality {
-    /// Partial or full unavailability is expected: bulk transfers, batch work.
+    /// Tolerates partial or full unavailability, for example bulk transfers and batch work.
     Sheddable = 0,
-    /// Some unavailability is expected: background refreshes.
+    /// Tolerates some unavailability, for example background refreshes.
     #[default]
     SheddablePlus = 1,
-    /// The default of a call that a person waits for.
+    /// Default for a call that a user waits for.
     Critical = 2,
-    /// Shed last of all: payment settlements and bill credits.
+    /// Shed last, for example payment settlements and bill credits.
     CriticalPlus = 3,
 }
 
 impl Criticality {
-    /// Every class, least critical first.
+    /// All classes, least critical first.
     pub const ALL: [Self; 4] = [
         Self::Sheddable,
         Self::SheddablePlus,
@@ -32,13 +32,13 @@
         Self::CriticalPlus,
     ];
 
-    /// The class as an index into a table with one row for each class.
+    /// Returns the index of the class in [`ALL`](Self::ALL) and in tables with one row for each class.
     #[must_use]
     pub const fn index(self) -> usize {
         self as usize
     }
 
-    /// The class of a wire value, or `None` when no class has that value.
+    /// Returns the class with this wire value, or `None` if no class has it.
     #[must_use]
     pub fn from_wire(value: u8) -> Option<Self> {
         Self::ALL.get(usize::from(value)).copied()
--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -1,36 +1,36 @@
-//! The closed list of error kinds and the one table that says how each is answered.
+//! The closed list of error kinds, and the table that defines the answer to each kind.
 
 use std::{fmt, time::Duration};
 
 use crate::Outcome;
 
-/// Where the cause of an error lies.
+/// Party that caused an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ErrorSource {
-    /// The caller sent something that can't be served.
+    /// The caller sent a request that cannot be served.
     Downstream,
-    /// The back end, or the way to it, failed.
+    /// The back end or the path to it failed.
     Upstream,
-    /// A limit or a part of tallybridge itself.
+    /// A limit or a component of tallybridge caused the error.
     Internal,
 }
 
-/// How one kind of error is answered.
+/// Answer to one kind of error, as callers and operators see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ErrorAnswer {
-    /// The kind's name in headers, logs and problem details.
+    /// Name of the kind in headers, logs and problem details.
     pub name: &'static str,
-    /// HTTP status of the refusal.
+    /// HTTP status code of the refusal.
     pub status: u16,
-    /// Where the cause lies.
+    /// Party that caused the error.
     pub source: ErrorSource,
-    /// The outcome when no attempt was handed to a back end before.
+    /// Outcome if no earlier attempt was dispatched to a back end.
     pub outcome: Outcome,
-    /// Whether the same request may be sent again without risk of running twice.
+    /// Whether the same request can be sent again without the risk that it runs twice.
     pub retry_safe: bool,
-    /// Exit code of a command that ends with this error.
+    /// Exit code of a command that fails with this error.
     pub exit_code: u8,
-    /// What an operator or caller should do.
+    /// Advice to the operator or the caller.
     pub hint: &'static str,
 }
 
@@ -39,7 +39,7 @@
         $name:literal, $status:literal, $source:ident, $outcome:ident, $retry_safe:literal,
         $exit_code:literal, $hint:literal
     })*) => {
-        /// Every kind of error that tallybridge answers with.
+        /// Kind of an error that tallybridge reports to callers and operators.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
         #[repr(u8)]
         pub enum ErrorKind {
@@ -47,10 +47,10 @@
         }
 
         impl ErrorKind {
-            /// The whole list.
+            /// All kinds, in the order of the table.
             pub const ALL: &'static [Self] = &[$(Self::$kind),*];
 
-            /// The row of the table for this kind.
+            /// Returns the table row of this kind.
             #[must_use]
             pub const fn answer(self) -> ErrorAnswer {
                 match self {
@@ -70,12 +70,12 @@
 }
 
 error_kinds! {
-    /// The request itself is malformed: a header, the path or the body.
+    /// A header, the path or the body of the request is malformed.
     InvalidRequest = 1 => {
         "invalid-request", 400, Downstream, NotRun, false, 64,
         "correct the field that the detail names and send the request again"
     }
-    /// No service of that name is known.
+    /// No service with the requested name exists.
     UnknownService = 2 => {
         "unknown-service", 404, Downstream, NotRun, false, 65,
         "check the service name in the path against `tallybridge status`"
@@ -85,77 +85,77 @@
         "no-template", 403, Downstream, NotRun, false, 66,
         "add a template for this method and path, or parameters for the tenant"
     }
-    /// The request body is above the template's limit.
+    /// The request body exceeds the template's limit.
     RequestTooLarge = 4 => {
         "request-too-large", 413, Downstream, NotRun, false, 67,
         "send a smaller body or raise `max_request_bytes` in the template"
     }
-    /// The call token names an attempt that this node does not run.
+    /// The call token identifies an attempt that this node does not run.
     UnknownParent = 5 => {
         "unknown-parent", 409, Downstream, NotRun, false, 68,
-        "the parent call has ended or its node was replaced: let the root caller send it again"
+        "the parent call has ended or its node was replaced: the root caller must send the request again"
     }
-    /// The key is older or newer than the window in which keys are remembered.
+    /// The key's timestamp lies outside the window in which keys are remembered.
     KeyOutsideWindow = 6 => {
         "key-outside-window", 422, Downstream, Unknown, false, 69,
-        "make a fresh UUIDv7 key; for an older key, ask the service whether it ran"
+        "generate a new UUIDv7 key; for an older key, ask the service whether the request ran"
     }
-    /// The request carries no key, or one that no tenant holds.
+    /// The request carries no key, or a key that belongs to no tenant.
     UnknownKey = 7 => {
         "unknown-key", 401, Downstream, NotRun, false, 89,
         "send a key that the configuration gives to a tenant"
     }
-    /// The back end's limit is reached and the call's class is being shed.
+    /// The back end has reached its limit and sheds the call's class.
     Overloaded = 10 => {
         "overloaded", 503, Internal, NotRun, true, 70,
-        "wait for the time in Retry-After; if it lasts, add back ends or lower lesser work"
+        "wait for the time in Retry-After; if the overload persists, add back ends or reduce less critical work"
     }
-    /// The deadline passed before the call was handed to a back end.
+    /// The deadline passed before the call was dispatched to a back end.
     DeadlineExceeded = 11 => {
         "deadline-exceeded", 504, Internal, NotRun, true, 71,
         "allow more time, or look for the slow hop with `tallybridge explain`"
     }
-    /// No back end of the service can take the call.
+    /// No back end of the service can run the call.
     NoBackend = 12 => {
         "no-backend", 503, Upstream, NotRun, true, 72,
         "check that the service's back ends are alive with `tallybridge status`"
     }
-    /// The back end is leaving and takes no new work.
+    /// The back end is leaving and accepts no new calls.
     Leaving = 13 => {
         "leaving", 503, Upstream, NotRun, true, 73,
         "send the request again: another back end takes it"
     }
-    /// The request's retry allowance is spent.
+    /// The request has used up its retry allowance.
     RetryAllowanceSpent = 14 => {
         "retry-allowance-spent", 429, Internal, NotRun, false, 74,
-        "give each deliberate repeat its own Idempotency-Key, or raise `retry_allowance`"
+        "use a new Idempotency-Key for each deliberate repeat, or raise `retry_allowance`"
     }
     /// The node has no configuration yet.
     NoConfiguration = 15 => {
         "no-configuration", 503, Internal, NotRun, true, 75,
         "check that the node reaches the configuration store or a peer that has a revision"
     }
-    /// No majority of the key's claim group could be asked.
+    /// No majority of the key's claim group could be reached.
     NoQuorum = 16 => {
         "no-quorum", 503, Internal, Unknown, false, 76,
-        "send the request again with the same key once the members are reachable"
+        "send the request again with the same key once the claim group is reachable"
     }
-    /// Another attempt under the same key is running or has run.
+    /// Another attempt with the same key is running or has run.
     AlreadyClaimed = 17 => {
         "already-claimed", 409, Internal, Unknown, false, 77,
-        "ask again later with the same key: a finished answer is replayed"
+        "retry later with the same key: a completed answer is replayed"
     }
-    /// The tenant has asked the fleet for as much as its limit allows.
+    /// The tenant has reached its request limit across the fleet.
     OverQuota = 18 => {
         "over-quota", 429, Downstream, NotRun, true, 90,
         "wait for the time in Retry-After, or raise the tenant's rate and burst"
     }
-    /// The configuration may be so old that a key in it has been taken away since.
+    /// The configuration is stale, so a key in it may have been revoked.
     StaleConfiguration = 19 => {
         "stale-configuration", 503, Internal, NotRun, true, 91,
         "check that the node, or a peer of it, reaches the configuration store"
     }
-    /// The back end could not be reached or closed the connection.
+    /// The back end was unreachable or closed the connection.
     BackendFailed = 20 => {
         "backend-failed", 502, Upstream, Unknown, false, 78,
         "look at the back end's log for this request id"
@@ -165,52 +165,52 @@
         "backend-timeout", 504, Upstream, Unknown, false, 79,
         "look for the slow back end with `tallybridge explain`"
     }
-    /// The back end's answer is above the template's limit.
+    /// The back end's answer exceeds the template's limit.
     AnswerTooLarge = 22 => {
         "answer-too-large", 502, Upstream, Unknown, false, 80,
-        "raise `max_answer_bytes` in the template or page the answer"
+        "raise `max_answer_bytes` in the template or paginate the answer"
     }
-    /// The peer that ran the call was lost before it answered.
+    /// The peer that ran the call was lost before its answer arrived.
     PeerLost = 23 => {
         "peer-lost", 502, Internal, Unknown, false, 81,
-        "the node was replaced or cut off: see `tallybridge status`"
+        "the node was replaced or became unreachable: see `tallybridge status`"
     }
-    /// The caller gave up before the call was answered.
+    /// The caller closed its connection before the answer was sent.
     Cancelled = 24 => {
         "cancelled", 499, Downstream, Unknown, false, 82,
         "nothing to do: the caller closed its connection"
     }
-    /// The back end took the request and said that it did not run it.
+    /// The back end received the request and reported that the request did not run.
     BackendRefused = 25 => {
         "backend-refused", 503, Upstream, NotRun, true, 88,
-        "wait for the time in Retry-After: the back end was full or the time was up in its queue"
+        "wait for the time in Retry-After: the back end was full or the call expired in its queue"
     }
-    /// Back ends ended under the same request before.
+    /// The request is quarantined because it crashed back ends before.
     Quarantined = 26 => {
         "quarantined", 503, Downstream, NotRun, true, 92,
-        "wait for the time in Retry-After; find what the request does to its back ends, by its digest"
+        "wait for the time in Retry-After; use the digest of the request to find why it crashes back ends"
     }
-    /// A defect of tallybridge itself.
+    /// A bug in tallybridge.
     Internal = 30 => {
         "internal", 500, Internal, Unknown, false, 83,
-        "report the log lines of this request id as a defect"
+        "report the log lines of this request id as a bug"
     }
-    /// A settings, template or scenario file is wrong (commands only).
+    /// A settings, template or scenario file is invalid (commands only).
     InvalidConfiguration = 40 => {
         "invalid-configuration", 422, Downstream, NotRun, false, 84,
-        "mend the fields that the report names"
+        "correct the fields that the report names"
     }
-    /// An edit was made against a revision that is no longer the newest (commands only).
+    /// An edit was based on a revision that is no longer the newest (commands only).
     Conflict = 41 => {
         "conflict", 409, Downstream, NotRun, false, 85,
-        "read the difference, take the newest revision and apply the edit again"
+        "review the difference, fetch the newest revision and apply the edit again"
     }
-    /// The configuration store can't be reached or refuses for now (commands only).
+    /// The configuration store is unreachable or refuses requests temporarily (commands only).
     StoreUnavailable = 42 => {
         "store-unavailable", 503, Upstream, Unknown, true, 86,
-        "try again: an apply settles by itself whether an earlier write took effect"
+        "try again: `apply` detects whether an earlier write took effect"
     }
-    /// A node can't be reached or did not become ready in time (commands only).
+    /// A node is unreachable or did not become ready in time (commands only).
     NodeUnavailable = 43 => {
         "node-unavailable", 503, Upstream, NotRun, true, 87,
         "check the node's address and its log"
@@ -218,13 +218,13 @@
 }
 
 impl ErrorKind {
-    /// The kind's name in headers, logs and problem details.
+    /// Returns the name of the kind in headers, logs and problem details.
     #[must_use]
     pub const fn name(self) -> &'static str {
         self.answer().name
     }
 
-    /// The kind of a wire value, or `None` when no kind has that value.
+    /// Returns the kind with this wire value, or `None` if no kind has it.
     #[must_use]
     pub fn from_wire(value: u8) -> Option<Self> {
         Self::ALL.iter().copied().find(|kind| *kind as u8 == value)
@@ -237,22 +237,22 @@
     }
 }
 
-/// Why a call was refused or failed, and what is known about its execution.
+/// Refusal or failure of a call, and what is known about its execution.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{kind}: {detail}")]
 pub struct Refusal {
-    /// The kind, which decides the answer.
+    /// Kind that determines the answer.
     pub kind: ErrorKind,
-    /// What is known about the execution of the request over all its attempts.
+    /// Outcome of the request over all its attempts.
     pub outcome: Outcome,
-    /// What exactly went wrong, for people.
+    /// Human-readable description of the cause.
     pub detail: String,
-    /// When the caller may try again.
+    /// Time after which the caller may try again, or `None` if unknown.
     pub retry_after: Option<Duration>,
 }
 
 impl Refusal {
-    /// A refusal with the outcome that the table gives for its kind.
+    /// Creates a refusal with the outcome that the table defines for its kind.
     #[must_use]
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
         Self {
@@ -263,13 +263,13 @@
         }
     }
 
-    /// The same refusal with another outcome.
+    /// Replaces the outcome of the refusal.
     #[must_use]
     pub fn with_outcome(self, outcome: Outcome) -> Self {
         Self { outcome, ..self }
     }
 
-    /// The same refusal with a time after which the caller may try again.
+    /// Sets the time after which the caller may try again.
     #[must_use]
     pub fn with_retry_after(self, retry_after: Duration) -> Self {
         Self {
--- a/crates/tallybridge-core/src/identity.rs
+++ b/crates/tallybridge-core/src/identity.rs
@@ -1,10 +1,10 @@
-//! Identities of nodes, services, tenants and attempts.
+//! Identifiers of nodes, services, tenants and attempts.
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
-/// Declares a cheaply cloned name that is told apart from other names by its type.
+/// Declares a name type that is cheap to clone and distinct from other name types.
 macro_rules! name_type {
     ($(#[$meta:meta])* $name:ident) => {
         $(#[$meta])*
@@ -13,7 +13,7 @@
         pub struct $name(Arc<str>);
 
         impl $name {
-            /// The name as text.
+            /// Returns the name as a string slice.
             #[must_use]
             pub fn as_str(&self) -> &str {
                 &self.0
@@ -45,30 +45,30 @@
     ServiceName
 );
 name_type!(
-    /// Name of a tenant, whose parameters fill in the templates.
+    /// Name of a tenant, whose parameters complete the templates.
     TenantName
 );
 name_type!(
-    /// Name of a template, which says how one kind of request is treated.
+    /// Name of a template, which defines how one kind of request is handled.
     TemplateName
 );
 name_type!(
-    /// Name of a zone: machines that fail together when a hall loses power.
+    /// Name of a zone: machines that share a power supply and fail together.
     ZoneName
 );
 name_type!(
-    /// Name of a region: a set of zones near each other.
+    /// Name of a region: a set of zones that are close to each other.
     RegionName
 );
 
-/// One run of one node process. Drawn at random when the process starts, so a process that comes
-/// back at the same address is told apart from the one before.
+/// Identifier of one run of a node process. A process draws a new random identifier when it starts, so
+/// a restarted process at the same address is distinguishable from its predecessor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct InstanceId(pub u64);
 
 impl InstanceId {
-    /// Draws a new identity from the system's random source.
+    /// Creates an identifier from the random number generator of the operating system.
     #[must_use]
     pub fn random() -> Self {
         Self(uuid::Uuid::new_v4().as_u64_pair().0)
@@ -81,12 +81,12 @@
     }
 }
 
-/// A node: its peer address together with the run of the process that listens there.
+/// Identifier of a node: its peer address and the run of the process that listens there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeId {
-    /// Address on which the node takes peer connections (TCP) and probes (UDP).
+    /// Address on which the node accepts peer connections (TCP) and probes (UDP).
     pub address: SocketAddr,
-    /// The run of the process.
+    /// Run of the process at the address.
     pub instance: InstanceId,
 }
 
@@ -96,12 +96,13 @@
     }
 }
 
-/// One attempt to run a call: the instance that executes it and a number never reused by it.
+/// Identifier of one attempt to run a call: the executing instance and a number that the instance never
+/// reuses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
-    /// The executing node's run.
+    /// Run of the executing node.
     pub instance: InstanceId,
-    /// Counts up from 1 within that run.
+    /// Sequence number within that run, counted from 1.
     pub sequence: u64,
 }
 
--- a/crates/tallybridge-core/src/key.rs
+++ b/crates/tallybridge-core/src/key.rs
@@ -1,31 +1,31 @@
-//! The key that identifies one request over all attempts to run it.
+//! Key that identifies a request across all attempts to run it.
 
 use std::fmt;
 
 use uuid::Uuid;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Identity of a request, shared by every attempt of it wherever the attempt entered.
+/// Key of a request, shared by all its attempts regardless of their entry.
 ///
-/// A root call's key is its `Idempotency-Key` (a UUIDv7, RFC 9562 section 5.7) or one that the
-/// entry node draws. A nested call's key is derived from its parent's, so a parent that runs again
-/// makes nested calls with the same keys.
+/// The key of a root call is its `Idempotency-Key` (a UUIDv7, RFC 9562, section 5.7) or a key that the
+/// entry generates. The key of a nested call is derived from the key of its parent, so a parent that
+/// runs again makes nested calls with the same keys.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestKey {
-    /// When the root's key was made: milliseconds since the Unix epoch, by its maker's clock.
+    /// Creation time of the root call's key, in milliseconds since the Unix epoch.
     pub issued_unix_ms: u64,
-    /// The bits that tell keys of one millisecond apart.
+    /// Distinguishes keys with the same creation time.
     pub digest: u128,
 }
 
 impl RequestKey {
-    /// Draws a new key dated now.
+    /// Generates a new random key with the current time.
     #[must_use]
     pub fn generate() -> Self {
-        Self::from_uuid(Uuid::now_v7()).expect("a fresh UUIDv7 has version 7")
+        Self::from_uuid(Uuid::now_v7()).expect("a new UUIDv7 has version 7")
     }
 
-    /// The key of a UUIDv7, or `None` when the UUID is of another version and so has no date.
+    /// Returns the key of a UUIDv7, or `None` if the UUID has another version and thus no timestamp.
     #[must_use]
     pub fn from_uuid(uuid: Uuid) -> Option<Self> {
         const VERSION_7: usize = 7;
@@ -35,15 +35,16 @@
         }
         let bits = uuid.as_u128();
         Some(Self {
-            issued_unix_ms: u64::try_from(bits >> TIMESTAMP_SHIFT).expect("48 bits fit"),
+            issued_unix_ms: u64::try_from(bits >> TIMESTAMP_SHIFT)
+                .expect("a 48-bit timestamp fits into u64"),
             digest: bits,
         })
     }
 
-    /// The key of a nested call.
+    /// Derives the key of a nested call.
     ///
-    /// `explicit_key` is the nested call's own `Idempotency-Key`, if it has one; otherwise method,
-    /// path and body tell the parent's nested calls apart.
+    /// `explicit_key` is the `Idempotency-Key` of the nested call, if present. Without one, the method,
+    /// path and body distinguish the nested calls of the same parent.
     #[must_use]
     pub fn nested(&self, service: &str, explicit_key: Option<&str>, call: &NestedCall<'_>) -> Self {
         let mut hasher = Xxh3::new();
@@ -65,18 +66,19 @@
     }
 }
 
-/// What tells a nested call without its own key from its siblings.
+/// Properties that distinguish a nested call without its own key from its siblings.
 #[derive(Debug, Clone, Copy)]
 pub struct NestedCall<'a> {
-    /// HTTP method.
+    /// HTTP method in its original case.
     pub method: &'a str,
-    /// Path and query.
+    /// Path and query of the nested call.
     pub path: &'a str,
-    /// Whole body.
+    /// Complete body of the nested call.
     pub body: &'a [u8],
 }
 
-/// Adds a field with its length, so that two fields never run into each other.
+/// Hashes a field together with its length, so that different sequences of fields never hash the same
+/// bytes.
 fn update_with_field(hasher: &mut Xxh3, field: &[u8]) {
     hasher.update(&(field.len() as u64).to_be_bytes());
     hasher.update(field);
--- a/crates/tallybridge-core/src/lib.rs
+++ b/crates/tallybridge-core/src/lib.rs
@@ -1,5 +1,5 @@
-//! Types that every part of tallybridge shares: identities, criticality, outcomes, the closed
-//! list of error kinds and the names of HTTP headers.
+//! Types that all crates of tallybridge share: identifiers, criticality classes, outcomes, error kinds
+//! and the names of HTTP headers.
 
 pub mod criticality;
 pub mod error;
--- a/crates/tallybridge-core/src/load.rs
+++ b/crates/tallybridge-core/src/load.rs
@@ -1,22 +1,22 @@
-//! What an executing node reports of its load on every answer.
+//! Load report that an executor attaches to every answer.
 
 use crate::Criticality;
 
-/// Load of one back end as seen by the node beside it.
+/// Load of one back end as observed by the node beside it.
 ///
-/// Piggybacked on answers, so a router learns it without asking (Breakwater, OSDI 2020; DAGOR,
-/// SoCC 2018).
+/// Answers carry the report, so a router learns the load without extra messages (Breakwater, OSDI
+/// 2020; DAGOR, SoCC 2018).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct LoadReport {
-    /// Calls that the back end runs now.
+    /// Number of calls that the back end is running.
     pub in_flight: u16,
-    /// Calls that it may run at once, by the adaptive limit.
+    /// Adaptive limit on the calls that the back end runs concurrently.
     pub limit: u16,
-    /// Calls waiting in the admission queue.
+    /// Number of calls that wait in the admission queue.
     pub queued: u16,
-    /// The least critical class that is still admitted, with nested calls taken into account;
-    /// `None` when even the most critical are being refused.
+    /// Least critical class that is admitted, including the effect of nested calls. `None` if even the
+    /// most critical class is refused.
     pub admitted_from: Option<Criticality>,
-    /// The back end takes no new work.
+    /// Whether the back end is leaving and accepts no new calls.
     pub leaving: bool,
 }
--- a/crates/tallybridge-core/src/outcome.rs
+++ b/crates/tallybridge-core/src/outcome.rs
@@ -1,22 +1,22 @@
-//! What is known about the execution of a request when it is answered.
+//! Outcome of a request, which an answer reports to the caller.
 
-/// What an answer says about the execution of its request.
+/// Whether a back end ran a request, as far as the answer can state it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[repr(u8)]
 pub enum Outcome {
-    /// A back end ran the request and this is its whole answer.
+    /// A back end ran the request and the answer is complete.
     Completed = 0,
-    /// No attempt of the request was ever handed to a back end.
+    /// No back end ran any attempt of the request.
     NotRun = 1,
     /// The request may or may not have run.
     Unknown = 2,
 }
 
 impl Outcome {
-    /// Every outcome, in wire order.
+    /// All outcomes, in the order of their wire values.
     pub const ALL: [Self; 3] = [Self::Completed, Self::NotRun, Self::Unknown];
 
-    /// The outcome's name in the `Tallybridge-Outcome` header.
+    /// Returns the name of the outcome in the `Tallybridge-Outcome` header.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -26,13 +26,13 @@
         }
     }
 
-    /// The outcome of a wire value, or `None` when no outcome has that value.
+    /// Returns the outcome with this wire value, or `None` if no outcome has it.
     #[must_use]
     pub fn from_wire(value: u8) -> Option<Self> {
         Self::ALL.get(usize::from(value)).copied()
     }
 
-    /// The outcome of a header value, or `None` when no outcome has that name.
+    /// Returns the outcome with this header value, or `None` if no outcome has it.
     #[must_use]
     pub fn from_header(value: &str) -> Option<Self> {
         Self::ALL
--- a/crates/tallybridge-core/src/token.rs
+++ b/crates/tallybridge-core/src/token.rs
@@ -1,13 +1,13 @@
-//! The opaque token that ties a nested call to the attempt that makes it.
+//! Opaque token that links a nested call to the attempt that makes it.
 
 use std::{fmt, str::FromStr};
 
 use crate::identity::{AttemptId, InstanceId};
 
-/// Names the running attempt on whose behalf a back end makes a nested call.
+/// Identifies the running attempt on whose behalf a back end makes a nested call.
 ///
-/// The node beside the back end issues it and is the only one to read it; the record of the
-/// attempt (deadline, criticality, remaining allowance) stays with that node.
+/// Only the node beside the back end issues and reads the token. That node keeps the record of the
+/// attempt, such as its deadline, criticality and remaining retry allowance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallToken(pub AttemptId);
 
@@ -17,9 +17,9 @@
     }
 }
 
-/// The text is not a token that any node has issued.
+/// Error for a text that is not a valid call token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("not a call token: expected 16 hexadecimal digits, a dash and a hexadecimal number")]
+#[error("invalid call token: expected 16 hexadecimal digits, a dash and a hexadecimal number")]
 pub struct InvalidCallToken;
 
 impl FromStr for CallToken {
--- a/crates/tallybridge-core/tests/error_table.rs
+++ b/crates/tallybridge-core/tests/error_table.rs
@@ -1,11 +1,11 @@
-//! Goes over the whole closed list of error kinds.
+//! Checks invariants of the error table for every error kind.
 
 use std::collections::BTreeSet;
 
 use tallybridge_core::{ErrorKind, Outcome};
 
 #[test]
-fn every_kind_has_its_own_name_wire_value_and_exit_code() {
+fn names_wire_values_and_exit_codes_are_unique() {
     let names: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| kind.name()).collect();
     let wire_values: BTreeSet<_> = ErrorKind::ALL.iter().map(|kind| *kind as u8).collect();
     let exit_codes: BTreeSet<_> = ErrorKind::ALL
@@ -15,11 +15,14 @@
     assert_eq!(names.len(), ErrorKind::ALL.len());
     assert_eq!(wire_values.len(), ErrorKind::ALL.len());
     assert_eq!(exit_codes.len(), ErrorKind::ALL.len());
-    assert!(!exit_codes.contains(&0), "no error may look like success");
+    assert!(
+        !exit_codes.contains(&0),
+        "an error kind has the exit code of success"
+    );
 }
 
 #[test]
-fn every_kind_is_found_by_its_wire_value() {
+fn from_wire_finds_every_kind() {
     for kind in ErrorKind::ALL {
         assert_eq!(ErrorKind::from_wire(*kind as u8), Some(*kind));
     }
@@ -27,7 +30,7 @@
 }
 
 #[test]
-fn every_kind_is_answered_as_an_error_with_a_hint() {
+fn every_kind_has_error_status_and_hint() {
     for kind in ErrorKind::ALL {
         let answer = kind.answer();
         assert!((400..600).contains(&answer.status), "{kind}");
@@ -37,11 +40,12 @@
 }
 
 #[test]
-fn a_safe_retry_is_promised_only_where_nothing_ran_or_a_write_settles_itself() {
+fn retry_safe_kinds_report_not_run() {
     for kind in ErrorKind::ALL {
         let answer = kind.answer();
-        let settles_itself = *kind == ErrorKind::StoreUnavailable;
-        if answer.retry_safe && !settles_itself {
+        // Repeating a write to the store is safe whether or not the earlier write took effect.
+        let is_store_error = *kind == ErrorKind::StoreUnavailable;
+        if answer.retry_safe && !is_store_error {
             assert_eq!(answer.outcome, Outcome::NotRun, "{kind}");
         }
     }
--- a/crates/tallybridge-limits/src/budget.rs
+++ b/crates/tallybridge-limits/src/budget.rs
@@ -1,30 +1,26 @@
-//! How many retries a destination is sent.
+//! Retry budget of one destination.
 //!
-//! **Rule.** Over any time to live, retries are at most a ratio of the first attempts plus a number a
-//! second. Each first attempt deposits its part, each retry withdraws one.
-//!
-//! **Inputs.** First attempts and retries, each counted when it is sent and for the time to live after.
-//!
-//! **Why.** Retries in proportion to first attempts bound the load that they add when everything fails.
+//! Each first attempt deposits a fraction of a retry and each retry withdraws one. Both are
+//! recorded when the attempt is sent and expire after the time to live. Within any period of one time
+//! to live, the retries are at most a ratio of the first attempts plus a minimum rate. This bounds the
+//! load that retries add while every attempt fails.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Slices of the time to live; a deposit ages in steps of one slice. Origin not recorded.
-const SLICES: u32 = 10;
-/// Units in which one withdrawal is counted, so that a share of it is exact.
+/// Number of slices that the time to live is divided into. Deposits expire slice by slice.
+const SLICES_PER_TTL: u32 = 10;
+/// Fixed-point scale of deposits and withdrawals.
 const UNITS_PER_RETRY: u64 = 1000;
 
 /// Settings of a [`Budget`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetSettings {
-    /// Retries that each first attempt allows, 0 to 1. *Site Reliability Engineering*, chapter 21,
-    /// gives 0.1.
+    /// Retries allowed for each first attempt, 0 to 1.
     pub ratio: f64,
-    /// Retries allowed each second without any first attempts, for destinations that are rarely
-    /// called. Origin of the default not recorded.
+    /// Retries allowed each second regardless of first attempts, for destinations with few calls.
     pub min_per_second: u32,
-    /// A deposit counts for this time. Origin of the default not recorded.
+    /// Time to live of deposits and withdrawals.
     pub ttl: Duration,
 }
 
@@ -38,7 +34,7 @@
     }
 }
 
-/// Deposits and withdrawals of one slice of time, in units.
+/// Deposits and withdrawals of one slice of time, in units of `1 / UNITS_PER_RETRY` of a retry.
 #[derive(Debug, Clone, Copy)]
 struct Slice {
     start: Instant,
@@ -46,10 +42,10 @@
     withdrawn: u64,
 }
 
-/// A retry budget of one destination, after Finagle's `RetryBudget`.
+/// Retry budget of one destination, modelled on Finagle's `RetryBudget`.
 ///
-/// Over any time to live the retries are at most `ratio` of the first attempts plus
-/// `min_per_second`. Every operation is O(1): at most ten slices of time are kept.
+/// Within any period of length `ttl`, the retries are at most `ratio` of the first attempts plus
+/// `min_per_second` for each second. Every operation takes constant time.
 #[derive(Debug, Clone)]
 pub struct Budget {
     settings: BudgetSettings,
@@ -57,7 +53,7 @@
 }
 
 impl Budget {
-    /// A budget without deposits.
+    /// Creates a budget without deposits.
     #[must_use]
     pub fn new(settings: BudgetSettings) -> Self {
         Self {
@@ -66,60 +62,60 @@
         }
     }
 
-    /// Counts one first attempt.
+    /// Records a first attempt.
     pub fn deposit(&mut self, now: Instant) {
         let units = (self.settings.ratio.clamp(0.0, 1.0) * UNITS_PER_RETRY as f64).round() as u64;
-        self.current(now).deposited += units;
+        self.current_slice(now).deposited += units;
     }
 
-    /// Pays for one retry; `false` when the share of retries is used up.
-    #[must_use = "a retry may run only if it was paid for"]
+    /// Withdraws one retry. Returns `false` if the budget is exhausted.
+    #[must_use = "a retry may be sent only if the withdrawal succeeded"]
     pub fn withdraw(&mut self, now: Instant) -> bool {
         self.withdraw_above(0.0, now)
     }
 
-    /// Pays for one retry that must leave a share of all deposits to others, 0 to 1; `false` when it
-    /// would not.
-    #[must_use = "a retry may run only if it was paid for"]
-    pub fn withdraw_above(&mut self, left: f64, now: Instant) -> bool {
-        self.current(now);
-        let left = (self.deposited() as f64 * left.clamp(0.0, 1.0)) as u64;
-        if self.balance() < UNITS_PER_RETRY + left {
+    /// Withdraws one retry if the remaining budget is at least `reserved_ratio` (0 to 1) of all deposits.
+    /// Returns `false` otherwise.
+    #[must_use = "a retry may be sent only if the withdrawal succeeded"]
+    pub fn withdraw_above(&mut self, reserved_ratio: f64, now: Instant) -> bool {
+        self.current_slice(now);
+        let reserved = (self.deposited() as f64 * reserved_ratio.clamp(0.0, 1.0)) as u64;
+        if self.balance() < UNITS_PER_RETRY + reserved {
             return false;
         }
         self.charge(now);
         true
     }
 
-    /// Counts one retry that was made whatever the balance, as it was paid for elsewhere.
+    /// Records a retry that another budget paid for, regardless of this budget's balance.
     pub fn charge(&mut self, now: Instant) {
-        self.current(now).withdrawn += UNITS_PER_RETRY;
+        self.current_slice(now).withdrawn += UNITS_PER_RETRY;
     }
 
     fn deposited(&self) -> u64 {
         self.slices.iter().map(|slice| slice.deposited).sum()
     }
 
-    /// Units that may still be withdrawn.
+    /// Returns the units that may still be withdrawn.
     fn balance(&self) -> u64 {
-        let reserve = f64::from(self.settings.min_per_second) * self.settings.ttl.as_secs_f64();
-        let reserve = (reserve * UNITS_PER_RETRY as f64) as u64;
+        let minimum = f64::from(self.settings.min_per_second) * self.settings.ttl.as_secs_f64();
+        let minimum = (minimum * UNITS_PER_RETRY as f64) as u64;
         let deposited = self.deposited();
         let withdrawn: u64 = self.slices.iter().map(|slice| slice.withdrawn).sum();
-        (reserve + deposited).saturating_sub(withdrawn)
+        (minimum + deposited).saturating_sub(withdrawn)
     }
 
-    /// The slice of `now`, after those that are too old were dropped.
-    fn current(&mut self, now: Instant) -> &mut Slice {
+    /// Drops expired slices and returns the slice of `now`.
+    fn current_slice(&mut self, now: Instant) -> &mut Slice {
         let ttl = self.settings.ttl;
-        let length = ttl / SLICES;
+        let slice_duration = ttl / SLICES_PER_TTL;
         self.slices
             .retain(|slice| now.saturating_duration_since(slice.start) < ttl);
-        let open = self
+        let has_current = self
             .slices
             .back()
-            .is_some_and(|slice| now.saturating_duration_since(slice.start) < length);
-        if !open {
+            .is_some_and(|slice| now.saturating_duration_since(slice.start) < slice_duration);
+        if !has_current {
             self.slices.push_back(Slice {
                 start: now,
                 deposited: 0,
--- a/crates/tallybridge-limits/src/lib.rs
+++ b/crates/tallybridge-limits/src/lib.rs
@@ -1,8 +1,8 @@
-//! What both programs bound work by: a queue for slots that is ordered by criticality
-//! ([`AdmissionQueue`]), and a budget of retries in proportion to first attempts ([`Budget`]).
+//! Limits on work: [`AdmissionQueue`] orders calls for slots by criticality, and [`Budget`] bounds
+//! retries in proportion to first attempts.
 //!
-//! Each type is plain state that its owner guards: it does no I/O, starts no task and takes the time as an
-//! argument. It relies on `tallybridge-core` for the classes of criticality, and on nothing else.
+//! The types are plain state without I/O, tasks or locks. Callers synchronize access and pass the
+//! current time as an argument.
 
 mod budget;
 mod queue;
--- a/crates/tallybridge-limits/src/queue/admission.rs
+++ b/crates/tallybridge-limits/src/queue/admission.rs
@@ -1,4 +1,4 @@
-//! The admission queue of one back end.
+//! Admission queue of one back end.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -9,11 +9,11 @@
 use super::offer::{Offer, Ticket, Waiting};
 use super::settings::QueueSettings;
 
-/// A short queue in front of a back end, served by criticality.
+/// A bounded queue of calls that wait for a slot of a back end, ordered by criticality.
 ///
-/// The most critical class is served first. Within a class the earliest arrival is served first,
-/// or the newest under a standing queue. Calls that cannot be answered in time leave the queue
-/// before they cost a slot. Every operation is O(log n) for each call that it moves.
+/// The most critical class is served first. Within a class, the oldest call is served first, or the
+/// newest while the class has a standing queue. Calls that cannot complete before their deadline
+/// leave the queue without using a slot. Each operation takes O(log n) for each call that it moves.
 #[derive(Debug, Clone)]
 pub struct AdmissionQueue<T> {
     settings: QueueSettings,
@@ -22,11 +22,11 @@
     entries: BTreeMap<u64, Waiting<T>>,
     classes: [ClassQueue; Criticality::ALL.len()],
     deadlines: BTreeSet<Position>,
-    late: BTreeMap<u64, T>,
+    expired: BTreeMap<u64, T>,
 }
 
 impl<T> AdmissionQueue<T> {
-    /// An empty queue.
+    /// Creates an empty queue.
     #[must_use]
     pub fn new(settings: QueueSettings) -> Self {
         Self {
@@ -36,72 +36,75 @@
             entries: BTreeMap::new(),
             classes: Default::default(),
             deadlines: BTreeSet::new(),
-            late: BTreeMap::new(),
+            expired: BTreeMap::new(),
         }
     }
 
-    /// Sets how long the back end needs for a call. A call with no more time than that is late
-    /// already; give a low estimate, since what might still succeed should be tried.
+    /// Sets how long the back end is expected to run a call. The queue expires calls with no more time
+    /// than that, so the estimate should be low to keep calls that may still succeed.
     pub fn set_expected_service_time(&mut self, expected: Duration) {
         self.expected_service_time = expected;
     }
 
-    /// Calls that wait, without those that [`expire`](Self::expire) will return.
+    /// Returns the number of waiting calls, without the expired ones that [`expire`](Self::expire) will
+    /// return.
     #[must_use]
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Whether no call waits.
+    /// Returns `true` if no call waits. Expired calls may still await [`expire`](Self::expire).
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Calls of one class that wait.
+    /// Returns the number of waiting calls of one class.
     #[must_use]
     pub fn len_by_class(&self, criticality: Criticality) -> usize {
         self.classes[criticality.index()].len()
     }
 
-    /// Puts a call into the queue, at the cost of the least one if the queue is full and that one
-    /// is of a lesser class.
+    /// Adds a call to the queue. If the queue is full, the call displaces the last call in serving
+    /// order if that one is less critical, and is refused otherwise.
     pub fn offer(&mut self, waiting: Waiting<T>, now: Instant) -> Offer<T> {
-        self.set_late_aside(now);
+        self.expire_overdue(now);
         if self.entries.len() < self.settings.capacity {
             return Offer::Queued(self.insert(waiting, now));
         }
-        match self.remove_least_below(waiting.criticality, now) {
+        match self.remove_last_below(waiting.criticality, now) {
             Some(displaced) => Offer::QueuedDisplacing(self.insert(waiting, now), displaced.item),
             None => Offer::Refused(waiting.item),
         }
     }
 
-    /// Takes the call to run next. It is never one whose time is up.
+    /// Removes and returns the call to run next. Never returns a call whose deadline has passed.
     pub fn take(&mut self, now: Instant) -> Option<Waiting<T>> {
-        self.set_late_aside(now);
+        self.expire_overdue(now);
         let position = self.classes.iter().rev().find_map(|class| {
-            let standing = class.is_standing(&self.settings, now);
-            class.next(standing)
+            let is_standing = class.is_standing(&self.settings, now);
+            class.next(is_standing)
         })?;
         self.remove(position.1)
     }
 
-    /// Takes out the calls that are not worth a slot any more; each must be answered as refused.
+    /// Removes and returns the calls that must not run any more. The owner of the queue must refuse
+    /// each of them.
     ///
-    /// Those are the calls whose time is up, and the calls that waited longer than the target
-    /// delay in a standing queue of their class, unless they are of the most critical class. While
-    /// a call is shed for its delay, nothing of a lesser class stays queued.
+    /// These are calls that cannot complete before their deadline, and calls that waited longer than
+    /// the target delay in a standing queue. The most critical class is never shed for its delay. If a
+    /// call is shed for its delay, all less critical calls are shed as well.
     #[must_use = "an expired call must be answered"]
     pub fn expire(&mut self, now: Instant) -> Vec<T> {
-        self.set_late_aside(now);
+        self.expire_overdue(now);
         self.shed_delayed(now);
-        std::mem::take(&mut self.late).into_values().collect()
+        std::mem::take(&mut self.expired).into_values().collect()
     }
 
-    /// Takes out a call whose caller has given up; `None` when it has left the queue already.
+    /// Removes a call whose caller has cancelled it. Returns `None` if the call has already left the
+    /// queue.
     pub fn cancel(&mut self, ticket: Ticket) -> Option<T> {
-        if let Some(item) = self.late.remove(&ticket.0) {
+        if let Some(item) = self.expired.remove(&ticket.0) {
             return Some(item);
         }
         self.remove(ticket.0).map(|waiting| waiting.item)
@@ -125,38 +128,38 @@
         Some(waiting)
     }
 
-    /// Removes the call that would run last of all, if it is less critical than `criticality`.
-    fn remove_least_below(&mut self, criticality: Criticality, now: Instant) -> Option<Waiting<T>> {
-        let lesser = &self.classes[..criticality.index()];
-        let position = lesser.iter().find_map(|class| {
-            let standing = class.is_standing(&self.settings, now);
-            class.least(standing)
+    /// Removes the last call in serving order if it is less critical than `criticality`.
+    fn remove_last_below(&mut self, criticality: Criticality, now: Instant) -> Option<Waiting<T>> {
+        let less_critical = &self.classes[..criticality.index()];
+        let position = less_critical.iter().find_map(|class| {
+            let is_standing = class.is_standing(&self.settings, now);
+            class.last_served(is_standing)
         })?;
         self.remove(position.1)
     }
 
-    /// Moves calls that cannot be answered in time out of the queue.
-    fn set_late_aside(&mut self, now: Instant) {
-        let latest = now + self.expected_service_time;
+    /// Moves calls that cannot complete before their deadline to `expired`.
+    fn expire_overdue(&mut self, now: Instant) {
+        let earliest_completion = now + self.expected_service_time;
         while let Some(&(deadline, number)) = self.deadlines.first() {
-            if deadline > latest {
+            if deadline > earliest_completion {
                 break;
             }
-            self.set_aside(number);
+            self.move_to_expired(number);
         }
     }
 
-    /// Moves calls that waited too long in a standing queue out of it.
+    /// Moves calls that waited too long in a standing queue to `expired`.
     fn shed_delayed(&mut self, now: Instant) {
         for criticality in Criticality::ALL {
             if criticality == Criticality::CriticalPlus {
                 break;
             }
-            self.shed_class(criticality, now);
+            self.shed_delayed_in_class(criticality, now);
         }
     }
 
-    fn shed_class(&mut self, criticality: Criticality, now: Instant) {
+    fn shed_delayed_in_class(&mut self, criticality: Criticality, now: Instant) {
         let index = criticality.index();
         if !self.classes[index].is_standing(&self.settings, now) {
             return;
@@ -165,22 +168,22 @@
             if now.saturating_duration_since(arrived) <= self.settings.target_delay {
                 break;
             }
-            self.set_lesser_aside(criticality);
-            self.set_aside(number);
+            self.expire_less_critical(criticality);
+            self.move_to_expired(number);
         }
     }
 
-    fn set_lesser_aside(&mut self, criticality: Criticality) {
+    fn expire_less_critical(&mut self, criticality: Criticality) {
         for index in 0..criticality.index() {
             while let Some((_, number)) = self.classes[index].oldest() {
-                self.set_aside(number);
+                self.move_to_expired(number);
             }
         }
     }
 
-    fn set_aside(&mut self, number: u64) {
+    fn move_to_expired(&mut self, number: u64) {
         if let Some(waiting) = self.remove(number) {
-            self.late.insert(number, waiting.item);
+            self.expired.insert(number, waiting.item);
         }
     }
 }
--- a/crates/tallybridge-limits/src/queue/class.rs
+++ b/crates/tallybridge-limits/src/queue/class.rs
@@ -1,14 +1,14 @@
-//! The waiting calls of one class.
+//! Queue of the waiting calls of one criticality class.
 
 use std::collections::BTreeSet;
 use std::time::Instant;
 
 use super::settings::QueueSettings;
 
-/// Arrival and ticket number of a waiting call.
+/// Arrival time and ticket number of a waiting call, which sort calls by arrival.
 pub(super) type Position = (Instant, u64);
 
-/// The waiting calls of one class in order of arrival.
+/// Waiting calls of one class in order of arrival.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ClassQueue {
     order: BTreeSet<Position>,
@@ -16,13 +16,11 @@
 }
 
 impl ClassQueue {
-    /// Adds a call.
     pub(super) fn insert(&mut self, position: Position, now: Instant) {
         self.occupied_since.get_or_insert(now);
         self.order.insert(position);
     }
 
-    /// Removes a call.
     pub(super) fn remove(&mut self, position: Position) {
         self.order.remove(&position);
         if self.order.is_empty() {
@@ -30,44 +28,42 @@
         }
     }
 
-    /// Number of calls.
     pub(super) fn len(&self) -> usize {
         self.order.len()
     }
 
-    /// Whether the queue has not been empty for the interval and its oldest call waited longer than
-    /// the target delay.
+    /// Returns `true` if the queue has not been empty for the interval and its oldest call has waited
+    /// longer than the target delay.
     ///
-    /// A queue that empties from time to time absorbs a burst; one that does not is too long
-    /// ("Controlling Queue Delay", Nichols and Jacobson, ACM Queue 2012; the test for emptiness
-    /// is that of "Fail at Scale", Maurer, ACM Queue 2015). The second condition keeps a short
-    /// queue that is seldom empty in order: newest first would let its oldest calls expire.
+    /// A queue that drains regularly absorbs bursts, while a standing queue only adds delay
+    /// ("Controlling Queue Delay", Nichols and Jacobson, ACM Queue 2012). The emptiness criterion
+    /// follows "Fail at Scale" (Maurer, ACM Queue 2015). The delay criterion keeps a short, rarely
+    /// empty queue in arrival order, since serving the newest call first would expire its oldest calls.
     pub(super) fn is_standing(&self, settings: &QueueSettings, now: Instant) -> bool {
         let is_occupied = self
             .occupied_since
             .is_some_and(|since| now.saturating_duration_since(since) >= settings.interval);
-        let is_late = self.oldest().is_some_and(|(arrived, _)| {
+        let is_delayed = self.oldest().is_some_and(|(arrived, _)| {
             now.saturating_duration_since(arrived) > settings.target_delay
         });
-        is_occupied && is_late
+        is_occupied && is_delayed
     }
 
-    /// The call to run next: the earliest, or the newest under a standing queue, which still has
-    /// the most of its time left.
-    pub(super) fn next(&self, standing: bool) -> Option<Position> {
-        if standing {
+    /// Returns the call to run next: the oldest, or the newest in a standing queue because it has the
+    /// most time left before its deadline.
+    pub(super) fn next(&self, is_standing: bool) -> Option<Position> {
+        if is_standing {
             self.order.last().copied()
         } else {
             self.order.first().copied()
         }
     }
 
-    /// The call that would run last.
-    pub(super) fn least(&self, standing: bool) -> Option<Position> {
-        self.next(!standing)
+    /// Returns the last call in serving order.
+    pub(super) fn last_served(&self, is_standing: bool) -> Option<Position> {
+        self.next(!is_standing)
     }
 
-    /// The call that waited longest.
     pub(super) fn oldest(&self) -> Option<Position> {
         self.order.first().copied()
     }
--- a/crates/tallybridge-limits/src/queue/mod.rs
+++ b/crates/tallybridge-limits/src/queue/mod.rs
@@ -1,16 +1,12 @@
-//! Which calls wait for a slot, in which order they get one, and which are refused instead.
+//! Decides which calls wait for a slot, in which order they get one and which calls are refused.
 //!
-//! **Rule.** The most critical class goes first; within a class the earliest arrival, or the newest while
-//! the class has a standing queue. A call whose time is up is refused, as is one that waited too long in a
-//! standing queue, unless it is of the most critical class. In a full queue a more critical call displaces
-//! the least one.
+//! The most critical class is served first. Within a class, the oldest call is served first, or the
+//! newest while the class has a standing queue. The queue refuses calls that cannot complete before
+//! their deadline, and calls of other than the most critical class that waited too long in a standing
+//! queue. In a full queue, a more critical call displaces the last call in serving order.
 //!
-//! **Inputs.** Class, arrival and deadline of each call; [`QueueSettings`]. Nothing is learned.
-//!
-//! **Output.** The call to run next, and the calls to refuse.
-//!
-//! **Why.** A queue that empties from time to time absorbs a burst, while a standing one only adds delay to
-//! every call; under it the newest call has the most of its time left (`class.rs` names the sources).
+//! The decisions depend only on the class, arrival time and deadline of each call and on
+//! [`QueueSettings`]. They prevent a standing queue from delaying every call.
 
 mod admission;
 mod class;
--- a/crates/tallybridge-limits/src/queue/offer.rs
+++ b/crates/tallybridge-limits/src/queue/offer.rs
@@ -1,4 +1,4 @@
-//! What goes into an admission queue and what the queue answers.
+//! Input and result types of the admission queue.
 
 use std::time::Instant;
 
@@ -7,28 +7,28 @@
 /// A call that waits for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Waiting<T> {
-    /// The class of the call.
+    /// Class that determines the serving order and which calls are shed first.
     pub criticality: Criticality,
-    /// When nobody waits for the answer any more.
+    /// Time after which the caller no longer waits for the answer.
     pub deadline: Instant,
-    /// When the call arrived at the node.
+    /// Time of arrival at the node, from which the waiting time counts.
     pub arrived: Instant,
-    /// What the owner of the queue knows the call by.
+    /// Identification of the call for the owner of the queue.
     pub item: T,
 }
 
-/// Names a call in a queue, for its cancellation; never reused.
+/// Identifies a queued call for its cancellation. A queue never reuses a ticket.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub(super) u64);
 
-/// What became of a call that was offered to a queue.
+/// Result of offering a call to a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[must_use = "a refused or displaced call must be answered"]
 pub enum Offer<T> {
-    /// The call waits.
+    /// The call is queued.
     Queued(Ticket),
-    /// The call waits, and the lesser one given here must be answered as refused.
+    /// The call is queued and has displaced a less critical call, which the owner of the queue must refuse.
     QueuedDisplacing(Ticket, T),
-    /// The queue is full of calls at least as critical.
+    /// The queue is full of calls that are at least as critical.
     Refused(T),
 }
--- a/crates/tallybridge-limits/tests/admission_queue.rs
+++ b/crates/tallybridge-limits/tests/admission_queue.rs
@@ -1,6 +1,6 @@
-//! The admission queue against a list that is searched from end to end.
+//! Compares the admission queue with a model that searches an unsorted list.
 //!
-//! The long run with fresh sequences, where `N` is any number: `PROPTEST_RNG_SEED=N
+//! For a long run with other sequences, replace `N` by any number: `PROPTEST_RNG_SEED=N
 //! PROPTEST_CASES=10000 cargo test --release -p tallybridge-limits --test admission_queue`.
 
 mod seeded;
@@ -27,9 +27,9 @@
     },
     Take,
     Expire,
-    /// Cancels the call offered as this number, modulo the calls offered so far.
+    /// Cancels the call with this index, modulo the number of calls offered so far.
     Cancel(usize),
-    Pass(u64),
+    AdvanceMillis(u64),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -39,19 +39,19 @@
         3 => Just(Step::Take),
         1 => Just(Step::Expire),
         1 => any::<usize>().prop_map(Step::Cancel),
-        3 => (0..30_u64).prop_map(Step::Pass),
+        3 => (0..30_u64).prop_map(Step::AdvanceMillis),
     ]
 }
 
-/// Calls in the order in which they were offered.
+/// Reference model that keeps the waiting calls in the order of their offers.
 #[derive(Default)]
-struct Oracle {
+struct ListModel {
     waiting: Vec<Waiting<usize>>,
-    late: Vec<usize>,
+    expired: Vec<usize>,
     occupied_since: [Option<Instant>; 4],
 }
 
-impl Oracle {
+impl ListModel {
     fn class(&self, class: usize) -> Vec<Waiting<usize>> {
         let of_class = |call: &&Waiting<usize>| call.criticality.index() == class;
         let mut calls: Vec<_> = self.waiting.iter().filter(of_class).copied().collect();
@@ -60,12 +60,12 @@
     }
 
     fn is_standing(&self, class: usize, now: Instant) -> bool {
-        let is_late = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
+        let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
         self.occupied_since[class].is_some_and(|since| now - since >= SETTINGS.interval)
-            && self.class(class).iter().any(is_late)
+            && self.class(class).iter().any(is_delayed)
     }
 
-    /// Calls of a class in the order in which they would run.
+    /// Returns the calls of a class in serving order.
     fn run_order(&self, class: usize, now: Instant) -> Vec<Waiting<usize>> {
         let mut calls = self.class(class);
         if self.is_standing(class, now) {
@@ -90,34 +90,34 @@
         self.waiting.len() < before
     }
 
-    fn set_late_aside(&mut self, now: Instant) {
+    fn expire_overdue(&mut self, now: Instant) {
         for call in self.waiting.clone() {
             if call.deadline <= now + SERVICE_TIME {
                 self.remove(call.item);
-                self.late.push(call.item);
+                self.expired.push(call.item);
             }
         }
     }
 
     fn offer(&mut self, call: Waiting<usize>, now: Instant) -> Option<usize> {
-        self.set_late_aside(now);
-        let mut loser = None;
+        self.expire_overdue(now);
+        let mut refused = None;
         if self.waiting.len() == SETTINGS.capacity {
-            let lesser = (0..call.criticality.index())
+            let less_critical = (0..call.criticality.index())
                 .find_map(|class| self.run_order(class, now).last().copied());
-            loser = Some(lesser.map_or(call.item, |lesser| lesser.item));
+            refused = Some(less_critical.map_or(call.item, |less_critical| less_critical.item));
         }
-        if let Some(loser) = loser {
-            self.remove(loser);
+        if let Some(refused) = refused {
+            self.remove(refused);
         }
-        if loser != Some(call.item) {
+        if refused != Some(call.item) {
             self.add(call, now);
         }
-        loser
+        refused
     }
 
     fn take(&mut self, now: Instant) -> Option<usize> {
-        self.set_late_aside(now);
+        self.expire_overdue(now);
         let next = (0..4)
             .rev()
             .find_map(|class| self.run_order(class, now).first().copied())?;
@@ -126,48 +126,48 @@
     }
 
     fn expire(&mut self, now: Instant) -> Vec<usize> {
-        self.set_late_aside(now);
+        self.expire_overdue(now);
         for class in 0..3 {
             let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
             let delayed: Vec<_> = self.class(class).into_iter().filter(is_delayed).collect();
             if delayed.is_empty() || !self.is_standing(class, now) {
                 continue;
             }
-            let lesser = (0..class).flat_map(|lesser| self.class(lesser));
-            for call in lesser.chain(delayed).collect::<Vec<_>>() {
+            let less_critical = (0..class).flat_map(|less_critical| self.class(less_critical));
+            for call in less_critical.chain(delayed).collect::<Vec<_>>() {
                 self.remove(call.item);
-                self.late.push(call.item);
+                self.expired.push(call.item);
             }
         }
-        std::mem::take(&mut self.late)
+        std::mem::take(&mut self.expired)
     }
 
     fn cancel(&mut self, item: usize) -> bool {
-        let was_late = self.late.contains(&item);
-        self.late.retain(|late| *late != item);
-        self.remove(item) || was_late
+        let was_expired = self.expired.contains(&item);
+        self.expired.retain(|expired| *expired != item);
+        self.remove(item) || was_expired
     }
 }
 
-/// The queue, the oracle, and what became of each call.
-struct Run {
+/// Applies each step to both the queue and the model and compares the results.
+struct Comparison {
     queue: AdmissionQueue<usize>,
-    oracle: Oracle,
+    model: ListModel,
     now: Instant,
     tickets: Vec<Option<Ticket>>,
-    out: Vec<usize>,
+    removed: Vec<usize>,
 }
 
-impl Run {
+impl Comparison {
     fn new() -> Self {
         let mut queue = AdmissionQueue::new(SETTINGS);
         queue.set_expected_service_time(SERVICE_TIME);
         Self {
             queue,
-            oracle: Oracle::default(),
+            model: ListModel::default(),
             now: Instant::now() + Duration::from_secs(60),
             tickets: Vec::new(),
-            out: Vec::new(),
+            removed: Vec::new(),
         }
     }
 
@@ -181,11 +181,11 @@
             Step::Take => self.take()?,
             Step::Expire => self.expire()?,
             Step::Cancel(number) => self.cancel(number)?,
-            Step::Pass(millis) => self.now += Duration::from_millis(millis),
+            Step::AdvanceMillis(millis) => self.now += Duration::from_millis(millis),
         }
-        prop_assert_eq!(self.queue.len(), self.oracle.waiting.len());
+        prop_assert_eq!(self.queue.len(), self.model.waiting.len());
         for class in Criticality::ALL {
-            let expected = self.oracle.class(class.index()).len();
+            let expected = self.model.class(class.index()).len();
             prop_assert_eq!(self.queue.len_by_class(class), expected);
         }
         Ok(())
@@ -199,46 +199,44 @@
             arrived: self.now - Duration::from_millis(age),
             item,
         };
-        let (ticket, loser) = match self.queue.offer(call, self.now) {
+        let (ticket, refused) = match self.queue.offer(call, self.now) {
             Offer::Queued(ticket) => (Some(ticket), None),
             Offer::QueuedDisplacing(ticket, displaced) => (Some(ticket), Some(displaced)),
             Offer::Refused(refused) => (None, Some(refused)),
         };
-        prop_assert_eq!(loser, self.oracle.offer(call, self.now));
+        prop_assert_eq!(refused, self.model.offer(call, self.now));
         if ticket.is_none() {
-            let least = self
-                .oracle
-                .waiting
-                .iter()
-                .map(|call| call.criticality)
-                .min();
+            let least_critical = self.model.waiting.iter().map(|call| call.criticality).min();
             prop_assert!(
-                least >= Some(call.criticality),
-                "refused while lesser work is queued"
+                least_critical >= Some(call.criticality),
+                "a call was refused although a less critical call is queued"
             );
         }
         self.tickets.push(ticket);
-        self.out.extend(loser);
+        self.removed.extend(refused);
         Ok(())
     }
 
     fn take(&mut self) -> Result<(), TestCaseError> {
         let taken = self.queue.take(self.now);
-        prop_assert_eq!(taken.map(|call| call.item), self.oracle.take(self.now));
+        prop_assert_eq!(taken.map(|call| call.item), self.model.take(self.now));
         if let Some(call) = taken {
-            prop_assert!(call.deadline > self.now, "an expired call was taken");
-            self.out.push(call.item);
+            prop_assert!(
+                call.deadline > self.now,
+                "a call was taken after its deadline"
+            );
+            self.removed.push(call.item);
         }
         Ok(())
     }
 
     fn expire(&mut self) -> Result<(), TestCaseError> {
         let mut expired = self.queue.expire(self.now);
-        let mut expected = self.oracle.expire(self.now);
+        let mut expected = self.model.expire(self.now);
         expired.sort_unstable();
         expected.sort_unstable();
         prop_assert_eq!(&expired, &expected);
-        self.out.extend(expired);
+        self.removed.extend(expired);
         Ok(())
     }
 
@@ -251,20 +249,20 @@
             return Ok(());
         };
         let cancelled = self.queue.cancel(ticket);
-        prop_assert_eq!(cancelled.is_some(), self.oracle.cancel(item));
-        self.out.extend(cancelled);
+        prop_assert_eq!(cancelled.is_some(), self.model.cancel(item));
+        self.removed.extend(cancelled);
         Ok(())
     }
 
-    /// Empties the queue: each call must have come out exactly once.
+    /// Drains the queue and checks that each offered call left the queue exactly once.
     fn finish(mut self) -> Result<(), TestCaseError> {
         while !self.queue.is_empty() {
             self.take()?;
         }
         self.expire()?;
-        self.out.sort_unstable();
+        self.removed.sort_unstable();
         let offered: Vec<_> = (0..self.tickets.len()).collect();
-        prop_assert_eq!(self.out, offered);
+        prop_assert_eq!(self.removed, offered);
         Ok(())
     }
 }
@@ -273,11 +271,11 @@
     #![proptest_config(seeded::config())]
 
     #[test]
-    fn behaves_as_a_searched_list(steps in prop::collection::vec(step(), 1..120)) {
-        let mut run = Run::new();
+    fn matches_list_model(steps in prop::collection::vec(step(), 1..120)) {
+        let mut comparison = Comparison::new();
         for step in &steps {
-            run.step(step)?;
+            comparison.step(step)?;
         }
-        run.finish()?;
+        comparison.finish()?;
     }
 }
--- a/crates/tallybridge-limits/tests/seeded/mod.rs
+++ b/crates/tallybridge-limits/tests/seeded/mod.rs
@@ -1,15 +1,15 @@
-//! Fuzz tests that give the same verdict on every run.
+//! Configuration of property tests that generates the same cases on every run.
 
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
-/// The seed when none is set in the environment.
-const SEED: u64 = 5;
+/// Applies unless the environment sets a seed.
+const DEFAULT_SEED: u64 = 5;
 
-/// Settings of `proptest` with a fixed seed, unless `PROPTEST_RNG_SEED` gives another.
+/// Returns a `proptest` configuration with the seed of `PROPTEST_RNG_SEED`, or a fixed one.
 pub fn config() -> Config {
     let environment = Config::default();
     let rng_seed = match environment.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(SEED),
+        RngSeed::Random => RngSeed::Fixed(DEFAULT_SEED),
         fixed => fixed,
     };
     Config {
--- a/crates/tallybridge-mesh/src/http/answer.rs
+++ b/crates/tallybridge-mesh/src/http/answer.rs
@@ -1,4 +1,4 @@
-//! Answers to callers, and how they are written.
+//! Responses to callers, and how the server writes them to a connection.
 
 use std::io;
 
@@ -7,23 +7,22 @@
 
 use super::headers::write_line;
 
-/// Most bytes of a body that are copied behind the head, so that both are written in one call. Origin
-/// not recorded.
-const JOINED_BODY_BYTES: usize = 64 * 1024;
+/// Largest body that is copied behind the head so that one write sends both.
+const MAX_COALESCED_BODY_BYTES: usize = 64 * 1024;
 
-/// An answer to a caller.
+/// A complete HTTP response to a caller.
 #[derive(Debug, Clone)]
 pub struct Answer {
-    /// The status.
+    /// HTTP status code.
     pub status: u16,
-    /// Its header lines, each ended by CR LF, without those that frame the message.
+    /// Header lines, each terminated by CR LF. The server adds `Content-Length` and `Connection`.
     pub headers: Vec<u8>,
-    /// Its complete body.
+    /// Complete body. The server omits it from the response to a `HEAD` request.
     pub body: Bytes,
 }
 
 impl Answer {
-    /// An answer without header lines.
+    /// Creates a response without header lines.
     #[must_use]
     pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
         Self {
@@ -33,7 +32,7 @@
         }
     }
 
-    /// The same answer with one more header line.
+    /// Appends a header line and returns the response.
     #[must_use]
     pub fn with_header(mut self, name: &str, value: &str) -> Self {
         write_line(name, value.as_bytes(), &mut self.headers);
@@ -41,21 +40,19 @@
     }
 }
 
-/// An answer with what its request says of its form.
+/// A response that is ready to be written, and whether its request was a `HEAD` request.
 pub(super) struct PendingAnswer {
-    /// The answer.
     pub answer: Answer,
-    /// Whether it goes without its body.
     pub is_head_request: bool,
 }
 
 impl PendingAnswer {
-    /// Writes the answer; `closes` announces the end of the connection.
-    pub async fn write(&self, stream: &mut TcpStream, closes: bool) -> io::Result<()> {
+    /// Writes the response. `closes_connection` adds a `Connection: close` header.
+    pub async fn write(&self, stream: &mut TcpStream, closes_connection: bool) -> io::Result<()> {
         let body = &self.answer.body;
         let has_body = !self.is_head_request && self.may_have_body();
-        let mut bytes = self.head(closes);
-        if has_body && body.len() <= JOINED_BODY_BYTES {
+        let mut bytes = self.head(closes_connection);
+        if has_body && body.len() <= MAX_COALESCED_BODY_BYTES {
             bytes.extend_from_slice(body);
             return stream.write_all(&bytes).await;
         }
@@ -66,8 +63,8 @@
         Ok(())
     }
 
-    /// The head, with room for the body behind it.
-    fn head(&self, closes: bool) -> Vec<u8> {
+    /// Returns the serialized head in a buffer with capacity for the body.
+    fn head(&self, closes_connection: bool) -> Vec<u8> {
         let answer = &self.answer;
         let mut bytes = Vec::with_capacity(256 + answer.headers.len() + answer.body.len());
         bytes.extend_from_slice(b"HTTP/1.1 ");
@@ -80,20 +77,20 @@
             let length = answer.body.len().to_string();
             write_line("Content-Length", length.as_bytes(), &mut bytes);
         }
-        if closes {
+        if closes_connection {
             write_line("Connection", b"close", &mut bytes);
         }
         bytes.extend_from_slice(b"\r\n");
         bytes
     }
 
-    /// Answers of these statuses never have a body (RFC 9110, section 6.4.1).
+    /// Returns `false` for statuses whose responses never have a body (RFC 9110, section 6.4.1).
     const fn may_have_body(&self) -> bool {
         !matches!(self.answer.status, 204 | 304)
     }
 }
 
-/// The phrase of a status; callers look at the number alone.
+/// Returns the reason phrase of a status code. HTTP clients ignore the phrase.
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
--- a/crates/tallybridge-mesh/src/http/body_length.rs
+++ b/crates/tallybridge-mesh/src/http/body_length.rs
@@ -1,37 +1,38 @@
-//! How the end of a body is known (RFC 9112, section 6.3).
+//! Determines the length of a message body from its head (RFC 9112, section 6.3).
 //!
-//! Anything that two readers could take for different lengths is refused, against request smuggling.
+//! Rejects framing that two recipients could interpret differently, which prevents request
+//! smuggling.
 
 use super::{HeaderLines, RequestHead, ResponseHead};
 
-/// Why a body can't be read.
+/// Reason why a body cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
-    /// Its length is contradictory or its chunks are malformed.
-    #[error("malformed body framing")]
+    /// The length headers contradict each other, or a chunk is malformed.
+    #[error("malformed message body framing")]
     Malformed,
-    /// It is larger than the limit.
-    #[error("body above its limit")]
+    /// The body or its trailer section exceeds the size limit.
+    #[error("message body exceeds its size limit")]
     TooLarge,
 }
 
-/// How the end of a body is known.
+/// How a recipient finds the end of a message body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyLength {
-    /// So many bytes.
+    /// The body has this many bytes.
     Sized(u64),
-    /// In chunks.
+    /// The body uses the chunked transfer coding.
     Chunked,
-    /// It ends with its connection.
+    /// The body ends when the sender closes the connection.
     UntilClose,
 }
 
 impl BodyLength {
-    /// The framing of a request's body.
+    /// Returns the framing of a request body. A request without length headers has an empty body.
     ///
     /// # Errors
     ///
-    /// [`BodyError::Malformed`] for contradictory or unreadable lengths.
+    /// Returns [`BodyError::Malformed`] if the length headers are contradictory or unreadable.
     pub fn of_request(head: &RequestHead) -> Result<Self, BodyError> {
         let chunked = is_chunked(&head.headers)?;
         let sized = content_length(&head.headers)?;
@@ -42,11 +43,11 @@
         }
     }
 
-    /// The framing of an answer's body.
+    /// Returns the framing of a response body. Responses to `HEAD` requests never have a body.
     ///
     /// # Errors
     ///
-    /// [`BodyError::Malformed`] for contradictory or unreadable lengths.
+    /// Returns [`BodyError::Malformed`] if the length headers are contradictory or unreadable.
     pub fn of_response(head: &ResponseHead, to_head_request: bool) -> Result<Self, BodyError> {
         if to_head_request || matches!(head.status, 100..=199 | 204 | 304) {
             return Ok(Self::Sized(0));
@@ -75,7 +76,10 @@
     let mut length = None;
     for value in headers.all("content-length") {
         let value = parse_decimal(value.trim_ascii()).ok_or(BodyError::Malformed)?;
-        if length.replace(value).is_some_and(|before| before != value) {
+        if length
+            .replace(value)
+            .is_some_and(|previous| previous != value)
+        {
             return Err(BodyError::Malformed);
         }
     }
--- a/crates/tallybridge-mesh/src/http/body_reader.rs
+++ b/crates/tallybridge-mesh/src/http/body_reader.rs
@@ -1,17 +1,16 @@
-//! Reads a complete body, in whatever pieces its bytes come.
+//! Incremental reader of message bodies. The bytes may arrive in pieces of any size.
 
 use bytes::{Buf, BytesMut};
 
 use super::{BodyError, BodyLength};
 
-/// Longest line that gives the size of a chunk, with its extensions, in bytes. Origin not recorded.
-const MAX_CHUNK_LINE: usize = 256;
-/// Most hexadecimal digits of the size of a chunk: what always fits 64 bits.
-const MAX_CHUNK_DIGITS: usize = 15;
-/// Most bytes of trailer lines. Origin not recorded.
+/// Limit for the line that holds a chunk size and its extensions.
+const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Hexadecimal digits of a chunk size. A number of this length always fits in 64 bits.
+const MAX_CHUNK_SIZE_DIGITS: usize = 15;
 const MAX_TRAILER_BYTES: usize = 8 * 1024;
 
-/// Takes a body off a buffer as its bytes come.
+/// Reads one message body from a buffer that the caller fills.
 #[derive(Debug)]
 pub struct BodyReader {
     state: State,
@@ -19,27 +18,27 @@
     body: Vec<u8>,
 }
 
-/// Where in the body the next byte is.
+/// The part of the body that the reader expects next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// With the bytes that are missing.
+    /// Number of bytes that are still missing.
     Sized(u64),
     ChunkSize,
-    /// With the bytes of the chunk that are missing.
+    /// Number of bytes of the chunk that are still missing.
     ChunkData(u64),
     ChunkEnd,
-    /// With the bytes of trailer lines so far.
+    /// Number of bytes of trailer lines read so far.
     Trailer(usize),
     UntilClose,
     Complete,
 }
 
 impl BodyReader {
-    /// A reader of a body that may have at most `max_bytes`.
+    /// Creates a reader for a body of at most `max_bytes`.
     ///
     /// # Errors
     ///
-    /// [`BodyError::TooLarge`] when the announced length is above the limit.
+    /// Returns [`BodyError::TooLarge`] if the announced length exceeds the limit.
     pub fn new(length: BodyLength, max_bytes: usize) -> Result<Self, BodyError> {
         let state = match length {
             BodyLength::Sized(0) => State::Complete,
@@ -57,11 +56,11 @@
         })
     }
 
-    /// Takes what the buffer holds of the body; `true` once the body is complete.
+    /// Consumes the part of the body that the buffer holds. Returns `true` once the body is complete.
     ///
     /// # Errors
     ///
-    /// [`BodyError`] when the framing is malformed or the body too large.
+    /// Returns [`BodyError`] if the framing is malformed or the body exceeds the limit.
     pub fn read(&mut self, buffer: &mut BytesMut) -> Result<bool, BodyError> {
         while self.state != State::Complete {
             match self.step(buffer)? {
@@ -72,16 +71,18 @@
         Ok(true)
     }
 
-    /// The state after the current one; `None` until more bytes come.
+    /// Returns the next state, or `None` if more bytes are needed first.
     fn step(&mut self, buffer: &mut BytesMut) -> Result<Option<State>, BodyError> {
         match self.state {
-            State::Sized(left) => self.take_counted(buffer, left, State::Sized, State::Complete),
-            State::ChunkSize => chunk_start(buffer),
-            State::ChunkData(left) => {
-                self.take_counted(buffer, left, State::ChunkData, State::ChunkEnd)
+            State::Sized(remaining) => {
+                self.take_remaining(buffer, remaining, State::Sized, State::Complete)
             }
-            State::ChunkEnd => chunk_end(buffer),
-            State::Trailer(seen) => trailer_line(buffer, seen),
+            State::ChunkSize => read_chunk_size(buffer),
+            State::ChunkData(remaining) => {
+                self.take_remaining(buffer, remaining, State::ChunkData, State::ChunkEnd)
+            }
+            State::ChunkEnd => read_chunk_end(buffer),
+            State::Trailer(trailer_bytes) => skip_trailer_line(buffer, trailer_bytes),
             State::UntilClose => {
                 self.take_data(buffer, u64::MAX)?;
                 Ok(None)
@@ -90,65 +91,66 @@
         }
     }
 
-    /// Takes data of which `left` bytes are missing; `next` follows the last of them.
-    fn take_counted(
+    /// Consumes up to `remaining` bytes of data. Returns `next` once none are missing; until then,
+    /// keeps the reader in `unfinished` with the number of missing bytes.
+    fn take_remaining(
         &mut self,
         buffer: &mut BytesMut,
-        left: u64,
-        counted: fn(u64) -> State,
+        remaining: u64,
+        unfinished: fn(u64) -> State,
         next: State,
     ) -> Result<Option<State>, BodyError> {
-        let left = self.take_data(buffer, left)?;
-        if left == 0 {
+        let remaining = self.take_data(buffer, remaining)?;
+        if remaining == 0 {
             return Ok(Some(next));
         }
-        self.state = counted(left);
+        self.state = unfinished(remaining);
         Ok(None)
     }
 
-    /// The end of the connection was read; `true` when that ends the body.
+    /// Returns `true` if the body is complete when the sender closes the connection now.
     #[must_use]
     pub fn ends_at_close(&self) -> bool {
         matches!(self.state, State::UntilClose | State::Complete)
     }
 
-    /// Whether nothing of the body came yet.
+    /// Returns `true` if no byte of the body has been read.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.body.is_empty()
     }
 
-    /// The body.
+    /// Returns the bytes read so far, which are the whole body once [`read`](Self::read) returned `true`.
     #[must_use]
     pub fn into_body(self) -> Vec<u8> {
         self.body
     }
 
-    /// Takes at most `left` bytes and gives how many are still missing.
-    fn take_data(&mut self, buffer: &mut BytesMut, left: u64) -> Result<u64, BodyError> {
-        let taken = usize::try_from(left)
+    /// Consumes at most `remaining` bytes and returns how many are still missing.
+    fn take_data(&mut self, buffer: &mut BytesMut, remaining: u64) -> Result<u64, BodyError> {
+        let count = usize::try_from(remaining)
             .unwrap_or(usize::MAX)
             .min(buffer.len());
-        if self.body.len() + taken > self.max_bytes {
+        if self.body.len() + count > self.max_bytes {
             return Err(BodyError::TooLarge);
         }
-        self.body.extend_from_slice(&buffer[..taken]);
-        buffer.advance(taken);
-        Ok(left - taken as u64)
+        self.body.extend_from_slice(&buffer[..count]);
+        buffer.advance(count);
+        Ok(remaining - count as u64)
     }
 }
 
-fn chunk_start(buffer: &mut BytesMut) -> Result<Option<State>, BodyError> {
-    let Some(line) = take_line(buffer, MAX_CHUNK_LINE)? else {
+fn read_chunk_size(buffer: &mut BytesMut) -> Result<Option<State>, BodyError> {
+    let Some(line) = take_line(buffer, MAX_CHUNK_LINE_BYTES)? else {
         return Ok(None);
     };
-    Ok(Some(match chunk_size(&line)? {
+    Ok(Some(match parse_chunk_size(&line)? {
         0 => State::Trailer(0),
         size => State::ChunkData(size),
     }))
 }
 
-fn chunk_end(buffer: &mut BytesMut) -> Result<Option<State>, BodyError> {
+fn read_chunk_end(buffer: &mut BytesMut) -> Result<Option<State>, BodyError> {
     if buffer.len() < 2 {
         return Ok(None);
     }
@@ -159,24 +161,27 @@
     Ok(Some(State::ChunkSize))
 }
 
-/// Passes over one trailer line, after `seen` bytes of them; an empty one ends the body.
-fn trailer_line(buffer: &mut BytesMut, seen: usize) -> Result<Option<State>, BodyError> {
+/// Skips one trailer line. An empty line ends the body. `trailer_bytes` counts the earlier lines.
+fn skip_trailer_line(
+    buffer: &mut BytesMut,
+    trailer_bytes: usize,
+) -> Result<Option<State>, BodyError> {
     let Some(line) = take_line(buffer, MAX_TRAILER_BYTES)? else {
         return Ok(None);
     };
     if line.is_empty() {
         return Ok(Some(State::Complete));
     }
-    let seen = seen + line.len();
-    if seen > MAX_TRAILER_BYTES {
+    let trailer_bytes = trailer_bytes + line.len();
+    if trailer_bytes > MAX_TRAILER_BYTES {
         return Err(BodyError::TooLarge);
     }
-    Ok(Some(State::Trailer(seen)))
+    Ok(Some(State::Trailer(trailer_bytes)))
 }
 
-/// Takes a line that ends in CR LF, without its end; `None` until all of it is there.
+/// Removes a line from the buffer and returns it without CR LF, or `None` if it is incomplete.
 fn take_line(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<BytesMut>, BodyError> {
-    let Some(end) = buffer.windows(2).position(|part| part == b"\r\n") else {
+    let Some(end) = buffer.windows(2).position(|window| window == b"\r\n") else {
         if buffer.len() > max_bytes {
             return Err(BodyError::Malformed);
         }
@@ -190,12 +195,12 @@
     Ok(Some(line))
 }
 
-/// The size of a chunk; extensions after a semicolon are passed over.
-fn chunk_size(line: &[u8]) -> Result<u64, BodyError> {
+/// Parses a chunk size and ignores the extensions after a semicolon.
+fn parse_chunk_size(line: &[u8]) -> Result<u64, BodyError> {
     let end = line.iter().position(|byte| *byte == b';');
     let digits = line[..end.unwrap_or(line.len())].trim_ascii_end();
     if digits.is_empty()
-        || digits.len() > MAX_CHUNK_DIGITS
+        || digits.len() > MAX_CHUNK_SIZE_DIGITS
         || !digits.iter().all(u8::is_ascii_hexdigit)
     {
         return Err(BodyError::Malformed);
--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -1,4 +1,4 @@
-//! One connection on which requests are sent and complete answers read, one at a time.
+//! HTTP client connection that sends one request at a time and reads complete responses.
 
 use std::io;
 
@@ -10,36 +10,36 @@
 
 use super::{BodyLength, BodyReader, ExchangeError, ResponseHead, exchange_error::ExchangeFailure};
 
-/// Largest head of an answer, in bytes. Origin not recorded.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Largest body of an answer, in bytes; as large as a request's body may be by default.
+/// Equals the default limit for request bodies.
 const MAX_BODY_BYTES: usize = 64 << 20;
-/// Room that is made for each read, in bytes. Origin not recorded.
-const READ_BYTES: usize = 8 * 1024;
+/// Buffer space reserved before each read.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// A connection to an HTTP server.
+/// A client connection to an HTTP server. The buffer holds bytes that no response has consumed yet.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
 }
 
-/// A complete answer.
+/// A complete response, and what may follow it on its connection.
 #[derive(Debug)]
 pub struct Received {
-    /// Its head.
+    /// Status line and header lines.
     pub head: ResponseHead,
-    /// Its complete body.
+    /// Complete body, without its transfer coding.
     pub body: Bytes,
-    /// Whether more can come on the connection: the answer was framed and announced no close.
+    /// Whether the server may send another response on the connection: the response had a length or
+    /// chunks and did not announce a close.
     pub goes_on: bool,
-    /// Whether the connection may carry another request: the answer was complete and framed, the
-    /// request was sent to its end before, nothing is left over and nobody announced a close.
+    /// Whether the connection may carry another request: the server keeps the connection open, the
+    /// request was sent completely before the response ended, and no bytes follow the response.
     pub reusable: bool,
 }
 
 impl Connection {
-    /// A connection on a stream that was opened.
+    /// Wraps an open stream on which no request is in progress.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
         Self {
@@ -48,9 +48,10 @@
         }
     }
 
-    /// Whether nothing came since the last answer and the other side still holds the connection.
+    /// Returns `true` if the server has neither closed the connection nor sent bytes since the last
+    /// response.
     #[must_use]
-    pub fn is_quiet(&self) -> bool {
+    pub fn is_open_and_idle(&self) -> bool {
         if !self.buffer.is_empty() {
             return false;
         }
@@ -61,28 +62,29 @@
         }
     }
 
-    /// Sends a request and reads its complete answer, which may come before the request is fully sent.
+    /// Sends a request and reads the complete response, which may arrive before the request is fully
+    /// sent.
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`] when the connection fails or what comes is no complete answer.
+    /// Returns [`ExchangeError`] if the connection fails or the response is malformed or incomplete.
     pub async fn exchange(
         &mut self,
         request: &[u8],
         body: &[u8],
         is_head_request: bool,
     ) -> Result<Received, ExchangeError> {
-        let first = self.stream.write(request).await;
-        let first = first.map_err(ExchangeError::not_sent)?;
+        let written = self.stream.write(request).await;
+        let written = written.map_err(ExchangeError::not_sent)?;
         let Self { stream, buffer } = self;
         let (mut reader, mut writer) = stream.split();
         let mut is_sent = false;
         let received = {
             let sending = async {
-                writer.write_all(&request[first..]).await?;
+                writer.write_all(&request[written..]).await?;
                 writer.write_all(body).await
             };
-            let receiving = receive(&mut reader, buffer, is_head_request);
+            let receiving = receive_response(&mut reader, buffer, is_head_request);
             tokio::pin!(sending, receiving);
             loop {
                 tokio::select! {
@@ -100,22 +102,23 @@
         Ok(received)
     }
 
-    /// Reads one more answer, after one that belonged to no request.
+    /// Reads another response without sending a request. The caller uses it after a response that did
+    /// not belong to its request.
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`] when the connection fails or what comes is no complete answer.
+    /// Returns [`ExchangeError`] if the connection fails or the response is malformed or incomplete.
     pub async fn next_answer(&mut self, is_head_request: bool) -> Result<Received, ExchangeError> {
         let Self { stream, buffer } = self;
         let (mut reader, _writer) = stream.split();
-        let received = receive(&mut reader, buffer, is_head_request).await;
+        let received = receive_response(&mut reader, buffer, is_head_request).await;
         let mut received = received.map_err(ExchangeError::sent)?;
         received.reusable &= buffer.is_empty();
         Ok(received)
     }
 }
 
-async fn receive(
+async fn receive_response(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     is_head_request: bool,
@@ -132,7 +135,7 @@
     })
 }
 
-/// Reads the head of the final answer; interim ones (100 to 199) are passed over.
+/// Reads the head of the final response and skips interim responses (100 to 199 except 101).
 async fn receive_head(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
@@ -165,7 +168,7 @@
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
 ) -> Result<(), ExchangeFailure> {
-    buffer.reserve(READ_BYTES);
+    buffer.reserve(READ_BUFFER_BYTES);
     match reader.read_buf(buffer).await? {
         0 => Err(ExchangeFailure::Closed),
         _ => Ok(()),
--- a/crates/tallybridge-mesh/src/http/exchange_error.rs
+++ b/crates/tallybridge-mesh/src/http/exchange_error.rs
@@ -1,50 +1,51 @@
-//! Why a request got no complete answer, and whether the server may have taken it.
+//! Errors of HTTP exchanges, which record whether the server may have received the request.
 
 use std::io;
 
 use super::{BodyError, HeadError};
 
-/// An exchange that gave no complete answer.
+/// Failure of an exchange before its response was complete.
 #[derive(Debug, thiserror::Error)]
 #[error("{cause}")]
 pub struct ExchangeError {
-    /// How far it came.
+    /// Whether any part of the request was written before the failure.
     pub stage: ExchangeStage,
-    /// What went wrong.
+    /// Underlying failure, which supplies the error text.
     pub cause: ExchangeFailure,
 }
 
-/// How far an exchange came before it failed.
+/// Progress of an exchange at the time of its failure. Only [`NotSent`](Self::NotSent) guarantees that
+/// the server did not run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeStage {
-    /// Nothing was written: the request did not reach the server.
+    /// No byte was written, so the request did not reach the server.
     NotSent,
-    /// Something was written: the server may have acted on the request.
+    /// Part of the request may have been written, so the server may have acted on it.
     Sent,
 }
 
-/// What went wrong with an exchange.
+/// Underlying failure of an exchange.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeFailure {
-    /// The connection could not be opened, or failed.
+    /// The connection could not be opened, or an I/O operation on it failed.
     #[error(transparent)]
     Connection(#[from] io::Error),
-    /// The other side closed the connection before the answer was complete.
-    #[error("connection closed before the end of the answer")]
+    /// The server closed the connection before the response was complete.
+    #[error("connection closed before the response was complete")]
     Closed,
-    /// The head of the answer can't be read.
+    /// The head of the response is malformed or too large.
     #[error(transparent)]
     Head(#[from] HeadError),
-    /// The body of the answer can't be read.
+    /// The body of the response is malformed or too large.
     #[error(transparent)]
     Body(#[from] BodyError),
-    /// This side gave the exchange up, and why.
+    /// The client aborted the exchange for this reason.
     #[error("{0}")]
-    GivenUp(&'static str),
+    Aborted(&'static str),
 }
 
 impl ExchangeError {
-    /// A failure before anything was written.
+    /// Creates the error of an exchange that failed before any byte was written.
     #[must_use]
     pub fn not_sent(cause: impl Into<ExchangeFailure>) -> Self {
         Self {
@@ -53,7 +54,7 @@
         }
     }
 
-    /// A failure after something was written.
+    /// Creates the error of an exchange that failed after part of the request was written.
     #[must_use]
     pub fn sent(cause: impl Into<ExchangeFailure>) -> Self {
         Self {
@@ -62,12 +63,13 @@
         }
     }
 
-    /// An exchange that this side gave up after something was, or may have been, written.
+    /// Creates the error of an exchange that the client aborted when part of the request may have been
+    /// written.
     #[must_use]
     pub const fn given_up(reason: &'static str) -> Self {
         Self {
             stage: ExchangeStage::Sent,
-            cause: ExchangeFailure::GivenUp(reason),
+            cause: ExchangeFailure::Aborted(reason),
         }
     }
 }
--- a/crates/tallybridge-mesh/src/http/head.rs
+++ b/crates/tallybridge-mesh/src/http/head.rs
@@ -1,42 +1,42 @@
-//! Heads of requests and answers: taking them off a buffer, within bounds.
+//! Parses the heads of requests and responses from a buffer, within size limits.
 
 use bytes::{Buf, BytesMut};
 
 use super::headers::HeaderLines;
 
-/// Most header lines of a message. Origin not recorded.
 const MAX_HEADERS: usize = 96;
 
-/// Why a head can't be read.
+/// Reason why a message head cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
-    /// The bytes are no head of HTTP/1.1.
+    /// The bytes are not a valid HTTP/1.x message head.
     #[error("malformed message head")]
     Malformed,
-    /// The head is larger than the limit, or has too many lines.
-    #[error("message head above its limit")]
+    /// The head exceeds the size limit or has too many header lines.
+    #[error("message head exceeds its size limit")]
     TooLarge,
 }
 
-/// Head of a request.
+/// Request line and header lines of a request.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
-    /// The method, as it came.
+    /// Method in its original case.
     pub method: String,
-    /// Path and query, as they came.
+    /// Request target as received, normally path and query.
     pub target: String,
-    /// Whether the request is of HTTP/1.1; otherwise it is of 1.0.
+    /// `true` for HTTP/1.1, `false` for HTTP/1.0.
     pub is_version_1_1: bool,
-    /// Its header lines.
+    /// Header lines in the order received.
     pub headers: HeaderLines,
 }
 
 impl RequestHead {
-    /// Takes a head off the buffer; `None` while it is not complete.
+    /// Removes a head from the buffer and parses it. Returns `None` if the head is incomplete.
     ///
     /// # Errors
     ///
-    /// [`HeadError`] when the bytes can't become a head, or not one within `max_bytes`.
+    /// Returns [`HeadError`] if the bytes are not the start of a valid head, or if the head exceeds
+    /// `max_bytes`.
     pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HeadError> {
         skip_empty_lines(buffer);
         let Some(length) = head_length(buffer, max_bytes)? else {
@@ -59,30 +59,31 @@
         }))
     }
 
-    /// Whether the sender will not use the connection after this request.
+    /// Returns `true` if the caller sends no further requests on the connection.
     #[must_use]
     pub fn closes(&self) -> bool {
         closes(&self.headers, self.is_version_1_1)
     }
 }
 
-/// Head of an answer.
+/// Status line and header lines of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
-    /// The status.
+    /// HTTP status code.
     pub status: u16,
-    /// Whether the answer is of HTTP/1.1; otherwise it is of 1.0.
+    /// `true` for HTTP/1.1, `false` for HTTP/1.0.
     pub is_version_1_1: bool,
-    /// Its header lines.
+    /// Header lines in the order received.
     pub headers: HeaderLines,
 }
 
 impl ResponseHead {
-    /// Takes a head off the buffer; `None` while it is not complete.
+    /// Removes a head from the buffer and parses it. Returns `None` if the head is incomplete.
     ///
     /// # Errors
     ///
-    /// [`HeadError`] when the bytes can't become a head, or not one within `max_bytes`.
+    /// Returns [`HeadError`] if the bytes are not the start of a valid head, or if the head exceeds
+    /// `max_bytes`.
     pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HeadError> {
         let prefix = b"HTTP/1.";
         let compared = prefix.len().min(buffer.len());
@@ -106,19 +107,19 @@
         }))
     }
 
-    /// Whether the sender will close the connection after this answer.
+    /// Returns `true` if the server closes the connection after this response.
     #[must_use]
     pub fn closes(&self) -> bool {
         closes(&self.headers, self.is_version_1_1)
     }
 }
 
-/// Whether the sender of a head closes the connection after its message. Connections of HTTP/1.0
-/// close unless they announce otherwise (RFC 9112, section 9.3).
+/// Returns `true` if the connection closes after the message. An HTTP/1.0 connection closes unless
+/// the sender requests keep-alive (RFC 9112, section 9.3).
 fn closes(headers: &HeaderLines, is_version_1_1: bool) -> bool {
     let close = headers.has_token("connection", "close");
-    let keep = headers.has_token("connection", "keep-alive");
-    close || (!is_version_1_1 && !keep)
+    let keep_alive = headers.has_token("connection", "keep-alive");
+    close || (!is_version_1_1 && !keep_alive)
 }
 
 fn require_complete(parsed: httparse::Result<usize>) -> Result<(), HeadError> {
@@ -130,16 +131,16 @@
     }
 }
 
-/// Empty lines before a request are allowed (RFC 9112, section 2.2).
+/// Skips empty lines, which a client may send before a request (RFC 9112, section 2.2).
 fn skip_empty_lines(buffer: &mut BytesMut) {
     while buffer.starts_with(b"\r\n") {
         buffer.advance(2);
     }
 }
 
-/// Length of the head with its empty line, once that is there.
+/// Returns the length of the head including its empty line, or `None` if the head is incomplete.
 fn head_length(buffer: &BytesMut, max_bytes: usize) -> Result<Option<usize>, HeadError> {
-    let end = buffer.windows(4).position(|part| part == b"\r\n\r\n");
+    let end = buffer.windows(4).position(|window| window == b"\r\n\r\n");
     match end {
         Some(end) if end + 4 > max_bytes => Err(HeadError::TooLarge),
         Some(end) => Ok(Some(end + 4)),
--- a/crates/tallybridge-mesh/src/http/headers.rs
+++ b/crates/tallybridge-mesh/src/http/headers.rs
@@ -1,11 +1,11 @@
-//! Header lines: looking them up, and writing those that go on to the next hop.
+//! Looks up header lines, and writes those that are forwarded to the next hop.
 
 use std::ops::Range;
 
 use bytes::Bytes;
 
-/// Headers that concern one connection only and are never passed on.
-const CONNECTION_HEADERS: [&str; 9] = [
+/// Headers that apply to a single connection and must not be forwarded.
+const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -17,7 +17,7 @@
     "upgrade",
 ];
 
-/// Header lines of one message, kept as the bytes that came.
+/// Header lines of one message, stored as the bytes received.
 #[derive(Debug, Clone)]
 pub struct HeaderLines {
     bytes: Bytes,
@@ -31,12 +31,12 @@
 }
 
 impl HeaderLines {
-    /// Lines that were parsed out of `bytes`.
+    /// Stores the positions of `headers`, which must borrow from `bytes`.
     pub(super) fn new(bytes: Bytes, headers: &[httparse::Header<'_>]) -> Self {
-        let start = bytes.as_ptr() as usize;
+        let base = bytes.as_ptr() as usize;
         let range = |part: &[u8]| {
-            let from = part.as_ptr() as usize - start;
-            from..from + part.len()
+            let start = part.as_ptr() as usize - base;
+            start..start + part.len()
         };
         let lines = headers
             .iter()
@@ -48,29 +48,30 @@
         Self { bytes, lines }
     }
 
-    /// All lines as name and value, in the order in which they came.
+    /// Returns the name and value of each line, in the order received.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.lines.iter().map(|line| {
-            // Names were parsed as text, so none is lost here.
+            // The parser accepts ASCII names only, so the conversion cannot fail.
             let name = std::str::from_utf8(&self.bytes[line.name.clone()]).unwrap_or_default();
             (name, &self.bytes[line.value.clone()])
         })
     }
 
-    /// The values of all lines of a name, whatever its case.
+    /// Returns the values of all lines with this name, ignoring case.
     pub fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
         self.iter()
             .filter(move |(line, _)| line.eq_ignore_ascii_case(name))
             .map(|(_, value)| value)
     }
 
-    /// The value of the first line of a name.
+    /// Returns the value of the first line with this name, or `None` if the message has none.
     #[must_use]
     pub fn first(&self, name: &str) -> Option<&[u8]> {
         self.all(name).next()
     }
 
-    /// The value of the first line of a name, as text; `None` also for one that is not UTF-8.
+    /// Returns the trimmed value of the first line with this name, or `None` if the line is missing or
+    /// not UTF-8.
     #[must_use]
     pub fn text(&self, name: &str) -> Option<&str> {
         self.first(name)
@@ -78,8 +79,8 @@
             .map(str::trim)
     }
 
-    /// Whether a comma-separated header holds a token, whatever its case. Lines that are not UTF-8 hold
-    /// none.
+    /// Returns `true` if a comma-separated header contains the token, ignoring case and lines that are
+    /// not UTF-8.
     #[must_use]
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.all(name)
@@ -88,30 +89,32 @@
             .any(|part| part.trim().eq_ignore_ascii_case(token))
     }
 
-    /// Writes the lines that are passed on: those of the connection and those of `dropped` are not.
+    /// Appends all end-to-end headers to `out`, except those named in `dropped`.
     pub fn write_end_to_end(&self, dropped: &[&str], out: &mut Vec<u8>) {
         for (name, value) in self.iter() {
-            if self.is_of_connection(name) || is_one_of(name, dropped) {
+            if self.is_hop_by_hop(name) || is_one_of(name, dropped) {
                 continue;
             }
             write_line(name, value, out);
         }
     }
 
-    /// Whether a line concerns this connection only: by its name, or because the `Connection` header
-    /// names it. `Host` is always passed on.
-    fn is_of_connection(&self, name: &str) -> bool {
-        is_one_of(name, &CONNECTION_HEADERS)
+    /// Returns `true` for headers that apply to this connection only: the known ones, `Content-Length`
+    /// and those that the `Connection` header names. `Host` is never one of them, even if named there.
+    fn is_hop_by_hop(&self, name: &str) -> bool {
+        is_one_of(name, &HOP_BY_HOP_HEADERS)
             || name.eq_ignore_ascii_case("content-length")
             || (!name.eq_ignore_ascii_case("host") && self.has_token("connection", name))
     }
 }
 
 fn is_one_of(name: &str, names: &[&str]) -> bool {
-    names.iter().any(|other| name.eq_ignore_ascii_case(other))
+    names
+        .iter()
+        .any(|candidate| name.eq_ignore_ascii_case(candidate))
 }
 
-/// Writes one header line.
+/// Appends a header line to `out` without validating the name or the value.
 pub fn write_line(name: &str, value: &[u8], out: &mut Vec<u8>) {
     out.extend_from_slice(name.as_bytes());
     out.extend_from_slice(b": ");
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -1,11 +1,11 @@
-//! HTTP/1.1 as entries and executors need it: complete messages, exact framing, nothing hidden.
+//! HTTP/1.1 server and client for entries and executors, which exchange complete messages.
 //!
-//! `server` answers callers; `client`, `pool` and `persistent` call back ends and the
-//! platform's store; heads, header lines and bodies are read by one code for both.
+//! `server` serves callers. `client`, `pool` and `persistent` call back ends and the platform's
+//! store. Server and client share the parsing of heads, header lines and bodies.
 //!
-//! Built on `httparse`, the parser under `hyper` and so under `warp` and `reqwest`. Those hide what
-//! must be decided here: answering pipelined requests side by side, telling a caller that closed
-//! from one that waits, and refusing to reuse a connection with surplus bytes (`docs/DESIGN.md`).
+//! The module uses the `httparse` parser directly. Higher-level libraries do not expose the control
+//! needed to process pipelined requests concurrently, to detect a caller that closes its connection
+//! and to refuse reuse of a connection with surplus bytes.
 
 mod answer;
 mod body_length;
--- a/crates/tallybridge-mesh/src/http/persistent.rs
+++ b/crates/tallybridge-mesh/src/http/persistent.rs
@@ -1,4 +1,4 @@
-//! Calls to one server, as the platform's store, on a connection that is kept between them.
+//! HTTP client that reuses a single connection to one server, such as the platform's store.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -6,12 +6,11 @@
 
 use super::{Connection, ExchangeError, Received, connect};
 
-/// Longest wait for a connection. Origin not recorded.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time after which unacknowledged bytes end a connection. Origin not recorded.
+/// A connection fails once sent bytes stay unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2000);
 
-/// A server, and the connection that is kept to it. Calls go one after the other.
+/// Client of one server that keeps its connection between calls and makes one call at a time.
 #[derive(Debug)]
 pub struct PersistentConnection {
     address: SocketAddr,
@@ -19,7 +18,7 @@
 }
 
 impl PersistentConnection {
-    /// A server at an address, to which no connection is open yet.
+    /// Creates a client without an open connection.
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
         Self {
@@ -28,24 +27,24 @@
         }
     }
 
-    /// Makes a call on the kept connection, or on a new one. A connection on which a call got no
-    /// answer is given up: it would say nothing more.
+    /// Sends a request on the idle connection, or on a new one, and returns the response. Closes the
+    /// connection after a call without a complete response.
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`] when there is no answer within `limit`, with whether the call was sent.
+    /// Returns [`ExchangeError`] if no complete response arrives within `call_timeout`.
     pub async fn call(
         &self,
         method: &str,
         path: &str,
         body: Option<&str>,
-        limit: Duration,
+        call_timeout: Duration,
     ) -> Result<Received, ExchangeError> {
-        let mut kept = self.connection.lock().await;
-        let connection = kept.take().filter(Connection::is_quiet);
+        let mut idle = self.connection.lock().await;
+        let connection = idle.take().filter(Connection::is_open_and_idle);
         let request = self.request(method, path, body);
         let body = body.unwrap_or("").as_bytes();
-        let calling = async {
+        let exchange = async {
             let mut connection = match connection {
                 Some(connection) => connection,
                 None => self.open().await?,
@@ -53,11 +52,11 @@
             let received = connection.exchange(request.as_bytes(), body, false).await?;
             Ok::<_, ExchangeError>((connection, received))
         };
-        let called = timeout(limit, calling).await;
-        let (connection, received) =
-            called.map_err(|_| ExchangeError::given_up("time is up"))??;
+        let result = timeout(call_timeout, exchange).await;
+        let (connection, received) = result
+            .map_err(|_| ExchangeError::given_up("no complete response before the timeout"))??;
         if received.reusable {
-            *kept = Some(connection);
+            *idle = Some(connection);
         }
         Ok(received)
     }
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -1,8 +1,8 @@
-//! Connections to the back end beside this node, kept between requests.
+//! Pool of connections to the back end beside this node.
 //!
-//! Owns the idle connections; a request checks one out, alone, and checks it in after a whole
-//! answer. One that the back end may have closed meanwhile is not checked out: a request that is
-//! written to it may be lost, and it can't be told from one that ran.
+//! The pool owns the idle connections. A request checks a connection out for exclusive use and checks
+//! it in after a complete response. The pool never hands out a connection that the back end may have
+//! closed: a request lost on such a connection cannot be distinguished from one that ran.
 
 use std::{
     net::SocketAddr,
@@ -14,42 +14,40 @@
 
 use super::{Connection, ExchangeError, Received, ResponseHead, connect};
 
-/// Longest wait for a connection to the back end, which is on the same machine. Origin not recorded.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Time after which unacknowledged bytes end a connection. Origin not recorded.
+/// A connection fails once sent bytes stay unacknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Taken off the time for which the back end promises to keep a connection, so that a request is not
-/// written while it closes. Origin not recorded.
-const KEEP_MARGIN: Duration = Duration::from_millis(500);
-/// How long a connection without such a promise is kept. Origin not recorded.
-const KEEP_UNPROMISED: Duration = Duration::from_millis(300);
-/// Most idle connections. Origin not recorded.
-const MAX_IDLE: usize = 256;
-
-/// Connections to one back end. Each carries one request at a time.
+/// Subtracted from the announced keep-alive timeout, so that no request is written while the back end
+/// closes the connection.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
+/// Applies when the back end announces no keep-alive timeout.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(300);
+const MAX_IDLE_CONNECTIONS: usize = 256;
+
+/// Idle connections to one back end.
 #[derive(Debug)]
 pub struct ConnectionPool {
     address: SocketAddr,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
-/// A connection for one request.
+/// A connection that is checked out for one request.
 #[derive(Debug)]
 pub struct Checkout {
-    /// The connection.
+    /// Connection for exclusive use until [`ConnectionPool::check_in`].
     pub connection: Connection,
-    /// Whether it carried a request before.
+    /// Whether the connection carried an earlier request.
     pub is_reused: bool,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    until: Instant,
+    expires_at: Instant,
 }
 
 impl ConnectionPool {
-    /// A pool without connections.
+    /// Creates an empty pool for the back end at `address`.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         Self {
@@ -62,14 +60,14 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The idle connection that was used last and that the back end still holds, if there is one.
-    /// Those that it passes over are closed.
+    /// Returns the most recently used connection that is still open, or `None` if there is none.
+    /// Closes the expired connections that it skips.
     #[must_use]
     pub fn check_out(&self) -> Option<Checkout> {
         let now = Instant::now();
         let mut idle = self.idle();
         while let Some(last) = idle.pop() {
-            if now < last.until && last.connection.is_quiet() {
+            if now < last.expires_at && last.connection.is_open_and_idle() {
                 return Some(Checkout {
                     connection: last.connection,
                     is_reused: true,
@@ -79,11 +77,11 @@
         None
     }
 
-    /// A new connection.
+    /// Opens a new connection to the back end.
     ///
     /// # Errors
     ///
-    /// [`ExchangeError`] when the back end accepts none within `CONNECT_TIMEOUT`.
+    /// Returns [`ExchangeError`] if the back end accepts no connection within `CONNECT_TIMEOUT`.
     pub async fn open(&self) -> Result<Checkout, ExchangeError> {
         let stream = connect(self.address, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await;
         let stream = stream.map_err(ExchangeError::not_sent)?;
@@ -93,45 +91,49 @@
         })
     }
 
-    /// Keeps a connection after a complete answer, if it may carry another request; closes it otherwise.
+    /// Returns a connection to the pool after a complete response, or closes the connection if it
+    /// cannot be reused or the pool is full.
     pub fn check_in(&self, connection: Connection, received: &Received) {
         if !received.reusable {
             return;
         }
-        let keep = keep_time(&received.head);
+        let keep_alive = keep_alive_duration(&received.head);
         let mut idle = self.idle();
-        if keep.is_zero() || idle.len() >= MAX_IDLE {
+        if keep_alive.is_zero() || idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
         idle.push(IdleConnection {
             connection,
-            until: Instant::now() + keep,
+            expires_at: Instant::now() + keep_alive,
         });
     }
 
-    /// Closes connections that were idle for too long.
+    /// Closes the idle connections whose keep-alive time has expired.
     pub fn prune(&self) {
         let now = Instant::now();
-        self.idle().retain(|idle| now < idle.until);
+        self.idle().retain(|idle| now < idle.expires_at);
     }
 
-    /// Closes all idle connections.
+    /// Closes all idle connections. Checked-out connections are not affected.
     pub fn clear(&self) {
         self.idle().clear();
     }
 }
 
-/// How long the back end keeps a connection after an answer, as far as it can be relied on.
-fn keep_time(head: &ResponseHead) -> Duration {
-    let promised = head.headers.text("keep-alive").and_then(promised_seconds);
-    match promised {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_MARGIN),
-        None => KEEP_UNPROMISED,
+/// Returns how long the connection may be reused after a response with this head.
+fn keep_alive_duration(head: &ResponseHead) -> Duration {
+    let timeout_seconds = head
+        .headers
+        .text("keep-alive")
+        .and_then(parse_keep_alive_timeout);
+    match timeout_seconds {
+        Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN),
+        None => DEFAULT_KEEP_ALIVE,
     }
 }
 
-/// The `timeout` parameter of a `Keep-Alive` header, in seconds.
-fn promised_seconds(keep_alive: &str) -> Option<u64> {
+/// Returns the `timeout` parameter of a `Keep-Alive` header, in seconds.
+fn parse_keep_alive_timeout(keep_alive: &str) -> Option<u64> {
     keep_alive
         .split(',')
         .filter_map(|part| part.trim().strip_prefix("timeout="))
--- a/crates/tallybridge-mesh/src/http/server/handler.rs
+++ b/crates/tallybridge-mesh/src/http/server/handler.rs
@@ -1,4 +1,4 @@
-//! What a listener hands to the code that answers it: complete requests, and the bounds on them.
+//! Interface between the HTTP server and the code that handles requests.
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
@@ -9,47 +9,46 @@
     http::{Answer, RequestHead},
 };
 
-/// What answers the requests of a listener.
+/// Handles the requests that a listener receives.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
-    /// Answers one request. The future is dropped when the caller closes its connection.
+    /// Returns the response to one request. The server drops the future when the caller closes its
+    /// connection.
     fn handle(&self, request: Request) -> impl Future<Output = Answer> + Send;
 
-    /// The bounds in force.
+    /// Returns the current limits. The server reads the limits again for each request.
     fn limits(&self) -> HttpLimits;
 
-    /// Whether connections are to be closed with the next answer.
+    /// Returns `true` if the server must close each connection after its last pending response.
     fn is_closing(&self) -> bool;
 }
 
-/// A complete request.
+/// A complete request as received from a caller.
 #[derive(Debug)]
 pub struct Request {
-    /// Its head.
+    /// Request line and header lines.
     pub head: RequestHead,
-    /// Its complete body.
+    /// Complete body, without its transfer coding.
     pub body: Bytes,
-    /// When its last byte was read.
+    /// Time at which the last byte of the request was read.
     pub arrived: BootInstant,
-    /// The caller's address.
+    /// Remote address of the connection.
     pub caller: SocketAddr,
 }
 
-/// Bounds of what a caller may send.
+/// Limits on the size and timing of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HttpLimits {
-    /// Largest head, in bytes.
+    /// Size limit for the request line and header lines together.
     pub max_header_bytes: usize,
-    /// Largest body, in bytes.
+    /// Size limit for the body without its transfer coding.
     pub max_body_bytes: usize,
     /// Time from the first byte of a request to the end of its head.
     pub header_timeout: Duration,
-    /// Time that a connection may be idle between requests, or between pieces of a body.
+    /// Longest pause between requests, or between two reads of a body.
     pub idle_timeout: Duration,
 }
 
 impl Default for HttpLimits {
-    /// The bounds that a configuration leaves open: 16 KiB of head, 64 MiB of body, 3 s for a head,
-    /// 15 s idle. Origin not recorded.
     fn default() -> Self {
         Self {
             max_header_bytes: 16 * 1024,
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -1,9 +1,8 @@
-//! One caller's connection: pipelined requests are worked on side by side and answered in the order
-//! in which they came.
+//! Serves the connection of one caller. Pipelined requests run concurrently and are answered in the
+//! order received.
 //!
-//! A caller that closes its connection drops the work on all its requests. Relies on
-//! [`request_reader`] for taking requests off the connection, and on a [`RequestHandler`] for the
-//! answers.
+//! When a caller closes its connection, the server cancels all requests of that connection. The
+//! module relies on [`request_reader`] to parse requests and on a [`RequestHandler`] to answer them.
 
 mod handler;
 mod request_reader;
@@ -26,17 +25,16 @@
 use self::request_reader::RequestReader;
 use super::answer::{Answer, PendingAnswer};
 
-/// Requests of one connection that are worked on at once. Origin not recorded.
-const MAX_PIPELINED: usize = 32;
-/// Time in which a caller must take an answer. Origin not recorded.
+/// Requests of one connection that run concurrently.
+const MAX_PIPELINED_REQUESTS: usize = 32;
+/// A connection is closed if the caller does not accept a response within this time.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Time in which a connection that is being closed is still read, so that unread bytes don't reset
-/// it before the last answer has arrived. Origin not recorded.
-const LINGER: Duration = Duration::from_millis(500);
-/// Status of the answer to a caller that sent the rest of its request too late.
-const REQUEST_TIMEOUT: u16 = 408;
+/// How long a closing connection is still read. Closing a socket with unread bytes would reset the
+/// connection, and the caller could lose the last response.
+const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
-/// Serves one connection to its end.
+/// Serves requests on `stream` until either side closes the connection.
 pub async fn serve_connection<H: RequestHandler>(
     handler: H,
     stream: TcpStream,
@@ -51,17 +49,17 @@
         is_idle: true,
         intake: Intake::Open,
     };
-    // An error is the caller breaking off: its work is dropped, and nobody is left to answer.
+    // An error means that the connection has failed, so no response can be sent any more.
     let _ = connection.run().await;
 }
 
-/// Whether more requests are taken off the connection.
+/// Whether the server accepts further requests on a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Intake {
     Open,
-    /// The last request was taken, or what came is no request. The connection closes after the last
-    /// answer.
-    Ended,
+    /// The caller sent its last request or an invalid one, or the server is closing. The connection
+    /// closes after the last pending response.
+    Closed,
 }
 
 struct ServerConnection<H> {
@@ -69,9 +67,9 @@
     stream: TcpStream,
     requests: RequestReader,
     pending: FuturesOrdered<BoxFuture<'static, PendingAnswer>>,
-    /// When the time began in which the caller must send more.
+    /// Start of the idle or header timeout.
     waiting_since: Instant,
-    /// Whether nothing of a next request had come when last looked.
+    /// Whether no byte of the next request has been received.
     is_idle: bool,
     intake: Intake,
 }
@@ -80,8 +78,8 @@
     async fn run(&mut self) -> io::Result<()> {
         loop {
             self.take_requests().await?;
-            if self.intake == Intake::Ended && self.pending.is_empty() {
-                return linger(&mut self.stream).await;
+            if self.intake == Intake::Closed && self.pending.is_empty() {
+                return lingering_close(&mut self.stream).await;
             }
             let may_read = self.may_read();
             let deadline = self.deadline();
@@ -94,13 +92,13 @@
                     if read? == 0 {
                         return Ok(());
                     }
-                    self.note_read();
+                    self.record_read();
                 }
                 () = sleep_until(deadline), if self.pending.is_empty() => {
                     if self.requests.is_empty() {
                         return Ok(());
                     }
-                    self.refuse(REQUEST_TIMEOUT);
+                    self.reject(REQUEST_TIMEOUT_STATUS);
                 }
             }
         }
@@ -109,15 +107,16 @@
     fn may_read(&self) -> bool {
         match self.intake {
             Intake::Open => self.requests.has_room(),
-            // What comes is thrown away; it is read so that a caller that closes is noticed while its
-            // last request is worked on.
-            Intake::Ended => true,
+            // Reading detects a caller that closes its connection while the last request runs. The
+            // bytes are discarded.
+            Intake::Closed => true,
         }
     }
 
-    /// Bytes came. The time for a head runs from its first byte, that for a body from its last piece.
-    fn note_read(&mut self) {
-        if self.intake == Intake::Ended {
+    /// Restarts the timeout after a read. The header timeout starts at the first byte of the head, and
+    /// the idle timeout of a body starts at each read.
+    fn record_read(&mut self) {
+        if self.intake == Intake::Closed {
             self.requests.discard();
             return;
         }
@@ -127,7 +126,7 @@
         self.is_idle = false;
     }
 
-    /// When the caller must have sent more, unless answers are pending.
+    /// Returns when the connection times out. The deadline does not apply while responses are pending.
     fn deadline(&self) -> Instant {
         let limits = self.handler.limits();
         if self.requests.is_in_body() || self.requests.is_empty() {
@@ -137,19 +136,19 @@
         }
     }
 
-    /// Starts work on every complete request that has come.
+    /// Starts every complete request in the buffer, up to the limit of concurrent requests.
     async fn take_requests(&mut self) -> io::Result<()> {
-        while self.intake == Intake::Open && self.pending.len() < MAX_PIPELINED {
+        while self.intake == Intake::Open && self.pending.len() < MAX_PIPELINED_REQUESTS {
             match self.requests.take(&self.handler.limits()) {
-                Ok(Some(request)) => self.start(request),
+                Ok(Some(request)) => self.start_request(request),
                 Ok(None) => return self.continue_if_expected().await,
-                Err(error) => self.refuse(error.status()),
+                Err(error) => self.reject(error.status()),
             }
         }
         Ok(())
     }
 
-    /// Tells a caller that waits for it that its body is wanted.
+    /// Sends `100 Continue` if the caller waits for it before sending the body.
     async fn continue_if_expected(&mut self) -> io::Result<()> {
         if self.requests.awaits_continue() && self.pending.is_empty() {
             let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -158,43 +157,43 @@
         Ok(())
     }
 
-    fn start(&mut self, request: Request) {
+    fn start_request(&mut self, request: Request) {
         let is_head_request = request.head.method == "HEAD";
         if request.head.closes() {
-            self.end_intake();
+            self.close_intake();
         }
         let handler = self.handler.clone();
-        let answering = async move {
+        let handling = async move {
             PendingAnswer {
                 answer: handler.handle(request).await,
                 is_head_request,
             }
         };
-        self.pending.push_back(answering.boxed());
+        self.pending.push_back(handling.boxed());
     }
 
-    /// Answers what is no request, after the answers before it, and takes no more.
-    fn refuse(&mut self, status: u16) {
+    /// Queues an error response behind the pending responses and accepts no further requests.
+    fn reject(&mut self, status: u16) {
         let answer = PendingAnswer {
             answer: Answer::new(status, Bytes::new()),
             is_head_request: false,
         };
-        self.end_intake();
+        self.close_intake();
         self.pending.push_back(ready(answer).boxed());
     }
 
-    fn end_intake(&mut self) {
-        self.intake = Intake::Ended;
+    fn close_intake(&mut self) {
+        self.intake = Intake::Closed;
         self.requests.discard();
     }
 
     async fn write(&mut self, answer: &PendingAnswer) -> io::Result<()> {
-        // A close is announced on the last answer only: requests behind it are already worked on.
+        // Only the last pending response may announce a close, because later requests already run.
         let is_last = self.pending.is_empty();
         if self.handler.is_closing() && is_last && !self.requests.is_in_body() {
-            self.end_intake();
+            self.close_intake();
         }
-        let closes = self.intake == Intake::Ended && is_last;
+        let closes = self.intake == Intake::Closed && is_last;
         let writing = answer.write(&mut self.stream, closes);
         let written = timeout(WRITE_TIMEOUT, writing).await;
         self.waiting_since = Instant::now();
@@ -203,13 +202,15 @@
     }
 }
 
-/// Ends a connection so that its last answer arrives.
-async fn linger(stream: &mut TcpStream) -> io::Result<()> {
+/// Shuts down the sending side and reads until the caller closes the connection or the time is over.
+async fn lingering_close(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
-    let mut rest = [0_u8; 1024];
+    let mut discarded = [0_u8; 1024];
     let reading = async {
-        while stream.read(&mut rest).await? > 0 {}
+        while stream.read(&mut discarded).await? > 0 {}
         Ok(())
     };
-    timeout(LINGER, reading).await.unwrap_or(Ok(()))
+    timeout(LINGERING_CLOSE_TIMEOUT, reading)
+        .await
+        .unwrap_or(Ok(()))
 }
--- a/crates/tallybridge-mesh/src/http/server/request_reader.rs
+++ b/crates/tallybridge-mesh/src/http/server/request_reader.rs
@@ -1,4 +1,4 @@
-//! Takes complete requests off what a caller sends.
+//! Reads complete requests from the connection of a caller.
 
 use std::{io, net::SocketAddr};
 
@@ -11,17 +11,16 @@
     http::{BodyError, BodyLength, BodyReader, HeadError, RequestHead},
 };
 
-/// Bytes of requests that may wait behind those that are worked on, before the connection is read no
-/// further. Origin not recorded.
-const MAX_READ_AHEAD: usize = 64 * 1024;
-/// Room that is made for each read, in bytes. Origin not recorded.
-const READ_BYTES: usize = 4 * 1024;
+/// The server stops reading while this many bytes of requests wait behind the running requests.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Buffer space reserved before each read.
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 
-/// Bytes of a connection that belong to no complete request yet.
+/// Buffers the bytes of a connection until they form a complete request.
 pub(super) struct RequestReader {
     caller: SocketAddr,
     buffer: BytesMut,
-    /// A request whose head was read, but not all of its body.
+    /// A request with a complete head and an incomplete body.
     partial: Option<PartialRequest>,
 }
 
@@ -30,7 +29,7 @@
     body: BodyReader,
 }
 
-/// Why what a caller sent is no request.
+/// Reason why a request is invalid.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum RequestError {
     Head(HeadError),
@@ -46,13 +45,14 @@
         }
     }
 
-    /// Reads what has come; gives how many bytes, 0 when the caller has closed.
+    /// Reads available bytes and returns their number, which is 0 once the caller has closed the
+    /// connection.
     pub async fn read_some(&mut self, stream: &mut TcpStream) -> io::Result<usize> {
-        self.buffer.reserve(READ_BYTES);
+        self.buffer.reserve(READ_BUFFER_BYTES);
         stream.read_buf(&mut self.buffer).await
     }
 
-    /// Takes the next request; `None` until all of it is there.
+    /// Removes the next request from the buffer, or returns `None` if the request is incomplete.
     pub fn take(&mut self, limits: &HttpLimits) -> Result<Option<Request>, RequestError> {
         let partial = match self.partial.take() {
             Some(partial) => Some(partial),
@@ -85,29 +85,29 @@
         Ok(Some(PartialRequest { head, body }))
     }
 
-    /// Whether nothing of a next request has come.
+    /// Returns `true` if no byte of the next request has been read.
     pub fn is_empty(&self) -> bool {
         self.partial.is_none() && self.buffer.is_empty()
     }
 
-    /// Whether the head of a request was read, but not all of its body.
+    /// Returns `true` while the body of a request is incomplete.
     pub const fn is_in_body(&self) -> bool {
         self.partial.is_some()
     }
 
-    /// Whether more may be read before requests are taken.
+    /// Returns `true` if the buffer accepts more bytes.
     pub fn has_room(&self) -> bool {
-        self.buffer.len() < MAX_READ_AHEAD || self.is_in_body()
+        self.buffer.len() < MAX_READ_AHEAD_BYTES || self.is_in_body()
     }
 
-    /// Whether a caller waits for the word that its body is wanted.
+    /// Returns `true` if the caller waits for `100 Continue` before sending the body.
     pub fn awaits_continue(&self) -> bool {
         self.partial.as_ref().is_some_and(|partial| {
             partial.body.is_empty() && partial.head.headers.has_token("expect", "100-continue")
         })
     }
 
-    /// Drops what has come.
+    /// Drops all buffered bytes and any incomplete request.
     pub fn discard(&mut self) {
         self.partial = None;
         self.buffer.clear();
@@ -115,7 +115,7 @@
 }
 
 impl RequestError {
-    /// The HTTP status that it is answered with.
+    /// Returns the HTTP status code of the error response.
     pub const fn status(self) -> u16 {
         match self {
             Self::Head(HeadError::Malformed) | Self::Body(BodyError::Malformed) => 400,
--- a/crates/tallybridge-mesh/tests/caller_connection.rs
+++ b/crates/tallybridge-mesh/tests/caller_connection.rs
@@ -1,4 +1,4 @@
-//! One connection of a caller.
+//! Tests how the server handles one connection of a caller.
 
 use std::{
     sync::{
@@ -18,7 +18,7 @@
     sync::Semaphore,
 };
 
-/// Answers with the path; one under `/wait` waits for a permit first.
+/// Answers each request with its path. Requests under `/wait` wait for a permit first.
 #[derive(Clone)]
 struct Echo {
     permits: Arc<Semaphore>,
@@ -27,9 +27,9 @@
     closing: Arc<AtomicBool>,
 }
 
-struct CountDrop(Arc<AtomicUsize>);
+struct DropCounter(Arc<AtomicUsize>);
 
-impl Drop for CountDrop {
+impl Drop for DropCounter {
     fn drop(&mut self) {
         self.0.fetch_add(1, Ordering::SeqCst);
     }
@@ -38,11 +38,11 @@
 impl RequestHandler for Echo {
     async fn handle(&self, request: Request) -> Answer {
         self.started.fetch_add(1, Ordering::SeqCst);
-        let unfinished = CountDrop(self.dropped.clone());
+        let drop_guard = DropCounter(self.dropped.clone());
         if request.head.target.starts_with("/wait") {
             self.permits.acquire().await.unwrap().forget();
         }
-        std::mem::forget(unfinished);
+        std::mem::forget(drop_guard);
         Answer::new(200, request.head.target.clone())
     }
 
@@ -59,7 +59,7 @@
     }
 }
 
-async fn start() -> (Echo, TcpStream) {
+async fn start_server() -> (Echo, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let echo = Echo {
@@ -72,15 +72,15 @@
     (echo, TcpStream::connect(address).await.unwrap())
 }
 
-async fn until(mut holds: impl FnMut() -> bool) {
-    let waiting = async {
-        while !holds() {
+async fn wait_until(mut condition: impl FnMut() -> bool) {
+    let polling = async {
+        while !condition() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
-    tokio::time::timeout(Duration::from_secs(20), waiting)
+    tokio::time::timeout(Duration::from_secs(20), polling)
         .await
-        .expect("it never happened");
+        .expect("condition did not hold within 20 s");
 }
 
 fn get(path: &str) -> Vec<u8> {
@@ -88,11 +88,11 @@
 }
 
 #[tokio::test]
-async fn answers_come_in_the_order_of_their_requests() {
-    let (echo, mut stream) = start().await;
+async fn answers_pipelined_requests_in_order() {
+    let (echo, mut stream) = start_server().await;
     let requests = [get("/wait/1"), get("/2"), get("/wait/3"), get("/4")].concat();
     stream.write_all(&requests).await.unwrap();
-    until(|| echo.started.load(Ordering::SeqCst) == 4).await;
+    wait_until(|| echo.started.load(Ordering::SeqCst) == 4).await;
     echo.permits.add_permits(2);
     let mut connection = Connection::new(stream);
     for path in ["/wait/1", "/2", "/wait/3", "/4"] {
@@ -103,23 +103,23 @@
 }
 
 #[tokio::test]
-async fn a_caller_that_closes_ends_the_work_on_all_its_requests() {
-    let (echo, mut stream) = start().await;
+async fn cancels_requests_when_caller_closes() {
+    let (echo, mut stream) = start_server().await;
     let requests = [get("/wait/1"), get("/wait/2")].concat();
     stream.write_all(&requests).await.unwrap();
-    until(|| echo.started.load(Ordering::SeqCst) == 2).await;
+    wait_until(|| echo.started.load(Ordering::SeqCst) == 2).await;
     drop(stream);
-    until(|| echo.dropped.load(Ordering::SeqCst) == 2).await;
+    wait_until(|| echo.dropped.load(Ordering::SeqCst) == 2).await;
 }
 
 #[tokio::test]
-async fn a_close_is_announced_on_the_last_answer_only() {
-    let (echo, mut stream) = start().await;
+async fn announces_close_on_last_response_only() {
+    let (echo, mut stream) = start_server().await;
     stream
         .write_all(&[get("/wait/1"), get("/wait/2")].concat())
         .await
         .unwrap();
-    until(|| echo.started.load(Ordering::SeqCst) == 2).await;
+    wait_until(|| echo.started.load(Ordering::SeqCst) == 2).await;
     echo.closing.store(true, Ordering::SeqCst);
     echo.permits.add_permits(2);
     let mut connection = Connection::new(stream);
@@ -128,16 +128,16 @@
 }
 
 #[tokio::test]
-async fn a_connection_at_rest_is_closed_without_a_word() {
-    let (_echo, mut stream) = start().await;
+async fn closes_idle_connection_without_response() {
+    let (_echo, mut stream) = start_server().await;
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await.unwrap();
     assert!(bytes.is_empty());
 }
 
 #[tokio::test]
-async fn a_connection_that_waits_for_its_answer_is_not_at_rest() {
-    let (echo, mut stream) = start().await;
+async fn keeps_connection_open_while_request_runs() {
+    let (echo, mut stream) = start_server().await;
     stream.write_all(&get("/wait/1")).await.unwrap();
     tokio::time::sleep(Duration::from_millis(900)).await;
     echo.permits.add_permits(1);
@@ -146,8 +146,8 @@
 }
 
 #[tokio::test]
-async fn the_time_for_a_head_runs_from_its_first_byte() {
-    let (_echo, mut stream) = start().await;
+async fn header_timeout_starts_at_first_byte() {
+    let (_echo, mut stream) = start_server().await;
     tokio::time::sleep(Duration::from_millis(400)).await;
     stream.write_all(b"GET /a HTTP/1.1\r\n").await.unwrap();
     tokio::time::sleep(Duration::from_millis(150)).await;
@@ -158,8 +158,8 @@
 }
 
 #[tokio::test]
-async fn an_old_caller_gets_one_answer_and_a_head_request_no_body() {
-    let (_echo, mut stream) = start().await;
+async fn answers_http_1_0_head_request_without_body() {
+    let (_echo, mut stream) = start_server().await;
     stream
         .write_all(b"HEAD /head HTTP/1.0\r\n\r\n")
         .await
@@ -173,13 +173,13 @@
 }
 
 #[tokio::test]
-async fn a_body_that_is_waited_for_is_asked_for() {
-    let (_echo, mut stream) = start().await;
+async fn sends_100_continue_when_expected() {
+    let (_echo, mut stream) = start_server().await;
     let head = "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
     stream.write_all(head.as_bytes()).await.unwrap();
-    let mut asked = [0_u8; 25];
-    stream.read_exact(&mut asked).await.unwrap();
-    assert_eq!(&asked, b"HTTP/1.1 100 Continue\r\n\r\n");
+    let mut interim = [0_u8; 25];
+    stream.read_exact(&mut interim).await.unwrap();
+    assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
     stream.write_all(b"ok").await.unwrap();
     let mut connection = Connection::new(stream);
     assert_eq!(connection.next_answer(false).await.unwrap().body, "/b");
--- a/crates/tallybridge-mesh/tests/http_messages.rs
+++ b/crates/tallybridge-mesh/tests/http_messages.rs
@@ -1,13 +1,14 @@
-//! Heads and bodies are read the same however their bytes come, and never in two ways.
+//! Tests that requests parse identically in any split of their bytes, and that ambiguous framing is
+//! rejected.
 
 use bytes::BytesMut;
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::http::{BodyError, BodyLength, BodyReader, HeadError, RequestHead};
 
-const MAX_HEAD: usize = 4096;
-const MAX_BODY: usize = 1 << 16;
+const MAX_HEAD_BYTES: usize = 4096;
+const MAX_BODY_BYTES: usize = 1 << 16;
 
-/// Reads one request from pieces of bytes.
+/// Reads one request from consecutive pieces. Returns the head, the body and the unread bytes.
 fn read_request(pieces: &[&[u8]]) -> Option<(RequestHead, Vec<u8>, BytesMut)> {
     let mut buffer = BytesMut::new();
     let mut head = None;
@@ -15,10 +16,10 @@
     for piece in pieces {
         buffer.extend_from_slice(piece);
         if head.is_none() {
-            head = RequestHead::take(&mut buffer, MAX_HEAD).unwrap();
+            head = RequestHead::take(&mut buffer, MAX_HEAD_BYTES).unwrap();
             if let Some(head) = &head {
                 let length = BodyLength::of_request(head).unwrap();
-                body = Some(BodyReader::new(length, MAX_BODY).unwrap());
+                body = Some(BodyReader::new(length, MAX_BODY_BYTES).unwrap());
             }
         }
         if let Some(reader) = &mut body
@@ -31,36 +32,36 @@
     None
 }
 
-fn chunked(body: &[u8], sizes: &[usize]) -> Vec<u8> {
+fn encode_chunked(body: &[u8], sizes: &[usize]) -> Vec<u8> {
     let mut bytes = Vec::new();
     let mut rest = body;
     let mut sizes = sizes.iter().cycle();
     while !rest.is_empty() {
         let size = (*sizes.next().unwrap()).clamp(1, rest.len());
-        let (chunk, after) = rest.split_at(size);
+        let (chunk, tail) = rest.split_at(size);
         bytes.extend_from_slice(format!("{size:x};ext=1\r\n").as_bytes());
         bytes.extend_from_slice(chunk);
         bytes.extend_from_slice(b"\r\n");
-        rest = after;
+        rest = tail;
     }
     bytes.extend_from_slice(b"0\r\nTrailer: t\r\n\r\n");
     bytes
 }
 
-/// Cuts bytes at places that are given as shares of 1,000.
-fn cut<'a>(bytes: &'a [u8], places: &[usize]) -> Vec<&'a [u8]> {
-    let mut places: Vec<usize> = places
+/// Splits bytes at positions given in thousandths of their length.
+fn split_at_thousandths<'a>(bytes: &'a [u8], positions: &[usize]) -> Vec<&'a [u8]> {
+    let mut positions: Vec<usize> = positions
         .iter()
-        .map(|place| place * bytes.len() / 1000)
+        .map(|position| position * bytes.len() / 1000)
         .collect();
-    places.sort_unstable();
+    positions.sort_unstable();
     let mut pieces = Vec::new();
-    let mut from = 0;
-    for place in places {
-        pieces.push(&bytes[from..place]);
-        from = place;
+    let mut start = 0;
+    for position in positions {
+        pieces.push(&bytes[start..position]);
+        start = position;
     }
-    pieces.push(&bytes[from..]);
+    pieces.push(&bytes[start..]);
     pieces
 }
 
@@ -68,49 +69,49 @@
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     #[test]
-    fn a_request_is_read_the_same_in_any_pieces(
+    fn reads_request_split_at_any_position(
         body in prop::collection::vec(any::<u8>(), 0..600),
         sizes in prop::collection::vec(1_usize..200, 1..5),
-        places in prop::collection::vec(0_usize..1000, 0..12),
-        in_chunks in any::<bool>(),
+        positions in prop::collection::vec(0_usize..1000, 0..12),
+        is_chunked in any::<bool>(),
     ) {
-        let framing = if in_chunks {
+        let framing = if is_chunked {
             "Transfer-Encoding: chunked".to_owned()
         } else {
             format!("Content-Length: {}", body.len())
         };
         let mut bytes = format!("POST /a?b=c HTTP/1.1\r\nHost: h\r\n{framing}\r\n\r\n").into_bytes();
-        if in_chunks {
-            bytes.extend(chunked(&body, &sizes));
+        if is_chunked {
+            bytes.extend(encode_chunked(&body, &sizes));
         } else {
             bytes.extend_from_slice(&body);
         }
         bytes.extend_from_slice(b"GET /next");
-        let (head, read, rest) = read_request(&cut(&bytes, &places)).unwrap();
+        let (head, read, rest) = read_request(&split_at_thousandths(&bytes, &positions)).unwrap();
         prop_assert_eq!(head.method, "POST");
         prop_assert_eq!(head.target, "/a?b=c");
         prop_assert_eq!(read, body);
-        // What had not come when the request was whole is not in the rest.
+        // The rest holds only the bytes that arrived before the request was complete.
         prop_assert!(b"GET /next".starts_with(&rest[..]));
     }
 
     #[test]
-    fn no_bytes_make_the_readers_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+    fn arbitrary_bytes_do_not_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
         let mut buffer = BytesMut::from(&bytes[..]);
-        let _ = RequestHead::take(&mut buffer, MAX_HEAD);
+        let _ = RequestHead::take(&mut buffer, MAX_HEAD_BYTES);
         let mut buffer = BytesMut::from(&bytes[..]);
-        let mut reader = BodyReader::new(BodyLength::Chunked, MAX_BODY).unwrap();
+        let mut reader = BodyReader::new(BodyLength::Chunked, MAX_BODY_BYTES).unwrap();
         let _ = reader.read(&mut buffer);
     }
 }
 
-fn head_of(lines: &str) -> Result<Option<RequestHead>, HeadError> {
+fn parse_head(lines: &str) -> Result<Option<RequestHead>, HeadError> {
     let bytes = format!("POST / HTTP/1.1\r\nHost: h\r\n{lines}\r\n");
-    RequestHead::take(&mut BytesMut::from(bytes.as_bytes()), MAX_HEAD)
+    RequestHead::take(&mut BytesMut::from(bytes.as_bytes()), MAX_HEAD_BYTES)
 }
 
 #[test]
-fn lengths_that_contradict_each_other_are_refused() {
+fn rejects_ambiguous_body_lengths() {
     let malformed = [
         "Content-Length: 1\r\nContent-Length: 2\r\n",
         "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
@@ -123,7 +124,7 @@
         "Content-Length: 99999999999999999999999\r\n",
     ];
     for lines in malformed {
-        let head = head_of(lines).unwrap().unwrap();
+        let head = parse_head(lines).unwrap().unwrap();
         assert_eq!(
             BodyLength::of_request(&head),
             Err(BodyError::Malformed),
@@ -133,7 +134,7 @@
 }
 
 #[test]
-fn heads_that_are_none_are_refused() {
+fn rejects_malformed_and_oversized_heads() {
     for lines in [
         "X-A : b\r\n",
         "X-A: b\r\n c\r\n",
@@ -141,17 +142,17 @@
         "X\u{1}: b\r\n",
     ] {
         assert_eq!(
-            head_of(lines).unwrap_err(),
+            parse_head(lines).unwrap_err(),
             HeadError::Malformed,
             "{lines:?}"
         );
     }
-    let long = format!("X-A: {}\r\n", "b".repeat(MAX_HEAD));
-    assert_eq!(head_of(&long).unwrap_err(), HeadError::TooLarge);
+    let oversized = format!("X-A: {}\r\n", "b".repeat(MAX_HEAD_BYTES));
+    assert_eq!(parse_head(&oversized).unwrap_err(), HeadError::TooLarge);
 }
 
 #[test]
-fn a_body_above_its_limit_is_refused_whatever_its_framing() {
+fn rejects_oversized_body_in_any_framing() {
     assert_eq!(
         BodyReader::new(BodyLength::Sized(11), 10).unwrap_err(),
         BodyError::TooLarge
@@ -162,8 +163,8 @@
 }
 
 #[test]
-fn headers_of_the_connection_are_not_passed_on() {
-    let head = head_of(
+fn does_not_forward_hop_by_hop_headers() {
+    let head = parse_head(
         "Connection: close, X-Named\r\nX-Named: 1\r\nKeep-Alive: 5\r\nTE: x\r\nX-Kept: 2\r\nX-Drop: 3\r\n",
     );
     let mut out = Vec::new();
