HTTP and limits: terms of the field for the remaining private names

`PendingAnswer` and its file mixed "answer" with the HTTP term "response", a method and its field shared the name `idle`, and test parameters lacked their unit.

The private type and file now say response, `lock_idle` takes the lock, and `time_left` and `age` name milliseconds. No behaviour changes.

--- a/crates/tallybridge-core/src/key.rs
+++ b/crates/tallybridge-core/src/key.rs
@@ -69,7 +69,7 @@
 /// Properties that distinguish a nested call without its own key from its siblings.
 #[derive(Debug, Clone, Copy)]
 pub struct NestedCall<'a> {
-    /// HTTP method in its original case.
+    /// HTTP method, case-sensitive.
     pub method: &'a str,
     /// Path and query of the nested call.
     pub path: &'a str,
--- a/crates/tallybridge-limits/src/queue/class.rs
+++ b/crates/tallybridge-limits/src/queue/class.rs
@@ -11,25 +11,25 @@
 /// Waiting calls of one class in order of arrival.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ClassQueue {
-    order: BTreeSet<Position>,
+    positions: BTreeSet<Position>,
     occupied_since: Option<Instant>,
 }
 
 impl ClassQueue {
     pub(super) fn insert(&mut self, position: Position, now: Instant) {
         self.occupied_since.get_or_insert(now);
-        self.order.insert(position);
+        self.positions.insert(position);
     }
 
     pub(super) fn remove(&mut self, position: Position) {
-        self.order.remove(&position);
-        if self.order.is_empty() {
+        self.positions.remove(&position);
+        if self.positions.is_empty() {
             self.occupied_since = None;
         }
     }
 
     pub(super) fn len(&self) -> usize {
-        self.order.len()
+        self.positions.len()
     }
 
     /// Returns `true` if the queue has not been empty for the interval and its oldest call has waited
@@ -53,9 +53,9 @@
     /// most time left before its deadline.
     pub(super) fn next(&self, is_standing: bool) -> Option<Position> {
         if is_standing {
-            self.order.last().copied()
+            self.positions.last().copied()
         } else {
-            self.order.first().copied()
+            self.positions.first().copied()
         }
     }
 
@@ -65,6 +65,6 @@
     }
 
     pub(super) fn oldest(&self) -> Option<Position> {
-        self.order.first().copied()
+        self.positions.first().copied()
     }
 }
--- a/crates/tallybridge-limits/tests/admission_queue.rs
+++ b/crates/tallybridge-limits/tests/admission_queue.rs
@@ -22,8 +22,8 @@
 enum Step {
     Offer {
         class: usize,
-        time_left: u64,
-        age: u64,
+        time_left_ms: u64,
+        age_ms: u64,
     },
     Take,
     Expire,
@@ -35,7 +35,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         6 => (0..4_usize, 0..120_u64, 0..10_u64)
-            .prop_map(|(class, time_left, age)| Step::Offer { class, time_left, age }),
+            .prop_map(|(class, time_left_ms, age_ms)| Step::Offer { class, time_left_ms, age_ms }),
         3 => Just(Step::Take),
         1 => Just(Step::Expire),
         1 => any::<usize>().prop_map(Step::Cancel),
@@ -53,8 +53,8 @@
 
 impl ListModel {
     fn class(&self, class: usize) -> Vec<Waiting<usize>> {
-        let of_class = |call: &&Waiting<usize>| call.criticality.index() == class;
-        let mut calls: Vec<_> = self.waiting.iter().filter(of_class).copied().collect();
+        let is_in_class = |call: &&Waiting<usize>| call.criticality.index() == class;
+        let mut calls: Vec<_> = self.waiting.iter().filter(is_in_class).copied().collect();
         calls.sort_by_key(|call| call.arrived);
         calls
     }
@@ -175,9 +175,9 @@
         match *step {
             Step::Offer {
                 class,
-                time_left,
-                age,
-            } => self.offer(class, time_left, age)?,
+                time_left_ms,
+                age_ms,
+            } => self.offer(class, time_left_ms, age_ms)?,
             Step::Take => self.take()?,
             Step::Expire => self.expire()?,
             Step::Cancel(number) => self.cancel(number)?,
@@ -191,12 +191,12 @@
         Ok(())
     }
 
-    fn offer(&mut self, class: usize, time_left: u64, age: u64) -> Result<(), TestCaseError> {
+    fn offer(&mut self, class: usize, time_left_ms: u64, age_ms: u64) -> Result<(), TestCaseError> {
         let item = self.tickets.len();
         let call = Waiting {
             criticality: Criticality::ALL[class],
-            deadline: self.now + Duration::from_millis(time_left),
-            arrived: self.now - Duration::from_millis(age),
+            deadline: self.now + Duration::from_millis(time_left_ms),
+            arrived: self.now - Duration::from_millis(age_ms),
             item,
         };
         let (ticket, refused) = match self.queue.offer(call, self.now) {
--- a/crates/tallybridge-mesh/src/http/head.rs
+++ b/crates/tallybridge-mesh/src/http/head.rs
@@ -20,7 +20,7 @@
 /// Request line and header lines of a request.
 #[derive(Debug, Clone)]
 pub struct RequestHead {
-    /// Method in its original case.
+    /// Method, case-sensitive.
     pub method: String,
     /// Request target as received, normally path and query.
     pub target: String,
@@ -62,7 +62,7 @@
     /// Returns `true` if the caller sends no further requests on the connection.
     #[must_use]
     pub fn closes(&self) -> bool {
-        closes(&self.headers, self.is_version_1_1)
+        closes_connection(&self.headers, self.is_version_1_1)
     }
 }
 
@@ -86,8 +86,8 @@
     /// `max_bytes`.
     pub fn take(buffer: &mut BytesMut, max_bytes: usize) -> Result<Option<Self>, HeadError> {
         let prefix = b"HTTP/1.";
-        let compared = prefix.len().min(buffer.len());
-        if buffer[..compared] != prefix[..compared] {
+        let prefix_length = prefix.len().min(buffer.len());
+        if buffer[..prefix_length] != prefix[..prefix_length] {
             return Err(HeadError::Malformed);
         }
         let Some(length) = head_length(buffer, max_bytes)? else {
@@ -110,13 +110,13 @@
     /// Returns `true` if the server closes the connection after this response.
     #[must_use]
     pub fn closes(&self) -> bool {
-        closes(&self.headers, self.is_version_1_1)
+        closes_connection(&self.headers, self.is_version_1_1)
     }
 }
 
 /// Returns `true` if the connection closes after the message. An HTTP/1.0 connection closes unless
 /// the sender requests keep-alive (RFC 9112, section 9.3).
-fn closes(headers: &HeaderLines, is_version_1_1: bool) -> bool {
+fn closes_connection(headers: &HeaderLines, is_version_1_1: bool) -> bool {
     let close = headers.has_token("connection", "close");
     let keep_alive = headers.has_token("connection", "keep-alive");
     close || (!is_version_1_1 && !keep_alive)
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -7,7 +7,6 @@
 //! needed to process pipelined requests concurrently, to detect a caller that closes its connection
 //! and to refuse reuse of a connection with surplus bytes.
 
-mod answer;
 mod body_length;
 mod body_reader;
 mod client;
@@ -16,11 +15,11 @@
 mod headers;
 mod persistent;
 mod pool;
+mod response;
 mod server;
 mod socket;
 
 pub use self::{
-    answer::Answer,
     body_length::{BodyError, BodyLength},
     body_reader::BodyReader,
     client::{Connection, Received},
@@ -29,6 +28,7 @@
     headers::{HeaderLines, write_line},
     persistent::PersistentConnection,
     pool::{Checkout, ConnectionPool},
+    response::Answer,
     server::{HttpLimits, Request, RequestHandler, serve_connection},
     socket::{connect, set_liveness_options},
 };
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -65,7 +65,7 @@
     #[must_use]
     pub fn check_out(&self) -> Option<Checkout> {
         let now = Instant::now();
-        let mut idle = self.idle();
+        let mut idle = self.lock_idle();
         while let Some(last) = idle.pop() {
             if now < last.expires_at && last.connection.is_open_and_idle() {
                 return Some(Checkout {
@@ -98,7 +98,7 @@
             return;
         }
         let keep_alive = keep_alive_duration(&received.head);
-        let mut idle = self.idle();
+        let mut idle = self.lock_idle();
         if keep_alive.is_zero() || idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
@@ -111,12 +111,12 @@
     /// Closes the idle connections whose keep-alive time has expired.
     pub fn prune(&self) {
         let now = Instant::now();
-        self.idle().retain(|idle| now < idle.expires_at);
+        self.lock_idle().retain(|idle| now < idle.expires_at);
     }
 
     /// Closes all idle connections. Checked-out connections are not affected.
     pub fn clear(&self) {
-        self.idle().clear();
+        self.lock_idle().clear();
     }
 }
 
--- a/crates/tallybridge-mesh/src/http/answer.rs
+++ b/crates/tallybridge-mesh/src/http/response.rs
@@ -41,17 +41,17 @@
 }
 
 /// A response that is ready to be written, and whether its request was a `HEAD` request.
-pub(super) struct PendingAnswer {
-    pub answer: Answer,
+pub(super) struct PendingResponse {
+    pub response: Answer,
     pub is_head_request: bool,
 }
 
-impl PendingAnswer {
+impl PendingResponse {
     /// Writes the response. `closes_connection` adds a `Connection: close` header.
     pub async fn write(&self, stream: &mut TcpStream, closes_connection: bool) -> io::Result<()> {
-        let body = &self.answer.body;
+        let body = &self.response.body;
         let has_body = !self.is_head_request && self.may_have_body();
-        let mut bytes = self.head(closes_connection);
+        let mut bytes = self.serialize_head(closes_connection);
         if has_body && body.len() <= MAX_COALESCED_BODY_BYTES {
             bytes.extend_from_slice(body);
             return stream.write_all(&bytes).await;
@@ -64,17 +64,17 @@
     }
 
     /// Returns the serialized head in a buffer with capacity for the body.
-    fn head(&self, closes_connection: bool) -> Vec<u8> {
-        let answer = &self.answer;
-        let mut bytes = Vec::with_capacity(256 + answer.headers.len() + answer.body.len());
+    fn serialize_head(&self, closes_connection: bool) -> Vec<u8> {
+        let response = &self.response;
+        let mut bytes = Vec::with_capacity(256 + response.headers.len() + response.body.len());
         bytes.extend_from_slice(b"HTTP/1.1 ");
-        bytes.extend_from_slice(answer.status.to_string().as_bytes());
+        bytes.extend_from_slice(response.status.to_string().as_bytes());
         bytes.push(b' ');
-        bytes.extend_from_slice(reason_phrase(answer.status).as_bytes());
+        bytes.extend_from_slice(reason_phrase(response.status).as_bytes());
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&answer.headers);
+        bytes.extend_from_slice(&response.headers);
         if self.may_have_body() {
-            let length = answer.body.len().to_string();
+            let length = response.body.len().to_string();
             write_line("Content-Length", length.as_bytes(), &mut bytes);
         }
         if closes_connection {
@@ -86,7 +86,7 @@
 
     /// Returns `false` for statuses whose responses never have a body (RFC 9110, section 6.4.1).
     const fn may_have_body(&self) -> bool {
-        !matches!(self.answer.status, 204 | 304)
+        !matches!(self.response.status, 204 | 304)
     }
 }
 
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -23,7 +23,7 @@
 
 pub use self::handler::{HttpLimits, Request, RequestHandler};
 use self::request_reader::RequestReader;
-use super::answer::{Answer, PendingAnswer};
+use super::response::{Answer, PendingResponse};
 
 /// Requests of one connection that run concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -66,7 +66,7 @@
     handler: H,
     stream: TcpStream,
     requests: RequestReader,
-    pending: FuturesOrdered<BoxFuture<'static, PendingAnswer>>,
+    pending: FuturesOrdered<BoxFuture<'static, PendingResponse>>,
     /// Start of the idle or header timeout.
     waiting_since: Instant,
     /// Whether no byte of the next request has been received.
@@ -85,8 +85,8 @@
             let deadline = self.deadline();
             tokio::select! {
                 biased;
-                Some(answer) = self.pending.next(), if !self.pending.is_empty() => {
-                    self.write(&answer).await?;
+                Some(response) = self.pending.next(), if !self.pending.is_empty() => {
+                    self.write(&response).await?;
                 }
                 read = self.requests.read_some(&mut self.stream), if may_read => {
                     if read? == 0 {
@@ -163,23 +163,23 @@
             self.close_intake();
         }
         let handler = self.handler.clone();
-        let handling = async move {
-            PendingAnswer {
-                answer: handler.handle(request).await,
+        let response = async move {
+            PendingResponse {
+                response: handler.handle(request).await,
                 is_head_request,
             }
         };
-        self.pending.push_back(handling.boxed());
+        self.pending.push_back(response.boxed());
     }
 
     /// Queues an error response behind the pending responses and accepts no further requests.
     fn reject(&mut self, status: u16) {
-        let answer = PendingAnswer {
-            answer: Answer::new(status, Bytes::new()),
+        let response = PendingResponse {
+            response: Answer::new(status, Bytes::new()),
             is_head_request: false,
         };
         self.close_intake();
-        self.pending.push_back(ready(answer).boxed());
+        self.pending.push_back(ready(response).boxed());
     }
 
     fn close_intake(&mut self) {
@@ -187,14 +187,14 @@
         self.requests.discard();
     }
 
-    async fn write(&mut self, answer: &PendingAnswer) -> io::Result<()> {
+    async fn write(&mut self, response: &PendingResponse) -> io::Result<()> {
         // Only the last pending response may announce a close, because later requests already run.
         let is_last = self.pending.is_empty();
         if self.handler.is_closing() && is_last && !self.requests.is_in_body() {
             self.close_intake();
         }
-        let closes = self.intake == Intake::Closed && is_last;
-        let writing = answer.write(&mut self.stream, closes);
+        let closes_connection = self.intake == Intake::Closed && is_last;
+        let writing = response.write(&mut self.stream, closes_connection);
         let written = timeout(WRITE_TIMEOUT, writing).await;
         self.waiting_since = Instant::now();
         self.is_idle = self.requests.is_empty();
@@ -202,7 +202,7 @@
     }
 }
 
-/// Shuts down the sending side and reads until the caller closes the connection or the time is over.
+/// Shuts down the sending side, then reads until the caller closes the connection or the timeout expires.
 async fn lingering_close(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
     let mut discarded = [0_u8; 1024];
