--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -93,12 +93,12 @@
     /// The call token identifies an attempt that this node does not run.
     UnknownParent = 5 => {
         "unknown-parent", 409, Downstream, NotRun, false, 68,
-        "the parent call has ended or its node was replaced: the root caller must send the request again"
+        "the parent call has ended or its node was replaced: let the root caller send it again"
     }
     /// The key's timestamp lies outside the window in which keys are remembered.
     KeyOutsideWindow = 6 => {
         "key-outside-window", 422, Downstream, Unknown, false, 69,
-        "generate a new UUIDv7 key; for an older key, ask the service whether the request ran"
+        "make a fresh UUIDv7 key; for an older key, ask the service whether it ran"
     }
     /// The request carries no key, or a key that belongs to no tenant.
     UnknownKey = 7 => {
@@ -108,7 +108,7 @@
     /// The back end has reached its limit and sheds the call's class.
     Overloaded = 10 => {
         "overloaded", 503, Internal, NotRun, true, 70,
-        "wait for the time in Retry-After; if the overload persists, add back ends or reduce less critical work"
+        "wait for the time in Retry-After; if it lasts, add back ends or lower lesser work"
     }
     /// The deadline passed before the call was dispatched to a back end.
     DeadlineExceeded = 11 => {
@@ -128,7 +128,7 @@
     /// The request has used up its retry allowance.
     RetryAllowanceSpent = 14 => {
         "retry-allowance-spent", 429, Internal, NotRun, false, 74,
-        "use a new Idempotency-Key for each deliberate repeat, or raise `retry_allowance`"
+        "give each deliberate repeat its own Idempotency-Key, or raise `retry_allowance`"
     }
     /// The node has no configuration yet.
     NoConfiguration = 15 => {
@@ -138,12 +138,12 @@
     /// No majority of the key's claim group could be reached.
     NoQuorum = 16 => {
         "no-quorum", 503, Internal, Unknown, false, 76,
-        "send the request again with the same key once the claim group is reachable"
+        "send the request again with the same key once the members are reachable"
     }
     /// Another attempt with the same key is running or has run.
     AlreadyClaimed = 17 => {
         "already-claimed", 409, Internal, Unknown, false, 77,
-        "retry later with the same key: a completed answer is replayed"
+        "ask again later with the same key: a finished answer is replayed"
     }
     /// The tenant has reached its request limit across the fleet.
     OverQuota = 18 => {
@@ -168,12 +168,12 @@
     /// The back end's answer exceeds the template's limit.
     AnswerTooLarge = 22 => {
         "answer-too-large", 502, Upstream, Unknown, false, 80,
-        "raise `max_answer_bytes` in the template or paginate the answer"
+        "raise `max_answer_bytes` in the template or page the answer"
     }
     /// The peer that ran the call was lost before its answer arrived.
     PeerLost = 23 => {
         "peer-lost", 502, Internal, Unknown, false, 81,
-        "the node was replaced or became unreachable: see `tallybridge status`"
+        "the node was replaced or cut off: see `tallybridge status`"
     }
     /// The caller closed its connection before the answer was sent.
     Cancelled = 24 => {
@@ -183,32 +183,32 @@
     /// The back end received the request and reported that the request did not run.
     BackendRefused = 25 => {
         "backend-refused", 503, Upstream, NotRun, true, 88,
-        "wait for the time in Retry-After: the back end was full or the call expired in its queue"
+        "wait for the time in Retry-After: the back end was full or the time was up in its queue"
     }
     /// The request is quarantined because it crashed back ends before.
     Quarantined = 26 => {
         "quarantined", 503, Downstream, NotRun, true, 92,
-        "wait for the time in Retry-After; use the digest of the request to find why it crashes back ends"
+        "wait for the time in Retry-After; find what the request does to its back ends, by its digest"
     }
     /// A bug in tallybridge.
     Internal = 30 => {
         "internal", 500, Internal, Unknown, false, 83,
-        "report the log lines of this request id as a bug"
+        "report the log lines of this request id as a defect"
     }
     /// A settings, template or scenario file is invalid (commands only).
     InvalidConfiguration = 40 => {
         "invalid-configuration", 422, Downstream, NotRun, false, 84,
-        "correct the fields that the report names"
+        "mend the fields that the report names"
     }
     /// An edit was based on a revision that is no longer the newest (commands only).
     Conflict = 41 => {
         "conflict", 409, Downstream, NotRun, false, 85,
-        "review the difference, fetch the newest revision and apply the edit again"
+        "read the difference, take the newest revision and apply the edit again"
     }
     /// The configuration store is unreachable or refuses requests temporarily (commands only).
     StoreUnavailable = 42 => {
         "store-unavailable", 503, Upstream, Unknown, true, 86,
-        "try again: `apply` detects whether an earlier write took effect"
+        "try again: an apply settles by itself whether an earlier write took effect"
     }
     /// A node is unreachable or did not become ready in time (commands only).
     NodeUnavailable = 43 => {
--- a/crates/tallybridge-limits/src/queue/admission.rs
+++ b/crates/tallybridge-limits/src/queue/admission.rs
@@ -53,7 +53,7 @@
         self.entries.len()
     }
 
-    /// Returns `true` if no call waits. Expired calls may still await [`expire`](Self::expire).
+    /// Returns `true` if no call waits, ignoring expired calls that [`expire`](Self::expire) will return.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -67,14 +67,14 @@
 
     /// Adds a call to the queue. If the queue is full, the call displaces the last call in serving
     /// order if that one is less critical, and is refused otherwise.
-    pub fn offer(&mut self, waiting: Waiting<T>, now: Instant) -> Offer<T> {
+    pub fn offer(&mut self, call: Waiting<T>, now: Instant) -> Offer<T> {
         self.expire_overdue(now);
         if self.entries.len() < self.settings.capacity {
-            return Offer::Queued(self.insert(waiting, now));
+            return Offer::Queued(self.insert(call, now));
         }
-        match self.remove_last_below(waiting.criticality, now) {
-            Some(displaced) => Offer::QueuedDisplacing(self.insert(waiting, now), displaced.item),
-            None => Offer::Refused(waiting.item),
+        match self.remove_last_below(call.criticality, now) {
+            Some(displaced) => Offer::QueuedDisplacing(self.insert(call, now), displaced.item),
+            None => Offer::Refused(call.item),
         }
     }
 
@@ -107,25 +107,25 @@
         if let Some(item) = self.expired.remove(&ticket.0) {
             return Some(item);
         }
-        self.remove(ticket.0).map(|waiting| waiting.item)
+        self.remove(ticket.0).map(|call| call.item)
     }
 
-    fn insert(&mut self, waiting: Waiting<T>, now: Instant) -> Ticket {
+    fn insert(&mut self, call: Waiting<T>, now: Instant) -> Ticket {
         let number = self.next_ticket;
         self.next_ticket += 1;
-        let class = &mut self.classes[waiting.criticality.index()];
-        class.insert((waiting.arrived, number), now);
-        self.deadlines.insert((waiting.deadline, number));
-        self.entries.insert(number, waiting);
+        let class = &mut self.classes[call.criticality.index()];
+        class.insert((call.arrived, number), now);
+        self.deadlines.insert((call.deadline, number));
+        self.entries.insert(number, call);
         Ticket(number)
     }
 
     fn remove(&mut self, number: u64) -> Option<Waiting<T>> {
-        let waiting = self.entries.remove(&number)?;
-        let class = &mut self.classes[waiting.criticality.index()];
-        class.remove((waiting.arrived, number));
-        self.deadlines.remove(&(waiting.deadline, number));
-        Some(waiting)
+        let call = self.entries.remove(&number)?;
+        let class = &mut self.classes[call.criticality.index()];
+        class.remove((call.arrived, number));
+        self.deadlines.remove(&(call.deadline, number));
+        Some(call)
     }
 
     /// Removes the last call in serving order if it is less critical than `criticality`.
@@ -182,8 +182,8 @@
     }
 
     fn move_to_expired(&mut self, number: u64) {
-        if let Some(waiting) = self.remove(number) {
-            self.expired.insert(number, waiting.item);
+        if let Some(call) = self.remove(number) {
+            self.expired.insert(number, call.item);
         }
     }
 }
--- a/crates/tallybridge-limits/tests/admission_queue.rs
+++ b/crates/tallybridge-limits/tests/admission_queue.rs
@@ -52,7 +52,7 @@
 }
 
 impl ListModel {
-    fn class(&self, class: usize) -> Vec<Waiting<usize>> {
+    fn calls_in_class(&self, class: usize) -> Vec<Waiting<usize>> {
         let is_in_class = |call: &&Waiting<usize>| call.criticality.index() == class;
         let mut calls: Vec<_> = self.waiting.iter().filter(is_in_class).copied().collect();
         calls.sort_by_key(|call| call.arrived);
@@ -62,12 +62,12 @@
     fn is_standing(&self, class: usize, now: Instant) -> bool {
         let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
         self.occupied_since[class].is_some_and(|since| now - since >= SETTINGS.interval)
-            && self.class(class).iter().any(is_delayed)
+            && self.calls_in_class(class).iter().any(is_delayed)
     }
 
     /// Returns the calls of a class in serving order.
-    fn run_order(&self, class: usize, now: Instant) -> Vec<Waiting<usize>> {
-        let mut calls = self.class(class);
+    fn serving_order(&self, class: usize, now: Instant) -> Vec<Waiting<usize>> {
+        let mut calls = self.calls_in_class(class);
         if self.is_standing(class, now) {
             calls.reverse();
         }
@@ -80,14 +80,14 @@
     }
 
     fn remove(&mut self, item: usize) -> bool {
-        let before = self.waiting.len();
+        let previous_len = self.waiting.len();
         self.waiting.retain(|call| call.item != item);
         for class in 0..4 {
-            if self.class(class).is_empty() {
+            if self.calls_in_class(class).is_empty() {
                 self.occupied_since[class] = None;
             }
         }
-        self.waiting.len() < before
+        self.waiting.len() < previous_len
     }
 
     fn expire_overdue(&mut self, now: Instant) {
@@ -104,7 +104,7 @@
         let mut refused = None;
         if self.waiting.len() == SETTINGS.capacity {
             let less_critical = (0..call.criticality.index())
-                .find_map(|class| self.run_order(class, now).last().copied());
+                .find_map(|class| self.serving_order(class, now).last().copied());
             refused = Some(less_critical.map_or(call.item, |less_critical| less_critical.item));
         }
         if let Some(refused) = refused {
@@ -120,7 +120,7 @@
         self.expire_overdue(now);
         let next = (0..4)
             .rev()
-            .find_map(|class| self.run_order(class, now).first().copied())?;
+            .find_map(|class| self.serving_order(class, now).first().copied())?;
         self.remove(next.item);
         Some(next.item)
     }
@@ -129,11 +129,15 @@
         self.expire_overdue(now);
         for class in 0..3 {
             let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
-            let delayed: Vec<_> = self.class(class).into_iter().filter(is_delayed).collect();
+            let delayed: Vec<_> = self
+                .calls_in_class(class)
+                .into_iter()
+                .filter(is_delayed)
+                .collect();
             if delayed.is_empty() || !self.is_standing(class, now) {
                 continue;
             }
-            let less_critical = (0..class).flat_map(|less_critical| self.class(less_critical));
+            let less_critical = (0..class).flat_map(|lower_class| self.calls_in_class(lower_class));
             for call in less_critical.chain(delayed).collect::<Vec<_>>() {
                 self.remove(call.item);
                 self.expired.push(call.item);
@@ -185,7 +189,7 @@
         }
         prop_assert_eq!(self.queue.len(), self.model.waiting.len());
         for class in Criticality::ALL {
-            let expected = self.model.class(class.index()).len();
+            let expected = self.model.calls_in_class(class.index()).len();
             prop_assert_eq!(self.queue.len_by_class(class), expected);
         }
         Ok(())
--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -102,8 +102,8 @@
         Ok(received)
     }
 
-    /// Reads another response without sending a request. The caller uses it after a response that did
-    /// not belong to its request.
+    /// Reads another response without sending a request, after a response that belongs to a different
+    /// request.
     ///
     /// # Errors
     ///
--- a/crates/tallybridge-mesh/src/http/persistent.rs
+++ b/crates/tallybridge-mesh/src/http/persistent.rs
@@ -42,7 +42,7 @@
     ) -> Result<Received, ExchangeError> {
         let mut idle = self.connection.lock().await;
         let connection = idle.take().filter(Connection::is_open_and_idle);
-        let request = self.request(method, path, body);
+        let request = self.build_request(method, path, body);
         let body = body.unwrap_or("").as_bytes();
         let exchange = async {
             let mut connection = match connection {
@@ -67,7 +67,7 @@
         Ok(Connection::new(stream))
     }
 
-    fn request(&self, method: &str, path: &str, body: Option<&str>) -> String {
+    fn build_request(&self, method: &str, path: &str, body: Option<&str>) -> String {
         let address = self.address;
         match body {
             Some(body) => format!(
