HTTP and limits: rename types and methods that other modules use

The module used "answer" beside the HTTP term "response", and some names such as `Received`, `goes_on` and `Waiting` were vague.

http::Answer -> http::Response http::Received -> http::ReceivedResponse http::Received::goes_on -> is_persistent http::Received::reusable -> is_reusable http::Connection::next_answer -> next_response http::ExchangeError::given_up -> aborted http::RequestHead::closes, ResponseHead::closes -> closes_connection http::BodyLength::of_request, of_response -> from_request, from_response tallybridge_limits::Waiting -> QueuedCall

No behaviour changes.

--- a/crates/standalone/tallybridge-node/src/systems/admission.rs
+++ b/crates/standalone/tallybridge-node/src/systems/admission.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use tallybridge_core::{AttemptId, ErrorKind, Refusal, TemplateName};
-use tallybridge_limits::{Offer, Ticket, Waiting};
+use tallybridge_limits::{Offer, QueuedCall, Ticket};
 use tallybridge_overload::Sample;
 use tokio::sync::oneshot;
 
@@ -72,7 +72,7 @@
     now: Instant,
 ) -> Result<Admitted, Refusal> {
     let (reply, receiver) = oneshot::channel();
-    let waiting = Waiting {
+    let waiting = QueuedCall {
         criticality: execution.criticality,
         deadline: execution.deadline,
         arrived: now,
--- a/crates/standalone/tallybridge-overload/benches/decisions.rs
+++ b/crates/standalone/tallybridge-overload/benches/decisions.rs
@@ -7,11 +7,11 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tallybridge_core::{Criticality, LoadReport};
-use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Waiting};
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, QueuedCall};
 use tallybridge_overload::{ConcurrencyLimit, EarlyRefusal, LimitSettings, Sample, SampleResult};
 
-fn waiting(number: usize, now: Instant) -> Waiting<usize> {
-    Waiting {
+fn waiting(number: usize, now: Instant) -> QueuedCall<usize> {
+    QueuedCall {
         criticality: Criticality::ALL[number % 4],
         deadline: now + Duration::from_millis(1000 + (number * 37 % 500) as u64),
         arrived: now,
@@ -55,7 +55,7 @@
     let now = Instant::now();
     let mut group = criterion.benchmark_group("displace");
     for length in [16, 256, 4096] {
-        let critical = Waiting {
+        let critical = QueuedCall {
             criticality: Criticality::CriticalPlus,
             ..waiting(0, now)
         };
--- a/crates/standalone/tallybridge-overload/tests/backend_model/mod.rs
+++ b/crates/standalone/tallybridge-overload/tests/backend_model/mod.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tallybridge_core::{Criticality, LoadReport};
-use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Waiting};
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, QueuedCall};
 use tallybridge_overload::{
     AdmissionThreshold, ConcurrencyLimit, EarlyRefusal, LimitSettings, Sample, SampleResult,
     ThresholdSettings,
@@ -238,7 +238,7 @@
             self.retry(id);
             return;
         }
-        let waiting = Waiting {
+        let waiting = QueuedCall {
             criticality,
             deadline,
             arrived: self.now,
--- a/crates/tallybridge-limits/src/lib.rs
+++ b/crates/tallybridge-limits/src/lib.rs
@@ -8,4 +8,4 @@
 mod queue;
 
 pub use budget::{Budget, BudgetSettings};
-pub use queue::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
+pub use queue::{AdmissionQueue, Offer, QueueSettings, QueuedCall, Ticket};
--- a/crates/tallybridge-limits/src/queue/admission.rs
+++ b/crates/tallybridge-limits/src/queue/admission.rs
@@ -6,7 +6,7 @@
 use tallybridge_core::Criticality;
 
 use super::class::{ClassQueue, Position};
-use super::offer::{Offer, Ticket, Waiting};
+use super::offer::{Offer, QueuedCall, Ticket};
 use super::settings::QueueSettings;
 
 /// A bounded queue of calls that wait for a slot of a back end, ordered by criticality.
@@ -19,7 +19,7 @@
     settings: QueueSettings,
     expected_service_time: Duration,
     next_ticket: u64,
-    entries: BTreeMap<u64, Waiting<T>>,
+    entries: BTreeMap<u64, QueuedCall<T>>,
     classes: [ClassQueue; Criticality::ALL.len()],
     deadlines: BTreeSet<Position>,
     expired: BTreeMap<u64, T>,
@@ -67,7 +67,7 @@
 
     /// Adds a call to the queue. If the queue is full, the call displaces the last call in serving
     /// order if that one is less critical, and is refused otherwise.
-    pub fn offer(&mut self, call: Waiting<T>, now: Instant) -> Offer<T> {
+    pub fn offer(&mut self, call: QueuedCall<T>, now: Instant) -> Offer<T> {
         self.expire_overdue(now);
         if self.entries.len() < self.settings.capacity {
             return Offer::Queued(self.insert(call, now));
@@ -79,7 +79,7 @@
     }
 
     /// Removes and returns the call to run next. Never returns a call whose deadline has passed.
-    pub fn take(&mut self, now: Instant) -> Option<Waiting<T>> {
+    pub fn take(&mut self, now: Instant) -> Option<QueuedCall<T>> {
         self.expire_overdue(now);
         let position = self.classes.iter().rev().find_map(|class| {
             let is_standing = class.is_standing(&self.settings, now);
@@ -110,7 +110,7 @@
         self.remove(ticket.0).map(|call| call.item)
     }
 
-    fn insert(&mut self, call: Waiting<T>, now: Instant) -> Ticket {
+    fn insert(&mut self, call: QueuedCall<T>, now: Instant) -> Ticket {
         let number = self.next_ticket;
         self.next_ticket += 1;
         let class = &mut self.classes[call.criticality.index()];
@@ -120,7 +120,7 @@
         Ticket(number)
     }
 
-    fn remove(&mut self, number: u64) -> Option<Waiting<T>> {
+    fn remove(&mut self, number: u64) -> Option<QueuedCall<T>> {
         let call = self.entries.remove(&number)?;
         let class = &mut self.classes[call.criticality.index()];
         class.remove((call.arrived, number));
@@ -129,7 +129,11 @@
     }
 
     /// Removes the last call in serving order if it is less critical than `criticality`.
-    fn remove_last_below(&mut self, criticality: Criticality, now: Instant) -> Option<Waiting<T>> {
+    fn remove_last_below(
+        &mut self,
+        criticality: Criticality,
+        now: Instant,
+    ) -> Option<QueuedCall<T>> {
         let less_critical = &self.classes[..criticality.index()];
         let position = less_critical.iter().find_map(|class| {
             let is_standing = class.is_standing(&self.settings, now);
--- a/crates/tallybridge-limits/src/queue/mod.rs
+++ b/crates/tallybridge-limits/src/queue/mod.rs
@@ -14,5 +14,5 @@
 mod settings;
 
 pub use admission::AdmissionQueue;
-pub use offer::{Offer, Ticket, Waiting};
+pub use offer::{Offer, QueuedCall, Ticket};
 pub use settings::QueueSettings;
--- a/crates/tallybridge-limits/src/queue/offer.rs
+++ b/crates/tallybridge-limits/src/queue/offer.rs
@@ -6,7 +6,7 @@
 
 /// A call that waits for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Waiting<T> {
+pub struct QueuedCall<T> {
     /// Class that determines the serving order and which calls are shed first.
     pub criticality: Criticality,
     /// Time after which the caller no longer waits for the answer.
--- a/crates/tallybridge-limits/tests/admission_queue.rs
+++ b/crates/tallybridge-limits/tests/admission_queue.rs
@@ -9,7 +9,7 @@
 
 use proptest::prelude::*;
 use tallybridge_core::Criticality;
-use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, QueuedCall, Ticket};
 
 const SETTINGS: QueueSettings = QueueSettings {
     capacity: 6,
@@ -46,27 +46,27 @@
 /// Reference model that keeps the waiting calls in the order of their offers.
 #[derive(Default)]
 struct ListModel {
-    waiting: Vec<Waiting<usize>>,
+    waiting: Vec<QueuedCall<usize>>,
     expired: Vec<usize>,
     occupied_since: [Option<Instant>; 4],
 }
 
 impl ListModel {
-    fn calls_in_class(&self, class: usize) -> Vec<Waiting<usize>> {
-        let is_in_class = |call: &&Waiting<usize>| call.criticality.index() == class;
+    fn calls_in_class(&self, class: usize) -> Vec<QueuedCall<usize>> {
+        let is_in_class = |call: &&QueuedCall<usize>| call.criticality.index() == class;
         let mut calls: Vec<_> = self.waiting.iter().filter(is_in_class).copied().collect();
         calls.sort_by_key(|call| call.arrived);
         calls
     }
 
     fn is_standing(&self, class: usize, now: Instant) -> bool {
-        let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
+        let is_delayed = |call: &QueuedCall<usize>| now - call.arrived > SETTINGS.target_delay;
         self.occupied_since[class].is_some_and(|since| now - since >= SETTINGS.interval)
             && self.calls_in_class(class).iter().any(is_delayed)
     }
 
     /// Returns the calls of a class in serving order.
-    fn serving_order(&self, class: usize, now: Instant) -> Vec<Waiting<usize>> {
+    fn serving_order(&self, class: usize, now: Instant) -> Vec<QueuedCall<usize>> {
         let mut calls = self.calls_in_class(class);
         if self.is_standing(class, now) {
             calls.reverse();
@@ -74,7 +74,7 @@
         calls
     }
 
-    fn add(&mut self, call: Waiting<usize>, now: Instant) {
+    fn add(&mut self, call: QueuedCall<usize>, now: Instant) {
         self.waiting.push(call);
         self.occupied_since[call.criticality.index()].get_or_insert(now);
     }
@@ -99,7 +99,7 @@
         }
     }
 
-    fn offer(&mut self, call: Waiting<usize>, now: Instant) -> Option<usize> {
+    fn offer(&mut self, call: QueuedCall<usize>, now: Instant) -> Option<usize> {
         self.expire_overdue(now);
         let mut refused = None;
         if self.waiting.len() == SETTINGS.capacity {
@@ -128,7 +128,7 @@
     fn expire(&mut self, now: Instant) -> Vec<usize> {
         self.expire_overdue(now);
         for class in 0..3 {
-            let is_delayed = |call: &Waiting<usize>| now - call.arrived > SETTINGS.target_delay;
+            let is_delayed = |call: &QueuedCall<usize>| now - call.arrived > SETTINGS.target_delay;
             let delayed: Vec<_> = self
                 .calls_in_class(class)
                 .into_iter()
@@ -197,7 +197,7 @@
 
     fn offer(&mut self, class: usize, time_left_ms: u64, age_ms: u64) -> Result<(), TestCaseError> {
         let item = self.tickets.len();
-        let call = Waiting {
+        let call = QueuedCall {
             criticality: Criticality::ALL[class],
             deadline: self.now + Duration::from_millis(time_left_ms),
             arrived: self.now - Duration::from_millis(age_ms),
--- a/crates/tallybridge-mesh/src/http/body_length.rs
+++ b/crates/tallybridge-mesh/src/http/body_length.rs
@@ -33,7 +33,7 @@
     /// # Errors
     ///
     /// Returns [`BodyError::Malformed`] if the length headers are contradictory or unreadable.
-    pub fn of_request(head: &RequestHead) -> Result<Self, BodyError> {
+    pub fn from_request(head: &RequestHead) -> Result<Self, BodyError> {
         let chunked = is_chunked(&head.headers)?;
         let sized = content_length(&head.headers)?;
         match (chunked, sized) {
@@ -48,7 +48,7 @@
     /// # Errors
     ///
     /// Returns [`BodyError::Malformed`] if the length headers are contradictory or unreadable.
-    pub fn of_response(head: &ResponseHead, to_head_request: bool) -> Result<Self, BodyError> {
+    pub fn from_response(head: &ResponseHead, to_head_request: bool) -> Result<Self, BodyError> {
         if to_head_request || matches!(head.status, 100..=199 | 204 | 304) {
             return Ok(Self::Sized(0));
         }
--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -25,17 +25,17 @@
 
 /// A complete response, and what may follow it on its connection.
 #[derive(Debug)]
-pub struct Received {
+pub struct ReceivedResponse {
     /// Status line and header lines.
     pub head: ResponseHead,
     /// Complete body, without its transfer coding.
     pub body: Bytes,
     /// Whether the server may send another response on the connection: the response had a length or
     /// chunks and did not announce a close.
-    pub goes_on: bool,
+    pub is_persistent: bool,
     /// Whether the connection may carry another request: the server keeps the connection open, the
     /// request was sent completely before the response ended, and no bytes follow the response.
-    pub reusable: bool,
+    pub is_reusable: bool,
 }
 
 impl Connection {
@@ -73,7 +73,7 @@
         request: &[u8],
         body: &[u8],
         is_head_request: bool,
-    ) -> Result<Received, ExchangeError> {
+    ) -> Result<ReceivedResponse, ExchangeError> {
         let written = self.stream.write(request).await;
         let written = written.map_err(ExchangeError::not_sent)?;
         let Self { stream, buffer } = self;
@@ -98,7 +98,7 @@
             }
         };
         let mut received = received.map_err(ExchangeError::sent)?;
-        received.reusable &= is_sent && buffer.is_empty();
+        received.is_reusable &= is_sent && buffer.is_empty();
         Ok(received)
     }
 
@@ -108,12 +108,15 @@
     /// # Errors
     ///
     /// Returns [`ExchangeError`] if the connection fails or the response is malformed or incomplete.
-    pub async fn next_answer(&mut self, is_head_request: bool) -> Result<Received, ExchangeError> {
+    pub async fn next_response(
+        &mut self,
+        is_head_request: bool,
+    ) -> Result<ReceivedResponse, ExchangeError> {
         let Self { stream, buffer } = self;
         let (mut reader, _writer) = stream.split();
         let received = receive_response(&mut reader, buffer, is_head_request).await;
         let mut received = received.map_err(ExchangeError::sent)?;
-        received.reusable &= buffer.is_empty();
+        received.is_reusable &= buffer.is_empty();
         Ok(received)
     }
 }
@@ -122,16 +125,16 @@
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     is_head_request: bool,
-) -> Result<Received, ExchangeFailure> {
+) -> Result<ReceivedResponse, ExchangeFailure> {
     let head = receive_head(reader, buffer).await?;
-    let length = BodyLength::of_response(&head, is_head_request)?;
+    let length = BodyLength::from_response(&head, is_head_request)?;
     let body = receive_body(reader, buffer, length).await?;
-    let goes_on = length != BodyLength::UntilClose && !head.closes();
-    Ok(Received {
+    let is_persistent = length != BodyLength::UntilClose && !head.closes_connection();
+    Ok(ReceivedResponse {
         head,
         body,
-        goes_on,
-        reusable: goes_on,
+        is_persistent,
+        is_reusable: is_persistent,
     })
 }
 
--- a/crates/tallybridge-mesh/src/http/exchange_error.rs
+++ b/crates/tallybridge-mesh/src/http/exchange_error.rs
@@ -66,7 +66,7 @@
     /// Creates the error of an exchange that the client aborted when part of the request may have been
     /// written.
     #[must_use]
-    pub const fn given_up(reason: &'static str) -> Self {
+    pub const fn aborted(reason: &'static str) -> Self {
         Self {
             stage: ExchangeStage::Sent,
             cause: ExchangeFailure::Aborted(reason),
--- a/crates/tallybridge-mesh/src/http/head.rs
+++ b/crates/tallybridge-mesh/src/http/head.rs
@@ -61,7 +61,7 @@
 
     /// Returns `true` if the caller sends no further requests on the connection.
     #[must_use]
-    pub fn closes(&self) -> bool {
+    pub fn closes_connection(&self) -> bool {
         closes_connection(&self.headers, self.is_version_1_1)
     }
 }
@@ -109,7 +109,7 @@
 
     /// Returns `true` if the server closes the connection after this response.
     #[must_use]
-    pub fn closes(&self) -> bool {
+    pub fn closes_connection(&self) -> bool {
         closes_connection(&self.headers, self.is_version_1_1)
     }
 }
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -22,13 +22,13 @@
 pub use self::{
     body_length::{BodyError, BodyLength},
     body_reader::BodyReader,
-    client::{Connection, Received},
+    client::{Connection, ReceivedResponse},
     exchange_error::{ExchangeError, ExchangeFailure, ExchangeStage},
     head::{HeadError, RequestHead, ResponseHead},
     headers::{HeaderLines, write_line},
     persistent::PersistentConnection,
     pool::{Checkout, ConnectionPool},
-    response::Answer,
+    response::Response,
     server::{HttpLimits, Request, RequestHandler, serve_connection},
     socket::{connect, set_liveness_options},
 };
--- a/crates/tallybridge-mesh/src/http/persistent.rs
+++ b/crates/tallybridge-mesh/src/http/persistent.rs
@@ -4,7 +4,7 @@
 
 use tokio::{sync::Mutex, time::timeout};
 
-use super::{Connection, ExchangeError, Received, connect};
+use super::{Connection, ExchangeError, ReceivedResponse, connect};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// A connection fails once sent bytes stay unacknowledged for this long.
@@ -39,7 +39,7 @@
         path: &str,
         body: Option<&str>,
         call_timeout: Duration,
-    ) -> Result<Received, ExchangeError> {
+    ) -> Result<ReceivedResponse, ExchangeError> {
         let mut idle = self.connection.lock().await;
         let connection = idle.take().filter(Connection::is_open_and_idle);
         let request = self.build_request(method, path, body);
@@ -54,8 +54,8 @@
         };
         let result = timeout(call_timeout, exchange).await;
         let (connection, received) = result
-            .map_err(|_| ExchangeError::given_up("no complete response before the timeout"))??;
-        if received.reusable {
+            .map_err(|_| ExchangeError::aborted("no complete response before the timeout"))??;
+        if received.is_reusable {
             *idle = Some(connection);
         }
         Ok(received)
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -12,7 +12,7 @@
 
 use tokio::time::Instant;
 
-use super::{Connection, ExchangeError, Received, ResponseHead, connect};
+use super::{Connection, ExchangeError, ReceivedResponse, ResponseHead, connect};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// A connection fails once sent bytes stay unacknowledged for this long.
@@ -93,8 +93,8 @@
 
     /// Returns a connection to the pool after a complete response, or closes the connection if it
     /// cannot be reused or the pool is full.
-    pub fn check_in(&self, connection: Connection, received: &Received) {
-        if !received.reusable {
+    pub fn check_in(&self, connection: Connection, received: &ReceivedResponse) {
+        if !received.is_reusable {
             return;
         }
         let keep_alive = keep_alive_duration(&received.head);
--- a/crates/tallybridge-mesh/src/http/response.rs
+++ b/crates/tallybridge-mesh/src/http/response.rs
@@ -12,7 +12,7 @@
 
 /// A complete HTTP response to a caller.
 #[derive(Debug, Clone)]
-pub struct Answer {
+pub struct Response {
     /// HTTP status code.
     pub status: u16,
     /// Header lines, each terminated by CR LF. The server adds `Content-Length` and `Connection`.
@@ -21,7 +21,7 @@
     pub body: Bytes,
 }
 
-impl Answer {
+impl Response {
     /// Creates a response without header lines.
     #[must_use]
     pub fn new(status: u16, body: impl Into<Bytes>) -> Self {
@@ -42,7 +42,7 @@
 
 /// A response that is ready to be written, and whether its request was a `HEAD` request.
 pub(super) struct PendingResponse {
-    pub response: Answer,
+    pub response: Response,
     pub is_head_request: bool,
 }
 
--- a/crates/tallybridge-mesh/src/http/server/handler.rs
+++ b/crates/tallybridge-mesh/src/http/server/handler.rs
@@ -6,14 +6,14 @@
 
 use crate::{
     clock::BootInstant,
-    http::{Answer, RequestHead},
+    http::{RequestHead, Response},
 };
 
 /// Handles the requests that a listener receives.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
     /// Returns the response to one request. The server drops the future when the caller closes its
     /// connection.
-    fn handle(&self, request: Request) -> impl Future<Output = Answer> + Send;
+    fn handle(&self, request: Request) -> impl Future<Output = Response> + Send;
 
     /// Returns the current limits. The server reads the limits again for each request.
     fn limits(&self) -> HttpLimits;
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -23,7 +23,7 @@
 
 pub use self::handler::{HttpLimits, Request, RequestHandler};
 use self::request_reader::RequestReader;
-use super::response::{Answer, PendingResponse};
+use super::response::{PendingResponse, Response};
 
 /// Requests of one connection that run concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -159,7 +159,7 @@
 
     fn start_request(&mut self, request: Request) {
         let is_head_request = request.head.method == "HEAD";
-        if request.head.closes() {
+        if request.head.closes_connection() {
             self.close_intake();
         }
         let handler = self.handler.clone();
@@ -175,7 +175,7 @@
     /// Queues an error response behind the pending responses and accepts no further requests.
     fn reject(&mut self, status: u16) {
         let response = PendingResponse {
-            response: Answer::new(status, Bytes::new()),
+            response: Response::new(status, Bytes::new()),
             is_head_request: false,
         };
         self.close_intake();
--- a/crates/tallybridge-mesh/src/http/server/request_reader.rs
+++ b/crates/tallybridge-mesh/src/http/server/request_reader.rs
@@ -79,7 +79,7 @@
         let Some(head) = head.map_err(RequestError::Head)? else {
             return Ok(None);
         };
-        let length = BodyLength::of_request(&head);
+        let length = BodyLength::from_request(&head);
         let body = length.and_then(|length| BodyReader::new(length, limits.max_body_bytes));
         let body = body.map_err(RequestError::Body)?;
         Ok(Some(PartialRequest { head, body }))
--- a/crates/tallybridge-mesh/src/listener/callers.rs
+++ b/crates/tallybridge-mesh/src/listener/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    http::{Answer, HttpLimits, Request, RequestHandler},
+    http::{HttpLimits, Request, RequestHandler, Response},
     node::Node,
     request::entry,
 };
@@ -13,7 +13,7 @@
 pub struct CallerHandler(pub Arc<Node>);
 
 impl RequestHandler for CallerHandler {
-    async fn handle(&self, request: Request) -> Answer {
+    async fn handle(&self, request: Request) -> Response {
         entry::handle(&self.0, request).await
     }
 
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    http::{Answer, HttpLimits, Request, RequestHandler},
+    http::{HttpLimits, Request, RequestHandler, Response},
     log::rate_limit::LogRateLimit,
     node::Node,
     platform::{ControlRequest, InstanceReport},
@@ -19,20 +19,20 @@
 pub struct ControlHandler(pub Arc<Node>);
 
 impl RequestHandler for ControlHandler {
-    async fn handle(&self, request: Request) -> Answer {
+    async fn handle(&self, request: Request) -> Response {
         let node = &self.0;
         match node.platform.control_request(&request.head, &request.body) {
-            ControlRequest::Readiness if node.is_ready() => Answer::new(200, "ready\n"),
-            ControlRequest::Readiness => Answer::new(503, "not ready\n"),
+            ControlRequest::Readiness if node.is_ready() => Response::new(200, "ready\n"),
+            ControlRequest::Readiness => Response::new(503, "not ready\n"),
             ControlRequest::Report(report) => match self.of_other_service(&report) {
                 Some(reason) => malformed(reason),
                 None => {
                     node.report(&report);
-                    Answer::new(200, "{}").with_header("Content-Type", "application/json")
+                    Response::new(200, "{}").with_header("Content-Type", "application/json")
                 }
             },
             ControlRequest::Malformed(reason) => malformed(reason),
-            ControlRequest::Unknown => Answer::new(404, "unknown path\n"),
+            ControlRequest::Unknown => Response::new(404, "unknown path\n"),
         }
     }
 
@@ -62,7 +62,7 @@
 
 /// Answers a report that can't be used; what is known of the back end stays. The log is rate-limited,
 /// since anybody may send any number of them.
-fn malformed(reason: String) -> Answer {
+fn malformed(reason: String) -> Response {
     static MALFORMED: LogRateLimit = LogRateLimit::new();
     if let Some(left_out) = MALFORMED.line() {
         tracing::warn!(
@@ -71,5 +71,5 @@
             "malformed report, the last known state stays"
         );
     }
-    Answer::new(400, reason)
+    Response::new(400, reason)
 }
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    http::{Answer, HttpLimits, Request, RequestHandler},
+    http::{HttpLimits, Request, RequestHandler, Response},
     node::{Counters, Node},
 };
 
@@ -18,8 +18,8 @@
 pub struct MetricsHandler(pub Arc<Node>);
 
 impl RequestHandler for MetricsHandler {
-    async fn handle(&self, _request: Request) -> Answer {
-        Answer::new(200, page(&self.0)).with_header("Content-Type", "text/plain; version=0.0.4")
+    async fn handle(&self, _request: Request) -> Response {
+        Response::new(200, page(&self.0)).with_header("Content-Type", "text/plain; version=0.0.4")
     }
 
     fn limits(&self) -> HttpLimits {
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -26,7 +26,7 @@
     quota,
 };
 use crate::{
-    http::{Answer, Request},
+    http::{Request, Response},
     log::decisions::EntryFacts,
     node::{NestedCall, Node},
     protocol::SlotTimes,
@@ -34,7 +34,7 @@
 };
 
 /// Answers a request of a caller or of the back end beside this node.
-pub async fn handle(node: &Arc<Node>, request: Request) -> Answer {
+pub async fn handle(node: &Arc<Node>, request: Request) -> Response {
     let _in_flight = node.request_begins();
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
     let attempt = request.head.headers.first(node.names.attempt);
--- a/crates/tallybridge-mesh/src/request/entry/refusal.rs
+++ b/crates/tallybridge-mesh/src/request/entry/refusal.rs
@@ -7,7 +7,7 @@
 //! **Inputs.** The kind of the refusal with its row in the table of `tallybridge-core`, its outcome over
 //! all attempts, and its own time to come back.
 //!
-//! **Output.** An [`Answer`], with the name of the kind in a header line and in the body.
+//! **Output.** A [`Response`], with the name of the kind in a header line and in the body.
 //!
 //! **Why.** A caller sends again what has not run, so a wrong status makes work run twice. Callers that
 //! were refused together must not come back together.
@@ -17,7 +17,7 @@
 use rand::Rng;
 use tallybridge_core::{Outcome, Refusal};
 
-use crate::http::Answer;
+use crate::http::Response;
 
 /// When a caller may come back whose refusal has no better time. Origin not recorded.
 pub(in crate::request) const RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -29,14 +29,14 @@
 const RETRY_AFTER_SPREAD: Range<f64> = 0.8..1.4;
 
 /// The answer of a refusal.
-pub(super) fn refusal_answer(refusal: &Refusal) -> Answer {
+pub(super) fn refusal_answer(refusal: &Refusal) -> Response {
     let row = refusal.kind.answer();
     let status = match refusal.outcome {
         Outcome::NotRun if row.status >= 500 => 503,
         Outcome::Unknown if row.status == 503 || row.status == 429 => 502,
         _ => row.status,
     };
-    let answer = Answer::new(status, format!("{}\n", row.name));
+    let answer = Response::new(status, format!("{}\n", row.name));
     let answer = answer.with_header("Tallybridge-Error", row.name);
     if status != 503 && status != 429 {
         return answer;
--- a/crates/tallybridge-mesh/src/request/execute/exchange.rs
+++ b/crates/tallybridge-mesh/src/request/execute/exchange.rs
@@ -10,7 +10,7 @@
 use super::verdict::is_misdirected;
 use crate::{
     clock::BootInstant,
-    http::{Checkout, ExchangeError, ExchangeStage, Received, write_line},
+    http::{Checkout, ExchangeError, ExchangeStage, ReceivedResponse, write_line},
     node::Node,
     protocol::CallMessage,
     tables::Incarnation,
@@ -32,7 +32,7 @@
     call: &CallMessage,
     instance: &str,
     deadline: BootInstant,
-) -> Result<Received, ExchangeError> {
+) -> Result<ReceivedResponse, ExchangeError> {
     if let Some(checkout) = node.backend.check_out() {
         match exchange_on(node, call, instance, deadline, checkout).await {
             // The back end had closed the connection: nothing was sent.
@@ -55,13 +55,13 @@
 pub(super) async fn unless_restarted(
     node: &Node,
     incarnation: &Incarnation,
-    exchanging: impl Future<Output = Result<Received, ExchangeError>>,
-) -> Result<Received, ExchangeError> {
+    exchanging: impl Future<Output = Result<ReceivedResponse, ExchangeError>>,
+) -> Result<ReceivedResponse, ExchangeError> {
     tokio::select! {
         biased;
         exchanged = exchanging => exchanged,
         () = node.start_is_over(incarnation) => {
-            Err(ExchangeError::given_up("back end has started again"))
+            Err(ExchangeError::aborted("back end has started again"))
         }
     }
 }
@@ -72,7 +72,7 @@
     instance: &str,
     deadline: BootInstant,
     checkout: Checkout,
-) -> Result<Received, ExchangeError> {
+) -> Result<ReceivedResponse, ExchangeError> {
     let is_new = !checkout.is_reused;
     let mut connection = checkout.connection;
     let request = request_bytes(node, call, instance, deadline);
@@ -81,13 +81,13 @@
     let mut surplus = 0;
     while !is_answer_to(node, &received, call, instance, surplus == 0 && is_new) {
         // An answer to another request stands in the place of this one's, which comes after it.
-        if surplus == MAX_SURPLUS || !received.goes_on {
-            return Err(ExchangeError::given_up("answer to another request"));
+        if surplus == MAX_SURPLUS || !received.is_persistent {
+            return Err(ExchangeError::aborted("answer to another request"));
         }
         surplus += 1;
-        received = connection.next_answer(call.is_head_request).await?;
+        received = connection.next_response(call.is_head_request).await?;
     }
-    received.reusable &= surplus == 0;
+    received.is_reusable &= surplus == 0;
     node.backend.check_in(connection, &received);
     Ok(received)
 }
@@ -97,7 +97,7 @@
 /// the first request of a connection need not name it: nothing else can be answered there.
 fn is_answer_to(
     node: &Node,
-    received: &Received,
+    received: &ReceivedResponse,
     call: &CallMessage,
     instance: &str,
     is_first: bool,
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -33,7 +33,7 @@
 };
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Answer,
+    http::Response,
     log::decisions::ExecutorFacts,
     node::Node,
     protocol::{CallMessage, SlotTimes},
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 pub struct Answered {
     /// Its answer.
-    pub answer: Answer,
+    pub answer: Response,
     /// Whether it made nested calls for it.
     pub made_calls: bool,
     /// Time for which the call and its nested calls held slots, by service.
@@ -186,7 +186,7 @@
     call: &CallMessage,
     incarnation: &Incarnation,
     deadline: BootInstant,
-) -> (Result<Answer, Refusal>, DispatchEnd) {
+) -> (Result<Response, Refusal>, DispatchEnd) {
     let exchanging = exchange(node, call, incarnation.id(), deadline);
     let exchanging = unless_restarted(node, incarnation, exchanging);
     match timeout_at(deadline + BACKEND_GRACE, exchanging).await {
--- a/crates/tallybridge-mesh/src/request/execute/outcome.rs
+++ b/crates/tallybridge-mesh/src/request/execute/outcome.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tallybridge_core::Refusal;
 
-use crate::{clock::BootInstant, http::Answer, node::Node};
+use crate::{clock::BootInstant, http::Response, node::Node};
 
 /// A call that is withdrawn within this time before its deadline counts as failed: its caller waited for
 /// an answer until the end. One that is withdrawn earlier says nothing of the back end. Origin of the
@@ -32,7 +32,7 @@
     }
 
     /// An answer that is a failure of the back end counts like none.
-    pub(super) fn record(mut self, result: &Result<Answer, Refusal>) {
+    pub(super) fn record(mut self, result: &Result<Response, Refusal>) {
         self.is_recorded = true;
         let has_failed = match result {
             Ok(answer) => answer.status >= 500,
--- a/crates/tallybridge-mesh/src/request/execute/verdict.rs
+++ b/crates/tallybridge-mesh/src/request/execute/verdict.rs
@@ -16,7 +16,7 @@
 use tallybridge_core::{ErrorKind, Refusal};
 
 use crate::{
-    http::{Answer, ExchangeError, ExchangeStage, Received},
+    http::{ExchangeError, ExchangeStage, ReceivedResponse, Response},
     node::Node,
     protocol::CallMessage,
     tables::quarantine::DispatchEnd,
@@ -35,8 +35,8 @@
     node: &Node,
     call: &CallMessage,
     instance: &str,
-    received: Received,
-) -> Result<Answer, Refusal> {
+    received: ReceivedResponse,
+) -> Result<Response, Refusal> {
     let head = &received.head;
     let status = head.status;
     // A back end that made nested calls has begun. Its refusal is one that it got for such a call and
@@ -58,7 +58,7 @@
     }
     let mut headers = Vec::with_capacity(HEADERS_CAPACITY);
     head.headers.write_end_to_end(&[], &mut headers);
-    Ok(Answer {
+    Ok(Response {
         status,
         headers,
         body: received.body,
@@ -85,13 +85,13 @@
 }
 
 /// Whether another instance than the expected one turned a call away.
-pub(super) fn is_misdirected(node: &Node, received: &Received, expected: &str) -> bool {
+pub(super) fn is_misdirected(node: &Node, received: &ReceivedResponse, expected: &str) -> bool {
     let by = received.head.headers.text(node.names.instance);
     let is_by_other = by.is_some_and(|by| by != expected);
     received.head.status == 421 && (says_not_run(node, received) || is_by_other)
 }
 
-fn says_not_run(node: &Node, received: &Received) -> bool {
+fn says_not_run(node: &Node, received: &ReceivedResponse) -> bool {
     received.head.headers.first(node.names.not_run).is_some()
 }
 
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::{Answered, Call, retry::is_undispatched};
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Answer,
+    http::Response,
     link::{Link, LinkError, Reply},
     node::Node,
     protocol::{CallMessage, RefusalMessage},
@@ -100,7 +100,7 @@
 fn answer_of(reply: Reply) -> Result<Answered, Refusal> {
     match reply {
         Reply::Answer(answer) => Ok(Answered {
-            answer: Answer {
+            answer: Response {
                 status: answer.status,
                 headers: answer.head.to_vec(),
                 body: answer.body,
--- a/crates/tallybridge-mesh/src/request/forward/retry.rs
+++ b/crates/tallybridge-mesh/src/request/forward/retry.rs
@@ -27,7 +27,7 @@
 use tokio::time::Instant;
 
 use super::{Answered, Call, Unanswered, placement_query};
-use crate::{clock::BootInstant, http::Answer, node::Node};
+use crate::{clock::BootInstant, http::Response, node::Node};
 
 /// Most executors, besides the first, that one call is sent to: by reroutes and retries together. Origin
 /// not recorded.
@@ -154,7 +154,7 @@
     node: &Node,
     call: &Call,
     executor: SocketAddr,
-    answer: &Answer,
+    answer: &Response,
 ) -> bool {
     let is_failure = answer.status >= 500;
     if !is_failure || !call.message.is_idempotent {
--- a/crates/tallybridge-mesh/src/tables/backend/slots/waiting.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/waiting.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use tallybridge_core::Criticality;
-use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Ticket, Waiting};
+use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, QueuedCall, Ticket};
 use tokio::{sync::oneshot, time::Instant};
 
 use super::NoSlot;
@@ -72,7 +72,7 @@
     ) -> Result<Queued, NoSlot> {
         let waiter = self.next_waiter;
         self.next_waiter += 1;
-        let call = Waiting {
+        let call = QueuedCall {
             criticality,
             deadline: wait_until.into_std(),
             arrived: now.into_std(),
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -71,7 +71,7 @@
 async fn health_check(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
     node.counters.health_checks.fetch_add(1, Ordering::Relaxed);
     let checked = timeout(HEALTH_TIMEOUT, ask_health(node, path)).await;
-    checked.unwrap_or_else(|_| Err(ExchangeError::given_up("no answer in time")))
+    checked.unwrap_or_else(|_| Err(ExchangeError::aborted("no answer in time")))
 }
 
 async fn ask_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
@@ -81,7 +81,7 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let received = connection.exchange(request.as_bytes(), b"", false).await?;
     let Some(instance) = received.head.headers.text(node.names.instance) else {
-        return Err(ExchangeError::given_up("the answer names no instance"));
+        return Err(ExchangeError::aborted("the answer names no instance"));
     };
     Ok(HealthAnswer {
         instance: instance.to_owned(),
--- a/crates/tallybridge-mesh/tests/caller_connection.rs
+++ b/crates/tallybridge-mesh/tests/caller_connection.rs
@@ -9,7 +9,7 @@
 };
 
 use tallybridge_mesh::{
-    http::{Answer, Connection, HttpLimits, Request, RequestHandler},
+    http::{Connection, HttpLimits, Request, RequestHandler, Response},
     listener::serve,
 };
 use tokio::{
@@ -36,14 +36,14 @@
 }
 
 impl RequestHandler for Echo {
-    async fn handle(&self, request: Request) -> Answer {
+    async fn handle(&self, request: Request) -> Response {
         self.started.fetch_add(1, Ordering::SeqCst);
         let drop_guard = DropCounter(self.dropped.clone());
         if request.head.target.starts_with("/wait") {
             self.permits.acquire().await.unwrap().forget();
         }
         std::mem::forget(drop_guard);
-        Answer::new(200, request.head.target.clone())
+        Response::new(200, request.head.target.clone())
     }
 
     fn limits(&self) -> HttpLimits {
@@ -96,9 +96,9 @@
     echo.permits.add_permits(2);
     let mut connection = Connection::new(stream);
     for path in ["/wait/1", "/2", "/wait/3", "/4"] {
-        let answer = connection.next_answer(false).await.unwrap();
+        let answer = connection.next_response(false).await.unwrap();
         assert_eq!(answer.body, path);
-        assert!(answer.goes_on);
+        assert!(answer.is_persistent);
     }
 }
 
@@ -123,8 +123,8 @@
     echo.closing.store(true, Ordering::SeqCst);
     echo.permits.add_permits(2);
     let mut connection = Connection::new(stream);
-    assert!(connection.next_answer(false).await.unwrap().goes_on);
-    assert!(!connection.next_answer(false).await.unwrap().goes_on);
+    assert!(connection.next_response(false).await.unwrap().is_persistent);
+    assert!(!connection.next_response(false).await.unwrap().is_persistent);
 }
 
 #[tokio::test]
@@ -142,7 +142,10 @@
     tokio::time::sleep(Duration::from_millis(900)).await;
     echo.permits.add_permits(1);
     let mut connection = Connection::new(stream);
-    assert_eq!(connection.next_answer(false).await.unwrap().body, "/wait/1");
+    assert_eq!(
+        connection.next_response(false).await.unwrap().body,
+        "/wait/1"
+    );
 }
 
 #[tokio::test]
@@ -153,7 +156,7 @@
     tokio::time::sleep(Duration::from_millis(150)).await;
     stream.write_all(b"Host: h\r\n\r\n").await.unwrap();
     let mut connection = Connection::new(stream);
-    let answer = connection.next_answer(false).await.unwrap();
+    let answer = connection.next_response(false).await.unwrap();
     assert_eq!(answer.head.status, 200);
 }
 
@@ -182,5 +185,5 @@
     assert_eq!(&interim, b"HTTP/1.1 100 Continue\r\n\r\n");
     stream.write_all(b"ok").await.unwrap();
     let mut connection = Connection::new(stream);
-    assert_eq!(connection.next_answer(false).await.unwrap().body, "/b");
+    assert_eq!(connection.next_response(false).await.unwrap().body, "/b");
 }
--- a/crates/tallybridge-mesh/tests/http_messages.rs
+++ b/crates/tallybridge-mesh/tests/http_messages.rs
@@ -18,7 +18,7 @@
         if head.is_none() {
             head = RequestHead::take(&mut buffer, MAX_HEAD_BYTES).unwrap();
             if let Some(head) = &head {
-                let length = BodyLength::of_request(head).unwrap();
+                let length = BodyLength::from_request(head).unwrap();
                 body = Some(BodyReader::new(length, MAX_BODY_BYTES).unwrap());
             }
         }
@@ -126,7 +126,7 @@
     for lines in malformed {
         let head = parse_head(lines).unwrap().unwrap();
         assert_eq!(
-            BodyLength::of_request(&head),
+            BodyLength::from_request(&head),
             Err(BodyError::Malformed),
             "{lines}"
         );
