--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    http::{Answer, HttpLimits, Request, RequestHandler},
+    http::{HttpLimits, Request, RequestHandler, Response},
     log::rate_limit::LogRateLimit,
     node::Node,
     platform::{ControlRequest, InstanceReport},
@@ -17,20 +17,20 @@
 pub struct ControlHandler(pub Arc<Node>);
 
 impl RequestHandler for ControlHandler {
-    async fn handle(&self, request: Request) -> Answer {
+    async fn handle(&self, request: Request) -> Response {
         let node = &self.0;
         match node.platform.control_request(&request.head, &request.body) {
-            ControlRequest::Readiness if node.is_ready() => Answer::new(200, "ready\n"),
-            ControlRequest::Readiness => Answer::new(503, "not ready\n"),
+            ControlRequest::Readiness if node.is_ready() => Response::new(200, "ready\n"),
+            ControlRequest::Readiness => Response::new(503, "not ready\n"),
             ControlRequest::Report(report) => match self.service_mismatch(&report) {
                 Some(reason) => reject_report(reason),
                 None => {
                     node.report(&report);
-                    Answer::new(200, "{}").with_header("Content-Type", "application/json")
+                    Response::new(200, "{}").with_header("Content-Type", "application/json")
                 }
             },
             ControlRequest::Malformed(reason) => reject_report(reason),
-            ControlRequest::Unknown => Answer::new(404, "unknown path\n"),
+            ControlRequest::Unknown => Response::new(404, "unknown path\n"),
         }
     }
 
@@ -62,7 +62,7 @@
 }
 
 /// Rejects a report. Limits the rate of log lines, since any client can send invalid reports.
-fn reject_report(reason: String) -> Answer {
+fn reject_report(reason: String) -> Response {
     static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
     if let Some(left_out) = LOG_RATE_LIMIT.line() {
         tracing::warn!(
@@ -71,5 +71,5 @@
             "invalid report rejected; keeping the last known state of the back end"
         );
     }
-    Answer::new(400, reason)
+    Response::new(400, reason)
 }
--- a/crates/tallybridge-mesh/src/request/entry/refusal.rs
+++ b/crates/tallybridge-mesh/src/request/entry/refusal.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use tallybridge_core::{Outcome, Refusal};
 
-use crate::http::Answer;
+use crate::http::Response;
 
 /// `Retry-After` of a refusal that has no delay of its own.
 pub(in crate::request) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -20,14 +20,14 @@
 const RETRY_AFTER_JITTER: Range<f64> = 0.8..1.4;
 
 /// Converts a refusal to an HTTP answer.
-pub(super) fn refusal_answer(refusal: &Refusal) -> Answer {
+pub(super) fn refusal_answer(refusal: &Refusal) -> Response {
     let mapping = refusal.kind.answer();
     let status = match refusal.outcome {
         Outcome::NotRun if mapping.status >= 500 => 503,
         Outcome::Unknown if mapping.status == 503 || mapping.status == 429 => 502,
         _ => mapping.status,
     };
-    let answer = Answer::new(status, format!("{}\n", mapping.name));
+    let answer = Response::new(status, format!("{}\n", mapping.name));
     let answer = answer.with_header("Tallybridge-Error", mapping.name);
     if status != 503 && status != 429 {
         return answer;
--- a/crates/tallybridge-mesh/src/request/execute/exchange.rs
+++ b/crates/tallybridge-mesh/src/request/execute/exchange.rs
@@ -9,7 +9,7 @@
 use super::verdict::is_misdirected;
 use crate::{
     clock::BootInstant,
-    http::{Checkout, ExchangeError, ExchangeStage, Received, write_line},
+    http::{Checkout, ExchangeError, ExchangeStage, ReceivedResponse, write_line},
     node::Node,
     protocol::CallMessage,
     tables::Incarnation,
@@ -30,7 +30,7 @@
     call: &CallMessage,
     instance: &str,
     deadline: BootInstant,
-) -> Result<Received, ExchangeError> {
+) -> Result<ReceivedResponse, ExchangeError> {
     if let Some(checkout) = node.backend.check_out() {
         match exchange_on(node, call, instance, deadline, checkout).await {
             // The back end had closed the pooled connection, and nothing was sent.
@@ -53,13 +53,13 @@
 pub(super) async fn exchange_until_restart(
     node: &Node,
     incarnation: &Incarnation,
-    exchange: impl Future<Output = Result<Received, ExchangeError>>,
-) -> Result<Received, ExchangeError> {
+    exchange: impl Future<Output = Result<ReceivedResponse, ExchangeError>>,
+) -> Result<ReceivedResponse, ExchangeError> {
     tokio::select! {
         biased;
         result = exchange => result,
         () = node.start_is_over(incarnation) => {
-            Err(ExchangeError::given_up("back end restarted before it answered"))
+            Err(ExchangeError::aborted("back end restarted before it answered"))
         }
     }
 }
@@ -70,7 +70,7 @@
     instance: &str,
     deadline: BootInstant,
     checkout: Checkout,
-) -> Result<Received, ExchangeError> {
+) -> Result<ReceivedResponse, ExchangeError> {
     let is_new_connection = !checkout.is_reused;
     let mut connection = checkout.connection;
     let request = request_head(node, call, instance, deadline);
@@ -85,15 +85,15 @@
         skipped_answers == 0 && is_new_connection,
     ) {
         // The back end sent another answer first; the answer to this call may follow on the connection.
-        if skipped_answers == MAX_SKIPPED_ANSWERS || !received.goes_on {
-            return Err(ExchangeError::given_up(
+        if skipped_answers == MAX_SKIPPED_ANSWERS || !received.is_persistent {
+            return Err(ExchangeError::aborted(
                 "back end answered a different request on the connection",
             ));
         }
         skipped_answers += 1;
-        received = connection.next_answer(call.is_head_request).await?;
+        received = connection.next_response(call.is_head_request).await?;
     }
-    received.reusable &= skipped_answers == 0;
+    received.is_reusable &= skipped_answers == 0;
     node.backend.check_in(connection, &received);
     Ok(received)
 }
@@ -103,7 +103,7 @@
 /// connection, where another instance may refuse the call without the attempt name.
 fn is_answer_to(
     node: &Node,
-    received: &Received,
+    received: &ReceivedResponse,
     call: &CallMessage,
     instance: &str,
     is_first_on_connection: bool,
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Answer,
+    http::Response,
     log::decisions::ExecutorFacts,
     node::Node,
     protocol::{CallMessage, SlotTimes},
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct ExecutedCall {
     /// The answer of the back end, including one whose status reports a failure.
-    pub answer: Answer,
+    pub answer: Response,
     /// Whether the back end made nested calls to answer the call.
     pub made_calls: bool,
     /// Time for which the call and its nested calls held slots, by service.
@@ -182,7 +182,7 @@
     call: &CallMessage,
     incarnation: &Incarnation,
     deadline: BootInstant,
-) -> (Result<Answer, Refusal>, DispatchEnd) {
+) -> (Result<Response, Refusal>, DispatchEnd) {
     let pending_exchange = exchange(node, call, incarnation.id(), deadline);
     let pending_exchange = exchange_until_restart(node, incarnation, pending_exchange);
     match timeout_at(deadline + DEADLINE_GRACE, pending_exchange).await {
--- a/crates/tallybridge-mesh/src/request/execute/outcome.rs
+++ b/crates/tallybridge-mesh/src/request/execute/outcome.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use tallybridge_core::Refusal;
 
-use crate::{clock::BootInstant, http::Answer, node::Node};
+use crate::{clock::BootInstant, http::Response, node::Node};
 
 /// A call that is cancelled within this time before its deadline counts as failed, because its
 /// caller waited until the end. An earlier cancellation says nothing about the back end.
@@ -31,7 +31,7 @@
     }
 
     /// Records the result. A status of 500 or above counts as a failure, as does a missing answer.
-    pub(super) fn record(mut self, result: &Result<Answer, Refusal>) {
+    pub(super) fn record(mut self, result: &Result<Response, Refusal>) {
         self.is_recorded = true;
         let has_failed = match result {
             Ok(answer) => answer.status >= 500,
--- a/crates/tallybridge-mesh/src/request/execute/verdict.rs
+++ b/crates/tallybridge-mesh/src/request/execute/verdict.rs
@@ -8,7 +8,7 @@
 use tallybridge_core::{ErrorKind, Refusal};
 
 use crate::{
-    http::{Answer, ExchangeError, ExchangeStage, Received},
+    http::{ExchangeError, ExchangeStage, ReceivedResponse, Response},
     node::Node,
     protocol::CallMessage,
     tables::quarantine::DispatchEnd,
@@ -27,8 +27,8 @@
     node: &Node,
     call: &CallMessage,
     instance: &str,
-    received: Received,
-) -> Result<Answer, Refusal> {
+    received: ReceivedResponse,
+) -> Result<Response, Refusal> {
     let head = &received.head;
     let status = head.status;
     // A back end that made nested calls has run the call at least in part. The "not run" header
@@ -50,7 +50,7 @@
     }
     let mut headers = Vec::with_capacity(HEADERS_CAPACITY);
     head.headers.write_end_to_end(&[], &mut headers);
-    Ok(Answer {
+    Ok(Response {
         status,
         headers,
         body: received.body,
@@ -77,13 +77,13 @@
 }
 
 /// Returns whether an instance other than the expected one refused the call.
-pub(super) fn is_misdirected(node: &Node, received: &Received, expected: &str) -> bool {
+pub(super) fn is_misdirected(node: &Node, received: &ReceivedResponse, expected: &str) -> bool {
     let instance = received.head.headers.text(node.names.instance);
     let is_other_instance = instance.is_some_and(|instance| instance != expected);
     received.head.status == 421 && (has_not_run_header(node, received) || is_other_instance)
 }
 
-fn has_not_run_header(node: &Node, received: &Received) -> bool {
+fn has_not_run_header(node: &Node, received: &ReceivedResponse) -> bool {
     received.head.headers.first(node.names.not_run).is_some()
 }
 
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::{Call, ExecutedCall, retry::is_undispatched};
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Answer,
+    http::Response,
     link::{Link, LinkError, Reply},
     node::Node,
     protocol::{CallMessage, RefusalMessage},
@@ -98,7 +98,7 @@
 fn result_of_reply(reply: Reply) -> Result<ExecutedCall, Refusal> {
     match reply {
         Reply::Answer(answer) => Ok(ExecutedCall {
-            answer: Answer {
+            answer: Response {
                 status: answer.status,
                 headers: answer.head.to_vec(),
                 body: answer.body,
--- a/crates/tallybridge-mesh/src/request/forward/retry.rs
+++ b/crates/tallybridge-mesh/src/request/forward/retry.rs
@@ -18,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::{Call, ExecutedCall, ForwardError, placement_query};
-use crate::{clock::BootInstant, http::Answer, node::Node};
+use crate::{clock::BootInstant, http::Response, node::Node};
 
 /// Maximum number of executors after the first, for reroutes and retries together.
 pub(super) const MAX_FURTHER_ATTEMPTS: usize = 4;
@@ -145,7 +145,7 @@
     node: &Node,
     call: &Call,
     executor: SocketAddr,
-    answer: &Answer,
+    answer: &Response,
 ) -> bool {
     let is_failure = answer.status >= 500;
     if !is_failure || !call.message.is_idempotent {
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -67,7 +67,7 @@
 async fn check_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
     node.counters.health_checks.fetch_add(1, Ordering::Relaxed);
     let result = timeout(HEALTH_TIMEOUT, request_health(node, path)).await;
-    result.unwrap_or_else(|_| Err(ExchangeError::given_up("the health check timed out")))
+    result.unwrap_or_else(|_| Err(ExchangeError::aborted("the health check timed out")))
 }
 
 async fn request_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
@@ -77,7 +77,7 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let response = connection.exchange(request.as_bytes(), b"", false).await?;
     let Some(instance) = response.head.headers.text(node.names.instance) else {
-        return Err(ExchangeError::given_up("the answer has no instance header"));
+        return Err(ExchangeError::aborted("the answer has no instance header"));
     };
     Ok(HealthAnswer {
         instance: instance.to_owned(),
