--- a/crates/tallybridge-mesh/examples/clock_cost.rs
+++ b/crates/tallybridge-mesh/examples/clock_cost.rs
@@ -1,9 +1,9 @@
-//! Cost of reading the clock that counts suspended time, beside the tokio clock: nanoseconds, medians of 21
-//! rounds.
+//! Compares the cost of reading `BootInstant`, which includes suspended time, with tokio's clock. Prints
+//! the median of 21 rounds in nanoseconds.
 //!
 //! `cargo run --release -p tallybridge-mesh --example clock_cost`
 
-use std::{hint::black_box, time::Instant as Clock};
+use std::{hint::black_box, time::Instant as StdInstant};
 
 use tallybridge_mesh::clock::BootInstant;
 use tokio::time::Instant;
@@ -11,22 +11,22 @@
 const ROUNDS: usize = 21;
 const READS: u32 = 100_000;
 
-fn report<T>(what: &str, mut read: impl FnMut() -> T) {
-    let mut times: Vec<_> = (0..ROUNDS)
+fn report<T>(label: &str, mut read: impl FnMut() -> T) {
+    let mut times_ns: Vec<_> = (0..ROUNDS)
         .map(|_| {
-            let began = Clock::now();
+            let start = StdInstant::now();
             for _ in 0..READS {
                 black_box(read());
             }
-            began.elapsed().as_nanos() / u128::from(READS)
+            start.elapsed().as_nanos() / u128::from(READS)
         })
         .collect();
-    times.sort_unstable();
-    println!("{what}: {} ns", times[ROUNDS / 2]);
+    times_ns.sort_unstable();
+    println!("{label}: {} ns", times_ns[ROUNDS / 2]);
 }
 
 fn main() {
-    report("tokio clock", Instant::now);
-    report("clock that counts suspended time", BootInstant::now);
-    report("time of an arrival", BootInstant::of_arrival);
+    report("tokio Instant", Instant::now);
+    report("BootInstant", BootInstant::now);
+    report("BootInstant of an arrival", BootInstant::of_arrival);
 }
--- a/crates/tallybridge-mesh/examples/crash_cost.rs
+++ b/crates/tallybridge-mesh/examples/crash_cost.rs
@@ -1,8 +1,8 @@
-//! Cost of the quarantine to each call: nanoseconds of one thread, medians of 21 rounds.
+//! Measures the cost of the quarantine per call. Prints the median of 21 rounds in nanoseconds.
 //!
 //! `cargo run --release -p tallybridge-mesh --example crash_cost`
 
-use std::{hint::black_box, time::Instant as Clock};
+use std::{hint::black_box, time::Instant as StdInstant};
 
 use bytes::Bytes;
 use tallybridge_mesh::clock::BootInstant;
@@ -16,7 +16,7 @@
 };
 
 const ROUNDS: usize = 21;
-const CALLS: u32 = 20_000;
+const CALLS_PER_ROUND: u32 = 20_000;
 
 const NAMES: HeaderNames = HeaderNames {
     attempt: "Attempt",
@@ -50,30 +50,30 @@
     }
 }
 
-fn report(what: &str, mut round: impl FnMut(&[CallMessage])) {
-    let calls: Vec<_> = (0..CALLS).map(call).collect();
-    let mut times: Vec<_> = (0..ROUNDS)
+fn report(label: &str, mut run_round: impl FnMut(&[CallMessage])) {
+    let calls: Vec<_> = (0..CALLS_PER_ROUND).map(call).collect();
+    let mut times_ns: Vec<_> = (0..ROUNDS)
         .map(|_| {
-            let began = Clock::now();
-            round(&calls);
-            began.elapsed().as_nanos() / u128::from(CALLS)
+            let start = StdInstant::now();
+            run_round(&calls);
+            start.elapsed().as_nanos() / u128::from(CALLS_PER_ROUND)
         })
         .collect();
-    times.sort_unstable();
-    println!("{what}: {} ns a call", times[ROUNDS / 2]);
+    times_ns.sort_unstable();
+    println!("{label}: {} ns per call", times_ns[ROUNDS / 2]);
 }
 
 fn main() {
     let incarnation = Incarnation::new("i-1".into(), 1);
     let mut dispatched = DispatchedCalls::new(NAMES, BootInstant::now());
-    report("dispatched and answered", |calls| {
+    report("record dispatch and answer", |calls| {
         let now = BootInstant::now();
         for call in calls {
             let id = dispatched.begin(call, &incarnation, now);
             black_box(dispatched.end(id, DispatchEnd::Answered, now));
         }
     });
-    report("digests, while any request is a suspect", |calls| {
+    report("compute digests", |calls| {
         for call in calls {
             black_box(CallContent::of(call, &NAMES).digests());
         }
@@ -84,13 +84,13 @@
         digest[..2].copy_from_slice(&number.to_be_bytes());
         RequestDigest(digest)
     });
-    let full = CrashReport {
+    let report_with_all_suspects = CrashReport {
         id: 1,
         suspects: suspects.collect(),
     };
-    quarantine.record_crash(&full, BootInstant::now());
+    quarantine.record_crash(&report_with_all_suspects, BootInstant::now());
     let digests = CallContent::of(&call(1), &NAMES).digests().both();
-    report("looked up, full table", |calls| {
+    report("look up in a full table", |calls| {
         let now = BootInstant::now();
         for _ in calls {
             black_box(quarantine.find(&digests, now));
--- a/crates/tallybridge-mesh/src/protocol/answer.rs
+++ b/crates/tallybridge-mesh/src/protocol/answer.rs
@@ -1,4 +1,4 @@
-//! How a call ended at its executor: with an answer of the back end, or with a refusal.
+//! Messages that end a call: the answer of the back end, or a refusal by the executor.
 
 use std::time::Duration;
 
@@ -11,38 +11,37 @@
     codec::{put_fields, take_bytes, take_fields},
 };
 
-/// The complete answer of a back end.
+/// The complete HTTP response of a back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerMessage {
-    /// Its HTTP status.
+    /// HTTP status code.
     pub status: u16,
-    /// Whether the back end made nested calls for it.
+    /// Whether the back end made nested calls to produce the answer.
     pub made_calls: bool,
-    /// Slot time that the call and its nested calls took, by service.
+    /// Slot time used by the call and its nested calls, by service.
     pub times: SlotTimes,
-    /// Load of the back end when the answer was sent.
+    /// Load of the back end at the time the answer was sent.
     pub load: Load,
-    /// Its header lines, each ended by CR LF.
+    /// Header lines, each terminated by CR LF.
     pub head: Bytes,
-    /// Its body.
+    /// Complete response body.
     pub body: Bytes,
 }
 
-/// A call that ended without an answer.
+/// Reports that a call ended without an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RefusalMessage {
-    /// Why. A kind that this node does not know reads as [`ErrorKind::PeerLost`].
+    /// Reason for the refusal. An unknown value is decoded as [`ErrorKind::PeerLost`].
     pub kind: ErrorKind,
-    /// Whether it ran. An outcome that this node does not know reads as [`Outcome::Unknown`], which
-    /// promises nothing.
+    /// Whether the call ran. An unknown value is decoded as [`Outcome::Unknown`].
     pub outcome: Outcome,
-    /// Time after which the caller may try again, to the millisecond.
+    /// Delay after which the caller may try again, with millisecond resolution on the wire.
     pub retry_after: Option<Duration>,
-    /// Load of the back end when the refusal was sent.
+    /// Load of the back end at the time the refusal was sent.
     pub load: Load,
 }
 
-/// The slot times, the head and the body follow.
+/// Fixed fields of an answer, which precede the slot times, the head and the body.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct AnswerFields {
@@ -50,7 +49,7 @@
     made_calls: u8,
     head_length: u32,
     load: Load,
-    /// Number of services in the slot times.
+    /// Number of [`ServiceTime`](super::ServiceTime) entries that follow.
     times: u8,
 }
 
@@ -59,7 +58,7 @@
 struct RefusalFields {
     kind: u8,
     outcome: u8,
-    /// 0 for none.
+    /// 0 when the refusal has no delay.
     retry_after_ms: u32,
     load: Load,
 }
@@ -96,7 +95,7 @@
 
 impl RefusalMessage {
     pub(super) fn encode(&self, out: &mut Vec<u8>) {
-        let retry_after_ms = self.retry_after.map_or(0, |after| after.as_millis() as u32);
+        let retry_after_ms = self.retry_after.map_or(0, |delay| delay.as_millis() as u32);
         let fields = RefusalFields {
             kind: self.kind as u8,
             outcome: self.outcome as u8,
@@ -108,11 +107,11 @@
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
         let fields: RefusalFields = take_fields(&mut payload)?;
-        let retry_after_ms = Some(fields.retry_after_ms).filter(|milliseconds| *milliseconds > 0);
+        let retry_after_ms = Some(fields.retry_after_ms).filter(|delay_ms| *delay_ms > 0);
         Some(Self {
             kind: ErrorKind::from_wire(fields.kind).unwrap_or(ErrorKind::PeerLost),
             outcome: Outcome::from_wire(fields.outcome).unwrap_or(Outcome::Unknown),
-            retry_after: retry_after_ms.map(|after| Duration::from_millis(after.into())),
+            retry_after: retry_after_ms.map(|delay_ms| Duration::from_millis(delay_ms.into())),
             load: fields.load,
         })
     }
--- a/crates/tallybridge-mesh/src/protocol/call.rs
+++ b/crates/tallybridge-mesh/src/protocol/call.rs
@@ -1,38 +1,38 @@
-//! A call on its way from its entry to an executor.
+//! The message that carries a call from its entry to an executor.
 
 use bytes::Bytes;
 use deku::prelude::*;
 
 use super::codec::{put_fields, take_bytes, take_fields};
 
-/// A call for the back end beside the receiver.
+/// A call to the back end of the receiving node.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallMessage {
-    /// Time until its deadline, in milliseconds.
+    /// Time until the deadline of the call, in milliseconds.
     pub remaining_ms: u32,
-    /// Longest that it may wait for a slot, in milliseconds.
+    /// Maximum time that the call may wait for a slot, in milliseconds.
     pub wait_ms: u32,
-    /// Its class, as [`tallybridge_core::Criticality`] is numbered.
+    /// Wire value of a [`tallybridge_core::Criticality`].
     pub criticality: u8,
-    /// Number of its route: calls of one route take about the same time.
+    /// Number of the route, by which the executor groups calls of similar duration.
     pub kind: u16,
-    /// Whether it may run more than once.
+    /// Whether the call may safely run more than once.
     pub is_idempotent: bool,
-    /// Whether the request at the root of its chain is of the highest priority.
+    /// Whether the request at the root of the call chain has the highest priority.
     pub is_urgent: bool,
-    /// Whether it, or a call above it in its chain, is a retry.
+    /// Whether this call or one of its ancestors in the call chain is a retry.
     pub is_retry: bool,
-    /// Whether its answer has no body.
+    /// Whether the request method is HEAD, so that the answer has no body.
     pub is_head_request: bool,
-    /// The caller's name of the attempt, which the answer must repeat.
+    /// Attempt id, which the back end repeats in its answer.
     pub attempt: Bytes,
-    /// Request line and header lines, without the empty line.
+    /// Request line and header lines, without the empty line that ends them.
     pub head: Bytes,
-    /// The complete body.
+    /// Complete request body.
     pub body: Bytes,
 }
 
-/// Bits of [`CallFields::flags`].
+/// Bit masks of [`CallFields::flags`].
 mod flag {
     pub const IDEMPOTENT: u8 = 1;
     pub const HEAD_REQUEST: u8 = 2;
@@ -40,7 +40,7 @@
     pub const RETRY: u8 = 8;
 }
 
-/// The attempt, the head and the body follow.
+/// Fixed fields of a call, which precede the attempt id, the head and the body.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct CallFields {
@@ -78,8 +78,8 @@
             (self.is_urgent, flag::URGENT),
             (self.is_retry, flag::RETRY),
         ];
-        let set = flags.into_iter().filter(|(is_set, _)| *is_set);
-        set.fold(0, |bits, (_, bit)| bits | bit)
+        let set_flags = flags.into_iter().filter(|(is_set, _)| *is_set);
+        set_flags.fold(0, |bits, (_, mask)| bits | mask)
     }
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
--- a/crates/tallybridge-mesh/src/protocol/codec.rs
+++ b/crates/tallybridge-mesh/src/protocol/codec.rs
@@ -1,18 +1,17 @@
-//! Reading and writing the fixed fields of a payload. Relies on `deku` for the fields themselves.
+//! Helpers that encode and decode the parts of a payload. `deku` defines the layout of fixed fields.
 
 use bytes::{Buf, Bytes};
 use deku::prelude::*;
 
-/// Appends fixed fields to a payload.
 pub(super) fn put_fields<T: DekuContainerWrite>(fields: &T, out: &mut Vec<u8>) {
     match fields.to_bytes() {
         Ok(bytes) => out.extend_from_slice(&bytes),
-        // Can't happen with fields of whole bytes. The receiver refuses the frame as malformed.
-        Err(error) => tracing::error!(%error, "fields of a message can't be encoded"),
+        // Unreachable while all fields are whole bytes.
+        Err(error) => tracing::error!(%error, "cannot encode a message; the peer will reject it"),
     }
 }
 
-/// Takes fixed fields off the front of a payload; `None` if it is too short.
+/// Removes fixed fields from the front of a payload; `None` if the payload is too short.
 pub(super) fn take_fields<T>(payload: &mut Bytes) -> Option<T>
 where
     T: for<'a> DekuContainerRead<'a>,
@@ -23,7 +22,7 @@
     Some(fields)
 }
 
-/// Takes so many bytes off the front of a payload; `None` if it is too short.
+/// Removes `length` bytes from the front of a payload; `None` if the payload is too short.
 pub(super) fn take_bytes(payload: &mut Bytes, length: usize) -> Option<Bytes> {
     (payload.len() >= length).then(|| payload.split_to(length))
 }
--- a/crates/tallybridge-mesh/src/protocol/confirmation.rs
+++ b/crates/tallybridge-mesh/src/protocol/confirmation.rs
@@ -1,25 +1,24 @@
-//! What a node that watches the store passes on of how fresh the configuration is, and the clock
-//! by which its peers date that.
+//! Messages by which a node that watches the store tells its peers how fresh the configuration is.
 
 use deku::prelude::*;
 
-/// The sender watches the store, which confirmed that no configuration is newer.
+/// Reports that the store confirmed the sender's configuration as the newest one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ConfirmationMessage {
-    /// Version of the sender's configuration; 0 for none.
+    /// Version of the sender's configuration; 0 if it has none.
     pub version: u64,
-    /// Time since the sender asked the store, in milliseconds.
+    /// Time since the sender sent the request that the store confirmed, in milliseconds.
     pub age_ms: u32,
-    /// When the sender asked for the configuration that it last read from the store itself, in
-    /// milliseconds on its own clock; 0 for never.
+    /// Time of the request by which the sender last read the configuration from the store, in
+    /// milliseconds on the clock of [`ClockMessage::now_ms`]; 0 if the sender never read it there.
     pub read_at_ms: u64,
 }
 
-/// The sender's clock, sent in answer to the hello of the node that opened the link.
+/// The sender's clock, sent in reply to the hello of the node that opened the link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClockMessage {
-    /// The time at which it was sent, in milliseconds since the sender's process began.
+    /// Time of sending, in milliseconds since the sender's process started.
     pub now_ms: u64,
 }
--- a/crates/tallybridge-mesh/src/protocol/frame.rs
+++ b/crates/tallybridge-mesh/src/protocol/frame.rs
@@ -1,45 +1,45 @@
-//! Frames: how messages are delimited and told apart on a connection between two nodes.
+//! Framing of messages on a connection between two nodes: a fixed header and a payload.
 
 use bytes::{Buf, Bytes, BytesMut};
 use deku::prelude::*;
 
 use super::{Message, codec::put_fields};
 
-/// Version of the protocol. Nodes refuse a peer that speaks another one.
+/// Protocol version. A node closes a link whose peer sends a different one.
 const PROTOCOL_VERSION: u8 = 8;
-/// Largest payload that is accepted, in bytes (80 MiB): the largest body of the default limits is 64
-/// MiB. Bounds what a peer that sends garbage can make this node allocate. Origin not recorded.
+/// Largest accepted payload, which exceeds the largest body of the default limits (64 MiB). Bounds
+/// the memory that a peer with corrupt output can make this node allocate.
 const MAX_FRAME_BYTES: u32 = 80 << 20;
-/// Size of a [`FrameHeader`], in bytes.
+/// Encoded size of a [`FrameHeader`].
 const HEADER_BYTES: usize = 10;
 
-/// A message with the call that it belongs to.
+/// A message and the number of its call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Frame {
-    /// Number of the call within its link; 0 for a message that belongs to no call.
+    /// Number of the call, unique within its link; 0 for a message that belongs to no call.
     pub call: u32,
-    /// The message.
+    /// Message that forms the payload.
     pub message: Message,
 }
 
-/// Bytes that are no frames of this protocol.
+/// A received frame that cannot be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// The peer speaks another version.
-    #[error("peer speaks protocol version {0}, this node speaks {PROTOCOL_VERSION}")]
+    /// The peer uses another protocol version, given here.
+    #[error("peer uses protocol version {0}, but this node uses {PROTOCOL_VERSION}")]
     Version(u8),
-    /// The frame is larger than any message.
-    #[error("frame of {0} bytes is too large")]
+    /// The header announces a payload of this many bytes, which exceeds the limit.
+    #[error("frame payload of {0} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes")]
     TooLarge(u32),
-    /// Its kind is unknown, or its payload doesn't decode as one of its kind.
-    #[error("malformed frame of kind {0}")]
+    /// The message kind, given here, is unknown, or the payload does not match the kind.
+    #[error("frame of message kind {0} is malformed, or the kind is unknown")]
     Malformed(u8),
 }
 
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct FrameHeader {
-    /// Bytes of the payload, without this header.
+    /// Size of the payload in bytes, without this header.
     length: u32,
     version: u8,
     /// One of [`super::message::kind`].
@@ -48,13 +48,13 @@
 }
 
 impl Frame {
-    /// A frame of a message that belongs to no call.
+    /// Creates a frame for a message that belongs to no call.
     #[must_use]
     pub const fn of_link(message: Message) -> Self {
         Self { call: 0, message }
     }
 
-    /// The frame's bytes.
+    /// Returns the header and the payload as sent on the wire.
     #[must_use]
     pub fn encode(&self) -> Bytes {
         let mut payload = Vec::new();
@@ -71,11 +71,11 @@
         bytes.into()
     }
 
-    /// Takes a frame off a buffer; `None` until all of its bytes are there.
+    /// Removes one frame from the front of `buffer`; `None` until the buffer holds a complete frame.
     ///
     /// # Errors
     ///
-    /// [`FrameError`] when the bytes are no frame; the link can't be used further.
+    /// [`FrameError`] if the bytes are not a valid frame; the link must then be closed.
     pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, FrameError> {
         if buffer.len() < HEADER_BYTES {
             return Ok(None);
--- a/crates/tallybridge-mesh/src/protocol/load.rs
+++ b/crates/tallybridge-mesh/src/protocol/load.rs
@@ -1,8 +1,8 @@
-//! How busy a back end is, as the node beside it sees it. It is sent with each answer and status.
+//! Load of a back end as measured by its node and sent with each answer, refusal and status.
 
 use deku::prelude::*;
 
-/// Calls that run at a back end or wait in front of it.
+/// Load of a back end: running and queued calls, their times, and recent failures.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -10,52 +10,52 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct Load {
-    /// Calls that may be with the back end at once; 0 while it takes none.
+    /// Maximum number of concurrent calls; 0 while the back end accepts none.
     pub limit: u16,
-    /// Calls that are with the back end.
+    /// Calls that run at the back end.
     pub in_flight: u16,
-    /// Calls that wait in front of it.
+    /// Calls that wait for a slot.
     pub queued: u16,
-    /// Mean time that waiting calls wait, in milliseconds.
+    /// Mean queueing time of a call, in milliseconds.
     pub wait_ms: u16,
-    /// Mean time that calls are with the back end, in milliseconds; 0 while unknown.
+    /// Mean time that a call runs at the back end, in milliseconds; 0 while unknown.
     pub service_ms: u16,
-    /// Share of the calls dispatched to the back end that end badly, in 255ths; the newest count most.
+    /// Failure rate of dispatched calls in 255ths, weighted towards recent calls.
     pub failing: u8,
-    /// Work that arrives, what is refused included, as a share of what the back end can do, in
-    /// hundredths.
+    /// Offered load in percent of the back end's capacity, including refused calls.
     pub offered: u16,
 }
 
 impl Load {
-    /// The share, 0 to 1, that a value on the wire stands for.
+    /// Converts a value of [`Self::failing`] to a share between 0 and 1.
     #[must_use]
     pub fn share_of(wire: u8) -> f64 {
         f64::from(wire) / f64::from(u8::MAX)
     }
 
-    /// The value on the wire of a share, 0 to 1.
+    /// Converts a share to a value of [`Self::failing`], clamping the share to 0 to 1.
     #[must_use]
     pub fn wire_of(share: f64) -> u8 {
         (share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8
     }
 
-    /// Share of the calls dispatched to the back end that end badly, 0 to 1.
+    /// Returns the failure rate of dispatched calls, between 0 and 1.
     #[must_use]
     pub fn failing_share(self) -> f64 {
         Self::share_of(self.failing)
     }
 
-    /// Work that arrives as a multiple of what the back end can do.
+    /// Returns the offered load as a multiple of the back end's capacity.
     #[must_use]
     pub fn offered_share(self) -> f64 {
         f64::from(self.offered) / 100.0
     }
 
-    /// Calls as a multiple of the limit, counting `more` that were sent since this load was measured.
+    /// Returns running and queued calls as a multiple of the limit, including `unreported` calls sent
+    /// since this load was reported.
     #[must_use]
-    pub fn utilization(self, more: u32) -> f64 {
-        let calls = u32::from(self.in_flight) + u32::from(self.queued) + more;
+    pub fn utilization(self, unreported: u32) -> f64 {
+        let calls = u32::from(self.in_flight) + u32::from(self.queued) + unreported;
         f64::from(calls) / f64::from(self.limit.max(1))
     }
 }
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -1,4 +1,4 @@
-//! The kinds of messages, and the dispatch from a kind to its encoding.
+//! Message kinds, and the selection of the payload encoding by kind.
 
 use bytes::Bytes;
 
@@ -8,44 +8,44 @@
     codec::{put_fields, take_fields},
 };
 
-/// One message.
+/// A message between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
-    /// Who the sender is, as a JSON [`super::NodeRecord`]. The first message in each direction.
+    /// The sender's JSON [`super::NodeRecord`]; the first message in each direction.
     Hello(Bytes),
-    /// Asks for the other nodes that the receiver knows.
+    /// Requests the records of the other nodes known to the receiver.
     FetchNodes,
-    /// Other nodes that the sender knows, as a JSON list of [`super::NodeRecord`].
+    /// JSON list with the [`super::NodeRecord`] of each other node known to the sender.
     Nodes(Bytes),
-    /// A call for the back end beside the receiver.
+    /// A call to the back end of the receiving node.
     Call(CallMessage),
-    /// The complete answer of a back end to a call.
+    /// The complete answer of the back end to a call.
     Answer(AnswerMessage),
-    /// The call ended without an answer.
+    /// Reports that the call ended without an answer.
     Refusal(RefusalMessage),
-    /// Nobody waits for the call any more.
+    /// Cancels a call whose caller no longer waits for the result.
     Cancel,
-    /// Asks for the status, which is how a link shows that it still works.
+    /// Requests a [`Self::Status`] to check that the link still works.
     Ping,
-    /// The sender's status.
+    /// State and load of the sender's back end, sent on a change and in reply to a ping.
     Status(PeerStatus),
-    /// Asks for the newest configuration.
+    /// Requests the receiver's newest configuration.
     FetchConfiguration,
-    /// The newest configuration document.
+    /// The sender's newest configuration document.
     Configuration(Bytes),
-    /// The sender watches the store, which confirmed that no configuration is newer.
+    /// Reports that the store confirmed the sender's configuration as the newest one.
     Confirmed(ConfirmationMessage),
-    /// The sender's clock.
+    /// The sender's clock, to which its confirmations refer.
     Clock(ClockMessage),
-    /// Asks the owner of a tenant's quota for tokens.
+    /// Requests tokens from the owner of a tenant's quota.
     QuotaAsk(QuotaAskMessage),
-    /// The owner's answer to that.
+    /// Reply to a [`Self::QuotaAsk`].
     QuotaGrant(QuotaGrant),
-    /// The back end beside the sender crashed.
+    /// Reports a crash of the sender's back end.
     Crash(CrashReport),
-    /// A request is quarantined, or suspected of crashing back ends.
+    /// Reports a quarantined request or a suspect.
     Quarantined(QuarantinedRequest),
-    /// A suspect was answered by a back end.
+    /// Reports that a back end answered a suspect, which clears the suspicion.
     Cleared(RequestDigest),
 }
 
@@ -95,7 +95,6 @@
         }
     }
 
-    /// Appends the payload to `out`.
     pub(super) fn encode_payload(&self, out: &mut Vec<u8>) {
         match self {
             Self::Hello(bytes) | Self::Nodes(bytes) | Self::Configuration(bytes) => {
@@ -116,7 +115,7 @@
         }
     }
 
-    /// The message of a payload; `None` for an unknown kind or a malformed payload.
+    /// Returns `None` for an unknown kind or a malformed payload.
     pub(super) fn decode_payload(kind: u8, mut payload: Bytes) -> Option<Self> {
         Some(match kind {
             kind::HELLO => Self::Hello(payload),
--- a/crates/tallybridge-mesh/src/protocol/mod.rs
+++ b/crates/tallybridge-mesh/src/protocol/mod.rs
@@ -1,12 +1,11 @@
 //! The protocol between nodes: messages in frames over TCP.
 //!
-//! A frame is a header of fixed fields ([`Frame`]) and a payload. [`Message`] lists the kinds of
-//! payload; each has its type and its encoding in one file here. Payloads that a node only passes
-//! on (heads and bodies of requests, configuration documents) are plain bytes.
+//! A [`Frame`] has a header of fixed fields and a payload. [`Message`] lists the kinds of payload,
+//! which the submodules define. Payloads that a node only forwards (heads and bodies of requests,
+//! configuration documents) are plain bytes.
 //!
-//! Nodes of two releases serve each other while a release is rolled out, so the bytes change only
-//! together with the protocol version; `tests/wire_format.rs` pins them. Relies on `deku` for
-//! fixed fields, and on no other module of this crate.
+//! Nodes of two releases communicate during a rollout, so any change of the wire format requires a
+//! new protocol version. `tests/wire_format.rs` pins the format.
 
 mod answer;
 mod call;
--- a/crates/tallybridge-mesh/src/protocol/quarantine.rs
+++ b/crates/tallybridge-mesh/src/protocol/quarantine.rs
@@ -1,6 +1,6 @@
-//! Messages about crashes of back ends and about the requests that may have caused them.
+//! Messages about back-end crashes and the requests that may have caused them.
 //!
-//! [`crate::tables::quarantine`] has the rule that they serve.
+//! [`crate::tables::quarantine`] decides which requests are quarantined.
 
 use std::{fmt, time::Duration};
 
@@ -11,18 +11,18 @@
 
 use super::codec::{put_fields, take_fields};
 
-/// Size of a digest in bytes: enough that nobody can construct a request with the digest of another.
+/// Size of a digest in bytes, large enough that nobody can construct a request with the digest of
+/// another one.
 pub const DIGEST_BYTES: usize = 16;
-/// Bits of a service's tag.
 const TAG_BITS: u32 = 15;
 const TAG_MASK: u64 = (1 << TAG_BITS) - 1;
-/// Where the tag begins in the id of a report.
+/// Position of the tag in the id of a report.
 const TAG_SHIFT: u32 = u64::BITS - TAG_BITS;
-/// The bit below the tag: whether the report names all calls that the crash interrupted.
+/// Bit of the id that is set if the report lists all calls interrupted by the crash.
 const NAMES_ALL: u64 = 1 << (TAG_SHIFT - 1);
 
-/// Digest of the content of a request: the first half of a SHA-256. Its text form, in JSON and logs, is 32
-/// hexadecimal digits.
+/// Digest of the content of a request: the first 16 bytes of a SHA-256 hash. The text form, used in
+/// JSON and logs, has 32 hexadecimal digits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct RequestDigest(pub [u8; DIGEST_BYTES]);
@@ -47,9 +47,9 @@
     }
 }
 
-/// A text that is not a digest.
+/// Text that is not the hexadecimal form of a [`RequestDigest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("a digest has 32 hexadecimal digits")]
+#[error("digest must consist of 32 hexadecimal digits")]
 pub struct MalformedDigest;
 
 impl TryFrom<String> for RequestDigest {
@@ -68,42 +68,41 @@
     }
 }
 
-/// A back end crashed, and these requests may have caused it.
+/// Reports a back-end crash and the requests that may have caused it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CrashReport {
-    /// Id by which a report that arrives over several links counts once. Its first bits are the
-    /// [`ServiceTag`] and [`names_all`](Self::names_all), the others are random: a node that knows
-    /// nothing of them takes all for random.
+    /// Id that identifies duplicates of a report received over several links. The high bits hold the
+    /// [`ServiceTag`] and [`names_all`](Self::names_all); the other bits are random.
     pub id: u64,
-    /// Digests of the calls that the crash interrupted, without those of popular requests.
+    /// Digests of the calls that the crash interrupted, except for calls of popular requests.
     pub suspects: Vec<RequestDigest>,
 }
 
-/// Tells services from each other in the ids of crash reports: a hash of the name of 15 bits. Services that
-/// share one count each other's crashes as their own.
+/// A 15-bit hash of a service name that identifies the service in the id of a crash report. Services
+/// with the same tag count each other's crashes as their own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ServiceTag(u16);
 
 impl ServiceTag {
-    /// The tag of a service.
+    /// Computes the tag of the service with this name.
     #[must_use]
     pub fn of(service: &str) -> Self {
         Self((xxh3_64(service.as_bytes()) & TAG_MASK) as u16)
     }
 }
 
-/// A quarantined request, or a suspect that is one crash short of it.
+/// A quarantined request, or a suspect that one more crash would quarantine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantinedRequest {
-    /// Digest of the request, with or without the calling service.
+    /// Digest of the request, which may or may not include the calling service.
     pub digest: RequestDigest,
-    /// Crashes of which it was a suspect since it was last answered.
+    /// Number of crashes with this request as a suspect since a back end last answered it.
     pub crashes: u8,
-    /// Time left of its quarantine; zero for a suspect.
+    /// Time until the quarantine ends; zero for a suspect.
     pub left: Duration,
 }
 
-/// The digests of the suspects follow.
+/// Fixed field of a crash report, which precedes the digests of the suspects.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct CrashFields {
@@ -125,27 +124,27 @@
 }
 
 impl CrashReport {
-    /// A report of a crash in a service, with an id of its own. `names_all` tells whether all calls that
-    /// the crash interrupted are suspects.
+    /// Creates a report with a new random id. `names_all` is true if `suspects` lists all calls that
+    /// the crash interrupted.
     #[must_use]
     pub fn new(service: ServiceTag, names_all: bool, suspects: Vec<RequestDigest>) -> Self {
         let tag = u64::from(service.0) << TAG_SHIFT;
-        let all = if names_all { NAMES_ALL } else { 0 };
-        let random = rand::random::<u64>() & (NAMES_ALL - 1);
+        let names_all_bit = if names_all { NAMES_ALL } else { 0 };
+        let random_bits = rand::random::<u64>() & (NAMES_ALL - 1);
         Self {
-            id: tag | all | random,
+            id: tag | names_all_bit | random_bits,
             suspects,
         }
     }
 
-    /// The service of the back end that crashed.
+    /// Returns the tag of the service whose back end crashed.
     #[must_use]
     pub const fn service(&self) -> ServiceTag {
         ServiceTag((self.id >> TAG_SHIFT) as u16)
     }
 
-    /// Whether the suspects are all calls that the crash interrupted. Where popular requests are missing,
-    /// one of them may have caused it.
+    /// Returns whether the suspects are all calls that the crash interrupted. If not, a popular request
+    /// outside the list may have caused the crash.
     #[must_use]
     pub const fn names_all(&self) -> bool {
         self.id & NAMES_ALL != 0
--- a/crates/tallybridge-mesh/src/protocol/quota.rs
+++ b/crates/tallybridge-mesh/src/protocol/quota.rs
@@ -1,6 +1,7 @@
-//! Messages between an entry and the owner of a tenant's rate limit: what the entry asks for, what the
-//! owner grants, and what owners have granted so far. The rule:
-//! [`tables::quotas`](crate::tables::quotas).
+//! Messages between an entry and the owner of a tenant's quota: requests for tokens, and grants.
+//!
+//! Both carry the recent grants of all owners, so that a new owner learns what its predecessors
+//! granted. [`tables::quotas`](crate::tables::quotas) decides what is granted.
 
 use std::time::Duration;
 
@@ -9,68 +10,68 @@
 
 use super::codec::{put_fields, take_bytes, take_fields};
 
-/// Asks the owner of a tenant's rate limit for tokens.
+/// A [`QuotaAsk`] with its tenant, as sent over a link.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaAskMessage {
-    /// The tenant's name.
+    /// Name of the tenant.
     pub tenant: Bytes,
-    /// What the entry asks for.
+    /// The request itself.
     pub ask: QuotaAsk,
-    /// Whether the sender asks for another node, which can't reach the owner itself.
+    /// Whether the sender forwards the request of an entry that cannot reach the owner.
     pub is_forwarded: bool,
 }
 
-/// What an entry asks the owner of a tenant's rate limit for.
+/// A request of an entry for tokens of a tenant's quota.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuotaAsk {
-    /// The entry: the number of its process.
+    /// Process number of the entry, from [`NodeRecord::process`](super::NodeRecord::process).
     pub entry: u64,
-    /// Tokens that are wanted beyond the first.
+    /// Number of tokens requested in addition to the first.
     pub ahead: u32,
-    /// Requests of the tenant that the entry admitted within the last window, whoever was owner.
+    /// Number of the tenant's requests that the entry admitted within the last window, under any owner.
     pub spent: u32,
-    /// What owners granted within the last window, as far as the entry knows.
+    /// Grants of all owners within the last window, as far as the entry knows them.
     pub fleet: WindowSpending,
 }
 
-/// The answer of the node that was asked for tokens.
+/// Reply to a [`QuotaAsk`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuotaGrant {
-    /// The tenant is within its limit.
+    /// The tenant is within its quota.
     Tokens {
-        /// Tokens that the entry gets, at least one.
+        /// Number of granted tokens, at least one.
         tokens: u32,
-        /// What owners granted within the last window, these tokens included.
+        /// Grants of all owners within the last window, including this one.
         fleet: WindowSpending,
     },
-    /// The tenant is at its limit.
+    /// The tenant has used up its quota.
     Spent {
-        /// Time after which a token is likely to be free, to the millisecond.
+        /// Expected time until a token is available, with millisecond resolution on the wire.
         wait: Duration,
-        /// What owners granted within the last window.
+        /// Grants of all owners within the last window.
         fleet: WindowSpending,
     },
-    /// The node does not own the tenant's limit, or can't tell yet what was granted before.
+    /// The node does not own the tenant's quota, or does not yet know the earlier grants.
     NotOwner,
 }
 
-/// What one owner granted in one epoch, the time for which it is owner without a break.
+/// Grants of one owner in one epoch, which is a period of uninterrupted ownership.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EpochSpending {
-    /// Number of the epoch, drawn at random.
+    /// Random id of the epoch.
     pub epoch: u32,
-    /// Tokens granted since the epoch began. Of two reports the one with the greater total is newer.
+    /// Tokens granted since the start of the epoch. The report with the greatest total is the newest.
     pub total: u32,
-    /// Time since the newest part of the window began, in milliseconds.
+    /// Time since the start of the newest part of the window, in milliseconds.
     pub age_ms: u16,
-    /// Tokens granted in each part of the window, the newest first, up to the last that has any.
+    /// Tokens granted in each part of the window, newest first, without trailing zeros.
     pub requests: Vec<u16>,
 }
 
-/// What is known of all epochs within the last window.
+/// Grants within the last window, by epoch.
 pub type WindowSpending = Vec<EpochSpending>;
 
-/// The epochs and the tenant's name follow.
+/// Fixed fields of a request, which precede the epochs and the name of the tenant.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct QuotaAskFields {
@@ -81,18 +82,18 @@
     epochs: u8,
 }
 
-/// The epochs follow.
+/// Fixed fields of a grant, which precede the epochs.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct QuotaGrantFields {
     /// One of [`grant_kind`].
     kind: u8,
-    /// Tokens, or the time to wait in milliseconds.
+    /// Number of tokens, or the time to wait in milliseconds, by kind.
     amount: u32,
     epochs: u8,
 }
 
-/// The parts of the window follow, two bytes each.
+/// Fixed fields of an epoch, which precede the parts of the window as two bytes each.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct EpochFields {
@@ -185,27 +186,27 @@
             parts: saturated_length(&self.requests),
         };
         put_fields(&fields, out);
-        for requests in self.requests.iter().take(fields.parts.into()) {
-            out.extend_from_slice(&requests.to_be_bytes());
+        for tokens in self.requests.iter().take(fields.parts.into()) {
+            out.extend_from_slice(&tokens.to_be_bytes());
         }
     }
 
     fn decode(payload: &mut Bytes) -> Option<Self> {
         let fields: EpochFields = take_fields(payload)?;
         let parts = take_bytes(payload, usize::from(fields.parts) * size_of::<u16>())?;
-        let requests = parts.chunks_exact(size_of::<u16>());
+        let part_bytes = parts.chunks_exact(size_of::<u16>());
         Some(Self {
             epoch: fields.epoch,
             total: fields.total,
             age_ms: fields.age_ms,
-            requests: requests
+            requests: part_bytes
                 .map(|part| u16::from_be_bytes([part[0], part[1]]))
                 .collect(),
         })
     }
 }
 
-/// Length of a list as its length field gives it. What does not fit is not sent.
+/// Returns the value of the length field of a list. Items beyond the first 255 are not sent.
 fn saturated_length<T>(list: &[T]) -> u8 {
     u8::try_from(list.len()).unwrap_or(u8::MAX)
 }
--- a/crates/tallybridge-mesh/src/protocol/slot_times.rs
+++ b/crates/tallybridge-mesh/src/protocol/slot_times.rs
@@ -1,7 +1,7 @@
-//! What a call costs: the time for which it holds slots of each service that it needs.
+//! The cost of a call: the time for which the call and its nested calls hold slots of each service.
 //!
-//! Executors add up the times of a call and of the calls below it; entries learn from the sum what a
-//! request of a route costs ([`crate::tables::admission`]).
+//! Executors add up these times, and entries estimate the cost of a route's requests from the sums
+//! ([`crate::tables::admission`]).
 
 use std::{sync::Arc, time::Duration};
 
@@ -10,25 +10,26 @@
 
 use super::codec::{put_fields, take_bytes, take_fields};
 
-/// Most services whose slot times are sent with an answer; the others count as costing nothing.
-/// The largest site that the system is designed for has 54 services.
+/// Maximum number of services whose slot times are sent with an answer. Other services count as
+/// costing nothing. The largest supported site has 54 services.
 const MAX_SERVICES: usize = 64;
 
-/// Time for which slots of one service were held.
+/// Slot time of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceTime {
-    /// The service.
+    /// Name of the service.
     pub service: Arc<str>,
-    /// The time, summed over all calls to the service.
+    /// Time for which slots were held, summed over all calls to the service.
     pub held: Duration,
 }
 
-/// Time for which a call and all calls below it held slots, by service. It is sent with the answer.
+/// Time for which a call and its nested calls held slots, by service. Executors send it with the
+/// answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SlotTimes(Vec<ServiceTime>);
 
 impl SlotTimes {
-    /// Adds the time of one more call.
+    /// Adds the time for which one call held a slot of `service`.
     pub fn add(&mut self, service: &Arc<str>, held: Duration) {
         match self.0.iter_mut().find(|time| time.service == *service) {
             Some(time) => time.held += held,
@@ -39,37 +40,37 @@
         }
     }
 
-    /// Adds all times of a nested call.
+    /// Adds the times of a nested call, for each service.
     pub fn add_all(&mut self, nested: &Self) {
         for time in nested.iter() {
             self.add(&time.service, time.held);
         }
     }
 
-    /// The times, each service once.
+    /// Iterates over the services, each of which occurs once.
     pub fn iter(&self) -> impl Iterator<Item = &ServiceTime> {
         self.0.iter()
     }
 
-    /// Time for which slots of a service were held; zero if none were.
+    /// Returns the time for which slots of `service` were held; zero if the service is not listed.
     #[must_use]
     pub fn of(&self, service: &str) -> Duration {
-        let found = self.0.iter().find(|time| *time.service == *service);
-        found.map_or(Duration::ZERO, |time| time.held)
+        let entry = self.0.iter().find(|time| *time.service == *service);
+        entry.map_or(Duration::ZERO, |time| time.held)
     }
 }
 
 impl FromIterator<ServiceTime> for SlotTimes {
     fn from_iter<I: IntoIterator<Item = ServiceTime>>(times: I) -> Self {
-        let mut all = Self::default();
+        let mut slot_times = Self::default();
         for time in times {
-            all.add(&time.service, time.held);
+            slot_times.add(&time.service, time.held);
         }
-        all
+        slot_times
     }
 }
 
-/// One entry of the slot times on the wire: the name of the service follows.
+/// Fixed fields of a [`ServiceTime`], which precede the name of the service.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct ServiceTimeFields {
@@ -78,14 +79,14 @@
 }
 
 impl SlotTimes {
-    /// The entries that are sent. A service whose name is too long for its length field is left
-    /// out: its calls count as costing nothing.
+    /// Returns the times that are sent. A service whose name does not fit the length field is skipped,
+    /// so its calls count as costing nothing.
     fn encoded(&self) -> impl Iterator<Item = &ServiceTime> {
-        let fits = |time: &&ServiceTime| time.service.len() <= u8::MAX.into();
-        self.0.iter().filter(fits).take(MAX_SERVICES)
+        let name_fits = |time: &&ServiceTime| time.service.len() <= u8::MAX.into();
+        self.0.iter().filter(name_fits).take(MAX_SERVICES)
     }
 
-    /// Number of entries that [`Self::encode`] writes; it stands in the fields before them.
+    /// Returns the number of services that [`Self::encode`] writes.
     pub(super) fn encoded_count(&self) -> u8 {
         self.encoded().count() as u8
     }
--- a/crates/tallybridge-mesh/src/protocol/status.rs
+++ b/crates/tallybridge-mesh/src/protocol/status.rs
@@ -1,4 +1,4 @@
-//! What a node says of itself: its record, which is also stored in the registry, and its status.
+//! A node's description of itself: its record, which the registry also stores, and its status.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -11,47 +11,47 @@
     codec::{put_fields, take_fields},
 };
 
-/// What identifies a node: its registration in the store, and its hello on each link.
+/// Identity of a node, used as its registration in the store and as its hello on each link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
-    /// Its name, as its settings give it.
+    /// Name of the node, from its settings.
     pub node: String,
-    /// Where it accepts links.
+    /// Address at which the node accepts links.
     pub address: SocketAddr,
-    /// Its zone.
+    /// Zone of the node, by which peers can prefer nearby executors.
     pub zone: String,
-    /// Service of the back end beside it.
+    /// Service of the node's back end.
     pub service: String,
-    /// Number drawn when its process started, so that a restart shows.
+    /// Random number of the node process, which changes with each restart.
     pub process: u64,
-    /// Slots of the back end beside it; 0 while unknown.
+    /// Number of slots of the node's back end; 0 while unknown.
     #[serde(default)]
     pub slots: u32,
 }
 
-/// Whether the back end beside a node accepts calls, as that node says.
+/// Whether a node's back end accepts calls, as reported by the node.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[repr(u8)]
 pub enum BackendState {
-    /// Not known yet, or not reachable.
+    /// The state is not known yet, or the back end is unreachable.
     #[default]
     Unavailable = 0,
-    /// It accepts calls.
+    /// The back end accepts calls.
     Ready = 1,
-    /// It is leaving.
+    /// The back end has announced its end and accepts no new calls.
     Leaving = 2,
-    /// It accepts calls, but its node is about to stop: it is chosen when there is no other.
+    /// The back end accepts calls, but its node is about to stop. Other back ends are preferred.
     Stopping = 3,
 }
 
 impl BackendState {
-    /// Whether calls may be sent to it.
+    /// Returns whether new calls may be sent to a back end in this state.
     #[must_use]
     pub const fn takes_work(self) -> bool {
         matches!(self, Self::Ready | Self::Stopping)
     }
 
-    /// The state of a wire value. One that this node does not know reads as unavailable.
+    /// Decodes a wire value. An unknown value is decoded as [`Self::Unavailable`].
     #[must_use]
     pub fn from_wire(value: u8) -> Self {
         match value {
@@ -63,22 +63,23 @@
     }
 }
 
-/// What a node sends to its peers when it changes, and in answer to a ping.
+/// Status of a node, sent to its peers on a change and in reply to a ping.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PeerStatus {
-    /// Whether its back end accepts calls.
+    /// State of the node's back end.
     pub backend: BackendState,
-    /// Load of its back end.
+    /// Load of the node's back end.
     pub load: Load,
-    /// Slots of its back end; 0 while unknown.
+    /// Number of slots of the back end; 0 while unknown.
     pub slots: u32,
-    /// Version of its configuration; 0 for none.
+    /// Version of the node's configuration; 0 if it has none.
     pub version: u64,
-    /// Services that its back end recently made nested calls to.
+    /// Services to which the back end recently made nested calls.
     pub calls: Vec<Arc<str>>,
 }
 
-/// The names of the called services follow, separated by [`NAME_SEPARATOR`].
+/// Fixed fields of a status, which precede the names of the called services, separated by
+/// [`NAME_SEPARATOR`].
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct StatusFields {
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -1,7 +1,5 @@
-//! Every kind of decision, played from a seed in virtual time, with one digest for each: a change that
-//! is meant to leave decisions as they are leaves the digests as they are.
-//!
-//! A change that is meant to change a decision changes its digest with it.
+//! Pins a digest of each kind of decision, simulated from a seed in virtual time, to detect unintended
+//! changes of behaviour. An intended change of decisions updates the digest.
 
 mod support;
 
@@ -37,31 +35,31 @@
 
 const SEED: u64 = 20_261_203;
 
-/// Sums up decisions in the order in which they were made.
+/// A digest over the `Debug` output of decisions, which includes the names of types and fields.
 #[derive(Default)]
 struct Decisions {
     hasher: Xxh3,
-    /// The same in words, which a failing test shows the end of.
-    last: Vec<String>,
+    /// Decisions as text; a failed assertion prints the last ones.
+    texts: Vec<String>,
 }
 
 impl Decisions {
-    fn note(&mut self, decision: impl Debug) {
+    fn record(&mut self, decision: impl Debug) {
         let text = format!("{decision:?}\n");
         self.hasher.update(text.as_bytes());
-        self.last.push(text);
+        self.texts.push(text);
     }
 
     #[track_caller]
-    fn expect(&self, digest: u64, count: usize) {
-        let start = self.last.len().saturating_sub(5);
-        let found = (self.hasher.digest(), self.last.len());
-        let end = self.last[start..].concat();
+    fn assert_digest(&self, digest: u64, count: usize) {
+        let start = self.texts.len().saturating_sub(5);
+        let actual = (self.hasher.digest(), self.texts.len());
+        let last_decisions = self.texts[start..].concat();
         assert_eq!(
-            found,
+            actual,
             (digest, count),
-            "digest {:#x}, ends with\n{end}",
-            found.0
+            "digest is {:#x}; last decisions:\n{last_decisions}",
+            actual.0
         );
     }
 }
@@ -81,17 +79,16 @@
     }
 }
 
-/// A table in which no two executors are so much alike that chance decides between them: what chance
-/// adds to a score is below 0.06, utilizations are 0.14 apart, and crossing a zone costs two and a half
-/// of that.
+/// Creates a table of executors whose scores differ by more than the random part of a score (below
+/// 0.06): utilizations are 0.14 apart, and another zone costs 2.5 times as much.
 fn peers(random: &mut SmallRng, is_full: bool, now: Instant) -> PeerTable {
     let mut table = PeerTable::new(record(1, "home"));
-    let trouble = if is_full {
+    let fault = if is_full {
         0
     } else {
         random.random_range(1..5)
     };
-    // What is slow or fails costs whole utilizations, as full executors do: one of both at a time.
+    // A table has one kind of fault, because two kinds of penalties could produce equal scores.
     let mut steps: Vec<u16> = (0..if is_full { 9 } else { 6 }).collect();
     steps.shuffle(random);
     for (index, step) in steps.into_iter().take(6).enumerate() {
@@ -101,15 +98,15 @@
         } else {
             "away"
         };
-        let is_struck = random.random_bool(0.4);
+        let is_faulty = random.random_bool(0.4);
         let load = Load {
             limit: 100,
             in_flight: step * 14,
-            service_ms: if is_struck && trouble == 1 { 2000 } else { 20 },
-            failing: if is_struck && trouble == 2 { 255 } else { 0 },
+            service_ms: if is_faulty && fault == 1 { 2000 } else { 20 },
+            failing: if is_faulty && fault == 2 { 255 } else { 0 },
             ..Load::default()
         };
-        let backend = match (is_struck, trouble) {
+        let backend = match (is_faulty, fault) {
             (true, 3) => BackendState::Leaving,
             (true, 4) => BackendState::Stopping,
             _ => BackendState::Ready,
@@ -129,17 +126,17 @@
     table
 }
 
-/// The ports of the executors that a call is sent to, one after the other, each refusing it.
-fn placed(table: &mut PeerTable, local: Option<Load>, now: Instant) -> Vec<u16> {
+/// Returns the ports of the executors tried by a call that each of them refuses, in order.
+fn placement_order(table: &mut PeerTable, local: Option<Load>, now: Instant) -> Vec<u16> {
     let mut tried = Vec::new();
     loop {
-        let choice = PlacementQuery {
+        let query = PlacementQuery {
             service: "ledger",
             local,
             tried: &tried,
             is_idempotent: false,
         };
-        let chosen = match table.choose(&choice, now) {
+        let chosen = match table.choose(&query, now) {
             Some(Executor::Peer(address, _)) => address,
             Some(Executor::Local) => address(1),
             None => return tried.iter().map(SocketAddr::port).collect(),
@@ -149,7 +146,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn placement() {
+async fn placement_matches_digest() {
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut decisions = Decisions::default();
     let now = Instant::now();
@@ -166,35 +163,39 @@
             table.avoid(address(random.random_range(2..8)), now);
         }
         if !is_full && random.random_bool(0.3) {
-            let lost = address(random.random_range(2..8));
-            (0..100).for_each(|_| table.record_outcome(lost, true));
+            let failing = address(random.random_range(2..8));
+            (0..100).for_each(|_| table.record_outcome(failing, true));
         }
-        let order = placed(&mut table, local, now);
+        let order = placement_order(&mut table, local, now);
         for _ in 0..40 {
-            assert_eq!(placed(&mut table, local, now), order, "chance decides");
+            assert_eq!(
+                placement_order(&mut table, local, now),
+                order,
+                "placement order is random"
+            );
         }
-        decisions.note(order);
+        decisions.record(order);
     }
-    decisions.expect(0xc15e_0c8d_e051_25f8, 200);
+    decisions.assert_digest(0xc15e_0c8d_e051_25f8, 200);
 }
 
 #[tokio::test(start_paused = true)]
-async fn admission_and_service_of_an_overloaded_chain() {
+async fn admission_in_overloaded_chain_matches_digest() {
     let mut decisions = Decisions::default();
-    for shortage in [0.8, 1.5, 4.0] {
-        let mut fleet = ChainFleet::new(chain(shortage));
-        decisions.note(fleet.run(Duration::from_secs(4)).await);
+    for relative_load in [0.8, 1.5, 4.0] {
+        let mut fleet = ChainFleet::new(chain(relative_load));
+        decisions.record(fleet.run(Duration::from_secs(4)).await);
         fleet.leave(2, 1);
-        decisions.note(fleet.run(Duration::from_secs(4)).await);
+        decisions.record(fleet.run(Duration::from_secs(4)).await);
         fleet.slow(1, 3.0);
-        decisions.note(fleet.run(Duration::from_secs(4)).await);
+        decisions.record(fleet.run(Duration::from_secs(4)).await);
         fleet.lose_all(2, Duration::from_millis(500));
-        decisions.note(fleet.run(Duration::from_secs(4)).await);
+        decisions.record(fleet.run(Duration::from_secs(4)).await);
     }
-    decisions.expect(0xbb50_c82a_7409_674d, 12);
+    decisions.assert_digest(0xbb50_c82a_7409_674d, 12);
 }
 
-fn chain(shortage: f64) -> ChainPlan {
+fn chain(relative_load: f64) -> ChainPlan {
     let deep = || CallPlan::new(2, 30, Vec::new());
     let middle = CallPlan::new(1, 15, deep().times(2));
     let demand = |name, priority, per_second, call| Demand {
@@ -216,11 +217,11 @@
         ],
         cold: Duration::from_secs(1),
     }
-    .asking(2, 3, shortage)
+    .asking(2, 3, relative_load)
 }
 
 #[tokio::test(start_paused = true)]
-async fn retries() {
+async fn retry_budgets_match_digest() {
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut decisions = Decisions::default();
     let services: [Arc<str>; 2] = ["ledger".into(), "portal".into()];
@@ -232,24 +233,24 @@
     for _ in 0..20_000 {
         advance(Duration::from_millis(random.random_range(0..3))).await;
         let service = &services[random.random_range(0..2)];
-        let sending = FirstAttempt {
+        let first_attempt = FirstAttempt {
             is_below_retry: random.random_bool(0.05),
         };
-        budgets.record_first_attempt(service, sending, BootInstant::now());
+        budgets.record_first_attempt(service, first_attempt, BootInstant::now());
         if random.random_bool(0.4) {
-            let repeat = RetryRequest {
+            let retry = RetryRequest {
                 calls_others: random.random_bool(0.3),
                 is_urgent: random.random_bool(0.4),
             };
-            decisions.note(budgets.withdraw(service, repeat, BootInstant::now()));
+            decisions.record(budgets.withdraw(service, retry, BootInstant::now()));
         }
     }
-    decisions.expect(0xf094_c2bb_40a4_0876, 7973);
+    decisions.assert_digest(0xf094_c2bb_40a4_0876, 7973);
 }
 
-/// What a link sends, and when it gives up the calls on it.
+/// Covers the frames that a link sends and the times at which it fails its calls.
 #[tokio::test(start_paused = true)]
-async fn giving_up_on_a_silent_link() {
+async fn unresponsive_link_matches_digest() {
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut decisions = Decisions::default();
     for links in [12, 300] {
@@ -263,20 +264,20 @@
                 calls.push((step, is_idempotent, link.call(call(is_idempotent)).unwrap()));
             }
             link.check(Instant::now(), links);
-            decisions.note((step, link.is_suspect(), sent(&mut frames)));
-            let mut open = Vec::new();
-            for (began, is_idempotent, mut call) in calls {
-                let ended = timeout(Duration::ZERO, call.reply()).await;
-                decisions.note((began, is_idempotent, ended.is_ok()));
-                // A caller that has waited long enough leaves.
-                if ended.is_err() && step - began < 30 {
-                    open.push((began, is_idempotent, call));
+            decisions.record((step, link.is_suspect(), sent_kinds(&mut frames)));
+            let mut unfinished = Vec::new();
+            for (start, is_idempotent, mut call) in calls {
+                let reply = timeout(Duration::ZERO, call.reply()).await;
+                decisions.record((start, is_idempotent, reply.is_ok()));
+                // A caller gives up after 30 steps.
+                if reply.is_err() && step - start < 30 {
+                    unfinished.push((start, is_idempotent, call));
                 }
             }
-            calls = open;
+            calls = unfinished;
         }
     }
-    decisions.expect(0x913a_51b4_6070_6140, 1195);
+    decisions.assert_digest(0x913a_51b4_6070_6140, 1195);
 }
 
 fn call(is_idempotent: bool) -> CallMessage {
@@ -295,8 +296,8 @@
     }
 }
 
-/// The kinds of the frames that were sent, as they stand on the wire.
-fn sent(frames: &mut mpsc::UnboundedReceiver<Bytes>) -> Vec<u8> {
+/// Returns the kind bytes of the frames sent since the last call.
+fn sent_kinds(frames: &mut mpsc::UnboundedReceiver<Bytes>) -> Vec<u8> {
     let mut kinds = Vec::new();
     while let Ok(frame) = frames.try_recv() {
         assert!(Frame::take(&mut BytesMut::from(&frame[..])).is_ok());
@@ -306,7 +307,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn quarantine() {
+async fn quarantine_matches_digest() {
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut decisions = Decisions::default();
     let mut quarantine = Quarantine::default();
@@ -321,40 +322,44 @@
                     id: step,
                     suspects: vec![digest],
                 };
-                let held = quarantine.record_crash(&report, now);
-                decisions.note(held.map(|held| held.iter().map(plain).collect::<Vec<_>>()));
+                let shared = quarantine.record_crash(&report, now);
+                decisions
+                    .record(shared.map(|shared| shared.iter().map(to_tuple).collect::<Vec<_>>()));
             }
-            3 => decisions.note(quarantine.clear(digest, now)),
+            3 => decisions.record(quarantine.clear(digest, now)),
             4 => quarantine.remove_expired(now),
             5 => {
-                let held = QuarantinedRequest {
+                let request = QuarantinedRequest {
                     digest,
                     crashes: random.random_range(1..5),
                     left: Duration::from_secs(random.random_range(0..40)),
                 };
-                decisions.note(quarantine.merge(held, now));
+                decisions.record(quarantine.merge(request, now));
             }
             _ => {}
         }
-        // A node releases a request up to a fifth of its hold late, by chance: what is sure is that none
-        // is released before.
-        let mut held: Vec<_> = quarantine.quarantined(now).iter().map(plain).collect();
-        held.sort();
-        decisions.note(held);
+        // Random jitter delays the release of a request but does not affect the reported times.
+        let mut quarantined: Vec<_> = quarantine.quarantined(now).iter().map(to_tuple).collect();
+        quarantined.sort();
+        decisions.record(quarantined);
     }
-    decisions.expect(0xe47a_d82d_e0ee_8b0a, 4521);
+    decisions.assert_digest(0xe47a_d82d_e0ee_8b0a, 4521);
 }
 
-/// A quarantined request in words that no rename changes.
-fn plain(held: &QuarantinedRequest) -> (String, u8, u128) {
-    (held.digest.to_string(), held.crashes, held.left.as_millis())
+/// Converts a request to a form whose `Debug` output has no names.
+fn to_tuple(request: &QuarantinedRequest) -> (String, u8, u128) {
+    (
+        request.digest.to_string(),
+        request.crashes,
+        request.left.as_millis(),
+    )
 }
 
 #[tokio::test(start_paused = true)]
-async fn quotas() {
+async fn quota_grants_match_digest() {
     let mut random = SmallRng::seed_from_u64(SEED);
     let mut decisions = Decisions::default();
-    let mut home = OwnedQuotas::new(QuotaSlack {
+    let mut owner = OwnedQuotas::new(QuotaSlack {
         window: Duration::from_secs(5),
         overage: 0.1,
         requests: 20.0,
@@ -368,26 +373,27 @@
             burst: rate,
         }),
     });
-    let mut since = BootInstant::now();
+    let mut owner_since = BootInstant::now();
     for _ in 0..20_000 {
         advance(Duration::from_millis(random.random_range(0..6))).await;
         let now = BootInstant::now();
         if random.random_bool(0.0005) {
-            since = now;
+            owner_since = now;
         }
-        let ask = QuotaAsk {
+        let request = QuotaAsk {
             entry: random.random_range(0..5),
             ahead: random.random_range(0..4),
             spent: random.random_range(0..3),
             fleet: Vec::new(),
         };
         let tenant = &tenants[random.random_range(0..2)];
-        decisions.note(match home.grant(tenant, ask, since, now) {
+        decisions.record(match owner.grant(tenant, request, owner_since, now) {
             QuotaGrant::Tokens { tokens, .. } => ("tokens", u64::from(tokens)),
             QuotaGrant::Spent { wait, .. } => ("spent", wait.as_millis() as u64),
+            // The digest covers this text.
             QuotaGrant::NotOwner => ("not home", 0),
         });
-        home.forget_idle(now);
+        owner.forget_idle(now);
     }
-    decisions.expect(0x8620_2dd0_723c_cd8a, 20_000);
+    decisions.assert_digest(0x8620_2dd0_723c_cd8a, 20_000);
 }
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -1,4 +1,4 @@
-//! Messages between nodes survive their wire form, in any pieces, and no bytes make them panic.
+//! Messages between nodes are decoded as encoded, however the bytes are split, and no input panics.
 
 use std::time::Duration;
 
@@ -16,8 +16,8 @@
 }
 
 fn epochs() -> impl Strategy<Value = Vec<EpochSpending>> {
-    let epoch = any::<(u32, u32, u16)>();
-    let epoch = (epoch, prop::collection::vec(any::<u16>(), 0..22));
+    let fields = any::<(u32, u32, u16)>();
+    let epoch = (fields, prop::collection::vec(any::<u16>(), 0..22));
     let epoch = epoch.prop_map(|((epoch, total, age_ms), requests)| EpochSpending {
         epoch,
         total,
@@ -31,8 +31,8 @@
     prop_oneof![
         Just(QuotaGrant::NotOwner),
         (any::<u32>(), epochs()).prop_map(|(tokens, fleet)| QuotaGrant::Tokens { tokens, fleet }),
-        (any::<u32>(), epochs()).prop_map(|(ms, fleet)| {
-            let wait = Duration::from_millis(ms.into());
+        (any::<u32>(), epochs()).prop_map(|(wait_ms, fleet)| {
+            let wait = Duration::from_millis(wait_ms.into());
             QuotaGrant::Spent { wait, fleet }
         }),
     ]
@@ -61,7 +61,7 @@
         service: service.into(),
         held: Duration::from_micros(held_us.into()),
     });
-    // Distinct names: the times of one service are added up.
+    // Names must be distinct because `SlotTimes` adds up the times of a service.
     prop::collection::vec(time, 0..4).prop_map(|mut times| {
         times.sort_by(|left, right| left.service.cmp(&right.service));
         times.dedup_by(|left, right| left.service == right.service);
@@ -114,11 +114,11 @@
     let kind = prop::sample::select(ErrorKind::ALL);
     let outcome = prop::sample::select(&Outcome::ALL[..]);
     let retry_after = prop::option::of(1_u32..=u32::MAX);
-    (kind, outcome, retry_after, load()).prop_map(|(kind, outcome, after_ms, load)| {
+    (kind, outcome, retry_after, load()).prop_map(|(kind, outcome, delay_ms, load)| {
         RefusalMessage {
             kind,
             outcome,
-            retry_after: after_ms.map(|after| Duration::from_millis(after.into())),
+            retry_after: delay_ms.map(|delay_ms| Duration::from_millis(delay_ms.into())),
             load,
         }
     })
@@ -130,8 +130,8 @@
         bytes().prop_map(Message::Nodes),
         call().prop_map(Message::Call),
         (any::<(u16, bool)>(), times(), load(), bytes(), bytes()).prop_map(
-            |(first, times, load, head, body)| {
-                let (status, made_calls) = first;
+            |(fields, times, load, head, body)| {
+                let (status, made_calls) = fields;
                 Message::Answer(AnswerMessage {
                     status,
                     made_calls,
@@ -158,8 +158,8 @@
         }),
         any::<u64>().prop_map(|now_ms| Message::Clock(ClockMessage { now_ms })),
         (bytes(), any::<(u64, u32, u32)>(), epochs(), any::<bool>()).prop_map(
-            |(tenant, ask, fleet, is_forwarded)| {
-                let (entry, ahead, spent) = ask;
+            |(tenant, fields, fleet, is_forwarded)| {
+                let (entry, ahead, spent) = fields;
                 let ask = QuotaAsk {
                     entry,
                     ahead,
@@ -176,11 +176,11 @@
         grant().prop_map(Message::QuotaGrant),
         (any::<u64>(), prop::collection::vec(digest(), 0..8))
             .prop_map(|(id, suspects)| Message::Crash(CrashReport { id, suspects })),
-        (digest(), any::<u8>(), any::<u64>()).prop_map(|(digest, crashes, left_ms)| {
+        (digest(), any::<u8>(), any::<u64>()).prop_map(|(digest, crashes, remaining_ms)| {
             Message::Quarantined(QuarantinedRequest {
                 digest,
                 crashes,
-                left: Duration::from_millis(left_ms),
+                left: Duration::from_millis(remaining_ms),
             })
         }),
         digest().prop_map(Message::Cleared),
@@ -191,9 +191,9 @@
     #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
 
     #[test]
-    fn frames_survive_their_wire_form_in_any_pieces(
+    fn decodes_frames_split_at_any_size(
         frames in prop::collection::vec((any::<u32>(), message()), 1..6),
-        size in 1_usize..300,
+        chunk_bytes in 1_usize..300,
     ) {
         let frames: Vec<Frame> = frames
             .into_iter()
@@ -201,40 +201,40 @@
             .collect();
         let wire: Vec<u8> = frames.iter().flat_map(|frame| frame.encode().to_vec()).collect();
         let mut buffer = BytesMut::new();
-        let mut read = Vec::new();
-        for piece in wire.chunks(size) {
-            buffer.extend_from_slice(piece);
+        let mut decoded = Vec::new();
+        for chunk in wire.chunks(chunk_bytes) {
+            buffer.extend_from_slice(chunk);
             while let Some(frame) = Frame::take(&mut buffer).unwrap() {
-                read.push(frame);
+                decoded.push(frame);
             }
         }
-        prop_assert_eq!(read, frames);
+        prop_assert_eq!(decoded, frames);
         prop_assert!(buffer.is_empty());
     }
 
     #[test]
-    fn no_bytes_make_the_reader_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+    fn decodes_arbitrary_bytes_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut buffer = BytesMut::from(&bytes[..]);
         while let Ok(Some(_)) = Frame::take(&mut buffer) {}
     }
 
     #[test]
-    fn a_payload_that_is_cut_off_is_refused(message in message(), cut in 1_usize..20) {
+    fn decodes_truncated_payload_without_panic(message in message(), missing in 1_usize..20) {
         let whole = Frame { call: 1, message }.encode();
-        if whole.len() <= 10 + cut {
+        if whole.len() <= 10 + missing {
             return Ok(());
         }
-        let mut bytes = whole[..whole.len() - cut].to_vec();
+        let mut bytes = whole[..whole.len() - missing].to_vec();
         let length = u32::try_from(bytes.len() - 10).unwrap();
         bytes[..4].copy_from_slice(&length.to_be_bytes());
-        // It is either refused or another whole message, never a panic.
+        // The shorter payload may be rejected or may decode as another valid message.
         let _ = Frame::take(&mut BytesMut::from(&bytes[..]));
     }
 }
 
 #[test]
-fn another_version_is_refused() {
+fn rejects_other_protocol_version() {
     let mut bytes = Frame::of_link(Message::Ping).encode().to_vec();
-    bytes[4] = 9;
+    bytes[4] = 9; // protocol version
     assert!(Frame::take(&mut BytesMut::from(&bytes[..])).is_err());
 }
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -1,10 +1,9 @@
-//! A fleet in virtual time: entries and back ends of a chain of services, with the product's own
-//! admission, slots, queues and learned costs, and a plain way through them.
+//! A simulation, in virtual time, of entries and back ends of a chain of services. It uses the real
+//! admission, slots, queues, learned costs and table of running calls.
 //!
-//! A node stands beside each back end and is an entry for its share of the requests. A call takes a
-//! slot, does its own work, makes its calls and fails if one of them does, as the users' back ends
-//! do. What an answer tells is put together by the product's own table of running calls. Left out:
-//! links and their delays, budgets of repeats, the choice among back ends by news that is old.
+//! Each back end has a node, and each node is the entry for an equal share of the requests. A call
+//! acquires a slot, works, makes its nested calls in turn and fails if one of them fails. Links and
+//! their delays, retry budgets and outdated reports are not simulated.
 
 pub mod node;
 pub mod plan;
@@ -29,103 +28,104 @@
 };
 use super::route;
 
-/// Time between two steps.
+/// Time between two rounds of new requests.
 const STEP: Duration = Duration::from_millis(10);
-/// Steps between two looks of a node.
-const STEPS_PER_LOOK: u32 = 10;
-/// Time in which a request is refused rather than held.
-const WAIT: Duration = Duration::from_millis(300);
-/// Time that a call is taken to hold a slot at the least.
-const LEAST_CALL_TIME: Duration = Duration::from_millis(1);
-/// Share of the time left that a nested call may wait.
-const NESTED_WAIT: f64 = 0.6;
+const STEPS_PER_TICK: u32 = 10;
+/// Maximum time that the first call of a request waits for a slot.
+const MAX_SLOT_WAIT: Duration = Duration::from_millis(300);
+/// Lower bound of the slot time that is assumed for a refused nested call.
+const MIN_CALL_TIME: Duration = Duration::from_millis(1);
+/// Share of a nested call's timeout that the call may wait for a slot.
+const NESTED_WAIT_SHARE: f64 = 0.6;
 
-/// The fleet.
+/// The simulated nodes and back ends, and the requests in progress.
 pub struct ChainFleet {
     plan: Arc<ChainPlan>,
     routes: Vec<Arc<Route>>,
     nodes: Arc<Vec<Arc<ChainNode>>>,
-    under_way: JoinSet<()>,
-    due: Vec<f64>,
+    requests: JoinSet<()>,
+    pending: Vec<f64>,
     steps: u32,
     tally: Arc<Tally>,
 }
 
 impl ChainFleet {
-    /// A fleet that has just started for the first time.
     pub fn new(plan: ChainPlan) -> Self {
         let plan = Arc::new(plan);
         let routes: Vec<Arc<Route>> = plan.demands.iter().map(route_of).collect();
         Self {
-            nodes: Arc::new(ChainNode::all(&plan)),
-            due: vec![0.0; routes.len()],
+            nodes: Arc::new(ChainNode::from_plan(&plan)),
+            pending: vec![0.0; routes.len()],
             tally: Arc::new(Tally::new(routes.len())),
             routes,
             plan,
-            under_way: JoinSet::new(),
+            requests: JoinSet::new(),
             steps: 0,
         }
     }
 
-    /// All nodes and back ends are lost, with all that they knew, and start again; back ends of one
-    /// service take work only some time after the others.
-    pub fn lose_all(&mut self, last: usize, after: Duration) {
-        self.under_way.abort_all();
-        self.under_way = JoinSet::new();
-        self.nodes = Arc::new(ChainNode::all(&self.plan));
-        for node in self.nodes.iter().filter(|node| node.service == last) {
-            node.starts_late(after);
+    /// Restarts all nodes and back ends without their state. Back ends of `delayed_service` accept
+    /// calls `delay` after the others.
+    pub fn lose_all(&mut self, delayed_service: usize, delay: Duration) {
+        self.requests.abort_all();
+        self.requests = JoinSet::new();
+        self.nodes = Arc::new(ChainNode::from_plan(&self.plan));
+        for node in self
+            .nodes
+            .iter()
+            .filter(|node| node.service == delayed_service)
+        {
+            node.delay_start(delay);
         }
     }
 
-    /// Every so many-th node is lost, beginning with the one at a place, with all that it knew, and starts
-    /// again. Back ends live on.
-    pub fn lose_some(&mut self, first: usize, every: usize) {
+    /// Restarts every `step`-th node, starting at index `first`, without its state. Back ends keep
+    /// running.
+    pub fn lose_some(&mut self, first: usize, step: usize) {
         let nodes = self.nodes.iter().enumerate();
-        let nodes = nodes.map(|(index, node)| match index % every == first {
-            true => Arc::new(node.begin_anew()),
+        let nodes = nodes.map(|(index, node)| match index % step == first {
+            true => Arc::new(node.restarted()),
             false => node.clone(),
         });
         self.nodes = Arc::new(nodes.collect());
     }
 
-    /// Every entry takes it for certain that no route costs any service but its own anything.
+    /// Makes every entry learn that each route costs only the first service of its chain.
     pub fn mislead(&mut self) {
         for node in self.nodes.iter() {
             for (route, demand) in self.routes.iter().zip(&self.plan.demands) {
                 let mut times = SlotTimes::default();
-                let own = &self.plan.services[demand.call.service].name;
-                times.add(own, demand.call.work);
+                let first_service = &self.plan.services[demand.call.service].name;
+                times.add(first_service, demand.call.work);
                 for _ in 0..200 {
-                    node.answered(route, true, &times);
+                    node.record_answer(route, true, &times);
                 }
             }
         }
     }
 
-    /// Nodes of the fleet.
     pub fn len(&self) -> usize {
         self.nodes.len()
     }
 
-    /// Nothing but so many back ends of a service are left, from the slowest on.
+    /// Removes all back ends of a service except the `backends` slowest ones.
     pub fn leave(&mut self, service: usize, backends: usize) {
         let nodes = self.nodes.iter().filter(|node| node.service == service);
         for node in nodes.skip(backends) {
             node.remove();
         }
-        Arc::make_mut(&mut self.plan).services[service].left = backends;
+        Arc::make_mut(&mut self.plan).services[service].available = backends;
     }
 
-    /// Calls of a service take so many times as long from now on.
+    /// Multiplies the work time of the service's calls by `factor` from now on.
     pub fn slow(&mut self, service: usize, factor: f64) {
         for node in self.nodes.iter().filter(|node| node.service == service) {
-            node.slow(factor);
+            node.set_slowdown(factor);
         }
-        Arc::make_mut(&mut self.plan).services[service].slowed = factor;
+        Arc::make_mut(&mut self.plan).services[service].slowdown = factor;
     }
 
-    /// Runs for some time and counts the requests that came in it, once they have ended.
+    /// Runs the simulation for `time` and counts the requests of that time and their outcomes so far.
     pub async fn run(&mut self, time: Duration) -> Counts {
         let tally = Arc::new(Tally::new(self.routes.len()));
         self.tally = tally.clone();
@@ -133,27 +133,26 @@
         while Instant::now() < end {
             self.send();
             sleep(STEP).await;
-            if self.is_look_due() {
+            if self.is_tick_due() {
                 self.tick();
             }
-            while self.under_way.try_join_next().is_some() {}
+            while self.requests.try_join_next().is_some() {}
         }
         tally.counts(&self.plan)
     }
 
-    /// Whether it is time for the next look.
-    fn is_look_due(&mut self) -> bool {
+    fn is_tick_due(&mut self) -> bool {
         self.steps += 1;
-        self.steps.is_multiple_of(STEPS_PER_LOOK)
+        self.steps.is_multiple_of(STEPS_PER_TICK)
     }
 
     fn send(&mut self) {
         let seconds = STEP.as_secs_f64();
         for index in 0..self.routes.len() {
-            self.due[index] += self.plan.demands[index].per_second * seconds;
-            while self.due[index] >= 1.0 {
-                self.due[index] -= 1.0;
-                let entry = self.tally.came(index) + index * 5;
+            self.pending[index] += self.plan.demands[index].per_second * seconds;
+            while self.pending[index] >= 1.0 {
+                self.pending[index] -= 1.0;
+                let entry = self.tally.record_arrival(index) + index * 5;
                 let request = Request {
                     plan: self.plan.clone(),
                     nodes: self.nodes.clone(),
@@ -162,7 +161,7 @@
                     demand: index,
                     tally: self.tally.clone(),
                 };
-                self.under_way.spawn(request.run());
+                self.requests.spawn(request.run());
             }
         }
     }
@@ -171,7 +170,7 @@
         let mut loads = ServiceLoads::default();
         for node in self.nodes.iter() {
             let name = &self.plan.services[node.service].name;
-            loads.add(name, &node.status(&self.plan), node.takes_work());
+            loads.add(name, &node.status(&self.plan), node.accepts_calls());
         }
         for node in self.nodes.iter() {
             node.tick(&loads);
@@ -184,7 +183,6 @@
     Arc::new(route(demand.name, "h", &prefix, demand.priority, &[]))
 }
 
-/// A request on its way.
 struct Request {
     plan: Arc<ChainPlan>,
     nodes: Arc<Vec<Arc<ChainNode>>>,
@@ -194,7 +192,6 @@
     tally: Arc<Tally>,
 }
 
-/// A call on its way.
 struct Call<'a> {
     plan: &'a CallPlan,
     name: String,
@@ -203,9 +200,8 @@
     deadline: Instant,
 }
 
-/// How a call ended.
-pub enum Ended {
-    Answered { well: bool, times: SlotTimes },
+pub enum CallResult {
+    Answered { is_success: bool, times: SlotTimes },
     Refused,
 }
 
@@ -215,82 +211,83 @@
         let service = &self.plan.services[demand.call.service].name;
         let entry = &self.nodes[self.entry];
         if !entry.admits(&self.route, service) {
-            self.tally.refused(self.demand);
+            self.tally.record_refusal(self.demand);
             return;
         }
         let now = Instant::now();
         let call = Call {
             plan: &demand.call,
-            name: format!("{}x{}", self.demand, self.tally.next_name()),
+            name: format!("{}x{}", self.demand, self.tally.next_id()),
             criticality: match demand.priority {
                 0 => Criticality::CriticalPlus,
                 1 => Criticality::SheddablePlus,
                 _ => Criticality::Sheddable,
             },
-            wait_until: now + WAIT,
-            deadline: now + demand.call.patience,
+            wait_until: now + MAX_SLOT_WAIT,
+            deadline: now + demand.call.timeout,
         };
         match self.forward(&call).await {
-            Ended::Answered { well, times } => {
-                entry.answered(&self.route, well, &times);
-                self.tally.ended(self.demand, well);
+            CallResult::Answered { is_success, times } => {
+                entry.record_answer(&self.route, is_success, &times);
+                self.tally.record_end(self.demand, is_success);
             }
-            Ended::Refused => {
-                entry.unanswered(&self.route);
-                self.tally.refused(self.demand);
+            CallResult::Refused => {
+                entry.record_no_answer(&self.route);
+                self.tally.record_refusal(self.demand);
             }
         }
     }
 
-    /// Sends a call to the back end with the most room, and once more elsewhere if that is full.
-    async fn forward(&self, call: &Call<'_>) -> Ended {
+    /// Sends a call to the back end with the lowest utilization, then to the others while each refuses.
+    async fn forward(&self, call: &Call<'_>) -> CallResult {
         let mut tried = Vec::new();
         while let Some(target) = self.choose(call.plan.service, &tried) {
             tried.push(target);
             let executing = Box::pin(self.execute(target, call));
             match timeout_at(call.deadline, executing).await {
-                Ok(Ended::Refused) => {}
+                Ok(CallResult::Refused) => {}
                 Ok(answered) => return answered,
-                Err(_) => return Ended::Refused,
+                Err(_) => return CallResult::Refused,
             }
         }
-        Ended::Refused
+        CallResult::Refused
     }
 
     fn choose(&self, service: usize, tried: &[usize]) -> Option<usize> {
         let nodes = self.nodes.iter().enumerate();
-        let usable = nodes.filter(|(index, node)| {
-            node.service == service && node.takes_work() && !tried.contains(index)
+        let candidates = nodes.filter(|(index, node)| {
+            node.service == service && node.accepts_calls() && !tried.contains(index)
         });
-        let by_room = |node: &Arc<ChainNode>| (node.utilization() * 1000.0) as u64;
-        usable
-            .min_by_key(|(_, node)| by_room(node))
+        let permille = |node: &Arc<ChainNode>| (node.utilization() * 1000.0) as u64;
+        candidates
+            .min_by_key(|(_, node)| permille(node))
             .map(|(index, _)| index)
     }
 
-    async fn execute(&self, target: usize, call: &Call<'_>) -> Ended {
+    async fn execute(&self, target: usize, call: &Call<'_>) -> CallResult {
         let node = &self.nodes[target];
-        let Ok(slot) = node.slot(call.criticality, call.wait_until).await else {
-            return Ended::Refused;
+        let Ok(slot) = node.acquire_slot(call.criticality, call.wait_until).await else {
+            return CallResult::Refused;
         };
         let parent = Parent {
             is_urgent: call.criticality == Criticality::CriticalPlus,
             is_retry: false,
         };
-        let running = node.begin(&call.name, parent);
-        sleep(node.time_of(call.plan.work)).await;
-        let mut well = true;
+        let running = node.begin_call(&call.name, parent);
+        sleep(node.work_time(call.plan.work)).await;
+        let mut is_success = true;
         for (index, nested) in call.plan.calls.iter().enumerate() {
-            if !self.nested(node, call, nested, index).await {
-                well = false;
+            if !self.run_nested(node, call, nested, index).await {
+                is_success = false;
                 break;
             }
         }
-        let times = running.times(&self.plan.services[node.service].name, slot.held());
-        Ended::Answered { well, times }
+        let times = running.slot_times(&self.plan.services[node.service].name, slot.held());
+        CallResult::Answered { is_success, times }
     }
 
-    async fn nested(
+    /// Runs a nested call and returns whether it succeeded.
+    async fn run_nested(
         &self,
         node: &ChainNode,
         call: &Call<'_>,
@@ -298,32 +295,38 @@
         index: usize,
     ) -> bool {
         let now = Instant::now();
-        let left = call.deadline.saturating_duration_since(now);
-        let allowed = plan.patience.min(left);
+        let remaining = call.deadline.saturating_duration_since(now);
+        let timeout = plan.timeout.min(remaining);
         let nested = Call {
             plan,
             name: format!("{}.{index}", call.name),
             criticality: call.criticality.max(Criticality::Critical),
-            wait_until: now + allowed.mul_f64(NESTED_WAIT),
-            deadline: now + allowed,
+            wait_until: now + timeout.mul_f64(NESTED_WAIT_SHARE),
+            deadline: now + timeout,
         };
-        node.nested_begins(&call.name, plan.service);
-        let ended = self.forward(&nested).await;
-        let well = matches!(ended, Ended::Answered { well: true, .. });
+        node.begin_nested(&call.name, plan.service);
+        let result = self.forward(&nested).await;
+        let is_success = matches!(
+            result,
+            CallResult::Answered {
+                is_success: true,
+                ..
+            }
+        );
         let of_service = self
             .nodes
             .iter()
             .filter(|node| node.service == plan.service);
-        let times = of_service.map(|node| node.call_time());
-        let least = times.filter(|time| !time.is_zero()).min();
-        let least = least.unwrap_or_default().max(LEAST_CALL_TIME);
+        let call_times = of_service.map(|node| node.call_time());
+        let shortest = call_times.filter(|time| !time.is_zero()).min();
+        let min_time = shortest.unwrap_or_default().max(MIN_CALL_TIME);
         let service = &self.plan.services[plan.service].name;
-        node.nested_ended(&call.name, &ended, service, least);
-        well
+        node.end_nested(&call.name, &result, service, min_time);
+        is_success
     }
 }
 
-/// The rank of requests where no tenant goes before another.
+/// Returns the rank of requests without a tenant.
 fn rank() -> TenantRank {
     TenantRank::default()
 }
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -1,4 +1,4 @@
-//! A node, its back end, and what is counted.
+//! A simulated node with its back end, and the counts of requests.
 
 use std::{
     collections::HashSet,
@@ -21,63 +21,63 @@
 };
 use tokio::time::Instant;
 
-use super::{ChainPlan, Ended, rank};
+use super::{CallResult, ChainPlan, rank};
 
 #[derive(Debug)]
 struct NodeState {
     admission: AdmissionControl,
     running: RunningAttempts,
-    called: HashSet<usize>,
-    is_there: bool,
-    /// When the back end takes work for the first time.
-    starts: Instant,
+    called_services: HashSet<usize>,
+    is_present: bool,
+    /// Start of the back end's warm-up, from which it accepts calls.
+    ready_at: Instant,
     speed: f64,
-    slowed: f64,
+    slowdown: f64,
 }
 
-/// A node with the back end beside it.
+/// A node and its back end.
 #[derive(Debug)]
 pub struct ChainNode {
     pub service: usize,
     slots: u32,
     backend_slots: BackendSlots,
-    cold: Duration,
+    warm_up: Duration,
     state: Mutex<NodeState>,
 }
 
 impl ChainNode {
-    /// All nodes of a fleet, as they are when they start.
-    pub fn all(plan: &ChainPlan) -> Vec<Arc<Self>> {
+    /// Creates all nodes of a plan in their initial state.
+    pub fn from_plan(plan: &ChainPlan) -> Vec<Arc<Self>> {
         let services = plan.services.iter().enumerate();
-        let of_service = services.flat_map(|(index, service)| {
+        let backends = services.flat_map(|(index, service)| {
             let backends = service.speeds.iter().enumerate();
-            backends.map(move |(place, speed)| (index, service, place, *speed))
+            backends.map(move |(position, speed)| (index, service, position, *speed))
         });
-        of_service
-            .map(|(index, service, place, speed)| {
+        backends
+            .map(|(index, service, position, speed)| {
                 let backend_slots = BackendSlots::default();
                 backend_slots.set_slots(service.slots);
                 Arc::new(Self {
                     service: index,
                     slots: service.slots,
                     backend_slots,
-                    cold: plan.cold,
+                    warm_up: plan.cold,
                     state: Mutex::new(NodeState {
                         admission: AdmissionControl::default(),
                         running: RunningAttempts::default(),
-                        called: HashSet::new(),
-                        is_there: place < service.left,
-                        starts: Instant::now(),
+                        called_services: HashSet::new(),
+                        is_present: position < service.available,
+                        ready_at: Instant::now(),
                         speed,
-                        slowed: service.slowed,
+                        slowdown: service.slowdown,
                     }),
                 })
             })
             .collect()
     }
 
-    /// The node that starts in the place of this one, beside the same back end.
-    pub fn begin_anew(&self) -> Self {
+    /// Returns the node after a restart: without its state, but with the same back end.
+    pub fn restarted(&self) -> Self {
         let backend_slots = BackendSlots::default();
         backend_slots.set_slots(self.slots);
         let state = self.state();
@@ -85,11 +85,11 @@
             service: self.service,
             slots: self.slots,
             backend_slots,
-            cold: self.cold,
+            warm_up: self.warm_up,
             state: Mutex::new(NodeState {
                 admission: AdmissionControl::default(),
                 running: RunningAttempts::default(),
-                called: HashSet::new(),
+                called_services: HashSet::new(),
                 ..*state
             }),
         }
@@ -100,37 +100,37 @@
     }
 
     pub fn remove(&self) {
-        self.state().is_there = false;
+        self.state().is_present = false;
     }
 
-    pub fn slow(&self, factor: f64) {
-        self.state().slowed = factor;
+    pub fn set_slowdown(&self, factor: f64) {
+        self.state().slowdown = factor;
     }
 
-    pub fn starts_late(&self, after: Duration) {
-        self.state().starts += after;
+    pub fn delay_start(&self, delay: Duration) {
+        self.state().ready_at += delay;
     }
 
-    pub fn takes_work(&self) -> bool {
+    pub fn accepts_calls(&self) -> bool {
         let state = self.state();
-        state.is_there && Instant::now() >= state.starts
+        state.is_present && Instant::now() >= state.ready_at
     }
 
     pub fn utilization(&self) -> f64 {
         self.backend_slots.load().utilization(0)
     }
 
-    /// Time that some work takes now.
-    pub fn time_of(&self, work: Duration) -> Duration {
+    /// Returns the time that `work` takes at the current speed.
+    pub fn work_time(&self, work: Duration) -> Duration {
         let state = self.state();
-        let cold = match state.starts.elapsed() < self.cold {
+        let warm_up_factor = match state.ready_at.elapsed() < self.warm_up {
             true => 2.0,
             false => 1.0,
         };
-        work.mul_f64(cold * state.slowed / state.speed)
+        work.mul_f64(warm_up_factor * state.slowdown / state.speed)
     }
 
-    pub async fn slot(
+    pub async fn acquire_slot(
         &self,
         criticality: Criticality,
         wait_until: Instant,
@@ -138,18 +138,17 @@
         self.backend_slots.slot(criticality, wait_until).await
     }
 
-    /// What the node tells of itself.
     pub fn status(&self, plan: &ChainPlan) -> PeerStatus {
-        let takes_work = self.takes_work();
+        let accepts_calls = self.accepts_calls();
         let state = self.state();
         PeerStatus {
-            backend: match takes_work {
+            backend: match accepts_calls {
                 true => BackendState::Ready,
                 false => BackendState::Unavailable,
             },
             load: self.backend_slots.load(),
             calls: state
-                .called
+                .called_services
                 .iter()
                 .map(|service| plan.services[*service].name.clone())
                 .collect(),
@@ -166,57 +165,71 @@
         self.state().admission.admits(route, service, rank())
     }
 
-    pub fn answered(&self, route: &Route, well: bool, times: &SlotTimes) {
-        self.state().admission.answered(route, rank(), well, times);
+    pub fn record_answer(&self, route: &Route, is_success: bool, times: &SlotTimes) {
+        self.state()
+            .admission
+            .answered(route, rank(), is_success, times);
     }
 
-    pub fn unanswered(&self, route: &Route) {
+    pub fn record_no_answer(&self, route: &Route) {
         self.state().admission.unanswered(route, rank());
     }
 
-    pub fn begin(&self, name: &str, parent: Parent) -> RunningCall<'_> {
+    pub fn begin_call(&self, name: &str, parent: Parent) -> RunningCall<'_> {
         let name = Bytes::copy_from_slice(name.as_bytes());
         self.state().running.begin(&name, parent);
         RunningCall { node: self, name }
     }
 
-    pub fn nested_begins(&self, parent: &str, service: usize) {
+    pub fn begin_nested(&self, parent: &str, service: usize) {
         let parent = Bytes::copy_from_slice(parent.as_bytes());
         let mut state = self.state();
         state.running.begin_nested(&parent);
-        state.called.insert(service);
+        state.called_services.insert(service);
     }
 
-    /// A call of a service ended, which takes so long at the least.
-    pub fn nested_ended(&self, parent: &str, ended: &Ended, service: &Arc<str>, least: Duration) {
+    /// Records the end of a nested call to `service`. A refused call counts as `min_time` of slot time.
+    pub fn end_nested(
+        &self,
+        parent: &str,
+        result: &CallResult,
+        service: &Arc<str>,
+        min_time: Duration,
+    ) {
         let parent = Bytes::copy_from_slice(parent.as_bytes());
-        let end = match ended {
-            Ended::Answered { well: true, times } => NestedEnd::Succeeded(times.clone()),
-            Ended::Answered { well: false, times } => NestedEnd::Failed(times.clone()),
-            Ended::Refused => {
+        let end = match result {
+            CallResult::Answered {
+                is_success: true,
+                times,
+            } => NestedEnd::Succeeded(times.clone()),
+            CallResult::Answered {
+                is_success: false,
+                times,
+            } => NestedEnd::Failed(times.clone()),
+            CallResult::Refused => {
                 let mut times = SlotTimes::default();
-                times.add(service, least);
+                times.add(service, min_time);
                 NestedEnd::Failed(times)
             }
         };
         self.state().running.end_nested(&parent, &end);
     }
 
-    /// Mean time that calls are with the back end.
+    /// Returns the mean time that a call runs at the back end.
     pub fn call_time(&self) -> Duration {
         Duration::from_millis(self.backend_slots.load().service_ms.into())
     }
 }
 
-/// A call that runs at a back end.
+/// A call that runs at a back end until dropped.
 pub struct RunningCall<'a> {
     node: &'a ChainNode,
     name: Bytes,
 }
 
 impl RunningCall<'_> {
-    /// What it cost, after it held its slot for some time.
-    pub fn times(&self, own_service: &Arc<str>, held: Duration) -> SlotTimes {
+    /// Returns the slot times of the call and its nested calls; `held` is the call's own.
+    pub fn slot_times(&self, own_service: &Arc<str>, held: Duration) -> SlotTimes {
         let mut times = self.node.state().running.times_below(&self.name);
         times.add(own_service, held);
         times
@@ -230,47 +243,47 @@
 }
 
 #[derive(Debug, Default)]
-struct Tallied {
-    came: AtomicUsize,
+struct RouteTally {
+    arrived: AtomicUsize,
     served: AtomicUsize,
     failed: AtomicUsize,
     refused: AtomicUsize,
 }
 
-/// What became of requests, by route.
+/// Running counts of requests, by route.
 #[derive(Debug)]
 pub struct Tally {
-    routes: Vec<Tallied>,
+    routes: Vec<RouteTally>,
 }
 
 impl Tally {
     pub fn new(routes: usize) -> Self {
         Self {
-            routes: (0..routes).map(|_| Tallied::default()).collect(),
+            routes: (0..routes).map(|_| RouteTally::default()).collect(),
         }
     }
 
-    /// Counts a request that comes; returns how many came before it.
-    pub fn came(&self, route: usize) -> usize {
-        self.routes[route].came.fetch_add(1, Ordering::Relaxed)
+    /// Counts a new request and returns the number of earlier ones.
+    pub fn record_arrival(&self, route: usize) -> usize {
+        self.routes[route].arrived.fetch_add(1, Ordering::Relaxed)
     }
 
-    pub fn ended(&self, route: usize, well: bool) {
-        let tallied = &self.routes[route];
-        let count = if well {
-            &tallied.served
+    pub fn record_end(&self, route: usize, is_success: bool) {
+        let tally = &self.routes[route];
+        let count = if is_success {
+            &tally.served
         } else {
-            &tallied.failed
+            &tally.failed
         };
         count.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub fn refused(&self, route: usize) {
+    pub fn record_refusal(&self, route: usize) {
         self.routes[route].refused.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// A name that no other call has.
-    pub fn next_name(&self) -> usize {
+    /// Returns a number that is unique among all requests.
+    pub fn next_id(&self) -> usize {
         static NEXT: AtomicUsize = AtomicUsize::new(0);
         NEXT.fetch_add(1, Ordering::Relaxed)
     }
@@ -280,19 +293,19 @@
         let routes = plan.demands.iter().zip(&self.routes);
         Counts(
             routes
-                .map(|(demand, tallied)| RouteCounts {
+                .map(|(demand, tally)| RouteCounts {
                     name: demand.name,
-                    came: get(&tallied.came),
-                    served: get(&tallied.served),
-                    failed: get(&tallied.failed),
-                    refused: get(&tallied.refused),
+                    came: get(&tally.arrived),
+                    served: get(&tally.served),
+                    failed: get(&tally.failed),
+                    refused: get(&tally.refused),
                 })
                 .collect(),
         )
     }
 }
 
-/// What became of the requests of one route.
+/// Counts of the requests of one route. Digests in `decisions.rs` include the field names.
 #[derive(Debug, Clone)]
 pub struct RouteCounts {
     pub name: &'static str,
@@ -302,19 +315,19 @@
     pub refused: usize,
 }
 
-/// What became of the requests of a time, by route.
+/// Counts of the requests in one run, by route.
 #[derive(Debug, Clone)]
 pub struct Counts(pub Vec<RouteCounts>);
 
 impl Counts {
-    /// The share of all requests that was served.
+    /// Returns the share of all requests that were served.
     pub fn share(&self) -> f64 {
         let served: usize = self.0.iter().map(|route| route.served).sum();
         let came: usize = self.0.iter().map(|route| route.came).sum();
         served as f64 / came as f64
     }
 
-    /// The share of one route's requests that was served.
+    /// Returns the share of one route's requests that were served.
     pub fn share_of(&self, route: usize) -> f64 {
         self.0[route].served as f64 / self.0[route].came as f64
     }
--- a/crates/tallybridge-mesh/tests/wire_format.rs
+++ b/crates/tallybridge-mesh/tests/wire_format.rs
@@ -1,5 +1,5 @@
-//! The bytes of each kind of message between nodes. Nodes of two releases serve each other while a
-//! release is rolled out, so bytes change only together with the protocol version.
+//! Pins the wire format of each message kind. Nodes of two releases communicate during a rollout, so
+//! any change of the format requires a new protocol version.
 
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
     offered: 0x0c0d,
 };
 
-fn text(text: &'static str) -> Bytes {
+fn bytes(text: &'static str) -> Bytes {
     Bytes::from_static(text.as_bytes())
 }
 
@@ -29,7 +29,7 @@
     RequestDigest([byte; 16])
 }
 
-fn spending() -> Vec<EpochSpending> {
+fn recent_grants() -> Vec<EpochSpending> {
     vec![EpochSpending {
         epoch: 0x0102_0304,
         total: 0x0506_0708,
@@ -49,9 +49,9 @@
         is_urgent,
         is_retry,
         is_head_request,
-        attempt: text("attempt"),
-        head: text("GET /"),
-        body: text("body"),
+        attempt: bytes("attempt"),
+        head: bytes("GET /"),
+        body: bytes("body"),
     })
 }
 
@@ -66,29 +66,29 @@
         made_calls: true,
         times: times.into_iter().collect::<SlotTimes>(),
         load: LOAD,
-        head: text("A: b\r\n"),
-        body: text("body"),
+        head: bytes("A: b\r\n"),
+        body: bytes("body"),
     })
 }
 
 fn quota_ask() -> Message {
     Message::QuotaAsk(QuotaAskMessage {
-        tenant: text("ana"),
+        tenant: bytes("ana"),
         ask: QuotaAsk {
             entry: 0x0102_0304_0506_0708,
             ahead: 9,
             spent: 10,
-            fleet: spending(),
+            fleet: recent_grants(),
         },
         is_forwarded: true,
     })
 }
 
-/// One message of each kind, and of each form of it, with its frame as hexadecimal digits.
+/// Messages of every kind and variant, each with the expected frame in hexadecimal.
 fn messages() -> Vec<(Message, &'static str)> {
     vec![
-        (Message::Hello(text("{}")), "000000020801112233447b7d"),
-        (Message::Nodes(text("[]")), "000000020802112233445b5d"),
+        (Message::Hello(bytes("{}")), "000000020801112233447b7d"),
+        (Message::Nodes(bytes("[]")), "000000020802112233445b5d"),
         (
             call([true, false, true, false]),
             "00000022080311223344010203040506070803050a0b000700000005617474656d7074474554202f626f6479",
@@ -124,7 +124,7 @@
         ),
         (Message::FetchConfiguration, "00000000080911223344"),
         (
-            Message::Configuration(text("{}")),
+            Message::Configuration(bytes("{}")),
             "00000002080a112233447b7d",
         ),
         (Message::FetchNodes, "00000000080b11223344"),
@@ -153,14 +153,14 @@
         (
             Message::QuotaGrant(QuotaGrant::Tokens {
                 tokens: 0x0102_0304,
-                fleet: spending(),
+                fleet: recent_grants(),
             }),
             "00000017080f112233440101020304010102030405060708090a03000100000203",
         ),
         (
             Message::QuotaGrant(QuotaGrant::Spent {
                 wait: Duration::from_millis(0x0102_0304),
-                fleet: spending(),
+                fleet: recent_grants(),
             }),
             "00000017080f112233440201020304010102030405060708090a03000100000203",
         ),
@@ -190,15 +190,15 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-fn bytes_of(digits: &str) -> BytesMut {
-    let bytes = digits.as_bytes().chunks(2);
-    bytes
+fn parse_hexadecimal(digits: &str) -> BytesMut {
+    let pairs = digits.as_bytes().chunks(2);
+    pairs
         .map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap())
         .collect()
 }
 
 #[test]
-fn each_message_has_its_bytes() {
+fn encodes_each_message_as_pinned() {
     for (message, expected) in messages() {
         let frame = Frame {
             call: 0x1122_3344,
@@ -209,23 +209,26 @@
 }
 
 #[test]
-fn each_message_is_read_from_its_bytes() {
+fn decodes_each_message_from_pinned_bytes() {
     for (message, digits) in messages() {
-        let frame = Frame::take(&mut bytes_of(digits)).unwrap().unwrap();
+        let frame = Frame::take(&mut parse_hexadecimal(digits))
+            .unwrap()
+            .unwrap();
         assert_eq!((frame.call, frame.message), (0x1122_3344, message));
     }
 }
 
-/// A refusal of a newer release may have a kind or an outcome that this one does not know.
+/// A peer of a newer release may send a kind or an outcome that this release does not define.
 #[test]
-fn an_unknown_refusal_promises_nothing() {
+fn decodes_unknown_refusal_as_unknown_outcome() {
     for value in 0..=u8::MAX {
-        let mut bytes = bytes_of("000000130805112233440502010203040102030405060708090a0b0c0d");
+        let mut bytes =
+            parse_hexadecimal("000000130805112233440502010203040102030405060708090a0b0c0d");
         bytes[10] = value;
         bytes[11] = value;
         let frame = Frame::take(&mut bytes).unwrap().unwrap();
         let Message::Refusal(refusal) = frame.message else {
-            panic!("not read as a refusal: {frame:?}");
+            panic!("frame was not decoded as a refusal: {frame:?}");
         };
         let kind = ErrorKind::from_wire(value).unwrap_or(ErrorKind::PeerLost);
         let outcome = Outcome::from_wire(value).unwrap_or(Outcome::Unknown);
@@ -233,10 +236,9 @@
     }
 }
 
-/// The wire has no time to come back of zero: that stands for none.
 #[test]
-fn a_refusal_without_a_time_to_come_back_has_zero_on_the_wire() {
-    let refusal = |retry_after| {
+fn encodes_missing_retry_delay_as_zero() {
+    let encode_refusal = |retry_after| {
         let message = Message::Refusal(RefusalMessage {
             kind: ErrorKind::PeerLost,
             outcome: Outcome::Unknown,
@@ -245,10 +247,13 @@
         });
         Frame::of_link(message).encode()
     };
-    let none = refusal(None);
-    assert_eq!(none[12..16], [0; 4]);
-    assert_eq!(refusal(Some(Duration::from_micros(999))), none);
-    let frame = Frame::take(&mut BytesMut::from(&none[..]))
+    let without_delay = encode_refusal(None);
+    assert_eq!(without_delay[12..16], [0; 4]);
+    assert_eq!(
+        encode_refusal(Some(Duration::from_micros(999))),
+        without_delay
+    );
+    let frame = Frame::take(&mut BytesMut::from(&without_delay[..]))
         .unwrap()
         .unwrap();
     assert!(matches!(frame.message, Message::Refusal(refusal) if refusal.retry_after.is_none()));
