Protocol: clearer texts of an example and an assertion

The label of the digest benchmark lost that its cost applies only while a suspect exists; it says so again.

--- a/crates/tallybridge-mesh/examples/crash_cost.rs
+++ b/crates/tallybridge-mesh/examples/crash_cost.rs
@@ -73,7 +73,7 @@
             black_box(dispatched.end(id, DispatchEnd::Answered, now));
         }
     });
-    report("compute digests", |calls| {
+    report("compute digests (needed while a suspect exists)", |calls| {
         for call in calls {
             black_box(CallContent::of(call, &NAMES).digests());
         }
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -171,7 +171,7 @@
             assert_eq!(
                 placement_order(&mut table, local, now),
                 order,
-                "placement order is random"
+                "placement order differs between repetitions"
             );
         }
         decisions.record(order);
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -323,8 +323,8 @@
     /// Returns the share of all requests that were served.
     pub fn share(&self) -> f64 {
         let served: usize = self.0.iter().map(|route| route.served).sum();
-        let came: usize = self.0.iter().map(|route| route.came).sum();
-        served as f64 / came as f64
+        let arrived: usize = self.0.iter().map(|route| route.came).sum();
+        served as f64 / arrived as f64
     }
 
     /// Returns the share of one route's requests that were served.
