--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -106,7 +106,7 @@
             Self::Status(status) => status.encode(out),
             Self::Confirmed(confirmation) => put_fields(confirmation, out),
             Self::Clock(clock) => put_fields(clock, out),
-            Self::QuotaAsk(ask) => ask.encode(out),
+            Self::QuotaAsk(request) => request.encode(out),
             Self::QuotaGrant(grant) => grant.encode(out),
             Self::Crash(report) => report.encode(out),
             Self::Quarantined(request) => request.encode(out),
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -387,10 +387,10 @@
             fleet: Vec::new(),
         };
         let tenant = &tenants[random.random_range(0..2)];
+        // The digest covers the texts of the tuples.
         decisions.record(match owner.grant(tenant, request, owner_since, now) {
             QuotaGrant::Tokens { tokens, .. } => ("tokens", u64::from(tokens)),
             QuotaGrant::Spent { wait, .. } => ("spent", wait.as_millis() as u64),
-            // The digest covers this text.
             QuotaGrant::NotOwner => ("not home", 0),
         });
         owner.forget_idle(now);
