--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -36,7 +36,7 @@
 
     /// Queues a message that belongs to no call.
     pub fn send_message(&self, message: Message) {
-        self.send(&Frame::of_link(message));
+        self.send(&Frame::without_call(message));
     }
 }
 
@@ -51,7 +51,7 @@
 /// Errors of the connection, `UnexpectedEof` when it ends, `InvalidData` when what comes is no frame.
 pub async fn next_frame(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Frame> {
     loop {
-        if let Some(frame) = Frame::take(buffer).map_err(invalid)? {
+        if let Some(frame) = Frame::decode(buffer).map_err(invalid)? {
             return Ok(frame);
         }
         buffer.reserve(READ_BYTES);
--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -33,7 +33,7 @@
 use crate::{
     clock::BootInstant,
     protocol::{
-        AnswerMessage, CallMessage, Frame, Message, QuotaAsk, QuotaAskMessage, QuotaGrant,
+        AnswerMessage, CallMessage, Frame, Message, QuotaGrant, QuotaRequest, QuotaRequestMessage,
         RefusalMessage,
     },
 };
@@ -125,15 +125,15 @@
     pub fn ask_quota(
         self: &Arc<Self>,
         tenant: &str,
-        ask: QuotaAsk,
+        ask: QuotaRequest,
         is_forwarded: bool,
     ) -> Result<LinkCall, LinkError> {
-        let message = QuotaAskMessage {
+        let message = QuotaRequestMessage {
             tenant: Bytes::copy_from_slice(tenant.as_bytes()),
-            ask,
+            request: ask,
             is_forwarded,
         };
-        self.request(Message::QuotaAsk(message), true)
+        self.request(Message::QuotaRequest(message), true)
     }
 
     /// Sends a message to which the reply has the same call number.
@@ -166,7 +166,7 @@
             Verdict::Alive => {}
             Verdict::PingDue => {
                 drop(state);
-                self.send(&Frame::of_link(Message::Ping));
+                self.send(&Frame::without_call(Message::Ping));
             }
             Verdict::Suspect => self.suspect(&state),
             Verdict::GiveUpCalls => {
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -78,7 +78,7 @@
     let watch_view = node.watch_view();
     let (known, links) = node.with_peers(|peers| (peers.known_size(), peers.links().count()));
     let quarantine = node.quarantine_counts();
-    let failing_percent = (load.failing_share() * 100.0) as u64;
+    let failing_percent = (load.failure_rate() * 100.0) as u64;
     [
         ("concurrency_limit", load.limit.into()),
         ("calls_in_flight", load.in_flight.into()),
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -24,7 +24,8 @@
     },
     node::Node,
     protocol::{
-        ClockMessage, ConfirmationMessage, Frame, Message, QuotaAsk, QuotaAskMessage, QuotaGrant,
+        ClockMessage, ConfirmationMessage, Frame, Message, QuotaGrant, QuotaRequest,
+        QuotaRequestMessage,
     },
     request::quota,
     tables::Confirmed,
@@ -159,7 +160,7 @@
                     sender.send_message(Message::Configuration(document));
                 }
             }
-            Message::QuotaAsk(asked) => self.grant(frame.call, asked),
+            Message::QuotaRequest(asked) => self.grant(frame.call, asked),
             Message::Crash(report) => {
                 // What the store must keep of it is written by the node whose back end crashed.
                 node.record_crash(report);
@@ -171,10 +172,10 @@
         }
     }
 
-    fn grant(&self, number: u32, asked: QuotaAskMessage) {
-        let QuotaAskMessage {
+    fn grant(&self, number: u32, asked: QuotaRequestMessage) {
+        let QuotaRequestMessage {
             tenant,
-            ask,
+            request: ask,
             is_forwarded,
         } = asked;
         match self.node.grant_quota(&tenant, ask.clone()) {
@@ -184,7 +185,7 @@
     }
 
     /// Asks the owner of a quota for a node that does not reach it, or does not know yet that it is.
-    fn forward_ask(&self, number: u32, tenant: Bytes, ask: QuotaAsk) {
+    fn forward_ask(&self, number: u32, tenant: Bytes, ask: QuotaRequest) {
         let node = self.node.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -178,7 +178,7 @@
     pub fn load(&self) -> Load {
         let failing = self.tables().failing.get();
         Load {
-            failing: Load::wire_of(failing),
+            failing: Load::share_to_wire(failing),
             ..self.slots.load()
         }
     }
--- a/crates/tallybridge-mesh/src/node/dispatched.rs
+++ b/crates/tallybridge-mesh/src/node/dispatched.rs
@@ -38,7 +38,7 @@
         } = request;
         let detail = format!("{crashes} back ends ended under this request, digest {digest}");
         let refusal = Refusal::new(ErrorKind::Quarantined, detail);
-        Err(refusal.with_retry_after(request.left))
+        Err(refusal.with_retry_after(request.remaining))
     }
 
     /// Tracks a call that is dispatched to the back end beside this node, until what is returned is
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -175,7 +175,7 @@
             tracing::warn!(
                 digest = %request.digest,
                 crashes = request.crashes,
-                for_ms = request.left.as_millis() as u64,
+                for_ms = request.remaining.as_millis() as u64,
                 "request held back"
             );
         }
@@ -206,7 +206,7 @@
     }
 
     pub(super) fn gossip(&self, message: Message) {
-        let frame = Frame::of_link(message);
+        let frame = Frame::without_call(message);
         let tables = self.tables();
         let links = tables.peers.links().map(|(_, link)| link);
         for link in links.choose_multiple(&mut rand::rng(), GOSSIP_FANOUT) {
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::BootInstant,
     configuration::tenants::Tenant,
-    protocol::{EpochSpending, QuotaAsk, QuotaGrant},
+    protocol::{EpochSpending, QuotaGrant, QuotaRequest},
     tables::{
         QuotaOwner,
         quotas::{EntryTokens, OwnedQuotas, Ownership, QuotaSlack, Reach, TokenAnswer},
@@ -50,7 +50,7 @@
         self.quota.ownership.restart(now);
     }
 
-    fn grant(&mut self, tenant: &Tenant, ask: QuotaAsk, now: BootInstant) -> QuotaGrant {
+    fn grant(&mut self, tenant: &Tenant, ask: QuotaRequest, now: BootInstant) -> QuotaGrant {
         if !self.quota.ownership.may_own(self.configuration.read_at()) {
             return QuotaGrant::NotOwner;
         }
@@ -93,18 +93,18 @@
 
     /// Grants tokens as the owner of a tenant.
     #[must_use]
-    pub fn grant_own(&self, tenant: &Tenant, ask: QuotaAsk) -> QuotaGrant {
+    pub fn grant_own(&self, tenant: &Tenant, ask: QuotaRequest) -> QuotaGrant {
         self.tables().grant(tenant, ask, BootInstant::now())
     }
 
     /// Grants a token of one of `parts` equal parts of a tenant's limit.
     #[must_use]
-    pub fn grant_part(&self, tenant: &Tenant, parts: usize, ask: QuotaAsk) -> QuotaGrant {
+    pub fn grant_part(&self, tenant: &Tenant, parts: usize, ask: QuotaRequest) -> QuotaGrant {
         let part = tenant.part(parts);
         // What the fleet granted of the limit says nothing of a part of it.
-        let ask = QuotaAsk {
-            ahead: 0,
-            fleet: Vec::new(),
+        let ask = QuotaRequest {
+            extra_tokens: 0,
+            spending: Vec::new(),
             ..ask
         };
         self.tables().grant(&part, ask, BootInstant::now())
@@ -112,7 +112,7 @@
 
     /// Answers a peer that takes this node for the owner of a tenant.
     #[must_use]
-    pub fn grant_quota(&self, tenant: &[u8], ask: QuotaAsk) -> QuotaGrant {
+    pub fn grant_quota(&self, tenant: &[u8], ask: QuotaRequest) -> QuotaGrant {
         let Some(tenant) = self.tenant_named(tenant) else {
             return QuotaGrant::NotOwner;
         };
--- a/crates/tallybridge-mesh/src/node/status.rs
+++ b/crates/tallybridge-mesh/src/node/status.rs
@@ -25,7 +25,7 @@
             load,
             slots: tables.instance.slots(),
             version: tables.configuration.version(),
-            calls: tables.called_services(Instant::now()),
+            called_services: tables.called_services(Instant::now()),
         }
     }
 
--- a/crates/tallybridge-mesh/src/node/tables.rs
+++ b/crates/tallybridge-mesh/src/node/tables.rs
@@ -81,7 +81,7 @@
         let mut statuses = self.peers.statuses();
         let is_own = *service == self.own_service;
         (is_own && !self.called.is_empty())
-            || statuses.any(|(of, status)| of == service && !status.calls.is_empty())
+            || statuses.any(|(of, status)| of == service && !status.called_services.is_empty())
     }
 
     /// Adapts the share of fresh requests that is admitted to how busy the services are.
--- a/crates/tallybridge-mesh/src/protocol/call.rs
+++ b/crates/tallybridge-mesh/src/protocol/call.rs
@@ -15,7 +15,7 @@
     /// Wire value of a [`tallybridge_core::Criticality`].
     pub criticality: u8,
     /// Number of the route, by which the executor groups calls of similar duration.
-    pub kind: u16,
+    pub route_number: u16,
     /// Whether the call may safely run more than once.
     pub is_idempotent: bool,
     /// Whether the request at the root of the call chain has the highest priority.
@@ -60,7 +60,7 @@
             wait_ms: self.wait_ms,
             criticality: self.criticality,
             flags: self.flags(),
-            kind: self.kind,
+            kind: self.route_number,
             attempt_length: self.attempt.len() as u16,
             head_length: self.head.len() as u32,
         };
@@ -88,7 +88,7 @@
             remaining_ms: fields.remaining_ms,
             wait_ms: fields.wait_ms,
             criticality: fields.criticality,
-            kind: fields.kind,
+            route_number: fields.kind,
             is_idempotent: fields.flags & flag::IDEMPOTENT != 0,
             is_urgent: fields.flags & flag::URGENT != 0,
             is_retry: fields.flags & flag::RETRY != 0,
--- a/crates/tallybridge-mesh/src/protocol/frame.rs
+++ b/crates/tallybridge-mesh/src/protocol/frame.rs
@@ -50,7 +50,7 @@
 impl Frame {
     /// Creates a frame for a message that belongs to no call.
     #[must_use]
-    pub const fn of_link(message: Message) -> Self {
+    pub const fn without_call(message: Message) -> Self {
         Self { call: 0, message }
     }
 
@@ -76,7 +76,7 @@
     /// # Errors
     ///
     /// [`FrameError`] if the bytes are not a valid frame; the link must then be closed.
-    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, FrameError> {
+    pub fn decode(buffer: &mut BytesMut) -> Result<Option<Self>, FrameError> {
         if buffer.len() < HEADER_BYTES {
             return Ok(None);
         }
--- a/crates/tallybridge-mesh/src/protocol/load.rs
+++ b/crates/tallybridge-mesh/src/protocol/load.rs
@@ -29,25 +29,25 @@
 impl Load {
     /// Converts a value of [`Self::failing`] to a share between 0 and 1.
     #[must_use]
-    pub fn share_of(wire: u8) -> f64 {
+    pub fn share_from_wire(wire: u8) -> f64 {
         f64::from(wire) / f64::from(u8::MAX)
     }
 
     /// Converts a share to a value of [`Self::failing`], clamping the share to 0 to 1.
     #[must_use]
-    pub fn wire_of(share: f64) -> u8 {
+    pub fn share_to_wire(share: f64) -> u8 {
         (share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8
     }
 
     /// Returns the failure rate of dispatched calls, between 0 and 1.
     #[must_use]
-    pub fn failing_share(self) -> f64 {
-        Self::share_of(self.failing)
+    pub fn failure_rate(self) -> f64 {
+        Self::share_from_wire(self.failing)
     }
 
     /// Returns the offered load as a multiple of the back end's capacity.
     #[must_use]
-    pub fn offered_share(self) -> f64 {
+    pub fn offered_load(self) -> f64 {
         f64::from(self.offered) / 100.0
     }
 
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -4,7 +4,7 @@
 
 use super::{
     AnswerMessage, CallMessage, ClockMessage, ConfirmationMessage, CrashReport, PeerStatus,
-    QuarantinedRequest, QuotaAskMessage, QuotaGrant, RefusalMessage, RequestDigest,
+    QuarantinedRequest, QuotaGrant, QuotaRequestMessage, RefusalMessage, RequestDigest,
     codec::{put_fields, take_fields},
 };
 
@@ -38,8 +38,8 @@
     /// The sender's clock, to which its confirmations refer.
     Clock(ClockMessage),
     /// Requests tokens from the owner of a tenant's quota.
-    QuotaAsk(QuotaAskMessage),
-    /// Reply to a [`Self::QuotaAsk`].
+    QuotaRequest(QuotaRequestMessage),
+    /// Reply to a [`Self::QuotaRequest`].
     QuotaGrant(QuotaGrant),
     /// Reports a crash of the sender's back end.
     Crash(CrashReport),
@@ -64,7 +64,7 @@
     pub const FETCH_NODES: u8 = 11;
     pub const CONFIRMED: u8 = 12;
     pub const CLOCK: u8 = 13;
-    pub const QUOTA_ASK: u8 = 14;
+    pub const QUOTA_REQUEST: u8 = 14;
     pub const QUOTA_GRANT: u8 = 15;
     pub const CRASH: u8 = 16;
     pub const QUARANTINED: u8 = 17;
@@ -87,7 +87,7 @@
             Self::FetchNodes => kind::FETCH_NODES,
             Self::Confirmed(_) => kind::CONFIRMED,
             Self::Clock(_) => kind::CLOCK,
-            Self::QuotaAsk(_) => kind::QUOTA_ASK,
+            Self::QuotaRequest(_) => kind::QUOTA_REQUEST,
             Self::QuotaGrant(_) => kind::QUOTA_GRANT,
             Self::Crash(_) => kind::CRASH,
             Self::Quarantined(_) => kind::QUARANTINED,
@@ -106,7 +106,7 @@
             Self::Status(status) => status.encode(out),
             Self::Confirmed(confirmation) => put_fields(confirmation, out),
             Self::Clock(clock) => put_fields(clock, out),
-            Self::QuotaAsk(request) => request.encode(out),
+            Self::QuotaRequest(request) => request.encode(out),
             Self::QuotaGrant(grant) => grant.encode(out),
             Self::Crash(report) => report.encode(out),
             Self::Quarantined(request) => request.encode(out),
@@ -131,7 +131,7 @@
             kind::FETCH_NODES => Self::FetchNodes,
             kind::CONFIRMED => Self::Confirmed(take_fields(&mut payload)?),
             kind::CLOCK => Self::Clock(take_fields(&mut payload)?),
-            kind::QUOTA_ASK => Self::QuotaAsk(QuotaAskMessage::decode(payload)?),
+            kind::QUOTA_REQUEST => Self::QuotaRequest(QuotaRequestMessage::decode(payload)?),
             kind::QUOTA_GRANT => Self::QuotaGrant(QuotaGrant::decode(payload)?),
             kind::CRASH => Self::Crash(CrashReport::decode(payload)?),
             kind::QUARANTINED => Self::Quarantined(QuarantinedRequest::decode(payload)?),
--- a/crates/tallybridge-mesh/src/protocol/mod.rs
+++ b/crates/tallybridge-mesh/src/protocol/mod.rs
@@ -29,7 +29,7 @@
     quarantine::{
         CrashReport, DIGEST_BYTES, MalformedDigest, QuarantinedRequest, RequestDigest, ServiceTag,
     },
-    quota::{EpochSpending, QuotaAsk, QuotaAskMessage, QuotaGrant, WindowSpending},
+    quota::{EpochSpending, QuotaGrant, QuotaRequest, QuotaRequestMessage, WindowSpending},
     slot_times::{ServiceTime, SlotTimes},
     status::{BackendState, NodeRecord, PeerStatus},
 };
--- a/crates/tallybridge-mesh/src/protocol/quarantine.rs
+++ b/crates/tallybridge-mesh/src/protocol/quarantine.rs
@@ -99,7 +99,7 @@
     /// Number of crashes with this request as a suspect since a back end last answered it.
     pub crashes: u8,
     /// Time until the quarantine ends; zero for a suspect.
-    pub left: Duration,
+    pub remaining: Duration,
 }
 
 /// Fixed field of a crash report, which precedes the digests of the suspects.
@@ -172,7 +172,7 @@
         let fields = QuarantinedFields {
             digest: self.digest.0,
             crashes: self.crashes,
-            left_ms: u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX),
+            left_ms: u64::try_from(self.remaining.as_millis()).unwrap_or(u64::MAX),
         };
         put_fields(&fields, out);
     }
@@ -182,7 +182,7 @@
         Some(Self {
             digest: RequestDigest(fields.digest),
             crashes: fields.crashes,
-            left: Duration::from_millis(fields.left_ms),
+            remaining: Duration::from_millis(fields.left_ms),
         })
     }
 }
--- a/crates/tallybridge-mesh/src/protocol/quota.rs
+++ b/crates/tallybridge-mesh/src/protocol/quota.rs
@@ -10,31 +10,31 @@
 
 use super::codec::{put_fields, take_bytes, take_fields};
 
-/// A [`QuotaAsk`] with its tenant, as sent over a link.
+/// A [`QuotaRequest`] with its tenant, as sent over a link.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuotaAskMessage {
+pub struct QuotaRequestMessage {
     /// Name of the tenant.
     pub tenant: Bytes,
     /// The request itself.
-    pub ask: QuotaAsk,
+    pub request: QuotaRequest,
     /// Whether the sender forwards the request of an entry that cannot reach the owner.
     pub is_forwarded: bool,
 }
 
 /// A request of an entry for tokens of a tenant's quota.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct QuotaAsk {
+pub struct QuotaRequest {
     /// Process number of the entry, from [`NodeRecord::process`](super::NodeRecord::process).
     pub entry: u64,
     /// Number of tokens requested in addition to the first.
-    pub ahead: u32,
+    pub extra_tokens: u32,
     /// Number of the tenant's requests that the entry admitted within the last window, under any owner.
-    pub spent: u32,
+    pub admitted: u32,
     /// Grants of all owners within the last window, as far as the entry knows them.
-    pub fleet: WindowSpending,
+    pub spending: WindowSpending,
 }
 
-/// Reply to a [`QuotaAsk`].
+/// Reply to a [`QuotaRequest`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QuotaGrant {
     /// The tenant is within its quota.
@@ -42,14 +42,14 @@
         /// Number of granted tokens, at least one.
         tokens: u32,
         /// Grants of all owners within the last window, including this one.
-        fleet: WindowSpending,
+        spending: WindowSpending,
     },
     /// The tenant has used up its quota.
-    Spent {
+    Exhausted {
         /// Expected time until a token is available, with millisecond resolution on the wire.
         wait: Duration,
         /// Grants of all owners within the last window.
-        fleet: WindowSpending,
+        spending: WindowSpending,
     },
     /// The node does not own the tenant's quota, or does not yet know the earlier grants.
     NotOwner,
@@ -74,7 +74,7 @@
 /// Fixed fields of a request, which precede the epochs and the name of the tenant.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
-struct QuotaAskFields {
+struct QuotaRequestFields {
     entry: u64,
     ahead: u32,
     spent: u32,
@@ -107,33 +107,33 @@
 mod grant_kind {
     pub const NOT_OWNER: u8 = 0;
     pub const TOKENS: u8 = 1;
-    pub const SPENT: u8 = 2;
+    pub const EXHAUSTED: u8 = 2;
 }
 
-impl QuotaAskMessage {
+impl QuotaRequestMessage {
     pub(super) fn encode(&self, out: &mut Vec<u8>) {
-        let fields = QuotaAskFields {
-            entry: self.ask.entry,
-            ahead: self.ask.ahead,
-            spent: self.ask.spent,
+        let fields = QuotaRequestFields {
+            entry: self.request.entry,
+            ahead: self.request.extra_tokens,
+            spent: self.request.admitted,
             is_forwarded: self.is_forwarded.into(),
-            epochs: saturated_length(&self.ask.fleet),
+            epochs: saturated_length(&self.request.spending),
         };
         put_fields(&fields, out);
-        encode_epochs(&self.ask.fleet, out);
+        encode_epochs(&self.request.spending, out);
         out.extend_from_slice(&self.tenant);
     }
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
-        let fields: QuotaAskFields = take_fields(&mut payload)?;
-        let fleet = decode_epochs(&mut payload, fields.epochs)?;
+        let fields: QuotaRequestFields = take_fields(&mut payload)?;
+        let spending = decode_epochs(&mut payload, fields.epochs)?;
         Some(Self {
             tenant: payload,
-            ask: QuotaAsk {
+            request: QuotaRequest {
                 entry: fields.entry,
-                ahead: fields.ahead,
-                spent: fields.spent,
-                fleet,
+                extra_tokens: fields.ahead,
+                admitted: fields.spent,
+                spending,
             },
             is_forwarded: fields.is_forwarded != 0,
         })
@@ -142,35 +142,35 @@
 
 impl QuotaGrant {
     pub(super) fn encode(&self, out: &mut Vec<u8>) {
-        let (kind, amount, fleet): (u8, u32, &[EpochSpending]) = match self {
+        let (kind, amount, spending): (u8, u32, &[EpochSpending]) = match self {
             Self::NotOwner => (grant_kind::NOT_OWNER, 0, &[]),
-            Self::Tokens { tokens, fleet } => (grant_kind::TOKENS, *tokens, fleet),
-            Self::Spent { wait, fleet } => {
+            Self::Tokens { tokens, spending } => (grant_kind::TOKENS, *tokens, spending),
+            Self::Exhausted { wait, spending } => {
                 let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                (grant_kind::SPENT, wait_ms, fleet)
+                (grant_kind::EXHAUSTED, wait_ms, spending)
             }
         };
         let fields = QuotaGrantFields {
             kind,
             amount,
-            epochs: saturated_length(fleet),
+            epochs: saturated_length(spending),
         };
         put_fields(&fields, out);
-        encode_epochs(fleet, out);
+        encode_epochs(spending, out);
     }
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
         let fields: QuotaGrantFields = take_fields(&mut payload)?;
-        let fleet = decode_epochs(&mut payload, fields.epochs)?;
+        let spending = decode_epochs(&mut payload, fields.epochs)?;
         match fields.kind {
             grant_kind::NOT_OWNER => Some(Self::NotOwner),
             grant_kind::TOKENS => Some(Self::Tokens {
                 tokens: fields.amount,
-                fleet,
+                spending,
             }),
-            grant_kind::SPENT => Some(Self::Spent {
+            grant_kind::EXHAUSTED => Some(Self::Exhausted {
                 wait: Duration::from_millis(fields.amount.into()),
-                fleet,
+                spending,
             }),
             _ => None,
         }
--- a/crates/tallybridge-mesh/src/protocol/status.rs
+++ b/crates/tallybridge-mesh/src/protocol/status.rs
@@ -75,7 +75,7 @@
     /// Version of the node's configuration; 0 if it has none.
     pub version: u64,
     /// Services to which the back end recently made nested calls.
-    pub calls: Vec<Arc<str>>,
+    pub called_services: Vec<Arc<str>>,
 }
 
 /// Fixed fields of a status, which precede the names of the called services, separated by
@@ -100,13 +100,13 @@
             load: self.load,
         };
         put_fields(&fields, out);
-        out.extend_from_slice(self.calls.join(NAME_SEPARATOR).as_bytes());
+        out.extend_from_slice(self.called_services.join(NAME_SEPARATOR).as_bytes());
     }
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
         let fields: StatusFields = take_fields(&mut payload)?;
         let names = std::str::from_utf8(&payload).ok()?;
-        let calls = names
+        let called_services = names
             .split(NAME_SEPARATOR)
             .filter(|name| !name.is_empty())
             .map(Arc::from)
@@ -116,7 +116,7 @@
             load: fields.load,
             slots: fields.slots,
             version: fields.version,
-            calls,
+            called_services,
         })
     }
 }
--- a/crates/tallybridge-mesh/src/request/entry/prepare.rs
+++ b/crates/tallybridge-mesh/src/request/entry/prepare.rs
@@ -124,7 +124,7 @@
         remaining_ms: 0,
         wait_ms: 0,
         criticality: class.criticality as u8,
-        kind: route.number(),
+        route_number: route.number(),
         is_idempotent: route.kind.is_idempotent(),
         is_urgent: class.is_urgent,
         is_retry: parent.is_some_and(|parent| parent.is_retry),
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -89,7 +89,7 @@
     let answered = dispatch(node, call, &slot, deadline).await?;
     let is_leaf = answered.answer.status < 500 && !answered.made_calls;
     if is_leaf && node.settings.policy.adapt_slots {
-        slot.ended_well(call.kind);
+        slot.ended_well(call.route_number);
     }
     Ok(answered)
 }
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -15,7 +15,7 @@
     configuration::tenants::Tenant,
     link::{Link, Reply},
     node::Node,
-    protocol::{QuotaAsk, QuotaGrant},
+    protocol::{QuotaGrant, QuotaRequest},
     tables::{QuotaOwner, quotas::TokenAnswer},
 };
 
@@ -46,20 +46,26 @@
             ahead,
             spent,
             fleet,
-        } => QuotaAsk {
+        } => QuotaRequest {
             entry: node.record.process,
-            ahead,
-            spent,
-            fleet,
+            extra_tokens: ahead,
+            admitted: spent,
+            spending: fleet,
         },
     };
     loop {
         match ask_owner(node, tenant, ask.clone()).await {
-            Some(QuotaGrant::Tokens { tokens, fleet }) => {
+            Some(QuotaGrant::Tokens {
+                tokens,
+                spending: fleet,
+            }) => {
                 node.tokens_granted(tenant, tokens, &fleet);
                 return Ok(());
             }
-            Some(QuotaGrant::Spent { wait, fleet }) => {
+            Some(QuotaGrant::Exhausted {
+                wait,
+                spending: fleet,
+            }) => {
                 node.tenant_spent(tenant, wait, &fleet);
                 return Err(over_quota(wait));
             }
@@ -83,7 +89,7 @@
 }
 
 /// Asks the tenant's owner for tokens; `None` when it does not answer.
-async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaAsk) -> Option<QuotaGrant> {
+async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaRequest) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
         QuotaOwner::Local => Some(node.grant_own(tenant, ask)),
@@ -95,7 +101,7 @@
 /// Asks a tenant's owner on behalf of another node. That node may reach this one and not the owner,
 /// as when a connection between them went silent: its requests would be refused until a new one is
 /// open.
-pub async fn forward(node: &Node, tenant: &[u8], ask: QuotaAsk) -> QuotaGrant {
+pub async fn forward(node: &Node, tenant: &[u8], ask: QuotaRequest) -> QuotaGrant {
     let Some(tenant) = node.tenant_named(tenant) else {
         return QuotaGrant::NotOwner;
     };
@@ -110,7 +116,7 @@
 async fn ask_peer(
     link: &Arc<Link>,
     tenant: &Tenant,
-    ask: QuotaAsk,
+    ask: QuotaRequest,
     is_forwarded: bool,
 ) -> Option<QuotaGrant> {
     let mut asked = link.ask_quota(&tenant.name, ask, is_forwarded).ok()?;
--- a/crates/tallybridge-mesh/src/tables/admission/services.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/services.rs
@@ -29,7 +29,7 @@
     /// Adds the status of a node beside a back end of a service.
     pub fn add(&mut self, service: &Arc<str>, status: &PeerStatus, takes_work: bool) {
         let sums = self.0.entry(service.clone()).or_default();
-        sums.called.extend(status.calls.iter().cloned());
+        sums.called.extend(status.called_services.iter().cloned());
         if takes_work {
             let Load {
                 limit,
@@ -39,7 +39,7 @@
             } = status.load;
             sums.limit += f64::from(limit);
             sums.calls += f64::from(in_flight) + f64::from(queued);
-            sums.offered += f64::from(limit) * status.load.offered_share();
+            sums.offered += f64::from(limit) * status.load.offered_load();
         }
     }
 
--- a/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
@@ -54,12 +54,12 @@
         let quartile = shares.len().saturating_sub(1) / 4;
         // Without executors there is nothing to compare.
         let usual = shares.get(quartile).copied().unwrap_or(0);
-        Self(Load::share_of(usual))
+        Self(Load::share_from_wire(usual))
     }
 
     /// What a share exceeds the usual one by, 0 to 1.
     fn excess(self, load: Load) -> f64 {
-        (load.failing_share() - self.0).max(0.0)
+        (load.failure_rate() - self.0).max(0.0)
     }
 
     fn is_outlier(self, load: Load) -> bool {
--- a/crates/tallybridge-mesh/src/tables/quarantine/record.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/record.rs
@@ -137,7 +137,7 @@
         QuarantinedRequest {
             digest,
             crashes: self.shared_crashes(),
-            left: self.left(now),
+            remaining: self.left(now),
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quarantine/table.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/table.rs
@@ -108,11 +108,12 @@
         let record = self.records.entry(request.digest);
         let record = record.or_insert_with(|| Record::suspect(now));
         // Nodes measure what is left at different times: a difference below half a trial is none.
-        let is_longer = !request.left.is_zero() && record.left(now) + TRIAL / 2 < request.left;
+        let is_longer =
+            !request.remaining.is_zero() && record.left(now) + TRIAL / 2 < request.remaining;
         let has_changed = is_longer || record.crashes < request.crashes;
         record.merge_crashes(request.crashes);
         if is_longer {
-            record.quarantine(request.left.min(LONGEST_QUARANTINE), now);
+            record.quarantine(request.remaining.min(LONGEST_QUARANTINE), now);
         }
         self.evict(now);
         has_changed
@@ -127,7 +128,7 @@
             record.is_quarantined(now).then(|| QuarantinedRequest {
                 digest: *digest,
                 crashes: record.crashes,
-                left: record.released_at.saturating_duration_since(now),
+                remaining: record.released_at.saturating_duration_since(now),
             })
         })
     }
@@ -151,7 +152,7 @@
             trials.push(QuarantinedRequest {
                 digest: *digest,
                 crashes: record.crashes,
-                left: TRIAL,
+                remaining: TRIAL,
             });
         }
         trials
@@ -177,7 +178,7 @@
         let mut shared: Vec<_> = shared
             .map(|(digest, record)| record.to_shared(*digest, now))
             .collect();
-        shared.sort_by_key(|request| Reverse((request.crashes, request.left)));
+        shared.sort_by_key(|request| Reverse((request.crashes, request.remaining)));
         shared.truncate(MAX_QUARANTINED);
         shared
     }
@@ -190,7 +191,7 @@
             .iter()
             .filter(|(_, record)| record.is_quarantined(now))
             .map(|(digest, record)| record.to_shared(*digest, now))
-            .filter(|request| !request.left.is_zero())
+            .filter(|request| !request.remaining.is_zero())
             .collect()
     }
 
--- a/crates/tallybridge-mesh/src/tables/quotas/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/mod.rs
@@ -10,8 +10,8 @@
 //! * The limit: requests a second and a burst, by the configuration in force.
 //! * What users allow beyond it ([`QuotaSlack`]): window in seconds, share of the limit, requests.
 //! * With each ask, the requests that the entry admitted within the last window
-//!   ([`QuotaAsk::spent`]; exact to a twentieth of the window), and what it learned of grants by
-//!   all owners ([`QuotaAsk::fleet`]; as old as the last answer that the entry got).
+//!   ([`QuotaRequest::admitted`]; exact to a twentieth of the window), and what it learned of grants by
+//!   all owners ([`QuotaRequest::spending`]; as old as the last answer that the entry got).
 //! * Which nodes are in reach, at each tick, and when the store was last read ([`Ownership`]).
 //!
 //! **Output.** [`QuotaGrant`]: tokens, or the time after which to come back, or "not the owner",
@@ -34,8 +34,8 @@
 //!
 //! The tables here are plain state: they take the time as an argument and are guarded by the node's lock.
 //!
-//! [`QuotaAsk::spent`]: crate::protocol::QuotaAsk::spent
-//! [`QuotaAsk::fleet`]: crate::protocol::QuotaAsk::fleet
+//! [`QuotaRequest::admitted`]: crate::protocol::QuotaRequest::admitted
+//! [`QuotaRequest::spending`]: crate::protocol::QuotaRequest::spending
 //! [`QuotaGrant`]: crate::protocol::QuotaGrant
 
 mod bucket;
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use super::{QuotaSlack, TokenBucket, epochs::FleetSpending, spending::ReportedSpending};
-use crate::protocol::{QuotaAsk, QuotaGrant};
+use crate::protocol::{QuotaGrant, QuotaRequest};
 use crate::{
     clock::BootInstant,
     configuration::tenants::{RateLimit, Tenant},
@@ -46,21 +46,21 @@
         }
     }
 
-    /// Gives a tenant a token, and up to [`QuotaAsk::ahead`] more if it is far from its limit.
+    /// Gives a tenant a token, and up to [`QuotaRequest::extra_tokens`] more if it is far from its limit.
     /// `since` is when this node became the owner at the latest ([`Ownership::since`]).
     ///
     /// [`Ownership::since`]: super::Ownership::since
     pub fn grant(
         &mut self,
         tenant: &Tenant,
-        ask: QuotaAsk,
+        ask: QuotaRequest,
         since: BootInstant,
         now: BootInstant,
     ) -> QuotaGrant {
         let Some(limit) = tenant.limit else {
             return QuotaGrant::Tokens {
-                tokens: 1 + ask.ahead,
-                fleet: Vec::new(),
+                tokens: 1 + ask.extra_tokens,
+                spending: Vec::new(),
             };
         };
         let slack = self.slack;
@@ -69,7 +69,7 @@
         row.restart_after_break(slack.first_level(limit), since, now);
         row.asked_at = now;
         row.bucket.set_limit(limit, now);
-        row.fleet.merge(&ask.fleet, now);
+        row.fleet.merge(&ask.spending, now);
         let reported = row.reported.report(&ask, slack.window, now);
         let may_have_followed = now.saturating_duration_since(since) < slack.window;
         if row.is_gathering(may_have_followed, reported, now) {
@@ -140,11 +140,14 @@
 
     fn refuse(&mut self, wait: Duration, now: BootInstant) -> QuotaGrant {
         let fleet = self.fleet.report(now);
-        QuotaGrant::Spent { wait, fleet }
+        QuotaGrant::Exhausted {
+            wait,
+            spending: fleet,
+        }
     }
 
-    fn grant(&mut self, ask: &QuotaAsk, now: BootInstant) -> QuotaGrant {
-        let tokens = self.bucket.take(ask.ahead, now);
+    fn grant(&mut self, ask: &QuotaRequest, now: BootInstant) -> QuotaGrant {
+        let tokens = self.bucket.take(ask.extra_tokens, now);
         if tokens == 0 {
             let wait = self.bucket.promise(now);
             return self.refuse(wait, now);
@@ -152,6 +155,9 @@
         self.reported.granted(ask.entry, tokens);
         self.fleet.add(self.epoch, tokens, now);
         let fleet = self.fleet.report(now);
-        QuotaGrant::Tokens { tokens, fleet }
+        QuotaGrant::Tokens {
+            tokens,
+            spending: fleet,
+        }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/spending.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/spending.rs
@@ -7,7 +7,7 @@
 
 use super::WINDOW_PARTS;
 use crate::clock::BootInstant;
-use crate::protocol::QuotaAsk;
+use crate::protocol::QuotaRequest;
 
 /// An entry at which a tenant is at its limit asks again within a window divided by this. Origin not
 /// recorded.
@@ -78,9 +78,9 @@
 
 impl ReportedSpending {
     /// Takes the report of an entry; gives what all admitted within the last window.
-    pub fn report(&mut self, ask: &QuotaAsk, window: Duration, now: BootInstant) -> f64 {
+    pub fn report(&mut self, ask: &QuotaRequest, window: Duration, now: BootInstant) -> f64 {
         let report = EntryReport {
-            requests: ask.spent.into(),
+            requests: ask.admitted.into(),
             at: now,
         };
         self.0.insert(ask.entry, report);
--- a/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
@@ -45,7 +45,7 @@
             continue;
         };
         if !is_watcher || behind_for >= PEER_AHEAD {
-            link.send(&Frame::of_link(Message::FetchConfiguration));
+            link.send(&Frame::without_call(Message::FetchConfiguration));
             sleep(FETCH_PAUSE).await;
         }
     }
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -105,7 +105,7 @@
 
 async fn shake_hands(node: &Node, stream: TcpStream) -> io::Result<OpenedLink> {
     let (mut reader, mut writer) = stream.into_split();
-    let hello = Frame::of_link(Message::Hello(node.hello()));
+    let hello = Frame::without_call(Message::Hello(node.hello()));
     let hello_sent_at = BootInstant::now();
     writer.write_all(&hello.encode()).await?;
     let mut buffer = BytesMut::new();
@@ -169,10 +169,10 @@
 /// Sends what a node that was linked to anew should know, and asks for what this one wants to know.
 fn greet(node: &Node, link: &Link) {
     if node.wants_nodes() {
-        link.send(&Frame::of_link(Message::FetchNodes));
+        link.send(&Frame::without_call(Message::FetchNodes));
     }
     for suspect in node.quarantine_snapshot() {
-        link.send(&Frame::of_link(Message::Quarantined(suspect)));
+        link.send(&Frame::without_call(Message::Quarantined(suspect)));
     }
 }
 
--- a/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
+++ b/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
@@ -52,7 +52,7 @@
         let requests = snapshot.iter().map(|request| StoredRequest {
             digest: request.digest,
             crashes: request.crashes,
-            left_ms: u64::try_from(request.left.as_millis()).unwrap_or(u64::MAX),
+            left_ms: u64::try_from(request.remaining.as_millis()).unwrap_or(u64::MAX),
         });
         Self {
             requests: requests.collect(),
@@ -66,7 +66,7 @@
             node.merge_quarantined(QuarantinedRequest {
                 digest: request.digest,
                 crashes: request.crashes,
-                left: Duration::from_millis(request.left_ms),
+                remaining: Duration::from_millis(request.left_ms),
             });
         }
     }
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -205,7 +205,7 @@
     let [shared] = told.quarantine.snapshot(told.now)[..] else {
         panic!("one request");
     };
-    assert_eq!((shared.crashes, shared.left.as_secs()), (3, 30));
+    assert_eq!((shared.crashes, shared.remaining.as_secs()), (3, 30));
     let mut learns = Told::new();
     learns.now = told.now;
     assert!(learns.quarantine.merge(shared, learns.now));
@@ -213,7 +213,7 @@
         let [held] = node.crash(true, &[request])[..] else {
             panic!("held back again");
         };
-        assert_eq!((held.crashes, held.left.as_secs()), (4, 600));
+        assert_eq!((held.crashes, held.remaining.as_secs()), (4, 600));
     }
 }
 
@@ -230,5 +230,5 @@
     let [shared] = told.quarantine.snapshot(told.now)[..] else {
         panic!("one request");
     };
-    assert_eq!((shared.crashes, shared.left), (2, Duration::ZERO));
+    assert_eq!((shared.crashes, shared.remaining), (2, Duration::ZERO));
 }
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -58,7 +58,7 @@
             remaining_ms: 1000,
             wait_ms: 100,
             criticality: 0,
-            kind: 0,
+            route_number: 0,
             is_idempotent: true,
             is_urgent: false,
             is_retry: false,
@@ -365,9 +365,9 @@
             .quarantine
             .find(&[digest], self.now)
             .expect("it is held");
-        self.now += held.left;
+        self.now += held.remaining;
         assert!(!self.is_quarantined(digest));
-        held.left
+        held.remaining
     }
 }
 
@@ -411,7 +411,7 @@
     let late = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
-        left: 30 * SECOND,
+        remaining: 30 * SECOND,
     };
     assert!(!table.quarantine.merge(late, table.now));
     table.crash(&[digest(1)]);
@@ -447,7 +447,7 @@
     let held = QuarantinedRequest {
         digest: digest(1),
         crashes: 200,
-        left: Duration::from_millis(u64::MAX),
+        remaining: Duration::from_millis(u64::MAX),
     };
     assert!(table.quarantine.merge(held, table.now));
     assert!(table.release(digest(1)) <= 2 * 86_400 * SECOND);
@@ -459,7 +459,7 @@
     let held = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
-        left: 30 * SECOND,
+        remaining: 30 * SECOND,
     };
     assert!(table.quarantine.merge(held, table.now));
     assert!(!table.quarantine.merge(held, table.now));
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -13,7 +13,7 @@
     link::Link,
     protocol::{
         BackendState, CallMessage, CrashReport, Frame, Load, NodeRecord, PeerStatus,
-        QuarantinedRequest, QuotaAsk, QuotaGrant, RequestDigest,
+        QuarantinedRequest, QuotaGrant, QuotaRequest, RequestDigest,
     },
     settings::RetrySettings,
     tables::{
@@ -185,11 +185,11 @@
     for relative_load in [0.8, 1.5, 4.0] {
         let mut fleet = ChainFleet::new(chain(relative_load));
         decisions.record(fleet.run(Duration::from_secs(4)).await);
-        fleet.leave(2, 1);
+        fleet.keep_backends(2, 1);
         decisions.record(fleet.run(Duration::from_secs(4)).await);
-        fleet.slow(1, 3.0);
+        fleet.slow_down(1, 3.0);
         decisions.record(fleet.run(Duration::from_secs(4)).await);
-        fleet.lose_all(2, Duration::from_millis(500));
+        fleet.restart_all(2, Duration::from_millis(500));
         decisions.record(fleet.run(Duration::from_secs(4)).await);
     }
     decisions.assert_digest(0xbb50_c82a_7409_674d, 12);
@@ -197,7 +197,7 @@
 
 fn chain(relative_load: f64) -> ChainPlan {
     let deep = || CallPlan::new(2, 30, Vec::new());
-    let middle = CallPlan::new(1, 15, deep().times(2));
+    let middle = CallPlan::new(1, 15, deep().repeated(2));
     let demand = |name, priority, per_second, call| Demand {
         name,
         priority,
@@ -212,12 +212,12 @@
         ],
         demands: vec![
             demand("read", 2, 60.0, CallPlan::new(0, 40, vec![middle.clone()])),
-            demand("payment", 0, 30.0, CallPlan::new(0, 40, middle.times(2))),
+            demand("payment", 0, 30.0, CallPlan::new(0, 40, middle.repeated(2))),
             demand("visit", 1, 20.0, CallPlan::new(0, 40, Vec::new())),
         ],
-        cold: Duration::from_secs(1),
+        warm_up: Duration::from_secs(1),
     }
-    .asking(2, 3, relative_load)
+    .with_relative_load(2, 3, relative_load)
 }
 
 #[tokio::test(start_paused = true)]
@@ -285,7 +285,7 @@
         remaining_ms: 1000,
         wait_ms: 100,
         criticality: 0,
-        kind: 1,
+        route_number: 1,
         is_idempotent,
         is_urgent: false,
         is_retry: false,
@@ -300,7 +300,7 @@
 fn sent_kinds(frames: &mut mpsc::UnboundedReceiver<Bytes>) -> Vec<u8> {
     let mut kinds = Vec::new();
     while let Ok(frame) = frames.try_recv() {
-        assert!(Frame::take(&mut BytesMut::from(&frame[..])).is_ok());
+        assert!(Frame::decode(&mut BytesMut::from(&frame[..])).is_ok());
         kinds.push(frame[5]);
     }
     kinds
@@ -332,7 +332,7 @@
                 let request = QuarantinedRequest {
                     digest,
                     crashes: random.random_range(1..5),
-                    left: Duration::from_secs(random.random_range(0..40)),
+                    remaining: Duration::from_secs(random.random_range(0..40)),
                 };
                 decisions.record(quarantine.merge(request, now));
             }
@@ -351,7 +351,7 @@
     (
         request.digest.to_string(),
         request.crashes,
-        request.left.as_millis(),
+        request.remaining.as_millis(),
     )
 }
 
@@ -380,17 +380,17 @@
         if random.random_bool(0.0005) {
             owner_since = now;
         }
-        let request = QuotaAsk {
+        let request = QuotaRequest {
             entry: random.random_range(0..5),
-            ahead: random.random_range(0..4),
-            spent: random.random_range(0..3),
-            fleet: Vec::new(),
+            extra_tokens: random.random_range(0..4),
+            admitted: random.random_range(0..3),
+            spending: Vec::new(),
         };
         let tenant = &tenants[random.random_range(0..2)];
         // The digest covers the texts of the tuples.
         decisions.record(match owner.grant(tenant, request, owner_since, now) {
             QuotaGrant::Tokens { tokens, .. } => ("tokens", u64::from(tokens)),
-            QuotaGrant::Spent { wait, .. } => ("spent", wait.as_millis() as u64),
+            QuotaGrant::Exhausted { wait, .. } => ("spent", wait.as_millis() as u64),
             QuotaGrant::NotOwner => ("not home", 0),
         });
         owner.forget_idle(now);
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -20,7 +20,7 @@
         remaining_ms: 1000,
         wait_ms: 100,
         criticality: 0,
-        kind: 1,
+        route_number: 1,
         is_idempotent,
         is_urgent: false,
         is_retry: false,
@@ -35,7 +35,7 @@
     let mut messages = Vec::new();
     while let Ok(frame) = frames.try_recv() {
         let mut buffer = BytesMut::from(&frame[..]);
-        messages.push(Frame::take(&mut buffer).unwrap().unwrap().message);
+        messages.push(Frame::decode(&mut buffer).unwrap().unwrap().message);
     }
     messages
 }
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -7,8 +7,8 @@
 use tallybridge_core::{ErrorKind, Outcome};
 use tallybridge_mesh::protocol::{
     AnswerMessage, BackendState, CallMessage, ClockMessage, ConfirmationMessage, CrashReport,
-    EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaAsk, QuotaAskMessage,
-    QuotaGrant, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
+    EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaGrant, QuotaRequest,
+    QuotaRequestMessage, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
 };
 
 fn bytes() -> impl Strategy<Value = Bytes> {
@@ -30,10 +30,11 @@
 fn grant() -> impl Strategy<Value = QuotaGrant> {
     prop_oneof![
         Just(QuotaGrant::NotOwner),
-        (any::<u32>(), epochs()).prop_map(|(tokens, fleet)| QuotaGrant::Tokens { tokens, fleet }),
-        (any::<u32>(), epochs()).prop_map(|(wait_ms, fleet)| {
+        (any::<u32>(), epochs())
+            .prop_map(|(tokens, spending)| QuotaGrant::Tokens { tokens, spending }),
+        (any::<u32>(), epochs()).prop_map(|(wait_ms, spending)| {
             let wait = Duration::from_millis(wait_ms.into());
-            QuotaGrant::Spent { wait, fleet }
+            QuotaGrant::Exhausted { wait, spending }
         }),
     ]
 }
@@ -81,18 +82,20 @@
         bytes(),
     )
         .prop_map(
-            |(remaining_ms, wait_ms, criticality, kind, flags, attempt, head, body)| CallMessage {
-                remaining_ms,
-                wait_ms,
-                criticality,
-                kind,
-                is_idempotent: flags[0],
-                is_urgent: flags[1],
-                is_head_request: flags[2],
-                is_retry: flags[3],
-                attempt,
-                head,
-                body,
+            |(remaining_ms, wait_ms, criticality, route_number, flags, attempt, head, body)| {
+                CallMessage {
+                    remaining_ms,
+                    wait_ms,
+                    criticality,
+                    route_number,
+                    is_idempotent: flags[0],
+                    is_urgent: flags[1],
+                    is_head_request: flags[2],
+                    is_retry: flags[3],
+                    attempt,
+                    head,
+                    body,
+                }
             },
         )
 }
@@ -105,7 +108,7 @@
             load,
             slots,
             version,
-            calls: names.into_iter().map(Into::into).collect(),
+            called_services: names.into_iter().map(Into::into).collect(),
         },
     )
 }
@@ -158,17 +161,17 @@
         }),
         any::<u64>().prop_map(|now_ms| Message::Clock(ClockMessage { now_ms })),
         (bytes(), any::<(u64, u32, u32)>(), epochs(), any::<bool>()).prop_map(
-            |(tenant, fields, fleet, is_forwarded)| {
-                let (entry, ahead, spent) = fields;
-                let ask = QuotaAsk {
+            |(tenant, fields, spending, is_forwarded)| {
+                let (entry, extra_tokens, admitted) = fields;
+                let request = QuotaRequest {
                     entry,
-                    ahead,
-                    spent,
-                    fleet,
+                    extra_tokens,
+                    admitted,
+                    spending,
                 };
-                Message::QuotaAsk(QuotaAskMessage {
+                Message::QuotaRequest(QuotaRequestMessage {
                     tenant,
-                    ask,
+                    request,
                     is_forwarded,
                 })
             }
@@ -180,7 +183,7 @@
             Message::Quarantined(QuarantinedRequest {
                 digest,
                 crashes,
-                left: Duration::from_millis(remaining_ms),
+                remaining: Duration::from_millis(remaining_ms),
             })
         }),
         digest().prop_map(Message::Cleared),
@@ -204,7 +207,7 @@
         let mut decoded = Vec::new();
         for chunk in wire.chunks(chunk_bytes) {
             buffer.extend_from_slice(chunk);
-            while let Some(frame) = Frame::take(&mut buffer).unwrap() {
+            while let Some(frame) = Frame::decode(&mut buffer).unwrap() {
                 decoded.push(frame);
             }
         }
@@ -215,7 +218,7 @@
     #[test]
     fn decodes_arbitrary_bytes_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let mut buffer = BytesMut::from(&bytes[..]);
-        while let Ok(Some(_)) = Frame::take(&mut buffer) {}
+        while let Ok(Some(_)) = Frame::decode(&mut buffer) {}
     }
 
     #[test]
@@ -228,13 +231,13 @@
         let length = u32::try_from(bytes.len() - 10).unwrap();
         bytes[..4].copy_from_slice(&length.to_be_bytes());
         // The shorter payload may be rejected or may decode as another valid message.
-        let _ = Frame::take(&mut BytesMut::from(&bytes[..]));
+        let _ = Frame::decode(&mut BytesMut::from(&bytes[..]));
     }
 }
 
 #[test]
 fn rejects_other_protocol_version() {
-    let mut bytes = Frame::of_link(Message::Ping).encode().to_vec();
+    let mut bytes = Frame::without_call(Message::Ping).encode().to_vec();
     bytes[4] = 9; // protocol version
-    assert!(Frame::take(&mut BytesMut::from(&bytes[..])).is_err());
+    assert!(Frame::decode(&mut BytesMut::from(&bytes[..])).is_err());
 }
--- a/crates/tallybridge-mesh/tests/recovery.rs
+++ b/crates/tallybridge-mesh/tests/recovery.rs
@@ -30,7 +30,7 @@
 /// to it directly, and downloads need it not at all.
 fn chain() -> ChainPlan {
     let peek = || CallPlan::new(DEEPEST, 30, Vec::new());
-    let manifest = || CallPlan::new(2, 15, peek().times(4));
+    let manifest = || CallPlan::new(2, 15, peek().repeated(4));
     let status = CallPlan::new(1, 15, vec![manifest()]);
     ChainPlan {
         services: vec![
@@ -44,18 +44,18 @@
                 "read",
                 2,
                 190.0,
-                CallPlan::new(0, 120, vec![status]).within(800),
+                CallPlan::new(0, 120, vec![status]).with_timeout_ms(800),
             ),
             demand(
                 "payment",
                 0,
                 100.0,
-                CallPlan::new(1, 160, manifest().times(2)).within(1000),
+                CallPlan::new(1, 160, manifest().repeated(2)).with_timeout_ms(1000),
             ),
             demand("download", 2, 28.0, CallPlan::new(2, 96, Vec::new())),
             demand("balance", 2, 40.0, CallPlan::new(DEEPEST, 480, Vec::new())),
         ],
-        cold: Duration::from_secs(3),
+        warm_up: Duration::from_secs(3),
     }
 }
 
@@ -80,7 +80,7 @@
     async fn run(mut fleet: ChainFleet, service: usize, late: Duration) -> Self {
         fleet.run(Duration::from_secs(10)).await;
         let before = fleet.run(Duration::from_secs(5)).await;
-        fleet.lose_all(service, late);
+        fleet.restart_all(service, late);
         fleet.run(COMES_BACK + late).await;
         let after = fleet.run(Duration::from_secs(5)).await;
         Self { before, after }
@@ -89,8 +89,11 @@
     /// Whether as much is served again of all, and of the urgent requests.
     fn is_back(&self) -> bool {
         let is_back = |after: f64, before: f64| after >= before * OF_BEFORE;
-        is_back(self.after.share(), self.before.share())
-            && is_back(self.after.share_of(URGENT), self.before.share_of(URGENT))
+        is_back(self.after.served_share(), self.before.served_share())
+            && is_back(
+                self.after.served_share_of(URGENT),
+                self.before.served_share_of(URGENT),
+            )
     }
 }
 
@@ -99,8 +102,8 @@
         write!(
             f,
             "{:.3} before, {:.3} after;",
-            self.before.share(),
-            self.after.share()
+            self.before.served_share(),
+            self.after.served_share()
         )?;
         for (before, after) in self.before.0.iter().zip(&self.after.0) {
             write!(
@@ -122,7 +125,7 @@
     }
     let mut fleet = ChainFleet::new(plan);
     fleet.run(Duration::from_secs(5)).await;
-    fleet.leave(short, 1);
+    fleet.keep_backends(short, 1);
     Course::run(fleet, short, late).await
 }
 
@@ -152,10 +155,10 @@
     let way = |calls: usize| {
         let deepest = CallPlan::new(depth - 1, 20, Vec::new());
         let above = (0..depth - 1).rev();
-        let whole = above.fold(deepest.times(calls), |calls, service| {
+        let whole = above.fold(deepest.repeated(calls), |calls, service| {
             vec![CallPlan::new(service, 10, calls)]
         });
-        whole.into_iter().next().unwrap().within(1500)
+        whole.into_iter().next().unwrap().with_timeout_ms(1500)
     };
     ChainPlan {
         services: (0..depth).map(service).collect(),
@@ -164,7 +167,7 @@
             demand("payment", 0, 20.0, way(4)),
             demand("visit", 2, 20.0, CallPlan::new(0, 20, Vec::new())),
         ],
-        cold: Duration::from_secs(3),
+        warm_up: Duration::from_secs(3),
     }
 }
 
@@ -181,10 +184,10 @@
         (12, 11, 2.0, 0),
         (23, 22, 4.0, 500),
     ] {
-        let plan = chain_of(depth, short).asking(short, 1, shortage);
+        let plan = chain_of(depth, short).with_relative_load(short, 1, shortage);
         let mut fleet = ChainFleet::new(plan);
         fleet.run(Duration::from_secs(3)).await;
-        fleet.leave(short, 1);
+        fleet.keep_backends(short, 1);
         let course = Course::run(fleet, short, Duration::from_millis(late_ms)).await;
         let case = (depth, short, shortage, late_ms);
         println!("{case:?}: {course}");
@@ -214,15 +217,15 @@
         }
         let mut fleet = ChainFleet::new(plan);
         fleet.run(Duration::from_secs(5)).await;
-        fleet.leave(DEEPEST, 1);
+        fleet.keep_backends(DEEPEST, 1);
         fleet.run(Duration::from_secs(10)).await;
         let before = fleet.run(Duration::from_secs(5)).await;
         match losses {
-            Losses::Half => fleet.lose_some(0, 2),
+            Losses::Half => fleet.restart_some(0, 2),
             Losses::InTurn => {
                 let nodes = fleet.len();
                 for node in 0..nodes {
-                    fleet.lose_some(node, nodes);
+                    fleet.restart_some(node, nodes);
                     fleet.run(Duration::from_secs(1)).await;
                 }
             }
@@ -247,10 +250,10 @@
     }
     let mut fleet = ChainFleet::new(plan);
     fleet.run(Duration::from_secs(5)).await;
-    fleet.leave(DEEPEST, 1);
+    fleet.keep_backends(DEEPEST, 1);
     fleet.run(Duration::from_secs(10)).await;
     let before = fleet.run(Duration::from_secs(5)).await;
-    fleet.mislead();
+    fleet.learn_only_first_service();
     fleet.run(COMES_BACK).await;
     let after = fleet.run(Duration::from_secs(5)).await;
     let course = Course { before, after };
--- a/crates/tallybridge-mesh/tests/support/admission.rs
+++ b/crates/tallybridge-mesh/tests/support/admission.rs
@@ -41,7 +41,7 @@
                 offered: seen.offered,
                 ..Load::default()
             },
-            calls: seen.called.iter().map(|name| Arc::from(*name)).collect(),
+            called_services: seen.called.iter().map(|name| Arc::from(*name)).collect(),
             ..PeerStatus::default()
         };
         loads.add(&Arc::from(seen.service), &status, seen.limit > 0);
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -66,7 +66,7 @@
 
     /// Restarts all nodes and back ends without their state. Back ends of `delayed_service` accept
     /// calls `delay` after the others.
-    pub fn lose_all(&mut self, delayed_service: usize, delay: Duration) {
+    pub fn restart_all(&mut self, delayed_service: usize, delay: Duration) {
         self.requests.abort_all();
         self.requests = JoinSet::new();
         self.nodes = Arc::new(ChainNode::from_plan(&self.plan));
@@ -81,7 +81,7 @@
 
     /// Restarts every `step`-th node, starting at index `first`, without its state. Back ends keep
     /// running.
-    pub fn lose_some(&mut self, first: usize, step: usize) {
+    pub fn restart_some(&mut self, first: usize, step: usize) {
         let nodes = self.nodes.iter().enumerate();
         let nodes = nodes.map(|(index, node)| match index % step == first {
             true => Arc::new(node.restarted()),
@@ -91,7 +91,7 @@
     }
 
     /// Makes every entry learn that each route costs only the first service of its chain.
-    pub fn mislead(&mut self) {
+    pub fn learn_only_first_service(&mut self) {
         for node in self.nodes.iter() {
             for (route, demand) in self.routes.iter().zip(&self.plan.demands) {
                 let mut times = SlotTimes::default();
@@ -109,7 +109,7 @@
     }
 
     /// Removes all back ends of a service except the `backends` slowest ones.
-    pub fn leave(&mut self, service: usize, backends: usize) {
+    pub fn keep_backends(&mut self, service: usize, backends: usize) {
         let nodes = self.nodes.iter().filter(|node| node.service == service);
         for node in nodes.skip(backends) {
             node.remove();
@@ -118,7 +118,7 @@
     }
 
     /// Multiplies the work time of the service's calls by `factor` from now on.
-    pub fn slow(&mut self, service: usize, factor: f64) {
+    pub fn slow_down(&mut self, service: usize, factor: f64) {
         for node in self.nodes.iter().filter(|node| node.service == service) {
             node.set_slowdown(factor);
         }
--- a/crates/tallybridge-mesh/tests/support/chain/node.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/node.rs
@@ -61,7 +61,7 @@
                     service: index,
                     slots: service.slots,
                     backend_slots,
-                    warm_up: plan.cold,
+                    warm_up: plan.warm_up,
                     state: Mutex::new(NodeState {
                         admission: AdmissionControl::default(),
                         running: RunningAttempts::default(),
@@ -147,7 +147,7 @@
                 false => BackendState::Unavailable,
             },
             load: self.backend_slots.load(),
-            calls: state
+            called_services: state
                 .called_services
                 .iter()
                 .map(|service| plan.services[*service].name.clone())
@@ -321,14 +321,14 @@
 
 impl Counts {
     /// Returns the share of all requests that were served.
-    pub fn share(&self) -> f64 {
+    pub fn served_share(&self) -> f64 {
         let served: usize = self.0.iter().map(|route| route.served).sum();
         let arrived: usize = self.0.iter().map(|route| route.came).sum();
         served as f64 / arrived as f64
     }
 
     /// Returns the share of one route's requests that were served.
-    pub fn share_of(&self, route: usize) -> f64 {
+    pub fn served_share_of(&self, route: usize) -> f64 {
         self.0[route].served as f64 / self.0[route].came as f64
     }
 }
--- a/crates/tallybridge-mesh/tests/support/chain/plan.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/plan.rs
@@ -50,14 +50,14 @@
         }
     }
 
-    pub fn within(self, timeout_ms: u64) -> Self {
+    pub fn with_timeout_ms(self, timeout_ms: u64) -> Self {
         Self {
             timeout: Duration::from_millis(timeout_ms),
             ..self
         }
     }
 
-    pub fn times(self, count: usize) -> Vec<Self> {
+    pub fn repeated(self, count: usize) -> Vec<Self> {
         vec![self; count]
     }
 
@@ -94,13 +94,18 @@
     pub services: Vec<ServicePlan>,
     pub demands: Vec<Demand>,
     /// Time after a start in which calls of a back end take twice as long.
-    pub cold: Duration,
+    pub warm_up: Duration,
 }
 
 impl ChainPlan {
     /// Scales the traffic such that the offered load of a service is `relative_load` times the
     /// capacity of its `backends` slowest back ends.
-    pub fn asking(mut self, service: usize, backends: usize, relative_load: f64) -> Self {
+    pub fn with_relative_load(
+        mut self,
+        service: usize,
+        backends: usize,
+        relative_load: f64,
+    ) -> Self {
         let plan = &self.services[service];
         let speed: f64 = plan.speeds[..backends].iter().sum();
         let capacity = speed * f64::from(plan.slots);
--- a/crates/tallybridge-mesh/tests/support/crashing_service.rs
+++ b/crates/tallybridge-mesh/tests/support/crashing_service.rs
@@ -302,7 +302,7 @@
         remaining_ms: 1000,
         wait_ms: 100,
         criticality: 0,
-        kind: 0,
+        route_number: 0,
         is_idempotent: true,
         is_urgent: false,
         is_retry: false,
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -208,7 +208,7 @@
             let status = PeerStatus {
                 backend: BackendState::Ready,
                 load,
-                calls: called.into_iter().map(Arc::from).collect(),
+                called_services: called.into_iter().map(Arc::from).collect(),
                 ..PeerStatus::default()
             };
             loads.add(&Arc::from(service), &status, true);
--- a/crates/tallybridge-mesh/tests/support/quota.rs
+++ b/crates/tallybridge-mesh/tests/support/quota.rs
@@ -6,7 +6,7 @@
 use tallybridge_mesh::clock::BootInstant;
 use tallybridge_mesh::{
     configuration::tenants::{RateLimit, Tenant, TenantRank},
-    protocol::{QuotaAsk, QuotaGrant},
+    protocol::{QuotaGrant, QuotaRequest},
     tables::quotas::{EntryTokens, OwnedQuotas, QuotaSlack, TokenAnswer},
 };
 
@@ -53,7 +53,7 @@
         &mut self,
         tenant: &Tenant,
         now: BootInstant,
-        ask_owner: impl FnOnce(QuotaAsk) -> QuotaGrant,
+        ask_owner: impl FnOnce(QuotaRequest) -> QuotaGrant,
     ) -> Decision {
         let (ahead, spent, fleet) = match self.held.request(&tenant.name, now) {
             TokenAnswer::Admitted => return Decision::Admitted,
@@ -64,18 +64,24 @@
                 fleet,
             } => (ahead, spent, fleet),
         };
-        let ask = QuotaAsk {
+        let ask = QuotaRequest {
             entry: self.process,
-            ahead,
-            spent,
-            fleet,
+            extra_tokens: ahead,
+            admitted: spent,
+            spending: fleet,
         };
         match ask_owner(ask) {
-            QuotaGrant::Tokens { tokens, fleet } => {
+            QuotaGrant::Tokens {
+                tokens,
+                spending: fleet,
+            } => {
                 self.held.granted(&tenant.name, tokens, &fleet, now);
                 Decision::Admitted
             }
-            QuotaGrant::Spent { wait, fleet } => {
+            QuotaGrant::Exhausted {
+                wait,
+                spending: fleet,
+            } => {
                 self.held.spent(&tenant.name, wait, &fleet, now);
                 Decision::Refused
             }
@@ -104,7 +110,7 @@
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     lost_at: Option<usize>,
-    ask_owner: impl FnMut(usize, BootInstant, QuotaAsk) -> QuotaGrant,
+    ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> Played {
     let lost = |number| match lost_at == Some(number) {
         true => 0..entries,
@@ -119,7 +125,7 @@
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     mut lost: impl FnMut(usize) -> Range<usize>,
-    mut ask_owner: impl FnMut(usize, BootInstant, QuotaAsk) -> QuotaGrant,
+    mut ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> Played {
     let mut nodes: Vec<Entry> = (0..entries).map(|_| Entry::default()).collect();
     let mut now = BootInstant::now();
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -81,7 +81,7 @@
         load,
         slots: 10,
         version: 1,
-        calls: Vec::new(),
+        called_services: Vec::new(),
     }
 }
 
@@ -190,7 +190,7 @@
 
 fn failing(share: f64, in_flight: u16) -> Load {
     Load {
-        failing: Load::wire_of(share),
+        failing: Load::share_to_wire(share),
         ..load(10, in_flight)
     }
 }
@@ -251,7 +251,7 @@
     let told: Vec<_> = (0..30).filter_map(|_| share.ended(false)).collect();
     assert_eq!(told, [FailureRateChange::Ended], "told once");
     assert!(share.get() < 0.1, "{}", share.get());
-    assert_eq!(Load::share_of(Load::wire_of(1.0)), 1.0);
+    assert_eq!(Load::share_from_wire(Load::share_to_wire(1.0)), 1.0);
 }
 
 #[tokio::test]
--- a/crates/tallybridge-mesh/tests/wire_format.rs
+++ b/crates/tallybridge-mesh/tests/wire_format.rs
@@ -7,8 +7,8 @@
 use tallybridge_core::{ErrorKind, Outcome};
 use tallybridge_mesh::protocol::{
     AnswerMessage, BackendState, CallMessage, ClockMessage, ConfirmationMessage, CrashReport,
-    EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaAsk, QuotaAskMessage,
-    QuotaGrant, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
+    EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaGrant, QuotaRequest,
+    QuotaRequestMessage, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
 };
 
 const LOAD: Load = Load {
@@ -44,7 +44,7 @@
         remaining_ms: 0x0102_0304,
         wait_ms: 0x0506_0708,
         criticality: 3,
-        kind: 0x0a0b,
+        route_number: 0x0a0b,
         is_idempotent,
         is_urgent,
         is_retry,
@@ -72,13 +72,13 @@
 }
 
 fn quota_ask() -> Message {
-    Message::QuotaAsk(QuotaAskMessage {
+    Message::QuotaRequest(QuotaRequestMessage {
         tenant: bytes("ana"),
-        ask: QuotaAsk {
+        request: QuotaRequest {
             entry: 0x0102_0304_0506_0708,
-            ahead: 9,
-            spent: 10,
-            fleet: recent_grants(),
+            extra_tokens: 9,
+            admitted: 10,
+            spending: recent_grants(),
         },
         is_forwarded: true,
     })
@@ -118,7 +118,7 @@
                 load: LOAD,
                 slots: 0x0102_0304,
                 version: 0x0506_0708_090a_0b0c,
-                calls: vec!["ledger".into(), "portal".into()],
+                called_services: vec!["ledger".into(), "portal".into()],
             }),
             "00000027080811223344030102030405060708090a0b0c0102030405060708090a0b0c0d6c65646765720a706f7274616c",
         ),
@@ -153,14 +153,14 @@
         (
             Message::QuotaGrant(QuotaGrant::Tokens {
                 tokens: 0x0102_0304,
-                fleet: recent_grants(),
+                spending: recent_grants(),
             }),
             "00000017080f112233440101020304010102030405060708090a03000100000203",
         ),
         (
-            Message::QuotaGrant(QuotaGrant::Spent {
+            Message::QuotaGrant(QuotaGrant::Exhausted {
                 wait: Duration::from_millis(0x0102_0304),
-                fleet: recent_grants(),
+                spending: recent_grants(),
             }),
             "00000017080f112233440201020304010102030405060708090a03000100000203",
         ),
@@ -175,7 +175,7 @@
             Message::Quarantined(QuarantinedRequest {
                 digest: digest(0xc3),
                 crashes: 3,
-                left: Duration::from_millis(0x0102_0304_0506),
+                remaining: Duration::from_millis(0x0102_0304_0506),
             }),
             "00000019081111223344c3c3c3c3c3c3c3c3c3c3c3c3c3c3c3c3030000010203040506",
         ),
@@ -211,7 +211,7 @@
 #[test]
 fn decodes_each_message_from_pinned_bytes() {
     for (message, digits) in messages() {
-        let frame = Frame::take(&mut parse_hexadecimal(digits))
+        let frame = Frame::decode(&mut parse_hexadecimal(digits))
             .unwrap()
             .unwrap();
         assert_eq!((frame.call, frame.message), (0x1122_3344, message));
@@ -226,7 +226,7 @@
             parse_hexadecimal("000000130805112233440502010203040102030405060708090a0b0c0d");
         bytes[10] = value;
         bytes[11] = value;
-        let frame = Frame::take(&mut bytes).unwrap().unwrap();
+        let frame = Frame::decode(&mut bytes).unwrap().unwrap();
         let Message::Refusal(refusal) = frame.message else {
             panic!("frame was not decoded as a refusal: {frame:?}");
         };
@@ -245,7 +245,7 @@
             retry_after,
             load: LOAD,
         });
-        Frame::of_link(message).encode()
+        Frame::without_call(message).encode()
     };
     let without_delay = encode_refusal(None);
     assert_eq!(without_delay[12..16], [0; 4]);
@@ -253,7 +253,7 @@
         encode_refusal(Some(Duration::from_micros(999))),
         without_delay
     );
-    let frame = Frame::take(&mut BytesMut::from(&without_delay[..]))
+    let frame = Frame::decode(&mut BytesMut::from(&without_delay[..]))
         .unwrap()
         .unwrap();
     assert!(matches!(frame.message, Message::Refusal(refusal) if refusal.retry_after.is_none()));
