--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -35,7 +35,7 @@
 
     /// Queues a message about the link itself, which belongs to no call.
     pub fn send_message(&self, message: Message) {
-        self.send(&Frame::of_link(message));
+        self.send(&Frame::without_call(message));
     }
 }
 
@@ -51,7 +51,7 @@
 /// the received bytes are not a valid frame.
 pub async fn next_frame(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<Frame> {
     loop {
-        if let Some(frame) = Frame::take(buffer).map_err(invalid_data)? {
+        if let Some(frame) = Frame::decode(buffer).map_err(invalid_data)? {
             return Ok(frame);
         }
         buffer.reserve(READ_BUFFER_BYTES);
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -24,7 +24,8 @@
     },
     node::Node,
     protocol::{
-        ClockMessage, ConfirmationMessage, Frame, Message, QuotaAsk, QuotaAskMessage, QuotaGrant,
+        ClockMessage, ConfirmationMessage, Frame, Message, QuotaGrant, QuotaRequest,
+        QuotaRequestMessage,
     },
     request::quota,
     tables::ConfirmedVersion,
@@ -158,7 +159,7 @@
                     sender.send_message(Message::Configuration(document));
                 }
             }
-            Message::QuotaAsk(message) => self.answer_quota_ask(frame.call, message),
+            Message::QuotaRequest(message) => self.answer_quota_ask(frame.call, message),
             Message::Crash(report) => {
                 // The node whose back end crashed writes the report to the store.
                 node.record_crash(report);
@@ -170,10 +171,10 @@
         }
     }
 
-    fn answer_quota_ask(&self, call_number: u32, message: QuotaAskMessage) {
-        let QuotaAskMessage {
+    fn answer_quota_ask(&self, call_number: u32, message: QuotaRequestMessage) {
+        let QuotaRequestMessage {
             tenant,
-            ask,
+            request: ask,
             is_forwarded,
         } = message;
         match self.node.grant_quota(&tenant, ask.clone()) {
@@ -185,7 +186,7 @@
     }
 
     /// Asks the owner of a quota on behalf of a node that cannot reach or does not know the owner.
-    fn forward_quota_ask(&self, call_number: u32, tenant: Bytes, ask: QuotaAsk) {
+    fn forward_quota_ask(&self, call_number: u32, tenant: Bytes, ask: QuotaRequest) {
         let node = self.node.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -1,51 +1,51 @@
-//! The kinds of messages, and the dispatch from a kind to its encoding.
+//! Message kinds, and the selection of the payload encoding by kind.
 
 use bytes::Bytes;
 
 use super::{
     AnswerMessage, CallMessage, ClockMessage, ConfirmationMessage, CrashReport, PeerStatus,
-    QuarantinedRequest, QuotaAskMessage, QuotaGrant, RefusalMessage, RequestDigest,
+    QuarantinedRequest, QuotaGrant, QuotaRequestMessage, RefusalMessage, RequestDigest,
     codec::{put_fields, take_fields},
 };
 
-/// One message.
+/// A message between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
-    /// Who the sender is, as a JSON [`super::NodeRecord`]. The first message in each direction.
+    /// The sender's JSON [`super::NodeRecord`]; the first message in each direction.
     Hello(Bytes),
-    /// Asks for the other nodes that the receiver knows.
+    /// Requests the records of the other nodes known to the receiver.
     FetchNodes,
-    /// Other nodes that the sender knows, as a JSON list of [`super::NodeRecord`].
+    /// JSON list with the [`super::NodeRecord`] of each other node known to the sender.
     Nodes(Bytes),
-    /// A call for the back end beside the receiver.
+    /// A call to the back end of the receiving node.
     Call(CallMessage),
-    /// The complete answer of a back end to a call.
+    /// The complete answer of the back end to a call.
     Answer(AnswerMessage),
-    /// The call ended without an answer.
+    /// Reports that the call ended without an answer.
     Refusal(RefusalMessage),
-    /// Nobody waits for the call any more.
+    /// Cancels a call whose caller no longer waits for the result.
     Cancel,
-    /// Asks for the status, which is how a link shows that it still works.
+    /// Requests a [`Self::Status`] to check that the link still works.
     Ping,
-    /// The sender's status.
+    /// State and load of the sender's back end, sent on a change and in reply to a ping.
     Status(PeerStatus),
-    /// Asks for the newest configuration.
+    /// Requests the receiver's newest configuration.
     FetchConfiguration,
-    /// The newest configuration document.
+    /// The sender's newest configuration document.
     Configuration(Bytes),
-    /// The sender watches the store, which confirmed that no configuration is newer.
+    /// Reports that the store confirmed the sender's configuration as the newest one.
     Confirmed(ConfirmationMessage),
-    /// The sender's clock.
+    /// The sender's clock, to which its confirmations refer.
     Clock(ClockMessage),
-    /// Asks the owner of a tenant's quota for tokens.
-    QuotaAsk(QuotaAskMessage),
-    /// The owner's answer to that.
+    /// Requests tokens from the owner of a tenant's quota.
+    QuotaRequest(QuotaRequestMessage),
+    /// Reply to a [`Self::QuotaRequest`].
     QuotaGrant(QuotaGrant),
-    /// The back end beside the sender crashed.
+    /// Reports a crash of the sender's back end.
     Crash(CrashReport),
-    /// A request is quarantined, or suspected of crashing back ends.
+    /// Reports a quarantined request or a suspect.
     Quarantined(QuarantinedRequest),
-    /// A suspect was answered by a back end.
+    /// Reports that a back end answered a suspect, which clears the suspicion.
     Cleared(RequestDigest),
 }
 
@@ -64,7 +64,7 @@
     pub const FETCH_NODES: u8 = 11;
     pub const CONFIRMED: u8 = 12;
     pub const CLOCK: u8 = 13;
-    pub const QUOTA_ASK: u8 = 14;
+    pub const QUOTA_REQUEST: u8 = 14;
     pub const QUOTA_GRANT: u8 = 15;
     pub const CRASH: u8 = 16;
     pub const QUARANTINED: u8 = 17;
@@ -87,7 +87,7 @@
             Self::FetchNodes => kind::FETCH_NODES,
             Self::Confirmed(_) => kind::CONFIRMED,
             Self::Clock(_) => kind::CLOCK,
-            Self::QuotaAsk(_) => kind::QUOTA_ASK,
+            Self::QuotaRequest(_) => kind::QUOTA_REQUEST,
             Self::QuotaGrant(_) => kind::QUOTA_GRANT,
             Self::Crash(_) => kind::CRASH,
             Self::Quarantined(_) => kind::QUARANTINED,
@@ -95,7 +95,6 @@
         }
     }
 
-    /// Appends the payload to `out`.
     pub(super) fn encode_payload(&self, out: &mut Vec<u8>) {
         match self {
             Self::Hello(bytes) | Self::Nodes(bytes) | Self::Configuration(bytes) => {
@@ -107,7 +106,7 @@
             Self::Status(status) => status.encode(out),
             Self::Confirmed(confirmation) => put_fields(confirmation, out),
             Self::Clock(clock) => put_fields(clock, out),
-            Self::QuotaAsk(ask) => ask.encode(out),
+            Self::QuotaRequest(request) => request.encode(out),
             Self::QuotaGrant(grant) => grant.encode(out),
             Self::Crash(report) => report.encode(out),
             Self::Quarantined(request) => request.encode(out),
@@ -116,7 +115,7 @@
         }
     }
 
-    /// The message of a payload; `None` for an unknown kind or a malformed payload.
+    /// Returns `None` for an unknown kind or a malformed payload.
     pub(super) fn decode_payload(kind: u8, mut payload: Bytes) -> Option<Self> {
         Some(match kind {
             kind::HELLO => Self::Hello(payload),
@@ -132,7 +131,7 @@
             kind::FETCH_NODES => Self::FetchNodes,
             kind::CONFIRMED => Self::Confirmed(take_fields(&mut payload)?),
             kind::CLOCK => Self::Clock(take_fields(&mut payload)?),
-            kind::QUOTA_ASK => Self::QuotaAsk(QuotaAskMessage::decode(payload)?),
+            kind::QUOTA_REQUEST => Self::QuotaRequest(QuotaRequestMessage::decode(payload)?),
             kind::QUOTA_GRANT => Self::QuotaGrant(QuotaGrant::decode(payload)?),
             kind::CRASH => Self::Crash(CrashReport::decode(payload)?),
             kind::QUARANTINED => Self::Quarantined(QuarantinedRequest::decode(payload)?),
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -81,7 +81,7 @@
     let executed = dispatch(node, call, &slot, deadline).await?;
     let is_successful_leaf = executed.answer.status < 500 && !executed.made_calls;
     if is_successful_leaf && node.settings.policy.adapt_slots {
-        slot.record_success(call.kind);
+        slot.record_success(call.route_number);
     }
     Ok(executed)
 }
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -15,7 +15,7 @@
     configuration::tenants::Tenant,
     link::{Link, Reply},
     node::Node,
-    protocol::{QuotaAsk, QuotaGrant},
+    protocol::{QuotaGrant, QuotaRequest},
     tables::{QuotaOwner, quotas::TokenAnswer},
 };
 
@@ -45,20 +45,26 @@
             ahead,
             spent,
             fleet,
-        } => QuotaAsk {
+        } => QuotaRequest {
             entry: node.record.process,
-            ahead,
-            spent,
-            fleet,
+            extra_tokens: ahead,
+            admitted: spent,
+            spending: fleet,
         },
     };
     loop {
         match ask_owner(node, tenant, ask.clone()).await {
-            Some(QuotaGrant::Tokens { tokens, fleet }) => {
+            Some(QuotaGrant::Tokens {
+                tokens,
+                spending: fleet,
+            }) => {
                 node.tokens_granted(tenant, tokens, &fleet);
                 return Ok(());
             }
-            Some(QuotaGrant::Spent { wait, fleet }) => {
+            Some(QuotaGrant::Exhausted {
+                wait,
+                spending: fleet,
+            }) => {
                 node.tenant_spent(tenant, wait, &fleet);
                 return Err(over_quota_refusal(wait));
             }
@@ -85,7 +91,7 @@
 }
 
 /// Asks the owner of the tenant's limit for tokens; returns `None` if the owner does not answer.
-async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaAsk) -> Option<QuotaGrant> {
+async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaRequest) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
         QuotaOwner::Local => Some(node.grant_own(tenant, ask)),
@@ -97,7 +103,7 @@
 /// Asks the owner of a tenant's limit on behalf of another node, whose own connection to the owner
 /// may be unresponsive. Answers [`QuotaGrant::NotOwner`] if no peer owns the limit or the owner does
 /// not answer.
-pub async fn forward(node: &Node, tenant: &[u8], ask: QuotaAsk) -> QuotaGrant {
+pub async fn forward(node: &Node, tenant: &[u8], ask: QuotaRequest) -> QuotaGrant {
     let Some(tenant) = node.tenant_named(tenant) else {
         return QuotaGrant::NotOwner;
     };
@@ -112,7 +118,7 @@
 async fn ask_peer(
     link: &Arc<Link>,
     tenant: &Tenant,
-    ask: QuotaAsk,
+    ask: QuotaRequest,
     is_forwarded: bool,
 ) -> Option<QuotaGrant> {
     let mut pending_ask = link.ask_quota(&tenant.name, ask, is_forwarded).ok()?;
--- a/crates/tallybridge-mesh/src/tables/admission/services.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/services.rs
@@ -30,7 +30,9 @@
     /// status then contributes only the services that the back end calls.
     pub fn add(&mut self, service: &Arc<str>, status: &PeerStatus, takes_work: bool) {
         let totals = self.0.entry(service.clone()).or_default();
-        totals.called_services.extend(status.calls.iter().cloned());
+        totals
+            .called_services
+            .extend(status.called_services.iter().cloned());
         if takes_work {
             let Load {
                 limit,
@@ -40,7 +42,7 @@
             } = status.load;
             totals.limit += f64::from(limit);
             totals.calls += f64::from(in_flight) + f64::from(queued);
-            totals.offered += f64::from(limit) * status.load.offered_share();
+            totals.offered += f64::from(limit) * status.load.offered_load();
         }
     }
 
--- a/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
@@ -41,12 +41,12 @@
         failure_rates.sort_unstable();
         let quartile_index = failure_rates.len().saturating_sub(1) / 4;
         let baseline = failure_rates.get(quartile_index).copied().unwrap_or(0);
-        Self(Load::share_of(baseline))
+        Self(Load::share_from_wire(baseline))
     }
 
     /// Returns the excess of a failure rate over the baseline, 0 to 1.
     fn excess(self, load: Load) -> f64 {
-        (load.failing_share() - self.0).max(0.0)
+        (load.failure_rate() - self.0).max(0.0)
     }
 
     fn is_outlier(self, load: Load) -> bool {
--- a/crates/tallybridge-mesh/src/tables/quarantine/record.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/record.rs
@@ -140,7 +140,7 @@
         QuarantinedRequest {
             digest,
             crashes: self.crashes_for_peers(),
-            left: self.remaining(now),
+            remaining: self.remaining(now),
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quarantine/table.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/table.rs
@@ -113,12 +113,12 @@
         let record = self.records.entry(request.digest);
         let record = record.or_insert_with(|| SuspectRecord::new(now));
         // Nodes compute the remaining time at different moments, so small differences are ignored.
-        let is_longer =
-            !request.left.is_zero() && record.remaining(now) + TRIAL_DURATION / 2 < request.left;
+        let is_longer = !request.remaining.is_zero()
+            && record.remaining(now) + TRIAL_DURATION / 2 < request.remaining;
         let has_changed = is_longer || record.crashes < request.crashes;
         record.merge_crashes(request.crashes);
         if is_longer {
-            record.quarantine(request.left.min(MAX_QUARANTINE_DURATION), now);
+            record.quarantine(request.remaining.min(MAX_QUARANTINE_DURATION), now);
         }
         self.evict(now);
         has_changed
@@ -133,7 +133,7 @@
             record.is_quarantined(now).then(|| QuarantinedRequest {
                 digest: *digest,
                 crashes: record.crashes,
-                left: record.released_at.saturating_duration_since(now),
+                remaining: record.released_at.saturating_duration_since(now),
             })
         })
     }
@@ -157,7 +157,7 @@
             trials.push(QuarantinedRequest {
                 digest: *digest,
                 crashes: record.crashes,
-                left: TRIAL_DURATION,
+                remaining: TRIAL_DURATION,
             });
         }
         trials
@@ -184,7 +184,7 @@
         let mut records: Vec<_> = records
             .map(|(digest, record)| record.to_message(*digest, now))
             .collect();
-        records.sort_by_key(|request| Reverse((request.crashes, request.left)));
+        records.sort_by_key(|request| Reverse((request.crashes, request.remaining)));
         records.truncate(MAX_QUARANTINED_REQUESTS);
         records
     }
@@ -197,7 +197,7 @@
             .iter()
             .filter(|(_, record)| record.is_quarantined(now))
             .map(|(digest, record)| record.to_message(*digest, now))
-            .filter(|request| !request.left.is_zero())
+            .filter(|request| !request.remaining.is_zero())
             .collect()
     }
 
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use super::{QuotaSlack, TokenBucket, epochs::FleetSpending, spending::ReportedSpending};
-use crate::protocol::{QuotaAsk, QuotaGrant};
+use crate::protocol::{QuotaGrant, QuotaRequest};
 use crate::{
     clock::BootInstant,
     configuration::tenants::{RateLimit, Tenant},
@@ -41,21 +41,21 @@
         }
     }
 
-    /// Grants a token, and up to [`QuotaAsk::ahead`] more if the tenant is far from its limit.
+    /// Grants a token, and up to [`QuotaRequest::extra_tokens`] more if the tenant is far from its limit.
     /// `since` is the start of the current ownership ([`Ownership::since`]).
     ///
     /// [`Ownership::since`]: super::Ownership::since
     pub fn grant(
         &mut self,
         tenant: &Tenant,
-        ask: QuotaAsk,
+        ask: QuotaRequest,
         since: BootInstant,
         now: BootInstant,
     ) -> QuotaGrant {
         let Some(limit) = tenant.limit else {
             return QuotaGrant::Tokens {
-                tokens: 1 + ask.ahead,
-                fleet: Vec::new(),
+                tokens: 1 + ask.extra_tokens,
+                spending: Vec::new(),
             };
         };
         let slack = self.slack;
@@ -64,7 +64,7 @@
         quota.start_epoch_after_gap(slack.initial_tokens(limit), since, now);
         quota.last_asked_at = now;
         quota.bucket.set_limit(limit, now);
-        quota.fleet.merge(&ask.fleet, now);
+        quota.fleet.merge(&ask.spending, now);
         let reported_total = quota.reported.record_report(&ask, slack.window, now);
         let may_have_predecessor = now.saturating_duration_since(since) < slack.window;
         if quota.is_collecting_reports(may_have_predecessor, reported_total, now) {
@@ -143,11 +143,14 @@
 
     fn refuse(&mut self, wait: Duration, now: BootInstant) -> QuotaGrant {
         let fleet = self.fleet.report(now);
-        QuotaGrant::Spent { wait, fleet }
+        QuotaGrant::Exhausted {
+            wait,
+            spending: fleet,
+        }
     }
 
-    fn grant(&mut self, ask: &QuotaAsk, now: BootInstant) -> QuotaGrant {
-        let tokens = self.bucket.take(ask.ahead, now);
+    fn grant(&mut self, ask: &QuotaRequest, now: BootInstant) -> QuotaGrant {
+        let tokens = self.bucket.take(ask.extra_tokens, now);
         if tokens == 0 {
             let wait = self.bucket.schedule_retry(now);
             return self.refuse(wait, now);
@@ -155,6 +158,9 @@
         self.reported.add_grant(ask.entry, tokens);
         self.fleet.record_grant(self.epoch, tokens, now);
         let fleet = self.fleet.report(now);
-        QuotaGrant::Tokens { tokens, fleet }
+        QuotaGrant::Tokens {
+            tokens,
+            spending: fleet,
+        }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/spending.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/spending.rs
@@ -7,7 +7,7 @@
 
 use super::WINDOW_PARTS;
 use crate::clock::BootInstant;
-use crate::protocol::QuotaAsk;
+use crate::protocol::QuotaRequest;
 
 /// Minimum number of asks that an entry of a tenant at its limit sends in each window.
 const ASKS_PER_WINDOW: u32 = 10;
@@ -81,9 +81,9 @@
 impl ReportedSpending {
     /// Records the report of an entry and returns the number of requests that all entries admitted
     /// within the last window.
-    pub fn record_report(&mut self, ask: &QuotaAsk, window: Duration, now: BootInstant) -> f64 {
+    pub fn record_report(&mut self, ask: &QuotaRequest, window: Duration, now: BootInstant) -> f64 {
         let report = EntryReport {
-            requests: ask.spent.into(),
+            requests: ask.admitted.into(),
             received_at: now,
         };
         self.0.insert(ask.entry, report);
--- a/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/peers.rs
@@ -40,7 +40,7 @@
             continue;
         };
         if !is_watcher || time_behind >= WATCHER_FETCH_DELAY {
-            link.send(&Frame::of_link(Message::FetchConfiguration));
+            link.send(&Frame::without_call(Message::FetchConfiguration));
             sleep(FETCH_RETRY_INTERVAL).await;
         }
     }
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -100,7 +100,7 @@
 
 async fn handshake(node: &Node, stream: TcpStream) -> io::Result<OpenedLink> {
     let (mut reader, mut writer) = stream.into_split();
-    let hello = Frame::of_link(Message::Hello(node.hello()));
+    let hello = Frame::without_call(Message::Hello(node.hello()));
     let hello_sent_at = BootInstant::now();
     writer.write_all(&hello.encode()).await?;
     let mut buffer = BytesMut::new();
@@ -164,10 +164,10 @@
 /// Sends the quarantined requests to a newly linked peer, and requests its node list if needed.
 fn send_initial_messages(node: &Node, link: &Link) {
     if node.wants_nodes() {
-        link.send(&Frame::of_link(Message::FetchNodes));
+        link.send(&Frame::without_call(Message::FetchNodes));
     }
     for request in node.quarantine_snapshot() {
-        link.send(&Frame::of_link(Message::Quarantined(request)));
+        link.send(&Frame::without_call(Message::Quarantined(request)));
     }
 }
 
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -219,7 +219,7 @@
     let [shared] = fixture.quarantine.snapshot(fixture.now)[..] else {
         panic!("the snapshot does not hold exactly one request");
     };
-    assert_eq!((shared.crashes, shared.left.as_secs()), (3, 30));
+    assert_eq!((shared.crashes, shared.remaining.as_secs()), (3, 30));
     let mut other_node = Fixture::new();
     other_node.now = fixture.now;
     assert!(other_node.quarantine.merge(shared, other_node.now));
@@ -227,7 +227,10 @@
         let [quarantined] = node.report_crash(true, &[request])[..] else {
             panic!("the next crash does not quarantine the request");
         };
-        assert_eq!((quarantined.crashes, quarantined.left.as_secs()), (4, 600));
+        assert_eq!(
+            (quarantined.crashes, quarantined.remaining.as_secs()),
+            (4, 600)
+        );
     }
 }
 
@@ -244,5 +247,5 @@
     let [shared] = fixture.quarantine.snapshot(fixture.now)[..] else {
         panic!("the snapshot does not hold exactly one request");
     };
-    assert_eq!((shared.crashes, shared.left), (2, Duration::ZERO));
+    assert_eq!((shared.crashes, shared.remaining), (2, Duration::ZERO));
 }
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -57,7 +57,7 @@
             remaining_ms: 1000,
             wait_ms: 100,
             criticality: 0,
-            kind: 0,
+            route_number: 0,
             is_idempotent: true,
             is_urgent: false,
             is_retry: false,
@@ -403,9 +403,9 @@
             .quarantine
             .find(&[digest], self.now)
             .expect("the request is quarantined");
-        self.now += quarantined.left;
+        self.now += quarantined.remaining;
         assert!(!self.is_quarantined(digest));
-        quarantined.left
+        quarantined.remaining
     }
 }
 
@@ -452,7 +452,7 @@
     let late_record = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
-        left: 30 * SECOND,
+        remaining: 30 * SECOND,
     };
     assert!(!table.quarantine.merge(late_record, table.now));
     table.report_crash(&[digest(1)]);
@@ -494,7 +494,7 @@
     let quarantined = QuarantinedRequest {
         digest: digest(1),
         crashes: 200,
-        left: Duration::from_millis(u64::MAX),
+        remaining: Duration::from_millis(u64::MAX),
     };
     assert!(table.quarantine.merge(quarantined, table.now));
     assert!(table.release(digest(1)) <= 2 * 86_400 * SECOND);
@@ -506,7 +506,7 @@
     let quarantined = QuarantinedRequest {
         digest: digest(1),
         crashes: 3,
-        left: 30 * SECOND,
+        remaining: 30 * SECOND,
     };
     assert!(table.quarantine.merge(quarantined, table.now));
     assert!(!table.quarantine.merge(quarantined, table.now));
--- a/crates/tallybridge-mesh/tests/recovery.rs
+++ b/crates/tallybridge-mesh/tests/recovery.rs
@@ -25,7 +25,7 @@
 /// payment eight, a balance request one directly and a download none.
 fn chain_plan() -> ChainPlan {
     let price_lookup = || CallPlan::new(DEEPEST_SERVICE, 30, Vec::new());
-    let package_call = || CallPlan::new(2, 15, price_lookup().times(4));
+    let package_call = || CallPlan::new(2, 15, price_lookup().repeated(4));
     let payment_service_call = CallPlan::new(1, 15, vec![package_call()]);
     ChainPlan {
         services: vec![
@@ -39,13 +39,13 @@
                 "read",
                 2,
                 190.0,
-                CallPlan::new(0, 120, vec![payment_service_call]).within(800),
+                CallPlan::new(0, 120, vec![payment_service_call]).with_timeout_ms(800),
             ),
             demand(
                 "payment",
                 0,
                 100.0,
-                CallPlan::new(1, 160, package_call().times(2)).within(1000),
+                CallPlan::new(1, 160, package_call().repeated(2)).with_timeout_ms(1000),
             ),
             demand("download", 2, 28.0, CallPlan::new(2, 96, Vec::new())),
             demand(
@@ -55,7 +55,7 @@
                 CallPlan::new(DEEPEST_SERVICE, 480, Vec::new()),
             ),
         ],
-        cold: Duration::from_secs(3),
+        warm_up: Duration::from_secs(3),
     }
 }
 
@@ -80,7 +80,7 @@
     async fn run(mut fleet: ChainFleet, service: usize, restart_delay: Duration) -> Self {
         fleet.run(Duration::from_secs(10)).await;
         let before = fleet.run(Duration::from_secs(5)).await;
-        fleet.lose_all(service, restart_delay);
+        fleet.restart_all(service, restart_delay);
         fleet.run(RECOVERY_TIME + restart_delay).await;
         let after = fleet.run(Duration::from_secs(5)).await;
         Self { before, after }
@@ -89,10 +89,10 @@
     /// Returns whether the shares of all requests and of payments have recovered.
     fn has_recovered(&self) -> bool {
         let has_recovered = |after: f64, before: f64| after >= before * MIN_RECOVERED_FRACTION;
-        has_recovered(self.after.share(), self.before.share())
+        has_recovered(self.after.served_share(), self.before.served_share())
             && has_recovered(
-                self.after.share_of(PAYMENT_ROUTE),
-                self.before.share_of(PAYMENT_ROUTE),
+                self.after.served_share_of(PAYMENT_ROUTE),
+                self.before.served_share_of(PAYMENT_ROUTE),
             )
     }
 }
@@ -102,8 +102,8 @@
         write!(
             f,
             "{:.3} before, {:.3} after;",
-            self.before.share(),
-            self.after.share()
+            self.before.served_share(),
+            self.after.served_share()
         )?;
         for (before, after) in self.before.0.iter().zip(&self.after.0) {
             write!(
@@ -125,7 +125,7 @@
     }
     let mut fleet = ChainFleet::new(plan);
     fleet.run(Duration::from_secs(5)).await;
-    fleet.leave(overloaded, 1);
+    fleet.keep_backends(overloaded, 1);
     RecoveryRun::run(fleet, overloaded, restart_delay).await
 }
 
@@ -155,10 +155,14 @@
     let request_path = |calls: usize| {
         let deepest = CallPlan::new(depth - 1, 20, Vec::new());
         let upper_services = (0..depth - 1).rev();
-        let calls_of_first = upper_services.fold(deepest.times(calls), |calls, service| {
+        let calls_of_first = upper_services.fold(deepest.repeated(calls), |calls, service| {
             vec![CallPlan::new(service, 10, calls)]
         });
-        calls_of_first.into_iter().next().unwrap().within(1500)
+        calls_of_first
+            .into_iter()
+            .next()
+            .unwrap()
+            .with_timeout_ms(1500)
     };
     ChainPlan {
         services: (0..depth).map(service).collect(),
@@ -167,7 +171,7 @@
             demand("payment", 0, 20.0, request_path(4)),
             demand("visit", 2, 20.0, CallPlan::new(0, 20, Vec::new())),
         ],
-        cold: Duration::from_secs(3),
+        warm_up: Duration::from_secs(3),
     }
 }
 
@@ -184,10 +188,11 @@
         (12, 11, 2.0, 0),
         (23, 22, 4.0, 500),
     ] {
-        let plan = chain_plan_of_depth(depth, overloaded).asking(overloaded, 1, shortage);
+        let plan =
+            chain_plan_of_depth(depth, overloaded).with_relative_load(overloaded, 1, shortage);
         let mut fleet = ChainFleet::new(plan);
         fleet.run(Duration::from_secs(3)).await;
-        fleet.leave(overloaded, 1);
+        fleet.keep_backends(overloaded, 1);
         let run =
             RecoveryRun::run(fleet, overloaded, Duration::from_millis(restart_delay_ms)).await;
         let case = (depth, overloaded, shortage, restart_delay_ms);
@@ -218,15 +223,15 @@
         }
         let mut fleet = ChainFleet::new(plan);
         fleet.run(Duration::from_secs(5)).await;
-        fleet.leave(DEEPEST_SERVICE, 1);
+        fleet.keep_backends(DEEPEST_SERVICE, 1);
         fleet.run(Duration::from_secs(10)).await;
         let before = fleet.run(Duration::from_secs(5)).await;
         match loss {
-            NodeLoss::HalfAtOnce => fleet.lose_some(0, 2),
+            NodeLoss::HalfAtOnce => fleet.restart_some(0, 2),
             NodeLoss::OneByOne => {
                 let nodes = fleet.len();
                 for node in 0..nodes {
-                    fleet.lose_some(node, nodes);
+                    fleet.restart_some(node, nodes);
                     fleet.run(Duration::from_secs(1)).await;
                 }
             }
@@ -251,10 +256,10 @@
     }
     let mut fleet = ChainFleet::new(plan);
     fleet.run(Duration::from_secs(5)).await;
-    fleet.leave(DEEPEST_SERVICE, 1);
+    fleet.keep_backends(DEEPEST_SERVICE, 1);
     fleet.run(Duration::from_secs(10)).await;
     let before = fleet.run(Duration::from_secs(5)).await;
-    fleet.mislead();
+    fleet.learn_only_first_service();
     fleet.run(RECOVERY_TIME).await;
     let after = fleet.run(Duration::from_secs(5)).await;
     let run = RecoveryRun { before, after };
--- a/crates/tallybridge-mesh/tests/support/admission.rs
+++ b/crates/tallybridge-mesh/tests/support/admission.rs
@@ -47,7 +47,7 @@
                 offered: reported.offered,
                 ..Load::default()
             },
-            calls: reported
+            called_services: reported
                 .called
                 .iter()
                 .map(|name| Arc::from(*name))
--- a/crates/tallybridge-mesh/tests/support/quota.rs
+++ b/crates/tallybridge-mesh/tests/support/quota.rs
@@ -7,7 +7,7 @@
 use tallybridge_mesh::clock::BootInstant;
 use tallybridge_mesh::{
     configuration::tenants::{RateLimit, Tenant, TenantRank},
-    protocol::{QuotaAsk, QuotaGrant},
+    protocol::{QuotaGrant, QuotaRequest},
     tables::quotas::{EntryTokens, OwnedQuotas, QuotaSlack, TokenAnswer},
 };
 
@@ -54,7 +54,7 @@
         &mut self,
         tenant: &Tenant,
         now: BootInstant,
-        ask_owner: impl FnOnce(QuotaAsk) -> QuotaGrant,
+        ask_owner: impl FnOnce(QuotaRequest) -> QuotaGrant,
     ) -> Decision {
         let (ahead, spent, fleet) = match self.tokens.take_token(&tenant.name, now) {
             TokenAnswer::Admitted => return Decision::Admitted,
@@ -65,18 +65,24 @@
                 fleet,
             } => (ahead, spent, fleet),
         };
-        let ask = QuotaAsk {
+        let ask = QuotaRequest {
             entry: self.process,
-            ahead,
-            spent,
-            fleet,
+            extra_tokens: ahead,
+            admitted: spent,
+            spending: fleet,
         };
         match ask_owner(ask) {
-            QuotaGrant::Tokens { tokens, fleet } => {
+            QuotaGrant::Tokens {
+                tokens,
+                spending: fleet,
+            } => {
                 self.tokens.record_grant(&tenant.name, tokens, &fleet, now);
                 Decision::Admitted
             }
-            QuotaGrant::Spent { wait, fleet } => {
+            QuotaGrant::Exhausted {
+                wait,
+                spending: fleet,
+            } => {
                 self.tokens
                     .record_limit_reached(&tenant.name, wait, &fleet, now);
                 Decision::Refused
@@ -106,7 +112,7 @@
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     state_lost_at: Option<usize>,
-    ask_owner: impl FnMut(usize, BootInstant, QuotaAsk) -> QuotaGrant,
+    ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> SimulationResult {
     let restarted = |number| match state_lost_at == Some(number) {
         true => 0..entries,
@@ -122,7 +128,7 @@
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     mut restarted: impl FnMut(usize) -> Range<usize>,
-    mut ask_owner: impl FnMut(usize, BootInstant, QuotaAsk) -> QuotaGrant,
+    mut ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> SimulationResult {
     let mut entry_nodes: Vec<Entry> = (0..entries).map(|_| Entry::default()).collect();
     let mut now = BootInstant::now();
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -81,7 +81,7 @@
         load,
         slots: 10,
         version: 1,
-        calls: Vec::new(),
+        called_services: Vec::new(),
     }
 }
 
@@ -190,7 +190,7 @@
 
 fn load_failing(share: f64, in_flight: u16) -> Load {
     Load {
-        failing: Load::wire_of(share),
+        failing: Load::share_to_wire(share),
         ..load(10, in_flight)
     }
 }
@@ -271,7 +271,7 @@
         "the change was not reported exactly once"
     );
     assert!(failure_rate.get() < 0.1, "{}", failure_rate.get());
-    assert_eq!(Load::share_of(Load::wire_of(1.0)), 1.0);
+    assert_eq!(Load::share_from_wire(Load::share_to_wire(1.0)), 1.0);
 }
 
 #[tokio::test]
