Clock, load and quarantine: shorter heads and plainer comments

Shortens the heads of the clock and of the published load, and names the share of a tenant's limit and the lookup of digests plainly. No behaviour changes.

--- a/crates/tallybridge-mesh/src/clock/mod.rs
+++ b/crates/tallybridge-mesh/src/clock/mod.rs
@@ -1,19 +1,13 @@
 //! A monotonic clock that includes the time for which the machine was suspended.
 //!
-//! The monotonic clock of the standard library and of tokio stops while the machine is suspended,
-//! so it underestimates ages and overestimates the time to a deadline. Two clocks, with types that
-//! cannot be mixed, are in use:
+//! The monotonic clocks of the standard library and of tokio stop during a suspension. Events that
+//! progress on other machines meanwhile (confirmations of the configuration, deadlines of callers,
+//! windows of quotas and retries, quarantines) are dated by [`BootInstant`]; the work of this process
+//! (latency, load, liveness of links, backoff) is timed by [`tokio::time::Instant`].
 //!
-//! - [`BootInstant`] for events that progress elsewhere while this machine is suspended:
-//!   confirmations of the configuration, deadlines of callers, windows of quotas and retries,
-//!   quarantines.
-//! - [`tokio::time::Instant`] for the work of this process: latency, load, liveness of links,
-//!   backoff.
-//!
-//! The module owns the process-wide clock state: the suspended time ([`suspended`]) and the pauses
-//! of the process ([`record_tick`]). It relies on the `CLOCK_BOOTTIME` of the kernel. A
-//! [`BootInstant`] is valid only in the process that created it; messages carry ages or remaining
-//! times instead.
+//! The module owns the process-wide suspended time ([`suspended`]) and pauses ([`record_tick`]), and
+//! relies on the `CLOCK_BOOTTIME` of the kernel. A [`BootInstant`] is valid only in the process that
+//! created it; messages carry ages or remaining times instead.
 
 mod pause;
 mod sleep;
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -17,7 +17,7 @@
 };
 
 impl Node {
-    /// Applies a report of the back end to the tables and notifies the peers of a change.
+    /// Applies a report of the back end, and publishes the status if the report changed it.
     pub fn report(&self, report: &InstanceReport) {
         let effect = {
             let mut tables = self.tables();
--- a/crates/tallybridge-mesh/src/node/dispatched.rs
+++ b/crates/tallybridge-mesh/src/node/dispatched.rs
@@ -24,7 +24,7 @@
     ///
     /// [`ErrorKind::Quarantined`], with the time until this node releases the request.
     pub fn refuse_quarantined(&self, call: &CallMessage) -> Result<(), Refusal> {
-        let Some(digests) = self.digests_if_suspects(call) else {
+        let Some(digests) = self.digests_if_any_suspect(call) else {
             return Ok(());
         };
         let found = self.tables().quarantine.find(&digests, BootInstant::now());
@@ -47,7 +47,7 @@
         call: &CallMessage,
         incarnation: &Incarnation,
     ) -> DispatchedCall {
-        let digests = self.digests_if_suspects(call);
+        let digests = self.digests_if_any_suspect(call);
         let now = BootInstant::now();
         let mut tables = self.tables();
         let id = tables.dispatched.begin(call, incarnation, now);
@@ -73,7 +73,7 @@
 
     /// Returns the digests of a call, or `None` if there are no suspects, which saves computing the
     /// digests.
-    fn digests_if_suspects(&self, call: &CallMessage) -> Option<[RequestDigest; 2]> {
+    fn digests_if_any_suspect(&self, call: &CallMessage) -> Option<[RequestDigest; 2]> {
         let has_suspects = !self.tables().quarantine.is_empty();
         has_suspects.then(|| CallContent::of(call, &self.names).digests().both())
     }
--- a/crates/tallybridge-mesh/src/node/published_load.rs
+++ b/crates/tallybridge-mesh/src/node/published_load.rs
@@ -5,8 +5,8 @@
 //! failure rate by more than 0.1 is sent at once: a back end that fails fast looks idle and would
 //! attract calls.
 //!
-//! Senders of calls learn the load from each answer, so these messages serve the other nodes. One
-//! message per node and tick would make their number grow with the square of the fleet.
+//! The limit matters because a message from each node at each tick would make the number of messages
+//! grow with the square of the fleet.
 
 use std::time::Duration;
 
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -74,7 +74,8 @@
         )
     }
 
-    /// Counts a crash report, with the number of back ends of the service as context.
+    /// Counts a crash report. The quarantine also needs the number of back ends of the service, since
+    /// more back ends crash more often.
     fn record_crash(
         &mut self,
         report: &CrashReport,
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -106,14 +106,14 @@
     /// equal shares.
     #[must_use]
     pub fn grant_part(&self, tenant: &Tenant, parts: usize, ask: QuotaAsk) -> QuotaGrant {
-        let part = tenant.part(parts);
+        let share = tenant.part(parts);
         // Grants from the whole limit must not count against one share of it.
         let ask = QuotaAsk {
             ahead: 0,
             fleet: Vec::new(),
             ..ask
         };
-        self.tables().grant(&part, ask, BootInstant::now())
+        self.tables().grant(&share, ask, BootInstant::now())
     }
 
     /// Answers a peer that asks this node for tokens. Returns [`QuotaGrant::NotOwner`] if the tenant
