Node: rename shared methods and reword the messages of crashes

Names of methods that other modules call were phrases that a reader had to look up.

start_is_over -> restarted_after instance_for_work (of Node) -> available_incarnation wants_nodes -> should_request_nodes tenant_spent -> tenant_at_limit grant_own -> grant_as_owner grant_part -> grant_share request_begins -> track_request nested (of Node) -> begin_nested_call back_end_called -> record_called_service watch_pending -> track_pending_watch published -> status_updates has_keys -> has_tenants note_version_from_store (of Node) -> record_version_from_store names (field of Node) -> header_names held (of EntryFacts and ExecutorFacts) -> elapsed; the log key held_ms stays LogRateLimit::line -> admit pretend_suspension -> simulate_suspension BootInstant::if_awake -> into_tokio BootInstant::of_arrival -> earliest_arrival

Messages: "back end ended without notice" is "back end crashed while running calls", "back end ended without notice, no call was interrupted" is "back end crashed while idle", "request held back" is "request quarantined", and the detail of a quarantine says that back ends crashed while running the request. The test of explain and the logs it reads have the new texts; it checks as much as before.

--- a/crates/standalone/tallybridge/tests/command_line/explain_logs.rs
+++ b/crates/standalone/tallybridge/tests/command_line/explain_logs.rs
@@ -160,11 +160,16 @@
     let digest = "0d6c92893e58bf87994c6e1e726e24f1";
     let crash = row(
         &table,
-        &["node-4", "back end ended without notice", digest, "calls=1"],
+        &[
+            "node-4",
+            "back end crashed while running calls",
+            digest,
+            "calls=1",
+        ],
     );
     let held = row(
         &table,
-        &["node-2", "request held back", digest, "crashes=4"],
+        &["node-2", "request quarantined", digest, "crashes=4"],
     );
     let refused = row(
         &table,
--- a/crates/tallybridge-mesh/examples/clock_cost.rs
+++ b/crates/tallybridge-mesh/examples/clock_cost.rs
@@ -28,5 +28,5 @@
 fn main() {
     report("tokio clock", Instant::now);
     report("clock that counts suspended time", BootInstant::now);
-    report("time of an arrival", BootInstant::of_arrival);
+    report("time of an arrival", BootInstant::earliest_arrival);
 }
--- a/crates/tallybridge-mesh/src/clock/mod.rs
+++ b/crates/tallybridge-mesh/src/clock/mod.rs
@@ -22,7 +22,7 @@
 
 pub use pause::{Pauses, record_tick};
 pub use sleep::{DeadlineElapsed, timeout_at};
-pub use suspension::{pretend_suspension, suspended};
+pub use suspension::{simulate_suspension, suspended};
 
 /// A point in time on a monotonic clock that continues while the machine is suspended.
 ///
@@ -40,7 +40,7 @@
     /// Returns the earliest time at which data read from a socket now can have arrived: the
     /// beginning of a pause of the process that has just ended, otherwise the current time.
     #[must_use]
-    pub fn of_arrival() -> Self {
+    pub fn earliest_arrival() -> Self {
         let now = Self::now();
         let age = pause::max_unread_age(now);
         now.checked_sub(age).unwrap_or(now)
@@ -80,7 +80,7 @@
     /// Converts to the tokio clock. The result is wrong if the machine is suspended before this
     /// point.
     #[must_use]
-    pub fn if_awake(self) -> Instant {
+    pub fn into_tokio(self) -> Instant {
         Instant::now() + self.saturating_duration_since(Self::now())
     }
 }
--- a/crates/tallybridge-mesh/src/clock/suspension.rs
+++ b/crates/tallybridge-mesh/src/clock/suspension.rs
@@ -42,7 +42,7 @@
 /// Advances the clock of all nodes in this process as if the machine had been suspended. Only tests
 /// use this, since they cannot suspend the machine.
 #[doc(hidden)]
-pub fn pretend_suspension(length: Duration) {
+pub fn simulate_suspension(length: Duration) {
     let length_ms = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
     SIMULATED_MS.fetch_add(length_ms, Ordering::Relaxed);
     notify_wake_up(suspended());
--- a/crates/tallybridge-mesh/src/http/server/request_reader.rs
+++ b/crates/tallybridge-mesh/src/http/server/request_reader.rs
@@ -69,7 +69,7 @@
         Ok(Some(Request {
             head: partial.head,
             body: partial.body.into_body().into(),
-            arrived: BootInstant::of_arrival(),
+            arrived: BootInstant::earliest_arrival(),
             caller: self.caller,
         }))
     }
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -64,7 +64,7 @@
 /// since anybody may send any number of them.
 fn malformed(reason: String) -> Answer {
     static MALFORMED: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = MALFORMED.line() {
+    if let Some(left_out) = MALFORMED.admit() {
         tracing::warn!(
             reason,
             left_out,
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -104,7 +104,7 @@
 
     /// Handles what comes, and sends the status and the store's confirmations when they change.
     async fn run(&self, reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<()> {
-        let mut published = self.node.published();
+        let mut published = self.node.status_updates();
         let mut confirmed = self.node.confirmations();
         loop {
             tokio::select! {
--- a/crates/tallybridge-mesh/src/log/decisions.rs
+++ b/crates/tallybridge-mesh/src/log/decisions.rs
@@ -54,7 +54,7 @@
     /// Number of executors tried.
     pub tried: usize,
     /// Time since the request was read.
-    pub held: Duration,
+    pub elapsed: Duration,
 }
 
 /// Inputs of a refusal at the executor.
@@ -65,7 +65,7 @@
     /// Load of the back end at the time of the refusal.
     pub load: Load,
     /// Time since the call arrived.
-    pub held: Duration,
+    pub elapsed: Duration,
     /// Time from the call's arrival to its deadline, in milliseconds.
     pub remaining_ms: u32,
     /// Maximum time that the call may wait for a slot, in milliseconds.
@@ -97,7 +97,7 @@
             version = facts.version,
             read_age_ms = facts.read_age.map(|age| age.as_millis() as u64),
             tried = facts.tried,
-            held_ms = facts.held.as_millis() as u64,
+            held_ms = facts.elapsed.as_millis() as u64,
             reason = refusal.kind.name(),
             outcome = refusal.outcome.as_str(),
             detail = refusal.detail,
@@ -118,7 +118,7 @@
             in_flight = load.in_flight,
             queued = load.queued,
             wait_ms = load.wait_ms,
-            held_ms = facts.held.as_millis() as u64,
+            held_ms = facts.elapsed.as_millis() as u64,
             could_wait_ms = facts.wait_ms,
             remaining_ms = facts.remaining_ms,
             reason = refusal.kind.name(),
--- a/crates/tallybridge-mesh/src/log/rate_limit.rs
+++ b/crates/tallybridge-mesh/src/log/rate_limit.rs
@@ -70,7 +70,7 @@
 
     /// Returns the number of lines left out since the last written one, or `None` if the line must
     /// not be written now.
-    pub fn line(&self) -> Option<u64> {
+    pub fn admit(&self) -> Option<u64> {
         let now = Instant::now();
         let mut window = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         window.admit(MALFORMED_DATA_RATE, now)
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -71,7 +71,7 @@
     }
 
     /// Waits until the back end has restarted under the id of `incarnation`.
-    pub async fn start_is_over(&self, incarnation: &Incarnation) {
+    pub async fn restarted_after(&self, incarnation: &Incarnation) {
         let mut restarts = self.signals.restarts.subscribe();
         loop {
             let has_restarted = self.tables().instance.is_restarted_after(incarnation);
@@ -111,7 +111,7 @@
 
     /// Returns the incarnation of the back end to which calls can be dispatched now, if there is one.
     #[must_use]
-    pub fn instance_for_work(&self) -> Option<Incarnation> {
+    pub fn available_incarnation(&self) -> Option<Incarnation> {
         self.tables().instance.takes_work(Instant::now())
     }
 
--- a/crates/tallybridge-mesh/src/node/configuration.rs
+++ b/crates/tallybridge-mesh/src/node/configuration.rs
@@ -27,7 +27,7 @@
 
     /// Returns whether the configuration in force defines tenants, whose requests carry keys.
     #[must_use]
-    pub fn has_keys(&self) -> bool {
+    pub fn has_tenants(&self) -> bool {
         let configuration = self.configuration();
         configuration.is_some_and(|configuration| configuration.tenants.is_some())
     }
@@ -60,7 +60,7 @@
     }
 
     /// Records that the version in force is the newest that the store reported to this node.
-    pub fn note_version_from_store(&self) {
+    pub fn record_version_from_store(&self) {
         self.tables().configuration.record_version_from_store();
     }
 
--- a/crates/tallybridge-mesh/src/node/dispatched.rs
+++ b/crates/tallybridge-mesh/src/node/dispatched.rs
@@ -34,7 +34,8 @@
         let QuarantinedRequest {
             digest, crashes, ..
         } = request;
-        let detail = format!("{crashes} back ends ended under this request, digest {digest}");
+        let detail =
+            format!("{crashes} back ends crashed while running this request, digest {digest}");
         let refusal = Refusal::new(ErrorKind::Quarantined, detail);
         Err(refusal.with_retry_after(request.left))
     }
@@ -75,7 +76,7 @@
     /// digests.
     fn digests_if_any_suspect(&self, call: &CallMessage) -> Option<[RequestDigest; 2]> {
         let has_suspects = !self.tables().quarantine.is_empty();
-        has_suspects.then(|| CallContent::of(call, &self.names).digests().both())
+        has_suspects.then(|| CallContent::of(call, &self.header_names).digests().both())
     }
 }
 
@@ -104,7 +105,7 @@
             answered.filter(|_| has_suspects)
         };
         if let Some(answered) = answered {
-            let digests = answered.content(&node.names).digests();
+            let digests = answered.content(&node.header_names).digests();
             node.clear_suspects(&digests.both());
         }
         if self.end == DispatchEnd::ConnectionLost {
--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -97,7 +97,7 @@
 
     /// Counts a request as in flight until the returned guard is dropped.
     #[must_use]
-    pub fn request_begins(self: &Arc<Self>) -> RequestInFlight {
+    pub fn track_request(self: &Arc<Self>) -> RequestInFlight {
         let in_flight = &self.lifecycle.requests_in_flight;
         in_flight.fetch_add(1, Ordering::Relaxed);
         RequestInFlight(self.clone())
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -65,7 +65,7 @@
     /// The platform adapter, which decodes messages and calls the store.
     pub platform: Arc<dyn Platform>,
     /// Header names of the platform.
-    pub names: HeaderNames,
+    pub header_names: HeaderNames,
     /// Identity sent to peers and to the registry; [`Node::hello`] fills in the slots.
     pub record: NodeRecord,
     /// Slots of the back end beside this node.
@@ -104,21 +104,21 @@
             process: rand::random(),
             slots: 0,
         };
-        let names = platform.header_names();
+        let header_names = platform.header_names();
         Self {
             slots: BackendSlots::default(),
             backend: ConnectionPool::new(settings.backend.address),
             counters: Counters::default(),
             decisions: DecisionLog::default(),
             started_at: BootInstant::now(),
-            tables: Mutex::new(Tables::new(&settings, record.clone(), names)),
+            tables: Mutex::new(Tables::new(&settings, record.clone(), header_names)),
             signals: Signals::new(),
             lifecycle: Lifecycle::new(&settings),
             lease: AtomicU64::new(0),
             has_read_registry: AtomicBool::new(false),
             is_watcher: AtomicBool::new(false),
             has_pending_watch: AtomicBool::new(false),
-            names,
+            header_names,
             record,
             settings,
             platform,
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -38,7 +38,7 @@
     /// Returns whether to ask a peer for its list of known nodes, and if so records the request as
     /// sent. The first peers are always asked; further ones only while this node is unregistered.
     #[must_use]
-    pub fn wants_nodes(&self) -> bool {
+    pub fn should_request_nodes(&self) -> bool {
         let is_registered = self.lease().is_some();
         let mut tables = self.tables();
         tables
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -52,7 +52,7 @@
     /// through the instance that replaced the crashed one (`is_replaced`).
     pub(super) fn take_crash(&mut self, is_replaced: bool, now: BootInstant) -> Option<Crash> {
         let incarnation = self.instance.current()?.clone();
-        let was_leaving = self.instance.has_left(now.if_awake());
+        let was_leaving = self.instance.has_left(now.into_tokio());
         let count_if_idle = is_replaced && !self.dispatched.has_crashed(&incarnation);
         let interrupted = self.dispatched.take_after_crash(&incarnation, now);
         Crash::detect(&incarnation, interrupted, was_leaving, count_if_idle)
@@ -132,10 +132,7 @@
             interrupted,
         } = crash;
         if interrupted.calls == 0 {
-            tracing::info!(
-                instance = incarnation.id(),
-                "back end ended without notice, no call was interrupted"
-            );
+            tracing::info!(instance = incarnation.id(), "back end crashed while idle");
             self.send_crash_report(&interrupted);
             return;
         }
@@ -150,7 +147,7 @@
             calls = interrupted.calls,
             popular = interrupted.popular,
             suspects = digests.join(" "),
-            "back end ended without notice"
+            "back end crashed while running calls"
         );
         if !interrupted.suspects.is_empty() {
             self.send_crash_report(&interrupted);
@@ -184,7 +181,7 @@
                 digest = %request.digest,
                 crashes = request.crashes,
                 for_ms = request.left.as_millis() as u64,
-                "request held back"
+                "request quarantined"
             );
         }
         let snapshot = self.tables().quarantine.snapshot(now);
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -85,7 +85,7 @@
 
     /// Records that the owner refused a token because the tenant is at its limit. `wait` is the time
     /// until a token is likely to be available.
-    pub fn tenant_spent(&self, tenant: &Tenant, wait: Duration, fleet: &[EpochSpending]) {
+    pub fn tenant_at_limit(&self, tenant: &Tenant, wait: Duration, fleet: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
         entry.spent(&tenant.name, wait, fleet, BootInstant::now());
     }
@@ -98,14 +98,14 @@
 
     /// Grants tokens as the owner of a tenant's quota.
     #[must_use]
-    pub fn grant_own(&self, tenant: &Tenant, ask: QuotaAsk) -> QuotaGrant {
+    pub fn grant_as_owner(&self, tenant: &Tenant, ask: QuotaAsk) -> QuotaGrant {
         self.tables().grant(tenant, ask, BootInstant::now())
     }
 
     /// Grants a token from this node's share of a tenant's limit, which is divided into `parts`
     /// equal shares.
     #[must_use]
-    pub fn grant_part(&self, tenant: &Tenant, parts: usize, ask: QuotaAsk) -> QuotaGrant {
+    pub fn grant_share(&self, tenant: &Tenant, parts: usize, ask: QuotaAsk) -> QuotaGrant {
         let share = tenant.part(parts);
         // Grants from the whole limit must not count against one share of it.
         let ask = QuotaAsk {
@@ -126,7 +126,7 @@
         if !matches!(self.quota_owner(&tenant), QuotaOwner::Local) {
             return QuotaGrant::NotOwner;
         }
-        self.grant_own(&tenant, ask)
+        self.grant_as_owner(&tenant, ask)
     }
 
     /// Returns the tenant with the given name, if the configuration in force defines it.
--- a/crates/tallybridge-mesh/src/node/running.rs
+++ b/crates/tallybridge-mesh/src/node/running.rs
@@ -20,7 +20,7 @@
 
 impl Node {
     /// Records that the back end beside this node called a service.
-    pub fn back_end_called(&self, service: &Arc<str>) {
+    pub fn record_called_service(&self, service: &Arc<str>) {
         let now = Instant::now();
         let mut tables = self.tables();
         match tables.last_calls.get_mut(service) {
@@ -44,7 +44,7 @@
     /// Returns the guard of a nested call if the name of its attempt extends that of a running
     /// call; `None` for a fresh request.
     #[must_use]
-    pub fn nested(self: &Arc<Self>, attempt: &[u8]) -> Option<NestedCall> {
+    pub fn begin_nested_call(self: &Arc<Self>, attempt: &[u8]) -> Option<NestedCall> {
         let mut tables = self.tables();
         let found_parent = tables.running.parent_of(attempt)?;
         tables.running.begin_nested(&found_parent.attempt);
--- a/crates/tallybridge-mesh/src/node/status.rs
+++ b/crates/tallybridge-mesh/src/node/status.rs
@@ -48,7 +48,7 @@
 
     /// Returns a receiver that is notified whenever the status needs to be sent.
     #[must_use]
-    pub fn published(&self) -> watch::Receiver<u64> {
+    pub fn status_updates(&self) -> watch::Receiver<u64> {
         self.signals.status.subscribe()
     }
 
--- a/crates/tallybridge-mesh/src/node/store_watch.rs
+++ b/crates/tallybridge-mesh/src/node/store_watch.rs
@@ -78,7 +78,7 @@
 
     /// Marks a watch request as pending until the returned guard is dropped.
     #[must_use]
-    pub fn watch_pending(&self) -> PendingWatch<'_> {
+    pub fn track_pending_watch(&self) -> PendingWatch<'_> {
         self.has_pending_watch.store(true, Ordering::Relaxed);
         PendingWatch(&self.has_pending_watch)
     }
--- a/crates/tallybridge-mesh/src/request/credentials.rs
+++ b/crates/tallybridge-mesh/src/request/credentials.rs
@@ -52,7 +52,7 @@
         let refusal = Refusal::new(ErrorKind::StaleConfiguration, detail);
         return Err(refusal.with_retry_after(RETRY_AFTER));
     }
-    let mut keys = headers.all(node.names.credential);
+    let mut keys = headers.all(node.header_names.credential);
     let holder = match (keys.next(), keys.next()) {
         (Some(key), None) => tenants.holder(key.trim_ascii()),
         _ => None,
--- a/crates/tallybridge-mesh/src/request/entry/forwarded_head.rs
+++ b/crates/tallybridge-mesh/src/request/entry/forwarded_head.rs
@@ -11,7 +11,7 @@
 
 /// The request line and header lines that the back end gets, without those that the executor adds.
 pub(super) fn forwarded_head(node: &Node, request: &Request, tenant: Option<&Tenant>) -> Vec<u8> {
-    let names = &node.names;
+    let names = &node.header_names;
     let head = &request.head;
     let mut bytes = Vec::with_capacity(CAPACITY);
     bytes.extend_from_slice(head.method.as_bytes());
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -35,10 +35,10 @@
 
 /// Answers a request of a caller or of the back end beside this node.
 pub async fn handle(node: &Arc<Node>, request: Request) -> Answer {
-    let _in_flight = node.request_begins();
+    let _in_flight = node.track_request();
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
-    let attempt = request.head.headers.first(node.names.attempt);
-    let mut nested = attempt.and_then(|attempt| node.nested(attempt));
+    let attempt = request.head.headers.first(node.header_names.attempt);
+    let mut nested = attempt.and_then(|attempt| node.begin_nested_call(attempt));
     let parent = nested.as_ref().map(NestedCall::parent);
     let prepared = prepare(node, &request, parent);
     if let (Some(nested), Ok(call)) = (&mut nested, &prepared) {
@@ -111,7 +111,7 @@
 }
 
 fn log_refusal(node: &Node, request: &Request, call: Option<&Call>, unanswered: &Unanswered) {
-    let attempt = request.head.headers.text(node.names.attempt);
+    let attempt = request.head.headers.text(node.header_names.attempt);
     let version = node
         .configuration()
         .map_or(0, |configuration| configuration.version);
@@ -126,7 +126,7 @@
         version,
         read_age: node.read_age(),
         tried: unanswered.tried,
-        held: request.arrived.elapsed(),
+        elapsed: request.arrived.elapsed(),
     };
     node.decisions.refused_at_entry(&unanswered.refusal, &facts);
 }
--- a/crates/tallybridge-mesh/src/request/entry/prepare.rs
+++ b/crates/tallybridge-mesh/src/request/entry/prepare.rs
@@ -60,7 +60,7 @@
     let call = call(node, request, routed, parent);
     node.refuse_quarantined(&call.message)?;
     if parent.is_some() {
-        node.back_end_called(&call.service);
+        node.record_called_service(&call.service);
     } else {
         refuse_shed(node, &call)?;
     }
@@ -78,8 +78,8 @@
     let Some(route) = configuration.route(host, &head.target) else {
         return Err(no_route(node));
     };
-    let Some(attempt) = head.headers.first(node.names.attempt) else {
-        let detail = format!("header {} is missing", node.names.attempt);
+    let Some(attempt) = head.headers.first(node.header_names.attempt) else {
+        let detail = format!("header {} is missing", node.header_names.attempt);
         return Err(Refusal::new(ErrorKind::InvalidRequest, detail));
     };
     let Some(service) = route.next_service() else {
@@ -110,7 +110,7 @@
         attempt,
     } = routed;
     let head = &request.head;
-    let patience_ms = head.headers.text(node.names.deadline_ms);
+    let patience_ms = head.headers.text(node.header_names.deadline_ms);
     let times = CallTimes::of(request.arrived, patience_ms, &route, parent.is_some());
     let orders_by_priority = node.settings.policy.order_by_priority;
     let class = CallClass::of(
--- a/crates/tallybridge-mesh/src/request/execute/exchange.rs
+++ b/crates/tallybridge-mesh/src/request/execute/exchange.rs
@@ -60,7 +60,7 @@
     tokio::select! {
         biased;
         exchanged = exchanging => exchanged,
-        () = node.start_is_over(incarnation) => {
+        () = node.restarted_after(incarnation) => {
             Err(ExchangeError::given_up("back end has started again"))
         }
     }
@@ -102,7 +102,7 @@
     instance: &str,
     is_first: bool,
 ) -> bool {
-    match received.head.headers.first(node.names.attempt) {
+    match received.head.headers.first(node.header_names.attempt) {
         Some(attempt) => attempt == &call.attempt[..],
         None => is_first && is_misdirected(node, received, instance),
     }
@@ -116,7 +116,7 @@
     deadline: BootInstant,
 ) -> Vec<u8> {
     node.counters.executed.fetch_add(1, Ordering::Relaxed);
-    let names = &node.names;
+    let names = &node.header_names;
     let remaining = deadline.saturating_duration_since(BootInstant::now());
     let remaining = remaining.as_millis().max(1).to_string();
     let mut request = Vec::with_capacity(call.head.len() + ADDED_LINES_CAPACITY);
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -70,7 +70,7 @@
 ///
 /// A refusal that says whether the call may have run. It is logged here.
 pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Result<Answered, Refusal> {
-    let arrived = BootInstant::of_arrival();
+    let arrived = BootInstant::earliest_arrival();
     let result = run(node, &call, arrived).await;
     if let Err(refusal) = &result {
         log_refusal(node, &call, refusal, arrived);
@@ -99,7 +99,7 @@
         // A name that is not UTF-8 is logged as empty; the other facts stand.
         attempt: std::str::from_utf8(&call.attempt).unwrap_or_default(),
         load: node.load(),
-        held: arrived.elapsed(),
+        elapsed: arrived.elapsed(),
         remaining_ms: call.remaining_ms,
         wait_ms: call.wait_ms,
     };
@@ -116,7 +116,7 @@
     // An entry of a later version may know classes that this node doesn't: they get the default one.
     let criticality = Criticality::from_wire(call.criticality).unwrap_or_default();
     let wait_until = arrived + Duration::from_millis(call.wait_ms.into());
-    let slot = node.slots.slot(criticality, wait_until.if_awake()).await;
+    let slot = node.slots.slot(criticality, wait_until.into_tokio()).await;
     slot.map_err(|reason| match reason {
         NoSlot::Full => {
             let retry_after = node.slots.service_time().max(LEAST_RETRY_AFTER);
@@ -131,7 +131,7 @@
     if node.refuses_work() {
         return Err(Refusal::new(ErrorKind::Leaving, "node is leaving"));
     }
-    node.instance_for_work()
+    node.available_incarnation()
         .ok_or_else(|| match node.instance_state() {
             InstanceState::Leaving => Refusal::new(ErrorKind::Leaving, "back end is leaving"),
             _ => Refusal::new(
--- a/crates/tallybridge-mesh/src/request/execute/verdict.rs
+++ b/crates/tallybridge-mesh/src/request/execute/verdict.rs
@@ -86,13 +86,17 @@
 
 /// Whether another instance than the expected one turned a call away.
 pub(super) fn is_misdirected(node: &Node, received: &Received, expected: &str) -> bool {
-    let by = received.head.headers.text(node.names.instance);
+    let by = received.head.headers.text(node.header_names.instance);
     let is_by_other = by.is_some_and(|by| by != expected);
     received.head.status == 421 && (says_not_run(node, received) || is_by_other)
 }
 
 fn says_not_run(node: &Node, received: &Received) -> bool {
-    received.head.headers.first(node.names.not_run).is_some()
+    received
+        .head
+        .headers
+        .first(node.header_names.not_run)
+        .is_some()
 }
 
 /// Whether callers take a status for the promise that a request has not run and never will. A back
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -114,7 +114,7 @@
 
 fn placement_query<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> PlacementQuery<'a> {
     let is_own = *call.service == *node.settings.backend.service;
-    let takes_work = is_own && !node.refuses_work() && node.instance_for_work().is_some();
+    let takes_work = is_own && !node.refuses_work() && node.available_incarnation().is_some();
     PlacementQuery {
         service: &call.service,
         local: takes_work.then(|| node.load()),
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -60,7 +60,7 @@
                 return Ok(());
             }
             Some(QuotaGrant::Spent { wait, fleet }) => {
-                node.tenant_spent(tenant, wait, &fleet);
+                node.tenant_at_limit(tenant, wait, &fleet);
                 return Err(over_quota(wait));
             }
             Some(QuotaGrant::NotOwner) | None => {}
@@ -86,9 +86,9 @@
 async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaAsk) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
-        QuotaOwner::Local => Some(node.grant_own(tenant, ask)),
+        QuotaOwner::Local => Some(node.grant_as_owner(tenant, ask)),
         QuotaOwner::Peer(link) => ask_peer(&link, tenant, ask, false).await,
-        QuotaOwner::Split(parts) => Some(node.grant_part(tenant, parts, ask)),
+        QuotaOwner::Split(parts) => Some(node.grant_share(tenant, parts, ask)),
     }
 }
 
--- a/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
@@ -39,5 +39,5 @@
 
 fn is_read_due(node: &Node, interval: Duration) -> bool {
     let is_old = || node.read_age().is_none_or(|age| age >= interval);
-    node.is_watcher() && node.has_keys() && is_old()
+    node.is_watcher() && node.has_tenants() && is_old()
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -54,7 +54,7 @@
         if let Some(document) = &watched.document {
             // One that can't be read is logged there, and the last one stays.
             let _ = node.offer_configuration(document);
-            node.note_version_from_store();
+            node.record_version_from_store();
         }
         node.configuration_confirmed(BootInstant::now());
         if watched.document.is_some() {
@@ -72,7 +72,7 @@
         Some(document) => node.offer_configuration(document),
         None => true,
     };
-    node.note_version_from_store();
+    node.record_version_from_store();
     if is_in_force {
         node.configuration_read(asked_at);
     }
@@ -82,7 +82,7 @@
 /// Waits for a change. A watch that the store lost says nothing for the rest of its time, so it is given up
 /// as soon as something else shows that it may be lost.
 async fn watch(node: &Node, revision: u64) -> Result<WatchedConfiguration, StoreError> {
-    let _pending = node.watch_pending();
+    let _pending = node.track_pending_watch();
     tokio::select! {
         watched = node.platform.watch_configuration(revision, WATCH) => watched,
         () = node.watch_suspected() => Err(StoreError::Unknown("the watch may be lost".to_owned())),
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -80,7 +80,7 @@
     let mut connection = Connection::new(stream.map_err(ExchangeError::not_sent)?);
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let received = connection.exchange(request.as_bytes(), b"", false).await?;
-    let Some(instance) = received.head.headers.text(node.names.instance) else {
+    let Some(instance) = received.head.headers.text(node.header_names.instance) else {
         return Err(ExchangeError::given_up("the answer names no instance"));
     };
     Ok(HealthAnswer {
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -168,7 +168,7 @@
 
 /// Sends what a node that was linked to anew should know, and asks for what this one wants to know.
 fn greet(node: &Node, link: &Link) {
-    if node.wants_nodes() {
+    if node.should_request_nodes() {
         link.send(&Frame::of_link(Message::FetchNodes));
     }
     for suspect in node.quarantine_snapshot() {
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -117,7 +117,7 @@
 /// Logs an entry that another writer made, or that is damaged; the others are used.
 fn log_unreadable(entry: &[u8], error: &serde_json::Error) {
     static UNREADABLE: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = UNREADABLE.line() {
+    if let Some(left_out) = UNREADABLE.admit() {
         let shown = &entry[..entry.len().min(SHOWN_BYTES)];
         let record = String::from_utf8_lossy(shown);
         tracing::warn!(%error, %record, left_out, "a registration can't be read");
