--- a/crates/tallybridge-mesh/examples/clock_cost.rs
+++ b/crates/tallybridge-mesh/examples/clock_cost.rs
@@ -28,5 +28,5 @@
 fn main() {
     report("tokio Instant", Instant::now);
     report("BootInstant", BootInstant::now);
-    report("BootInstant of an arrival", BootInstant::of_arrival);
+    report("BootInstant of an arrival", BootInstant::earliest_arrival);
 }
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -64,7 +64,7 @@
 /// Rejects a report. Limits the rate of log lines, since any client can send invalid reports.
 fn reject_report(reason: String) -> Response {
     static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = LOG_RATE_LIMIT.line() {
+    if let Some(left_out) = LOG_RATE_LIMIT.admit() {
         tracing::warn!(
             reason,
             left_out,
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -104,7 +104,7 @@
 
     /// Handles frames until the link closes. Sends the status and the store's confirmation on change.
     async fn run(&self, reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<()> {
-        let mut status_changes = self.node.published();
+        let mut status_changes = self.node.status_updates();
         let mut confirmation_changes = self.node.confirmations();
         loop {
             tokio::select! {
--- a/crates/tallybridge-mesh/src/request/credentials.rs
+++ b/crates/tallybridge-mesh/src/request/credentials.rs
@@ -46,7 +46,7 @@
         let refusal = Refusal::new(ErrorKind::StaleConfiguration, detail);
         return Err(refusal.with_retry_after(DEFAULT_RETRY_AFTER));
     }
-    let mut keys = headers.all(node.names.credential);
+    let mut keys = headers.all(node.header_names.credential);
     let tenant = match (keys.next(), keys.next()) {
         (Some(key), None) => tenants.tenant_by_key(key.trim_ascii()),
         _ => None,
--- a/crates/tallybridge-mesh/src/request/entry/forwarded_head.rs
+++ b/crates/tallybridge-mesh/src/request/entry/forwarded_head.rs
@@ -12,7 +12,7 @@
 /// Builds the request line and header lines for the back end. The executor appends its own lines and
 /// the empty line at the end.
 pub(super) fn forwarded_head(node: &Node, request: &Request, tenant: Option<&Tenant>) -> Vec<u8> {
-    let names = &node.names;
+    let names = &node.header_names;
     let head = &request.head;
     let mut bytes = Vec::with_capacity(HEAD_CAPACITY);
     bytes.extend_from_slice(head.method.as_bytes());
--- a/crates/tallybridge-mesh/src/request/entry/prepare.rs
+++ b/crates/tallybridge-mesh/src/request/entry/prepare.rs
@@ -60,7 +60,7 @@
     let call = build_call(node, request, routed, parent);
     node.refuse_quarantined(&call.message)?;
     if parent.is_some() {
-        node.back_end_called(&call.service);
+        node.record_called_service(&call.service);
     } else {
         refuse_if_overloaded(node, &call)?;
     }
@@ -78,8 +78,8 @@
     let Some(route) = configuration.route(host, &head.target) else {
         return Err(no_route_refusal(node));
     };
-    let Some(attempt) = head.headers.first(node.names.attempt) else {
-        let detail = format!("header {} is missing", node.names.attempt);
+    let Some(attempt) = head.headers.first(node.header_names.attempt) else {
+        let detail = format!("header {} is missing", node.header_names.attempt);
         return Err(Refusal::new(ErrorKind::InvalidRequest, detail));
     };
     let Some(service) = route.next_service() else {
@@ -116,7 +116,7 @@
         attempt,
     } = routed;
     let head = &request.head;
-    let requested_timeout_ms = head.headers.text(node.names.deadline_ms);
+    let requested_timeout_ms = head.headers.text(node.header_names.deadline_ms);
     let times = CallTimes::new(
         request.arrived,
         requested_timeout_ms,
--- a/crates/tallybridge-mesh/src/request/execute/exchange.rs
+++ b/crates/tallybridge-mesh/src/request/execute/exchange.rs
@@ -58,7 +58,7 @@
     tokio::select! {
         biased;
         result = exchange => result,
-        () = node.start_is_over(incarnation) => {
+        () = node.restarted_after(incarnation) => {
             Err(ExchangeError::aborted("back end restarted before it answered"))
         }
     }
@@ -108,7 +108,7 @@
     instance: &str,
     is_first_on_connection: bool,
 ) -> bool {
-    match received.head.headers.first(node.names.attempt) {
+    match received.head.headers.first(node.header_names.attempt) {
         Some(attempt) => attempt == &call.attempt[..],
         None => is_first_on_connection && is_misdirected(node, received, instance),
     }
@@ -117,7 +117,7 @@
 /// Builds the request head: the entry's lines, the remaining time and the expected instance.
 fn request_head(node: &Node, call: &CallMessage, instance: &str, deadline: BootInstant) -> Vec<u8> {
     node.counters.executed.fetch_add(1, Ordering::Relaxed);
-    let names = &node.names;
+    let names = &node.header_names;
     let remaining = deadline.saturating_duration_since(BootInstant::now());
     let remaining = remaining.as_millis().max(1).to_string();
     let mut request = Vec::with_capacity(call.head.len() + ADDED_LINES_CAPACITY);
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -62,7 +62,7 @@
 ///
 /// Returns a refusal that says whether the call may have run. This function also logs the refusal.
 pub async fn execute(node: &Arc<Node>, call: CallMessage) -> Result<ExecutedCall, Refusal> {
-    let arrived = BootInstant::of_arrival();
+    let arrived = BootInstant::earliest_arrival();
     let result = wait_and_dispatch(node, &call, arrived).await;
     if let Err(refusal) = &result {
         log_refusal(node, &call, refusal, arrived);
@@ -91,7 +91,7 @@
         // An attempt name that is not UTF-8 is logged as empty.
         attempt: std::str::from_utf8(&call.attempt).unwrap_or_default(),
         load: node.load(),
-        held: arrived.elapsed(),
+        elapsed: arrived.elapsed(),
         remaining_ms: call.remaining_ms,
         wait_ms: call.wait_ms,
     };
@@ -107,7 +107,10 @@
     // A newer entry may send a class that this node does not know.
     let criticality = Criticality::from_wire(call.criticality).unwrap_or_default();
     let wait_until = arrived + Duration::from_millis(call.wait_ms.into());
-    let slot = node.slots.acquire(criticality, wait_until.if_awake()).await;
+    let slot = node
+        .slots
+        .acquire(criticality, wait_until.into_tokio())
+        .await;
     slot.map_err(|reason| match reason {
         NoSlot::Full => {
             let retry_after = node.slots.service_time().max(MIN_RETRY_AFTER);
@@ -123,7 +126,7 @@
     if node.refuses_work() {
         return Err(Refusal::new(ErrorKind::Leaving, "node is leaving"));
     }
-    node.instance_for_work()
+    node.available_incarnation()
         .ok_or_else(|| match node.instance_state() {
             InstanceState::Leaving => Refusal::new(ErrorKind::Leaving, "back end is leaving"),
             _ => Refusal::new(
--- a/crates/tallybridge-mesh/src/request/execute/verdict.rs
+++ b/crates/tallybridge-mesh/src/request/execute/verdict.rs
@@ -78,13 +78,17 @@
 
 /// Returns whether an instance other than the expected one refused the call.
 pub(super) fn is_misdirected(node: &Node, received: &ReceivedResponse, expected: &str) -> bool {
-    let instance = received.head.headers.text(node.names.instance);
+    let instance = received.head.headers.text(node.header_names.instance);
     let is_other_instance = instance.is_some_and(|instance| instance != expected);
     received.head.status == 421 && (has_not_run_header(node, received) || is_other_instance)
 }
 
 fn has_not_run_header(node: &Node, received: &ReceivedResponse) -> bool {
-    received.head.headers.first(node.names.not_run).is_some()
+    received
+        .head
+        .headers
+        .first(node.header_names.not_run)
+        .is_some()
 }
 
 /// Returns whether callers read a status as a promise that the request has not run. Such a status
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -117,7 +117,8 @@
 
 fn placement_query<'a>(node: &Node, call: &'a Call, tried: &'a [SocketAddr]) -> PlacementQuery<'a> {
     let is_own_service = *call.service == *node.settings.backend.service;
-    let accepts_work = is_own_service && !node.refuses_work() && node.instance_for_work().is_some();
+    let accepts_work =
+        is_own_service && !node.refuses_work() && node.available_incarnation().is_some();
     PlacementQuery {
         service: &call.service,
         local: accepts_work.then(|| node.load()),
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -65,7 +65,7 @@
                 wait,
                 spending: fleet,
             }) => {
-                node.tenant_spent(tenant, wait, &fleet);
+                node.tenant_at_limit(tenant, wait, &fleet);
                 return Err(over_quota_refusal(wait));
             }
             Some(QuotaGrant::NotOwner) | None => {}
@@ -94,9 +94,9 @@
 async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaRequest) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
-        QuotaOwner::Local => Some(node.grant_own(tenant, ask)),
+        QuotaOwner::Local => Some(node.grant_as_owner(tenant, ask)),
         QuotaOwner::Peer(link) => ask_peer(&link, tenant, ask, false).await,
-        QuotaOwner::Split(parts) => Some(node.grant_part(tenant, parts, ask)),
+        QuotaOwner::Split(parts) => Some(node.grant_share(tenant, parts, ask)),
     }
 }
 
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -51,7 +51,7 @@
         if let Some(document) = &watched.document {
             // Logs a document that cannot be decoded and keeps the previous one.
             let _ = node.offer_configuration(document);
-            node.note_version_from_store();
+            node.record_version_from_store();
         }
         node.configuration_confirmed(BootInstant::now());
         if watched.document.is_some() {
@@ -69,7 +69,7 @@
         Some(document) => node.offer_configuration(document),
         None => true,
     };
-    node.note_version_from_store();
+    node.record_version_from_store();
     if is_in_force {
         node.configuration_read(requested_at);
     }
@@ -82,7 +82,7 @@
     node: &Node,
     revision: u64,
 ) -> Result<WatchedConfiguration, StoreError> {
-    let _pending_watch = node.watch_pending();
+    let _pending_watch = node.track_pending_watch();
     tokio::select! {
         watched = node.platform.watch_configuration(revision, WATCH_TIMEOUT) => watched,
         () = node.watch_suspected() => Err(StoreError::Unknown("the watch may have been lost".to_owned())),
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -76,7 +76,7 @@
     let mut connection = Connection::new(stream.map_err(ExchangeError::not_sent)?);
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let response = connection.exchange(request.as_bytes(), b"", false).await?;
-    let Some(instance) = response.head.headers.text(node.names.instance) else {
+    let Some(instance) = response.head.headers.text(node.header_names.instance) else {
         return Err(ExchangeError::aborted("the answer has no instance header"));
     };
     Ok(HealthAnswer {
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -163,7 +163,7 @@
 
 /// Sends the quarantined requests to a newly linked peer, and requests its node list if needed.
 fn send_initial_messages(node: &Node, link: &Link) {
-    if node.wants_nodes() {
+    if node.should_request_nodes() {
         link.send(&Frame::without_call(Message::FetchNodes));
     }
     for request in node.quarantine_snapshot() {
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -111,7 +111,7 @@
 /// Logs an entry that is damaged or was written by another program.
 fn log_undecodable(entry: &[u8], error: &serde_json::Error) {
     static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
-    if let Some(left_out) = LOG_RATE_LIMIT.line() {
+    if let Some(left_out) = LOG_RATE_LIMIT.admit() {
         let prefix = &entry[..entry.len().min(MAX_LOGGED_BYTES)];
         let record = String::from_utf8_lossy(prefix);
         tracing::warn!(%error, %record, left_out, "cannot decode a registry entry; skipping it");
