Overload: plain wording of the concurrency limit, allowance and early refusal

Comments were inverted or told how values were chosen, and private names such as held, followed, settling and level hid what they hold. Comments now say what the code does or guards against; constants, fields and locals name the quantity. Ramp::is_over is now is_complete; it has no users in other crates. The reasons of the #[must_use] attributes of Allowance are reworded.

--- a/crates/standalone/tallybridge-overload/src/allowance.rs
+++ b/crates/standalone/tallybridge-overload/src/allowance.rs
@@ -1,61 +1,58 @@
-//! The retry allowance that travels with a request.
+//! The retry allowance that a request passes down its call graph.
 
-/// Retries that are left to one request, or to the part of it that this call stands for.
+/// Retries that remain for a request, or for one call and its nested calls.
 ///
-/// A root call gets R. A nested call is lent a part of what its parent has left, and what it did
-/// not use returns with its answer; what is lent and lost with a lost answer counts as spent. The
-/// sum of all allowances of a request never grows, so all of its retries together are at most R,
-/// and no position in its call graph runs more than 1 + R times.
+/// The root call starts with R retries. A nested call receives half of the retries that its parent
+/// has left, and its answer returns the unused ones. Retries passed to a call whose answer is lost
+/// count as spent. The sum of all allowances of a request never grows, so a request is retried at
+/// most R times in total, and no position in its call graph runs more than 1 + R times.
 ///
-/// How much to lend was weighed. *All that is left* lets the deepest call use the whole allowance,
-/// but one lost answer spends it. *An equal part for each nested call* needs their number, which
-/// nobody knows beforehand. *Half, rounded up* leaves the parent something to retry with after a
-/// lost answer, and a call at any depth of a chain still gets one retry; it was taken. Calls that
-/// are nested in parallel share by halves in the order of their start.
+/// Passing on half, rounded up, leaves the parent some retries after a lost answer and still gives
+/// the deepest call of a chain one retry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Allowance {
     remaining: u8,
 }
 
 impl Allowance {
-    /// The allowance of a root call with `retries` retries, or of a call that was lent so many.
+    /// Creates the allowance of a root call, or of a nested call that received `retries` from its
+    /// parent.
     #[must_use]
     pub fn root(retries: u8) -> Self {
         Self { remaining: retries }
     }
 
-    /// Retries that are left.
+    /// Returns the number of retries left, without those that nested calls hold.
     #[must_use]
     pub fn remaining(self) -> u8 {
         self.remaining
     }
 
-    /// Lends a part to a nested call: half of what is left, rounded up.
-    #[must_use = "what is lent is gone unless it is given back"]
+    /// Removes half of the remaining retries, rounded up, and returns them for a nested call.
+    #[must_use = "the returned retries are spent unless `give_back` restores them"]
     pub fn lend(&mut self) -> u8 {
-        let lent = self.remaining.div_ceil(2);
-        self.remaining -= lent;
-        lent
+        let granted = self.remaining.div_ceil(2);
+        self.remaining -= granted;
+        granted
     }
 
-    /// Takes back what a nested call did not use of what it was `lent`.
+    /// Restores the retries that a nested call did not use out of the `granted` ones.
     ///
-    /// `unused` comes from another process. A count above `lent` cannot be true and says nothing
-    /// about what was spent, so all that was lent counts as spent then. Call it at most once for
-    /// each [`lend`](Self::lend).
-    pub fn give_back(&mut self, unused: u8, lent: u8) {
-        if unused <= lent {
+    /// Another process reports `unused`. A count above `granted` is invalid, so all granted retries
+    /// then count as spent. Must be called at most once for each [`lend`](Self::lend).
+    pub fn give_back(&mut self, unused: u8, granted: u8) {
+        if unused <= granted {
             self.remaining = self.remaining.saturating_add(unused);
         }
     }
 
-    /// Pays for one retry; `false` when nothing is left.
-    #[must_use = "a retry may run only if it was paid for"]
+    /// Deducts one retry, or returns `false` when none remains.
+    #[must_use = "a retry may run only if this returns true"]
     pub fn spend(&mut self) -> bool {
-        let Some(left) = self.remaining.checked_sub(1) else {
+        let Some(remaining) = self.remaining.checked_sub(1) else {
             return false;
         };
-        self.remaining = left;
+        self.remaining = remaining;
         true
     }
 }
--- a/crates/standalone/tallybridge-overload/src/backoff.rs
+++ b/crates/standalone/tallybridge-overload/src/backoff.rs
@@ -1,4 +1,4 @@
-//! How long to wait before a retry.
+//! The delay before a retry.
 
 use std::time::{Duration, Instant};
 
@@ -6,39 +6,39 @@
 
 /// Exponential backoff with full jitter.
 ///
-/// "Exponential Backoff And Jitter" (Brooker, AWS Architecture Blog, 2015): the delay is uniform
-/// between zero and `min(max, base * 2^attempt)`, so retries of one event do not arrive together.
+/// The delay is uniform between zero and `min(max, base * 2^retry)`, so that calls that fail
+/// together are not retried together. See "Exponential Backoff And Jitter" (Brooker, AWS
+/// Architecture Blog, 2015).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Backoff {
-    /// Bound of the delay before the first retry.
+    /// Upper bound of the delay before the first retry.
     pub base: Duration,
-    /// Bound of every delay.
+    /// Upper bound of every delay.
     pub max: Duration,
 }
 
 impl Backoff {
-    /// The delay before retry number `attempt`, counted from zero.
-    pub fn delay<R: Rng + ?Sized>(&self, attempt: u32, rng: &mut R) -> Duration {
-        self.bound(attempt).mul_f64(rng.random::<f64>())
+    /// Draws the delay before retry number `retry`, counted from zero.
+    pub fn delay<R: Rng + ?Sized>(&self, retry: u32, rng: &mut R) -> Duration {
+        self.max_delay(retry).mul_f64(rng.random::<f64>())
     }
 
-    /// The delay before retry number `attempt`, or `None` when it would end at or after
-    /// `deadline`.
+    /// Draws the delay before retry number `retry`, counted from zero, and returns `None` if the
+    /// delay would end at or after `deadline`.
     pub fn within<R: Rng + ?Sized>(
         &self,
-        attempt: u32,
+        retry: u32,
         now: Instant,
         deadline: Instant,
         rng: &mut R,
     ) -> Option<Duration> {
-        let delay = self.delay(attempt, rng);
+        let delay = self.delay(retry, rng);
         let remaining = deadline.saturating_duration_since(now);
         (delay < remaining).then_some(delay)
     }
 
-    /// The greatest delay before retry number `attempt`.
-    fn bound(&self, attempt: u32) -> Duration {
-        let factor = 1_u32.checked_shl(attempt).unwrap_or(u32::MAX);
+    fn max_delay(&self, retry: u32) -> Duration {
+        let factor = 1_u32.checked_shl(retry).unwrap_or(u32::MAX);
         self.base.saturating_mul(factor).min(self.max)
     }
 }
--- a/crates/standalone/tallybridge-overload/src/early_refusal.rs
+++ b/crates/standalone/tallybridge-overload/src/early_refusal.rs
@@ -1,4 +1,6 @@
-//! Refusal at the entry of what a deep hop would refuse late.
+//! Refusal of calls at their entry when their executors would refuse them.
+//!
+//! An early refusal saves the work of the calls between the entry and the executor.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -8,94 +10,97 @@
 
 use crate::threshold::PROBE_SHARE;
 
-/// A report older than this does not count.
-const FRESH: Duration = Duration::from_millis(250);
+const REPORT_MAX_AGE: Duration = Duration::from_millis(250);
 
-/// What an endpoint reported last.
+/// The latest load report of an endpoint.
 #[derive(Debug, Clone, Copy)]
-struct Row {
+struct EndpointReport {
     admitted_from: Option<Criticality>,
-    reported: Instant,
+    reported_at: Instant,
 }
 
-impl Row {
+impl EndpointReport {
     fn is_fresh(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.reported) < FRESH
+        now.saturating_duration_since(self.reported_at) < REPORT_MAX_AGE
     }
 
     fn admits(&self, criticality: Criticality) -> bool {
-        self.admitted_from.is_some_and(|from| criticality >= from)
+        self.admitted_from
+            .is_some_and(|lowest| criticality >= lowest)
     }
 }
 
-/// Levels that travelled back on answers, by destination `K` (a service and template, say) and
-/// endpoint `E`.
+/// Admission levels that endpoints report with their answers.
 ///
-/// A call is refused only when every endpoint with a fresh report refuses its class: as long as
-/// one admits it, the call is a matter of routing. A decision is O(log destinations + endpoints of
-/// the destination), and ends at the first endpoint that admits the call.
+/// Reports are keyed by destination `K`, for example a service and a template, and by endpoint `E`.
+/// A call is refused only when every endpoint with a recent report refuses its criticality class;
+/// otherwise routing can choose an endpoint that admits the call. A decision takes O(log
+/// destinations + endpoints of the destination) and stops at the first endpoint that admits the
+/// call.
 #[derive(Debug, Clone)]
 pub struct EarlyRefusal<K, E> {
-    rows: BTreeMap<K, BTreeMap<E, Row>>,
+    reports: BTreeMap<K, BTreeMap<E, EndpointReport>>,
 }
 
 impl<K, E> Default for EarlyRefusal<K, E> {
     fn default() -> Self {
         Self {
-            rows: BTreeMap::new(),
+            reports: BTreeMap::new(),
         }
     }
 }
 
 impl<K: Ord, E: Ord> EarlyRefusal<K, E> {
-    /// A table without reports, which refuses nothing.
+    /// Creates an empty table, which refuses nothing.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Takes in what an endpoint reported on an answer.
-    pub fn record(&mut self, key: K, endpoint: E, report: &LoadReport, now: Instant) {
-        let endpoints = self.rows.entry(key).or_default();
+    /// Records the load report that came with an answer of `endpoint`.
+    ///
+    /// A report of a leaving endpoint removes the endpoint.
+    pub fn record(&mut self, destination: K, endpoint: E, report: &LoadReport, now: Instant) {
+        let endpoints = self.reports.entry(destination).or_default();
         if report.leaving {
             endpoints.remove(&endpoint);
             return;
         }
-        let row = Row {
+        let latest = EndpointReport {
             admitted_from: report.admitted_from,
-            reported: now,
+            reported_at: now,
         };
-        endpoints.insert(endpoint, row);
+        endpoints.insert(endpoint, latest);
     }
 
-    /// Whether to refuse a call to `key` at once.
+    /// Returns whether to refuse a call to `destination` without dispatching it.
     ///
-    /// A small share of the calls that would be refused is let through, so that the reports stay
-    /// fresh.
+    /// A small random share of the refusable calls passes, so that their answers refresh the reports.
     pub fn should_refuse<R: Rng + ?Sized>(
         &self,
-        key: &K,
+        destination: &K,
         criticality: Criticality,
         now: Instant,
         rng: &mut R,
     ) -> bool {
-        let Some(endpoints) = self.rows.get(key) else {
+        let Some(endpoints) = self.reports.get(destination) else {
             return false;
         };
-        let mut fresh = endpoints
+        let mut fresh_reports = endpoints
             .values()
-            .filter(|row| row.is_fresh(now))
+            .filter(|report| report.is_fresh(now))
             .peekable();
-        if fresh.peek().is_none() || fresh.any(|row| row.admits(criticality)) {
+        if fresh_reports.peek().is_none() || fresh_reports.any(|report| report.admits(criticality))
+        {
             return false;
         }
         !rng.random_bool(PROBE_SHARE)
     }
 
-    /// Drops reports that do not count any more.
+    /// Removes expired reports.
     pub fn tick(&mut self, now: Instant) {
-        self.rows.retain(|_, endpoints| {
-            endpoints.retain(|_, row| row.is_fresh(now));
+        self.reports.retain(|_, endpoints| {
+            endpoints.retain(|_, report| report.is_fresh(now));
             !endpoints.is_empty()
         });
     }
--- a/crates/standalone/tallybridge-overload/src/lib.rs
+++ b/crates/standalone/tallybridge-overload/src/lib.rs
@@ -1,8 +1,9 @@
-//! What bounds the work of a back end of the standalone program, beside what both programs share in
-//! `tallybridge-limits`: an adaptive concurrency limit, the least class that is admitted, refusal at the
-//! entry by what executors told, the retry allowance of one request, and the wait before a retry.
+//! Limits on the work of a back end in the standalone program, in addition to those that both
+//! programs share in `tallybridge-limits`.
 //!
-//! Each type is part of a table that one task owns: it does no I/O, starts no task and is told the time.
+//! Provides an adaptive concurrency limit, the admission level of a back end, refusal of calls at
+//! their entry, the retry allowance of a request and the backoff between retries. The types do no
+//! I/O and start no tasks; callers pass the current time.
 
 mod allowance;
 mod backoff;
--- a/crates/standalone/tallybridge-overload/src/limit/control.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/control.rs
@@ -1,232 +1,251 @@
-//! The decision about a limit at the end of a window.
+//! The adaptation of the limit at the end of a window.
 //!
-//! Latency alone cannot tell a back end that queues calls from one that became slow: both answer
-//! late. They differ in what a smaller limit does. Beyond the slots of a back end latency falls in
-//! proportion to the calls in flight (Little's law at constant throughput); within them it stays.
-//! So each decrease is a [`Probe`], and only a decrease that latency follows is kept. Otherwise
-//! the latency that was met becomes the new baseline. The band around the baseline is that of TCP
-//! Vegas (Brakmo and Peterson, 1995), the step upwards that of Netflix's `Gradient2`.
+//! High latency alone does not distinguish a back end that queues calls from a slow one. Above the
+//! slots, latency falls in proportion to the calls in flight (Little's law); below them it does not
+//! change. Each decrease is therefore a [`Probe`] that is kept only if latency falls with it;
+//! otherwise the observed latency becomes the baseline. The band around the baseline follows TCP
+//! Vegas (Brakmo and Peterson, 1995), the increase Netflix's `Gradient2`.
 
 use std::time::{Duration, Instant};
 
-use super::probe::{CUT_OFF_ABOVE, Probe, Verdict};
-
-/// Below this ratio of latency to baseline a limit that is used may rise.
-const RISE_BELOW: f64 = 1.1;
-/// The limit rises by this part of its square root, and by one at least.
-const RISE_BY_ROOT: f64 = 0.5;
-/// Above this ratio of latency to baseline the limit is probed downwards.
-const PROBE_ABOVE: f64 = 1.35;
-/// A share of calls shed by the back end above this is a reason to probe.
-const SHED_ABOVE: f64 = 0.02;
-/// A limit is used when this part of it was in flight on average.
-const USED_SHARE: f64 = 0.75;
-/// A baseline under steady use of the limit is checked by a probe after this time.
-const CHECK_AFTER: Duration = Duration::from_millis(2500);
-/// A baseline that was never measured is checked after this time.
-const FIRST_CHECK_AFTER: Duration = Duration::from_millis(300);
-/// Latency must follow this many probes before a decrease is kept, since one window may mislead.
-const FOLLOWED_TWICE: u32 = 2;
-/// A baseline may be confirmed by a single step for this time after it was measured.
-const MEASURED_FOR: Duration = Duration::from_secs(10);
-/// A latency below this ratio to the baseline replaces it at once: the back end became faster.
-const FASTER_BELOW: f64 = 0.7;
-/// Gain of the moving average by which a slightly lower latency lowers the baseline.
+use super::probe::{MAX_INFORMATIVE_SHARE, Probe, Verdict};
+
+/// The ratio of latency to baseline below which a limit in use may increase.
+const INCREASE_BELOW_RATIO: f64 = 1.1;
+/// The increase of the limit relative to its square root. The limit grows by at least one.
+const INCREASE_PER_SQRT: f64 = 0.5;
+/// The ratio of latency to baseline above which a probe starts.
+const PROBE_ABOVE_RATIO: f64 = 1.35;
+/// The share of shed calls above which a probe starts.
+const OVERLOAD_SHED_SHARE: f64 = 0.02;
+/// The mean share of the limit that must be in flight before the limit increases.
+const MIN_USED_SHARE: f64 = 0.75;
+/// The interval of probes that check a measured baseline while the limit is in use.
+const CHECK_INTERVAL: Duration = Duration::from_millis(2500);
+/// The delay of the first such probes, until one has reached the slots. Shorter, because the first
+/// baseline may include queueing.
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(300);
+/// The number of consecutive probes with a proportional fall in latency before a decrease is kept.
+/// A single window may be noise.
+const MIN_PROPORTIONAL_PROBES: u32 = 2;
+/// The age up to which one probe is enough to confirm a measured baseline.
+const MEASUREMENT_MAX_AGE: Duration = Duration::from_secs(10);
+/// A latency below this ratio to the baseline replaces it, because the back end became faster.
+const REPLACE_BASELINE_BELOW_RATIO: f64 = 0.7;
+/// The gain of the moving average that lowers the baseline towards a slightly lower latency.
 const BASELINE_GAIN: f64 = 0.2;
-/// A limit below this part of what was held lately may rise although latency is in the band.
-const HELD_SHARE: f64 = 0.8;
-/// What is remembered of the greatest limit that was held shrinks to this part in each window.
-const HELD_DECAY: f64 = 0.97;
+/// A limit below this share of the recent maximum may increase although latency is in the band.
+const RECENT_MAX_SHARE: f64 = 0.8;
+/// The decay of the recent maximum per window.
+const RECENT_MAX_DECAY: f64 = 0.97;
 
-/// What a window showed.
+/// The statistics of a window. Rates are per second.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Observation {
-    /// Mean latency in seconds, without the differences between kinds; `None` without answers.
-    pub(super) level: Option<f64>,
-    /// Share of calls that the back end shed.
+    /// Mean latency in seconds for a kind of weight one, or `None` without samples.
+    pub(super) latency: Option<f64>,
     pub(super) shed_share: f64,
-    /// Share of calls that timed out.
     pub(super) timeout_share: f64,
-    /// Successes a second.
     pub(super) success_rate: f64,
-    /// Successes, timeouts and sheds a second.
+    /// Successes, timeouts and shed calls.
     pub(super) completion_rate: f64,
     /// Mean number of calls in flight.
     pub(super) concurrency: f64,
-    /// Whether the limit was reached.
     pub(super) was_at_limit: bool,
 }
 
-/// The state of the decision from window to window.
+/// The controller state that persists between windows.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Control {
     baseline: Option<f64>,
     probe: Option<Probe>,
-    /// When the baseline was last checked by a probe, or first seen.
-    checked: Option<Instant>,
-    /// When the baseline was last measured by a probe that went down to the slots.
-    measured: Option<Instant>,
-    held: f64,
-    /// Probes in a row that latency followed.
-    followed: u32,
+    /// When a probe last checked the baseline, or when the first window closed.
+    checked_at: Option<Instant>,
+    /// When a probe that reached the slots last measured the baseline.
+    measured_at: Option<Instant>,
+    recent_max_limit: f64,
+    /// Consecutive probes with a proportional fall in latency.
+    proportional_probes: u32,
 }
 
 impl Control {
-    /// Latency in seconds, for a kind of weight one, when the back end queues nothing.
+    /// Returns the unloaded latency in seconds for a kind of weight one.
     pub(super) fn baseline(&self) -> Option<f64> {
         self.baseline
     }
 
-    /// Whether the effect of a probe is awaited.
     pub(super) fn is_probing(&self) -> bool {
         self.probe.is_some()
     }
 
-    /// The limit that follows `limit` after a window that showed `seen`.
-    pub(super) fn decide(&mut self, limit: f64, seen: Observation, now: Instant) -> f64 {
+    /// Returns the limit for the next window.
+    pub(super) fn decide(&mut self, limit: f64, observation: Observation, now: Instant) -> f64 {
         if let Some(probe) = self.probe.take() {
-            return self.conclude(probe, limit, seen, now);
+            return self.finish_probe(probe, limit, observation, now);
         }
-        self.held = limit.max(self.held * HELD_DECAY);
-        let checked = *self.checked.get_or_insert(now);
-        self.lower_baseline(seen.level);
-        let ratio = self.ratio(seen.level);
-        if ratio > PROBE_ABOVE || is_overloaded(seen) {
-            return self.start_probe(limit, seen);
+        self.recent_max_limit = limit.max(self.recent_max_limit * RECENT_MAX_DECAY);
+        let checked_at = *self.checked_at.get_or_insert(now);
+        self.lower_baseline(observation.latency);
+        let ratio = self.ratio(observation.latency);
+        if ratio > PROBE_ABOVE_RATIO || is_overloaded(observation) {
+            return self.start_probe(limit, observation);
         }
-        if !seen.was_at_limit || seen.concurrency < limit * USED_SHARE {
+        if !observation.was_at_limit || observation.concurrency < limit * MIN_USED_SHARE {
             return limit;
         }
-        let is_due = now.saturating_duration_since(checked) >= self.check_after();
-        if is_due || self.followed > 0 {
-            return self.start_probe(limit, seen);
+        let is_check_due = now.saturating_duration_since(checked_at) >= self.check_delay();
+        if is_check_due || self.proportional_probes > 0 {
+            return self.start_probe(limit, observation);
         }
-        if ratio < RISE_BELOW || limit < self.held * HELD_SHARE {
-            return self.rise(limit);
+        if ratio < INCREASE_BELOW_RATIO || limit < self.recent_max_limit * RECENT_MAX_SHARE {
+            return self.increase(limit);
         }
         limit
     }
 
-    /// A greater limit: twice as much up to what was held lately, then by a part of its root.
-    fn rise(&self, limit: f64) -> f64 {
+    /// Doubles the limit up to the recent maximum, and above it adds a share of its square root.
+    fn increase(&self, limit: f64) -> f64 {
         let doubled = limit * 2.0;
-        if doubled <= self.held {
+        if doubled <= self.recent_max_limit {
             return doubled;
         }
-        limit + (limit.sqrt() * RISE_BY_ROOT).max(1.0)
+        limit + (limit.sqrt() * INCREASE_PER_SQRT).max(1.0)
     }
 
-    /// Latency relative to the baseline; one while either is unknown.
-    fn ratio(&self, level: Option<f64>) -> f64 {
-        match (level, self.baseline) {
-            (Some(level), Some(baseline)) if baseline > 0.0 => level / baseline,
+    /// Returns the ratio of latency to baseline, or one while either is unknown.
+    fn ratio(&self, latency: Option<f64>) -> f64 {
+        match (latency, self.baseline) {
+            (Some(latency), Some(baseline)) if baseline > 0.0 => latency / baseline,
             _ => 1.0,
         }
     }
 
-    fn check_after(&self) -> Duration {
-        if self.measured.is_some() {
-            CHECK_AFTER
+    fn check_delay(&self) -> Duration {
+        if self.measured_at.is_some() {
+            CHECK_INTERVAL
         } else {
-            FIRST_CHECK_AFTER
+            FIRST_CHECK_DELAY
         }
     }
 
-    fn lower_baseline(&mut self, level: Option<f64>) {
-        let Some(level) = level else { return };
-        let baseline = self.baseline.get_or_insert(level);
-        if level < *baseline * FASTER_BELOW {
-            *baseline = level;
-        } else if level < *baseline {
-            *baseline += BASELINE_GAIN * (level - *baseline);
+    fn lower_baseline(&mut self, latency: Option<f64>) {
+        let Some(latency) = latency else { return };
+        let baseline = self.baseline.get_or_insert(latency);
+        if latency < *baseline * REPLACE_BASELINE_BELOW_RATIO {
+            *baseline = latency;
+        } else if latency < *baseline {
+            *baseline += BASELINE_GAIN * (latency - *baseline);
         }
     }
 
-    fn start_probe(&mut self, limit: f64, seen: Observation) -> f64 {
-        let is_cut_off = seen.timeout_share > CUT_OFF_ABOVE;
-        let for_sheds = seen.shed_share > SHED_ABOVE && !is_cut_off;
-        let probe = Probe::new(limit, seen, for_sheds);
+    fn start_probe(&mut self, limit: f64, observation: Observation) -> f64 {
+        let is_latency_capped = observation.timeout_share > MAX_INFORMATIVE_SHARE;
+        let is_triggered_by_shedding =
+            observation.shed_share > OVERLOAD_SHED_SHARE && !is_latency_capped;
+        let probe = Probe::new(limit, observation, is_triggered_by_shedding);
         self.probe = Some(probe);
         probe.lowered_limit()
     }
 
-    /// Keeps a decrease that latency or sheds followed, and takes back any other.
-    fn conclude(&mut self, probe: Probe, limit: f64, seen: Observation, now: Instant) -> f64 {
-        let verdict = probe.judge(seen);
-        if !matches!(verdict, Verdict::Followed { .. }) {
-            self.followed = 0;
+    /// Applies the verdict on a probe and returns the next limit.
+    fn finish_probe(
+        &mut self,
+        probe: Probe,
+        limit: f64,
+        observation: Observation,
+        now: Instant,
+    ) -> f64 {
+        let verdict = probe.judge(observation);
+        if !matches!(verdict, Verdict::Proportional { .. }) {
+            self.proportional_probes = 0;
         }
         match verdict {
             Verdict::Inconclusive => {
-                self.checked = Some(now);
-                probe.limit()
+                self.checked_at = Some(now);
+                probe.previous_limit()
+            }
+            Verdict::Faster { latency } => {
+                self.lower_baseline(latency);
+                probe.previous_limit()
+            }
+            Verdict::Reverted => probe.previous_limit(),
+            Verdict::Kept => self.keep_decrease(probe, limit, observation),
+            Verdict::Baseline { latency, slots } => {
+                self.set_measured_baseline(probe, latency, slots, now)
             }
-            Verdict::Faster { level } => {
-                self.lower_baseline(level);
-                probe.limit()
+            Verdict::Proportional { latency } => {
+                self.handle_proportional(probe, latency, limit, observation, now)
             }
-            Verdict::TakenBack => probe.limit(),
-            Verdict::Kept => self.keep(probe, limit, seen),
-            Verdict::Baseline { level, knee } => self.measure(probe, level, knee, now),
-            Verdict::Followed { level } => self.follow(probe, level, limit, seen, now),
         }
     }
 
-    /// Goes on downwards while the back end is overloaded.
-    fn keep(&mut self, probe: Probe, limit: f64, seen: Observation) -> f64 {
-        self.held = self.held.min(probe.limit());
-        if is_overloaded(seen) {
-            return self.start_probe(limit, seen);
+    /// Keeps the decreased limit, and starts another probe if the back end is still overloaded.
+    fn keep_decrease(&mut self, probe: Probe, limit: f64, observation: Observation) -> f64 {
+        self.recent_max_limit = self.recent_max_limit.min(probe.previous_limit());
+        if is_overloaded(observation) {
+            return self.start_probe(limit, observation);
         }
         limit
     }
 
-    /// Takes the latency of a probe that reached the slots as the baseline.
-    fn measure(&mut self, probe: Probe, level: f64, knee: f64, now: Instant) -> f64 {
-        let was_tolerable = self.ratio(probe.level()) <= PROBE_ABOVE;
-        self.baseline = Some(level);
-        self.checked = Some(now);
-        self.measured = Some(now);
-        if was_tolerable { probe.limit() } else { knee }
+    /// Sets the baseline to the latency of a probe that reached the slots.
+    fn set_measured_baseline(
+        &mut self,
+        probe: Probe,
+        latency: f64,
+        slots: f64,
+        now: Instant,
+    ) -> f64 {
+        let was_in_band = self.ratio(probe.previous_latency()) <= PROBE_ABOVE_RATIO;
+        self.baseline = Some(latency);
+        self.checked_at = Some(now);
+        self.measured_at = Some(now);
+        if was_in_band {
+            probe.previous_limit()
+        } else {
+            slots
+        }
     }
 
-    /// Goes on downwards, unless the probe only confirmed the baseline.
-    fn follow(
+    /// Restores the previous limit if the probe confirmed the baseline or a single probe is not
+    /// enough, and otherwise probes further down.
+    fn handle_proportional(
         &mut self,
         probe: Probe,
-        level: f64,
+        latency: f64,
         limit: f64,
-        seen: Observation,
+        observation: Observation,
         now: Instant,
     ) -> f64 {
-        if self.is_confirmed(probe, level, now) {
-            self.baseline = Some(level);
-            self.checked = Some(now);
-            self.followed = 0;
-            return probe.limit();
+        if self.confirms_baseline(probe, latency, now) {
+            self.baseline = Some(latency);
+            self.checked_at = Some(now);
+            self.proportional_probes = 0;
+            return probe.previous_limit();
         }
-        self.followed += 1;
-        if self.followed < FOLLOWED_TWICE {
-            return probe.limit();
+        self.proportional_probes += 1;
+        if self.proportional_probes < MIN_PROPORTIONAL_PROBES {
+            return probe.previous_limit();
         }
-        self.lower_baseline(Some(level));
-        self.start_probe(limit, seen)
+        self.lower_baseline(Some(latency));
+        self.start_probe(limit, observation)
     }
 
-    /// Whether a probe met a baseline that is known well enough to stop there.
+    /// Returns whether a probe confirms a baseline that was recently measured at the slots.
     ///
-    /// A baseline that was taken above the slots confirms itself, so it must be measured down to
-    /// the slots from time to time.
-    fn is_confirmed(&self, probe: Probe, level: f64, now: Instant) -> bool {
+    /// The measurement must be recent, because a baseline taken above the slots would always confirm
+    /// itself.
+    fn confirms_baseline(&self, probe: Probe, latency: f64, now: Instant) -> bool {
         let is_recent = self
-            .measured
-            .is_some_and(|at| now.saturating_duration_since(at) < MEASURED_FOR);
-        let was_tolerable = self.ratio(probe.level()) <= PROBE_ABOVE;
-        is_recent && was_tolerable && self.ratio(Some(level)) >= 1.0 / RISE_BELOW
+            .measured_at
+            .is_some_and(|at| now.saturating_duration_since(at) < MEASUREMENT_MAX_AGE);
+        let was_in_band = self.ratio(probe.previous_latency()) <= PROBE_ABOVE_RATIO;
+        is_recent && was_in_band && self.ratio(Some(latency)) >= 1.0 / INCREASE_BELOW_RATIO
     }
 }
 
-/// Whether the back end sheds, or most calls time out, which cuts latency off.
-fn is_overloaded(seen: Observation) -> bool {
-    seen.shed_share > SHED_ABOVE || seen.timeout_share > CUT_OFF_ABOVE
+/// Returns whether the back end sheds calls, or most calls time out and cap the latency.
+fn is_overloaded(observation: Observation) -> bool {
+    observation.shed_share > OVERLOAD_SHED_SHARE
+        || observation.timeout_share > MAX_INFORMATIVE_SHARE
 }
--- a/crates/standalone/tallybridge-overload/src/limit/kinds.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/kinds.rs
@@ -1,28 +1,28 @@
-//! How long each kind of call naturally takes, relative to the others.
+//! Relative latencies of the kinds of calls.
 
 use std::collections::BTreeMap;
 
 use super::window::KindTotal;
 
-/// Samples that weigh as much as all that was known of a kind before.
-const MEMORY_SAMPLES: f64 = 100.0;
+/// The number of samples in a window that count as much as the previous weight of a kind.
+const WEIGHT_MEMORY_SAMPLES: f64 = 100.0;
 
-/// Relative latency of each kind of call.
+/// The latency of each kind of call relative to the others.
 ///
-/// A change in the mix of slow and fast kinds must not look like a change in load, so a window's
-/// latencies are divided by what their kinds take relative to the others. The weights are updated
-/// from totals of one window, in which all kinds met the same load: a back end that slows down as
-/// a whole leaves them as they are.
+/// Normalizing latencies by these weights keeps a change in the mix of slow and fast kinds from
+/// looking like a change in load. Each update uses the totals of a single window, in which all kinds
+/// see the same load, so a uniform slowdown of the back end does not change the weights.
 #[derive(Debug, Clone, Default)]
 pub(super) struct KindWeights {
     weights: BTreeMap<u16, f64>,
 }
 
 impl KindWeights {
-    /// The mean latency (seconds) of a window for a kind of weight one; `None` without samples.
+    /// Returns the mean latency of a window in seconds, scaled to weight one, or `None` without
+    /// samples.
     ///
-    /// Kinds that were not seen before count only when no kind is known.
-    pub(super) fn level(&self, totals: &BTreeMap<u16, KindTotal>) -> Option<f64> {
+    /// Ignores kinds without a weight, unless no kind of the window has one.
+    pub(super) fn normalized_latency(&self, totals: &BTreeMap<u16, KindTotal>) -> Option<f64> {
         let mut seconds = 0.0;
         let mut weight = 0.0;
         for (kind, total) in totals {
@@ -35,30 +35,28 @@
         if weight > 0.0 {
             return Some(seconds / weight);
         }
-        plain_mean(totals)
+        unweighted_mean(totals)
     }
 
-    /// The latency of `kind` relative to the others, if known.
     pub(super) fn weight(&self, kind: u16) -> Option<f64> {
         self.weights.get(&kind).copied()
     }
 
-    /// Learns from a window whose level was `level` seconds.
-    pub(super) fn learn(&mut self, totals: &BTreeMap<u16, KindTotal>, level: f64) {
-        if level <= 0.0 {
+    /// Updates the weights from a window with a normalized latency of `latency` seconds.
+    pub(super) fn update(&mut self, totals: &BTreeMap<u16, KindTotal>, latency: f64) {
+        if latency <= 0.0 {
             return;
         }
         for (kind, total) in totals {
-            let observed = total.seconds / total.count / level;
+            let observed = total.seconds / total.count / latency;
             let weight = self.weights.entry(*kind).or_insert(observed);
-            let gain = total.count / (total.count + MEMORY_SAMPLES);
+            let gain = total.count / (total.count + WEIGHT_MEMORY_SAMPLES);
             *weight += gain * (observed - *weight);
         }
     }
 }
 
-/// The mean latency (seconds) over all kinds.
-fn plain_mean(totals: &BTreeMap<u16, KindTotal>) -> Option<f64> {
+fn unweighted_mean(totals: &BTreeMap<u16, KindTotal>) -> Option<f64> {
     let seconds: f64 = totals.values().map(|total| total.seconds).sum();
     let count: f64 = totals.values().map(|total| total.count).sum();
     (count > 0.0).then(|| seconds / count)
--- a/crates/standalone/tallybridge-overload/src/limit/mod.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/mod.rs
@@ -1,4 +1,4 @@
-//! How many calls a back end may run at once, found from the latency that is observed.
+//! An adaptive limit on the concurrent calls of a back end, derived from observed latency.
 
 mod concurrency;
 mod control;
--- a/crates/standalone/tallybridge-overload/src/limit/ramp.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/ramp.rs
@@ -1,11 +1,11 @@
-//! Cold start: a back end gets a growing share of its limit.
+//! The gradual increase of the limit of a back end after its start.
 
 use std::time::{Duration, Instant};
 
-/// A linear rise from a small share of the limit to the whole of it over a set time.
+/// A linear increase from a share of the limit to the full limit.
 ///
-/// A cold back end (empty caches, unopened connections, uncompiled code) that gets its full share
-/// at once is slow at once.
+/// A back end that has just started (empty caches, no open connections, uncompiled code) becomes
+/// overloaded if it receives its full load immediately.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ramp {
     start: Instant,
@@ -14,7 +14,8 @@
 }
 
 impl Ramp {
-    /// A ramp from `initial_share` (0 to 1) at `start` to one at `start + duration`.
+    /// Creates a ramp that grows from `initial_share` (0 to 1) at `start` to 1 at
+    /// `start + duration`.
     #[must_use]
     pub fn new(start: Instant, duration: Duration, initial_share: f64) -> Self {
         Self {
@@ -24,7 +25,7 @@
         }
     }
 
-    /// The share (0 to 1) of the limit that is open at `now`.
+    /// Returns the usable share (0 to 1) of the limit at `now`.
     #[must_use]
     pub fn share(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.start);
@@ -35,9 +36,9 @@
         self.initial_share + (1.0 - self.initial_share) * progress
     }
 
-    /// Whether the whole limit is open at `now`.
+    /// Returns whether the full limit is usable at `now`.
     #[must_use]
-    pub fn is_over(&self, now: Instant) -> bool {
+    pub fn is_complete(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.start) >= self.duration
     }
 }
--- a/crates/standalone/tallybridge-overload/src/limit/sample.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/sample.rs
@@ -1,25 +1,27 @@
-//! What one finished call tells about its back end.
+//! The result and latency of a finished call, as input of the concurrency limit.
 
 use std::time::Duration;
 
-/// How a call ended, as far as the concurrency limit is concerned.
+/// How a call ended, as seen by the concurrency limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SampleResult {
-    /// The back end answered; the latency counts.
+    /// The back end answered, so the latency is valid.
     Success,
-    /// The back end shed the call or let it time out.
+    /// The back end shed the call, or the call timed out.
     Overload,
-    /// The call says nothing about load: cancelled, refused by the network, a client's error.
+    /// The call says nothing about load, for example after a cancellation, a network failure or a
+    /// client error.
     Ignore,
 }
 
-/// What one finished call tells about its back end.
+/// A finished call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sample {
-    /// From the hand-over to the back end to its whole answer.
+    /// The time from dispatch to the back end until its complete answer.
     pub latency: Duration,
-    /// How the call ended.
+    /// The result, which decides whether the latency counts.
     pub result: SampleResult,
-    /// Calls of one kind (a template, a path) share a natural latency; any stable number.
+    /// A stable number for calls of similar unloaded latency, such as those of one template or
+    /// path.
     pub kind: u16,
 }
--- a/crates/standalone/tallybridge-overload/src/limit/settings.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/settings.rs
@@ -3,13 +3,14 @@
 /// Bounds of a [`ConcurrencyLimit`](super::ConcurrencyLimit), in calls in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitSettings {
-    /// The limit before anything was observed. Rather too low than too high: it rises in a second,
-    /// but the first baseline is taken at it, and one that was taken far above the slots is only
-    /// corrected over many seconds.
+    /// The limit before any observation.
+    ///
+    /// A low value is safer: the limit rises within a second, but a latency baseline that is first
+    /// taken far above the slots of the back end needs many seconds to correct.
     pub initial: u16,
-    /// The limit never falls below this; at least one.
+    /// The lowest limit; zero counts as one.
     pub min: u16,
-    /// The limit never rises above this.
+    /// The highest limit; zero counts as one.
     pub max: u16,
 }
 
--- a/crates/standalone/tallybridge-overload/src/threshold.rs
+++ b/crates/standalone/tallybridge-overload/src/threshold.rs
@@ -1,25 +1,28 @@
-//! The least critical class that a back end still takes.
+//! The admission level of a back end: the least critical class of calls that it admits.
+//!
+//! The level travels with answers to the entry nodes, which refuse calls below it.
 
 use std::time::{Duration, Instant};
 
 use tallybridge_core::Criticality;
 
-/// The share of a class that is let through although the class is refused early, to learn when
-/// the back end takes it again.
+/// The share of the calls below the admission level that still pass the entry, to detect when the
+/// back end serves their class again.
 ///
-/// A class counts as starved only when the back end takes less than this share of it, so the calls
-/// let through are at least as many as the back end would have taken: refusing early costs no
-/// goodput.
+/// A class counts as starved when the back end serves less than this share of its calls. With one
+/// value for both purposes at least as many calls pass as the back end would serve, so early
+/// refusal costs no goodput.
 pub(super) const PROBE_SHARE: f64 = 0.05;
-/// Calls of a class that must be seen before it may be called starved.
-const MIN_CALLS: f64 = 20.0;
+/// The number of recent calls below which a class is never starved.
+const MIN_CALLS_TO_STARVE: f64 = 20.0;
 
-/// Settings of an [`AdmissionThreshold`].
+/// The target delay and the time scale of an [`AdmissionThreshold`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ThresholdSettings {
-    /// The level does not fall while calls wait longer than this.
+    /// The queueing delay of admitted calls above which the level does not fall.
     pub target_delay: Duration,
-    /// Time over which calls are counted, and in which the level falls by at most one class.
+    /// The time constant of the call counts, and the shortest time between a change of the level and
+    /// its next fall.
     pub interval: Duration,
 }
 
@@ -32,7 +35,7 @@
     }
 }
 
-/// Calls of one class, counted with exponential decay.
+/// Exponentially decaying call counts of one class.
 #[derive(Debug, Clone, Copy, Default)]
 struct ClassCount {
     taken: f64,
@@ -42,7 +45,7 @@
 impl ClassCount {
     fn is_starved(self) -> bool {
         let calls = self.taken + self.refused;
-        calls >= MIN_CALLS && self.taken < calls * PROBE_SHARE
+        calls >= MIN_CALLS_TO_STARVE && self.taken < calls * PROBE_SHARE
     }
 
     fn decay(&mut self, factor: f64) {
@@ -51,10 +54,10 @@
     }
 }
 
-/// The least critical class that a back end still takes, for the entry nodes (DAGOR, SoCC 2018).
+/// The admission level of a back end, after DAGOR (Zhou et al., SoCC 2018).
 ///
-/// The level rises at once, by as many classes as are starved, and falls by one class for each
-/// interval in which the classes above it met neither refusals nor a long delay.
+/// The level rises immediately above all starved classes. It falls by one class after each interval
+/// in which no call at or above the level was refused or delayed beyond the target.
 #[derive(Debug, Clone)]
 pub struct AdmissionThreshold {
     settings: ThresholdSettings,
@@ -63,11 +66,12 @@
     congested_at: Option<Instant>,
     changed_at: Option<Instant>,
     ticked_at: Option<Instant>,
-    congested: bool,
+    /// Whether congestion occurred since the last tick.
+    is_congested: bool,
 }
 
 impl AdmissionThreshold {
-    /// A level that admits every class.
+    /// Creates a level that admits every class.
     #[must_use]
     pub fn new(settings: ThresholdSettings) -> Self {
         Self {
@@ -77,43 +81,43 @@
             congested_at: None,
             changed_at: None,
             ticked_at: None,
-            congested: false,
+            is_congested: false,
         }
     }
 
-    /// Counts a call that got a slot after waiting for `delay`.
+    /// Counts a call that received a slot after a queueing delay of `delay`.
     pub fn record_taken(&mut self, criticality: Criticality, delay: Duration) {
         self.counts[criticality.index()].taken += 1.0;
-        let admitted = criticality.index() >= self.level;
-        self.congested |= admitted && delay > self.settings.target_delay;
+        let is_admitted = criticality.index() >= self.level;
+        self.is_congested |= is_admitted && delay > self.settings.target_delay;
     }
 
     /// Counts a call that was refused, displaced or shed, or that expired in the queue.
     pub fn record_refused(&mut self, criticality: Criticality) {
         self.counts[criticality.index()].refused += 1.0;
-        self.congested |= criticality.index() >= self.level;
+        self.is_congested |= criticality.index() >= self.level;
     }
 
-    /// The least critical class that is admitted; `None` when hardly any call gets a slot.
+    /// Returns the least critical class that is admitted, or `None` when every class is refused.
     #[must_use]
     pub fn admitted_from(&self) -> Option<Criticality> {
         Criticality::ALL.get(self.level).copied()
     }
 
-    /// Computes the level.
+    /// Updates the level from the counts and decays them.
     pub fn tick(&mut self, now: Instant) {
-        if std::mem::take(&mut self.congested) {
+        if std::mem::take(&mut self.is_congested) {
             self.congested_at = Some(now);
         }
-        if !self.rise(now) {
-            self.fall(now);
+        if !self.raise_level(now) {
+            self.lower_level(now);
         }
-        self.decay(now);
+        self.decay_counts(now);
     }
 
-    /// Raises the level above every starved class that has no class below it that is served.
-    fn rise(&mut self, now: Instant) -> bool {
-        let before = self.level;
+    /// Raises the level past consecutive starved classes and returns whether it changed.
+    fn raise_level(&mut self, now: Instant) -> bool {
+        let previous_level = self.level;
         while self
             .counts
             .get(self.level)
@@ -121,20 +125,20 @@
         {
             self.level += 1;
         }
-        let risen = self.level > before;
-        if risen {
+        let is_raised = self.level > previous_level;
+        if is_raised {
             self.changed_at = Some(now);
         }
-        risen
+        is_raised
     }
 
-    /// Lowers the level by one class after a quiet interval.
-    fn fall(&mut self, now: Instant) {
-        let quiet = [self.congested_at, self.changed_at]
+    /// Lowers the level by one class after an interval without congestion or a change.
+    fn lower_level(&mut self, now: Instant) {
+        let is_uncongested = [self.congested_at, self.changed_at]
             .into_iter()
             .flatten()
             .all(|at| now.saturating_duration_since(at) >= self.settings.interval);
-        if self.level == 0 || !quiet {
+        if self.level == 0 || !is_uncongested {
             return;
         }
         self.level -= 1;
@@ -142,9 +146,9 @@
         self.changed_at = Some(now);
     }
 
-    fn decay(&mut self, now: Instant) {
-        let last = self.ticked_at.replace(now).unwrap_or(now);
-        let elapsed = now.saturating_duration_since(last).as_secs_f64();
+    fn decay_counts(&mut self, now: Instant) {
+        let previous_tick = self.ticked_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(previous_tick).as_secs_f64();
         let factor = (-elapsed / self.settings.interval.as_secs_f64()).exp();
         for count in &mut self.counts {
             count.decay(factor);
