Overload: test names state behaviour, failure texts name the value

Tests now state the behaviour in at most seven words, messages name the value, and the heads of test files say what they cover. The head of tests/allowance.rs named the wrong package for the long run. The remaining comments of the crate and its benchmark follow.

--- a/crates/standalone/tallybridge-overload/benches/decisions.rs
+++ b/crates/standalone/tallybridge-overload/benches/decisions.rs
@@ -1,4 +1,4 @@
-//! What a decision costs, against the size of the tables.
+//! The cost of admission decisions by queue length, number of kinds and table size.
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
@@ -10,7 +10,7 @@
 use tallybridge_limits::{AdmissionQueue, Offer, QueueSettings, Waiting};
 use tallybridge_overload::{ConcurrencyLimit, EarlyRefusal, LimitSettings, Sample, SampleResult};
 
-fn waiting(number: usize, now: Instant) -> Waiting<usize> {
+fn waiting_call(number: usize, now: Instant) -> Waiting<usize> {
     Waiting {
         criticality: Criticality::ALL[number % 4],
         deadline: now + Duration::from_millis(1000 + (number * 37 % 500) as u64),
@@ -19,49 +19,49 @@
     }
 }
 
-fn queue_of(length: usize, now: Instant) -> AdmissionQueue<usize> {
+fn full_queue(length: usize, now: Instant) -> AdmissionQueue<usize> {
     let settings = QueueSettings {
         capacity: length,
         ..QueueSettings::default()
     };
     let mut queue = AdmissionQueue::new(settings);
     for number in 0..length {
-        let offered = queue.offer(waiting(number, now), now);
-        assert!(matches!(offered, Offer::Queued(_)));
+        let offer = queue.offer(waiting_call(number, now), now);
+        assert!(matches!(offer, Offer::Queued(_)));
     }
     queue
 }
 
-/// Takes a call from a full queue and offers another.
+/// Takes a call from a full queue and offers a new one.
 fn take_and_offer(criterion: &mut Criterion) {
     let now = Instant::now();
     let mut group = criterion.benchmark_group("take_and_offer");
     for length in [16, 64, 256, 1024, 4096, 16_384] {
-        let mut queue = queue_of(length, now);
+        let mut queue = full_queue(length, now);
         let mut number = 0;
         group.bench_function(BenchmarkId::from_parameter(length), |bencher| {
             bencher.iter(|| {
                 number += 1;
-                let taken = queue.take(now);
-                black_box((taken, queue.offer(waiting(number, now), now)))
+                let waiting = queue.take(now);
+                black_box((waiting, queue.offer(waiting_call(number, now), now)))
             });
         });
     }
     group.finish();
 }
 
-/// Offers a call that displaces one to a full queue.
+/// Offers a critical call to a full queue, which displaces a less critical one.
 fn displace(criterion: &mut Criterion) {
     let now = Instant::now();
     let mut group = criterion.benchmark_group("displace");
     for length in [16, 256, 4096] {
         let critical = Waiting {
             criticality: Criticality::CriticalPlus,
-            ..waiting(0, now)
+            ..waiting_call(0, now)
         };
         group.bench_function(BenchmarkId::from_parameter(length), |bencher| {
             bencher.iter_batched_ref(
-                || queue_of(length, now),
+                || full_queue(length, now),
                 |queue| black_box(queue.offer(critical, now)),
                 BatchSize::LargeInput,
             );
@@ -70,7 +70,7 @@
     group.finish();
 }
 
-/// Acquires and releases a slot, with a tick for every ten calls.
+/// Acquires and releases a slot, with one tick for every ten calls.
 fn acquire_and_release(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("acquire_and_release");
     for kinds in [1_u16, 16, 256, 4096] {
@@ -98,7 +98,7 @@
     group.finish();
 }
 
-/// Decides at an entry on a destination all of whose endpoints refuse the class.
+/// Checks a call whose criticality class every endpoint of the destination refuses.
 fn refuse_early(criterion: &mut Criterion) {
     let now = Instant::now();
     let report = LoadReport {
@@ -117,8 +117,8 @@
         let name = format!("{destinations}_destinations_{endpoints}_endpoints");
         group.bench_function(name, |bencher| {
             bencher.iter(|| {
-                let key = black_box(destinations / 2);
-                table.should_refuse(&key, Criticality::Sheddable, now, &mut rng)
+                let destination = black_box(destinations / 2);
+                table.should_refuse(&destination, Criticality::Sheddable, now, &mut rng)
             });
         });
     }
--- a/crates/standalone/tallybridge-overload/src/early_refusal.rs
+++ b/crates/standalone/tallybridge-overload/src/early_refusal.rs
@@ -12,7 +12,6 @@
 
 const REPORT_MAX_AGE: Duration = Duration::from_millis(250);
 
-/// The latest load report of an endpoint.
 #[derive(Debug, Clone, Copy)]
 struct EndpointReport {
     admitted_from: Option<Criticality>,
--- a/crates/standalone/tallybridge-overload/src/limit/sample.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/sample.rs
@@ -14,7 +14,7 @@
     Ignore,
 }
 
-/// A finished call.
+/// The latency and the result of one finished call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sample {
     /// The time from dispatch to the back end until its complete answer.
--- a/crates/standalone/tallybridge-overload/src/limit/window.rs
+++ b/crates/standalone/tallybridge-overload/src/limit/window.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WindowSize {
     min_samples: u32,
-    /// Raises `min_samples` in proportion to the limit.
+    /// Applies per call that the limit allows, if the product exceeds `min_samples`.
     min_samples_per_slot: u32,
     min_samples_after_wait: u32,
     wait: Duration,
--- a/crates/standalone/tallybridge-overload/tests/allowance.rs
+++ b/crates/standalone/tallybridge-overload/tests/allowance.rs
@@ -1,8 +1,7 @@
-//! No position of a call graph runs more often than the allowance of its root says, whatever
-//! answers are lost and whatever a nested call claims to have left.
+//! With R retries at the root call, each position of a call graph runs at most 1 + R times, even if
+//! answers are lost or report too many unused retries.
 //!
-//! `PROPTEST_CASES=10000 cargo test --release -p tallybridge-limits --test allowance` is the long
-//! run.
+//! Long run: `PROPTEST_CASES=10000 cargo test --release -p tallybridge-overload --test allowance`
 
 mod seeded;
 
@@ -13,53 +12,54 @@
 use rand::{Rng, SeedableRng};
 use tallybridge_overload::Allowance;
 
-/// How often calls fail, and how their answers mislead, as shares of 0 to 1.
+/// Probabilities of faults.
 #[derive(Debug, Clone, Copy)]
 struct Faults {
-    failed: f64,
-    answer_lost: f64,
-    claims_too_much: f64,
+    failure_share: f64,
+    answer_loss_share: f64,
+    false_report_share: f64,
 }
 
-/// A call graph: a chain with leaves beside it, and the runs of each position.
+/// A call graph: a chain of calls, each with additional leaf calls.
 struct Graph {
     depth: usize,
     leaves: usize,
     faults: Faults,
     rng: SmallRng,
+    /// Runs by level and branch; branch 0 is the chain.
     runs: BTreeMap<(usize, usize), u32>,
 }
 
 impl Graph {
-    /// Runs the position once with `lent` retries, and returns whether it failed and what it
-    /// claims to have left; `None` when its answer is lost.
-    fn run(&mut self, level: usize, branch: usize, lent: u8) -> Option<(bool, u8)> {
+    /// Runs a position once, and returns whether it failed and how many unused retries it reports,
+    /// or `None` when the answer is lost.
+    fn run(&mut self, level: usize, branch: usize, granted: u8) -> Option<(bool, u8)> {
         *self.runs.entry((level, branch)).or_default() += 1;
-        let mut allowance = Allowance::root(lent);
-        let mut failed = self.rng.random_bool(self.faults.failed);
+        let mut allowance = Allowance::root(granted);
+        let mut failed = self.rng.random_bool(self.faults.failure_share);
         if level < self.depth && branch == 0 {
             for next in 0..=self.leaves {
                 failed |= !self.call(level + 1, next, &mut allowance);
             }
         }
-        if self.rng.random_bool(self.faults.answer_lost) {
+        if self.rng.random_bool(self.faults.answer_loss_share) {
             return None;
         }
-        let left = if self.rng.random_bool(self.faults.claims_too_much) {
+        let unused = if self.rng.random_bool(self.faults.false_report_share) {
             u8::MAX
         } else {
             allowance.remaining()
         };
-        Some((failed, left))
+        Some((failed, unused))
     }
 
-    /// Calls the position until it succeeds or nothing pays for a retry.
+    /// Calls a position until it succeeds or no retry remains.
     fn call(&mut self, level: usize, branch: usize, allowance: &mut Allowance) -> bool {
         loop {
-            let lent = allowance.lend();
-            let answer = self.run(level, branch, lent);
+            let granted = allowance.lend();
+            let answer = self.run(level, branch, granted);
             if let Some((failed, unused)) = answer {
-                allowance.give_back(unused, lent);
+                allowance.give_back(unused, granted);
                 if !failed {
                     return true;
                 }
@@ -85,16 +85,16 @@
     #![proptest_config(seeded::config())]
 
     #[test]
-    fn no_position_runs_more_than_one_and_the_allowance(
+    fn runs_per_position_stay_within_allowance(
         retries in 0..12_u8,
         depth in 1..=23_usize,
         leaves in 0..3_usize,
-        failed in 0.0..1.0_f64,
-        answer_lost in 0.0..0.5_f64,
-        claims_too_much in 0.0..0.5_f64,
+        failure_share in 0.0..1.0_f64,
+        answer_loss_share in 0.0..0.5_f64,
+        false_report_share in 0.0..0.5_f64,
         seed in any::<u64>(),
     ) {
-        let faults = Faults { failed, answer_lost, claims_too_much };
+        let faults = Faults { failure_share, answer_loss_share, false_report_share };
         let mut graph = graph(depth, leaves, faults, seed);
         graph.call(1, 0, &mut Allowance::root(retries));
         for (position, runs) in &graph.runs {
@@ -105,11 +105,11 @@
 }
 
 #[test]
-fn all_that_is_unused_comes_back_when_no_answer_is_lost() {
+fn restores_allowance_when_no_answer_is_lost() {
     let faults = Faults {
-        failed: 0.0,
-        answer_lost: 0.0,
-        claims_too_much: 0.0,
+        failure_share: 0.0,
+        answer_loss_share: 0.0,
+        false_report_share: 0.0,
     };
     for depth in [3, 8, 23] {
         let mut graph = graph(depth, 0, faults, 1);
@@ -120,19 +120,19 @@
 }
 
 #[test]
-fn lends_half_rounded_up_and_takes_back_what_can_be_true() {
+fn lends_half_and_ignores_excessive_returns() {
     let mut allowance = Allowance::root(3);
-    let lent = allowance.lend();
-    assert_eq!((lent, allowance.remaining()), (2, 1));
-    allowance.give_back(lent + 1, lent);
+    let granted = allowance.lend();
+    assert_eq!((granted, allowance.remaining()), (2, 1));
+    allowance.give_back(granted + 1, granted);
     assert_eq!(allowance.remaining(), 1);
-    allowance.give_back(lent, lent);
+    allowance.give_back(granted, granted);
     assert_eq!(allowance.remaining(), 3);
 }
 
 #[test]
-fn pays_for_as_many_retries_as_it_has() {
+fn spends_at_most_the_remaining_retries() {
     let mut allowance = Allowance::root(2);
-    let paid = (0..4).filter(|_| allowance.spend()).count();
-    assert_eq!(paid, 2);
+    let spent = (0..4).filter(|_| allowance.spend()).count();
+    assert_eq!(spent, 2);
 }
--- a/crates/standalone/tallybridge-overload/tests/backend_model/mod.rs
+++ b/crates/standalone/tallybridge-overload/tests/backend_model/mod.rs
@@ -1,9 +1,8 @@
-//! A back end with a fixed number of slots behind the real limit, queue and early refusal, in
-//! virtual time.
+//! A model in virtual time of a back end behind the real limit, queue and early refusal.
 //!
-//! Calls beyond the slots wait inside the back end, first come first served, and it runs them even
-//! when nobody waits for the answer any more. The work of a call is the time it needs in a slot at
-//! normal speed; goodput is work that was answered in time.
+//! The back end has a fixed number of slots and a FIFO queue for further calls. It runs queued calls
+//! even after their callers have timed out. The work of a call is its time in a slot at normal
+//! speed; goodput is the work that is answered before the deadline.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -18,21 +17,21 @@
     ThresholdSettings,
 };
 
-const TICK: Duration = Duration::from_millis(10);
-/// Entries of `Outcome::limits` for each second.
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
+/// Entries of `Outcome::limits` per second.
 pub const TICKS_PER_SECOND: usize = 100;
-const RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Natural latencies of the kinds of call and their shares: 50 ms on average.
-const KINDS: [(Duration, f64); 3] = [
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Mean work and share of each kind of call.
+const CALL_KINDS: [(Duration, f64); 3] = [
     (Duration::from_millis(20), 0.6),
     (Duration::from_millis(60), 0.3),
     (Duration::from_millis(200), 0.1),
 ];
-const MEAN_WORK: f64 = 0.05;
-/// Shares of the classes, least critical first.
+const MEAN_WORK_SECONDS: f64 = 0.05;
+/// Shares of the criticality classes, least critical first.
 pub const CLASS_SHARES: [f64; 4] = [0.3, 0.3, 0.3, 0.1];
 
-/// What is run.
+/// The parameters of a run.
 #[derive(Clone, Copy)]
 pub struct Scenario {
     pub slots: usize,
@@ -42,14 +41,17 @@
     pub load: f64,
     pub duration: Duration,
     pub deadline: Duration,
-    /// Further attempts that a caller makes after each failure.
+    /// Retries of a failed call by its caller.
     pub caller_retries: u8,
-    /// While this lasts the back end has a tenth of its speed and demand is twice the load.
-    pub trigger: Option<(Duration, Duration)>,
+    /// The period in which the back end runs at a tenth of its speed and the demand is doubled.
+    pub slowdown: Option<(Duration, Duration)>,
     pub seed: u64,
 }
 
-/// Work in seconds of slot time, by the second of the answer, and calls, by that of their arrival.
+/// The work and the number of calls of one class in one second of a run.
+///
+/// Work is in seconds of slot time. Answered work counts in the second of the answer, and answered
+/// calls count in the second of their arrival.
 #[derive(Clone, Copy, Default)]
 pub struct Totals {
     pub offered: f64,
@@ -58,14 +60,14 @@
     pub answered_calls: u32,
 }
 
-/// What was seen in each second, by class, and the limit at each tick.
+/// The totals of each second by class, and the limit at each tick.
 pub struct Outcome {
     pub seconds: Vec<[Totals; 4]>,
     pub limits: Vec<u16>,
 }
 
 impl Outcome {
-    /// Totals by class of the seconds in `range`.
+    /// Returns the totals of each class over the seconds in `range`.
     pub fn by_class(&self, range: std::ops::Range<usize>) -> [Totals; 4] {
         let mut sums = [Totals::default(); 4];
         let rows = self.seconds[range].iter();
@@ -78,7 +80,7 @@
         sums
     }
 
-    /// Work answered in time each second of `range`, relative to `slots`.
+    /// Returns the answered work per second of `range`, relative to the capacity of `slots`.
     pub fn goodput(&self, range: std::ops::Range<usize>, slots: usize) -> f64 {
         let time = (range.len() * slots) as f64;
         self.by_class(range)
@@ -88,7 +90,7 @@
             / time
     }
 
-    /// Work offered each second of `range`, relative to `slots`.
+    /// Returns the offered work per second of `range`, relative to the capacity of `slots`.
     pub fn demand(&self, range: std::ops::Range<usize>, slots: usize) -> f64 {
         let time = (range.len() * slots) as f64;
         self.by_class(range)
@@ -119,10 +121,9 @@
     Tick,
 }
 
-/// The whole model.
 pub struct Model {
     scenario: Scenario,
-    begin: Instant,
+    started_at: Instant,
     now: Instant,
     rng: SmallRng,
     events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
@@ -132,20 +133,19 @@
     limit: ConcurrencyLimit,
     queue: AdmissionQueue<usize>,
     level: AdmissionThreshold,
-    early: EarlyRefusal<u8, u8>,
+    early_refusal: EarlyRefusal<u8, u8>,
     busy_slots: usize,
     backend_queue: VecDeque<usize>,
     outcome: Outcome,
 }
 
 impl Model {
-    /// Runs `scenario` to its end.
     pub fn run(scenario: Scenario) -> Outcome {
-        let begin = Instant::now();
+        let started_at = Instant::now();
         let mut model = Self {
             scenario,
-            begin,
-            now: begin,
+            started_at,
+            now: started_at,
             rng: SmallRng::seed_from_u64(scenario.seed),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -154,7 +154,7 @@
             limit: ConcurrencyLimit::new(scenario.limit),
             queue: AdmissionQueue::new(scenario.queue),
             level: AdmissionThreshold::new(ThresholdSettings::default()),
-            early: EarlyRefusal::new(),
+            early_refusal: EarlyRefusal::new(),
             busy_slots: 0,
             backend_queue: VecDeque::new(),
             outcome: Outcome {
@@ -162,11 +162,11 @@
                 limits: Vec::new(),
             },
         };
-        model.queue.set_expected_service_time(KINDS[0].0);
+        model.queue.set_expected_service_time(CALL_KINDS[0].0);
         model.schedule(Duration::ZERO, Event::Arrival);
-        model.schedule(TICK, Event::Tick);
+        model.schedule(TICK_INTERVAL, Event::Tick);
         while let Some(Reverse((at, _, event))) = model.events.pop() {
-            if at >= begin + scenario.duration {
+            if at >= started_at + scenario.duration {
                 break;
             }
             model.now = at;
@@ -177,10 +177,10 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrival => self.arrival(),
-            Event::Retry(id) => self.enter(id),
-            Event::Finished(id) => self.finished(id),
-            Event::TimedOut(id) => self.timed_out(id),
+            Event::Arrival => self.handle_arrival(),
+            Event::Retry(id) => self.handle_call(id),
+            Event::Finished(id) => self.handle_finished(id),
+            Event::TimedOut(id) => self.handle_timeout(id),
             Event::Tick => self.tick(),
         }
     }
@@ -191,27 +191,27 @@
             .push(Reverse((self.now + after, self.sequence, event)));
     }
 
-    fn triggered(&self) -> bool {
-        let elapsed = self.now - self.begin;
+    fn is_slowed_down(&self) -> bool {
+        let elapsed = self.now - self.started_at;
         self.scenario
-            .trigger
+            .slowdown
             .is_some_and(|(from, to)| (from..to).contains(&elapsed))
     }
 
     fn totals(&mut self, criticality: Criticality, at: Instant) -> &mut Totals {
-        let second = (at - self.begin).as_secs() as usize;
+        let second = (at - self.started_at).as_secs() as usize;
         &mut self.outcome.seconds[second][criticality.index()]
     }
 
-    fn arrival(&mut self) {
-        let factor = if self.triggered() { 2.0 } else { 1.0 };
-        let rate = self.scenario.load * factor * self.scenario.slots as f64 / MEAN_WORK;
+    fn handle_arrival(&mut self) {
+        let factor = if self.is_slowed_down() { 2.0 } else { 1.0 };
+        let rate = self.scenario.load * factor * self.scenario.slots as f64 / MEAN_WORK_SECONDS;
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
         self.schedule(Duration::from_secs_f64(gap), Event::Arrival);
 
-        let kind = pick(KINDS.map(|kind| kind.1), &mut self.rng);
-        let work = KINDS[kind].0.mul_f64(self.rng.random_range(0.5..1.5));
-        let criticality = Criticality::ALL[pick(CLASS_SHARES, &mut self.rng)];
+        let kind = pick_index(CALL_KINDS.map(|kind| kind.1), &mut self.rng);
+        let work = CALL_KINDS[kind].0.mul_f64(self.rng.random_range(0.5..1.5));
+        let criticality = Criticality::ALL[pick_index(CLASS_SHARES, &mut self.rng)];
         self.calls.push(Call {
             criticality,
             kind: kind as u16,
@@ -224,27 +224,27 @@
         let totals = self.totals(criticality, self.now);
         totals.offered += work.as_secs_f64();
         totals.offered_calls += 1;
-        self.enter(self.calls.len() - 1);
+        self.handle_call(self.calls.len() - 1);
     }
 
-    fn enter(&mut self, id: usize) {
+    fn handle_call(&mut self, id: usize) {
         let deadline = self.now + self.scenario.deadline;
         self.calls[id].deadline = deadline;
         let criticality = self.calls[id].criticality;
         if self
-            .early
+            .early_refusal
             .should_refuse(&0, criticality, self.now, &mut self.rng)
         {
-            self.retry(id);
+            self.schedule_retry(id);
             return;
         }
-        let waiting = Waiting {
+        let queued_call = Waiting {
             criticality,
             deadline,
             arrived: self.now,
             item: id,
         };
-        match self.queue.offer(waiting, self.now) {
+        match self.queue.offer(queued_call, self.now) {
             Offer::Queued(_) => {}
             Offer::QueuedDisplacing(_, refused) | Offer::Refused(refused) => self.refuse(refused),
         }
@@ -253,10 +253,10 @@
 
     fn refuse(&mut self, id: usize) {
         self.level.record_refused(self.calls[id].criticality);
-        self.retry(id);
+        self.schedule_retry(id);
     }
 
-    fn retry(&mut self, id: usize) {
+    fn schedule_retry(&mut self, id: usize) {
         let call = self.calls[id];
         if call.retries_left == 0 {
             return;
@@ -265,26 +265,29 @@
             retries_left: call.retries_left - 1,
             ..call
         });
-        self.schedule(RETRY_AFTER, Event::Retry(self.calls.len() - 1));
+        self.schedule(RETRY_DELAY, Event::Retry(self.calls.len() - 1));
     }
 
     fn dispatch(&mut self) {
         while !self.queue.is_empty() && self.limit.try_acquire() {
-            let Some(waiting) = self.queue.take(self.now) else {
-                let unused = Sample {
+            let Some(queued_call) = self.queue.take(self.now) else {
+                let sample = Sample {
                     latency: Duration::ZERO,
                     result: SampleResult::Ignore,
                     kind: 0,
                 };
-                self.limit.release(unused, self.now);
+                self.limit.release(sample, self.now);
                 break;
             };
             self.level
-                .record_taken(waiting.criticality, self.now - waiting.arrived);
-            self.calls[waiting.item].started = self.now;
-            self.in_flight.insert(waiting.item, ());
-            self.schedule(waiting.deadline - self.now, Event::TimedOut(waiting.item));
-            self.backend_queue.push_back(waiting.item);
+                .record_taken(queued_call.criticality, self.now - queued_call.arrived);
+            self.calls[queued_call.item].started = self.now;
+            self.in_flight.insert(queued_call.item, ());
+            self.schedule(
+                queued_call.deadline - self.now,
+                Event::TimedOut(queued_call.item),
+            );
+            self.backend_queue.push_back(queued_call.item);
         }
         self.fill_slots();
     }
@@ -294,13 +297,13 @@
             let Some(id) = self.backend_queue.pop_front() else {
                 break;
             };
-            let slowness = if self.triggered() { 10 } else { 1 };
+            let slowness = if self.is_slowed_down() { 10 } else { 1 };
             self.busy_slots += 1;
             self.schedule(self.calls[id].work * slowness, Event::Finished(id));
         }
     }
 
-    fn finished(&mut self, id: usize) {
+    fn handle_finished(&mut self, id: usize) {
         self.busy_slots -= 1;
         if self.in_flight.remove(&id).is_some() {
             let call = self.calls[id];
@@ -311,10 +314,10 @@
         self.dispatch();
     }
 
-    fn timed_out(&mut self, id: usize) {
+    fn handle_timeout(&mut self, id: usize) {
         if self.in_flight.remove(&id).is_some() {
             self.release(id, SampleResult::Overload);
-            self.retry(id);
+            self.schedule_retry(id);
             self.dispatch();
         }
     }
@@ -331,24 +334,24 @@
             admitted_from: self.level.admitted_from(),
             ..LoadReport::default()
         };
-        self.early.record(0, 0, &report, self.now);
+        self.early_refusal.record(0, 0, &report, self.now);
     }
 
     fn tick(&mut self) {
-        self.schedule(TICK, Event::Tick);
-        for late in self.queue.expire(self.now) {
-            self.refuse(late);
+        self.schedule(TICK_INTERVAL, Event::Tick);
+        for expired in self.queue.expire(self.now) {
+            self.refuse(expired);
         }
         self.limit.tick(self.now);
         self.level.tick(self.now);
-        self.early.tick(self.now);
+        self.early_refusal.tick(self.now);
         self.outcome.limits.push(self.limit.limit());
         self.dispatch();
     }
 }
 
-/// An index, drawn by its share.
-fn pick<const N: usize>(shares: [f64; N], rng: &mut SmallRng) -> usize {
+/// Draws an index with probabilities `shares`.
+fn pick_index<const N: usize>(shares: [f64; N], rng: &mut SmallRng) -> usize {
     let mut point = rng.random::<f64>();
     for (index, share) in shares.iter().enumerate() {
         if point < *share {
--- a/crates/standalone/tallybridge-overload/tests/early_refusal.rs
+++ b/crates/standalone/tallybridge-overload/tests/early_refusal.rs
@@ -1,4 +1,4 @@
-//! The level that a back end reports, and what an entry node makes of the reports.
+//! The admission level of a back end, and its use by entry nodes.
 
 use std::time::{Duration, Instant};
 
@@ -11,46 +11,46 @@
     target_delay: Duration::from_millis(50),
     interval: Duration::from_millis(200),
 };
-const TICK: Duration = Duration::from_millis(10);
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Ticks `level` for `ticks`, with `offered` calls of each class at each tick, all of which are
-/// taken from `taken_from` on and refused below.
-fn run(
+/// Ticks `level` `ticks` times with `calls_per_class` calls of each class before each tick. Calls of
+/// the classes from index `served_from` up are served, all others are refused.
+fn tick_with_calls(
     level: &mut AdmissionThreshold,
     now: &mut Instant,
     ticks: usize,
-    offered: usize,
-    taken_from: usize,
+    calls_per_class: usize,
+    served_from: usize,
 ) {
     for _ in 0..ticks {
         for class in Criticality::ALL {
-            for _ in 0..offered {
-                if class.index() >= taken_from {
+            for _ in 0..calls_per_class {
+                if class.index() >= served_from {
                     level.record_taken(class, Duration::from_millis(1));
                 } else {
                     level.record_refused(class);
                 }
             }
         }
-        *now += TICK;
+        *now += TICK_INTERVAL;
         level.tick(*now);
     }
 }
 
 #[test]
-fn the_level_rises_at_once_above_all_starved_classes() {
+fn level_rises_above_all_starved_classes() {
     let mut now = Instant::now();
     let mut level = AdmissionThreshold::new(SETTINGS);
-    run(&mut level, &mut now, 20, 5, 0);
+    tick_with_calls(&mut level, &mut now, 20, 5, 0);
     assert_eq!(level.admitted_from(), Some(Criticality::Sheddable));
-    run(&mut level, &mut now, 1, 10_000, 2);
+    tick_with_calls(&mut level, &mut now, 1, 10_000, 2);
     assert_eq!(level.admitted_from(), Some(Criticality::Critical));
-    run(&mut level, &mut now, 1, 1_000_000, 4);
+    tick_with_calls(&mut level, &mut now, 1, 1_000_000, 4);
     assert_eq!(level.admitted_from(), None);
 }
 
 #[test]
-fn the_level_stays_while_a_class_is_served_in_part() {
+fn level_stays_while_class_is_partly_served() {
     let mut now = Instant::now();
     let mut level = AdmissionThreshold::new(SETTINGS);
     for _ in 0..100 {
@@ -61,37 +61,37 @@
                 level.record_refused(Criticality::Sheddable);
             }
         }
-        now += TICK;
+        now += TICK_INTERVAL;
         level.tick(now);
         assert_eq!(level.admitted_from(), Some(Criticality::Sheddable));
     }
 }
 
 #[test]
-fn the_level_falls_by_one_class_in_each_quiet_interval() {
+fn level_falls_one_class_per_uncongested_interval() {
     let mut now = Instant::now();
     let mut level = AdmissionThreshold::new(SETTINGS);
-    run(&mut level, &mut now, 10, 20, 3);
+    tick_with_calls(&mut level, &mut now, 10, 20, 3);
     assert_eq!(level.admitted_from(), Some(Criticality::CriticalPlus));
-    let mut seen = vec![level.admitted_from()];
+    let mut levels = vec![level.admitted_from()];
     for _ in 0..70 {
-        run(&mut level, &mut now, 1, 1, 0);
-        if seen.last() != Some(&level.admitted_from()) {
-            seen.push(level.admitted_from());
+        tick_with_calls(&mut level, &mut now, 1, 1, 0);
+        if levels.last() != Some(&level.admitted_from()) {
+            levels.push(level.admitted_from());
         }
     }
     let expected: Vec<_> = Criticality::ALL.into_iter().rev().map(Some).collect();
-    assert_eq!(seen, expected);
+    assert_eq!(levels, expected);
 }
 
 #[test]
-fn the_level_does_not_fall_while_what_it_admits_waits_long() {
+fn level_stays_while_admitted_calls_wait_long() {
     let mut now = Instant::now();
     let mut level = AdmissionThreshold::new(SETTINGS);
-    run(&mut level, &mut now, 10, 20, 1);
+    tick_with_calls(&mut level, &mut now, 10, 20, 1);
     for _ in 0..100 {
         level.record_taken(Criticality::Critical, Duration::from_millis(80));
-        now += TICK;
+        now += TICK_INTERVAL;
         level.tick(now);
     }
     assert_eq!(level.admitted_from(), Some(Criticality::SheddablePlus));
@@ -104,8 +104,8 @@
     }
 }
 
-/// The share of 2000 calls that `table` refuses.
-fn refused(table: &EarlyRefusal<u8, u8>, class: Criticality, now: Instant) -> f64 {
+/// Returns the share of 2000 calls that `table` refuses.
+fn refused_share(table: &EarlyRefusal<u8, u8>, class: Criticality, now: Instant) -> f64 {
     let mut rng = SmallRng::seed_from_u64(5);
     let refused = (0..2000)
         .filter(|_| table.should_refuse(&0, class, now, &mut rng))
@@ -114,29 +114,29 @@
 }
 
 #[test]
-fn refuses_what_every_endpoint_refuses_but_for_a_small_share() {
+fn refuses_most_calls_that_every_endpoint_refuses() {
     let now = Instant::now();
     let mut table = EarlyRefusal::new();
     table.record(0, 1, &report(Some(Criticality::Critical)), now);
     table.record(0, 2, &report(Some(Criticality::CriticalPlus)), now);
-    let share = refused(&table, Criticality::SheddablePlus, now);
-    assert!((0.92..0.98).contains(&share), "{share}");
-    assert_eq!(refused(&table, Criticality::Critical, now), 0.0);
-    assert_eq!(refused(&table, Criticality::CriticalPlus, now), 0.0);
+    let share = refused_share(&table, Criticality::SheddablePlus, now);
+    assert!((0.92..0.98).contains(&share), "refused share {share}");
+    assert_eq!(refused_share(&table, Criticality::Critical, now), 0.0);
+    assert_eq!(refused_share(&table, Criticality::CriticalPlus, now), 0.0);
 }
 
 #[test]
-fn refuses_the_most_critical_only_when_nothing_is_admitted_anywhere() {
+fn refuses_critical_plus_only_when_all_refuse() {
     let now = Instant::now();
     let mut table = EarlyRefusal::new();
     table.record(0, 1, &report(None), now);
-    assert!(refused(&table, Criticality::CriticalPlus, now) > 0.9);
+    assert!(refused_share(&table, Criticality::CriticalPlus, now) > 0.9);
     table.record(0, 2, &report(Some(Criticality::CriticalPlus)), now);
-    assert_eq!(refused(&table, Criticality::CriticalPlus, now), 0.0);
+    assert_eq!(refused_share(&table, Criticality::CriticalPlus, now), 0.0);
 }
 
 #[test]
-fn an_old_report_and_one_of_a_leaving_endpoint_do_not_count() {
+fn ignores_stale_reports_and_leaving_endpoints() {
     let now = Instant::now();
     let mut table = EarlyRefusal::new();
     table.record(0, 1, &report(None), now);
@@ -146,9 +146,9 @@
         ..report(Some(Criticality::Sheddable))
     };
     table.record(0, 2, &leaving, now);
-    assert!(refused(&table, Criticality::Sheddable, now) > 0.9);
+    assert!(refused_share(&table, Criticality::Sheddable, now) > 0.9);
     let later = now + Duration::from_millis(251);
-    assert_eq!(refused(&table, Criticality::Sheddable, later), 0.0);
+    assert_eq!(refused_share(&table, Criticality::Sheddable, later), 0.0);
     table.tick(later);
-    assert_eq!(refused(&table, Criticality::Sheddable, now), 0.0);
+    assert_eq!(refused_share(&table, Criticality::Sheddable, now), 0.0);
 }
--- a/crates/standalone/tallybridge-overload/tests/seeded/mod.rs
+++ b/crates/standalone/tallybridge-overload/tests/seeded/mod.rs
@@ -1,15 +1,14 @@
-//! Fuzz tests that give the same verdict on every run.
+//! A `proptest` configuration with a fixed seed, for reproducible runs.
 
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
-/// The seed when none is set in the environment.
-const SEED: u64 = 5;
+const DEFAULT_SEED: u64 = 5;
 
-/// Settings of `proptest` with a fixed seed, unless `PROPTEST_RNG_SEED` gives another.
+/// Returns a configuration with a fixed seed, unless `PROPTEST_RNG_SEED` sets one.
 pub fn config() -> Config {
     let environment = Config::default();
     let rng_seed = match environment.rng_seed {
-        RngSeed::Random => RngSeed::Fixed(SEED),
+        RngSeed::Random => RngSeed::Fixed(DEFAULT_SEED),
         fixed => fixed,
     };
     Config {
