--- a/crates/standalone/tallybridge-routing/src/endpoint/health.rs
+++ b/crates/standalone/tallybridge-routing/src/endpoint/health.rs
@@ -1,18 +1,19 @@
-//! Whether an endpoint gets traffic: ejection, probing and ramp.
+//! Health state of an endpoint: ejection, probing and ramp.
 //!
-//! Ejection follows Envoy's outlier detection (consecutive failures, ejection time that grows with
-//! each ejection, bounded share of ejected hosts); the ramp follows its slow start mode.
+//! Ejection follows Envoy's outlier detection: consecutive failures eject an endpoint, each
+//! ejection lasts longer than the one before, and the share of ejected endpoints is bounded. The
+//! ramp follows Envoy's slow start mode.
 
 use std::time::{Duration, Instant};
 
 use crate::{EndpointState, RoutingSettings};
 
-/// Doublings after which the ejection time stays within any sensible limit.
-const MOST_DOUBLINGS: u32 = 16;
+/// Keeps the shift that computes the ejection time from overflowing.
+const MAX_EJECTION_DOUBLINGS: u32 = 16;
 
-/// Power of the elapsed time that a ramp grows with: slow at first, while faults that show only after
-/// a time can still be seen.
-const RAMP_POWER: i32 = 2;
+/// An exponent above 1 gives an endpoint little traffic at first, while faults that take time to
+/// appear can still show.
+const RAMP_EXPONENT: i32 = 2;
 
 #[derive(Debug, Clone, Copy)]
 enum Phase {
@@ -22,19 +23,19 @@
     Probing { since: Instant, answered: u32 },
 }
 
-/// Health of one endpoint by what was observed of it.
+/// Health of one endpoint, derived from the results of this node's attempts.
 #[derive(Debug, Clone, Copy)]
 pub struct Health {
     phase: Phase,
     consecutive_failures: u32,
     ejections: u32,
-    judged_from: Option<Instant>,
+    assessed_since: Option<Instant>,
 }
 
 impl Health {
-    /// Health of an endpoint that has just appeared.
+    /// Creates the health of a new endpoint, which starts with the cold-start ramp.
     #[must_use]
-    pub fn cold(settings: &RoutingSettings, now: Instant) -> Self {
+    pub fn new(settings: &RoutingSettings, now: Instant) -> Self {
         Self {
             phase: Phase::Ramping {
                 since: now,
@@ -42,11 +43,11 @@
             },
             consecutive_failures: 0,
             ejections: 0,
-            judged_from: None,
+            assessed_since: None,
         }
     }
 
-    /// The phase as status pages show it.
+    /// Returns the phase as a status page shows it.
     #[must_use]
     pub fn state(&self) -> EndpointState {
         match self.phase {
@@ -57,13 +58,13 @@
         }
     }
 
-    /// Whether the endpoint gets no traffic.
+    /// Returns whether the endpoint is ejected and so gets no traffic.
     #[must_use]
     pub fn is_ejected(&self) -> bool {
         matches!(self.phase, Phase::Ejected { .. })
     }
 
-    /// When probing began, while it lasts.
+    /// Returns when the current probing phase started, or `None` in any other phase.
     #[must_use]
     pub fn probing_since(&self) -> Option<Instant> {
         match self.phase {
@@ -72,35 +73,35 @@
         }
     }
 
-    /// When the endpoint was last ejected or began to be probed: attempts that started before no
-    /// longer count.
+    /// Returns when the endpoint was last ejected or started to be probed, or `None` if neither has
+    /// happened. Attempts that started earlier no longer affect its health.
     #[must_use]
-    pub fn judged_from(&self) -> Option<Instant> {
-        self.judged_from
+    pub fn assessed_since(&self) -> Option<Instant> {
+        self.assessed_since
     }
 
-    /// Whether the endpoint was ejected and has not come back to full traffic since.
+    /// Returns whether the endpoint has been ejected and has not yet returned to full traffic.
     #[must_use]
     pub fn is_recovering(&self) -> bool {
         self.ejections > 0
     }
 
-    /// Share of its traffic that the endpoint gets now, 0 to 1.
+    /// Returns the fraction of its normal traffic that the endpoint gets at `now`, from 0 to 1.
     #[must_use]
-    pub fn share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
+    pub fn traffic_share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
         match self.phase {
             Phase::Serving | Phase::Probing { .. } => 1.0,
             Phase::Ejected { .. } => 0.0,
             Phase::Ramping { since, window } => {
                 let elapsed = now.saturating_duration_since(since).as_secs_f64();
                 let progress = (elapsed / window.as_secs_f64()).min(1.0);
-                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress.powi(RAMP_POWER)
+                settings.ramp_floor + (1.0 - settings.ramp_floor) * progress.powi(RAMP_EXPONENT)
             }
         }
     }
 
-    /// Counts an answer; as many in a row to probes as the settings ask for start the ramp.
-    pub fn answered(&mut self, settings: &RoutingSettings, now: Instant) {
+    /// Records an answer and starts the ramp once enough probes in a row are answered.
+    pub fn record_answer(&mut self, settings: &RoutingSettings, now: Instant) {
         self.consecutive_failures = 0;
         let Phase::Probing { answered, .. } = &mut self.phase else {
             return;
@@ -114,27 +115,29 @@
         }
     }
 
-    /// Counts a failure.
-    pub fn failed(&mut self) {
+    /// Records a failed attempt.
+    pub fn record_failure(&mut self) {
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
     }
 
-    /// Counts a refusal. A probe that is refused for want of room shows that the endpoint is alive; one
-    /// that is refused without shows that it is not well.
-    pub fn refused(&mut self, has_room: bool, settings: &RoutingSettings, now: Instant) {
+    /// Records a refusal, which counts only while probing. An endpoint that refuses a probe because
+    /// it is full is alive, so the refusal counts as an answer. A refusal despite free capacity
+    /// counts as a failure.
+    pub fn record_refusal(&mut self, has_room: bool, settings: &RoutingSettings, now: Instant) {
         if self.probing_since().is_none() {
             return;
         }
         if has_room {
-            self.failed();
+            self.record_failure();
         } else {
-            self.answered(settings, now);
+            self.record_answer(settings, now);
         }
     }
 
-    /// Whether failures in a row ask for an ejection; one is enough while probing.
+    /// Returns whether consecutive failures require an ejection. A single failure is enough while
+    /// probing.
     #[must_use]
-    pub fn has_failed_out(&self, settings: &RoutingSettings) -> bool {
+    pub fn has_reached_failure_limit(&self, settings: &RoutingSettings) -> bool {
         match self.phase {
             Phase::Probing { .. } => self.consecutive_failures > 0,
             Phase::Ejected { .. } => false,
@@ -142,35 +145,38 @@
         }
     }
 
-    /// Takes the endpoint's traffic away for a time that doubles with each ejection in a row.
+    /// Ejects the endpoint for a time that doubles with each ejection in a row.
     pub fn eject(&mut self, settings: &RoutingSettings, now: Instant) {
-        let doublings = self.ejections.min(MOST_DOUBLINGS);
-        let time = settings
+        let doublings = self.ejections.min(MAX_EJECTION_DOUBLINGS);
+        let duration = settings
             .ejection_time
             .saturating_mul(1 << doublings)
             .min(settings.ejection_time_limit);
-        self.phase = Phase::Ejected { until: now + time };
+        self.phase = Phase::Ejected {
+            until: now + duration,
+        };
         self.ejections = self.ejections.saturating_add(1);
-        self.judged_from = Some(now);
+        self.assessed_since = Some(now);
         self.consecutive_failures = 0;
     }
 
-    /// Gives the endpoint one attempt at a time until enough are answered. What began before no
-    /// longer counts against it.
-    pub fn probe(&mut self, now: Instant) {
+    /// Starts probing, in which the endpoint gets one attempt at a time until enough are answered.
+    /// Attempts that started earlier no longer affect its health.
+    pub fn start_probing(&mut self, now: Instant) {
         self.phase = Phase::Probing {
             since: now,
             answered: 0,
         };
         self.consecutive_failures = 0;
-        self.judged_from = Some(now);
+        self.assessed_since = Some(now);
     }
 
-    /// Moves on to the next phase when its time has come; says whether it began to probe.
+    /// Enters the next phase if the current one has expired. Returns whether the endpoint started
+    /// probing.
     pub fn advance(&mut self, now: Instant) -> bool {
         match self.phase {
             Phase::Ejected { until } if now >= until => {
-                self.probe(now);
+                self.start_probing(now);
                 true
             }
             Phase::Ramping { since, window } if now.saturating_duration_since(since) >= window => {
--- a/crates/standalone/tallybridge-routing/src/endpoint/mod.rs
+++ b/crates/standalone/tallybridge-routing/src/endpoint/mod.rs
@@ -1,4 +1,7 @@
-//! An executor node with its back end, and what is seen of it.
+//! Endpoints, and the state that the table keeps for each of them.
+//!
+//! An endpoint is an executor node with its back end. The submodules track its health, latency,
+//! load, attempts in flight and unserved attempts.
 
 pub mod health;
 pub mod latency;
@@ -12,30 +15,30 @@
 
 use tallybridge_core::{NodeId, RegionName, ServiceName, ZoneName};
 
-/// One executor node with its back end.
+/// An executor node with its back end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Endpoint {
-    /// The node beside the back end.
+    /// The node that runs beside the back end.
     pub node: NodeId,
-    /// The service that the back end belongs to.
+    /// The service to which the back end belongs.
     pub service: ServiceName,
-    /// Where the node runs.
+    /// Region in which the node runs.
     pub region: RegionName,
-    /// Where in the region the node runs.
+    /// Zone within the region.
     pub zone: ZoneName,
 }
 
-/// Where the routing node itself runs.
+/// Location of the node that routes the calls.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Locality {
-    /// The region.
+    /// Region in which the node runs.
     pub region: RegionName,
-    /// The zone within the region.
+    /// Zone within the region.
     pub zone: ZoneName,
 }
 
 impl Locality {
-    /// How near an endpoint is.
+    /// Returns how near an endpoint is to this location.
     #[must_use]
     pub fn proximity(&self, endpoint: &Endpoint) -> Proximity {
         if self.region != endpoint.region {
@@ -48,53 +51,55 @@
     }
 }
 
-/// How near an endpoint is to the routing node, nearest first.
+/// Distance of an endpoint from the routing node, nearest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Proximity {
-    /// In the same zone.
+    /// The endpoint is in the same zone.
     SameZone = 0,
-    /// In another zone of the region.
+    /// The endpoint is in another zone of the same region.
     SameRegion = 1,
-    /// In another region.
+    /// The endpoint is in another region.
     OtherRegion = 2,
 }
 
-/// Whether an endpoint gets traffic.
+/// State of an endpoint, which decides the traffic that it gets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum EndpointState {
-    /// Full traffic.
+    /// The endpoint gets its full traffic.
     Serving,
-    /// A growing share of its traffic, after a cold start or an ejection.
+    /// The endpoint gets a growing share of its traffic, after a cold start or an ejection.
     Ramping,
-    /// No traffic for a time, because of what was observed.
+    /// The endpoint gets no traffic for a time, because its attempts failed or stalled.
     Ejected,
-    /// One attempt at a time until some in a row were answered, after an ejection.
+    /// The endpoint gets one attempt at a time, after an ejection, until enough in a row are
+    /// answered.
     Probing,
-    /// No new traffic: the endpoint says or membership says that it leaves.
+    /// The endpoint gets no new traffic, because its end has been announced.
     Leaving,
-    /// No longer a member; attempts are still in flight.
+    /// The endpoint is no longer a member but still has attempts in flight.
     Gone,
 }
 
-/// One endpoint as a status page shows it.
+/// Status of one endpoint, as a status page shows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointStatus {
-    /// The endpoint.
+    /// The endpoint that the status describes.
     pub endpoint: Endpoint,
-    /// How near it is.
+    /// Distance of the endpoint from this node.
     pub proximity: Proximity,
-    /// Whether it gets traffic.
+    /// Current state, which decides the traffic of the endpoint.
     pub state: EndpointState,
-    /// Attempts of this node that are in flight there.
+    /// Number of this node's attempts in flight at the endpoint.
     pub in_flight: usize,
-    /// Attempts of this node in flight there for longer than is usual for the service.
+    /// Number of this node's attempts in flight at the endpoint that are overdue.
     pub overdue: usize,
-    /// Estimated calls in flight and queued there, in its limit; above 1 it queues.
+    /// Estimated calls running and queued at the endpoint, divided by its limit. Calls queue above
+    /// 1.
     pub utilisation: f64,
-    /// Smoothed latency, once an attempt was answered.
+    /// Mean latency, or `None` until an attempt is answered.
     pub latency: Option<Duration>,
-    /// Recent share of attempts that it refused or failed, 0 to 1.
+    /// Recent fraction of attempts that the endpoint refused or failed, from 0 to 1.
     pub unserved: f64,
-    /// Share of its traffic that its ramp lets through, 0 to 1.
+    /// Fraction of its normal traffic that the endpoint gets, from 0 to 1.
     pub ramp_share: f64,
 }
--- a/crates/standalone/tallybridge-routing/src/endpoint/outstanding.rs
+++ b/crates/standalone/tallybridge-routing/src/endpoint/outstanding.rs
@@ -1,4 +1,4 @@
-//! Attempts in flight at one endpoint, by the time they started.
+//! Start times of the attempts in flight at one endpoint.
 
 use std::{
     collections::VecDeque,
@@ -12,66 +12,73 @@
 }
 
 impl Outstanding {
-    /// Attempts in flight.
+    /// Returns the number of attempts in flight.
     #[must_use]
     pub fn len(&self) -> usize {
         self.starts.len()
     }
 
-    /// Whether no attempt is in flight.
+    /// Returns whether no attempt is in flight.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.starts.is_empty()
     }
 
-    /// Counts an attempt that starts now.
+    /// Records an attempt that starts at `now`.
     pub fn start(&mut self, now: Instant) {
         let latest = self.starts.back().copied();
-        // A clock that steps back must not break the order.
+        // Keeps the start times sorted if a caller passes an earlier time than before.
         self.starts
             .push_back(latest.map_or(now, |latest| latest.max(now)));
     }
 
-    /// Takes out the attempt that started nearest to `latency` ago.
+    /// Removes the attempt that started nearest to `latency` ago and returns its start.
     pub fn finish_after(&mut self, latency: Duration, now: Instant) -> Option<Instant> {
         let start = now.checked_sub(latency).unwrap_or(now);
-        let above = self.starts.partition_point(|known| *known < start);
-        let nearest = if above == self.starts.len() {
-            above.checked_sub(1)?
-        } else if above > 0 && start - self.starts[above - 1] < self.starts[above] - start {
-            above - 1
+        let next_index = self.starts.partition_point(|other| *other < start);
+        let nearest_index = if next_index == self.starts.len() {
+            next_index.checked_sub(1)?
+        } else if next_index > 0
+            && start - self.starts[next_index - 1] < self.starts[next_index] - start
+        {
+            next_index - 1
         } else {
-            above
+            next_index
         };
-        self.starts.remove(nearest)
+        self.starts.remove(nearest_index)
     }
 
-    /// Takes out the oldest attempt, for one that ended without a latency: to take a newer one
-    /// would leave a start behind that ages although its attempt has ended.
+    /// Removes the oldest attempt and returns its start. Callers use it when the latency is
+    /// unknown: removing a newer attempt could leave the start of a finished one, which would
+    /// become overdue.
     pub fn finish_oldest(&mut self) -> Option<Instant> {
         self.starts.pop_front()
     }
 
-    /// The oldest attempt that started at `from` or after.
+    /// Returns the start of the oldest attempt that started at or after `since`. With `None`, all
+    /// attempts count.
     #[must_use]
-    pub fn oldest_from(&self, from: Option<Instant>) -> Option<Instant> {
-        self.starts.get(self.index_from(from)).copied()
+    pub fn oldest_since(&self, since: Option<Instant>) -> Option<Instant> {
+        self.starts.get(self.index_since(since)).copied()
     }
 
-    /// Attempts that started at `from` or after.
+    /// Counts the attempts that started at or after `since`. With `None`, all attempts count.
     #[must_use]
-    pub fn count_from(&self, from: Option<Instant>) -> usize {
-        self.len() - self.index_from(from)
+    pub fn count_since(&self, since: Option<Instant>) -> usize {
+        self.len() - self.index_since(since)
     }
 
-    /// Attempts that started at `from` or after and before `before`.
+    /// Counts the attempts that started at or after `since` and before `before`. With `None` as
+    /// `since`, there is no lower bound.
     #[must_use]
-    pub fn count_between(&self, from: Option<Instant>, before: Instant) -> usize {
+    pub fn count_between(&self, since: Option<Instant>, before: Instant) -> usize {
         let end = self.starts.partition_point(|start| *start < before);
-        end.saturating_sub(self.index_from(from))
+        end.saturating_sub(self.index_since(since))
     }
 
-    fn index_from(&self, from: Option<Instant>) -> usize {
-        from.map_or(0, |from| self.starts.partition_point(|start| *start < from))
+    fn index_since(&self, since: Option<Instant>) -> usize {
+        since.map_or(0, |since| {
+            self.starts.partition_point(|start| *start < since)
+        })
     }
 }
--- a/crates/standalone/tallybridge-routing/src/endpoint/row.rs
+++ b/crates/standalone/tallybridge-routing/src/endpoint/row.rs
@@ -1,4 +1,4 @@
-//! One row of a service's table: an endpoint and everything observed of it.
+//! State that the table keeps for one endpoint.
 
 use std::time::{Duration, Instant};
 
@@ -14,33 +14,33 @@
 };
 use crate::{AttemptResult, RoutingSettings, table::profile::ServiceProfile};
 
-/// An endpoint and everything observed of it.
+/// An endpoint with everything that this node has observed of it.
 #[derive(Debug, Clone)]
 pub struct EndpointRow {
-    /// The endpoint.
+    /// The endpoint that the row describes.
     pub endpoint: Endpoint,
-    /// How near it is.
+    /// Distance of the endpoint from this node.
     pub proximity: Proximity,
-    /// Whether membership still has it.
+    /// Whether the latest membership contains the endpoint.
     pub is_member: bool,
-    /// Whether it takes no new work.
+    /// Whether the end of the endpoint has been announced, by a load report or by membership.
     pub is_leaving: bool,
-    /// Whether it gets traffic by what was observed.
+    /// Health derived from the results of attempts.
     pub health: Health,
-    /// Attempts in flight.
+    /// This node's attempts in flight at the endpoint.
     pub outstanding: Outstanding,
-    /// Latest load report.
+    /// Latest load report, or `None` until one arrives.
     pub load: Option<ReportedLoad>,
-    /// Smoothed latency.
+    /// Smoothed latency, or `None` until an attempt is answered. The start of probing clears it.
     pub latency: Option<LatencyEstimate>,
-    /// Share of attempts refused or failed.
+    /// Recent share of attempts that the endpoint refused or failed.
     pub unserved: UnservedShare,
-    /// Latest start among the answered attempts.
-    pub(super) answered_start: Option<Instant>,
+    /// Latest start time among the answered attempts.
+    pub(super) latest_answered_start: Option<Instant>,
 }
 
 impl EndpointRow {
-    /// A row for an endpoint that has just appeared.
+    /// Creates the row of a new member, which starts with the cold-start ramp.
     #[must_use]
     pub fn new(
         endpoint: Endpoint,
@@ -53,34 +53,34 @@
             proximity,
             is_member: true,
             is_leaving: false,
-            health: Health::cold(settings, now),
+            health: Health::new(settings, now),
             outstanding: Outstanding::default(),
             load: None,
             latency: None,
             unserved: UnservedShare::new(now),
-            answered_start: None,
+            latest_answered_start: None,
         }
     }
 
-    /// Whether the endpoint may be given new work at all.
+    /// Returns whether the endpoint is a member that is not leaving.
     #[must_use]
     pub fn takes_new_work(&self) -> bool {
         self.is_member && !self.is_leaving
     }
 
-    /// Whether enough answers came for its latency to say something.
+    /// Returns whether enough answers arrived for a reliable mean latency.
     #[must_use]
     pub fn has_settled_latency(&self) -> bool {
         self.latency.is_some_and(|latency| latency.is_settled())
     }
 
-    /// Whether the row can be dropped.
+    /// Returns whether the endpoint is no longer a member and has no attempts in flight.
     #[must_use]
-    pub fn is_done(&self) -> bool {
+    pub fn is_removable(&self) -> bool {
         !self.is_member && self.outstanding.is_empty()
     }
 
-    /// Takes in how an attempt ended.
+    /// Records the result of an attempt.
     pub fn finish(
         &mut self,
         result: AttemptResult,
@@ -90,16 +90,16 @@
     ) {
         match result {
             AttemptResult::Answered { latency, load } => {
-                self.answered(latency, profile, settings, now);
-                self.report(load, now);
+                self.record_answer(latency, profile, settings, now);
+                self.record_load(load, now);
             }
-            AttemptResult::RefusedNotRun { load } => self.refused(load, settings, now),
-            AttemptResult::Failed => self.failed(settings, now),
-            AttemptResult::Cancelled => self.cancelled(profile, settings, now),
+            AttemptResult::RefusedNotRun { load } => self.record_refusal(load, settings, now),
+            AttemptResult::Failed => self.record_failure(settings, now),
+            AttemptResult::Cancelled => self.record_cancellation(profile, settings, now),
         }
     }
 
-    fn answered(
+    fn record_answer(
         &mut self,
         latency: Duration,
         profile: &ServiceProfile,
@@ -109,21 +109,21 @@
         let Some(start) = self.outstanding.finish_after(latency, now) else {
             return;
         };
-        self.answered_start = self.answered_start.max(Some(start));
+        self.latest_answered_start = self.latest_answered_start.max(Some(start));
         self.unserved.record(true, settings.unserved_half_life, now);
         self.record_latency(latency, profile, settings, now);
         let is_overdue = profile
             .overdue_after(settings)
             .is_some_and(|limit| latency > limit);
-        if !self.is_judged_by(start) {
+        if !self.counts_for_health(start) {
             return;
         }
         let is_slow_probe =
             self.health.probing_since().is_some() && profile.is_slow_for_probe(latency, settings);
         if is_overdue || is_slow_probe {
-            self.health.failed();
+            self.health.record_failure();
         } else {
-            self.health.answered(settings, now);
+            self.health.record_answer(settings, now);
         }
     }
 
@@ -135,11 +135,11 @@
         now: Instant,
     ) {
         let baseline = self.baseline(profile, settings);
-        let greatest = profile
+        let max_seconds = profile
             .overdue_after(settings)
             .map_or(f64::INFINITY, |overdue| overdue.as_secs_f64());
         match &mut self.latency {
-            Some(estimate) => estimate.record(latency, greatest, baseline, now),
+            Some(estimate) => estimate.record(latency, max_seconds, baseline, now),
             None => self.latency = Some(LatencyEstimate::new(latency, now)),
         }
     }
@@ -147,59 +147,72 @@
     fn baseline(&self, profile: &ServiceProfile, settings: &RoutingSettings) -> Baseline {
         Baseline {
             typical: profile.typical_latency.unwrap_or(f64::INFINITY),
-            decay: settings.latency_decay,
+            time_constant: settings.latency_decay,
         }
     }
 
-    fn report(&mut self, load: LoadReport, now: Instant) {
+    fn record_load(&mut self, load: LoadReport, now: Instant) {
         self.is_leaving |= load.leaving;
         self.load = Some(ReportedLoad::new(load, self.outstanding.len(), now));
     }
 
-    fn refused(&mut self, load: Option<LoadReport>, settings: &RoutingSettings, now: Instant) {
+    fn record_refusal(
+        &mut self,
+        load: Option<LoadReport>,
+        settings: &RoutingSettings,
+        now: Instant,
+    ) {
         self.outstanding.finish_oldest();
         self.unserved
             .record(false, settings.unserved_half_life, now);
         if let Some(load) = load {
-            self.report(load, now);
+            self.record_load(load, now);
         }
         let has_room = load.is_none_or(|load| load.in_flight < load.limit);
-        self.health.refused(has_room, settings, now);
+        self.health.record_refusal(has_room, settings, now);
     }
 
-    fn failed(&mut self, settings: &RoutingSettings, now: Instant) {
+    fn record_failure(&mut self, settings: &RoutingSettings, now: Instant) {
         let Some(start) = self.outstanding.finish_oldest() else {
             return;
         };
         self.unserved
             .record(false, settings.unserved_half_life, now);
-        // An attempt that began before one that was answered says nothing of the endpoint now.
-        let is_news = self.answered_start <= Some(start);
-        if is_news && self.is_judged_by(start) {
-            self.health.failed();
+        // Ignores the failure if an attempt that started later was already answered.
+        let is_recent = self.latest_answered_start <= Some(start);
+        if is_recent && self.counts_for_health(start) {
+            self.health.record_failure();
         }
     }
 
-    /// A caller that gives up on an overdue attempt has seen a failure; one that gives up earlier
-    /// says nothing of the endpoint.
-    fn cancelled(&mut self, profile: &ServiceProfile, settings: &RoutingSettings, now: Instant) {
-        let oldest = self.outstanding.oldest_from(None);
+    /// Counts a cancellation as a failure if the oldest attempt is overdue. Otherwise the
+    /// cancellation says nothing about the endpoint.
+    fn record_cancellation(
+        &mut self,
+        profile: &ServiceProfile,
+        settings: &RoutingSettings,
+        now: Instant,
+    ) {
+        let oldest = self.outstanding.oldest_since(None);
         let overdue_after = profile.overdue_after(settings);
         let is_overdue = oldest
             .zip(overdue_after)
             .is_some_and(|(start, limit)| now.saturating_duration_since(start) > limit);
         if is_overdue {
-            self.failed(settings, now);
+            self.record_failure(settings, now);
         } else {
             self.outstanding.finish_oldest();
         }
     }
 
-    fn is_judged_by(&self, start: Instant) -> bool {
-        self.health.judged_from().is_none_or(|from| start >= from)
+    fn counts_for_health(&self, start: Instant) -> bool {
+        self.health
+            .assessed_since()
+            .is_none_or(|since| start >= since)
     }
 
-    /// Calls in flight and queued there in its limit, as estimated now.
+    /// Returns the estimated calls running and queued at the endpoint at `now`, divided by its
+    /// limit.
     #[must_use]
     pub fn utilisation(
         &self,
@@ -207,13 +220,18 @@
         settings: &RoutingSettings,
         now: Instant,
     ) -> f64 {
-        let others = self.load.map_or(profile.usual_others, |load| {
-            load.others_now(profile.usual_others, settings.load_half_life, now)
+        let others = self.load.map_or(profile.median_others_utilisation, |load| {
+            load.decayed_others_utilisation(
+                profile.median_others_utilisation,
+                settings.load_half_life,
+                now,
+            )
         });
         others + self.outstanding.len() as f64 / self.limit(profile, settings)
     }
 
-    /// The limit that counts: the reported one, bounded by what the service's others report.
+    /// Returns the reported limit, or the median limit of the service without a report. A multiple
+    /// of the median bounds it, so that a false report cannot attract all traffic.
     #[must_use]
     pub fn limit(&self, profile: &ServiceProfile, settings: &RoutingSettings) -> f64 {
         let reported = self.load.and_then(|load| load.limit());
@@ -222,7 +240,7 @@
             .clamp(1.0, profile.median_limit * settings.limit_ratio_limit)
     }
 
-    /// Peak-sensitive latency, seconds.
+    /// Returns the peak-sensitive latency in seconds, or `None` while no latency is known.
     #[must_use]
     pub fn peak_latency(
         &self,
@@ -234,15 +252,17 @@
         self.latency.map(|latency| latency.peak(baseline, now))
     }
 
-    /// Whether the endpoint takes one more attempt while it is probed.
+    /// Returns whether the endpoint may get another attempt. While probing, it may have only one in
+    /// flight.
     #[must_use]
     pub fn admits_probe(&self) -> bool {
         self.health
             .probing_since()
-            .is_none_or(|since| self.outstanding.count_from(Some(since)) == 0)
+            .is_none_or(|since| self.outstanding.count_since(Some(since)) == 0)
     }
 
-    /// The next phase of its health; an endpoint that begins to probe starts with a clean record.
+    /// Enters the next health phase if it is due. Clears the latency and the unserved share when
+    /// probing starts.
     pub fn advance(&mut self, now: Instant) {
         if self.health.advance(now) {
             self.latency = None;
@@ -250,7 +270,7 @@
         }
     }
 
-    /// The row as status pages show it.
+    /// Returns the status of the row as a status page shows it.
     #[must_use]
     pub fn status(
         &self,
@@ -269,7 +289,7 @@
                 .latency
                 .map(|latency| Duration::from_secs_f64(latency.mean())),
             unserved: self.unserved.get(settings.unserved_half_life, now),
-            ramp_share: self.health.share(settings, now),
+            ramp_share: self.health.traffic_share(settings, now),
         }
     }
 
--- a/crates/standalone/tallybridge-routing/src/endpoint/suspicion.rs
+++ b/crates/standalone/tallybridge-routing/src/endpoint/suspicion.rs
@@ -1,4 +1,4 @@
-//! Whether an endpoint leaves attempts unanswered, seen before any of them fails.
+//! Detection of stalled endpoints, before any of their attempts times out.
 
 use std::time::Instant;
 
@@ -6,7 +6,8 @@
 use crate::{RoutingSettings, table::profile::ServiceProfile};
 
 impl EndpointRow {
-    /// Attempts since the last ejection that are in flight for longer than is usual.
+    /// Counts the overdue attempts in flight that started since the latest ejection or start of
+    /// probing.
     #[must_use]
     pub fn overdue(
         &self,
@@ -19,11 +20,12 @@
         };
         now.checked_sub(limit).map_or(0, |before| {
             self.outstanding
-                .count_between(self.health.judged_from(), before)
+                .count_between(self.health.assessed_since(), before)
         })
     }
 
-    /// Whether what was observed asks for an ejection.
+    /// Returns whether the endpoint should be ejected, for consecutive failures or overdue
+    /// attempts.
     #[must_use]
     pub fn is_suspect(
         &self,
@@ -34,11 +36,12 @@
         if self.health.is_ejected() {
             return false;
         }
-        self.health.has_failed_out(settings) || self.is_stalled(profile, settings, now)
+        self.health.has_reached_failure_limit(settings) || self.is_stalled(profile, settings, now)
     }
 
-    /// Whether attempts go unanswered: one is overdue and none that began after it was answered, or
-    /// most of those in flight are overdue and more are about to be.
+    /// Returns whether the endpoint leaves attempts unanswered. That is the case if an attempt is
+    /// overdue and none that started later was answered, or if most attempts in flight are overdue
+    /// and several more soon will be.
     fn is_stalled(
         &self,
         profile: &ServiceProfile,
@@ -49,29 +52,35 @@
         if overdue == 0 {
             return false;
         }
-        let since = self.health.judged_from();
-        let is_silent = self.answered_start < self.outstanding.oldest_from(since);
-        let enough = if self.health.is_recovering() {
+        let since = self.health.assessed_since();
+        let is_unresponsive = self.latest_answered_start < self.outstanding.oldest_since(since);
+        let min_overdue = if self.health.is_recovering() {
             1
         } else {
             settings.overdue_count
         };
         let is_mostly_overdue =
-            overdue >= enough && 2 * overdue >= self.outstanding.count_from(since);
-        is_silent || (is_mostly_overdue && self.late(profile, settings, now) >= enough)
+            overdue >= min_overdue && 2 * overdue >= self.outstanding.count_since(since);
+        is_unresponsive
+            || (is_mostly_overdue && self.nearly_overdue(profile, settings, now) >= min_overdue)
     }
 
-    /// Attempts that are over halfway to being overdue. An endpoint that is well again has none, even
-    /// while overdue ones from before are left.
-    fn late(&self, profile: &ServiceProfile, settings: &RoutingSettings, now: Instant) -> usize {
+    /// Counts the attempts that have reached half of the overdue time but not all of it. A
+    /// recovered endpoint has none, even if older attempts are still overdue.
+    fn nearly_overdue(
+        &self,
+        profile: &ServiceProfile,
+        settings: &RoutingSettings,
+        now: Instant,
+    ) -> usize {
         let Some(limit) = profile.overdue_after(settings) else {
             return 0;
         };
         let overdue_before = now.checked_sub(limit);
-        let late_before = now.checked_sub(limit / 2);
-        late_before.map_or(0, |before| {
-            let from = overdue_before.max(self.health.judged_from());
-            self.outstanding.count_between(from, before)
+        let nearly_overdue_before = now.checked_sub(limit / 2);
+        nearly_overdue_before.map_or(0, |before| {
+            let since = overdue_before.max(self.health.assessed_since());
+            self.outstanding.count_between(since, before)
         })
     }
 }
--- a/crates/standalone/tallybridge-routing/src/lib.rs
+++ b/crates/standalone/tallybridge-routing/src/lib.rs
@@ -1,8 +1,9 @@
-//! Which executor node takes the next call of a service.
+//! Chooses the executor node that takes the next call of a service.
 //!
-//! An [`EndpointTable`] holds one row for each executor node and is owned by the node's actor. A
-//! call is routed by two random choices on observed load; what endpoints report of themselves is
-//! weighed against what is seen of them.
+//! An [`EndpointTable`] holds one row per executor node and is owned by the node's actor. Each call
+//! goes to the cheapest of a few randomly drawn endpoints. The cost combines the load that an
+//! endpoint reports with the latency, failures and refusals that this node observes, so that a
+//! false load report alone does not attract traffic.
 
 pub mod attempt;
 pub mod endpoint;
--- a/crates/standalone/tallybridge-routing/src/settings.rs
+++ b/crates/standalone/tallybridge-routing/src/settings.rs
@@ -1,51 +1,53 @@
-//! The numbers that routing is tuned by.
+//! Settings of the routing algorithm.
 
 use std::time::Duration;
 
-/// Settings of an endpoint table.
+/// Settings of an [`EndpointTable`](crate::EndpointTable).
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoutingSettings {
-    /// What a call to another zone of the region costs more than one within the zone (round trip).
+    /// Extra round-trip time of a call to another zone of the region.
     pub zone_hop: Duration,
-    /// Most that the hop may weigh, in typical latencies of the service; bounds how much busier the
-    /// local endpoints get than the others where calls are shorter than the hop.
+    /// Maximum cost of a zone hop, in typical latencies of the service. It bounds how much busier
+    /// local endpoints get than remote ones when calls are shorter than the hop.
     pub zone_hop_weight_limit: f64,
-    /// Time constant with which a latency above the others' is forgotten.
+    /// Time constant with which an above-average latency decays to the typical latency.
     pub latency_decay: Duration,
-    /// Ratio to the typical latency of the service up to which an endpoint's latency is noise.
+    /// Ratio to the typical latency of the service up to which a higher latency adds no cost.
     pub latency_tolerance: f64,
     /// Half-life of the share of attempts that an endpoint did not serve.
     pub unserved_half_life: Duration,
-    /// Half-life of a load report.
+    /// Half-life of the load that an endpoint reports.
     pub load_half_life: Duration,
-    /// Age after which a report's admission level no longer counts.
+    /// Age after which the admission level of a load report is ignored.
     pub level_lifetime: Duration,
-    /// Most that an endpoint's reported limit counts, in median limits of its service.
+    /// Cap on an endpoint's reported limit, as a multiple of the median limit of its service.
     pub limit_ratio_limit: f64,
-    /// An attempt is overdue after this many typical latencies of the service.
+    /// Age at which an attempt is overdue, in typical latencies of the service. It also scales the
+    /// extra cost of an endpoint with overdue attempts.
     pub overdue_factor: f64,
-    /// An attempt is never overdue before this time.
+    /// Minimum age at which an attempt is overdue.
     pub overdue_minimum: Duration,
-    /// Overdue attempts that eject an endpoint that still answers others; one while it recovers.
+    /// Number of overdue attempts that eject an endpoint that still answers others. One is enough
+    /// while the endpoint recovers from an ejection.
     pub overdue_count: usize,
-    /// Failures in a row that eject an endpoint.
+    /// Number of failures in a row that eject an endpoint.
     pub consecutive_failures: u32,
-    /// How long a first ejection lasts; each further one in a row doubles it.
+    /// Duration of a first ejection. It doubles with each further ejection in a row.
     pub ejection_time: Duration,
-    /// Longest ejection.
+    /// Maximum duration of an ejection.
     pub ejection_time_limit: Duration,
-    /// Probes, one at a time, that an endpoint must answer in a row after an ejection.
+    /// Number of probes in a row that an endpoint must answer after an ejection.
     pub probes: u32,
-    /// A probe must be answered within this many typical latencies of the service.
+    /// Maximum latency of a successful probe, in typical latencies of the service.
     pub probe_factor: f64,
-    /// Greatest share of a service's endpoints that is ejected at once; above it the fault is taken
-    /// to be the service's, not the endpoints'.
+    /// Maximum share of a service's endpoints that are ejected at once. Above it, the service as a
+    /// whole is assumed to be at fault, and the endpoints are probed instead.
     pub ejected_share_limit: f64,
-    /// Share of its traffic with which an endpoint's ramp starts.
+    /// Share of its normal traffic that an endpoint gets when its ramp starts.
     pub ramp_floor: f64,
-    /// How long the ramp of a new endpoint lasts.
+    /// Duration of the ramp of a new endpoint.
     pub cold_start_ramp: Duration,
-    /// How long the ramp of an endpoint that was ejected lasts.
+    /// Duration of the ramp after an ejection.
     pub recovery_ramp: Duration,
 }
 
--- a/crates/standalone/tallybridge-routing/src/table/cost.rs
+++ b/crates/standalone/tallybridge-routing/src/table/cost.rs
@@ -1,46 +1,46 @@
-//! What one more call at an endpoint is expected to cost, in typical latencies of its service.
+//! Expected cost of one more call at an endpoint, in typical latencies of its service.
 
 use std::time::Instant;
 
 use super::profile::ServiceProfile;
 use crate::{Proximity, RoutingSettings, endpoint::row::EndpointRow};
 
-/// Power of the utilisation that waiting grows with: next to nothing at half load, one typical
-/// latency where the limit is reached. So nearness decides at low load and evenness at high load.
-const WAIT_POWER: i32 = 8;
-/// Rise of the cost with the ratio of latencies beyond the tolerated one, so that the cost soon is
-/// that ratio although a smaller one counts as noise.
+/// A high exponent makes the wait negligible at half load, while it is one typical latency at the
+/// limit. Proximity therefore decides at low load, and even utilisation at high load.
+const WAIT_EXPONENT: i32 = 8;
+/// Slope of the latency factor beyond the tolerated ratio. The slope exceeds 1, so that the factor
+/// catches up with the ratio itself.
 const LATENCY_SLOPE: f64 = 2.0;
-/// Greatest unserved share that counts, so that the cost stays finite.
-const GREATEST_UNSERVED: f64 = 0.95;
+/// Largest unserved share that counts, which keeps the cost finite.
+const MAX_UNSERVED_SHARE: f64 = 0.95;
 
-/// Expected cost of one more call.
+/// Returns the expected cost of one more call, in typical latencies of the service.
 #[must_use]
-pub fn of_row(
+pub fn expected_cost(
     row: &EndpointRow,
     profile: &ServiceProfile,
     settings: &RoutingSettings,
     now: Instant,
 ) -> f64 {
-    let wait = wait(row.utilisation(profile, settings, now));
+    let wait = expected_wait(row.utilisation(profile, settings, now));
     let latency = latency_factor(row, profile, settings, now);
     let overdue = overdue_factor(row, profile, settings, now);
     let unserved = row.unserved.get(settings.unserved_half_life, now);
-    let attempts = 1.0 / (1.0 - unserved.min(GREATEST_UNSERVED));
-    (1.0 + wait) * latency * overdue * attempts + hop(row, profile, settings)
+    let expected_attempts = 1.0 / (1.0 - unserved.min(MAX_UNSERVED_SHARE));
+    (1.0 + wait) * latency * overdue * expected_attempts + hop_cost(row, profile, settings)
 }
 
-/// Expected waiting. Above the limit a call waits about one latency for each limit's worth of calls
-/// before it; a steeper rise would make an endpoint that serves nothing look better than a queue.
-fn wait(utilisation: f64) -> f64 {
+/// Returns the expected wait in typical latencies. Above the limit the wait grows only linearly:
+/// with a steeper rise, an endpoint that serves nothing would look cheaper than one with a queue.
+fn expected_wait(utilisation: f64) -> f64 {
     if utilisation <= 1.0 {
-        utilisation.powi(WAIT_POWER)
+        utilisation.powi(WAIT_EXPONENT)
     } else {
         utilisation
     }
 }
 
-/// How much slower than is typical the endpoint is; faster gives no bonus, since failing is fast.
+/// An endpoint that is faster than typical gets no bonus, because failures are often fast.
 fn latency_factor(
     row: &EndpointRow,
     profile: &ServiceProfile,
@@ -55,7 +55,7 @@
         })
 }
 
-/// Attempts that are overdue count before they fail.
+/// Raises the cost of an endpoint with overdue attempts before they time out.
 fn overdue_factor(
     row: &EndpointRow,
     profile: &ServiceProfile,
@@ -66,11 +66,11 @@
     if overdue == 0 {
         return 1.0;
     }
-    let in_flight = row.outstanding.count_from(row.health.judged_from());
+    let in_flight = row.outstanding.count_since(row.health.assessed_since());
     1.0 + settings.overdue_factor * overdue as f64 / in_flight as f64
 }
 
-fn hop(row: &EndpointRow, profile: &ServiceProfile, settings: &RoutingSettings) -> f64 {
+fn hop_cost(row: &EndpointRow, profile: &ServiceProfile, settings: &RoutingSettings) -> f64 {
     if row.proximity == Proximity::SameZone {
         return 0.0;
     }
--- a/crates/standalone/tallybridge-routing/src/table/load.rs
+++ b/crates/standalone/tallybridge-routing/src/table/load.rs
@@ -1,26 +1,26 @@
-//! Load of a whole service, for refusals at the entry.
+//! Load of a whole service, by which an entry decides on refusals.
 
 use tallybridge_core::Criticality;
 
-/// Load of a service over the endpoints that take new work.
+/// Total load of the endpoints of a service that take new work and are not ejected.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct ServiceLoad {
-    /// Endpoints that take new work and are not ejected.
+    /// Number of endpoints that take new work and are not ejected.
     pub endpoints: usize,
-    /// Attempts of this node in flight.
+    /// Number of this node's attempts in flight.
     pub in_flight: usize,
-    /// Sum of the limits.
+    /// Sum of the endpoints' limits, in calls.
     pub limit: f64,
-    /// Estimated calls in flight and queued from all nodes.
+    /// Estimated calls running and queued, from all nodes.
     pub estimated: f64,
-    /// Calls queued by the latest reports.
+    /// Number of queued calls according to the latest reports.
     pub queued: usize,
-    /// Least critical class that at least one endpoint admits; `None` when none admits any.
+    /// Least critical class that at least one endpoint admits, or `None` when none admits any.
     pub admitted_from: Option<Criticality>,
 }
 
 impl ServiceLoad {
-    /// Estimated calls in limits; above 1 the service queues.
+    /// Returns the estimated calls divided by the limit. Calls queue above 1.
     #[must_use]
     pub fn utilisation(&self) -> f64 {
         if self.limit > 0.0 {
@@ -30,17 +30,17 @@
         }
     }
 
-    /// Whether some endpoint admits calls of that class.
+    /// Returns whether at least one endpoint admits calls of the class.
     #[must_use]
     pub fn admits(&self, criticality: Criticality) -> bool {
-        self.admitted_from.is_some_and(|from| criticality >= from)
+        self.admitted_from.is_some_and(|level| criticality >= level)
     }
 
-    /// Takes in the level of one endpoint.
-    pub(crate) fn admit_from(&mut self, level: Option<Criticality>) {
+    /// Lowers the admitted class to the admission level of an endpoint if that level is lower.
+    pub(crate) fn include_level(&mut self, level: Option<Criticality>) {
         self.admitted_from = match (self.admitted_from, level) {
-            (Some(known), Some(level)) => Some(known.min(level)),
-            (known, level) => known.or(level),
+            (Some(current), Some(level)) => Some(current.min(level)),
+            (current, level) => current.or(level),
         };
     }
 }
--- a/crates/standalone/tallybridge-routing/src/table/mod.rs
+++ b/crates/standalone/tallybridge-routing/src/table/mod.rs
@@ -1,4 +1,4 @@
-//! The table of endpoints, which the node's actor owns.
+//! Table of endpoints, which the node's actor owns, and the choice among them.
 
 pub mod choice;
 pub mod cost;
@@ -19,18 +19,18 @@
 };
 use service::ServiceRows;
 
-/// Every endpoint that calls can be routed to, by service.
+/// Every endpoint to which calls can be routed, by service.
 #[derive(Debug, Clone)]
 pub struct EndpointTable {
     local: Locality,
     settings: RoutingSettings,
     services: BTreeMap<ServiceName, ServiceRows>,
     services_of_nodes: BTreeMap<NodeId, ServiceName>,
-    updated: Option<Instant>,
+    last_tick: Option<Instant>,
 }
 
 impl EndpointTable {
-    /// An empty table for a node at `local`.
+    /// Creates an empty table for a node at `local`.
     #[must_use]
     pub fn new(local: Locality, settings: RoutingSettings) -> Self {
         Self {
@@ -38,28 +38,31 @@
             settings,
             services: BTreeMap::new(),
             services_of_nodes: BTreeMap::new(),
-            updated: None,
+            last_tick: None,
         }
     }
 
-    /// Takes over the members: those which stay keep their state, new ones start cold. Those which
-    /// are gone get no more calls; their attempts in flight stay counted until they end.
+    /// Replaces the membership. Remaining members keep their state, and new ones start with the
+    /// cold-start ramp. Removed members get no more calls, and their attempts in flight stay
+    /// counted until they end.
     pub fn set_endpoints(&mut self, endpoints: impl IntoIterator<Item = Endpoint>, now: Instant) {
         for service in self.services.values_mut() {
-            service.forget_members();
+            service.clear_membership();
         }
         for endpoint in endpoints {
-            self.set_member(endpoint, now);
+            self.add_or_update_member(endpoint, now);
         }
-        self.drop_done();
+        self.remove_unused();
         self.tick(now);
     }
 
-    fn set_member(&mut self, endpoint: Endpoint, now: Instant) {
-        let known = self.services_of_nodes.get(&endpoint.node);
-        let known = known.cloned().unwrap_or_else(|| endpoint.service.clone());
+    fn add_or_update_member(&mut self, endpoint: Endpoint, now: Instant) {
+        let service_name = self.services_of_nodes.get(&endpoint.node);
+        let service_name = service_name
+            .cloned()
+            .unwrap_or_else(|| endpoint.service.clone());
         let proximity = self.local.proximity(&endpoint);
-        let service = self.services.entry(known.clone()).or_default();
+        let service = self.services.entry(service_name.clone()).or_default();
         if let Some(row) = service.row_mut(endpoint.node) {
             row.is_member = true;
             row.proximity = proximity;
@@ -67,21 +70,21 @@
             row.endpoint.zone = endpoint.zone;
             return;
         }
-        self.services_of_nodes.insert(endpoint.node, known);
+        self.services_of_nodes.insert(endpoint.node, service_name);
         service.insert(EndpointRow::new(endpoint, proximity, &self.settings, now));
     }
 
-    fn drop_done(&mut self) {
+    fn remove_unused(&mut self) {
         let nodes = &mut self.services_of_nodes;
         for service in self.services.values_mut() {
-            service.drop_done(|node| {
+            service.remove_unused(|node| {
                 nodes.remove(&node);
             });
         }
         self.services.retain(|_, service| !service.is_empty());
     }
 
-    /// Gives the endpoint no new calls for the rest of its run.
+    /// Marks an endpoint as leaving. It gets no new calls from then on.
     pub fn mark_leaving(&mut self, node: NodeId) {
         let Some(service) = self.services_of_nodes.get(&node) else {
             return;
@@ -92,17 +95,17 @@
         if let Some(row) = service.row_mut(node) {
             row.is_leaving = true;
         }
-        if let Some(now) = self.updated {
-            service.review(&self.settings, now);
+        if let Some(now) = self.last_tick {
+            service.refresh(&self.settings, now);
         }
     }
 
-    /// Chooses an endpoint and counts an attempt in flight there; the attempt's end is reported
-    /// with [`finish`](Self::finish).
+    /// Chooses an endpoint and counts an attempt in flight there. The caller must report the end of
+    /// the attempt with [`finish`](Self::finish).
     ///
     /// # Errors
     ///
-    /// [`NoEndpoint`] when no endpoint of the service may be given the call.
+    /// Returns [`NoEndpoint`] when no endpoint of the service can take the call.
     pub fn choose(
         &mut self,
         service: &ServiceName,
@@ -116,8 +119,8 @@
             .choose(excluded, &self.settings, now, rng)
     }
 
-    /// Takes in how an attempt at a chosen endpoint ended. Once for each choice; an end at an
-    /// unknown endpoint is ignored.
+    /// Records the result of an attempt. The caller must report each chosen attempt exactly once.
+    /// Results for an unknown endpoint are ignored.
     pub fn finish(&mut self, node: NodeId, result: AttemptResult, now: Instant) {
         let Some(service) = self.services_of_nodes.get(&node) else {
             return;
@@ -126,26 +129,26 @@
             return;
         };
         if service.finish(node, result, &self.settings, now) {
-            service.drop_done(|_| ());
-            service.review(&self.settings, now);
+            service.remove_unused(|_| ());
+            service.refresh(&self.settings, now);
             self.services_of_nodes.remove(&node);
             self.services.retain(|_, service| !service.is_empty());
         }
     }
 
-    /// Brings ejections, ramps and what is usual for each service up to date; to be called some ten
-    /// times a second.
+    /// Updates ejections, ramps and the profile of each service. The caller must run it about every
+    /// 100 ms.
     pub fn tick(&mut self, now: Instant) {
         for service in self.services.values_mut() {
-            service.review(&self.settings, now);
+            service.refresh(&self.settings, now);
         }
-        self.updated = Some(now);
+        self.last_tick = Some(now);
     }
 
-    /// Every endpoint as of the latest tick, by service and node.
+    /// Returns the status of every endpoint as of the latest tick, sorted by service and node.
     #[must_use]
     pub fn snapshot(&self) -> Vec<EndpointStatus> {
-        let Some(now) = self.updated else {
+        let Some(now) = self.last_tick else {
             return Vec::new();
         };
         let status_of = |service: &ServiceRows| {
--- a/crates/standalone/tallybridge-routing/src/table/service.rs
+++ b/crates/standalone/tallybridge-routing/src/table/service.rs
@@ -1,4 +1,4 @@
-//! The endpoints of one service.
+//! Endpoints of one service: the choice among them, and their ejection.
 
 use std::time::{Duration, Instant};
 
@@ -12,62 +12,63 @@
 };
 use crate::{AttemptResult, NoEndpoint, RoutingSettings, endpoint::row::EndpointRow};
 
-/// Rows of one service, in the order of their nodes.
+/// Rows of one service, sorted by node.
 #[derive(Debug, Clone, Default)]
 pub struct ServiceRows {
     rows: Vec<EndpointRow>,
     groups: Groups,
     profile: ServiceProfile,
-    reviewed: Option<Instant>,
+    last_refresh: Option<Instant>,
 }
 
 impl ServiceRows {
-    /// All rows.
+    /// Returns all rows, including those of endpoints that are no longer members.
     #[must_use]
     pub fn rows(&self) -> &[EndpointRow] {
         &self.rows
     }
 
-    /// What is usual for the service.
+    /// Returns the typical values as of the latest refresh.
     #[must_use]
     pub fn profile(&self) -> &ServiceProfile {
         &self.profile
     }
 
-    /// Whether no row is left.
+    /// Returns whether the service has no rows.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
 
-    /// The row of a node.
+    /// Returns the row of a node, or `None` if the service has none.
     pub fn row_mut(&mut self, node: NodeId) -> Option<&mut EndpointRow> {
         let index = self.index_of(node).ok()?;
         self.rows.get_mut(index)
     }
 
-    /// Adds a row; there is none of the same node.
+    /// Inserts a row unless its node already has one.
     pub fn insert(&mut self, row: EndpointRow) {
         if let Err(index) = self.index_of(row.endpoint.node) {
             self.rows.insert(index, row);
         }
     }
 
-    /// Marks every row as no member, before those that are get marked again.
-    pub fn forget_members(&mut self) {
+    /// Marks every row as not a member. The caller then marks the current members.
+    pub fn clear_membership(&mut self) {
         for row in &mut self.rows {
             row.is_member = false;
         }
     }
 
-    /// Drops the rows that are done, telling their nodes.
-    pub fn drop_done(&mut self, mut dropped: impl FnMut(NodeId)) {
+    /// Removes the rows of former members without attempts in flight, and calls `on_removed` with
+    /// each node.
+    pub fn remove_unused(&mut self, mut on_removed: impl FnMut(NodeId)) {
         self.rows.retain(|row| {
-            let is_done = row.is_done();
-            if is_done {
-                dropped(row.endpoint.node);
+            let is_removable = row.is_removable();
+            if is_removable {
+                on_removed(row.endpoint.node);
             }
-            !is_done
+            !is_removable
         });
     }
 
@@ -77,6 +78,10 @@
     }
 
     /// Chooses an endpoint and counts an attempt in flight there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoEndpoint`] when no endpoint of the service can take the call.
     pub fn choose(
         &mut self,
         excluded: &[NodeId],
@@ -93,14 +98,14 @@
             now,
         };
         let Some(chosen) = choice.choose(rng) else {
-            return Err(self.reason_for_none());
+            return Err(self.no_endpoint_reason());
         };
         let row = &mut self.rows[chosen];
         row.outstanding.start(now);
         Ok(row.endpoint.node)
     }
 
-    fn reason_for_none(&self) -> NoEndpoint {
+    fn no_endpoint_reason(&self) -> NoEndpoint {
         if !self.rows.iter().any(|row| row.is_member) {
             NoEndpoint::UnknownService
         } else if self.rows.iter().any(EndpointRow::takes_new_work) {
@@ -110,7 +115,7 @@
         }
     }
 
-    /// Takes in how an attempt ended; says whether the row is done.
+    /// Records the result of an attempt and returns whether the row can be removed.
     pub fn finish(
         &mut self,
         node: NodeId,
@@ -122,46 +127,48 @@
             return false;
         };
         let row = &mut self.rows[index];
-        let had_work = row.takes_new_work();
+        let took_new_work = row.takes_new_work();
         row.finish(result, &self.profile, settings, now);
-        let is_done = row.is_done();
-        let has_failed_out = row.health.has_failed_out(settings);
+        let is_removable = row.is_removable();
+        let has_reached_failure_limit = row.health.has_reached_failure_limit(settings);
         let is_first_latency = self.profile.typical_latency.is_none() && row.has_settled_latency();
-        if had_work != row.takes_new_work() || has_failed_out || is_first_latency {
-            self.review(settings, now);
+        if took_new_work != row.takes_new_work() || has_reached_failure_limit || is_first_latency {
+            self.refresh(settings, now);
         }
-        is_done
+        is_removable
     }
 
-    /// Brings everything that is derived from the rows up to date.
-    pub fn review(&mut self, settings: &RoutingSettings, now: Instant) {
+    /// Updates the health of each row, the ejections, the groups and the profile.
+    pub fn refresh(&mut self, settings: &RoutingSettings, now: Instant) {
         for row in &mut self.rows {
             row.advance(now);
         }
-        self.review_ejections(settings, now);
+        self.refresh_ejections(settings, now);
         self.regroup();
-        let greatest_share = self.greatest_share(settings, now);
-        let elapsed = self.reviewed.map_or(Duration::ZERO, |reviewed| {
-            now.saturating_duration_since(reviewed)
+        let max_ramp_share = self.max_ramp_share(settings, now);
+        let elapsed = self.last_refresh.map_or(Duration::ZERO, |last_refresh| {
+            now.saturating_duration_since(last_refresh)
         });
-        self.reviewed = Some(now);
-        self.profile = ServiceProfile::of_rows(&self.rows, &self.profile, greatest_share, elapsed);
+        self.last_refresh = Some(now);
+        self.profile =
+            ServiceProfile::from_rows(&self.rows, &self.profile, max_ramp_share, elapsed);
     }
 
-    /// Ejects the suspects, unless they and those ejected before are too many: then the fault is
-    /// likely the service's, and to send its load to fewer endpoints would add to it (Envoy's panic
-    /// threshold). In that case they are all probed at once.
-    fn review_ejections(&mut self, settings: &RoutingSettings, now: Instant) {
+    /// Ejects the suspect endpoints, unless too many would then be ejected. In that case the
+    /// service as a whole is probably at fault, and ejections would overload the remaining
+    /// endpoints. All ejected and suspect endpoints are then probed instead, as with Envoy's panic
+    /// threshold.
+    fn refresh_ejections(&mut self, settings: &RoutingSettings, now: Instant) {
         let profile = self.profile;
-        let is_out =
+        let is_ejected_or_suspect =
             |row: &EndpointRow| row.health.is_ejected() || row.is_suspect(&profile, settings, now);
-        let takers = || self.rows.iter().filter(|row| row.takes_new_work());
-        let out = takers().filter(|row| is_out(row)).count();
-        let is_panic = out > most_ejected(takers().count(), settings);
-        let takers = self.rows.iter_mut().filter(|row| row.takes_new_work());
-        for row in takers.filter(|row| is_out(row)) {
+        let eligible = || self.rows.iter().filter(|row| row.takes_new_work());
+        let failing = eligible().filter(|row| is_ejected_or_suspect(row)).count();
+        let is_panic = failing > max_ejected(eligible().count(), settings);
+        let eligible = self.rows.iter_mut().filter(|row| row.takes_new_work());
+        for row in eligible.filter(|row| is_ejected_or_suspect(row)) {
             if is_panic {
-                row.health.probe(now);
+                row.health.start_probing(now);
             } else if !row.health.is_ejected() {
                 row.health.eject(settings, now);
             }
@@ -170,7 +177,7 @@
 
     fn regroup(&mut self) {
         let groups = &mut self.groups;
-        groups.open.iter_mut().for_each(Vec::clear);
+        groups.by_proximity.iter_mut().for_each(Vec::clear);
         groups.ejected.clear();
         for (index, row) in self.rows.iter().enumerate() {
             if !row.takes_new_work() {
@@ -179,27 +186,27 @@
             if row.health.is_ejected() {
                 groups.ejected.push(index);
             } else {
-                groups.open[row.proximity as usize].push(index);
+                groups.by_proximity[row.proximity as usize].push(index);
             }
         }
     }
 
-    fn greatest_share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
+    fn max_ramp_share(&self, settings: &RoutingSettings, now: Instant) -> f64 {
         let shares = self
             .rows
             .iter()
             .filter(|row| row.takes_new_work() && row.health.probing_since().is_none())
-            .map(|row| row.health.share(settings, now));
-        let greatest = shares.fold(0.0, f64::max);
-        if greatest > 0.0 { greatest } else { 1.0 }
+            .map(|row| row.health.traffic_share(settings, now));
+        let max_share = shares.fold(0.0, f64::max);
+        if max_share > 0.0 { max_share } else { 1.0 }
     }
 
-    /// Load of the whole service.
+    /// Returns the total load of the endpoints that take new work and are not ejected.
     #[must_use]
     pub fn load(&self, settings: &RoutingSettings, now: Instant) -> ServiceLoad {
         let mut load = ServiceLoad::default();
-        let open = self.groups.open.iter().flatten();
-        for row in open.map(|index| &self.rows[*index]) {
+        let available = self.groups.by_proximity.iter().flatten();
+        for row in available.map(|index| &self.rows[*index]) {
             let limit = row.limit(&self.profile, settings);
             load.endpoints += 1;
             load.in_flight += row.outstanding.len();
@@ -209,14 +216,15 @@
             let level = row.load.map_or(Some(Criticality::ALL[0]), |load| {
                 load.admitted_from(settings.level_lifetime, now)
             });
-            load.admit_from(level);
+            load.include_level(level);
         }
         load
     }
 }
 
-/// Endpoints of `count` that may be ejected at once: the share, but one of two or three.
-fn most_ejected(count: usize, settings: &RoutingSettings) -> usize {
-    let share = (count as f64 * settings.ejected_share_limit).floor() as usize;
-    if count < 2 { 0 } else { share.max(1) }
+/// Returns how many of `count` endpoints may be ejected at once. With two or three endpoints, one
+/// may always be ejected. A single endpoint never is.
+fn max_ejected(count: usize, settings: &RoutingSettings) -> usize {
+    let max_count = (count as f64 * settings.ejected_share_limit).floor() as usize;
+    if count < 2 { 0 } else { max_count.max(1) }
 }
