--- a/crates/standalone/tallybridge-routing/benches/choose.rs
+++ b/crates/standalone/tallybridge-routing/benches/choose.rs
@@ -1,5 +1,6 @@
-//! Cost of one decision (a choice and the end of the attempt) by the number of endpoints of the
-//! service, of other services, and of attempts in flight; and of a tick at the design size.
+//! Benchmarks of a routing decision (a choice and the end of its attempt) and of a tick.
+//!
+//! The decision benchmarks vary the number of endpoints, of services and of attempts in flight.
 
 use std::{
     hint::black_box,
@@ -12,24 +13,24 @@
 use tallybridge_core::{InstanceId, LoadReport, NodeId, ServiceName};
 use tallybridge_routing::{AttemptResult, Endpoint, EndpointTable, Locality, RoutingSettings};
 
-/// Endpoints of one service at most.
-const GREATEST_SERVICE: u32 = 40;
-/// Services and endpoints at the design size.
-const SERVICES: u32 = 54;
-const ENDPOINTS_PER_SERVICE: u32 = 17;
-const LATENCY: Duration = Duration::from_millis(20);
+/// Largest number of endpoints of one service.
+const MAX_ENDPOINTS_PER_SERVICE: u32 = 40;
+/// Number of services in a full-size deployment.
+const SERVICE_COUNT: u32 = 54;
+const TYPICAL_ENDPOINTS_PER_SERVICE: u32 = 17;
+const TICK_STEP: Duration = Duration::from_millis(20);
 
 fn service(number: u32) -> ServiceName {
     format!("service-{number}").into()
 }
 
-fn endpoints(services: u32, each: u32) -> impl Iterator<Item = Endpoint> {
-    (0..services * each).map(move |number| Endpoint {
+fn endpoints(services: u32, per_service: u32) -> impl Iterator<Item = Endpoint> {
+    (0..services * per_service).map(move |number| Endpoint {
         node: NodeId {
             address: SocketAddr::from((number.to_be_bytes(), 7000)),
             instance: InstanceId(u64::from(number)),
         },
-        service: service(number / each),
+        service: service(number / per_service),
         region: "region".into(),
         zone: format!("zone-{}", number % 3).into(),
     })
@@ -45,8 +46,12 @@
     table
 }
 
-/// One choice and the end of its attempt, while `in_flight` others go on.
-fn decide(bencher: &mut criterion::Bencher<'_>, mut table: EndpointTable, in_flight: usize) {
+/// Measures one choice and the end of its attempt while `in_flight` other attempts stay in flight.
+fn bench_decision(
+    bencher: &mut criterion::Bencher<'_>,
+    mut table: EndpointTable,
+    in_flight: usize,
+) {
     let mut now = Instant::now();
     let mut rng = SmallRng::seed_from_u64(1);
     let called = service(0);
@@ -58,12 +63,12 @@
     for _ in 0..in_flight {
         table
             .choose(&called, &[], now, &mut rng)
-            .expect("none leaves");
+            .expect("no endpoint is leaving");
     }
     bencher.iter(|| {
         let node = table
             .choose(black_box(&called), &[], now, &mut rng)
-            .expect("none leaves");
+            .expect("no endpoint is leaving");
         let result = AttemptResult::Answered {
             latency: Duration::ZERO,
             load,
@@ -73,38 +78,42 @@
     });
 }
 
-fn decisions(criterion: &mut Criterion) {
+fn bench_decisions(criterion: &mut Criterion) {
     let now = Instant::now();
     let mut group = criterion.benchmark_group("decision");
-    for each in [3, 12, GREATEST_SERVICE] {
-        let id = BenchmarkId::new("endpoints of the service", each);
+    for per_service in [3, 12, MAX_ENDPOINTS_PER_SERVICE] {
+        let id = BenchmarkId::new("endpoints of the service", per_service);
         group.bench_function(id, |bencher| {
-            decide(bencher, table(endpoints(1, each), now), 0)
+            bench_decision(bencher, table(endpoints(1, per_service), now), 0)
         });
     }
-    for services in [1, 10, SERVICES, 10 * SERVICES] {
+    for services in [1, 10, SERVICE_COUNT, 10 * SERVICE_COUNT] {
         let id = BenchmarkId::new("services", services);
-        let all = || endpoints(services, ENDPOINTS_PER_SERVICE);
-        group.bench_function(id, |bencher| decide(bencher, table(all(), now), 0));
+        let all_endpoints = || endpoints(services, TYPICAL_ENDPOINTS_PER_SERVICE);
+        group.bench_function(id, |bencher| {
+            bench_decision(bencher, table(all_endpoints(), now), 0)
+        });
     }
     for in_flight in [0, 100, 10_000] {
         let id = BenchmarkId::new("attempts in flight", in_flight);
-        let all = || endpoints(1, ENDPOINTS_PER_SERVICE);
-        group.bench_function(id, |bencher| decide(bencher, table(all(), now), in_flight));
+        let all_endpoints = || endpoints(1, TYPICAL_ENDPOINTS_PER_SERVICE);
+        group.bench_function(id, |bencher| {
+            bench_decision(bencher, table(all_endpoints(), now), in_flight)
+        });
     }
     group.finish();
 }
 
-fn ticks(criterion: &mut Criterion) {
+fn bench_ticks(criterion: &mut Criterion) {
     let mut now = Instant::now();
-    let mut table = table(endpoints(SERVICES, ENDPOINTS_PER_SERVICE), now);
+    let mut table = table(endpoints(SERVICE_COUNT, TYPICAL_ENDPOINTS_PER_SERVICE), now);
     criterion.bench_function("tick of 918 endpoints", |bencher| {
         bencher.iter(|| {
-            now += LATENCY;
+            now += TICK_STEP;
             table.tick(now);
         });
     });
 }
 
-criterion_group!(benches, decisions, ticks);
+criterion_group!(benches, bench_decisions, bench_ticks);
 criterion_main!(benches);
--- a/crates/standalone/tallybridge-routing/tests/choose_state_machine.rs
+++ b/crates/standalone/tallybridge-routing/tests/choose_state_machine.rs
@@ -1,8 +1,10 @@
-//! Random sequences of membership changes, choices and ends of attempts against a plain oracle:
-//! the set of endpoints that take new work and a count of attempts for each node.
+//! Compares random sequences of membership changes, choices and attempt ends with an oracle.
 //!
-//! Long run with fresh seeds: `PROPTEST_CASES=10000 PROPTEST_RNG_SEED=<number> cargo test -p
-//! tallybridge-routing --test choose_state_machine --release`.
+//! The oracle is the set of endpoints that take new work and the number of attempts in flight for
+//! each node.
+//!
+//! To run more cases with another seed: `PROPTEST_CASES=10000 PROPTEST_RNG_SEED=<number> cargo test
+//! -p tallybridge-routing --test choose_state_machine --release`.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,8 +25,8 @@
     RoutingSettings,
 };
 
-const SERVICES: u8 = 2;
-const ADDRESSES: u8 = 10;
+const SERVICE_COUNT: u8 = 2;
+const ADDRESS_COUNT: u8 = 10;
 const SEED: u64 = 7;
 
 fn service(number: u8) -> ServiceName {
@@ -38,20 +40,20 @@
     }
 }
 
-/// An address keeps its service, zone and region; only the instance changes.
+/// An address keeps its service, zone and region. Only its instance changes.
 fn endpoint(address: u8, instance: u64) -> Endpoint {
     let region = if address < 8 { "near" } else { "far" };
     Endpoint {
         node: node(address, instance),
-        service: service(address % SERVICES),
+        service: service(address % SERVICE_COUNT),
         region: region.into(),
-        zone: format!("zone-{}", address / SERVICES % 3).into(),
+        zone: format!("zone-{}", address / SERVICE_COUNT % 3).into(),
     }
 }
 
-/// How an attempt ends, to be made into an [`AttemptResult`] where its latency is known.
+/// End of an attempt. The test adds the latency when it makes an [`AttemptResult`].
 #[derive(Debug, Clone, Copy)]
-enum End {
+enum AttemptEnd {
     Answered,
     AnsweredLeaving,
     Refused,
@@ -61,9 +63,9 @@
 
 #[derive(Debug, Clone)]
 enum Transition {
-    /// The address joins or, if it is a member, goes.
+    /// Adds the address to the members, or removes it if it is already a member.
     ToggleMember(u8),
-    /// The member at the address is replaced by another instance.
+    /// Replaces the instance at the address.
     Restart(u8),
     Leave(u8),
     Choose {
@@ -72,14 +74,14 @@
     },
     Finish {
         attempt: Index,
-        end: End,
+        end: AttemptEnd,
     },
     FinishUnknown(u8),
     Advance(Duration),
 }
 
-/// Members by address with their instance. An instance that went comes back only as another one if
-/// it was leaving.
+/// Members by address, with their instances. A member that left after announcing its end returns as
+/// another instance.
 #[derive(Debug, Clone, Default)]
 struct Members {
     instances: BTreeMap<u8, u64>,
@@ -92,7 +94,7 @@
         node(address, self.instances.get(&address).copied().unwrap_or(0))
     }
 
-    fn replace(&mut self, address: u8) {
+    fn restart(&mut self, address: u8) {
         *self.instances.entry(address).or_default() += 1;
     }
 
@@ -101,7 +103,7 @@
             return;
         }
         if self.leaving.contains(&self.current(address)) {
-            self.replace(address);
+            self.restart(address);
         }
         self.present.insert(address);
     }
@@ -121,20 +123,20 @@
     }
 
     fn transitions(_: &Self) -> BoxedStrategy<Transition> {
-        let address = || 0..ADDRESSES;
+        let address = || 0..ADDRESS_COUNT;
         let excluded = prop::collection::btree_set(address(), 0..4);
         let end = prop_oneof![
-            6 => Just(End::Answered),
-            1 => Just(End::AnsweredLeaving),
-            3 => Just(End::Refused),
-            6 => Just(End::Failed),
-            2 => Just(End::Cancelled),
+            6 => Just(AttemptEnd::Answered),
+            1 => Just(AttemptEnd::AnsweredLeaving),
+            3 => Just(AttemptEnd::Refused),
+            6 => Just(AttemptEnd::Failed),
+            2 => Just(AttemptEnd::Cancelled),
         ];
         prop_oneof![
             4 => address().prop_map(Transition::ToggleMember),
             1 => address().prop_map(Transition::Restart),
             1 => address().prop_map(Transition::Leave),
-            12 => (0..SERVICES, excluded)
+            12 => (0..SERVICE_COUNT, excluded)
                 .prop_map(|(service, excluded)| Transition::Choose { service, excluded }),
             9 => (any::<Index>(), end)
                 .prop_map(|(attempt, end)| Transition::Finish { attempt, end }),
@@ -147,7 +149,7 @@
     fn apply(mut state: Self, transition: &Transition) -> Self {
         match transition {
             Transition::ToggleMember(address) => state.toggle(*address),
-            Transition::Restart(address) => state.replace(*address),
+            Transition::Restart(address) => state.restart(*address),
             Transition::Leave(address) => {
                 state.leaving.insert(state.current(*address));
             }
@@ -157,14 +159,14 @@
     }
 }
 
-/// The table under test, with the attempts that are in flight.
+/// The table under test, with its attempts in flight.
 struct Router {
     table: EndpointTable,
     rng: SmallRng,
     now: Instant,
     attempts: Vec<(NodeId, Instant)>,
-    /// Nodes that said on an answer that they leave.
-    said_leaving: BTreeSet<NodeId>,
+    /// Nodes whose answers reported that they are leaving.
+    reported_leaving: BTreeSet<NodeId>,
 }
 
 impl Router {
@@ -172,35 +174,41 @@
         let node = members.current(address);
         members.present.contains(&address)
             && !members.leaving.contains(&node)
-            && !self.said_leaving.contains(&node)
+            && !self.reported_leaving.contains(&node)
     }
 
-    fn choose(&mut self, members: &Members, number: u8, excluded: &BTreeSet<u8>) {
+    fn choose(&mut self, members: &Members, service_number: u8, excluded: &BTreeSet<u8>) {
         let mut present = members.present.clone();
-        present.retain(|address| address % SERVICES == number);
-        let mut open = present.clone();
-        open.retain(|address| self.takes_new_work(members, *address));
-        let eligible: BTreeSet<NodeId> = open
+        present.retain(|address| address % SERVICE_COUNT == service_number);
+        let mut accepting = present.clone();
+        accepting.retain(|address| self.takes_new_work(members, *address));
+        let eligible: BTreeSet<NodeId> = accepting
             .difference(excluded)
             .map(|address| members.current(*address))
             .collect();
-        let excluded: Vec<NodeId> = excluded.iter().map(|a| members.current(*a)).collect();
-        let chosen = self
-            .table
-            .choose(&service(number), &excluded, self.now, &mut self.rng);
+        let excluded: Vec<NodeId> = excluded
+            .iter()
+            .map(|address| members.current(*address))
+            .collect();
+        let chosen =
+            self.table
+                .choose(&service(service_number), &excluded, self.now, &mut self.rng);
         match chosen {
             Ok(node) => {
-                assert!(eligible.contains(&node), "{node} is not of {eligible:?}");
+                assert!(
+                    eligible.contains(&node),
+                    "{node} was chosen, but only {eligible:?} are eligible"
+                );
                 self.attempts.push((node, self.now));
             }
             Err(reason) => {
                 assert!(
                     eligible.is_empty(),
-                    "{reason}, but {eligible:?} may be chosen"
+                    "choice failed ({reason}), but {eligible:?} are eligible"
                 );
                 let expected = if present.is_empty() {
                     NoEndpoint::UnknownService
-                } else if open.is_empty() {
+                } else if accepting.is_empty() {
                     NoEndpoint::AllLeaving
                 } else {
                     NoEndpoint::AllExcluded
@@ -210,7 +218,7 @@
         }
     }
 
-    fn finish(&mut self, attempt: &Index, end: End) {
+    fn finish(&mut self, attempt: &Index, end: AttemptEnd) {
         if self.attempts.is_empty() {
             return;
         }
@@ -218,18 +226,20 @@
         let load = LoadReport {
             in_flight: 3,
             limit: 10,
-            leaving: matches!(end, End::AnsweredLeaving),
+            leaving: matches!(end, AttemptEnd::AnsweredLeaving),
             ..LoadReport::default()
         };
         let latency = self.now - start;
         let result = match end {
-            End::Answered | End::AnsweredLeaving => AttemptResult::Answered { latency, load },
-            End::Refused => AttemptResult::RefusedNotRun { load: Some(load) },
-            End::Failed => AttemptResult::Failed,
-            End::Cancelled => AttemptResult::Cancelled,
+            AttemptEnd::Answered | AttemptEnd::AnsweredLeaving => {
+                AttemptResult::Answered { latency, load }
+            }
+            AttemptEnd::Refused => AttemptResult::RefusedNotRun { load: Some(load) },
+            AttemptEnd::Failed => AttemptResult::Failed,
+            AttemptEnd::Cancelled => AttemptResult::Cancelled,
         };
         if load.leaving {
-            self.said_leaving.insert(node);
+            self.reported_leaving.insert(node);
         }
         self.table.finish(node, result, self.now);
     }
@@ -257,7 +267,7 @@
             rng: SmallRng::seed_from_u64(SEED),
             now: Instant::now() + Duration::from_secs(3600),
             attempts: Vec::new(),
-            said_leaving: BTreeSet::new(),
+            reported_leaving: BTreeSet::new(),
         }
     }
 
@@ -266,12 +276,15 @@
         match transition {
             Transition::ToggleMember(address) => {
                 let node = members.current(address);
-                if router.said_leaving.contains(&node) && members.present.contains(&address) {
-                    // Known again only as long as an attempt keeps its row; the next answer says
-                    // that it leaves, so the oracle follows what the table can know.
-                    let is_kept = router.attempts.iter().any(|(known, _)| *known == node);
+                if router.reported_leaving.contains(&node) && members.present.contains(&address) {
+                    // The table forgets that a removed node reported its end, unless an attempt in
+                    // flight keeps its row. The oracle forgets it in the same case.
+                    let is_kept = router
+                        .attempts
+                        .iter()
+                        .any(|(attempted, _)| *attempted == node);
                     if !is_kept {
-                        router.said_leaving.remove(&node);
+                        router.reported_leaving.remove(&node);
                     }
                 }
                 router.table.set_endpoints(members.endpoints(), router.now);
@@ -281,10 +294,10 @@
             Transition::Choose { service, excluded } => router.choose(members, service, &excluded),
             Transition::Finish { attempt, end } => router.finish(&attempt, end),
             Transition::FinishUnknown(address) => {
-                let stranger = node(address, u64::MAX);
+                let unknown_node = node(address, u64::MAX);
                 router
                     .table
-                    .finish(stranger, AttemptResult::Failed, router.now);
+                    .finish(unknown_node, AttemptResult::Failed, router.now);
             }
             Transition::Advance(time) => {
                 router.now += time;
@@ -302,7 +315,10 @@
             .filter(|row| row.in_flight > 0)
             .map(|row| (row.endpoint.node, row.in_flight))
             .collect();
-        assert_eq!(counted, in_flight, "attempts in flight");
+        assert_eq!(
+            counted, in_flight,
+            "attempts in flight differ from the oracle"
+        );
         let is_listed = |row: &&EndpointStatus| row.state != EndpointState::Gone;
         let listed: BTreeSet<NodeId> = rows
             .iter()
@@ -314,29 +330,33 @@
             .iter()
             .map(|member| member.node)
             .collect();
-        assert_eq!(listed, expected, "members");
-        for number in 0..SERVICES {
+        assert_eq!(listed, expected, "members differ from the oracle");
+        for number in 0..SERVICE_COUNT {
             assert_ejections_are_bounded(&rows, &service(number));
         }
     }
 }
 
-/// At most half are ejected, but one of two or three may be, and never the only one.
+/// Checks that at most half of the endpoints are ejected. With two or three endpoints, one may be. A
+/// single endpoint never is.
 fn assert_ejections_are_bounded(rows: &[EndpointStatus], service: &ServiceName) {
-    let is_open = |row: &&EndpointStatus| {
+    let accepts_work = |row: &&EndpointStatus| {
         row.endpoint.service == *service
             && !matches!(row.state, EndpointState::Gone | EndpointState::Leaving)
     };
-    let open = rows.iter().filter(is_open);
-    let ejected = open
+    let accepting = rows.iter().filter(accepts_work);
+    let ejected = accepting
         .clone()
         .filter(|row| row.state == EndpointState::Ejected)
         .count();
-    let most = match open.count() {
+    let max_ejected = match accepting.count() {
         0 | 1 => 0,
         count => (count / 2).max(1),
     };
-    assert!(ejected <= most, "{ejected} ejected, at most {most}");
+    assert!(
+        ejected <= max_ejected,
+        "{ejected} endpoints are ejected, but at most {max_ejected} may be"
+    );
 }
 
 prop_state_machine! {
--- a/crates/standalone/tallybridge-routing/tests/endpoint_table.rs
+++ b/crates/standalone/tallybridge-routing/tests/endpoint_table.rs
@@ -1,4 +1,4 @@
-//! Ejection and what is left to choose then; what observed latency and reported limits weigh.
+//! Tests of ejection and of how observed latency and reported limits affect the choice.
 
 use std::{
     net::SocketAddr,
@@ -25,7 +25,7 @@
     "ledger".into()
 }
 
-/// A table of endpoints 1 up to `count`, all in the local zone.
+/// Creates a table of the endpoints 1 to `count`, all in the local zone.
 fn table(count: u8, now: Instant) -> EndpointTable {
     let local = Locality {
         region: "region".into(),
@@ -42,12 +42,18 @@
     table
 }
 
-/// Lets every attempt at the endpoint fail until it is ejected or `limit` have failed.
-fn fail(table: &mut EndpointTable, others: &[NodeId], limit: u32, now: Instant) -> u32 {
+/// Fails every attempt at the endpoint that is not excluded, until it is ejected or `limit`
+/// attempts have failed. Returns the number of failures, or `limit + 1` without an ejection.
+fn fail_until_ejected(
+    table: &mut EndpointTable,
+    excluded: &[NodeId],
+    limit: u32,
+    now: Instant,
+) -> u32 {
     let mut rng = SmallRng::seed_from_u64(SEED);
     for failures in 1..=limit {
-        let chosen = table.choose(&service(), others, now, &mut rng);
-        let chosen = chosen.expect("one is not excluded");
+        let chosen = table.choose(&service(), excluded, now, &mut rng);
+        let chosen = chosen.expect("one endpoint is not excluded");
         table.finish(chosen, AttemptResult::Failed, now);
         let is_ejected = |row: &EndpointStatus| {
             row.endpoint.node == chosen && row.state == EndpointState::Ejected
@@ -60,43 +66,43 @@
 }
 
 #[test]
-fn failures_in_a_row_eject_an_endpoint() {
+fn consecutive_failures_eject_endpoint() {
     let now = Instant::now();
     let mut table = table(3, now);
-    let failures = fail(&mut table, &[node(2), node(3)], 20, now);
+    let failures = fail_until_ejected(&mut table, &[node(2), node(3)], 20, now);
     assert_eq!(failures, RoutingSettings::default().consecutive_failures);
 }
 
 #[test]
-fn an_ejected_endpoint_is_chosen_when_all_others_are_excluded() {
+fn chooses_ejected_endpoint_if_others_are_excluded() {
     let now = Instant::now();
     let mut table = table(3, now);
     let others = [node(2), node(3)];
-    assert!(fail(&mut table, &others, 20, now) <= 20);
+    assert!(fail_until_ejected(&mut table, &others, 20, now) <= 20);
     let mut rng = SmallRng::seed_from_u64(SEED);
     let chosen = table.choose(&service(), &others, now, &mut rng);
     assert_eq!(chosen, Ok(node(1)));
 }
 
 #[test]
-fn an_ejected_endpoint_gets_nothing_until_its_time_and_then_one_probe() {
+fn ejected_endpoint_gets_nothing_then_one_probe() {
     let now = Instant::now();
     let mut table = table(3, now);
-    assert!(fail(&mut table, &[node(2), node(3)], 20, now) <= 20);
+    assert!(fail_until_ejected(&mut table, &[node(2), node(3)], 20, now) <= 20);
     let mut rng = SmallRng::seed_from_u64(SEED);
-    let mut chosen_among = |table: &mut EndpointTable, now: Instant| {
+    let mut count_choices_of_first = |table: &mut EndpointTable, now: Instant| {
         (0..60)
             .filter(|_| table.choose(&service(), &[], now, &mut rng) == Ok(node(1)))
             .count()
     };
-    assert_eq!(chosen_among(&mut table, now), 0);
-    let probing = now + RoutingSettings::default().ejection_time + Duration::from_millis(1);
-    table.tick(probing);
-    assert_eq!(chosen_among(&mut table, probing), 1);
+    assert_eq!(count_choices_of_first(&mut table, now), 0);
+    let ejection_end = now + RoutingSettings::default().ejection_time + Duration::from_millis(1);
+    table.tick(ejection_end);
+    assert_eq!(count_choices_of_first(&mut table, ejection_end), 1);
 }
 
-const TYPICAL: Duration = Duration::from_millis(20);
-const REPORT: LoadReport = LoadReport {
+const TYPICAL_LATENCY: Duration = Duration::from_millis(20);
+const TYPICAL_REPORT: LoadReport = LoadReport {
     in_flight: 8,
     limit: 20,
     queued: 0,
@@ -104,9 +110,9 @@
     leaving: false,
 };
 
-/// Makes one call after the other, each answered after the latency of its endpoint, and counts
-/// those that fell on endpoint 1.
-fn calls_to_first(
+/// Makes calls one after the other, each answered after the latency of its endpoint, and counts
+/// those that went to endpoint 1.
+fn count_calls_to_first(
     table: &mut EndpointTable,
     calls: u32,
     first: (Duration, LoadReport),
@@ -115,10 +121,16 @@
     let mut rng = SmallRng::seed_from_u64(SEED);
     let mut count = 0;
     for _ in 0..calls {
-        let chosen = table.choose(&service(), &[], *now, &mut rng).expect("open");
+        let chosen = table
+            .choose(&service(), &[], *now, &mut rng)
+            .expect("an endpoint takes new work");
         let is_first = chosen == node(1);
         count += u32::from(is_first);
-        let (latency, load) = if is_first { first } else { (TYPICAL, REPORT) };
+        let (latency, load) = if is_first {
+            first
+        } else {
+            (TYPICAL_LATENCY, TYPICAL_REPORT)
+        };
         *now += latency;
         table.finish(chosen, AttemptResult::Answered { latency, load }, *now);
         table.tick(*now);
@@ -127,50 +139,54 @@
 }
 
 #[test]
-fn an_endpoint_slower_than_the_others_gets_less_before_it_is_overdue() {
+fn slow_endpoint_gets_fewer_calls_before_ejection() {
     let mut now = Instant::now();
     let mut table = table(3, now);
-    let slow = TYPICAL * 6;
-    calls_to_first(&mut table, 100, (slow, REPORT), &mut now);
-    let count = calls_to_first(&mut table, 300, (slow, REPORT), &mut now);
-    assert!(count < 30, "{count} of 300");
+    let slow_latency = TYPICAL_LATENCY * 6;
+    count_calls_to_first(&mut table, 100, (slow_latency, TYPICAL_REPORT), &mut now);
+    let count = count_calls_to_first(&mut table, 300, (slow_latency, TYPICAL_REPORT), &mut now);
+    assert!(count < 30, "the slow endpoint got {count} of 300 calls");
 }
 
 #[test]
-fn a_reported_limit_counts_for_no_more_than_some_usual_ones() {
+fn caps_influence_of_reported_limit() {
     let mut now = Instant::now();
     let mut table = table(2, now);
-    let boast = LoadReport {
+    let inflated = LoadReport {
         in_flight: 0,
         limit: u16::MAX,
-        ..REPORT
+        ..TYPICAL_REPORT
     };
-    calls_to_first(&mut table, 100, (TYPICAL, boast), &mut now);
+    count_calls_to_first(&mut table, 100, (TYPICAL_LATENCY, inflated), &mut now);
     let mut rng = SmallRng::seed_from_u64(SEED);
-    let honest = (0..120)
+    let calls_to_second = (0..120)
         .filter(|_| table.choose(&service(), &[], now, &mut rng) == Ok(node(2)))
         .count();
-    assert!(honest >= 10, "{honest} of 120");
+    assert!(
+        calls_to_second >= 10,
+        "the other endpoint got only {calls_to_second} of 120 calls"
+    );
 }
 
-/// States after attempts at the first `stalled` of three endpoints have gone unanswered for long.
-fn states_with_stalled(stalled: u8) -> Vec<EndpointState> {
+/// Returns the states after an attempt at each of the first `stalled` of three endpoints is
+/// overdue.
+fn states_after_stall(stalled: u8) -> Vec<EndpointState> {
     let mut now = Instant::now();
     let mut table = table(3, now);
-    calls_to_first(&mut table, 100, (TYPICAL, REPORT), &mut now);
+    count_calls_to_first(&mut table, 100, (TYPICAL_LATENCY, TYPICAL_REPORT), &mut now);
     let mut rng = SmallRng::seed_from_u64(SEED);
     for number in 1..=stalled {
         let others: Vec<NodeId> = (1..=3).filter(|n| *n != number).map(node).collect();
         let chosen = table.choose(&service(), &others, now, &mut rng);
         assert_eq!(chosen, Ok(node(number)));
     }
-    table.tick(now + TYPICAL * 9);
+    table.tick(now + TYPICAL_LATENCY * 9);
     table.snapshot().iter().map(|row| row.state).collect()
 }
 
 #[test]
-fn stalled_endpoints_are_ejected_unless_they_are_most_of_the_service() {
+fn ejects_stalled_endpoints_unless_most_stall() {
     use EndpointState::{Ejected, Probing, Ramping};
-    assert_eq!(states_with_stalled(1), [Ejected, Ramping, Ramping]);
-    assert_eq!(states_with_stalled(3), [Probing, Probing, Probing]);
+    assert_eq!(states_after_stall(1), [Ejected, Ramping, Ramping]);
+    assert_eq!(states_after_stall(3), [Probing, Probing, Probing]);
 }
--- a/crates/standalone/tallybridge-routing/tests/simulation/main.rs
+++ b/crates/standalone/tallybridge-routing/tests/simulation/main.rs
@@ -1,5 +1,6 @@
-//! Seeded simulation of a service with twelve endpoints (or three) in three zones and several entry
-//! nodes, each with a table of its own, at 0.8 of capacity and uneven entry traffic.
+//! Seeded simulation of a service with one or four endpoints in each of three zones.
+//!
+//! Several entry nodes receive uneven traffic, and each has its own endpoint table.
 
 mod world;
 
@@ -8,8 +9,8 @@
 use world::{Behaviour, SERVICE_TIME, World};
 
 const SEED: u64 = 11;
-/// Zone and share of the traffic of each entry node: 0.6 of it enters in the first zone, 0.1 in the
-/// last.
+/// Zone and share of the traffic of each entry node. The first zone receives 0.6 of the traffic,
+/// the last one 0.1.
 const UNEVEN_ENTRIES: [(usize, f64); 6] = [
     (0, 0.35),
     (0, 0.25),
@@ -18,133 +19,153 @@
     (2, 0.07),
     (2, 0.03),
 ];
-const LOAD: f64 = 0.8;
-const WARM: Duration = Duration::from_secs(3);
-/// Typical latencies after which a bad endpoint's share of new traffic must have fallen.
-const DETECTION: u32 = 12;
-/// Span over which that share is taken: about one ejection, which ends with a probe from each node.
-const WINDOW: Duration = Duration::from_secs(1);
-const FALLEN_SHARE: f64 = 0.02;
-
-fn spread(world: &World) -> f64 {
-    let utilisations = world.utilisations(WARM);
+/// Offered load, as a share of the capacity of all endpoints.
+const RELATIVE_LOAD: f64 = 0.8;
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Number of typical latencies after which a faulty endpoint must have lost its traffic.
+const DETECTION_LATENCIES: u32 = 12;
+/// Window over which the share of a faulty endpoint is measured. It is about as long as an
+/// ejection, which ends with a probe from each entry node.
+const SHARE_WINDOW: Duration = Duration::from_secs(1);
+const MAX_FAULTY_SHARE: f64 = 0.02;
+
+fn max_to_mean_utilisation(world: &World) -> f64 {
+    let utilisations = world.utilisations(WARM_UP);
     let mean = utilisations.iter().sum::<f64>() / utilisations.len() as f64;
-    let greatest = utilisations.iter().copied().fold(0.0, f64::max);
+    let max_utilisation = utilisations.iter().copied().fold(0.0, f64::max);
     println!(
-        "utilisations {utilisations:.3?}, greatest/mean {:.3}",
-        greatest / mean
+        "utilisations {utilisations:.3?}, max/mean {:.3}",
+        max_utilisation / mean
     );
-    greatest / mean
+    max_utilisation / mean
 }
 
-fn utilisation_is_even(per_zone: usize, bound: f64) {
-    let mut world = World::new(per_zone, &UNEVEN_ENTRIES, LOAD, SEED);
+fn assert_even_utilisation(per_zone: usize, max_ratio: f64) {
+    let mut world = World::new(per_zone, &UNEVEN_ENTRIES, RELATIVE_LOAD, SEED);
     world.run(Duration::from_secs(13));
-    assert!(spread(&world) < bound);
+    assert!(max_to_mean_utilisation(&world) < max_ratio);
 }
 
 #[test]
-fn uneven_entry_traffic_fills_twelve_endpoints_evenly() {
-    utilisation_is_even(4, 1.10);
+fn balances_twelve_endpoints_under_uneven_traffic() {
+    assert_even_utilisation(4, 1.10);
 }
 
 #[test]
-fn uneven_entry_traffic_fills_one_endpoint_per_zone_evenly() {
-    utilisation_is_even(1, 1.10);
+fn balances_one_endpoint_per_zone() {
+    assert_even_utilisation(1, 1.10);
 }
 
 #[test]
 fn calls_stay_in_their_zone_at_low_load() {
     let mut world = World::new(1, &[(0, 0.5), (1, 0.5)], 0.2, SEED);
     world.run(Duration::from_secs(5));
-    let remote = world.share(2, WARM, Duration::from_secs(5));
-    println!("share of the zone without callers {remote:.4}");
-    assert!(remote < 0.01, "{remote}");
+    let share_without_entries = world.choice_share(2, WARM_UP, Duration::from_secs(5));
+    println!("share of the zone without entry nodes: {share_without_entries:.4}");
+    assert!(
+        share_without_entries < 0.01,
+        "the zone without entry nodes got a share of {share_without_entries}"
+    );
 }
 
-/// The endpoint behaves badly for five seconds; its share must fall soon, stay low, and come back.
-fn loses_and_wins_back(per_zone: usize, bad: Behaviour) {
-    let onset = Duration::from_secs(3);
-    let end = onset + Duration::from_secs(5);
-    // The longest ejection that can be running, then the ramp.
-    let recovered = end + Duration::from_secs(4 + 6);
-    let finish = recovered + Duration::from_secs(3);
+/// Makes one endpoint faulty for five seconds. Its share of the traffic must fall soon, stay low, and
+/// recover afterwards.
+fn assert_loses_and_regains_traffic(per_zone: usize, fault: Behaviour) {
+    let fault_start = Duration::from_secs(3);
+    let fault_end = fault_start + Duration::from_secs(5);
+    // Allows for the longest ejection in progress and the ramp after it.
+    let recovered = fault_end + Duration::from_secs(4 + 6);
+    let run_end = recovered + Duration::from_secs(3);
     let mut world = World::new(per_zone, &UNEVEN_ENTRIES, 0.6, SEED);
-    world.behave(onset, 0, bad);
-    world.behave(end, 0, Behaviour::Healthy);
-    world.run(finish);
-
-    let fair = 1.0 / (3 * per_zone) as f64;
-    let before = world.share(0, Duration::from_secs(1), onset);
-    let detected = onset + SERVICE_TIME * DETECTION;
-    let during = world.share(0, detected, end);
-    let after = world.share(0, recovered, finish);
+    world.schedule_behaviour(fault_start, 0, fault);
+    world.schedule_behaviour(fault_end, 0, Behaviour::Healthy);
+    world.run(run_end);
+
+    let even_share = 1.0 / (3 * per_zone) as f64;
+    let before = world.choice_share(0, Duration::from_secs(1), fault_start);
+    let detected_by = fault_start + SERVICE_TIME * DETECTION_LATENCIES;
+    let during = world.choice_share(0, detected_by, fault_end);
+    let after = world.choice_share(0, recovered, run_end);
     println!(
-        "{bad:?} of {per_zone} a zone: before {before:.4}, during {during:.4}, after {after:.4}"
+        "{fault:?}, {per_zone} per zone: before {before:.4}, during {during:.4}, after {after:.4}"
+    );
+    assert!(
+        before > 0.7 * even_share,
+        "share before the fault is too low: {before}"
     );
-    assert!(before > 0.7 * fair, "before {before}");
     let windows: Vec<f64> = (0..)
-        .map(|number| detected + WINDOW * number)
-        .take_while(|from| *from + WINDOW <= end)
-        .map(|from| world.share(0, from, from + WINDOW))
+        .map(|number| detected_by + SHARE_WINDOW * number)
+        .take_while(|from| *from + SHARE_WINDOW <= fault_end)
+        .map(|from| world.choice_share(0, from, from + SHARE_WINDOW))
         .collect();
-    println!("  by window {windows:.4?}");
-    let greatest = windows.iter().copied().fold(0.0, f64::max);
-    assert!(greatest < FALLEN_SHARE, "during {greatest}");
-    assert!(after > 0.7 * fair, "after {after}");
+    println!("  share by window: {windows:.4?}");
+    let max_share = windows.iter().copied().fold(0.0, f64::max);
+    assert!(
+        max_share < MAX_FAULTY_SHARE,
+        "share during the fault is too high: {max_share}"
+    );
+    assert!(
+        after > 0.7 * even_share,
+        "share after recovery is too low: {after}"
+    );
 }
 
-macro_rules! bad_endpoints {
+macro_rules! faulty_endpoint_tests {
     ($($name:ident: $behaviour:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                loses_and_wins_back(4, $behaviour);
-                loses_and_wins_back(1, $behaviour);
+                assert_loses_and_regains_traffic(4, $behaviour);
+                assert_loses_and_regains_traffic(1, $behaviour);
             }
         )*
     };
 }
 
-bad_endpoints! {
-    a_stalled_endpoint_loses_its_traffic: Behaviour::Stalled;
-    a_half_dead_endpoint_loses_its_traffic: Behaviour::HalfDead;
-    an_endpoint_that_lies_and_is_slow_loses_its_traffic: Behaviour::SlowLiar(10.0);
-    an_endpoint_that_lies_and_fails_fast_loses_its_traffic: Behaviour::FailsFast;
-    an_endpoint_that_lies_and_refuses_fast_loses_its_traffic: Behaviour::RefusesFast;
+faulty_endpoint_tests! {
+    stalled_endpoint_loses_its_traffic: Behaviour::Stalled;
+    half_answering_endpoint_loses_its_traffic: Behaviour::DropsEverySecond;
+    slow_misreporting_endpoint_loses_its_traffic: Behaviour::SlowMisreporting(10.0);
+    fast_failing_endpoint_loses_its_traffic: Behaviour::FailsFast;
+    fast_refusing_endpoint_loses_its_traffic: Behaviour::RefusesFast;
 }
 
 #[test]
-fn a_slow_endpoint_loses_its_traffic_before_its_attempts_are_overdue() {
-    loses_and_wins_back(4, Behaviour::SlowLiar(5.0));
+fn slow_endpoint_loses_traffic_before_attempts_are_overdue() {
+    assert_loses_and_regains_traffic(4, Behaviour::SlowMisreporting(5.0));
 }
 
-/// The whole service goes bad for three seconds; its calls are answered again soon after.
-fn service_comes_back(per_zone: usize, bad: Behaviour) {
-    let onset = Duration::from_secs(3);
-    let end = onset + Duration::from_secs(3);
-    let recovered = end + Duration::from_secs(2);
-    let finish = recovered + Duration::from_secs(2);
-    let mut world = World::new(per_zone, &UNEVEN_ENTRIES, LOAD, SEED);
+/// Makes all endpoints faulty for three seconds. Calls must be answered again soon afterwards.
+fn assert_service_recovers(per_zone: usize, fault: Behaviour) {
+    let fault_start = Duration::from_secs(3);
+    let fault_end = fault_start + Duration::from_secs(3);
+    let recovered = fault_end + Duration::from_secs(2);
+    let run_end = recovered + Duration::from_secs(2);
+    let mut world = World::new(per_zone, &UNEVEN_ENTRIES, RELATIVE_LOAD, SEED);
     for endpoint in 0..3 * per_zone {
-        world.behave(onset, endpoint, bad);
-        world.behave(end, endpoint, Behaviour::Healthy);
+        world.schedule_behaviour(fault_start, endpoint, fault);
+        world.schedule_behaviour(fault_end, endpoint, Behaviour::Healthy);
     }
-    world.run(finish);
-    let during = world.answered_share(onset, end);
-    let after = world.answered_share(recovered, finish);
-    println!("all {bad:?}, {per_zone} a zone: answered {during:.3} during, {after:.3} after");
-    assert!(after > 0.95, "{bad:?}: {after}");
+    world.run(run_end);
+    let during = world.answered_share(fault_start, fault_end);
+    let after = world.answered_share(recovered, run_end);
+    println!(
+        "all endpoints {fault:?}, {per_zone} per zone: answered {during:.3} during, {after:.3} after"
+    );
+    assert!(
+        after > 0.95,
+        "{fault:?}: share of answered calls after recovery is too low: {after}"
+    );
 }
 
 #[test]
-fn a_service_that_was_slow_as_a_whole_comes_back() {
-    service_comes_back(4, Behaviour::Slow(10.0));
-    service_comes_back(1, Behaviour::Slow(10.0));
+fn service_recovers_after_all_endpoints_were_slow() {
+    assert_service_recovers(4, Behaviour::Slow(10.0));
+    assert_service_recovers(1, Behaviour::Slow(10.0));
 }
 
 #[test]
-fn a_service_that_stalled_as_a_whole_comes_back() {
-    service_comes_back(4, Behaviour::Stalled);
-    service_comes_back(1, Behaviour::Stalled);
+fn service_recovers_after_all_endpoints_stalled() {
+    assert_service_recovers(4, Behaviour::Stalled);
+    assert_service_recovers(1, Behaviour::Stalled);
 }
--- a/crates/standalone/tallybridge-routing/tests/simulation/world.rs
+++ b/crates/standalone/tallybridge-routing/tests/simulation/world.rs
@@ -1,4 +1,5 @@
-//! Entry nodes with their own tables and endpoints with slots and a queue, in virtual time.
+//! Simulation in virtual time of entry nodes with their own tables, and of endpoints with slots and
+//! a queue.
 
 use std::{
     cmp::Reverse,
@@ -11,38 +12,38 @@
 use tallybridge_core::{InstanceId, LoadReport, NodeId, ServiceName};
 use tallybridge_routing::{AttemptResult, Endpoint, EndpointTable, Locality, RoutingSettings};
 
-/// Calls that an endpoint runs at once.
+/// Number of calls that an endpoint runs at once.
 pub const SLOTS: usize = 20;
-/// Calls that an endpoint queues.
-const QUEUE: usize = 20;
-/// Mean time that a healthy endpoint takes for a call.
+/// Number of calls that an endpoint can queue.
+const QUEUE_CAPACITY: usize = 20;
+/// Mean time in which a healthy endpoint runs a call.
 pub const SERVICE_TIME: Duration = Duration::from_millis(50);
-/// Part of the service time that every call takes; the rest is exponential.
-const FIXED_PART: f64 = 0.4;
-/// Time after which an entry node gives an attempt up.
+/// Share of the service time that is constant. The rest is exponentially distributed.
+const FIXED_SHARE: f64 = 0.4;
+/// Time after which an entry node counts an attempt as failed.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
-const TICK: Duration = Duration::from_millis(100);
-const SAMPLE: Duration = Duration::from_millis(10);
-const ONE_WAY_WITHIN_ZONE: Duration = Duration::from_micros(100);
-const ONE_WAY_BETWEEN_ZONES: Duration = Duration::from_micros(500);
-const SERVICE: &str = "ledger";
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+const ONE_WAY_DELAY_WITHIN_ZONE: Duration = Duration::from_micros(100);
+const ONE_WAY_DELAY_BETWEEN_ZONES: Duration = Duration::from_micros(500);
+const SERVICE_NAME: &str = "ledger";
 
-/// What an endpoint does with its calls.
+/// How an endpoint handles its calls.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Behaviour {
     Healthy,
-    /// Takes calls and never answers.
+    /// Accepts calls and never answers.
     Stalled,
-    /// Answers that many times slower and says how loaded it is.
+    /// Takes longer by the factor and reports its true load.
     Slow(f64),
-    /// Answers that many times slower and reports no load and a great limit.
-    SlowLiar(f64),
+    /// Takes longer by the factor and reports no load and a large limit.
+    SlowMisreporting(f64),
     /// Fails each call at once.
     FailsFast,
-    /// Refuses each call at once and reports no load.
+    /// Refuses each call at once, and reports no load.
     RefusesFast,
-    /// Never answers every second call.
-    HalfDead,
+    /// Leaves every second call unanswered.
+    DropsEverySecond,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -58,7 +59,7 @@
     running: usize,
     queue: VecDeque<Call>,
     arrivals: u64,
-    /// Changes with the behaviour: work of an earlier one is lost.
+    /// Increases when the behaviour changes. Completions of an earlier epoch are ignored.
     epoch: u64,
 }
 
@@ -72,14 +73,14 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Event {
-    Arrival(usize),
-    AtBackEnd(usize, Call),
-    Done(usize, u64, Call),
-    Answer(usize, Call, AttemptEnd),
+    NewCall(usize),
+    CallArrived(usize, Call),
+    Completed(usize, u64, Call),
+    ReplyArrived(usize, Call, AttemptEnd),
     Timeout(usize, Call),
     Tick,
     Sample,
-    Behave(usize, Behaviour),
+    ChangeBehaviour(usize, Behaviour),
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,14 +90,14 @@
     Failed,
 }
 
-/// A choice that was made: when and which endpoint.
+/// Time and result of a choice.
 #[derive(Debug, Clone, Copy)]
 pub struct Choice {
     pub at: Duration,
     pub endpoint: usize,
 }
 
-/// The simulated service with its callers.
+/// The simulated service with its entry nodes.
 pub struct World {
     now: Duration,
     origin: Instant,
@@ -108,15 +109,16 @@
     in_flight: BTreeMap<u64, Duration>,
     rng: SmallRng,
     pub choices: Vec<Choice>,
-    /// When each answered call was answered.
+    /// Arrival times of the answers.
     pub answers: Vec<Duration>,
-    /// Samples of each endpoint's calls running and queued, by time.
+    /// Number of calls running and queued at each endpoint, by time of the sample.
     pub samples: Vec<(Duration, Vec<usize>)>,
 }
 
 impl World {
-    /// `per_zone` endpoints in each of three zones; an entry node for each zone and share of the
-    /// traffic given; `load` of the endpoints' capacity.
+    /// Creates `per_zone` endpoints in each of three zones, and one entry node per pair of zone and
+    /// traffic share in `entries`. The entry nodes offer `load` times the capacity of the
+    /// endpoints.
     pub fn new(per_zone: usize, entries: &[(usize, f64)], load: f64, seed: u64) -> Self {
         let back_ends: Vec<BackEnd> = (0..3 * per_zone).map(|n| back_end(n, n % 3)).collect();
         let capacity = (back_ends.len() * SLOTS) as f64 / SERVICE_TIME.as_secs_f64();
@@ -138,8 +140,8 @@
             let rng = SmallRng::seed_from_u64(seed + 1 + number as u64);
             world.add_entry(*zone, share * load * capacity, rng);
         }
-        world.after(Duration::ZERO, Event::Tick);
-        world.after(Duration::ZERO, Event::Sample);
+        world.schedule_after(Duration::ZERO, Event::Tick);
+        world.schedule_after(Duration::ZERO, Event::Sample);
         world
     }
 
@@ -151,7 +153,7 @@
         let mut table = EndpointTable::new(local, RoutingSettings::default());
         let members = self.back_ends.iter().map(|back_end| Endpoint {
             node: back_end.node,
-            service: SERVICE.into(),
+            service: SERVICE_NAME.into(),
             region: "region".into(),
             zone: zone_name(back_end.zone),
         });
@@ -163,43 +165,50 @@
             table,
             rng,
         });
-        self.after(Duration::ZERO, Event::Arrival(number));
+        self.schedule_after(Duration::ZERO, Event::NewCall(number));
     }
 
-    /// Changes what an endpoint does from a time on.
-    pub fn behave(&mut self, at: Duration, endpoint: usize, behaviour: Behaviour) {
-        self.after(at, Event::Behave(endpoint, behaviour));
+    /// Changes the behaviour of an endpoint at the time `at`.
+    pub fn schedule_behaviour(&mut self, at: Duration, endpoint: usize, behaviour: Behaviour) {
+        self.schedule_after(at, Event::ChangeBehaviour(endpoint, behaviour));
     }
 
-    /// Lets virtual time pass up to `until`.
+    /// Runs the simulation up to the time `until`.
     pub fn run(&mut self, until: Duration) {
         while let Some(Reverse((at, sequence))) = self.events.pop() {
             self.now = at;
             if at > until {
                 return;
             }
-            let event = self.scheduled.remove(&sequence).expect("it was scheduled");
+            let event = self
+                .scheduled
+                .remove(&sequence)
+                .expect("each queued event is scheduled");
             self.handle(event);
         }
     }
 
-    /// Share of the choices from `from` up to `until` that fell on the endpoint.
-    pub fn share(&self, endpoint: usize, from: Duration, until: Duration) -> f64 {
-        let within = |choice: &&Choice| choice.at >= from && choice.at < until;
-        let all = self.choices.iter().filter(within);
-        let its = all.clone().filter(|choice| choice.endpoint == endpoint);
-        its.count() as f64 / all.count() as f64
+    /// Returns the share of the choices from `from` up to `until` that selected the endpoint.
+    pub fn choice_share(&self, endpoint: usize, from: Duration, until: Duration) -> f64 {
+        let is_within = |choice: &&Choice| choice.at >= from && choice.at < until;
+        let all = self.choices.iter().filter(is_within);
+        let of_endpoint = all.clone().filter(|choice| choice.endpoint == endpoint);
+        of_endpoint.count() as f64 / all.count() as f64
     }
 
-    /// Calls answered from `from` up to `until` for each one made.
+    /// Returns the number of answers divided by the number of attempts, from `from` up to `until`.
     pub fn answered_share(&self, from: Duration, until: Duration) -> f64 {
-        let within = |at: &Duration| *at >= from && *at < until;
-        let answered = self.answers.iter().copied().filter(within).count();
-        let made = self.choices.iter().map(|choice| choice.at).filter(within);
-        answered as f64 / made.count() as f64
+        let is_within = |at: &Duration| *at >= from && *at < until;
+        let answered = self.answers.iter().copied().filter(is_within).count();
+        let attempted = self
+            .choices
+            .iter()
+            .map(|choice| choice.at)
+            .filter(is_within);
+        answered as f64 / attempted.count() as f64
     }
 
-    /// Mean utilisation of each endpoint since `from`.
+    /// Returns the mean utilisation of each endpoint since `from`.
     pub fn utilisations(&self, from: Duration) -> Vec<f64> {
         let samples = || self.samples.iter().filter(|(at, _)| *at >= from);
         let mean = |endpoint: usize| {
@@ -209,7 +218,7 @@
         (0..self.back_ends.len()).map(mean).collect()
     }
 
-    fn after(&mut self, delay: Duration, event: Event) {
+    fn schedule_after(&mut self, delay: Duration, event: Event) {
         self.sequence += 1;
         self.scheduled.insert(self.sequence, event);
         self.events.push(Reverse((self.now + delay, self.sequence)));
@@ -217,25 +226,27 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Arrival(entry) => self.arrive(entry),
-            Event::AtBackEnd(endpoint, call) => self.take(endpoint, call),
-            Event::Done(endpoint, epoch, call) => self.complete(endpoint, epoch, call),
-            Event::Answer(endpoint, call, end) => self.answer(endpoint, call, end),
-            Event::Timeout(endpoint, call) => self.answer(endpoint, call, AttemptEnd::Failed),
+            Event::NewCall(entry) => self.handle_arrival(entry),
+            Event::CallArrived(endpoint, call) => self.receive_call(endpoint, call),
+            Event::Completed(endpoint, epoch, call) => self.complete_call(endpoint, epoch, call),
+            Event::ReplyArrived(endpoint, call, end) => self.finish_attempt(endpoint, call, end),
+            Event::Timeout(endpoint, call) => {
+                self.finish_attempt(endpoint, call, AttemptEnd::Failed)
+            }
             Event::Tick => {
                 let now = self.origin + self.now;
                 self.entries
                     .iter_mut()
                     .for_each(|entry| entry.table.tick(now));
-                self.after(TICK, Event::Tick);
+                self.schedule_after(TICK_INTERVAL, Event::Tick);
             }
             Event::Sample => {
                 let calls = |back_end: &BackEnd| back_end.running + back_end.queue.len();
                 let sample = self.back_ends.iter().map(calls).collect();
                 self.samples.push((self.now, sample));
-                self.after(SAMPLE, Event::Sample);
+                self.schedule_after(SAMPLE_INTERVAL, Event::Sample);
             }
-            Event::Behave(endpoint, behaviour) => {
+            Event::ChangeBehaviour(endpoint, behaviour) => {
                 let back_end = &mut self.back_ends[endpoint];
                 back_end.behaviour = behaviour;
                 back_end.epoch += 1;
@@ -245,14 +256,14 @@
         }
     }
 
-    fn arrive(&mut self, number: usize) {
+    fn handle_arrival(&mut self, number: usize) {
         let entry = &mut self.entries[number];
         let now = self.origin + self.now;
         let node = entry
             .table
-            .choose(&ServiceName::from(SERVICE), &[], now, &mut entry.rng)
-            .expect("no endpoint leaves");
-        let gap = exponential(&mut entry.rng) / entry.rate;
+            .choose(&ServiceName::from(SERVICE_NAME), &[], now, &mut entry.rng)
+            .expect("no endpoint is leaving");
+        let interarrival = exponential(&mut entry.rng) / entry.rate;
         let endpoint = usize::from(node.address.port()) - 1;
         let call = Call {
             id: self.sequence,
@@ -263,45 +274,48 @@
             at: self.now,
             endpoint,
         });
-        let delay = self.one_way(endpoint, number);
-        self.after(delay, Event::AtBackEnd(endpoint, call));
-        self.after(ATTEMPT_TIMEOUT, Event::Timeout(endpoint, call));
-        self.after(Duration::from_secs_f64(gap), Event::Arrival(number));
+        let delay = self.one_way_delay(endpoint, number);
+        self.schedule_after(delay, Event::CallArrived(endpoint, call));
+        self.schedule_after(ATTEMPT_TIMEOUT, Event::Timeout(endpoint, call));
+        self.schedule_after(
+            Duration::from_secs_f64(interarrival),
+            Event::NewCall(number),
+        );
     }
 
-    fn take(&mut self, endpoint: usize, call: Call) {
+    fn receive_call(&mut self, endpoint: usize, call: Call) {
         let back_end = &mut self.back_ends[endpoint];
         back_end.arrivals += 1;
         match back_end.behaviour {
             Behaviour::Stalled => {}
-            Behaviour::HalfDead if back_end.arrivals.is_multiple_of(2) => {}
-            Behaviour::FailsFast => self.reply(endpoint, call, AttemptEnd::Failed),
+            Behaviour::DropsEverySecond if back_end.arrivals.is_multiple_of(2) => {}
+            Behaviour::FailsFast => self.send_reply(endpoint, call, AttemptEnd::Failed),
             Behaviour::RefusesFast => {
-                self.reply(endpoint, call, AttemptEnd::Refused(idle_report()));
+                self.send_reply(endpoint, call, AttemptEnd::Refused(idle_report()));
             }
-            _ if back_end.running < SLOTS => self.serve(endpoint, call),
-            _ if back_end.queue.len() < QUEUE => back_end.queue.push_back(call),
+            _ if back_end.running < SLOTS => self.start_call(endpoint, call),
+            _ if back_end.queue.len() < QUEUE_CAPACITY => back_end.queue.push_back(call),
             _ => {
                 let report = back_end.report();
-                self.reply(endpoint, call, AttemptEnd::Refused(report));
+                self.send_reply(endpoint, call, AttemptEnd::Refused(report));
             }
         }
     }
 
-    fn serve(&mut self, endpoint: usize, call: Call) {
+    fn start_call(&mut self, endpoint: usize, call: Call) {
         let back_end = &mut self.back_ends[endpoint];
         back_end.running += 1;
         let epoch = back_end.epoch;
-        let slowness = match back_end.behaviour {
-            Behaviour::Slow(factor) | Behaviour::SlowLiar(factor) => factor,
+        let slowdown = match back_end.behaviour {
+            Behaviour::Slow(factor) | Behaviour::SlowMisreporting(factor) => factor,
             _ => 1.0,
         };
-        let random_part = (1.0 - FIXED_PART) * exponential(&mut self.rng);
-        let time = SERVICE_TIME.mul_f64(slowness * (FIXED_PART + random_part));
-        self.after(time, Event::Done(endpoint, epoch, call));
+        let random_part = (1.0 - FIXED_SHARE) * exponential(&mut self.rng);
+        let duration = SERVICE_TIME.mul_f64(slowdown * (FIXED_SHARE + random_part));
+        self.schedule_after(duration, Event::Completed(endpoint, epoch, call));
     }
 
-    fn complete(&mut self, endpoint: usize, epoch: u64, call: Call) {
+    fn complete_call(&mut self, endpoint: usize, epoch: u64, call: Call) {
         let back_end = &mut self.back_ends[endpoint];
         if back_end.epoch != epoch {
             return;
@@ -310,17 +324,17 @@
         let next = back_end.queue.pop_front();
         let report = back_end.report();
         if let Some(next) = next {
-            self.serve(endpoint, next);
+            self.start_call(endpoint, next);
         }
-        self.reply(endpoint, call, AttemptEnd::Answered(report));
+        self.send_reply(endpoint, call, AttemptEnd::Answered(report));
     }
 
-    fn reply(&mut self, endpoint: usize, call: Call, end: AttemptEnd) {
-        let delay = self.one_way(endpoint, call.entry);
-        self.after(delay, Event::Answer(endpoint, call, end));
+    fn send_reply(&mut self, endpoint: usize, call: Call, end: AttemptEnd) {
+        let delay = self.one_way_delay(endpoint, call.entry);
+        self.schedule_after(delay, Event::ReplyArrived(endpoint, call, end));
     }
 
-    fn answer(&mut self, endpoint: usize, call: Call, end: AttemptEnd) {
+    fn finish_attempt(&mut self, endpoint: usize, call: Call, end: AttemptEnd) {
         let Some(started) = self.in_flight.remove(&call.id) else {
             return;
         };
@@ -340,31 +354,31 @@
         self.entries[call.entry].table.finish(node, result, now);
     }
 
-    fn one_way(&self, endpoint: usize, entry: usize) -> Duration {
+    fn one_way_delay(&self, endpoint: usize, entry: usize) -> Duration {
         if self.back_ends[endpoint].zone == self.entries[entry].zone {
-            ONE_WAY_WITHIN_ZONE
+            ONE_WAY_DELAY_WITHIN_ZONE
         } else {
-            ONE_WAY_BETWEEN_ZONES
+            ONE_WAY_DELAY_BETWEEN_ZONES
         }
     }
 }
 
 impl BackEnd {
     fn report(&self) -> LoadReport {
-        if let Behaviour::SlowLiar(_) = self.behaviour {
+        if let Behaviour::SlowMisreporting(_) = self.behaviour {
             return idle_report();
         }
         LoadReport {
-            in_flight: u16::try_from(self.running).expect("slots are few"),
-            limit: u16::try_from(SLOTS).expect("slots are few"),
-            queued: u16::try_from(self.queue.len()).expect("the queue is short"),
+            in_flight: u16::try_from(self.running).expect("the slot count fits in 16 bits"),
+            limit: u16::try_from(SLOTS).expect("the slot count fits in 16 bits"),
+            queued: u16::try_from(self.queue.len()).expect("the queue length fits in 16 bits"),
             ..LoadReport::default()
         }
     }
 }
 
 fn back_end(number: usize, zone: usize) -> BackEnd {
-    let port = u16::try_from(number + 1).expect("endpoints are few");
+    let port = u16::try_from(number + 1).expect("the endpoint number fits in 16 bits");
     BackEnd {
         node: NodeId {
             address: SocketAddr::from(([127, 0, 0, 1], port)),
