--- a/crates/standalone/tallybridge-claims/benches/claims.rs
+++ b/crates/standalone/tallybridge-claims/benches/claims.rs
@@ -1,4 +1,4 @@
-//! Time of a vote against the number of remembered keys.
+//! Measures the time of a vote for different numbers of remembered keys.
 
 use std::hint::black_box;
 
@@ -8,7 +8,7 @@
 use tallybridge_wire::{Message, claim::Claim};
 
 const NOW_UNIX_MS: u64 = 1_800_000_000_000;
-const KEYS: [u64; 4] = [1_000, 10_000, 100_000, 1_000_000];
+const KEY_COUNTS: [u64; 4] = [1_000, 10_000, 100_000, 1_000_000];
 
 fn node() -> NodeId {
     NodeId {
@@ -18,7 +18,7 @@
 }
 
 fn map() -> PartitionMap {
-    let alone = Candidate {
+    let candidate = Candidate {
         node: node(),
         region: "r".into(),
         zone: "z".into(),
@@ -27,7 +27,7 @@
     };
     plan(
         &PartitionMap::default(),
-        &[alone],
+        &[candidate],
         &Default::default(),
         NOW_UNIX_MS,
     )
@@ -42,7 +42,9 @@
         instance: InstanceId(2),
         sequence: number + 1,
     };
-    let entry = map.entry(PartitionId::of(&key)).expect("planned");
+    let entry = map
+        .entry(PartitionId::of(&key))
+        .expect("the partition is in the map");
     Message::Claim(Claim {
         key: key.into(),
         epoch: entry.epoch,
@@ -51,23 +53,23 @@
     })
 }
 
-fn votes(criterion: &mut Criterion) {
+fn benchmark_votes(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("claim_vote");
     let map = map();
-    for keys in KEYS {
+    for key_count in KEY_COUNTS {
         let mut table = ClaimTable::new(node(), usize::MAX);
         table.apply(&map);
-        for number in 0..keys {
+        for number in 0..key_count {
             table.handle(node(), &claim(&map, number), NOW_UNIX_MS);
         }
-        // Claims on known keys, so that the table stays as large as it is.
-        let known: Vec<Message> = (0..1000)
-            .map(|one| claim(&map, one * (keys / 1000)))
+        // Claims on known keys keep the table at a constant size.
+        let claims_on_known_keys: Vec<Message> = (0..1000)
+            .map(|index| claim(&map, index * (key_count / 1000)))
             .collect();
-        let mut next = known.iter().cycle();
-        group.bench_function(BenchmarkId::from_parameter(keys), |bencher| {
+        let mut messages = claims_on_known_keys.iter().cycle();
+        group.bench_function(BenchmarkId::from_parameter(key_count), |bencher| {
             bencher.iter(|| {
-                let message = next.next().expect("cycles");
+                let message = messages.next().expect("the iterator is endless");
                 black_box(table.handle(node(), message, NOW_UNIX_MS))
             });
         });
@@ -75,5 +77,5 @@
     group.finish();
 }
 
-criterion_group!(benches, votes);
+criterion_group!(benches, benchmark_votes);
 criterion_main!(benches);
--- a/crates/standalone/tallybridge-claims/examples/claim_memory.rs
+++ b/crates/standalone/tallybridge-claims/examples/claim_memory.rs
@@ -1,7 +1,9 @@
-//! Bytes of memory for each remembered key: `cargo run --release -p tallybridge-claims --example
-//! claim_memory`. Keys are spread evenly over a window, as at a steady rate.
+//! Prints the memory use of each remembered key, in bytes.
+//!
+//! Run with `cargo run --release -p tallybridge-claims --example claim_memory`. Issue times are
+//! spread evenly over the window, as at a constant rate of claims.
 
-#![allow(unsafe_code, reason = "counts what the system allocator hands out")]
+#![allow(unsafe_code, reason = "a global allocator counts allocated bytes")]
 
 use std::{
     alloc::{GlobalAlloc, Layout, System},
@@ -16,27 +18,27 @@
     claim::{Claim, ClaimFinish, StoredAnswer},
 };
 
-struct Counting;
+struct CountingAllocator;
 
-static HELD: AtomicUsize = AtomicUsize::new(0);
+static ALLOCATED_BYTES: AtomicUsize = AtomicUsize::new(0);
 
-// SAFETY: every call is passed on to the system allocator unchanged.
-unsafe impl GlobalAlloc for Counting {
+// SAFETY: every call is forwarded unchanged to the system allocator.
+unsafe impl GlobalAlloc for CountingAllocator {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        HELD.fetch_add(layout.size(), Ordering::Relaxed);
-        // SAFETY: the caller keeps the contract of `alloc`.
+        ALLOCATED_BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller upholds the contract of `alloc`.
         unsafe { System.alloc(layout) }
     }
 
     unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
-        // SAFETY: the caller keeps the contract of `dealloc`.
+        ALLOCATED_BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller upholds the contract of `dealloc`.
         unsafe { System.dealloc(pointer, layout) }
     }
 }
 
 #[global_allocator]
-static ALLOCATOR: Counting = Counting;
+static ALLOCATOR: CountingAllocator = CountingAllocator;
 
 const START_UNIX_MS: u64 = 1_800_000_000_000;
 const ANSWER_BYTES: usize = 256;
@@ -46,7 +48,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         instance: InstanceId(1),
     };
-    let alone = Candidate {
+    let candidate = Candidate {
         node,
         region: "r".into(),
         zone: "z".into(),
@@ -55,11 +57,11 @@
     };
     let map = plan(
         &PartitionMap::default(),
-        &[alone],
+        &[candidate],
         &BTreeSet::new(),
         START_UNIX_MS,
     );
-    let json = serde_json::to_vec(&map).expect("serializes");
+    let json = serde_json::to_vec(&map).expect("the partition map serializes");
     println!(
         "map of one replica per partition: {} bytes of JSON",
         json.len()
@@ -67,29 +69,39 @@
     for keys in [10_000, 100_000, 1_000_000] {
         for answer_bytes in [None, Some(ANSWER_BYTES)] {
             let per_key = bytes_per_key(node, &map, keys, answer_bytes);
-            println!("{keys} keys, answers {answer_bytes:?}: {per_key} bytes a key");
+            println!("{keys} keys, answers {answer_bytes:?}: {per_key} bytes per key");
         }
     }
 }
 
-fn bytes_per_key(node: NodeId, map: &PartitionMap, keys: u64, answer: Option<usize>) -> usize {
-    let before = HELD.load(Ordering::Relaxed);
+fn bytes_per_key(
+    node: NodeId,
+    map: &PartitionMap,
+    keys: u64,
+    answer_bytes: Option<usize>,
+) -> usize {
+    let allocated_before = ALLOCATED_BYTES.load(Ordering::Relaxed);
     let mut table = ClaimTable::new(node, usize::MAX);
     table.apply(map);
     for number in 0..keys {
-        take(
+        insert_claim(
             &mut table,
             number,
             START_UNIX_MS + number * (WINDOW_MS - 1) / keys,
-            answer,
+            answer_bytes,
         );
     }
     assert_eq!(table.status().keys as u64, keys);
-    let held = HELD.load(Ordering::Relaxed) - before;
-    held / usize::try_from(keys).expect("fits")
+    let allocated = ALLOCATED_BYTES.load(Ordering::Relaxed) - allocated_before;
+    allocated / usize::try_from(keys).expect("the number of keys fits in usize")
 }
 
-fn take(table: &mut ClaimTable, number: u64, now_unix_ms: u64, answer_bytes: Option<usize>) {
+fn insert_claim(
+    table: &mut ClaimTable,
+    number: u64,
+    now_unix_ms: u64,
+    answer_bytes: Option<usize>,
+) {
     let key = RequestKey {
         issued_unix_ms: now_unix_ms,
         digest: u128::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15_f39c_c060_5ced_c835),
@@ -107,7 +119,8 @@
     table.claim(&claim, now_unix_ms);
     if let Some(bytes) = answer_bytes {
         let body = vec![0; bytes];
-        let answer = StoredAnswer::new(200, WireHeaders::default(), &body).expect("small");
+        let answer = StoredAnswer::new(200, WireHeaders::default(), &body)
+            .expect("the answer is below the size limit");
         table.finish(&ClaimFinish {
             key: key.into(),
             run: 1,
--- a/crates/standalone/tallybridge-claims/src/placement.rs
+++ b/crates/standalone/tallybridge-claims/src/placement.rs
@@ -1,4 +1,4 @@
-//! Chooses nodes that fail apart from each other and share the partitions evenly.
+//! Chooses replicas in separate failure domains and balances partitions over nodes.
 
 use std::collections::BTreeMap;
 
@@ -9,88 +9,101 @@
     plan::{Candidate, Presence},
 };
 
-/// The candidates with the number of partitions that each holds so far.
+/// The candidates and the number of partitions assigned to each.
 pub struct Placement<'a> {
     candidates: BTreeMap<NodeId, &'a Candidate>,
-    load: BTreeMap<NodeId, usize>,
+    partition_counts: BTreeMap<NodeId, usize>,
 }
 
 impl<'a> Placement<'a> {
-    /// The candidates as the map uses them.
     pub fn new(current: &PartitionMap, candidates: &'a [Candidate]) -> Self {
-        let mut load = BTreeMap::new();
+        let mut partition_counts = BTreeMap::new();
         for (_, entry) in current.iter() {
             for node in entry.nodes() {
-                *load.entry(node).or_default() += 1;
+                *partition_counts.entry(node).or_default() += 1;
             }
         }
         Self {
-            candidates: candidates.iter().map(|one| (one.node, one)).collect(),
-            load,
+            candidates: candidates
+                .iter()
+                .map(|candidate| (candidate.node, candidate))
+                .collect(),
+            partition_counts,
         }
     }
 
-    /// Whether a node is a candidate; one that is not has ended.
-    pub fn has(&self, node: NodeId) -> bool {
+    /// Returns whether a node is a candidate; a node that is not a candidate has terminated.
+    pub fn is_candidate(&self, node: NodeId) -> bool {
         self.candidates.contains_key(&node)
     }
 
-    /// Whether a node answers and stays.
     pub fn is_live(&self, node: NodeId) -> bool {
         let candidate = self.candidates.get(&node);
         candidate.is_some_and(|candidate| candidate.presence == Presence::Live)
     }
 
-    /// Adds nodes until there are `size`, as far as there are candidates.
+    /// Adds nodes until there are `size` or no live candidate is left.
     pub fn fill(&mut self, mut nodes: Vec<NodeId>, size: usize) -> Vec<NodeId> {
         while nodes.len() < size {
             let Some(node) = self.choose(&nodes) else {
                 break;
             };
-            *self.load.entry(node).or_default() += 1;
+            *self.partition_counts.entry(node).or_default() += 1;
             nodes.push(node);
         }
         nodes
     }
 
-    /// Notes that nodes give up one place each.
+    /// Decrements the partition count of each node.
     pub fn release(&mut self, nodes: &[NodeId]) {
         for node in nodes {
-            if let Some(load) = self.load.get_mut(node) {
-                *load = load.saturating_sub(1);
+            if let Some(count) = self.partition_counts.get_mut(node) {
+                *count = count.saturating_sub(1);
             }
         }
     }
 
-    /// The live node that shares the fewest zones, then racks, then is in the same region, then
-    /// holds the fewest partitions.
-    fn choose(&self, beside: &[NodeId]) -> Option<NodeId> {
-        let beside_candidates: Vec<&Candidate> = beside
+    /// Returns the best live node to add to `placed`.
+    ///
+    /// Prefers a node with the fewest `placed` nodes in its zone, then the fewest in its rack, then
+    /// the most in its region, then the fewest assigned partitions.
+    fn choose(&self, placed: &[NodeId]) -> Option<NodeId> {
+        let placed_candidates: Vec<&Candidate> = placed
             .iter()
             .filter_map(|node| self.candidates.get(node).copied())
             .collect();
-        let free = self
-            .candidates
-            .values()
-            .filter(|one| one.presence == Presence::Live && !beside.contains(&one.node));
-        let best = free.min_by_key(|one| {
-            let shares = |same: &dyn Fn(&Candidate) -> bool| {
-                beside_candidates.iter().filter(|other| same(other)).count()
+        let available = self.candidates.values().filter(|candidate| {
+            candidate.presence == Presence::Live && !placed.contains(&candidate.node)
+        });
+        let best = available.min_by_key(|candidate| {
+            let count_placed = |is_same: &dyn Fn(&Candidate) -> bool| {
+                placed_candidates
+                    .iter()
+                    .filter(|other| is_same(other))
+                    .count()
             };
-            let same_region = shares(&|other| other.region == one.region);
-            let same_zone = shares(&|other| other.region == one.region && other.zone == one.zone);
-            let same_rack = shares(&|other| {
-                other.region == one.region && other.zone == one.zone && other.rack == one.rack
+            let same_region = count_placed(&|other| other.region == candidate.region);
+            let same_zone = count_placed(&|other| {
+                other.region == candidate.region && other.zone == candidate.zone
+            });
+            let same_rack = count_placed(&|other| {
+                other.region == candidate.region
+                    && other.zone == candidate.zone
+                    && other.rack == candidate.rack
             });
-            let load = self.load.get(&one.node).copied().unwrap_or_default();
+            let partition_count = self
+                .partition_counts
+                .get(&candidate.node)
+                .copied()
+                .unwrap_or_default();
             (
                 same_zone,
                 same_rack,
-                beside.len() - same_region,
-                load,
-                one.node,
+                placed.len() - same_region,
+                partition_count,
+                candidate.node,
             )
         });
-        best.map(|one| one.node)
+        best.map(|candidate| candidate.node)
     }
 }
--- a/crates/standalone/tallybridge-claims/src/plan.rs
+++ b/crates/standalone/tallybridge-claims/src/plan.rs
@@ -1,4 +1,8 @@
-//! Plans the next partition map.
+//! Plans the next partition map from the current map, the candidate nodes and the sync reports.
+//!
+//! In each partition, a plan replaces terminated replicas or one unavailable replica. A partition
+//! with too few surviving synchronised replicas is reset, so that lost claims cannot cause another
+//! run.
 
 use std::collections::BTreeSet;
 
@@ -12,48 +16,51 @@
     placement::Placement,
 };
 
-/// Whether a node can hold claims.
+/// Availability of a node for storing claims.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Presence {
-    /// It answers and stays.
+    /// The node responds and is not leaving.
     Live,
-    /// It leaves or does not answer, but its process may still run.
+    /// The node is leaving or unresponsive, but its process may still be running.
     Unavailable,
 }
 
-/// A node that may hold claims.
+/// A node whose process may still be running.
 ///
-/// A node that is not among the candidates counts as ended, so leave one out only when its process
-/// is known to be gone: another instance has its address, it said that it is done, or the machine
-/// list has dropped its machine. One that merely does not answer is [`Presence::Unavailable`].
+/// The planner treats a node that is not a candidate as terminated. Callers must omit a node only
+/// when its process is known to have ended: another instance has its address, the node announced
+/// its end, or its machine is no longer in the machine list. An unresponsive node is
+/// [`Presence::Unavailable`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
-    /// The node.
+    /// Instance of the node.
     pub node: NodeId,
-    /// Its region.
+    /// Region of the node; replicas are placed in the same region if possible.
     pub region: RegionName,
-    /// Its zone.
+    /// Zone of the node; replicas are placed in different zones if possible.
     pub zone: ZoneName,
-    /// Its rack; empty when unknown.
+    /// Rack of the node; empty if unknown.
     pub rack: String,
-    /// Whether it can hold claims.
+    /// Availability; only live nodes are assigned as new replicas.
     pub presence: Presence,
 }
 
-/// A replica's word that it can vote in an epoch.
+/// A report that a replica is synchronised and can vote in an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SyncReport {
-    /// The replica.
+    /// Node of the replica that sent the report.
     pub node: NodeId,
-    /// The partition.
+    /// Partition in which the replica can vote.
     pub partition: PartitionId,
-    /// The epoch.
+    /// Epoch of the partition entry that the replica has applied.
     pub epoch: u64,
 }
 
-/// The next map: replaces the replicas that ended, or one of a partition that is unavailable, and
-/// moves nothing else. Equal to `current` when there is nothing to change.
+/// Returns the next map, which equals `current` if nothing changes.
+///
+/// In each partition, the plan replaces terminated replicas or one unavailable replica, adds
+/// missing replicas, and keeps all others.
 #[must_use]
 pub fn plan(
     current: &PartitionMap,
@@ -63,21 +70,21 @@
 ) -> PartitionMap {
     let mut planner = Planner::new(current, candidates, now_unix_ms);
     let entries = PartitionId::all().map(|partition| match current.entry(partition) {
-        Some(entry) => planner.next(&settled(partition, entry, reports)),
-        None => planner.first(),
+        Some(entry) => planner.plan_next(&without_reported_joiners(partition, entry, reports)),
+        None => planner.plan_first(),
     });
     let entries: Option<Vec<PartitionEntry>> = entries.collect();
     entries.map_or_else(|| current.clone(), PartitionMap::new)
 }
 
-/// The entry without the joining replicas that are now known to be synchronised.
-fn settled(
+/// Returns the entry without the joining replicas that have reported that they are synchronised.
+fn without_reported_joiners(
     partition: PartitionId,
     entry: &PartitionEntry,
     reports: &BTreeSet<SyncReport>,
 ) -> PartitionEntry {
     let epoch = entry.epoch;
-    let reported = |node: NodeId| {
+    let is_reported = |node: NodeId| {
         reports.contains(&SyncReport {
             node,
             partition,
@@ -85,12 +92,12 @@
         })
     };
     let mut entry = entry.clone();
-    entry.joining.retain(|node| !reported(*node));
+    entry.joining.retain(|node| !is_reported(*node));
     entry
 }
 
-/// The replicas that stay, with what is chosen for the next epoch.
-struct Change {
+/// A change of one partition, without the replicas that will join.
+struct PartitionChange {
     origin: Origin,
     staying: Vec<Replica>,
     previous: Vec<Replica>,
@@ -110,7 +117,7 @@
         }
     }
 
-    fn first(&mut self) -> Option<PartitionEntry> {
+    fn plan_first(&mut self) -> Option<PartitionEntry> {
         let nodes = self.placement.fill(Vec::new(), REPLICAS);
         if nodes.is_empty() {
             return None;
@@ -129,33 +136,32 @@
         })
     }
 
-    fn next(&mut self, entry: &PartitionEntry) -> Option<PartitionEntry> {
-        let change = self.change(entry);
-        let next = change.and_then(|change| self.carry_out(entry, change));
+    fn plan_next(&mut self, entry: &PartitionEntry) -> Option<PartitionEntry> {
+        let change = self.plan_change(entry);
+        let next = change.and_then(|change| self.apply_change(entry, change));
         Some(next.unwrap_or_else(|| entry.clone()))
     }
 
-    /// What to change in a partition, if anything.
-    fn change(&self, entry: &PartitionEntry) -> Option<Change> {
+    fn plan_change(&self, entry: &PartitionEntry) -> Option<PartitionChange> {
         let quorum = read_quorum(entry.replicas.len());
         let remaining = self.remaining(entry);
-        let sound = remaining
+        let synchronised = remaining
             .iter()
-            .filter(|one| !entry.joining.contains(&one.node));
-        let sound = sound.count();
-        if sound < quorum {
-            let hopeful = self.can_copy(entry) && remaining.len() >= quorum;
-            return (!hopeful).then(|| self.reset(entry, remaining));
+            .filter(|replica| !entry.joining.contains(&replica.node));
+        let synchronised = synchronised.count();
+        if synchronised < quorum {
+            let can_finish_joining = self.can_complete_copies(entry) && remaining.len() >= quorum;
+            return (!can_finish_joining).then(|| self.reset(entry, remaining));
         }
         let staying = if remaining.len() < entry.replicas.len() {
             remaining
         } else if entry.joining.is_empty() {
-            self.without_one_unavailable(entry)
+            self.without_first_unavailable(entry)
         } else {
             return None;
         };
-        let changes = staying.len() < REPLICAS;
-        changes.then(|| Change {
+        let needs_change = staying.len() < REPLICAS;
+        needs_change.then(|| PartitionChange {
             origin: Origin::Copy,
             staying,
             previous: entry.replicas.clone(),
@@ -163,9 +169,9 @@
         })
     }
 
-    fn reset(&self, entry: &PartitionEntry, remaining: Vec<Replica>) -> Change {
+    fn reset(&self, entry: &PartitionEntry, remaining: Vec<Replica>) -> PartitionChange {
         let barrier = key_window::reset_barrier(self.now_unix_ms);
-        Change {
+        PartitionChange {
             origin: Origin::Reset,
             previous: remaining.clone(),
             staying: remaining,
@@ -173,30 +179,37 @@
         }
     }
 
-    /// The replicas that have not ended.
+    /// Returns the replicas that have not terminated.
     fn remaining(&self, entry: &PartitionEntry) -> Vec<Replica> {
         let replicas = entry.replicas.iter().copied();
         replicas
-            .filter(|one| self.placement.has(one.node))
+            .filter(|replica| self.placement.is_candidate(replica.node))
             .collect()
     }
 
-    /// Whether enough previous replicas are left for those that join to copy from.
-    fn can_copy(&self, entry: &PartitionEntry) -> bool {
+    /// Returns whether joining replicas can still complete their copies from the previous replicas.
+    fn can_complete_copies(&self, entry: &PartitionEntry) -> bool {
         let previous = entry.previous.iter();
-        let left = previous.filter(|one| self.placement.has(one.node)).count();
+        let available = previous
+            .filter(|replica| self.placement.is_candidate(replica.node))
+            .count();
         match entry.origin {
             Origin::First => true,
-            Origin::Copy => left >= read_quorum(entry.previous.len()),
-            Origin::Reset => left == entry.previous.len(),
+            Origin::Copy => available >= read_quorum(entry.previous.len()),
+            Origin::Reset => available == entry.previous.len(),
         }
     }
 
-    /// The replicas without the first unavailable one, if the others can do without it.
-    fn without_one_unavailable(&self, entry: &PartitionEntry) -> Vec<Replica> {
-        let is_live = |one: &Replica| self.placement.is_live(one.node);
-        let live = entry.replicas.iter().filter(|one| is_live(one)).count();
-        let unavailable = entry.replicas.iter().position(|one| !is_live(one));
+    /// Returns the replicas without the first unavailable one if a read quorum is live, or else all
+    /// replicas.
+    fn without_first_unavailable(&self, entry: &PartitionEntry) -> Vec<Replica> {
+        let is_live = |replica: &Replica| self.placement.is_live(replica.node);
+        let live = entry
+            .replicas
+            .iter()
+            .filter(|replica| is_live(replica))
+            .count();
+        let unavailable = entry.replicas.iter().position(|replica| !is_live(replica));
         let mut staying = entry.replicas.clone();
         if let Some(position) = unavailable
             && live >= read_quorum(entry.replicas.len())
@@ -206,15 +219,20 @@
         staying
     }
 
-    /// The next epoch, or `None` when there are no nodes to take the places.
-    fn carry_out(&mut self, entry: &PartitionEntry, change: Change) -> Option<PartitionEntry> {
+    /// Returns the entry of the next epoch, or `None` if there are too few nodes for it.
+    fn apply_change(
+        &mut self,
+        entry: &PartitionEntry,
+        change: PartitionChange,
+    ) -> Option<PartitionEntry> {
         let epoch = entry.epoch + 1;
-        let staying: Vec<NodeId> = change.staying.iter().map(|one| one.node).collect();
+        let staying: Vec<NodeId> = change.staying.iter().map(|replica| replica.node).collect();
         let leaving = entry.nodes().filter(|node| !staying.contains(node));
         let leaving: Vec<NodeId> = leaving.collect();
         let size = match change.origin {
             Origin::Reset => REPLICAS,
-            // One more at a time, so that every majority shares a member with every one before.
+            // Adding more than one replica at once would allow a majority that does not overlap
+            // every majority of the previous epoch.
             Origin::First | Origin::Copy => {
                 REPLICAS.min(entry.replicas.len() + usize::from(leaving.is_empty()))
             }
@@ -236,13 +254,13 @@
 fn next_entry(
     entry: &PartitionEntry,
     epoch: u64,
-    change: Change,
+    change: PartitionChange,
     joined: &[NodeId],
 ) -> PartitionEntry {
     let mut replicas = change.staying;
     let still_joining = entry.joining.iter().copied();
-    let staying = |node: &NodeId| replicas.iter().any(|one| one.node == *node);
-    let mut joining: Vec<NodeId> = still_joining.filter(staying).collect();
+    let is_staying = |node: &NodeId| replicas.iter().any(|replica| replica.node == *node);
+    let mut joining: Vec<NodeId> = still_joining.filter(is_staying).collect();
     joining.extend(joined);
     replicas.extend(joined.iter().map(|node| Replica {
         node: *node,
--- a/crates/standalone/tallybridge-claims/src/query.rs
+++ b/crates/standalone/tallybridge-claims/src/query.rs
@@ -1,4 +1,4 @@
-//! Whether a refused request is known not to have run.
+//! The executor's query that determines the outcome of a refused request.
 
 use std::collections::BTreeMap;
 
@@ -7,41 +7,47 @@
 
 use crate::{map::PartitionEntry, partition::majority};
 
-/// What is known about a refused request.
+/// Result of the replies received so far.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum QueryVerdict {
-    /// More replies are needed.
+    /// The replies do not determine the outcome yet.
     Undecided,
-    /// The request has run; this is its answer.
+    /// Another attempt has run the request and returned this answer.
     Replay(StoredAnswer),
-    /// What to tell the caller: [`Outcome::NotRun`] or [`Outcome::Unknown`].
+    /// The outcome to report to the caller: [`Outcome::NotRun`] or [`Outcome::Unknown`].
     Outcome(Outcome),
 }
 
-/// Finds out, for an attempt that will never run, whether any other attempt may have run.
+/// Determines, for an attempt that will never run, whether any other attempt may have run.
 ///
-/// `NotRun` is true of the time at which the first query was sent. Another attempt that the caller
-/// has under way at the same time may still run, and has an answer of its own.
+/// `NotRun` holds for the time at which the first query was sent. A concurrent attempt of the same
+/// caller may still run afterwards and has its own outcome.
 #[derive(Debug, Clone)]
 pub struct QueryRound {
     key: RequestKey,
     attempt: AttemptId,
     epoch: u64,
     replicas: Vec<NodeId>,
-    /// Whether each replica that is done with knows of no other attempt.
+    /// Whether a replica reported that no other attempt holds a run; `false` if the replica failed
+    /// or abstained. A missing replica is outstanding.
     nothing_held: BTreeMap<NodeId, bool>,
     verdict: QueryVerdict,
 }
 
 impl QueryRound {
-    /// Starts a query for an attempt that has claimed nothing and never will.
+    /// Creates a query for an attempt that has not claimed a run and never will.
     #[must_use]
     pub fn new(entry: &PartitionEntry, key: RequestKey, attempt: AttemptId) -> Self {
         let replicas: Vec<NodeId> = entry.nodes().collect();
-        Self::of(entry.epoch, &replicas, key, attempt)
+        Self::with_replicas(entry.epoch, &replicas, key, attempt)
     }
 
-    pub(crate) fn of(epoch: u64, replicas: &[NodeId], key: RequestKey, attempt: AttemptId) -> Self {
+    pub(crate) fn with_replicas(
+        epoch: u64,
+        replicas: &[NodeId],
+        key: RequestKey,
+        attempt: AttemptId,
+    ) -> Self {
         Self {
             key,
             attempt,
@@ -52,11 +58,11 @@
         }
     }
 
-    pub(crate) fn decide(&mut self, outcome: Outcome) {
+    pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
         self.verdict = QueryVerdict::Outcome(outcome);
     }
 
-    /// The replicas that have not answered yet.
+    /// Returns the replicas that have neither replied nor failed.
     #[must_use]
     pub fn targets(&self) -> Vec<NodeId> {
         let replicas = self.replicas.iter().copied();
@@ -65,7 +71,7 @@
             .collect()
     }
 
-    /// The query to send to the targets.
+    /// Returns the query to send to each of the [`targets`](Self::targets).
     #[must_use]
     pub fn request(&self) -> ClaimQuery {
         ClaimQuery {
@@ -75,7 +81,7 @@
         }
     }
 
-    /// Takes in a reply.
+    /// Records a reply, and ignores a reply of another epoch.
     pub fn record(&mut self, replica: NodeId, reply: &ClaimQueryReply) -> &QueryVerdict {
         if reply.epoch != self.epoch {
             return &self.verdict;
@@ -85,42 +91,42 @@
         {
             self.verdict = QueryVerdict::Replay(answer.clone());
         }
-        self.count(replica, reply.vote == QueryVote::NothingHeld)
+        self.record_vote(replica, reply.vote == QueryVote::NothingHeld)
     }
 
-    /// Notes that no reply will come from a replica.
+    /// Records that a replica will not reply.
     pub fn fail(&mut self, replica: NodeId) -> &QueryVerdict {
-        self.count(replica, false)
+        self.record_vote(replica, false)
     }
 
-    /// What the replies so far come to.
+    /// Returns the verdict on the replies received so far.
     #[must_use]
     pub fn verdict(&self) -> &QueryVerdict {
         &self.verdict
     }
 
-    fn count(&mut self, replica: NodeId, nothing_held: bool) -> &QueryVerdict {
+    fn record_vote(&mut self, replica: NodeId, nothing_held: bool) -> &QueryVerdict {
         if self.replicas.contains(&replica) {
             self.nothing_held.entry(replica).or_insert(nothing_held);
         }
         if self.verdict == QueryVerdict::Undecided {
-            self.tally();
+            self.update_verdict();
         }
         &self.verdict
     }
 
-    fn tally(&mut self) {
-        let needed = majority(self.replicas.len());
-        let nothing_held = self
+    fn update_verdict(&mut self) {
+        let required = majority(self.replicas.len());
+        let nothing_held_votes = self
             .nothing_held
             .values()
-            .filter(|nothing| **nothing)
+            .filter(|nothing_held| **nothing_held)
             .count();
         let outstanding = self.replicas.len() - self.nothing_held.len();
-        if nothing_held >= needed {
-            self.decide(Outcome::NotRun);
-        } else if nothing_held + outstanding < needed {
-            self.decide(Outcome::Unknown);
+        if nothing_held_votes >= required {
+            self.set_outcome(Outcome::NotRun);
+        } else if nothing_held_votes + outstanding < required {
+            self.set_outcome(Outcome::Unknown);
         }
     }
 }
--- a/crates/standalone/tallybridge-claims/src/replica.rs
+++ b/crates/standalone/tallybridge-claims/src/replica.rs
@@ -1,4 +1,7 @@
-//! One partition's claims at one replica.
+//! The claims of one partition at one replica, and the conditions under which the replica votes.
+//!
+//! A replica votes only in the epoch of its applied map entry and only after it has copied all
+//! earlier claims. When a replica answers a copy request, it stops voting in the previous epoch.
 
 use std::{collections::BTreeMap, ops::Bound};
 
@@ -12,83 +15,84 @@
     runs::HeldRuns,
 };
 
-/// Keys in one page of a copy. With answers of 4 KiB and their headers a page stays well below the
-/// largest frame.
-const PAGE_KEYS: usize = 128;
+/// Maximum number of keys in one page of a copy; a page with answers of 4 KiB stays below the
+/// maximum frame size.
+const MAX_KEYS_PER_PAGE: usize = 128;
 
-/// How far the copy from one previous replica has come.
+/// Progress of the copy from one previous replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CopyState {
-    /// Asked for the page after this key; `None` for the first.
+    /// The next page starts after this key; `None` requests the first page.
     After(Option<RequestKey>),
     Done,
 }
 
-/// One partition's claims at one replica, with what it may vote on.
+/// The claims of one partition on this node, with the epochs in which the node may vote.
 #[derive(Debug, Clone, Default)]
 pub struct PartitionReplica {
-    /// Epoch of the entry that was applied last; 0 before the first.
+    /// Epoch of the last applied entry; 0 before the first.
     epoch: u64,
-    /// Greatest epoch that a joining replica has asked for; epochs before it are over.
-    fenced_before: u64,
-    /// Whether this node is a replica in `epoch`.
+    /// Greatest epoch for which a joining replica has requested a copy. This replica no longer
+    /// votes in earlier epochs.
+    fenced_before_epoch: u64,
     member: bool,
-    /// Latest epoch for which its claims, with those of the other synchronised replicas, are all
-    /// there are.
-    whole_until: u64,
+    /// Latest epoch for which the claims here and at the other synchronised replicas together
+    /// include every granted run.
+    complete_until_epoch: u64,
     reset_unix_ms: u64,
-    /// Whether the epoch began with a reset, so that every survivor is copied from.
-    salvages: bool,
-    /// How many whole copies it takes to be synchronised.
-    copies_needed: usize,
+    /// Whether the epoch started with a reset, which requires a copy from every survivor.
+    copies_from_all_survivors: bool,
+    /// Number of complete copies required to become synchronised.
+    required_copies: usize,
     copies: BTreeMap<NodeId, CopyState>,
     claims: BTreeMap<RequestKey, HeldRuns>,
 }
 
 impl PartitionReplica {
-    /// Greatest epoch that this replica knows of.
+    /// Returns the greatest epoch seen in an applied entry or a copy request.
     #[must_use]
     pub fn current_epoch(&self) -> u64 {
-        self.epoch.max(self.fenced_before)
+        self.epoch.max(self.fenced_before_epoch)
     }
 
-    /// Epoch of the entry that was applied last.
+    /// Returns the epoch of the last applied entry, or 0 before the first.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
         self.epoch
     }
 
-    /// Whether this node is a replica.
+    /// Returns whether the last applied entry names this node as a replica.
     #[must_use]
     pub const fn is_member(&self) -> bool {
         self.member
     }
 
-    /// Whether this node is a replica that has all it needs to vote.
+    /// Returns whether this node is a replica and has all claims that it needs to vote.
     #[must_use]
     pub const fn is_synchronised(&self) -> bool {
-        self.member && self.whole_until >= self.epoch
+        self.member && self.complete_until_epoch >= self.epoch
     }
 
-    /// Keys dated before it are not voted on, milliseconds since the Unix epoch.
+    /// Returns the issue time before which keys get no votes, in milliseconds since the Unix epoch;
+    /// 0 if the partition was never reset.
     #[must_use]
     pub const fn reset_unix_ms(&self) -> u64 {
         self.reset_unix_ms
     }
 
-    /// Takes over an entry of the map. An entry that is not newer changes nothing.
+    /// Applies an entry of the map for this `node`. Ignores an entry that is not newer.
     pub fn apply(&mut self, node: NodeId, entry: &PartitionEntry) {
         if entry.epoch <= self.epoch {
             return;
         }
         let replica = entry.replica(node);
         if replica.is_some_and(|replica| self.stays_synchronised(replica, entry)) {
-            self.whole_until = entry.epoch;
+            self.complete_until_epoch = entry.epoch;
         } else if entry
             .previous_replica(node)
-            .is_some_and(|previous| self.stayed(previous))
+            .is_some_and(|previous| self.has_stayed_synchronised(previous))
         {
-            self.whole_until = entry.epoch - 1;
+            self.complete_until_epoch = entry.epoch - 1;
         }
         self.member = replica.is_some();
         self.epoch = entry.epoch;
@@ -96,25 +100,25 @@
         self.start_copies(node, entry);
     }
 
-    /// Whether this node, as a replica of `entry`, needs no copy.
+    /// Returns whether this node is synchronised in `entry` without a copy.
     fn stays_synchronised(&self, replica: &Replica, entry: &PartitionEntry) -> bool {
         match entry.origin {
             Origin::First => true,
-            Origin::Copy => self.stayed(replica),
+            Origin::Copy => self.has_stayed_synchronised(replica),
             Origin::Reset => replica.since_epoch < entry.epoch || entry.previous.is_empty(),
         }
     }
 
-    /// Whether this node has been a synchronised replica ever since it joined, also in epochs
-    /// whose entries it has not seen.
-    fn stayed(&self, replica: &Replica) -> bool {
+    /// Returns whether this node has been a synchronised replica since it joined. The result also
+    /// covers epochs whose entries this node has not seen, because `since_epoch` covers them.
+    fn has_stayed_synchronised(&self, replica: &Replica) -> bool {
         self.is_synchronised() && self.epoch >= replica.since_epoch
     }
 
     fn start_copies(&mut self, node: NodeId, entry: &PartitionEntry) {
         self.copies.clear();
-        self.salvages = entry.origin == Origin::Reset;
-        self.copies_needed = match entry.origin {
+        self.copies_from_all_survivors = entry.origin == Origin::Reset;
+        self.required_copies = match entry.origin {
             Origin::Reset => entry.previous.len(),
             Origin::First | Origin::Copy => read_quorum(entry.previous.len()),
         };
@@ -126,7 +130,7 @@
         self.copies = copies.collect();
     }
 
-    /// Why this replica does not vote on a key in an epoch, if it doesn't.
+    /// Returns the reason for not voting on a key in an epoch, or `None` if this replica votes.
     #[must_use]
     pub fn abstains(
         &self,
@@ -154,19 +158,19 @@
         (key.issued_unix_ms < self.reset_unix_ms).then_some(AbstainReason::BeforeReset)
     }
 
-    /// The held runs of a key, if any run is held.
+    /// Returns the held runs of a key, or `None` if no run is held.
     #[must_use]
     pub fn runs(&self, key: &RequestKey) -> Option<&HeldRuns> {
         self.claims.get(key)
     }
 
-    /// Number of remembered keys.
+    /// Returns the number of remembered keys.
     #[must_use]
     pub fn keys(&self) -> usize {
         self.claims.len()
     }
 
-    /// Changes the runs of a key, and forgets the key when none is held afterwards.
+    /// Changes the runs of a key, and removes the key if no run is held afterwards.
     pub fn update<T>(&mut self, key: RequestKey, change: impl FnOnce(&mut HeldRuns) -> T) -> T {
         let runs = self.claims.entry(key).or_default();
         let result = change(runs);
@@ -176,7 +180,7 @@
         result
     }
 
-    /// Forgets keys that nobody may claim any more.
+    /// Removes keys that no replica may grant any more.
     pub fn expire(&mut self, now_unix_ms: u64) {
         let oldest_kept = key_window::forgotten_before(now_unix_ms);
         while let Some(oldest) = self.claims.first_entry() {
@@ -187,41 +191,44 @@
         }
     }
 
-    /// Answers a replica that joins in the epoch of the request, and ends the epoch before.
+    /// Returns a page for a replica that joins in the requested epoch.
+    ///
+    /// Afterwards this replica no longer votes in earlier epochs, because the copy would lack any
+    /// run granted later.
     pub fn copy(&mut self, request: &ClaimCopy) -> PageContent {
-        if let Some(reason) = self.cannot_vouch_before(request) {
+        if let Some(reason) = self.copy_refusal_reason(request) {
             return PageContent::Abstains(reason);
         }
-        self.fenced_before = self.fenced_before.max(request.epoch);
+        self.fenced_before_epoch = self.fenced_before_epoch.max(request.epoch);
         let after = match request.continued {
             0 => Bound::Unbounded,
             _ => Bound::Excluded(RequestKey::from(request.after)),
         };
-        let mut rest = self.claims.range((after, Bound::Unbounded));
-        let runs: Vec<CopiedRun> = rest
+        let mut remaining = self.claims.range((after, Bound::Unbounded));
+        let runs: Vec<CopiedRun> = remaining
             .by_ref()
-            .take(PAGE_KEYS)
+            .take(MAX_KEYS_PER_PAGE)
             .flat_map(|(key, runs)| runs.copied(*key))
             .collect();
         PageContent::Claims {
-            more: u8::from(rest.next().is_some()),
+            more: u8::from(remaining.next().is_some()),
             count: u32::try_from(runs.len()).unwrap_or(u32::MAX),
             runs,
         }
     }
 
-    /// Why this replica's claims are of no use to a replica that joins, if they aren't.
-    fn cannot_vouch_before(&self, request: &ClaimCopy) -> Option<AbstainReason> {
+    /// Returns the reason for refusing a copy request, or `None` if the claims can be copied.
+    fn copy_refusal_reason(&self, request: &ClaimCopy) -> Option<AbstainReason> {
         if self.current_epoch() > request.epoch {
             return Some(AbstainReason::StaleEpoch {
                 current: self.current_epoch(),
             });
         }
-        let vouches = self.whole_until + 1 >= request.epoch;
-        (!vouches && request.salvage == 0).then_some(AbstainReason::NotSynchronised)
+        let is_complete = self.complete_until_epoch + 1 >= request.epoch;
+        (!is_complete && request.salvage == 0).then_some(AbstainReason::NotSynchronised)
     }
 
-    /// What to ask the previous replicas for, so as to be able to vote.
+    /// Returns the outstanding copy requests with the previous replicas to send them to.
     pub fn copy_requests(
         &self,
         partition: PartitionId,
@@ -230,7 +237,7 @@
             let CopyState::After(after) = state else {
                 return None;
             };
-            let none = RequestKey {
+            let first_page_key = RequestKey {
                 issued_unix_ms: 0,
                 digest: 0,
             };
@@ -238,14 +245,15 @@
                 partition: partition.0,
                 epoch: self.epoch,
                 continued: u8::from(after.is_some()),
-                after: after.unwrap_or(none).into(),
-                salvage: u8::from(self.salvages),
+                after: after.unwrap_or(first_page_key).into(),
+                salvage: u8::from(self.copies_from_all_survivors),
             };
             Some((*source, request))
         })
     }
 
-    /// Takes over a page from a previous replica.
+    /// Merges a page from a previous replica. Ignores a page of another epoch or from a node that
+    /// is not a copy source.
     pub fn take_page(&mut self, source: NodeId, page: &ClaimPage) {
         if page.epoch != self.epoch || !self.copies.contains_key(&source) {
             return;
@@ -266,7 +274,7 @@
         self.finish_copies();
     }
 
-    /// Moves a copy on; a page that came twice or late never moves it back.
+    /// Advances the progress of a copy; a duplicate or late page never moves it back.
     fn advance_copy(&mut self, source: NodeId, state: CopyState) {
         let Some(current) = self.copies.get_mut(&source) else {
             return;
@@ -281,10 +289,10 @@
     }
 
     fn finish_copies(&mut self) {
-        let whole = self.copies.values();
-        let whole = whole.filter(|state| **state == CopyState::Done).count();
-        if whole >= self.copies_needed {
-            self.whole_until = self.epoch;
+        let completed = self.copies.values();
+        let completed = completed.filter(|state| **state == CopyState::Done).count();
+        if completed >= self.required_copies {
+            self.complete_until_epoch = self.epoch;
             self.copies.clear();
         }
     }
--- a/crates/standalone/tallybridge-claims/src/round.rs
+++ b/crates/standalone/tallybridge-claims/src/round.rs
@@ -1,4 +1,4 @@
-//! The executor's side of one claim.
+//! The executor's side of a claim, which counts the votes of the replicas.
 
 use std::collections::BTreeMap;
 
@@ -9,39 +9,40 @@
 
 use crate::{key_window, map::PartitionEntry, partition::majority, query::QueryRound};
 
-/// What a claim came to.
+/// Result of the votes received so far.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
-    /// More votes are needed.
+    /// The votes do not determine the result yet.
     Undecided,
-    /// The attempt may run the call, as this run.
+    /// A majority granted a run to the attempt.
     Granted {
-        /// Number of the run.
+        /// Number of the granted run, from 1.
         run: u8,
     },
-    /// The request has run; this is its answer.
+    /// Another attempt has run the request and returned this answer.
     Replay(StoredAnswer),
-    /// The one run that the request allows is held by another attempt.
+    /// Another attempt holds the only allowed run.
     RunningElsewhere,
-    /// Every run that the request allows is held by other attempts.
+    /// Other attempts hold all of several allowed runs.
     AllRunsTaken,
-    /// The asker's map is out of date; [`ClaimRound::restart`] with the entry of this epoch.
+    /// The executor's map is out of date. The executor calls [`ClaimRound::restart`] with a newer
+    /// entry.
     StaleEpoch {
-        /// The replicas' epoch.
+        /// Greatest epoch reported by a replica.
         current: u64,
     },
-    /// Too few replicas vote.
+    /// Too few replicas can vote to form a majority.
     NoMajority,
 }
 
-/// What to do after a reply.
+/// The executor's next step after a reply or a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
-    /// Wait for more replies.
+    /// Wait for further replies.
     Wait,
-    /// Send [`ClaimRound::request`] to all [`ClaimRound::targets`]: it asks for the next run.
+    /// Send [`ClaimRound::request`], which now claims the next run, to all [`ClaimRound::targets`].
     Claim,
-    /// [`ClaimRound::verdict`] is final.
+    /// Act on [`ClaimRound::verdict`], which is final.
     Decided,
 }
 
@@ -49,13 +50,13 @@
 enum Ballot {
     Granted { other_runs: u8 },
     Held,
-    None,
+    NoVote,
 }
 
-/// One attempt's claim on a run of a request: the lowest that a majority gives it.
+/// The claim of one attempt on the lowest run that a majority grants.
 ///
-/// An attempt claims, and then either runs the call once, or gives up by [`refuse`](Self::refuse),
-/// which takes the round so that it can't claim again.
+/// After the claim, an attempt either runs the call once or calls [`refuse`](Self::refuse), which
+/// consumes the round so that the attempt can't claim again.
 #[derive(Debug, Clone)]
 pub struct ClaimRound {
     key: RequestKey,
@@ -65,12 +66,12 @@
     replicas: Vec<NodeId>,
     run: u8,
     ballots: BTreeMap<NodeId, Ballot>,
-    stale: Option<u64>,
+    newer_epoch: Option<u64>,
     verdict: Verdict,
 }
 
 impl ClaimRound {
-    /// Starts a claim on the first run. `max_runs` is 1 for a call that must not be repeated.
+    /// Creates a claim on the first run. `max_runs` is 1 for a call that must not be repeated.
     #[must_use]
     pub fn new(entry: &PartitionEntry, key: RequestKey, attempt: AttemptId, max_runs: u8) -> Self {
         Self {
@@ -81,19 +82,19 @@
             replicas: entry.nodes().collect(),
             run: 1,
             ballots: BTreeMap::new(),
-            stale: None,
+            newer_epoch: None,
             verdict: Verdict::Undecided,
         }
     }
 
-    /// Starts again with a newer entry. The attempt stays the same, so what it was granted in the
-    /// epoch before does not stand in its way.
+    /// Creates a new round for the same attempt with a newer entry. Runs granted to the attempt in
+    /// the previous epoch do not block the new claim.
     #[must_use]
     pub fn restart(self, entry: &PartitionEntry) -> Self {
         Self::new(entry, self.key, self.attempt, self.max_runs)
     }
 
-    /// The replicas that have not answered yet.
+    /// Returns the replicas that have neither replied nor failed for the current run.
     #[must_use]
     pub fn targets(&self) -> Vec<NodeId> {
         let replicas = self.replicas.iter().copied();
@@ -102,7 +103,7 @@
             .collect()
     }
 
-    /// The claim to send to the targets.
+    /// Returns the claim to send to each of the [`targets`](Self::targets).
     #[must_use]
     pub fn request(&self) -> Claim {
         Claim {
@@ -113,7 +114,7 @@
         }
     }
 
-    /// Takes in a reply. Replies to earlier requests and repeated ones change nothing.
+    /// Records a reply. Ignores duplicates and replies to earlier requests.
     pub fn record(&mut self, replica: NodeId, reply: &ClaimReply) -> Progress {
         if reply.epoch != self.epoch || reply.run != self.run {
             return self.progress();
@@ -123,30 +124,32 @@
                 other_runs: *other_runs,
             },
             ClaimVote::Held { state, .. } => {
-                self.replay(state);
+                self.record_finished_run(state);
                 Ballot::Held
             }
             ClaimVote::Abstains(reason) => {
-                self.note_stale(*reason);
-                Ballot::None
+                self.record_stale_epoch(*reason);
+                Ballot::NoVote
             }
         };
-        self.count(replica, ballot)
+        self.record_ballot(replica, ballot)
     }
 
-    /// Notes that no reply will come from a replica.
+    /// Records that a replica will not reply.
     pub fn fail(&mut self, replica: NodeId) -> Progress {
-        self.count(replica, Ballot::None)
+        self.record_ballot(replica, Ballot::NoVote)
     }
 
-    /// What the replies so far come to.
+    /// Returns the verdict on the replies received so far.
     #[must_use]
     pub fn verdict(&self) -> &Verdict {
         &self.verdict
     }
 
-    /// Whether the call may be handed to the back end now. Asked right before, as the process may
-    /// have been paused since the claim was granted.
+    /// Returns whether the executor may hand the call to its back end at the given time.
+    ///
+    /// Callers must check immediately before the dispatch, because the process may have been paused
+    /// since the grant.
     #[must_use]
     pub fn may_run(&self, deadline_unix_ms: u64, now_unix_ms: u64) -> bool {
         matches!(self.verdict, Verdict::Granted { .. })
@@ -154,7 +157,7 @@
             && key_window::is_open(&self.key, now_unix_ms)
     }
 
-    /// Tells the replicas the answer of the run, for replay.
+    /// Returns the message that stores the answer of the run at the [`replicas`](Self::replicas).
     #[must_use]
     pub fn finish(&self, answer: StoredAnswer) -> ClaimFinish {
         ClaimFinish {
@@ -165,75 +168,77 @@
         }
     }
 
-    /// Every replica, for [`finish`](Self::finish).
+    /// Returns all replicas of the round, including those that have replied.
     #[must_use]
     pub fn replicas(&self) -> &[NodeId] {
         &self.replicas
     }
 
-    /// Gives up: the attempt has not run and never will.
+    /// Ends the claim of an attempt that has not run and never will.
     ///
-    /// Gives what is to be sent to every replica, and the round that finds out what to tell the
-    /// caller. That round is decided at once when the votes show that the request can't have run.
+    /// Returns the release to send to every replica, and the query round that determines the
+    /// outcome. The query round is already decided if the votes prove that the request has not run.
     #[must_use]
     pub fn refuse(self) -> (ClaimRelease, QueryRound) {
         let release = ClaimRelease {
             key: self.key.into(),
             attempt: self.attempt.into(),
         };
-        let mut query = QueryRound::of(self.epoch, &self.replicas, self.key, self.attempt);
-        if self.excludes_others() {
-            query.decide(Outcome::NotRun);
+        let mut query =
+            QueryRound::with_replicas(self.epoch, &self.replicas, self.key, self.attempt);
+        if self.holds_only_run() {
+            query.set_outcome(Outcome::NotRun);
         }
         (release, query)
     }
 
-    /// Whether the attempt holds the only run, and the replicas that say so know of no other.
-    fn excludes_others(&self) -> bool {
-        let alone = self.ballots.values();
-        let alone = alone.filter(|ballot| **ballot == Ballot::Granted { other_runs: 0 });
-        self.max_runs == 1 && alone.count() >= majority(self.replicas.len())
+    /// Returns whether a majority granted the only allowed run and reported no other held run.
+    fn holds_only_run(&self) -> bool {
+        let sole_grants = self.ballots.values();
+        let sole_grants =
+            sole_grants.filter(|ballot| **ballot == Ballot::Granted { other_runs: 0 });
+        self.max_runs == 1 && sole_grants.count() >= majority(self.replicas.len())
     }
 
-    fn replay(&mut self, state: &RunState) {
-        let decided = self.verdict != Verdict::Undecided;
-        if let (false, RunState::Finished(answer)) = (decided, state) {
+    fn record_finished_run(&mut self, state: &RunState) {
+        let is_decided = self.verdict != Verdict::Undecided;
+        if let (false, RunState::Finished(answer)) = (is_decided, state) {
             self.verdict = Verdict::Replay(answer.clone());
         }
     }
 
-    fn note_stale(&mut self, reason: AbstainReason) {
+    fn record_stale_epoch(&mut self, reason: AbstainReason) {
         if let AbstainReason::StaleEpoch { current } = reason {
-            self.stale = self.stale.max(Some(current));
+            self.newer_epoch = self.newer_epoch.max(Some(current));
         }
     }
 
-    fn count(&mut self, replica: NodeId, ballot: Ballot) -> Progress {
+    fn record_ballot(&mut self, replica: NodeId, ballot: Ballot) -> Progress {
         if self.replicas.contains(&replica) {
             self.ballots.entry(replica).or_insert(ballot);
         }
         if self.verdict != Verdict::Undecided {
             return Progress::Decided;
         }
-        self.decide()
+        self.update_verdict()
     }
 
-    fn decide(&mut self) -> Progress {
-        let needed = majority(self.replicas.len());
-        let granted = self.tally(|ballot| matches!(ballot, Ballot::Granted { .. }));
-        let votes = self.tally(|ballot| ballot != Ballot::None);
+    fn update_verdict(&mut self) -> Progress {
+        let required = majority(self.replicas.len());
+        let granted = self.count_ballots(|ballot| matches!(ballot, Ballot::Granted { .. }));
+        let votes = self.count_ballots(|ballot| ballot != Ballot::NoVote);
         let outstanding = self.replicas.len() - self.ballots.len();
-        if granted >= needed {
+        if granted >= required {
             self.verdict = Verdict::Granted { run: self.run };
-        } else if votes + outstanding < needed {
-            self.verdict = self.no_majority();
-        } else if granted + outstanding < needed && votes >= needed {
-            return self.next_run();
+        } else if votes + outstanding < required {
+            self.verdict = self.no_majority_verdict();
+        } else if granted + outstanding < required && votes >= required {
+            return self.claim_next_run();
         }
         self.progress()
     }
 
-    fn next_run(&mut self) -> Progress {
+    fn claim_next_run(&mut self) -> Progress {
         if self.run < self.max_runs {
             self.run += 1;
             self.ballots.clear();
@@ -246,8 +251,8 @@
         Progress::Decided
     }
 
-    fn no_majority(&self) -> Verdict {
-        match self.stale {
+    fn no_majority_verdict(&self) -> Verdict {
+        match self.newer_epoch {
             Some(current) => Verdict::StaleEpoch { current },
             None => Verdict::NoMajority,
         }
@@ -260,10 +265,10 @@
         }
     }
 
-    fn tally(&self, counts: impl Fn(Ballot) -> bool) -> usize {
+    fn count_ballots(&self, is_counted: impl Fn(Ballot) -> bool) -> usize {
         self.ballots
             .values()
-            .filter(|ballot| counts(**ballot))
+            .filter(|ballot| is_counted(**ballot))
             .count()
     }
 }
--- a/crates/standalone/tallybridge-claims/src/runs.rs
+++ b/crates/standalone/tallybridge-claims/src/runs.rs
@@ -1,69 +1,70 @@
-//! The runs of one key that attempts hold at one replica.
+//! The runs of one key that attempts hold at one replica, with stored answers for replay.
 
 use deku::{DekuContainerRead, DekuContainerWrite};
 use tallybridge_core::{AttemptId, InstanceId, RequestKey};
 use tallybridge_wire::claim::{CopiedRun, RunState, StoredAnswer};
 
-/// Stands in for the holder of a run that two replicas gave to different attempts. No attempt has
-/// this identity, as sequence numbers count from 1, so nobody is granted the run.
+/// Holder of a run that two replicas granted to different attempts.
+///
+/// Sequence numbers of attempts start at 1, so no attempt equals this value or is granted the run.
 pub const CONTESTED: AttemptId = AttemptId {
     instance: InstanceId(0),
     sequence: 0,
 };
 
-/// One held run.
+/// A run that an attempt holds, whether it is running or finished.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldRun {
-    /// Number of the run, from 1.
+    /// Number of the run, from 1 to the `max_runs` of the request.
     pub run: u8,
-    /// Who holds it.
+    /// The attempt that holds the run, or [`CONTESTED`].
     pub attempt: AttemptId,
-    /// The finished answer in its wire form, which takes far less memory than the parsed one.
+    /// Answer of the finished run, encoded because the decoded form takes far more memory.
     answer: Option<Box<[u8]>>,
 }
 
 impl HeldRun {
-    /// What is known of the run.
+    /// Returns `Finished` with the stored answer, or `Running` if there is none.
     #[must_use]
     pub fn state(&self) -> RunState {
-        let parsed = self.answer.as_deref().and_then(parse_answer);
-        parsed.map_or(RunState::Running, RunState::Finished)
+        let answer = self.answer.as_deref().and_then(decode_answer);
+        answer.map_or(RunState::Running, RunState::Finished)
     }
 }
 
-fn parse_answer(bytes: &[u8]) -> Option<StoredAnswer> {
+fn decode_answer(bytes: &[u8]) -> Option<StoredAnswer> {
     let (_, answer) = StoredAnswer::from_bytes((bytes, 0)).ok()?;
     Some(answer)
 }
 
-fn answer_bytes(answer: &StoredAnswer) -> Option<Box<[u8]>> {
+fn encode_answer(answer: &StoredAnswer) -> Option<Box<[u8]>> {
     answer.to_bytes().ok().map(Vec::into_boxed_slice)
 }
 
-/// The held runs of one key.
+/// The held runs of one key, at most one entry for each run number.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct HeldRuns {
     runs: Vec<HeldRun>,
 }
 
 impl HeldRuns {
-    /// Whether no run is held.
+    /// Returns whether no attempt holds a run of the key.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.runs.is_empty()
     }
 
-    /// The held runs.
+    /// Iterates over the held runs in the order of their first claim or copy.
     pub fn iter(&self) -> impl Iterator<Item = &HeldRun> {
         self.runs.iter()
     }
 
-    /// The runs that attempts other than this one hold.
+    /// Iterates over the runs held by other attempts, including contested runs.
     pub fn of_others(&self, attempt: AttemptId) -> impl Iterator<Item = &HeldRun> {
         self.runs.iter().filter(move |held| held.attempt != attempt)
     }
 
-    /// The held runs in the form in which they are copied to another replica.
+    /// Returns the held runs as entries for a copy page.
     #[must_use]
     pub fn copied(&self, key: RequestKey) -> Vec<CopiedRun> {
         let copied = self.runs.iter().map(|held| CopiedRun {
@@ -75,11 +76,11 @@
         copied.collect()
     }
 
-    /// Gives a run to an attempt if it is free.
+    /// Grants a run to an attempt if no other attempt holds the run.
     ///
     /// # Errors
     ///
-    /// The held run when another attempt holds it.
+    /// Returns the held run if another attempt holds it.
     pub fn claim(&mut self, run: u8, attempt: AttemptId) -> Result<(), &HeldRun> {
         match self.position(run) {
             Some(position) if self.runs[position].attempt == attempt => Ok(()),
@@ -91,32 +92,36 @@
         }
     }
 
-    /// Frees the runs that the attempt holds.
+    /// Releases all runs of the key that the attempt holds.
     pub fn release(&mut self, attempt: AttemptId) {
         self.runs.retain(|held| held.attempt != attempt);
     }
 
-    /// Notes the answer of a run. Only the attempt that ran it can have one, so whoever else seems
-    /// to hold the run here was never granted it by a majority.
+    /// Stores the answer of a run and makes `attempt` the holder.
+    ///
+    /// Only an attempt with a majority has an answer, so no majority granted the run to any other
+    /// attempt that holds the run here.
     pub fn finish(&mut self, run: u8, attempt: AttemptId, answer: &StoredAnswer) {
-        let bytes = answer_bytes(answer);
-        self.replace(run, attempt, bytes);
+        let encoded = encode_answer(answer);
+        self.replace(run, attempt, encoded);
     }
 
-    /// Takes over what another replica holds. A run that the two replicas gave to different
-    /// attempts is given to nobody any more: which of them a majority granted can't be told.
+    /// Merges a run copied from another replica.
+    ///
+    /// A run that the two replicas granted to different attempts becomes [`CONTESTED`], because the
+    /// copies do not show which attempt has a majority.
     pub fn merge(&mut self, run: u8, attempt: AttemptId, state: &RunState) {
-        let bytes = match state {
+        let encoded = match state {
             RunState::Running => None,
-            RunState::Finished(answer) => answer_bytes(answer),
+            RunState::Finished(answer) => encode_answer(answer),
         };
         let Some(position) = self.position(run) else {
-            self.push(run, attempt, bytes);
+            self.push(run, attempt, encoded);
             return;
         };
         let held = &mut self.runs[position];
-        if bytes.is_some() {
-            self.replace(run, attempt, bytes);
+        if encoded.is_some() {
+            self.replace(run, attempt, encoded);
         } else if held.attempt != attempt && held.answer.is_none() {
             held.attempt = CONTESTED;
         }
@@ -127,7 +132,7 @@
     }
 
     fn push(&mut self, run: u8, attempt: AttemptId, answer: Option<Box<[u8]>>) {
-        // Most keys have one run; the default growth of a vector would keep room for four.
+        // Most keys have one run; the default growth of `Vec` would allocate space for four.
         self.runs.reserve_exact(1);
         self.runs.push(HeldRun {
             run,
--- a/crates/standalone/tallybridge-claims/src/table.rs
+++ b/crates/standalone/tallybridge-claims/src/table.rs
@@ -1,4 +1,6 @@
-//! The claims that one node holds for others.
+//! The claims that one node stores as a replica, and its replies to claim messages.
+//!
+//! The table limits the number of remembered keys and never lets its clock go back.
 
 use std::collections::BTreeMap;
 
@@ -19,32 +21,32 @@
     runs::{HeldRun, HeldRuns},
 };
 
-/// What a node reports about its claims.
+/// Counts that a node reports about its claim table.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ClaimStatus {
-    /// Remembered keys.
+    /// Number of remembered keys in all partitions.
     pub keys: usize,
-    /// Partitions of which this node is a replica.
+    /// Number of partitions of which this node is a replica.
     pub partitions: usize,
-    /// Of these, the ones that it can't vote on yet.
+    /// Number of these partitions in which this node can't vote yet.
     pub not_synchronised: usize,
-    /// Of these, the ones that do not vote on part of the keys, since claims were lost.
+    /// Number of these partitions in which a reset still excludes keys that are within the window.
     pub resets: usize,
 }
 
-/// The claims that one node holds as replica of some partitions.
+/// The claims that one node stores as a replica of some partitions.
 #[derive(Debug, Clone)]
 pub struct ClaimTable {
     node: NodeId,
     capacity: usize,
     keys: usize,
-    /// Greatest time seen. A clock that is set back must not open the window of forgotten keys.
+    /// Greatest time seen. A clock that is set back must not allow claims on forgotten keys.
     latest_unix_ms: u64,
     partitions: BTreeMap<PartitionId, PartitionReplica>,
 }
 
 impl ClaimTable {
-    /// A table that remembers at most `capacity` keys, besides those that it copies on joining.
+    /// Creates a table that remembers at most `capacity` keys, not counting keys copied on joining.
     #[must_use]
     pub fn new(node: NodeId, capacity: usize) -> Self {
         Self {
@@ -56,19 +58,19 @@
         }
     }
 
-    /// Takes over a map. Entries that are not newer than what the table knows change nothing.
+    /// Applies the entries of a map that are newer than the entries in the table.
     pub fn apply(&mut self, map: &PartitionMap) {
         for (partition, entry) in map.iter() {
-            let concerned = entry.replica(self.node).is_some();
-            if concerned || self.partitions.contains_key(&partition) {
+            let is_replica = entry.replica(self.node).is_some();
+            if is_replica || self.partitions.contains_key(&partition) {
                 let replica = self.partitions.entry(partition).or_default();
                 replica.apply(self.node, entry);
             }
         }
     }
 
-    /// Answers a message about claims, or `None` when there is nothing to answer. `source` is the
-    /// node that sent it.
+    /// Handles a claim message from the node `source` and returns the reply. Returns `None` for
+    /// messages that need no reply or are not about claims.
     pub fn handle(
         &mut self,
         source: NodeId,
@@ -97,7 +99,7 @@
         }
     }
 
-    /// Votes on a claim.
+    /// Votes on a claim: grants the run, names its holder, or abstains.
     pub fn claim(&mut self, claim: &Claim, now_unix_ms: u64) -> ClaimReply {
         let key = claim.key.into();
         let vote = match self.abstains(&key, claim.epoch, now_unix_ms) {
@@ -124,7 +126,7 @@
         })
     }
 
-    /// Answers whether an attempt other than the asker holds a run.
+    /// Reports whether an attempt other than the one in the query holds a run of the key.
     pub fn query(&mut self, query: &ClaimQuery, now_unix_ms: u64) -> ClaimQueryReply {
         let key = query.key.into();
         let vote = match self.abstains(&key, query.epoch, now_unix_ms) {
@@ -144,11 +146,11 @@
         };
         let states = runs.of_others(attempt).map(HeldRun::state);
         states
-            .reduce(finished_first)
+            .reduce(prefer_finished)
             .map_or(QueryVote::NothingHeld, QueryVote::Held)
     }
 
-    /// Frees the runs of an attempt that will never run.
+    /// Releases the runs of an attempt that will never run.
     pub fn release(&mut self, release: &ClaimRelease) {
         let key = RequestKey::from(release.key);
         if self.partitions.contains_key(&PartitionId::of(&key)) {
@@ -156,22 +158,22 @@
         }
     }
 
-    /// Notes the answer of a run, for replay.
+    /// Stores the answer of a run for replay, unless the key is new and the table is full.
     pub fn finish(&mut self, finish: &ClaimFinish) {
         let key = RequestKey::from(finish.key);
         let replica = self.partitions.get(&PartitionId::of(&key));
         if !replica.is_some_and(PartitionReplica::is_member) {
             return;
         }
-        let known = replica.is_some_and(|replica| replica.runs(&key).is_some());
-        if known || self.keys < self.capacity {
+        let is_known = replica.is_some_and(|replica| replica.runs(&key).is_some());
+        if is_known || self.keys < self.capacity {
             self.update(key, |runs| {
                 runs.finish(finish.run, finish.attempt.into(), &finish.answer);
             });
         }
     }
 
-    /// Answers a replica that joins.
+    /// Returns a page of claims for a replica that joins, or the reason for abstaining.
     pub fn copy(&mut self, request: &ClaimCopy) -> ClaimPage {
         let partition = PartitionId(request.partition);
         let content = match self.partitions.get_mut(&partition) {
@@ -185,7 +187,7 @@
         }
     }
 
-    /// Takes over a page that answers one of [`copy_requests`](Self::copy_requests).
+    /// Merges a page that answers one of the [`copy_requests`](Self::copy_requests).
     pub fn take_page(&mut self, source: NodeId, page: &ClaimPage) {
         let Some(replica) = self.partitions.get_mut(&PartitionId(page.partition)) else {
             return;
@@ -195,8 +197,8 @@
         self.keys = self.keys - before + replica.keys();
     }
 
-    /// What to ask other replicas for, so as to be able to vote. Asked anew at each tick, and for a
-    /// partition after each page that came for it.
+    /// Returns the copy requests that this node needs answered before it can vote, with their
+    /// destinations. The node sends them at each tick and after each received page.
     #[must_use]
     pub fn copy_requests(&self) -> Vec<(NodeId, ClaimCopy)> {
         let partitions = self.partitions.iter();
@@ -205,7 +207,7 @@
         requests.collect()
     }
 
-    /// The partitions that this node can vote on, for the next plan.
+    /// Returns a report for each partition in which this node can vote; the planner uses them.
     pub fn sync_reports(&self) -> impl Iterator<Item = SyncReport> {
         let partitions = self.partitions.iter();
         let synchronised = partitions.filter(|(_, replica)| replica.is_synchronised());
@@ -216,9 +218,9 @@
         })
     }
 
-    /// Forgets keys that nobody may claim any more. Runs at each tick.
+    /// Removes keys that no replica may grant any more. The node calls this method at each tick.
     pub fn expire(&mut self, now_unix_ms: u64) {
-        let now_unix_ms = self.latest(now_unix_ms);
+        let now_unix_ms = self.advance_clock(now_unix_ms);
         for replica in self.partitions.values_mut() {
             let before = replica.keys();
             replica.expire(now_unix_ms);
@@ -226,7 +228,7 @@
         }
     }
 
-    /// What the table holds.
+    /// Returns the current counts. Resets are judged by the greatest time seen so far.
     #[must_use]
     pub fn status(&self) -> ClaimStatus {
         let members = self
@@ -240,8 +242,8 @@
         for replica in members {
             status.partitions += 1;
             status.not_synchronised += usize::from(!replica.is_synchronised());
-            let oldest_open = self.latest_unix_ms.saturating_sub(crate::WINDOW_MS);
-            status.resets += usize::from(replica.reset_unix_ms() > oldest_open);
+            let window_start_unix_ms = self.latest_unix_ms.saturating_sub(crate::WINDOW_MS);
+            status.resets += usize::from(replica.reset_unix_ms() > window_start_unix_ms);
         }
         status
     }
@@ -252,7 +254,7 @@
         epoch: u64,
         now_unix_ms: u64,
     ) -> Option<AbstainReason> {
-        let now_unix_ms = self.latest(now_unix_ms);
+        let now_unix_ms = self.advance_clock(now_unix_ms);
         match self.partitions.get(&PartitionId::of(key)) {
             Some(replica) => replica.abstains(key, epoch, now_unix_ms),
             None => Some(AbstainReason::NotMember),
@@ -261,8 +263,8 @@
 
     fn is_full_for(&self, key: &RequestKey) -> bool {
         let replica = self.partitions.get(&PartitionId::of(key));
-        let known = replica.is_some_and(|replica| replica.runs(key).is_some());
-        !known && self.keys >= self.capacity
+        let is_known = replica.is_some_and(|replica| replica.runs(key).is_some());
+        !is_known && self.keys >= self.capacity
     }
 
     fn update<T>(&mut self, key: RequestKey, change: impl FnOnce(&mut HeldRuns) -> T) -> T {
@@ -273,15 +275,15 @@
         result
     }
 
-    fn latest(&mut self, now_unix_ms: u64) -> u64 {
+    fn advance_clock(&mut self, now_unix_ms: u64) -> u64 {
         self.latest_unix_ms = self.latest_unix_ms.max(now_unix_ms);
         self.latest_unix_ms
     }
 }
 
-fn finished_first(one: RunState, other: RunState) -> RunState {
-    match one {
-        RunState::Finished(_) => one,
-        RunState::Running => other,
+fn prefer_finished(first: RunState, second: RunState) -> RunState {
+    match first {
+        RunState::Finished(_) => first,
+        RunState::Running => second,
     }
 }
--- a/crates/standalone/tallybridge-claims/tests/at_most_once.rs
+++ b/crates/standalone/tallybridge-claims/tests/at_most_once.rs
@@ -1,8 +1,9 @@
-//! Requests run at most as often as allowed and `not-run` is true, through every fault.
+//! Random faults never cause more runs than allowed or a false `not-run` outcome.
 //!
-//! A few hundred sequences with a fixed seed by default. A long run with fresh seeds:
+//! By default, the test runs a few hundred sequences with a fixed seed. To run more sequences with
+//! random seeds:
 //! `PROPTEST_CASES=10000 cargo test --release -p tallybridge-claims --test at_most_once`
-//! (a given `PROPTEST_RNG_SEED` repeats one).
+//! (set `PROPTEST_RNG_SEED` as well to repeat a run).
 
 mod fleet;
 
@@ -16,26 +17,26 @@
 use tallybridge_claims::{SKEW_MS, WINDOW_MS};
 
 const DEFAULT_CASES: u32 = 256;
-/// How long to look for a shorter sequence after a failure, in milliseconds.
-const SHRINK_MS: u32 = 15_000;
+/// Time limit for shrinking a failing sequence, in milliseconds.
+const MAX_SHRINK_MS: u32 = 15_000;
 const FIXED_SEED: u64 = 5;
-/// Runs that each key allows: a payment, and two calls that may be repeated.
-const MAX_RUNS: [u8; 3] = [1, 2, 3];
+/// Allowed runs of each key: one call that must not be repeated, and two that may be.
+const MAX_RUNS_PER_KEY: [u8; 3] = [1, 2, 3];
 
-/// What happens next. Numbers select a node, key, attempt or message out of those there are.
+/// A step of the simulation. Each `usize` selects an existing node, key, attempt or message.
 #[derive(Debug, Clone)]
 enum Event {
     Call {
         node: usize,
         key: usize,
     },
-    /// A call of which one node hears late.
-    CallThrough {
+    /// Runs a call at once, except that messages to one node are delayed.
+    CallWithDelayedNode {
         node: usize,
         key: usize,
-        held_up: usize,
+        delayed_node: usize,
     },
-    CallRefused {
+    RefusedCall {
         node: usize,
         key: usize,
     },
@@ -50,82 +51,85 @@
     Fail(usize),
     Deliver(usize),
     DeliverTo(usize),
-    Settle,
-    Lose(usize),
-    Repeat(usize),
+    DeliverAll,
+    DropMessage(usize),
+    DuplicateMessage(usize),
     Freeze(usize),
-    Thaw(usize),
+    Unfreeze(usize),
     Suspect(usize),
-    Trust(usize),
-    Kill(usize),
+    ClearSuspicion(usize),
+    ReplaceNode(usize),
     Plan {
         skew_ms: i64,
     },
-    /// A plan that one node does not hear of yet.
+    /// Plans a map that all nodes but one apply at once.
     Reconfigure {
-        lagging: usize,
+        lagging_node: usize,
     },
-    Learn(usize),
+    ApplyMap(usize),
     Copy(usize),
     Report(usize),
     Advance(u64),
-    StepClock {
+    SetClockSkew {
         node: usize,
         skew_ms: i64,
     },
     Expire(usize),
 }
 
-fn skew() -> impl Strategy<Value = i64> {
-    let limit = i64::try_from(SKEW_MS).expect("small");
+fn skew_strategy() -> impl Strategy<Value = i64> {
+    let limit = i64::try_from(SKEW_MS).expect("the clock skew limit fits in i64");
     prop_oneof![Just(0), Just(limit), Just(-limit), -limit..=limit]
 }
 
-fn event() -> BoxedStrategy<Event> {
-    let any = any::<usize>;
-    let target = || (0..16_usize, 0..MAX_RUNS.len());
+fn event_strategy() -> BoxedStrategy<Event> {
+    let selector = any::<usize>;
+    let node_and_key = || (0..16_usize, 0..MAX_RUNS_PER_KEY.len());
     let calls = prop_oneof![
-        8 => target().prop_map(|(node, key)| Event::Call { node, key }),
-        6 => (target(), 0..16_usize).prop_map(|((node, key), held_up)| Event::CallThrough {
-            node,
-            key,
-            held_up,
-        }),
-        3 => target().prop_map(|(node, key)| Event::CallRefused { node, key }),
-        1 => (0..MAX_RUNS.len(), skew()).prop_map(|(key, skew_ms)| Event::RenewKey { key, skew_ms }),
-        8 => any().prop_map(Event::Run),
-        3 => any().prop_map(Event::Finish),
-        4 => any().prop_map(Event::Refuse),
-        3 => any().prop_map(Event::Resend),
-        2 => any().prop_map(Event::Fail),
+        8 => node_and_key().prop_map(|(node, key)| Event::Call { node, key }),
+        6 => (node_and_key(), 0..16_usize)
+            .prop_map(|((node, key), delayed_node)| Event::CallWithDelayedNode {
+                node,
+                key,
+                delayed_node,
+            }),
+        3 => node_and_key().prop_map(|(node, key)| Event::RefusedCall { node, key }),
+        1 => (0..MAX_RUNS_PER_KEY.len(), skew_strategy())
+            .prop_map(|(key, skew_ms)| Event::RenewKey { key, skew_ms }),
+        8 => selector().prop_map(Event::Run),
+        3 => selector().prop_map(Event::Finish),
+        4 => selector().prop_map(Event::Refuse),
+        3 => selector().prop_map(Event::Resend),
+        2 => selector().prop_map(Event::Fail),
     ];
     let messages = prop_oneof![
-        24 => any().prop_map(Event::Deliver),
-        6 => any().prop_map(Event::DeliverTo),
-        2 => Just(Event::Settle),
-        2 => any().prop_map(Event::Lose),
-        3 => any().prop_map(Event::Repeat),
+        24 => selector().prop_map(Event::Deliver),
+        6 => selector().prop_map(Event::DeliverTo),
+        2 => Just(Event::DeliverAll),
+        2 => selector().prop_map(Event::DropMessage),
+        3 => selector().prop_map(Event::DuplicateMessage),
     ];
     let faults = prop_oneof![
-        1 => any().prop_map(Event::Freeze),
-        2 => any().prop_map(Event::Thaw),
-        2 => any().prop_map(Event::Suspect),
-        2 => any().prop_map(Event::Trust),
-        2 => any().prop_map(Event::Kill),
-        4 => skew().prop_map(|skew_ms| Event::Plan { skew_ms }),
-        4 => any().prop_map(|lagging| Event::Reconfigure { lagging }),
-        6 => any().prop_map(Event::Learn),
-        5 => any().prop_map(Event::Copy),
-        3 => any().prop_map(Event::Report),
+        1 => selector().prop_map(Event::Freeze),
+        2 => selector().prop_map(Event::Unfreeze),
+        2 => selector().prop_map(Event::Suspect),
+        2 => selector().prop_map(Event::ClearSuspicion),
+        2 => selector().prop_map(Event::ReplaceNode),
+        4 => skew_strategy().prop_map(|skew_ms| Event::Plan { skew_ms }),
+        4 => selector().prop_map(|lagging_node| Event::Reconfigure { lagging_node }),
+        6 => selector().prop_map(Event::ApplyMap),
+        5 => selector().prop_map(Event::Copy),
+        3 => selector().prop_map(Event::Report),
         2 => (0..4 * SKEW_MS).prop_map(Event::Advance),
         1 => prop_oneof![Just(WINDOW_MS / 2), Just(WINDOW_MS - SKEW_MS)].prop_map(Event::Advance),
-        1 => (any(), skew()).prop_map(|(node, skew_ms)| Event::StepClock { node, skew_ms }),
-        2 => any().prop_map(Event::Expire),
+        1 => (selector(), skew_strategy())
+            .prop_map(|(node, skew_ms)| Event::SetClockSkew { node, skew_ms }),
+        2 => selector().prop_map(Event::Expire),
     ];
     prop_oneof![3 => calls, 4 => messages, 2 => faults].boxed()
 }
 
-/// Any event may follow any other; the state is the nodes' clock skews alone.
+/// Generates events in any order. The state contains only the clock skews of the nodes.
 struct Events;
 
 impl ReferenceStateMachine for Events {
@@ -133,11 +137,11 @@
     type Transition = Event;
 
     fn init_state() -> BoxedStrategy<Self::State> {
-        prop::collection::vec(skew(), 4..=6).boxed()
+        prop::collection::vec(skew_strategy(), 4..=6).boxed()
     }
 
     fn transitions(_: &Self::State) -> BoxedStrategy<Event> {
-        event()
+        event_strategy()
     }
 
     fn apply(state: Self::State, _: &Event) -> Self::State {
@@ -152,47 +156,51 @@
     type Reference = Events;
 
     fn init_test(skews_ms: &Vec<i64>) -> Fleet {
-        Fleet::new(skews_ms, &MAX_RUNS)
+        Fleet::new(skews_ms, &MAX_RUNS_PER_KEY)
     }
 
     fn apply(mut fleet: Fleet, _: &Vec<i64>, event: Event) -> Fleet {
-        happen(&mut fleet, &event);
+        apply_event(&mut fleet, &event);
         fleet
     }
 
     fn teardown(mut fleet: Fleet, _: Vec<i64>) {
-        fleet.heals();
+        fleet.assert_recovers();
     }
 }
 
-fn happen(fleet: &mut Fleet, event: &Event) {
+fn apply_event(fleet: &mut Fleet, event: &Event) {
     match *event {
         Event::Call { node, key } => fleet.call(node, key, false),
-        Event::CallThrough { node, key, held_up } => fleet.call_through(node, key, held_up),
-        Event::CallRefused { node, key } => fleet.call(node, key, true),
+        Event::CallWithDelayedNode {
+            node,
+            key,
+            delayed_node,
+        } => fleet.call_with_delayed_node(node, key, delayed_node),
+        Event::RefusedCall { node, key } => fleet.call(node, key, true),
         Event::RenewKey { key, skew_ms } => fleet.renew_key(key, skew_ms),
-        Event::Run(one) => fleet.run(one),
-        Event::Finish(one) => fleet.finish(one),
-        Event::Refuse(one) => fleet.refuse(one),
-        Event::Resend(one) => fleet.resend(one),
-        Event::Fail(one) => fleet.fail(one),
-        Event::Deliver(one) => fleet.deliver(one),
+        Event::Run(selector) => fleet.run(selector),
+        Event::Finish(selector) => fleet.finish(selector),
+        Event::Refuse(selector) => fleet.refuse(selector),
+        Event::Resend(selector) => fleet.resend(selector),
+        Event::Fail(selector) => fleet.fail(selector),
+        Event::Deliver(selector) => fleet.deliver(selector),
         Event::DeliverTo(node) => fleet.deliver_to(node),
-        Event::Settle => fleet.settle(),
-        Event::Lose(one) => fleet.lose(one),
-        Event::Repeat(one) => fleet.repeat(one),
+        Event::DeliverAll => fleet.deliver_all(),
+        Event::DropMessage(selector) => fleet.drop_message(selector),
+        Event::DuplicateMessage(selector) => fleet.duplicate_message(selector),
         Event::Freeze(node) => fleet.freeze(node, true),
-        Event::Thaw(node) => fleet.freeze(node, false),
+        Event::Unfreeze(node) => fleet.freeze(node, false),
         Event::Suspect(node) => fleet.suspect(node, true),
-        Event::Trust(node) => fleet.suspect(node, false),
-        Event::Kill(node) => fleet.kill(node),
+        Event::ClearSuspicion(node) => fleet.suspect(node, false),
+        Event::ReplaceNode(node) => fleet.replace_node(node),
         Event::Plan { skew_ms } => fleet.plan(skew_ms),
-        Event::Reconfigure { lagging } => fleet.reconfigure(lagging),
-        Event::Learn(node) => fleet.learn(node),
+        Event::Reconfigure { lagging_node } => fleet.reconfigure(lagging_node),
+        Event::ApplyMap(node) => fleet.apply_map(node),
         Event::Copy(node) => fleet.copy(node),
         Event::Report(node) => fleet.report(node),
-        Event::Advance(milliseconds) => fleet.advance(milliseconds),
-        Event::StepClock { node, skew_ms } => fleet.step_clock(node, skew_ms),
+        Event::Advance(duration_ms) => fleet.advance(duration_ms),
+        Event::SetClockSkew { node, skew_ms } => fleet.set_clock_skew(node, skew_ms),
         Event::Expire(node) => fleet.expire(node),
     }
 }
@@ -209,7 +217,7 @@
         rng_algorithm: RngAlgorithm::ChaCha,
         rng_seed,
         failure_persistence: None,
-        max_shrink_time: SHRINK_MS,
+        max_shrink_time: MAX_SHRINK_MS,
         max_shrink_iters: u32::MAX,
         ..defaults
     }
@@ -219,56 +227,55 @@
     #![proptest_config(config())]
 
     #[test]
-    fn requests_run_at_most_as_often_as_allowed(sequential 40..200 => AtMostOnce);
+    fn runs_never_exceed_allowed_count(sequential 40..200 => AtMostOnce);
 }
 
-/// Runs a sequence that once failed.
-fn replays(events: &[Event]) {
-    let mut fleet = Fleet::new(&[0; 4], &MAX_RUNS);
+fn replay_events(events: &[Event]) {
+    let mut fleet = Fleet::new(&[0; 4], &MAX_RUNS_PER_KEY);
     for event in events {
-        happen(&mut fleet, event);
+        apply_event(&mut fleet, event);
     }
-    fleet.heals();
+    fleet.assert_recovers();
 }
 
 #[test]
-fn a_replica_that_leaves_is_copied_from() {
-    replays(&[
+fn joining_replica_copies_from_leaving_replica() {
+    replay_events(&[
         Event::Suspect(2),
         Event::Plan { skew_ms: 0 },
-        Event::Kill(0),
+        Event::ReplaceNode(0),
     ]);
 }
 
 #[test]
-fn a_survivor_that_missed_a_reset_is_not_counted_on() {
-    replays(&[
-        Event::Kill(0),
+fn survivor_unaware_of_reset_is_not_synchronised() {
+    replay_events(&[
+        Event::ReplaceNode(0),
         Event::Plan { skew_ms: 0 },
-        Event::Kill(2),
+        Event::ReplaceNode(2),
         Event::Plan { skew_ms: 0 },
-        Event::Kill(2),
+        Event::ReplaceNode(2),
     ]);
 }
 
 #[test]
-fn a_request_from_before_a_loss_does_not_run_again() {
-    // Nodes 0, 1 and 2 hold the partition; node 0 does not hear of the run.
-    replays(&[
-        Event::CallThrough {
+fn request_before_reset_does_not_run_again() {
+    // Nodes 0, 1 and 2 are the replicas; node 0 does not receive the claim.
+    replay_events(&[
+        Event::CallWithDelayedNode {
             node: 3,
             key: 0,
-            held_up: 0,
+            delayed_node: 0,
         },
-        Event::Lose(0),
-        Event::Kill(1),
-        Event::Kill(2),
-        Event::Reconfigure { lagging: 3 },
-        Event::Reconfigure { lagging: 1 },
-        Event::CallThrough {
+        Event::DropMessage(0),
+        Event::ReplaceNode(1),
+        Event::ReplaceNode(2),
+        Event::Reconfigure { lagging_node: 3 },
+        Event::Reconfigure { lagging_node: 1 },
+        Event::CallWithDelayedNode {
             node: 0,
             key: 0,
-            held_up: 3,
+            delayed_node: 3,
         },
     ]);
 }
--- a/crates/standalone/tallybridge-claims/tests/fleet/attempt.rs
+++ b/crates/standalone/tallybridge-claims/tests/fleet/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt as the node that executes it sees it.
+//! The state of one attempt at its executor.
 
 use tallybridge_claims::{ClaimRound, Progress, QueryRound, QueryVerdict, Verdict};
 use tallybridge_core::{AttemptId, NodeId, Outcome, RequestKey};
@@ -29,16 +29,23 @@
 
 pub fn answer(number: u64) -> StoredAnswer {
     let body = number.to_be_bytes();
-    StoredAnswer::new(200, WireHeaders::default(), &body).expect("small")
+    StoredAnswer::new(200, WireHeaders::default(), &body)
+        .expect("the answer is below the size limit")
 }
 
-fn number(answer: &StoredAnswer) -> u64 {
-    u64::from_be_bytes(answer.body.as_slice().try_into().expect("8 bytes"))
+fn answer_number(answer: &StoredAnswer) -> u64 {
+    u64::from_be_bytes(
+        answer
+            .body
+            .as_slice()
+            .try_into()
+            .expect("an answer has 8 bytes"),
+    )
 }
 
 impl Attempt {
-    /// What this attempt has to send to replicas that have not answered.
-    pub fn pending(&self) -> Vec<(NodeId, Message)> {
+    /// Returns the requests for replicas that have not replied.
+    pub fn pending_requests(&self) -> Vec<(NodeId, Message)> {
         match &self.phase {
             Phase::Claiming(round) if *round.verdict() == Verdict::Undecided => {
                 let message = Message::Claim(round.request());
@@ -60,38 +67,38 @@
         }
     }
 
-    /// Takes in a reply. Gives what to send next.
-    pub fn reply(
+    /// Records a reply and returns the messages to send next.
+    pub fn record_reply(
         &mut self,
         from: NodeId,
         reply: &Message,
         oracle: &mut Oracle,
     ) -> Vec<(NodeId, Message)> {
-        let mut asks_further = false;
+        let mut claims_next_run = false;
         match (&mut self.phase, reply) {
             (Phase::Claiming(round), Message::ClaimReply(reply)) => {
-                asks_further = round.record(from, reply) == Progress::Claim;
+                claims_next_run = round.record(from, reply) == Progress::Claim;
             }
             (Phase::Refused { query, .. }, Message::ClaimQueryReply(reply)) => {
                 query.record(from, reply);
             }
             _ => {}
         }
-        self.conclude(oracle);
-        if asks_further {
-            self.pending()
+        self.report_outcome(oracle);
+        if claims_next_run {
+            self.pending_requests()
         } else {
             Vec::new()
         }
     }
 
-    /// No reply will come from the first replica that has not answered.
+    /// Marks the first outstanding replica as failed and returns the messages to send next.
     pub fn fail(&mut self, oracle: &mut Oracle) -> Vec<(NodeId, Message)> {
-        let mut asks_further = false;
+        let mut claims_next_run = false;
         match &mut self.phase {
             Phase::Claiming(round) => {
                 if let Some(target) = round.targets().first().copied() {
-                    asks_further = round.fail(target) == Progress::Claim;
+                    claims_next_run = round.fail(target) == Progress::Claim;
                 }
             }
             Phase::Refused { query, .. } => {
@@ -101,15 +108,15 @@
             }
             _ => {}
         }
-        self.conclude(oracle);
-        if asks_further {
-            self.pending()
+        self.report_outcome(oracle);
+        if claims_next_run {
+            self.pending_requests()
         } else {
             Vec::new()
         }
     }
 
-    /// Gives up. Gives what to send.
+    /// Refuses the attempt and returns the messages to send.
     pub fn refuse(&mut self, oracle: &mut Oracle) -> Vec<(NodeId, Message)> {
         let Phase::Claiming(round) = std::mem::replace(&mut self.phase, Phase::Done) else {
             panic!("only a claiming attempt can be refused");
@@ -118,15 +125,15 @@
         let replicas = round.replicas().to_vec();
         let (release, query) = round.refuse();
         self.phase = Phase::Refused { query, runs_before };
-        self.conclude(oracle);
-        let mut messages = release_all(&replicas, &release);
-        messages.extend(self.pending());
+        self.report_outcome(oracle);
+        let mut messages = release_messages(&replicas, &release);
+        messages.extend(self.pending_requests());
         messages
     }
 
-    /// Tells the caller when there is something to tell.
-    fn conclude(&mut self, oracle: &mut Oracle) {
-        let replayed = match &self.phase {
+    /// Reports a final outcome to the oracle, if there is one.
+    fn report_outcome(&mut self, oracle: &mut Oracle) {
+        let replayed_answer = match &self.phase {
             Phase::Claiming(round) => match round.verdict() {
                 Verdict::Replay(answer) => Some(answer),
                 _ => return,
@@ -135,21 +142,21 @@
                 QueryVerdict::Undecided => return,
                 QueryVerdict::Replay(answer) => Some(answer),
                 QueryVerdict::Outcome(Outcome::NotRun) => {
-                    oracle.tell_not_run(&self.key, self.id, *runs_before);
+                    oracle.report_not_run(&self.key, self.id, *runs_before);
                     None
                 }
                 QueryVerdict::Outcome(_) => None,
             },
             _ => return,
         };
-        if let Some(answer) = replayed {
-            oracle.replay(&self.key, number(answer));
+        if let Some(answer) = replayed_answer {
+            oracle.check_replay(&self.key, answer_number(answer));
         }
         self.phase = Phase::Done;
     }
 }
 
-fn release_all(replicas: &[NodeId], release: &ClaimRelease) -> Vec<(NodeId, Message)> {
+fn release_messages(replicas: &[NodeId], release: &ClaimRelease) -> Vec<(NodeId, Message)> {
     let message = Message::ClaimRelease(release.clone());
     replicas.iter().map(|to| (*to, message.clone())).collect()
 }
--- a/crates/standalone/tallybridge-claims/tests/fleet/messages.rs
+++ b/crates/standalone/tallybridge-claims/tests/fleet/messages.rs
@@ -1,110 +1,123 @@
-//! What becomes of messages in flight.
+//! Delivery, loss and duplication of messages in flight.
 
 use tallybridge_wire::{
     Message,
     claim::{ClaimPage, PageContent},
 };
 
-use super::{Envelope, Fleet, SETTLE_STEPS, pick};
+use super::{Envelope, Fleet, MAX_DELIVERIES, pick};
 
 impl Fleet {
-    /// Delivers a message in flight; one to a frozen node waits, one to a dead one is lost.
+    /// Delivers a message. Messages to a frozen node wait; messages to a terminated node are lost.
     pub fn deliver(&mut self, selector: usize) {
-        let Some(position) = pick(self.pool.len(), selector) else {
+        let Some(position) = pick(self.in_flight.len(), selector) else {
             return;
         };
-        let to = self.pool[position].to;
+        let to = self.in_flight[position].to;
         match self.index_of(to) {
             Some(index) if self.nodes[index].frozen => {}
             Some(index) => {
-                let envelope = self.pool.remove(position);
+                let envelope = self.in_flight.remove(position);
                 self.receive(index, envelope);
             }
             None => {
-                self.pool.remove(position);
+                self.in_flight.remove(position);
             }
         }
     }
 
-    /// Delivers what is in flight to one node.
+    /// Delivers the messages in flight to one node.
     pub fn deliver_to(&mut self, selector: usize) {
-        let to = self.nodes[self.node(selector)].id;
-        let pending = self.pool.iter().filter(|one| one.to == to).count();
-        for _ in 0..pending {
-            if let Some(position) = self.pool.iter().position(|one| one.to == to) {
+        let to = self.nodes[self.node_index(selector)].id;
+        let message_count = self
+            .in_flight
+            .iter()
+            .filter(|envelope| envelope.to == to)
+            .count();
+        for _ in 0..message_count {
+            if let Some(position) = self.in_flight.iter().position(|envelope| envelope.to == to) {
                 self.deliver(position);
             }
         }
     }
 
-    /// Delivers everything in order until nothing is in flight but to frozen nodes.
-    pub fn settle(&mut self) {
-        for _ in 0..SETTLE_STEPS {
-            let Some(position) = self.pool.iter().position(|one| self.is_awake(one)) else {
+    /// Delivers up to `MAX_DELIVERIES` messages in order, except messages to frozen nodes.
+    pub fn deliver_all(&mut self) {
+        for _ in 0..MAX_DELIVERIES {
+            let Some(position) = self
+                .in_flight
+                .iter()
+                .position(|envelope| self.is_deliverable(envelope))
+            else {
                 return;
             };
             self.deliver(position);
         }
     }
 
-    /// Delivers copies, and leaves messages of attempts in flight.
-    pub fn settle_copies(&mut self) {
-        let is_copy = |one: &Envelope| one.attempt.is_none();
+    /// Delivers copy requests and pages, and leaves the messages of attempts in flight.
+    pub fn deliver_copies(&mut self) {
+        let is_copy = |envelope: &Envelope| envelope.attempt.is_none();
         while let Some(position) = self
-            .pool
+            .in_flight
             .iter()
-            .position(|one| is_copy(one) && self.is_awake(one))
+            .position(|envelope| is_copy(envelope) && self.is_deliverable(envelope))
         {
             self.deliver(position);
         }
     }
 
-    pub(super) fn is_awake(&self, envelope: &Envelope) -> bool {
+    pub(super) fn is_deliverable(&self, envelope: &Envelope) -> bool {
         let index = self.index_of(envelope.to);
         index.is_none_or(|index| !self.nodes[index].frozen)
     }
 
     fn receive(&mut self, index: usize, envelope: Envelope) {
-        let message = over_the_wire(&envelope.message);
+        let message = encode_and_decode(&envelope.message);
         let now = self.clock(index);
         let node = &mut self.nodes[index];
-        let (here, from, id) = (node.id, envelope.from, envelope.attempt);
+        let (receiver, from, id) = (node.id, envelope.from, envelope.attempt);
         if let Some(reply) = node.table.handle(from, &message, now) {
-            self.post(here, id, vec![(from, reply)]);
+            self.post(receiver, id, vec![(from, reply)]);
         }
-        if matches!(&message, Message::ClaimPage(page) if asks_further(page)) {
+        if matches!(&message, Message::ClaimPage(page) if has_more_pages(page)) {
             self.copy(index);
         }
         let attempt = self
             .attempts
             .iter_mut()
-            .find(|one| Some(one.id) == id && one.executor == here);
+            .find(|attempt| Some(attempt.id) == id && attempt.executor == receiver);
         if let Some(attempt) = attempt {
-            let messages = attempt.reply(from, &message, &mut self.oracle);
-            self.post(here, id, messages);
+            let messages = attempt.record_reply(from, &message, &mut self.oracle);
+            self.post(receiver, id, messages);
         }
     }
 
-    pub fn lose(&mut self, selector: usize) {
-        if let Some(position) = pick(self.pool.len(), selector) {
-            self.pool.remove(position);
+    pub fn drop_message(&mut self, selector: usize) {
+        if let Some(position) = pick(self.in_flight.len(), selector) {
+            self.in_flight.remove(position);
         }
     }
 
-    pub fn repeat(&mut self, selector: usize) {
-        if let Some(position) = pick(self.pool.len(), selector) {
-            let one = &self.pool[position];
-            let (from, to, message, attempt) = (one.from, one.to, one.message.clone(), one.attempt);
+    pub fn duplicate_message(&mut self, selector: usize) {
+        if let Some(position) = pick(self.in_flight.len(), selector) {
+            let envelope = &self.in_flight[position];
+            let (from, to, message, attempt) = (
+                envelope.from,
+                envelope.to,
+                envelope.message.clone(),
+                envelope.attempt,
+            );
             self.post(from, attempt, vec![(to, message)]);
         }
     }
 }
 
-fn asks_further(page: &ClaimPage) -> bool {
+fn has_more_pages(page: &ClaimPage) -> bool {
     matches!(page.content, PageContent::Claims { more: 1, .. })
 }
 
-fn over_the_wire(message: &Message) -> Message {
-    let payload = message.to_payload().expect("encodes");
-    Message::from_payload(message.kind(), &payload).expect("decodes")
+fn encode_and_decode(message: &Message) -> Message {
+    let payload = message.to_payload().expect("the message encodes");
+    Message::from_payload(message.kind(), &payload).expect("the message decodes")
 }
--- a/crates/standalone/tallybridge-claims/tests/fleet/mod.rs
+++ b/crates/standalone/tallybridge-claims/tests/fleet/mod.rs
@@ -1,5 +1,5 @@
-//! A fleet of nodes with real claim tables and rounds, and a pool of messages in flight between
-//! them that are delivered, lost, repeated and reordered at will.
+//! A simulated fleet of nodes with real claim tables and rounds. Tests deliver, drop, duplicate and
+//! reorder the messages in flight between the nodes.
 
 mod attempt;
 mod executors;
@@ -17,13 +17,13 @@
 use attempt::{Attempt, Phase};
 use oracle::Oracle;
 
-/// The one partition that every key of a test belongs to.
+/// The partition of every key in the simulation.
 pub const PARTITION: PartitionId = PartitionId(0);
 
 const START_UNIX_MS: u64 = 1_800_000_000_000;
-const PATIENCE_MS: u64 = 60_000;
+const CALL_TIMEOUT_MS: u64 = 60_000;
 const KEY_CAPACITY: usize = 1000;
-const SETTLE_STEPS: usize = 2000;
+const MAX_DELIVERIES: usize = 2000;
 
 struct Node {
     id: NodeId,
@@ -38,7 +38,7 @@
     from: NodeId,
     to: NodeId,
     message: Message,
-    /// The attempt that a claim, a query or its reply belongs to.
+    /// The attempt of a claim or query message, or `None` for copies.
     attempt: Option<AttemptId>,
 }
 
@@ -46,40 +46,40 @@
     now_unix_ms: u64,
     store: PartitionMap,
     nodes: Vec<Node>,
-    pool: Vec<Envelope>,
+    in_flight: Vec<Envelope>,
     keys: Vec<RequestKey>,
     attempts: Vec<Attempt>,
     reports: BTreeSet<SyncReport>,
     oracle: Oracle,
-    issued: u64,
+    last_issued_number: u64,
 }
 
 fn node_id(index: usize, instance: u64) -> NodeId {
-    let port = u16::try_from(index + 1).expect("few nodes");
+    let port = u16::try_from(index + 1).expect("node indices fit in a port");
     NodeId {
         address: ([127, 0, 0, 1], port).into(),
         instance: InstanceId(instance),
     }
 }
 
-/// Picks one of a list by a number of any size.
+/// Maps a selector of any size to an index below `length`; returns `None` for an empty list.
 fn pick(length: usize, selector: usize) -> Option<usize> {
     (length > 0).then(|| selector % length)
 }
 
 impl Fleet {
-    /// Nodes with these clock skews, and one key for each entry of `max_runs`.
+    /// Creates nodes with the given clock skews, and one key for each entry of `max_runs`.
     pub fn new(skews_ms: &[i64], max_runs: &[u8]) -> Self {
         let mut fleet = Self {
             now_unix_ms: START_UNIX_MS,
             store: PartitionMap::default(),
             nodes: Vec::new(),
-            pool: Vec::new(),
+            in_flight: Vec::new(),
             keys: Vec::new(),
             attempts: Vec::new(),
             reports: BTreeSet::new(),
             oracle: Oracle::default(),
-            issued: 0,
+            last_issued_number: 0,
         };
         for (index, skew_ms) in skews_ms.iter().enumerate() {
             let id = node_id(index, index as u64 + 1);
@@ -92,37 +92,37 @@
                 suspected: false,
             });
         }
-        for runs in max_runs {
-            let key = fleet.issue(*runs, 0);
+        for key_max_runs in max_runs {
+            let key = fleet.issue_key(*key_max_runs, 0);
             fleet.keys.push(key);
         }
         fleet.plan(0);
-        (0..skews_ms.len()).for_each(|index| fleet.learn(index));
+        (0..skews_ms.len()).for_each(|index| fleet.apply_map(index));
         fleet
     }
 
-    fn issue(&mut self, max_runs: u8, skew_ms: i64) -> RequestKey {
+    fn issue_key(&mut self, max_runs: u8, skew_ms: i64) -> RequestKey {
         loop {
-            self.issued += 1;
+            self.last_issued_number += 1;
             let key = RequestKey {
                 issued_unix_ms: self.now_unix_ms.saturating_add_signed(skew_ms),
-                digest: u128::from(self.issued),
+                digest: u128::from(self.last_issued_number),
             };
             if PartitionId::of(&key) == PARTITION {
-                self.oracle.issued(key, max_runs);
+                self.oracle.add_request(key, max_runs);
                 return key;
             }
         }
     }
 
-    /// The caller behind a key goes on to its next request.
+    /// Replaces a key by a new one with the same number of allowed runs.
     pub fn renew_key(&mut self, selector: usize, skew_ms: i64) {
-        let index = pick(self.keys.len(), selector).expect("keys");
+        let index = pick(self.keys.len(), selector).expect("the fleet has keys");
         let max_runs = self.oracle.max_runs(&self.keys[index]);
-        self.keys[index] = self.issue(max_runs, skew_ms);
+        self.keys[index] = self.issue_key(max_runs, skew_ms);
     }
 
-    fn node(&self, selector: usize) -> usize {
+    fn node_index(&self, selector: usize) -> usize {
         selector % self.nodes.len()
     }
 
@@ -142,24 +142,24 @@
             message,
             attempt,
         });
-        self.pool.extend(envelopes);
+        self.in_flight.extend(envelopes);
     }
 
     pub fn freeze(&mut self, selector: usize, frozen: bool) {
-        let index = self.node(selector);
+        let index = self.node_index(selector);
         self.nodes[index].frozen = frozen;
     }
 
     pub fn suspect(&mut self, selector: usize, suspected: bool) {
-        let index = self.node(selector);
+        let index = self.node_index(selector);
         self.nodes[index].suspected = suspected;
     }
 
-    /// Replaces a node: another process with an empty memory listens at its address.
-    pub fn kill(&mut self, selector: usize) {
-        let index = self.node(selector);
-        self.issued += 1;
-        let id = node_id(index, 1000 + self.issued);
+    /// Replaces a node by a new instance with an empty table at the same address.
+    pub fn replace_node(&mut self, selector: usize) {
+        let index = self.node_index(selector);
+        self.last_issued_number += 1;
+        let id = node_id(index, 1000 + self.last_issued_number);
         let node = &mut self.nodes[index];
         node.id = id;
         node.table = ClaimTable::new(id, KEY_CAPACITY);
@@ -168,7 +168,7 @@
         node.suspected = false;
     }
 
-    /// A duty holder with this clock skew plans the next map and stores it.
+    /// Plans and stores the next map with the given clock skew.
     pub fn plan(&mut self, skew_ms: i64) {
         let candidates = self
             .nodes
@@ -190,38 +190,38 @@
         let next = plan(&self.store, &candidates, &self.reports, now);
         assert!(
             next == self.store || next.version() > self.store.version(),
-            "a later map has a greater version"
+            "a changed map must have a greater version"
         );
         self.store = next;
     }
 
-    /// Plans anew, and all nodes but one take the map over at once and copy what they lack.
-    pub fn reconfigure(&mut self, lagging: usize) {
+    /// Plans the next map; all nodes but one apply it, copy missing claims and report.
+    pub fn reconfigure(&mut self, lagging_node: usize) {
         self.plan(0);
-        let lagging = self.node(lagging);
-        let others = (0..self.nodes.len()).filter(|index| *index != lagging);
+        let lagging_node = self.node_index(lagging_node);
+        let others = (0..self.nodes.len()).filter(|index| *index != lagging_node);
         for index in others.clone() {
-            self.learn(index);
+            self.apply_map(index);
         }
         for index in others {
             self.copy(index);
-            self.settle_copies();
+            self.deliver_copies();
             self.report(index);
         }
     }
 
-    /// A node takes over the map in the store.
-    pub fn learn(&mut self, selector: usize) {
-        let index = self.node(selector);
+    /// Applies the stored map at a node that is not frozen.
+    pub fn apply_map(&mut self, selector: usize) {
+        let index = self.node_index(selector);
         if !self.nodes[index].frozen {
             self.nodes[index].map = self.store.clone();
             self.nodes[index].table.apply(&self.store);
         }
     }
 
-    /// A node asks for the claims that it lacks.
+    /// Sends the outstanding copy requests of a node.
     pub fn copy(&mut self, selector: usize) {
-        let index = self.node(selector);
+        let index = self.node_index(selector);
         let node = &self.nodes[index];
         if node.frozen {
             return;
@@ -233,34 +233,34 @@
         self.post(id, None, messages);
     }
 
-    /// The planner hears which partitions a node can vote on.
+    /// Adds the sync reports of a node to the planner's reports.
     pub fn report(&mut self, selector: usize) {
-        let index = self.node(selector);
+        let index = self.node_index(selector);
         let reports = self.nodes[index].table.sync_reports();
         self.reports
-            .extend(reports.filter(|one| one.partition == PARTITION));
+            .extend(reports.filter(|report| report.partition == PARTITION));
     }
 
-    pub fn advance(&mut self, milliseconds: u64) {
-        self.now_unix_ms += milliseconds;
+    pub fn advance(&mut self, duration_ms: u64) {
+        self.now_unix_ms += duration_ms;
     }
 
-    /// A node's clock is set, ahead or back.
-    pub fn step_clock(&mut self, selector: usize, skew_ms: i64) {
-        let index = self.node(selector);
+    /// Sets the clock skew of a node, which may move its clock back.
+    pub fn set_clock_skew(&mut self, selector: usize, skew_ms: i64) {
+        let index = self.node_index(selector);
         self.nodes[index].skew_ms = skew_ms;
     }
 
     pub fn expire(&mut self, selector: usize) {
-        let index = self.node(selector);
+        let index = self.node_index(selector);
         let now = self.clock(index);
         if !self.nodes[index].frozen {
             self.nodes[index].table.expire(now);
         }
     }
 
-    /// Once faults have ended, a new request is granted.
-    pub fn heals(&mut self) {
+    /// Ends all faults and asserts that a new request is granted a run.
+    pub fn assert_recovers(&mut self) {
         for index in 0..self.nodes.len() {
             self.freeze(index, false);
             self.suspect(index, false);
@@ -268,18 +268,23 @@
         for _ in 0..6 {
             self.plan(0);
             for index in 0..self.nodes.len() {
-                self.learn(index);
+                self.apply_map(index);
                 self.copy(index);
-                self.settle();
+                self.deliver_all();
                 self.report(index);
             }
         }
         self.advance(5 * SKEW_MS);
         self.renew_key(0, 0);
         self.call(0, 0, false);
-        self.settle();
-        let Phase::Claiming(round) = &self.attempts.last().expect("called").phase else {
-            panic!("a new request is refused");
+        self.deliver_all();
+        let Phase::Claiming(round) = &self
+            .attempts
+            .last()
+            .expect("the fleet has an attempt")
+            .phase
+        else {
+            panic!("the new request is not claiming a run");
         };
         assert_eq!(*round.verdict(), Verdict::Granted { run: 1 });
     }
--- a/crates/standalone/tallybridge-claims/tests/joining.rs
+++ b/crates/standalone/tallybridge-claims/tests/joining.rs
@@ -1,4 +1,4 @@
-//! What a replica learns when it joins, and what it may forget, step by step.
+//! Joining replicas copy all claims before they vote, and no replica grants a forgotten key.
 
 use std::collections::BTreeSet;
 
@@ -10,11 +10,11 @@
 
 const NOW_UNIX_MS: u64 = 1_800_000_000_000;
 const CAPACITY: usize = 10_000;
-/// More than fit in one page.
-const MANY_KEYS: usize = 300;
+/// More keys than fit in one page.
+const MULTI_PAGE_KEYS: usize = 300;
 
 fn node(number: u64) -> NodeId {
-    let port = u16::try_from(number).expect("few nodes");
+    let port = u16::try_from(number).expect("node numbers fit in a port");
     NodeId {
         address: ([127, 0, 0, 1], port).into(),
         instance: InstanceId(number),
@@ -22,54 +22,56 @@
 }
 
 fn map(current: &PartitionMap, nodes: &[u64]) -> PartitionMap {
-    let one = |number: &u64| Candidate {
+    let candidate = |number: &u64| Candidate {
         node: node(*number),
         region: "south".into(),
         zone: "a".into(),
         rack: String::new(),
         presence: Presence::Live,
     };
-    let candidates: Vec<Candidate> = nodes.iter().map(one).collect();
+    let candidates: Vec<Candidate> = nodes.iter().map(candidate).collect();
     plan(current, &candidates, &BTreeSet::new(), NOW_UNIX_MS)
 }
 
-/// Nodes 1, 2 and 3 hold every partition; then node 4 takes the place of node 3.
-struct Change {
+/// Nodes 1, 2 and 3 are the replicas of every partition, and then node 4 replaces node 3.
+struct ReplicaChange {
     before: PartitionMap,
     after: PartitionMap,
-    stayed: [ClaimTable; 2],
-    joined: ClaimTable,
+    kept_tables: [ClaimTable; 2],
+    joining_table: ClaimTable,
 }
 
-impl Change {
+impl ReplicaChange {
     fn new() -> Self {
         let before = map(&PartitionMap::default(), &[1, 2, 3]);
         let after = map(&before, &[1, 2, 4]);
-        let mut stayed = [1, 2].map(|number| ClaimTable::new(node(number), CAPACITY));
-        stayed.iter_mut().for_each(|table| table.apply(&before));
-        let mut joined = ClaimTable::new(node(4), CAPACITY);
-        joined.apply(&after);
+        let mut kept_tables = [1, 2].map(|number| ClaimTable::new(node(number), CAPACITY));
+        kept_tables
+            .iter_mut()
+            .for_each(|table| table.apply(&before));
+        let mut joining_table = ClaimTable::new(node(4), CAPACITY);
+        joining_table.apply(&after);
         Self {
             before,
             after,
-            stayed,
-            joined,
+            kept_tables,
+            joining_table,
         }
     }
 
-    /// Node 4 copies until it asks for nothing more.
+    /// Copies claims to node 4 until node 4 has no outstanding requests.
     fn copy(&mut self) {
         loop {
-            let requests = self.joined.copy_requests();
-            let answered = requests.iter().filter(|(source, _)| *source != node(3));
-            let mut asked = false;
-            for (source, request) in answered {
-                let table = if *source == node(1) { 0 } else { 1 };
-                let page = self.stayed[table].copy(request);
-                self.joined.take_page(*source, &page);
-                asked = true;
+            let requests = self.joining_table.copy_requests();
+            let answerable_requests = requests.iter().filter(|(source, _)| *source != node(3));
+            let mut received_page = false;
+            for (source, request) in answerable_requests {
+                let table_index = if *source == node(1) { 0 } else { 1 };
+                let page = self.kept_tables[table_index].copy(request);
+                self.joining_table.take_page(*source, &page);
+                received_page = true;
             }
-            if !asked {
+            if !received_page {
                 return;
             }
         }
@@ -101,7 +103,9 @@
     sequence: u64,
     now_unix_ms: u64,
 ) -> ClaimVote {
-    let entry = map.entry(PartitionId::of(&key)).expect("planned");
+    let entry = map
+        .entry(PartitionId::of(&key))
+        .expect("the partition is in the map");
     let claim = Claim {
         key: key.into(),
         epoch: entry.epoch,
@@ -116,65 +120,71 @@
 }
 
 #[test]
-fn a_run_that_two_replicas_gave_to_different_attempts_is_given_to_nobody() {
-    let mut change = Change::new();
-    for (table, sequence) in change.stayed.iter_mut().zip([1, 2]) {
+fn contested_run_is_never_granted() {
+    let mut change = ReplicaChange::new();
+    for (table, sequence) in change.kept_tables.iter_mut().zip([1, 2]) {
         let granted = ClaimVote::Granted { other_runs: 0 };
         assert_eq!(vote(table, &change.before, key(1), sequence), granted);
     }
     change.copy();
     for sequence in [1, 2, 3] {
-        let vote = vote(&mut change.joined, &change.after, key(1), sequence);
+        let vote = vote(&mut change.joining_table, &change.after, key(1), sequence);
         assert!(is_held(&vote), "{vote:?}");
     }
 }
 
 #[test]
-fn copies_of_many_pages_are_whole() {
-    let mut change = Change::new();
-    let in_one_partition = (0..).map(key);
-    let in_one_partition = in_one_partition.filter(|key| PartitionId::of(key) == PartitionId(0));
-    for key in in_one_partition.take(MANY_KEYS) {
-        vote(&mut change.stayed[0], &change.before, key, 1);
+fn copies_all_pages() {
+    let mut change = ReplicaChange::new();
+    let keys_in_partition = (0..).map(key);
+    let keys_in_partition = keys_in_partition.filter(|key| PartitionId::of(key) == PartitionId(0));
+    for key in keys_in_partition.take(MULTI_PAGE_KEYS) {
+        vote(&mut change.kept_tables[0], &change.before, key, 1);
     }
     change.copy();
-    assert_eq!(change.joined.status().keys, MANY_KEYS);
-    assert_eq!(change.joined.status().not_synchronised, 0);
+    assert_eq!(change.joining_table.status().keys, MULTI_PAGE_KEYS);
+    assert_eq!(change.joining_table.status().not_synchronised, 0);
 }
 
 #[test]
-fn a_replica_that_was_copied_from_has_left_the_epoch_before() {
-    let mut change = Change::new();
+fn copy_source_stops_voting_in_previous_epoch() {
+    let mut change = ReplicaChange::new();
     change.copy();
-    let vote = vote(&mut change.stayed[0], &change.before, key(1), 1);
+    let vote = vote(&mut change.kept_tables[0], &change.before, key(1), 1);
     let reason = AbstainReason::StaleEpoch { current: 2 };
     assert_eq!(vote, ClaimVote::Abstains(reason));
 }
 
 #[test]
-fn a_replica_does_not_vote_before_it_has_copied() {
-    let mut change = Change::new();
-    let vote = vote(&mut change.joined, &change.after, key(1), 1);
+fn joining_replica_abstains_before_copy() {
+    let mut change = ReplicaChange::new();
+    let vote = vote(&mut change.joining_table, &change.after, key(1), 1);
     assert_eq!(vote, ClaimVote::Abstains(AbstainReason::NotSynchronised));
 }
 
 #[test]
-fn a_clock_that_is_ahead_forgets_nothing_that_one_behind_would_grant() {
-    let mut change = Change::new();
-    for table in &mut change.stayed {
+fn remembers_keys_despite_clock_skew() {
+    let mut change = ReplicaChange::new();
+    for table in &mut change.kept_tables {
         vote(table, &change.before, key(1), 1);
         table.expire(NOW_UNIX_MS + WINDOW_MS + 2 * SKEW_MS - 1);
     }
     change.copy();
-    let behind = NOW_UNIX_MS + WINDOW_MS - 1;
-    let vote = vote_at(&mut change.joined, &change.after, key(1), 2, behind);
+    let slow_clock_unix_ms = NOW_UNIX_MS + WINDOW_MS - 1;
+    let vote = vote_at(
+        &mut change.joining_table,
+        &change.after,
+        key(1),
+        2,
+        slow_clock_unix_ms,
+    );
     assert!(is_held(&vote), "{vote:?}");
 }
 
 #[test]
-fn a_clock_that_is_set_back_does_not_reopen_forgotten_keys() {
-    let mut change = Change::new();
-    let table = &mut change.stayed[0];
+fn clock_set_back_reopens_no_forgotten_keys() {
+    let mut change = ReplicaChange::new();
+    let table = &mut change.kept_tables[0];
     vote(table, &change.before, key(1), 1);
     table.expire(NOW_UNIX_MS + WINDOW_MS + 2 * SKEW_MS + 1);
     assert_eq!(table.status().keys, 0);
--- a/crates/standalone/tallybridge-claims/tests/plan.rs
+++ b/crates/standalone/tallybridge-claims/tests/plan.rs
@@ -1,4 +1,4 @@
-//! Plans of the partition map move as little as they must.
+//! Plans spread replicas evenly and change only the partitions that need a change.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -6,8 +6,8 @@
 use tallybridge_core::{InstanceId, NodeId};
 
 const NOW_UNIX_MS: u64 = 1_800_000_000_000;
-const NODES: u16 = 12;
-const ZONES: u16 = 3;
+const NODE_COUNT: u16 = 12;
+const ZONE_COUNT: u16 = 3;
 
 fn node(number: u16, instance: u64) -> NodeId {
     NodeId {
@@ -17,89 +17,102 @@
 }
 
 fn candidates() -> Vec<Candidate> {
-    let one = |number: u16| Candidate {
+    let candidate = |number: u16| Candidate {
         node: node(number, 1),
         region: "south".into(),
-        zone: format!("z{}", number % ZONES).into(),
+        zone: format!("z{}", number % ZONE_COUNT).into(),
         rack: String::new(),
         presence: Presence::Live,
     };
-    (0..NODES).map(one).collect()
+    (0..NODE_COUNT).map(candidate).collect()
 }
 
-fn next(map: &PartitionMap, candidates: &[Candidate]) -> PartitionMap {
+fn next_map(map: &PartitionMap, candidates: &[Candidate]) -> PartitionMap {
     plan(map, candidates, &BTreeSet::new(), NOW_UNIX_MS)
 }
 
 #[test]
-fn the_first_plan_spreads_each_partition_over_zones_and_the_load_over_nodes() {
+fn first_plan_spreads_over_zones_and_nodes() {
     let candidates = candidates();
-    let map = next(&PartitionMap::default(), &candidates);
-    let zones: BTreeMap<NodeId, _> = candidates.iter().map(|one| (one.node, &one.zone)).collect();
-    let mut load: BTreeMap<NodeId, usize> = BTreeMap::new();
+    let map = next_map(&PartitionMap::default(), &candidates);
+    let zones: BTreeMap<NodeId, _> = candidates
+        .iter()
+        .map(|candidate| (candidate.node, &candidate.zone))
+        .collect();
+    let mut partitions_per_node: BTreeMap<NodeId, usize> = BTreeMap::new();
     for (partition, entry) in map.iter() {
-        let apart: BTreeSet<_> = entry.nodes().map(|node| zones[&node]).collect();
-        assert_eq!(apart.len(), 3, "{partition:?}");
+        let zones_used: BTreeSet<_> = entry.nodes().map(|node| zones[&node]).collect();
+        assert_eq!(zones_used.len(), 3, "{partition:?}");
         entry
             .nodes()
-            .for_each(|node| *load.entry(node).or_default() += 1);
+            .for_each(|node| *partitions_per_node.entry(node).or_default() += 1);
     }
-    assert_eq!(load.len(), usize::from(NODES));
-    let (least, most) = (load.values().min(), load.values().max());
+    assert_eq!(partitions_per_node.len(), usize::from(NODE_COUNT));
+    let (least, most) = (
+        partitions_per_node.values().min(),
+        partitions_per_node.values().max(),
+    );
     assert!(
         most.zip(least)
             .is_some_and(|(most, least)| most - least <= 1),
-        "{load:?}"
+        "{partitions_per_node:?}"
+    );
+    assert_eq!(
+        next_map(&map, &candidates),
+        map,
+        "a second plan must not change the map"
     );
-    assert_eq!(next(&map, &candidates), map, "nothing to change");
 }
 
 #[test]
-fn a_replaced_node_changes_its_own_partitions_alone() {
+fn replaced_node_changes_only_its_partitions() {
     let mut candidates = candidates();
-    let before = next(&PartitionMap::default(), &candidates);
-    let gone = candidates[0].node;
+    let before = next_map(&PartitionMap::default(), &candidates);
+    let terminated = candidates[0].node;
     candidates[0].node = node(0, 2);
-    let after = next(&before, &candidates);
+    let after = next_map(&before, &candidates);
     for (partition, old) in before.iter() {
-        let new = after.entry(partition).expect("whole");
-        if old.replica(gone).is_none() {
+        let new = after.entry(partition).expect("the map has all partitions");
+        if old.replica(terminated).is_none() {
             assert_eq!(new, old);
             continue;
         }
-        let stayed = new
+        let kept = new
             .nodes()
             .filter(|node| old.replica(*node).is_some())
             .count();
-        assert_eq!((stayed, new.epoch, new.origin), (2, 2, Origin::Copy));
-        assert!(new.replica(gone).is_none());
+        assert_eq!((kept, new.epoch, new.origin), (2, 2, Origin::Copy));
+        assert!(new.replica(terminated).is_none());
     }
 }
 
 #[test]
-fn two_unavailable_replicas_are_waited_for() {
+fn resets_only_after_unavailable_replicas_terminate() {
     let mut candidates = candidates();
-    let before = next(&PartitionMap::default(), &candidates);
-    let (_, first) = before.iter().next().expect("whole");
-    let silent: Vec<NodeId> = first.nodes().take(2).collect();
-    for one in &mut candidates {
-        if silent.contains(&one.node) {
-            one.presence = Presence::Unavailable;
+    let before = next_map(&PartitionMap::default(), &candidates);
+    let (_, first) = before.iter().next().expect("the map has all partitions");
+    let unavailable: Vec<NodeId> = first.nodes().take(2).collect();
+    for candidate in &mut candidates {
+        if unavailable.contains(&candidate.node) {
+            candidate.presence = Presence::Unavailable;
         }
     }
-    let after = next(&before, &candidates);
-    assert_eq!(after.iter().next().expect("whole").1, first);
-    candidates.retain(|one| !silent.contains(&one.node));
-    let after = next(&before, &candidates);
-    let (_, reset) = after.iter().next().expect("whole");
+    let after = next_map(&before, &candidates);
+    assert_eq!(
+        after.iter().next().expect("the map has all partitions").1,
+        first
+    );
+    candidates.retain(|candidate| !unavailable.contains(&candidate.node));
+    let after = next_map(&before, &candidates);
+    let (_, reset) = after.iter().next().expect("the map has all partitions");
     assert_eq!(reset.origin, Origin::Reset);
     assert!(reset.reset_unix_ms > NOW_UNIX_MS);
 }
 
 #[test]
-fn a_map_survives_the_store() {
-    let map = next(&PartitionMap::default(), &candidates());
-    let json = serde_json::to_string(&map).expect("serializes");
-    let read: PartitionMap = serde_json::from_str(&json).expect("parses");
-    assert_eq!(read, map);
+fn map_round_trips_through_json() {
+    let map = next_map(&PartitionMap::default(), &candidates());
+    let json = serde_json::to_string(&map).expect("the map serializes");
+    let decoded: PartitionMap = serde_json::from_str(&json).expect("the map parses");
+    assert_eq!(decoded, map);
 }
--- a/crates/standalone/tallybridge-claims/tests/rounds.rs
+++ b/crates/standalone/tallybridge-claims/tests/rounds.rs
@@ -1,4 +1,4 @@
-//! Late and repeated replies do not count twice.
+//! Claim rounds ignore late and duplicate replies and never run a call after its deadline.
 
 use std::collections::BTreeSet;
 
@@ -22,7 +22,7 @@
 }
 
 fn round(max_runs: u8) -> ClaimRound {
-    let one = |number: u16| Candidate {
+    let candidate = |number: u16| Candidate {
         node: NodeId {
             address: ([127, 0, 0, 1], number).into(),
             instance: InstanceId(number.into()),
@@ -32,14 +32,16 @@
         rack: String::new(),
         presence: Presence::Live,
     };
-    let candidates: Vec<Candidate> = (1..=3).map(one).collect();
+    let candidates: Vec<Candidate> = (1..=3).map(candidate).collect();
     let map = plan(
         &PartitionMap::default(),
         &candidates,
         &BTreeSet::new(),
         NOW_UNIX_MS,
     );
-    let entry = map.entry(PartitionId::of(&KEY)).expect("planned");
+    let entry = map
+        .entry(PartitionId::of(&KEY))
+        .expect("the partition is in the map");
     ClaimRound::new(entry, KEY, attempt(1), max_runs)
 }
 
@@ -60,7 +62,7 @@
 }
 
 #[test]
-fn a_grant_of_an_earlier_run_does_not_count() {
+fn ignores_grant_of_earlier_run() {
     let mut round = round(2);
     let replicas = round.replicas().to_vec();
     round.record(replicas[1], &held(1));
@@ -72,7 +74,7 @@
 }
 
 #[test]
-fn a_repeated_grant_and_one_of_another_epoch_do_not_count() {
+fn ignores_duplicate_grant_and_other_epoch() {
     let mut round = round(1);
     let replicas = round.replicas().to_vec();
     round.record(replicas[0], &granted(1, 1));
@@ -81,12 +83,12 @@
 }
 
 #[test]
-fn a_paused_executor_does_not_run_after_its_deadline() {
+fn refuses_run_at_deadline() {
     let mut round = round(1);
     let deadline = NOW_UNIX_MS + 100;
     assert!(
         !round.may_run(deadline, NOW_UNIX_MS),
-        "nothing is granted yet"
+        "the call may not run before the claim is granted"
     );
     for replica in round.replicas().to_vec() {
         round.record(replica, &granted(1, 1));
