Reword the tests of the store crate and correct its comments

They now state the behaviour under test, and assertion messages say what went wrong. A second reading of the sources made the comments on retries, lost responses and log gaps exact.

--- a/crates/standalone/tallybridge-store/src/client/error.rs
+++ b/crates/standalone/tallybridge-store/src/client/error.rs
@@ -5,7 +5,7 @@
 /// Error of a request to the store or to the machine list.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
-    /// No address was reachable, or a read got no response. A write was not applied.
+    /// No address was reachable, or a read got no valid response. A write was not applied.
     #[error("the store is unavailable: {detail}")]
     Unavailable {
         /// Cause of the last failure.
@@ -23,17 +23,17 @@
         /// Current version of the key, 0 when the key is absent.
         version: u64,
     },
-    /// A write was sent and its response was lost. The store may have applied the write, may
-    /// still apply it, or may never apply it.
+    /// The response to a write was lost or reported a server error. The store may have applied the
+    /// write, may still apply it, or may never apply it.
     #[error("the outcome of the write is unknown: {detail}")]
     OutcomeUnknown {
-        /// Cause of the lost response.
+        /// How the response was lost, or its status.
         detail: String,
     },
     /// The store does not know the lease, because it expired or was revoked.
     #[error("the lease has expired or was revoked")]
     LeaseLapsed,
-    /// The key has an empty or dot segment or a character that a URL path would encode.
+    /// The key has an empty segment, a dot segment or a reserved URL character.
     #[error("invalid store key {key:?}")]
     InvalidKey {
         /// The rejected key.
--- a/crates/standalone/tallybridge-store/src/client/mod.rs
+++ b/crates/standalone/tallybridge-store/src/client/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP client of the key-value store.
 //!
-//! A request is sent to the store's addresses in turn. The client retries a read at the next
-//! address, and never sends a write twice, because its first copy may have been applied.
+//! A request is sent to the store's addresses in turn. The client retries a failed read
+//! at the next address. It retries a write only if no connection could be opened, because the store
+//! may have applied a write that was sent.
 
 mod error;
 mod key;
--- a/crates/standalone/tallybridge-store/src/client/transport.rs
+++ b/crates/standalone/tallybridge-store/src/client/transport.rs
@@ -79,8 +79,9 @@
 
     /// Sends a request to each address in turn until one responds.
     ///
-    /// A read is retried at the next address after any failure. A write is retried only when no
-    /// connection could be opened: a write that is sent twice could conflict with itself.
+    /// A read is retried at the next address after a connection error, a timeout or status 503. A
+    /// write is retried only when no connection could be opened: a write that is sent twice could
+    /// conflict with itself.
     pub async fn send(&self, request: &Request) -> Result<Response, StoreError> {
         let first_index = self.preferred_index.load(Ordering::Relaxed);
         let mut last_error = StoreError::Unavailable {
--- a/crates/standalone/tallybridge-store/src/duty/acquire.rs
+++ b/crates/standalone/tallybridge-store/src/duty/acquire.rs
@@ -80,7 +80,7 @@
         let _ = store.revoke_lease(lease).await;
         match claimed? {
             KeyHolder::Other(current) => Ok(Acquired::Standby(current)),
-            KeyHolder::Own(_) => unreachable!("an own key returns above"),
+            KeyHolder::Own(_) => unreachable!("KeyHolder::Own returns above"),
         }
     }
 }
@@ -109,7 +109,7 @@
     }
 }
 
-/// Reads the current holder. A matching lease shows that the own write was applied.
+/// Reads the current holder. A matching lease shows that the write of this node was applied.
 async fn read_holder(
     store: &StoreClient,
     key: &str,
--- a/crates/standalone/tallybridge-store/src/log/append.rs
+++ b/crates/standalone/tallybridge-store/src/log/append.rs
@@ -18,8 +18,8 @@
 enum TryResult {
     /// The outcome of the change is known.
     Done(AppendOutcome),
-    /// The revision exists already, from another author or from an own write whose response was
-    /// lost.
+    /// The revision exists already, written by another author or by this append in a write whose
+    /// response was lost.
     RevisionTaken(StoreError),
     /// The store failed with a transient error.
     Failed(StoreError),
@@ -28,11 +28,11 @@
 impl ConfigurationLog {
     /// Appends a change as the next revision of the log.
     ///
-    /// When another author takes the revision first, the change moves to a later revision unless
-    /// both changes touch the same entry. After a write whose response was lost, the log is read
-    /// to look for the ID of the change. Transient failures of the store are retried until
-    /// `deadline` with delays drawn from `random`; the last request may end one request timeout
-    /// after the deadline.
+    /// When another author takes the revision first, the change moves to a later revision. If both
+    /// changes touch the same entry, the outcome is [`AppendOutcome::Conflict`]. After a write
+    /// whose response was lost, the log is read to look for the ID of the change. Transient
+    /// failures of the store are retried until `deadline` with delays drawn from `random`; the last
+    /// request may end one request timeout after the deadline.
     ///
     /// # Errors
     ///
--- a/crates/standalone/tallybridge-store/src/log/attempt.rs
+++ b/crates/standalone/tallybridge-store/src/log/attempt.rs
@@ -19,8 +19,8 @@
     document: Option<Document>,
     /// Set by the first read.
     pub snapshot_revision: Revision,
-    /// Revision of a write whose outcome is unknown. The write may still arrive until a record
-    /// of this revision is read, so no other revision may be tried before.
+    /// Revision of a write whose outcome is unknown. No other revision may be tried until a record
+    /// of this revision is read, because the write may still arrive.
     unsettled: Option<Revision>,
 }
 
@@ -74,7 +74,7 @@
         Ok(records)
     }
 
-    /// Looks for the own change first, because an own write whose response was lost is not a
+    /// Looks for the record of this change first, because a write whose response was lost is not a
     /// conflict.
     fn find_outcome(&self, records: &[RevisionRecord]) -> Option<AppendOutcome> {
         let own_record = records
--- a/crates/standalone/tallybridge-store/src/log/change.rs
+++ b/crates/standalone/tallybridge-store/src/log/change.rs
@@ -8,8 +8,8 @@
 /// A change to append to the configuration log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChangeRequest {
-    /// Revision on which the author based the change. A later revision that touches the same
-    /// entries is a conflict.
+    /// Revision on which the author based the change. A later revision that touches one
+    /// of the same entries is a conflict.
     pub base: Revision,
     /// Edits, which are applied together or not at all.
     pub edits: Vec<Edit>,
--- a/crates/standalone/tallybridge-store/src/log/snapshot.rs
+++ b/crates/standalone/tallybridge-store/src/log/snapshot.rs
@@ -38,8 +38,8 @@
         })
     }
 
-    /// Replaces the snapshot if the document is far enough past it. Logs a failure, which the
-    /// next append makes up for.
+    /// Replaces the snapshot if the document is far enough past it. Only logs a
+    /// failure, because the next append tries again.
     pub(super) async fn refresh_snapshot(&self, document: &Document, snapshot_revision: Revision) {
         if document.revision.0 < snapshot_revision.0 + self.options.snapshot_interval {
             return;
--- a/crates/standalone/tallybridge-store/src/log/watch.rs
+++ b/crates/standalone/tallybridge-store/src/log/watch.rs
@@ -45,7 +45,7 @@
     ///
     /// # Errors
     ///
-    /// Any [`LogError`]. The cursor does not move then.
+    /// Any [`LogError`]. On an error the cursor does not move.
     pub async fn watch(
         &self,
         cursor: &mut LogCursor,
@@ -55,8 +55,7 @@
             return self.catch_up(cursor).await;
         };
         let changes = self.store.watch(RECORD_PREFIX, version, wait).await?;
-        // The watch reports only the last change of each key and may have gaps. Reading the log
-        // shows whether it is damaged.
+        // Reads the log after a gap, to distinguish a damaged log from a reader that is behind.
         let Some(records) = parse_consecutive(cursor.revision, &changes) else {
             return self.catch_up(cursor).await;
         };
--- a/crates/standalone/tallybridge-store/tests/client.rs
+++ b/crates/standalone/tallybridge-store/tests/client.rs
@@ -1,4 +1,4 @@
-//! The client against the stand-in of the store.
+//! Tests the clients against stand-ins of the store and the machine list.
 
 use std::time::Duration;
 
@@ -11,39 +11,39 @@
     client::PutOptions,
 };
 
-/// Far longer than any step takes, so that no verdict hangs on the machine's speed.
-const LONG: Duration = Duration::from_secs(30);
+/// Long enough that a slow test machine never reaches this timeout.
+const LONG_TIMEOUT: Duration = Duration::from_secs(30);
 
-async fn start() -> (StoreStandin, StoreClient) {
+async fn start_store() -> (StoreStandin, StoreClient) {
     let standin = StoreStandin::serve(StoreOptions::default()).await.unwrap();
-    let client = client_of(vec![standin.address()]);
+    let client = client_for(vec![standin.address()]);
     (standin, client)
 }
 
-fn client_of(addresses: Vec<std::net::SocketAddr>) -> StoreClient {
+fn client_for(addresses: Vec<std::net::SocketAddr>) -> StoreClient {
     let options = StoreClientOptions {
-        request_timeout: LONG,
+        request_timeout: LONG_TIMEOUT,
         ..StoreClientOptions::new(addresses)
     };
     StoreClient::new(options).unwrap()
 }
 
 #[tokio::test]
-async fn expectations_are_checked() {
-    let (_standin, client) = start().await;
+async fn rejects_unexpected_versions() {
+    let (_standin, client) = start_store().await;
     let first = client
         .put("a/b", "1".to_owned(), Expectation::Absent)
         .await
         .unwrap();
-    let refused = client.put("a/b", "2".to_owned(), Expectation::Absent).await;
-    assert_eq!(refused, Err(StoreError::Conflict { version: first }));
+    let rejected = client.put("a/b", "2".to_owned(), Expectation::Absent).await;
+    assert_eq!(rejected, Err(StoreError::Conflict { version: first }));
     let second = client
         .put("a/b", "3".to_owned(), Expectation::Version(first))
         .await
         .unwrap();
     assert!(second > first);
-    let refused = client.delete("a/b", Expectation::Version(first)).await;
-    assert_eq!(refused, Err(StoreError::Conflict { version: second }));
+    let rejected = client.delete("a/b", Expectation::Version(first)).await;
+    assert_eq!(rejected, Err(StoreError::Conflict { version: second }));
     assert_eq!(client.get("a/b").await.unwrap().unwrap().value, "3");
     client
         .delete("a/b", Expectation::Version(second))
@@ -53,8 +53,8 @@
 }
 
 #[tokio::test]
-async fn lists_come_in_pages() {
-    let (_standin, client) = start().await;
+async fn list_returns_pages() {
+    let (_standin, client) = start_store().await;
     for number in 0..5 {
         let key = format!("list/{number}");
         client
@@ -77,32 +77,32 @@
 }
 
 #[tokio::test]
-async fn a_watch_sees_writes_and_removals() {
-    let (_standin, client) = start().await;
-    let watching = {
+async fn watch_returns_writes_and_removals() {
+    let (_standin, client) = start_store().await;
+    let watch_task = {
         let client = client.clone();
-        tokio::spawn(async move { client.watch("w/", 0, LONG).await })
+        tokio::spawn(async move { client.watch("w/", 0, LONG_TIMEOUT).await })
     };
     let version = client
         .put("w/a", "1".to_owned(), Expectation::Any)
         .await
         .unwrap();
-    let seen = watching.await.unwrap().unwrap();
-    assert_eq!(seen.entries[0].value.as_deref(), Some("1"));
+    let changes = watch_task.await.unwrap().unwrap();
+    assert_eq!(changes.entries[0].value.as_deref(), Some("1"));
     client.delete("w/a", Expectation::Any).await.unwrap();
-    let seen = client.watch("w/", version, LONG).await.unwrap();
-    assert_eq!(seen.entries[0].value, None);
-    let quiet = client
-        .watch("w/", seen.version, Duration::ZERO)
+    let changes = client.watch("w/", version, LONG_TIMEOUT).await.unwrap();
+    assert_eq!(changes.entries[0].value, None);
+    let unchanged = client
+        .watch("w/", changes.version, Duration::ZERO)
         .await
         .unwrap();
-    assert!(quiet.entries.is_empty());
+    assert!(unchanged.entries.is_empty());
 }
 
 #[tokio::test]
-async fn keys_end_with_their_lease() {
-    let (_standin, client) = start().await;
-    let lease = client.grant_lease(LONG).await.unwrap();
+async fn revoked_lease_removes_its_keys() {
+    let (_standin, client) = start_store().await;
+    let lease = client.grant_lease(LONG_TIMEOUT).await.unwrap();
     let options = PutOptions {
         expectation: Expectation::Absent,
         lease: Some(lease),
@@ -115,23 +115,23 @@
         client.renew_lease(lease).await,
         Err(StoreError::LeaseLapsed)
     );
-    let late = client.put("l", String::new(), options).await;
-    assert_eq!(late, Err(StoreError::LeaseLapsed));
+    let expired = client.put("l", String::new(), options).await;
+    assert_eq!(expired, Err(StoreError::LeaseLapsed));
 }
 
 #[tokio::test]
-async fn a_lease_lapses_by_itself() {
-    let (_standin, client) = start().await;
+async fn lease_expires_without_renewal() {
+    let (_standin, client) = start_store().await;
     let lease = client.grant_lease(Duration::from_millis(20)).await.unwrap();
     let options = PutOptions {
         expectation: Expectation::Absent,
         lease: Some(lease),
     };
-    // On a slow machine the lease may lapse before the write, which then says so.
+    // On a slow machine the lease may expire before the write.
     match client.put("l", String::new(), options).await {
         Ok(version) => {
-            let seen = client.watch("l", version, LONG).await.unwrap();
-            assert_eq!(seen.entries[0].value, None);
+            let changes = client.watch("l", version, LONG_TIMEOUT).await.unwrap();
+            assert_eq!(changes.entries[0].value, None);
         }
         Err(error) => assert_eq!(error, StoreError::LeaseLapsed),
     }
@@ -142,8 +142,8 @@
 }
 
 #[tokio::test]
-async fn a_lost_answer_is_told_from_a_write_not_done() {
-    let (standin, client) = start().await;
+async fn lost_response_leaves_outcome_unknown() {
+    let (standin, client) = start_store().await;
     for (number, loss_manner) in [LossManner::Close, LossManner::Unavailable]
         .into_iter()
         .enumerate()
@@ -154,39 +154,39 @@
             ..FaultOrder::default()
         });
         let key = format!("lost/{number}");
-        let lost = client.put(&key, String::new(), Expectation::Absent).await;
+        let result = client.put(&key, String::new(), Expectation::Absent).await;
         assert!(
-            matches!(lost, Err(StoreError::OutcomeUnknown { .. })),
-            "{lost:?}"
+            matches!(result, Err(StoreError::OutcomeUnknown { .. })),
+            "{result:?}"
         );
         assert!(client.get(&key).await.unwrap().is_some());
     }
     assert_eq!(standin.requests().lost_answers, 2);
-    assert_eq!(standin.requests().put, 2, "a write is never sent twice");
+    assert_eq!(standin.requests().put, 2, "a write was sent twice");
 }
 
 #[tokio::test]
-async fn the_rate_limit_says_when_to_come_back() {
+async fn rate_limit_returns_retry_after() {
     let options = StoreOptions {
-        // One token in more than ten days, so that none comes back during the test.
+        // Refills one token in more than ten days, so none becomes available during the test.
         requests_per_second: Some(1e-6),
         burst: 1,
         ..StoreOptions::default()
     };
     let standin = StoreStandin::serve(options).await.unwrap();
-    let client = client_of(vec![standin.address()]);
+    let client = client_for(vec![standin.address()]);
     client.get("k").await.unwrap();
     let Err(StoreError::RateLimited { retry_after }) = client.get("k").await else {
-        panic!("the second request is over the limit");
+        panic!("the second request was not limited");
     };
     assert!(retry_after > Duration::from_secs(999_000));
     assert_eq!(standin.requests().limited, 1);
 }
 
 #[tokio::test]
-async fn an_address_in_an_outage_is_passed_over() {
-    let (broken, _) = start().await;
-    let (working, writer) = start().await;
+async fn skips_address_in_outage() {
+    let (broken, _) = start_store().await;
+    let (working, writer) = start_store().await;
     writer
         .put("k", String::new(), Expectation::Any)
         .await
@@ -195,46 +195,46 @@
         outage_ms: Some(3_600_000),
         ..FaultOrder::default()
     });
-    let both = client_of(vec![broken.address(), working.address()]);
-    assert!(both.get("k").await.unwrap().is_some());
-    let alone = client_of(vec![broken.address()]);
-    let failure = alone.get("k").await;
+    let client = client_for(vec![broken.address(), working.address()]);
+    assert!(client.get("k").await.unwrap().is_some());
+    let broken_only = client_for(vec![broken.address()]);
+    let result = broken_only.get("k").await;
     assert!(
-        matches!(failure, Err(StoreError::Unavailable { .. })),
-        "{failure:?}"
+        matches!(result, Err(StoreError::Unavailable { .. })),
+        "{result:?}"
     );
     assert_eq!(broken.requests().unavailable, 2);
 }
 
 #[tokio::test]
-async fn a_store_that_is_gone_did_not_take_the_write() {
-    // Held and never listened on: the port refuses connections and can't become another test's.
-    let held = tokio::net::TcpSocket::new_v4().unwrap();
-    held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let gone = held.local_addr().unwrap();
-    let failure = client_of(vec![gone])
+async fn refused_connection_means_write_not_sent() {
+    // A bound socket that does not listen refuses connections and keeps the port from other tests.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    let result = client_for(vec![address])
         .put("k", String::new(), Expectation::Any)
         .await;
     assert!(
-        matches!(failure, Err(StoreError::Unavailable { .. })),
-        "{failure:?}"
+        matches!(result, Err(StoreError::Unavailable { .. })),
+        "{result:?}"
     );
 }
 
 #[tokio::test]
-async fn keys_that_a_path_would_change_are_refused() {
-    let (_standin, client) = start().await;
+async fn rejects_keys_that_need_encoding() {
+    let (_standin, client) = start_store().await;
     for key in ["", "a//b", "a/../b", "a b", "a?b", "ä"] {
-        let refused = client.get(key).await;
+        let rejected = client.get(key).await;
         assert!(
-            matches!(refused, Err(StoreError::InvalidKey { .. })),
-            "{key}"
+            matches!(rejected, Err(StoreError::InvalidKey { .. })),
+            "accepted invalid key {key:?}"
         );
     }
 }
 
 #[tokio::test]
-async fn the_machine_list_lags() {
+async fn reads_list_of_lagging_server() {
     let options = MachineListOptions {
         lag: Duration::from_secs(3_600),
         ..MachineListOptions::default()
@@ -252,11 +252,11 @@
     };
     lagging.put(vec![machine.clone()]);
     prompt.put(vec![machine]);
-    let of_lagging = MachineListClient::new(lagging.address(), LONG).unwrap();
-    assert!(of_lagging.machines().await.unwrap().is_empty());
-    let of_prompt = MachineListClient::new(prompt.address(), LONG).unwrap();
+    let lagging_client = MachineListClient::new(lagging.address(), LONG_TIMEOUT).unwrap();
+    assert!(lagging_client.machines().await.unwrap().is_empty());
+    let prompt_client = MachineListClient::new(prompt.address(), LONG_TIMEOUT).unwrap();
     assert_eq!(
-        of_prompt.machines().await.unwrap()[0].state,
+        prompt_client.machines().await.unwrap()[0].state,
         MachineState::Leaving
     );
 }
--- a/crates/standalone/tallybridge-store/tests/configuration_log.rs
+++ b/crates/standalone/tallybridge-store/tests/configuration_log.rs
@@ -1,6 +1,6 @@
-//! Several operators change the configuration while the store fails in every way it knows.
+//! Property test: concurrent authors append to the log while the store injects faults.
 //!
-//! By default 64 cases run with a fixed seed. The long run, which takes minutes:
+//! By default 64 cases run with a fixed seed. A longer run:
 //! `PROPTEST_CASES=2000 cargo test -p tallybridge-store --test configuration_log`.
 
 mod log_oracle;
@@ -9,7 +9,7 @@
 
 use futures::future::join_all;
 use log_oracle::{
-    Oracle, Told,
+    Oracle, Reply,
     edits::{REMOVAL, edit},
 };
 use proptest::{
@@ -29,38 +29,36 @@
 
 const DEFAULT_CASES: u32 = 64;
 
-/// Far longer than a case takes, so that no verdict hangs on the machine's speed.
-const LONG: Duration = Duration::from_secs(300);
+/// Long enough that a slow test machine never reaches this timeout.
+const LONG_TIMEOUT: Duration = Duration::from_secs(300);
 
-/// One author's wish in a round of concurrent ones.
+/// A change that one author appends in a round of concurrent appends.
 #[derive(Debug, Clone)]
-struct Wish {
-    /// Which entries it touches.
+struct PlannedChange {
     entries: Vec<u8>,
-    /// How many revisions the author's base lies behind the log.
-    lag: u64,
-    /// Whether the author waits until the fate is known.
-    patient: bool,
+    /// Number of revisions by which the base is behind the log.
+    base_lag: u64,
+    /// Whether the author retries until the outcome is known.
+    waits_for_outcome: bool,
 }
 
 #[derive(Debug, Clone)]
 enum Step {
-    /// Sets faults.
     Fault(FaultOrder),
-    /// Authors make changes at the same time.
-    Round(Vec<Wish>),
-    /// Authors who were left in the dark ask again.
-    AskAgain,
-    /// A reader follows the log.
-    Follow,
+    /// Authors append changes concurrently.
+    Append(Vec<PlannedChange>),
+    /// Authors whose outcome is unknown repeat their requests.
+    RepeatUnsettled,
+    /// The reader watches the log.
+    Watch,
 }
 
 fn fault() -> impl Strategy<Value = FaultOrder> {
-    let loss = prop_oneof![Just(LossManner::Close), Just(LossManner::Unavailable)];
-    let losses = (0..3_u32, loss);
-    let lateness = (0..3_u32, 1..8_u32);
+    let loss_manner = prop_oneof![Just(LossManner::Close), Just(LossManner::Unavailable)];
+    let lost_responses = (0..3_u32, loss_manner);
+    let late_writes = (0..3_u32, 1..8_u32);
     let prefix = prop_oneof![2 => Just(""), 1 => Just(SNAPSHOT_KEY)];
-    (losses, lateness, prefix, 0..4_u32, 0..3_u32).prop_map(
+    (lost_responses, late_writes, prefix, 0..4_u32, 0..3_u32).prop_map(
         |((lost, loss_manner), (late, late_after_requests), prefix, unavailable, limited)| {
             FaultOrder {
                 key_prefix: prefix.to_owned(),
@@ -76,12 +74,12 @@
     )
 }
 
-fn wish() -> impl Strategy<Value = Wish> {
+fn planned_change() -> impl Strategy<Value = PlannedChange> {
     (vec(0..=REMOVAL, 1..3), 0..4_u64, prop::bool::weighted(0.7)).prop_map(
-        |(entries, lag, patient)| Wish {
+        |(entries, base_lag, waits_for_outcome)| PlannedChange {
             entries,
-            lag,
-            patient,
+            base_lag,
+            waits_for_outcome,
         },
     )
 }
@@ -89,28 +87,28 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         3 => fault().prop_map(Step::Fault),
-        4 => vec(wish(), 1..5).prop_map(Step::Round),
-        1 => Just(Step::AskAgain),
-        2 => Just(Step::Follow),
+        4 => vec(planned_change(), 1..5).prop_map(Step::Append),
+        1 => Just(Step::RepeatUnsettled),
+        2 => Just(Step::Watch),
     ]
 }
 
-/// The log under test with a reader and the oracle.
-struct Trial {
+/// The log under test, with a reader and the oracle.
+struct Harness {
     standin: StoreStandin,
     log: ConfigurationLog,
     oracle: Oracle,
     cursor: LogCursor,
     document: Document,
     random: SmallRng,
-    changes: u32,
+    change_count: u32,
 }
 
-impl Trial {
+impl Harness {
     async fn start() -> Self {
         let standin = StoreStandin::serve(StoreOptions::default()).await.unwrap();
         let options = StoreClientOptions {
-            request_timeout: LONG,
+            request_timeout: LONG_TIMEOUT,
             ..StoreClientOptions::new(vec![standin.address()])
         };
         let log_options = LogOptions {
@@ -128,58 +126,75 @@
             cursor: LogCursor::after(Revision::default()),
             document: Document::default(),
             random: SmallRng::seed_from_u64(1),
-            changes: 0,
+            change_count: 0,
         }
     }
 
     async fn step(&mut self, step: &Step) {
         match step {
             Step::Fault(order) => self.standin.fault(order),
-            Step::Round(wishes) => self.round(wishes).await,
-            Step::AskAgain => self.ask_again().await,
-            Step::Follow => self.follow().await,
+            Step::Append(planned_changes) => self.append_round(planned_changes).await,
+            Step::RepeatUnsettled => self.repeat_unsettled().await,
+            Step::Watch => self.watch_log().await,
         }
-        self.oracle.read(&self.standin);
+        self.oracle.read_log(&self.standin);
         self.oracle.check();
     }
 
-    async fn round(&mut self, wishes: &[Wish]) {
-        let changes: Vec<(ChangeRequest, bool)> = wishes
+    async fn append_round(&mut self, planned_changes: &[PlannedChange]) {
+        let changes: Vec<(ChangeRequest, bool)> = planned_changes
             .iter()
-            .map(|wish| (self.change(wish), wish.patient))
+            .map(|planned_change| {
+                (
+                    self.change_request(planned_change),
+                    planned_change.waits_for_outcome,
+                )
+            })
             .collect();
         self.append(changes).await;
     }
 
-    async fn ask_again(&mut self) {
+    async fn repeat_unsettled(&mut self) {
         let unsettled = self.oracle.unsettled().into_iter();
         self.append(unsettled.map(|change| (change, true)).collect())
             .await;
     }
 
-    /// Makes changes at the same time and notes what their authors are told.
+    /// Appends changes concurrently and records the results.
     async fn append(&mut self, changes: Vec<(ChangeRequest, bool)>) {
         let log = &self.log;
         let random = &mut self.random;
-        let appends = changes.into_iter().map(|(change, patient)| {
+        let appends = changes.into_iter().map(|(change, waits_for_outcome)| {
             let mut random = SmallRng::from_rng(random);
-            let deadline = Instant::now() + if patient { LONG } else { Duration::ZERO };
+            let deadline = Instant::now()
+                + if waits_for_outcome {
+                    LONG_TIMEOUT
+                } else {
+                    Duration::ZERO
+                };
             async move {
-                let answer = log.append(&change, deadline, &mut random).await;
-                Told { change, answer }
+                let result = log.append(&change, deadline, &mut random).await;
+                Reply { change, result }
             }
         });
-        for told in join_all(appends).await {
-            self.oracle.tell(told);
+        for reply in join_all(appends).await {
+            self.oracle.record_reply(reply);
         }
     }
 
-    fn change(&mut self, wish: &Wish) -> ChangeRequest {
-        self.changes += 1;
-        let number = self.changes;
-        let edits = wish.entries.iter().map(|entry| edit(*entry, number));
+    fn change_request(&mut self, planned_change: &PlannedChange) -> ChangeRequest {
+        self.change_count += 1;
+        let number = self.change_count;
+        let edits = planned_change
+            .entries
+            .iter()
+            .map(|entry| edit(*entry, number));
         ChangeRequest {
-            base: Revision(self.oracle.revision().saturating_sub(wish.lag)),
+            base: Revision(
+                self.oracle
+                    .revision()
+                    .saturating_sub(planned_change.base_lag),
+            ),
             edits: edits.collect(),
             author: format!("author-{number}"),
             comment: String::new(),
@@ -187,8 +202,8 @@
         }
     }
 
-    /// The reader may fail, but it never goes back and what it holds is always one revision.
-    async fn follow(&mut self) {
+    /// Checks that the reader never moves back and that its document matches its revision.
+    async fn watch_log(&mut self) {
         let before = self.cursor.revision();
         if let Ok(records) = self.log.watch(&mut self.cursor, Duration::ZERO).await {
             for record in &records {
@@ -197,12 +212,12 @@
         }
         assert!(self.cursor.revision() >= before);
         assert_eq!(self.cursor.revision(), self.document.revision);
-        self.oracle.read(&self.standin);
+        self.oracle.read_log(&self.standin);
         assert_eq!(self.document, self.oracle.document(self.document.revision));
     }
 
-    /// The store recovers, everything late arrives, and everybody learns their fate.
-    async fn settle(&mut self) {
+    /// Clears all faults, then checks that every outcome is known.
+    async fn clear_faults_and_check(&mut self) {
         self.standin.fault(&FaultOrder {
             lose_answers: Some(0),
             late_writes: Some(0),
@@ -210,18 +225,19 @@
             limited_requests: Some(0),
             ..FaultOrder::default()
         });
-        self.step(&Step::AskAgain).await;
+        self.step(&Step::RepeatUnsettled).await;
         self.standin.release_late_writes();
-        self.oracle.read(&self.standin);
+        self.oracle.read_log(&self.standin);
         self.oracle.check();
         assert!(self.oracle.unsettled().is_empty());
         self.check_readers().await;
     }
 
     async fn check_readers(&mut self) {
-        // The first watch may only learn the store's counter or see what it has already.
+        // The first watch may return nothing new, because it only reads the version of the store or
+        // sees old changes.
         for _ in 0..2 {
-            self.follow().await;
+            self.watch_log().await;
         }
         let last = Revision(self.oracle.revision());
         assert_eq!(self.document.revision, last);
@@ -239,32 +255,34 @@
         .build()
         .unwrap();
     runtime.block_on(async {
-        let mut trial = Trial::start().await;
+        let mut harness = Harness::start().await;
         for step in steps {
-            trial.step(step).await;
+            harness.step(step).await;
         }
-        trial.settle().await;
+        harness.clear_faults_and_check().await;
     });
 }
 
 #[tokio::test]
-async fn an_older_snapshot_never_replaces_a_newer_one() {
-    let mut trial = Trial::start().await;
-    let wish = Wish {
+async fn older_snapshot_never_replaces_newer() {
+    let mut harness = Harness::start().await;
+    let planned_change = PlannedChange {
         entries: vec![0],
-        lag: 0,
-        patient: true,
+        base_lag: 0,
+        waits_for_outcome: true,
     };
     for _ in 0..3 {
-        trial.step(&Step::Round(vec![wish.clone()])).await;
+        harness
+            .step(&Step::Append(vec![planned_change.clone()]))
+            .await;
     }
     for revision in [3, 2] {
-        let document = trial.oracle.document(Revision(revision));
-        trial.log.compact(&document).await.unwrap();
-        trial.oracle.read(&trial.standin);
+        let document = harness.oracle.document(Revision(revision));
+        harness.log.compact(&document).await.unwrap();
+        harness.oracle.read_log(&harness.standin);
     }
     assert_eq!(
-        trial.log.read_document().await.unwrap().revision,
+        harness.log.read_document().await.unwrap().revision,
         Revision(3)
     );
 }
@@ -290,7 +308,7 @@
     #![proptest_config(config())]
 
     #[test]
-    fn every_author_is_told_the_truth(steps in vec(step(), 1..16)) {
+    fn append_results_match_log(steps in vec(step(), 1..16)) {
         run_case(&steps);
     }
 }
--- a/crates/standalone/tallybridge-store/tests/duty_fuzz.rs
+++ b/crates/standalone/tallybridge-store/tests/duty_fuzz.rs
@@ -1,6 +1,7 @@
-//! Nodes take, lose and use a duty in any order, while clocks jump and the store fails.
+//! Property test: nodes acquire, lose and use a duty while the clock jumps and the store injects
+//! faults.
 //!
-//! By default 160 cases run with a fixed seed. The long run, which takes minutes:
+//! By default 160 cases run with a fixed seed. A longer run:
 //! `PROPTEST_CASES=5000 cargo test -p tallybridge-store --test duty_fuzz`.
 
 use std::time::Duration;
@@ -19,41 +20,38 @@
 use tokio::time::Instant;
 
 const DEFAULT_CASES: u32 = 160;
-const NODES: usize = 3;
+const NODE_COUNT: usize = 3;
 
-/// Life of the lease: far longer than a case takes, so that time passes only by jumps.
+/// Long enough that a lease expires only when a step advances the clock.
 const TTL: Duration = Duration::from_secs(36_000);
 
 const KEY: &str = "tallybridge/sweep/done";
 
 #[derive(Debug, Clone)]
 enum Step {
-    /// A node tries to become the holder.
     Acquire(usize),
-    /// A node gives the duty up.
     Release(usize),
-    /// A node drops the duty without a word, as in a crash.
+    /// A node drops its holder without a release, as in a crash.
     Drop(usize),
-    /// A node acts, whether it holds the duty, held it or never did.
+    /// A node updates the guarded key with its last fence, if it has one.
     Act(usize),
-    /// The clock jumps by this many hundredths of the lease's life.
-    Jump(u32),
-    /// The duty's key loses its lease without its holder learning of it.
-    EndLease,
-    /// Sets faults.
+    /// Advances the clock by this percentage of the time to live.
+    AdvanceClock(u32),
+    /// Revokes the lease of the current holder in the store.
+    RevokeLease,
     Fault(FaultOrder),
-    /// Late writes arrive.
+    /// Applies delayed writes.
     ReleaseLateWrites,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        6 => (0..NODES).prop_map(Step::Acquire),
-        1 => (0..NODES).prop_map(Step::Release),
-        1 => (0..NODES).prop_map(Step::Drop),
-        8 => (0..NODES).prop_map(Step::Act),
-        4 => (1..120_u32).prop_map(Step::Jump),
-        2 => Just(Step::EndLease),
+        6 => (0..NODE_COUNT).prop_map(Step::Acquire),
+        1 => (0..NODE_COUNT).prop_map(Step::Release),
+        1 => (0..NODE_COUNT).prop_map(Step::Drop),
+        8 => (0..NODE_COUNT).prop_map(Step::Act),
+        4 => (1..120_u32).prop_map(Step::AdvanceClock),
+        2 => Just(Step::RevokeLease),
         3 => fault().prop_map(Step::Fault),
         1 => Just(Step::ReleaseLateWrites),
     ]
@@ -65,13 +63,20 @@
         Just(KEY.to_owned()),
         Just(duty_key(""))
     ];
-    let loss = prop_oneof![Just(LossManner::Close), Just(LossManner::Unavailable)];
-    (prefix, loss, 0..2_u32, 0..2_u32, 1..20_u32, 0..2_u32).prop_map(
-        |(key_prefix, loss_manner, lost, late, late_after_requests, unavailable)| FaultOrder {
+    let loss_manner = prop_oneof![Just(LossManner::Close), Just(LossManner::Unavailable)];
+    (prefix, loss_manner, 0..2_u32, 0..2_u32, 1..20_u32, 0..2_u32).prop_map(
+        |(
             key_prefix,
             loss_manner,
-            lose_answers: Some(lost),
-            late_writes: Some(late),
+            lost_responses,
+            late_writes,
+            late_after_requests,
+            unavailable,
+        )| FaultOrder {
+            key_prefix,
+            loss_manner,
+            lose_answers: Some(lost_responses),
+            late_writes: Some(late_writes),
             late_after_requests,
             unavailable_requests: Some(unavailable),
             ..FaultOrder::default()
@@ -79,40 +84,40 @@
     )
 }
 
-/// One node: the duty if it holds it, and what it acts with, which outlives the duty.
+/// A node under test. The fence remains after the holder is dropped or released.
 #[derive(Default)]
 struct Node {
     holder: Option<LeaseHolder>,
     fence: Option<Fence>,
-    /// Whether its lease was ended behind its back, so that its fence can't know.
-    is_betrayed: bool,
+    /// Whether a lease was revoked after the node acquired the duty. Its fence may be wrong then.
+    has_lease_revocation: bool,
 }
 
-/// What an actor was told of its action.
+/// Outcome of an action as the node received it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Told {
-    Done,
-    Refused,
+enum ActionOutcome {
+    Completed,
+    Rejected,
     Unknown,
 }
 
-/// One attempt to act.
+/// An attempt to append a number to the guarded key.
 struct Action {
-    told: Told,
-    /// The actor's token.
+    outcome: ActionOutcome,
+    /// Fencing token of the node.
     token: u64,
 }
 
-struct Trial {
+struct Harness {
     standin: StoreStandin,
     store: StoreClient,
-    nodes: [Node; NODES],
-    /// What was told of each action, which are numbered in the order in which they were tried.
+    nodes: [Node; NODE_COUNT],
+    /// All actions in the order of their attempts. The index is the number of the action.
     actions: Vec<Action>,
     last_token: u64,
 }
 
-impl Trial {
+impl Harness {
     async fn start() -> Self {
         let standin = StoreStandin::serve(StoreOptions::default()).await.unwrap();
         let options = StoreClientOptions {
@@ -135,8 +140,8 @@
             Step::Release(node) => self.release(*node).await,
             Step::Drop(node) => drop(self.nodes[*node].holder.take()),
             Step::Act(node) => self.act(*node).await,
-            Step::Jump(hundredths) => jump(TTL / 100 * *hundredths).await,
-            Step::EndLease => self.end_lease().await,
+            Step::AdvanceClock(percent) => advance_clock(TTL / 100 * *percent).await,
+            Step::RevokeLease => self.revoke_lease().await,
             Step::Fault(order) => self.standin.fault(order),
             Step::ReleaseLateWrites => self.standin.release_late_writes(),
         }
@@ -151,21 +156,24 @@
             ttl: TTL,
             margin: TTL / 10,
         };
-        if let Ok(Acquired::Held(held)) = LeaseHolder::acquire(&self.store, &options).await {
-            let fence = held.fence();
-            assert!(fence.token().0 > self.last_token, "tokens grow");
+        if let Ok(Acquired::Held(holder)) = LeaseHolder::acquire(&self.store, &options).await {
+            let fence = holder.fence();
+            assert!(
+                fence.token().0 > self.last_token,
+                "the fencing token did not grow"
+            );
             self.last_token = fence.token().0;
             self.nodes[node] = Node {
-                holder: Some(held),
+                holder: Some(holder),
                 fence: Some(fence),
-                is_betrayed: false,
+                has_lease_revocation: false,
             };
         }
     }
 
     async fn release(&mut self, node: usize) {
         if let Some(holder) = self.nodes[node].holder.take() {
-            // A release that fails leaves the key until its lease lapses.
+            // If the release fails, the key remains until its lease expires.
             let _ = holder.release().await;
         }
     }
@@ -178,17 +186,17 @@
         let token = fence.token().0;
         let key = GuardedKey::new(self.store.clone(), fence, KEY.to_owned());
         let result = key
-            .update(|done| format!("{}{number},", done.unwrap_or_default()))
+            .update(|current| format!("{}{number},", current.unwrap_or_default()))
             .await;
-        let told = match result {
-            Ok(_) => Told::Done,
-            Err(GuardedError::Store(StoreError::OutcomeUnknown { .. })) => Told::Unknown,
-            Err(_) => Told::Refused,
+        let outcome = match result {
+            Ok(_) => ActionOutcome::Completed,
+            Err(GuardedError::Store(StoreError::OutcomeUnknown { .. })) => ActionOutcome::Unknown,
+            Err(_) => ActionOutcome::Rejected,
         };
-        self.actions.push(Action { told, token });
+        self.actions.push(Action { outcome, token });
     }
 
-    async fn end_lease(&mut self) {
+    async fn revoke_lease(&mut self) {
         let Some(entry) = self.standin.entries(&duty_key("sweep")).pop() else {
             return;
         };
@@ -199,42 +207,64 @@
             Err(StoreError::Unavailable { .. })
         ) {
             for node in &mut self.nodes {
-                node.is_betrayed = true;
+                node.has_lease_revocation = true;
             }
         }
     }
 
-    /// A node that believes to hold the duty holds it in the store, unless it can't know better.
+    /// Checks that a node with a valid fence holds the duty in the store. A node whose lease may
+    /// have been revoked is exempt.
     fn check_holders(&self) {
         let now = Instant::now();
-        let held = self.standin.entries(&duty_key("sweep")).pop();
-        let held_token = held.map(|entry| entry.version);
-        let nodes = self.nodes.iter().filter(|node| !node.is_betrayed);
+        let entry = self.standin.entries(&duty_key("sweep")).pop();
+        let held_token = entry.map(|entry| entry.version);
+        let nodes = self.nodes.iter().filter(|node| !node.has_lease_revocation);
         for fence in nodes.filter_map(|node| node.fence.as_ref()) {
             if fence.check(now).is_ok() {
-                assert_eq!(held_token, Some(fence.token().0), "a duty believed held");
+                assert_eq!(
+                    held_token,
+                    Some(fence.token().0),
+                    "a fence is valid but the node does not hold the duty"
+                );
             }
         }
     }
 
-    /// What was told as done is there, what was refused is not, nothing is there twice, and
-    /// nobody acted after a later holder.
+    /// Checks that completed actions were applied once, rejected ones were not, and no node acted
+    /// after a later holder.
     fn check_actions(&self) {
-        let done = self.done();
+        let applied = self.applied_actions();
         for (number, action) in self.actions.iter().enumerate() {
-            let times = done.iter().filter(|done| **done == number).count();
-            match action.told {
-                Told::Done => assert_eq!(times, 1, "action {number} of {done:?} is done"),
-                Told::Refused => assert_eq!(times, 0, "action {number} of {done:?} is refused"),
-                Told::Unknown => assert!(times <= 1, "action {number} of {done:?} may be done"),
+            let times = applied.iter().filter(|other| **other == number).count();
+            match action.outcome {
+                ActionOutcome::Completed => assert_eq!(
+                    times, 1,
+                    "completed action {number} was not applied once: {applied:?}"
+                ),
+                ActionOutcome::Rejected => assert_eq!(
+                    times, 0,
+                    "rejected action {number} was applied: {applied:?}"
+                ),
+                ActionOutcome::Unknown => {
+                    assert!(times <= 1, "action {number} was applied twice: {applied:?}")
+                }
             }
         }
-        assert!(done.is_sorted(), "the order of the actions done: {done:?}");
-        let tokens: Vec<u64> = done.iter().map(|done| self.actions[*done].token).collect();
-        assert!(tokens.is_sorted(), "tokens of the actions done: {tokens:?}");
+        assert!(
+            applied.is_sorted(),
+            "actions were applied out of order: {applied:?}"
+        );
+        let tokens: Vec<u64> = applied
+            .iter()
+            .map(|number| self.actions[*number].token)
+            .collect();
+        assert!(
+            tokens.is_sorted(),
+            "an earlier holder acted after a later one: {tokens:?}"
+        );
     }
 
-    fn done(&self) -> Vec<usize> {
+    fn applied_actions(&self) -> Vec<usize> {
         let Some(entry) = self.standin.entries(KEY).pop() else {
             return Vec::new();
         };
@@ -245,8 +275,8 @@
     }
 }
 
-/// Lets the clock jump, as it seems to a process that was paused for that long.
-async fn jump(time: Duration) {
+/// Advances the clock in one jump, as seen by a process that was paused.
+async fn advance_clock(time: Duration) {
     tokio::time::pause();
     tokio::time::advance(time).await;
     tokio::time::resume();
@@ -258,9 +288,9 @@
         .build()
         .unwrap();
     runtime.block_on(async {
-        let mut trial = Trial::start().await;
+        let mut harness = Harness::start().await;
         for step in steps {
-            trial.step(step).await;
+            harness.step(step).await;
         }
     });
 }
@@ -283,7 +313,7 @@
     #![proptest_config(config())]
 
     #[test]
-    fn a_duty_is_done_by_one_node_at_a_time(steps in vec(step(), 1..40)) {
+    fn one_node_at_a_time_acts(steps in vec(step(), 1..40)) {
         run_case(&steps);
     }
 }
--- a/crates/standalone/tallybridge-store/tests/log_oracle/mod.rs
+++ b/crates/standalone/tallybridge-store/tests/log_oracle/mod.rs
@@ -1,4 +1,5 @@
-//! What must hold of a configuration log, whatever its authors and the store went through.
+//! Oracle of the configuration log: compares the records in the store with the results that the
+//! authors received.
 
 pub mod edits;
 
@@ -11,44 +12,40 @@
 use tallybridge_store::{AppendError, AppendOutcome, ChangeRequest, log::SNAPSHOT_KEY};
 use uuid::Uuid;
 
-/// What the author of a change was told last.
+/// Last result that the author of a change received.
 #[derive(Debug, Clone)]
-pub struct Told {
-    /// The change.
+pub struct Reply {
     pub change: ChangeRequest,
-    /// The answer.
-    pub answer: Result<AppendOutcome, AppendError>,
+    pub result: Result<AppendOutcome, AppendError>,
 }
 
-/// The log as it was, and what the authors were told.
+/// Copy of the log with the last result of each change.
 #[derive(Debug, Default)]
 pub struct Oracle {
     records: Vec<RevisionRecord>,
-    told: BTreeMap<Uuid, Told>,
+    replies: BTreeMap<Uuid, Reply>,
     snapshot: Revision,
 }
 
 impl Oracle {
-    /// The log's revision.
     pub fn revision(&self) -> u64 {
         self.records.len() as u64
     }
 
-    /// Notes what an author was told.
-    pub fn tell(&mut self, told: Told) {
-        self.told.insert(told.change.change_id, told);
+    pub fn record_reply(&mut self, reply: Reply) {
+        self.replies.insert(reply.change.change_id, reply);
     }
 
-    /// The changes whose authors were told that their fate is unknown.
+    /// Returns the changes with an unknown outcome.
     pub fn unsettled(&self) -> Vec<ChangeRequest> {
-        self.told
+        self.replies
             .values()
-            .filter(|told| matches!(told.answer, Err(AppendError::Unsettled { .. })))
-            .map(|told| told.change.clone())
+            .filter(|reply| matches!(reply.result, Err(AppendError::Unsettled { .. })))
+            .map(|reply| reply.change.clone())
             .collect()
     }
 
-    /// The document of a revision, folded from the records.
+    /// Returns the document of a revision, built from the records.
     pub fn document(&self, revision: Revision) -> Document {
         let mut document = Document::default();
         for record in &self.records[..usize::try_from(revision.0).unwrap()] {
@@ -57,15 +54,19 @@
         document
     }
 
-    /// Reads the log past the client and checks that it only grew.
-    pub fn read(&mut self, standin: &StoreStandin) {
+    /// Reads the log directly from the stand-in and checks that it only grew.
+    pub fn read_log(&mut self, standin: &StoreStandin) {
         let records: Vec<RevisionRecord> = standin
             .entries(RECORD_PREFIX)
             .iter()
             .map(|entry| serde_json::from_str(&entry.value.clone().unwrap()).unwrap())
             .collect();
         for (index, record) in records.iter().enumerate() {
-            assert_eq!(record.revision.0, index as u64 + 1, "one record each");
+            assert_eq!(
+                record.revision.0,
+                index as u64 + 1,
+                "revisions are not consecutive"
+            );
         }
         assert!(
             records.starts_with(&self.records),
@@ -73,7 +74,11 @@
         );
         self.records = records;
         let document = self.document(Revision(self.revision()));
-        assert_eq!(document.check(), [], "the log breaks rules");
+        assert_eq!(
+            document.check(),
+            [],
+            "the document violates validation rules"
+        );
         self.read_snapshot(standin);
     }
 
@@ -82,44 +87,50 @@
             return;
         };
         let snapshot: Document = serde_json::from_str(&entry.value.unwrap()).unwrap();
-        assert!(snapshot.revision >= self.snapshot, "the snapshot went back");
+        assert!(
+            snapshot.revision >= self.snapshot,
+            "an older snapshot replaced a newer one"
+        );
         assert_eq!(snapshot, self.document(snapshot.revision));
         self.snapshot = snapshot.revision;
     }
 
-    /// Checks what the authors were told against the log.
+    /// Checks the results of all changes against the log.
     pub fn check(&self) {
         let ids: BTreeSet<Uuid> = self.records.iter().map(|record| record.change_id).collect();
-        assert_eq!(ids.len(), self.records.len(), "a change was made twice");
-        for told in self.told.values() {
-            self.check_told(told);
+        assert_eq!(ids.len(), self.records.len(), "a change was appended twice");
+        for reply in self.replies.values() {
+            self.check_reply(reply);
         }
         for record in &self.records {
-            let author = &self.told[&record.change_id];
+            let reply = &self.replies[&record.change_id];
             assert!(
                 matches!(
-                    author.answer,
+                    reply.result,
                     Ok(AppendOutcome::Appended { .. }) | Err(AppendError::Unsettled { .. })
                 ),
-                "revision {} was made, its author was told {:?}",
+                "revision {} is in the log, but its author received {:?}",
                 record.revision,
-                author.answer
+                reply.result
             );
         }
     }
 
-    fn check_told(&self, told: &Told) {
-        let made = self.made(told.change.change_id);
-        match &told.answer {
+    fn check_reply(&self, reply: &Reply) {
+        let appended_revision = self.appended_revision(reply.change.change_id);
+        match &reply.result {
             Ok(AppendOutcome::Appended { revision }) => {
                 assert_eq!(
-                    made,
+                    appended_revision,
                     Some(*revision),
-                    "told of a revision that is not its own"
+                    "the result names the wrong revision"
                 );
                 let before = Revision(revision.0 - 1);
-                let touched = self.touched(&told.change, before);
-                assert!(touched.is_empty(), "made over the heads of {touched:?}");
+                let conflicts = self.conflicts(&reply.change, before);
+                assert!(
+                    conflicts.is_empty(),
+                    "appended despite conflicts with {conflicts:?}"
+                );
             }
             Ok(AppendOutcome::Conflict(conflict)) => {
                 let found: Vec<(Revision, EntryName)> = conflict
@@ -128,43 +139,46 @@
                     .map(|found| (found.revision, found.entry.clone()))
                     .collect();
 
-                assert_eq!(found, self.touched(&told.change, conflict.current));
-                assert!(!found.is_empty(), "a conflict with nobody");
+                assert_eq!(found, self.conflicts(&reply.change, conflict.current));
+                assert!(!found.is_empty(), "a conflict without conflicting entries");
             }
             Err(AppendError::Unsettled { revision, .. }) => {
-                assert!(made.is_none_or(|made| made == *revision));
+                assert!(
+                    appended_revision
+                        .is_none_or(|appended_revision| appended_revision == *revision)
+                );
             }
             Err(AppendError::Invalid { current, .. }) => {
-                let document = self.document(*current).with_edits(&told.change.edits);
-                assert!(!document.check().is_empty(), "a valid change was refused");
+                let document = self.document(*current).with_edits(&reply.change.edits);
+                assert!(!document.check().is_empty(), "a valid change was rejected");
             }
             Err(AppendError::NotMade { .. }) => {}
-            Err(error) => panic!("unexpected answer {error:?}"),
+            Err(error) => panic!("unexpected error {error:?}"),
         }
     }
 
-    fn made(&self, change_id: Uuid) -> Option<Revision> {
+    fn appended_revision(&self, change_id: Uuid) -> Option<Revision> {
         self.records
             .iter()
             .find(|record| record.change_id == change_id)
             .map(|record| record.revision)
     }
 
-    /// The change's entries that revisions after its base, up to `last`, touch too.
-    fn touched(&self, change: &ChangeRequest, last: Revision) -> Vec<(Revision, EntryName)> {
-        let own = names(&change.edits);
-        let mut touched = Vec::new();
+    /// Returns the entries of the change that revisions after its base, up to `last`, also edit.
+    fn conflicts(&self, change: &ChangeRequest, last: Revision) -> Vec<(Revision, EntryName)> {
+        let own = entry_names(&change.edits);
+        let mut conflicts = Vec::new();
         for record in &self.records {
             if record.revision > change.base && record.revision <= last {
-                let both = names(&record.edits);
-                let both = both.intersection(&own).cloned();
-                touched.extend(both.map(|entry| (record.revision, entry)));
+                let shared = entry_names(&record.edits);
+                let shared = shared.intersection(&own).cloned();
+                conflicts.extend(shared.map(|entry| (record.revision, entry)));
             }
         }
-        touched
+        conflicts
     }
 }
 
-fn names(edits: &[Edit]) -> BTreeSet<EntryName> {
+fn entry_names(edits: &[Edit]) -> BTreeSet<EntryName> {
     edits.iter().map(Edit::entry).collect()
 }
