--- a/crates/standalone/tallybridge-membership/src/address.rs
+++ b/crates/standalone/tallybridge-membership/src/address.rs
@@ -1,7 +1,7 @@
-//! Telling instances at the same address apart.
+//! Resolution of conflicts between instances at the same address.
 //!
-//! Instances are drawn at random, so their order shows only by who answers: one that answers a
-//! ping outlives every other that was known at that address before the ping was sent.
+//! Instance ids are random and carry no order. The instance that answers a ping supersedes every
+//! other instance that was known at the address before the ping was sent.
 
 use std::{net::SocketAddr, time::Instant};
 
@@ -14,11 +14,17 @@
 };
 
 impl MemberTable {
-    /// An instance answered a ping sent at a time: those at its address known before are gone.
-    pub(crate) fn settle_address(&mut self, responder: NodeId, pinged: Instant, now: Instant) {
+    /// Ends the other instances at the responder's address that were known before the ping was
+    /// sent.
+    pub(crate) fn end_other_instances(
+        &mut self,
+        responder: NodeId,
+        ping_sent_at: Instant,
+        now: Instant,
+    ) {
         let ended: Vec<MemberRecord> = self
             .rows_at(responder.address)
-            .filter(|row| row.record.node != responder && row.first_known <= pinged)
+            .filter(|row| row.record.node != responder && row.first_known <= ping_sent_at)
             .filter(|row| row.record.incarnation != Incarnation::FINAL)
             .map(|row| row.record.clone())
             .collect();
@@ -27,8 +33,8 @@
         }
     }
 
-    /// An earlier instance at this node's own address is gone: this node listens there.
-    pub(crate) fn end_predecessor(&mut self, record: MemberRecord, now: Instant) {
+    /// Ends an earlier instance at this node's own address, where only this node can listen now.
+    pub(crate) fn end_earlier_instance(&mut self, record: MemberRecord, now: Instant) {
         self.end_instance(record, now);
     }
 
@@ -39,19 +45,22 @@
             health: record.health.max(Health::Dead),
             ..record
         };
-        tracing::info!(member = %node, "another instance answers at the member's address");
+        tracing::info!(
+            member = %node,
+            "another instance answers at the member's address; recording the member as dead"
+        );
         self.replace(ended, now);
         self.queue.push(node, Reporter::NONE);
     }
 
-    /// Has an address pinged soon when two instances there are believed to live.
-    pub(crate) fn doubt_address(&mut self, address: SocketAddr) {
+    /// Schedules a ping to an address at which more than one instance is recorded as live.
+    pub(crate) fn queue_contested_address(&mut self, address: SocketAddr) {
         let live = self
             .rows_at(address)
             .filter(|row| row.record.health.is_live())
             .count();
         if live > 1 {
-            self.probes.doubted.insert(address);
+            self.probes.contested_addresses.insert(address);
         }
     }
 }
--- a/crates/standalone/tallybridge-membership/src/anti_entropy.rs
+++ b/crates/standalone/tallybridge-membership/src/anti_entropy.rs
@@ -1,4 +1,4 @@
-//! Comparison of whole tables: digests of all buckets first, then only what differs.
+//! Anti-entropy: nodes compare bucket digests of their tables and exchange only the differences.
 
 use std::{
     net::SocketAddr,
@@ -13,41 +13,41 @@
     table::MemberTable,
 };
 
-/// Seeds asked at once by a node that knows nobody.
-const SEEDS_AT_ONCE: usize = 3;
+/// Seeds contacted per join attempt while no other live member is known.
+const SEEDS_PER_JOIN: usize = 3;
 
-/// Time between two attempts to find anybody.
 const JOIN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Longest time between two comparisons while catching up; it doubles up to this, since in a fleet
-/// that changes all the time the digests may never be equal.
-const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
+/// Upper bound of the catch-up interval, which doubles with each comparison. In a fleet that
+/// changes all the time the digests may never be equal, so catching up must not keep a short
+/// interval.
+const MAX_CATCH_UP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// When tables are compared.
+/// Schedule of table comparisons.
 #[derive(Debug)]
 pub(crate) struct Comparisons {
     next: Instant,
-    /// The last comparison that was caused by what a peer sent.
-    prompted: Option<Instant>,
+    /// Time of the last comparison that a peer's differing digest triggered.
+    last_triggered: Option<Instant>,
     digest: u64,
     digest_since: Instant,
-    /// Time between two comparisons while catching up after the start.
-    catch_up: Option<Duration>,
+    /// Delay before the next comparison while catching up; `None` once a digest matched.
+    next_catch_up: Option<Duration>,
 }
 
 impl Comparisons {
     pub(crate) const fn new(now: Instant, catch_up_interval: Duration) -> Self {
         Self {
             next: now,
-            prompted: None,
+            last_triggered: None,
             digest: 0,
             digest_since: now,
-            catch_up: Some(catch_up_interval),
+            next_catch_up: Some(catch_up_interval),
         }
     }
 
-    /// The digest may have changed.
-    pub(crate) const fn changed(&mut self, digest: u64, now: Instant) {
+    /// Records the current digest and, if it differs from the previous one, the time of the change.
+    pub(crate) const fn record_digest(&mut self, digest: u64, now: Instant) {
         if self.digest != digest {
             self.digest = digest;
             self.digest_since = now;
@@ -55,27 +55,27 @@
     }
 
     pub(crate) const fn is_catching_up(&self) -> bool {
-        self.catch_up.is_some()
+        self.next_catch_up.is_some()
     }
 
-    /// Time until the next comparison while catching up.
-    fn catch_up_interval(&mut self) -> Option<Duration> {
-        let interval = self.catch_up?;
-        self.catch_up = Some((interval * 2).min(CATCH_UP_LIMIT));
+    /// Returns the current catch-up interval and doubles the stored one.
+    fn advance_catch_up(&mut self) -> Option<Duration> {
+        let interval = self.next_catch_up?;
+        self.next_catch_up = Some((interval * 2).min(MAX_CATCH_UP_INTERVAL));
         Some(interval)
     }
 
-    /// Whether a peer whose digest differs should be asked now.
-    fn is_prompted(&mut self, now: Instant, settings: &MembershipSettings) -> bool {
-        let quiet = now.saturating_duration_since(self.digest_since);
-        let spaced = self
-            .prompted
+    /// Returns whether a differing digest may trigger a comparison now, and records the trigger.
+    fn try_trigger(&mut self, now: Instant, settings: &MembershipSettings) -> bool {
+        let unchanged_for = now.saturating_duration_since(self.digest_since);
+        let is_spaced = self
+            .last_triggered
             .is_none_or(|last| now.saturating_duration_since(last) >= settings.compare_spacing);
-        let due = spaced && quiet >= settings.quiet_before_compare;
-        if due {
-            self.prompted = Some(now);
+        let is_due = is_spaced && unchanged_for >= settings.unchanged_before_compare;
+        if is_due {
+            self.last_triggered = Some(now);
         }
-        due
+        is_due
     }
 }
 
@@ -90,33 +90,34 @@
         return;
     }
     if let Some(node) = table.random_live(rng, |_, _| true) {
-        outgoing.push(compare(table, node.address));
+        outgoing.push(request_comparison(table, node.address));
         table.comparisons.next = now + next_interval(table, rng);
         return;
     }
     table.comparisons.next = now + JOIN_INTERVAL;
     let seeds = table.seeds.iter().copied();
-    for seed in seeds.choose_multiple(rng, SEEDS_AT_ONCE) {
-        outgoing.push(compare(table, seed));
+    for seed in seeds.choose_multiple(rng, SEEDS_PER_JOIN) {
+        outgoing.push(request_comparison(table, seed));
     }
 }
 
 fn next_interval(table: &mut MemberTable, rng: &mut SmallRng) -> Duration {
-    if let Some(interval) = table.comparisons.catch_up_interval() {
+    if let Some(interval) = table.comparisons.advance_catch_up() {
         return interval;
     }
-    let spread = rng.random_range(0.75..1.25);
-    table.settings.compare_interval.mul_f64(spread)
+    let jitter_factor = rng.random_range(0.75..1.25);
+    table.settings.compare_interval.mul_f64(jitter_factor)
 }
 
-/// Asks a peer for what differs, telling it who this node is.
-pub(crate) fn compare(table: &mut MemberTable, to: SocketAddr) -> Outgoing {
+/// Builds a comparison request that also carries this node's own record.
+pub(crate) fn request_comparison(table: &mut MemberTable, to: SocketAddr) -> Outgoing {
     let own = to_update(table.own_record(), Reporter::NONE, true);
     let buckets = table.digest.buckets();
-    table.send(to, GossipMessage::TableCompare { buckets }, vec![own])
+    table.build_datagram(to, GossipMessage::TableCompare { buckets }, vec![own])
 }
 
-/// Looks at the digest that came with a datagram.
+/// Requests a comparison if the sender's digest differs and a comparison is allowed now. Ends the
+/// catch-up phase if the digests match.
 pub(crate) fn observe_digest(
     table: &mut MemberTable,
     from: SocketAddr,
@@ -124,11 +125,11 @@
     now: Instant,
 ) -> Option<Outgoing> {
     if header.table_digest == table.digest.whole() {
-        table.comparisons.catch_up = None;
+        table.comparisons.next_catch_up = None;
         return None;
     }
-    if !table.budget.is_spent() && table.comparisons.is_prompted(now, &table.settings) {
-        return Some(compare(table, from));
+    if !table.budget.is_spent() && table.comparisons.try_trigger(now, &table.settings) {
+        return Some(request_comparison(table, from));
     }
     None
 }
--- a/crates/standalone/tallybridge-membership/src/budget.rs
+++ b/crates/standalone/tallybridge-membership/src/budget.rs
@@ -1,8 +1,9 @@
-//! Bytes that may be sent: a token bucket.
+//! Token bucket that limits the bytes sent.
 
 use std::time::Instant;
 
-/// Tokens are bytes. Probes may overdraw it; everything else waits until it is in credit.
+/// One token is one byte. Probes and their answers may overdraw the bucket; all other traffic waits
+/// for a positive balance.
 #[derive(Debug)]
 pub(crate) struct SendBudget {
     bytes_per_second: f64,
@@ -31,8 +32,8 @@
         self.tokens <= 0.0
     }
 
-    /// Whether gossip must wait, so that comparisons find room: in a storm of changes they bring
-    /// more news a byte.
+    /// Returns whether gossip must wait. The second half of the budget is reserved for comparisons,
+    /// which carry more new information per byte during mass changes.
     pub(crate) fn is_low(&self) -> bool {
         self.tokens <= self.burst / 2.0
     }
--- a/crates/standalone/tallybridge-membership/src/convert.rs
+++ b/crates/standalone/tallybridge-membership/src/convert.rs
@@ -1,4 +1,4 @@
-//! Records to and from their wire form.
+//! Conversion of member records to and from the wire format.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -9,7 +9,6 @@
     merge::Reporter,
 };
 
-/// The update that tells of a record.
 pub(crate) fn to_update(
     record: &MemberRecord,
     reporter: Reporter,
@@ -35,7 +34,7 @@
     }
 }
 
-/// A placement from the wire, or `None` when a name is not UTF-8.
+/// Converts a placement from the wire; returns `None` if a name is not UTF-8.
 pub(crate) fn to_placement(wire: &WirePlacement) -> Option<Placement> {
     Some(Placement {
         service: wire.service.as_str()?.into(),
@@ -45,15 +44,15 @@
     })
 }
 
-/// Placements seen so far. Many members share one, so a row costs a pointer.
+/// Interned placements. Many members have the same placement, so each row holds only a pointer.
 #[derive(Debug, Default)]
 pub(crate) struct PlacementPool {
     placements: BTreeSet<Arc<Placement>>,
 }
 
 impl PlacementPool {
-    /// The shared copy.
-    pub(crate) fn share(&mut self, placement: Placement) -> Arc<Placement> {
+    /// Returns the shared copy of a placement.
+    pub(crate) fn intern(&mut self, placement: Placement) -> Arc<Placement> {
         if let Some(known) = self.placements.get(&placement) {
             return Arc::clone(known);
         }
--- a/crates/standalone/tallybridge-membership/src/digest.rs
+++ b/crates/standalone/tallybridge-membership/src/digest.rs
@@ -1,5 +1,5 @@
-//! Digests of the live members, kept up to date with each change, so that two tables are compared
-//! with a few bytes.
+//! Incremental digests of the live members, with which two nodes compare their tables in a few
+//! bytes.
 
 use tallybridge_core::NodeId;
 use tallybridge_wire::DIGEST_BUCKETS;
@@ -7,10 +7,10 @@
 
 use crate::member::MemberRecord;
 
-/// Bits of a hash that are below the bucket's number.
+/// Number of hash bits below the bucket index.
 const BUCKET_SHIFT: u32 = u64::BITS - DIGEST_BUCKETS.ilog2();
 
-/// Digest of an identity; the same on every node.
+/// Hashes a node identity; every node computes the same value.
 pub(crate) fn node_hash(node: NodeId) -> u64 {
     let mut bytes = [0; 26];
     match node.address.ip() {
@@ -22,14 +22,14 @@
     xxh3_64(&bytes)
 }
 
-/// Lowest and highest hash of a bucket.
+/// Returns the lowest and the highest hash of a bucket.
 pub(crate) const fn bucket_range(bucket: usize) -> (u64, u64) {
     let first = (bucket as u64) << BUCKET_SHIFT;
     (first, first | (u64::MAX >> DIGEST_BUCKETS.ilog2()))
 }
 
-/// Digest of each bucket: the exclusive or of its members' digests. Suspicion is left out, since
-/// it passes by itself.
+/// Digest of each bucket: the XOR of its members' digests. The digests exclude suspicion, which is
+/// temporary and ends in a refutation or a death.
 #[derive(Debug, Clone)]
 pub(crate) struct TableDigest {
     buckets: [u64; DIGEST_BUCKETS],
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Adds a live record, or takes it away when it was added before.
+    /// Adds a live record, or removes it if it was added before.
     pub(crate) fn toggle(&mut self, hash: u64, record: &MemberRecord) {
         let mut bytes = [0; 13];
         bytes[..8].copy_from_slice(&hash.to_be_bytes());
@@ -55,12 +55,11 @@
         self.whole ^= digest;
     }
 
-    /// Digest of all buckets.
     pub(crate) const fn whole(&self) -> u64 {
         self.whole
     }
 
-    /// Digest of each bucket, cut to what is sent.
+    /// Returns the digest of each bucket, truncated to the 32 bits that are sent.
     pub(crate) fn buckets(&self) -> Vec<u32> {
         self.buckets.iter().map(|digest| *digest as u32).collect()
     }
--- a/crates/standalone/tallybridge-membership/src/gossip.rs
+++ b/crates/standalone/tallybridge-membership/src/gossip.rs
@@ -1,4 +1,4 @@
-//! Rounds of updates sent on their own, faster than probes would carry them.
+//! Gossip rounds, which spread updates faster than piggybacking on probes.
 
 use std::time::{Duration, Instant};
 
@@ -7,82 +7,85 @@
 
 use crate::{outgoing::Outgoing, table::MemberTable};
 
-/// When the next round is due and what it is for.
+/// Schedule of gossip rounds.
 #[derive(Debug)]
-pub(crate) struct Rounds {
+pub(crate) struct GossipRounds {
     next: Instant,
-    /// Rounds that are sent for the revision in their header, updates or not.
+    /// Rounds still to send, even without updates, because their header carries a new revision.
     revision_rounds: u32,
-    /// The next round goes to many.
-    at_once: bool,
-    /// The greatest revision and epoch of which the owner was told, and when.
-    told: Option<(u64, u64, Instant)>,
+    /// Whether the next round uses the larger fanout of a leaving node.
+    next_is_wide: bool,
+    /// Greatest revision and epoch reported to the owner, and the time of the report.
+    last_reported: Option<(u64, u64, Instant)>,
 }
 
-/// Time after which the owner is told again of a peer that is ahead: its fetch may have failed.
-const TELL_AGAIN: Duration = Duration::from_secs(1);
+/// Time after which a peer that is ahead is reported again, because the owner's fetch may have
+/// failed.
+const PEER_AHEAD_REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-impl Rounds {
+impl GossipRounds {
     pub(crate) const fn new(now: Instant) -> Self {
         Self {
             next: now,
             revision_rounds: 0,
-            at_once: false,
-            told: None,
+            next_is_wide: false,
+            last_reported: None,
         }
     }
 
-    /// Whether the owner should be told that a peer is ahead.
-    pub(crate) fn is_news(&mut self, header: &GossipHeader, now: Instant) -> bool {
-        let news = self.told.is_none_or(|(revision, epoch, told)| {
-            header.revision > revision
-                || header.partition_epoch > epoch
-                || now.saturating_duration_since(told) >= TELL_AGAIN
-        });
-        if news {
-            self.told = Some((header.revision, header.partition_epoch, now));
+    /// Returns whether a peer that is ahead must be reported now, and records the report.
+    pub(crate) fn try_report_peer_ahead(&mut self, header: &GossipHeader, now: Instant) -> bool {
+        let is_due = self
+            .last_reported
+            .is_none_or(|(revision, epoch, reported_at)| {
+                header.revision > revision
+                    || header.partition_epoch > epoch
+                    || now.saturating_duration_since(reported_at) >= PEER_AHEAD_REPORT_INTERVAL
+            });
+        if is_due {
+            self.last_reported = Some((header.revision, header.partition_epoch, now));
         }
-        news
+        is_due
     }
 
-    pub(crate) const fn tell_revision(&mut self, rounds: u32) {
+    pub(crate) const fn announce_revision(&mut self, rounds: u32) {
         self.revision_rounds = rounds;
     }
 
-    pub(crate) const fn tell_at_once(&mut self, now: Instant) {
-        self.at_once = true;
+    pub(crate) const fn schedule_wide_round(&mut self, now: Instant) {
+        self.next_is_wide = true;
         self.next = now;
     }
 
-    fn start(&mut self, now: Instant, interval: Duration) -> bool {
+    fn start_round(&mut self, now: Instant, interval: Duration) -> bool {
         self.next = now + interval;
         self.revision_rounds = self.revision_rounds.saturating_sub(1);
-        std::mem::take(&mut self.at_once)
+        std::mem::take(&mut self.next_is_wide)
     }
 }
 
-/// Sends a round when it is due, there is something to say and the budget allows it.
+/// Sends a round if one is due, has something to carry and is within the byte budget.
 pub(crate) fn run(
     table: &mut MemberTable,
     now: Instant,
     rng: &mut SmallRng,
     outgoing: &mut Vec<Outgoing>,
 ) {
-    let something_to_say = table.queue.len() > 0 || table.rounds.revision_rounds > 0;
-    let allowed = table.rounds.at_once
+    let has_content = table.queue.len() > 0 || table.gossip_rounds.revision_rounds > 0;
+    let is_allowed = table.gossip_rounds.next_is_wide
         || !table.budget.is_low()
-        || (!table.budget.is_spent() && table.has_urgent_update());
-    if now < table.rounds.next || !something_to_say || !allowed {
+        || (!table.budget.is_spent() && table.has_leaving_update());
+    if now < table.gossip_rounds.next || !has_content || !is_allowed {
         return;
     }
     let interval = table.settings.gossip_interval;
-    let fanout = if table.rounds.start(now, interval) {
+    let fanout = if table.gossip_rounds.start_round(now, interval) {
         table.settings.leave_fanout
     } else {
         table.settings.gossip_fanout
     };
     for node in table.random_distinct(rng, fanout) {
-        let datagram = table.send(node.address, GossipMessage::Gossip, Vec::new());
+        let datagram = table.build_datagram(node.address, GossipMessage::Gossip, Vec::new());
         outgoing.push(datagram);
     }
 }
--- a/crates/standalone/tallybridge-membership/src/leave.rs
+++ b/crates/standalone/tallybridge-membership/src/leave.rs
@@ -1,11 +1,12 @@
-//! Leaving: first no new work, then gone.
+//! Graceful shutdown: a node first announces that it is leaving, and later that it has left.
 
 use std::time::Instant;
 
 use crate::{member::Health, table::MemberTable};
 
 impl MemberTable {
-    /// This node takes no new work from now on. The next run tells many members at once.
+    /// Announces that this node takes no new work. The next run sends the announcement with a
+    /// larger fanout.
     pub fn leave(&mut self, now: Instant) {
         let own = self.own_record();
         if own.leaving {
@@ -13,11 +14,11 @@
         }
         let incarnation = own.incarnation.next();
         self.announce(incarnation, Health::Alive, true, now);
-        self.rounds.tell_at_once(now);
+        self.gossip_rounds.schedule_wide_round(now);
     }
 
-    /// This node has finished and is gone. Its owner runs the table for another second or so, so
-    /// that the others know without having to find out.
+    /// Announces that this node has left. The owner must keep running the table for about a second,
+    /// so that the announcement spreads and other members need not detect the absence by probing.
     pub fn depart(&mut self, now: Instant) {
         let own = self.own_record();
         if own.health == Health::Left {
@@ -25,6 +26,6 @@
         }
         let incarnation = own.incarnation.next();
         self.announce(incarnation, Health::Left, true, now);
-        self.rounds.tell_at_once(now);
+        self.gossip_rounds.schedule_wide_round(now);
     }
 }
--- a/crates/standalone/tallybridge-membership/src/lib.rs
+++ b/crates/standalone/tallybridge-membership/src/lib.rs
@@ -1,9 +1,10 @@
-//! Membership of the fleet: who is alive, who is leaving, and who is where.
+//! Fleet membership: the health, leaving state and placement of every node.
 //!
-//! SWIM (Das, Gupta and Motivala, DSN 2002) with the local health, shrinking suspicion and
-//! refutation of Lifeguard (Dadgar, Phillips and Currey, DSN 2018), piggybacked updates, and
-//! comparison of whole tables by digest. One [`MemberTable`] is owned by one node; the systems
-//! ([`probe::run`], [`receive`]) run over it with the time passed in and do no I/O.
+//! The protocol is SWIM (Das, Gupta and Motivala, DSN 2002) with piggybacked updates and the local
+//! health multiplier, dynamic suspicion timeout and refutation of Lifeguard (Dadgar, Phillips and
+//! Currey, DSN 2018). Nodes also compare their whole tables by digest (anti-entropy). Each node
+//! owns one [`MemberTable`]. The functions [`probe::run`] and [`receive`] operate on the table,
+//! take the time as an argument and do no I/O.
 
 mod address;
 mod anti_entropy;
--- a/crates/standalone/tallybridge-membership/src/local_health.rs
+++ b/crates/standalone/tallybridge-membership/src/local_health.rs
@@ -1,21 +1,20 @@
-//! Local health multiplier (Lifeguard, section IV): a node whose own probes go unanswered trusts
-//! them less and waits longer.
+//! Local health multiplier (Lifeguard, section IV): a node whose own probes go unanswered assumes
+//! that its own link may be at fault and uses longer timeouts.
 
 use std::time::Duration;
 
-/// Largest score.
 const MAX_SCORE: u32 = 8;
 
-/// 0 when this node seems well.
+/// The score is 0 while this node is healthy.
 #[derive(Debug, Default)]
 pub(crate) struct LocalHealth {
     score: u32,
 }
 
 impl LocalHealth {
-    pub(crate) fn raise(&mut self, by: usize) {
-        let by = u32::try_from(by).unwrap_or(MAX_SCORE);
-        self.score = self.score.saturating_add(by).min(MAX_SCORE);
+    pub(crate) fn raise(&mut self, amount: usize) {
+        let amount = u32::try_from(amount).unwrap_or(MAX_SCORE);
+        self.score = self.score.saturating_add(amount).min(MAX_SCORE);
     }
 
     pub(crate) const fn lower(&mut self) {
@@ -26,7 +25,7 @@
         self.score
     }
 
-    pub(crate) fn scale(&self, time: Duration) -> Duration {
-        time * (self.score + 1)
+    pub(crate) fn scale(&self, duration: Duration) -> Duration {
+        duration * (self.score + 1)
     }
 }
--- a/crates/standalone/tallybridge-membership/src/member.rs
+++ b/crates/standalone/tallybridge-membership/src/member.rs
@@ -1,68 +1,68 @@
-//! One member: who it is, where it is and how it is.
+//! Records of single members: identity, placement, incarnation and health.
 
 use std::{sync::Arc, time::Instant};
 
 use tallybridge_core::{NodeId, RegionName, ServiceName, ZoneName};
 
-/// Where a member is and what it serves; fixed for the life of an instance.
+/// Location and service of a member; constant for the lifetime of an instance.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Placement {
-    /// Service of the back end beside the member; empty when it has none.
+    /// Service of the member's back end; empty when the member has no back end.
     pub service: ServiceName,
-    /// Region.
+    /// Region of the member; contains one or more zones.
     pub region: RegionName,
-    /// Zone.
+    /// Zone of the member; the members of a zone tend to fail together.
     pub zone: ZoneName,
-    /// Rack; empty when unknown.
+    /// Rack of the member; empty when unknown.
     pub rack: Arc<str>,
 }
 
-/// The owner of a table.
+/// Identity and placement of the node that owns a table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberIdentity {
-    /// Address and run.
+    /// Address and instance id of the node.
     pub node: NodeId,
-    /// Where it is.
+    /// Location and service of the node.
     pub placement: Placement,
 }
 
-/// Version of what is said about a member; only the member itself makes a greater one.
+/// Version of the information about a member; only the member itself increments it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Incarnation(pub u32);
 
 impl Incarnation {
-    /// Greater than any that a member makes: what is said with it can't be refuted.
+    /// Greater than any incarnation that a member uses, so a claim with it cannot be refuted.
     pub const FINAL: Self = Self(u32::MAX);
 
-    /// The next one; never [`Self::FINAL`].
+    /// Returns the next incarnation; never [`Self::FINAL`].
     #[must_use]
     pub fn next(self) -> Self {
         Self(self.0.saturating_add(1).min(u32::MAX - 1))
     }
 }
 
-/// How a member is believed to be. Within one incarnation the greater value wins.
+/// Recorded health of a member. Within one incarnation the greater value takes precedence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[repr(u8)]
 pub enum Health {
-    /// It answers, or nothing else is known.
+    /// No failed probe of the member is known.
     Alive = 0,
-    /// It has not answered and may refute that.
+    /// The member did not answer a probe and may still refute the suspicion.
     Suspect = 1,
-    /// It has not refuted in time, or another instance answers at its address.
+    /// The member did not refute a suspicion in time, or another instance answers at its address.
     Dead = 2,
-    /// It said that it is gone.
+    /// The member announced that it left.
     Left = 3,
 }
 
 impl Health {
-    /// Whether the member still takes part.
+    /// Returns true for members that are still probed and receive gossip.
     #[must_use]
     pub const fn is_live(self) -> bool {
         matches!(self, Self::Alive | Self::Suspect)
     }
 
-    /// The health of a wire value, or `None` when there is none.
+    /// Decodes a wire value; returns `None` if the value is undefined.
     #[must_use]
     pub const fn from_wire(value: u8) -> Option<Self> {
         match value {
@@ -75,39 +75,39 @@
     }
 }
 
-/// What routing needs to know of a member.
+/// Health and leaving flag of a member combined, as used by routing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum MemberState {
-    /// Takes work.
+    /// The member accepts work.
     Alive,
-    /// Takes work, but has not answered a probe.
+    /// The member accepts work, but has not answered a probe.
     Suspect,
-    /// Takes no new work.
+    /// The member accepts no new work.
     Leaving,
-    /// Gone without a word.
+    /// The member was declared dead.
     Dead,
-    /// Gone as announced.
+    /// The member announced that it left.
     Left,
 }
 
-/// What is believed about one member.
+/// Current information about one member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberRecord {
-    /// Address and run.
+    /// Address and instance id of the member.
     pub node: NodeId,
-    /// Version of the belief.
+    /// Version of the record.
     pub incarnation: Incarnation,
-    /// How it is.
+    /// Health at this incarnation.
     pub health: Health,
-    /// Whether it takes no new work; said by the member itself with each incarnation.
+    /// Whether the member accepts no new work; set by the member itself with each incarnation.
     pub leaving: bool,
-    /// Where it is.
+    /// Location and service, shared among members with the same placement.
     pub placement: Arc<Placement>,
 }
 
 impl MemberRecord {
-    /// Health and leaving in one. A leaving member that is suspected stays leaving, so that no new
-    /// work goes to it.
+    /// Combines health and leaving flag. A suspected member that is leaving counts as leaving, so
+    /// that it receives no new work.
     #[must_use]
     pub const fn state(&self) -> MemberState {
         match self.health {
@@ -119,21 +119,19 @@
         }
     }
 
-    /// Order of beliefs about the same member: the greater one holds.
+    /// Returns the sort key by which the greater of two records of a member takes precedence.
     #[must_use]
     pub const fn precedence(&self) -> (Incarnation, Health) {
         (self.incarnation, self.health)
     }
 }
 
-/// A row of the table.
 #[derive(Debug, Clone)]
 pub(crate) struct MemberRow {
     pub record: MemberRecord,
-    /// When this node first heard of the instance.
+    /// Time at which the instance was added to this table.
     pub first_known: Instant,
-    /// When the health last changed.
-    pub since: Instant,
-    /// Digest of the [`NodeId`].
+    pub health_since: Instant,
+    /// Result of `node_hash` for the member.
     pub hash: u64,
 }
--- a/crates/standalone/tallybridge-membership/src/merge.rs
+++ b/crates/standalone/tallybridge-membership/src/merge.rs
@@ -1,4 +1,7 @@
-//! Weighing what others say about members.
+//! Merging of other nodes' claims about members into the table.
+//!
+//! A claim with a greater incarnation, or with the same incarnation and a greater health value,
+//! replaces the stored record. A claim about this node itself is refuted.
 
 use std::{sync::Arc, time::Instant};
 
@@ -11,25 +14,25 @@
     table::MemberTable,
 };
 
-/// Short digest of a node whose own probe of a member failed.
+/// Truncated hash that identifies a node whose own probe of a member failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Reporter(pub u32);
 
 impl Reporter {
-    /// Nobody's probe.
+    /// Marks an update that is not based on a failed probe.
     pub(crate) const NONE: Self = Self(0);
 }
 
-/// How something was heard.
+/// How a claim reached this node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Source {
-    /// It has just changed somewhere.
+    /// The claim reports a recent change.
     Gossip,
-    /// It is in somebody's table, perhaps for long.
+    /// The claim was copied from another table and may be old.
     Comparison,
 }
 
-/// What somebody says about a member.
+/// Another node's information about a member.
 #[derive(Debug, Clone)]
 pub(crate) struct Claim {
     pub node: NodeId,
@@ -41,7 +44,7 @@
 }
 
 impl Claim {
-    /// A claim from the wire, or `None` when it makes no sense.
+    /// Decodes an update; returns `None` if its health or placement is invalid.
     pub(crate) fn from_update(update: &WireUpdate) -> Option<Self> {
         let placement = match update.placement() {
             Some(wire) => Some(to_placement(wire)?),
@@ -69,7 +72,7 @@
 }
 
 impl MemberTable {
-    /// Takes over records that a peer gave another way than by datagrams.
+    /// Merges records that were received over a transport other than gossip datagrams.
     pub fn merge(&mut self, records: &[MemberRecord], now: Instant) {
         for record in records {
             let claim = Claim {
@@ -80,56 +83,56 @@
                 reporter: Reporter::NONE,
                 placement: Some(Placement::clone(&record.placement)),
             };
-            self.weigh(claim, Source::Comparison, now);
+            self.apply_claim(claim, Source::Comparison, now);
         }
     }
 
-    /// Believes a claim where it is newer than what is believed.
-    pub(crate) fn weigh(&mut self, claim: Claim, source: Source, now: Instant) {
+    /// Applies a claim if it takes precedence over the stored record.
+    pub(crate) fn apply_claim(&mut self, claim: Claim, source: Source, now: Instant) {
         if claim.node == self.own {
-            self.hear_of_self(&claim, now);
+            self.refute_claim(&claim, now);
             return;
         }
         let Some(row) = self.members.get(&claim.node) else {
-            self.introduce(claim, source, now);
+            self.add_member(claim, source, now);
             return;
         };
-        let believed = row.record.precedence();
+        let current = row.record.precedence();
         let placement = Arc::clone(&row.record.placement);
-        let said = (claim.incarnation, claim.health);
-        if said == believed {
-            self.confirm(&claim);
-        } else if said > believed {
-            self.believe(&claim, &placement, source, now);
+        let claimed = (claim.incarnation, claim.health);
+        if claimed == current {
+            self.add_confirmation(&claim);
+        } else if claimed > current {
+            self.accept_claim(&claim, &placement, source, now);
         }
     }
 
-    /// Adds a member not known before. One that is gone, or whose placement is not said, adds
-    /// nothing.
-    fn introduce(&mut self, claim: Claim, source: Source, now: Instant) {
+    /// Adds an unknown member. Ignores claims about members that are not live or that lack a
+    /// placement.
+    fn add_member(&mut self, claim: Claim, source: Source, now: Instant) {
         if !claim.health.is_live() {
             return;
         }
         let Some(placement) = claim.placement.clone() else {
             return;
         };
-        let placement = self.share(placement);
+        let placement = self.intern_placement(placement);
         let record = claim.record(&placement);
         if claim.node.address == self.own.address {
-            self.end_predecessor(record, now);
+            self.end_earlier_instance(record, now);
             return;
         }
         self.replace(record, now);
-        self.confirm(&claim);
-        self.doubt_address(claim.node.address);
-        // A node that catches up would pass on the whole fleet.
+        self.add_confirmation(&claim);
+        self.queue_contested_address(claim.node.address);
+        // A node that is catching up would queue an update for every member of the fleet.
         if source == Source::Gossip && !self.comparisons.is_catching_up() {
             self.queue.push(claim.node, claim.reporter);
         }
     }
 
-    /// Counts another node's failed probe of a member that is suspected already.
-    fn confirm(&mut self, claim: &Claim) {
+    /// Counts another node's failed probe of a member that is already suspected.
+    fn add_confirmation(&mut self, claim: &Claim) {
         if claim.reporter == Reporter::NONE {
             return;
         }
@@ -141,19 +144,25 @@
         }
     }
 
-    fn believe(&mut self, claim: &Claim, placement: &Arc<Placement>, source: Source, now: Instant) {
-        let refutable = claim.health == Health::Dead && claim.incarnation != Incarnation::FINAL;
-        if refutable && self.is_live(claim.node) {
+    fn accept_claim(
+        &mut self,
+        claim: &Claim,
+        placement: &Arc<Placement>,
+        source: Source,
+        now: Instant,
+    ) {
+        let is_refutable = claim.health == Health::Dead && claim.incarnation != Incarnation::FINAL;
+        if is_refutable && self.is_live(claim.node) {
             self.suspect_instead(claim, placement, source, now);
             return;
         }
         self.replace(claim.record(placement), now);
-        self.confirm(claim);
+        self.add_confirmation(claim);
         self.queue.push(claim.node, claim.reporter);
     }
 
-    /// A death that others declared is not taken over at once: after a partition each side holds
-    /// the other dead, and the member must have the time to refute that here as well.
+    /// Suspects a member that another node declared dead. After a partition each side has declared
+    /// the other dead, so the member gets time to refute the claim here as well.
     fn suspect_instead(
         &mut self,
         claim: &Claim,
@@ -165,15 +174,15 @@
             health: Health::Suspect,
             ..claim.clone()
         };
-        let believed = self.members[&claim.node].record.precedence();
-        if (suspect.incarnation, suspect.health) > believed {
+        let current = self.members[&claim.node].record.precedence();
+        if (suspect.incarnation, suspect.health) > current {
             self.replace(suspect.record(placement), now);
             self.queue.push(claim.node, Reporter::NONE);
         }
         if source == Source::Gossip
             && let Some(suspicion) = self.suspicions.get_mut(&claim.node)
         {
-            suspicion.declare();
+            suspicion.mark_declared_dead();
         }
     }
 }
--- a/crates/standalone/tallybridge-membership/src/outgoing.rs
+++ b/crates/standalone/tallybridge-membership/src/outgoing.rs
@@ -1,4 +1,4 @@
-//! Datagrams to be sent.
+//! Construction of outgoing datagrams.
 
 use std::net::SocketAddr;
 
@@ -6,20 +6,20 @@
 
 use crate::table::MemberTable;
 
-/// Room for updates in a datagram while the byte budget is low, in bytes.
+/// Maximum size of the piggybacked updates of a datagram while the byte budget is low.
 const LOW_PIGGYBACK_BYTES: usize = 256;
 
-/// A datagram and where it goes.
+/// Datagram that the caller must send.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outgoing {
-    /// Peer address.
+    /// Destination address.
     pub to: SocketAddr,
-    /// What to send.
+    /// Datagram in decoded form; its size is already charged to the byte budget.
     pub datagram: Datagram,
 }
 
 impl MemberTable {
-    /// What every datagram says about this node.
+    /// Builds the header that every datagram of this node carries.
     pub(crate) fn header(&self) -> GossipHeader {
         let own = self.own_record();
         GossipHeader {
@@ -32,29 +32,29 @@
         }
     }
 
-    /// A datagram with the updates given first and queued ones in the room that is left.
-    pub(crate) fn send(
+    /// Builds a datagram with the given updates and fills the remaining space with queued ones.
+    pub(crate) fn build_datagram(
         &mut self,
         to: SocketAddr,
         message: GossipMessage,
-        first: Vec<WireUpdate>,
+        leading_updates: Vec<WireUpdate>,
     ) -> Outgoing {
         let header = self.header();
-        let bare = Datagram::bare_len(&header, &message);
-        let used: usize = first.iter().map(WireUpdate::encoded_len).sum();
-        let room = MAX_DATAGRAM_BYTES.saturating_sub(bare + used);
+        let fixed_len = Datagram::bare_len(&header, &message);
+        let leading_len: usize = leading_updates.iter().map(WireUpdate::encoded_len).sum();
+        let room = MAX_DATAGRAM_BYTES.saturating_sub(fixed_len + leading_len);
         let room = if self.budget.is_low() {
             room.min(LOW_PIGGYBACK_BYTES)
         } else {
             room
         };
-        let mut updates = first;
+        let mut updates = leading_updates;
         updates.extend(self.queued_updates(room));
-        self.send_exactly(to, message, updates)
+        self.build_exact_datagram(to, message, updates)
     }
 
-    /// A datagram with just the updates given.
-    pub(crate) fn send_exactly(
+    /// Builds a datagram with only the given updates.
+    pub(crate) fn build_exact_datagram(
         &mut self,
         to: SocketAddr,
         message: GossipMessage,
--- a/crates/standalone/tallybridge-membership/src/probe.rs
+++ b/crates/standalone/tallybridge-membership/src/probe.rs
@@ -1,4 +1,7 @@
-//! Probing: ping, ask helpers to ping, suspect (SWIM, section 3).
+//! Failure detection by direct and indirect pings (SWIM, section 3).
+//!
+//! A node pings one member per probe interval. Without an answer, the node asks helpers to ping the
+//! member, and finally suspects it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -23,35 +26,34 @@
     table::MemberTable,
 };
 
-/// A run that is later than this after the last one means that the process stood still, so that
-/// what has not arrived says nothing about the others.
-const PAUSE: Duration = Duration::from_secs(1);
+/// Time between two runs above which the process is assumed to have been paused. Missing answers
+/// then say nothing about the other members.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Probes and pings on behalf of others that are under way.
+/// Pending probes, and pending pings on behalf of other nodes.
 #[derive(Debug)]
 pub(crate) struct Probes {
     last_run: Instant,
     next_probe: Instant,
     pub next_reach: Instant,
     sequence: u32,
-    probes: BTreeMap<u32, Probe>,
+    pending: BTreeMap<u32, Probe>,
     pub relays: BTreeMap<u32, Relay>,
-    /// Addresses at which two instances are believed to live.
-    pub doubted: BTreeSet<SocketAddr>,
+    /// Addresses at which more than one instance is recorded as live.
+    pub contested_addresses: BTreeSet<SocketAddr>,
 }
 
-/// One probe.
 #[derive(Debug)]
 struct Probe {
     address: SocketAddr,
-    /// The member that is suspected without an answer; `None` when the ping only tries to reach
-    /// whoever is there.
+    /// Member to suspect if no answer arrives; `None` if the ping only checks for any instance at
+    /// the address.
     target: Option<NodeId>,
     sent: Instant,
-    /// Whether helpers were asked.
-    helped: bool,
-    /// Helpers whose silence says that this node's own link is at fault.
-    silent: BTreeSet<SocketAddr>,
+    helpers_asked: bool,
+    /// Helpers that have sent neither an ack nor a nack. Each one indicates that this node's own
+    /// link may be at fault.
+    unresponsive_helpers: BTreeSet<SocketAddr>,
 }
 
 impl Probes {
@@ -61,9 +63,9 @@
             next_probe: now,
             next_reach: now,
             sequence: 0,
-            probes: BTreeMap::new(),
+            pending: BTreeMap::new(),
             relays: BTreeMap::new(),
-            doubted: BTreeSet::new(),
+            contested_addresses: BTreeSet::new(),
         }
     }
 
@@ -73,17 +75,17 @@
     }
 }
 
-/// One tick: everything that is due by now.
+/// Runs one tick and returns the datagrams that are due.
 pub fn run(table: &mut MemberTable, now: Instant, rng: &mut SmallRng) -> Vec<Outgoing> {
     let mut outgoing = Vec::new();
     table.budget.refill(now);
-    absorb_pause(table, now);
+    handle_pause(table, now);
     suspicion::expire(table, now);
     if table.own_record().health != Health::Left {
-        advance(table, now, rng, &mut outgoing);
-        relay::end_relays(table, now, &mut outgoing);
-        settle_doubts(table, now, &mut outgoing);
-        start(table, now, rng, &mut outgoing);
+        advance_probes(table, now, rng, &mut outgoing);
+        relay::expire_relays(table, now, &mut outgoing);
+        ping_contested_addresses(table, now, &mut outgoing);
+        start_probe(table, now, rng, &mut outgoing);
         reach::run(table, now, rng, &mut outgoing);
         anti_entropy::run(table, now, rng, &mut outgoing);
     }
@@ -91,23 +93,24 @@
     outgoing
 }
 
-/// After a pause, what was awaited has no meaning and suspicions go on where they stood.
-fn absorb_pause(table: &mut MemberTable, now: Instant) {
+/// Detects a pause of the process. After a pause, discards pending probes and relays and extends
+/// all suspicions by the length of the pause.
+fn handle_pause(table: &mut MemberTable, now: Instant) {
     let pause = now.saturating_duration_since(table.probes.last_run);
     table.probes.last_run = now;
-    if pause < PAUSE {
+    if pause < PAUSE_THRESHOLD {
         return;
     }
     table.local_health.raise(1);
-    table.probes.probes.clear();
+    table.probes.pending.clear();
     table.probes.relays.clear();
     for suspicion in table.suspicions.values_mut() {
         suspicion.started += pause;
     }
 }
 
-/// Asks helpers, or suspects, where an answer is late.
-fn advance(
+/// Asks helpers after the ping timeout and fails the probe after the probe timeout.
+fn advance_probes(
     table: &mut MemberTable,
     now: Instant,
     rng: &mut SmallRng,
@@ -115,13 +118,13 @@
 ) {
     let ping_timeout = table.local_health.scale(table.settings.ping_timeout);
     let probe_timeout = table.local_health.scale(table.settings.probe_timeout);
-    let sequences: Vec<u32> = table.probes.probes.keys().copied().collect();
+    let sequences: Vec<u32> = table.probes.pending.keys().copied().collect();
     for sequence in sequences {
-        let probe = &table.probes.probes[&sequence];
+        let probe = &table.probes.pending[&sequence];
         let waited = now.saturating_duration_since(probe.sent);
         if waited >= probe_timeout {
-            fail(table, sequence, now);
-        } else if waited >= ping_timeout && !probe.helped {
+            fail_probe(table, sequence, now);
+        } else if waited >= ping_timeout && !probe.helpers_asked {
             ask_helpers(table, sequence, rng, outgoing);
         }
     }
@@ -133,52 +136,56 @@
     rng: &mut SmallRng,
     outgoing: &mut Vec<Outgoing>,
 ) {
-    let probe = &table.probes.probes[&sequence];
+    let probe = &table.probes.pending[&sequence];
     let address = probe.address;
     let Some(target) = probe.target else {
         return;
     };
-    let helpers = helpers::helpers(table, target, rng);
-    let silent = helpers::telling_helpers(table, target, &helpers);
-    if let Some(probe) = table.probes.probes.get_mut(&sequence) {
-        probe.helped = true;
-        probe.silent = silent;
+    let helpers = helpers::choose_helpers(table, target, rng);
+    let unresponsive_helpers = helpers::expected_responders(table, target, &helpers);
+    if let Some(probe) = table.probes.pending.get_mut(&sequence) {
+        probe.helpers_asked = true;
+        probe.unresponsive_helpers = unresponsive_helpers;
     }
     let request = GossipMessage::PingRequest {
         sequence,
         target: address.into(),
     };
     for helper in helpers {
-        outgoing.push(table.send(helper.address, request.clone(), Vec::new()));
+        outgoing.push(table.build_datagram(helper.address, request.clone(), Vec::new()));
     }
-    // The ping or its answer may just have been lost.
-    let notice = doubt(table, target);
-    outgoing.push(table.send(address, GossipMessage::Ping { sequence }, notice));
+    // Repeats the direct ping, because the first one or its answer may have been lost.
+    let notice = suspicion_notice(table, target);
+    outgoing.push(table.build_datagram(address, GossipMessage::Ping { sequence }, notice));
 }
 
-/// No answer in time: the member is suspected, and this node trusts itself less where the helpers
-/// were silent as well (Lifeguard, section IV-A).
-fn fail(table: &mut MemberTable, sequence: u32, now: Instant) {
-    let Some(probe) = table.probes.probes.remove(&sequence) else {
+/// Suspects the target of a probe that timed out and raises the local health score by the number of
+/// unresponsive helpers (Lifeguard, section IV-A).
+fn fail_probe(table: &mut MemberTable, sequence: u32, now: Instant) {
+    let Some(probe) = table.probes.pending.remove(&sequence) else {
         return;
     };
     let Some(target) = probe.target else {
         return;
     };
-    let alone = !probe.helped || !table.has_helpers(target);
-    let silent = if alone { 1 } else { probe.silent.len() };
-    table.local_health.raise(silent);
+    let has_no_helpers = !probe.helpers_asked || !table.has_helpers(target);
+    let unresponsive_count = if has_no_helpers {
+        1
+    } else {
+        probe.unresponsive_helpers.len()
+    };
+    table.local_health.raise(unresponsive_count);
     table.suspect(target, now);
 }
 
 impl MemberTable {
-    /// Whether there is anybody but this node and the member.
+    /// Returns whether there is a live member other than this node and the target.
     fn has_helpers(&self, target: NodeId) -> bool {
-        let known = 1 + usize::from(self.is_live(target));
-        self.live_count() > known
+        let excluded = 1 + usize::from(self.is_live(target));
+        self.live_count() > excluded
     }
 
-    /// This node's own probe has failed.
+    /// Suspects a member after this node's own probe failed, or confirms an existing suspicion.
     fn suspect(&mut self, node: NodeId, now: Instant) {
         let Some(row) = self.members.get(&node) else {
             return;
@@ -187,41 +194,45 @@
             health: Health::Suspect,
             ..row.record.clone()
         };
-        let is_news = row.record.health == Health::Alive;
-        if is_news {
+        let was_alive = row.record.health == Health::Alive;
+        if was_alive {
             self.replace(suspect, now);
         }
         let reporter = self.reporter();
         let suspicion = self.suspicions.get_mut(&node);
-        let counts = suspicion.is_some_and(|suspicion| suspicion.confirm(reporter));
-        if is_news {
+        let is_new_confirmation = suspicion.is_some_and(|suspicion| suspicion.confirm(reporter));
+        if was_alive {
             self.queue.push(node, reporter);
-        } else if counts {
+        } else if is_new_confirmation {
             self.push_confirmation(node, reporter);
         }
     }
 }
 
-/// Pings addresses at which two instances are believed to live; the answer ends one of them.
-fn settle_doubts(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
-    for address in std::mem::take(&mut table.probes.doubted) {
+/// Pings the contested addresses. Each answer ends the other instances at its address.
+fn ping_contested_addresses(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
+    for address in std::mem::take(&mut table.probes.contested_addresses) {
         outgoing.push(ping(table, address, None, now));
     }
 }
 
-/// Starts the next probe when it is due.
-fn start(table: &mut MemberTable, now: Instant, rng: &mut SmallRng, outgoing: &mut Vec<Outgoing>) {
+fn start_probe(
+    table: &mut MemberTable,
+    now: Instant,
+    rng: &mut SmallRng,
+    outgoing: &mut Vec<Outgoing>,
+) {
     if now < table.probes.next_probe {
         return;
     }
     let interval = table.local_health.scale(table.settings.probe_interval);
     table.probes.next_probe = now + interval;
-    if let Some(target) = table.next_probed(rng) {
+    if let Some(target) = table.next_probe_target(rng) {
         outgoing.push(ping(table, target.address, Some(target), now));
     }
 }
 
-/// Pings an address.
+/// Starts a probe of an address and returns its ping.
 pub(crate) fn ping(
     table: &mut MemberTable,
     address: SocketAddr,
@@ -233,16 +244,16 @@
         address,
         target,
         sent: now,
-        helped: false,
-        silent: BTreeSet::new(),
+        helpers_asked: false,
+        unresponsive_helpers: BTreeSet::new(),
     };
-    table.probes.probes.insert(sequence, probe);
-    let notice = target.map_or_else(Vec::new, |target| doubt(table, target));
-    table.send(address, GossipMessage::Ping { sequence }, notice)
+    table.probes.pending.insert(sequence, probe);
+    let notice = target.map_or_else(Vec::new, |target| suspicion_notice(table, target));
+    table.build_datagram(address, GossipMessage::Ping { sequence }, notice)
 }
 
-/// Tells a suspected member of the suspicion, so that its answer refutes it.
-fn doubt(table: &MemberTable, target: NodeId) -> Vec<WireUpdate> {
+/// Returns the suspicion of the target, if any, so that the target can refute it in its answer.
+fn suspicion_notice(table: &MemberTable, target: NodeId) -> Vec<WireUpdate> {
     table
         .member(target)
         .filter(|record| record.health == Health::Suspect)
@@ -251,26 +262,26 @@
         .collect()
 }
 
-/// Somebody answered a ping of this node, or one made on its behalf.
-pub(crate) fn acknowledge(
+/// Handles an ack of a direct, indirect or relayed ping.
+pub(crate) fn handle_ack(
     table: &mut MemberTable,
     sequence: u32,
     responder: &GossipHeader,
     now: Instant,
 ) -> Option<Outgoing> {
     let node: NodeId = responder.sender.into();
-    if let Some(probe) = table.probes.probes.remove(&sequence) {
+    if let Some(probe) = table.probes.pending.remove(&sequence) {
         if node.address == probe.address {
-            table.settle_address(node, probe.sent, now);
+            table.end_other_instances(node, probe.sent, now);
         }
         table.local_health.lower();
     }
-    relay::pass_on(table, sequence, responder)
+    relay::forward_ack(table, sequence, responder)
 }
 
-/// A helper is well, but the member has not answered it.
-pub(crate) fn count_nack(table: &mut MemberTable, from: SocketAddr, sequence: u32) {
-    if let Some(probe) = table.probes.probes.get_mut(&sequence) {
-        probe.silent.remove(&from);
+/// Handles a nack: the helper is responsive, but the target has not answered the helper.
+pub(crate) fn handle_nack(table: &mut MemberTable, from: SocketAddr, sequence: u32) {
+    if let Some(probe) = table.probes.pending.get_mut(&sequence) {
+        probe.unresponsive_helpers.remove(&from);
     }
 }
--- a/crates/standalone/tallybridge-membership/src/probe_ring.rs
+++ b/crates/standalone/tallybridge-membership/src/probe_ring.rs
@@ -1,15 +1,14 @@
-//! Order of probes: a shuffled list gone through in turn (SWIM, section 4.3), so that every member
-//! is probed within a bounded time.
+//! Probe order: a shuffled list that is traversed round-robin (SWIM, section 4.3), so that every
+//! member is probed within a bounded time.
 
 use rand::{Rng, rngs::SmallRng, seq::SliceRandom};
 use tallybridge_core::NodeId;
 
 use crate::table::MemberTable;
 
-/// Draws for a random live member before giving up.
+/// Maximum number of draws in a search for a random live member.
 const MAX_DRAWS: usize = 16;
 
-/// The list and the place in it.
 #[derive(Debug, Default)]
 pub(crate) struct ProbeRing {
     order: Vec<NodeId>,
@@ -17,33 +16,33 @@
 }
 
 impl ProbeRing {
-    /// Adds a member at a place given by its hash, which differs from node to node by the salt.
+    /// Inserts a member at a position derived from its hash and a salt. The salt is specific to
+    /// this node, so that nodes probe a new member at different times.
     pub(crate) fn insert(&mut self, node: NodeId, hash: u64, salt: u64) {
-        let places = self.order.len() as u64 + 1;
-        let place = ((hash ^ salt) % places) as usize;
-        self.order.insert(place, node);
-        if place < self.next {
+        let slot_count = self.order.len() as u64 + 1;
+        let index = ((hash ^ salt) % slot_count) as usize;
+        self.order.insert(index, node);
+        if index < self.next {
             self.next += 1;
         }
     }
 
-    /// Takes a member out.
     pub(crate) fn remove(&mut self, node: NodeId) {
-        let Some(place) = self.order.iter().position(|listed| *listed == node) else {
+        let Some(index) = self.order.iter().position(|candidate| *candidate == node) else {
             return;
         };
-        self.order.remove(place);
-        if place < self.next {
+        self.order.remove(index);
+        if index < self.next {
             self.next -= 1;
         }
     }
 }
 
 impl MemberTable {
-    /// The next member to probe.
-    pub(crate) fn next_probed(&mut self, rng: &mut SmallRng) -> Option<NodeId> {
-        let rounds = self.ring.order.len() + 1;
-        for _ in 0..rounds {
+    /// Returns the next live member to probe.
+    pub(crate) fn next_probe_target(&mut self, rng: &mut SmallRng) -> Option<NodeId> {
+        let max_steps = self.ring.order.len() + 1;
+        for _ in 0..max_steps {
             if self.ring.next >= self.ring.order.len() {
                 self.reshuffle(rng);
             }
@@ -67,21 +66,21 @@
         self.ring.next = 0;
     }
 
-    /// A random live member that fits, if a few draws find one.
+    /// Returns a random live member that satisfies the predicate, or `None` if no draw finds one.
     pub(crate) fn random_live(
         &self,
         rng: &mut SmallRng,
-        fits: impl Fn(&Self, NodeId) -> bool,
+        is_eligible: impl Fn(&Self, NodeId) -> bool,
     ) -> Option<NodeId> {
         if self.ring.order.is_empty() {
             return None;
         }
         (0..MAX_DRAWS)
             .map(|_| self.ring.order[rng.random_range(0..self.ring.order.len())])
-            .find(|node| self.is_live(*node) && fits(self, *node))
+            .find(|node| self.is_live(*node) && is_eligible(self, *node))
     }
 
-    /// Distinct random live members, as many as a few draws find.
+    /// Returns up to `count` distinct random live members; fewer if the draws find fewer.
     pub(crate) fn random_distinct(&self, rng: &mut SmallRng, count: usize) -> Vec<NodeId> {
         let mut chosen: Vec<NodeId> = Vec::with_capacity(count);
         for _ in 0..count {
--- a/crates/standalone/tallybridge-membership/src/reach.rs
+++ b/crates/standalone/tallybridge-membership/src/reach.rs
@@ -1,4 +1,4 @@
-//! Reaching members that are out of sight.
+//! Reconnection to dead members and to seeds without a live member.
 
 use std::{net::SocketAddr, time::Instant};
 
@@ -9,8 +9,8 @@
 
 use crate::{member::Health, outgoing::Outgoing, probe::ping, table::MemberTable};
 
-/// Tries a member believed dead and a seed, so that parts of the fleet that were cut from each
-/// other find together again.
+/// Pings one dead member and one seed without a live member, so that the fleet reunites after a
+/// partition.
 pub(crate) fn run(
     table: &mut MemberTable,
     now: Instant,
@@ -22,20 +22,20 @@
     }
     table.probes.next_reach = now + table.settings.reach_interval;
     table.purge(now);
-    let dead = table
+    let dead_address = table
         .members()
         .filter(|record| record.health == Health::Dead)
         .map(|record| record.node.address)
         .filter(|address| !has_live(table, *address))
         .choose(rng);
-    let lost_seeds: Vec<SocketAddr> = table
+    let unreached_seeds: Vec<SocketAddr> = table
         .seeds
         .iter()
         .copied()
         .filter(|seed| !has_live(table, *seed))
         .collect();
-    let seed = lost_seeds.choose(rng).copied();
-    for address in dead.into_iter().chain(seed) {
+    let seed = unreached_seeds.choose(rng).copied();
+    for address in dead_address.into_iter().chain(seed) {
         outgoing.push(ping(table, address, None, now));
     }
 }
--- a/crates/standalone/tallybridge-membership/src/receive.rs
+++ b/crates/standalone/tallybridge-membership/src/receive.rs
@@ -1,4 +1,4 @@
-//! What a datagram from a peer brings about.
+//! Handling of received datagrams.
 
 use std::{net::SocketAddr, time::Instant};
 
@@ -18,7 +18,7 @@
     table_range,
 };
 
-/// Takes in one datagram and returns what is to be sent because of it.
+/// Applies one datagram to the table and returns the datagrams to send in response.
 pub fn receive(
     table: &mut MemberTable,
     from: SocketAddr,
@@ -32,38 +32,44 @@
     }
     table.budget.refill(now);
     let own_incarnation = table.own_record().incarnation;
-    hear_updates(table, &datagram, now);
-    hear_sender(table, sender, &datagram.header, now);
-    let mut outgoing = answer(table, from, &datagram, now, rng);
+    apply_updates(table, &datagram, now);
+    apply_header(table, sender, &datagram.header, now);
+    let mut outgoing = handle_message(table, from, &datagram, now, rng);
     if outgoing.is_empty() {
-        let refuted = table.own_record().incarnation != own_incarnation;
-        outgoing.extend(reply_unasked(
+        let has_refuted = table.own_record().incarnation != own_incarnation;
+        outgoing.extend(unsolicited_reply(
             table,
             from,
             sender,
             &datagram.header,
-            refuted,
+            has_refuted,
         ));
     }
-    outgoing.extend(ask_stranger(table, from, sender, &datagram.header, now));
+    outgoing.extend(request_comparison_if_needed(
+        table,
+        from,
+        sender,
+        &datagram.header,
+        now,
+    ));
     observe_revision(table, sender, &datagram.header, now);
     outgoing
 }
 
-fn hear_updates(table: &mut MemberTable, datagram: &Datagram, now: Instant) {
+fn apply_updates(table: &mut MemberTable, datagram: &Datagram, now: Instant) {
     let source = match datagram.message {
         GossipMessage::TableRange { .. } => Source::Comparison,
         _ => Source::Gossip,
     };
     for update in datagram.updates() {
         if let Some(claim) = Claim::from_update(update) {
-            table.weigh(claim, source, now);
+            table.apply_claim(claim, source, now);
         }
     }
 }
 
-/// A sender's own incarnation is as good as an update about it.
-fn hear_sender(table: &mut MemberTable, sender: NodeId, header: &GossipHeader, now: Instant) {
+/// Applies a header as an update about its sender.
+fn apply_header(table: &mut MemberTable, sender: NodeId, header: &GossipHeader, now: Instant) {
     if table.members.contains_key(&sender) {
         let claim = Claim {
             node: sender,
@@ -73,11 +79,11 @@
             reporter: Reporter::NONE,
             placement: None,
         };
-        table.weigh(claim, Source::Gossip, now);
+        table.apply_claim(claim, Source::Gossip, now);
     }
 }
 
-fn answer(
+fn handle_message(
     table: &mut MemberTable,
     from: SocketAddr,
     datagram: &Datagram,
@@ -87,19 +93,25 @@
     let sender: NodeId = datagram.header.sender.into();
     match &datagram.message {
         GossipMessage::Ping { sequence } => {
-            let notice = notice(table, sender, &datagram.header);
+            let notice = health_notice(table, sender, &datagram.header);
             let ack = GossipMessage::Ack {
                 sequence: *sequence,
             };
-            vec![table.send(from, ack, notice.into_iter().collect())]
+            vec![table.build_datagram(from, ack, notice.into_iter().collect())]
         }
         GossipMessage::Ack { sequence } => {
-            probe::acknowledge(table, *sequence, &datagram.header, now)
+            probe::handle_ack(table, *sequence, &datagram.header, now)
                 .into_iter()
                 .collect()
         }
         GossipMessage::PingRequest { sequence, target } => {
-            vec![relay::relay(table, from, *sequence, (*target).into(), now)]
+            vec![relay::start_relay(
+                table,
+                from,
+                *sequence,
+                (*target).into(),
+                now,
+            )]
         }
         GossipMessage::IndirectAck {
             sequence,
@@ -113,51 +125,55 @@
                 leaving: *leaving,
                 ..datagram.header.clone()
             };
-            hear_sender(table, responder.sender.into(), &responder, now);
-            probe::acknowledge(table, *sequence, &responder, now)
+            apply_header(table, responder.sender.into(), &responder, now);
+            probe::handle_ack(table, *sequence, &responder, now)
                 .into_iter()
                 .collect()
         }
         GossipMessage::Nack { sequence } => {
-            probe::count_nack(table, from, *sequence);
+            probe::handle_nack(table, from, *sequence);
             Vec::new()
         }
         GossipMessage::Gossip => Vec::new(),
-        GossipMessage::TableCompare { buckets } => table_range::answer(table, from, buckets, rng),
+        GossipMessage::TableCompare { buckets } => {
+            table_range::answer_comparison(table, from, buckets, rng)
+        }
         GossipMessage::TableRange {
             first,
             last,
             answer_wanted: 1,
-        } => table_range::complete(table, from, (*first, *last), datagram.updates()),
+        } => table_range::missing_updates(table, from, (*first, *last), datagram.updates()),
         GossipMessage::TableRange { .. } => Vec::new(),
     }
 }
 
-/// Tells a sender that it is doubted, or that this node has just refuted what it said.
-fn reply_unasked(
+/// Builds a reply that informs the sender about its own suspicion or death, or about this node's
+/// refutation of a claim in the datagram.
+fn unsolicited_reply(
     table: &mut MemberTable,
     from: SocketAddr,
     sender: NodeId,
     header: &GossipHeader,
-    refuted: bool,
+    has_refuted: bool,
 ) -> Option<Outgoing> {
-    let notice = notice(table, sender, header);
-    if notice.is_none() && !refuted {
+    let notice = health_notice(table, sender, header);
+    if notice.is_none() && !has_refuted {
         return None;
     }
-    Some(table.send(from, GossipMessage::Gossip, notice.into_iter().collect()))
+    Some(table.build_datagram(from, GossipMessage::Gossip, notice.into_iter().collect()))
 }
 
-/// What is believed of a sender that is suspected or held dead, so that it can refute.
-fn notice(table: &MemberTable, sender: NodeId, header: &GossipHeader) -> Option<WireUpdate> {
+/// Returns the record of a sender that is suspected or declared dead, so that the sender can refute
+/// it.
+fn health_notice(table: &MemberTable, sender: NodeId, header: &GossipHeader) -> Option<WireUpdate> {
     let record = &table.members.get(&sender)?.record;
-    let doubted = matches!(record.health, Health::Suspect | Health::Dead);
-    let stands = record.incarnation >= Incarnation(header.incarnation);
-    (doubted && stands).then(|| to_update(record, Reporter::NONE, false))
+    let is_suspect_or_dead = matches!(record.health, Health::Suspect | Health::Dead);
+    let is_current = record.incarnation >= Incarnation(header.incarnation);
+    (is_suspect_or_dead && is_current).then(|| to_update(record, Reporter::NONE, false))
 }
 
-/// Asks a sender that is not known, or whose table differs, for what differs.
-fn ask_stranger(
+/// Requests a comparison from a sender that is unknown or whose table differs.
+fn request_comparison_if_needed(
     table: &mut MemberTable,
     from: SocketAddr,
     sender: NodeId,
@@ -165,14 +181,15 @@
     now: Instant,
 ) -> Option<Outgoing> {
     if !table.members.contains_key(&sender) && !table.budget.is_spent() {
-        return Some(anti_entropy::compare(table, from));
+        return Some(anti_entropy::request_comparison(table, from));
     }
     anti_entropy::observe_digest(table, from, header, now)
 }
 
 fn observe_revision(table: &mut MemberTable, sender: NodeId, header: &GossipHeader, now: Instant) {
-    let ahead = header.revision > table.revision || header.partition_epoch > table.partition_epoch;
-    if ahead && table.is_live(sender) && table.rounds.is_news(header, now) {
+    let is_ahead =
+        header.revision > table.revision || header.partition_epoch > table.partition_epoch;
+    if is_ahead && table.is_live(sender) && table.gossip_rounds.try_report_peer_ahead(header, now) {
         table.events.push_back(MemberEvent::PeerAhead {
             node: sender,
             revision: header.revision,
--- a/crates/standalone/tallybridge-membership/src/refute.rs
+++ b/crates/standalone/tallybridge-membership/src/refute.rs
@@ -1,4 +1,4 @@
-//! What others say about this node itself.
+//! Updates of this node's own record, including the refutation of claims by other nodes.
 
 use std::time::Instant;
 
@@ -9,28 +9,33 @@
 };
 
 impl MemberTable {
-    /// Refutes a suspicion or death of this node by a greater incarnation.
-    pub(crate) fn hear_of_self(&mut self, claim: &Claim, now: Instant) {
+    /// Refutes a claim that this node is suspect or dead by announcing a greater incarnation. Sets
+    /// `superseded` if the claim cannot be refuted.
+    pub(crate) fn refute_claim(&mut self, claim: &Claim, now: Instant) {
         let own = self.own_record();
         if own.health == Health::Left {
             return;
         }
-        let doubted = claim.health > Health::Alive && claim.incarnation >= own.incarnation;
-        let ahead = claim.incarnation > own.incarnation;
-        if !doubted && !ahead {
+        let claims_failure = claim.health > Health::Alive && claim.incarnation >= own.incarnation;
+        let is_ahead = claim.incarnation > own.incarnation;
+        if !claims_failure && !is_ahead {
             return;
         }
         if claim.incarnation == Incarnation::FINAL {
             self.superseded = true;
             return;
         }
-        tracing::info!(incarnation = claim.incarnation.0, health = ?claim.health, "refuting");
+        tracing::info!(
+            incarnation = claim.incarnation.0,
+            health = ?claim.health,
+            "refuting a claim about this node"
+        );
         let leaving = own.leaving;
         self.local_health.raise(1);
         self.announce(claim.incarnation.next(), Health::Alive, leaving, now);
     }
 
-    /// Says something new about this node.
+    /// Replaces this node's own record and queues it as an update.
     pub(crate) fn announce(
         &mut self,
         incarnation: Incarnation,
--- a/crates/standalone/tallybridge-membership/src/relay.rs
+++ b/crates/standalone/tallybridge-membership/src/relay.rs
@@ -1,4 +1,4 @@
-//! Pings on behalf of other nodes.
+//! Indirect probes: pings that this node sends as a helper of other nodes.
 
 use std::{net::SocketAddr, time::Instant};
 
@@ -6,11 +6,10 @@
 
 use crate::{outgoing::Outgoing, table::MemberTable};
 
-/// Part of the time between a helper's ping and the probe's end after which the helper says that
-/// it got no answer.
-const NACK_AFTER: f64 = 0.7;
+/// Fraction of the time between the ping timeout and the probe timeout after which a helper sends a
+/// nack. The rest leaves time for the nack to arrive before the probe ends.
+const NACK_DELAY_FRACTION: f64 = 0.7;
 
-/// A ping on behalf of another node.
 #[derive(Debug)]
 pub(crate) struct Relay {
     requester: SocketAddr,
@@ -18,8 +17,7 @@
     sent: Instant,
 }
 
-/// Pings an address on behalf of another node.
-pub(crate) fn relay(
+pub(crate) fn start_relay(
     table: &mut MemberTable,
     requester: SocketAddr,
     requester_sequence: u32,
@@ -33,42 +31,42 @@
         sent: now,
     };
     table.probes.relays.insert(sequence, relay);
-    table.send(target, GossipMessage::Ping { sequence }, Vec::new())
+    table.build_datagram(target, GossipMessage::Ping { sequence }, Vec::new())
 }
 
-/// Passes an answer on, when the ping was on behalf of another node.
-pub(crate) fn pass_on(
+/// Forwards an ack to the requester if its ping was sent on behalf of another node.
+pub(crate) fn forward_ack(
     table: &mut MemberTable,
     sequence: u32,
     responder: &GossipHeader,
 ) -> Option<Outgoing> {
     let relay = table.probes.relays.remove(&sequence)?;
-    let passed_on = GossipMessage::IndirectAck {
+    let indirect_ack = GossipMessage::IndirectAck {
         sequence: relay.requester_sequence,
         responder: responder.sender,
         incarnation: responder.incarnation,
         leaving: responder.leaving,
     };
-    Some(table.send(relay.requester, passed_on, Vec::new()))
+    Some(table.build_datagram(relay.requester, indirect_ack, Vec::new()))
 }
 
-/// Tells requesters that their member has not answered.
-pub(crate) fn end_relays(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
-    let time = table.settings.probe_timeout - table.settings.ping_timeout;
-    let limit = time.mul_f64(NACK_AFTER);
-    let ended: Vec<u32> = table
+/// Ends relays without a timely answer and sends a nack to each requester.
+pub(crate) fn expire_relays(table: &mut MemberTable, now: Instant, outgoing: &mut Vec<Outgoing>) {
+    let probe_remainder = table.settings.probe_timeout - table.settings.ping_timeout;
+    let nack_delay = probe_remainder.mul_f64(NACK_DELAY_FRACTION);
+    let expired: Vec<u32> = table
         .probes
         .relays
         .iter()
-        .filter(|(_, relay)| now.saturating_duration_since(relay.sent) >= limit)
+        .filter(|(_, relay)| now.saturating_duration_since(relay.sent) >= nack_delay)
         .map(|(sequence, _)| *sequence)
         .collect();
-    for sequence in ended {
+    for sequence in expired {
         if let Some(relay) = table.probes.relays.remove(&sequence) {
             let nack = GossipMessage::Nack {
                 sequence: relay.requester_sequence,
             };
-            outgoing.push(table.send(relay.requester, nack, Vec::new()));
+            outgoing.push(table.build_datagram(relay.requester, nack, Vec::new()));
         }
     }
 }
--- a/crates/standalone/tallybridge-membership/src/settings.rs
+++ b/crates/standalone/tallybridge-membership/src/settings.rs
@@ -1,52 +1,54 @@
-//! Settings of membership.
+//! Settings of the membership protocol.
 
 use std::time::Duration;
 
-/// How often members are probed, how long they are suspected and what may be sent.
+/// Intervals, timeouts, fanouts and byte limits of the membership protocol.
 #[derive(Debug, Clone)]
 pub struct MembershipSettings {
-    /// Time between two probes by one node.
+    /// Time between two probes of one node.
     pub probe_interval: Duration,
-    /// Time after a ping until helpers are asked to ping as well.
+    /// Time after a ping until helpers are asked for indirect pings.
     pub ping_timeout: Duration,
     /// Time after a ping until the member is suspected.
     pub probe_timeout: Duration,
-    /// Helpers asked when a ping is not answered.
+    /// Number of helpers asked when a ping is not answered.
     pub indirect_probes: usize,
-    /// Time between two rounds of updates sent on their own.
+    /// Time between two gossip rounds.
     pub gossip_interval: Duration,
-    /// Members that get each round.
+    /// Number of members that receive each gossip round.
     pub gossip_fanout: usize,
     /// λ: each update is sent at most λ·log2(members) times by one node.
     pub transmit_factor: f64,
-    /// Members that are told at once when this node leaves.
+    /// Number of members that receive the first gossip round of a leaving node.
     pub leave_fanout: usize,
-    /// Rounds that tell of a new revision.
+    /// Number of gossip rounds sent after a change of the revision or partition epoch.
     pub revision_rounds: u32,
-    /// Shortest time from suspicion to death, reached once enough nodes confirm.
+    /// Time from suspicion to death once enough nodes have confirmed the suspicion.
     pub suspicion_min: Duration,
-    /// Time from suspicion to death without confirmations, as a multiple of the shortest.
+    /// Time from suspicion to death without confirmations, as a multiple of `suspicion_min`.
     pub suspicion_max_factor: f64,
-    /// Independent confirmations that bring the time down to the shortest.
+    /// Number of independent confirmations that reduce the time to `suspicion_min`.
     pub suspicion_confirmations: usize,
-    /// Multiple of the time to death while most of the member's zone is suspected at once.
-    pub zone_hold_factor: f64,
+    /// Factor applied to the time from suspicion to death if most of the member's zone was
+    /// suspected at once.
+    pub zone_suspicion_factor: f64,
     /// Mean time between two comparisons with a random member.
     pub compare_interval: Duration,
-    /// Shortest time between two comparisons caused by a differing digest.
+    /// Minimum time between two comparisons triggered by a differing digest.
     pub compare_spacing: Duration,
-    /// How long this table must be unchanged before a differing digest causes a comparison.
-    pub quiet_before_compare: Duration,
-    /// Time between the first two comparisons while this node is catching up after its start; it
-    /// doubles with each.
+    /// Time that this table must be unchanged before a differing digest triggers a comparison.
+    pub unchanged_before_compare: Duration,
+    /// Time between the first two comparisons while a node catches up after its start; it doubles
+    /// with each comparison.
     pub catch_up_interval: Duration,
-    /// Time between two attempts to reach a member believed dead, and one of the seeds.
+    /// Time between two attempts to reach a dead member and a seed without a live member.
     pub reach_interval: Duration,
-    /// How long dead members are remembered and tried again.
+    /// Time until members that died or left are removed from the table; dead members are retried
+    /// until then.
     pub dead_retention: Duration,
-    /// Bytes a second of gossip and comparisons; probes and their answers always go.
+    /// Bytes per second for gossip and comparisons; probes and their answers are always sent.
     pub bytes_per_second: u32,
-    /// Bytes that may be sent at once after a quiet time.
+    /// Maximum unused byte budget that accumulates for a burst.
     pub burst_bytes: u32,
 }
 
@@ -65,10 +67,10 @@
             suspicion_min: Duration::from_secs(4),
             suspicion_max_factor: 4.0,
             suspicion_confirmations: 3,
-            zone_hold_factor: 2.0,
+            zone_suspicion_factor: 2.0,
             compare_interval: Duration::from_secs(40),
             compare_spacing: Duration::from_secs(2),
-            quiet_before_compare: Duration::from_secs(3),
+            unchanged_before_compare: Duration::from_secs(3),
             catch_up_interval: Duration::from_millis(300),
             reach_interval: Duration::from_secs(5),
             dead_retention: Duration::from_secs(2 * 60 * 60),
--- a/crates/standalone/tallybridge-membership/src/status.rs
+++ b/crates/standalone/tallybridge-membership/src/status.rs
@@ -1,11 +1,11 @@
-//! A summary for operators.
+//! Summary of a table for operators.
 
 use crate::{
     member::{Incarnation, MemberState},
     table::MemberTable,
 };
 
-/// Counts over the table and the state of its owner.
+/// Member counts of a table and the state of its owner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct MembershipStatus {
     /// Members in [`MemberState::Alive`], the owner included.
@@ -14,19 +14,19 @@
     pub suspect: usize,
     /// Members in [`MemberState::Leaving`].
     pub leaving: usize,
-    /// Members in [`MemberState::Dead`] that are still remembered.
+    /// Members in [`MemberState::Dead`] that are not purged yet.
     pub dead: usize,
-    /// Members in [`MemberState::Left`] that are still remembered.
+    /// Members in [`MemberState::Left`] that are not purged yet.
     pub left: usize,
-    /// The owner's incarnation.
+    /// Current incarnation of the owner.
     pub incarnation: Incarnation,
-    /// Local health: 0 when this node seems well, up to 8.
+    /// Local health score: from 0 (healthy) to 8.
     pub local_health: u32,
     /// Updates waiting to be sent.
     pub queued_updates: usize,
-    /// Whether this node is still taking over the table after its start.
+    /// Whether this node is still collecting the table after its start.
     pub catching_up: bool,
-    /// Whether another instance was found at this node's address; then it must stop.
+    /// Whether another instance answers at this node's address, so that this node must stop.
     pub superseded: bool,
     /// Revision of the owner's configuration.
     pub revision: u64,
@@ -35,7 +35,7 @@
 }
 
 impl MemberTable {
-    /// A summary for operators.
+    /// Counts the members by state and returns the counts with the state of the owner.
     #[must_use]
     pub fn status(&self) -> MembershipStatus {
         let mut status = MembershipStatus {
--- a/crates/standalone/tallybridge-membership/src/suspicion.rs
+++ b/crates/standalone/tallybridge-membership/src/suspicion.rs
@@ -1,4 +1,4 @@
-//! Suspicions: how long a member that has not answered may still refute.
+//! Suspicions: the time that a suspected member has to refute before it is declared dead.
 
 use std::{
     collections::BTreeSet,
@@ -14,72 +14,71 @@
     table::MemberTable,
 };
 
-/// One suspected member.
 #[derive(Debug)]
 pub(crate) struct Suspicion {
     pub started: Instant,
-    /// Confirmations that bring the time down to the shortest.
-    wanted: usize,
-    /// Nodes whose own probes failed.
+    /// Number of confirmations that reduce the timeout to its minimum.
+    confirmations_needed: usize,
+    /// Nodes whose own probes of the member failed.
     reporters: BTreeSet<Reporter>,
-    /// Another node has declared the member dead.
-    declared: bool,
-    /// Most of the member's zone was suspected meanwhile. Stays, since the members of a zone that
-    /// is back refute one after the other.
-    held: bool,
+    /// Whether another node has declared the member dead.
+    declared_dead: bool,
+    /// Whether most of the member's zone was suspected at some point. The flag is never cleared,
+    /// because the members of a recovered zone refute one after the other.
+    zone_suspected: bool,
 }
 
 impl Suspicion {
-    /// A suspicion in a fleet of so many live members.
     pub(crate) fn new(started: Instant, settings: &MembershipSettings, live: usize) -> Self {
         const SUSPECT_AND_SELF: usize = 2;
         let others = live.saturating_sub(SUSPECT_AND_SELF);
         Self {
             started,
-            wanted: settings.suspicion_confirmations.min(others),
+            confirmations_needed: settings.suspicion_confirmations.min(others),
             reporters: BTreeSet::new(),
-            declared: false,
-            held: false,
+            declared_dead: false,
+            zone_suspected: false,
         }
     }
 
-    /// Adds a reporter; true when it is new and still matters.
+    /// Adds a reporter; returns true if the reporter is new and more confirmations are needed.
     pub(crate) fn confirm(&mut self, reporter: Reporter) -> bool {
-        let matters = self.reporters.len() <= self.wanted;
-        matters && self.reporters.insert(reporter)
+        let is_needed = self.reporters.len() <= self.confirmations_needed;
+        is_needed && self.reporters.insert(reporter)
     }
 
-    /// Another node has waited long enough.
-    pub(crate) const fn declare(&mut self) {
-        self.declared = true;
+    /// Records that another node has declared the member dead, which shortens the timeout.
+    pub(crate) const fn mark_declared_dead(&mut self) {
+        self.declared_dead = true;
     }
 
-    /// Time from the start to death (Lifeguard, section IV): falls with the logarithm of the
-    /// confirmations.
+    /// Returns the time from the start of the suspicion to death. The time falls with the logarithm
+    /// of the confirmations (Lifeguard, section IV).
     pub(crate) fn timeout(&self, settings: &MembershipSettings) -> Duration {
-        let timeout = self.unheld_timeout(settings);
-        if self.held {
-            timeout.mul_f64(settings.zone_hold_factor)
+        let timeout = self.base_timeout(settings);
+        if self.zone_suspected {
+            timeout.mul_f64(settings.zone_suspicion_factor)
         } else {
             timeout
         }
     }
 
-    fn unheld_timeout(&self, settings: &MembershipSettings) -> Duration {
-        if self.wanted == 0 || self.declared {
+    fn base_timeout(&self, settings: &MembershipSettings) -> Duration {
+        if self.confirmations_needed == 0 || self.declared_dead {
             return settings.suspicion_min;
         }
         let confirmations = self.reporters.len().saturating_sub(1);
-        let shrunk = (confirmations as f64 + 1.0).ln() / (self.wanted as f64 + 1.0).ln();
+        let reduction =
+            (confirmations as f64 + 1.0).ln() / (self.confirmations_needed as f64 + 1.0).ln();
         let excess = settings.suspicion_max_factor - 1.0;
-        let factor = 1.0 + excess * (1.0 - shrunk).max(0.0);
+        let factor = 1.0 + excess * (1.0 - reduction).max(0.0);
         settings.suspicion_min.mul_f64(factor)
     }
 }
 
-/// Declares members dead whose time to refute has passed.
+/// Declares each member dead whose suspicion has timed out.
 pub(crate) fn expire(table: &mut MemberTable, now: Instant) {
-    hold_zones(table);
+    mark_zone_suspicions(table);
     let expired: Vec<NodeId> = table
         .suspicions
         .iter()
@@ -91,11 +90,11 @@
     }
 }
 
-/// Holds the suspicions of each zone of which most is suspected.
-fn hold_zones(table: &mut MemberTable) {
+/// Marks the suspicions in zones that are mostly suspected, which extends their timeout.
+fn mark_zone_suspicions(table: &mut MemberTable) {
     for (node, suspicion) in &mut table.suspicions {
         let zone = &table.members[node].record.placement.zone;
-        suspicion.held |= table.zones.is_mostly_suspected(zone);
+        suspicion.zone_suspected |= table.zones.is_mostly_suspected(zone);
     }
 }
 
@@ -107,7 +106,10 @@
         health: Health::Dead,
         ..row.record.clone()
     };
-    tracing::info!(member = %node, "member declared dead");
+    tracing::info!(
+        member = %node,
+        "member did not refute its suspicion in time; declaring it dead"
+    );
     table.replace(dead, now);
     table.queue.push(node, table.reporter());
 }
--- a/crates/standalone/tallybridge-membership/src/table.rs
+++ b/crates/standalone/tallybridge-membership/src/table.rs
@@ -1,4 +1,4 @@
-//! The members table of one node.
+//! The member table of one node and its derived indexes.
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
@@ -15,7 +15,7 @@
     convert::PlacementPool,
     digest::{TableDigest, node_hash},
     event::MemberEvent,
-    gossip::Rounds,
+    gossip::GossipRounds,
     local_health::LocalHealth,
     member::{Health, Incarnation, MemberIdentity, MemberRecord, MemberRow},
     merge::Reporter,
@@ -24,24 +24,24 @@
     settings::MembershipSettings,
     suspicion::Suspicion,
     update_queue::UpdateQueue,
-    zones::Zones,
+    zones::ZoneCounts,
 };
 
-/// Everything that one node believes about the fleet.
+/// One node's view of the fleet, with the protocol state for keeping it up to date.
 #[derive(Debug)]
 pub struct MemberTable {
     pub(crate) own: NodeId,
     pub(crate) settings: MembershipSettings,
     pub(crate) members: BTreeMap<NodeId, MemberRow>,
-    /// Live members by the digest of their identity.
+    /// Live members, ordered by the hash of their identity.
     pub(crate) live: BTreeSet<(u64, NodeId)>,
     pub(crate) digest: TableDigest,
-    pub(crate) zones: Zones,
+    pub(crate) zones: ZoneCounts,
     pub(crate) ring: ProbeRing,
     pub(crate) suspicions: BTreeMap<NodeId, Suspicion>,
     pub(crate) queue: UpdateQueue,
     pub(crate) probes: Probes,
-    pub(crate) rounds: Rounds,
+    pub(crate) gossip_rounds: GossipRounds,
     pub(crate) comparisons: Comparisons,
     pub(crate) local_health: LocalHealth,
     pub(crate) budget: SendBudget,
@@ -49,13 +49,13 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) revision: u64,
     pub(crate) partition_epoch: u64,
-    /// Another instance was found at this node's address.
+    /// Whether another node has recorded this instance as ended.
     pub(crate) superseded: bool,
     pub(crate) events: VecDeque<MemberEvent>,
 }
 
 impl MemberTable {
-    /// A table that knows only its owner.
+    /// Creates a table that contains only its owner.
     #[must_use]
     pub fn new(identity: MemberIdentity, settings: MembershipSettings, now: Instant) -> Self {
         let mut placements = PlacementPool::default();
@@ -64,7 +64,7 @@
             incarnation: Incarnation::default(),
             health: Health::Alive,
             leaving: false,
-            placement: placements.share(identity.placement),
+            placement: placements.intern(identity.placement),
         };
         let catch_up_interval = settings.catch_up_interval;
         let budget = SendBudget::new(settings.bytes_per_second, settings.burst_bytes, now);
@@ -74,12 +74,12 @@
             members: BTreeMap::new(),
             live: BTreeSet::new(),
             digest: TableDigest::new(),
-            zones: Zones::default(),
+            zones: ZoneCounts::default(),
             ring: ProbeRing::default(),
             suspicions: BTreeMap::new(),
             queue: UpdateQueue::default(),
             probes: Probes::new(now),
-            rounds: Rounds::new(now),
+            gossip_rounds: GossipRounds::new(now),
             comparisons: Comparisons::new(now, catch_up_interval),
             local_health: LocalHealth::default(),
             budget,
@@ -95,29 +95,30 @@
         table
     }
 
-    /// Who owns the table.
+    /// Returns the node that owns the table.
     #[must_use]
     pub const fn identity(&self) -> NodeId {
         self.own
     }
 
-    /// All members known, the owner and the dead included, in order of address.
+    /// Returns all members in order of address, including the owner and members that died or left.
     pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.values().map(|row| &row.record)
     }
 
-    /// One member.
+    /// Returns the record of a member; `None` if the member is unknown or was purged.
     #[must_use]
     pub fn member(&self, node: NodeId) -> Option<&MemberRecord> {
         self.members.get(&node).map(|row| &row.record)
     }
 
-    /// Takes what has happened since the last time.
+    /// Removes and returns the events since the last call.
     pub fn events(&mut self) -> Vec<MemberEvent> {
         self.events.drain(..).collect()
     }
 
-    /// Addresses to start from, and to try again from time to time: the machine list as it is now.
+    /// Replaces the seeds: addresses for joining the fleet, which are also retried periodically.
+    /// The caller passes the current machine list.
     pub fn join(&mut self, seeds: &[SocketAddr]) {
         self.seeds = seeds.to_vec();
         self.seeds.retain(|seed| *seed != self.own.address);
@@ -125,19 +126,21 @@
         self.seeds.dedup();
     }
 
-    /// Sets the revision of this node's configuration; a lesser one is ignored.
+    /// Sets the revision of this node's configuration; a smaller revision is ignored.
     pub fn set_revision(&mut self, revision: u64) {
         if revision > self.revision {
             self.revision = revision;
-            self.rounds.tell_revision(self.settings.revision_rounds);
+            self.gossip_rounds
+                .announce_revision(self.settings.revision_rounds);
         }
     }
 
-    /// Sets the epoch of this node's partition map; a lesser one is ignored.
+    /// Sets the epoch of this node's partition map; a smaller epoch is ignored.
     pub fn set_partition_epoch(&mut self, epoch: u64) {
         if epoch > self.partition_epoch {
             self.partition_epoch = epoch;
-            self.rounds.tell_revision(self.settings.revision_rounds);
+            self.gossip_rounds
+                .announce_revision(self.settings.revision_rounds);
         }
     }
 
@@ -145,7 +148,7 @@
         &self.members[&self.own].record
     }
 
-    /// This node as a reporter of failed probes; never [`Reporter::NONE`].
+    /// Returns this node's id as a reporter of failed probes; never [`Reporter::NONE`].
     pub(crate) fn reporter(&self) -> Reporter {
         Reporter((node_hash(self.own) as u32).max(1))
     }
@@ -164,7 +167,7 @@
         self.live.len()
     }
 
-    /// Instances known at an address.
+    /// Returns the rows of all instances at an address.
     pub(crate) fn rows_at(&self, address: SocketAddr) -> impl Iterator<Item = &MemberRow> {
         let first = NodeId {
             address,
@@ -177,30 +180,30 @@
         self.members.range(first..=last).map(|(_, row)| row)
     }
 
-    /// Puts a record in place of what was believed, and brings all that is derived up to date.
+    /// Stores a record, updates the derived indexes and queues the event for the owner.
     pub(crate) fn replace(&mut self, record: MemberRecord, now: Instant) {
         let node = record.node;
         let old = self.members.remove(&node);
         if let Some(row) = &old {
-            self.take_out(row);
+            self.remove_from_indexes(row);
         }
-        self.queue.forget(node);
-        self.follow_suspicion(&record, old.as_ref(), now);
+        self.queue.remove_member(node);
+        self.update_suspicion(&record, old.as_ref(), now);
         let same_health = old
             .as_ref()
             .filter(|row| row.record.health == record.health);
         let row = MemberRow {
             first_known: old.as_ref().map_or(now, |row| row.first_known),
-            since: same_health.map_or(now, |row| row.since),
+            health_since: same_health.map_or(now, |row| row.health_since),
             hash: node_hash(node),
             record,
         };
-        self.tell(old.as_ref().map(|row| &row.record), &row.record);
-        self.put_in(row, old.is_some_and(|row| row.record.health.is_live()));
-        self.comparisons.changed(self.digest.whole(), now);
+        self.push_event(old.as_ref().map(|row| &row.record), &row.record);
+        self.insert_row(row, old.is_some_and(|row| row.record.health.is_live()));
+        self.comparisons.record_digest(self.digest.whole(), now);
     }
 
-    fn take_out(&mut self, row: &MemberRow) {
+    fn remove_from_indexes(&mut self, row: &MemberRow) {
         self.zones.remove(&row.record);
         if row.record.health.is_live() {
             self.digest.toggle(row.hash, &row.record);
@@ -208,7 +211,7 @@
         }
     }
 
-    fn put_in(&mut self, row: MemberRow, was_live: bool) {
+    fn insert_row(&mut self, row: MemberRow, was_live: bool) {
         let node = row.record.node;
         let is_live = row.record.health.is_live();
         self.zones.add(&row.record);
@@ -225,7 +228,7 @@
         self.members.insert(node, row);
     }
 
-    fn follow_suspicion(&mut self, record: &MemberRecord, old: Option<&MemberRow>, now: Instant) {
+    fn update_suspicion(&mut self, record: &MemberRecord, old: Option<&MemberRow>, now: Instant) {
         if record.health != Health::Suspect {
             self.suspicions.remove(&record.node);
             return;
@@ -236,7 +239,7 @@
         }
     }
 
-    fn tell(&mut self, old: Option<&MemberRecord>, new: &MemberRecord) {
+    fn push_event(&mut self, old: Option<&MemberRecord>, new: &MemberRecord) {
         if new.node == self.own {
             return;
         }
@@ -253,24 +256,26 @@
         self.events.push_back(event);
     }
 
-    /// Forgets members that have been gone for long.
+    /// Removes members that died or left longer than `dead_retention` ago.
     pub(crate) fn purge(&mut self, now: Instant) {
         let retention = self.settings.dead_retention;
-        let forgotten: Vec<NodeId> = self
+        let expired: Vec<NodeId> = self
             .members
             .values()
             .filter(|row| !row.record.health.is_live() && row.record.node != self.own)
-            .filter(|row| now.saturating_duration_since(row.since) > retention)
+            .filter(|row| now.saturating_duration_since(row.health_since) > retention)
             .map(|row| row.record.node)
             .collect();
-        for node in forgotten {
+        for node in expired {
             self.members.remove(&node);
-            self.queue.forget(node);
+            self.queue.remove_member(node);
         }
     }
 
-    /// Shares a placement among rows.
-    pub(crate) fn share(&mut self, placement: crate::Placement) -> Arc<crate::Placement> {
-        self.placements.share(placement)
+    pub(crate) fn intern_placement(
+        &mut self,
+        placement: crate::Placement,
+    ) -> Arc<crate::Placement> {
+        self.placements.intern(placement)
     }
 }
--- a/crates/standalone/tallybridge-membership/src/table_range.rs
+++ b/crates/standalone/tallybridge-membership/src/table_range.rs
@@ -1,4 +1,4 @@
-//! Answers to comparisons: the records of the ranges of hashes in which two tables differ.
+//! Answers to table comparisons: the records of the hash ranges in which two tables differ.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -15,11 +15,11 @@
     table::MemberTable,
 };
 
-/// Most datagrams that answer one comparison; the rest comes with the next one.
+/// Maximum number of datagrams per comparison; a later comparison covers the rest.
 const MAX_ANSWER_DATAGRAMS: usize = 8;
 
-/// Answers a comparison with the live members of each bucket that differs.
-pub(crate) fn answer(
+/// Returns the live members of each differing bucket as answers to a comparison.
+pub(crate) fn answer_comparison(
     table: &mut MemberTable,
     to: SocketAddr,
     buckets: &[u32],
@@ -36,25 +36,25 @@
         .collect();
     let mut answers = Vec::new();
     let start = rng.random_range(0..DIGEST_BUCKETS);
-    for range in ranges(&differing, start) {
+    for range in merge_ranges(&differing, start) {
         answer_range(table, to, range, &mut answers);
     }
     answers
 }
 
-/// Joins neighbouring buckets to ranges of hashes, beginning at a bucket, so that a fresh node that
-/// asks several peers gets different parts from them.
-fn ranges(differing: &[usize], start: usize) -> Vec<(u64, u64)> {
+/// Merges adjacent buckets into hash ranges. The caller passes a random `start` bucket, so that a
+/// new node that asks several peers receives different ranges first.
+fn merge_ranges(differing: &[usize], start: usize) -> Vec<(u64, u64)> {
     let split = differing.partition_point(|bucket| *bucket < start);
-    let mut joined: Vec<(u64, u64)> = Vec::new();
+    let mut merged: Vec<(u64, u64)> = Vec::new();
     for bucket in differing[split..].iter().chain(&differing[..split]) {
         let (first, last) = bucket_range(*bucket);
-        match joined.last_mut() {
+        match merged.last_mut() {
             Some(range) if range.1.checked_add(1) == Some(first) => range.1 = last,
-            _ => joined.push((first, last)),
+            _ => merged.push((first, last)),
         }
     }
-    joined
+    merged
 }
 
 fn answer_range(
@@ -68,43 +68,43 @@
         if answers.len() >= MAX_ANSWER_DATAGRAMS || table.budget.is_spent() {
             return;
         }
-        let (updates, covered) = live_updates(table, first, last);
+        let (updates, last_covered) = live_updates(table, first, last);
         let message = GossipMessage::TableRange {
             first,
-            last: covered,
+            last: last_covered,
             answer_wanted: 1,
         };
-        answers.push(table.send_exactly(to, message, updates));
-        next = covered.checked_add(1).filter(|next| *next <= last);
+        answers.push(table.build_exact_datagram(to, message, updates));
+        next = last_covered.checked_add(1).filter(|next| *next <= last);
     }
 }
 
-/// As many live members as fit, in order of their hash, and the last hash covered by them.
+/// Returns as many live members as fit into a datagram, in hash order, and the last hash covered.
 fn live_updates(table: &MemberTable, first: u64, last: u64) -> (Vec<WireUpdate>, u64) {
-    let mut room = range_room(table);
+    let mut available_bytes = update_capacity(table);
     let mut updates = Vec::new();
-    let mut covered = first;
-    for row in rows_between(table, first, last) {
-        let update = to_update(&alive(&row.record), Reporter::NONE, true);
-        if update.encoded_len() > room {
-            return (updates, covered);
+    let mut last_covered = first;
+    for row in live_rows_between(table, first, last) {
+        let update = to_update(&without_suspicion(&row.record), Reporter::NONE, true);
+        if update.encoded_len() > available_bytes {
+            return (updates, last_covered);
         }
-        room -= update.encoded_len();
-        covered = row.hash;
+        available_bytes -= update.encoded_len();
+        last_covered = row.hash;
         updates.push(update);
     }
     (updates, last)
 }
 
-/// A suspicion is not for comparisons: it passes by itself.
-fn alive(record: &MemberRecord) -> MemberRecord {
+/// Copies a record without its suspicion, because comparisons do not spread suspicions.
+fn without_suspicion(record: &MemberRecord) -> MemberRecord {
     MemberRecord {
         health: Health::Alive,
         ..record.clone()
     }
 }
 
-fn range_room(table: &MemberTable) -> usize {
+fn update_capacity(table: &MemberTable) -> usize {
     let message = GossipMessage::TableRange {
         first: 0,
         last: 0,
@@ -113,7 +113,11 @@
     MAX_DATAGRAM_BYTES - Datagram::bare_len(&table.header(), &message)
 }
 
-fn rows_between(table: &MemberTable, first: u64, last: u64) -> impl Iterator<Item = &MemberRow> {
+fn live_rows_between(
+    table: &MemberTable,
+    first: u64,
+    last: u64,
+) -> impl Iterator<Item = &MemberRow> {
     table
         .live
         .range((first, lowest_node())..)
@@ -121,7 +125,7 @@
         .map(|(_, node)| &table.members[node])
 }
 
-/// Below every identity.
+/// Returns a lower bound of all node identities.
 const fn lowest_node() -> NodeId {
     NodeId {
         address: SocketAddr::V4(std::net::SocketAddrV4::new(
@@ -132,9 +136,9 @@
     }
 }
 
-/// Sends back what a peer that listed all its live members of a range lacks there, or believes
-/// alive although it is gone.
-pub(crate) fn complete(
+/// Returns the members that are missing or outdated in a peer's complete list of a range, and the
+/// members that the peer lists as live although they died or left.
+pub(crate) fn missing_updates(
     table: &mut MemberTable,
     to: SocketAddr,
     (first, last): (u64, u64),
@@ -147,22 +151,22 @@
         .iter()
         .map(|update| (update.node.into(), Incarnation(update.incarnation)))
         .collect();
-    let lacking = rows_between(table, first, last)
-        .map(|row| alive(&row.record))
+    let missing = live_rows_between(table, first, last)
+        .map(|row| without_suspicion(&row.record))
         .filter(|record| theirs.get(&record.node) < Some(&record.incarnation));
     let gone = theirs.iter().filter_map(|(node, incarnation)| {
         let record = &table.members.get(node)?.record;
-        let newer = record.precedence() > (*incarnation, Health::Alive);
-        (newer && !record.health.is_live()).then(|| record.clone())
+        let peer_is_outdated = record.precedence() > (*incarnation, Health::Alive);
+        (peer_is_outdated && !record.health.is_live()).then(|| record.clone())
     });
-    let updates: Vec<WireUpdate> = lacking
+    let updates: Vec<WireUpdate> = missing
         .chain(gone)
         .map(|record| to_update(&record, Reporter::NONE, record.health == Health::Alive))
         .collect();
-    pack(table, to, (first, last), updates)
+    pack_datagrams(table, to, (first, last), updates)
 }
 
-fn pack(
+fn pack_datagrams(
     table: &mut MemberTable,
     to: SocketAddr,
     (first, last): (u64, u64),
@@ -173,21 +177,25 @@
         last,
         answer_wanted: 0,
     };
-    let room = range_room(table);
-    let mut packed = Vec::new();
-    let mut part = Vec::new();
-    let mut used = 0;
+    let available_bytes = update_capacity(table);
+    let mut datagrams = Vec::new();
+    let mut batch = Vec::new();
+    let mut used_bytes = 0;
     for update in updates {
         let length = update.encoded_len();
-        if used + length > room {
-            packed.push(table.send_exactly(to, message.clone(), std::mem::take(&mut part)));
-            used = 0;
+        if used_bytes + length > available_bytes {
+            datagrams.push(table.build_exact_datagram(
+                to,
+                message.clone(),
+                std::mem::take(&mut batch),
+            ));
+            used_bytes = 0;
         }
-        used += length;
-        part.push(update);
+        used_bytes += length;
+        batch.push(update);
     }
-    if !part.is_empty() {
-        packed.push(table.send_exactly(to, message, part));
+    if !batch.is_empty() {
+        datagrams.push(table.build_exact_datagram(to, message, batch));
     }
-    packed
+    datagrams
 }
--- a/crates/standalone/tallybridge-membership/src/update_queue.rs
+++ b/crates/standalone/tallybridge-membership/src/update_queue.rs
@@ -1,4 +1,4 @@
-//! Updates waiting to be piggybacked.
+//! Queue of updates to piggyback on outgoing datagrams.
 
 use std::collections::BTreeMap;
 
@@ -12,34 +12,34 @@
     table::MemberTable,
 };
 
-/// Most updates that wait; beyond, the most sent go first. Comparisons bring what is lost.
+/// Queue capacity. When it is exceeded, the update with the most transmissions is dropped;
+/// comparisons repair the loss.
 const MAX_QUEUED: usize = 128;
 
-/// What is waiting, told apart by the member and by whose probe failed.
-type Key = (NodeId, Reporter);
+/// Member of the update, and the node whose probe of the member failed.
+type UpdateKey = (NodeId, Reporter);
 
 #[derive(Debug)]
 struct QueuedUpdate {
     transmits: u32,
-    /// Counts up, so that the newest is known.
+    /// Sequence number in order of insertion.
     arrival: u64,
 }
 
-/// A row for each update.
 #[derive(Debug, Default)]
 pub(crate) struct UpdateQueue {
-    updates: BTreeMap<Key, QueuedUpdate>,
+    updates: BTreeMap<UpdateKey, QueuedUpdate>,
     arrivals: u64,
 }
 
 impl UpdateQueue {
-    /// Queues what is now believed of a member.
+    /// Queues the current record of a member.
     pub(crate) fn push(&mut self, node: NodeId, reporter: Reporter) {
-        self.push_sent(node, reporter, 0);
+        self.push_with_transmits(node, reporter, 0);
     }
 
-    /// Queues an update as if it had been sent so many times.
-    fn push_sent(&mut self, node: NodeId, reporter: Reporter, transmits: u32) {
+    /// Queues an update with an initial transmission count.
+    fn push_with_transmits(&mut self, node: NodeId, reporter: Reporter, transmits: u32) {
         self.arrivals += 1;
         let update = QueuedUpdate {
             transmits,
@@ -47,15 +47,15 @@
         };
         self.updates.insert((node, reporter), update);
         if self.updates.len() > MAX_QUEUED {
-            self.drop_most_sent();
+            self.drop_most_transmitted();
         }
     }
 
-    /// Forgets what was believed of a member.
-    pub(crate) fn forget(&mut self, node: NodeId) {
+    /// Removes all updates about a member.
+    pub(crate) fn remove_member(&mut self, node: NodeId) {
         let first = (node, Reporter(0));
         let last = (node, Reporter(u32::MAX));
-        let keys: Vec<Key> = self
+        let keys: Vec<UpdateKey> = self
             .updates
             .range(first..=last)
             .map(|(key, _)| *key)
@@ -69,61 +69,61 @@
         self.updates.len()
     }
 
-    fn drop_most_sent(&mut self) {
-        let most_sent = self
+    fn drop_most_transmitted(&mut self) {
+        let most_transmitted = self
             .updates
             .iter()
             .max_by_key(|(_, update)| (update.transmits, std::cmp::Reverse(update.arrival)))
             .map(|(key, _)| *key);
-        if let Some(key) = most_sent {
+        if let Some(key) = most_transmitted {
             self.updates.remove(&key);
         }
     }
 }
 
 impl MemberTable {
-    /// Takes queued updates that fit into the room, in bytes: leaving members first, then the
-    /// least sent, then the newest.
+    /// Returns queued updates that fit into `room` bytes and counts their transmission. Leaving
+    /// members come first, then the least transmitted updates, then the newest.
     pub(crate) fn queued_updates(&mut self, room: usize) -> Vec<WireUpdate> {
-        let mut order: Vec<(bool, u32, std::cmp::Reverse<u64>, Key)> = self
+        let mut order: Vec<(bool, u32, std::cmp::Reverse<u64>, UpdateKey)> = self
             .queue
             .updates
             .iter()
             .map(|(key, update)| {
-                let urgent = self.is_leaving(key.0);
+                let leaving = self.is_leaving(key.0);
                 let newest = std::cmp::Reverse(update.arrival);
-                (!urgent, update.transmits, newest, *key)
+                (!leaving, update.transmits, newest, *key)
             })
             .collect();
         order.sort_unstable();
         let mut updates = Vec::new();
-        let mut left = room;
+        let mut remaining = room;
         for (.., key) in order {
             let Some(update) = self.wire_update(key) else {
                 self.queue.updates.remove(&key);
                 continue;
             };
             let length = update.encoded_len();
-            if length > left {
+            if length > remaining {
                 break;
             }
-            left -= length;
+            remaining -= length;
             updates.push(update);
             self.count_transmit(key);
         }
         updates
     }
 
-    /// Whether a leaving member is among the updates.
-    pub(crate) fn has_urgent_update(&self) -> bool {
+    pub(crate) fn has_leaving_update(&self) -> bool {
         self.queue.updates.keys().any(|key| self.is_leaving(key.0))
     }
 
-    /// Queues another node's failed probe of a suspected member. It is sent after news of other
-    /// members and less often: it only shortens a suspicion that is known.
+    /// Queues a confirmation of a known suspicion. Confirmations only shorten a suspicion, so they
+    /// start with a transmission count and are sent later and less often than other updates.
     pub(crate) fn push_confirmation(&mut self, node: NodeId, reporter: Reporter) {
-        let sent = self.transmit_limit() * 2 / 3;
-        self.queue.push_sent(node, reporter, sent);
+        let initial_transmits = self.transmit_limit() * 2 / 3;
+        self.queue
+            .push_with_transmits(node, reporter, initial_transmits);
     }
 
     fn is_leaving(&self, node: NodeId) -> bool {
@@ -132,12 +132,12 @@
             .is_some_and(|row| row.record.leaving)
     }
 
-    fn wire_update(&self, (node, reporter): Key) -> Option<WireUpdate> {
+    fn wire_update(&self, (node, reporter): UpdateKey) -> Option<WireUpdate> {
         let record: &MemberRecord = &self.members.get(&node)?.record;
         Some(to_update(record, reporter, record.health == Health::Alive))
     }
 
-    fn count_transmit(&mut self, key: Key) {
+    fn count_transmit(&mut self, key: UpdateKey) {
         let limit = self.transmit_limit();
         if let Some(update) = self.queue.updates.get_mut(&key) {
             update.transmits += 1;
@@ -147,7 +147,7 @@
         }
     }
 
-    /// λ·log2(n + 1), rounded up.
+    /// Returns λ·log2(n + 1), rounded up, for n live members.
     fn transmit_limit(&self) -> u32 {
         let members = self.live_count() as f64;
         let limit = self.settings.transmit_factor * (members + 1.0).log2();
--- a/crates/standalone/tallybridge-membership/src/zones.rs
+++ b/crates/standalone/tallybridge-membership/src/zones.rs
@@ -1,4 +1,4 @@
-//! How many members of each zone are suspected.
+//! Counts of live and suspected members per zone.
 
 use std::collections::BTreeMap;
 
@@ -6,8 +6,8 @@
 
 use crate::member::{Health, MemberRecord};
 
-/// Fewest suspected members that count as a zone in trouble.
-const FEWEST_SUSPECTED: usize = 3;
+/// Minimum number of suspected members for a zone to count as mostly suspected.
+const MIN_SUSPECTED_MEMBERS: usize = 3;
 
 #[derive(Debug, Default)]
 struct ZoneCount {
@@ -15,13 +15,12 @@
     suspected: usize,
 }
 
-/// A row for each zone.
 #[derive(Debug, Default)]
-pub(crate) struct Zones {
+pub(crate) struct ZoneCounts {
     counts: BTreeMap<ZoneName, ZoneCount>,
 }
 
-impl Zones {
+impl ZoneCounts {
     pub(crate) fn add(&mut self, record: &MemberRecord) {
         let zone = record.placement.zone.clone();
         let count = self.counts.entry(zone).or_default();
@@ -36,11 +35,11 @@
         }
     }
 
-    /// Whether most of a zone is suspected at once: then the link to it, perhaps this node's own,
-    /// is more likely at fault than each of its members.
+    /// Returns whether most of a zone is suspected at once. A failure of the zone's link or of this
+    /// node's own link is then more likely than a failure of each member.
     pub(crate) fn is_mostly_suspected(&self, zone: &ZoneName) -> bool {
         self.counts.get(zone).is_some_and(|count| {
-            count.suspected >= FEWEST_SUSPECTED && count.suspected * 2 > count.live
+            count.suspected >= MIN_SUSPECTED_MEMBERS && count.suspected * 2 > count.live
         })
     }
 }
--- a/crates/standalone/tallybridge-membership/tests/convergence.rs
+++ b/crates/standalone/tallybridge-membership/tests/convergence.rs
@@ -1,8 +1,9 @@
-//! Whatever happens, once the network is whole every node believes what is true; a leaving node is
-//! known to be leaving within 3 s; no belief goes back.
+//! After arbitrary failures, every table converges to the actual state once the network is healed.
+//! A leaving node is recorded as leaving everywhere within 3 s. No record is replaced by an older
+//! one.
 //!
-//! A long run: `PROPTEST_CASES=5000 cargo test --release -p tallybridge-membership --test
-//! convergence`.
+//! Example of a longer run: `PROPTEST_CASES=5000 cargo test --release -p tallybridge-membership
+//! --test convergence`.
 
 mod support;
 
@@ -19,43 +20,43 @@
 const ZONES: usize = 4;
 const NETWORK_SEED: u64 = 0x7a11;
 
-/// Time after which a whole and quiet network has settled. The slowest way: local health 8 at the
-/// end of a partition, a whole zone suspected and held for 3 × 16 s, then refuted or declared.
-const SETTLE: Duration = Duration::from_secs(150);
+/// Time within which a healed network must converge. The slowest case is a partition that ends with
+/// a local health score of 8 and a suspected zone, whose members have the longest time to refute.
+const CONVERGENCE_TIME: Duration = Duration::from_secs(150);
 
-/// Time within which all know that a node is leaving.
+/// Time within which all nodes must record a node as leaving.
 const LEAVE_BOUND: Duration = Duration::from_secs(3);
 
-/// Time that a departed process still tells of it.
-const LAST_WORDS: Duration = Duration::from_secs(1);
+/// Time that a process keeps running after announcing that it left.
+const DEPARTURE_RUNTIME: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone)]
 enum Transition {
     Kill(usize),
-    /// Starts the slot's process anew, as another instance at the same address.
+    /// Replaces the slot's process with a new instance at the same address.
     Restart(usize),
     Freeze(usize),
     Thaw(usize),
     Leave(usize),
     Depart(usize),
-    /// Cuts a zone off another, in one direction.
+    /// Drops the datagrams from the first zone to the second.
     CutOneWay(usize, usize),
-    /// Cuts the first zones off the others.
-    CutApart(usize),
+    /// Separates the given number of zones from the other zones in both directions.
+    SeparateZones(usize),
     Loss(u8),
     Duplication(u8),
     Jitter(u16),
-    MakeWhole,
+    Heal,
     Wait(u16),
-    /// Makes the network whole, waits and compares.
-    Settle,
+    /// Heals the network, waits for convergence and checks all tables.
+    HealAndCheck,
 }
 
-/// Slots in which a process runs; the rest of the truth is with the processes themselves.
+/// Whether a process runs in each slot; the network holds the rest of the state.
 #[derive(Debug, Clone)]
-struct Running([bool; SLOTS]);
+struct RunningSlots([bool; SLOTS]);
 
-impl ReferenceStateMachine for Running {
+impl ReferenceStateMachine for RunningSlots {
     type State = Self;
     type Transition = Transition;
 
@@ -74,13 +75,13 @@
             3 => slot.clone().prop_map(Transition::Leave),
             1 => slot.prop_map(Transition::Depart),
             2 => (zone.clone(), zone).prop_map(|(from, to)| Transition::CutOneWay(from, to)),
-            2 => (1..ZONES).prop_map(Transition::CutApart),
+            2 => (1..ZONES).prop_map(Transition::SeparateZones),
             1 => (0..40u8).prop_map(Transition::Loss),
             1 => (0..40u8).prop_map(Transition::Duplication),
             1 => (0..1500u16).prop_map(Transition::Jitter),
-            2 => Just(Transition::MakeWhole),
+            2 => Just(Transition::Heal),
             6 => (0..30_000u16).prop_map(Transition::Wait),
-            1 => Just(Transition::Settle),
+            1 => Just(Transition::HealAndCheck),
         ]
         .boxed()
     }
@@ -108,16 +109,16 @@
 
 impl StateMachineTest for Fleet {
     type SystemUnderTest = Network;
-    type Reference = Running;
+    type Reference = RunningSlots;
 
-    fn init_test(_: &Running) -> Network {
+    fn init_test(_: &RunningSlots) -> Network {
         let mut network = Network::new(SLOTS, ZONES, NETWORK_SEED);
         network.start_all();
         network.run(Duration::from_secs(10));
         network
     }
 
-    fn apply(mut network: Network, _: &Running, transition: Transition) -> Network {
+    fn apply(mut network: Network, _: &RunningSlots, transition: Transition) -> Network {
         match transition {
             Transition::Kill(slot) => network.kill(slot),
             Transition::Restart(slot) => {
@@ -128,49 +129,51 @@
             Transition::Leave(slot) => leave(&mut network, slot),
             Transition::Depart(slot) => depart(&mut network, slot),
             Transition::CutOneWay(from, to) => network.cut(from, to),
-            Transition::CutApart(zones) => cut_apart(&mut network, zones),
-            Transition::Loss(percent) => network.weather.loss = f64::from(percent) / 100.0,
+            Transition::SeparateZones(zones) => separate_zones(&mut network, zones),
+            Transition::Loss(percent) => network.faults.loss = f64::from(percent) / 100.0,
             Transition::Duplication(percent) => {
-                network.weather.duplication = f64::from(percent) / 100.0;
+                network.faults.duplication = f64::from(percent) / 100.0;
             }
             Transition::Jitter(millis) => {
-                network.weather.jitter = Duration::from_millis(millis.into());
+                network.faults.jitter = Duration::from_millis(millis.into());
             }
-            Transition::MakeWhole => network.make_whole(),
+            Transition::Heal => network.heal(),
             Transition::Wait(millis) => network.run(Duration::from_millis(millis.into())),
-            Transition::Settle => settle(&mut network),
+            Transition::HealAndCheck => heal_and_check(&mut network),
         }
         network
     }
 
-    fn teardown(mut network: Network, _: Running) {
-        settle(&mut network);
+    fn teardown(mut network: Network, _: RunningSlots) {
+        heal_and_check(&mut network);
     }
 }
 
-/// Leaves; where nothing is wrong beforehand, all must know within the bound.
+/// Makes a node leave. If the network is healthy and converged, checks that all nodes record the
+/// leaving node within the bound.
 fn leave(network: &mut Network, slot: usize) {
-    let agreed = network.is_whole() && is_calm(network) && truth::agrees(network);
+    let was_converged =
+        network.is_healed() && has_low_jitter(network) && truth::matches_everywhere(network);
     network.leave(slot);
-    if agreed {
+    if was_converged {
         network.run(LEAVE_BOUND);
-        truth::assert_agrees(network);
+        truth::assert_matches_everywhere(network);
     }
 }
 
-/// Whether datagrams arrive in order of a usual network.
-fn is_calm(network: &Network) -> bool {
-    network.weather.jitter <= Duration::from_millis(100)
+/// Returns whether the jitter is small enough for the leave bound.
+fn has_low_jitter(network: &Network) -> bool {
+    network.faults.jitter <= Duration::from_millis(100)
 }
 
 fn depart(network: &mut Network, slot: usize) {
     network.thaw(slot);
     network.depart(slot);
-    network.run(LAST_WORDS);
+    network.run(DEPARTURE_RUNTIME);
     network.kill(slot);
 }
 
-fn cut_apart(network: &mut Network, zones: usize) {
+fn separate_zones(network: &mut Network, zones: usize) {
     for from in 0..zones {
         for to in zones..ZONES {
             network.cut(from, to);
@@ -179,12 +182,12 @@
     }
 }
 
-fn settle(network: &mut Network) {
-    network.make_whole();
-    network.weather.duplication = 0.0;
-    network.weather.jitter = Duration::from_millis(20);
-    network.run(SETTLE);
-    truth::assert_agrees(network);
+fn heal_and_check(network: &mut Network) {
+    network.heal();
+    network.faults.duplication = 0.0;
+    network.faults.jitter = Duration::from_millis(20);
+    network.run(CONVERGENCE_TIME);
+    truth::assert_matches_everywhere(network);
 }
 
 fn cases() -> u32 {
@@ -206,5 +209,5 @@
     })]
 
     #[test]
-    fn a_whole_network_believes_what_is_true(sequential 1..24 => Fleet);
+    fn tables_converge_after_healing(sequential 1..24 => Fleet);
 }
--- a/crates/standalone/tallybridge-membership/tests/support/mod.rs
+++ b/crates/standalone/tallybridge-membership/tests/support/mod.rs
@@ -1,4 +1,4 @@
-//! An in-memory network of real member tables in virtual time.
+//! Simulated network of member tables in virtual time.
 
 #![allow(dead_code)]
 
--- a/crates/standalone/tallybridge-membership/tests/support/network.rs
+++ b/crates/standalone/tallybridge-membership/tests/support/network.rs
@@ -1,4 +1,4 @@
-//! Slots with an address each, the processes in them, and datagrams under way.
+//! Simulated network: slots with fixed addresses, their processes and the datagrams in transit.
 
 use std::{
     cmp::Reverse,
@@ -13,29 +13,28 @@
 
 use super::process::Process;
 
-/// Time between two ticks of a process.
 pub const TICK: Duration = Duration::from_millis(100);
 
 const PORT: u16 = 7400;
 const RACKS_PER_ZONE: usize = 8;
 
-/// What happens to datagrams.
+/// Faults injected into the delivery of datagrams.
 #[derive(Debug, Clone, Default)]
-pub struct Weather {
-    /// Share that is lost.
+pub struct NetworkFaults {
+    /// Probability that a datagram is lost.
     pub loss: f64,
-    /// Share that arrives twice.
+    /// Probability that a datagram is delivered twice.
     pub duplication: f64,
-    /// Longest delay on top of the shortest; datagrams overtake each other.
+    /// Maximum random delay on top of the minimum delay; reorders datagrams.
     pub jitter: Duration,
-    /// Zones whose datagrams to another zone are lost.
+    /// Pairs of source and destination zone between which all datagrams are lost.
     pub cuts: BTreeSet<(usize, usize)>,
 }
 
-enum Happening {
+enum SimEvent {
     Tick {
         slot: usize,
-        start: u64,
+        generation: u64,
     },
     Arrival {
         from: SocketAddr,
@@ -44,36 +43,34 @@
     },
 }
 
-/// An address and what runs there.
+/// Fixed address and the process that runs there, if any.
 pub struct Slot {
     pub address: SocketAddr,
     pub zone: usize,
     pub process: Option<Process>,
-    /// Counts the starts, so that ticks of an earlier process are told apart.
-    start: u64,
-    /// Seeds of the address: the lagging machine list.
+    /// Number of starts; distinguishes scheduled ticks of earlier processes.
+    generation: u64,
     pub sent_bytes: u64,
     pub sent_datagrams: u64,
 }
 
-/// The network.
 pub struct Network {
     pub slots: Vec<Slot>,
-    pub weather: Weather,
+    pub faults: NetworkFaults,
     pub settings: MembershipSettings,
     zones: usize,
-    began: Instant,
+    started_at: Instant,
     elapsed: Duration,
-    order: u64,
+    last_event_id: u64,
     due: BinaryHeap<Reverse<(Duration, u64)>>,
-    happenings: BTreeMap<u64, Happening>,
+    scheduled_events: BTreeMap<u64, SimEvent>,
     by_address: BTreeMap<SocketAddr, usize>,
     rng: SmallRng,
-    pub check_monotonic: bool,
+    pub check_precedence: bool,
 }
 
 impl Network {
-    /// So many empty slots spread over so many zones; two zones make a region.
+    /// Creates empty slots and distributes them over the zones; a region has two zones.
     pub fn new(slots: usize, zones: usize, seed: u64) -> Self {
         let slots: Vec<Slot> = (0..slots).map(|index| Slot::new(index, zones)).collect();
         let by_address = slots
@@ -83,32 +80,32 @@
             .collect();
         Self {
             slots,
-            weather: Weather {
+            faults: NetworkFaults {
                 jitter: Duration::from_millis(20),
-                ..Weather::default()
+                ..NetworkFaults::default()
             },
             settings: MembershipSettings::default(),
             zones,
-            began: Instant::now(),
+            started_at: Instant::now(),
             elapsed: Duration::ZERO,
-            order: 0,
+            last_event_id: 0,
             due: BinaryHeap::new(),
-            happenings: BTreeMap::new(),
+            scheduled_events: BTreeMap::new(),
             by_address,
             rng: SmallRng::seed_from_u64(seed),
-            check_monotonic: true,
+            check_precedence: true,
         }
     }
 
     pub fn now(&self) -> Instant {
-        self.began + self.elapsed
+        self.started_at + self.elapsed
     }
 
     pub fn elapsed(&self) -> Duration {
         self.elapsed
     }
 
-    /// Starts a process in a slot, as a new instance, with some addresses of the machine list.
+    /// Starts a new instance in a slot, with the addresses of all slots as seeds.
     pub fn start(&mut self, index: usize) -> NodeId {
         let seeds: Vec<SocketAddr> = self.slots.iter().map(|slot| slot.address).collect();
         let slot = &self.slots[index];
@@ -124,21 +121,26 @@
         let process = Process::start(identity, self.settings.clone(), &seeds, seed, self.now());
         let slot = &mut self.slots[index];
         slot.process = Some(process);
-        slot.start += 1;
-        let start = slot.start;
+        slot.generation += 1;
+        let generation = slot.generation;
         let offset = Duration::from_millis(self.rng.random_range(0..100));
-        self.schedule(offset, Happening::Tick { slot: index, start });
+        self.schedule(
+            offset,
+            SimEvent::Tick {
+                slot: index,
+                generation,
+            },
+        );
         node
     }
 
-    /// Starts all slots.
     pub fn start_all(&mut self) {
         for index in 0..self.slots.len() {
             self.start(index);
         }
     }
 
-    /// Ends the process of a slot without a word.
+    /// Ends the process of a slot without an announcement.
     pub fn kill(&mut self, index: usize) {
         self.slots[index].process = None;
     }
@@ -155,8 +157,8 @@
             return;
         };
         if process.frozen {
-            let answers = process.thaw(now);
-            self.send(index, answers);
+            let outgoing = process.thaw(now);
+            self.send(index, outgoing);
         }
     }
 
@@ -174,89 +176,89 @@
         }
     }
 
-    /// Cuts a zone off another, in one direction.
+    /// Drops the datagrams from one zone to another.
     pub fn cut(&mut self, from: usize, to: usize) {
-        self.weather.cuts.insert((from, to));
+        self.faults.cuts.insert((from, to));
     }
 
-    /// Nothing is cut, lost or frozen any more.
-    pub fn make_whole(&mut self) {
-        self.weather.cuts.clear();
-        self.weather.loss = 0.0;
+    /// Removes all cuts and losses and thaws all processes; duplication and jitter stay.
+    pub fn heal(&mut self) {
+        self.faults.cuts.clear();
+        self.faults.loss = 0.0;
         for index in 0..self.slots.len() {
             self.thaw(index);
         }
     }
 
-    /// Whether nothing is cut, lost or frozen.
-    pub fn is_whole(&self) -> bool {
+    /// Returns whether there are no cuts, no losses and no frozen processes.
+    pub fn is_healed(&self) -> bool {
         let thawed = self.processes().all(|process| !process.frozen);
-        thawed && self.weather.cuts.is_empty() && self.weather.loss == 0.0
+        thawed && self.faults.cuts.is_empty() && self.faults.loss == 0.0
     }
 
     pub fn processes(&self) -> impl Iterator<Item = &Process> {
         self.slots.iter().filter_map(|slot| slot.process.as_ref())
     }
 
-    /// Lets virtual time pass.
+    /// Advances the virtual time and handles all events that become due.
     pub fn run(&mut self, time: Duration) {
         let end = self.elapsed + time;
-        while let Some(Reverse((at, order))) = self.due.peek().copied() {
+        while let Some(Reverse((at, event_id))) = self.due.peek().copied() {
             if at > end {
                 break;
             }
             self.due.pop();
             self.elapsed = at;
-            if let Some(happening) = self.happenings.remove(&order) {
-                self.happen(happening);
+            if let Some(event) = self.scheduled_events.remove(&event_id) {
+                self.handle_event(event);
             }
         }
         self.elapsed = end;
     }
 
-    /// Lets time pass until something holds; `None` when it does not within the limit.
+    /// Advances the time until the condition holds; returns `None` if it does not within the limit.
     pub fn run_until(
         &mut self,
         limit: Duration,
-        mut holds: impl FnMut(&Self) -> bool,
+        mut condition: impl FnMut(&Self) -> bool,
     ) -> Option<Duration> {
-        let began = self.elapsed;
-        while self.elapsed - began <= limit {
-            if holds(self) {
-                return Some(self.elapsed - began);
+        let started_at = self.elapsed;
+        while self.elapsed - started_at <= limit {
+            if condition(self) {
+                return Some(self.elapsed - started_at);
             }
             self.run(TICK);
         }
         None
     }
 
-    fn happen(&mut self, happening: Happening) {
+    fn handle_event(&mut self, event: SimEvent) {
         let now = self.now();
-        let (index, answers) = match happening {
-            Happening::Tick { slot, start } => {
-                if self.slots[slot].start != start {
+        let (index, outgoing) = match event {
+            SimEvent::Tick { slot, generation } => {
+                if self.slots[slot].generation != generation {
                     return;
                 }
                 let Some(process) = &mut self.slots[slot].process else {
                     return;
                 };
-                let sent = process.tick(now);
-                self.schedule(TICK, Happening::Tick { slot, start });
-                (slot, sent)
+                let datagrams = process.tick(now);
+                self.schedule(TICK, SimEvent::Tick { slot, generation });
+                (slot, datagrams)
             }
-            Happening::Arrival { from, to, bytes } => {
+            SimEvent::Arrival { from, to, bytes } => {
                 let Some(process) = &mut self.slots[to].process else {
                     return;
                 };
                 (to, process.deliver((from, bytes), now))
             }
         };
-        if self.check_monotonic
+        if self.check_precedence
             && let Some(process) = &mut self.slots[index].process
         {
-            process.check_monotonic();
+            process.check_precedence();
         }
-        self.send(index, answers);
+        self.send(index, outgoing);
     }
 
     fn send(&mut self, index: usize, datagrams: Vec<(SocketAddr, Vec<u8>)>) {
@@ -267,7 +269,7 @@
             let Some(to) = self.by_address.get(&to).copied() else {
                 continue;
             };
-            let copies = 1 + usize::from(self.chance(self.weather.duplication));
+            let copies = 1 + usize::from(self.chance(self.faults.duplication));
             for _ in 0..copies {
                 self.forward(index, to, bytes.clone());
             }
@@ -275,24 +277,25 @@
     }
 
     fn forward(&mut self, index: usize, to: usize, bytes: Vec<u8>) {
-        let way = (self.slots[index].zone, self.slots[to].zone);
-        if self.weather.cuts.contains(&way) || self.chance(self.weather.loss) {
+        let zone_pair = (self.slots[index].zone, self.slots[to].zone);
+        if self.faults.cuts.contains(&zone_pair) || self.chance(self.faults.loss) {
             return;
         }
-        let jitter = self.weather.jitter.as_micros() as u64;
+        let jitter = self.faults.jitter.as_micros() as u64;
         let delay = Duration::from_micros(500 + self.rng.random_range(0..=jitter));
         let from = self.slots[index].address;
-        self.schedule(delay, Happening::Arrival { from, to, bytes });
+        self.schedule(delay, SimEvent::Arrival { from, to, bytes });
     }
 
-    fn chance(&mut self, share: f64) -> bool {
-        share > 0.0 && self.rng.random_bool(share)
+    fn chance(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.rng.random_bool(probability)
     }
 
-    fn schedule(&mut self, delay: Duration, happening: Happening) {
-        self.order += 1;
-        self.due.push(Reverse((self.elapsed + delay, self.order)));
-        self.happenings.insert(self.order, happening);
+    fn schedule(&mut self, delay: Duration, event: SimEvent) {
+        self.last_event_id += 1;
+        self.due
+            .push(Reverse((self.elapsed + delay, self.last_event_id)));
+        self.scheduled_events.insert(self.last_event_id, event);
     }
 
     pub fn zones(&self) -> usize {
@@ -307,7 +310,7 @@
             address: (Ipv4Addr::new(127, 1, high, low), PORT).into(),
             zone: index % zones,
             process: None,
-            start: 0,
+            generation: 0,
             sent_bytes: 0,
             sent_datagrams: 0,
         }
--- a/crates/standalone/tallybridge-membership/tests/support/process.rs
+++ b/crates/standalone/tallybridge-membership/tests/support/process.rs
@@ -1,4 +1,4 @@
-//! One node process: a table, its random source and what it has heard.
+//! Simulated node process with a member table.
 
 use std::{
     collections::BTreeMap,
@@ -14,23 +14,22 @@
 };
 use tallybridge_wire::{decode_datagram, encode_datagram};
 
-/// Datagrams that a frozen process finds when it wakes; more are lost, as in a socket's buffer.
-const SOCKET_BUFFER: usize = 200;
+/// Capacity of the simulated socket buffer of a frozen process; further datagrams are lost.
+const SOCKET_BUFFER_DATAGRAMS: usize = 200;
 
-/// A datagram in its bytes and who sent it.
+/// Sender address and encoded datagram.
 pub type Received = (SocketAddr, Vec<u8>);
 
-/// A node process.
 pub struct Process {
     pub table: MemberTable,
     rng: SmallRng,
     pub frozen: bool,
     inbox: Vec<Received>,
-    /// Highest belief seen so far about each member.
-    believed: BTreeMap<NodeId, (Incarnation, Health)>,
-    /// Revision to take over, as after a fetch from the peer that is ahead.
+    /// Latest precedence of each member's record.
+    latest_precedence: BTreeMap<NodeId, (Incarnation, Health)>,
+    /// Revision to apply at the next tick, which simulates a fetch from the peer that is ahead.
     pub fetched: Option<u64>,
-    /// Time spent in the table and in encoding, for measurements.
+    /// Wall-clock time spent in the table, in decoding and in encoding.
     pub busy: Duration,
     pub events: Vec<MemberEvent>,
     pub keep_events: bool,
@@ -51,7 +50,7 @@
             rng: SmallRng::seed_from_u64(seed),
             frozen: false,
             inbox: Vec::new(),
-            believed: BTreeMap::new(),
+            latest_precedence: BTreeMap::new(),
             fetched: None,
             busy: Duration::ZERO,
             events: Vec::new(),
@@ -59,41 +58,41 @@
         }
     }
 
-    /// One tick.
+    /// Runs one tick and returns the datagrams to send; does nothing while frozen.
     pub fn tick(&mut self, now: Instant) -> Vec<(SocketAddr, Vec<u8>)> {
         if self.frozen {
             return Vec::new();
         }
-        let began = Instant::now();
+        let started_at = Instant::now();
         if let Some(revision) = self.fetched.take() {
             self.table.set_revision(revision);
         }
         let outgoing = probe::run(&mut self.table, now, &mut self.rng);
-        let bytes = encoded(&outgoing);
+        let bytes = encode_all(&outgoing);
         self.take_events();
-        self.busy += began.elapsed();
+        self.busy += started_at.elapsed();
         bytes
     }
 
-    /// Takes in a datagram, or keeps it while frozen.
+    /// Handles a datagram, or buffers it while the process is frozen.
     pub fn deliver(&mut self, received: Received, now: Instant) -> Vec<(SocketAddr, Vec<u8>)> {
         if self.frozen {
-            if self.inbox.len() < SOCKET_BUFFER {
+            if self.inbox.len() < SOCKET_BUFFER_DATAGRAMS {
                 self.inbox.push(received);
             }
             return Vec::new();
         }
-        let began = Instant::now();
+        let started_at = Instant::now();
         let (from, bytes) = received;
-        let datagram = decode_datagram(&bytes).expect("whole datagram");
+        let datagram = decode_datagram(&bytes).expect("a delivered datagram decodes");
         let outgoing = receive(&mut self.table, from, datagram, now, &mut self.rng);
-        let answers = encoded(&outgoing);
+        let replies = encode_all(&outgoing);
         self.take_events();
-        self.busy += began.elapsed();
-        answers
+        self.busy += started_at.elapsed();
+        replies
     }
 
-    /// Goes on after a freeze, with what waited in the socket.
+    /// Ends a freeze and handles the buffered datagrams.
     pub fn thaw(&mut self, now: Instant) -> Vec<(SocketAddr, Vec<u8>)> {
         self.frozen = false;
         let inbox = std::mem::take(&mut self.inbox);
@@ -114,14 +113,14 @@
         }
     }
 
-    /// Panics when a belief about a member went back.
-    pub fn check_monotonic(&mut self) {
+    /// Panics if a record of a member was replaced by an older one.
+    pub fn check_precedence(&mut self) {
         for record in self.table.members() {
-            let now = record.precedence();
-            let before = self.believed.insert(record.node, now);
+            let current = record.precedence();
+            let previous = self.latest_precedence.insert(record.node, current);
             assert!(
-                before.is_none_or(|before| before <= now),
-                "{} went back on {}: {before:?} to {now:?}",
+                previous.is_none_or(|previous| previous <= current),
+                "{} replaced its record of {} with an older one: {previous:?} to {current:?}",
                 self.table.identity(),
                 record.node
             );
@@ -129,11 +128,11 @@
     }
 }
 
-fn encoded(outgoing: &[Outgoing]) -> Vec<(SocketAddr, Vec<u8>)> {
+fn encode_all(outgoing: &[Outgoing]) -> Vec<(SocketAddr, Vec<u8>)> {
     outgoing
         .iter()
         .map(|outgoing| {
-            let bytes = encode_datagram(&outgoing.datagram).expect("fits");
+            let bytes = encode_datagram(&outgoing.datagram).expect("an outgoing datagram encodes");
             assert_eq!(bytes.len(), outgoing.datagram.encoded_len());
             (outgoing.to, bytes)
         })
--- a/crates/standalone/tallybridge-membership/tests/support/truth.rs
+++ b/crates/standalone/tallybridge-membership/tests/support/truth.rs
@@ -1,4 +1,4 @@
-//! The oracle: what runs, and what each process believes.
+//! Comparison of each process's table with the actual state of the network.
 
 use std::collections::BTreeMap;
 
@@ -7,23 +7,26 @@
 
 use super::network::Network;
 
-/// Live members and how they are.
-pub type View = BTreeMap<NodeId, MemberState>;
+/// States of the live members.
+pub type MemberStates = BTreeMap<NodeId, MemberState>;
 
-/// What runs in the network.
-pub fn truth(network: &Network) -> View {
+/// Returns the actual state of each running process, as recorded by the process itself.
+pub fn actual_state(network: &Network) -> MemberStates {
     network
         .processes()
         .map(|process| {
             let node = process.table.identity();
-            let own = process.table.member(node).expect("knows itself");
+            let own = process
+                .table
+                .member(node)
+                .expect("a table contains its owner");
             (node, own.state())
         })
         .collect()
 }
 
-/// What a table believes to run.
-pub fn view(table: &MemberTable) -> View {
+/// Returns the live members in a table.
+pub fn live_members(table: &MemberTable) -> MemberStates {
     table
         .members()
         .filter(|record| record.health.is_live())
@@ -31,19 +34,23 @@
         .collect()
 }
 
-/// Whether everybody believes what is true.
-pub fn agrees(network: &Network) -> bool {
-    let truth = truth(network);
+/// Returns whether every table matches the actual state.
+pub fn matches_everywhere(network: &Network) -> bool {
+    let actual = actual_state(network);
     network
         .processes()
-        .all(|process| view(&process.table) == truth)
+        .all(|process| live_members(&process.table) == actual)
 }
 
-/// Panics with the first view that is not true.
-pub fn assert_agrees(network: &Network) {
-    let truth = truth(network);
+/// Panics if a table differs from the actual state.
+pub fn assert_matches_everywhere(network: &Network) {
+    let actual = actual_state(network);
     for process in network.processes() {
         let observer = process.table.identity();
-        assert_eq!(view(&process.table), truth, "view of {observer}");
+        assert_eq!(
+            live_members(&process.table),
+            actual,
+            "table of {observer} differs from the actual state"
+        );
     }
 }
