Say which claims a member refutes

The comment left out claims with a greater incarnation than the member uses. Comment only; cargo fmt, clippy and doc of tallybridge-membership are clean, no tests were run again.

--- a/crates/standalone/tallybridge-membership/src/refute.rs
+++ b/crates/standalone/tallybridge-membership/src/refute.rs
@@ -9,8 +9,9 @@
 };
 
 impl MemberTable {
-    /// Refutes a claim that this node is suspect or dead by announcing a greater incarnation. Sets
-    /// `superseded` if the claim cannot be refuted.
+    /// Refutes a claim that this node is suspect or dead, or has a greater incarnation than it uses,
+    /// by announcing a greater incarnation. Sets `superseded` if the claim cannot be
+    /// refuted.
     pub(crate) fn refute_claim(&mut self, claim: &Claim, now: Instant) {
         let own = self.own_record();
         if own.health == Health::Left {
