--- a/crates/standalone/tallybridge-wire/benches/codec.rs
+++ b/crates/standalone/tallybridge-wire/benches/codec.rs
@@ -1,4 +1,4 @@
-//! Cost of a frame: a call's head and a full piece of a body.
+//! Benchmarks encoding and decoding of a frame that carries a body chunk of maximum size.
 
 use std::hint::black_box;
 
@@ -15,7 +15,7 @@
     let mut encoded = BytesMut::new();
     FrameCodec
         .encode(frame.clone(), &mut encoded)
-        .expect("encodes");
+        .expect("the frame encodes");
     let mut group = criterion.benchmark_group("body chunk");
     group.throughput(Throughput::Bytes(BodyChunk::MAX_BYTES as u64));
     group.bench_function("encode", |bencher| {
@@ -23,14 +23,14 @@
             let mut buffer = BytesMut::new();
             FrameCodec
                 .encode(black_box(frame.clone()), &mut buffer)
-                .expect("encodes");
+                .expect("the frame encodes");
             buffer
         });
     });
     group.bench_function("decode", |bencher| {
         bencher.iter(|| {
             let mut buffer = black_box(encoded.clone());
-            FrameCodec.decode(&mut buffer).expect("decodes")
+            FrameCodec.decode(&mut buffer).expect("the frame decodes")
         });
     });
     group.finish();
--- a/crates/standalone/tallybridge-wire/src/claim.rs
+++ b/crates/standalone/tallybridge-wire/src/claim.rs
@@ -1,4 +1,7 @@
-//! Messages about claims: who may run a request, and how often.
+//! Messages about claims, which decide which attempts may run a request and how often.
+//!
+//! The claims of a request key are held by the replicas of its partition. Each replica votes on a
+//! claim, and the membership of a partition changes with its epoch.
 
 use deku::prelude::*;
 use tallybridge_core::{AttemptId, InstanceId, RequestKey};
@@ -65,7 +68,7 @@
     }
 }
 
-/// A finished answer that is small enough to be kept for replay.
+/// An answer of a back end that is small enough for a replica to store and replay.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -73,21 +76,22 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct StoredAnswer {
-    /// Status of the back end's answer.
+    /// HTTP status of the back end's answer.
     pub status: u16,
-    /// End-to-end headers.
+    /// End-to-end headers of the answer.
     pub headers: WireHeaders,
     body_length: u16,
-    /// The whole body.
+    /// The complete body of the answer.
     #[deku(count = "body_length")]
     pub body: Vec<u8>,
 }
 
 impl StoredAnswer {
-    /// Largest body that is kept, in bytes.
+    /// Maximum size of a stored body, in bytes.
     pub const MAX_BODY_BYTES: usize = 4 << 10;
 
-    /// Wraps an answer, or `None` when its body is too large to be kept.
+    /// Returns the answer in its stored form, or `None` when the body exceeds
+    /// [`Self::MAX_BODY_BYTES`].
     #[must_use]
     pub fn new(status: u16, headers: WireHeaders, body: &[u8]) -> Option<Self> {
         if body.len() > Self::MAX_BODY_BYTES {
@@ -102,21 +106,21 @@
     }
 }
 
-/// Asks a replica for one numbered run of a key.
+/// Asks a replica to grant one run of a request key to an attempt.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct Claim {
-    /// The request.
+    /// Key of the request to run.
     pub key: WireKey,
-    /// Epoch of the key's partition as the asker knows it.
+    /// Epoch of the key's partition that the sender knows.
     pub epoch: u64,
     /// Number of the run, from 1.
     pub run: u8,
-    /// Who asks.
+    /// The attempt that asks for the run.
     pub attempt: WireAttempt,
 }
 
-/// Why a replica does not vote.
+/// Reason why a replica does not vote.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -125,30 +129,31 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum AbstainReason {
-    /// The node is no replica of the partition.
+    /// The node is not a replica of the partition.
     #[deku(id = "1")]
     NotMember,
-    /// The asker's epoch is over.
+    /// The epoch in the message is older than the epoch of the replica.
     #[deku(id = "2")]
     StaleEpoch {
-        /// Greatest epoch that the replica knows.
+        /// Latest epoch that the replica knows.
         current: u64,
     },
-    /// The replica has not yet learned the epoch, or not yet copied the claims.
+    /// The replica has not learned the epoch yet or has not copied the claims yet.
     #[deku(id = "3")]
     NotSynchronised,
-    /// The key is too old or dated in the future.
+    /// The issue time of the key is too old or in the future.
     #[deku(id = "4")]
     KeyOutsideWindow,
-    /// The partition lost a majority of its replicas after the key may have been claimed.
+    /// The key was issued before the partition lost a majority of its replicas and was reset, so
+    /// claims on the key may be lost.
     #[deku(id = "5")]
     BeforeReset,
-    /// The replica remembers as many keys as it may.
+    /// The replica already stores its maximum number of keys.
     #[deku(id = "6")]
     Full,
 }
 
-/// What has become of a run that another attempt holds.
+/// State of a run that another attempt holds.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -157,10 +162,10 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum RunState {
-    /// Nothing further is known.
+    /// The replica has no answer of the run, which may be in progress.
     #[deku(id = "1")]
     Running,
-    /// It finished with this answer.
+    /// The run finished with this answer.
     #[deku(id = "2")]
     Finished(StoredAnswer),
 }
@@ -174,18 +179,18 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum ClaimVote {
-    /// The attempt holds the run at this replica.
+    /// The replica grants the run to the attempt.
     #[deku(id = "1")]
     Granted {
-        /// How many other runs of the key other attempts hold here.
+        /// Number of other runs of the key that other attempts hold at this replica.
         other_runs: u8,
     },
     /// Another attempt holds the run.
     #[deku(id = "2")]
     Held {
-        /// The holder.
+        /// The attempt that holds the run.
         attempt: WireAttempt,
-        /// What is known of its run.
+        /// State of the run at this replica.
         state: RunState,
     },
     /// The replica does not vote.
@@ -197,51 +202,51 @@
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimReply {
-    /// Epoch of the claim.
+    /// Epoch in the claim.
     pub epoch: u64,
-    /// Run of the claim.
+    /// Number of the claimed run.
     pub run: u8,
-    /// The vote.
+    /// Vote of the replica that sends this reply.
     pub vote: ClaimVote,
 }
 
-/// Gives back every run of an attempt that has not run and never will.
+/// Releases every run of a key that an attempt holds. The attempt has not run and will never run.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimRelease {
-    /// The request.
+    /// Key of the request.
     pub key: WireKey,
-    /// The attempt.
+    /// The attempt that holds the runs.
     pub attempt: WireAttempt,
 }
 
-/// Tells a replica the answer of a run, for replay.
+/// Sends the answer of a finished run to a replica, which stores the answer for replay.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimFinish {
-    /// The request.
+    /// Key of the request.
     pub key: WireKey,
-    /// The run.
+    /// Number of the finished run.
     pub run: u8,
-    /// The attempt that ran it.
+    /// The attempt that held the run.
     pub attempt: WireAttempt,
-    /// Its answer.
+    /// Answer of the back end.
     pub answer: StoredAnswer,
 }
 
-/// Asks whether an attempt other than the asker holds any run of a key.
+/// Asks a replica whether any attempt other than the asking one holds a run of a key.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimQuery {
-    /// The request.
+    /// Key of the request.
     pub key: WireKey,
-    /// Epoch of the key's partition as the asker knows it.
+    /// Epoch of the key's partition that the sender knows.
     pub epoch: u64,
-    /// The attempt that is refused and will never run.
+    /// The asking attempt, which was refused and will never run.
     pub attempt: WireAttempt,
 }
 
-/// A replica's answer to a query.
+/// A replica's vote on a [`ClaimQuery`].
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -265,30 +270,32 @@
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimQueryReply {
-    /// Epoch of the query.
+    /// Epoch in the query.
     pub epoch: u64,
-    /// The answer.
+    /// Vote of the replica that sends this reply.
     pub vote: QueryVote,
 }
 
-/// Asks a previous replica of a partition for a page of its claims. By answering, the replica ends
-/// the epoch before.
+/// Asks a replica of a partition's previous epoch for a page of its claims.
+///
+/// A replica that sends its claims stops voting in earlier epochs.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimCopy {
-    /// The partition.
+    /// Number of the partition.
     pub partition: u8,
-    /// The epoch that the asker joins.
+    /// Epoch that the sender joins.
     pub epoch: u64,
-    /// Whether `after` holds a key: 0 asks for the first page, 1 for the one after that key.
+    /// 0 asks for the first page, and 1 asks for the page that follows the key `after`.
     pub continued: u8,
-    /// Last key of the page before.
+    /// Last key of the previous page; ignored when `continued` is 0.
     pub after: WireKey,
-    /// Whether claims are wanted whatever they are worth, as too many replicas are gone: 0 or 1.
+    /// Whether the replica sends its claims even if they may be incomplete, because too many other
+    /// replicas are lost: 0 or 1.
     pub salvage: u8,
 }
 
-/// One held run.
+/// One run that an attempt holds, as a replica copies it to another.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -296,17 +303,17 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct CopiedRun {
-    /// The request.
+    /// Key of the request.
     pub key: WireKey,
-    /// The run.
+    /// Number of the run.
     pub run: u8,
-    /// The holder.
+    /// The attempt that holds the run.
     pub attempt: WireAttempt,
-    /// What is known of the run.
+    /// State of the run at the sending replica.
     pub state: RunState,
 }
 
-/// What a page holds.
+/// Content of a [`ClaimPage`].
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -315,18 +322,18 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum PageContent {
-    /// Claims, in order of their keys; every run of a key is in the same page.
+    /// Claims in the order of their keys. A page contains all runs of a key or none.
     #[deku(id = "1")]
     Claims {
-        /// Whether a further page follows: 0 or 1.
+        /// Whether another page follows: 0 or 1.
         more: u8,
-        /// Number of runs.
+        /// Number of runs in this page.
         count: u32,
-        /// The runs.
+        /// The runs that attempts hold.
         #[deku(count = "count")]
         runs: Vec<CopiedRun>,
     },
-    /// The replica can't vouch for the epoch before.
+    /// The replica cannot vouch for its claims of the previous epoch.
     #[deku(id = "2")]
     Abstains(AbstainReason),
 }
@@ -335,10 +342,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ClaimPage {
-    /// The partition.
+    /// Number of the partition.
     pub partition: u8,
-    /// The epoch that the asker joins.
+    /// Epoch that the receiver joins.
     pub epoch: u64,
-    /// The page.
+    /// Claims, or the reason why the replica sends none.
     pub content: PageContent,
 }
--- a/crates/standalone/tallybridge-wire/src/codec.rs
+++ b/crates/standalone/tallybridge-wire/src/codec.rs
@@ -1,4 +1,7 @@
-//! Framing over a byte stream: a fixed header with length, version and checksum, then the payload.
+//! Framing of messages on a byte stream.
+//!
+//! A frame is a header of fixed size with the payload length, protocol version, message kind, stream
+//! and checksum, followed by the payload.
 
 use std::io;
 
@@ -12,11 +15,10 @@
     message::{Message, MessageError},
 };
 
-/// Header of every frame.
 #[derive(Debug, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 struct FrameHeader {
-    /// Length of the payload, in bytes.
+    /// Size of the payload without this header, in bytes.
     payload_length: u32,
     version: u8,
     kind: u8,
@@ -25,33 +27,35 @@
     checksum: u32,
 }
 
-/// Size of a [`FrameHeader`], in bytes.
+/// Encoded size of a [`FrameHeader`], in bytes.
 const HEADER_BYTES: usize = 18;
 
-/// Largest payload, in bytes: a head with many long headers, or many configuration records.
+/// Maximum size of a payload, in bytes. Leaves room for a call with many long headers and for many
+/// configuration records.
 pub const MAX_PAYLOAD_BYTES: usize = 4 << 20;
 
-/// The byte stream is not made of frames; the connection can't be used further.
+/// An error of the framing. The connection must be closed, because the start of the next frame may
+/// be unknown.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
-    /// The peer speaks another version.
-    #[error("peer speaks protocol version {0}, this node speaks {PROTOCOL_VERSION}")]
+    /// The peer uses another protocol version, which is the value of the variant.
+    #[error("peer uses protocol version {0}, but this node uses version {PROTOCOL_VERSION}")]
     Version(u8),
-    /// The frame is larger than any message.
-    #[error("frame of {0} bytes is above the limit of {MAX_PAYLOAD_BYTES}")]
+    /// The payload size in bytes exceeds [`MAX_PAYLOAD_BYTES`].
+    #[error("frame payload of {0} bytes exceeds the limit of {MAX_PAYLOAD_BYTES} bytes")]
     TooLarge(usize),
-    /// The payload was damaged on its way.
-    #[error("frame checksum does not match")]
+    /// The payload does not match the checksum in its header.
+    #[error("frame payload does not match its checksum")]
     Checksum,
-    /// A message to be sent does not fit its format.
+    /// The message to send cannot be encoded.
     #[error(transparent)]
     Message(#[from] MessageError),
-    /// The connection failed.
+    /// The connection failed, or a frame header cannot be encoded or decoded.
     #[error(transparent)]
     Io(#[from] io::Error),
 }
 
-/// Reads and writes [`Frame`]s.
+/// Decodes and encodes [`Frame`]s for [`tokio_util::codec`].
 #[derive(Debug, Default)]
 pub struct FrameCodec;
 
@@ -82,7 +86,7 @@
     }
 }
 
-/// Reads the header in front of the buffer and refuses what can't be a frame.
+/// Rejects another protocol version and an oversized payload before the payload is buffered.
 fn read_header(buffer: &BytesMut) -> Result<FrameHeader, FrameError> {
     let (_, header) = FrameHeader::from_bytes((&buffer[..HEADER_BYTES], 0))
         .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error.to_string()))?;
--- a/crates/standalone/tallybridge-wire/src/gossip.rs
+++ b/crates/standalone/tallybridge-wire/src/gossip.rs
@@ -1,7 +1,8 @@
-//! Membership datagrams: typed messages with deku in a small checked envelope for UDP.
+//! Membership datagrams, which nodes exchange over UDP.
 //!
-//! Every datagram carries who sent it, the revisions that it has, a digest of its members table
-//! and, behind the message itself, piggybacked updates about members.
+//! Every datagram starts with an envelope, which holds the protocol version and a checksum. A header
+//! with the identity, revisions and member table digest of the sender follows, then one message and
+//! piggybacked updates about members.
 
 mod address;
 mod envelope;
@@ -14,10 +15,10 @@
 pub use envelope::{DatagramError, MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram};
 pub use update::{ShortText, WirePlacement, WireUpdate};
 
-/// Parts into which members are divided by their hash for the comparison of two tables.
+/// Number of buckets into which members are divided by their hash to compare two member tables.
 pub const DIGEST_BUCKETS: usize = 64;
 
-/// What every datagram says about its sender, first-hand.
+/// State of the sender, which is part of every datagram.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -25,9 +26,9 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct GossipHeader {
-    /// The sender.
+    /// Identity of the sender.
     pub sender: WireNode,
-    /// The sender's incarnation.
+    /// Incarnation of the sender.
     pub incarnation: u32,
     /// Whether the sender is leaving: 0 or 1.
     pub leaving: u8,
@@ -35,11 +36,11 @@
     pub revision: u64,
     /// Epoch of the sender's partition map.
     pub partition_epoch: u64,
-    /// Digest of the sender's live members.
+    /// Digest of all live members in the sender's table.
     pub table_digest: u64,
 }
 
-/// The message of a datagram.
+/// The message of a [`Datagram`].
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -48,68 +49,69 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum GossipMessage {
-    /// Asks whoever is at the address to answer.
+    /// Asks the node at the destination address to answer.
     #[deku(id = "1")]
     Ping {
-        /// Repeated by the answer.
+        /// Number that the answer repeats.
         sequence: u32,
     },
-    /// Answers a ping.
+    /// Answers a [`Self::Ping`].
     #[deku(id = "2")]
     Ack {
-        /// The ping's number.
+        /// Number of the ping.
         sequence: u32,
     },
-    /// Asks the receiver to ping an address and to pass the answer on.
+    /// Asks the receiver to ping an address and to forward the result.
     #[deku(id = "3")]
     PingRequest {
-        /// Repeated by the answer.
+        /// Number that the answer repeats.
         sequence: u32,
         /// The address to ping.
         target: WireAddress,
     },
-    /// The address asked about has answered.
+    /// Reports that the target of a [`Self::PingRequest`] answered.
     #[deku(id = "4")]
     IndirectAck {
-        /// The ping request's number.
+        /// Number of the ping request.
         sequence: u32,
-        /// Who answered.
+        /// Identity of the node that answered.
         responder: WireNode,
-        /// The incarnation of who answered.
+        /// Incarnation of the node that answered.
         incarnation: u32,
-        /// Whether who answered is leaving: 0 or 1.
+        /// Whether the node that answered is leaving: 0 or 1.
         leaving: u8,
     },
-    /// The address asked about has not answered; the helper itself is well.
+    /// Reports that the target of a [`Self::PingRequest`] did not answer. The sender itself is
+    /// reachable.
     #[deku(id = "5")]
     Nack {
-        /// The ping request's number.
+        /// Number of the ping request.
         sequence: u32,
     },
-    /// Carries updates only.
+    /// Carries piggybacked updates only.
     #[deku(id = "6")]
     Gossip,
-    /// Asks for the records of the buckets that differ from the sender's.
+    /// Asks for the members in each bucket whose digest differs from the sender's digest.
     #[deku(id = "7")]
     TableCompare {
         /// Digest of each of the [`DIGEST_BUCKETS`] buckets of the sender's live members.
         #[deku(count = "DIGEST_BUCKETS")]
         buckets: Vec<u32>,
     },
-    /// The updates are all live members whose hash lies in a range.
+    /// States that the updates contain all live members whose hash is in a range.
     #[deku(id = "8")]
     TableRange {
-        /// Lowest hash.
+        /// Lowest hash in the range.
         first: u64,
-        /// Highest hash.
+        /// Highest hash in the range, inclusive.
         last: u64,
-        /// Whether the sender wants what it lacks in that range: 0 or 1.
+        /// Whether the sender asks for the members in the range that it does not have: 0 or 1.
         answer_wanted: u8,
     },
 }
 
 impl GossipMessage {
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub const fn encoded_len(&self) -> usize {
         1 + match self {
@@ -127,9 +129,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct Datagram {
-    /// Who sends.
+    /// State of the sender.
     pub header: GossipHeader,
-    /// Why.
+    /// The message, which is encoded before the updates.
     pub message: GossipMessage,
     count: u8,
     #[deku(count = "count")]
@@ -137,10 +139,10 @@
 }
 
 impl Datagram {
-    /// Most updates of one datagram.
+    /// Maximum number of updates in one datagram.
     pub const MAX_UPDATES: usize = u8::MAX as usize;
 
-    /// A datagram; updates beyond [`Self::MAX_UPDATES`] are left out.
+    /// Returns a datagram with at most [`Self::MAX_UPDATES`] of the updates and drops the rest.
     #[must_use]
     pub fn new(header: GossipHeader, message: GossipMessage, mut updates: Vec<WireUpdate>) -> Self {
         updates.truncate(Self::MAX_UPDATES);
@@ -152,20 +154,20 @@
         }
     }
 
-    /// The piggybacked updates.
+    /// Returns the piggybacked updates.
     #[must_use]
     pub fn updates(&self) -> &[WireUpdate] {
         &self.updates
     }
 
-    /// Size with its envelope, in bytes.
+    /// Returns the encoded size in bytes, including the envelope.
     #[must_use]
     pub fn encoded_len(&self) -> usize {
         let updates: usize = self.updates.iter().map(WireUpdate::encoded_len).sum();
         Self::bare_len(&self.header, &self.message) + updates
     }
 
-    /// Size of a datagram without updates, with its envelope, in bytes.
+    /// Returns the encoded size in bytes of a datagram without updates, including the envelope.
     #[must_use]
     pub const fn bare_len(header: &GossipHeader, message: &GossipMessage) -> usize {
         const HEADER_FIXED_BYTES: usize = 29;
--- a/crates/standalone/tallybridge-wire/src/gossip/address.rs
+++ b/crates/standalone/tallybridge-wire/src/gossip/address.rs
@@ -1,11 +1,11 @@
-//! Addresses and identities in their wire form.
+//! Wire form of socket addresses and node identifiers.
 
 use std::net::{IpAddr, SocketAddr};
 
 use deku::prelude::*;
 use tallybridge_core::{InstanceId, NodeId};
 
-/// A socket address.
+/// A [`SocketAddr`] in its wire form.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     id_type = "u8",
@@ -14,26 +14,26 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub enum WireAddress {
-    /// IPv4.
+    /// An IPv4 address.
     #[deku(id = "4")]
     V4 {
-        /// Octets of the address.
+        /// Octets of the address in network byte order.
         octets: [u8; 4],
-        /// Port.
+        /// Port number, for TCP and UDP.
         port: u16,
     },
-    /// IPv6; scope and flow are not carried.
+    /// An IPv6 address without its scope identifier and flow information.
     #[deku(id = "6")]
     V6 {
-        /// Octets of the address.
+        /// Octets of the address in network byte order.
         octets: [u8; 16],
-        /// Port.
+        /// Port number, for TCP and UDP.
         port: u16,
     },
 }
 
 impl WireAddress {
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub const fn encoded_len(&self) -> usize {
         match self {
@@ -81,7 +81,7 @@
 }
 
 impl WireNode {
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub const fn encoded_len(&self) -> usize {
         self.address.encoded_len() + size_of::<u64>()
--- a/crates/standalone/tallybridge-wire/src/gossip/envelope.rs
+++ b/crates/standalone/tallybridge-wire/src/gossip/envelope.rs
@@ -1,41 +1,43 @@
-//! The envelope of a datagram: version and checksum.
+//! The envelope of a datagram, which holds the protocol version and a checksum of the payload.
 
 use deku::prelude::*;
 
 use super::Datagram;
 use crate::PROTOCOL_VERSION;
 
-/// Largest datagram, in bytes: fits an Ethernet frame with IPv6 and UDP headers.
+/// Maximum size of a datagram, in bytes. Fits an Ethernet frame with IPv6 and UDP headers, so a
+/// datagram is not fragmented.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 
-/// Version and CRC-32 in front of the payload, in bytes.
+/// Size of the version and the CRC-32 before the payload, in bytes.
 pub(super) const ENVELOPE_BYTES: usize = 5;
 
-/// A datagram can't be sent or read.
+/// An error of encoding or decoding a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum DatagramError {
-    /// Longer than [`MAX_DATAGRAM_BYTES`].
-    #[error("datagram of {0} bytes is above the limit of {MAX_DATAGRAM_BYTES}")]
+    /// The datagram size in bytes exceeds [`MAX_DATAGRAM_BYTES`].
+    #[error("datagram of {0} bytes exceeds the limit of {MAX_DATAGRAM_BYTES} bytes")]
     TooLarge(usize),
-    /// Shorter than its envelope.
-    #[error("datagram of {0} bytes is cut off")]
+    /// The datagram size in bytes is less than the size of the envelope.
+    #[error("datagram of {0} bytes is shorter than its envelope")]
     TooShort(usize),
-    /// The peer speaks another version.
-    #[error("peer speaks protocol version {0}, this node speaks {PROTOCOL_VERSION}")]
+    /// The peer uses another protocol version, which is the value of the variant.
+    #[error("peer uses protocol version {0}, but this node uses version {PROTOCOL_VERSION}")]
     Version(u8),
-    /// The payload was damaged on its way.
-    #[error("datagram checksum does not match")]
+    /// The payload does not match the checksum in the envelope.
+    #[error("datagram payload does not match its checksum")]
     Checksum,
-    /// The payload is not a datagram.
+    /// The datagram cannot be encoded, or the payload cannot be decoded.
     #[error("malformed datagram: {0}")]
     Malformed(String),
 }
 
-/// The bytes of a datagram.
+/// Encodes a datagram with its envelope.
 ///
 /// # Errors
 ///
-/// [`DatagramError::TooLarge`] above [`MAX_DATAGRAM_BYTES`].
+/// Returns [`DatagramError::TooLarge`] when the result exceeds [`MAX_DATAGRAM_BYTES`], and
+/// [`DatagramError::Malformed`] when a field cannot be encoded.
 pub fn encode_datagram(datagram: &Datagram) -> Result<Vec<u8>, DatagramError> {
     let payload = datagram
         .to_bytes()
@@ -51,11 +53,12 @@
     Ok(bytes)
 }
 
-/// Reads the bytes of a datagram.
+/// Decodes a received datagram with its envelope.
 ///
 /// # Errors
 ///
-/// [`DatagramError`] when the bytes are not a whole, undamaged datagram of this version.
+/// Returns a [`DatagramError`] when the bytes are not a complete, undamaged datagram of this protocol
+/// version.
 pub fn decode_datagram(bytes: &[u8]) -> Result<Datagram, DatagramError> {
     if bytes.len() > MAX_DATAGRAM_BYTES {
         return Err(DatagramError::TooLarge(bytes.len()));
@@ -75,7 +78,7 @@
     if rest.is_empty() {
         Ok(datagram)
     } else {
-        let reason = format!("{} bytes too many", rest.len());
+        let reason = format!("{} unexpected bytes at the end", rest.len());
         Err(DatagramError::Malformed(reason))
     }
 }
--- a/crates/standalone/tallybridge-wire/src/gossip/update.rs
+++ b/crates/standalone/tallybridge-wire/src/gossip/update.rs
@@ -1,11 +1,11 @@
-//! Updates about members.
+//! Piggybacked updates about the members that a node knows.
 
 use deku::prelude::*;
 use tallybridge_core::NodeId;
 
 use super::WireNode;
 
-/// Text of at most 255 bytes with its length in front.
+/// A text of at most 255 bytes, prefixed with its length.
 #[derive(Debug, Clone, PartialEq, Eq, Default, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -19,12 +19,12 @@
 }
 
 impl ShortText {
-    /// Wraps a text; what is beyond 255 bytes is cut off at a character's end, which no checked
-    /// name reaches.
+    /// Returns the text, truncated at a character boundary to at most 255 bytes. Validated names are
+    /// shorter than this limit.
     #[must_use]
     pub fn new(text: &str) -> Self {
-        let longest = text.len().min(usize::from(u8::MAX));
-        let end = (0..=longest)
+        let max_end = text.len().min(usize::from(u8::MAX));
+        let end = (0..=max_end)
             .rev()
             .find(|end| text.is_char_boundary(*end))
             .unwrap_or_default();
@@ -35,20 +35,20 @@
         }
     }
 
-    /// The text, or `None` when a peer sent bytes that are not UTF-8.
+    /// Returns the text, or `None` when the bytes are not valid UTF-8.
     #[must_use]
     pub fn as_str(&self) -> Option<&str> {
         std::str::from_utf8(&self.bytes).ok()
     }
 
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub fn encoded_len(&self) -> usize {
         1 + self.bytes.len()
     }
 }
 
-/// Where a member is and what it serves.
+/// Location of a member and the service of its back end.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -56,18 +56,18 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct WirePlacement {
-    /// Service of the back end beside the member; empty when it has none.
+    /// Service of the member's back end; empty when the member has no back end.
     pub service: ShortText,
-    /// Region.
+    /// Region of the member.
     pub region: ShortText,
-    /// Zone.
+    /// Zone of the member within its region.
     pub zone: ShortText,
-    /// Rack; empty when unknown.
+    /// Rack of the member; empty when unknown.
     pub rack: ShortText,
 }
 
 impl WirePlacement {
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub fn encoded_len(&self) -> usize {
         self.service.encoded_len()
@@ -77,7 +77,7 @@
     }
 }
 
-/// What the sender believes about one member.
+/// Health of one member as the sender knows it.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -85,15 +85,15 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct WireUpdate {
-    /// The member.
+    /// Identity of the member.
     pub node: WireNode,
-    /// Incarnation that the belief is about.
+    /// Incarnation of the member that the health applies to.
     pub incarnation: u32,
-    /// Health as its wire value.
+    /// Wire value of the member's health.
     pub health: u8,
     /// Whether the member is leaving: 0 or 1.
     pub leaving: u8,
-    /// Short digest of the node whose own probe failed; 0 for none.
+    /// Digest of the identity of the node whose probe of the member failed; 0 when there is none.
     pub reporter: u32,
     has_placement: u8,
     #[deku(cond = "*has_placement != 0")]
@@ -101,7 +101,8 @@
 }
 
 impl WireUpdate {
-    /// A belief about one member, with its placement where the receiver may not know it.
+    /// Returns an update. The sender sets `placement` when the receiver may not know the placement of
+    /// the member.
     #[must_use]
     pub fn new(
         node: NodeId,
@@ -122,13 +123,13 @@
         }
     }
 
-    /// The placement, when it was sent.
+    /// Returns the placement, or `None` when the update does not contain one.
     #[must_use]
     pub fn placement(&self) -> Option<&WirePlacement> {
         self.placement.as_ref()
     }
 
-    /// Size on the wire, in bytes.
+    /// Returns the encoded size in bytes.
     #[must_use]
     pub fn encoded_len(&self) -> usize {
         const FIXED_BYTES: usize = 11;
--- a/crates/standalone/tallybridge-wire/src/headers.rs
+++ b/crates/standalone/tallybridge-wire/src/headers.rs
@@ -1,10 +1,10 @@
-//! HTTP headers in their wire form.
+//! Wire form of HTTP headers.
 
 use deku::prelude::*;
 
 use crate::text::Text;
 
-/// One HTTP header.
+/// Name and value of one HTTP header.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -12,13 +12,13 @@
     ctx_default = "deku::ctx::Endian::Big"
 )]
 pub struct WireHeader {
-    /// Lower-case name.
+    /// Name of the header in lower case.
     pub name: Text,
-    /// Value; may hold any bytes that HTTP allows.
+    /// Value of the header, which is not necessarily UTF-8.
     pub value: Text,
 }
 
-/// A list of HTTP headers with its length in front.
+/// A list of HTTP headers, prefixed with its length.
 #[derive(Debug, Clone, PartialEq, Eq, Default, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -32,7 +32,8 @@
 }
 
 impl WireHeaders {
-    /// Wraps a list; HTTP libraries refuse messages with anywhere near 65,535 headers.
+    /// Returns the list in its wire form. The list must have at most 65,535 headers, which is far
+    /// more than HTTP libraries accept.
     #[must_use]
     pub fn new(headers: Vec<WireHeader>) -> Self {
         Self {
@@ -41,7 +42,7 @@
         }
     }
 
-    /// The headers in order.
+    /// Returns the headers in the order of the list.
     pub fn iter(&self) -> impl Iterator<Item = &WireHeader> {
         self.headers.iter()
     }
--- a/crates/standalone/tallybridge-wire/src/lib.rs
+++ b/crates/standalone/tallybridge-wire/src/lib.rs
@@ -1,4 +1,7 @@
-//! The protocol between nodes: typed messages, their binary form and their framing.
+//! The protocol between nodes: typed messages, their binary encoding and their framing.
+//!
+//! Nodes exchange [`Message`]s in [`Frame`]s over the TCP connections of links, and membership
+//! [`Datagram`]s over UDP.
 
 mod bytes_field;
 pub mod claim;
@@ -26,5 +29,5 @@
 pub use report::{ExplainFetch, JsonReport};
 pub use text::Text;
 
-/// Version of the protocol. Nodes refuse a peer that speaks another one.
+/// Version of the protocol. Nodes reject a peer that uses another version.
 pub const PROTOCOL_VERSION: u8 = 1;
--- a/crates/standalone/tallybridge-wire/src/load.rs
+++ b/crates/standalone/tallybridge-wire/src/load.rs
@@ -1,4 +1,4 @@
-//! Load reports in their wire form.
+//! Wire form of load reports.
 
 use deku::prelude::*;
 use tallybridge_core::{Criticality, LoadReport};
@@ -18,7 +18,7 @@
     leaving: u8,
 }
 
-/// Wire value of "no class is admitted".
+/// Wire value of `admitted_from` when no criticality class is admitted.
 const NONE_ADMITTED: u8 = u8::MAX;
 
 impl From<LoadReport> for WireLoad {
--- a/crates/standalone/tallybridge-wire/src/message.rs
+++ b/crates/standalone/tallybridge-wire/src/message.rs
@@ -1,4 +1,4 @@
-//! The messages that nodes exchange over a peer link.
+//! The messages that nodes exchange over a link, and the encoding of their payloads.
 
 use deku::prelude::*;
 
@@ -8,93 +8,94 @@
 use crate::report::{ExplainFetch, JsonReport};
 use crate::{bytes_field::write_bytes, headers::WireHeaders, load::WireLoad, text::Text};
 
-/// First message of each side of a connection: who it is.
+/// First message that each side of a connection sends, with the identity of the sender.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct Hello {
-    /// The sender's run.
+    /// Identifier of the sender's process, as in [`InstanceId`](tallybridge_core::InstanceId).
     pub instance: u64,
-    /// The sender's peer address, as text.
+    /// Address at which the sender accepts links, as text.
     pub peer_address: Text,
-    /// Service of the back end beside the sender; empty when it has none.
+    /// Service of the sender's back end; empty when the sender has no back end.
     pub service: Text,
-    /// The sender's region.
+    /// Region of the sender.
     pub region: Text,
-    /// The sender's zone.
+    /// Zone of the sender within its region.
     pub zone: Text,
-    /// The sender's rack; empty when unknown.
+    /// Rack of the sender; empty when unknown.
     pub rack: Text,
 }
 
-/// Start of a call; `body_length` bytes follow in [`BodyChunk`]s on the same stream.
+/// Start of a call. `body_length` bytes follow in [`BodyChunk`]s on the same stream.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct CallHead {
-    /// Date of the request key, milliseconds since the Unix epoch.
+    /// Issue time of the request key, in milliseconds since the Unix epoch.
     pub key_issued_unix_ms: u64,
     /// Digest of the request key.
     pub key_digest: u128,
-    /// Whether an earlier attempt may exist that this node's entry does not know of, so that a
-    /// claim on the key is needed before the call may run: 0 or 1.
+    /// Whether the executor must claim the key before the call runs, because an earlier attempt that
+    /// the entry does not know may exist: 0 or 1.
     pub claim_needed: u8,
-    /// How many runs the key allows over all its attempts.
+    /// Maximum number of runs of the key over all attempts.
     pub max_runs: u8,
-    /// Number of the attempt at this position of the chain, from 1.
+    /// Number of the attempt at this position of the call chain, from 1.
     pub attempt: u16,
-    /// Whether an earlier attempt of this call, or of one above it, may have run: 0 or 1.
+    /// Whether an earlier attempt of this call or of one of its ancestors may have run: 0 or 1.
     pub repeated: u8,
-    /// Depth in the chain; a root call has 1.
+    /// Depth in the call chain; a root call has depth 1.
     pub depth: u8,
-    /// [`Criticality`](tallybridge_core::Criticality) as its wire value.
+    /// Wire value of the call's [`Criticality`](tallybridge_core::Criticality).
     pub criticality: u8,
-    /// Whether running the call twice does no harm: 0 or 1.
+    /// Whether the call is idempotent, so that it can safely run twice: 0 or 1.
     pub idempotent: u8,
-    /// Retries lent to this attempt for its nested calls.
+    /// Number of retries that the nested calls of this attempt may use.
     pub allowance: u8,
-    /// Time left, in milliseconds.
+    /// Time until the deadline of the call, in milliseconds.
     pub remaining_ms: u32,
-    /// Largest answer body, in bytes.
+    /// Maximum size of the answer body, in bytes.
     pub max_answer_bytes: u32,
-    /// Most calls of this template that one back end runs at once; 0 for no limit of its own.
+    /// Maximum number of calls of this template that one back end runs concurrently; 0 when the
+    /// template has no limit.
     pub concurrency_limit: u16,
-    /// Slots of a back end kept for this template.
+    /// Number of slots of a back end that are reserved for this template.
     pub reserve: u16,
-    /// Target service.
+    /// Service that the call is sent to.
     pub service: Text,
-    /// Tenant.
+    /// Tenant that the request belongs to.
     pub tenant: Text,
-    /// Template that covers the call.
+    /// Name of the template that applies to the call.
     pub template: Text,
-    /// Identity of the whole request, for logs.
+    /// Identifier of the request that the call is part of, for logs.
     pub request_id: Text,
-    /// HTTP method.
+    /// HTTP method of the call.
     pub method: Text,
-    /// Path and query.
+    /// Path and query of the call's URI.
     pub path: Text,
-    /// End-to-end headers.
+    /// End-to-end headers, without hop-by-hop headers.
     pub headers: WireHeaders,
-    /// Length of the body, in bytes.
+    /// Size of the complete body, in bytes.
     pub body_length: u32,
-    /// CRC-32 of the body.
+    /// CRC-32 of the complete body.
     pub body_checksum: u32,
 }
 
-/// A piece of a call's or an answer's body, in order.
+/// A part of the body of a call or an answer. Chunks are sent in the order of the body.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct BodyChunk {
     length: u32,
-    /// The bytes.
+    /// Bytes of this part of the body.
     #[deku(count = "length", writer = "write_bytes(deku::writer, bytes)")]
     pub bytes: Vec<u8>,
 }
 
 impl BodyChunk {
-    /// Largest piece, in bytes. Small enough that a bulk body does not hold up the short messages
-    /// of other streams for long.
+    /// Maximum size of a chunk, in bytes. The limit keeps a large body from delaying short messages
+    /// of other streams.
     pub const MAX_BYTES: usize = 32 << 10;
 
-    /// Wraps one piece.
+    /// Returns a chunk with a copy of the bytes. The caller splits a body at [`Self::MAX_BYTES`].
     #[must_use]
     pub fn new(bytes: &[u8]) -> Self {
         Self {
@@ -104,57 +105,56 @@
     }
 }
 
-/// Start of an answer; `body_length` bytes follow in [`BodyChunk`]s on the same stream.
+/// Start of an answer. `body_length` bytes follow in [`BodyChunk`]s on the same stream.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct AnswerHead {
-    /// [`Outcome`](tallybridge_core::Outcome) as its wire value.
+    /// Wire value of the call's [`Outcome`](tallybridge_core::Outcome).
     pub outcome: u8,
-    /// [`ErrorKind`](tallybridge_core::ErrorKind) as its wire value; 0 when a back end answered.
+    /// Wire value of the [`ErrorKind`](tallybridge_core::ErrorKind); 0 when a back end answered.
     pub error_kind: u8,
-    /// Whether the call was handed to the back end, whatever came of it: 0 or 1.
+    /// Whether the call was sent to the back end, regardless of the outcome: 0 or 1.
     pub reached_backend: u8,
-    /// Whether the outcome takes every attempt under the key into account, wherever it entered:
-    /// 0 or 1.
+    /// Whether the outcome accounts for all attempts with the same key, at any entry: 0 or 1.
     pub outcome_settled: u8,
     /// HTTP status of the back end's answer; 0 for a refusal.
     pub status: u16,
-    /// Retries of those lent that were not spent.
+    /// Number of unused retries out of [`CallHead::allowance`].
     pub unused_allowance: u8,
-    /// When the caller may try again, in milliseconds; 0 when there is nothing to say.
+    /// Delay before the caller may retry, in milliseconds; 0 when the answer suggests none.
     pub retry_after_ms: u32,
-    /// Load of the executing node.
+    /// Current load of the executor.
     pub load: WireLoad,
-    /// Why the call was refused, for people; empty when a back end answered.
+    /// Human-readable reason of a refusal; empty when a back end answered.
     pub detail: Text,
-    /// End-to-end headers.
+    /// End-to-end headers, without hop-by-hop headers.
     pub headers: WireHeaders,
-    /// Length of the body, in bytes.
+    /// Size of the complete body, in bytes.
     pub body_length: u32,
-    /// CRC-32 of the body.
+    /// CRC-32 of the complete body.
     pub body_checksum: u32,
 }
 
-/// Asks a peer for the configuration records after a revision.
+/// Asks a peer for the configuration records that are newer than a revision.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ConfigurationFetch {
-    /// The asker's revision.
+    /// Revision that the sender already has.
     pub after: u64,
 }
 
-/// Configuration records, answering a [`ConfigurationFetch`] or pushed.
+/// Configuration records, sent as the answer to a [`ConfigurationFetch`] or without a request.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ConfigurationRecords {
     length: u32,
-    /// The records as JSON, in order of revision.
+    /// The records as a JSON list in the order of their revisions.
     #[deku(count = "length", writer = "write_bytes(deku::writer, json)")]
     pub json: Vec<u8>,
 }
 
 impl ConfigurationRecords {
-    /// Wraps the JSON of a list of records.
+    /// Returns a message with the given JSON list of records.
     #[must_use]
     pub fn new(json: Vec<u8>) -> Self {
         Self {
@@ -164,26 +164,26 @@
     }
 }
 
-/// Asks a peer for the replicas of the claim partitions.
+/// Asks a peer for the map from claim partitions to their replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct PartitionMapFetch {
-    /// Whether the peer's own synchronised partitions are wanted too: 0 or 1.
+    /// Whether the answer includes reports of the partitions that the peer has synchronised: 0 or 1.
     pub reports_wanted: u8,
 }
 
-/// The replicas of the claim partitions, answering a [`PartitionMapFetch`].
+/// The replicas of the claim partitions, sent as the answer to a [`PartitionMapFetch`].
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct PartitionMapRecords {
     length: u32,
-    /// The map and the reports as JSON.
+    /// The partition map and the reports as JSON.
     #[deku(count = "length")]
     pub json: Vec<u8>,
 }
 
 impl PartitionMapRecords {
-    /// Wraps the JSON of a map with reports.
+    /// Returns a message with the JSON of a partition map and its reports.
     #[must_use]
     pub fn new(json: Vec<u8>) -> Self {
         Self {
@@ -193,38 +193,39 @@
     }
 }
 
-/// A payload is not a message of its kind.
+/// An error of encoding or decoding the payload of a message.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum MessageError {
-    /// No message has this kind.
+    /// The protocol defines no message of this kind.
     #[error("unknown message kind {0}")]
     UnknownKind(u8),
-    /// The payload does not parse as its kind.
+    /// The payload cannot be encoded or decoded as a message of its kind.
     #[error("malformed payload of message kind {kind}: {reason}")]
     Malformed {
-        /// The kind.
+        /// Wire value of the message kind.
         kind: u8,
-        /// What the parser said.
+        /// Description of the error, for logs.
         reason: String,
     },
 }
 
 macro_rules! messages {
     ($($(#[$meta:meta])* $name:ident($payload:ty) = $kind:literal,)*) => {
-        /// Every message of the peer link.
+        /// A message that nodes exchange over a link.
         #[derive(Debug, Clone, PartialEq, Eq)]
         pub enum Message {
             $($(#[$meta])* $name($payload),)*
-            /// The caller of this stream gave up.
+            /// Cancels the call on this stream.
             Cancel,
-            /// The receiver's machine is leaving, by the machine list that the sender read.
+            /// Notifies the receiver that its machine is leaving, according to the machine list that
+            /// the sender read.
             LeaveNotice,
-            /// Asks a node what it says about itself.
+            /// Asks a node for its status.
             StatusFetch,
         }
 
         impl Message {
-            /// The kind's wire value.
+            /// Returns the wire value of the message kind.
             #[must_use]
             pub fn kind(&self) -> u8 {
                 match self {
@@ -235,11 +236,11 @@
                 }
             }
 
-            /// The payload's bytes.
+            /// Encodes the payload, without the frame header.
             ///
             /// # Errors
             ///
-            /// [`MessageError::Malformed`] when a field does not fit its length prefix.
+            /// Returns [`MessageError::Malformed`] when a field does not fit its length prefix.
             pub fn to_payload(&self) -> Result<Vec<u8>, MessageError> {
                 let bytes = match self {
                     $(Self::$name(payload) => payload.to_bytes(),)*
@@ -251,11 +252,12 @@
                 })
             }
 
-            /// Parses the payload of a kind.
+            /// Decodes the payload of a message of the given kind.
             ///
             /// # Errors
             ///
-            /// [`MessageError`] when the kind is unknown or the payload is not of that kind.
+            /// Returns a [`MessageError`] when the kind is unknown or the payload does not match the
+            /// kind.
             pub fn from_payload(kind: u8, payload: &[u8]) -> Result<Self, MessageError> {
                 match kind {
                     $($kind => parse::<$payload>(kind, payload).map(Self::$name),)*
@@ -274,45 +276,46 @@
 const STATUS_FETCH_KIND: u8 = 12;
 
 messages! {
-    /// Who the sender is.
+    /// Identifies the sender.
     Hello(Hello) = 1,
-    /// Start of a call.
+    /// Starts a call.
     Call(CallHead) = 2,
-    /// A piece of a body.
+    /// Carries a part of a body.
     Chunk(BodyChunk) = 3,
-    /// Start of an answer.
+    /// Starts an answer.
     Answer(AnswerHead) = 4,
     /// Asks for configuration records.
     ConfigurationFetch(ConfigurationFetch) = 6,
-    /// Configuration records.
+    /// Carries configuration records.
     ConfigurationRecords(ConfigurationRecords) = 7,
-    /// The whole configuration at one revision, answering a fetch from far behind.
+    /// Carries the complete configuration at one revision. Answers a fetch whose revision is too old
+    /// for single records.
     ConfigurationSnapshot(JsonReport) = 9,
-    /// Asks what was decided for one request.
+    /// Asks for the decisions about one request.
     ExplainFetch(ExplainFetch) = 10,
-    /// Decisions about one request.
+    /// Carries the decisions about one request.
     ExplainRecords(JsonReport) = 11,
-    /// What a node says about itself.
+    /// Carries the status of the sender.
     StatusRecords(JsonReport) = 13,
     /// Asks for a run of a key.
     Claim(Claim) = 16,
     /// Answers a claim.
     ClaimReply(ClaimReply) = 17,
-    /// Gives back every run of an attempt that will never run.
+    /// Releases every run of an attempt that will never run.
     ClaimRelease(ClaimRelease) = 18,
-    /// The answer of a run.
+    /// Carries the answer of a finished run.
     ClaimFinish(ClaimFinish) = 19,
-    /// Asks whether any run of a key is held.
+    /// Asks whether another attempt holds a run of a key.
     ClaimQuery(ClaimQuery) = 20,
-    /// Answers a query.
+    /// Answers a claim query.
     ClaimQueryReply(ClaimQueryReply) = 21,
     /// Asks for a page of a partition's claims.
     ClaimCopy(ClaimCopy) = 22,
-    /// A page of a partition's claims.
+    /// Carries a page of a partition's claims.
     ClaimPage(ClaimPage) = 23,
     /// Asks for the replicas of the claim partitions.
     PartitionMapFetch(PartitionMapFetch) = 24,
-    /// The replicas of the claim partitions.
+    /// Carries the replicas of the claim partitions.
     PartitionMapRecords(PartitionMapRecords) = 25,
 }
 
@@ -326,6 +329,9 @@
     if rest.is_empty() {
         Ok(message)
     } else {
-        Err(malformed(format!("{} bytes too many", rest.len())))
+        Err(malformed(format!(
+            "{} unexpected bytes at the end",
+            rest.len()
+        )))
     }
 }
--- a/crates/standalone/tallybridge-wire/src/report.rs
+++ b/crates/standalone/tallybridge-wire/src/report.rs
@@ -1,22 +1,22 @@
-//! What nodes tell each other for operators, and the whole configuration: JSON, off the path of
-//! calls.
+//! Messages with JSON payloads: status and decision reports for operators, and configuration
+//! snapshots. None of them is on the path of a call.
 
 use deku::prelude::*;
 
 use crate::text::Text;
 
-/// One JSON value with its length in front.
+/// One JSON value, prefixed with its length.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct JsonReport {
     length: u32,
-    /// The value's text.
+    /// Text of the JSON value.
     #[deku(count = "length")]
     pub json: Vec<u8>,
 }
 
 impl JsonReport {
-    /// Wraps the text of a JSON value.
+    /// Returns a message with the given text of a JSON value.
     #[must_use]
     pub fn new(json: Vec<u8>) -> Self {
         Self {
@@ -26,10 +26,10 @@
     }
 }
 
-/// Asks what was decided for one request.
+/// Asks a node for its decisions about one request.
 #[derive(Debug, Clone, PartialEq, Eq, DekuRead, DekuWrite)]
 #[deku(endian = "big")]
 pub struct ExplainFetch {
-    /// Identity of the whole request.
+    /// Identifier of the request, as in [`CallHead::request_id`](crate::CallHead::request_id).
     pub request_id: Text,
 }
--- a/crates/standalone/tallybridge-wire/src/text.rs
+++ b/crates/standalone/tallybridge-wire/src/text.rs
@@ -1,10 +1,10 @@
-//! Short text with its length in front.
+//! Text fields, which are prefixed with their length.
 
 use deku::prelude::*;
 
 use crate::bytes_field::write_bytes;
 
-/// UTF-8 text of at most 65,535 bytes.
+/// A text of at most 65,535 bytes, usually in UTF-8.
 #[derive(Debug, Clone, PartialEq, Eq, Default, DekuRead, DekuWrite)]
 #[deku(
     endian = "endian",
@@ -18,13 +18,14 @@
 }
 
 impl Text {
-    /// Wraps a text; what is beyond 65,535 bytes is cut off, which no checked name reaches.
+    /// Returns the text, truncated to 65,535 bytes. Validated names are shorter than this limit.
     #[must_use]
     pub fn new(text: &str) -> Self {
         Self::from_bytes(text.as_bytes())
     }
 
-    /// Wraps bytes that need not be UTF-8, such as the value of an HTTP header.
+    /// Returns a text from bytes that may not be UTF-8, for example the value of an HTTP header.
+    /// Truncates the bytes as [`Self::new`] does.
     #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Self {
         let bytes = &bytes[..bytes.len().min(usize::from(u16::MAX))];
@@ -34,19 +35,19 @@
         }
     }
 
-    /// The text, or `None` when a peer sent bytes that are not UTF-8.
+    /// Returns the text, or `None` when the bytes are not valid UTF-8.
     #[must_use]
     pub fn as_str(&self) -> Option<&str> {
         std::str::from_utf8(&self.bytes).ok()
     }
 
-    /// The text, with what is not UTF-8 replaced.
+    /// Returns the text with invalid UTF-8 sequences replaced by U+FFFD.
     #[must_use]
     pub fn to_string_lossy(&self) -> String {
         String::from_utf8_lossy(&self.bytes).into_owned()
     }
 
-    /// The bytes as they were sent.
+    /// Returns the bytes, which may not be valid UTF-8.
     #[must_use]
     pub fn as_bytes(&self) -> &[u8] {
         &self.bytes
--- a/crates/standalone/tallybridge-wire/tests/codec.rs
+++ b/crates/standalone/tallybridge-wire/tests/codec.rs
@@ -1,4 +1,4 @@
-//! Frames survive the way over a byte stream, and damaged ones are told apart.
+//! Tests that frames are decoded as they were encoded and that damaged frames are rejected.
 
 use bytes::BytesMut;
 use proptest::prelude::*;
@@ -11,13 +11,15 @@
 const VERSION_OFFSET: usize = 4;
 const HEADER_BYTES: usize = 18;
 
-fn encoded(frame: Frame) -> BytesMut {
+fn encode_frame(frame: Frame) -> BytesMut {
     let mut buffer = BytesMut::new();
-    FrameCodec.encode(frame, &mut buffer).expect("encodes");
+    FrameCodec
+        .encode(frame, &mut buffer)
+        .expect("the frame encodes");
     buffer
 }
 
-fn hello() -> Frame {
+fn hello_frame() -> Frame {
     let hello = Hello {
         instance: 7,
         peer_address: Text::new("127.0.0.1:1"),
@@ -30,25 +32,28 @@
 }
 
 #[test]
-fn a_frame_cut_in_pieces_is_read_once_it_is_whole() {
-    let whole = encoded(hello());
+fn decodes_frame_after_its_last_byte() {
+    let frame_bytes = encode_frame(hello_frame());
     let mut buffer = BytesMut::new();
-    for (position, byte) in whole.iter().enumerate() {
+    for (position, byte) in frame_bytes.iter().enumerate() {
         assert!(
-            FrameCodec.decode(&mut buffer).expect("decodes").is_none(),
-            "{position}"
+            FrameCodec
+                .decode(&mut buffer)
+                .expect("the frame is valid")
+                .is_none(),
+            "decoded a frame from its first {position} bytes"
         );
         buffer.extend_from_slice(&[*byte]);
     }
     assert_eq!(
-        FrameCodec.decode(&mut buffer).expect("decodes"),
-        Some(hello())
+        FrameCodec.decode(&mut buffer).expect("the frame is valid"),
+        Some(hello_frame())
     );
 }
 
 #[test]
-fn a_damaged_payload_ends_the_connection() {
-    let mut buffer = encoded(hello());
+fn rejects_damaged_payload() {
+    let mut buffer = encode_frame(hello_frame());
     buffer[HEADER_BYTES] ^= 1;
     assert!(matches!(
         FrameCodec.decode(&mut buffer),
@@ -57,8 +62,8 @@
 }
 
 #[test]
-fn another_version_ends_the_connection() {
-    let mut buffer = encoded(hello());
+fn rejects_other_protocol_version() {
+    let mut buffer = encode_frame(hello_frame());
     buffer[VERSION_OFFSET] += 1;
     assert!(matches!(
         FrameCodec.decode(&mut buffer),
@@ -67,18 +72,18 @@
 }
 
 #[test]
-fn an_unknown_kind_harms_its_own_stream_only() {
-    let mut buffer = encoded(hello());
+fn decodes_next_frame_after_unknown_kind() {
+    let mut buffer = encode_frame(hello_frame());
     buffer[KIND_OFFSET] = 200;
-    buffer.unsplit(encoded(hello()));
+    buffer.unsplit(encode_frame(hello_frame()));
     let first = FrameCodec
         .decode(&mut buffer)
-        .expect("decodes")
-        .expect("whole");
+        .expect("the frame is valid")
+        .expect("the frame is complete");
     assert_eq!(first.message, Err(MessageError::UnknownKind(200)));
     assert_eq!(
-        FrameCodec.decode(&mut buffer).expect("decodes"),
-        Some(hello())
+        FrameCodec.decode(&mut buffer).expect("the frame is valid"),
+        Some(hello_frame())
     );
 }
 
@@ -90,19 +95,19 @@
     })]
 
     #[test]
-    fn any_bytes_are_read_or_refused_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
+    fn decodes_arbitrary_bytes_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
         let mut buffer = BytesMut::from(&bytes[..]);
-        let before = buffer.len();
+        let initial_length = buffer.len();
         if let Ok(Some(_)) = FrameCodec.decode(&mut buffer) {
-            prop_assert!(buffer.len() < before);
+            prop_assert!(buffer.len() < initial_length);
         }
     }
 
     #[test]
-    fn chunks_come_back_as_they_were_sent(bytes in prop::collection::vec(any::<u8>(), 0..2048), stream in any::<u64>()) {
+    fn decodes_encoded_chunk(bytes in prop::collection::vec(any::<u8>(), 0..2048), stream in any::<u64>()) {
         let frame = Frame::new(StreamId(stream), Message::Chunk(BodyChunk::new(&bytes)));
-        let mut buffer = encoded(frame.clone());
-        prop_assert_eq!(FrameCodec.decode(&mut buffer).expect("decodes"), Some(frame));
+        let mut buffer = encode_frame(frame.clone());
+        prop_assert_eq!(FrameCodec.decode(&mut buffer).expect("the frame is valid"), Some(frame));
         prop_assert!(buffer.is_empty());
     }
 }
--- a/crates/standalone/tallybridge-wire/tests/gossip.rs
+++ b/crates/standalone/tallybridge-wire/tests/gossip.rs
@@ -1,4 +1,5 @@
-//! Membership datagrams survive the way over UDP, and damaged ones are told apart.
+//! Tests that membership datagrams are decoded as they were encoded and that damaged datagrams are
+//! rejected.
 
 use proptest::{
     prelude::*,
@@ -95,29 +96,29 @@
     })]
 
     #[test]
-    fn a_datagram_is_read_as_it_was_sent(datagram in datagram()) {
-        let bytes = encode_datagram(&datagram).expect("fits");
+    fn decodes_encoded_datagram(datagram in datagram()) {
+        let bytes = encode_datagram(&datagram).expect("the datagram fits");
         prop_assert_eq!(bytes.len(), datagram.encoded_len());
         prop_assert_eq!(decode_datagram(&bytes), Ok(datagram));
     }
 
     #[test]
-    fn a_damaged_bit_is_found(datagram in datagram(), position in any::<prop::sample::Index>()) {
-        let mut bytes = encode_datagram(&datagram).expect("fits");
+    fn rejects_datagram_with_flipped_bit(datagram in datagram(), position in any::<prop::sample::Index>()) {
+        let mut bytes = encode_datagram(&datagram).expect("the datagram fits");
         let bit = position.index(bytes.len() * 8);
         bytes[bit / 8] ^= 1 << (bit % 8);
         prop_assert!(decode_datagram(&bytes).is_err());
     }
 
     #[test]
-    fn a_cut_off_datagram_is_found(datagram in datagram(), position in any::<prop::sample::Index>()) {
-        let bytes = encode_datagram(&datagram).expect("fits");
+    fn rejects_truncated_datagram(datagram in datagram(), position in any::<prop::sample::Index>()) {
+        let bytes = encode_datagram(&datagram).expect("the datagram fits");
         let length = position.index(bytes.len());
         prop_assert!(decode_datagram(&bytes[..length]).is_err());
     }
 
     #[test]
-    fn arbitrary_bytes_with_a_sound_envelope_do_no_harm(payload in any::<Vec<u8>>()) {
+    fn reencodes_any_decodable_payload(payload in any::<Vec<u8>>()) {
         let mut bytes = vec![tallybridge_wire::PROTOCOL_VERSION];
         bytes.extend(crc32fast::hash(&payload).to_be_bytes());
         bytes.extend(payload);
@@ -128,7 +129,7 @@
 }
 
 #[test]
-fn a_datagram_that_does_not_fit_is_refused() {
+fn rejects_oversized_datagram() {
     let text = ShortText::new(&"x".repeat(300));
     let node = NodeId {
         address: ([127, 0, 0, 1], 1).into(),
@@ -152,6 +153,6 @@
     let datagram = Datagram::new(header, GossipMessage::Gossip, vec![update.clone(), update]);
     let length = datagram.encoded_len();
     assert!(length > MAX_DATAGRAM_BYTES);
-    let refused = Err(DatagramError::TooLarge(length));
-    assert_eq!(encode_datagram(&datagram), refused);
+    let expected = Err(DatagramError::TooLarge(length));
+    assert_eq!(encode_datagram(&datagram), expected);
 }
