Name the fields of quota requests alike everywhere

Locals, private items and comments still spoke of "asks" where the message is a quota request. They follow its fields now: extra_tokens, admitted and spending. Shorthand fields and single-expression closures are back where long names had forced rustfmt to add blocks.

--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -120,15 +120,15 @@
     /// # Errors
     ///
     /// Returns [`LinkError::NotSent`] if the link is closed.
-    pub fn ask_quota(
+    pub fn request_tokens(
         self: &Arc<Self>,
         tenant: &str,
-        ask: QuotaRequest,
+        request: QuotaRequest,
         is_forwarded: bool,
     ) -> Result<LinkCall, LinkError> {
         let message = QuotaRequestMessage {
             tenant: Bytes::copy_from_slice(tenant.as_bytes()),
-            request: ask,
+            request,
             is_forwarded,
         };
         self.send_request(Message::QuotaRequest(message), true)
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -159,7 +159,7 @@
                     sender.send_message(Message::Configuration(document));
                 }
             }
-            Message::QuotaRequest(message) => self.answer_quota_ask(frame.call, message),
+            Message::QuotaRequest(message) => self.answer_quota_request(frame.call, message),
             Message::Crash(report) => {
                 // The node whose back end crashed writes the report to the store.
                 node.record_crash(report);
@@ -171,27 +171,25 @@
         }
     }
 
-    fn answer_quota_ask(&self, call_number: u32, message: QuotaRequestMessage) {
+    fn answer_quota_request(&self, call: u32, message: QuotaRequestMessage) {
         let QuotaRequestMessage {
             tenant,
-            request: ask,
+            request,
             is_forwarded,
         } = message;
-        match self.node.grant_quota(&tenant, ask.clone()) {
-            QuotaGrant::NotOwner if !is_forwarded => {
-                self.forward_quota_ask(call_number, tenant, ask)
-            }
-            grant => send_quota_grant(&self.sender, call_number, grant),
+        match self.node.grant_quota(&tenant, request.clone()) {
+            QuotaGrant::NotOwner if !is_forwarded => self.forward_request(call, tenant, request),
+            grant => send_quota_grant(&self.sender, call, grant),
         }
     }
 
-    /// Asks the owner of a quota on behalf of a node that cannot reach or does not know the owner.
-    fn forward_quota_ask(&self, call_number: u32, tenant: Bytes, ask: QuotaRequest) {
+    /// Requests tokens from the owner of a quota on behalf of a node that cannot reach or does not know the owner.
+    fn forward_request(&self, call: u32, tenant: Bytes, request: QuotaRequest) {
         let node = self.node.clone();
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let grant = quota::forward(&node, &tenant, ask).await;
-            send_quota_grant(&sender, call_number, grant);
+            let grant = quota::forward(&node, &tenant, request).await;
+            send_quota_grant(&sender, call, grant);
         });
     }
 }
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -52,29 +52,29 @@
         self.quota.ownership.restart(now);
     }
 
-    fn grant(&mut self, tenant: &Tenant, ask: QuotaRequest, now: BootInstant) -> QuotaGrant {
+    fn grant(&mut self, tenant: &Tenant, request: QuotaRequest, now: BootInstant) -> QuotaGrant {
         if !self.quota.ownership.may_own(self.configuration.read_at()) {
             return QuotaGrant::NotOwner;
         }
         let owner_since = self.quota.ownership.since();
-        self.quota.owned.grant(tenant, ask, owner_since, now)
+        self.quota.owned.grant(tenant, request, owner_since, now)
     }
 }
 
 impl Node {
     /// Takes a token that this entry holds, for a new request of a tenant. Without one, returns
-    /// whether to ask the owner or to refuse the request.
+    /// whether to request tokens from the owner or to refuse the request.
     #[must_use]
     pub fn take_held_token(&self, tenant: &Tenant) -> TokenAnswer {
         let entry = &mut self.tables().quota.entry;
         entry.take_token(&tenant.name, BootInstant::now())
     }
 
-    /// Records tokens granted by the owner, one of which the current request uses. `fleet` is what
-    /// owners granted to all entries within the last window.
-    pub fn tokens_granted(&self, tenant: &Tenant, tokens: u32, fleet: &[EpochSpending]) {
+    /// Records tokens granted by the owner, one of which the current request uses. `spending`
+    /// holds the grants of all owners within the last window.
+    pub fn tokens_granted(&self, tenant: &Tenant, tokens: u32, spending: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
-        entry.record_grant(&tenant.name, tokens, fleet, BootInstant::now());
+        entry.record_grant(&tenant.name, tokens, spending, BootInstant::now());
     }
 
     /// Keeps granted tokens that were not used, for later requests of the tenant.
@@ -85,9 +85,9 @@
 
     /// Records that the owner refused a token because the tenant is at its limit. `wait` is the time
     /// until a token is likely to be available.
-    pub fn tenant_at_limit(&self, tenant: &Tenant, wait: Duration, fleet: &[EpochSpending]) {
+    pub fn tenant_at_limit(&self, tenant: &Tenant, wait: Duration, spending: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
-        entry.record_limit_reached(&tenant.name, wait, fleet, BootInstant::now());
+        entry.record_limit_reached(&tenant.name, wait, spending, BootInstant::now());
     }
 
     /// Returns the owner of a tenant's quota, chosen among the nodes that this node reaches.
@@ -98,35 +98,35 @@
 
     /// Grants tokens as the owner of a tenant's quota.
     #[must_use]
-    pub fn grant_as_owner(&self, tenant: &Tenant, ask: QuotaRequest) -> QuotaGrant {
-        self.tables().grant(tenant, ask, BootInstant::now())
+    pub fn grant_as_owner(&self, tenant: &Tenant, request: QuotaRequest) -> QuotaGrant {
+        self.tables().grant(tenant, request, BootInstant::now())
     }
 
     /// Grants a token from this node's share of a tenant's limit, which is divided into `parts`
     /// equal shares.
     #[must_use]
-    pub fn grant_share(&self, tenant: &Tenant, parts: usize, ask: QuotaRequest) -> QuotaGrant {
+    pub fn grant_share(&self, tenant: &Tenant, parts: usize, request: QuotaRequest) -> QuotaGrant {
         let share = tenant.with_divided_limit(parts);
         // Grants from the whole limit must not count against one share of it.
-        let ask = QuotaRequest {
+        let request = QuotaRequest {
             extra_tokens: 0,
             spending: Vec::new(),
-            ..ask
+            ..request
         };
-        self.tables().grant(&share, ask, BootInstant::now())
+        self.tables().grant(&share, request, BootInstant::now())
     }
 
-    /// Answers a peer that asks this node for tokens. Returns [`QuotaGrant::NotOwner`] if the tenant
+    /// Answers a peer that requests tokens from this node. Returns [`QuotaGrant::NotOwner`] if the tenant
     /// is unknown or another node owns its quota.
     #[must_use]
-    pub fn grant_quota(&self, tenant: &[u8], ask: QuotaRequest) -> QuotaGrant {
+    pub fn grant_quota(&self, tenant: &[u8], request: QuotaRequest) -> QuotaGrant {
         let Some(tenant) = self.tenant_named(tenant) else {
             return QuotaGrant::NotOwner;
         };
         if !matches!(self.quota_owner(&tenant), QuotaOwner::Local) {
             return QuotaGrant::NotOwner;
         }
-        self.grant_as_owner(&tenant, ask)
+        self.grant_as_owner(&tenant, request)
     }
 
     /// Returns the tenant with the given name, if the configuration in force defines it.
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -1,4 +1,4 @@
-//! Applies the rate limit of a tenant: asks the owner of the limit for a token.
+//! Applies the rate limit of a tenant: requests tokens from the owner of the limit.
 //! [`tables::quotas`](crate::tables::quotas) describes the algorithm.
 
 use std::{
@@ -21,11 +21,12 @@
 
 /// Maximum wait for the answer of an owner, which takes a few milliseconds even across zones.
 const OWNER_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Delay before the entry asks again. Nodes detect a change of the owner within about 100 ms of each
+/// Delay before the entry requests tokens again. Nodes detect a change of the owner within about 100 ms of each
 /// other.
-const ASK_RETRY_DELAY: Duration = Duration::from_millis(30);
+const OWNER_RETRY_DELAY: Duration = Duration::from_millis(30);
 
-/// Admits a request if the tenant's rate limit allows it. Asks the owner until `wait_until` at most.
+/// Admits a request if the tenant's rate limit allows it. Requests tokens until `wait_until` at
+/// most.
 ///
 /// # Errors
 ///
@@ -38,42 +39,36 @@
     if tenant.limit.is_none() {
         return Ok(());
     }
-    let ask = match node.take_held_token(tenant) {
+    let request = match node.take_held_token(tenant) {
         TokenAnswer::Admitted => return Ok(()),
         TokenAnswer::AtLimit(wait) => return Err(over_quota_refusal(wait)),
-        TokenAnswer::Ask {
-            ahead,
-            spent,
-            fleet,
+        TokenAnswer::RequestTokens {
+            extra_tokens,
+            admitted,
+            spending,
         } => QuotaRequest {
             entry: node.record.process,
-            extra_tokens: ahead,
-            admitted: spent,
-            spending: fleet,
+            extra_tokens,
+            admitted,
+            spending,
         },
     };
     loop {
-        match ask_owner(node, tenant, ask.clone()).await {
-            Some(QuotaGrant::Tokens {
-                tokens,
-                spending: fleet,
-            }) => {
-                node.tokens_granted(tenant, tokens, &fleet);
+        match request_tokens(node, tenant, request.clone()).await {
+            Some(QuotaGrant::Tokens { tokens, spending }) => {
+                node.tokens_granted(tenant, tokens, &spending);
                 return Ok(());
             }
-            Some(QuotaGrant::Exhausted {
-                wait,
-                spending: fleet,
-            }) => {
-                node.tenant_at_limit(tenant, wait, &fleet);
+            Some(QuotaGrant::Exhausted { wait, spending }) => {
+                node.tenant_at_limit(tenant, wait, &spending);
                 return Err(over_quota_refusal(wait));
             }
             Some(QuotaGrant::NotOwner) | None => {}
         }
-        if BootInstant::now() + ASK_RETRY_DELAY >= wait_until {
+        if BootInstant::now() + OWNER_RETRY_DELAY >= wait_until {
             return Err(no_owner_refusal());
         }
-        sleep(ASK_RETRY_DELAY).await;
+        sleep(OWNER_RETRY_DELAY).await;
     }
 }
 
@@ -90,39 +85,41 @@
     .with_retry_after(DEFAULT_RETRY_AFTER)
 }
 
-/// Asks the owner of the tenant's limit for tokens; returns `None` if the owner does not answer.
-async fn ask_owner(node: &Node, tenant: &Tenant, ask: QuotaRequest) -> Option<QuotaGrant> {
+/// Requests tokens from the owner of the tenant's limit. Returns `None` if the owner does not answer.
+async fn request_tokens(node: &Node, tenant: &Tenant, request: QuotaRequest) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
-        QuotaOwner::Local => Some(node.grant_as_owner(tenant, ask)),
-        QuotaOwner::Peer(link) => ask_peer(&link, tenant, ask, false).await,
-        QuotaOwner::Split(parts) => Some(node.grant_share(tenant, parts, ask)),
+        QuotaOwner::Local => Some(node.grant_as_owner(tenant, request)),
+        QuotaOwner::Peer(link) => request_from_peer(&link, tenant, request, false).await,
+        QuotaOwner::Split(parts) => Some(node.grant_share(tenant, parts, request)),
     }
 }
 
-/// Asks the owner of a tenant's limit on behalf of another node, whose own connection to the owner
-/// may be unresponsive. Answers [`QuotaGrant::NotOwner`] if no peer owns the limit or the owner does
+/// Requests tokens from the owner of a tenant's limit on behalf of another node, whose own link to
+/// the owner may be unresponsive. Answers [`QuotaGrant::NotOwner`] if no peer owns the limit or the owner does
 /// not answer.
-pub async fn forward(node: &Node, tenant: &[u8], ask: QuotaRequest) -> QuotaGrant {
+pub async fn forward(node: &Node, tenant: &[u8], request: QuotaRequest) -> QuotaGrant {
     let Some(tenant) = node.tenant_named(tenant) else {
         return QuotaGrant::NotOwner;
     };
     let QuotaOwner::Peer(link) = node.quota_owner(&tenant) else {
         return QuotaGrant::NotOwner;
     };
-    let grant = ask_peer(&link, &tenant, ask, true).await;
+    let grant = request_from_peer(&link, &tenant, request, true).await;
     grant.unwrap_or(QuotaGrant::NotOwner)
 }
 
-/// Asks a peer for tokens; returns `None` if the link closes or no answer arrives in time.
-async fn ask_peer(
+/// Requests tokens from a peer. Returns `None` if the link closes or no answer arrives in time.
+async fn request_from_peer(
     link: &Arc<Link>,
     tenant: &Tenant,
-    ask: QuotaRequest,
+    request: QuotaRequest,
     is_forwarded: bool,
 ) -> Option<QuotaGrant> {
-    let mut pending_ask = link.ask_quota(&tenant.name, ask, is_forwarded).ok()?;
-    match timeout(OWNER_ANSWER_TIMEOUT, pending_ask.reply()).await {
+    let mut pending_request = link
+        .request_tokens(&tenant.name, request, is_forwarded)
+        .ok()?;
+    match timeout(OWNER_ANSWER_TIMEOUT, pending_request.reply()).await {
         Ok(Ok(Reply::Quota(grant))) => Some(grant),
         _ => None,
     }
--- a/crates/tallybridge-mesh/src/tables/quotas/entry.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/entry.rs
@@ -14,13 +14,13 @@
 const PREFETCH_SECONDS: f64 = 0.1;
 /// Time constant, in seconds, of the decaying request rate.
 const RATE_DECAY_SECONDS: f64 = 1.0;
-/// Maximum time for which an entry refuses requests without asking the owner. It must be shorter
+/// Maximum time for which an entry refuses requests without a request to the owner. It must be shorter
 /// than the 55 ms for which a new owner collects reports of earlier grants.
 const MAX_LOCAL_REFUSAL: Duration = Duration::from_millis(50);
 /// Time without a request after which the state of a tenant is dropped.
 const FORGET_IDLE_AFTER: Duration = Duration::from_secs(30);
 
-/// Decision that an entry makes without asking the owner.
+/// Decision that an entry makes without a request to the owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TokenAnswer {
     /// The request is admitted with a stored token.
@@ -28,14 +28,14 @@
     /// The owner recently reported that the tenant is at its limit. Contains the time after which
     /// to retry.
     AtLimit(Duration),
-    /// The entry must ask the owner for a token.
-    Ask {
+    /// The entry must request tokens from the owner.
+    RequestTokens {
         /// Tokens to prefetch in addition to the first.
-        ahead: u32,
+        extra_tokens: u32,
         /// Requests of the tenant that this entry admitted within the last window.
-        spent: u32,
+        admitted: u32,
         /// Grants of all owners within the last window, as far as this entry knows.
-        fleet: WindowSpending,
+        spending: WindowSpending,
     },
 }
 
@@ -70,26 +70,26 @@
         if now < state.at_limit_until {
             return TokenAnswer::AtLimit(state.retry_after);
         }
-        TokenAnswer::Ask {
-            ahead: (state.request_rate * PREFETCH_SECONDS) as u32,
-            spent: state.admitted.in_window(window, now),
-            fleet: state.fleet.report(now),
+        TokenAnswer::RequestTokens {
+            extra_tokens: (state.request_rate * PREFETCH_SECONDS) as u32,
+            admitted: state.admitted.in_window(window, now),
+            spending: state.fleet_spending.report(now),
         }
     }
 
     /// Records a grant of the owner. One token admits a request now, and the others are stored.
-    /// `fleet` holds the grants within the last window that the owner knows.
+    /// `spending` holds the grants within the last window that the owner knows.
     pub fn record_grant(
         &mut self,
         tenant: &Arc<str>,
         tokens: u32,
-        fleet: &[EpochSpending],
+        spending: &[EpochSpending],
         now: BootInstant,
     ) {
         let window = self.window;
         let state = self.tenant_state(tenant, now);
         state.admitted.record(window, now);
-        state.fleet.merge(fleet, now);
+        state.fleet_spending.merge(spending, now);
         self.store_tokens(tenant, tokens.saturating_sub(1), now);
     }
 
@@ -107,17 +107,17 @@
     }
 
     /// Records that the owner refused a token because the tenant is at its limit. `wait` is the
-    /// time after which to retry, and `fleet` holds the grants within the last window that the
+    /// time after which to retry, and `spending` holds the grants within the last window that the
     /// owner knows.
     pub fn record_limit_reached(
         &mut self,
         tenant: &Arc<str>,
         wait: Duration,
-        fleet: &[EpochSpending],
+        spending: &[EpochSpending],
         now: BootInstant,
     ) {
         let state = self.tenant_state(tenant, now);
-        state.fleet.merge(fleet, now);
+        state.fleet_spending.merge(spending, now);
         state.at_limit_until = now + wait.min(MAX_LOCAL_REFUSAL);
         state.retry_after = wait;
     }
@@ -141,7 +141,7 @@
                 at_limit_until: now,
                 retry_after: Duration::ZERO,
                 admitted: EntrySpending::default(),
-                fleet: FleetSpending::new(window),
+                fleet_spending: FleetSpending::new(window),
             })
     }
 }
@@ -154,14 +154,14 @@
     /// Requests per second, with exponential decay.
     request_rate: f64,
     rate_updated_at: BootInstant,
-    /// Time until which requests are refused without asking the owner.
+    /// Time until which requests are refused without a request to the owner.
     at_limit_until: BootInstant,
     /// Time after which to retry, from the last refusal of the owner.
     retry_after: Duration,
     /// Requests that this entry admitted, whichever node was the owner.
     admitted: EntrySpending,
     /// Known grants of all owners, which the entry reports to the next owner.
-    fleet: FleetSpending,
+    fleet_spending: FleetSpending,
 }
 
 impl TenantState {
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -9,15 +9,15 @@
     configuration::tenants::{RateLimit, Tenant},
 };
 
-/// Time without an ask after which a bucket is dropped.
-const FORGET_IDLE_AFTER: Duration = Duration::from_secs(60);
+/// Time without a request after which a bucket is dropped.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Minimum time between the last ask and a change of the reachable nodes in which another node may
-/// have been the owner. Each entry of a tenant at its limit asks every 50 ms.
+/// Minimum time between the last request and a change of the reachable nodes in which another node may
+/// have been the owner. Each entry of a tenant at its limit sends a request every 50 ms.
 const MIN_OWNERSHIP_GAP: Duration = Duration::from_millis(150);
 
 /// Time for which a new owner collects reports of earlier grants before its first grant. It must be
-/// longer than the 50 ms after which entries of a tenant at its limit ask again; otherwise each new
+/// longer than the 50 ms after which entries of a tenant at its limit request tokens again; otherwise each new
 /// owner would grant tokens in addition to a full window.
 const REPORT_COLLECTION_TIME: Duration = Duration::from_millis(55);
 
@@ -48,13 +48,13 @@
     pub fn grant(
         &mut self,
         tenant: &Tenant,
-        ask: QuotaRequest,
+        request: QuotaRequest,
         since: BootInstant,
         now: BootInstant,
     ) -> QuotaGrant {
         let Some(limit) = tenant.limit else {
             return QuotaGrant::Tokens {
-                tokens: 1 + ask.extra_tokens,
+                tokens: 1 + request.extra_tokens,
                 spending: Vec::new(),
             };
         };
@@ -62,26 +62,25 @@
         let quota = self.quotas.entry(tenant.name.clone());
         let quota = quota.or_insert_with(|| OwnedQuota::new(limit, slack, since, now));
         quota.start_epoch_after_gap(slack.initial_tokens(limit), since, now);
-        quota.last_asked_at = now;
+        quota.last_request_at = now;
         quota.bucket.set_limit(limit, now);
-        quota.fleet.merge(&ask.spending, now);
-        let reported_total = quota.reported.record_report(&ask, slack.window, now);
+        quota.fleet_spending.merge(&request.spending, now);
+        let reported_total = quota.reported.record_report(&request, slack.window, now);
         let may_have_predecessor = now.saturating_duration_since(since) < slack.window;
         if quota.is_collecting_reports(may_have_predecessor, reported_total, now) {
             return QuotaGrant::NotOwner;
         }
-        let window_total = reported_total.max(quota.fleet.in_window(now).into());
+        let window_total = reported_total.max(quota.fleet_spending.in_window(now).into());
         if window_total + 1.0 > slack.max_in_window(limit) {
             return quota.refuse(slack.window.mul_f64(FULL_WINDOW_RETRY_FRACTION), now);
         }
-        quota.grant(&ask, now)
+        quota.grant(&request, now)
     }
 
-    /// Drops buckets that no entry has asked for recently.
+    /// Drops buckets that no entry has requested tokens from recently.
     pub fn forget_idle(&mut self, now: BootInstant) {
-        self.quotas.retain(|_, quota| {
-            now.saturating_duration_since(quota.last_asked_at) < FORGET_IDLE_AFTER
-        });
+        self.quotas
+            .retain(|_, quota| now.saturating_duration_since(quota.last_request_at) < IDLE_TIMEOUT);
     }
 }
 
@@ -89,11 +88,11 @@
 #[derive(Debug)]
 struct OwnedQuota {
     bucket: TokenBucket,
-    last_asked_at: BootInstant,
+    last_request_at: BootInstant,
     /// Requests that each entry reported as admitted.
     reported: ReportedSpending,
     /// Grants of all owners, including this node.
-    fleet: FleetSpending,
+    fleet_spending: FleetSpending,
     /// Random number of the current epoch.
     epoch: u32,
     epoch_started_at: BootInstant,
@@ -105,9 +104,9 @@
     fn new(limit: RateLimit, slack: QuotaSlack, since: BootInstant, now: BootInstant) -> Self {
         Self {
             bucket: TokenBucket::new(limit, slack.initial_tokens(limit), since),
-            last_asked_at: now,
+            last_request_at: now,
             reported: ReportedSpending::default(),
-            fleet: FleetSpending::new(slack.window),
+            fleet_spending: FleetSpending::new(slack.window),
             epoch: rand::random(),
             epoch_started_at: now,
         }
@@ -116,7 +115,7 @@
     /// Starts a new epoch if another node may have been the owner before `since`. The tokens that
     /// arrived in the meantime are discarded, because the other owner may have granted them.
     fn start_epoch_after_gap(&mut self, initial_tokens: f64, since: BootInstant, now: BootInstant) {
-        let gap = since.saturating_duration_since(self.last_asked_at);
+        let gap = since.saturating_duration_since(self.last_request_at);
         if gap >= MIN_OWNERSHIP_GAP {
             self.bucket.restart(initial_tokens, since);
             self.reported = ReportedSpending::default();
@@ -138,29 +137,23 @@
         is_new_epoch
             && (may_have_predecessor
                 || reported_total > 0.0
-                || self.fleet.in_window_except(self.epoch, now) > 0)
+                || self.fleet_spending.in_window_except(self.epoch, now) > 0)
     }
 
     fn refuse(&mut self, wait: Duration, now: BootInstant) -> QuotaGrant {
-        let fleet = self.fleet.report(now);
-        QuotaGrant::Exhausted {
-            wait,
-            spending: fleet,
-        }
+        let spending = self.fleet_spending.report(now);
+        QuotaGrant::Exhausted { wait, spending }
     }
 
-    fn grant(&mut self, ask: &QuotaRequest, now: BootInstant) -> QuotaGrant {
-        let tokens = self.bucket.take(ask.extra_tokens, now);
+    fn grant(&mut self, request: &QuotaRequest, now: BootInstant) -> QuotaGrant {
+        let tokens = self.bucket.take(request.extra_tokens, now);
         if tokens == 0 {
             let wait = self.bucket.schedule_retry(now);
             return self.refuse(wait, now);
         }
-        self.reported.add_grant(ask.entry, tokens);
-        self.fleet.record_grant(self.epoch, tokens, now);
-        let fleet = self.fleet.report(now);
-        QuotaGrant::Tokens {
-            tokens,
-            spending: fleet,
-        }
+        self.reported.add_grant(request.entry, tokens);
+        self.fleet_spending.record_grant(self.epoch, tokens, now);
+        let spending = self.fleet_spending.report(now);
+        QuotaGrant::Tokens { tokens, spending }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/spending.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/spending.rs
@@ -9,8 +9,8 @@
 use crate::clock::BootInstant;
 use crate::protocol::QuotaRequest;
 
-/// Minimum number of asks that an entry of a tenant at its limit sends in each window.
-const ASKS_PER_WINDOW: u32 = 10;
+/// Minimum number of requests that an entry of a tenant at its limit sends to the owner in each window.
+const REPORTS_PER_WINDOW: u32 = 10;
 
 /// Requests that one entry admitted, by parts of the window.
 #[derive(Debug, Default)]
@@ -72,7 +72,7 @@
     /// the next one is due; after that, its requests expire evenly.
     fn in_window(&self, window: Duration, now: BootInstant) -> f64 {
         let age = now.saturating_duration_since(self.received_at);
-        let age = age.saturating_sub(window / ASKS_PER_WINDOW);
+        let age = age.saturating_sub(window / REPORTS_PER_WINDOW);
         let expired_fraction = age.as_secs_f64() / window.as_secs_f64().max(f64::MIN_POSITIVE);
         self.requests * (1.0 - expired_fraction).max(0.0)
     }
@@ -81,12 +81,17 @@
 impl ReportedSpending {
     /// Records the report of an entry and returns the number of requests that all entries admitted
     /// within the last window.
-    pub fn record_report(&mut self, ask: &QuotaRequest, window: Duration, now: BootInstant) -> f64 {
+    pub fn record_report(
+        &mut self,
+        request: &QuotaRequest,
+        window: Duration,
+        now: BootInstant,
+    ) -> f64 {
         let report = EntryReport {
-            requests: ask.admitted.into(),
+            requests: request.admitted.into(),
             received_at: now,
         };
-        self.0.insert(ask.entry, report);
+        self.0.insert(request.entry, report);
         self.0
             .retain(|_, report| now.saturating_duration_since(report.received_at) < window);
         self.0
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -36,7 +36,7 @@
 
 fn compare(workload: &Workload) -> Comparison {
     let seeds = env::var("PLAYS").map_or(DEFAULT_SEEDS, |seeds| {
-        seeds.parse().expect("PLAYS is not a number")
+        seeds.parse().expect("PLAYS is not a number of seeds")
     });
     let run_all = |adapts_threshold| {
         let totals = (0..seeds).map(|seed| Simulation::new(workload, adapts_threshold, seed).run());
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -44,14 +44,14 @@
             .map(|fraction| (fraction * gaps_us.len() as f64) as usize)
             .to_vec();
         let gaps = micros_to_durations(&gaps_us);
-        let result = simulate(&tenant, entries, gaps, None, |number, now, ask| {
+        let result = simulate(&tenant, entries, gaps, None, |number, now, request| {
             let previous_count = restarts.len();
             restarts.retain(|restart| number < *restart);
             if restarts.len() < previous_count {
                 owner = OwnedQuotas::new(QUOTA_SLACK);
                 since = Some(now);
             }
-            owner.grant(&tenant, ask, *since.get_or_insert(now), now)
+            owner.grant(&tenant, request, *since.get_or_insert(now), now)
         });
         let max_requests = max_requests_in_window(&result.admitted);
         prop_assert!(
@@ -74,12 +74,12 @@
         let mut owners = [0; 3].map(|_| OwnedQuotas::new(QUOTA_SLACK));
         let mut started_at = None;
         let gaps = micros_to_durations(&gaps_us);
-        let result = simulate(&tenant, entries, gaps, None, |_, now, ask| {
+        let result = simulate(&tenant, entries, gaps, None, |_, now, request| {
             let started_at = *started_at.get_or_insert(now);
             let interval_index =
                 now.saturating_duration_since(started_at).as_millis() as u64 / interval_ms;
             let since = started_at + Duration::from_millis(interval_index * interval_ms);
-            owners[(interval_index % 3) as usize].grant(&tenant, ask, since, now)
+            owners[(interval_index % 3) as usize].grant(&tenant, request, since, now)
         });
         let max_requests = max_requests_in_window(&result.admitted);
         prop_assert!(
@@ -164,13 +164,13 @@
         let mut is_state_lost = false;
         let gaps = (0..1_500).map(|_| Duration::from_secs_f64(1.25 / rate));
         let entry_state_lost_at = entries_lose_state.then_some(state_lost_at);
-        let result = simulate(&tenant, entries, gaps, entry_state_lost_at, |number, now, ask| {
+        let result = simulate(&tenant, entries, gaps, entry_state_lost_at, |number, now, request| {
             if number >= state_lost_at && !is_state_lost {
                 is_state_lost = true;
                 owner = OwnedQuotas::new(QUOTA_SLACK);
                 since = Some(now);
             }
-            owner.grant(&tenant, ask, *since.get_or_insert(now), now)
+            owner.grant(&tenant, request, *since.get_or_insert(now), now)
         });
         prop_assert_eq!(result.refused, 0);
     }
@@ -206,7 +206,7 @@
     }
 }
 
-/// A restarted entry asks a new owner first, because it does not know of any grants. The owner must
+/// A restarted entry sends the first request to a new owner, because it does not know of any grants. The owner must
 /// not grant a token before it has collected the reports of the other entries.
 #[test]
 fn a_third_of_few_entries_restarted_with_each_home_keeps_a_small_limit() {
--- a/crates/tallybridge-mesh/tests/quota_restarts.rs
+++ b/crates/tallybridge-mesh/tests/quota_restarts.rs
@@ -73,7 +73,7 @@
 }
 
 /// With one entry, all knowledge of earlier grants is lost at once. With 300 entries at two
-/// requests per second each, few of them ask a new owner within its first 55 ms.
+/// requests per second each, few of them send a request to a new owner within its first 55 ms.
 #[test]
 fn small_limits_hold_at_one_entry_and_at_many() {
     assert_limits_hold(&[1, 300], &[1.0, 5.0, 20.0]);
--- a/crates/tallybridge-mesh/tests/support/quota.rs
+++ b/crates/tallybridge-mesh/tests/support/quota.rs
@@ -30,8 +30,8 @@
     }
 }
 
-/// Time after which an entry repeats an ask that no owner has answered.
-const ASK_INTERVAL: Duration = Duration::from_millis(30);
+/// Time after which an entry repeats a request that no owner has answered.
+const OWNER_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// An entry and its token state.
 struct Entry {
@@ -49,42 +49,38 @@
 }
 
 impl Entry {
-    /// Decides on a request as a node does; `ask_owner` sends an ask to the current owner.
+    /// Decides on a request as a node does; `request_tokens` sends a request for tokens to the
+    /// current owner.
     fn decide(
         &mut self,
         tenant: &Tenant,
         now: BootInstant,
-        ask_owner: impl FnOnce(QuotaRequest) -> QuotaGrant,
+        request_tokens: impl FnOnce(QuotaRequest) -> QuotaGrant,
     ) -> Decision {
-        let (ahead, spent, fleet) = match self.tokens.take_token(&tenant.name, now) {
+        let (extra_tokens, admitted, spending) = match self.tokens.take_token(&tenant.name, now) {
             TokenAnswer::Admitted => return Decision::Admitted,
             TokenAnswer::AtLimit(_) => return Decision::Refused,
-            TokenAnswer::Ask {
-                ahead,
-                spent,
-                fleet,
-            } => (ahead, spent, fleet),
+            TokenAnswer::RequestTokens {
+                extra_tokens,
+                admitted,
+                spending,
+            } => (extra_tokens, admitted, spending),
         };
-        let ask = QuotaRequest {
+        let request = QuotaRequest {
             entry: self.process,
-            extra_tokens: ahead,
-            admitted: spent,
-            spending: fleet,
+            extra_tokens,
+            admitted,
+            spending,
         };
-        match ask_owner(ask) {
-            QuotaGrant::Tokens {
-                tokens,
-                spending: fleet,
-            } => {
-                self.tokens.record_grant(&tenant.name, tokens, &fleet, now);
+        match request_tokens(request) {
+            QuotaGrant::Tokens { tokens, spending } => {
+                self.tokens
+                    .record_grant(&tenant.name, tokens, &spending, now);
                 Decision::Admitted
             }
-            QuotaGrant::Exhausted {
-                wait,
-                spending: fleet,
-            } => {
+            QuotaGrant::Exhausted { wait, spending } => {
                 self.tokens
-                    .record_limit_reached(&tenant.name, wait, &fleet, now);
+                    .record_limit_reached(&tenant.name, wait, &spending, now);
                 Decision::Refused
             }
             QuotaGrant::NotOwner => Decision::Pending,
@@ -104,21 +100,21 @@
     pub refused: usize,
 }
 
-/// Simulates requests of a tenant that arrive after the given gaps. `ask_owner` receives the number
-/// and time of the request and the ask. All entries lose their state at the request
+/// Simulates requests of a tenant that arrive after the given gaps. `request_tokens` receives the number
+/// and time of the user's request, and the request for tokens. All entries lose their state at the request
 /// `state_lost_at`.
 pub fn simulate(
     tenant: &Tenant,
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     state_lost_at: Option<usize>,
-    ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
+    request_tokens: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> SimulationResult {
     let restarted = |number| match state_lost_at == Some(number) {
         true => 0..entries,
         false => 0..0,
     };
-    simulate_with_restarts(tenant, entries, gaps, restarted, ask_owner)
+    simulate_with_restarts(tenant, entries, gaps, restarted, request_tokens)
 }
 
 /// Simulates requests like [`simulate`]. `restarted` returns the range of entries that lose their
@@ -128,7 +124,7 @@
     entries: usize,
     gaps: impl Iterator<Item = Duration>,
     mut restarted: impl FnMut(usize) -> Range<usize>,
-    mut ask_owner: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
+    mut request_tokens: impl FnMut(usize, BootInstant, QuotaRequest) -> QuotaGrant,
 ) -> SimulationResult {
     let mut entry_nodes: Vec<Entry> = (0..entries).map(|_| Entry::default()).collect();
     let mut now = BootInstant::now();
@@ -136,7 +132,7 @@
         admitted: Vec::new(),
         refused: 0,
     };
-    // Ordered by time: new requests and repeated asks.
+    // Ordered by time: users' requests and repeated requests for tokens.
     let mut events = BinaryHeap::new();
     for (number, gap) in gaps.enumerate() {
         now += gap;
@@ -148,11 +144,11 @@
                 entry_nodes[entry] = Entry::default();
             }
         }
-        let ask = |ask| ask_owner(number, now, ask);
-        match entry_nodes[number % entries].decide(tenant, now, ask) {
+        let grant = |request| request_tokens(number, now, request);
+        match entry_nodes[number % entries].decide(tenant, now, grant) {
             Decision::Admitted => result.admitted.push(now),
             Decision::Refused => result.refused += 1,
-            Decision::Pending => events.push(Reverse((now + ASK_INTERVAL, number, true))),
+            Decision::Pending => events.push(Reverse((now + OWNER_RETRY_DELAY, number, true))),
         }
     }
     result
@@ -186,12 +182,12 @@
     let mut owner = OwnedQuotas::new(QUOTA_SLACK);
     let mut since = None;
     let gaps = micros_to_durations(gaps_us);
-    let result = simulate(&tenant, entries, gaps, None, |_, now, ask| {
+    let result = simulate(&tenant, entries, gaps, None, |_, now, request| {
         if now.saturating_duration_since(*since.get_or_insert(now)) >= owner_lifetime {
             owner = OwnedQuotas::new(QUOTA_SLACK);
             since = Some(now);
         }
-        owner.grant(&tenant, ask, *since.get_or_insert(now), now)
+        owner.grant(&tenant, request, *since.get_or_insert(now), now)
     });
     max_requests_in_window(&result.admitted)
 }
@@ -221,13 +217,13 @@
         entries,
         gaps,
         restarted_third,
-        |number, now, ask| {
+        |number, now, request| {
             if number / requests_between > replacement_count {
                 replacement_count = number / requests_between;
                 owner = OwnedQuotas::new(QUOTA_SLACK);
                 since = Some(now);
             }
-            owner.grant(&tenant, ask, *since.get_or_insert(now), now)
+            owner.grant(&tenant, request, *since.get_or_insert(now), now)
         },
     );
     max_requests_in_window(&result.admitted)
@@ -286,8 +282,8 @@
         entries,
         gaps.into_iter(),
         restarted,
-        |number, now, ask| {
-            // A repeated ask may arrive after later requests.
+        |number, now, request| {
+            // A repeated request may arrive after later requests.
             if replacement_numbers
                 .get(replacement_count)
                 .is_some_and(|next| number >= *next)
@@ -296,7 +292,7 @@
                 owner = OwnedQuotas::new(QUOTA_SLACK);
                 since = Some(now);
             }
-            owner.grant(&tenant, ask, *since.get_or_insert(now), now)
+            owner.grant(&tenant, request, *since.get_or_insert(now), now)
         },
     );
     max_requests_in_window(&result.admitted)
--- a/crates/tallybridge-mesh/tests/tenants.rs
+++ b/crates/tallybridge-mesh/tests/tenants.rs
@@ -60,15 +60,10 @@
         (tenant("last", 7), keys(&["l"])),
     ];
     let directory = TenantDirectory::new(tenants).unwrap();
-    let rank = |name: &str| {
-        directory
-            .tenant_by_name(name)
-            .expect("the tenant is in the directory")
-            .rank
-    };
-    let expected_rank = |before, after| TenantRank {
-        higher_priorities: before,
-        lower_priorities: after,
+    let rank = |name: &str| directory.tenant_by_name(name).expect("tenant exists").rank;
+    let expected_rank = |higher_priorities, lower_priorities| TenantRank {
+        higher_priorities,
+        lower_priorities,
     };
     assert_eq!(rank("first"), expected_rank(0, 2));
     assert_eq!(rank("second"), expected_rank(1, 1));
@@ -79,7 +74,7 @@
     assert_eq!(
         equal_directory
             .tenant_by_name("ana")
-            .expect("the tenant is in the directory")
+            .expect("tenant exists")
             .rank,
         expected_rank(0, 0)
     );
--- a/crates/tallybridge-mesh/tests/wire_format.rs
+++ b/crates/tallybridge-mesh/tests/wire_format.rs
@@ -71,7 +71,7 @@
     })
 }
 
-fn quota_ask() -> Message {
+fn quota_request() -> Message {
     Message::QuotaRequest(QuotaRequestMessage {
         tenant: bytes("ana"),
         request: QuotaRequest {
@@ -143,7 +143,7 @@
             "00000008080d112233440102030405060708",
         ),
         (
-            quota_ask(),
+            quota_request(),
             "00000026080e112233440102030405060708000000090000000a01010102030405060708090a03000100000203616e61",
         ),
         (
