Reword comments and names that said asked, lost or given up

The time of a request to the store is requested_at everywhere. LinkError::Lost is NoReply, Verdict::Lost is Unresponsive. Locals named after their filter (of_service, lost) follow what they hold.

--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -170,7 +170,8 @@
         "answer-too-large", 502, Upstream, Unknown, false, 80,
         "raise `max_answer_bytes` in the template or page the answer"
     }
-    /// The peer that ran the call was lost before its answer arrived.
+    /// The link to the peer that ran the call closed, or the peer became unresponsive, before an answer
+    /// arrived.
     PeerLost = 23 => {
         "peer-lost", 502, Internal, Unknown, false, 81,
         "the node was replaced or cut off: see `tallybridge status`"
--- a/crates/tallybridge-mesh/src/clock/pause.rs
+++ b/crates/tallybridge-mesh/src/clock/pause.rs
@@ -4,7 +4,7 @@
 //! Ticks are 100 ms apart; a process without a tick for 500 ms was paused. Data read from a socket
 //! during a pause, or within 30 ms after it, counts as arrived when the pause began. Otherwise a
 //! call that waited in the socket would run with its original time limit after its caller has
-//! given up.
+//! stopped waiting.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
--- a/crates/tallybridge-mesh/src/link/liveness.rs
+++ b/crates/tallybridge-mesh/src/link/liveness.rs
@@ -27,7 +27,7 @@
 
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 ///
-/// The accepting side of a link sends no pings. It detects a lost peer by this timeout and by
+/// The accepting side of a link sends no pings. It detects an unresponsive peer by this timeout and by
 /// keep-alive probes.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = CLOSE_AFTER;
 
@@ -49,7 +49,7 @@
     /// New calls must avoid the link, and its idempotent calls must be abandoned.
     AbandonCalls,
     /// The link must be closed.
-    Lost,
+    Unresponsive,
 }
 
 impl Liveness {
@@ -90,7 +90,7 @@
 
 fn judge_unanswered_ping(ping_age: Duration) -> Verdict {
     if ping_age >= CLOSE_AFTER {
-        Verdict::Lost
+        Verdict::Unresponsive
     } else if ping_age >= ABANDON_AFTER {
         Verdict::AbandonCalls
     } else if ping_age >= SUSPECT_AFTER {
--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -48,7 +48,7 @@
     NotSent,
     /// The link closed, or the call was abandoned, after the call was sent.
     #[error("link closed or call abandoned before a reply arrived")]
-    Lost,
+    NoReply,
 }
 
 /// Reply of the peer to a call.
@@ -171,7 +171,7 @@
                 self.mark_suspect(&state);
                 state.pending.abandon_idempotent();
             }
-            Verdict::Lost => self.unresponsive.notify_one(),
+            Verdict::Unresponsive => self.unresponsive.notify_one(),
         }
     }
 
@@ -256,9 +256,11 @@
     ///
     /// # Errors
     ///
-    /// Returns [`LinkError::Lost`] if the link closes or the call is abandoned first.
+    /// Returns [`LinkError::NoReply`] if the link closes or the call is abandoned first.
     pub async fn reply(&mut self) -> Result<Reply, LinkError> {
-        (&mut self.receiver).await.unwrap_or(Err(LinkError::Lost))
+        (&mut self.receiver)
+            .await
+            .unwrap_or(Err(LinkError::NoReply))
     }
 }
 
--- a/crates/tallybridge-mesh/src/link/pending.rs
+++ b/crates/tallybridge-mesh/src/link/pending.rs
@@ -78,14 +78,14 @@
     /// Fails the idempotent calls, which may be retried at another node.
     pub fn abandon_idempotent(&mut self) {
         let abandoned = self.calls.extract_if(|_, call| call.is_idempotent);
-        abandoned.for_each(|(_, call)| call.finish(Err(LinkError::Lost)));
+        abandoned.for_each(|(_, call)| call.finish(Err(LinkError::NoReply)));
     }
 
     /// Fails all calls and rejects later ones.
     pub fn close(&mut self) {
         self.is_closed = true;
         for (_, call) in self.calls.drain() {
-            call.finish(Err(LinkError::Lost));
+            call.finish(Err(LinkError::NoReply));
         }
     }
 }
--- a/crates/tallybridge-mesh/src/node/configuration.rs
+++ b/crates/tallybridge-mesh/src/node/configuration.rs
@@ -74,17 +74,19 @@
     }
 
     /// Records that the store confirmed the configuration in force as the newest one, in answer to
-    /// a call that this node sent at `asked_at`.
-    pub fn configuration_confirmed(&self, asked_at: BootInstant) {
-        self.tables().configuration.record_confirmation(asked_at);
+    /// a call that this node sent at `requested_at`.
+    pub fn configuration_confirmed(&self, requested_at: BootInstant) {
+        self.tables()
+            .configuration
+            .record_confirmation(requested_at);
         self.signals.confirmations.send_modify(|count| *count += 1);
     }
 
     /// Records that this node read the configuration in force from the store, in answer to a call
-    /// that it sent at `asked_at`.
-    pub fn configuration_read(&self, asked_at: BootInstant) {
-        self.tables().configuration.record_read(asked_at);
-        self.configuration_confirmed(asked_at);
+    /// that it sent at `requested_at`.
+    pub fn configuration_read(&self, requested_at: BootInstant) {
+        self.tables().configuration.record_read(requested_at);
+        self.configuration_confirmed(requested_at);
     }
 
     /// Returns the age of the last read of the configuration from the store, by this node or by a
@@ -106,17 +108,17 @@
     /// Records a confirmation that a watching peer got from the store. The confirmation also holds
     /// for this node if the versions are equal; a newer version is fetched from the peer.
     pub fn peer_confirmed(&self, peer: SocketAddr, confirmed: ConfirmedVersion) {
-        let Some(asked_at) = BootInstant::now().checked_sub(confirmed.age) else {
+        let Some(requested_at) = BootInstant::now().checked_sub(confirmed.age) else {
             // Older than the clock of this machine can represent, so too old to confirm anything.
             return;
         };
         let mut tables = self.tables();
         tables
             .watchers
-            .record_confirmation(peer, confirmed.version, asked_at);
+            .record_confirmation(peer, confirmed.version, requested_at);
         let version_order = tables
             .configuration
-            .record_peer_confirmation(confirmed, asked_at);
+            .record_peer_confirmation(confirmed, requested_at);
         if version_order.is_gt() {
             self.signals.peer_ahead.notify_one();
         }
--- a/crates/tallybridge-mesh/src/node/store_watch.rs
+++ b/crates/tallybridge-mesh/src/node/store_watch.rs
@@ -83,22 +83,22 @@
         PendingWatch(&self.has_pending_watch)
     }
 
-    /// Records the store's answer to another call, sent at `asked_at`. If a watch is pending, the
+    /// Records the store's answer to another call, sent at `requested_at`. If a watch is pending, the
     /// answer confirms the configuration, since the watch would have reported a change.
-    pub fn confirm_by_pending_watch(&self, asked_at: BootInstant) {
+    pub fn confirm_by_pending_watch(&self, requested_at: BootInstant) {
         if self.has_pending_watch.load(Ordering::Relaxed) {
-            self.configuration_confirmed(asked_at);
+            self.configuration_confirmed(requested_at);
         }
     }
 
-    /// Wakes the task of the pending watch, if there is one, because the store may have lost it.
+    /// Wakes the task of the pending watch, if there is one, because the store may have dropped it.
     pub fn suspect_watch(&self) {
         if self.has_pending_watch.load(Ordering::Relaxed) {
             self.signals.watch_suspected.notify_one();
         }
     }
 
-    /// Waits until the pending watch is suspected to be lost.
+    /// Waits until the store is suspected to have dropped the pending watch.
     pub async fn watch_suspected(&self) {
         self.signals.watch_suspected.notified().await;
     }
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -88,7 +88,7 @@
     node.with_peers(|peers| peers.record_sent(address));
     match pending_call.reply().await {
         Ok(reply) => result_of_reply(reply),
-        Err(error @ (LinkError::Lost | LinkError::NotSent)) => {
+        Err(error @ (LinkError::NoReply | LinkError::NotSent)) => {
             node.with_peers(|peers| peers.avoid(address, Instant::now()));
             Err(Refusal::new(ErrorKind::PeerLost, error.to_string()))
         }
--- a/crates/tallybridge-mesh/src/tables/configuration.rs
+++ b/crates/tallybridge-mesh/src/tables/configuration.rs
@@ -15,9 +15,9 @@
 pub struct ConfirmedVersion {
     /// Version of the configuration; 0 if there is none.
     pub version: u64,
-    /// Time since the store was asked for the confirmation.
+    /// Time since the confirmation was requested from the store.
     pub age: Duration,
-    /// When the store was asked for the configuration that was last read.
+    /// When the configuration that was last read was requested from the store.
     pub read_at: Option<BootInstant>,
 }
 
@@ -25,13 +25,13 @@
 #[derive(Debug, Default)]
 pub struct ConfigurationTable {
     in_force: Option<InForce>,
-    /// When the store was asked for the last confirmation, received by this node or by a peer.
+    /// When the last confirmation, received by this node or by a peer, was requested from the store.
     confirmed_at: Option<BootInstant>,
-    /// When the store was asked for the last confirmation that this node itself received.
+    /// When the last confirmation that this node itself received was requested from the store.
     confirmed_by_store_at: Option<BootInstant>,
-    /// When the store was asked for the last read, by this node or by a peer, of a version that is
-    /// not newer than the one in force. A confirmation depends on a watch, which may be lost; a
-    /// read does not. A key that was removed before this time is therefore no longer in force.
+    /// When the last read, by this node or by a peer, of a version that is not newer than the one in
+    /// force was requested from the store. A confirmation depends on a watch, which the store
+    /// may drop; a read does not. A key that was removed before this time is therefore no longer in force.
     read_at: Option<BootInstant>,
     /// Version in force when the store last sent a version to this node.
     version_from_store: u64,
@@ -88,26 +88,26 @@
         self.version() > self.version_from_store
     }
 
-    /// Records that the store, asked at `asked_at`, confirmed to this node that the version in
-    /// force is the newest.
-    pub fn record_confirmation(&mut self, asked_at: BootInstant) {
-        self.confirmed_at = self.confirmed_at.max(Some(asked_at));
-        self.confirmed_by_store_at = Some(asked_at);
+    /// Records that the store confirmed to this node, in answer to a request sent at `requested_at`,
+    /// that the version in force is the newest.
+    pub fn record_confirmation(&mut self, requested_at: BootInstant) {
+        self.confirmed_at = self.confirmed_at.max(Some(requested_at));
+        self.confirmed_by_store_at = Some(requested_at);
     }
 
-    /// Records that this node read the version in force from the store, which was asked at
-    /// `asked_at`.
-    pub fn record_read(&mut self, asked_at: BootInstant) {
-        self.read_at = self.read_at.max(Some(asked_at));
+    /// Records that this node read the version in force from the store, in answer to a request sent
+    /// at `requested_at`.
+    pub fn record_read(&mut self, requested_at: BootInstant) {
+        self.read_at = self.read_at.max(Some(requested_at));
     }
 
-    /// Records that the store, asked at `asked_at`, confirmed the configuration of a peer. Returns
-    /// how that version compares with the version in force; an equal version is confirmed here as
+    /// Records that the store confirmed the configuration of a peer, in answer to a request sent at
+    /// `requested_at`. Returns how that version compares with the version in force; an equal version is confirmed here as
     /// well.
     pub fn record_peer_confirmation(
         &mut self,
         confirmed: ConfirmedVersion,
-        asked_at: BootInstant,
+        requested_at: BootInstant,
     ) -> Ordering {
         let ordering = confirmed.version.cmp(&self.version());
         if ordering.is_le() {
@@ -115,20 +115,20 @@
             self.read_at = self.read_at.max(confirmed.read_at);
         }
         if ordering.is_eq() {
-            self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+            self.confirmed_at = self.confirmed_at.max(Some(requested_at));
         }
         ordering
     }
 
-    /// Returns when the store was asked for the last confirmation, received by this node or by a
-    /// peer.
+    /// Returns when the last confirmation, received by this node or by a peer, was requested from
+    /// the store.
     #[must_use]
     pub const fn confirmed_at(&self) -> Option<BootInstant> {
         self.confirmed_at
     }
 
-    /// Returns when the store was asked for the last read, by this node or by a peer, of a version
-    /// that is not newer than the one in force.
+    /// Returns when the last read, by this node or by a peer, of a version that is not newer than
+    /// the one in force was requested from the store.
     #[must_use]
     pub const fn read_at(&self) -> Option<BootInstant> {
         self.read_at
@@ -137,10 +137,10 @@
     /// Returns the last confirmation that this node itself received from the store.
     #[must_use]
     pub fn confirmed_by_store(&self) -> Option<ConfirmedVersion> {
-        let asked_at = self.confirmed_by_store_at?;
+        let requested_at = self.confirmed_by_store_at?;
         Some(ConfirmedVersion {
             version: self.version(),
-            age: asked_at.elapsed(),
+            age: requested_at.elapsed(),
             read_at: self.read_at,
         })
     }
--- a/crates/tallybridge-mesh/src/tables/peers/linking.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/linking.rs
@@ -1,7 +1,7 @@
 //! Learns of nodes and selects which of them to link to.
 //!
 //! The selection for a service ([`super::subset`]) is repeated when one of its inputs changes: a
-//! node is discovered, reached, lost or down, or the number of services changes.
+//! node is discovered, connects, disconnects or counts as down, or the number of services changes.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -153,8 +153,8 @@
         LinkRequest { address, row_id }
     }
 
-    /// Whether a node of a service has lost its link and may soon count as down while unselected
-    /// nodes could replace it.
+    /// Returns whether a node of a service has no link and may soon count as down, and an unlinked node
+    /// could replace it.
     fn may_need_replacement(&self, service: &Arc<str>, now: Instant) -> bool {
         let mut unlinked = self.unlinked.values();
         let has_unlinked = unlinked.any(|node| *node.record.service == **service);
--- a/crates/tallybridge-mesh/src/tables/peers/reports.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/reports.rs
@@ -10,7 +10,7 @@
 use super::PeerTable;
 use crate::protocol::{Load, PeerStatus};
 
-/// Time for which an executor is avoided after its link was lost or it refused a call.
+/// Time for which an executor is avoided after its link closed or it refused a call.
 const AVOIDANCE_PERIOD: Duration = Duration::from_millis(300);
 /// Weight of the newest outcome in the loss rate, which thus covers about twelve calls.
 const LOSS_RATE_SMOOTHING: f64 = 0.08;
--- a/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
@@ -125,17 +125,18 @@
         }
     }
 
-    /// Returns whether calls lost their connections and every running call started after the last loss.
+    /// Returns whether calls lost their connections and every running call started after that.
     /// The caller then connects to the back end to find out whether it crashed.
     #[must_use]
     pub fn is_crash_suspected(&self) -> bool {
-        let lost = self.unanswered.iter();
-        let lost = lost.filter(|call| call.lost_connection && !call.backend_reachable_after);
-        let Some(last_loss) = lost.map(|call| call.ended_at).max() else {
+        let disconnected = self.unanswered.iter();
+        let disconnected =
+            disconnected.filter(|call| call.lost_connection && !call.backend_reachable_after);
+        let Some(last_disconnect) = disconnected.map(|call| call.ended_at).max() else {
             return false;
         };
         let mut running = self.running.values();
-        running.all(|call| call.started_at > last_loss)
+        running.all(|call| call.started_at > last_disconnect)
     }
 
     /// Records that the back end accepts connections, so that earlier connection losses are attributed to a
--- a/crates/tallybridge-mesh/src/tables/quarantine/history.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/history.rs
@@ -124,8 +124,8 @@
         now: BootInstant,
         crash_count: impl Fn(&RequestDigest) -> u8,
     ) -> usize {
-        let of_service = self.crashes.iter().filter(|crash| crash.service == service);
-        let recent: Vec<_> = of_service
+        let service_crashes = self.crashes.iter().filter(|crash| crash.service == service);
+        let recent: Vec<_> = service_crashes
             .filter(|crash| now.saturating_duration_since(crash.recorded_at) <= window)
             .collect();
         if !recent.iter().any(|crash| crash.is_spontaneous()) {
--- a/crates/tallybridge-mesh/src/tables/watchers.rs
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -8,7 +8,7 @@
 use crate::clock::BootInstant;
 
 /// Age up to which a confirmation counts. A watcher confirms every 500 ms, so one confirmation may
-/// be lost. A node without confirmations still starts its own watch in time to apply a change
+/// be missing. A node without confirmations still starts its own watch in time to apply a change
 /// within 2 s.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1200);
 
@@ -16,8 +16,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Confirmation {
     version: u64,
-    /// When the peer asked the store.
-    asked_at: BootInstant,
+    requested_at: BootInstant,
 }
 
 /// The newest confirmation of each peer that watches the store, by address.
@@ -25,9 +24,18 @@
 pub struct WatcherTable(HashMap<SocketAddr, Confirmation>);
 
 impl WatcherTable {
-    /// Records that the store, asked by a peer at `asked_at`, confirmed a version.
-    pub fn record_confirmation(&mut self, peer: SocketAddr, version: u64, asked_at: BootInstant) {
-        let confirmation = Confirmation { version, asked_at };
+    /// Records that the store confirmed a version to a peer, in answer to a request sent at
+    /// `requested_at`.
+    pub fn record_confirmation(
+        &mut self,
+        peer: SocketAddr,
+        version: u64,
+        requested_at: BootInstant,
+    ) {
+        let confirmation = Confirmation {
+            version,
+            requested_at,
+        };
         self.0.insert(peer, confirmation);
     }
 
@@ -41,7 +49,7 @@
     pub fn count_confirming(&self, version: u64, now: BootInstant) -> usize {
         let confirmations = self.0.values();
         let fresh = confirmations.filter(|confirmation| {
-            let age = now.saturating_duration_since(confirmation.asked_at);
+            let age = now.saturating_duration_since(confirmation.requested_at);
             confirmation.version >= version && age <= MAX_CONFIRMATION_AGE
         });
         fresh.count()
--- a/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
@@ -17,7 +17,7 @@
 
 /// Reads the configuration regularly while this node watches the store and requests carry keys.
 ///
-/// The store may lose a watch without an error, and a lost watch never reports a revoked key. The
+/// The store may drop a watch without an error, and a dropped watch never reports a revoked key. The
 /// node skips a read if a peer has read the configuration recently.
 pub async fn refresh_for_revocations(node: Arc<Node>) {
     let max_revocation_ms = node.settings.tenants.revoke_within_ms;
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -76,7 +76,7 @@
     Ok(stored.revision)
 }
 
-/// Waits for a change after `revision`. A watch that the store lost stays pending until its timeout,
+/// Waits for a change after `revision`. A watch that the store dropped stays pending until its timeout,
 /// so a suspected watch is cancelled.
 async fn watch_configuration(
     node: &Node,
@@ -85,6 +85,6 @@
     let _pending_watch = node.track_pending_watch();
     tokio::select! {
         watched = node.platform.watch_configuration(revision, WATCH_TIMEOUT) => watched,
-        () = node.watch_suspected() => Err(StoreError::Unknown("the watch may have been lost".to_owned())),
+        () = node.watch_suspected() => Err(StoreError::Unknown("the store may have dropped the watch".to_owned())),
     }
 }
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -60,7 +60,7 @@
     advance_and_check(&link, 350).await;
     assert!(link.is_suspect());
     advance_and_check(&link, 400).await;
-    assert_eq!(idempotent.reply().await.unwrap_err(), LinkError::Lost);
+    assert_eq!(idempotent.reply().await.unwrap_err(), LinkError::NoReply);
     let result = tokio::time::timeout(Duration::from_millis(1), non_idempotent.reply()).await;
     assert!(result.is_err(), "a non-idempotent call was abandoned");
     assert_eq!(take_sent(&mut frames), [], "the link was pinged again");
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -61,7 +61,7 @@
         );
     }
 
-    /// Three nodes alternate as the owner, as when a node is repeatedly lost and found. An owner
+    /// Three nodes alternate as the owner, for example because the link to a node closes and reopens. An owner
     /// must not grant the tokens that arrived while another node was the owner.
     #[test]
     fn alternating_owners_keep_the_limit(
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -143,14 +143,14 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn replaces_lost_peer_until_it_reconnects() {
+async fn replaces_disconnected_peer_until_it_reconnects() {
     let start = Instant::now();
     let mut table = PeerTable::new(record(0, 1));
     learn(&mut table, 1..101, 1, start);
     let opened = select_and_open_links(&mut table, 1, start);
-    let lost = opened[0];
-    let link = link_to(&table, lost).unwrap();
-    table.record_link_closed(record(lost, 1).address, &link);
+    let disconnected = opened[0];
+    let link = link_to(&table, disconnected).unwrap();
+    table.record_link_closed(record(disconnected, 1).address, &link);
     assert_eq!(
         table.select_links(start),
         [],
@@ -161,19 +161,19 @@
     assert_eq!(
         replacements.len(),
         1,
-        "the lost peer was not replaced by one node"
+        "the disconnected peer was not replaced by one node"
     );
     assert_eq!(table.links().count(), MAX_LINKS);
     assert_eq!(table.select_links(later), []);
 
     let link = Arc::new(Link::new("peer", mpsc::unbounded_channel().0));
     assert!(
-        table.record_link_opened(record(lost, 1), link, later),
+        table.record_link_opened(record(disconnected, 1), link, later),
         "the reconnected peer was rejected"
     );
     assert_eq!(table.select_links(later), []);
     assert_eq!(table.links().count(), MAX_LINKS);
-    assert!(link_to(&table, lost).is_some());
+    assert!(link_to(&table, disconnected).is_some());
     assert!(
         link_to(&table, replacements[0]).is_none(),
         "the replacement was not retired"
--- a/crates/tallybridge-mesh/tests/support/chain/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/mod.rs
@@ -313,11 +313,11 @@
                 ..
             }
         );
-        let of_service = self
+        let service_nodes = self
             .nodes
             .iter()
             .filter(|node| node.service == plan.service);
-        let call_times = of_service.map(|node| node.call_time());
+        let call_times = service_nodes.map(|node| node.call_time());
         let shortest = call_times.filter(|time| !time.is_zero()).min();
         let min_time = shortest.unwrap_or_default().max(MIN_CALL_TIME);
         let service = &self.plan.services[plan.service].name;
--- a/crates/tallybridge-mesh/tests/watchers.rs
+++ b/crates/tallybridge-mesh/tests/watchers.rs
@@ -34,10 +34,10 @@
 
 #[test]
 fn ignores_stale_and_removed_peers() {
-    let asked_at = BootInstant::now();
-    let now = asked_at + Duration::from_secs(5);
+    let requested_at = BootInstant::now();
+    let now = requested_at + Duration::from_secs(5);
     let mut watchers = WatcherTable::default();
-    watchers.record_confirmation(peer(1), 7, asked_at);
+    watchers.record_confirmation(peer(1), 7, requested_at);
     watchers.record_confirmation(peer(2), 7, now);
     watchers.record_confirmation(peer(3), 7, now);
     watchers.remove(peer(3));
