Reword comments, hints and names found by reading all of them

Hints of error kinds, constructors named `of`, methods named after an event that act on a guard, and rows named `running` read oddly. Functions documented with "Whether" say "Returns whether". Tests no longer call a dropped watch or a closed link lost. Renames: KeyDigest::of -> from_key, ServiceTag::of -> from_name, SlotTimes::of -> get, Ownership::note_reach -> record_reach, NestedCall::sent_to -> record_service, NestedCall::ended -> record_end.

--- a/crates/tallybridge-core/src/criticality.rs
+++ b/crates/tallybridge-core/src/criticality.rs
@@ -1,4 +1,4 @@
-//! Criticality classes, which decide the calls that are shed first under overload.
+//! Criticality classes, which decide which calls are shed first under overload.
 //!
 //! The four classes and their names follow "Handling Overload" in *Site Reliability Engineering*
 //! (Beyer et al., 2016, chapter 21).
--- a/crates/tallybridge-core/src/error.rs
+++ b/crates/tallybridge-core/src/error.rs
@@ -98,7 +98,7 @@
     /// The key's timestamp lies outside the window in which keys are remembered.
     KeyOutsideWindow = 6 => {
         "key-outside-window", 422, Downstream, Unknown, false, 69,
-        "make a fresh UUIDv7 key; for an older key, ask the service whether it ran"
+        "generate a new UUIDv7 key; for an older key, check with the service whether the request ran"
     }
     /// The request carries no key, or a key that belongs to no tenant.
     UnknownKey = 7 => {
@@ -108,7 +108,7 @@
     /// The back end has reached its limit and sheds the call's class.
     Overloaded = 10 => {
         "overloaded", 503, Internal, NotRun, true, 70,
-        "wait for the time in Retry-After; if it lasts, add back ends or lower lesser work"
+        "wait for the time in Retry-After; if the overload lasts, add back ends or reduce less critical work"
     }
     /// The deadline passed before the call was dispatched to a back end.
     DeadlineExceeded = 11 => {
@@ -123,7 +123,7 @@
     /// The back end is leaving and accepts no new calls.
     Leaving = 13 => {
         "leaving", 503, Upstream, NotRun, true, 73,
-        "send the request again: another back end takes it"
+        "send the request again: another back end will run it"
     }
     /// The request has used up its retry allowance.
     RetryAllowanceSpent = 14 => {
@@ -143,7 +143,7 @@
     /// Another attempt with the same key is running or has run.
     AlreadyClaimed = 17 => {
         "already-claimed", 409, Internal, Unknown, false, 77,
-        "ask again later with the same key: a finished answer is replayed"
+        "send the request again later with the same key: a finished answer is replayed"
     }
     /// The tenant has reached its request limit across the fleet.
     OverQuota = 18 => {
@@ -170,8 +170,8 @@
         "answer-too-large", 502, Upstream, Unknown, false, 80,
         "raise `max_answer_bytes` in the template or page the answer"
     }
-    /// The link to the peer that ran the call closed, or the peer became unresponsive, before an answer
-    /// arrived.
+    /// The link to the peer that ran the call closed, or the peer became unresponsive, before an
+    /// answer arrived.
     PeerLost = 23 => {
         "peer-lost", 502, Internal, Unknown, false, 81,
         "the node was replaced or cut off: see `tallybridge status`"
@@ -184,7 +184,7 @@
     /// The back end received the request and reported that the request did not run.
     BackendRefused = 25 => {
         "backend-refused", 503, Upstream, NotRun, true, 88,
-        "wait for the time in Retry-After: the back end was full or the time was up in its queue"
+        "wait for the time in Retry-After: the back end was full, or the request expired in its queue"
     }
     /// The request is quarantined because it crashed back ends before.
     Quarantined = 26 => {
@@ -199,7 +199,7 @@
     /// A settings, template or scenario file is invalid (commands only).
     InvalidConfiguration = 40 => {
         "invalid-configuration", 422, Downstream, NotRun, false, 84,
-        "mend the fields that the report names"
+        "correct the fields that the report names"
     }
     /// An edit was based on a revision that is no longer the newest (commands only).
     Conflict = 41 => {
@@ -209,7 +209,7 @@
     /// The configuration store is unreachable or refuses requests temporarily (commands only).
     StoreUnavailable = 42 => {
         "store-unavailable", 503, Upstream, Unknown, true, 86,
-        "try again: an apply settles by itself whether an earlier write took effect"
+        "run the command again: an apply detects whether an earlier write took effect"
     }
     /// A node is unreachable or did not become ready in time (commands only).
     NodeUnavailable = 43 => {
--- a/crates/tallybridge-mesh/src/configuration/tenants.rs
+++ b/crates/tallybridge-mesh/src/configuration/tenants.rs
@@ -17,7 +17,7 @@
 impl KeyDigest {
     /// Computes the digest of a key.
     #[must_use]
-    pub fn of(key: &[u8]) -> Self {
+    pub fn from_key(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
 }
@@ -139,7 +139,7 @@
     /// Returns the tenant to which a key belongs, or `None` if the key is unknown.
     #[must_use]
     pub fn tenant_by_key(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
-        self.by_key.get(&KeyDigest::of(key))
+        self.by_key.get(&KeyDigest::from_key(key))
     }
 
     /// Returns the tenant with this name.
--- a/crates/tallybridge-mesh/src/link/liveness.rs
+++ b/crates/tallybridge-mesh/src/link/liveness.rs
@@ -27,8 +27,8 @@
 
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 ///
-/// The accepting side of a link sends no pings. It detects an unresponsive peer by this timeout and by
-/// keep-alive probes.
+/// The accepting side of a link sends no pings. It detects an unresponsive peer by this timeout and
+/// by keep-alive probes.
 pub const UNACKNOWLEDGED_TIMEOUT: Duration = CLOSE_AFTER;
 
 #[derive(Debug)]
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -183,7 +183,8 @@
         }
     }
 
-    /// Requests tokens from the owner of a quota on behalf of a node that cannot reach or does not know the owner.
+    /// Requests tokens from the owner of a quota on behalf of a node that cannot reach or does not
+    /// know the owner.
     fn forward_request(&self, call: u32, tenant: Bytes, request: QuotaRequest) {
         let node = self.node.clone();
         let sender = self.sender.clone();
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -85,15 +85,15 @@
         self.slots.set_slots(self.effective_slots(tables));
     }
 
-    /// Returns the slots that the back end reported, or else the usual number of its service; 0
-    /// while no back end of the service has reported any.
+    /// Returns the slots that the back end reported, or else the number that another back end of its
+    /// service reported; 0 while there is neither.
     pub(super) fn effective_slots(&self, tables: &Tables) -> u32 {
         let reported = tables.instance.slots();
         if reported > 0 {
             return reported;
         }
-        let usual = tables.peers.reported_slots(&self.settings.backend.service);
-        usual.unwrap_or(0)
+        let slots_of_others = tables.peers.reported_slots(&self.settings.backend.service);
+        slots_of_others.unwrap_or(0)
     }
 
     fn instance_changed(&self) {
@@ -118,13 +118,13 @@
     /// Records that the back end answered a health check as `instance`. A new id means that the
     /// previous instance was replaced, which may have been a crash.
     pub fn instance_verified(&self, instance: &str, is_healthy: bool) {
-        let mut crash_of_previous = None;
+        let mut previous_crash = None;
         let changed = {
             let mut tables = self.tables();
             let current = tables.instance.current();
             let is_new_instance = current.is_none_or(|current| current.id() != instance);
             if is_new_instance {
-                crash_of_previous = tables.take_crash(true, BootInstant::now());
+                previous_crash = tables.take_crash(true, BootInstant::now());
                 tables.failure_rate = FailureRate::default();
                 self.slots.reset_share();
             }
@@ -134,7 +134,7 @@
             self.update_slots(&tables);
             changed
         };
-        if let Some(crash) = crash_of_previous {
+        if let Some(crash) = previous_crash {
             self.report_crash(crash);
         }
         if changed {
--- a/crates/tallybridge-mesh/src/node/list_requests.rs
+++ b/crates/tallybridge-mesh/src/node/list_requests.rs
@@ -1,8 +1,9 @@
 //! Limits how often this node asks peers for their lists of known nodes.
 //!
-//! The first three peers are asked; while this node is not registered, one further peer is asked
-//! each 500 ms. Lists from peers replace the registry while the store is down. A list grows with
-//! the fleet, so asking over every link would dominate the control traffic of a large fleet.
+//! A node requests the lists of the first three peers; while it is not registered, it requests one
+//! further list each 500 ms. Lists from peers replace the registry while the store is down. A list
+//! grows with the fleet, so requesting it over every link would dominate the control traffic of a
+//! large fleet.
 
 use std::time::Duration;
 
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -35,8 +35,9 @@
         to_json(&records)
     }
 
-    /// Returns whether to ask a peer for its list of known nodes, and if so records the request as
-    /// sent. The first peers are always asked; further ones only while this node is unregistered.
+    /// Returns whether to request a peer's list of known nodes, and if so records the request as
+    /// sent. The lists of the first peers are always requested, further ones only while this node
+    /// is unregistered.
     #[must_use]
     pub fn should_request_nodes(&self) -> bool {
         let is_registered = self.lease().is_some();
--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -84,7 +84,7 @@
         let service = report.service();
         let back_ends = self
             .peers
-            .count_nodes(|name| ServiceTag::of(name) == service);
+            .count_nodes(|name| ServiceTag::from_name(name) == service);
         // Ids from earlier releases have no service tag, so no back end matches them.
         if back_ends > 0 {
             self.quarantine.set_back_end_count(service, back_ends);
@@ -157,7 +157,7 @@
     /// Reports a crash to all nodes. A report without suspects is evidence that back ends of the
     /// service also crash for other reasons.
     fn send_crash_report(&self, interrupted: &InterruptedCalls) {
-        let service = ServiceTag::of(&self.settings.backend.service);
+        let service = ServiceTag::from_name(&self.settings.backend.service);
         let suspects = interrupted.suspects.clone();
         let report = CrashReport::new(service, interrupted.names_all(), suspects);
         if self.record_crash(report) {
--- a/crates/tallybridge-mesh/src/node/quotas.rs
+++ b/crates/tallybridge-mesh/src/node/quotas.rs
@@ -41,7 +41,7 @@
             reaches_most: self.peers.reaches_most(),
             has_read_registry,
         };
-        self.quota.ownership.note_reach(reach, now);
+        self.quota.ownership.record_reach(reach, now);
         self.quota.entry.forget_idle(now);
         self.quota.owned.forget_idle(now);
     }
@@ -70,8 +70,8 @@
         entry.take_token(&tenant.name, BootInstant::now())
     }
 
-    /// Records tokens granted by the owner, one of which the current request uses. `spending`
-    /// holds the grants of all owners within the last window.
+    /// Records tokens granted by the owner, one of which the current request uses. `spending` holds
+    /// the grants of all owners within the last window.
     pub fn tokens_granted(&self, tenant: &Tenant, tokens: u32, spending: &[EpochSpending]) {
         let entry = &mut self.tables().quota.entry;
         entry.record_grant(&tenant.name, tokens, spending, BootInstant::now());
@@ -116,8 +116,8 @@
         self.tables().grant(&share, request, BootInstant::now())
     }
 
-    /// Answers a peer that requests tokens from this node. Returns [`QuotaGrant::NotOwner`] if the tenant
-    /// is unknown or another node owns its quota.
+    /// Answers a peer that requests tokens from this node. Returns [`QuotaGrant::NotOwner`] if the
+    /// tenant is unknown or another node owns its quota.
     #[must_use]
     pub fn grant_quota(&self, tenant: &[u8], request: QuotaRequest) -> QuotaGrant {
         let Some(tenant) = self.tenant_named(tenant) else {
--- a/crates/tallybridge-mesh/src/node/running.rs
+++ b/crates/tallybridge-mesh/src/node/running.rs
@@ -100,10 +100,10 @@
         self.found_parent.parent
     }
 
-    /// Records the service to which the nested call is sent. Unless [`ended`](Self::ended) follows,
-    /// the call counts as failed after the minimum call time of the service, so that the service
-    /// counts as needed even if no answer arrives.
-    pub fn sent_to(&mut self, service: &Arc<str>) {
+    /// Records the service to which the nested call is sent. Unless
+    /// [`record_end`](Self::record_end) follows, the call counts as failed after the minimum call
+    /// time of the service, so that the service counts as needed even if no answer arrives.
+    pub fn record_service(&mut self, service: &Arc<str>) {
         let mut min_times = SlotTimes::default();
         min_times.add(service, self.node.min_call_time(service));
         self.end = NestedEnd::Failed(min_times);
@@ -111,7 +111,7 @@
 
     /// Records how the nested call ended. After a failure, the failure of its parent call is not
     /// attributed to the parent's back end.
-    pub fn ended(&mut self, end: NestedEnd) {
+    pub fn record_end(&mut self, end: NestedEnd) {
         self.end = end;
     }
 }
--- a/crates/tallybridge-mesh/src/node/store_watch.rs
+++ b/crates/tallybridge-mesh/src/node/store_watch.rs
@@ -83,8 +83,8 @@
         PendingWatch(&self.has_pending_watch)
     }
 
-    /// Records the store's answer to another call, sent at `requested_at`. If a watch is pending, the
-    /// answer confirms the configuration, since the watch would have reported a change.
+    /// Records the store's answer to another call, sent at `requested_at`. If a watch is pending,
+    /// the answer confirms the configuration, since the watch would have reported a change.
     pub fn confirm_by_pending_watch(&self, requested_at: BootInstant) {
         if self.has_pending_watch.load(Ordering::Relaxed) {
             self.configuration_confirmed(requested_at);
--- a/crates/tallybridge-mesh/src/protocol/confirmation.rs
+++ b/crates/tallybridge-mesh/src/protocol/confirmation.rs
@@ -1,4 +1,5 @@
-//! Messages by which a node that watches the store tells its peers how fresh the configuration is.
+//! Messages by which a node that watches the store reports to its peers how fresh the configuration
+//! is.
 
 use deku::prelude::*;
 
@@ -8,7 +9,8 @@
 pub struct ConfirmationMessage {
     /// Version of the sender's configuration; 0 if it has none.
     pub version: u64,
-    /// Time since the sender sent the request that the store confirmed, in milliseconds.
+    /// Time since the sender sent the request that the store answered with the confirmation, in
+    /// milliseconds.
     pub age_ms: u32,
     /// Time of the request by which the sender last read the configuration from the store, in
     /// milliseconds on the clock of [`ClockMessage::now_ms`]; 0 if the sender never read it there.
--- a/crates/tallybridge-mesh/src/protocol/quarantine.rs
+++ b/crates/tallybridge-mesh/src/protocol/quarantine.rs
@@ -86,7 +86,7 @@
 impl ServiceTag {
     /// Computes the tag of the service with this name.
     #[must_use]
-    pub fn of(service: &str) -> Self {
+    pub fn from_name(service: &str) -> Self {
         Self((xxh3_64(service.as_bytes()) & TAG_MASK) as u16)
     }
 }
--- a/crates/tallybridge-mesh/src/protocol/slot_times.rs
+++ b/crates/tallybridge-mesh/src/protocol/slot_times.rs
@@ -54,7 +54,7 @@
 
     /// Returns the time for which slots of `service` were held; zero if the service is not listed.
     #[must_use]
-    pub fn of(&self, service: &str) -> Duration {
+    pub fn get(&self, service: &str) -> Duration {
         let entry = self.0.iter().find(|time| *time.service == *service);
         entry.map_or(Duration::ZERO, |time| time.held)
     }
--- a/crates/tallybridge-mesh/src/request/entry/class.rs
+++ b/crates/tallybridge-mesh/src/request/entry/class.rs
@@ -2,9 +2,9 @@
 //!
 //! A call is urgent if its request's route and tenant both have the highest priority; its nested
 //! calls inherit that. Urgent calls come first and other nested calls second, because the work that
-//! made a nested call is lost if the nested call fails. Other fresh requests rank by their tenants,
-//! or by their routes if all tenants have the same priority. No call is urgent if the setting
-//! `order_by_priority` is off.
+//! made a nested call is wasted if the nested call fails. Other fresh requests rank by their
+//! tenants, or by their routes if all tenants have the same priority. No call is urgent if the
+//! setting `order_by_priority` is off.
 //!
 //! [`crate::tables::admission`] decides separately which requests the entry sheds.
 
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -42,7 +42,7 @@
     let parent = nested.as_ref().map(NestedCall::parent);
     let prepared = prepare(node, &request, parent);
     if let (Some(nested), Ok(call)) = (&mut nested, &prepared) {
-        nested.sent_to(&call.service);
+        nested.record_service(&call.service);
     }
     let result = match &prepared {
         Ok(call) => forward_within_quota(node, call).await,
@@ -92,8 +92,8 @@
     times: SlotTimes,
 ) {
     match (nested, call) {
-        (Some(nested), _) if is_success => nested.ended(NestedEnd::Succeeded(times)),
-        (Some(nested), _) => nested.ended(NestedEnd::Failed(times)),
+        (Some(nested), _) if is_success => nested.record_end(NestedEnd::Succeeded(times)),
+        (Some(nested), _) => nested.record_end(NestedEnd::Failed(times)),
         (None, Some(call)) => {
             let rank = tenant_rank(call.tenant.as_deref());
             node.route_answered(&call.route, rank, is_success, &times);
--- a/crates/tallybridge-mesh/src/request/entry/times.rs
+++ b/crates/tallybridge-mesh/src/request/entry/times.rs
@@ -3,7 +3,7 @@
 //! A call must be answered within the timeout of its sender and within the timeout of its route. A
 //! fresh request waits for a slot for a small part of its route's target latency: it is refused early,
 //! so that its caller can still retry in time. A nested call may wait for the greater part of its
-//! time, because the work above it is lost if the nested call is refused. All times count from when
+//! time, because the work above it is wasted if the nested call is refused. All times count from when
 //! the head of the request was read.
 
 use std::time::Duration;
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -42,7 +42,7 @@
 /// Minimum `Retry-After` of a call that got no slot.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// A back end's answer to a call, with what the entry learns from the execution.
+/// A back end's answer to a call, and what the execution of the call cost.
 #[derive(Debug)]
 pub struct ExecutedCall {
     /// The answer of the back end, including one whose status reports a failure.
--- a/crates/tallybridge-mesh/src/request/quota.rs
+++ b/crates/tallybridge-mesh/src/request/quota.rs
@@ -21,8 +21,8 @@
 
 /// Maximum wait for the answer of an owner, which takes a few milliseconds even across zones.
 const OWNER_ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Delay before the entry requests tokens again. Nodes detect a change of the owner within about 100 ms of each
-/// other.
+/// Delay before the entry requests tokens again. Nodes detect a change of the owner within about
+/// 100 ms of each other.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// Admits a request if the tenant's rate limit allows it. Requests tokens until `wait_until` at
@@ -85,7 +85,8 @@
     .with_retry_after(DEFAULT_RETRY_AFTER)
 }
 
-/// Requests tokens from the owner of the tenant's limit. Returns `None` if the owner does not answer.
+/// Requests tokens from the owner of the tenant's limit. Returns `None` if the owner does not
+/// answer.
 async fn request_tokens(node: &Node, tenant: &Tenant, request: QuotaRequest) -> Option<QuotaGrant> {
     node.counters.quota_asks.fetch_add(1, Ordering::Relaxed);
     match node.quota_owner(tenant) {
@@ -96,8 +97,8 @@
 }
 
 /// Requests tokens from the owner of a tenant's limit on behalf of another node, whose own link to
-/// the owner may be unresponsive. Answers [`QuotaGrant::NotOwner`] if no peer owns the limit or the owner does
-/// not answer.
+/// the owner may be unresponsive. Answers [`QuotaGrant::NotOwner`] if no peer owns the limit or the
+/// owner does not answer.
 pub async fn forward(node: &Node, tenant: &[u8], request: QuotaRequest) -> QuotaGrant {
     let Some(tenant) = node.tenant_named(tenant) else {
         return QuotaGrant::NotOwner;
--- a/crates/tallybridge-mesh/src/tables/admission/costs.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/costs.rs
@@ -88,7 +88,7 @@
         let weight = self.sample_weight();
         self.ticks_since_success = 0;
         for (service, seconds) in &mut self.mean_seconds {
-            *seconds += (times.of(service).as_secs_f64() - *seconds) * weight;
+            *seconds += (times.get(service).as_secs_f64() - *seconds) * weight;
         }
         for time in times.iter() {
             if !self.mean_seconds.contains_key(&time.service) {
@@ -113,12 +113,12 @@
     /// in full.
     fn raise_means(&mut self, times: &SlotTimes) {
         for time in times.iter() {
-            let reported = time.held.as_secs_f64();
+            let reported_seconds = time.held.as_secs_f64();
             let seconds = self
                 .mean_seconds
                 .entry(time.service.clone())
-                .or_insert(reported);
-            *seconds += (reported - *seconds).max(0.0) * MIN_SAMPLE_WEIGHT;
+                .or_insert(reported_seconds);
+            *seconds += (reported_seconds - *seconds).max(0.0) * MIN_SAMPLE_WEIGHT;
         }
     }
 }
--- a/crates/tallybridge-mesh/src/tables/configuration.rs
+++ b/crates/tallybridge-mesh/src/tables/configuration.rs
@@ -25,13 +25,15 @@
 #[derive(Debug, Default)]
 pub struct ConfigurationTable {
     in_force: Option<InForce>,
-    /// When the last confirmation, received by this node or by a peer, was requested from the store.
+    /// When the last confirmation, received by this node or by a peer, was requested from the
+    /// store.
     confirmed_at: Option<BootInstant>,
     /// When the last confirmation that this node itself received was requested from the store.
     confirmed_by_store_at: Option<BootInstant>,
-    /// When the last read, by this node or by a peer, of a version that is not newer than the one in
-    /// force was requested from the store. A confirmation depends on a watch, which the store
-    /// may drop; a read does not. A key that was removed before this time is therefore no longer in force.
+    /// When the last read, by this node or by a peer, of a version that is not newer than the one
+    /// in force was requested from the store. A confirmation depends on a watch, which the store
+    /// may drop; a read does not. A key that was removed before this time is therefore no longer in
+    /// force.
     read_at: Option<BootInstant>,
     /// Version in force when the store last sent a version to this node.
     version_from_store: u64,
@@ -81,15 +83,15 @@
         self.version_from_store = self.version();
     }
 
-    /// Whether the version in force came from a peer and the store has not yet sent it to this
-    /// node.
+    /// Returns whether the version in force came from a peer and the store has not yet sent it to
+    /// this node.
     #[must_use]
     pub fn is_ahead_of_store(&self) -> bool {
         self.version() > self.version_from_store
     }
 
-    /// Records that the store confirmed to this node, in answer to a request sent at `requested_at`,
-    /// that the version in force is the newest.
+    /// Records that the store confirmed to this node, in answer to a request sent at
+    /// `requested_at`, that the version in force is the newest.
     pub fn record_confirmation(&mut self, requested_at: BootInstant) {
         self.confirmed_at = self.confirmed_at.max(Some(requested_at));
         self.confirmed_by_store_at = Some(requested_at);
@@ -102,8 +104,8 @@
     }
 
     /// Records that the store confirmed the configuration of a peer, in answer to a request sent at
-    /// `requested_at`. Returns how that version compares with the version in force; an equal version is confirmed here as
-    /// well.
+    /// `requested_at`. Returns how that version compares with the version in force; an equal
+    /// version is confirmed here as well.
     pub fn record_peer_confirmation(
         &mut self,
         confirmed: ConfirmedVersion,
--- a/crates/tallybridge-mesh/src/tables/peers/contact.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/contact.rs
@@ -48,7 +48,7 @@
 }
 
 impl PeerRow {
-    /// Whether another node should be linked to instead of this one.
+    /// Returns whether another node should be linked to instead of this one.
     pub(super) fn is_down(&self, now: Instant) -> bool {
         let disconnected_for = now.saturating_duration_since(self.last_contact);
         self.link.is_none()
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Whether the row that a request was made for still exists.
+    /// Returns whether the row that a request was made for still exists.
     #[must_use]
     pub fn is_wanted(&self, request: LinkRequest) -> bool {
         let row = self.rows.get(&request.address);
--- a/crates/tallybridge-mesh/src/tables/peers/linking.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/linking.rs
@@ -153,8 +153,8 @@
         LinkRequest { address, row_id }
     }
 
-    /// Returns whether a node of a service has no link and may soon count as down, and an unlinked node
-    /// could replace it.
+    /// Returns whether a node of a service has no link and may soon count as down, and an unlinked
+    /// node could replace it.
     fn may_need_replacement(&self, service: &Arc<str>, now: Instant) -> bool {
         let mut unlinked = self.unlinked.values();
         let has_unlinked = unlinked.any(|node| *node.record.service == **service);
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -55,7 +55,7 @@
     /// Calls sent to the node since its load was last reported.
     sent_since_report: u32,
     avoid_until: Option<Instant>,
-    /// Moving average of the share of calls that were lost at the node, 0 to 1.
+    /// Moving average of the share of calls to the node whose outcome is unknown, 0 to 1.
     loss_rate: f64,
     /// When this node last probed the back end, while it was an outlier.
     probed_at: Option<Instant>,
@@ -129,8 +129,8 @@
         services.filter(|service| predicate(service)).count()
     }
 
-    /// Whether this node reaches so few of its selected peers that the node itself is probably cut
-    /// off. Callers are then better served elsewhere.
+    /// Returns whether this node reaches so few of its selected peers that the node itself is
+    /// probably cut off. Callers are then better served elsewhere.
     #[must_use]
     pub fn is_isolated(&self) -> bool {
         self.policy.unready_when_isolated
--- a/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
@@ -55,8 +55,8 @@
 }
 
 impl PeerTable {
-    /// Whether an executor is an outlier of its service. A failure at an outlier is probably due to
-    /// the executor and not to the call.
+    /// Returns whether an executor is an outlier of its service. A failure at an outlier is
+    /// probably due to the executor and not to the call.
     #[must_use]
     pub fn is_outlier(
         &self,
@@ -107,7 +107,7 @@
             .map(|candidate| candidate.address)
     }
 
-    /// Whether an executor that was last probed at `probed_at` may be probed again.
+    /// Returns whether an executor that was last probed at `probed_at` may be probed again.
     pub(super) fn is_probe_due(&self, probed_at: Option<Instant>, now: Instant) -> bool {
         let nodes = u32::try_from(self.subset_size()).unwrap_or(u32::MAX);
         let interval = PROBE_INTERVAL_PER_NODE * nodes;
--- a/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/quota_owner.rs
@@ -61,13 +61,13 @@
         digests.fold(0, |sum, digest| sum ^ digest)
     }
 
-    /// Whether any peer is reachable.
+    /// Returns whether any peer is reachable.
     #[must_use]
     pub fn reaches_any(&self) -> bool {
         self.reached() > 0
     }
 
-    /// Whether at least half of the selected peers are reachable.
+    /// Returns whether at least half of the selected peers are reachable.
     #[must_use]
     pub fn reaches_most(&self) -> bool {
         self.reached() * 2 >= self.rows.len()
--- a/crates/tallybridge-mesh/src/tables/peers/reports.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/reports.rs
@@ -47,9 +47,9 @@
         }
     }
 
-    /// Records whether an executor answered a call or the call was lost.
-    pub fn record_outcome(&mut self, address: SocketAddr, is_lost: bool) {
-        let sample = if is_lost { 1.0 } else { 0.0 };
+    /// Records whether the outcome of a call at an executor is unknown.
+    pub fn record_outcome(&mut self, address: SocketAddr, is_unknown: bool) {
+        let sample = if is_unknown { 1.0 } else { 0.0 };
         let loss_rate = match self.rows.get_mut(&address) {
             Some(row) => &mut row.loss_rate,
             None if address == self.own.address => &mut self.own_loss_rate,
@@ -87,8 +87,8 @@
         self.reported_slots.get(service).copied()
     }
 
-    /// Whether enough peers of a service report this number of slots, so that the registration of
-    /// this node need not repeat it.
+    /// Returns whether enough peers of a service report this number of slots, so that the
+    /// registration of this node need not repeat it.
     #[must_use]
     pub fn has_enough_slot_reports(&self, service: &str, slots: u32) -> bool {
         let agreeing_peers = self
--- a/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Returns whether calls lost their connections and every running call started after that.
-    /// The caller then connects to the back end to find out whether it crashed.
+    /// Returns whether calls lost their connections and every running call started after that. The caller
+    /// then connects to the back end to find out whether it crashed.
     #[must_use]
     pub fn is_crash_suspected(&self) -> bool {
         let disconnected = self.unanswered.iter();
--- a/crates/tallybridge-mesh/src/tables/quotas/entry.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/entry.rs
@@ -14,13 +14,13 @@
 const PREFETCH_SECONDS: f64 = 0.1;
 /// Time constant, in seconds, of the decaying request rate.
 const RATE_DECAY_SECONDS: f64 = 1.0;
-/// Maximum time for which an entry refuses requests without a request to the owner. It must be shorter
-/// than the 55 ms for which a new owner collects reports of earlier grants.
+/// Maximum time for which an entry refuses requests without contacting the owner. It must be
+/// shorter than the 55 ms for which a new owner collects reports of earlier grants.
 const MAX_LOCAL_REFUSAL: Duration = Duration::from_millis(50);
 /// Time without a request after which the state of a tenant is dropped.
 const FORGET_IDLE_AFTER: Duration = Duration::from_secs(30);
 
-/// Decision that an entry makes without a request to the owner.
+/// Decision that an entry makes without contacting the owner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TokenAnswer {
     /// The request is admitted with a stored token.
@@ -154,7 +154,7 @@
     /// Requests per second, with exponential decay.
     request_rate: f64,
     rate_updated_at: BootInstant,
-    /// Time until which requests are refused without a request to the owner.
+    /// Time until which requests are refused without contacting the owner.
     at_limit_until: BootInstant,
     /// Time after which to retry, from the last refusal of the owner.
     retry_after: Duration,
--- a/crates/tallybridge-mesh/src/tables/quotas/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/mod.rs
@@ -5,9 +5,9 @@
 //! token bucket of the tenant, and an entry needs a token of that bucket to admit a request.
 //!
 //! A new owner does not know the earlier bucket. Each request for tokens therefore reports the user
-//! requests that the entry admitted within the last window and the grants of all owners that it knows.
-//! The owner bounds the total. A new owner grants nothing until these reports have arrived (`owner.rs`), and a node that
-//! may have lost the ownership grants nothing either ([`Ownership`]).
+//! requests that the entry admitted within the last window and the grants of all owners that it
+//! knows. The owner bounds the total. A new owner grants nothing until these reports have arrived
+//! (`owner.rs`), and a node that may have lost the ownership grants nothing either ([`Ownership`]).
 //!
 //! The tables take the current time as an argument, and the lock of the node guards them.
 
--- a/crates/tallybridge-mesh/src/tables/quotas/owner.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/owner.rs
@@ -17,8 +17,8 @@
 const MIN_OWNERSHIP_GAP: Duration = Duration::from_millis(150);
 
 /// Time for which a new owner collects reports of earlier grants before its first grant. It must be
-/// longer than the 50 ms after which entries of a tenant at its limit request tokens again; otherwise each new
-/// owner would grant tokens in addition to a full window.
+/// longer than the 50 ms after which entries of a tenant at its limit request tokens again; otherwise
+/// each new owner would grant tokens in addition to a full window.
 const REPORT_COLLECTION_TIME: Duration = Duration::from_millis(55);
 
 /// Fraction of the window after which to retry when the window is full.
--- a/crates/tallybridge-mesh/src/tables/quotas/ownership.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/ownership.rs
@@ -57,7 +57,7 @@
     }
 
     /// Records the nodes that are reachable at a tick.
-    pub fn note_reach(&mut self, reach: Reach, now: BootInstant) {
+    pub fn record_reach(&mut self, reach: Reach, now: BootInstant) {
         if !self.is_settled {
             self.settle(reach, now);
         }
--- a/crates/tallybridge-mesh/src/tables/quotas/spending.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/spending.rs
@@ -9,7 +9,8 @@
 use crate::clock::BootInstant;
 use crate::protocol::QuotaRequest;
 
-/// Minimum number of requests that an entry of a tenant at its limit sends to the owner in each window.
+/// Minimum number of requests that an entry of a tenant at its limit sends to the owner in each
+/// window.
 const REPORTS_PER_WINDOW: u32 = 10;
 
 /// Requests that one entry admitted, by parts of the window.
--- a/crates/tallybridge-mesh/src/tables/running.rs
+++ b/crates/tallybridge-mesh/src/tables/running.rs
@@ -64,7 +64,7 @@
 impl RunningAttempts {
     /// Records that an attempt was dispatched to the back end.
     pub fn begin(&mut self, attempt: &Bytes, parent: Parent) {
-        let running = self.0.entry(attempt.clone()).or_insert(AttemptState {
+        let state = self.0.entry(attempt.clone()).or_insert(AttemptState {
             parent,
             active_executions: 0,
             has_made_nested_call: false,
@@ -72,17 +72,17 @@
             has_nested_failure: false,
             nested_slot_times: SlotTimes::default(),
         });
-        running.active_executions += 1;
-        running.parent.is_retry |= parent.is_retry;
+        state.active_executions += 1;
+        state.parent.is_retry |= parent.is_retry;
     }
 
     /// Records that an execution of an attempt ended.
     pub fn end(&mut self, attempt: &Bytes) {
-        let Some(running) = self.0.get_mut(attempt) else {
+        let Some(state) = self.0.get_mut(attempt) else {
             return;
         };
-        running.active_executions -= 1;
-        if running.active_executions == 0 {
+        state.active_executions -= 1;
+        if state.active_executions == 0 {
             self.0.remove(attempt);
         }
     }
@@ -94,10 +94,10 @@
         let mut name = attempt;
         while let Some(end) = name.iter().rposition(is_separator) {
             name = &name[..end];
-            if let Some((attempt, running)) = self.0.get_key_value(name) {
+            if let Some((attempt, state)) = self.0.get_key_value(name) {
                 return Some(FoundParent {
                     attempt: attempt.clone(),
-                    parent: running.parent,
+                    parent: state.parent,
                 });
             }
         }
@@ -106,44 +106,42 @@
 
     /// Records that a running call made a nested call.
     pub fn begin_nested(&mut self, parent: &Bytes) {
-        if let Some(running) = self.0.get_mut(parent) {
-            running.has_made_nested_call = true;
-            running.open_nested_calls += 1;
+        if let Some(state) = self.0.get_mut(parent) {
+            state.has_made_nested_call = true;
+            state.open_nested_calls += 1;
         }
     }
 
     /// Records how a nested call ended. The cost of a failed call is included: otherwise a request
     /// that fails because of a full service would never show that it needs this service.
     pub fn end_nested(&mut self, parent: &Bytes, end: &NestedEnd) {
-        let Some(running) = self.0.get_mut(parent) else {
+        let Some(state) = self.0.get_mut(parent) else {
             return;
         };
-        running.open_nested_calls = running.open_nested_calls.saturating_sub(1);
+        state.open_nested_calls = state.open_nested_calls.saturating_sub(1);
         let (NestedEnd::Succeeded(times) | NestedEnd::Failed(times)) = end;
-        running.nested_slot_times.add_all(times);
-        running.has_nested_failure |= matches!(end, NestedEnd::Failed(_));
+        state.nested_slot_times.add_all(times);
+        state.has_nested_failure |= matches!(end, NestedEnd::Failed(_));
     }
 
     /// Returns the times for which ended nested calls of a running call held slots, by service.
     #[must_use]
     pub fn nested_slot_times(&self, attempt: &Bytes) -> SlotTimes {
-        let running = self.0.get(attempt);
-        running.map_or_else(SlotTimes::default, |running| {
-            running.nested_slot_times.clone()
-        })
+        let state = self.0.get(attempt);
+        state.map_or_else(SlotTimes::default, |state| state.nested_slot_times.clone())
     }
 
-    /// Whether a running call has made a nested call.
+    /// Returns whether a running call has made a nested call.
     #[must_use]
     pub fn has_made_nested_call(&self, attempt: &Bytes) -> bool {
-        let running = self.0.get(attempt);
-        running.is_some_and(|running| running.has_made_nested_call)
+        let state = self.0.get(attempt);
+        state.is_some_and(|state| state.has_made_nested_call)
     }
 
-    /// Whether a failure of a running call may come from one of its nested calls.
+    /// Returns whether a failure of a running call may come from one of its nested calls.
     #[must_use]
     pub fn may_fail_due_to_nested_call(&self, attempt: &Bytes) -> bool {
-        let running = self.0.get(attempt);
-        running.is_some_and(|running| running.open_nested_calls > 0 || running.has_nested_failure)
+        let state = self.0.get(attempt);
+        state.is_some_and(|state| state.open_nested_calls > 0 || state.has_nested_failure)
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/mod.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/mod.rs
@@ -4,12 +4,12 @@
 //! it (`watchers`), and the others fetch new versions from peers (`peers`).
 //!
 //! - A configuration is *confirmed* when the store answers a watch or a read, or renews the
-//!   registration while a watch is pending, at this node or at a peer. The store may lose a watch
+//!   registration while a watch is pending, at this node or at a peer. The store may drop a watch
 //!   without an error, so a confirmation does not prove that the version is the newest.
 //! - A configuration is *read* when the store returns it in a linearizable read. Revoked keys are
 //!   judged by the age of the last read (`revocations`).
 //! - A pending watch is *suspected* ([`Node::suspect_watch`]) and replaced after a failed renewal or
-//!   registry read, after a pause of the process, or when a peer has had a newer version for long.
+//!   registry read, after a pause of the process, or when a peer has had a newer version for a long time.
 //!
 //! [`Node::suspect_watch`]: crate::node::Node::suspect_watch
 
--- a/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/revocations.rs
@@ -17,8 +17,8 @@
 
 /// Reads the configuration regularly while this node watches the store and requests carry keys.
 ///
-/// The store may drop a watch without an error, and a dropped watch never reports a revoked key. The
-/// node skips a read if a peer has read the configuration recently.
+/// The store may drop a watch without an error, and a dropped watch never reports a revoked key.
+/// The node skips a read if a peer has read the configuration recently.
 pub async fn refresh_for_revocations(node: Arc<Node>) {
     let max_revocation_ms = node.settings.tenants.revoke_within_ms;
     let interval = max_revocation_ms.map_or(DEFAULT_READ_INTERVAL, |ms| {
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -76,8 +76,8 @@
     Ok(stored.revision)
 }
 
-/// Waits for a change after `revision`. A watch that the store dropped stays pending until its timeout,
-/// so a suspected watch is cancelled.
+/// Waits for a change after `revision`. A watch that the store dropped stays pending until its
+/// timeout, so a suspected watch is cancelled.
 async fn watch_configuration(
     node: &Node,
     revision: u64,
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -35,8 +35,8 @@
 /// First wait before a link is opened again. The wait doubles with each failed attempt.
 const MIN_REOPEN_WAIT: Duration = Duration::from_millis(100);
 const MAX_REOPEN_WAIT: Duration = Duration::from_millis(1000);
-/// Largest random change of a wait, as a fraction of it. Jitter prevents nodes from reconnecting
-/// to the same peer at the same time.
+/// Largest random change of a wait, as a fraction of it. Jitter prevents nodes from reconnecting to
+/// the same peer at the same time.
 const REOPEN_JITTER: f64 = 0.3;
 
 const REASON_UNRESPONSIVE: &str = "peer is unresponsive";
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -133,7 +133,7 @@
 
 impl Fixture {
     fn new() -> Self {
-        let service = ServiceTag::of("ledger");
+        let service = ServiceTag::from_name("ledger");
         let mut quarantine = Quarantine::default();
         quarantine.set_back_end_count(service, 4);
         Self {
@@ -194,14 +194,14 @@
     let mut unanswered = Fixture::new();
     // The crashes happened in another service.
     let mut other_service = Fixture::new();
-    other_service.service = ServiceTag::of("portal");
+    other_service.service = ServiceTag::from_name("portal");
     for number in 10..16 {
         incomplete.report_crash(false, &[digest(number)]);
         incomplete.quarantine.clear(digest(number), incomplete.now);
         unanswered.report_crash(true, &[digest(number)]);
         other_service.report_crash(true, &[]);
     }
-    other_service.service = ServiceTag::of("ledger");
+    other_service.service = ServiceTag::from_name("ledger");
     for mut fixture in [incomplete, unanswered, other_service] {
         assert_eq!(fixture.crashes_until_quarantined(digest(1)), 3);
     }
--- a/crates/tallybridge-mesh/tests/configuration.rs
+++ b/crates/tallybridge-mesh/tests/configuration.rs
@@ -1,4 +1,4 @@
-//! Which configuration version is in force, and which events confirm it.
+//! Tests which configuration version is in force and which events confirm it.
 
 use std::{cmp::Ordering, time::Duration};
 
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -16,7 +16,7 @@
     },
 };
 
-use self::support::names;
+use self::support::header_names;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -69,7 +69,7 @@
     }
 
     fn digests(&self) -> [RequestDigest; 2] {
-        CallContent::new(&self.message(), &names())
+        CallContent::new(&self.message(), &header_names())
             .digests()
             .to_array()
     }
@@ -161,7 +161,7 @@
     fn new() -> Self {
         let now = BootInstant::now();
         Self {
-            calls: DispatchedCalls::new(names(), now),
+            calls: DispatchedCalls::new(header_names(), now),
             incarnation: first_incarnation("i-1"),
             now,
         }
@@ -313,7 +313,7 @@
 }
 
 #[test]
-fn restart_blames_lost_calls_without_other_suspects() {
+fn restart_makes_lost_calls_suspects_as_last_resort() {
     let mut back_end = TestBackEnd::new();
     back_end.run("lost", DispatchEnd::ConnectionLost);
     back_end.calls.mark_backend_reachable();
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -269,7 +269,7 @@
             for (start, is_idempotent, mut call) in calls {
                 let reply = timeout(Duration::ZERO, call.reply()).await;
                 decisions.record((start, is_idempotent, reply.is_ok()));
-                // A caller gives up after 30 steps.
+                // A caller stops waiting after 30 steps.
                 if reply.is_err() && step - start < 30 {
                     unfinished.push((start, is_idempotent, call));
                 }
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -62,13 +62,13 @@
     fn leaving_and_unverified_instances_get_no_work(events in prop::collection::vec(any_event(), 1..60)) {
         let now = Instant::now();
         let mut instance = LocalInstance::default();
-        let mut left_ids = HashSet::new();
+        let mut leaving_ids = HashSet::new();
         let mut healthy_ids = HashSet::new();
         for event in events {
             match event {
                 Event::Report { instance: id, is_leaving, sequence } => {
                     if is_leaving {
-                        left_ids.insert(id.to_string());
+                        leaving_ids.insert(id.to_string());
                     }
                     instance.apply_report(&report(id, is_leaving, sequence), now);
                 }
@@ -88,7 +88,7 @@
             }
             if let Some(incarnation) = instance.available_incarnation(now) {
                 let id = incarnation.id();
-                prop_assert!(!left_ids.contains(id), "{id} got work after it left");
+                prop_assert!(!leaving_ids.contains(id), "{id} got work after it left");
                 prop_assert!(healthy_ids.contains(id), "{id} got work before a health check");
             }
         }
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -1,4 +1,5 @@
-//! Messages between nodes are decoded as encoded, however the bytes are split, and no input panics.
+//! Tests that each message decodes to what was encoded, however its bytes are split, and that no
+//! input causes a panic.
 
 use std::time::Duration;
 
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -61,8 +61,8 @@
         );
     }
 
-    /// Three nodes alternate as the owner, for example because the link to a node closes and reopens. An owner
-    /// must not grant the tokens that arrived while another node was the owner.
+    /// Three nodes alternate as the owner, for example because the link to a node closes and
+    /// reopens. An owner must not grant the tokens that arrived while another node was the owner.
     #[test]
     fn alternating_owners_keep_the_limit(
         rate in 5.0..300.0_f64,
@@ -206,8 +206,9 @@
     }
 }
 
-/// A restarted entry sends the first request to a new owner, because it does not know of any grants. The owner must
-/// not grant a token before it has collected the reports of the other entries.
+/// A restarted entry sends the first request to a new owner, because it does not know of any
+/// grants. The owner must not grant a token before it has collected the reports of the other
+/// entries.
 #[test]
 fn a_third_of_few_entries_restarted_with_each_home_keeps_a_small_limit() {
     let max_requests =
--- a/crates/tallybridge-mesh/tests/retries.rs
+++ b/crates/tallybridge-mesh/tests/retries.rs
@@ -79,7 +79,10 @@
         retry_request(false, true),
         later,
     );
-    assert_eq!(after_window, 0, "the budget outlived its window");
+    assert_eq!(
+        after_window, 0,
+        "the budget allows retries after its window"
+    );
 }
 
 #[test]
@@ -217,7 +220,7 @@
 
     /// Returns the largest number of retries beyond the allowed number, over all windows and
     /// levels.
-    fn excess(&self) -> f64 {
+    fn max_excess_retries(&self) -> f64 {
         let levels = self.levels.iter();
         let excess = levels.flat_map(|level| {
             level.retries.iter().map(|end| {
@@ -267,7 +270,7 @@
             }
             chain.call(0, false, Duration::from_millis(50) * root);
         }
-        let excess = chain.excess();
+        let excess = chain.max_excess_retries();
         prop_assert!(excess <= 0.0, "{excess} retries above the limit");
     }
 }
--- a/crates/tallybridge-mesh/tests/running.rs
+++ b/crates/tallybridge-mesh/tests/running.rs
@@ -91,9 +91,9 @@
     running.begin_nested(&root);
     running.end_nested(&root, &NestedEnd::Failed(SlotTimes::default()));
     let nested_times = running.nested_slot_times(&root);
-    assert_eq!(nested_times.of("deep"), Duration::from_millis(40));
-    assert_eq!(nested_times.of("middle"), Duration::from_millis(100));
-    assert_eq!(nested_times.of("other"), Duration::ZERO);
+    assert_eq!(nested_times.get("deep"), Duration::from_millis(40));
+    assert_eq!(nested_times.get("middle"), Duration::from_millis(100));
+    assert_eq!(nested_times.get("other"), Duration::ZERO);
 }
 
 #[test]
@@ -121,5 +121,5 @@
     running.end_nested(&root, &NestedEnd::Failed(min_times));
     assert!(running.may_fail_due_to_nested_call(&root));
     let nested_times = running.nested_slot_times(&root);
-    assert_eq!(nested_times.of("deep"), Duration::from_millis(30));
+    assert_eq!(nested_times.get("deep"), Duration::from_millis(30));
 }
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -248,7 +248,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn forgets_lost_and_stale_nodes() {
+async fn forgets_unreachable_and_stale_nodes() {
     let start = Instant::now();
     let mut table = PeerTable::new(record(0, 1));
     learn(&mut table, 1..41, 1, start);
--- a/crates/tallybridge-mesh/tests/support/chain/plan.rs
+++ b/crates/tallybridge-mesh/tests/support/chain/plan.rs
@@ -34,7 +34,7 @@
     pub service: usize,
     /// Time of the call's own work at speed 1.
     pub work: Duration,
-    /// Time after which the caller gives up.
+    /// Time after which the caller stops waiting.
     pub timeout: Duration,
     /// Nested calls, made one after the other.
     pub calls: Vec<Self>,
--- a/crates/tallybridge-mesh/tests/support/crashing_service.rs
+++ b/crates/tallybridge-mesh/tests/support/crashing_service.rs
@@ -16,7 +16,7 @@
     },
 };
 
-use super::names;
+use super::header_names;
 
 const TIME_STEP: Duration = Duration::from_millis(5);
 const SIMULATED_TIME: Duration = Duration::from_secs(10);
@@ -116,13 +116,13 @@
     pub fn new(workload: &Workload, adapts_threshold: bool, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let now = BootInstant::now();
-        let service = ServiceTag::of("ledger");
+        let service = ServiceTag::from_name("ledger");
         let mut quarantine = Quarantine::default();
         if adapts_threshold {
             quarantine.set_back_end_count(service, workload.back_ends);
         }
         let back_ends = (0..workload.back_ends).map(|_| BackEnd {
-            calls: DispatchedCalls::new(names(), now),
+            calls: DispatchedCalls::new(header_names(), now),
             incarnation: Incarnation::new("i".into(), 0),
             incarnation_number: 0,
             available_at: now,
@@ -138,7 +138,9 @@
             };
             let message = message(number);
             RecurringRequest {
-                digests: CallContent::new(&message, &names()).digests().to_array(),
+                digests: CallContent::new(&message, &header_names())
+                    .digests()
+                    .to_array(),
                 message,
                 is_lethal,
                 interval,
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -36,7 +36,7 @@
 }
 
 /// Returns example header names.
-pub fn names() -> HeaderNames {
+pub fn header_names() -> HeaderNames {
     HeaderNames {
         attempt: "Attempt",
         deadline_ms: "Deadline",
--- a/crates/tallybridge-mesh/tests/support/overload.rs
+++ b/crates/tallybridge-mesh/tests/support/overload.rs
@@ -54,7 +54,7 @@
 
     /// Returns the number of slots of a service that all requests together occupy.
     pub fn required_slots(&self, service: &str) -> f64 {
-        self.per_second * self.costs.of(service).as_secs_f64()
+        self.per_second * self.costs.get(service).as_secs_f64()
     }
 }
 
@@ -128,10 +128,10 @@
                 *count += requests * success_share;
             }
             let backlog = self.queued + work * accepted_share;
-            let done = backlog.min(step_capacity);
-            self.queued = backlog - done;
-            total_work += done;
-            wasted_work += done * (1.0 - success_share / accepted_share.max(0.01));
+            let work_done = backlog.min(step_capacity);
+            self.queued = backlog - work_done;
+            total_work += work_done;
+            wasted_work += work_done * (1.0 - success_share / accepted_share.max(0.01));
             // The offered load is a moving average over about 300 ms.
             self.offered += (work / step_capacity - self.offered) * 0.28;
             self.admission.adapt(&self.loads());
@@ -184,7 +184,7 @@
     fn total_slot_seconds(&self, requests: &[f64]) -> f64 {
         let by_route = self.demands.iter().zip(requests);
         by_route
-            .map(|(demand, count)| demand.costs.of("deep").as_secs_f64() * count)
+            .map(|(demand, count)| demand.costs.get("deep").as_secs_f64() * count)
             .sum()
     }
 
--- a/crates/tallybridge-mesh/tests/support/quota.rs
+++ b/crates/tallybridge-mesh/tests/support/quota.rs
@@ -100,9 +100,9 @@
     pub refused: usize,
 }
 
-/// Simulates requests of a tenant that arrive after the given gaps. `request_tokens` receives the number
-/// and time of the user's request, and the request for tokens. All entries lose their state at the request
-/// `state_lost_at`.
+/// Simulates requests of a tenant that arrive after the given gaps. `request_tokens` receives the
+/// number and time of the user's request, and the request for tokens. All entries lose their state
+/// at the request `state_lost_at`.
 pub fn simulate(
     tenant: &Tenant,
     entries: usize,
@@ -300,12 +300,12 @@
 
 /// Returns the number of the first request after each multiple of `interval`.
 fn first_request_after_each(interval: Duration, gaps: &[Duration]) -> Vec<usize> {
-    let mut at = Duration::ZERO;
+    let mut elapsed = Duration::ZERO;
     let mut next = interval;
     let mut numbers = Vec::new();
     for (number, gap) in gaps.iter().enumerate() {
-        at += *gap;
-        if at >= next {
+        elapsed += *gap;
+        if elapsed >= next {
             numbers.push(number);
             next += interval;
         }
--- a/crates/tallybridge-mesh/tests/tenants.rs
+++ b/crates/tallybridge-mesh/tests/tenants.rs
@@ -14,7 +14,7 @@
 }
 
 fn keys(keys: &[&str]) -> Vec<KeyDigest> {
-    let digests = keys.iter().map(|key| KeyDigest::of(key.as_bytes()));
+    let digests = keys.iter().map(|key| KeyDigest::from_key(key.as_bytes()));
     digests.collect()
 }
 
