Name services and calls with unknown outcomes as such in comments and tests

A route of the tests took "parts", a lost call was defined nowhere near its cost, and the figures in the tests of the slot share had no quantity.

--- a/crates/tallybridge-mesh/src/request/execute/outcome.rs
+++ b/crates/tallybridge-mesh/src/request/execute/outcome.rs
@@ -7,8 +7,8 @@
 
 use crate::{clock::BootInstant, http::Response, node::Node};
 
-/// A call that is cancelled within this time before its deadline counts as failed, because its
-/// caller waited until the end. An earlier cancellation says nothing about the back end.
+/// A call that is cancelled within this time before its deadline counts as failed, because its caller
+/// waited nearly until the deadline. An earlier cancellation says nothing about the back end.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(30);
 
 /// Records the result of a dispatched call. When the future of the call is dropped, the call counts as
--- a/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A call goes to the executor of its service with the lowest score, among the executors that were
 //! not tried and whose back ends accept work. The score is the utilization of the back end plus
-//! costs in the same unit: for another zone, a full back end, slow calls, lost calls, failures
-//! ([`outliers`]), suspect links and a planned stop. A small random part is added.
+//! costs in the same unit: for another zone, a full back end, slow calls, calls with unknown
+//! outcomes, failures ([`outliers`]), suspect links and a planned stop. A small random part is
+//! added.
 //!
 //! Every disadvantage is a cost and not a filter, so a call is still sent when every executor has
 //! one. An entry sees few calls of each back end and therefore relies on the [`Load`] that nodes
@@ -44,7 +45,7 @@
 /// so that such an executor is chosen only if there is no other. A stopping node costs half as much
 /// and is therefore preferred to such an executor.
 const LAST_RESORT_COST: f64 = 100.0;
-/// Cost of an executor that loses every call, in utilization. The cost is proportional to the loss
+/// Cost of an executor with a loss rate of 1, in utilization. The cost is proportional to the loss
 /// rate.
 const LOSS_COST: f64 = 2.0;
 
--- a/crates/tallybridge-mesh/src/tasks/configuration/mod.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/mod.rs
@@ -9,7 +9,8 @@
 //! - A configuration is *read* when the store returns it in a linearizable read. Revoked keys are
 //!   judged by the age of the last read (`revocations`).
 //! - A pending watch is *suspected* ([`Node::suspect_watch`]) and replaced after a failed renewal or
-//!   registry read, after a pause of the process, or when a peer has had a newer version for a long time.
+//!   registry read, after a pause of the process, or when a peer has had a newer version for
+//!   longer than a watch may lag.
 //!
 //! [`Node::suspect_watch`]: crate::node::Node::suspect_watch
 
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -303,7 +303,7 @@
     );
     assert!(
         !is_suspect("lost"),
-        "a call lost before the back end was reachable is a suspect"
+        "a call is a suspect although the back end was reachable after its connection closed"
     );
     assert!(
         !is_suspect("later"),
--- a/crates/tallybridge-mesh/tests/slot_share.rs
+++ b/crates/tallybridge-mesh/tests/slot_share.rs
@@ -148,7 +148,7 @@
 
 #[test]
 fn stays_below_knee_near_full_load() {
-    // At 95% of the slots: 36 / 1.6 = 22.5; below the knee: 32.
+    // Work at 95% of the slots: 36 / 1.6 = 22.5; below the knee: 32.
     let model = model_with_knee(0.85, 1.6);
     let after_low_load = mean_over_seeds(|simulation| {
         simulation.run(model, 5.0, 0.5);
@@ -165,7 +165,7 @@
 
 #[test]
 fn finds_low_knee_after_low_load() {
-    // At 95% of the slots: 36 / 2.5 = 14.4; below the knee: 22.
+    // Work at 95% of the slots: 36 / 2.5 = 14.4; below the knee: 22.
     let model = model_with_knee(0.6, 2.5);
     let work = mean_over_seeds(|simulation| {
         simulation.run(model, 5.0, 0.5);
@@ -177,7 +177,7 @@
 
 #[test]
 fn slight_slowdown_keeps_slots() {
-    // At 95% of the slots: 36 / 1.15 = 31.3; lower shares do less.
+    // Work at 95% of the slots: 36 / 1.15 = 31.3; lower shares do less.
     let work = mean_over_seeds(|simulation| {
         simulation.run(model_with_knee(0.9, 1.15), 5.0, 0.5);
         simulation.run(model_with_knee(0.9, 1.15), 20.0, 1.0)
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -12,8 +12,14 @@
 
 use tallybridge_mesh::{Route, RouteKind, WeightedService, platform::HeaderNames};
 
-/// Returns a route for idempotent requests. `parts` lists its services with their weights.
-pub fn route(name: &str, host: &str, prefix: &str, priority: u8, parts: &[(&str, u32)]) -> Route {
+/// Returns a route for idempotent requests. `services` lists the names and weights of its services.
+pub fn route(
+    name: &str,
+    host: &str,
+    prefix: &str,
+    priority: u8,
+    services: &[(&str, u32)],
+) -> Route {
     Route {
         name: name.into(),
         host: host.to_owned(),
@@ -24,7 +30,7 @@
         priority,
         max_attempts: 2,
         is_public: false,
-        services: parts
+        services: services
             .iter()
             .map(|(service, weight)| WeightedService {
                 service: (*service).into(),
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -38,7 +38,7 @@
 }
 
 #[test]
-fn splits_requests_by_part_weight() {
+fn splits_requests_by_service_weight() {
     let route = route("s", "h", "/", 2, &[("a", 70), ("b", 20), ("c", 10)]);
     let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
     for _ in 0..100 {
