--- a/crates/tallybridge-mesh/tests/recovery.rs
+++ b/crates/tallybridge-mesh/tests/recovery.rs
@@ -178,7 +178,7 @@
 #[tokio::test(start_paused = true)]
 async fn chains_of_any_depth_recover() {
     let mut failed = Vec::new();
-    for (depth, overloaded, shortage, restart_delay_ms) in [
+    for (depth, overloaded, relative_load, restart_delay_ms) in [
         (2, 1, 1.5, 0),
         (2, 1, 8.0, 1000),
         (5, 2, 3.0, 500),
@@ -189,13 +189,13 @@
         (23, 22, 4.0, 500),
     ] {
         let plan =
-            chain_plan_of_depth(depth, overloaded).with_relative_load(overloaded, 1, shortage);
+            chain_plan_of_depth(depth, overloaded).with_relative_load(overloaded, 1, relative_load);
         let mut fleet = ChainFleet::new(plan);
         fleet.run(Duration::from_secs(3)).await;
         fleet.keep_backends(overloaded, 1);
         let run =
             RecoveryRun::run(fleet, overloaded, Duration::from_millis(restart_delay_ms)).await;
-        let case = (depth, overloaded, shortage, restart_delay_ms);
+        let case = (depth, overloaded, relative_load, restart_delay_ms);
         println!("{case:?}: {run}");
         if !run.has_recovered() {
             failed.push(case);
