--- a/crates/tallybridge-mesh/src/settings/effective.rs
+++ b/crates/tallybridge-mesh/src/settings/effective.rs
@@ -29,7 +29,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`SettingsError`] that names the field, its line where known, and the correction.
+    /// Returns a [`SettingsError`] that names the field, its line if known, and the correction.
     pub fn effective(text: &str) -> Result<Vec<SettingRow>, SettingsError> {
         let settings = Self::parse(text)?;
         let file: toml::Table =
--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -120,7 +120,7 @@
 #[error("settings: {detail}")]
 #[diagnostic(help("{help}"))]
 pub struct SettingsError {
-    /// The field, its line where known, and the problem.
+    /// The field, its line if known, and the problem.
     pub detail: String,
     /// How to correct the settings.
     pub help: String,
@@ -141,7 +141,7 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`SettingsError`] that names the field, its line where known, and the correction.
+    /// Returns a [`SettingsError`] that names the field, its line if known, and the correction.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let settings: Self =
             toml::from_str(text).map_err(|error| SettingsError::from_toml(&error))?;
--- a/crates/tallybridge-mesh/tests/blame.rs
+++ b/crates/tallybridge-mesh/tests/blame.rs
@@ -215,7 +215,7 @@
     }
     let request = digest(1);
     assert!(fixture.crashes_until_quarantined(request) > 3);
-    // Other nodes receive a crash count as if three crashes had been enough.
+    // The crash count for other nodes is adjusted as if three crashes had quarantined the request.
     let [shared] = fixture.quarantine.snapshot(fixture.now)[..] else {
         panic!("the snapshot does not hold exactly one request");
     };
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -146,7 +146,7 @@
     }
 }
 
-/// Calls dispatched to one back end. The body tells requests apart.
+/// Calls dispatched to one back end. The body distinguishes the requests.
 struct TestBackEnd {
     calls: DispatchedCalls,
     incarnation: Incarnation,
--- a/crates/tallybridge-mesh/tests/quota.rs
+++ b/crates/tallybridge-mesh/tests/quota.rs
@@ -266,7 +266,7 @@
         burst: 1.0,
     };
     let mut bucket = TokenBucket::new(limit, 0.0, start);
-    // 100 ns before the first token arrives.
+    // This is 100 ns before the first token arrives.
     let now = start + Duration::from_nanos(9_999_900);
     assert_eq!(bucket.take(0, now), 0);
     assert!(bucket.schedule_retry(now) >= Duration::from_millis(2));
--- a/crates/tallybridge-mesh/tests/retries.rs
+++ b/crates/tallybridge-mesh/tests/retries.rs
@@ -99,7 +99,7 @@
     let remaining = count_granted(&mut budgets, &service, retry_request(false, true), now);
     assert!(
         (70..=90).contains(&remaining),
-        "100 of 180 retries are used: {remaining}"
+        "100 of 180 retries should be used; {remaining} remain"
     );
 }
 
@@ -116,12 +116,12 @@
         let now = start + Duration::from_micros(500) * number;
         budgets.record_first_attempt(&service, FIRST_ATTEMPT, now);
         let is_urgent = number % 2 == 0;
-        let failing = if is_urgent {
+        let failure_rate = if is_urgent {
             failing_urgent
         } else {
             failing_other
         };
-        if number >= 20_000 && random.random_bool(failing) {
+        if number >= 20_000 && random.random_bool(failure_rate) {
             let class = usize::from(!is_urgent);
             requested[class] += 1;
             granted[class] +=
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -135,7 +135,7 @@
     }
     let (min, max) = (links.values().min().unwrap(), links.values().max().unwrap());
     assert_eq!(links.len(), 300);
-    // The mean is 96 links with a standard deviation of about 8.
+    // An executor has 96 links on average, with a standard deviation of about 8.
     assert!(
         (60..=135).contains(min) && (60..=135).contains(max),
         "{min} to {max}"
