--- a/crates/tallybridge-mesh/tests/retries.rs
+++ b/crates/tallybridge-mesh/tests/retries.rs
@@ -79,7 +79,10 @@
         retry_request(false, true),
         later,
     );
-    assert_eq!(after_window, 0, "the budget outlived its window");
+    assert_eq!(
+        after_window, 0,
+        "the budget allows retries after its window"
+    );
 }
 
 #[test]
@@ -96,7 +99,7 @@
     let remaining = count_granted(&mut budgets, &service, retry_request(false, true), now);
     assert!(
         (70..=90).contains(&remaining),
-        "100 of 180 retries are used: {remaining}"
+        "100 of 180 retries should be used; {remaining} remain"
     );
 }
 
@@ -113,12 +116,12 @@
         let now = start + Duration::from_micros(500) * number;
         budgets.record_first_attempt(&service, FIRST_ATTEMPT, now);
         let is_urgent = number % 2 == 0;
-        let failing = if is_urgent {
+        let failure_rate = if is_urgent {
             failing_urgent
         } else {
             failing_other
         };
-        if number >= 20_000 && random.random_bool(failing) {
+        if number >= 20_000 && random.random_bool(failure_rate) {
             let class = usize::from(!is_urgent);
             requested[class] += 1;
             granted[class] +=
@@ -217,7 +220,7 @@
 
     /// Returns the largest number of retries beyond the allowed number, over all windows and
     /// levels.
-    fn excess(&self) -> f64 {
+    fn max_excess_retries(&self) -> f64 {
         let levels = self.levels.iter();
         let excess = levels.flat_map(|level| {
             level.retries.iter().map(|end| {
@@ -267,7 +270,7 @@
             }
             chain.call(0, false, Duration::from_millis(50) * root);
         }
-        let excess = chain.excess();
+        let excess = chain.max_excess_retries();
         prop_assert!(excess <= 0.0, "{excess} retries above the limit");
     }
 }
