Keep a link until another one is open in its place

Cause: a read of the registry that names better ranked nodes replaced most of a node's selection at once, and the links to the former nodes were retired before any new one was open. A restart of the whole fleet does the same under load.

Change: a link to a node that is no longer selected is retired only once a link to a selected node is open in its place.

Two tests asserted the former behaviour. The other brought a node back by failing its replacements; they are now opened and lost, which still asks for a new row and a new link.

--- a/crates/tallybridge-mesh/src/tables/peers/linking.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/linking.rs
@@ -2,6 +2,10 @@
 //!
 //! The selection for a service ([`super::subset`]) is repeated when one of its inputs changes: a
 //! node is discovered, connects, disconnects or counts as down, or the number of services changes.
+//!
+//! A link to a node that is no longer selected is kept until another link is open in its place. In a
+//! large fleet a read of the registry can replace most of the selection at once, for example seconds
+//! after all nodes were restarted, and calls need executors in the meantime.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -126,13 +130,20 @@
             .collect()
     }
 
-    /// Retires the links to unselected nodes of a service. Rows of nodes that are down stay, so
-    /// that this node keeps trying to reconnect.
+    /// Retires the links to unselected nodes of a service, except those that no open link to a
+    /// selected node replaces yet. Rows of nodes that are down stay, so that this node keeps trying
+    /// to reconnect.
     fn retire_unselected(&mut self, service: &Arc<str>, selected: &[SocketAddr], now: Instant) {
-        let is_unselected = |address: &SocketAddr, row: &mut PeerRow| {
-            row.service == *service && !row.is_down(now) && !selected.contains(address)
+        let mut unreplaced = self.count_unreplaced(selected);
+        let mut is_unselected = |address: &SocketAddr, row: &mut PeerRow| {
+            if row.service != *service || row.is_down(now) || selected.contains(address) {
+                return false;
+            }
+            let is_kept = row.link.is_some() && unreplaced > 0;
+            unreplaced -= usize::from(is_kept);
+            !is_kept
         };
-        let unselected: Vec<_> = self.rows.extract_if(is_unselected).collect();
+        let unselected: Vec<_> = self.rows.extract_if(&mut is_unselected).collect();
         for (address, row) in unselected {
             if let Some(link) = row.link {
                 link.retire();
@@ -145,6 +156,13 @@
         }
     }
 
+    /// Returns the number of selected nodes without an open link.
+    fn count_unreplaced(&self, selected: &[SocketAddr]) -> usize {
+        let rows = selected.iter().map(|address| self.rows.get(address));
+        rows.filter(|row| row.is_none_or(|row| row.link.is_none()))
+            .count()
+    }
+
     fn add_row(&mut self, address: SocketAddr, record: NodeRecord, now: Instant) -> LinkRequest {
         let row_id = self.next_row_id;
         self.next_row_id += 1;
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -210,6 +210,8 @@
         !newly_opened.is_empty(),
         "no new node ranks before a linked one"
     );
+    // The links that were replaced are retired now.
+    assert_eq!(table.select_links(now), []);
     assert_eq!(table.links().count(), MAX_LINKS);
     assert_eq!(table.known_size(), 401, "unselected nodes were forgotten");
     // The selection does not depend on the order in which nodes are learned.
@@ -286,8 +288,14 @@
         .iter()
         .map(|number| link_to(&table, *number))
         .collect();
-    // The better ranked nodes cannot be reached, so the first ones are selected again.
+    // Better ranked nodes replace the first ones and are then lost, so the first are selected again.
     learn(&mut table, 61..1001, 1, now);
+    for number in select_and_open_links(&mut table, 1, now) {
+        assert_eq!(table.select_links(now), []);
+        let link = link_to(&table, number).unwrap();
+        table.record_link_closed(record(number, 1).address, &link);
+    }
+    let now = now + Duration::from_secs(3);
     let mut reselected = Vec::new();
     loop {
         let requests = table.select_links(now);
@@ -326,3 +334,34 @@
         );
     }
 }
+
+/// Guards against an entry without executors after a read of the registry that replaces most of its
+/// selection, as when all nodes of a large fleet have just been restarted.
+#[tokio::test(start_paused = true)]
+async fn keeps_links_until_others_are_open_in_their_place() {
+    let now = Instant::now();
+    let mut table = PeerTable::new(record(0, 1));
+    learn(&mut table, 1..101, 1, now);
+    select_and_open_links(&mut table, 1, now);
+    assert_eq!(table.links().count(), MAX_LINKS);
+
+    learn(&mut table, 101..1001, 1, now);
+    let requests = table.select_links(now);
+    assert!(
+        requests.len() > MAX_LINKS / 2,
+        "only {} links of the selection change",
+        requests.len()
+    );
+    assert_eq!(table.links().count(), MAX_LINKS);
+    for request in &requests {
+        open_links(&mut table, std::slice::from_ref(request), 1, now);
+        assert_eq!(table.select_links(now), []);
+        assert_eq!(table.links().count(), MAX_LINKS);
+    }
+    assert!(
+        requests
+            .iter()
+            .all(|request| link_to(&table, request.address.port()).is_some()),
+        "a new link was retired in place of an old one"
+    );
+}
