Let watchers keep the nodes of a large fleet in the registry

Change: a node of a large fleet requests a peer that watches the store to keep its record. A registrar writes up to 32 records in a call under its own lease. The nodes of a new fleet first read the registry at random times whose rate grows exponentially, so that only the first few find it empty, whatever the size. The two messages are sent only to nodes whose hello says that they handle them; stored records keep their format. Small fleets register as before.

--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -30,8 +30,8 @@
     Configuration, Route, RouteKind, ServicePolicy, TrafficSplit, WeightedService,
 };
 pub use platform::{
-    ControlRequest, HeaderNames, InstanceReport, Platform, RegistryPage, ReportedState, StoreError,
-    StoreFuture, StoredConfiguration, WatchedConfiguration,
+    ControlRequest, HeaderNames, InstanceReport, Platform, RegistryEntry, RegistryPage,
+    ReportedState, StoreError, StoreFuture, StoredConfiguration, WatchedConfiguration,
 };
 pub use policy::{PolicySettings, PolicySwitch};
 pub use run::run;
--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -33,6 +33,12 @@
         let _ = self.0.send(frame.encode());
     }
 
+    /// Returns whether the connection is still open for writing.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        !self.0.is_closed()
+    }
+
     /// Queues a message about the link itself, which belongs to no call.
     pub fn send_message(&self, message: Message) {
         self.send(&Frame::without_call(message));
--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -98,6 +98,18 @@
         }
     }
 
+    /// Returns the name of the peer.
+    #[must_use]
+    pub fn peer(&self) -> &str {
+        &self.peer
+    }
+
+    /// Returns whether frames can still be sent.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.sender.is_open()
+    }
+
     /// Returns whether new calls should avoid the link because the peer does not answer a ping.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -164,6 +164,7 @@
             Message::Quarantined(suspect) => node.merge_quarantined(suspect),
             Message::QuarantineStored(suspect) => node.merge_stored(suspect),
             Message::Cleared(digest) => node.clear_suspects(&[digest]),
+            Message::Register(record) => node.register_peer(record, sender),
             // Only the node that accepted a link sends the other messages.
             _ => {}
         }
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -27,7 +27,7 @@
 mod published_load;
 mod quarantine;
 mod quotas;
-mod registration;
+pub mod registration;
 mod retries;
 mod running;
 mod signals;
@@ -85,6 +85,10 @@
 
     /// Lease of the registration; 0 for none.
     lease: AtomicU64,
+    /// Whether a peer keeps this node's record in the registry.
+    has_registrar: AtomicBool,
+    /// Whether an entry of this node was found in the registry.
+    was_listed: AtomicBool,
     has_read_registry: AtomicBool,
     /// Whether this node watches the store.
     is_watcher: AtomicBool,
@@ -103,6 +107,7 @@
             service: settings.backend.service.clone(),
             process: rand::random(),
             slots: 0,
+            registers_peers: true,
         };
         let header_names = platform.header_names();
         Self {
@@ -115,6 +120,8 @@
             signals: Signals::new(),
             lifecycle: Lifecycle::new(&settings),
             lease: AtomicU64::new(0),
+            has_registrar: AtomicBool::new(false),
+            was_listed: AtomicBool::new(false),
             has_read_registry: AtomicBool::new(false),
             is_watcher: AtomicBool::new(false),
             has_pending_watch: AtomicBool::new(false),
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -2,7 +2,10 @@
 //!
 //! Locks the [`PeerTable`] and queues the link requests that [`crate::tasks::links`] opens.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+};
 
 use bytes::Bytes;
 use serde::Serialize;
@@ -21,11 +24,22 @@
     /// the number from the registry.
     #[must_use]
     pub fn hello(&self) -> Bytes {
-        let record = NodeRecord {
+        to_json(&self.record_with_slots())
+    }
+
+    /// Returns the record that the registry holds of this node, as JSON.
+    pub(super) fn registered_record(&self) -> Bytes {
+        to_json(&NodeRecord {
+            registers_peers: false,
+            ..self.record_with_slots()
+        })
+    }
+
+    fn record_with_slots(&self) -> NodeRecord {
+        NodeRecord {
             slots: self.effective_slots(&self.tables()),
             ..self.record.clone()
-        };
-        to_json(&record)
+        }
     }
 
     /// Returns the records of the nodes that this node links to, as a JSON list.
@@ -40,7 +54,7 @@
     /// is unregistered.
     #[must_use]
     pub fn should_request_nodes(&self) -> bool {
-        let is_registered = self.lease().is_some();
+        let is_registered = self.is_registered();
         let mut tables = self.tables();
         tables
             .list_requests
@@ -62,6 +76,9 @@
         let now = Instant::now();
         let mut tables = self.tables();
         for record in records {
+            if record.address == self.record.address {
+                self.was_listed.store(true, Ordering::Relaxed);
+            }
             tables.peers.learn(record, now);
         }
         drop(tables);
--- a/crates/tallybridge-mesh/src/node/signals.rs
+++ b/crates/tallybridge-mesh/src/node/signals.rs
@@ -35,6 +35,15 @@
     pub(super) crashes_stored: watch::Sender<u64>,
     /// The registered record of this node is out of date: wakes [`crate::tasks::registration`].
     pub(super) record_changed: Notify,
+    /// A peer requested this node to keep its record in the registry: wakes the same task.
+    pub(super) delegates_changed: Notify,
+    /// A peer keeps this node's record in the registry: wakes the same task. The value is the name of
+    /// the peer.
+    pub(super) registered_by: watch::Sender<Option<String>>,
+    /// This node may have missed changes of the registry: wakes [`crate::tasks::registry`].
+    pub(super) registry_suspected: Notify,
+    /// The registry was read for the first time: wakes the same task.
+    pub(super) registry_read: Notify,
     /// The process resumed after a pause: wakes [`crate::tasks::registration`], since the lease may
     /// have expired.
     pub(super) resumed: Notify,
@@ -60,6 +69,10 @@
             unstored_crashes_reported: Notify::new(),
             crashes_stored: watch::Sender::new(0),
             record_changed: Notify::new(),
+            delegates_changed: Notify::new(),
+            registered_by: watch::Sender::new(None),
+            registry_suspected: Notify::new(),
+            registry_read: Notify::new(),
             resumed: Notify::new(),
             became_watcher: Notify::new(),
             watch_suspected: Notify::new(),
--- a/crates/tallybridge-mesh/src/node/tables.rs
+++ b/crates/tallybridge-mesh/src/node/tables.rs
@@ -11,8 +11,8 @@
     protocol::{NodeRecord, PeerStatus},
     settings::MeshSettings,
     tables::{
-        AdmissionControl, ConfigurationTable, FailureRate, LocalInstance, PeerTable, RetryBudgets,
-        RunningAttempts, ServiceLoads, WatcherTable,
+        AdmissionControl, ConfigurationTable, Delegates, FailureRate, LocalInstance, PeerTable,
+        RetryBudgets, RunningAttempts, ServiceLoads, WatcherTable,
         quarantine::{DispatchedCalls, Quarantine},
     },
 };
@@ -23,6 +23,8 @@
     /// Confirmations from the nodes that watch the store.
     pub(super) watchers: WatcherTable,
     pub(super) list_requests: ListRequests,
+    /// Nodes that this one keeps in the registry.
+    pub(super) delegates: Delegates,
 
     /// The back end beside this node.
     pub(super) instance: LocalInstance,
@@ -50,6 +52,7 @@
             peers: PeerTable::new(record).with_policy(settings.policy),
             watchers: WatcherTable::default(),
             list_requests: ListRequests::default(),
+            delegates: Delegates::default(),
             instance: LocalInstance::default(),
             failure_rate: FailureRate::default(),
             own_service: settings.backend.service.as_str().into(),
--- a/crates/tallybridge-mesh/src/platform.rs
+++ b/crates/tallybridge-mesh/src/platform.rs
@@ -109,6 +109,18 @@
     pub document: Option<Bytes>,
 }
 
+/// Maximum number of registry entries in one write.
+pub const MAX_ENTRIES_PER_WRITE: usize = 32;
+
+/// An entry of the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegistryEntry {
+    /// Name of the entry, by which the registry is sorted.
+    pub name: String,
+    /// Value of the entry.
+    pub value: Bytes,
+}
+
 /// A page of the registry, sorted by name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegistryPage {
@@ -146,12 +158,11 @@
         wait: Duration,
     ) -> StoreFuture<'_, WatchedConfiguration>;
 
-    /// Writes a registry entry and returns its lease: `lease`, or a new lease with the given `ttl`
-    /// if `lease` is `None`.
+    /// Writes at most [`MAX_ENTRIES_PER_WRITE`] registry entries, all or none of them, and returns
+    /// their lease: `lease`, or a new lease with the given `ttl` if `lease` is `None`.
     fn register<'a>(
         &'a self,
-        name: &'a str,
-        record: Bytes,
+        entries: &'a [RegistryEntry],
         ttl: Duration,
         lease: Option<u64>,
     ) -> StoreFuture<'a, u64>;
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -49,6 +49,11 @@
     QuarantineStored(QuarantinedRequest),
     /// Reports that a back end answered a suspect, which clears the suspicion.
     Cleared(RequestDigest),
+    /// Requests the receiver to keep the sender's JSON [`super::NodeRecord`] in the registry. Only
+    /// sent to nodes that [register peers](super::NodeRecord::registers_peers).
+    Register(Bytes),
+    /// Reports to the sender of a [`Self::Register`] that the registry holds its record.
+    Registered,
 }
 
 /// Byte after a quarantined request whose crash count the store holds. Earlier releases ignore it.
@@ -74,6 +79,8 @@
     pub const CRASH: u8 = 16;
     pub const QUARANTINED: u8 = 17;
     pub const CLEARED: u8 = 18;
+    pub const REGISTER: u8 = 19;
+    pub const REGISTERED: u8 = 20;
 }
 
 impl Message {
@@ -97,12 +104,17 @@
             Self::Crash(_) => kind::CRASH,
             Self::Quarantined(_) | Self::QuarantineStored(_) => kind::QUARANTINED,
             Self::Cleared(_) => kind::CLEARED,
+            Self::Register(_) => kind::REGISTER,
+            Self::Registered => kind::REGISTERED,
         }
     }
 
     pub(super) fn encode_payload(&self, out: &mut Vec<u8>) {
         match self {
-            Self::Hello(bytes) | Self::Nodes(bytes) | Self::Configuration(bytes) => {
+            Self::Hello(bytes)
+            | Self::Nodes(bytes)
+            | Self::Configuration(bytes)
+            | Self::Register(bytes) => {
                 out.extend_from_slice(bytes);
             }
             Self::Call(call) => call.encode(out),
@@ -120,7 +132,11 @@
                 out.push(QUARANTINE_STORED);
             }
             Self::Cleared(digest) => out.extend_from_slice(&digest.0),
-            Self::Cancel | Self::Ping | Self::FetchConfiguration | Self::FetchNodes => {}
+            Self::Cancel
+            | Self::Ping
+            | Self::FetchConfiguration
+            | Self::FetchNodes
+            | Self::Registered => {}
         }
     }
 
@@ -145,6 +161,8 @@
             kind::CRASH => Self::Crash(CrashReport::decode(payload)?),
             kind::QUARANTINED => Self::decode_quarantined(payload)?,
             kind::CLEARED => Self::Cleared(RequestDigest::decode(&payload)?),
+            kind::REGISTER => Self::Register(payload),
+            kind::REGISTERED => Self::Registered,
             _ => return None,
         })
     }
--- a/crates/tallybridge-mesh/src/protocol/status.rs
+++ b/crates/tallybridge-mesh/src/protocol/status.rs
@@ -27,6 +27,11 @@
     /// Number of slots of the node's back end; 0 while unknown.
     #[serde(default)]
     pub slots: u32,
+    /// Whether the node keeps the records of peers in the registry when they request it
+    /// ([`Message::Register`](super::Message::Register)). Earlier releases do not. Links tell it,
+    /// the registry does not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub registers_peers: bool,
 }
 
 /// Whether a node's back end accepts calls, as reported by the node.
--- a/crates/tallybridge-mesh/src/run/mod.rs
+++ b/crates/tallybridge-mesh/src/run/mod.rs
@@ -31,6 +31,7 @@
         health::verify_instance,
         links::open_links,
         registration::maintain_registration,
+        registry::follow_registry,
         reload::{SettingsSource, reload_settings},
         stored_quarantine::store_quarantine,
     },
@@ -105,6 +106,7 @@
     tokio::spawn(follow_configuration(node.clone()));
     tokio::spawn(follow_peers_configuration(node.clone()));
     tokio::spawn(refresh_for_revocations(node.clone()));
+    tokio::spawn(follow_registry(node.clone()));
     tokio::spawn(maintain_registration(node.clone()));
     tokio::spawn(store_quarantine(node.clone()));
     tokio::spawn(run_ticks(node.clone()));
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod backend;
 pub mod configuration;
+pub mod delegates;
 pub mod peers;
 pub mod quarantine;
 pub mod quotas;
@@ -17,6 +18,7 @@
     ReportEffect,
 };
 pub use configuration::{ConfigurationTable, ConfirmedVersion};
+pub use delegates::Delegates;
 pub use peers::{Executor, LinkRequest, PeerTable, PlacementQuery, QuotaOwner};
 pub use retries::{FirstAttempt, RetryBudgets, RetryRequest};
 pub use running::{FoundParent, NestedEnd, Parent, RunningAttempts};
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -169,6 +169,16 @@
             .and_then(|row| row.link.clone())
     }
 
+    /// Returns the link to the node at `address` if it is reachable and registers peers.
+    #[must_use]
+    pub fn link_to_registrar(&self, address: SocketAddr) -> Option<Arc<Link>> {
+        let row = self
+            .rows
+            .get(&address)
+            .filter(|row| row.record.registers_peers)?;
+        row.link.clone().filter(|link| !link.is_suspect())
+    }
+
     fn linked_rows(&self) -> impl Iterator<Item = &PeerRow> {
         self.rows.values().filter(|row| row.link.is_some())
     }
--- a/crates/tallybridge-mesh/src/tables/watchers.rs
+++ b/crates/tallybridge-mesh/src/tables/watchers.rs
@@ -47,11 +47,19 @@
     /// Counts the peers to which the store confirmed `version` or newer within the last 1.2 s.
     #[must_use]
     pub fn count_confirming(&self, version: u64, now: BootInstant) -> usize {
-        let confirmations = self.0.values();
-        let fresh = confirmations.filter(|confirmation| {
+        self.confirming(version, now).count()
+    }
+
+    /// Iterates over the peers to which the store confirmed `version` or newer within the last 1.2 s.
+    pub fn confirming(
+        &self,
+        version: u64,
+        now: BootInstant,
+    ) -> impl Iterator<Item = SocketAddr> + '_ {
+        let fresh = self.0.iter().filter(move |(_, confirmation)| {
             let age = now.saturating_duration_since(confirmation.requested_at);
             confirmation.version >= version && age <= MAX_CONFIRMATION_AGE
         });
-        fresh.count()
+        fresh.map(|(address, _)| *address)
     }
 }
--- a/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
@@ -34,6 +34,9 @@
 const START_WINDOW_PER_PEER: Duration = Duration::from_millis(20);
 /// Time that the nodes of a new fleet need to discover each other.
 const NEW_FLEET_DELAY: Duration = Duration::from_millis(2000);
+/// Time after which a node of a large fleet may watch although no other node can know of it. Until
+/// then, it waits for others whose confirmations reach many nodes.
+const UNLISTED_WATCH_DELAY: Duration = Duration::from_secs(3);
 const REGISTRY_TIMEOUT: Duration = Duration::from_millis(500);
 const LINKS_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -85,12 +88,14 @@
 /// In a large fleet all nodes notice missing watchers at about the same time. Each waits for a random
 /// time, so the first nodes to start replace the missing watchers.
 pub(super) async fn wait_until_watch_needed(node: &Node) {
+    let started_at = Instant::now();
     loop {
         let view = node.watch_view();
         if !view.shares_watches() {
             return;
         }
-        if view.confirming >= MIN_WATCHERS {
+        let may_watch = node.is_listed() || started_at.elapsed() >= UNLISTED_WATCH_DELAY;
+        if view.confirming >= MIN_WATCHERS || !may_watch {
             sleep(COVERED_CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -193,6 +193,7 @@
         }
         Message::Quarantined(request) => node.merge_quarantined(request),
         Message::QuarantineStored(request) => node.merge_stored(request),
+        Message::Registered => node.registered_by(link),
         // The other kinds are sent only to the accepting side of a link.
         _ => {}
     }
--- a/crates/tallybridge-mesh/src/tasks/mod.rs
+++ b/crates/tallybridge-mesh/src/tasks/mod.rs
@@ -10,6 +10,6 @@
 pub mod health;
 pub mod links;
 pub mod registration;
-mod registry;
+pub mod registry;
 pub mod reload;
 pub mod stored_quarantine;
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -1,21 +1,25 @@
 //! Reads the registry, which lists the nodes and, after them, the quarantined requests.
 //!
 //! A small registry is read as a whole. A node reads about [`ENTRIES_PER_READ`] entries of a large
-//! one, starting after its own entry, because it links to only some nodes of each service. Entry
-//! names begin with a hash, so each node reads a different mix of zones and services.
+//! one, from its own entry on, because it links to only some nodes of each service. Entry names begin
+//! with a hash, so each node reads a different mix of zones and services.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use rand::Rng;
 use serde::Deserialize;
-use xxhash_rust::xxh3::xxh3_64;
+use tokio::time::sleep;
 
 use super::{
-    backoff::count_store_call,
+    backoff::{Backoff, count_store_call},
     stored_quarantine::{QUARANTINE_PREFIX, StoredQuarantine},
 };
 use crate::{
-    log::rate_limit::LogRateLimit, node::Node, platform::StoreError, protocol::NodeRecord,
+    log::rate_limit::LogRateLimit,
+    node::{Node, registration::registry_name_prefix},
+    platform::StoreError,
+    protocol::NodeRecord,
 };
 
 const READ_INTERVAL: Duration = Duration::from_secs(12);
@@ -25,30 +29,81 @@
 /// of the store.
 const ENTRIES_PER_READ: usize = 500;
 const MAX_LOGGED_BYTES: usize = 80;
+/// Time from the first read, or from the registration that follows it in a small fleet, to the next
+/// read. A read may be seconds out of date, so nodes that start together find each other with it.
+const SECOND_READ_DELAY: Duration = Duration::from_secs(4);
+/// Longest wait of a node in a small fleet for its registration before it reads the registry again.
+const REGISTRATION_WAIT: Duration = Duration::from_secs(1);
+const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest delay of the first read in a new fleet.
+const NEW_FLEET_READ_SPREAD: Duration = Duration::from_millis(1500);
+/// Factor by which the number of nodes that have read the registry grows over the spread.
+const NEW_FLEET_READ_GROWTH: f64 = 64.0;
 
-/// Returns the name of a node's entry, which is the node's name after a hash of it.
-pub(super) fn registry_name(node: &str) -> String {
-    let hash = xxh3_64(node.as_bytes()) >> (u64::BITS - u16::BITS);
-    format!("{hash:04x}-{node}")
+/// Reads the registry at the start and then regularly, for as long as the process runs.
+pub async fn follow_registry(node: Arc<Node>) {
+    if node.settings.new_fleet {
+        sleep(new_fleet_read_delay()).await;
+    }
+    let mut reader = RegistryReader::default();
+    let mut backoff = Backoff::new();
+    while let Err(reason) = reader.read(&node).await {
+        tracing::warn!(%reason, "cannot read the registry; retrying");
+        backoff.wait().await;
+    }
+    if !node.watch_view().shares_watches() {
+        wait_for_registration(&node).await;
+        reader.read_again(&node).await;
+    }
+    let mut delay = SECOND_READ_DELAY;
+    loop {
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = node.registry_suspected() => {}
+        }
+        reader.read_again(&node).await;
+        delay = reader.interval();
+    }
+}
+
+/// Returns the random delay of the first read while the registry of a new fleet is still empty.
+///
+/// The number of nodes that have read it grows exponentially, whatever the size of the fleet. In a
+/// large fleet only the first few of them find too few entries and register themselves, because the
+/// many that follow find their entries.
+fn new_fleet_read_delay() -> Duration {
+    let share = 1.0 - rand::rng().random::<f64>();
+    let position = 1.0 + share.ln() / NEW_FLEET_READ_GROWTH.ln();
+    NEW_FLEET_READ_SPREAD.mul_f64(position.max(0.0))
+}
+
+async fn wait_for_registration(node: &Node) {
+    let registration = async {
+        while !node.is_registered() {
+            sleep(REGISTRATION_CHECK_INTERVAL).await;
+        }
+    };
+    // Without a registration, the next read finds the others all the same.
+    let _ = tokio::time::timeout(REGISTRATION_WAIT, registration).await;
 }
 
 /// Reads the registry, and remembers whether it is large.
 #[derive(Debug, Default)]
-pub(super) struct RegistryReader {
+struct RegistryReader {
     /// Whether the last read found more than [`ENTRIES_PER_READ`] entries.
     is_large: bool,
 }
 
 impl RegistryReader {
-    /// Reads all entries of a small registry. Reads the nodes after this node's own entry, and the
+    /// Reads all entries of a small registry. Reads the nodes from this node's own entry on, and the
     /// quarantined requests, of a large one.
-    pub(super) async fn read(&mut self, node: &Arc<Node>) -> Result<(), StoreError> {
+    async fn read(&mut self, node: &Arc<Node>) -> Result<(), StoreError> {
         if !self.is_large {
             self.is_large = !read_from(node, "").await?;
         }
         if self.is_large {
-            let own_name = registry_name(&node.record.node);
-            self.is_large = !read_from(node, &own_name).await?;
+            let own_prefix = registry_name_prefix(&node.record.node);
+            self.is_large = !read_from(node, &own_prefix).await?;
             // Quarantined requests sort after all nodes, so a partial read does not reach them.
             read_from(node, QUARANTINE_PREFIX).await?;
         }
@@ -56,8 +111,17 @@
         Ok(())
     }
 
+    /// Reads the registry again. Keeps the known nodes if that fails.
+    async fn read_again(&mut self, node: &Arc<Node>) {
+        if let Err(reason) = self.read(node).await {
+            tracing::warn!(%reason, "cannot read the registry; keeping the known nodes");
+            node.suspect_watch();
+        }
+        node.forget_unlinked_nodes();
+    }
+
     /// Returns the time until the next read.
-    pub(super) const fn interval(&self) -> Duration {
+    const fn interval(&self) -> Duration {
         match self.is_large {
             true => LARGE_REGISTRY_READ_INTERVAL,
             false => READ_INTERVAL,
--- a/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
+++ b/crates/tallybridge-mesh/src/tasks/stored_quarantine.rs
@@ -16,7 +16,7 @@
 use super::backoff::{Backoff, count_store_call};
 use crate::{
     node::Node,
-    platform::StoreError,
+    platform::{RegistryEntry, StoreError},
     protocol::{QuarantinedRequest, RequestDigest},
 };
 
@@ -180,11 +180,11 @@
 
 async fn store(node: &Node, snapshot: &[QuarantinedRequest]) -> Result<u64, StoreError> {
     count_store_call(node);
-    let name = format!("{QUARANTINE_PREFIX}held-{}", node.record.node);
-    let registration = node
-        .platform
-        .register(&name, encode(snapshot), LEASE_TTL, None);
-    registration.await
+    let entry = RegistryEntry {
+        name: format!("{QUARANTINE_PREFIX}held-{}", node.record.node),
+        value: encode(snapshot),
+    };
+    node.platform.register(&[entry], LEASE_TTL, None).await
 }
 
 fn encode(snapshot: &[QuarantinedRequest]) -> Bytes {
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -76,6 +76,7 @@
         service: "ledger".to_owned(),
         process: 1,
         slots: 0,
+        registers_peers: false,
     }
 }
 
--- a/crates/tallybridge-mesh/tests/quota_owner.rs
+++ b/crates/tallybridge-mesh/tests/quota_owner.rs
@@ -30,6 +30,7 @@
         service: format!("service-{}", service_for(number)),
         process: 1,
         slots: 0,
+        registers_peers: false,
     }
 }
 
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -22,6 +22,7 @@
         service: format!("service-{}", number % services),
         process: 1,
         slots: 0,
+        registers_peers: false,
     }
 }
 
--- a/crates/tallybridge-mesh/tests/tables.rs
+++ b/crates/tallybridge-mesh/tests/tables.rs
@@ -64,6 +64,7 @@
         service: service.to_owned(),
         process: 1,
         slots: 0,
+        registers_peers: false,
     }
 }
 
