Count a crash whose back end restarts before it is tested

A node that is late by a quarter of a second tests a back end that has already restarted, takes the lost call for a reset connection, and counts a crash without calls when the new instance shows.

Change: calls that were lost before a replacement is found are its suspects unless another call shows the crash, as for a restart under the same id.

--- a/crates/tallybridge-mesh/src/node/quarantine.rs
+++ b/crates/tallybridge-mesh/src/node/quarantine.rs
@@ -54,7 +54,10 @@
         let incarnation = self.instance.current()?.clone();
         let was_leaving = self.instance.is_leaving(now.into_tokio());
         let count_if_idle = is_replaced && !self.dispatched.has_crashed(&incarnation);
-        let interrupted = self.dispatched.take_after_crash(&incarnation, now);
+        let interrupted = match is_replaced {
+            true => self.dispatched.take_after_replacement(&incarnation, now),
+            false => self.dispatched.take_after_crash(&incarnation, now),
+        };
         Crash::detect(&incarnation, interrupted, was_leaving, count_if_idle)
     }
 
--- a/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/dispatched.rs
@@ -162,11 +162,26 @@
         self.record_crash(incarnation, calls)
     }
 
+    /// Returns the calls that a crash of `incarnation` interrupted, after the back end was found replaced,
+    /// and forgets all unanswered calls.
+    ///
+    /// The replacement may have accepted the test connection that followed the loss of the calls. Calls
+    /// that lost their connections before the back end was found reachable are therefore included if no
+    /// other call shows the crash.
+    pub fn take_after_replacement(
+        &mut self,
+        incarnation: &Incarnation,
+        now: BootInstant,
+    ) -> InterruptedCalls {
+        let calls = self.take_unanswered(incarnation, now);
+        self.record_crash(incarnation, without_earlier_losses(calls))
+    }
+
     /// Returns the calls that a crash of `incarnation` interrupted, after the back end restarted under the
     /// same id, and forgets all unanswered calls.
     ///
-    /// Calls that still appear to run on `incarnation` are included. Calls that lost their connections
-    /// before the back end was found reachable are included only if no other call shows the crash.
+    /// Calls that still appear to run on `incarnation` are included, and others as by
+    /// [`take_after_replacement`](Self::take_after_replacement).
     pub fn take_after_restart(
         &mut self,
         incarnation: &Incarnation,
@@ -176,12 +191,7 @@
         let running = self.running.values();
         let running = running.filter(|call| call.incarnation == *incarnation);
         calls.extend(running.map(|call| self.unanswered_call(call, true, now)));
-        let shows_crash =
-            |call: &UnansweredCall| call.lost_connection && !call.backend_reachable_after;
-        if calls.iter().any(shows_crash) {
-            calls.retain(|call| !call.backend_reachable_after);
-        }
-        self.record_crash(incarnation, calls)
+        self.record_crash(incarnation, without_earlier_losses(calls))
     }
 
     /// Returns whether `incarnation` is the last one known to have crashed while calls were running.
@@ -231,3 +241,13 @@
             .collect()
     }
 }
+
+/// Removes the calls that lost their connections before the back end was found reachable, if another call
+/// shows the crash.
+fn without_earlier_losses(mut calls: Vec<UnansweredCall>) -> Vec<UnansweredCall> {
+    let shows_crash = |call: &UnansweredCall| call.lost_connection && !call.backend_reachable_after;
+    if calls.iter().any(shows_crash) {
+        calls.retain(|call| !call.backend_reachable_after);
+    }
+    calls
+}
--- a/crates/tallybridge-mesh/tests/crashes.rs
+++ b/crates/tallybridge-mesh/tests/crashes.rs
@@ -324,6 +324,44 @@
     assert_eq!(interrupted.calls, 1);
 }
 
+/// Guards against a crash that counts as one without calls, because the back end restarted under another id
+/// before the node tested whether it accepts connections.
+#[test]
+fn replacement_reveals_a_crash_despite_a_successful_test_connection() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    back_end.calls.mark_backend_reachable();
+    let old_incarnation = back_end.incarnation.clone();
+    let interrupted = back_end
+        .calls
+        .take_after_replacement(&old_incarnation, back_end.now);
+    assert_eq!(interrupted.calls, 1);
+    let lost = TestCall {
+        body: "lost",
+        ..DEFAULT_CALL
+    };
+    let digests = lost.digests();
+    assert!(
+        digests
+            .iter()
+            .all(|digest| interrupted.suspects.contains(digest))
+    );
+}
+
+/// Guards against calls that a reset of their connections makes suspects of a later crash.
+#[test]
+fn replacement_spares_earlier_losses_if_another_call_shows_the_crash() {
+    let mut back_end = TestBackEnd::new();
+    back_end.run("earlier", DispatchEnd::ConnectionLost);
+    back_end.calls.mark_backend_reachable();
+    back_end.run("lost", DispatchEnd::ConnectionLost);
+    let old_incarnation = back_end.incarnation.clone();
+    let interrupted = back_end
+        .calls
+        .take_after_replacement(&old_incarnation, back_end.now);
+    assert_eq!(interrupted.calls, 1);
+}
+
 #[test]
 fn popular_request_is_exempt_from_one_crash() {
     let mut back_end = TestBackEnd::new();
