Retry no suspect of a crash whose back end was lost again

Cause: an entry retries a call at once, a second crash becomes known some milliseconds later. A request with one known crash that crashed a second back end could thus run a third time before the store holds its count. In request_that_crashed_two_back_ends_waits_for_the_store budgets were too small for a retry until they round at random: 2 of 24 runs then had three crashes of two.

Change: a call whose request was a suspect when its attempt began is not retried after that attempt lost its back end. A first loss is retried as before.

Measured: that test 80 of 80, forty at a time.

--- a/crates/tallybridge-mesh/src/node/dispatched.rs
+++ b/crates/tallybridge-mesh/src/node/dispatched.rs
@@ -70,6 +70,14 @@
         }
     }
 
+    /// Returns whether a back end crashed while it ran the call's request, and none has answered it
+    /// since.
+    #[must_use]
+    pub fn is_suspect(&self, call: &CallMessage) -> bool {
+        let digests = self.digests_if_any_suspect(call);
+        digests.is_some_and(|digests| self.tables().quarantine.has_suspect(&digests))
+    }
+
     /// Waits while the crash count of the call's request is being stored, until
     /// [`refuse_quarantined`](Self::refuse_quarantined) would refuse the call.
     pub async fn wait_until_crashes_stored(&self, call: &CallMessage) {
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -78,6 +78,7 @@
         };
         let address = target.address;
         attempts.start(address);
+        let was_suspect = node.is_suspect(&call.message);
         let is_retry = call.message.is_retry || attempts.has_dispatched_before();
         let has_dispatched = match attempt(node, call, is_retry, target).await {
             Ok(executed) if !is_failure_of_outlier(node, call, address, &executed.answer) => {
@@ -87,7 +88,7 @@
                 attempts.record_failure(executed);
                 true
             }
-            Err(refusal) => attempts.record_refusal(refusal),
+            Err(refusal) => attempts.record_refusal(refusal, was_suspect),
         };
         if !attempts.should_continue(node, call, has_dispatched) {
             break;
--- a/crates/tallybridge-mesh/src/request/forward/retry.rs
+++ b/crates/tallybridge-mesh/src/request/forward/retry.rs
@@ -29,6 +29,8 @@
     /// Number of back ends that received the call.
     dispatch_count: u32,
     may_have_run: bool,
+    /// Whether the last attempt lost its back end, and the request was a suspect of a crash before.
+    may_have_crashed_again: bool,
     last_refusal: Refusal,
     /// Error answer of an outlier; becomes the result unless a later attempt succeeds.
     outlier_failure: Option<ExecutedCall>,
@@ -40,6 +42,7 @@
             tried: Vec::new(),
             dispatch_count: 0,
             may_have_run: false,
+            may_have_crashed_again: false,
             last_refusal: Refusal::new(ErrorKind::NoBackend, "no back end accepts work"),
             outlier_failure: None,
         }
@@ -65,10 +68,14 @@
         self.outlier_failure = Some(executed);
     }
 
-    /// Records an attempt that ended without an answer. Returns whether a back end may have received
-    /// the call.
-    pub(super) fn record_refusal(&mut self, refusal: Refusal) -> bool {
+    /// Records an attempt that ended without an answer. `was_suspect` says whether the request was a
+    /// suspect of a crash when the attempt began. Returns whether a back end may have received the
+    /// call.
+    pub(super) fn record_refusal(&mut self, refusal: Refusal, was_suspect: bool) -> bool {
         let has_dispatched = !is_undispatched(&refusal);
+        let is_back_end_lost =
+            refusal.kind == ErrorKind::BackendFailed && refusal.outcome == Outcome::Unknown;
+        self.may_have_crashed_again = was_suspect && is_back_end_lost;
         self.may_have_run |= refusal.outcome != Outcome::NotRun;
         self.last_refusal = refusal;
         has_dispatched
@@ -97,6 +104,9 @@
     /// the budget.
     fn authorize_retry(&self, node: &Node, call: &Call) -> bool {
         let is_unsafe_to_repeat = self.may_have_run && !call.message.is_idempotent;
+        // A second crash becomes known only after the retry would have begun, which must wait until
+        // the store holds both.
+        let is_unsafe_to_repeat = is_unsafe_to_repeat || self.may_have_crashed_again;
         if !node.settings.policy.retries || is_unsafe_to_repeat {
             return false;
         }
--- a/crates/tallybridge-mesh/src/tables/quarantine/table.rs
+++ b/crates/tallybridge-mesh/src/tables/quarantine/table.rs
@@ -163,6 +163,14 @@
             .any(|request| !self.is_stored(request.digest))
     }
 
+    /// Returns whether a call has a digest that is a suspect or quarantined.
+    #[must_use]
+    pub fn has_suspect(&self, digests: &[RequestDigest]) -> bool {
+        digests
+            .iter()
+            .any(|digest| self.records.contains_key(digest))
+    }
+
     /// Returns the quarantine of a call, for the first of its digests that is quarantined. The duration in the
     /// result is the time until this node releases the request.
     #[must_use]
