Serve from a recent configuration at a restart; read the registry once

Each page of the registry changed the selection of links: 223 opened and 120 closed by a node at its start.

Change: a restarted node puts a configuration in force that it reads at a tenth of the price and that may be seconds old; nothing is confirmed by it, so no request is refused for lack of a route and none with a key admitted. Nodes of the registry are added together, read from the own entry on, and not read again after 4 s where the own entry was found. At least half of the wanted links count towards the window in which watchers start, and the fewer are missing the less likely a node starts. A registrar answers only while its lease was renewed lately. A node that learns the slots of its service after its back end was verified applies them.

--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -30,8 +30,9 @@
     Configuration, Route, RouteKind, ServicePolicy, TrafficSplit, WeightedService,
 };
 pub use platform::{
-    ControlRequest, HeaderNames, InstanceReport, Platform, RegistryEntry, RegistryPage,
-    ReportedState, StoreError, StoreFuture, StoredConfiguration, WatchedConfiguration,
+    Consistency, ControlRequest, HeaderNames, InstanceReport, Platform, RegistryEntry,
+    RegistryPage, ReportedState, StoreError, StoreFuture, StoredConfiguration,
+    WatchedConfiguration,
 };
 pub use policy::{PolicySettings, PolicySwitch};
 pub use run::run;
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -81,6 +81,9 @@
             }
             tables.peers.learn(record, now);
         }
+        if tables.instance.slots() == 0 {
+            self.update_slots(&tables);
+        }
         drop(tables);
         self.select_links(now);
     }
--- a/crates/tallybridge-mesh/src/node/registration.rs
+++ b/crates/tallybridge-mesh/src/node/registration.rs
@@ -178,6 +178,11 @@
         self.tables().delegates.unstored()
     }
 
+    /// Records that this node's lease was granted or renewed.
+    pub fn lease_renewed(&self) {
+        self.tables().delegates.lease_renewed(BootInstant::now());
+    }
+
     /// Records that the registry holds entries under this node's lease.
     pub fn delegates_stored(&self, entries: &[RegistryEntry]) {
         self.tables().delegates.mark_stored(entries);
--- a/crates/tallybridge-mesh/src/platform.rs
+++ b/crates/tallybridge-mesh/src/platform.rs
@@ -90,6 +90,15 @@
     LeaseExpired,
 }
 
+/// Which state of the store a read may return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Consistency {
+    /// The newest state.
+    Linearizable,
+    /// A state that may be some seconds old, which costs the store far less.
+    Recent,
+}
+
 /// The result of reading the configuration from the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredConfiguration {
@@ -148,8 +157,8 @@
     /// A description of the first error, which names the field.
     fn configuration(&self, document: &[u8]) -> Result<Configuration, String>;
 
-    /// Reads the newest configuration with linearizable consistency.
-    fn read_configuration(&self) -> StoreFuture<'_, StoredConfiguration>;
+    /// Reads the newest configuration.
+    fn read_configuration(&self, consistency: Consistency) -> StoreFuture<'_, StoredConfiguration>;
 
     /// Waits up to `wait` for a change after the revision `after`.
     fn watch_configuration(
--- a/crates/tallybridge-mesh/src/tables/delegates.rs
+++ b/crates/tallybridge-mesh/src/tables/delegates.rs
@@ -15,6 +15,9 @@
 
 /// Time after its last request for which a node stays a delegate. It covers two requests.
 const DELEGATE_TTL: Duration = Duration::from_secs(12);
+/// Age of the last renewal up to which the lease is trusted to hold its entries. It exceeds the time
+/// between renewals of a node that does not watch the store.
+const MAX_RENEWAL_AGE: Duration = Duration::from_secs(8);
 /// Bounds memory to 4 MB, at the size of two thousand records. Further nodes are not answered and
 /// request another registrar.
 const MAX_DELEGATES: usize = 2048;
@@ -34,13 +37,15 @@
 #[derive(Debug, Default)]
 pub struct Delegates {
     by_entry: HashMap<String, Delegate>,
+    /// When the current lease was granted or last renewed.
+    renewed_at: Option<BootInstant>,
     /// Whether the registry holds records of forgotten delegates under the current lease.
     has_outdated_entries: bool,
 }
 
 impl Delegates {
-    /// Records the request of a node, and answers it if the registry already holds the record.
-    /// Returns whether the record must be written.
+    /// Records the request of a node, and answers it if the registry already holds the record and the
+    /// lease was renewed lately. Returns whether the record must be written.
     pub fn request(
         &mut self,
         entry_name: String,
@@ -54,7 +59,7 @@
         }
         let is_stored =
             current.is_some_and(|delegate| delegate.is_stored && delegate.record == record);
-        if is_stored {
+        if is_stored && self.is_lease_trusted(now) {
             sender.send_message(Message::Registered);
         }
         let delegate = Delegate {
@@ -67,6 +72,16 @@
         !is_stored
     }
 
+    /// Records that the lease was granted or renewed.
+    pub const fn lease_renewed(&mut self, now: BootInstant) {
+        self.renewed_at = Some(now);
+    }
+
+    fn is_lease_trusted(&self, now: BootInstant) -> bool {
+        self.renewed_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= MAX_RENEWAL_AGE)
+    }
+
     /// Returns whether there are no delegates.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watch.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::BootInstant,
     node::Node,
-    platform::{StoreError, WatchedConfiguration},
+    platform::{Consistency, StoreError, WatchedConfiguration},
     tasks::backoff::{Backoff, count_store_call},
 };
 
@@ -21,6 +21,9 @@
 /// Watches the store for changes; in a large fleet only while too few peers do. Never returns.
 pub async fn follow_configuration(node: Arc<Node>) {
     let mut backoff = Backoff::new();
+    if !node.settings.new_fleet {
+        put_recent_configuration_in_force(&node).await;
+    }
     wait_for_links(&node).await;
     loop {
         wait_until_watch_needed(&node).await;
@@ -60,11 +63,32 @@
     }
 }
 
+/// Puts a configuration in force that may be some seconds old, so that a restarted node serves before
+/// it or its peers watch the store. It is not confirmed by this read: until a peer or the store
+/// confirms it, no request is refused for lack of a route, and none with a key is admitted.
+async fn put_recent_configuration_in_force(node: &Node) {
+    count_store_call(node);
+    match node.platform.read_configuration(Consistency::Recent).await {
+        Ok(stored) => {
+            // Logs a document that cannot be decoded.
+            stored
+                .document
+                .map(|document| node.offer_configuration(&document));
+        }
+        Err(reason) => {
+            tracing::debug!(%reason, "cannot read a recent configuration; waiting for the watch");
+        }
+    }
+}
+
 /// Reads the newest configuration, puts it in force and returns the store's revision.
 pub(super) async fn read_configuration(node: &Node) -> Result<u64, StoreError> {
     count_store_call(node);
     let requested_at = BootInstant::now();
-    let stored = node.platform.read_configuration().await?;
+    let stored = node
+        .platform
+        .read_configuration(Consistency::Linearizable)
+        .await?;
     let is_in_force = match &stored.document {
         Some(document) => node.offer_configuration(document),
         None => true,
--- a/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
+++ b/crates/tallybridge-mesh/src/tasks/configuration/watchers.rs
@@ -53,8 +53,21 @@
     }
 
     /// Returns the time over which the starts of new watchers are spread.
+    ///
+    /// After a restart of the whole fleet a node has few open links at first, while all others are
+    /// about to watch as well. At least half of its links therefore count as open.
     fn start_window(&self) -> Duration {
-        START_WINDOW_PER_PEER.mul_f64(self.reached as f64) + START_CHECK_INTERVAL
+        let competing_peers = self.reached.max(self.wanted / 2);
+        START_WINDOW_PER_PEER.mul_f64(competing_peers as f64) + START_CHECK_INTERVAL
+    }
+
+    /// Returns the probability with which a node starts to watch at one check. It is lower the more
+    /// peers watch already, so that few nodes start for the last of [`MIN_WATCHERS`].
+    fn start_probability(&self) -> f64 {
+        let missing = MIN_WATCHERS.saturating_sub(self.confirming);
+        let urgency = missing as f64 / MIN_WATCHERS as f64;
+        let probability = START_CHECK_INTERVAL.as_secs_f64() / self.start_window().as_secs_f64();
+        (probability * urgency).min(1.0)
     }
 
     /// Decides at random whether a watcher stops. Several watchers may decide at the same time, so
@@ -99,8 +112,7 @@
             sleep(COVERED_CHECK_INTERVAL).await;
             continue;
         }
-        let probability = START_CHECK_INTERVAL.as_secs_f64() / view.start_window().as_secs_f64();
-        if rand::rng().random_bool(probability.min(1.0)) {
+        if rand::rng().random_bool(view.start_probability()) {
             let confirming = view.confirming;
             let reached = view.reached;
             tracing::info!(
--- a/crates/tallybridge-mesh/src/tasks/registration/by_peer.rs
+++ b/crates/tallybridge-mesh/src/tasks/registration/by_peer.rs
@@ -37,6 +37,7 @@
         }
         tracing::info!(
             registrar = registrar.peer(),
+            is_linked = registrar.is_open(),
             "registrar does not answer; requesting another one"
         );
         node.set_has_registrar(false);
@@ -67,8 +68,8 @@
 /// Sends a request and returns whether the registrar answered that the registry holds the record.
 async fn request_registration(node: &Node, registrar: &Link) -> bool {
     node.request_registration(registrar);
-    let is_registered = timeout(ANSWER_TIMEOUT, node.registration_by(registrar)).await;
-    let is_registered = is_registered.is_ok();
+    let answer = timeout(ANSWER_TIMEOUT, node.registration_by(registrar));
+    let is_registered = registrar.is_open() && answer.await.is_ok();
     node.set_has_registrar(is_registered);
     is_registered
 }
--- a/crates/tallybridge-mesh/src/tasks/registration/own.rs
+++ b/crates/tallybridge-mesh/src/tasks/registration/own.rs
@@ -111,6 +111,7 @@
     async fn grant(node: &Node) -> Result<Self, StoreError> {
         let id = write(node, &[node.registry_entry()], None).await?;
         node.set_lease(Some(id));
+        node.lease_renewed();
         Ok(Self {
             id,
             granted_at: Instant::now(),
@@ -165,6 +166,7 @@
         let requested_at = BootInstant::now();
         match node.platform.renew(lease).await {
             Ok(()) => {
+                node.lease_renewed();
                 // The store answered while the watch reported no change.
                 node.confirm_by_pending_watch(requested_at);
                 return Ok(());
--- a/crates/tallybridge-mesh/src/tasks/registry.rs
+++ b/crates/tallybridge-mesh/src/tasks/registry.rs
@@ -1,6 +1,6 @@
 //! Reads the registry, which lists the nodes and, after them, the quarantined requests.
 //!
-//! A small registry is read as a whole. A node reads about [`ENTRIES_PER_READ`] entries of a large
+//! A small registry is read as a whole. A node reads about `ENTRIES_PER_READ` entries of a large
 //! one, from its own entry on, because it links to only some nodes of each service. Entry names begin
 //! with a hash, so each node reads a different mix of zones and services.
 
@@ -55,7 +55,11 @@
         wait_for_registration(&node).await;
         reader.read_again(&node).await;
     }
-    let mut delay = SECOND_READ_DELAY;
+    // After a restart of nodes of a large fleet, their former entries are still there.
+    let mut delay = match reader.is_large() && node.is_listed() {
+        true => reader.interval(),
+        false => SECOND_READ_DELAY,
+    };
     loop {
         tokio::select! {
             () = sleep(delay) => {}
@@ -90,23 +94,28 @@
 /// Reads the registry, and remembers whether it is large.
 #[derive(Debug, Default)]
 struct RegistryReader {
-    /// Whether the last read found more than [`ENTRIES_PER_READ`] entries.
-    is_large: bool,
+    /// Whether the last read found more than [`ENTRIES_PER_READ`] entries; `None` before the first.
+    is_large: Option<bool>,
 }
 
 impl RegistryReader {
-    /// Reads all entries of a small registry. Reads the nodes from this node's own entry on, and the
-    /// quarantined requests, of a large one.
+    /// Reads all entries of a registry that is known to be small. Otherwise reads the nodes from this
+    /// node's own entry on, and the quarantined requests.
     async fn read(&mut self, node: &Arc<Node>) -> Result<(), StoreError> {
-        if !self.is_large {
-            self.is_large = !read_from(node, "").await?;
-        }
-        if self.is_large {
-            let own_prefix = registry_name_prefix(&node.record.node);
-            self.is_large = !read_from(node, &own_prefix).await?;
-            // Quarantined requests sort after all nodes, so a partial read does not reach them.
-            read_from(node, QUARANTINE_PREFIX).await?;
+        let own_prefix = registry_name_prefix(&node.record.node);
+        let start = match self.is_large {
+            Some(false) => "",
+            Some(true) | None => own_prefix.as_str(),
+        };
+        let mut part = read_from(node, start).await?;
+        if !part.reached_end {
+            // Quarantined requests sort after all nodes.
+            let quarantined = read_from(node, QUARANTINE_PREFIX).await?;
+            part.entries.extend(quarantined.entries);
         }
+        self.is_large = Some(!part.is_whole);
+        // Adds all nodes together, because each addition may change the selection of links.
+        learn_entries(node, &part.entries);
         node.registry_read();
         Ok(())
     }
@@ -120,31 +129,52 @@
         node.forget_unlinked_nodes();
     }
 
+    fn is_large(&self) -> bool {
+        self.is_large == Some(true)
+    }
+
     /// Returns the time until the next read.
-    const fn interval(&self) -> Duration {
-        match self.is_large {
+    fn interval(&self) -> Duration {
+        match self.is_large() {
             true => LARGE_REGISTRY_READ_INTERVAL,
             false => READ_INTERVAL,
         }
     }
 }
 
+/// Entries that one read of the registry found.
+#[derive(Debug, Default)]
+struct RegistryPart {
+    entries: Vec<Bytes>,
+    /// Whether these are all entries.
+    is_whole: bool,
+    /// Whether the read reached the last entry.
+    reached_end: bool,
+}
+
 /// Reads the entries after `start`, wraps around, and stops at `start` or after [`ENTRIES_PER_READ`]
-/// entries. Returns whether it read all entries.
-async fn read_from(node: &Arc<Node>, start: &str) -> Result<bool, StoreError> {
+/// entries.
+async fn read_from(node: &Arc<Node>, start: &str) -> Result<RegistryPart, StoreError> {
+    let mut part = RegistryPart::default();
     let mut after = start.to_owned();
     let mut has_wrapped = start.is_empty();
-    let mut entries_read = 0;
     loop {
         count_store_call(node);
         let page = node.platform.registry_page(&after).await?;
-        entries_read += page.records.len();
-        learn_entries(node, &page.records);
+        part.entries.extend(page.records);
+        part.reached_end |= page.next_after.is_none();
         match page.next_after {
-            Some(_) if entries_read >= ENTRIES_PER_READ => return Ok(false),
-            Some(next) if has_wrapped && !start.is_empty() && *next > *start => return Ok(true),
+            Some(next) if has_wrapped && !start.is_empty() && *next > *start => {
+                part.is_whole = true;
+                return Ok(part);
+            }
+            Some(_) if part.entries.len() >= ENTRIES_PER_READ => return Ok(part),
             Some(next) => after = next,
-            None if has_wrapped => return Ok(true),
+            None if has_wrapped => {
+                part.is_whole = true;
+                return Ok(part);
+            }
+            None if part.entries.len() >= ENTRIES_PER_READ => return Ok(part),
             None => {
                 has_wrapped = true;
                 after.clear();
--- a/crates/tallybridge-mesh/tests/delegates.rs
+++ b/crates/tallybridge-mesh/tests/delegates.rs
@@ -47,6 +47,7 @@
 fn answers_only_what_the_registry_holds() {
     let now = BootInstant::now();
     let mut delegates = Delegates::default();
+    delegates.lease_renewed(now);
     let mut delegate = Delegate::new();
     assert!(delegate.request(&mut delegates, "first", now));
     assert!(!delegate.is_answered());
@@ -68,6 +69,11 @@
         "the registry holds the record already"
     );
 
+    // The store may have ended a lease that was not renewed for long.
+    let later = now + Duration::from_secs(9);
+    assert!(!delegate.request(&mut delegates, "second", later));
+    assert!(!delegate.is_answered());
+
     // The former lease has ended, and its entries with it.
     delegates.lease_replaced();
     assert!(delegate.request(&mut delegates, "second", now));
