--- a/crates/tallybridge-mesh/src/tasks/registration/mod.rs
+++ b/crates/tallybridge-mesh/src/tasks/registration/mod.rs
@@ -12,7 +12,7 @@
 mod by_peer;
 mod own;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::timeout;
 
@@ -21,7 +21,7 @@
 use crate::node::Node;
 
 /// Timeout of the call that ends the registration when the node stops.
-const UNREGISTER_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(200);
+const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Maintains the registration for as long as the process runs.
 pub async fn maintain_registration(node: Arc<Node>) {
