Show what back ends announce in their answers: rate limits and leaving

No log line and no metric mentions a named limit, so three hypotheses can't be told apart: nobody reads it; each entry keeps it for itself; it is kept, and lost by a restart or a change. Change: the executor reads both headers of each answer, logs when a limit begins, changes or ends, an unreadable value and a mark of leaving (each line once in 5 s), and exports the limit and its age. An older answer doesn't lift the limit. Nothing acts on it yet.

--- a/crates/tallybridge-mesh/examples/crash_cost.rs
+++ b/crates/tallybridge-mesh/examples/crash_cost.rs
@@ -27,6 +27,8 @@
     instance: "Instance",
     credential: "Credential",
     tenant: "Tenant",
+    rate_limit: "Rate-Limit",
+    leaving: "Leaving",
 };
 
 fn call(number: u32) -> CallMessage {
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -44,6 +44,7 @@
     for (name, value) in gauges(node) {
         page.push_metric(name, "gauge", value);
     }
+    page.push_announced_limit(node);
     page.push_admitted_percentages(node);
     page.push_route_costs(node);
     page.0
@@ -115,6 +116,23 @@
         self.push_line(format_args!("tallybridge_{name} {value}"));
     }
 
+    /// Writes the rate limit that the back end announces, and for how long it has announced one. Writes
+    /// nothing while it announces none.
+    fn push_announced_limit(&mut self, node: &Node) {
+        let Some((per_second, began_at)) = node.announced_limit() else {
+            return;
+        };
+        let service = &node.settings.backend.service;
+        self.push_line(format_args!(
+            "# TYPE tallybridge_backend_rate_limit_per_second gauge"
+        ));
+        self.push_line(format_args!(
+            "tallybridge_backend_rate_limit_per_second{{service={service:?}}} {per_second}"
+        ));
+        let age = u64::try_from(began_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.push_metric("backend_rate_limit_age_milliseconds", "gauge", age);
+    }
+
     /// Writes the percentage of new requests admitted on each route that sheds load.
     fn push_admitted_percentages(&mut self, node: &Node) {
         self.push_line(format_args!(
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -12,7 +12,8 @@
     platform::InstanceReport,
     protocol::Load,
     tables::{
-        EndedIncarnation, FailureRate, FailureRateChange, Incarnation, InstanceState, ReportEffect,
+        AnnouncedLimit, EndedIncarnation, FailureRate, FailureRateChange, Incarnation,
+        InstanceState, ReportEffect,
     },
 };
 
@@ -58,6 +59,7 @@
         let crash = {
             let mut tables = self.tables();
             tables.failure_rate = FailureRate::default();
+            tables.announced_limit = AnnouncedLimit::default();
             tables.take_crash_before_restart(ended, BootInstant::now())
         };
         self.slots.reset_share();
@@ -126,6 +128,7 @@
             if is_new_instance {
                 previous_crash = tables.take_crash(true, BootInstant::now());
                 tables.failure_rate = FailureRate::default();
+                tables.announced_limit = AnnouncedLimit::default();
                 self.slots.reset_share();
             }
             let changed = tables
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -11,12 +11,13 @@
 //! | `status` | the status published to peers, and the tick |
 //! | `peers`, `registration` | the other nodes, and this node's entry in the registry |
 //! | `configuration`, `store_watch` | the configuration in force, and the watch of the store |
-//! | `backend`, `running`, `dispatched`, `quarantine` | the back end: its instance, its calls, its crashes |
+//! | `backend`, `announcements`, `running`, `dispatched`, `quarantine` | the back end: its instance, its calls, its crashes |
 //! | `admission`, `retries`, `quotas` | limits on requests |
 //!
 //! No method holds the lock across an `await`. All state is lost when the process ends.
 
 mod admission;
+mod announcements;
 mod backend;
 mod configuration;
 mod counters;
--- a/crates/tallybridge-mesh/src/node/tables.rs
+++ b/crates/tallybridge-mesh/src/node/tables.rs
@@ -11,8 +11,8 @@
     protocol::{NodeRecord, PeerStatus},
     settings::MeshSettings,
     tables::{
-        AdmissionControl, ConfigurationTable, Delegates, FailureRate, LocalInstance, PeerTable,
-        RetryBudgets, RunningAttempts, ServiceLoads, WatcherTable,
+        AdmissionControl, AnnouncedLimit, ConfigurationTable, Delegates, FailureRate,
+        LocalInstance, PeerTable, RetryBudgets, RunningAttempts, ServiceLoads, WatcherTable,
         quarantine::{DispatchedCalls, Quarantine},
     },
 };
@@ -29,6 +29,7 @@
     /// The back end beside this node.
     pub(super) instance: LocalInstance,
     pub(super) failure_rate: FailureRate,
+    pub(super) announced_limit: AnnouncedLimit,
     pub(super) own_service: Arc<str>,
     /// Time of the last call from the back end to each service.
     pub(super) last_calls: HashMap<Arc<str>, Instant>,
@@ -55,6 +56,7 @@
             delegates: Delegates::default(),
             instance: LocalInstance::default(),
             failure_rate: FailureRate::default(),
+            announced_limit: AnnouncedLimit::default(),
             own_service: settings.backend.service.as_str().into(),
             last_calls: HashMap::new(),
             running: RunningAttempts::default(),
--- a/crates/tallybridge-mesh/src/platform.rs
+++ b/crates/tallybridge-mesh/src/platform.rs
@@ -30,6 +30,11 @@
     pub credential: &'static str,
     /// Name of the tenant, sent to back ends.
     pub tenant: &'static str,
+    /// Rate limit of the answering back end: the requests per second, as a decimal number, that it
+    /// accepts from all nodes together.
+    pub rate_limit: &'static str,
+    /// Marks the answers of a back end that is about to end.
+    pub leaving: &'static str,
 }
 
 /// The state that a back end reports.
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -16,20 +16,21 @@
 use std::{sync::Arc, time::Duration};
 
 use tallybridge_core::{Criticality, ErrorKind, Refusal};
+use tokio::time::Instant;
 
 use self::{
     exchange::{exchange, exchange_until_restart},
     outcome::OutcomeRecorder,
-    verdict::{classify_answer, dispatch_end, exchange_refusal},
+    verdict::{classify_answer, dispatch_end, exchange_refusal, is_misdirected},
 };
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Response,
+    http::{ReceivedResponse, Response},
     log::decisions::ExecutorFacts,
     node::Node,
     protocol::{CallMessage, SlotTimes},
     tables::{
-        Incarnation, InstanceState, Parent,
+        Announcement, Incarnation, InstanceState, Parent,
         backend::slots::{NoSlot, Slot},
         quarantine::DispatchEnd,
     },
@@ -189,13 +190,17 @@
     incarnation: &Incarnation,
     deadline: BootInstant,
 ) -> (Result<Response, Refusal>, DispatchEnd) {
+    let dispatched_at = Instant::now();
     let pending_exchange = exchange(node, call, incarnation.id(), deadline);
     let pending_exchange = exchange_until_restart(node, incarnation, pending_exchange);
     match timeout_at(deadline + DEADLINE_GRACE, pending_exchange).await {
-        Ok(Ok(received)) => match classify_answer(node, call, incarnation.id(), received) {
-            Ok(answer) => (Ok(answer), DispatchEnd::Answered),
-            Err(refusal) => (Err(refusal), DispatchEnd::NotRun),
-        },
+        Ok(Ok(received)) => {
+            record_announcement(node, call, incarnation, dispatched_at, &received);
+            match classify_answer(node, call, incarnation.id(), received) {
+                Ok(answer) => (Ok(answer), DispatchEnd::Answered),
+                Err(refusal) => (Err(refusal), DispatchEnd::NotRun),
+            }
+        }
         Ok(Err(error)) => (
             Err(exchange_refusal(node, &error)),
             dispatch_end(error.stage),
@@ -209,3 +214,18 @@
         }
     }
 }
+
+/// Applies what the head of an answer announces, unless another instance wrote the answer.
+fn record_announcement(
+    node: &Node,
+    call: &CallMessage,
+    incarnation: &Incarnation,
+    dispatched_at: Instant,
+    received: &ReceivedResponse,
+) {
+    if is_misdirected(node, received, incarnation.id()) {
+        return;
+    }
+    let announcement = Announcement::from_headers(&received.head.headers, &node.header_names);
+    node.record_announcement(incarnation, &announcement, &call.attempt, dispatched_at);
+}
--- a/crates/tallybridge-mesh/src/tables/backend/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/mod.rs
@@ -4,8 +4,11 @@
 //! - `slots`: how many calls it gets at once, and the calls that wait for a slot;
 //! - `slot_share`: the share of its slots that is used;
 //! - `offered_load`: how much work arrives for it;
-//! - `failures`: the share of its calls that fail.
+//! - `failures`: the share of its calls that fail;
+//! - `announcement`, `announced_limit`: what it announces about itself in its answers.
 
+mod announced_limit;
+mod announcement;
 mod failures;
 mod incarnation;
 mod instance;
@@ -13,6 +16,8 @@
 pub mod slot_share;
 pub mod slots;
 
+pub use announced_limit::{AnnouncedLimit, LimitChange};
+pub use announcement::{AnnouncedRate, Announcement};
 pub use failures::{FailureRate, FailureRateChange};
 pub use incarnation::Incarnation;
 pub use instance::{EndedIncarnation, InstanceState, LocalInstance, ReportEffect};
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -14,8 +14,8 @@
 
 pub use admission::{AdmissionControl, ServiceLoads};
 pub use backend::{
-    EndedIncarnation, FailureRate, FailureRateChange, Incarnation, InstanceState, LocalInstance,
-    ReportEffect,
+    AnnouncedLimit, AnnouncedRate, Announcement, EndedIncarnation, FailureRate, FailureRateChange,
+    Incarnation, InstanceState, LimitChange, LocalInstance, ReportEffect,
 };
 pub use configuration::{ConfigurationTable, ConfirmedVersion};
 pub use delegates::Delegates;
--- a/crates/tallybridge-mesh/tests/support/mod.rs
+++ b/crates/tallybridge-mesh/tests/support/mod.rs
@@ -55,5 +55,7 @@
         instance: "Instance",
         credential: "Credential",
         tenant: "Tenant",
+        rate_limit: "Rate-Limit",
+        leaving: "Leaving",
     }
 }
