Send no new work to a back end that announces in its answers that it leaves

Callers saw requests sent to a back end that was about to end, and lost them with it. Cause: only heartbeats and deregistrations were read as notices to leave. The mark in the answers was passed on to the caller, and no node looked at it. Change: the executor reads the mark of each answer whose attempt and instance match, and treats it as a notice of that incarnation: no new work at once, peers with the next status, a later restart is no crash. Conclusion: all calls of a back end pass its executor, so one reader is enough while that process lives.

--- a/crates/tallybridge-mesh/src/node/announcements.rs
+++ b/crates/tallybridge-mesh/src/node/announcements.rs
@@ -18,19 +18,29 @@
         attempt: &[u8],
         dispatched_at: Instant,
     ) {
-        let change = {
+        let now = Instant::now();
+        let (limit_change, begins_to_leave) = {
             let mut tables = self.tables();
             if tables.instance.current() != Some(incarnation) {
                 return;
             }
-            tables
-                .announced_limit
-                .record(&announcement.rate, dispatched_at, Instant::now())
+            let limit = &mut tables.announced_limit;
+            let limit_change = limit.record(&announcement.rate, dispatched_at, now);
+            let begins_to_leave = announcement.is_leaving && tables.instance.mark_leaving(now);
+            (limit_change, begins_to_leave)
         };
-        if let Some(change) = change {
+        if let Some(change) = limit_change {
             log_limit_change(change, incarnation, attempt);
         }
-        log_announcement(announcement, incarnation, attempt);
+        if let AnnouncedRate::Malformed(value) = &announcement.rate {
+            log_malformed_rate(value, incarnation, attempt);
+        }
+        if begins_to_leave {
+            let instance = incarnation.id();
+            let attempt = String::from_utf8_lossy(attempt);
+            tracing::info!(instance, %attempt, "back end announced in an answer that it leaves");
+            self.instance_changed();
+        }
     }
 
     /// Returns the rate limit that the back end announces, in requests per second, and when it began to
@@ -67,22 +77,14 @@
     }
 }
 
-fn log_announcement(announcement: &Announcement, incarnation: &Incarnation, attempt: &[u8]) {
+fn log_malformed_rate(value: &str, incarnation: &Incarnation, attempt: &[u8]) {
     static MALFORMED: LogRateLimit = LogRateLimit::new();
-    static LEAVING: LogRateLimit = LogRateLimit::new();
-    let instance = incarnation.id();
-    let attempt = String::from_utf8_lossy(attempt);
-    if let AnnouncedRate::Malformed(value) = &announcement.rate
-        && let Some(left_out) = MALFORMED.admit()
-    {
+    if let Some(left_out) = MALFORMED.admit() {
+        let instance = incarnation.id();
+        let attempt = String::from_utf8_lossy(attempt);
         tracing::warn!(
             instance, value, %attempt, left_out,
             "cannot read the rate limit that the back end announced; keeping the previous one"
         );
     }
-    if announcement.is_leaving
-        && let Some(left_out) = LEAVING.admit()
-    {
-        tracing::info!(instance, %attempt, left_out, "back end announced in an answer that it leaves");
-    }
 }
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -98,7 +98,7 @@
         slots_of_others.unwrap_or(0)
     }
 
-    fn instance_changed(&self) {
+    pub(super) fn instance_changed(&self) {
         if self.instance_state() == InstanceState::Leaving {
             self.slots.refuse_waiting();
         }
--- a/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
@@ -167,6 +167,18 @@
             || (self.incarnations.is_current_id(&report.instance) && !has_ended)
     }
 
+    /// Records that the current incarnation announced in an answer that it leaves. Returns whether its
+    /// state changed.
+    pub fn mark_leaving(&mut self, now: Instant) -> bool {
+        let Some(current) = self.incarnations.current() else {
+            return false;
+        };
+        let started_at_ms = self.incarnations.started_at_ms();
+        self.departures.record(current.id(), started_at_ms, now);
+        let previous = std::mem::replace(&mut self.state, InstanceState::Leaving);
+        previous != InstanceState::Leaving
+    }
+
     fn record_candidate(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
         let InstanceReport {
             instance,
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -23,6 +23,7 @@
     Unreachable,
     Reachable,
     Misdirected,
+    LeavingAnswer,
 }
 
 fn any_event() -> impl Strategy<Value = Event> {
@@ -35,6 +36,7 @@
         1 => Just(Event::Unreachable),
         1 => Just(Event::Reachable),
         1 => Just(Event::Misdirected),
+        1 => Just(Event::LeavingAnswer),
     ]
 }
 
@@ -85,6 +87,10 @@
                     instance.mark_reachable();
                 }
                 Event::Misdirected => instance.mark_unverified(),
+                Event::LeavingAnswer => {
+                    leaving_ids.extend(instance.current().map(|current| current.id().to_owned()));
+                    instance.mark_leaving(now);
+                }
             }
             if let Some(incarnation) = instance.available_incarnation(now) {
                 let id = incarnation.id();
