Keep the rate limit that a back end announces in its answers

Callers of two services lost requests to back ends that had said how little they take; users' record: 192 requests in 4 s where 82 are allowed. Cause: what a back end says of itself in its answers was passed on to callers and read by nobody. Class: a statement of a dependency about itself that only callers see. Change: all calls of a back end pass its executor, so one token bucket there bounds the sum over all entries: fresh, nested, retried and refused calls alike. A call that finds no token waits as for a slot if it comes in time, else it is refused as not run and goes elsewhere. The executor publishes the slots that calls at that rate hold, and a full back end while there is no token, so that placement and admission act before calls queue; older nodes read this as well. A limited back end gets a call in four seconds at least, which tells when the limit ends. Refusals beyond a limit are no failures, and no slot share is learned meanwhile.

--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -50,7 +50,7 @@
     page.0
 }
 
-fn counters(counters: &Counters) -> [(&'static str, &AtomicU64); 14] {
+fn counters(counters: &Counters) -> [(&'static str, &AtomicU64); 15] {
     [
         ("requests_total", &counters.requests),
         ("answered_total", &counters.answered),
@@ -68,6 +68,7 @@
             &counters.stale_configuration,
         ),
         ("backend_crashes_total", &counters.crashes),
+        ("refused_over_backend_limit_total", &counters.rate_limited),
         ("refused_quarantined_total", &counters.quarantined),
     ]
 }
@@ -82,7 +83,7 @@
     let failing_percent = (load.failure_rate() * 100.0) as u64;
     [
         ("concurrency_limit", load.limit.into()),
-        ("calls_in_flight", load.in_flight.into()),
+        ("calls_in_flight", node.slots.in_flight().into()),
         ("calls_queued", load.queued.into()),
         ("queue_wait_milliseconds", load.wait_ms.into()),
         ("call_milliseconds", load.service_ms.into()),
--- a/crates/tallybridge-mesh/src/node/announcements.rs
+++ b/crates/tallybridge-mesh/src/node/announcements.rs
@@ -26,11 +26,17 @@
             }
             let limit = &mut tables.announced_limit;
             let limit_change = limit.record(&announcement.rate, dispatched_at, now);
+            if limit_change.is_some() {
+                self.slots.set_rate_limit(limit.per_second());
+            }
             let begins_to_leave = announcement.is_leaving && tables.instance.mark_leaving(now);
             (limit_change, begins_to_leave)
         };
         if let Some(change) = limit_change {
             log_limit_change(change, incarnation, attempt);
+            if !matches!(change, LimitChange::Changed(_)) {
+                self.publish();
+            }
         }
         if let AnnouncedRate::Malformed(value) = &announcement.rate {
             log_malformed_rate(value, incarnation, attempt);
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -58,11 +58,9 @@
         );
         let crash = {
             let mut tables = self.tables();
-            tables.failure_rate = FailureRate::default();
-            tables.announced_limit = AnnouncedLimit::default();
+            self.forget_incarnation(&mut tables);
             tables.take_crash_before_restart(ended, BootInstant::now())
         };
-        self.slots.reset_share();
         self.backend.clear();
         self.signals.restarts.send_modify(|count| *count += 1);
         if let Some(crash) = crash {
@@ -72,6 +70,14 @@
         self.instance_changed();
     }
 
+    /// Resets what was learned from an incarnation of the back end that another one replaces.
+    fn forget_incarnation(&self, tables: &mut Tables) {
+        tables.failure_rate = FailureRate::default();
+        tables.announced_limit = AnnouncedLimit::default();
+        self.slots.reset_share();
+        self.slots.set_rate_limit(None);
+    }
+
     /// Waits until the back end has restarted under the id of `incarnation`.
     pub async fn restarted_after(&self, incarnation: &Incarnation) {
         let mut restarts = self.signals.restarts.subscribe();
@@ -127,9 +133,7 @@
             let is_new_instance = current.is_none_or(|current| current.id() != instance);
             if is_new_instance {
                 previous_crash = tables.take_crash(true, BootInstant::now());
-                tables.failure_rate = FailureRate::default();
-                tables.announced_limit = AnnouncedLimit::default();
-                self.slots.reset_share();
+                self.forget_incarnation(&mut tables);
             }
             let changed = tables
                 .instance
--- a/crates/tallybridge-mesh/src/node/counters.rs
+++ b/crates/tallybridge-mesh/src/node/counters.rs
@@ -33,6 +33,8 @@
     pub stale_configuration: AtomicU64,
     /// Crashes of the back end that interrupted at least one call.
     pub crashes: AtomicU64,
+    /// Calls refused because of the rate limit that the back end beside the node announces.
+    pub rate_limited: AtomicU64,
     /// Requests refused because they are quarantined.
     pub quarantined: AtomicU64,
 }
--- a/crates/tallybridge-mesh/src/protocol/load.rs
+++ b/crates/tallybridge-mesh/src/protocol/load.rs
@@ -39,6 +39,12 @@
         (share.clamp(0.0, 1.0) * f64::from(u8::MAX)).round() as u8
     }
 
+    /// Converts an offered load, as a multiple of the capacity, to a value of [`Self::offered`].
+    #[must_use]
+    pub fn offered_to_wire(offered: f64) -> u16 {
+        (offered * 100.0) as u16
+    }
+
     /// Returns the failure rate of dispatched calls, between 0 and 1.
     #[must_use]
     pub fn failure_rate(self) -> f64 {
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -13,7 +13,10 @@
 mod outcome;
 mod verdict;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tallybridge_core::{Criticality, ErrorKind, Refusal};
 use tokio::time::Instant;
@@ -115,15 +118,23 @@
         .acquire(criticality, wait_until.into_tokio())
         .await;
     slot.map_err(|reason| match reason {
-        NoSlot::Full => {
-            let retry_after = node.slots.service_time().max(MIN_RETRY_AFTER);
-            Refusal::new(ErrorKind::Overloaded, "no slot became free in time")
-                .with_retry_after(retry_after)
-        }
+        NoSlot::Full => full_refusal(node),
         NoSlot::Closed => Refusal::new(ErrorKind::Leaving, "back end is leaving"),
     })
 }
 
+/// Returns the refusal of a call that got no slot in time.
+fn full_refusal(node: &Node) -> Refusal {
+    let detail = if node.slots.is_rate_exhausted() {
+        node.counters.rate_limited.fetch_add(1, Ordering::Relaxed);
+        "rate limit of the back end allows no call in time"
+    } else {
+        "no slot became free in time"
+    };
+    let retry_after = node.slots.retry_after().max(MIN_RETRY_AFTER);
+    Refusal::new(ErrorKind::Overloaded, detail).with_retry_after(retry_after)
+}
+
 /// Returns the incarnation of the back end that accepts work.
 fn ready_incarnation(node: &Node) -> Result<Incarnation, Refusal> {
     if node.refuses_work() {
--- a/crates/tallybridge-mesh/src/request/execute/outcome.rs
+++ b/crates/tallybridge-mesh/src/request/execute/outcome.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tallybridge_core::Refusal;
+use tallybridge_core::{ErrorKind, Refusal};
 
 use crate::{clock::BootInstant, http::Response, node::Node};
 
@@ -30,15 +30,21 @@
         }
     }
 
-    /// Records the result. A status of 500 or above counts as a failure, as does a missing answer.
+    /// Records the result. A status of 500 or above counts as a failure, as does a missing answer. The
+    /// refusal of a back end that announces a rate limit says nothing about its health.
     pub(super) fn record(mut self, result: &Result<Response, Refusal>) {
         self.is_recorded = true;
         let has_failed = match result {
             Ok(answer) => answer.status >= 500,
+            Err(refusal) if self.is_rate_limit_refusal(refusal) => return,
             Err(_) => true,
         };
         self.node.call_ended(self.attempt, has_failed);
     }
+
+    fn is_rate_limit_refusal(&self, refusal: &Refusal) -> bool {
+        refusal.kind == ErrorKind::BackendRefused && self.node.slots.is_rate_limited()
+    }
 }
 
 impl Drop for OutcomeRecorder<'_> {
--- a/crates/tallybridge-mesh/src/run/stop.rs
+++ b/crates/tallybridge-mesh/src/run/stop.rs
@@ -40,7 +40,7 @@
     let mut idle_since = Instant::now();
     while Instant::now() < deadline && idle_since.elapsed() < IDLE_PERIOD {
         sleep(DRAIN_POLL_INTERVAL).await;
-        let is_busy = node.requests_in_flight() > 0 || node.load().in_flight > 0;
+        let is_busy = node.requests_in_flight() > 0 || node.slots.in_flight() > 0;
         if is_busy {
             idle_since = Instant::now();
         }
--- a/crates/tallybridge-mesh/src/tables/backend/offered_load.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/offered_load.rs
@@ -76,6 +76,12 @@
         self.hold_seconds.add(hold_time.as_secs_f64(), now);
     }
 
+    /// Returns the rate of arrivals, in calls per second.
+    #[must_use]
+    pub fn arrivals_per_second(&self, now: Instant) -> f64 {
+        self.arrivals.get(now) / ARRIVAL_RATE_WINDOW.as_secs_f64()
+    }
+
     /// Returns the number of slots that the arriving calls would hold, or 0 while too few calls have ended
     /// recently.
     #[must_use]
@@ -84,7 +90,6 @@
         if ended_calls < MIN_ENDED_CALLS {
             return 0.0;
         }
-        let arrivals_per_second = self.arrivals.get(now) / ARRIVAL_RATE_WINDOW.as_secs_f64();
-        arrivals_per_second * self.hold_seconds.get(now) / ended_calls
+        self.arrivals_per_second(now) * self.hold_seconds.get(now) / ended_calls
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/mod.rs
@@ -3,10 +3,12 @@
 //! A call gets a slot at once if one is free and no call waits. Otherwise it waits in a queue ordered by
 //! criticality ([`tallybridge_limits::AdmissionQueue`]), or is refused at once if it is not expected to get
 //! a slot in time, so that it can be retried at another node. At most `floor(slots x share)` slots are used
-//! ([`super::slot_share`]). Other nodes place calls and admit requests by the [`Load`].
+//! ([`super::slot_share`]). While the back end announces a rate limit, each call also needs a token of it
+//! (`rate_limiter.rs`). Other nodes place calls and admit requests by the [`Load`].
 //!
 //! One mutex guards the state and is never held across an await.
 
+mod rate_limiter;
 mod service_time;
 mod slot;
 mod table;
@@ -80,9 +82,33 @@
         Ok(Acquisition::Queued(QueuedCall::new(self.clone(), entry)))
     }
 
-    /// Ends an expired trial of another slot share. The node calls this once per tick of 100 ms.
+    /// Grants the slots that an expired trial of another slot share or the rate limit frees. The node calls
+    /// this once per tick of 100 ms.
     pub fn tick(&self) {
-        self.table().end_expired_trial(Instant::now());
+        self.table().tick(Instant::now());
+    }
+
+    /// Sets the rate limit that the back end announces, in calls per second; `None` if it announces none.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        self.table().set_rate_limit(per_second, Instant::now());
+    }
+
+    /// Returns whether the back end announces a rate limit.
+    #[must_use]
+    pub fn is_rate_limited(&self) -> bool {
+        self.table().is_rate_limited()
+    }
+
+    /// Returns whether the rate limit of the back end allows no call now.
+    #[must_use]
+    pub fn is_rate_exhausted(&self) -> bool {
+        self.table().is_rate_exhausted()
+    }
+
+    /// Returns the number of calls that hold a slot.
+    #[must_use]
+    pub fn in_flight(&self) -> u16 {
+        self.table().in_flight()
     }
 
     /// Resets the slot share. The node calls this when another incarnation replaces the back end.
@@ -107,10 +133,11 @@
         self.table().load(Instant::now())
     }
 
-    /// Returns the mean time that a call holds a slot, or zero before the first call ended.
+    /// Returns the time after which a refused call may find a slot: the mean time that a call holds one,
+    /// or the time until the rate limit allows a call if that is longer.
     #[must_use]
-    pub fn service_time(&self) -> Duration {
-        self.table().service_time()
+    pub fn retry_after(&self) -> Duration {
+        self.table().retry_after()
     }
 
     fn table(&self) -> MutexGuard<'_, SlotTable> {
--- a/crates/tallybridge-mesh/src/tables/backend/slots/table.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/slots/table.rs
@@ -6,10 +6,12 @@
 use tokio::time::Instant;
 
 use super::{
+    rate_limiter::RateLimiter,
     service_time::{ServiceTime, update_mean},
     waiting::WaitingCalls,
 };
 use crate::{
+    clock::BootInstant,
     protocol::Load,
     tables::backend::{offered_load::OfferedLoad, slot_share::SlotShare},
 };
@@ -30,6 +32,8 @@
     service_time: ServiceTime,
     mean_wait_seconds: f64,
     offered: OfferedLoad,
+    /// `None` while the back end announces no rate limit.
+    rate_limiter: Option<RateLimiter>,
 }
 
 impl Default for SlotTable {
@@ -44,6 +48,7 @@
             service_time: ServiceTime::default(),
             mean_wait_seconds: 0.0,
             offered: OfferedLoad::default(),
+            rate_limiter: None,
         }
     }
 }
@@ -59,9 +64,11 @@
         self.offered.record_arrival(now);
     }
 
-    /// Takes a slot if one is free and no call waits. Returns whether it took one.
+    /// Takes a slot if one is free, no call waits and the rate limit allows a call. Returns whether it
+    /// took one.
     pub(super) fn try_take_slot(&mut self) -> bool {
-        let is_free = self.in_flight < self.limit && self.waiting.is_empty();
+        let is_free =
+            self.in_flight < self.limit && self.waiting.is_empty() && self.take_rate_token();
         if is_free {
             self.in_flight += 1;
             update_mean(
@@ -74,11 +81,54 @@
     }
 
     /// Returns the time until a call would get a slot: the number of calls ahead of it times the mean
-    /// service time, divided by the slot limit.
+    /// service time, divided by the slot limit, or the time until the rate limit allows the call if that
+    /// is longer.
     pub(super) fn expected_wait(&self, criticality: Criticality) -> Duration {
         let calls_ahead = self.waiting.count_ahead_of(criticality);
         let seconds_per_call = self.service_time.seconds() / f64::from(self.limit.max(1));
-        Duration::from_secs_f64(calls_ahead as f64 * seconds_per_call)
+        let until_slot = Duration::from_secs_f64(calls_ahead as f64 * seconds_per_call);
+        until_slot.max(self.time_until_allowed(calls_ahead + 1))
+    }
+
+    /// Returns the time until the rate limit allows `calls` further calls.
+    fn time_until_allowed(&self, calls: usize) -> Duration {
+        let limiter = self.rate_limiter.as_ref();
+        limiter.map_or(Duration::ZERO, |limiter| {
+            limiter.time_until(calls, BootInstant::now())
+        })
+    }
+
+    fn take_rate_token(&mut self) -> bool {
+        let limiter = self.rate_limiter.as_mut();
+        limiter.is_none_or(|limiter| limiter.take(BootInstant::now()))
+    }
+
+    /// Returns whether the rate limit of the back end allows no call now.
+    pub(super) fn is_rate_exhausted(&self) -> bool {
+        let limiter = self.rate_limiter.as_ref();
+        limiter.is_some_and(|limiter| limiter.is_exhausted(BootInstant::now()))
+    }
+
+    pub(super) const fn is_rate_limited(&self) -> bool {
+        self.rate_limiter.is_some()
+    }
+
+    /// Sets the rate limit that the back end announces, in calls per second; `None` if it announces none.
+    pub(super) fn set_rate_limit(&mut self, per_second: Option<f64>, now: Instant) {
+        let since = BootInstant::now();
+        match (&mut self.rate_limiter, per_second) {
+            (Some(limiter), Some(per_second)) => limiter.set_rate(per_second, since),
+            (_, per_second) => {
+                self.rate_limiter = per_second.map(|rate| RateLimiter::new(rate, since));
+            }
+        }
+        self.grant_free_slots(now);
+    }
+
+    /// Returns the time after which a refused call may find a slot.
+    pub(super) fn retry_after(&self) -> Duration {
+        let service_time = Duration::from_secs_f64(self.service_time.seconds().max(0.0));
+        service_time.max(self.time_until_allowed(self.waiting.len() + 1))
     }
 
     /// Releases a slot that a call held for `hold_time`.
@@ -92,13 +142,14 @@
     /// first.
     pub(super) fn grant_free_slots(&mut self, now: Instant) {
         self.waiting.refuse_expired(now);
-        while self.in_flight < self.limit {
+        while self.in_flight < self.limit && !self.is_rate_exhausted() {
             let Some(next) = self.waiting.take_next(now) else {
                 return;
             };
             update_mean(&mut self.mean_wait_seconds, next.waited, NEWEST_WAIT_WEIGHT);
             if next.sender.send(Ok(())).is_ok() {
                 self.in_flight += 1;
+                self.take_rate_token();
             }
         }
     }
@@ -120,7 +171,8 @@
     }
 
     /// Adapts the slot share to a call that succeeded without nested calls. `occupancy` is the share of
-    /// the slots in use when the call started.
+    /// the slots in use when the call started. Does nothing under a rate limit, because the times of
+    /// calls then do not depend on the number of slots in use.
     pub(super) fn adapt_share(
         &mut self,
         kind: u16,
@@ -128,6 +180,9 @@
         occupancy: f64,
         now: Instant,
     ) {
+        if self.is_rate_limited() {
+            return;
+        }
         let before = self.share.baseline();
         let in_flight = self.in_flight.into();
         let may_have_changed =
@@ -148,10 +203,13 @@
         }
     }
 
-    /// Ends an expired trial of another slot share, and grants the slots that become free.
-    pub(super) fn end_expired_trial(&mut self, now: Instant) {
-        if self.share.end_expired_trial(now.into_std()) {
+    /// Ends an expired trial of another slot share, and grants the slots that it or the rate limit frees.
+    pub(super) fn tick(&mut self, now: Instant) {
+        let has_ended_trial = self.share.end_expired_trial(now.into_std());
+        if has_ended_trial {
             self.update_limit();
+        }
+        if has_ended_trial || self.is_rate_limited() {
             self.grant_free_slots(now);
         }
     }
@@ -170,22 +228,33 @@
         f64::from(self.in_flight) / f64::from(self.slots)
     }
 
-    /// Returns the load that is reported to other nodes. Mean times are truncated to milliseconds.
+    pub(super) const fn in_flight(&self) -> u16 {
+        self.in_flight
+    }
+
+    /// Returns the load that is reported to other nodes. Mean times are truncated to milliseconds. Under
+    /// a rate limit the back end has as many slots as calls at that rate hold, and counts as full while
+    /// no call is allowed.
     pub(super) fn load(&self, now: Instant) -> Load {
-        let offered = self.offered.slots(now) / f64::from(self.limit.max(1));
+        let mut limit = self.limit;
+        let mut in_flight = self.in_flight;
+        let offered = if let Some(limiter) = &self.rate_limiter {
+            limit = limit.min(limiter.slots_in_use(self.service_time.seconds()));
+            if self.is_rate_exhausted() {
+                in_flight = in_flight.max(limit);
+            }
+            limiter.offered(self.offered.arrivals_per_second(now))
+        } else {
+            Load::offered_to_wire(self.offered.slots(now) / f64::from(self.limit.max(1)))
+        };
         Load {
-            limit: self.limit,
-            in_flight: self.in_flight,
+            limit,
+            in_flight,
             queued: u16::try_from(self.waiting.len()).unwrap_or(u16::MAX),
             wait_ms: (self.mean_wait_seconds * 1000.0) as u16,
             service_ms: (self.service_time.decayed_seconds(now) * 1000.0) as u16,
             failing: 0,
-            offered: (offered * 100.0) as u16,
+            offered,
         }
     }
-
-    /// Returns the mean time that a call holds a slot, without decay since the last call ended.
-    pub(super) fn service_time(&self) -> Duration {
-        Duration::from_secs_f64(self.service_time.seconds().max(0.0))
-    }
 }
--- a/crates/tallybridge-mesh/src/tables/quotas/bucket.rs
+++ b/crates/tallybridge-mesh/src/tables/quotas/bucket.rs
@@ -80,6 +80,13 @@
         taken as u32
     }
 
+    /// Returns the tokens that the bucket holds at `now`.
+    #[must_use]
+    pub fn tokens(&self, now: BootInstant) -> f64 {
+        let arrived = self.tokens_in_span(self.refilled_at, now);
+        (self.tokens + arrived).min(self.capacity())
+    }
+
     /// Returns the time after which a refused request is likely to find a token. Each call
     /// schedules a later token, so that refused requests do not retry at the same time.
     pub fn schedule_retry(&mut self, now: BootInstant) -> Duration {
@@ -97,8 +104,12 @@
     /// Returns the number of tokens that arrive within a time.
     #[must_use]
     pub fn tokens_in(&self, duration: Duration, now: BootInstant) -> f64 {
-        duration.as_secs_f64() * self.limit.per_second
-            + self.supplement.between(now, now + duration)
+        self.tokens_in_span(now, now + duration)
+    }
+
+    fn tokens_in_span(&self, from: BootInstant, to: BootInstant) -> f64 {
+        let duration = to.saturating_duration_since(from);
+        duration.as_secs_f64() * self.limit.per_second + self.supplement.between(from, to)
     }
 
     /// Returns at least 1, because a burst below one token would never admit a request.
@@ -107,10 +118,7 @@
     }
 
     fn refill(&mut self, now: BootInstant) {
-        let elapsed = now.saturating_duration_since(self.refilled_at);
-        let supplement = self.supplement.between(self.refilled_at, now);
-        let tokens = self.tokens + elapsed.as_secs_f64() * self.limit.per_second + supplement;
-        self.tokens = tokens.min(self.capacity());
+        self.tokens = self.tokens(now);
         self.refilled_at = self.refilled_at.max(now);
     }
 }
