Tell a restarted executor what its back end announced to the former process

Callers saw more requests sent to a limited back end, and work to one that leaves, after the node beside it restarted. Cause: what a back end announced died with the executor's process, while the entries that had passed the answers on stay bound by them. The new process knows nothing until the first answer, and a health check may lag. Change: the executor tells an entry what its back end announces before each answer; the entry gives it back when it links to the new process, before its first call. It holds until the back end answers that process, for that incarnation only; of several limits the lowest. Health checks are read as well. Nodes say in their hello that they take the message, so an older node is never sent it. An older executor keeps no limit; beside a newer one, older entries keep it. Conclusion: all statements of a back end are kept over restarts of its node; a loss of all nodes excuses everybody.

--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -62,10 +62,11 @@
     let mut buffer = BytesMut::new();
     let hello = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &mut buffer)).await;
     let record = hello.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let keeps_notices = record.keeps_notices;
     node.learn_records([record]);
     let (sender, outgoing_frames) = mpsc::unbounded_channel();
     let writer_task = tokio::spawn(write_frames(writer, outgoing_frames));
-    let link = AcceptedLink::new(node, FrameSender::new(sender));
+    let link = AcceptedLink::new(node, FrameSender::new(sender), keeps_notices);
     link.send_initial_state();
     let result = link.run(&mut reader, &mut buffer).await;
     writer_task.abort();
@@ -81,11 +82,11 @@
 }
 
 impl AcceptedLink {
-    fn new(node: Arc<Node>, sender: FrameSender) -> Self {
+    fn new(node: Arc<Node>, sender: FrameSender, keeps_notices: bool) -> Self {
         Self {
             node,
             sender,
-            running_calls: RunningCalls::default(),
+            running_calls: RunningCalls::new(keeps_notices),
         }
     }
 
@@ -164,6 +165,7 @@
             Message::Quarantined(suspect) => node.merge_quarantined(suspect),
             Message::QuarantineStored(suspect) => node.merge_stored(suspect),
             Message::Cleared(digest) => node.clear_suspects(&[digest]),
+            Message::BackendNotice(notice) => node.recall_backend_notice(notice),
             Message::Register(record) => node.register_peer(record, sender),
             // Only the node that accepted a link sends the other messages.
             _ => {}
--- a/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
@@ -16,8 +16,12 @@
 };
 
 /// The running calls of one link, by call number.
-#[derive(Clone, Default)]
-pub(super) struct RunningCalls(Arc<Mutex<HashMap<u32, RunningCall>>>);
+#[derive(Clone)]
+pub(super) struct RunningCalls {
+    calls: Arc<Mutex<HashMap<u32, RunningCall>>>,
+    /// Whether the peer keeps what the back end announces in its answers.
+    keeps_notices: bool,
+}
 
 struct RunningCall {
     is_idempotent: bool,
@@ -25,6 +29,13 @@
 }
 
 impl RunningCalls {
+    pub fn new(keeps_notices: bool) -> Self {
+        Self {
+            calls: Arc::default(),
+            keeps_notices,
+        }
+    }
+
     /// Starts a call. Sends the answer or refusal to `sender`.
     pub fn start(
         &self,
@@ -42,6 +53,11 @@
         let task = tokio::spawn(async move {
             let result = execute(&node, call).await;
             running_calls.lock().remove(&call_number);
+            if running_calls.keeps_notices
+                && let Some(notice) = node.backend_notice()
+            {
+                sender.send_message(Message::BackendNotice(notice));
+            }
             sender.send(&Frame {
                 call: call_number,
                 message: reply(&node, result),
@@ -72,7 +88,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u32, RunningCall>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -138,6 +138,7 @@
             let changed = tables
                 .instance
                 .record_health_check(instance, is_healthy, Instant::now());
+            let changed = changed | self.apply_earlier_notices(&mut tables);
             self.update_slots(&tables);
             changed
         };
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -109,6 +109,7 @@
             process: rand::random(),
             slots: 0,
             registers_peers: true,
+            keeps_notices: true,
         };
         let header_names = platform.header_names();
         Self {
--- a/crates/tallybridge-mesh/src/node/peers.rs
+++ b/crates/tallybridge-mesh/src/node/peers.rs
@@ -31,6 +31,7 @@
     pub(super) fn registered_record(&self) -> Bytes {
         to_json(&NodeRecord {
             registers_peers: false,
+            keeps_notices: false,
             ..self.record_with_slots()
         })
     }
--- a/crates/tallybridge-mesh/src/node/tables.rs
+++ b/crates/tallybridge-mesh/src/node/tables.rs
@@ -11,8 +11,9 @@
     protocol::{NodeRecord, PeerStatus},
     settings::MeshSettings,
     tables::{
-        AdmissionControl, AnnouncedLimit, ConfigurationTable, Delegates, FailureRate,
-        LocalInstance, PeerTable, RetryBudgets, RunningAttempts, ServiceLoads, WatcherTable,
+        AdmissionControl, AnnouncedLimit, BackendNotices, ConfigurationTable, Delegates,
+        EarlierNotices, FailureRate, LocalInstance, PeerTable, RetryBudgets, RunningAttempts,
+        ServiceLoads, WatcherTable,
         quarantine::{DispatchedCalls, Quarantine},
     },
 };
@@ -30,6 +31,10 @@
     pub(super) instance: LocalInstance,
     pub(super) failure_rate: FailureRate,
     pub(super) announced_limit: AnnouncedLimit,
+    /// What peers say that back ends beside this node announced before this process started.
+    pub(super) earlier_notices: EarlierNotices,
+    /// What the back ends of peers announced.
+    pub(super) notices: BackendNotices,
     pub(super) own_service: Arc<str>,
     /// Time of the last call from the back end to each service.
     pub(super) last_calls: HashMap<Arc<str>, Instant>,
@@ -57,6 +62,8 @@
             instance: LocalInstance::default(),
             failure_rate: FailureRate::default(),
             announced_limit: AnnouncedLimit::default(),
+            earlier_notices: EarlierNotices::default(),
+            notices: BackendNotices::default(),
             own_service: settings.backend.service.as_str().into(),
             last_calls: HashMap::new(),
             running: RunningAttempts::default(),
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 
 use super::{
-    AnswerMessage, CallMessage, ClockMessage, ConfirmationMessage, CrashReport, PeerStatus,
-    QuarantinedRequest, QuotaGrant, QuotaRequestMessage, RefusalMessage, RequestDigest,
+    AnswerMessage, BackendNotice, CallMessage, ClockMessage, ConfirmationMessage, CrashReport,
+    PeerStatus, QuarantinedRequest, QuotaGrant, QuotaRequestMessage, RefusalMessage, RequestDigest,
     codec::{put_fields, take_fields},
 };
 
@@ -54,6 +54,10 @@
     Register(Bytes),
     /// Reports to the sender of a [`Self::Register`] that the registry holds its record.
     Registered,
+    /// What a back end announced: sent by its executor before an answer, and by an entry to an executor
+    /// to which it opens a link. Only sent to nodes that [keep
+    /// notices](super::NodeRecord::keeps_notices).
+    BackendNotice(BackendNotice),
 }
 
 /// Byte after a quarantined request whose crash count the store holds. Earlier releases ignore it.
@@ -81,6 +85,7 @@
     pub const CLEARED: u8 = 18;
     pub const REGISTER: u8 = 19;
     pub const REGISTERED: u8 = 20;
+    pub const BACKEND_NOTICE: u8 = 21;
 }
 
 impl Message {
@@ -106,6 +111,7 @@
             Self::Cleared(_) => kind::CLEARED,
             Self::Register(_) => kind::REGISTER,
             Self::Registered => kind::REGISTERED,
+            Self::BackendNotice(_) => kind::BACKEND_NOTICE,
         }
     }
 
@@ -131,6 +137,7 @@
                 request.encode(out);
                 out.push(QUARANTINE_STORED);
             }
+            Self::BackendNotice(notice) => notice.encode(out),
             Self::Cleared(digest) => out.extend_from_slice(&digest.0),
             Self::Cancel
             | Self::Ping
@@ -163,6 +170,7 @@
             kind::CLEARED => Self::Cleared(RequestDigest::decode(&payload)?),
             kind::REGISTER => Self::Register(payload),
             kind::REGISTERED => Self::Registered,
+            kind::BACKEND_NOTICE => Self::BackendNotice(BackendNotice::decode(payload)?),
             _ => return None,
         })
     }
--- a/crates/tallybridge-mesh/src/protocol/mod.rs
+++ b/crates/tallybridge-mesh/src/protocol/mod.rs
@@ -8,6 +8,7 @@
 //! new protocol version. `tests/wire_format.rs` pins the format.
 
 mod answer;
+mod backend_notice;
 mod call;
 mod codec;
 mod confirmation;
@@ -21,6 +22,7 @@
 
 pub use self::{
     answer::{AnswerMessage, RefusalMessage},
+    backend_notice::BackendNotice,
     call::CallMessage,
     confirmation::{ClockMessage, ConfirmationMessage},
     frame::{Frame, FrameError},
--- a/crates/tallybridge-mesh/src/protocol/status.rs
+++ b/crates/tallybridge-mesh/src/protocol/status.rs
@@ -32,6 +32,11 @@
     /// the registry does not.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub registers_peers: bool,
+    /// Whether the node keeps what back ends announce
+    /// ([`Message::BackendNotice`](super::Message::BackendNotice)). Earlier releases do not. Links tell
+    /// it, the registry does not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub keeps_notices: bool,
 }
 
 /// Whether a node's back end accepts calls, as reported by the node.
--- a/crates/tallybridge-mesh/src/tables/backend/announced_limit.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/announced_limit.rs
@@ -29,19 +29,37 @@
 
 /// Rate limit of one incarnation of the back end.
 #[derive(Debug, Default)]
-pub struct AnnouncedLimit(Option<Limit>);
+pub struct AnnouncedLimit {
+    limit: Option<Limit>,
+    /// Whether this node has read an answer of the incarnation, which is newer than what peers remember.
+    has_answered: bool,
+}
 
 impl AnnouncedLimit {
+    /// Adopts a limit that peers remember from before this node started. Returns whether it applies: it
+    /// does until an answer arrives. Of several, the lowest applies.
+    pub fn adopt(&mut self, per_second: f64, now: Instant) -> bool {
+        if self.has_answered || self.per_second().is_some_and(|rate| rate <= per_second) {
+            return false;
+        }
+        self.limit = Some(Limit {
+            per_second,
+            began_at: now,
+            announced_at: now,
+        });
+        true
+    }
+
     /// Returns the limit in requests per second, or `None` if the back end announces none.
     #[must_use]
     pub fn per_second(&self) -> Option<f64> {
-        self.0.map(|limit| limit.per_second)
+        self.limit.map(|limit| limit.per_second)
     }
 
     /// Returns when the back end began to announce a limit without interruption.
     #[must_use]
     pub fn began_at(&self) -> Option<Instant> {
-        self.0.map(|limit| limit.began_at)
+        self.limit.map(|limit| limit.began_at)
     }
 
     /// Applies the rate in the answer to a call that was dispatched at `dispatched_at`.
@@ -51,6 +69,7 @@
         dispatched_at: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
+        self.has_answered = true;
         match *rate {
             AnnouncedRate::PerSecond(per_second) => {
                 self.record_rate(per_second, dispatched_at, now)
@@ -66,8 +85,8 @@
         dispatched_at: Instant,
         now: Instant,
     ) -> Option<LimitChange> {
-        let Some(limit) = &mut self.0 else {
-            self.0 = Some(Limit {
+        let Some(limit) = &mut self.limit else {
+            self.limit = Some(Limit {
                 per_second,
                 began_at: now,
                 announced_at: now,
@@ -83,11 +102,11 @@
     }
 
     fn record_end(&mut self, dispatched_at: Instant) -> Option<LimitChange> {
-        let limit = self.0?;
+        let limit = self.limit?;
         if dispatched_at < limit.announced_at {
             return None;
         }
-        self.0 = None;
+        self.limit = None;
         Some(LimitChange::Ended)
     }
 }
--- a/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
@@ -70,6 +70,12 @@
         self.incarnations.current()
     }
 
+    /// Returns the start time of the current incarnation in Unix milliseconds of its own clock, if known.
+    #[must_use]
+    pub const fn started_at_ms(&self) -> Option<u64> {
+        self.incarnations.started_at_ms()
+    }
+
     /// Returns the number of requests that the back end processes at once, or 0 while unknown.
     #[must_use]
     pub const fn slots(&self) -> u32 {
@@ -179,6 +185,17 @@
         previous != InstanceState::Leaving
     }
 
+    /// Records that an incarnation, maybe not the current one, announced to an earlier process of this
+    /// node that it leaves. Returns whether the state changed.
+    pub fn record_departure(&mut self, id: &str, started_at_ms: Option<u64>, now: Instant) -> bool {
+        self.departures.record(id, started_at_ms, now);
+        let begins_to_leave = self.state != InstanceState::Leaving && self.is_leaving(now);
+        if begins_to_leave {
+            self.state = InstanceState::Leaving;
+        }
+        begins_to_leave
+    }
+
     fn record_candidate(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
         let InstanceReport {
             instance,
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -14,12 +14,12 @@
 
 pub use admission::{AdmissionControl, ServiceLoads};
 pub use backend::{
-    AnnouncedLimit, AnnouncedRate, Announcement, EndedIncarnation, FailureRate, FailureRateChange,
-    Incarnation, InstanceState, LimitChange, LocalInstance, ReportEffect,
+    AnnouncedLimit, AnnouncedRate, Announcement, EarlierNotices, EndedIncarnation, FailureRate,
+    FailureRateChange, Incarnation, InstanceState, LimitChange, LocalInstance, ReportEffect,
 };
 pub use configuration::{ConfigurationTable, ConfirmedVersion};
 pub use delegates::Delegates;
-pub use peers::{Executor, LinkRequest, PeerTable, PlacementQuery, QuotaOwner};
+pub use peers::{BackendNotices, Executor, LinkRequest, PeerTable, PlacementQuery, QuotaOwner};
 pub use retries::{FirstAttempt, RetryBudgets, RetryRequest};
 pub use running::{FoundParent, NestedEnd, Parent, RunningAttempts};
 pub use watchers::WatcherTable;
--- a/crates/tallybridge-mesh/src/tables/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/mod.rs
@@ -8,11 +8,13 @@
 //! * `placement` chooses the executor of a call.
 //! * `subset` chooses the nodes to link to; `linking` applies the choice and `contact` records the
 //!   events of the links.
+//! * `notices` keeps what back ends announced.
 //! * `reports` keeps the state of executors.
 //! * `quota_owner` finds the node that owns a tenant's rate limit.
 
 mod contact;
 mod linking;
+mod notices;
 mod placement;
 mod quota_owner;
 mod reports;
@@ -29,6 +31,7 @@
 use self::contact::{Reachability, UnlinkedNode};
 pub use self::{
     contact::LinkRequest,
+    notices::BackendNotices,
     placement::{Executor, PlacementQuery},
     quota_owner::QuotaOwner,
 };
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -15,7 +15,7 @@
 use crate::{
     http::{Connection, ExchangeError, connect},
     node::Node,
-    tables::InstanceState,
+    tables::{Announcement, InstanceState},
 };
 
 /// Timeout of a health check. It includes the wait for a slot, because the back end queues health
@@ -39,6 +39,7 @@
 struct HealthAnswer {
     instance: String,
     is_healthy: bool,
+    announcement: Announcement,
 }
 
 /// Runs one health check. Returns the wait before the next one, or `None` if none is needed.
@@ -51,6 +52,7 @@
     let wait = match check_health(node, &policy.health_path).await {
         Ok(answer) => {
             node.instance_verified(&answer.instance, answer.is_healthy);
+            node.record_health_announcement(&answer.instance, &answer.announcement);
             if answer.is_healthy {
                 return None;
             }
@@ -82,5 +84,6 @@
     Ok(HealthAnswer {
         instance: instance.to_owned(),
         is_healthy: response.head.status == 200,
+        announcement: Announcement::from_headers(&response.head.headers, &node.header_names),
     })
 }
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -130,6 +130,12 @@
     } = opened;
     // Differs from the requested address only if the peer's settings are wrong.
     let address = record.address;
+    // The executor must know before the first call what its back end announced to an earlier process.
+    if record.keeps_notices
+        && let Some(notice) = node.notice_for(address)
+    {
+        link.send(&Frame::without_call(Message::BackendNotice(notice)));
+    }
     if !node.peer_connected(request, record, link.clone()) {
         return REASON_NOT_NEEDED.to_owned();
     }
@@ -193,6 +199,7 @@
         }
         Message::Quarantined(request) => node.merge_quarantined(request),
         Message::QuarantineStored(request) => node.merge_stored(request),
+        Message::BackendNotice(notice) => node.peer_backend_notice(address, notice),
         Message::Registered => node.registered_by(link),
         // The other kinds are sent only to the accepting side of a link.
         _ => {}
--- a/crates/tallybridge-mesh/tests/announced_limit.rs
+++ b/crates/tallybridge-mesh/tests/announced_limit.rs
@@ -5,7 +5,8 @@
 use bytes::BytesMut;
 use tallybridge_mesh::{
     http::ResponseHead,
-    tables::{AnnouncedLimit, AnnouncedRate, Announcement, LimitChange},
+    protocol::BackendNotice,
+    tables::{AnnouncedLimit, AnnouncedRate, Announcement, EarlierNotices, LimitChange},
 };
 use tokio::time::Instant;
 
@@ -106,3 +107,49 @@
     );
     assert_eq!(limit.per_second(), Some(10.0));
 }
+
+#[test]
+fn limit_that_peers_remember_applies_until_an_answer() {
+    let start = Instant::now();
+    let mut limit = AnnouncedLimit::default();
+    assert!(limit.adopt(10.0, start));
+    assert!(
+        !limit.adopt(20.0, start),
+        "a higher limit replaced a lower one"
+    );
+    assert!(limit.adopt(5.0, start));
+    let ended = limit.record(&AnnouncedRate::Unlimited, after(start, 1), after(start, 2));
+    assert_eq!(ended, Some(LimitChange::Ended));
+    assert!(
+        !limit.adopt(5.0, after(start, 3)),
+        "a peer overrode an answer"
+    );
+}
+
+fn notice(instance: &str, started_at_ms: u64, rate_limit: f64) -> BackendNotice {
+    BackendNotice {
+        instance: instance.to_owned(),
+        started_at_ms: Some(started_at_ms),
+        rate_limit: Some(rate_limit),
+        is_leaving: false,
+    }
+}
+
+#[test]
+fn keeps_lowest_limit_of_each_unverified_incarnation() {
+    let mut notices = EarlierNotices::default();
+    for earlier in [
+        notice("a", 1, 10.0),
+        notice("b", 1, 3.0),
+        notice("a", 1, 12.0),
+    ] {
+        notices.record(earlier);
+    }
+    notices.record(notice("a", 2, 7.0));
+    assert_eq!(
+        notices.take("a"),
+        [notice("a", 1, 10.0), notice("a", 2, 7.0)]
+    );
+    assert_eq!(notices.take("a"), []);
+    assert_eq!(notices.take("b"), [notice("b", 1, 3.0)]);
+}
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -77,6 +77,7 @@
         process: 1,
         slots: 0,
         registers_peers: false,
+        keeps_notices: false,
     }
 }
 
--- a/crates/tallybridge-mesh/tests/peer_messages.rs
+++ b/crates/tallybridge-mesh/tests/peer_messages.rs
@@ -7,9 +7,9 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_core::{ErrorKind, Outcome};
 use tallybridge_mesh::protocol::{
-    AnswerMessage, BackendState, CallMessage, ClockMessage, ConfirmationMessage, CrashReport,
-    EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaGrant, QuotaRequest,
-    QuotaRequestMessage, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
+    AnswerMessage, BackendNotice, BackendState, CallMessage, ClockMessage, ConfirmationMessage,
+    CrashReport, EpochSpending, Frame, Load, Message, PeerStatus, QuarantinedRequest, QuotaGrant,
+    QuotaRequest, QuotaRequestMessage, RefusalMessage, RequestDigest, ServiceTime, SlotTimes,
 };
 
 fn bytes() -> impl Strategy<Value = Bytes> {
@@ -40,6 +40,24 @@
     ]
 }
 
+fn notice() -> impl Strategy<Value = BackendNotice> {
+    let rate_limit = prop::option::of(0.0..1e9);
+    (
+        "[a-z0-9-]{0,12}",
+        prop::option::of(1_u64..),
+        rate_limit,
+        any::<bool>(),
+    )
+        .prop_map(
+            |(instance, started_at_ms, rate_limit, is_leaving)| BackendNotice {
+                instance,
+                started_at_ms,
+                rate_limit,
+                is_leaving,
+            },
+        )
+}
+
 fn digest() -> impl Strategy<Value = RequestDigest> {
     any::<[u8; 16]>().prop_map(RequestDigest)
 }
@@ -188,6 +206,7 @@
             })
         }),
         digest().prop_map(Message::Cleared),
+        notice().prop_map(Message::BackendNotice),
     ]
 }
 
--- a/crates/tallybridge-mesh/tests/quota_owner.rs
+++ b/crates/tallybridge-mesh/tests/quota_owner.rs
@@ -31,6 +31,7 @@
         process: 1,
         slots: 0,
         registers_peers: false,
+        keeps_notices: false,
     }
 }
 
--- a/crates/tallybridge-mesh/tests/subset.rs
+++ b/crates/tallybridge-mesh/tests/subset.rs
@@ -23,6 +23,7 @@
         process: 1,
         slots: 0,
         registers_peers: false,
+        keeps_notices: false,
     }
 }
 
