--- a/crates/tallybridge-mesh/src/link/liveness.rs
+++ b/crates/tallybridge-mesh/src/link/liveness.rs
@@ -18,7 +18,8 @@
 const MIN_IDLE_PING_DELAY: Duration = Duration::from_millis(1000);
 /// Increase of the idle ping delay with each link of the node, which bounds the total rate of pings.
 const IDLE_PING_DELAY_PER_LINK: Duration = Duration::from_millis(12);
-/// Age of an unanswered ping at which new calls avoid the link.
+/// Age of an unanswered ping at which new calls avoid the link. At 700 ms calls still went to an
+/// unresponsive executor for about a second.
 const SUSPECT_AFTER: Duration = Duration::from_millis(350);
 /// Age of an unanswered ping at which the idempotent calls on the link are abandoned.
 const ABANDON_AFTER: Duration = Duration::from_millis(700);
--- a/crates/tallybridge-mesh/src/tables/admission/level.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/level.rs
@@ -13,7 +13,8 @@
 
 use super::weights::MIN_WEIGHT;
 
-/// Offered load at which a level is steady, as a multiple of the capacity of the service.
+/// Offered load at which a level is steady, as a multiple of the capacity of the service. Targets of
+/// 0.95 and 1.05 served fewer requests under overload.
 const TARGET_LOAD: f64 = 1.15;
 /// Running and waiting calls per slot above which the excess counts as a backlog.
 const BACKLOG_MIN_FULLNESS: f64 = 1.15;
--- a/crates/tallybridge-mesh/src/tables/admission/weights.rs
+++ b/crates/tallybridge-mesh/src/tables/admission/weights.rs
@@ -11,6 +11,9 @@
 
 /// Factor by priority, the most urgent first.
 ///
+/// At 3 the most urgent requests are all admitted until two thirds of the least urgent ones are shed.
+/// At 4 fewer requests were served in total while a third of the deepest service was left.
+///
 /// The middle value is 3 x [`MIN_COST_FACTOR`], so that the costliest request of the most urgent
 /// priority does not rank below a cheap request of the next priority.
 const PRIORITY_FACTORS: [f64; 3] = [3.0, 1.74, 1.0];
--- a/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/mod.rs
@@ -39,11 +39,12 @@
 /// Upper bound of the cost of slowness, in utilization.
 const MAX_SLOWNESS_COST: f64 = 2.0;
 /// Upper bound of the random part of a score, in utilization. Entries with the same reports would
-/// otherwise all choose the same executor.
+/// otherwise all choose the same executor. With a larger part calls wait longer for a slot.
 const RANDOM_SPREAD: f64 = 0.06;
 /// Cost of an executor that is suspect or avoided, in utilization. Exceeds every real utilization,
 /// so that such an executor is chosen only if there is no other. A stopping node costs half as much
-/// and is therefore preferred to such an executor.
+/// and is therefore preferred to such an executor: the last back end of a service may stand beside
+/// a stopping node.
 const LAST_RESORT_COST: f64 = 100.0;
 /// Cost of an executor with a loss rate of 1, in utilization. The cost is proportional to the loss
 /// rate.
--- a/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/placement/outliers.rs
@@ -31,7 +31,8 @@
 /// size.
 const PROBE_INTERVAL_PER_NODE: Duration = Duration::from_millis(50);
 
-/// Lower quartile of the failure rates of a service's executors, 0 to 1.
+/// Lower quartile of the failure rates of a service's executors, 0 to 1. A failure further down the
+/// chain would move their mean.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct BaselineFailureRate(f64);
 
--- a/crates/tallybridge-mesh/src/tables/peers/subset.rs
+++ b/crates/tallybridge-mesh/src/tables/peers/subset.rs
@@ -16,6 +16,7 @@
 
 /// Links to the executors of all services together that a node aims for.
 const TARGET_LINKS: usize = 256;
+/// A choice among this many executors is nearly as good as one among all of them.
 const MAX_LINKS_PER_SERVICE: usize = 32;
 const MIN_LINKS_PER_SERVICE: usize = 8;
 /// Share of the executors of a service that are chosen from the own zone. The rest can take over
