Replace a watch that is suspected twice only once

Callers saw nothing; the store got a read and a watch more for each pause of a process. Cause: a second suspicion while the first was handled stayed stored in the signal and cancelled the watch that had just begun. Change: the signal is a counter, and a watch sees only suspicions since it began.

--- a/crates/tallybridge-mesh/src/node/signals.rs
+++ b/crates/tallybridge-mesh/src/node/signals.rs
@@ -50,8 +50,10 @@
     /// This node began to watch the store: wakes [`crate::tasks::registration`], since a watcher
     /// renews its lease more often.
     pub(super) became_watcher: Notify,
-    /// The pending watch of the store may never be answered: wakes [`crate::tasks::configuration`].
-    pub(super) watch_suspected: Notify,
+    /// The pending watch of the store may never be answered: wakes [`crate::tasks::configuration`]. Not
+    /// a [`Notify`], whose stored notification would cancel the next watch as well. The value is a
+    /// counter.
+    pub(super) watch_suspected: watch::Sender<u64>,
     /// A peer has a newer configuration: wakes [`crate::tasks::configuration`].
     pub(super) peer_ahead: Notify,
 }
@@ -75,7 +77,7 @@
             registry_read: Notify::new(),
             resumed: Notify::new(),
             became_watcher: Notify::new(),
-            watch_suspected: Notify::new(),
+            watch_suspected: watch::Sender::new(0),
             peer_ahead: Notify::new(),
         }
     }
--- a/crates/tallybridge-mesh/src/node/store_watch.rs
+++ b/crates/tallybridge-mesh/src/node/store_watch.rs
@@ -94,12 +94,16 @@
     /// Wakes the task of the pending watch, if there is one, because the store may have dropped it.
     pub fn suspect_watch(&self) {
         if self.has_pending_watch.load(Ordering::Relaxed) {
-            self.signals.watch_suspected.notify_one();
+            self.signals
+                .watch_suspected
+                .send_modify(|count| *count += 1);
         }
     }
 
     /// Waits until the store is suspected to have dropped the pending watch.
     pub async fn watch_suspected(&self) {
-        self.signals.watch_suspected.notified().await;
+        let mut suspicions = self.signals.watch_suspected.subscribe();
+        // Fails only if the sender is dropped, and this node owns the sender.
+        let _ = suspicions.changed().await;
     }
 }
