Tell entries of a back end's end only if the current incarnation announced it

Found by reading: a late notice of an earlier incarnation stops work until the next report, in the same state as an announced end. An entry that was told so then, and gave it back after a restart of the executor within that time, would have kept a sound back end out of use. The notice now follows the recorded departures.

--- a/crates/tallybridge-mesh/src/node/announcements.rs
+++ b/crates/tallybridge-mesh/src/node/announcements.rs
@@ -8,7 +8,7 @@
 use crate::{
     log::rate_limit::LogRateLimit,
     protocol::BackendNotice,
-    tables::{AnnouncedRate, Announcement, Incarnation, InstanceState, LimitChange},
+    tables::{AnnouncedRate, Announcement, Incarnation, LimitChange},
 };
 
 impl Node {
@@ -72,7 +72,8 @@
         let tables = self.tables();
         let instance = &tables.instance;
         let rate_limit = tables.announced_limit.per_second();
-        let is_leaving = instance.state() == InstanceState::Leaving;
+        // The state may also be `Leaving` because of a late notice of an earlier incarnation.
+        let is_leaving = instance.is_leaving(Instant::now());
         if rate_limit.is_none() && !is_leaving {
             return None;
         }
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -285,6 +285,10 @@
     let mut instance = ready_instance(now);
     instance.apply_report(&report_with_start_time(50, true, 3), now);
     assert!(instance.available_incarnation(now).is_none());
+    assert!(
+        !instance.is_leaving(now),
+        "the notice was not of the current incarnation"
+    );
     let effect = instance.apply_report(&report_with_start_time(100, false, 9), now);
     assert_eq!(effect, ReportEffect::Verify);
     instance.record_health_check("1", true, now);
