--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -44,13 +44,13 @@
     for (name, value) in gauges(node) {
         page.push_metric(name, "gauge", value);
     }
-    page.push_announced_limit(node);
     page.push_admitted_percentages(node);
     page.push_route_costs(node);
+    page.push_announced_limit(node);
     page.0
 }
 
-fn counters(counters: &Counters) -> [(&'static str, &AtomicU64); 15] {
+fn counters(counters: &Counters) -> [(&'static str, &AtomicU64); 14] {
     [
         ("requests_total", &counters.requests),
         ("answered_total", &counters.answered),
@@ -68,7 +68,6 @@
             &counters.stale_configuration,
         ),
         ("backend_crashes_total", &counters.crashes),
-        ("refused_over_backend_limit_total", &counters.rate_limited),
         ("refused_quarantined_total", &counters.quarantined),
     ]
 }
@@ -117,9 +116,11 @@
         self.push_line(format_args!("tallybridge_{name} {value}"));
     }
 
-    /// Writes the rate limit that the back end announces, and for how long it has announced one. Writes
-    /// nothing while it announces none.
+    /// Writes the calls refused because of the rate limit that the back end announces. While it announces
+    /// one, also writes the limit and for how long it has announced one.
     fn push_announced_limit(&mut self, node: &Node) {
+        let refused = node.counters.rate_limited.load(Ordering::Relaxed);
+        self.push_metric("refused_over_backend_limit_total", "counter", refused);
         let Some((per_second, began_at)) = node.announced_limit() else {
             return;
         };
