--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,54 @@
+//! Stand-ins and scripts of the review. `review-standins CASE FOLDER` plays one case and writes
+//! `FOLDER/record.txt`. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod backend;
+mod client;
+mod http;
+mod json;
+mod lost;
+mod machine;
+mod record;
+mod route;
+mod store;
+
+use std::{path::Path, process::ExitCode};
+
+use record::Record;
+
+/// What a case found.
+pub enum Verdict {
+    Held,
+    Broken,
+    CouldNotRun(String),
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: review-standins lost|route FOLDER");
+        return ExitCode::from(2);
+    };
+    // The disruption of the case; without it the rule must hold.
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("cannot write the record: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    record.line(&format!("case {case}, disruption: {has_trouble}"));
+    let verdict = match case.as_str() {
+        "lost" => lost::play(&record, has_trouble),
+        "route" => route::play(&record, has_trouble),
+        other => Verdict::CouldNotRun(format!("unknown case {other}")),
+    };
+    let (text, code) = match verdict {
+        Verdict::Held => ("the rule held".to_owned(), 0),
+        Verdict::Broken => ("the rule was broken".to_owned(), 1),
+        Verdict::CouldNotRun(reason) => (format!("the case could not run: {reason}"), 2),
+    };
+    record.line(&text);
+    println!("{case}: {text}");
+    ExitCode::from(code)
+}
