--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -64,9 +64,21 @@
 }
 
 pub fn request(method: &str, host: &str, target: &str, attempt: &str, deadline_ms: u64) -> String {
+    request_with(method, host, target, attempt, deadline_ms, "")
+}
+
+/// Returns a request with further header lines.
+pub fn request_with(
+    method: &str,
+    host: &str,
+    target: &str,
+    attempt: &str,
+    deadline_ms: u64,
+    headers: &str,
+) -> String {
     let body = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
     format!(
-        "{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n{body}\r\n"
+        "{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\n{headers}{body}\r\n"
     )
 }
 
--- a/review/standins/src/lost.rs
+++ b/review/standins/src/lost.rs
@@ -20,7 +20,7 @@
 };
 
 /// Bounds of feira-sul-large.
-const BOUNDS: Bounds = Bounds { grace_s: 10, retry_window_s: 10, budget_slack: 213 };
+const BOUNDS: Bounds = Bounds { grace_s: 10, retry_window_s: 10, budget_slack: 213, tenants: "" };
 const CONTACT: Duration = Duration::from_millis(4000);
 const LEAD: Duration = Duration::from_secs(10);
 /// Deadline of `terminal-package`.
--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -28,6 +28,8 @@
     pub grace_s: u64,
     pub retry_window_s: u64,
     pub budget_slack: u64,
+    /// The lines under `[tenants]`.
+    pub tenants: &'static str,
 }
 
 /// A machine with its addresses, and the process of its node.
@@ -93,7 +95,7 @@
     /// Fills the template `deploy/node.toml` for this machine and starts the program of the deploy file.
     pub fn start_node(&self, service: &str, store: SocketAddr, bounds: Bounds, is_first: bool) {
         let Self { name, zone, app, outbound, ready, control, peer, metrics, .. } = self;
-        let Bounds { grace_s, retry_window_s, budget_slack } = bounds;
+        let Bounds { grace_s, retry_window_s, budget_slack, tenants } = bounds;
         let first = if is_first { "new_fleet = true" } else { "" };
         let settings = format!(
             "node = \"{name}\"\nzone = \"{zone}\"\nregion = \"r\"\npeer_address = \"{peer}\"\n\
@@ -101,7 +103,7 @@
              metrics_address = \"{metrics}\"\nstore_address = \"{store}\"\n{first}\n\
              stop_grace_ms = {grace_s}000\n\n[backend]\nservice = \"{service}\"\naddress = \"{app}\"\n\
              report_interval_ms = 1500\n\n[retry]\nratio = 0.2\nwindow_ms = {retry_window_s}000\n\
-             slack = {budget_slack}\n\n[tenants]\n"
+             slack = {budget_slack}\n\n[tenants]\n{tenants}"
         );
         fs::write(self.settings_path(), settings).expect("settings are written");
         let log = OpenOptions::new().append(true).create(true).open(self.log_path()).expect("log opens");
@@ -144,6 +146,15 @@
         }
     }
 
+    /// Memory of the process in megabytes, as the kernel counts it.
+    pub fn memory_mb(&self) -> f64 {
+        let Some(process) = self.process_id() else { return 0.0 };
+        let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        let kilobytes = line.split_whitespace().nth(1).and_then(|text| text.parse::<f64>().ok());
+        kilobytes.unwrap_or(0.0) / 1024.0
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = TcpStream::connect_timeout(&self.ready, Duration::from_millis(500)).and_then(|stream| {
             stream.set_read_timeout(Some(Duration::from_millis(500)))?;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,8 @@
 mod json;
 mod lost;
 mod machine;
+mod memory;
+mod quota;
 mod record;
 mod route;
 mod store;
@@ -25,7 +27,7 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-standins lost|route FOLDER");
+        eprintln!("usage: review-standins lost|memory|quota|route FOLDER");
         return ExitCode::from(2);
     };
     // The disruption of the case; without it the rule must hold.
@@ -40,6 +42,8 @@
     record.line(&format!("case {case}, disruption: {has_trouble}"));
     let verdict = match case.as_str() {
         "lost" => lost::play(&record, has_trouble),
+        "memory" => memory::play(&record, has_trouble),
+        "quota" => quota::play(&record, has_trouble),
         "route" => route::play(&record, has_trouble),
         other => Verdict::CouldNotRun(format!("unknown case {other}")),
     };
--- a/review/standins/src/route.rs
+++ b/review/standins/src/route.rs
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of feira-sul.
-const BOUNDS: Bounds = Bounds { grace_s: 6, retry_window_s: 10, budget_slack: 55 };
+const BOUNDS: Bounds = Bounds { grace_s: 6, retry_window_s: 10, budget_slack: 55, tenants: "" };
 const CONTACT: Duration = Duration::from_millis(3000);
 const LEAD: Duration = Duration::from_secs(8);
 /// `reuse_after_s`, and a little.
