--- a/review/standins/src/machine.rs
+++ b/review/standins/src/machine.rs
@@ -19,6 +19,20 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+/// Processes that run, so that a case that fails half-way leaves none behind.
+static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+fn forget(process: i32) {
+    RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).retain(|other| *other != process);
+}
+
+/// Kills the processes that are left.
+pub fn end_left() {
+    for process in RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
+        unsafe { kill(process, SIGKILL) };
+    }
+}
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -117,6 +131,7 @@
             .spawn()
             .expect("the program of the deploy file starts");
         self.record.line(&format!("platform: starts the node of {name} beside {service}, process {}", child.id()));
+        RUNNING.lock().unwrap().push(child.id() as i32);
         *self.process.lock().unwrap() = Some(child);
     }
 
@@ -139,6 +154,7 @@
         match child.try_wait() {
             Ok(Some(status)) => {
                 self.record.line(&format!("platform: the node of {} has ended, {status}", self.name));
+                forget(child.id() as i32);
                 *process = None;
                 true
             }
@@ -210,6 +226,7 @@
     if let Some(mut child) = process.lock().unwrap().take() {
         let _ = child.kill();
         let _ = child.wait();
+        forget(child.id() as i32);
     }
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -40,13 +40,15 @@
         }
     };
     record.line(&format!("case {case}, disruption: {has_trouble}"));
-    let verdict = match case.as_str() {
+    let played = std::panic::catch_unwind(|| match case.as_str() {
         "lost" => lost::play(&record, has_trouble),
         "memory" => memory::play(&record, has_trouble),
         "quota" => quota::play(&record, has_trouble),
         "route" => route::play(&record, has_trouble),
         other => Verdict::CouldNotRun(format!("unknown case {other}")),
-    };
+    });
+    machine::end_left();
+    let verdict = played.unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in failed".to_owned()));
     let (text, code) = match verdict {
         Verdict::Held => ("the rule held".to_owned(), 0),
         Verdict::Broken => ("the rule was broken".to_owned(), 1),
