Review: both cases within the figures of their sites, no package in the tree

The stand-ins are built by rustc alone, so no manifest or lock file is added. They end all processes on a signal and after 100 s, and remove their folder always.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the review. Needs no network.
+# Builds the stand-ins of the review with the compiler alone. Needs no network and no package.
 set -eu
 cd "$(dirname "$0")/.."
-exec cargo build --release --offline --manifest-path review/standins/Cargo.toml --target-dir target/review
+mkdir -p target/review
+exec rustc --edition 2021 -O -o target/review/review-standins review/standins/main.rs
--- a/review/standins/src/client.rs
+++ b/review/standins/client.rs
@@ -34,7 +34,7 @@
 /// Segments of an ordinary network and a small window, as DEPLOY.md says of the links. With those of the
 /// loopback interface, the kernel would hold megabytes that the client has not read.
 const SEGMENT_BYTES: i32 = 1400;
-const WINDOW_BYTES: i32 = 4 * 1024;
+const WINDOW_BYTES: i32 = 2 * 1024;
 
 /// Connects with segments of an ordinary network and a small window.
 pub fn connect_as_remote(address: SocketAddr) -> io::Result<TcpStream> {
@@ -136,3 +136,26 @@
     }
     End::Whole { status, bytes, is_last, signature }
 }
+
+/// Sends requests one behind the other, and reads the answers in their order at `bytes_per_second`. Returns
+/// the number of whole answers with status 200, and how the connection ended if some are missing.
+pub fn exchange_pipelined(
+    wire: &mut Wire,
+    requests: &[String],
+    deadline: Duration,
+    bytes_per_second: usize,
+) -> (usize, Option<End>) {
+    let sent_at = Instant::now();
+    if let Err(error) = wire.write(requests.concat().as_bytes()) {
+        let error = error.to_string();
+        return (0, Some(End::Cut { status: None, bytes: 0, length: 0, error }));
+    }
+    for whole in 0..requests.len() {
+        let left = deadline.saturating_sub(sent_at.elapsed()).max(Duration::from_millis(1));
+        match exchange(wire, "", left, Some(bytes_per_second)) {
+            End::Whole { status: 200, .. } => {}
+            end => return (whole, Some(end)),
+        }
+    }
+    (requests.len(), None)
+}
--- a/review/standins/src/machine.rs
+++ b/review/standins/machine.rs
@@ -6,7 +6,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicI32, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -17,22 +17,67 @@
 
 extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn signal(number: i32, handler: extern "C" fn(i32)) -> usize;
+    fn _exit(status: i32) -> !;
 }
 
-/// Processes that run, so that a case that fails half-way leaves none behind.
-static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+/// Processes that run, 0 for none, so that a case that fails or is stopped leaves none behind.
+static RUNNING: [AtomicI32; 128] = [const { AtomicI32::new(0) }; 128];
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
+/// Longer than any case takes.
+const TIME_LIMIT: Duration = Duration::from_secs(100);
+
+fn remember(process: i32) {
+    for slot in &RUNNING {
+        if slot.compare_exchange(0, process, Ordering::SeqCst, Ordering::SeqCst).is_ok() {
+            return;
+        }
+    }
+}
 
 fn forget(process: i32) {
-    RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).retain(|other| *other != process);
+    for slot in &RUNNING {
+        let _ = slot.compare_exchange(process, 0, Ordering::SeqCst, Ordering::SeqCst);
+    }
+}
+
+fn kill_left() {
+    for slot in &RUNNING {
+        let process = slot.swap(0, Ordering::SeqCst);
+        if process > 0 {
+            unsafe { kill(process, SIGKILL) };
+        }
+    }
 }
 
-/// Kills the processes that are left.
+/// Kills the processes that are left and removes the temporary folder.
 pub fn end_left() {
-    for process in RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
-        unsafe { kill(process, SIGKILL) };
+    kill_left();
+    let folder = FOLDER.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take();
+    if let Some(folder) = folder {
+        let _ = fs::remove_dir_all(folder);
+    }
+}
+
+extern "C" fn stop_at_signal(_signal: i32) {
+    kill_left();
+    unsafe { _exit(2) };
+}
+
+/// Ends all processes when this one is told to stop, or runs for too long.
+pub fn guard() {
+    unsafe {
+        signal(SIGTERM, stop_at_signal);
+        signal(SIGINT, stop_at_signal);
     }
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        end_left();
+        std::process::exit(2);
+    });
 }
 
+const SIGINT: i32 = 2;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -131,7 +176,7 @@
             .spawn()
             .expect("the program of the deploy file starts");
         self.record.line(&format!("platform: starts the node of {name} beside {service}, process {}", child.id()));
-        RUNNING.lock().unwrap().push(child.id() as i32);
+        remember(child.id() as i32);
         *self.process.lock().unwrap() = Some(child);
     }
 
@@ -255,6 +300,7 @@
     fs::create_dir_all(&folder).expect("temporary folder");
     // Shows early that the folder can be written.
     File::create(folder.join("started")).expect("temporary file");
+    *FOLDER.lock().unwrap() = Some(folder.clone());
     folder
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/main.rs
@@ -40,6 +40,7 @@
         }
     };
     record.line(&format!("case {case}, disruption: {has_trouble}"));
+    machine::guard();
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "lost" => lost::play(&record, has_trouble),
         "memory" => memory::play(&record, has_trouble),
--- a/review/standins/src/memory.rs
+++ b/review/standins/memory.rs
@@ -113,7 +113,6 @@
     let kills = watch.join().unwrap_or(0);
     end_all(&machines);
     machines[0].copy_log();
-    let _ = std::fs::remove_dir_all(&folder);
     // Only requests count that a back end has got.
     let runs = runs.lock().unwrap();
     let has_run = |attempt: &&String| runs.iter().any(|run| run.attempt == **attempt);
--- a/review/standins/src/quota.rs
+++ b/review/standins/quota.rs
@@ -119,7 +119,6 @@
         "most requests of the tenant run within {WINDOW_S} s: {most}, from {from:.3} s on; allowed: {allowed}"
     ));
     machines[0].copy_log();
-    let _ = std::fs::remove_dir_all(&folder);
     match most as f64 > allowed {
         true => Verdict::Broken,
         false => Verdict::Held,
--- a/review/standins/src/route.rs
+++ b/review/standins/route.rs
@@ -145,7 +145,6 @@
     for machine in &machines {
         machine.copy_log();
     }
-    let _ = std::fs::remove_dir_all(&folder);
     match foreign.is_empty() {
         true => Verdict::Held,
         false => Verdict::Broken,
