Verify a back end only after it has reported as one of the node's service

Cause: the answer to a health check names an instance but no service, and the node took any instance that answered 200 for the next incarnation of its own service. After that it named the foreign instance in its calls, so that one had no reason to refuse them. The log of the node shows the order: foreign heartbeat rejected, call refused with 421, "back end verified" with the foreign instance.

Change: an instance is verified only if it has reported to this process as a member of the node's service. Before the first such report a node makes no health check; an unreported instance at the address ends the work for the back end and is logged. The slots of a new instance come with the report that precedes its verification, not with the one after it.

Why it works: heartbeats name the service and foreign ones are rejected, so no other instance can pass the check, whatever triggers it: a 421, a configuration, the start of the node, a retry.

--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -12,8 +12,8 @@
     platform::InstanceReport,
     protocol::Load,
     tables::{
-        AnnouncedLimit, EndedIncarnation, FailureRate, FailureRateChange, Incarnation,
-        InstanceState, ReportEffect,
+        AnnouncedLimit, EndedIncarnation, FailureRate, FailureRateChange, HealthCheckEffect,
+        Incarnation, InstanceState, ReportEffect,
     },
 };
 
@@ -24,12 +24,7 @@
             let mut tables = self.tables();
             let slots_before = tables.instance.slots();
             let effect = tables.instance.apply_report(report, Instant::now());
-            let slots = tables.instance.slots();
-            let service = &self.settings.backend.service;
-            if slots != slots_before && !tables.peers.has_enough_slot_reports(service, slots) {
-                self.signals.record_changed.notify_one();
-            }
-            self.update_slots(&tables);
+            self.update_reported_slots(&tables, slots_before);
             effect
         };
         match effect {
@@ -89,6 +84,17 @@
         }
     }
 
+    /// Applies the slots that the back end reported. Registers them if they changed and too few nodes
+    /// of the service have registered that number.
+    fn update_reported_slots(&self, tables: &Tables, slots_before: u32) {
+        let slots = tables.instance.slots();
+        let service = &self.settings.backend.service;
+        if slots != slots_before && !tables.peers.has_enough_slot_reports(service, slots) {
+            self.signals.record_changed.notify_one();
+        }
+        self.update_slots(tables);
+    }
+
     pub(super) fn update_slots(&self, tables: &Tables) {
         self.slots.set_slots(self.effective_slots(tables));
     }
@@ -123,32 +129,52 @@
         self.tables().instance.available_incarnation(Instant::now())
     }
 
-    /// Records that the back end answered a health check as `instance`. A new id means that the
+    /// Records that a back end answered a health check as `instance`. A new id means that the
     /// previous instance was replaced, which may have been a crash.
-    pub fn instance_verified(&self, instance: &str, is_healthy: bool) {
+    pub fn instance_verified(&self, instance: &str, is_healthy: bool) -> HealthCheckEffect {
         let mut previous_crash = None;
-        let changed = {
+        let effect = {
             let mut tables = self.tables();
             let current = tables.instance.current();
             let is_new_instance = current.is_none_or(|current| current.id() != instance);
-            if is_new_instance {
+            if is_new_instance && tables.instance.has_reported(instance) {
                 previous_crash = tables.take_crash(true, BootInstant::now());
                 self.forget_incarnation(&mut tables);
             }
-            let changed = tables
+            let slots_before = tables.instance.slots();
+            let effect = tables
                 .instance
                 .record_health_check(instance, is_healthy, Instant::now());
-            let changed = changed | self.apply_earlier_notices(&mut tables);
-            self.update_slots(&tables);
-            changed
+            let begins_to_leave = self.apply_earlier_notices(&mut tables);
+            self.update_reported_slots(&tables, slots_before);
+            match effect {
+                HealthCheckEffect::Nothing if begins_to_leave => HealthCheckEffect::Changed,
+                _ => effect,
+            }
         };
         if let Some(crash) = previous_crash {
             self.report_crash(crash);
         }
-        if changed {
-            tracing::info!(instance, is_healthy, "back end verified");
-            self.instance_changed();
+        match effect {
+            HealthCheckEffect::Nothing => return effect,
+            HealthCheckEffect::Changed => {
+                tracing::info!(instance, is_healthy, "back end verified");
+            }
+            HealthCheckEffect::Unreported => tracing::warn!(
+                instance,
+                service = self.settings.backend.service,
+                "a back end that has not reported to this node answers the health check and may \
+                 belong to another service; sending it no calls until it reports"
+            ),
         }
+        self.instance_changed();
+        effect
+    }
+
+    /// Returns whether a back end of the node's service has reported to this node.
+    #[must_use]
+    pub fn has_back_end_reports(&self) -> bool {
+        self.tables().instance.has_reports()
     }
 
     /// Records a failed attempt to connect to the back end.
--- a/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/mod.rs
@@ -1,13 +1,16 @@
 //! Tracks the back end beside this node, and decides whether it may get work.
 //!
-//! An incarnation of the back end gets work once it answers a health check as healthy, until it announces
-//! that it leaves, cannot be reached, or is replaced. Once it announced that it leaves, it never gets work
-//! again. A report alone does not make it ready: reports arrive about 1.5 s apart, and may be late, out of
-//! order, or from another incarnation.
+//! An incarnation of the back end gets work once it has reported as a member of the node's service and
+//! answers a health check as healthy, until it announces that it leaves, cannot be reached, or is replaced.
+//! Once it announced that it leaves, it never gets work again. Neither the report nor the health check is
+//! enough: reports arrive about 1.5 s apart, and may be late, out of order, or from another incarnation; the
+//! answer to a health check does not name a service, and a back end of another service may have got the
+//! address.
 //!
 //! The node calls this table under its lock, and runs the health checks and connections itself.
 
 mod departures;
+mod reported_ids;
 mod state;
 mod tracker;
 
@@ -15,9 +18,10 @@
 
 use tokio::time::Instant;
 
-pub use self::state::{EndedIncarnation, InstanceState, ReportEffect};
+pub use self::state::{EndedIncarnation, HealthCheckEffect, InstanceState, ReportEffect};
 use self::{
     departures::Departures,
+    reported_ids::ReportedIds,
     tracker::{IncarnationTracker, Reporter},
 };
 use super::incarnation::Incarnation;
@@ -30,6 +34,8 @@
 struct Candidate {
     id: String,
     started_at_ms: Option<u64>,
+    sequence: u64,
+    slots: u32,
 }
 
 /// Identity, state and slots of the back end beside this node.
@@ -38,6 +44,7 @@
     state: InstanceState,
     incarnations: IncarnationTracker,
     candidate: Option<Candidate>,
+    reported_ids: ReportedIds,
     departures: Departures,
     /// Highest sequence number among the reports of the current incarnation.
     last_sequence: u64,
@@ -50,6 +57,7 @@
             state: InstanceState::Unknown,
             incarnations: IncarnationTracker::default(),
             candidate: None,
+            reported_ids: ReportedIds::default(),
             departures: Departures::default(),
             last_sequence: 0,
             slots: 0,
@@ -107,9 +115,26 @@
         current.is_some_and(|current| current.id() == incarnation.id() && current != incarnation)
     }
 
+    /// Returns whether any back end has reported as a member of the node's service. Until then, no health
+    /// check can make a back end ready.
+    #[must_use]
+    pub fn has_reports(&self) -> bool {
+        !self.reported_ids.is_empty()
+    }
+
+    /// Returns whether the back end with this id has reported as a member of the node's service.
+    #[must_use]
+    pub fn has_reported(&self, id: &str) -> bool {
+        self.reported_ids.contains(id)
+    }
+
     /// Applies a report of a back end. Reports may arrive late and out of order, so no report makes an
-    /// incarnation ready that has announced that it leaves.
+    /// incarnation ready that has announced that it leaves. The service of the report, if it names one,
+    /// must be that of the node.
     pub fn apply_report(&mut self, report: &InstanceReport, now: Instant) -> ReportEffect {
+        if report.service.is_some() {
+            self.reported_ids.record(&report.instance);
+        }
         let started_at_ms = report.started_at_ms;
         let reporter = self
             .incarnations
@@ -208,6 +233,8 @@
         self.candidate = Some(Candidate {
             id: instance.clone(),
             started_at_ms: *started_at_ms,
+            sequence: report.sequence,
+            slots: report.slots,
         });
         ReportEffect::Verify
     }
@@ -227,10 +254,18 @@
         ReportEffect::Changed
     }
 
-    /// Records that the back end answered a health check under the id `id`. Returns whether its state or
-    /// id changed.
-    pub fn record_health_check(&mut self, id: &str, is_healthy: bool, now: Instant) -> bool {
+    /// Records that a back end answered a health check under the id `id`.
+    pub fn record_health_check(
+        &mut self,
+        id: &str,
+        is_healthy: bool,
+        now: Instant,
+    ) -> HealthCheckEffect {
         let is_other_id = !self.incarnations.is_current_id(id);
+        if is_other_id && !self.has_reported(id) {
+            self.mark_unverified();
+            return HealthCheckEffect::Unreported;
+        }
         if is_other_id {
             self.replace(id);
         }
@@ -243,16 +278,26 @@
         };
         let has_changed = is_other_id || self.state != state;
         self.state = state;
-        has_changed
+        match has_changed {
+            true => HealthCheckEffect::Changed,
+            false => HealthCheckEffect::Nothing,
+        }
     }
 
-    /// Replaces the current incarnation by one of another id.
+    /// Replaces the current incarnation by one of another id, with what that one last reported.
     fn replace(&mut self, id: &str) {
         let candidate = self.candidate.take();
-        let candidate = candidate.filter(|candidate| candidate.id == id);
-        let started_at_ms = candidate.and_then(|candidate| candidate.started_at_ms);
-        self.incarnations.replace(id, started_at_ms);
-        self.last_sequence = 0;
+        match candidate.filter(|candidate| candidate.id == id) {
+            Some(candidate) => {
+                self.incarnations.replace(id, candidate.started_at_ms);
+                self.last_sequence = candidate.sequence;
+                self.slots = candidate.slots;
+            }
+            None => {
+                self.incarnations.replace(id, None);
+                self.last_sequence = 0;
+            }
+        }
     }
 
     /// Records that a connection to the back end failed. Returns whether the back end was ready before.
@@ -274,8 +319,8 @@
         was_unreachable
     }
 
-    /// Stops work for the back end until a health check verifies it, because another instance answered a
-    /// call in its place. A leaving back end stays leaving.
+    /// Stops work for the back end until a health check verifies it, because another instance answered in
+    /// its place. A leaving back end stays leaving.
     pub fn mark_unverified(&mut self) {
         if self.state != InstanceState::Leaving {
             self.state = InstanceState::Unknown;
--- a/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/instance/state.rs
@@ -33,6 +33,18 @@
     Restarted(EndedIncarnation),
 }
 
+/// What the answer to a health check changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthCheckEffect {
+    /// The answer confirmed the known state.
+    Nothing,
+    /// The id or the state of the back end changed.
+    Changed,
+    /// The id is new and has not reported as a member of the node's service, so it may belong to another
+    /// service. It gets no work until it reports.
+    Unreported,
+}
+
 /// An incarnation that ended because the back end restarted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EndedIncarnation {
--- a/crates/tallybridge-mesh/src/tables/backend/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/backend/mod.rs
@@ -23,4 +23,6 @@
 pub use earlier_notices::EarlierNotices;
 pub use failures::{FailureRate, FailureRateChange};
 pub use incarnation::Incarnation;
-pub use instance::{EndedIncarnation, InstanceState, LocalInstance, ReportEffect};
+pub use instance::{
+    EndedIncarnation, HealthCheckEffect, InstanceState, LocalInstance, ReportEffect,
+};
--- a/crates/tallybridge-mesh/src/tables/mod.rs
+++ b/crates/tallybridge-mesh/src/tables/mod.rs
@@ -15,7 +15,8 @@
 pub use admission::{AdmissionControl, ServiceLoads};
 pub use backend::{
     AnnouncedLimit, AnnouncedRate, Announcement, EarlierNotices, EndedIncarnation, FailureRate,
-    FailureRateChange, Incarnation, InstanceState, LimitChange, LocalInstance, ReportEffect,
+    FailureRateChange, HealthCheckEffect, Incarnation, InstanceState, LimitChange, LocalInstance,
+    ReportEffect,
 };
 pub use configuration::{ConfigurationTable, ConfirmedVersion};
 pub use delegates::Delegates;
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -3,7 +3,8 @@
 //! A check runs when a configuration comes into force, when an unverified back end reports, and when
 //! a call is answered by another instance. It repeats until the back end is healthy or leaving.
 //! Reports do not verify a back end, because they may be late, reordered or from another
-//! incarnation.
+//! incarnation. A health check does not verify a back end that has not reported either, because its
+//! answer names no service; the next check then waits for a report.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -15,7 +16,7 @@
 use crate::{
     http::{Connection, ExchangeError, connect},
     node::Node,
-    tables::{Announcement, InstanceState},
+    tables::{Announcement, HealthCheckEffect, InstanceState},
 };
 
 /// Timeout of a health check. It includes the wait for a slot, because the back end queues health
@@ -46,14 +47,17 @@
 async fn verify_once(node: &Arc<Node>) -> Option<Duration> {
     // Without a configuration, or without the service in it, the next configuration wakes the task.
     let configuration = node.configuration()?;
+    if !node.has_back_end_reports() {
+        return None;
+    }
     let service = node.settings.backend.service.as_str();
     let policy = configuration.services.get(service)?;
     let started_at = Instant::now();
     let wait = match check_health(node, &policy.health_path).await {
         Ok(answer) => {
-            node.instance_verified(&answer.instance, answer.is_healthy);
+            let effect = node.instance_verified(&answer.instance, answer.is_healthy);
             node.record_health_announcement(&answer.instance, &answer.announcement);
-            if answer.is_healthy {
+            if answer.is_healthy || effect == HealthCheckEffect::Unreported {
                 return None;
             }
             UNHEALTHY_RETRY_WAIT
--- a/crates/tallybridge-mesh/tests/instance.rs
+++ b/crates/tallybridge-mesh/tests/instance.rs
@@ -5,7 +5,7 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 use tallybridge_mesh::{
     InstanceReport, ReportedState,
-    tables::{EndedIncarnation, InstanceState, LocalInstance, ReportEffect},
+    tables::{EndedIncarnation, HealthCheckEffect, InstanceState, LocalInstance, ReportEffect},
 };
 use tokio::time::Instant;
 
@@ -44,7 +44,7 @@
     InstanceReport {
         instance: instance.to_string(),
         started_at_ms: None,
-        service: None,
+        service: Some("ledger".to_owned()),
         state: if is_leaving {
             ReportedState::Leaving
         } else {
@@ -58,17 +58,19 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, rng_seed: RngSeed::Fixed(2), ..ProptestConfig::default() })]
 
-    /// An instance gets no work after it announced that it leaves, or before it answered a health check
-    /// as healthy.
+    /// An instance gets no work after it announced that it leaves, or before it reported and answered a
+    /// health check as healthy.
     #[test]
     fn leaving_and_unverified_instances_get_no_work(events in prop::collection::vec(any_event(), 1..60)) {
         let now = Instant::now();
         let mut instance = LocalInstance::default();
         let mut leaving_ids = HashSet::new();
         let mut healthy_ids = HashSet::new();
+        let mut reported_ids = HashSet::new();
         for event in events {
             match event {
                 Event::Report { instance: id, is_leaving, sequence } => {
+                    reported_ids.insert(id.to_string());
                     if is_leaving {
                         leaving_ids.insert(id.to_string());
                     }
@@ -96,6 +98,7 @@
                 let id = incarnation.id();
                 prop_assert!(!leaving_ids.contains(id), "{id} got work after it left");
                 prop_assert!(healthy_ids.contains(id), "{id} got work before a health check");
+                prop_assert!(reported_ids.contains(id), "{id} got work before a report");
             }
         }
     }
@@ -108,10 +111,46 @@
     assert_eq!(instance.state(), InstanceState::Unknown);
 }
 
+/// A back end of another service may get the address of one that ended, and answers its health check.
+#[test]
+fn health_check_without_report_does_not_verify() {
+    let now = Instant::now();
+    let mut instance = LocalInstance::default();
+    assert_eq!(
+        instance.record_health_check("1", true, now),
+        HealthCheckEffect::Unreported
+    );
+    assert!(instance.available_incarnation(now).is_none());
+    let mut instance = ready_instance(now);
+    assert_eq!(
+        instance.record_health_check("2", true, now),
+        HealthCheckEffect::Unreported
+    );
+    assert!(instance.available_incarnation(now).is_none());
+    let deregistration = InstanceReport {
+        service: None,
+        ..report(2, true, 0)
+    };
+    instance.apply_report(&deregistration, now);
+    assert_eq!(
+        instance.record_health_check("2", true, now),
+        HealthCheckEffect::Unreported
+    );
+    instance.apply_report(&report(3, false, 1), now);
+    instance.record_health_check("3", true, now);
+    assert_eq!(
+        instance
+            .available_incarnation(now)
+            .map(|found| found.id().to_owned()),
+        Some("3".to_owned())
+    );
+}
+
 #[test]
 fn late_report_does_not_change_slots() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
+    instance.apply_report(&report(1, false, 1), now);
     instance.record_health_check("1", true, now);
     instance.apply_report(&report(1, false, 5), now);
     let late = InstanceReport {
@@ -126,6 +165,7 @@
 fn retries_unreachable_back_end_after_delay() {
     let now = Instant::now();
     let mut instance = LocalInstance::default();
+    instance.apply_report(&report(1, false, 1), now);
     instance.record_health_check("1", true, now);
     assert!(instance.mark_unreachable(now));
     assert!(
@@ -299,6 +339,7 @@
 fn id_without_start_time_returns_after_exclusion() {
     let mut now = Instant::now();
     let mut instance = LocalInstance::default();
+    instance.apply_report(&report(1, false, 0), now);
     instance.record_health_check("1", true, now);
     instance.apply_report(&report(1, true, 1), now);
     now += Duration::from_secs(30);
