Count a request as in flight until its answer is written

What callers saw: a planned stop ended the connection within an answer that the caller was reading (LOST).

Cause: the guard that counts a request as in flight was dropped when the entry returned the answer, before the HTTP server had written it. The drain of the stop saw an idle node: in_flight 0 when the stop began, cut_off 0 at its end.

Change: the HTTP server holds the guard until the answer is written, and another one for a connection that closes until the caller has closed it, up to 5 s instead of 0.5 s without a count. The same cause on related paths: a call of a peer counts until its reply is written to the link, not until it leaves its slot; at the end of the stop the links of peers are shut down and the peers' close awaited, since the end of a process with unread bytes resets its connections; and the pending requests of a connection proceed while an answer is written, where they stood still and kept their slots behind a caller that reads slowly.

Why it works: the drain ends only when nothing is counted, and everything that has been read is counted until its bytes have left.

--- a/crates/tallybridge-mesh/src/http/response.rs
+++ b/crates/tallybridge-mesh/src/http/response.rs
@@ -40,13 +40,16 @@
     }
 }
 
-/// A response that is ready to be written, and whether its request was a `HEAD` request.
-pub(super) struct PendingResponse {
+/// A response that is ready to be written.
+pub(super) struct PendingResponse<G> {
     pub response: Response,
+    /// Whether the request was a `HEAD` request.
     pub is_head_request: bool,
+    /// Guard of the request; `None` if the server rejected the request itself.
+    pub _guard: Option<G>,
 }
 
-impl PendingResponse {
+impl<G> PendingResponse<G> {
     /// Writes the response. `closes_connection` adds a `Connection: close` header.
     pub async fn write(&self, stream: &mut TcpStream, closes_connection: bool) -> io::Result<()> {
         let body = &self.response.body;
--- a/crates/tallybridge-mesh/src/http/server/handler.rs
+++ b/crates/tallybridge-mesh/src/http/server/handler.rs
@@ -11,6 +11,17 @@
 
 /// Handles the requests that a listener receives.
 pub trait RequestHandler: Clone + Send + Sync + 'static {
+    /// Counts a request or a connection until it is dropped.
+    type Guard: Send + Sync + 'static;
+
+    /// Counts a request that has been read completely. The server holds the guard until the response is
+    /// written completely or the connection fails.
+    fn track_request(&self) -> Self::Guard;
+
+    /// Counts a connection whose last response has been written. The server holds the guard until the
+    /// caller closes the connection or a timeout expires.
+    fn track_closing_connection(&self) -> Self::Guard;
+
     /// Returns the response to one request. The server drops the future when the caller closes its
     /// connection.
     fn handle(&self, request: Request) -> impl Future<Output = Response> + Send;
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -1,5 +1,8 @@
 //! Serves the connection of one caller. Pipelined requests run concurrently and are answered in the
-//! order received.
+//! order received. They also proceed while a response is written to a caller that reads slowly.
+//!
+//! Guards of the handler count each request until its response is written, and each connection that
+//! closes until the caller has received its last response.
 //!
 //! When a caller closes its connection, the server cancels all requests of that connection. The
 //! module relies on [`request_reader`] to parse requests and on a [`RequestHandler`] to answer them.
@@ -7,7 +10,7 @@
 mod handler;
 mod request_reader;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{collections::VecDeque, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use futures::{
@@ -31,7 +34,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a closing connection is still read. Closing a socket with unread bytes would reset the
 /// connection, and the caller could lose the last response.
-const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
 /// Serves requests on `stream` until either side closes the connection.
@@ -45,6 +48,7 @@
         stream,
         requests: RequestReader::new(caller),
         pending: FuturesOrdered::new(),
+        finished: VecDeque::new(),
         waiting_since: Instant::now(),
         is_idle: true,
         intake: Intake::Open,
@@ -62,11 +66,13 @@
     Closed,
 }
 
-struct ServerConnection<H> {
+struct ServerConnection<H: RequestHandler> {
     handler: H,
     stream: TcpStream,
     requests: RequestReader,
-    pending: FuturesOrdered<BoxFuture<'static, PendingResponse>>,
+    pending: FuturesOrdered<BoxFuture<'static, PendingResponse<H::Guard>>>,
+    /// Responses that became ready while an earlier one was being written.
+    finished: VecDeque<PendingResponse<H::Guard>>,
     /// Start of the idle or header timeout.
     waiting_since: Instant,
     /// Whether no byte of the next request has been received.
@@ -78,7 +84,12 @@
     async fn run(&mut self) -> io::Result<()> {
         loop {
             self.take_requests().await?;
+            if let Some(response) = self.finished.pop_front() {
+                self.write(response).await?;
+                continue;
+            }
             if self.intake == Intake::Closed && self.pending.is_empty() {
+                let _closing = self.handler.track_closing_connection();
                 return lingering_close(&mut self.stream).await;
             }
             let may_read = self.may_read();
@@ -86,7 +97,7 @@
             tokio::select! {
                 biased;
                 Some(response) = self.pending.next(), if !self.pending.is_empty() => {
-                    self.write(&response).await?;
+                    self.write(response).await?;
                 }
                 read = self.requests.read_some(&mut self.stream), if may_read => {
                     if read? == 0 {
@@ -138,7 +149,7 @@
 
     /// Starts every complete request in the buffer, up to the limit of concurrent requests.
     async fn take_requests(&mut self) -> io::Result<()> {
-        while self.intake == Intake::Open && self.pending.len() < MAX_PIPELINED_REQUESTS {
+        while self.intake == Intake::Open && self.unanswered() < MAX_PIPELINED_REQUESTS {
             match self.requests.take(&self.handler.limits()) {
                 Ok(Some(request)) => self.start_request(request),
                 Ok(None) => return self.continue_if_expected().await,
@@ -148,9 +159,14 @@
         Ok(())
     }
 
+    /// Returns the number of requests whose responses are not written.
+    fn unanswered(&self) -> usize {
+        self.pending.len() + self.finished.len()
+    }
+
     /// Sends `100 Continue` if the caller waits for it before sending the body.
     async fn continue_if_expected(&mut self) -> io::Result<()> {
-        if self.requests.awaits_continue() && self.pending.is_empty() {
+        if self.requests.awaits_continue() && self.unanswered() == 0 {
             let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
             self.stream.write_all(interim).await?;
         }
@@ -163,10 +179,12 @@
             self.close_intake();
         }
         let handler = self.handler.clone();
+        let guard = handler.track_request();
         let response = async move {
             PendingResponse {
                 response: handler.handle(request).await,
                 is_head_request,
+                _guard: Some(guard),
             }
         };
         self.pending.push_back(response.boxed());
@@ -177,6 +195,7 @@
         let response = PendingResponse {
             response: Response::new(status, Bytes::new()),
             is_head_request: false,
+            _guard: None,
         };
         self.close_intake();
         self.pending.push_back(ready(response).boxed());
@@ -187,21 +206,43 @@
         self.requests.discard();
     }
 
-    async fn write(&mut self, response: &PendingResponse) -> io::Result<()> {
+    async fn write(&mut self, response: PendingResponse<H::Guard>) -> io::Result<()> {
         // Only the last pending response may announce a close, because later requests already run.
-        let is_last = self.pending.is_empty();
+        let is_last = self.unanswered() == 0;
         if self.handler.is_closing() && is_last && !self.requests.is_in_body() {
             self.close_intake();
         }
         let closes_connection = self.intake == Intake::Closed && is_last;
-        let writing = response.write(&mut self.stream, closes_connection);
-        let written = timeout(WRITE_TIMEOUT, writing).await;
+        let writing = timeout(
+            WRITE_TIMEOUT,
+            response.write(&mut self.stream, closes_connection),
+        );
+        let written = run_beside(writing, &mut self.pending, &mut self.finished).await;
         self.waiting_since = Instant::now();
         self.is_idle = self.requests.is_empty();
         written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 }
 
+/// Waits for `writing`, and meanwhile lets the pending requests proceed. Otherwise a caller that reads
+/// slowly would keep them from reading the answers of their back ends.
+async fn run_beside<T, G>(
+    writing: impl Future<Output = T>,
+    pending: &mut FuturesOrdered<BoxFuture<'static, PendingResponse<G>>>,
+    finished: &mut VecDeque<PendingResponse<G>>,
+) -> T {
+    tokio::pin!(writing);
+    loop {
+        tokio::select! {
+            biased;
+            written = &mut writing => return written,
+            Some(response) = pending.next(), if !pending.is_empty() => {
+                finished.push_back(response);
+            }
+        }
+    }
+}
+
 /// Shuts down the sending side, then reads until the caller closes the connection or the timeout expires.
 async fn lingering_close(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -8,11 +8,12 @@
 //!
 //! Each layer depends only on layers after it in this list: `run`, `listener`, `request` and `tasks`,
 //! `node`, `tables`, `link`, `log`, `protocol`, `platform` and `configuration`, `http`, `settings`,
-//! `policy`, `clock`.
+//! `policy`, `clock`, `in_flight`.
 
 pub mod clock;
 pub mod configuration;
 pub mod http;
+pub mod in_flight;
 pub mod link;
 pub mod listener;
 pub mod log;
--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -9,7 +9,10 @@
     sync::mpsc,
 };
 
-use crate::protocol::{Frame, Message, NodeRecord};
+use crate::{
+    in_flight::InFlight,
+    protocol::{Frame, Message, NodeRecord},
+};
 
 /// Buffer space reserved for each read. It is small because a node has hundreds of links, most of
 /// which are idle.
@@ -33,6 +36,17 @@
         let _ = self.0.send(frame.encode());
     }
 
+    /// Queues a frame that counts as in flight until it is written. Drops both if the connection is
+    /// closed.
+    pub fn send_tracked(&self, frame: &Frame, in_flight: InFlight) {
+        let tracked = TrackedFrame {
+            bytes: frame.encode(),
+            _in_flight: in_flight,
+        };
+        // Fails only if the connection is closed, as in `send`.
+        let _ = self.0.send(Bytes::from_owner(tracked));
+    }
+
     /// Returns whether the connection is still open for writing.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -45,6 +59,18 @@
     }
 }
 
+/// Bytes of a frame with a guard that is dropped once they are written.
+struct TrackedFrame {
+    bytes: Bytes,
+    _in_flight: InFlight,
+}
+
+impl AsRef<[u8]> for TrackedFrame {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 fn invalid_data(error: impl ToString) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error.to_string())
 }
--- a/crates/tallybridge-mesh/src/listener/callers.rs
+++ b/crates/tallybridge-mesh/src/listener/callers.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     http::{HttpLimits, Request, RequestHandler, Response},
+    in_flight::InFlight,
     node::Node,
     request::entry,
 };
@@ -13,6 +14,16 @@
 pub struct CallerHandler(pub Arc<Node>);
 
 impl RequestHandler for CallerHandler {
+    type Guard = InFlight;
+
+    fn track_request(&self) -> InFlight {
+        self.0.track_request()
+    }
+
+    fn track_closing_connection(&self) -> InFlight {
+        self.0.track_closing_connection()
+    }
+
     async fn handle(&self, request: Request) -> Response {
         entry::handle(&self.0, request).await
     }
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -17,6 +17,12 @@
 pub struct ControlHandler(pub Arc<Node>);
 
 impl RequestHandler for ControlHandler {
+    type Guard = ();
+
+    fn track_request(&self) {}
+
+    fn track_closing_connection(&self) {}
+
     async fn handle(&self, request: Request) -> Response {
         let node = &self.0;
         match node.platform.control_request(&request.head, &request.body) {
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -18,6 +18,12 @@
 pub struct MetricsHandler(pub Arc<Node>);
 
 impl RequestHandler for MetricsHandler {
+    type Guard = ();
+
+    fn track_request(&self) {}
+
+    fn track_closing_connection(&self) {}
+
     async fn handle(&self, _request: Request) -> Response {
         Response::new(200, render_page(&self.0))
             .with_header("Content-Type", "text/plain; version=0.0.4")
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -9,8 +9,10 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     sync::mpsc,
+    task::JoinHandle,
     time::timeout,
 };
 
@@ -66,14 +68,33 @@
     node.learn_records([record]);
     let (sender, outgoing_frames) = mpsc::unbounded_channel();
     let writer_task = tokio::spawn(write_frames(writer, outgoing_frames));
-    let link = AcceptedLink::new(node, FrameSender::new(sender), keeps_notices);
+    let writer_abort = writer_task.abort_handle();
+    let _accepted_link = node.track_accepted_link();
+    let link = AcceptedLink::new(node.clone(), FrameSender::new(sender), keeps_notices);
     link.send_initial_state();
-    let result = link.run(&mut reader, &mut buffer).await;
-    writer_task.abort();
+    let result = tokio::select! {
+        result = link.run(&mut reader, &mut buffer) => result,
+        () = node.accepted_links_close() => close_link(reader, writer_task).await,
+    };
+    writer_abort.abort();
     link.running_calls.abort_idempotent();
     result
 }
 
+/// Shuts down the sending side, then reads until the peer has received everything and closes the link.
+/// A process that ends with unread bytes resets its connections, which loses what was written last.
+async fn close_link(
+    mut reader: OwnedReadHalf,
+    writer_task: JoinHandle<io::Result<()>>,
+) -> io::Result<()> {
+    // Drops the writer, which shuts down the sending side. No reply waits in its queue any more.
+    writer_task.abort();
+    let _ = writer_task.await;
+    let mut discarded = [0_u8; 1024];
+    while reader.read(&mut discarded).await? > 0 {}
+    Ok(())
+}
+
 /// A link from another node whose hello has arrived.
 struct AcceptedLink {
     node: Arc<Node>,
--- a/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/running_calls.rs
@@ -48,6 +48,7 @@
         let node = node.clone();
         let sender = sender.clone();
         let running_calls = self.clone();
+        let in_flight = node.track_peer_call();
         // Holds the lock until the entry exists: a task that ends at once must find it to remove it.
         let mut calls = self.lock();
         let task = tokio::spawn(async move {
@@ -58,10 +59,11 @@
             {
                 sender.send_message(Message::BackendNotice(notice));
             }
-            sender.send(&Frame {
+            let frame = Frame {
                 call: call_number,
                 message: reply(&node, result),
-            });
+            };
+            sender.send_tracked(&frame, in_flight);
         });
         let running_call = RunningCall {
             is_idempotent,
--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -1,16 +1,14 @@
 //! The lifecycle of a node: readiness, planned stop, changed settings and pauses of its process.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     time::Duration,
 };
 
 use super::Node;
 use crate::{
     clock::{self, BootInstant, Pauses},
+    in_flight::{InFlight, InFlightCounter},
     settings::MeshSettings,
 };
 
@@ -22,7 +20,13 @@
     refuses_work: AtomicBool,
     /// Whether most peers are unreachable.
     is_isolated: AtomicBool,
-    requests_in_flight: AtomicUsize,
+    requests: InFlightCounter,
+    /// Connections of callers whose last answer has been written.
+    closing_connections: InFlightCounter,
+    /// Calls that peers sent to this node as their executor.
+    peer_calls: InFlightCounter,
+    /// Links that peers opened to this node.
+    accepted_links: InFlightCounter,
     /// Time from the order to stop until the process is killed, in milliseconds.
     stop_grace_ms: AtomicU64,
     /// Number of pauses of the process that this node has handled.
@@ -35,7 +39,10 @@
             is_stopping: AtomicBool::new(false),
             refuses_work: AtomicBool::new(false),
             is_isolated: AtomicBool::new(false),
-            requests_in_flight: AtomicUsize::new(0),
+            requests: InFlightCounter::default(),
+            closing_connections: InFlightCounter::default(),
+            peer_calls: InFlightCounter::default(),
+            accepted_links: InFlightCounter::default(),
             stop_grace_ms: AtomicU64::new(settings.stop_grace_ms),
             handled_pauses: AtomicU64::new(clock::record_tick().count),
         }
@@ -89,18 +96,64 @@
         self.lifecycle.refuses_work.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of requests that this node is processing as their entry.
+    /// Returns the number of requests that this node has read as their entry and whose answers it has
+    /// not written completely.
     #[must_use]
     pub fn requests_in_flight(&self) -> usize {
-        self.lifecycle.requests_in_flight.load(Ordering::Relaxed)
+        self.lifecycle.requests.count()
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
     #[must_use]
-    pub fn track_request(self: &Arc<Self>) -> RequestInFlight {
-        let in_flight = &self.lifecycle.requests_in_flight;
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        RequestInFlight(self.clone())
+    pub fn track_request(&self) -> InFlight {
+        self.lifecycle.requests.begin()
+    }
+
+    /// Counts a connection of a caller that closes until the returned guard is dropped.
+    #[must_use]
+    pub fn track_closing_connection(&self) -> InFlight {
+        self.lifecycle.closing_connections.begin()
+    }
+
+    /// Counts a call of a peer as in flight until the returned guard is dropped.
+    #[must_use]
+    pub fn track_peer_call(&self) -> InFlight {
+        self.lifecycle.peer_calls.begin()
+    }
+
+    /// Returns whether an answer is still to come, not written completely, or not known to have arrived:
+    /// to a caller, or to a peer whose call this node executes.
+    #[must_use]
+    pub fn has_work_in_flight(&self) -> bool {
+        let lifecycle = &self.lifecycle;
+        lifecycle.requests.count() > 0
+            || lifecycle.closing_connections.count() > 0
+            || lifecycle.peer_calls.count() > 0
+            || self.slots.in_flight() > 0
+    }
+
+    /// Counts a link that a peer opened until the returned guard is dropped.
+    #[must_use]
+    pub fn track_accepted_link(&self) -> InFlight {
+        self.lifecycle.accepted_links.begin()
+    }
+
+    /// Returns whether links that peers opened are still open.
+    #[must_use]
+    pub fn has_accepted_links(&self) -> bool {
+        self.lifecycle.accepted_links.count() > 0
+    }
+
+    /// Closes the links that peers opened, once what was written on them has arrived.
+    pub fn close_accepted_links(&self) {
+        self.signals.accepted_links_close.send_replace(true);
+    }
+
+    /// Waits until the links that peers opened are to be closed.
+    pub async fn accepted_links_close(&self) {
+        let mut close = self.signals.accepted_links_close.subscribe();
+        // Fails only if the node was dropped, which ends its links as well.
+        let _ = close.wait_for(|is_due| *is_due).await;
     }
 }
 
@@ -154,13 +207,3 @@
         self.signals.resumed.notified().await;
     }
 }
-
-/// Guard that counts one request as in flight.
-pub struct RequestInFlight(Arc<Node>);
-
-impl Drop for RequestInFlight {
-    fn drop(&mut self) {
-        let in_flight = &self.0.lifecycle.requests_in_flight;
-        in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -44,7 +44,6 @@
 pub use self::{
     counters::Counters,
     dispatched::DispatchedCall,
-    lifecycle::RequestInFlight,
     running::{NestedCall, RunningAttempt},
     store_watch::{PendingWatch, WatchView, WatcherRole},
 };
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -35,7 +35,6 @@
 
 /// Answers a request of a caller, or a nested call of the back end beside this node.
 pub async fn handle(node: &Arc<Node>, request: Request) -> Response {
-    let _in_flight = node.track_request();
     node.counters.requests.fetch_add(1, Ordering::Relaxed);
     let attempt = request.head.headers.first(node.header_names.attempt);
     let mut nested = attempt.and_then(|attempt| node.begin_nested_call(attempt));
--- a/crates/tallybridge-mesh/src/run/stop.rs
+++ b/crates/tallybridge-mesh/src/run/stop.rs
@@ -2,7 +2,12 @@
 //!
 //! During the *notice*, the node reports that it is not ready and peers prefer other executors, but
 //! it still serves all requests and calls. During the *drain*, it refuses new requests and calls and
-//! waits until it has had none in flight for [`IDLE_PERIOD`]. Then it ends its registration.
+//! waits until it has had none in flight for [`IDLE_PERIOD`]. Then it ends its registration and closes
+//! the links of its peers.
+//!
+//! A request or call is in flight until its answer is written completely, however slowly the caller or
+//! peer reads. Connections are closed only after the other side has received everything, because the
+//! end of the process would reset those with unread bytes.
 //!
 //! The notice gives callers and peers time to notice the stop, so that no request is cut off. The
 //! first two phases end at the latest [`STOP_MARGIN`] before the end of the grace time, after which
@@ -19,8 +24,11 @@
 /// Time without requests and calls in flight that ends the drain.
 const IDLE_PERIOD: Duration = Duration::from_millis(400);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const LINK_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Part of the grace time that is reserved to end the registration and exit.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// Longest wait for peers to receive the last replies and close their links.
+const LINK_CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Runs the planned stop. Returns when the process may exit.
 pub async fn stop(node: &Arc<Node>) {
@@ -32,6 +40,7 @@
     node.refuse_work();
     drain(node, deadline).await;
     unregister(node).await;
+    close_links(node, deadline).await;
     tracing::info!(cut_off = node.requests_in_flight(), "node stopped");
 }
 
@@ -40,9 +49,18 @@
     let mut idle_since = Instant::now();
     while Instant::now() < deadline && idle_since.elapsed() < IDLE_PERIOD {
         sleep(DRAIN_POLL_INTERVAL).await;
-        let is_busy = node.requests_in_flight() > 0 || node.slots.in_flight() > 0;
-        if is_busy {
+        if node.has_work_in_flight() {
             idle_since = Instant::now();
         }
     }
 }
+
+/// Closes the links that peers opened, and waits until the peers have closed them too, until `deadline`
+/// or for [`LINK_CLOSE_TIMEOUT`].
+async fn close_links(node: &Node, deadline: Instant) {
+    let deadline = deadline.min(Instant::now() + LINK_CLOSE_TIMEOUT);
+    node.close_accepted_links();
+    while Instant::now() < deadline && node.has_accepted_links() {
+        sleep(LINK_POLL_INTERVAL).await;
+    }
+}
--- a/crates/tallybridge-mesh/tests/caller_connection.rs
+++ b/crates/tallybridge-mesh/tests/caller_connection.rs
@@ -10,6 +10,7 @@
 
 use tallybridge_mesh::{
     http::{Connection, HttpLimits, Request, RequestHandler, Response},
+    in_flight::{InFlight, InFlightCounter},
     listener::serve,
 };
 use tokio::{
@@ -18,13 +19,19 @@
     sync::Semaphore,
 };
 
+/// Size of the answer to `/large`, in bytes. Exceeds what the system buffers for a connection.
+const LARGE_BYTES: usize = 32 << 20;
+
 /// Answers each request with its path. Requests under `/wait` wait for a permit first.
 #[derive(Clone)]
 struct Echo {
     permits: Arc<Semaphore>,
     started: Arc<AtomicUsize>,
     dropped: Arc<AtomicUsize>,
+    completed: Arc<AtomicUsize>,
     closing: Arc<AtomicBool>,
+    in_flight: InFlightCounter,
+    closing_connections: InFlightCounter,
 }
 
 struct DropCounter(Arc<AtomicUsize>);
@@ -36,6 +43,16 @@
 }
 
 impl RequestHandler for Echo {
+    type Guard = InFlight;
+
+    fn track_request(&self) -> InFlight {
+        self.in_flight.begin()
+    }
+
+    fn track_closing_connection(&self) -> InFlight {
+        self.closing_connections.begin()
+    }
+
     async fn handle(&self, request: Request) -> Response {
         self.started.fetch_add(1, Ordering::SeqCst);
         let drop_guard = DropCounter(self.dropped.clone());
@@ -43,6 +60,10 @@
             self.permits.acquire().await.unwrap().forget();
         }
         std::mem::forget(drop_guard);
+        self.completed.fetch_add(1, Ordering::SeqCst);
+        if request.head.target == "/large" {
+            return Response::new(200, vec![b'x'; LARGE_BYTES]);
+        }
         Response::new(200, request.head.target.clone())
     }
 
@@ -66,7 +87,10 @@
         permits: Arc::new(Semaphore::new(0)),
         started: Arc::default(),
         dropped: Arc::default(),
+        completed: Arc::default(),
         closing: Arc::default(),
+        in_flight: InFlightCounter::default(),
+        closing_connections: InFlightCounter::default(),
     };
     tokio::spawn(serve(echo.clone(), listener));
     (echo, TcpStream::connect(address).await.unwrap())
@@ -127,6 +151,54 @@
     assert!(!connection.next_response(false).await.unwrap().is_persistent);
 }
 
+/// Guards against a stop that ends the process while a slow caller still reads its answer.
+#[tokio::test]
+async fn request_is_in_flight_until_its_answer_is_written() {
+    let (echo, mut stream) = start_server().await;
+    stream.write_all(&get("/large")).await.unwrap();
+    wait_until(|| echo.completed.load(Ordering::SeqCst) == 1).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(echo.in_flight.count(), 1);
+    let mut connection = Connection::new(stream);
+    let answer = connection.next_response(false).await.unwrap();
+    assert_eq!(answer.body.len(), LARGE_BYTES);
+    wait_until(|| echo.in_flight.count() == 0).await;
+}
+
+/// Guards against the same for the rest of the last answer, which the system still holds.
+#[tokio::test]
+async fn closing_connection_counts_until_the_caller_has_its_last_answer() {
+    let (echo, mut stream) = start_server().await;
+    echo.closing.store(true, Ordering::SeqCst);
+    stream.write_all(&get("/small")).await.unwrap();
+    let mut connection = Connection::new(stream);
+    assert!(!connection.next_response(false).await.unwrap().is_persistent);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(echo.closing_connections.count(), 1);
+    drop(connection);
+    wait_until(|| echo.closing_connections.count() == 0).await;
+}
+
+/// Guards against requests that stand still, and hold slots, behind an answer that is read slowly.
+#[tokio::test]
+async fn pipelined_requests_proceed_behind_a_slow_answer() {
+    let (echo, mut stream) = start_server().await;
+    let requests = [get("/large"), get("/wait/2"), get("/wait/3")].concat();
+    stream.write_all(&requests).await.unwrap();
+    wait_until(|| echo.started.load(Ordering::SeqCst) == 3).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    echo.permits.add_permits(2);
+    wait_until(|| echo.completed.load(Ordering::SeqCst) == 3).await;
+    assert_eq!(echo.in_flight.count(), 3);
+    let mut connection = Connection::new(stream);
+    let large = connection.next_response(false).await.unwrap();
+    assert_eq!(large.body.len(), LARGE_BYTES);
+    for path in ["/wait/2", "/wait/3"] {
+        assert_eq!(connection.next_response(false).await.unwrap().body, path);
+    }
+    wait_until(|| echo.in_flight.count() == 0).await;
+}
+
 #[tokio::test]
 async fn closes_idle_connection_without_response() {
     let (_echo, mut stream) = start_server().await;
