Bound the memory of answers that are being read

What callers would see: the end of a node, and with it of requests that have nothing to do with the cause. Back ends in trouble may send bytes that are no answer without end.

Cause: one answer may take 64 MiB, and nothing bounded their sum over the connections of a node.

Change: the answers that a node reads at once share a third of its memory, and one fails once it holds more than three times what is left. On related paths: interim responses were skipped without a limit and now fail the call after 16; health checks read at most 64 KiB instead of 64 MiB; the pool closes idle connections on which bytes arrive. Heads, chunk lines and trailers had limits before.

Why it works: the share of an answer is bounded by what is free, so the sum never passes the budget, and the largest answers, which the endless ones become, fail first. The first 64 KiB of each are free, so ordinary answers do not depend on the others.

Cost: one answer may take 40 MiB at 160 MB of memory, where it could take 64 MiB.

--- a/crates/tallybridge-mesh/src/http/body_reader.rs
+++ b/crates/tallybridge-mesh/src/http/body_reader.rs
@@ -120,6 +120,12 @@
         self.body.is_empty()
     }
 
+    /// Returns the number of bytes of the body read so far.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the bytes read so far, which are the whole body once [`read`](Self::read) returned `true`.
     #[must_use]
     pub fn into_body(self) -> Vec<u8> {
--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -8,19 +8,42 @@
     net::{TcpStream, tcp::ReadHalf},
 };
 
-use super::{BodyLength, BodyReader, ExchangeError, ResponseHead, exchange_error::ExchangeFailure};
+use super::{
+    AnswerBudget, BodyLength, BodyReader, ExchangeError, ResponseHead,
+    exchange_error::ExchangeFailure,
+};
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Equals the default limit for request bodies.
-const MAX_BODY_BYTES: usize = 64 << 20;
+const DEFAULT_MAX_BODY_BYTES: usize = 64 << 20;
+const MAX_INTERIM_RESPONSES: usize = 16;
 /// Buffer space reserved before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Limits on the memory that responses take while they are being read.
+#[derive(Debug, Clone)]
+pub struct ResponseLimits {
+    /// Size limit for the body of one response, without its transfer coding.
+    pub max_body_bytes: usize,
+    /// Memory that the response shares with others; `None` if only its own limit applies.
+    pub budget: Option<AnswerBudget>,
+}
+
+impl Default for ResponseLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
+            budget: None,
+        }
+    }
+}
+
 /// A client connection to an HTTP server. The buffer holds bytes that no response has consumed yet.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    limits: ResponseLimits,
 }
 
 /// A complete response, and what may follow it on its connection.
@@ -39,12 +62,19 @@
 }
 
 impl Connection {
-    /// Wraps an open stream on which no request is in progress.
+    /// Wraps an open stream on which no request is in progress, with the default limits.
     #[must_use]
     pub fn new(stream: TcpStream) -> Self {
+        Self::with_limits(stream, ResponseLimits::default())
+    }
+
+    /// Wraps an open stream on which no request is in progress.
+    #[must_use]
+    pub fn with_limits(stream: TcpStream, limits: ResponseLimits) -> Self {
         Self {
             stream,
             buffer: BytesMut::new(),
+            limits,
         }
     }
 
@@ -76,7 +106,11 @@
     ) -> Result<ReceivedResponse, ExchangeError> {
         let written = self.stream.write(request).await;
         let written = written.map_err(ExchangeError::not_sent)?;
-        let Self { stream, buffer } = self;
+        let Self {
+            stream,
+            buffer,
+            limits,
+        } = self;
         let (mut reader, mut writer) = stream.split();
         let mut is_sent = false;
         let received = {
@@ -84,7 +118,7 @@
                 writer.write_all(&request[written..]).await?;
                 writer.write_all(body).await
             };
-            let receiving = receive_response(&mut reader, buffer, is_head_request);
+            let receiving = receive_response(&mut reader, buffer, limits, is_head_request);
             tokio::pin!(sending, receiving);
             loop {
                 tokio::select! {
@@ -112,9 +146,13 @@
         &mut self,
         is_head_request: bool,
     ) -> Result<ReceivedResponse, ExchangeError> {
-        let Self { stream, buffer } = self;
+        let Self {
+            stream,
+            buffer,
+            limits,
+        } = self;
         let (mut reader, _writer) = stream.split();
-        let received = receive_response(&mut reader, buffer, is_head_request).await;
+        let received = receive_response(&mut reader, buffer, limits, is_head_request).await;
         let mut received = received.map_err(ExchangeError::sent)?;
         received.is_reusable &= buffer.is_empty();
         Ok(received)
@@ -124,11 +162,12 @@
 async fn receive_response(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
+    limits: &ResponseLimits,
     is_head_request: bool,
 ) -> Result<ReceivedResponse, ExchangeFailure> {
     let head = receive_head(reader, buffer).await?;
     let length = BodyLength::from_response(&head, is_head_request)?;
-    let body = receive_body(reader, buffer, length).await?;
+    let body = receive_body(reader, buffer, limits, length).await?;
     let is_persistent = length != BodyLength::UntilClose && !head.closes_connection();
     Ok(ReceivedResponse {
         head,
@@ -143,9 +182,15 @@
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
 ) -> Result<ResponseHead, ExchangeFailure> {
+    let mut interim_responses = 0;
     loop {
         match ResponseHead::take(buffer, MAX_HEAD_BYTES)? {
-            Some(head) if (100..=199).contains(&head.status) && head.status != 101 => {}
+            Some(head) if (100..=199).contains(&head.status) && head.status != 101 => {
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ExchangeFailure::TooManyInterimResponses);
+                }
+            }
             Some(head) => return Ok(head),
             None => read_more(reader, buffer).await?,
         }
@@ -155,10 +200,16 @@
 async fn receive_body(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
+    limits: &ResponseLimits,
     length: BodyLength,
 ) -> Result<Bytes, ExchangeFailure> {
-    let mut body = BodyReader::new(length, MAX_BODY_BYTES)?;
+    let mut body = BodyReader::new(length, limits.max_body_bytes)?;
+    let mut share = limits.budget.as_ref().map(AnswerBudget::begin_answer);
     while !body.read(buffer)? {
+        let has_room = share.as_mut().is_none_or(|share| share.grow_to(body.len()));
+        if !has_room {
+            return Err(ExchangeFailure::OutOfMemoryBudget);
+        }
         match read_more(reader, buffer).await {
             Err(ExchangeFailure::Closed) if body.ends_at_close() => break,
             read => read?,
--- a/crates/tallybridge-mesh/src/http/exchange_error.rs
+++ b/crates/tallybridge-mesh/src/http/exchange_error.rs
@@ -39,6 +39,12 @@
     /// The body of the response is malformed or too large.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// The server sent more interim responses than a client accepts.
+    #[error("too many interim responses before the final response")]
+    TooManyInterimResponses,
+    /// The answers that are being read leave no memory for the rest of this one.
+    #[error("the answers being read leave no memory for the rest of this one")]
+    OutOfMemoryBudget,
     /// The client aborted the exchange for this reason.
     #[error("{0}")]
     Aborted(&'static str),
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -7,6 +7,7 @@
 //! needed to process pipelined requests concurrently, to detect a caller that closes its connection
 //! and to refuse reuse of a connection with surplus bytes.
 
+mod answer_budget;
 mod body_length;
 mod body_reader;
 mod client;
@@ -20,9 +21,10 @@
 mod socket;
 
 pub use self::{
+    answer_budget::AnswerBudget,
     body_length::{BodyError, BodyLength},
     body_reader::BodyReader,
-    client::{Connection, ReceivedResponse},
+    client::{Connection, ReceivedResponse, ResponseLimits},
     exchange_error::{ExchangeError, ExchangeFailure, ExchangeStage},
     head::{HeadError, RequestHead, ResponseHead},
     headers::{HeaderLines, write_line},
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -12,7 +12,10 @@
 
 use tokio::time::Instant;
 
-use super::{Connection, ExchangeError, ReceivedResponse, ResponseHead, connect};
+use super::{
+    AnswerBudget, Connection, ExchangeError, ReceivedResponse, ResponseHead, ResponseLimits,
+    connect,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// A connection fails once sent bytes stay unacknowledged for this long.
@@ -28,6 +31,7 @@
 #[derive(Debug)]
 pub struct ConnectionPool {
     address: SocketAddr,
+    limits: ResponseLimits,
     idle: Mutex<Vec<IdleConnection>>,
 }
 
@@ -47,11 +51,15 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool for the back end at `address`.
+    /// Creates an empty pool for the back end at `address`, whose answers share the memory of `budget`.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, budget: AnswerBudget) -> Self {
         Self {
             address,
+            limits: ResponseLimits {
+                budget: Some(budget),
+                ..ResponseLimits::default()
+            },
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -86,7 +94,7 @@
         let stream = connect(self.address, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT).await;
         let stream = stream.map_err(ExchangeError::not_sent)?;
         Ok(Checkout {
-            connection: Connection::new(stream),
+            connection: Connection::with_limits(stream, self.limits.clone()),
             is_reused: false,
         })
     }
@@ -108,10 +116,19 @@
         });
     }
 
-    /// Closes the idle connections whose keep-alive time has expired.
+    /// Closes the idle connections whose keep-alive time has expired, and those on which the back end
+    /// has sent bytes, which no request waits for.
     pub fn prune(&self) {
         let now = Instant::now();
-        self.lock_idle().retain(|idle| now < idle.expires_at);
+        self.lock_idle()
+            .retain(|idle| now < idle.expires_at && idle.connection.is_open_and_idle());
+    }
+
+    /// Returns the bytes that answers being read take beyond the part that each may use freely.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        let budget = self.limits.budget.as_ref();
+        budget.map_or(0, AnswerBudget::used_bytes)
     }
 
     /// Closes all idle connections. Checked-out connections are not affected.
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -50,7 +50,7 @@
 use self::{lifecycle::Lifecycle, signals::Signals, tables::Tables};
 use crate::{
     clock::BootInstant,
-    http::ConnectionPool,
+    http::{AnswerBudget, ConnectionPool},
     log::decisions::DecisionLog,
     platform::{HeaderNames, Platform},
     protocol::NodeRecord,
@@ -113,7 +113,10 @@
         let header_names = platform.header_names();
         Self {
             slots: BackendSlots::default(),
-            backend: ConnectionPool::new(settings.backend.address),
+            backend: ConnectionPool::new(
+                settings.backend.address,
+                AnswerBudget::new(settings.answer_budget_bytes()),
+            ),
             counters: Counters::default(),
             decisions: DecisionLog::default(),
             started_at: BootInstant::now(),
--- a/crates/tallybridge-mesh/src/settings/check.rs
+++ b/crates/tallybridge-mesh/src/settings/check.rs
@@ -5,6 +5,7 @@
 const MIN_WINDOW_MS: u64 = 100;
 const MIN_REVOCATION_MS: u64 = 1000;
 const MIN_STOP_GRACE_MS: u64 = 500;
+const MIN_MEMORY_MB: u32 = 64;
 
 impl MeshSettings {
     pub(super) fn check(&self) -> Result<(), SettingsError> {
@@ -34,6 +35,12 @@
             "is below 500",
             "set the time from SIGTERM to SIGKILL in milliseconds, for example 6000",
         )?;
+        require(
+            self.memory_mb >= MIN_MEMORY_MB,
+            "memory_mb",
+            "is below 64",
+            "set the memory limit of the process in MiB, for example 260",
+        )?;
         self.check_addresses()
     }
 
--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -14,6 +14,11 @@
 pub use self::effective::{SettingOrigin, SettingRow};
 use crate::policy::PolicySettings;
 
+const BYTES_PER_MIB: usize = 1 << 20;
+/// The part of the memory that answers may take while they are being read is one in this many. The rest
+/// holds the tables, requests, and answers that are being passed on.
+const ANSWER_BUDGET_DIVISOR: usize = 3;
+
 /// All settings of a mesh node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct MeshSettings {
@@ -44,6 +49,10 @@
     pub tenants: TenantSettings,
     /// Time between SIGTERM and SIGKILL, in milliseconds.
     pub stop_grace_ms: u64,
+    /// Memory in MiB at which the platform kills the process. Bounds the answers of the back end that are
+    /// being read.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// Whether this is the first start of the whole fleet, when no node knows another one yet.
     #[serde(default)]
     pub new_fleet: bool,
@@ -111,6 +120,10 @@
     5000
 }
 
+const fn default_memory_mb() -> u32 {
+    160
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
@@ -149,6 +162,13 @@
         Ok(settings)
     }
 
+    /// Returns the bytes that answers of the back end may take while they are being read.
+    #[must_use]
+    pub fn answer_budget_bytes(&self) -> usize {
+        let memory_bytes = self.memory_mb as usize * BYTES_PER_MIB;
+        memory_bytes / ANSWER_BUDGET_DIVISOR
+    }
+
     /// Returns the names of the fields that differ in `other` and take effect only at a restart.
     ///
     /// Addresses with port 0 in `other` match any port of the same host.
@@ -181,6 +201,7 @@
                 is_same_address(|settings| settings.metrics_address),
             ),
             ("store_address", self.store_address == other.store_address),
+            ("memory_mb", self.memory_mb == other.memory_mb),
             ("backend", self.backend == other.backend),
             ("tenants", self.tenants == other.tenants),
             ("policy", self.policy == other.policy),
--- a/crates/tallybridge-mesh/src/tasks/health.rs
+++ b/crates/tallybridge-mesh/src/tasks/health.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
-    http::{Connection, ExchangeError, connect},
+    http::{Connection, ExchangeError, ResponseLimits, connect},
     node::Node,
     tables::{Announcement, HealthCheckEffect, InstanceState},
 };
@@ -22,6 +22,7 @@
 /// Timeout of a health check. It includes the wait for a slot, because the back end queues health
 /// checks together with requests.
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(1500);
+const MAX_HEALTH_BODY_BYTES: usize = 64 * 1024;
 /// Wait after a health check that the back end answered as unhealthy.
 const UNHEALTHY_RETRY_WAIT: Duration = Duration::from_millis(700);
 /// Wait after a health check without a valid answer.
@@ -79,7 +80,12 @@
 async fn request_health(node: &Node, path: &str) -> Result<HealthAnswer, ExchangeError> {
     let address = node.settings.backend.address;
     let stream = connect(address, HEALTH_TIMEOUT, HEALTH_TIMEOUT).await;
-    let mut connection = Connection::new(stream.map_err(ExchangeError::not_sent)?);
+    let limits = ResponseLimits {
+        max_body_bytes: MAX_HEALTH_BODY_BYTES,
+        budget: None,
+    };
+    let stream = stream.map_err(ExchangeError::not_sent)?;
+    let mut connection = Connection::with_limits(stream, limits);
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
     let response = connection.exchange(request.as_bytes(), b"", false).await?;
     let Some(instance) = response.head.headers.text(node.header_names.instance) else {
--- a/crates/tallybridge-mesh/tests/settings.rs
+++ b/crates/tallybridge-mesh/tests/settings.rs
@@ -59,6 +59,11 @@
             "stop_grace_ms = 3",
             "`stop_grace_ms` is below 500",
         ),
+        (
+            "stop_grace_ms = 6000",
+            "stop_grace_ms = 6000\nmemory_mb = 63",
+            "`memory_mb` is below 64",
+        ),
         (
             "10.0.0.1:7002",
             "10.0.0.1:7001",
