--- a/crates/tallybridge-mesh/src/http/answer_budget.rs
+++ b/crates/tallybridge-mesh/src/http/answer_budget.rs
@@ -10,8 +10,8 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-/// Size in bytes up to which an answer is read without a share of the budget.
-const FREE_BYTES: usize = 64 * 1024;
+/// Size in bytes up to which an answer does not count against the budget.
+const UNCOUNTED_BYTES: usize = 64 * 1024;
 /// Largest ratio of an answer to what is left of the budget.
 const MAX_RATIO_TO_FREE: usize = 3;
 
@@ -60,7 +60,7 @@
     /// too much of the budget and must fail.
     #[must_use]
     pub(super) fn grow_to(&mut self, answer_bytes: usize) -> bool {
-        let needed = answer_bytes.saturating_sub(FREE_BYTES);
+        let needed = answer_bytes.saturating_sub(UNCOUNTED_BYTES);
         let added = needed.saturating_sub(self.held_bytes);
         if added == 0 {
             return true;
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -124,7 +124,7 @@
             .retain(|idle| now < idle.expires_at && idle.connection.is_open_and_idle());
     }
 
-    /// Returns the bytes that answers being read take beyond the part that each may use freely.
+    /// Returns the bytes of the budget that answers being read hold.
     #[must_use]
     pub fn answer_bytes(&self) -> usize {
         let budget = self.limits.budget.as_ref();
--- a/crates/tallybridge-mesh/src/node/backend.rs
+++ b/crates/tallybridge-mesh/src/node/backend.rs
@@ -129,8 +129,8 @@
         self.tables().instance.available_incarnation(Instant::now())
     }
 
-    /// Records that a back end answered a health check as `instance`. A new id means that the
-    /// previous instance was replaced, which may have been a crash.
+    /// Records that a back end answered a health check as `instance`. A new id that has reported to this
+    /// node means that the previous instance was replaced, which may have been a crash.
     pub fn instance_verified(&self, instance: &str, is_healthy: bool) -> HealthCheckEffect {
         let mut previous_crash = None;
         let effect = {
--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -20,6 +20,7 @@
     refuses_work: AtomicBool,
     /// Whether most peers are unreachable.
     is_isolated: AtomicBool,
+    /// Requests whose answers this node has not written to their callers.
     requests: InFlightCounter,
     /// Connections of callers whose last answer has been written.
     closing_connections: InFlightCounter,
--- a/crates/tallybridge-mesh/tests/answer_budget.rs
+++ b/crates/tallybridge-mesh/tests/answer_budget.rs
@@ -15,8 +15,8 @@
 
 const MIB: usize = 1 << 20;
 const BUDGET_BYTES: usize = 8 * MIB;
-/// Size up to which a response needs no share of the budget.
-const FREE_BYTES: usize = 64 * 1024;
+/// Size up to which a response does not count against the budget.
+const UNCOUNTED_BYTES: usize = 64 * 1024;
 const UNSIZED_HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const MAX_EXCHANGE_TIME: Duration = Duration::from_secs(20);
 
@@ -92,7 +92,7 @@
     let exchanges = join_all((0..24).map(|_| request(server, &budget)));
     let watching = async {
         loop {
-            assert!(budget.used_bytes() <= BUDGET_BYTES + FREE_BYTES);
+            assert!(budget.used_bytes() <= BUDGET_BYTES + UNCOUNTED_BYTES);
             sleep(Duration::from_millis(1)).await;
         }
     };
@@ -121,7 +121,7 @@
     };
     let server = start_server(stalling).await;
     let stalled = join_all((0..24).map(|_| request(server, &budget)));
-    let small = start_server(sized_response(FREE_BYTES)).await;
+    let small = start_server(sized_response(UNCOUNTED_BYTES)).await;
     let medium = start_server(sized_response(MIB)).await;
     let others = async {
         while budget.used_bytes() < BUDGET_BYTES / 2 {
