--- a/review/rig-2/src/backend.rs
+++ b/review/rig-2/src/backend.rs
@@ -29,6 +29,11 @@
     line.bytes().cycle().take(6000).collect()
 }
 
+/// Returns the whole body of an answer on a path that begins with `/balance/`, 30,000 bytes.
+pub fn large_body_of(attempt: &str) -> Vec<u8> {
+    body_of(attempt).into_iter().cycle().take(30_000).collect()
+}
+
 pub struct Backend {
     pub address: SocketAddr,
     pub service: String,
@@ -149,12 +154,16 @@
         }
         thread::sleep(self.work);
         self.busy.fetch_sub(1, Ordering::SeqCst);
-        let body = format!("body of {attempt}");
+        let body = if request.word(1).starts_with("/balance/") {
+            large_body_of(&attempt)
+        } else {
+            format!("body of {attempt}").into_bytes()
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{common}X-Server-Signature: s.{attempt}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
             body.len()
         );
-        peer.write(&head, body.as_bytes())
+        peer.write(&head, &body)
     }
 
     /// Writes a whole answer that has no length, in pieces over the time of the work, and ends it with the
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -5,8 +5,10 @@
 mod http;
 mod json;
 mod node;
+mod quarantine;
 mod silent;
 mod split;
+mod stop;
 mod store;
 mod unframed;
 
@@ -73,6 +75,13 @@
         let _ = unframed::run_back_end(&arguments[1..]);
         return ExitCode::from(2);
     }
+    if arguments
+        .first()
+        .is_some_and(|first| first == "crashing-back-end")
+    {
+        let _ = quarantine::run_back_end(&arguments[1..]);
+        return ExitCode::from(2);
+    }
     let [case, folder] = &arguments[..] else {
         eprintln!("usage: rig CASE FOLDER");
         return ExitCode::from(2);
@@ -96,6 +105,9 @@
     };
     stage.note(format!("case {case}, trouble: {}", stage.has_trouble));
     let result = match case.as_str() {
+        "quarantine" => quarantine::play(&stage),
+        "stop" => stop::play(&stage, stop::Trouble::Stop),
+        "idle" => stop::play(&stage, stop::Trouble::Idle),
         "unframed" => unframed::play(&stage),
         "split" => split::play(&stage),
         "silent" => silent::play(&stage),
--- a/review/rig-2/src/node.rs
+++ b/review/rig-2/src/node.rs
@@ -15,6 +15,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 const OUTBOUND: u16 = 8304;
 const READY: u16 = 8302;
@@ -117,6 +118,12 @@
         Ok(())
     }
 
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            send_signal(child.id(), signal);
+        }
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
