--- a/review/rig-2/src/backend.rs
+++ b/review/rig-2/src/backend.rs
@@ -5,6 +5,7 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
+    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -34,13 +35,42 @@
     body_of(attempt).into_iter().cycle().take(30_000).collect()
 }
 
+/// Which answers have no length.
+pub struct Unframed {
+    begun: Instant,
+    period: Duration,
+    /// The part of each period in which there are any.
+    part: Range<Duration>,
+    /// One answer in so many.
+    one_in: usize,
+    answers: AtomicUsize,
+}
+
+impl Unframed {
+    pub fn new(period: Duration, part: Range<Duration>, one_in: usize) -> Self {
+        Self {
+            begun: Instant::now(),
+            period,
+            part,
+            one_in,
+            answers: AtomicUsize::new(0),
+        }
+    }
+
+    fn is_next(&self) -> bool {
+        let at = self.begun.elapsed().as_millis() % self.period.as_millis();
+        self.part.contains(&Duration::from_millis(at as u64))
+            && self.answers.fetch_add(1, Ordering::SeqCst) % self.one_in == self.one_in - 1
+    }
+}
+
 pub struct Backend {
     pub address: SocketAddr,
     pub service: String,
     pub slots: usize,
     pub work: Duration,
-    /// Whether answers have no length, and end with their connection.
-    unframed: bool,
+    /// Where some answers have no length and end with their connection (`garble`, `unframed`).
+    unframed: Option<Unframed>,
     report_address: SocketAddr,
     zone: String,
     /// Number of the start, which makes the id.
@@ -59,7 +89,7 @@
         address: SocketAddr,
         report_address: SocketAddr,
         work: Duration,
-        unframed: bool,
+        unframed: Option<Unframed>,
     ) -> Arc<Self> {
         let backend = Arc::new(Self {
             address,
@@ -146,7 +176,8 @@
             at: Instant::now(),
             instance: instance.to_owned(),
         });
-        if self.unframed {
+        if self.unframed.as_ref().is_some_and(Unframed::is_next) {
+            println!("unframed {attempt}");
             let result = self.stream(peer, &attempt, &common);
             self.busy.fetch_sub(1, Ordering::SeqCst);
             result?;
@@ -156,6 +187,8 @@
         self.busy.fetch_sub(1, Ordering::SeqCst);
         let body = if request.word(1).starts_with("/balance/") {
             large_body_of(&attempt)
+        } else if request.word(1).starts_with("/package/") {
+            body_of(&attempt)
         } else {
             format!("body of {attempt}").into_bytes()
         };
--- a/review/rig-2/src/quarantine.rs
+++ b/review/rig-2/src/quarantine.rs
@@ -27,7 +27,7 @@
     };
     let work = Duration::from_millis(100);
     let (address, report) = (address.parse().ok()?, report.parse().ok()?);
-    let backend = Backend::new(name, SERVICE, "sala-norte", address, report, work, false);
+    let backend = Backend::new(name, SERVICE, "sala-norte", address, report, work, None);
     backend.up();
     loop {
         thread::sleep(Duration::from_millis(2));
--- a/review/rig-2/src/silent.rs
+++ b/review/rig-2/src/silent.rs
@@ -64,7 +64,7 @@
         let mut node = Node::prepare(&stage.root, &stage.scratch, &place)?;
         let work = Duration::from_millis(50);
         let (app, control) = (node.app(), node.control());
-        let backend = Backend::new(&node.name, "catalogo", zone, app, control, work, false);
+        let backend = Backend::new(&node.name, "catalogo", zone, app, control, work, None);
         backend.up();
         node.start(&stage.root)?;
         nodes.push(node);
--- a/review/rig-2/src/split.rs
+++ b/review/rig-2/src/split.rs
@@ -71,7 +71,7 @@
         let mut node = Node::prepare(&stage.root, &stage.scratch, &place)?;
         let work = Duration::from_millis(120);
         let (app, control) = (node.app(), node.control());
-        let backend = Backend::new(&node.name, "caixa", zone, app, control, work, false);
+        let backend = Backend::new(&node.name, "caixa", zone, app, control, work, None);
         backend.up();
         node.start(&stage.root)?;
         nodes.push(node);
--- a/review/rig-2/src/unframed.rs
+++ b/review/rig-2/src/unframed.rs
@@ -1,12 +1,14 @@
-//! A back end crashes while it sends answers that have no length.
+//! A back end crashes while it sends an answer that has no length.
 
 use std::{
     collections::HashMap,
+    io::{BufRead, BufReader},
     path::Path,
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
+        mpsc::{Receiver, channel},
     },
     thread,
     time::{Duration, Instant},
@@ -14,7 +16,7 @@
 
 use crate::{
     CHILDREN, Stage,
-    backend::{Backend, body_of},
+    backend::{Backend, Unframed, body_of},
     http::Peer,
     node::{Node, Place, end},
     store::Store,
@@ -25,40 +27,86 @@
 /// Times at which a back end crashes.
 const ROUNDS: usize = 5;
 const SERVICE: &str = "pacotes";
+/// `garble`, `unframed`: at the back end that will crash, one of three (share .33), x = .05 of its
+/// answers, for 5 s, once in 12 s.
+const UNFRAMED_PERIOD: Duration = Duration::from_secs(12);
+const UNFRAMED_FROM: Duration = Duration::from_secs(4);
+const UNFRAMED_UNTIL: Duration = Duration::from_secs(9);
+const UNFRAMED_ONE_IN: usize = 20;
 
 /// Runs one back end in this process until it is killed.
 pub fn run_back_end(arguments: &[String]) -> Option<()> {
-    let [name, zone, address, report] = arguments else {
+    let [name, zone, address, report, kind] = arguments else {
         return None;
     };
     let work = Duration::from_millis(96);
     let (address, report) = (address.parse().ok()?, report.parse().ok()?);
-    let backend = Backend::new(name, SERVICE, zone, address, report, work, true);
+    let unframed = (kind == "garble").then(|| {
+        Unframed::new(
+            UNFRAMED_PERIOD,
+            UNFRAMED_FROM..UNFRAMED_UNTIL,
+            UNFRAMED_ONE_IN,
+        )
+    });
+    let backend = Backend::new(name, SERVICE, zone, address, report, work, unframed);
     backend.up();
+    let mut printed = 0;
     loop {
-        thread::sleep(Duration::from_secs(60));
+        thread::sleep(Duration::from_millis(5));
+        let runs = backend.runs.lock().unwrap();
+        for run in &runs[printed..] {
+            println!("run {} at {}", run.attempt, run.instance);
+        }
+        printed = runs.len();
     }
 }
 
-struct BackEnd(Child);
+/// What the back ends say that they have begun to run.
+type Runs = Arc<Mutex<Vec<(Instant, String)>>>;
+
+struct BackEnd {
+    child: Child,
+    /// A line for each answer without a length, when it begins.
+    unframed: Receiver<String>,
+}
 
 impl BackEnd {
-    fn start(program: &Path, name: &str, node: &Node) -> Result<Self, String> {
+    fn start(
+        program: &Path,
+        name: &str,
+        node: &Node,
+        garbles: bool,
+        runs: &Runs,
+    ) -> Result<Self, String> {
+        let kind = if garbles { "garble" } else { "plain" };
         let child = Command::new(program)
             .args(["back-end", name, "sala-norte"])
             .args([node.app().to_string(), node.control().to_string()])
+            .arg(kind)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .spawn();
-        let child = child.map_err(|error| error.to_string())?;
+        let mut child = child.map_err(|error| error.to_string())?;
         CHILDREN.lock().unwrap().push(child.id());
-        Ok(Self(child))
+        let runs = runs.clone();
+        let (sender, unframed) = channel();
+        let output = child.stdout.take().expect("a pipe");
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                if line.starts_with("run ") {
+                    runs.lock().unwrap().push((Instant::now(), line));
+                } else {
+                    let _ = sender.send(line);
+                }
+            }
+        });
+        Ok(Self { child, unframed })
     }
 }
 
 impl Drop for BackEnd {
     fn drop(&mut self) {
-        end(&mut self.0);
+        end(&mut self.child);
     }
 }
 
@@ -77,6 +125,7 @@
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
     let mut nodes = Vec::new();
     let mut back_ends = Vec::new();
+    let runs = Runs::default();
     for (index, zone) in ["sala-norte", "sala-centro", "sala-sul"].iter().enumerate() {
         let place = Place {
             index,
@@ -86,7 +135,13 @@
             has_tenants: false,
         };
         let mut node = Node::prepare(&stage.root, &stage.scratch, &place)?;
-        back_ends.push(BackEnd::start(&program, &node.name, &node)?);
+        back_ends.push(BackEnd::start(
+            &program,
+            &node.name,
+            &node,
+            index == 0,
+            &runs,
+        )?);
         node.start(&stage.root)?;
         nodes.push(node);
     }
@@ -131,21 +186,25 @@
         }
     }
     thread::sleep(Duration::from_secs(5));
+    let struck = &nodes[0];
     for round in 0..ROUNDS {
-        let struck = round % nodes.len();
+        while back_ends[0].unframed.try_recv().is_ok() {}
+        let line = back_ends[0].unframed.recv_timeout(Duration::from_secs(16));
+        let line = line.map_err(|_| "no answer without a length came".to_owned())?;
+        stage.note(format!(
+            "answer begun by the back end beside {}: {line}",
+            struck.name
+        ));
         if stage.has_trouble {
-            stage.note(format!(
-                "srv_crash: the back end beside {} is killed",
-                nodes[struck].name
-            ));
-            end(&mut back_ends[struck].0);
+            thread::sleep(Duration::from_millis(40));
+            end(&mut back_ends[0].child);
+            stage.note("srv_crash: that back end is killed");
         }
         thread::sleep(Duration::from_secs(2));
         if stage.has_trouble {
-            let node = &nodes[struck];
-            let name = format!("{}-{round}", node.name);
-            back_ends[struck] = BackEnd::start(&program, &name, node)?;
-            stage.note(format!("another one starts beside {}", node.name));
+            let name = format!("{}-{round}", struck.name);
+            back_ends[0] = BackEnd::start(&program, &name, struck, true, &runs)?;
+            stage.note(format!("another one starts beside {}", struck.name));
         }
         thread::sleep(Duration::from_secs(4));
     }
@@ -158,6 +217,9 @@
             stage.note(format!("{} has ended by itself", node.name));
         }
     }
+    for (at, line) in runs.lock().unwrap().iter() {
+        stage.note_at(*at, line.clone());
+    }
     let mut broken = Vec::new();
     let mut statuses: HashMap<u16, usize> = HashMap::new();
     for answer in answers.lock().unwrap().iter() {
