Connections close once their answers have arrived, not once they are written

Cause: a completed write fills the system's send buffer, and was taken for delivery. A connection was idle from its last write on, so the idle timeout and the end of the process dropped it while answers were on the way. The system goes on delivering, but answers anything that the caller sends with a reset, which loses the rest.

Change: a connection is idle once its caller has acknowledged all answers (TIOCOUTQ). Until then a stop counts it, and answers requests that arrive on it with 503 and Connection: close. Connections at rest are shut down when the node refuses work, and wait for their callers. Closing connections and links are kept while bytes are acknowledged. `node stopped` has `undelivered`.

--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -11,6 +11,7 @@
 mod body_length;
 mod body_reader;
 mod client;
+mod closing;
 mod exchange_error;
 mod head;
 mod headers;
@@ -25,6 +26,7 @@
     body_length::{BodyError, BodyLength},
     body_reader::BodyReader,
     client::{Connection, ReceivedResponse, ResponseLimits},
+    closing::{Delivery, discard_until_closed},
     exchange_error::{ExchangeError, ExchangeFailure, ExchangeStage},
     head::{HeadError, RequestHead, ResponseHead},
     headers::{HeaderLines, write_line},
--- a/crates/tallybridge-mesh/src/http/server/handler.rs
+++ b/crates/tallybridge-mesh/src/http/server/handler.rs
@@ -18,8 +18,8 @@
     /// written completely or the connection fails.
     fn track_request(&self) -> Self::Guard;
 
-    /// Counts a connection whose last response has been written. The server holds the guard until the
-    /// caller closes the connection or a timeout expires.
+    /// Counts a connection whose last response has been written but may not have arrived. The server holds
+    /// the guard until the caller closes the connection or a timeout expires.
     fn track_closing_connection(&self) -> Self::Guard;
 
     /// Returns the response to one request. The server drops the future when the caller closes its
@@ -31,6 +31,9 @@
 
     /// Returns `true` if the server must close each connection after its last pending response.
     fn is_closing(&self) -> bool;
+
+    /// Waits until the server must also close connections without pending responses.
+    fn idle_close_due(&self) -> impl Future<Output = ()> + Send;
 }
 
 /// A complete request as received from a caller.
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -4,6 +4,9 @@
 //! Guards of the handler count each request until its response is written, and each connection that
 //! closes until the caller has received its last response.
 //!
+//! A connection is idle from when its caller has acknowledged all responses. Until then it is neither
+//! closed as idle nor, in a planned stop, left to the end of the process.
+//!
 //! When a caller closes its connection, the server cancels all requests of that connection. The
 //! module relies on [`request_reader`] to parse requests and on a [`RequestHandler`] to answer them.
 
@@ -19,21 +22,26 @@
     stream::FuturesOrdered,
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::TcpStream,
-    time::{Instant, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 pub use self::handler::{HttpLimits, Request, RequestHandler};
 use self::request_reader::RequestReader;
-use super::response::{PendingResponse, Response};
+use super::{
+    closing::{
+        DELIVERY_POLL_INTERVAL, Delivery, close_idle, discard_until_closed, unacknowledged_bytes,
+    },
+    response::{PendingResponse, Response},
+};
 
 /// Requests of one connection that run concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 32;
 /// A connection is closed if the caller does not accept a response within this time.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
-/// How long a closing connection is still read. Closing a socket with unread bytes would reset the
-/// connection, and the caller could lose the last response.
+/// How long a closing connection is still read while the caller acknowledges nothing. Closing a socket
+/// with unread bytes would reset the connection, and the caller could lose the last response.
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
@@ -51,6 +59,8 @@
         finished: VecDeque::new(),
         waiting_since: Instant::now(),
         is_idle: true,
+        has_answered: false,
+        delivery: None,
         intake: Intake::Open,
     };
     // An error means that the connection has failed, so no response can be sent any more.
@@ -77,11 +87,19 @@
     waiting_since: Instant,
     /// Whether no byte of the next request has been received.
     is_idle: bool,
+    /// Whether a response was written on the connection.
+    has_answered: bool,
+    /// Delivery of the last responses, once the idle timeout has expired.
+    delivery: Option<Delivery>,
     intake: Intake,
 }
 
 impl<H: RequestHandler> ServerConnection<H> {
     async fn run(&mut self) -> io::Result<()> {
+        let handler = self.handler.clone();
+        let idle_close_due = handler.idle_close_due();
+        tokio::pin!(idle_close_due);
+        let mut closes_idle = false;
         loop {
             self.take_requests().await?;
             if let Some(response) = self.finished.pop_front() {
@@ -92,6 +110,11 @@
                 let _closing = self.handler.track_closing_connection();
                 return lingering_close(&mut self.stream).await;
             }
+            let is_delivering = closes_idle && self.is_delivering();
+            if closes_idle && !is_delivering && self.is_at_rest() {
+                return self.close_idle().await;
+            }
+            let _closing = is_delivering.then(|| self.handler.track_closing_connection());
             let may_read = self.may_read();
             let deadline = self.deadline();
             tokio::select! {
@@ -106,15 +129,49 @@
                     self.record_read();
                 }
                 () = sleep_until(deadline), if self.pending.is_empty() => {
-                    if self.requests.is_empty() {
-                        return Ok(());
+                    if !self.requests.is_empty() {
+                        self.reject(REQUEST_TIMEOUT_STATUS);
+                    } else if self.has_delivered() {
+                        return self.close_idle().await;
                     }
-                    self.reject(REQUEST_TIMEOUT_STATUS);
                 }
+                () = &mut idle_close_due, if !closes_idle => closes_idle = true,
+                // Checks again whether the caller has acknowledged the last response.
+                () = sleep(DELIVERY_POLL_INTERVAL), if is_delivering => {}
             }
         }
     }
 
+    /// Returns whether the caller has not acknowledged all responses that were written.
+    fn is_delivering(&self) -> bool {
+        self.has_answered && unacknowledged_bytes(&self.stream) > 0
+    }
+
+    /// Returns whether all requests were answered and none has begun to arrive. A connection without any
+    /// answer is not at rest, because its first request may be on the way.
+    fn is_at_rest(&self) -> bool {
+        self.has_answered && self.pending.is_empty() && self.requests.is_empty()
+    }
+
+    /// Returns whether the caller has acknowledged all responses, or none for the idle timeout. Otherwise
+    /// restarts the idle timeout.
+    fn has_delivered(&mut self) -> bool {
+        if !self.is_delivering() {
+            return true;
+        }
+        let idle_timeout = self.handler.limits().idle_timeout;
+        let delivery = self
+            .delivery
+            .get_or_insert_with(|| Delivery::of(&self.stream));
+        self.waiting_since = Instant::now();
+        delivery.has_rested(&self.stream, idle_timeout)
+    }
+
+    async fn close_idle(&mut self) -> io::Result<()> {
+        let _closing = self.handler.track_closing_connection();
+        close_idle(&mut self.stream).await
+    }
+
     fn may_read(&self) -> bool {
         match self.intake {
             Intake::Open => self.requests.has_room(),
@@ -220,6 +277,8 @@
         let written = run_beside(writing, &mut self.pending, &mut self.finished).await;
         self.waiting_since = Instant::now();
         self.is_idle = self.requests.is_empty();
+        self.has_answered = true;
+        self.delivery = None;
         written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 }
@@ -243,15 +302,9 @@
     }
 }
 
-/// Shuts down the sending side, then reads until the caller closes the connection or the timeout expires.
+/// Shuts down the sending side, then reads until the caller closes the connection or a timeout expires.
 async fn lingering_close(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
-    let mut discarded = [0_u8; 1024];
-    let reading = async {
-        while stream.read(&mut discarded).await? > 0 {}
-        Ok(())
-    };
-    timeout(LINGERING_CLOSE_TIMEOUT, reading)
-        .await
-        .unwrap_or(Ok(()))
+    let (mut reader, _writer) = stream.split();
+    discard_until_closed(&mut reader, LINGERING_CLOSE_TIMEOUT).await
 }
--- a/crates/tallybridge-mesh/src/listener/callers.rs
+++ b/crates/tallybridge-mesh/src/listener/callers.rs
@@ -37,4 +37,8 @@
     fn is_closing(&self) -> bool {
         self.0.is_stopping()
     }
+
+    async fn idle_close_due(&self) {
+        self.0.work_refused().await;
+    }
 }
--- a/crates/tallybridge-mesh/src/listener/control.rs
+++ b/crates/tallybridge-mesh/src/listener/control.rs
@@ -1,6 +1,6 @@
 //! Serves readiness probes, and heartbeats and deregistrations of the back end.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::pending, sync::Arc, time::Duration};
 
 use crate::{
     http::{HttpLimits, Request, RequestHandler, Response},
@@ -51,6 +51,10 @@
     fn is_closing(&self) -> bool {
         false
     }
+
+    async fn idle_close_due(&self) {
+        pending().await
+    }
 }
 
 impl ControlHandler {
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt::{Arguments, Write},
+    future::pending,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -36,6 +37,10 @@
     fn is_closing(&self) -> bool {
         false
     }
+
+    async fn idle_close_due(&self) {
+        pending().await
+    }
 }
 
 fn render_page(node: &Node) -> String {
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -9,7 +9,6 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::{
-    io::AsyncReadExt,
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     sync::mpsc,
     task::JoinHandle,
@@ -19,7 +18,7 @@
 use self::running_calls::RunningCalls;
 use crate::{
     clock::BootInstant,
-    http::set_liveness_options,
+    http::{discard_until_closed, set_liveness_options},
     link::{
         framing::{FrameSender, next_frame, read_hello, write_frames},
         liveness::UNACKNOWLEDGED_TIMEOUT,
@@ -35,6 +34,8 @@
 
 /// Twice the time that the connecting node waits for this node's hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a closing link is still read while the peer acknowledges nothing.
+const LINK_CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Avoids a busy loop while accepting fails, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -81,7 +82,8 @@
     result
 }
 
-/// Shuts down the sending side, then reads until the peer has received everything and closes the link.
+/// Shuts down the sending side, then reads until the peer has received everything and closes the link, or
+/// acknowledges nothing for [`LINK_CLOSE_TIMEOUT`].
 /// A process that ends with unread bytes resets its connections, which loses what was written last.
 async fn close_link(
     mut reader: OwnedReadHalf,
@@ -90,9 +92,7 @@
     // Drops the writer, which shuts down the sending side. No reply waits in its queue any more.
     writer_task.abort();
     let _ = writer_task.await;
-    let mut discarded = [0_u8; 1024];
-    while reader.read(&mut discarded).await? > 0 {}
-    Ok(())
+    discard_until_closed(&mut reader, LINK_CLOSE_TIMEOUT).await
 }
 
 /// A link from another node whose hello has arrived.
--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -22,7 +22,7 @@
     is_isolated: AtomicBool,
     /// Requests whose answers this node has not written to their callers.
     requests: InFlightCounter,
-    /// Connections of callers whose last answer has been written.
+    /// Connections of callers whose last answer has been written and may not have arrived.
     closing_connections: InFlightCounter,
     /// Calls that peers sent to this node as their executor.
     peer_calls: InFlightCounter,
@@ -88,9 +88,17 @@
     pub fn refuse_work(&self) {
         self.lifecycle.refuses_work.store(true, Ordering::Relaxed);
         self.slots.refuse_waiting();
+        self.signals.work_refused.send_replace(true);
         self.publish();
     }
 
+    /// Waits until the node refuses new work.
+    pub async fn work_refused(&self) {
+        let mut refused = self.signals.work_refused.subscribe();
+        // Fails only if the node was dropped, which ends its connections as well.
+        let _ = refused.wait_for(|is_refused| *is_refused).await;
+    }
+
     /// Returns whether the node has stopped dispatching calls to the back end.
     #[must_use]
     pub fn refuses_work(&self) -> bool {
@@ -110,6 +118,13 @@
         self.lifecycle.requests.begin()
     }
 
+    /// Returns the number of connections of callers on which answers have not arrived, or that are being
+    /// closed.
+    #[must_use]
+    pub fn closing_connections(&self) -> usize {
+        self.lifecycle.closing_connections.count()
+    }
+
     /// Counts a connection of a caller that closes until the returned guard is dropped.
     #[must_use]
     pub fn track_closing_connection(&self) -> InFlight {
--- a/crates/tallybridge-mesh/src/node/signals.rs
+++ b/crates/tallybridge-mesh/src/node/signals.rs
@@ -54,6 +54,9 @@
     /// a [`Notify`], whose stored notification would cancel the next watch as well. The value is a
     /// counter.
     pub(super) watch_suspected: watch::Sender<u64>,
+    /// The node stops and refuses new work: wakes the connections of callers
+    /// ([`crate::listener::callers`]).
+    pub(super) work_refused: watch::Sender<bool>,
     /// The node stops and closes the links that peers opened: wakes [`crate::listener::peers`].
     pub(super) accepted_links_close: watch::Sender<bool>,
     /// A peer has a newer configuration: wakes [`crate::tasks::configuration`].
@@ -80,6 +83,7 @@
             resumed: Notify::new(),
             became_watcher: Notify::new(),
             watch_suspected: watch::Sender::new(0),
+            work_refused: watch::Sender::new(false),
             accepted_links_close: watch::Sender::new(false),
             peer_ahead: Notify::new(),
         }
--- a/crates/tallybridge-mesh/src/run/stop.rs
+++ b/crates/tallybridge-mesh/src/run/stop.rs
@@ -5,9 +5,9 @@
 //! waits until it has had none in flight for [`IDLE_PERIOD`]. Then it ends its registration and closes
 //! the links of its peers.
 //!
-//! A request or call is in flight until its answer is written completely, however slowly the caller or
-//! peer reads. Connections are closed only after the other side has received everything, because the
-//! end of the process would reset those with unread bytes.
+//! A request or call is in flight until its answer has arrived, however slowly the caller or peer reads.
+//! Connections are closed only after the other side has received everything, because the end of the
+//! process would reset those on which the other side sends again.
 //!
 //! The notice gives callers and peers time to notice the stop, so that no request is cut off. The
 //! first two phases end at the latest [`STOP_MARGIN`] before the end of the grace time, after which
@@ -27,8 +27,6 @@
 const LINK_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Part of the grace time that is reserved to end the registration and exit.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
-/// Longest wait for peers to receive the last replies and close their links.
-const LINK_CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Runs the planned stop. Returns when the process may exit.
 pub async fn stop(node: &Arc<Node>) {
@@ -41,7 +39,11 @@
     drain(node, deadline).await;
     unregister(node).await;
     close_links(node, deadline).await;
-    tracing::info!(cut_off = node.requests_in_flight(), "node stopped");
+    tracing::info!(
+        cut_off = node.requests_in_flight(),
+        undelivered = node.closing_connections(),
+        "node stopped"
+    );
 }
 
 /// Waits until nothing has been in flight for [`IDLE_PERIOD`], or until `deadline`.
@@ -55,10 +57,9 @@
     }
 }
 
-/// Closes the links that peers opened, and waits until the peers have closed them too, until `deadline`
-/// or for [`LINK_CLOSE_TIMEOUT`].
+/// Closes the links that peers opened, and waits until the peers have received the last replies, until
+/// `deadline`.
 async fn close_links(node: &Node, deadline: Instant) {
-    let deadline = deadline.min(Instant::now() + LINK_CLOSE_TIMEOUT);
     node.close_accepted_links();
     while Instant::now() < deadline && node.has_accepted_links() {
         sleep(LINK_POLL_INTERVAL).await;
--- a/crates/tallybridge-mesh/tests/caller_connection.rs
+++ b/crates/tallybridge-mesh/tests/caller_connection.rs
@@ -1,6 +1,7 @@
 //! Tests how the server handles one connection of a caller.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -8,6 +9,7 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tallybridge_mesh::{
     http::{Connection, HttpLimits, Request, RequestHandler, Response},
     in_flight::{InFlight, InFlightCounter},
@@ -15,12 +17,17 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::Semaphore,
 };
 
 /// Size of the answer to `/large`, in bytes. Exceeds what the system buffers for a connection.
 const LARGE_BYTES: usize = 32 << 20;
+/// Size of the answer to `/part`, in bytes. The system buffers several of them for a connection.
+const PART_BYTES: usize = 5_000;
+const PART_COUNT: usize = 6;
+const RECEIVE_BUFFER_BYTES: u32 = 4 * 1024;
+const SEGMENT_BYTES: u32 = 1448;
 
 /// Answers each request with its path. Requests under `/wait` wait for a permit first.
 #[derive(Clone)]
@@ -30,6 +37,7 @@
     dropped: Arc<AtomicUsize>,
     completed: Arc<AtomicUsize>,
     closing: Arc<AtomicBool>,
+    idle_close: Arc<Semaphore>,
     in_flight: InFlightCounter,
     closing_connections: InFlightCounter,
 }
@@ -64,6 +72,9 @@
         if request.head.target == "/large" {
             return Response::new(200, vec![b'x'; LARGE_BYTES]);
         }
+        if request.head.target == "/part" {
+            return Response::new(200, vec![b'x'; PART_BYTES]);
+        }
         Response::new(200, request.head.target.clone())
     }
 
@@ -78,6 +89,11 @@
     fn is_closing(&self) -> bool {
         self.closing.load(Ordering::SeqCst)
     }
+
+    async fn idle_close_due(&self) {
+        // Fails only if the semaphore is closed, which makes the close due.
+        let _ = self.idle_close.acquire().await;
+    }
 }
 
 async fn start_server() -> (Echo, TcpStream) {
@@ -89,11 +105,37 @@
         dropped: Arc::default(),
         completed: Arc::default(),
         closing: Arc::default(),
+        idle_close: Arc::new(Semaphore::new(0)),
         in_flight: InFlightCounter::default(),
         closing_connections: InFlightCounter::default(),
     };
     tokio::spawn(serve(echo.clone(), listener));
-    (echo, TcpStream::connect(address).await.unwrap())
+    (echo, connect_with_small_window(address).await)
+}
+
+/// The small window and segments keep most of what is written at the sender until the caller reads.
+async fn connect_with_small_window(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+    SockRef::from(&socket).set_tcp_mss(SEGMENT_BYTES).unwrap();
+    socket.connect(address).await.unwrap()
+}
+
+/// Sends pipelined requests, and waits until the server has written all answers, which the caller has not
+/// read.
+async fn leave_parts_unread(echo: &Echo, stream: &mut TcpStream) {
+    let requests = get("/part").repeat(PART_COUNT);
+    stream.write_all(&requests).await.unwrap();
+    wait_until(|| echo.completed.load(Ordering::SeqCst) == PART_COUNT).await;
+    wait_until(|| echo.in_flight.count() == 0).await;
+}
+
+async fn expect_parts(connection: &mut Connection) {
+    for number in 0..PART_COUNT {
+        let answer = connection.next_response(false).await;
+        let answer = answer.unwrap_or_else(|error| panic!("answer {number} is lost: {error}"));
+        assert_eq!(answer.body.len(), PART_BYTES);
+    }
 }
 
 async fn wait_until(mut condition: impl FnMut() -> bool) {
@@ -207,6 +249,74 @@
     assert!(bytes.is_empty());
 }
 
+/// Guards against an idle close that resets a connection whose caller still reads its answers.
+#[tokio::test]
+async fn connection_is_not_idle_until_its_answers_arrived() {
+    let (echo, mut stream) = start_server().await;
+    leave_parts_unread(&echo, &mut stream).await;
+    tokio::time::sleep(Duration::from_millis(1000)).await;
+    stream.write_all(&get("/again")).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut connection = Connection::new(stream);
+    expect_parts(&mut connection).await;
+    let answer = connection.next_response(false).await.unwrap();
+    assert_eq!(answer.body, "/again");
+}
+
+/// Guards against a stop that resets a connection whose caller sends again before it has read its answers.
+#[tokio::test]
+async fn stop_answers_requests_behind_answers_that_have_not_arrived() {
+    let (echo, mut stream) = start_server().await;
+    leave_parts_unread(&echo, &mut stream).await;
+    echo.closing.store(true, Ordering::SeqCst);
+    echo.idle_close.add_permits(1);
+    wait_until(|| echo.closing_connections.count() == 1).await;
+    stream.write_all(&get("/again")).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert!(echo.in_flight.count() + echo.closing_connections.count() > 0);
+    let mut connection = Connection::new(stream);
+    expect_parts(&mut connection).await;
+    let answer = connection.next_response(false).await.unwrap();
+    assert_eq!(answer.body, "/again");
+    assert!(!answer.is_persistent);
+    drop(connection);
+    wait_until(|| echo.closing_connections.count() == 0).await;
+}
+
+/// Guards against the same where the caller is still reading when the time for closing is over.
+#[tokio::test]
+async fn closing_connection_waits_while_answers_arrive_slowly() {
+    let (echo, mut stream) = start_server().await;
+    echo.closing.store(true, Ordering::SeqCst);
+    leave_parts_unread(&echo, &mut stream).await;
+    let mut bytes = Vec::new();
+    let started_at = std::time::Instant::now();
+    // Longer than a closing connection is kept without progress.
+    while started_at.elapsed() < Duration::from_millis(5600) {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        let mut limited = (&mut stream).take(768);
+        limited.read_buf(&mut bytes).await.unwrap();
+    }
+    stream.write_all(&get("/again")).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    stream.read_to_end(&mut bytes).await.unwrap();
+    assert!(bytes.len() > PART_BYTES * PART_COUNT);
+}
+
+/// Guards against a stop that leaves a kept connection to the end of the process.
+#[tokio::test]
+async fn stop_closes_connections_at_rest_and_waits_for_their_callers() {
+    let (echo, mut stream) = start_server().await;
+    stream.write_all(&get("/1")).await.unwrap();
+    let mut connection = Connection::new(stream);
+    connection.next_response(false).await.unwrap();
+    echo.idle_close.add_permits(1);
+    wait_until(|| echo.closing_connections.count() == 1).await;
+    assert!(connection.next_response(false).await.is_err());
+    drop(connection);
+    wait_until(|| echo.closing_connections.count() == 0).await;
+}
+
 #[tokio::test]
 async fn keeps_connection_open_while_request_runs() {
     let (echo, mut stream) = start_server().await;
