Statuses outside 100 to 599, and 101, fail their call

What callers saw: a back end in trouble that answers with status 000 has its answer passed on as `HTTP/1.1 0 Status`, with its signature. 101 was passed on without a body.

Cause: the parser of heads takes any three digits, and 101 counted as a final response.

Change: such a head fails its call (502, outcome unknown); the entry applies the same to answers that executors of earlier releases pass on over a link.

Conclusion: happened here; mended for back ends and links.

--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -10,13 +10,14 @@
 
 use super::{
     AnswerBudget, BodyLength, BodyReader, ExchangeError, ResponseHead,
-    exchange_error::ExchangeFailure,
+    exchange_error::ExchangeFailure, head::is_final_status,
 };
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Equals the default limit for request bodies.
 const DEFAULT_MAX_BODY_BYTES: usize = 64 << 20;
 const MAX_INTERIM_RESPONSES: usize = 16;
+const SWITCHING_PROTOCOLS_STATUS: u16 = 101;
 /// Buffer space reserved before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -177,7 +178,7 @@
     })
 }
 
-/// Reads the head of the final response and skips interim responses (100 to 199 except 101).
+/// Reads the head of the final response and skips interim responses.
 async fn receive_head(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
@@ -185,7 +186,10 @@
     let mut interim_responses = 0;
     loop {
         match ResponseHead::take(buffer, MAX_HEAD_BYTES)? {
-            Some(head) if (100..=199).contains(&head.status) && head.status != 101 => {
+            Some(head) if head.status == SWITCHING_PROTOCOLS_STATUS => {
+                return Err(ExchangeFailure::SwitchedProtocols);
+            }
+            Some(head) if !is_final_status(head.status) => {
                 interim_responses += 1;
                 if interim_responses > MAX_INTERIM_RESPONSES {
                     return Err(ExchangeFailure::TooManyInterimResponses);
--- a/crates/tallybridge-mesh/src/http/exchange_error.rs
+++ b/crates/tallybridge-mesh/src/http/exchange_error.rs
@@ -39,6 +39,9 @@
     /// The body of the response is malformed or too large.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// The server switched to another protocol, which no request asks for.
+    #[error("server switched to another protocol, which the request did not ask for")]
+    SwitchedProtocols,
     /// The server sent more interim responses than a client accepts.
     #[error("too many interim responses before the final response")]
     TooManyInterimResponses,
--- a/crates/tallybridge-mesh/src/http/head.rs
+++ b/crates/tallybridge-mesh/src/http/head.rs
@@ -1,10 +1,22 @@
 //! Parses the heads of requests and responses from a buffer, within size limits.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, BytesMut};
 
 use super::headers::HeaderLines;
 
 const MAX_HEADERS: usize = 96;
+/// Statuses that have a meaning (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+/// Statuses that end an exchange, unlike those of interim responses and of a switch of protocols.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
+/// Returns whether a status is that of a final response, which a caller may receive.
+#[must_use]
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
 
 /// Reason why a message head cannot be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -12,6 +24,9 @@
     /// The bytes are not a valid HTTP/1.x message head.
     #[error("malformed message head")]
     Malformed,
+    /// The status of a response, given here, is outside 100 to 599.
+    #[error("status {0:03} is outside 100 to 599")]
+    InvalidStatus(u16),
     /// The head exceeds the size limit or has too many header lines.
     #[error("message head exceeds its size limit")]
     TooLarge,
@@ -100,6 +115,9 @@
         let (Some(status), Some(version)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
         };
+        if !VALID_STATUSES.contains(&status) {
+            return Err(HeadError::InvalidStatus(status));
+        }
         Ok(Some(Self {
             status,
             is_version_1_1: version == 1,
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -28,7 +28,7 @@
     client::{Connection, ReceivedResponse, ResponseLimits},
     closing::{Delivery, discard_until_closed},
     exchange_error::{ExchangeError, ExchangeFailure, ExchangeStage},
-    head::{HeadError, RequestHead, ResponseHead},
+    head::{HeadError, RequestHead, ResponseHead, is_final_status},
     headers::{HeaderLines, write_line},
     persistent::PersistentConnection,
     pool::{Checkout, ConnectionPool},
--- a/crates/tallybridge-mesh/src/http/server/request_reader.rs
+++ b/crates/tallybridge-mesh/src/http/server/request_reader.rs
@@ -118,7 +118,8 @@
     /// Returns the HTTP status code of the error response.
     pub const fn status(self) -> u16 {
         match self {
-            Self::Head(HeadError::Malformed) | Self::Body(BodyError::Malformed) => 400,
+            Self::Head(HeadError::Malformed | HeadError::InvalidStatus(_))
+            | Self::Body(BodyError::Malformed) => 400,
             Self::Head(HeadError::TooLarge) => 431,
             Self::Body(BodyError::TooLarge) => 413,
         }
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -11,7 +11,7 @@
 use super::{Call, ExecutedCall, retry::is_undispatched};
 use crate::{
     clock::{BootInstant, timeout_at},
-    http::Response,
+    http::{Response, is_final_status},
     link::{Link, LinkError, Reply},
     node::Node,
     protocol::{CallMessage, RefusalMessage},
@@ -97,6 +97,10 @@
 
 fn result_of_reply(reply: Reply) -> Result<ExecutedCall, Refusal> {
     match reply {
+        Reply::Answer(answer) if !is_final_status(answer.status) => {
+            let detail = format!("executor passed on the invalid status {:03}", answer.status);
+            Err(Refusal::new(ErrorKind::BackendFailed, detail))
+        }
         Reply::Answer(answer) => Ok(ExecutedCall {
             answer: Response {
                 status: answer.status,
