Calls begin late in a planned stop only if its end cannot cut them off

What callers saw: nested calls, payments among them, that came 4.2 s after SIGTERM of 6 s of grace were passed on and cut off with no answer at the end of the stop; a read that failed then was retried, and the retry cut off.

Cause: what begins a call knew the call's deadline, not the end of the stop.

Change: the node knows that end. A call with a later deadline begins, is retried, and waits for a slot until 2 s before it at the latest; otherwise it is refused as not run, or its failure is answered. Calls that end before it by their deadline are served as before.

--- a/crates/tallybridge-mesh/src/node/lifecycle.rs
+++ b/crates/tallybridge-mesh/src/node/lifecycle.rs
@@ -1,7 +1,10 @@
 //! The lifecycle of a node: readiness, planned stop, changed settings and pauses of its process.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,12 +15,18 @@
     settings::MeshSettings,
 };
 
+/// Time to the end of a planned stop that a call needs to begin, unless its deadline is before that end. The
+/// end of the process would cut off a call that takes longer.
+const MIN_TIME_FOR_CALL: Duration = Duration::from_millis(2000);
+
 /// Flags and counts that decide whether a node accepts requests and dispatches calls.
 #[derive(Debug)]
 pub(super) struct Lifecycle {
     is_stopping: AtomicBool,
     /// Set in the last phase of a planned stop, when no more calls are dispatched.
     refuses_work: AtomicBool,
+    /// End of the planned stop, which cuts off calls in flight; empty unless a stop is in progress.
+    stop_deadline: OnceLock<BootInstant>,
     /// Whether most peers are unreachable.
     is_isolated: AtomicBool,
     /// Requests whose answers this node has not written to their callers.
@@ -39,6 +48,7 @@
         Self {
             is_stopping: AtomicBool::new(false),
             refuses_work: AtomicBool::new(false),
+            stop_deadline: OnceLock::new(),
             is_isolated: AtomicBool::new(false),
             requests: InFlightCounter::default(),
             closing_connections: InFlightCounter::default(),
@@ -84,6 +94,21 @@
         self.lifecycle.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Sets the end of the planned stop, from which no call is in flight any more. Has an effect once only.
+    pub fn set_stop_deadline(&self, deadline: BootInstant) {
+        self.lifecycle.stop_deadline.get_or_init(|| deadline);
+    }
+
+    /// Returns the last time at which a call with this deadline may begin or be dispatched; `None` if nothing
+    /// but its deadline limits the call.
+    #[must_use]
+    pub fn last_start_of_call(&self, call_deadline: BootInstant) -> Option<BootInstant> {
+        let stop_deadline = *self.lifecycle.stop_deadline.get()?;
+        let can_be_cut_off = call_deadline > stop_deadline;
+        let last_start = stop_deadline.checked_sub(MIN_TIME_FOR_CALL);
+        can_be_cut_off.then(|| last_start.unwrap_or(stop_deadline))
+    }
+
     /// Stops dispatching calls to the back end and refuses the calls that wait for a slot.
     pub fn refuse_work(&self) {
         self.lifecycle.refuses_work.store(true, Ordering::Relaxed);
--- a/crates/tallybridge-mesh/src/request/forward/attempt.rs
+++ b/crates/tallybridge-mesh/src/request/forward/attempt.rs
@@ -37,9 +37,13 @@
 ) -> Result<ExecutedCall, Refusal> {
     let Target { address, executor } = target;
     let now = BootInstant::now();
+    let last_start = node.last_start_of_call(call.deadline);
+    let wait_until = last_start.map_or(call.wait_until, |last_start| {
+        call.wait_until.min(last_start)
+    });
     let message = CallMessage {
         remaining_ms: saturating_millis(call.deadline.saturating_duration_since(now)),
-        wait_ms: saturating_millis(call.wait_until.saturating_duration_since(now)),
+        wait_ms: saturating_millis(wait_until.saturating_duration_since(now)),
         is_retry,
         ..call.message.clone()
     };
--- a/crates/tallybridge-mesh/src/request/forward/mod.rs
+++ b/crates/tallybridge-mesh/src/request/forward/mod.rs
@@ -71,6 +71,7 @@
     };
     node.record_first_attempt(&call.service, first_attempt);
     refuse_expired(call).map_err(ForwardError::not_sent)?;
+    refuse_if_stop_would_cut_off(node, call).map_err(ForwardError::not_sent)?;
     let mut attempts = Attempts::new();
     for _ in 0..=MAX_FURTHER_ATTEMPTS {
         let Some(target) = choose_executor(node, call, attempts.tried()) else {
@@ -90,7 +91,9 @@
             }
             Err(refusal) => attempts.record_refusal(refusal, was_suspect),
         };
-        if !attempts.should_continue(node, call, has_dispatched) {
+        if !attempts.should_continue(node, call, has_dispatched)
+            || refuse_if_stop_would_cut_off(node, call).is_err()
+        {
             break;
         }
     }
@@ -106,6 +109,16 @@
     Err(Refusal::new(ErrorKind::DeadlineExceeded, detail))
 }
 
+/// Refuses a call that may still run when a planned stop of this node ends.
+fn refuse_if_stop_would_cut_off(node: &Node, call: &Call) -> Result<(), Refusal> {
+    let last_start = node.last_start_of_call(call.deadline);
+    if last_start.is_none_or(|last_start| BootInstant::now() <= last_start) {
+        return Ok(());
+    }
+    let detail = "node stops before the call could end";
+    Err(Refusal::new(ErrorKind::Leaving, detail))
+}
+
 fn choose_executor(node: &Node, call: &Call, tried: &[SocketAddr]) -> Option<Target> {
     let query = placement_query(node, call, tried);
     let executor = node.with_peers(|peers| peers.choose(&query, Instant::now()))?;
--- a/crates/tallybridge-mesh/src/run/stop.rs
+++ b/crates/tallybridge-mesh/src/run/stop.rs
@@ -3,7 +3,8 @@
 //! During the *notice*, the node reports that it is not ready and peers prefer other executors, but
 //! it still serves all requests and calls. During the *drain*, it refuses new requests and calls and
 //! waits until it has had none in flight for [`IDLE_PERIOD`]. Then it ends its registration and closes
-//! the links of its peers.
+//! the links of its peers. Nested calls are served until the end, but late in the stop only those begin,
+//! and only those calls are retried, that the end of the process cannot cut off.
 //!
 //! A request or call is in flight until its answer has arrived, however slowly the caller or peer reads.
 //! Connections are closed only after the other side has received everything, because the end of the
@@ -17,7 +18,7 @@
 
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::{node::Node, tasks::registration::unregister};
+use crate::{clock::BootInstant, node::Node, tasks::registration::unregister};
 
 /// Time that callers and peers need to notice the stop.
 const NOTICE_PERIOD: Duration = Duration::from_millis(2600);
@@ -31,8 +32,10 @@
 /// Runs the planned stop. Returns when the process may exit.
 pub async fn stop(node: &Arc<Node>) {
     let requested_at = Instant::now();
-    let deadline = requested_at + node.stop_grace().saturating_sub(STOP_MARGIN);
+    let length = node.stop_grace().saturating_sub(STOP_MARGIN);
+    let deadline = requested_at + length;
     tracing::info!(in_flight = node.requests_in_flight(), "node is stopping");
+    node.set_stop_deadline(BootInstant::now() + length);
     node.begin_stop();
     sleep_until((requested_at + NOTICE_PERIOD).min(deadline)).await;
     node.refuse_work();
