A keep-alive timeout beyond the clock ends no call

What callers saw: a payment whose back end announces a keep-alive timeout of 2^64 - 1 s got no answer of its own.

Cause: the timeout was added to the clock, which panics and ends the task.

Change: an announced timeout counts for an hour at most.

Measured: answer_with_an_endless_keep_alive_timeout_arrives fails before ("overflow when adding duration to instant") and passes with the change.

--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -25,6 +25,8 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 /// Applies when the back end announces no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(300);
+/// Limits the announced keep-alive timeout, which may exceed what a clock can represent.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
 const MAX_IDLE_CONNECTIONS: usize = 256;
 
 /// Idle connections to one back end.
@@ -144,7 +146,9 @@
         .text("keep-alive")
         .and_then(parse_keep_alive_timeout);
     match timeout_seconds {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(KEEP_ALIVE_MARGIN),
+        Some(seconds) => Duration::from_secs(seconds)
+            .min(MAX_KEEP_ALIVE)
+            .saturating_sub(KEEP_ALIVE_MARGIN),
         None => DEFAULT_KEEP_ALIVE,
     }
 }
