--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -54,6 +54,9 @@
     pub head: ResponseHead,
     /// Complete body, without its transfer coding.
     pub body: Bytes,
+    /// Whether the body ended with the connection. The end of the server's process closes its
+    /// connections as well, so such a body may be incomplete.
+    pub ended_by_close: bool,
     /// Whether the server may send another response on the connection: the response had a length or
     /// chunks and did not announce a close.
     pub is_persistent: bool,
@@ -169,10 +172,12 @@
     let head = receive_head(reader, buffer).await?;
     let length = BodyLength::from_response(&head, is_head_request)?;
     let body = receive_body(reader, buffer, limits, length).await?;
-    let is_persistent = length != BodyLength::UntilClose && !head.closes_connection();
+    let ended_by_close = length == BodyLength::UntilClose;
+    let is_persistent = !ended_by_close && !head.closes_connection();
     Ok(ReceivedResponse {
         head,
         body,
+        ended_by_close,
         is_persistent,
         is_reusable: is_persistent,
     })
