Health check, not a connection, shows that a back end outlived its answer

Seen: soak of processes on: a payment got 200 with half of an answer without a length, whose back end had crashed.

Cause: a connection that was accepted after the close, and stayed open for 2 ms, counted as proof that the back end runs. The system closes the sockets of an ended process one after the other, often the listener last.

Change: the node sends a health check on the new connection, and the answer is passed on only if the same instance answers it, with whatever status. The call holds its slot meanwhile, so the health check need not wait for one.

--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -10,11 +10,11 @@
     time::Duration,
 };
 
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use super::{
-    AnswerBudget, Connection, ExchangeError, ExchangeFailure, ReceivedResponse, ResponseHead,
-    ResponseLimits, connect,
+    AnswerBudget, Connection, ExchangeError, ReceivedResponse, ResponseHead, ResponseLimits,
+    connect,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -28,12 +28,6 @@
 /// Limits the announced keep-alive timeout, which may exceed what a clock can represent.
 const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
 const MAX_IDLE_CONNECTIONS: usize = 256;
-/// Time for which a test connection must stay open. The system closes the listener and all
-/// connections of a process that ends within this time of each other.
-const TEST_DURATION: Duration = Duration::from_millis(2);
-/// A back end at its connection limit closes test connections too, so one closed connection does
-/// not end the test.
-const MAX_TEST_CONNECTIONS: usize = 3;
 
 /// Idle connections to one back end.
 #[derive(Debug)]
@@ -55,7 +49,6 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    has_carried_request: bool,
     expires_at: Instant,
 }
 
@@ -87,7 +80,7 @@
             if now < last.expires_at && last.connection.is_open_and_idle() {
                 return Some(Checkout {
                     connection: last.connection,
-                    is_reused: last.has_carried_request,
+                    is_reused: true,
                 });
             }
         }
@@ -114,41 +107,17 @@
         if !received.is_reusable {
             return;
         }
-        self.keep(connection, true, keep_alive_duration(&received.head));
-    }
-
-    fn keep(&self, connection: Connection, has_carried_request: bool, keep_alive: Duration) {
+        let keep_alive = keep_alive_duration(&received.head);
         let mut idle = self.lock_idle();
         if keep_alive.is_zero() || idle.len() >= MAX_IDLE_CONNECTIONS {
             return;
         }
         idle.push(IdleConnection {
             connection,
-            has_carried_request,
             expires_at: Instant::now() + keep_alive,
         });
     }
 
-    /// Tests whether the back end is running: a new connection to it is accepted and stays open for
-    /// `TEST_DURATION`. The pool keeps that connection. Returns the number of connections that were
-    /// opened.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`ExchangeError`] if no connection can be opened, or if the back end closes each of
-    /// them.
-    pub async fn test_back_end(&self) -> Result<usize, ExchangeError> {
-        for opened in 1..=MAX_TEST_CONNECTIONS {
-            let Checkout { connection, .. } = self.open().await?;
-            sleep(TEST_DURATION).await;
-            if connection.is_open_and_idle() {
-                self.keep(connection, false, DEFAULT_KEEP_ALIVE);
-                return Ok(opened);
-            }
-        }
-        Err(ExchangeError::not_sent(ExchangeFailure::Closed))
-    }
-
     /// Closes the idle connections whose keep-alive time has expired, and those on which the back end
     /// has sent bytes, which no request waits for.
     pub fn prune(&self) {
--- a/crates/tallybridge-mesh/src/request/execute/exchange.rs
+++ b/crates/tallybridge-mesh/src/request/execute/exchange.rs
@@ -6,10 +6,10 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use super::verdict::is_misdirected;
+use super::{liveness::confirm_still_running, verdict::is_misdirected};
 use crate::{
     clock::BootInstant,
-    http::{Checkout, ExchangeError, ExchangeFailure, ExchangeStage, ReceivedResponse, write_line},
+    http::{Checkout, ExchangeError, ExchangeStage, ReceivedResponse, write_line},
     node::Node,
     protocol::CallMessage,
     tables::Incarnation,
@@ -94,37 +94,13 @@
         received = connection.next_response(call.is_head_request).await?;
     }
     if received.ended_by_close {
-        confirm_back_end_closed(node).await?;
+        confirm_still_running(node, instance).await?;
     }
     received.is_reusable &= skipped_answers == 0;
     node.backend.check_in(connection, &received);
     Ok(received)
 }
 
-/// Confirms that the back end still runs after it closed the connection at the end of an answer
-/// without a length. If its process ended, the answer may be incomplete.
-async fn confirm_back_end_closed(node: &Node) -> Result<(), ExchangeError> {
-    match node.backend.test_back_end().await {
-        Ok(opened) => {
-            let opened = u64::try_from(opened).unwrap_or(u64::MAX);
-            node.counters
-                .connections
-                .fetch_add(opened, Ordering::Relaxed);
-            node.instance_reached();
-            Ok(())
-        }
-        Err(error) => {
-            if matches!(error.cause, ExchangeFailure::Connection(_)) {
-                node.instance_unreachable();
-            }
-            tracing::debug!(%error, "the answer had no length and the back end cannot be reached; treating the answer as incomplete");
-            Err(ExchangeError::aborted(
-                "back end may have ended within an answer without a length",
-            ))
-        }
-    }
-}
-
 /// Returns whether an answer belongs to a call. An answer without an attempt name may be a late
 /// duplicate for an earlier request, so it does not count. The exception is the first answer on a new
 /// connection, where another instance may refuse the call without the attempt name.
--- a/crates/tallybridge-mesh/src/request/execute/mod.rs
+++ b/crates/tallybridge-mesh/src/request/execute/mod.rs
@@ -10,6 +10,7 @@
 //! Slots and their queue belong to [`crate::tables::backend::slots`].
 
 mod exchange;
+mod liveness;
 mod outcome;
 mod verdict;
 
