A refused health check shows that the back end runs

A back end whose slots are full refuses health checks as it refuses requests, and such an answer need not name its instance.

Found by reading the protocol; whole_answer_of_a_full_back_end_is_passed_on plays it and fails (502) where the instance is asked for.

--- a/crates/tallybridge-mesh/src/request/execute/liveness.rs
+++ b/crates/tallybridge-mesh/src/request/execute/liveness.rs
@@ -57,7 +57,9 @@
         node.counters.health_checks.fetch_add(1, Ordering::Relaxed);
         let answered = connection.exchange(request.as_bytes(), b"", false).await;
         result = answered.and_then(|received| {
-            if received.head.headers.text(node.header_names.instance) != Some(instance) {
+            // An answer that refuses the health check may name no instance.
+            let answered_by = received.head.headers.text(node.header_names.instance);
+            if answered_by.is_some_and(|other| other != instance) {
                 return Err(ExchangeError::aborted(
                     "the answer to the health check is that of another instance",
                 ));
