--- a/crates/tallybridge-mesh/src/http/client.rs
+++ b/crates/tallybridge-mesh/src/http/client.rs
@@ -9,9 +9,10 @@
 };
 
 use super::{
-    AnswerBudget, BodyLength, BodyReader, ExchangeError, ResponseHead,
-    exchange_error::ExchangeFailure, head::is_final_status,
+    BodyLength, BodyReader, ExchangeError, ResponseHead, exchange_error::ExchangeFailure,
+    head::is_final_status,
 };
+use crate::memory::{MemoryBudget, MemoryShare, MemoryUse};
 
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Equals the default limit for request bodies.
@@ -20,6 +21,9 @@
 const SWITCHING_PROTOCOLS_STATUS: u16 = 101;
 /// Buffer space reserved before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Part of a body that counts only once the body is complete. The slots of the back end bound the number of
+/// incomplete ones, so that those which stall leave room for others.
+const UNCOUNTED_BYTES: usize = 64 * 1024;
 
 /// Limits on the memory that responses take while they are being read.
 #[derive(Debug, Clone)]
@@ -27,7 +31,7 @@
     /// Size limit for the body of one response, without its transfer coding.
     pub max_body_bytes: usize,
     /// Memory that the response shares with others; `None` if only its own limit applies.
-    pub budget: Option<AnswerBudget>,
+    pub budget: Option<MemoryBudget>,
 }
 
 impl Default for ResponseLimits {
@@ -213,18 +217,29 @@
     length: BodyLength,
 ) -> Result<Bytes, ExchangeFailure> {
     let mut body = BodyReader::new(length, limits.max_body_bytes)?;
-    let mut share = limits.budget.as_ref().map(AnswerBudget::begin_answer);
+    let budget = limits.budget.as_ref();
+    let mut share = budget.map(|budget| budget.begin(MemoryUse::Answer));
     while !body.read(buffer)? {
-        let has_room = share.as_mut().is_none_or(|share| share.grow_to(body.len()));
-        if !has_room {
-            return Err(ExchangeFailure::OutOfMemoryBudget);
-        }
+        grow(&mut share, body.len().saturating_sub(UNCOUNTED_BYTES))?;
         match read_more(reader, buffer).await {
             Err(ExchangeFailure::Closed) if body.ends_at_close() => break,
             read => read?,
         }
     }
-    Ok(body.into_body().into())
+    grow(&mut share, body.len())?;
+    let body = Bytes::from(body.into_body());
+    Ok(match share {
+        Some(share) => share.hold(body),
+        None => body,
+    })
+}
+
+/// Takes the memory of a body that has grown to `bytes`, if its memory is limited.
+fn grow(share: &mut Option<MemoryShare>, bytes: usize) -> Result<(), ExchangeFailure> {
+    let has_room = share.as_mut().is_none_or(|share| share.grow_to(bytes));
+    has_room
+        .then_some(())
+        .ok_or(ExchangeFailure::OutOfMemoryBudget)
 }
 
 async fn read_more(
--- a/crates/tallybridge-mesh/src/http/closing.rs
+++ b/crates/tallybridge-mesh/src/http/closing.rs
@@ -19,6 +19,9 @@
 pub const DELIVERY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time until a closing connection is dropped, however slowly its bytes are acknowledged.
 const MAX_CLOSING_TIME: Duration = Duration::from_secs(20);
+/// Most that is read of a closing connection. Enough for the rest of ordinary requests, whose senders then get
+/// their response; a sender without end is left unread.
+pub const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// Time that the other side has to close an idle connection whose bytes are all acknowledged.
 const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -83,7 +86,8 @@
 }
 
 /// Reads until the other side closes the connection, until nothing was acknowledged for `rest_timeout`, or
-/// for 20 s. The sending side must have been shut down. Discards what is read.
+/// for 20 s. The sending side must have been shut down. Discards what is read, at most
+/// [`MAX_DISCARDED_BYTES`].
 ///
 /// # Errors
 ///
@@ -92,15 +96,21 @@
 where
     R: AsyncRead + AsRef<TcpStream> + Unpin,
 {
-    let mut discarded = [0_u8; 1024];
+    let mut buffer = [0_u8; 4096];
+    let mut discarded_bytes = 0;
     let started_at = Instant::now();
     let mut delivery = Delivery::of(reader.as_ref());
     while started_at.elapsed() < MAX_CLOSING_TIME
         && !delivery.has_rested(reader.as_ref(), rest_timeout)
     {
         let reading = async {
-            while reader.read(&mut discarded).await? > 0 {}
-            Ok(())
+            while discarded_bytes < MAX_DISCARDED_BYTES {
+                match reader.read(&mut buffer).await? {
+                    0 => return Ok(()),
+                    count => discarded_bytes += count,
+                }
+            }
+            wait_until_closed(reader.as_ref()).await
         };
         if let Ok(closed) = timeout(DELIVERY_POLL_INTERVAL, reading).await {
             return closed;
@@ -120,16 +130,20 @@
 /// Returns the error of the socket, for example after a reset.
 pub async fn close_idle(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
-    let deadline = Instant::now() + IDLE_CLOSE_TIMEOUT;
-    while Instant::now() < deadline {
-        let ready = timeout(DELIVERY_POLL_INTERVAL, stream.ready(Interest::READABLE)).await;
-        let Ok(ready) = ready else { continue };
-        let is_closed = ready?.is_read_closed() || stream.peek(&mut [0]).await? == 0;
-        if is_closed {
+    match timeout(IDLE_CLOSE_TIMEOUT, wait_until_closed(stream)).await {
+        Ok(closed) => closed,
+        Err(_) => Ok(()),
+    }
+}
+
+/// Waits until the other side closes a connection, without reading from it.
+async fn wait_until_closed(stream: &TcpStream) -> io::Result<()> {
+    loop {
+        let ready = stream.ready(Interest::READABLE).await?;
+        if ready.is_read_closed() || stream.peek(&mut [0]).await? == 0 {
             return Ok(());
         }
-        // An unread request keeps the socket readable.
+        // Unread bytes keep the socket readable.
         tokio::time::sleep(DELIVERY_POLL_INTERVAL).await;
     }
-    Ok(())
 }
--- a/crates/tallybridge-mesh/src/http/mod.rs
+++ b/crates/tallybridge-mesh/src/http/mod.rs
@@ -7,7 +7,6 @@
 //! needed to process pipelined requests concurrently, to detect a caller that closes its connection
 //! and to refuse reuse of a connection with surplus bytes.
 
-mod answer_budget;
 mod body_length;
 mod body_reader;
 mod client;
@@ -22,7 +21,6 @@
 mod socket;
 
 pub use self::{
-    answer_budget::AnswerBudget,
     body_length::{BodyError, BodyLength},
     body_reader::BodyReader,
     client::{Connection, ReceivedResponse, ResponseLimits},
--- a/crates/tallybridge-mesh/src/http/pool.rs
+++ b/crates/tallybridge-mesh/src/http/pool.rs
@@ -12,10 +12,8 @@
 
 use tokio::time::Instant;
 
-use super::{
-    AnswerBudget, Connection, ExchangeError, ReceivedResponse, ResponseHead, ResponseLimits,
-    connect,
-};
+use super::{Connection, ExchangeError, ReceivedResponse, ResponseHead, ResponseLimits, connect};
+use crate::memory::{MemoryBudget, MemoryUse};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// A connection fails once sent bytes stay unacknowledged for this long.
@@ -55,7 +53,7 @@
 impl ConnectionPool {
     /// Creates an empty pool for the back end at `address`, whose answers share the memory of `budget`.
     #[must_use]
-    pub fn new(address: SocketAddr, budget: AnswerBudget) -> Self {
+    pub fn new(address: SocketAddr, budget: MemoryBudget) -> Self {
         Self {
             address,
             limits: ResponseLimits {
@@ -126,11 +124,11 @@
             .retain(|idle| now < idle.expires_at && idle.connection.is_open_and_idle());
     }
 
-    /// Returns the bytes of the budget that answers being read hold.
+    /// Returns the bytes of the budget that answers hold.
     #[must_use]
     pub fn answer_bytes(&self) -> usize {
         let budget = self.limits.budget.as_ref();
-        budget.map_or(0, AnswerBudget::used_bytes)
+        budget.map_or(0, |budget| budget.used_bytes_for(MemoryUse::Answer))
     }
 
     /// Closes all idle connections. Checked-out connections are not affected.
--- a/crates/tallybridge-mesh/src/http/response.rs
+++ b/crates/tallybridge-mesh/src/http/response.rs
@@ -6,6 +6,7 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use super::headers::write_line;
+use crate::memory::{Claim, MemoryShare};
 
 /// Largest body that is copied behind the head so that one write sends both.
 const MAX_COALESCED_BODY_BYTES: usize = 64 * 1024;
@@ -47,15 +48,32 @@
     pub is_head_request: bool,
     /// Guard of the request; `None` if the server rejected the request itself.
     pub _guard: Option<G>,
+    /// What the connection gives up of the response when the budget needs it.
+    pub _claim: Option<Claim>,
+    /// Memory of the request, except for its body.
+    pub _share: Option<MemoryShare>,
 }
 
 impl<G> PendingResponse<G> {
+    /// Creates the response to a request that the server does not pass to its handler.
+    pub const fn rejection(response: Response) -> Self {
+        Self {
+            response,
+            is_head_request: false,
+            _guard: None,
+            _claim: None,
+            _share: None,
+        }
+    }
+
     /// Writes the response. `closes_connection` adds a `Connection: close` header.
     pub async fn write(&self, stream: &mut TcpStream, closes_connection: bool) -> io::Result<()> {
         let body = &self.response.body;
         let has_body = !self.is_head_request && self.may_have_body();
-        let mut bytes = self.serialize_head(closes_connection);
-        if has_body && body.len() <= MAX_COALESCED_BODY_BYTES {
+        let is_coalesced = has_body && body.len() <= MAX_COALESCED_BODY_BYTES;
+        let body_capacity = if is_coalesced { body.len() } else { 0 };
+        let mut bytes = self.serialize_head(closes_connection, body_capacity);
+        if is_coalesced {
             bytes.extend_from_slice(body);
             return stream.write_all(&bytes).await;
         }
@@ -66,10 +84,10 @@
         Ok(())
     }
 
-    /// Returns the serialized head in a buffer with capacity for the body.
-    fn serialize_head(&self, closes_connection: bool) -> Vec<u8> {
+    /// Returns the serialized head in a buffer with capacity for `body_capacity` more bytes.
+    fn serialize_head(&self, closes_connection: bool, body_capacity: usize) -> Vec<u8> {
         let response = &self.response;
-        let mut bytes = Vec::with_capacity(256 + response.headers.len() + response.body.len());
+        let mut bytes = Vec::with_capacity(256 + response.headers.len() + body_capacity);
         bytes.extend_from_slice(b"HTTP/1.1 ");
         bytes.extend_from_slice(response.status.to_string().as_bytes());
         bytes.push(b' ');
--- a/crates/tallybridge-mesh/src/http/server/handler.rs
+++ b/crates/tallybridge-mesh/src/http/server/handler.rs
@@ -26,6 +26,12 @@
     /// connection.
     fn handle(&self, request: Request) -> impl Future<Output = Response> + Send;
 
+    /// Returns the response to a request that was not read completely because the node has no memory for it. It
+    /// has not run, so its caller may send it again.
+    fn refuse_for_memory(&self) -> Response {
+        Response::new(503, Bytes::new()).with_header("Retry-After", "1")
+    }
+
     /// Returns the current limits. The server reads the limits again for each request.
     fn limits(&self) -> HttpLimits;
 
--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -9,6 +9,9 @@
 //!
 //! When a caller closes its connection, the server cancels all requests of that connection. The
 //! module relies on [`request_reader`] to parse requests and on a [`RequestHandler`] to answer them.
+//!
+//! When the [memory budget](crate::memory) has no room, an incomplete request is refused without reading the rest
+//! of it, and a connection whose answers wait for their caller is closed.
 
 mod handler;
 mod request_reader;
@@ -18,7 +21,7 @@
 use bytes::Bytes;
 use futures::{
     FutureExt, StreamExt,
-    future::{BoxFuture, ready},
+    future::{BoxFuture, pending, ready},
     stream::FuturesOrdered,
 };
 use tokio::{
@@ -28,13 +31,18 @@
 };
 
 pub use self::handler::{HttpLimits, Request, RequestHandler};
-use self::request_reader::RequestReader;
+use self::request_reader::{CompleteRequest, RequestError, RequestReader};
 use super::{
     closing::{
-        DELIVERY_POLL_INTERVAL, Delivery, close_idle, discard_until_closed, unacknowledged_bytes,
+        DELIVERY_POLL_INTERVAL, Delivery, MAX_DISCARDED_BYTES, close_idle, discard_until_closed,
+        unacknowledged_bytes,
     },
     response::{PendingResponse, Response},
 };
+use crate::{
+    log::rate_limit::LogRateLimit,
+    memory::{Activity, Client, MemoryUse},
+};
 
 /// Requests of one connection that run concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -45,16 +53,20 @@
 const LINGERING_CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 const REQUEST_TIMEOUT_STATUS: u16 = 408;
 
-/// Serves requests on `stream` until either side closes the connection.
+/// Serves requests of `client` on `stream` until either side closes the connection.
 pub async fn serve_connection<H: RequestHandler>(
     handler: H,
     stream: TcpStream,
     caller: SocketAddr,
+    client: Client,
 ) {
     let mut connection = ServerConnection {
         handler,
         stream,
-        requests: RequestReader::new(caller),
+        requests: RequestReader::new(caller, client.budget()),
+        client,
+        gave_up_memory: false,
+        discarded_bytes: 0,
         pending: FuturesOrdered::new(),
         finished: VecDeque::new(),
         waiting_since: Instant::now(),
@@ -80,6 +92,11 @@
     handler: H,
     stream: TcpStream,
     requests: RequestReader,
+    client: Client,
+    /// Whether the connection has given up what the budget demanded.
+    gave_up_memory: bool,
+    /// Bytes that were read and dropped since the server accepts no more requests.
+    discarded_bytes: usize,
     pending: FuturesOrdered<BoxFuture<'static, PendingResponse<H::Guard>>>,
     /// Responses that became ready while an earlier one was being written.
     finished: VecDeque<PendingResponse<H::Guard>>,
@@ -107,14 +124,14 @@
                 continue;
             }
             if self.intake == Intake::Closed && self.pending.is_empty() {
-                let _closing = self.handler.track_closing_connection();
-                return lingering_close(&mut self.stream).await;
+                return self.lingering_close().await;
             }
             let is_delivering = closes_idle && self.is_delivering();
             if closes_idle && !is_delivering && self.is_at_rest() {
                 return self.close_idle().await;
             }
             let _closing = is_delivering.then(|| self.handler.track_closing_connection());
+            self.client.set_activity(self.activity());
             let may_read = self.may_read();
             let deadline = self.deadline();
             tokio::select! {
@@ -122,15 +139,23 @@
                 Some(response) = self.pending.next(), if !self.pending.is_empty() => {
                     self.write(response).await?;
                 }
+                // Before reading, since a request that has been read must be answered.
+                () = self.client.connection_demanded(), if self.pending.is_empty() => {
+                    return Ok(());
+                }
                 read = self.requests.read_some(&mut self.stream), if may_read => {
-                    if read? == 0 {
+                    let count = read?;
+                    if count == 0 {
                         return Ok(());
                     }
-                    self.record_read();
+                    self.record_read(count);
+                }
+                () = self.client.memory_demanded(), if !self.gave_up_memory => {
+                    self.give_up_memory()?;
                 }
                 () = sleep_until(deadline), if self.pending.is_empty() => {
                     if !self.requests.is_empty() {
-                        self.reject(REQUEST_TIMEOUT_STATUS);
+                        self.reject(Response::new(REQUEST_TIMEOUT_STATUS, Bytes::new()));
                     } else if self.has_delivered() {
                         return self.close_idle().await;
                     }
@@ -169,7 +194,47 @@
 
     async fn close_idle(&mut self) -> io::Result<()> {
         let _closing = self.handler.track_closing_connection();
-        close_idle(&mut self.stream).await
+        self.client.set_activity(Activity::Closing);
+        tokio::select! {
+            closed = close_idle(&mut self.stream) => closed,
+            () = self.client.connection_demanded() => Ok(()),
+        }
+    }
+
+    /// Shuts down the sending side, then reads until the caller closes the connection or a timeout expires.
+    async fn lingering_close(&mut self) -> io::Result<()> {
+        let _closing = self.handler.track_closing_connection();
+        self.client.set_activity(Activity::Closing);
+        self.stream.shutdown().await?;
+        let (mut reader, _writer) = self.stream.split();
+        tokio::select! {
+            closed = discard_until_closed(&mut reader, LINGERING_CLOSE_TIMEOUT) => closed,
+            () = self.client.connection_demanded() => Ok(()),
+        }
+    }
+
+    fn activity(&self) -> Activity {
+        if !self.pending.is_empty() {
+            Activity::Busy
+        } else if self.requests.is_empty() {
+            Activity::Idle
+        } else {
+            Activity::Reading
+        }
+    }
+
+    /// Gives up what the connection holds, since the memory budget needs it: closes the connection if answers
+    /// wait for the caller, otherwise refuses the request that is being read.
+    fn give_up_memory(&mut self) -> io::Result<()> {
+        self.gave_up_memory = true;
+        if self.client.claimed_bytes(MemoryUse::Answer) > 0 {
+            log_closed_for_memory();
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        if self.requests.is_in_body() {
+            self.reject(self.handler.refuse_for_memory());
+        }
+        Ok(())
     }
 
     fn may_read(&self) -> bool {
@@ -177,17 +242,22 @@
             Intake::Open => self.requests.has_room(),
             // Reading detects a caller that closes its connection while the last request runs. The
             // bytes are discarded.
-            Intake::Closed => true,
+            Intake::Closed => self.discarded_bytes < MAX_DISCARDED_BYTES,
         }
     }
 
     /// Restarts the timeout after a read. The header timeout starts at the first byte of the head, and
     /// the idle timeout of a body starts at each read.
-    fn record_read(&mut self) {
+    fn record_read(&mut self, count: usize) {
         if self.intake == Intake::Closed {
+            self.discarded_bytes += count;
             self.requests.discard();
             return;
         }
+        if !self.requests.count_buffer() {
+            self.reject(self.handler.refuse_for_memory());
+            return;
+        }
         if self.is_idle || self.requests.is_in_body() {
             self.waiting_since = Instant::now();
         }
@@ -207,10 +277,15 @@
     /// Starts every complete request in the buffer, up to the limit of concurrent requests.
     async fn take_requests(&mut self) -> io::Result<()> {
         while self.intake == Intake::Open && self.unanswered() < MAX_PIPELINED_REQUESTS {
-            match self.requests.take(&self.handler.limits()) {
+            match self.requests.take(&self.handler.limits(), &self.client) {
                 Ok(Some(request)) => self.start_request(request),
                 Ok(None) => return self.continue_if_expected().await,
-                Err(error) => self.reject(error.status()),
+                Err(RequestError::OutOfMemoryBudget) => {
+                    self.reject(self.handler.refuse_for_memory());
+                }
+                Err(RequestError::Invalid(status)) => {
+                    self.reject(Response::new(status, Bytes::new()));
+                }
             }
         }
         Ok(())
@@ -223,38 +298,40 @@
 
     /// Sends `100 Continue` if the caller waits for it before sending the body.
     async fn continue_if_expected(&mut self) -> io::Result<()> {
-        if self.requests.awaits_continue() && self.unanswered() == 0 {
+        if self.unanswered() == 0 && self.requests.starts_awaiting_continue() {
             let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
             self.stream.write_all(interim).await?;
         }
         Ok(())
     }
 
-    fn start_request(&mut self, request: Request) {
+    fn start_request(&mut self, request: CompleteRequest) {
+        let CompleteRequest { request, share } = request;
         let is_head_request = request.head.method == "HEAD";
         if request.head.closes_connection() {
             self.close_intake();
         }
+        self.client.set_activity(Activity::Busy);
         let handler = self.handler.clone();
         let guard = handler.track_request();
+        let claims = self.client.claims().clone();
         let response = async move {
+            let response = handler.handle(request).await;
             PendingResponse {
-                response: handler.handle(request).await,
+                _claim: Some(claims.claim(MemoryUse::Answer, response.body.len())),
+                response,
                 is_head_request,
                 _guard: Some(guard),
+                _share: Some(share),
             }
         };
         self.pending.push_back(response.boxed());
     }
 
     /// Queues an error response behind the pending responses and accepts no further requests.
-    fn reject(&mut self, status: u16) {
-        let response = PendingResponse {
-            response: Response::new(status, Bytes::new()),
-            is_head_request: false,
-            _guard: None,
-        };
+    fn reject(&mut self, response: Response) {
         self.close_intake();
+        let response = PendingResponse::rejection(response);
         self.pending.push_back(ready(response).boxed());
     }
 
@@ -274,7 +351,16 @@
             WRITE_TIMEOUT,
             response.write(&mut self.stream, closes_connection),
         );
-        let written = run_beside(writing, &mut self.pending, &mut self.finished).await;
+        self.client.set_activity(Activity::Busy);
+        let writing = run_beside(writing, &mut self.pending, &mut self.finished);
+        let written = tokio::select! {
+            biased;
+            written = writing => written,
+            () = answers_demanded(&self.client), if !self.gave_up_memory => {
+                log_closed_for_memory();
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+        };
         self.waiting_since = Instant::now();
         self.is_idle = self.requests.is_empty();
         self.has_answered = true;
@@ -302,9 +388,20 @@
     }
 }
 
-/// Shuts down the sending side, then reads until the caller closes the connection or a timeout expires.
-async fn lingering_close(stream: &mut TcpStream) -> io::Result<()> {
-    stream.shutdown().await?;
-    let (mut reader, _writer) = stream.split();
-    discard_until_closed(&mut reader, LINGERING_CLOSE_TIMEOUT).await
+/// Waits until the budget needs the memory of answers that wait for their caller.
+async fn answers_demanded(client: &Client) {
+    client.memory_demanded().await;
+    if client.claimed_bytes(MemoryUse::Answer) == 0 {
+        pending::<()>().await;
+    }
+}
+
+fn log_closed_for_memory() {
+    static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+    if let Some(left_out) = LOG_RATE_LIMIT.admit() {
+        tracing::warn!(
+            left_out,
+            "answers of a caller that reads slowly hold too much memory; closing its connection"
+        );
+    }
 }
--- a/crates/tallybridge-mesh/src/lib.rs
+++ b/crates/tallybridge-mesh/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`platform::Platform`] trait hides everything that is specific to the platform.
 //!
 //! Each layer depends only on layers after it in this list: `run`, `listener`, `request` and `tasks`,
-//! `node`, `tables`, `link`, `log`, `protocol`, `platform` and `configuration`, `http`, `settings`,
-//! `policy`, `clock`, `in_flight`.
+//! `node`, `tables`, `link`, `log`, `protocol`, `platform` and `configuration`, `http`, `memory`,
+//! `settings`, `policy`, `clock`, `in_flight`.
 
 pub mod clock;
 pub mod configuration;
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod listener;
 pub mod log;
+pub mod memory;
 pub mod node;
 pub mod platform;
 pub mod policy;
--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -11,40 +11,63 @@
 
 use crate::{
     in_flight::InFlight,
-    protocol::{Frame, Message, NodeRecord},
+    memory::{MemoryBudget, MemoryShare, MemoryUse},
+    protocol::{
+        EncodedFrame, Frame, FrameContent, FramePreview, HEADER_BYTES, Message, NodeRecord,
+    },
 };
 
 /// Buffer space reserved for each read. It is small because a node has hundreds of links, most of
 /// which are idle.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 const MAX_FRAMES_PER_WRITE: usize = 64;
+/// Memory of a call or an answer besides its payload: its task and its place in the tables.
+const MESSAGE_OVERHEAD_BYTES: usize = 4 * 1024;
+
+/// A frame that waits to be written.
+#[derive(Debug)]
+pub struct QueuedFrame {
+    frame: EncodedFrame,
+    /// Dropped once the frame is written.
+    _in_flight: Option<InFlight>,
+}
+
+impl QueuedFrame {
+    /// Returns all bytes of the frame.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        self.frame.to_bytes()
+    }
+}
 
 /// Queues frames for one connection without blocking.
 #[derive(Debug, Clone)]
-pub struct FrameSender(mpsc::UnboundedSender<Bytes>);
+pub struct FrameSender(mpsc::UnboundedSender<QueuedFrame>);
 
 impl FrameSender {
     /// Creates a sender whose frames go to a channel that [`write_frames`] drains.
     #[must_use]
-    pub const fn new(sender: mpsc::UnboundedSender<Bytes>) -> Self {
+    pub const fn new(sender: mpsc::UnboundedSender<QueuedFrame>) -> Self {
         Self(sender)
     }
 
     /// Queues a frame. Drops the frame if the connection is closed.
     pub fn send(&self, frame: &Frame) {
-        // Fails only if the connection is closed. The connection's reader then ends its calls.
-        let _ = self.0.send(frame.encode());
+        self.queue(frame, None);
     }
 
     /// Queues a frame that counts as in flight until it is written. Drops both if the connection is
     /// closed.
     pub fn send_tracked(&self, frame: &Frame, in_flight: InFlight) {
-        let tracked = TrackedFrame {
-            bytes: frame.encode(),
+        self.queue(frame, Some(in_flight));
+    }
+
+    fn queue(&self, frame: &Frame, in_flight: Option<InFlight>) {
+        // Fails only if the connection is closed. The connection's reader then ends its calls.
+        let _ = self.0.send(QueuedFrame {
+            frame: frame.encode_shared(),
             _in_flight: in_flight,
-        };
-        // Fails only if the connection is closed, as in `send`.
-        let _ = self.0.send(Bytes::from_owner(tracked));
+        });
     }
 
     /// Returns whether the connection is still open for writing.
@@ -59,18 +82,6 @@
     }
 }
 
-/// Bytes of a frame with a guard that is dropped once they are written.
-struct TrackedFrame {
-    bytes: Bytes,
-    _in_flight: InFlight,
-}
-
-impl AsRef<[u8]> for TrackedFrame {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 fn invalid_data(error: impl ToString) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, error.to_string())
 }
@@ -86,9 +97,125 @@
         if let Some(frame) = Frame::decode(buffer).map_err(invalid_data)? {
             return Ok(frame);
         }
-        buffer.reserve(READ_BUFFER_BYTES);
-        if reader.read_buf(buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+        read_some(reader, buffer).await?;
+    }
+}
+
+async fn read_some(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<()> {
+    buffer.reserve(READ_BUFFER_BYTES);
+    match reader.read_buf(buffer).await? {
+        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+        _ => Ok(()),
+    }
+}
+
+/// What arrived on a link.
+#[derive(Debug)]
+pub enum Received {
+    /// A complete frame.
+    Frame(Frame),
+    /// A call or an answer for which this node has no memory. The rest of its frame is skipped.
+    Discarded(FramePreview),
+    /// A part of a frame, which shows that the peer is alive.
+    Part,
+}
+
+/// Reads the frames of a link, and counts calls and answers against the memory budget.
+#[derive(Debug)]
+pub struct FrameReader {
+    reader: OwnedReadHalf,
+    buffer: BytesMut,
+    budget: MemoryBudget,
+    /// Memory of the call or answer whose frame is being read.
+    share: Option<MemoryShare>,
+    /// Bytes to skip before the next frame.
+    skipped_bytes: usize,
+}
+
+impl FrameReader {
+    /// Reads from `reader` what follows the bytes that `buffer` holds already.
+    #[must_use]
+    pub const fn new(reader: OwnedReadHalf, buffer: BytesMut, budget: MemoryBudget) -> Self {
+        Self {
+            reader,
+            buffer,
+            budget,
+            share: None,
+            skipped_bytes: 0,
+        }
+    }
+
+    /// Returns the connection.
+    #[must_use]
+    pub fn into_reader(self) -> OwnedReadHalf {
+        self.reader
+    }
+
+    /// Waits for the next frame or a part of it. Dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`next_frame`].
+    pub async fn next(&mut self) -> io::Result<Received> {
+        self.skip();
+        if self.skipped_bytes == 0
+            && let Some(received) = self.take()?
+        {
+            return Ok(received);
+        }
+        let is_within_frame = self.skipped_bytes > 0 || self.share.is_some();
+        read_some(&mut self.reader, &mut self.buffer).await?;
+        if is_within_frame {
+            return Ok(Received::Part);
+        }
+        self.take()
+            .map(|received| received.unwrap_or(Received::Part))
+    }
+
+    /// Removes a complete frame from the buffer, or discards an incomplete one that has no memory.
+    fn take(&mut self) -> io::Result<Option<Received>> {
+        let Some(preview) = Frame::preview(&self.buffer).map_err(invalid_data)? else {
+            return Ok(None);
+        };
+        let memory_use = match preview.content {
+            FrameContent::Call => MemoryUse::Request,
+            FrameContent::Answer => MemoryUse::Answer,
+            FrameContent::Other => {
+                let frame = Frame::decode(&mut self.buffer).map_err(invalid_data)?;
+                return Ok(frame.map(Received::Frame));
+            }
+        };
+        let budget = &self.budget;
+        let mut share = self
+            .share
+            .take()
+            .unwrap_or_else(|| budget.begin(memory_use));
+        let received_bytes = (self.buffer.len() - HEADER_BYTES).min(preview.payload_bytes);
+        if !share.grow_to(received_bytes + MESSAGE_OVERHEAD_BYTES) {
+            self.skipped_bytes = HEADER_BYTES + preview.payload_bytes;
+            self.skip();
+            return Ok(Some(Received::Discarded(preview)));
+        }
+        if received_bytes < preview.payload_bytes {
+            self.share = Some(share);
+            self.buffer.reserve(preview.payload_bytes - received_bytes);
+            return Ok(None);
+        }
+        let frame = Frame::decode_with(&mut self.buffer, |payload| share.hold(payload));
+        Ok(frame.map_err(invalid_data)?.map(Received::Frame))
+    }
+
+    /// Drops the buffered bytes that belong to a discarded frame.
+    fn skip(&mut self) {
+        if self.skipped_bytes == 0 {
+            return;
+        }
+        let count = self.skipped_bytes.min(self.buffer.len());
+        self.skipped_bytes -= count;
+        self.buffer.advance(count);
+        if self.buffer.is_empty() {
+            // Frees the space that was reserved for the payload.
+            self.buffer = BytesMut::new();
         }
     }
 }
@@ -116,16 +243,30 @@
 /// Returns I/O errors of the connection.
 pub async fn write_frames(
     mut writer: OwnedWriteHalf,
-    mut frames: mpsc::UnboundedReceiver<Bytes>,
+    mut frames: mpsc::UnboundedReceiver<QueuedFrame>,
 ) -> io::Result<()> {
     let mut batch = Vec::with_capacity(MAX_FRAMES_PER_WRITE);
     while frames.recv_many(&mut batch, MAX_FRAMES_PER_WRITE).await > 0 {
-        if let [frame] = &batch[..] {
-            writer.write_all(frame).await?;
-        } else {
-            writer.write_all(&batch.concat()).await?;
+        if let [queued] = &batch[..] {
+            writer.write_all(&queued.frame.head).await?;
+            writer.write_all(&queued.frame.body).await?;
+            batch.clear();
+            continue;
+        }
+        // Guards of frames are dropped after the write that contains them.
+        let mut joined = Vec::new();
+        let mut written = Vec::new();
+        for queued in batch.drain(..) {
+            joined.extend_from_slice(&queued.frame.head);
+            if !queued.frame.body.is_empty() {
+                writer.write_all(&joined).await?;
+                joined.clear();
+                writer.write_all(&queued.frame.body).await?;
+                written.clear();
+            }
+            written.push(queued);
         }
-        batch.clear();
+        writer.write_all(&joined).await?;
     }
     Ok(())
 }
--- a/crates/tallybridge-mesh/src/link/mod.rs
+++ b/crates/tallybridge-mesh/src/link/mod.rs
@@ -24,7 +24,7 @@
 };
 
 use self::{
-    framing::FrameSender,
+    framing::{FrameSender, QueuedFrame},
     liveness::{Liveness, Verdict},
     peer_clock::PeerClock,
     pending::{CallResult, PendingCalls},
@@ -83,7 +83,7 @@
 impl Link {
     /// Creates a link to the node named `peer`, which queues its frames in `sender`.
     #[must_use]
-    pub fn new(peer: &str, sender: mpsc::UnboundedSender<Bytes>) -> Self {
+    pub fn new(peer: &str, sender: mpsc::UnboundedSender<QueuedFrame>) -> Self {
         Self {
             peer: peer.to_owned(),
             sender: FrameSender::new(sender),
--- a/crates/tallybridge-mesh/src/listener/callers.rs
+++ b/crates/tallybridge-mesh/src/listener/callers.rs
@@ -28,6 +28,10 @@
         entry::handle(&self.0, request).await
     }
 
+    fn refuse_for_memory(&self) -> Response {
+        entry::refuse_for_memory(&self.0)
+    }
+
     fn limits(&self) -> HttpLimits {
         self.0
             .configuration()
--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     http::{HttpLimits, Request, RequestHandler, Response},
+    memory::MemoryUse,
     node::{Counters, Node},
 };
 
@@ -55,6 +56,7 @@
     for (name, value) in gauges(node) {
         page.push_metric(name, "gauge", value);
     }
+    page.push_memory(node);
     page.push_admitted_percentages(node);
     page.push_route_costs(node);
     page.push_announced_limit(node);
@@ -127,6 +129,27 @@
         self.push_line(format_args!("tallybridge_{name} {value}"));
     }
 
+    /// Writes the bytes that requests and answers hold, and what was turned away for lack of memory.
+    fn push_memory(&mut self, node: &Node) {
+        let memory = &node.memory;
+        let name = "memory_held_bytes";
+        self.push_line(format_args!("# TYPE tallybridge_{name} gauge"));
+        for (label, memory_use) in [
+            ("requests", MemoryUse::Request),
+            ("answers", MemoryUse::Answer),
+        ] {
+            let bytes = memory.used_bytes_for(memory_use);
+            self.push_line(format_args!(
+                "tallybridge_{name}{{use=\"{label}\"}} {bytes}"
+            ));
+        }
+        self.push_metric("memory_limit_bytes", "gauge", memory.limit_bytes() as u64);
+        self.push_metric("memory_refusals_total", "counter", memory.failures());
+        self.push_metric("memory_evictions_total", "counter", memory.evictions());
+        let refused = node.counters.out_of_memory.load(Ordering::Relaxed);
+        self.push_metric("refused_out_of_memory_total", "counter", refused);
+    }
+
     /// Writes the calls refused because of the rate limit that the back end announces. While it announces
     /// one, also writes the limit and for how long it has announced one.
     fn push_announced_limit(&mut self, node: &Node) {
--- a/crates/tallybridge-mesh/src/listener/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/mod.rs
@@ -12,19 +12,27 @@
 
 use tokio::net::TcpListener;
 
-use crate::http::{RequestHandler, serve_connection};
+use crate::{
+    http::{RequestHandler, serve_connection},
+    log::rate_limit::LogRateLimit,
+    memory::ListenerClients,
+};
 
 /// Avoids a busy loop while accepting fails, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Serves the HTTP connections of a listener, each in its own task. Never returns.
-pub async fn serve<H: RequestHandler>(handler: H, listener: TcpListener) {
+pub async fn serve<H: RequestHandler>(handler: H, listener: TcpListener, clients: ListenerClients) {
     loop {
         match listener.accept().await {
             Ok((stream, caller)) => {
+                let Some(client) = clients.admit() else {
+                    log_connection_refused();
+                    continue;
+                };
                 // A failure only delays answers.
                 let _ = stream.set_nodelay(true);
-                tokio::spawn(serve_connection(handler.clone(), stream, caller));
+                tokio::spawn(serve_connection(handler.clone(), stream, caller, client));
             }
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection; retrying");
@@ -33,3 +41,14 @@
         }
     }
 }
+
+/// Logs that a new connection was closed because the listener has as many as it may, all with running requests.
+fn log_connection_refused() {
+    static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+    if let Some(left_out) = LOG_RATE_LIMIT.admit() {
+        tracing::warn!(
+            left_out,
+            "too many connections have running requests; closing a new one"
+        );
+    }
+}
--- a/crates/tallybridge-mesh/src/listener/peers/mod.rs
+++ b/crates/tallybridge-mesh/src/listener/peers/mod.rs
@@ -8,6 +8,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use tallybridge_core::{ErrorKind, Outcome};
 use tokio::{
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf},
     sync::mpsc,
@@ -20,15 +21,17 @@
     clock::BootInstant,
     http::{discard_until_closed, set_liveness_options},
     link::{
-        framing::{FrameSender, next_frame, read_hello, write_frames},
+        framing::{FrameReader, FrameSender, Received, read_hello, write_frames},
         liveness::UNACKNOWLEDGED_TIMEOUT,
     },
+    log::rate_limit::LogRateLimit,
+    memory::{Activity, Client, ListenerClients},
     node::Node,
     protocol::{
-        ClockMessage, ConfirmationMessage, Frame, Message, QuotaGrant, QuotaRequest,
-        QuotaRequestMessage,
+        ClockMessage, ConfirmationMessage, Frame, FrameContent, FramePreview, Message, QuotaGrant,
+        QuotaRequest, QuotaRequestMessage, RefusalMessage,
     },
-    request::quota,
+    request::{MEMORY_RETRY_AFTER, quota},
     tables::ConfirmedVersion,
 };
 
@@ -39,14 +42,18 @@
 /// Avoids a busy loop while accepting fails, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts links from other nodes, each in its own task. Never returns.
-pub async fn accept_peers(node: Arc<Node>, listener: TcpListener) {
+/// Accepts links from other nodes, each in its own task. Never returns. `unidentified` bounds the connections
+/// without a hello.
+pub async fn accept_peers(node: Arc<Node>, listener: TcpListener, unidentified: ListenerClients) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(client) = unidentified.admit() else {
+                    continue;
+                };
                 let node = node.clone();
                 tokio::spawn(async move {
-                    if let Err(error) = serve_peer(node, stream).await {
+                    if let Err(error) = serve_peer(node, stream, client).await {
                         tracing::debug!(%error, "link from a peer closed");
                     }
                 });
@@ -59,12 +66,17 @@
     }
 }
 
-async fn serve_peer(node: Arc<Node>, stream: TcpStream) -> io::Result<()> {
+async fn serve_peer(node: Arc<Node>, stream: TcpStream, client: Client) -> io::Result<()> {
     set_liveness_options(&stream, UNACKNOWLEDGED_TIMEOUT);
     let (mut reader, writer) = stream.into_split();
     let mut buffer = BytesMut::new();
-    let hello = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &mut buffer)).await;
+    client.set_activity(Activity::Reading);
+    let hello = tokio::select! {
+        hello = timeout(HELLO_TIMEOUT, read_hello(&mut reader, &mut buffer)) => hello,
+        () = client.connection_demanded() => return Ok(()),
+    };
     let record = hello.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    drop(client);
     let keeps_notices = record.keeps_notices;
     node.learn_records([record]);
     let (sender, outgoing_frames) = mpsc::unbounded_channel();
@@ -73,9 +85,14 @@
     let _accepted_link = node.track_accepted_link();
     let link = AcceptedLink::new(node.clone(), FrameSender::new(sender), keeps_notices);
     link.send_initial_state();
-    let result = tokio::select! {
-        result = link.run(&mut reader, &mut buffer) => result,
-        () = node.accepted_links_close() => close_link(reader, writer_task).await,
+    let mut reader = FrameReader::new(reader, buffer, node.memory.clone());
+    let is_closing = tokio::select! {
+        result = link.run(&mut reader) => Err(result),
+        () = node.accepted_links_close() => Ok(()),
+    };
+    let result = match is_closing {
+        Ok(()) => close_link(reader.into_reader(), writer_task).await,
+        Err(result) => result,
     };
     writer_abort.abort();
     link.running_calls.abort_idempotent();
@@ -125,12 +142,16 @@
     }
 
     /// Handles frames until the link closes. Sends the status and the store's confirmation on change.
-    async fn run(&self, reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<()> {
+    async fn run(&self, reader: &mut FrameReader) -> io::Result<()> {
         let mut status_changes = self.node.status_updates();
         let mut confirmation_changes = self.node.confirmations();
         loop {
             tokio::select! {
-                frame = next_frame(reader, buffer) => self.handle_frame(frame?),
+                received = reader.next() => match received? {
+                    Received::Frame(frame) => self.handle_frame(frame),
+                    Received::Discarded(preview) => self.refuse_discarded(preview),
+                    Received::Part => {}
+                },
                 changed = status_changes.changed() => {
                     if changed.is_err() {
                         return Ok(());
@@ -165,6 +186,31 @@
         self.sender.send_message(Message::Confirmed(confirmation));
     }
 
+    /// Refuses a call that was not read because this node has no memory for it.
+    fn refuse_discarded(&self, discarded: FramePreview) {
+        static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+        if discarded.content != FrameContent::Call {
+            return;
+        }
+        if let Some(left_out) = LOG_RATE_LIMIT.admit() {
+            tracing::warn!(
+                bytes = discarded.payload_bytes,
+                left_out,
+                "no memory for a call of a peer; refusing it as not run"
+            );
+        }
+        let refusal = RefusalMessage {
+            kind: ErrorKind::Overloaded,
+            outcome: Outcome::NotRun,
+            retry_after: Some(MEMORY_RETRY_AFTER),
+            load: self.node.load(),
+        };
+        self.sender.send(&Frame {
+            call: discarded.call,
+            message: Message::Refusal(refusal),
+        });
+    }
+
     fn handle_frame(&self, frame: Frame) {
         let Self {
             node,
--- a/crates/tallybridge-mesh/src/log/decisions.rs
+++ b/crates/tallybridge-mesh/src/log/decisions.rs
@@ -37,7 +37,7 @@
 }
 
 /// Inputs of a refusal at the entry.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct EntryFacts<'a> {
     /// Attempt id set by the caller.
     pub attempt: &'a str,
--- a/crates/tallybridge-mesh/src/node/counters.rs
+++ b/crates/tallybridge-mesh/src/node/counters.rs
@@ -35,6 +35,8 @@
     pub crashes: AtomicU64,
     /// Calls refused because of the rate limit that the back end beside the node announces.
     pub rate_limited: AtomicU64,
+    /// Requests refused because the node has no memory for them.
+    pub out_of_memory: AtomicU64,
     /// Requests refused because they are quarantined.
     pub quarantined: AtomicU64,
 }
--- a/crates/tallybridge-mesh/src/node/mod.rs
+++ b/crates/tallybridge-mesh/src/node/mod.rs
@@ -50,8 +50,9 @@
 use self::{lifecycle::Lifecycle, signals::Signals, tables::Tables};
 use crate::{
     clock::BootInstant,
-    http::{AnswerBudget, ConnectionPool},
+    http::ConnectionPool,
     log::decisions::DecisionLog,
+    memory::MemoryBudget,
     platform::{HeaderNames, Platform},
     protocol::NodeRecord,
     settings::MeshSettings,
@@ -70,6 +71,8 @@
     pub record: NodeRecord,
     /// Slots of the back end beside this node.
     pub slots: BackendSlots,
+    /// Memory for requests and answers.
+    pub memory: MemoryBudget,
     /// Connections to the back end beside this node.
     pub backend: ConnectionPool,
     /// Counters for the metrics.
@@ -111,12 +114,11 @@
             keeps_notices: true,
         };
         let header_names = platform.header_names();
+        let memory = MemoryBudget::of_process(settings.memory_bytes());
         Self {
             slots: BackendSlots::default(),
-            backend: ConnectionPool::new(
-                settings.backend.address,
-                AnswerBudget::new(settings.answer_budget_bytes()),
-            ),
+            backend: ConnectionPool::new(settings.backend.address, memory.clone()),
+            memory,
             counters: Counters::default(),
             decisions: DecisionLog::default(),
             started_at: BootInstant::now(),
--- a/crates/tallybridge-mesh/src/protocol/answer.rs
+++ b/crates/tallybridge-mesh/src/protocol/answer.rs
@@ -64,7 +64,7 @@
 }
 
 impl AnswerMessage {
-    pub(super) fn encode(&self, out: &mut Vec<u8>) {
+    pub(super) fn encode_without_body(&self, out: &mut Vec<u8>) {
         let fields = AnswerFields {
             status: self.status,
             made_calls: self.made_calls.into(),
@@ -74,9 +74,8 @@
         };
         put_fields(&fields, out);
         self.times.encode(out);
-        out.reserve(self.head.len() + self.body.len());
+        out.reserve(self.head.len());
         out.extend_from_slice(&self.head);
-        out.extend_from_slice(&self.body);
     }
 
     pub(super) fn decode(mut payload: Bytes) -> Option<Self> {
--- a/crates/tallybridge-mesh/src/protocol/call.rs
+++ b/crates/tallybridge-mesh/src/protocol/call.rs
@@ -54,7 +54,7 @@
 }
 
 impl CallMessage {
-    pub(super) fn encode(&self, out: &mut Vec<u8>) {
+    pub(super) fn encode_without_body(&self, out: &mut Vec<u8>) {
         let fields = CallFields {
             remaining_ms: self.remaining_ms,
             wait_ms: self.wait_ms,
@@ -65,10 +65,9 @@
             head_length: self.head.len() as u32,
         };
         put_fields(&fields, out);
-        out.reserve(self.attempt.len() + self.head.len() + self.body.len());
+        out.reserve(self.attempt.len() + self.head.len());
         out.extend_from_slice(&self.attempt);
         out.extend_from_slice(&self.head);
-        out.extend_from_slice(&self.body);
     }
 
     fn flags(&self) -> u8 {
--- a/crates/tallybridge-mesh/src/protocol/message.rs
+++ b/crates/tallybridge-mesh/src/protocol/message.rs
@@ -115,7 +115,8 @@
         }
     }
 
-    pub(super) fn encode_payload(&self, out: &mut Vec<u8>) {
+    /// Writes the payload except for the body of a call or an answer, and returns that body.
+    pub(super) fn encode_payload(&self, out: &mut Vec<u8>) -> Bytes {
         match self {
             Self::Hello(bytes)
             | Self::Nodes(bytes)
@@ -123,8 +124,14 @@
             | Self::Register(bytes) => {
                 out.extend_from_slice(bytes);
             }
-            Self::Call(call) => call.encode(out),
-            Self::Answer(answer) => answer.encode(out),
+            Self::Call(call) => {
+                call.encode_without_body(out);
+                return call.body.clone();
+            }
+            Self::Answer(answer) => {
+                answer.encode_without_body(out);
+                return answer.body.clone();
+            }
             Self::Refusal(refusal) => refusal.encode(out),
             Self::Status(status) => status.encode(out),
             Self::Confirmed(confirmation) => put_fields(confirmation, out),
@@ -145,6 +152,7 @@
             | Self::FetchNodes
             | Self::Registered => {}
         }
+        Bytes::new()
     }
 
     /// Returns `None` for an unknown kind or a malformed payload.
--- a/crates/tallybridge-mesh/src/protocol/mod.rs
+++ b/crates/tallybridge-mesh/src/protocol/mod.rs
@@ -25,7 +25,7 @@
     backend_notice::BackendNotice,
     call::CallMessage,
     confirmation::{ClockMessage, ConfirmationMessage},
-    frame::{Frame, FrameError},
+    frame::{EncodedFrame, Frame, FrameContent, FrameError, FramePreview, HEADER_BYTES},
     load::Load,
     message::Message,
     quarantine::{
--- a/crates/tallybridge-mesh/src/request/entry/mod.rs
+++ b/crates/tallybridge-mesh/src/request/entry/mod.rs
@@ -13,7 +13,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use tallybridge_core::Outcome;
+use tallybridge_core::{ErrorKind, Outcome, Refusal};
 
 pub(super) use self::{prepare::MAX_CONFIGURATION_AGE, refusal::DEFAULT_RETRY_AFTER};
 use self::{
@@ -21,6 +21,7 @@
     refusal::refusal_answer,
 };
 use super::{
+    MEMORY_RETRY_AFTER,
     execute::ExecutedCall,
     forward::{Call, ForwardError, forward},
     quota,
@@ -66,6 +67,19 @@
     }
 }
 
+/// Returns the answer to a request that was not read completely because the node has no memory for it.
+pub fn refuse_for_memory(node: &Node) -> Response {
+    node.counters.requests.fetch_add(1, Ordering::Relaxed);
+    node.counters.refused.fetch_add(1, Ordering::Relaxed);
+    node.counters.out_of_memory.fetch_add(1, Ordering::Relaxed);
+    let detail = "no memory for the request, which was not read completely";
+    let refusal = Refusal::new(ErrorKind::Overloaded, detail);
+    let refusal = refusal.with_retry_after(MEMORY_RETRY_AFTER);
+    node.decisions
+        .refused_at_entry(&refusal, &EntryFacts::default());
+    refusal_answer(&refusal)
+}
+
 /// Forwards a call if its tenant's rate limit admits it. Keeps the token of a call that has not run.
 async fn forward_within_quota(node: &Arc<Node>, call: &Call) -> Result<ExecutedCall, ForwardError> {
     let Some(tenant) = &call.tenant else {
--- a/crates/tallybridge-mesh/src/run/mod.rs
+++ b/crates/tallybridge-mesh/src/run/mod.rs
@@ -20,6 +20,7 @@
         callers::CallerHandler, control::ControlHandler, metrics::MetricsHandler,
         peers::accept_peers, serve,
     },
+    memory::return_freed_memory,
     node::Node,
     platform::Platform,
     settings::MeshSettings,
@@ -55,6 +56,7 @@
     // Installed first, because a signal without a handler ends the process.
     let mut terminate = install_signal_handler(SignalKind::terminate())?;
     let hangup = install_signal_handler(SignalKind::hangup())?;
+    return_freed_memory();
     let node = start(settings, platform).await?;
     tokio::spawn(reload_settings(node.clone(), source, hangup));
     log_start(&node);
@@ -95,12 +97,8 @@
     let mut settings = settings;
     let listeners = Listeners::bind(&mut settings)?;
     let node = Arc::new(Node::new(settings, platform));
-    tokio::spawn(accept_peers(node.clone(), listeners.peers));
+    serve_listeners(&node, listeners);
     tokio::spawn(open_links(node.clone()));
-    tokio::spawn(serve(CallerHandler(node.clone()), listeners.callers));
-    tokio::spawn(serve(ControlHandler(node.clone()), listeners.ready));
-    tokio::spawn(serve(ControlHandler(node.clone()), listeners.reports));
-    tokio::spawn(serve(MetricsHandler(node.clone()), listeners.metrics));
     tokio::spawn(verify_instance(node.clone()));
     tokio::spawn(watch_for_crashes(node.clone()));
     tokio::spawn(follow_configuration(node.clone()));
@@ -113,6 +111,25 @@
     Ok(node)
 }
 
+/// Starts a task for each listener.
+fn serve_listeners(node: &Arc<Node>, listeners: Listeners) {
+    let clients = || node.memory.listener_clients(usize::MAX);
+    let control = || ControlHandler(node.clone());
+    tokio::spawn(accept_peers(node.clone(), listeners.peers, clients()));
+    tokio::spawn(serve(
+        CallerHandler(node.clone()),
+        listeners.callers,
+        clients(),
+    ));
+    tokio::spawn(serve(control(), listeners.ready, clients()));
+    tokio::spawn(serve(control(), listeners.reports, clients()));
+    tokio::spawn(serve(
+        MetricsHandler(node.clone()),
+        listeners.metrics,
+        clients(),
+    ));
+}
+
 async fn run_ticks(node: Arc<Node>) {
     let mut next_cleanup = Instant::now() + CLEANUP_INTERVAL;
     loop {
--- a/crates/tallybridge-mesh/src/settings/mod.rs
+++ b/crates/tallybridge-mesh/src/settings/mod.rs
@@ -15,9 +15,6 @@
 use crate::policy::PolicySettings;
 
 const BYTES_PER_MIB: usize = 1 << 20;
-/// The part of the memory that answers may take while they are being read is one in this many. The rest
-/// holds the tables, requests, and answers that are being passed on.
-const ANSWER_BUDGET_DIVISOR: usize = 3;
 
 /// All settings of a mesh node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -162,11 +159,10 @@
         Ok(settings)
     }
 
-    /// Returns the bytes that answers of the back end may take while they are being read.
+    /// Returns the memory of the process in bytes.
     #[must_use]
-    pub fn answer_budget_bytes(&self) -> usize {
-        let memory_bytes = self.memory_mb as usize * BYTES_PER_MIB;
-        memory_bytes / ANSWER_BUDGET_DIVISOR
+    pub const fn memory_bytes(&self) -> usize {
+        self.memory_mb as usize * BYTES_PER_MIB
     }
 
     /// Returns the names of the fields that differ in `other` and take effect only at a restart.
--- a/crates/tallybridge-mesh/src/tasks/links.rs
+++ b/crates/tallybridge-mesh/src/tasks/links.rs
@@ -5,8 +5,9 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use rand::Rng;
+use tallybridge_core::{ErrorKind, Outcome};
 use tokio::{
     io::AsyncWriteExt,
     net::{
@@ -22,11 +23,14 @@
     http::connect,
     link::{
         Link, Reply,
-        framing::{next_frame, read_hello, write_frames},
+        framing::{FrameReader, QueuedFrame, Received, read_hello, write_frames},
         liveness::UNACKNOWLEDGED_TIMEOUT,
     },
+    log::rate_limit::LogRateLimit,
     node::Node,
-    protocol::{ConfirmationMessage, Frame, Message, NodeRecord},
+    protocol::{
+        ConfirmationMessage, Frame, FramePreview, Load, Message, NodeRecord, RefusalMessage,
+    },
     tables::{ConfirmedVersion, LinkRequest},
 };
 
@@ -88,7 +92,7 @@
     buffer: BytesMut,
     writer: OwnedWriteHalf,
     /// Queue of frames to write.
-    frames: mpsc::UnboundedReceiver<Bytes>,
+    frames: mpsc::UnboundedReceiver<QueuedFrame>,
 }
 
 async fn open_link(node: &Node, address: SocketAddr) -> io::Result<OpenedLink> {
@@ -123,8 +127,8 @@
         link,
         record,
         hello_sent_at,
-        mut reader,
-        mut buffer,
+        reader,
+        buffer,
         writer,
         frames,
     } = opened;
@@ -141,18 +145,24 @@
     }
     send_initial_messages(node, &link);
     let write_task = tokio::spawn(write_frames(writer, frames));
+    let mut reader = FrameReader::new(reader, buffer, node.memory.clone());
     let read_loop = async {
         loop {
-            match next_frame(&mut reader, &mut buffer).await {
-                Ok(frame) => {
-                    link.record_frame(Instant::now());
+            let received = match reader.next().await {
+                Ok(received) => received,
+                Err(error) => return error.to_string(),
+            };
+            link.record_frame(Instant::now());
+            match received {
+                Received::Frame(frame) => {
                     if let Message::Clock(clock) = frame.message {
                         link.set_peer_clock(hello_sent_at, clock.now_ms);
                     } else {
                         handle_frame(node, address, &link, frame);
                     }
                 }
-                Err(error) => return error.to_string(),
+                Received::Discarded(preview) => fail_discarded_answer(&link, preview),
+                Received::Part => {}
             }
         }
     };
@@ -177,6 +187,26 @@
     }
 }
 
+/// Fails the call whose answer has no memory. The call has run.
+fn fail_discarded_answer(link: &Link, discarded: FramePreview) {
+    static LOG_RATE_LIMIT: LogRateLimit = LogRateLimit::new();
+    if let Some(left_out) = LOG_RATE_LIMIT.admit() {
+        tracing::warn!(
+            peer = link.peer(),
+            bytes = discarded.payload_bytes,
+            left_out,
+            "no memory for an answer; failing its call, whose outcome is unknown"
+        );
+    }
+    let refusal = RefusalMessage {
+        kind: ErrorKind::BackendFailed,
+        outcome: Outcome::Unknown,
+        retry_after: None,
+        load: Load::default(),
+    };
+    link.complete(discarded.call, Reply::Refusal(refusal));
+}
+
 fn handle_frame(node: &Node, address: SocketAddr, link: &Link, frame: Frame) {
     match frame.message {
         Message::Answer(answer) => {
--- a/crates/tallybridge-mesh/tests/answer_budget.rs
+++ b/crates/tallybridge-mesh/tests/answer_budget.rs
@@ -3,9 +3,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::future::join_all;
-use tallybridge_mesh::http::{
-    AnswerBudget, Connection, ExchangeError, ExchangeFailure, HeadError, ReceivedResponse,
-    ResponseLimits,
+use tallybridge_mesh::{
+    http::{
+        Connection, ExchangeError, ExchangeFailure, HeadError, ReceivedResponse, ResponseLimits,
+    },
+    memory::MemoryBudget,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -52,7 +54,7 @@
 
 async fn request(
     address: SocketAddr,
-    budget: &AnswerBudget,
+    budget: &MemoryBudget,
 ) -> Result<ReceivedResponse, ExchangeError> {
     let limits = ResponseLimits {
         budget: Some(budget.clone()),
@@ -87,7 +89,7 @@
 /// Guards against endless bodies that take all memory of the process together.
 #[tokio::test]
 async fn endless_bodies_together_stay_within_the_budget() {
-    let budget = AnswerBudget::new(BUDGET_BYTES);
+    let budget = MemoryBudget::new(BUDGET_BYTES);
     let server = start_server(endless(UNSIZED_HEAD, vec![b'x'; 16 * 1024])).await;
     let exchanges = join_all((0..24).map(|_| request(server, &budget)));
     let watching = async {
@@ -113,7 +115,7 @@
 /// Guards against ordinary answers that fail because of the large ones of a back end in trouble.
 #[tokio::test]
 async fn answers_that_stall_leave_room_for_others() {
-    let budget = AnswerBudget::new(BUDGET_BYTES);
+    let budget = MemoryBudget::new(BUDGET_BYTES);
     let stalling = Script {
         first: UNSIZED_HEAD.into(),
         repeated: vec![b'x'; 64 * 1024],
@@ -139,7 +141,7 @@
 
 #[tokio::test]
 async fn single_answer_may_take_most_of_the_budget() {
-    let budget = AnswerBudget::new(BUDGET_BYTES);
+    let budget = MemoryBudget::new(BUDGET_BYTES);
     let allowed = start_server(sized_response(BUDGET_BYTES / 2)).await;
     let body = request(allowed, &budget).await.unwrap().body;
     assert_eq!(body.len(), BUDGET_BYTES / 2);
@@ -154,7 +156,7 @@
 /// Guards against a client that reads header lines or interim responses until its deadline.
 #[tokio::test]
 async fn endless_heads_and_interim_responses_fail() {
-    let budget = AnswerBudget::new(BUDGET_BYTES);
+    let budget = MemoryBudget::new(BUDGET_BYTES);
     let lines = b"X-Filler: filler\r\n".repeat(512);
     let heads = start_server(endless("HTTP/1.1 200 OK\r\n", lines)).await;
     let cause = request(heads, &budget).await.unwrap_err().cause;
--- a/crates/tallybridge-mesh/tests/caller_connection.rs
+++ b/crates/tallybridge-mesh/tests/caller_connection.rs
@@ -14,6 +14,7 @@
     http::{Connection, HttpLimits, Request, RequestHandler, Response},
     in_flight::{InFlight, InFlightCounter},
     listener::serve,
+    memory::MemoryBudget,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,6 +27,9 @@
 /// Size of the answer to `/part`, in bytes. The system buffers several of them for a connection.
 const PART_BYTES: usize = 5_000;
 const PART_COUNT: usize = 6;
+/// Memory and connections beyond what any test here takes.
+const BUDGET_BYTES: usize = 256 << 20;
+const MAX_CONNECTIONS: usize = 100;
 const RECEIVE_BUFFER_BYTES: u32 = 4 * 1024;
 const SEGMENT_BYTES: u32 = 1448;
 
@@ -109,7 +113,8 @@
         in_flight: InFlightCounter::default(),
         closing_connections: InFlightCounter::default(),
     };
-    tokio::spawn(serve(echo.clone(), listener));
+    let clients = MemoryBudget::new(BUDGET_BYTES).listener_clients(MAX_CONNECTIONS);
+    tokio::spawn(serve(echo.clone(), listener, clients));
     (echo, connect_with_small_window(address).await)
 }
 
--- a/crates/tallybridge-mesh/tests/decisions.rs
+++ b/crates/tallybridge-mesh/tests/decisions.rs
@@ -10,7 +10,7 @@
 use tallybridge_mesh::{
     clock::BootInstant,
     configuration::tenants::{RateLimit, Tenant, TenantRank},
-    link::Link,
+    link::{Link, framing::QueuedFrame},
     protocol::{
         BackendState, CallMessage, CrashReport, Frame, Load, NodeRecord, PeerStatus,
         QuarantinedRequest, QuotaGrant, QuotaRequest, RequestDigest,
@@ -300,9 +300,10 @@
 }
 
 /// Returns the kind bytes of the frames sent since the last call.
-fn sent_kinds(frames: &mut mpsc::UnboundedReceiver<Bytes>) -> Vec<u8> {
+fn sent_kinds(frames: &mut mpsc::UnboundedReceiver<QueuedFrame>) -> Vec<u8> {
     let mut kinds = Vec::new();
     while let Ok(frame) = frames.try_recv() {
+        let frame = frame.to_bytes();
         assert!(Frame::decode(&mut BytesMut::from(&frame[..])).is_ok());
         kinds.push(frame[5]);
     }
--- a/crates/tallybridge-mesh/tests/delegates.rs
+++ b/crates/tallybridge-mesh/tests/delegates.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use tallybridge_mesh::{
     clock::BootInstant,
-    link::framing::FrameSender,
+    link::framing::{FrameSender, QueuedFrame},
     protocol::{Frame, Message},
     tables::Delegates,
 };
@@ -14,7 +14,7 @@
 /// A delegate, and the frames that it receives.
 struct Delegate {
     sender: FrameSender,
-    frames: UnboundedReceiver<Bytes>,
+    frames: UnboundedReceiver<QueuedFrame>,
 }
 
 impl Delegate {
@@ -36,7 +36,7 @@
     fn is_answered(&mut self) -> bool {
         let frame = self.frames.try_recv();
         frame.is_ok_and(|frame| {
-            let decoded = Frame::decode(&mut BytesMut::from(&frame[..]));
+            let decoded = Frame::decode(&mut BytesMut::from(&frame.to_bytes()[..]));
             decoded.unwrap().unwrap().message == Message::Registered
         })
     }
--- a/crates/tallybridge-mesh/tests/link.rs
+++ b/crates/tallybridge-mesh/tests/link.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use tallybridge_mesh::clock::BootInstant;
 use tallybridge_mesh::{
-    link::{Link, LinkError},
+    link::{Link, LinkError, framing::QueuedFrame},
     protocol::{CallMessage, Frame, Message},
 };
 use tokio::{
@@ -31,10 +31,10 @@
     }
 }
 
-fn take_sent(frames: &mut UnboundedReceiver<Bytes>) -> Vec<Message> {
+fn take_sent(frames: &mut UnboundedReceiver<QueuedFrame>) -> Vec<Message> {
     let mut messages = Vec::new();
     while let Ok(frame) = frames.try_recv() {
-        let mut buffer = BytesMut::from(&frame[..]);
+        let mut buffer = BytesMut::from(&frame.to_bytes()[..]);
         messages.push(Frame::decode(&mut buffer).unwrap().unwrap().message);
     }
     messages
