Links: a hello is at most 64 KiB

Callers would see a process end for lack of memory.

Cause: the first frame on the address of links was read like any other, up to 80 MiB, before its sender was known.

Change: a first frame of more than 64 KiB closes the connection. A hello has some hundred bytes.

--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -21,6 +21,8 @@
 /// which are idle.
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 const MAX_FRAMES_PER_WRITE: usize = 64;
+/// Largest payload of a hello. Its sender is unknown until it has been read.
+const MAX_HELLO_BYTES: usize = 64 * 1024;
 /// Memory of a call or an answer besides its payload: its task and its place in the tables.
 const MESSAGE_OVERHEAD_BYTES: usize = 4 * 1024;
 
@@ -229,6 +231,15 @@
     reader: &mut OwnedReadHalf,
     buffer: &mut BytesMut,
 ) -> io::Result<NodeRecord> {
+    let preview = loop {
+        if let Some(preview) = Frame::preview(buffer).map_err(invalid_data)? {
+            break preview;
+        }
+        read_some(reader, buffer).await?;
+    };
+    if preview.payload_bytes > MAX_HELLO_BYTES {
+        return Err(invalid_data("the first frame is too large for a hello"));
+    }
     let frame = next_frame(reader, buffer).await?;
     let Message::Hello(record) = frame.message else {
         return Err(invalid_data("the first frame is not a hello"));
