Metrics: requests with a body are refused

Callers would see a process end for lack of memory.

Cause: the metrics address read bodies up to the default limit of callers, 64 MiB each, and did not use them.

Change: a request with a body gets 413 and is not read.

--- a/crates/tallybridge-mesh/src/listener/metrics.rs
+++ b/crates/tallybridge-mesh/src/listener/metrics.rs
@@ -32,7 +32,10 @@
     }
 
     fn limits(&self) -> HttpLimits {
-        HttpLimits::default()
+        HttpLimits {
+            max_body_bytes: 0,
+            ..HttpLimits::default()
+        }
     }
 
     fn is_closing(&self) -> bool {
