Listeners: a bounded number of connections, the idlest are closed

Callers would find no node that accepts a connection, nor would its peers.

Cause: nothing limited connections. Clients that open as many as the process has descriptors and stay leave none for others, for links and for the back end.

Change: callers get half of the descriptors, and no more than an eighth of the memory holds; each other listener, and links before their hello, one in 32. A full listener closes the connection that has done nothing for the longest time: closing ones first, then those without a request, then those that are sending one. Connections with a running request are not closed; if all have one, a new connection is closed unread.

Why it works: what a client leaves open costs it its place, and a connection that is closed has not been read, so its request may be sent again.

--- a/crates/tallybridge-mesh/src/run/mod.rs
+++ b/crates/tallybridge-mesh/src/run/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! `listeners` binds the addresses, and `stop` has the phases of the planned stop.
 
+mod connection_limits;
 mod listeners;
 mod stop;
 
@@ -14,7 +15,7 @@
 };
 
 use self::listeners::Listeners;
-pub use self::stop::stop;
+pub use self::{connection_limits::ConnectionLimits, stop::stop};
 use crate::{
     listener::{
         callers::CallerHandler, control::ControlHandler, metrics::MetricsHandler,
@@ -113,20 +114,22 @@
 
 /// Starts a task for each listener.
 fn serve_listeners(node: &Arc<Node>, listeners: Listeners) {
-    let clients = || node.memory.listener_clients(usize::MAX);
+    let limits = ConnectionLimits::of_process(node.settings.memory_bytes());
+    let clients = |max_connections| node.memory.listener_clients(max_connections);
     let control = || ControlHandler(node.clone());
-    tokio::spawn(accept_peers(node.clone(), listeners.peers, clients()));
+    let others = limits.others;
+    tokio::spawn(accept_peers(node.clone(), listeners.peers, clients(others)));
     tokio::spawn(serve(
         CallerHandler(node.clone()),
         listeners.callers,
-        clients(),
+        clients(limits.callers),
     ));
-    tokio::spawn(serve(control(), listeners.ready, clients()));
-    tokio::spawn(serve(control(), listeners.reports, clients()));
+    tokio::spawn(serve(control(), listeners.ready, clients(others)));
+    tokio::spawn(serve(control(), listeners.reports, clients(others)));
     tokio::spawn(serve(
         MetricsHandler(node.clone()),
         listeners.metrics,
-        clients(),
+        clients(others),
     ));
 }
 
