Links: small frames overtake large ones that wait

Callers with small requests waited until all large bodies that were queued on the same link had been sent, and a large call whose caller had left was sent all the same.

Cause: frames were written in the order in which they were queued.

Change: frames with large bodies are written one at a time after the others that wait. A call that is cancelled before its turn is not sent, nor is its cancellation.

Evidence: small_frames_overtake_waiting_large_ones failed before with the order 1, 2, 3, 4 and passes with 5, 1, 2, 4; the digests of decisions are as before. A frame that is being written still delays others (docs/design/memory.md).

--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -1,6 +1,6 @@
 //! Reads, queues and writes frames on a connection between two nodes.
 
-use std::io;
+use std::{collections::VecDeque, io, iter};
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::{
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub struct QueuedFrame {
     frame: EncodedFrame,
+    call: u32,
+    is_cancel: bool,
     /// Dropped once the frame is written.
     _in_flight: Option<InFlight>,
 }
@@ -68,6 +70,8 @@
         // Fails only if the connection is closed. The connection's reader then ends its calls.
         let _ = self.0.send(QueuedFrame {
             frame: frame.encode_shared(),
+            call: frame.call,
+            is_cancel: matches!(frame.message, Message::Cancel),
             _in_flight: in_flight,
         });
     }
@@ -249,6 +253,9 @@
 
 /// Writes queued frames until the queue is closed, and joins waiting frames into one write.
 ///
+/// Frames with large bodies are written after the others that wait, so that small calls do not wait for several
+/// large ones. A call that is cancelled meanwhile is not sent.
+///
 /// # Errors
 ///
 /// Returns I/O errors of the connection.
@@ -257,27 +264,51 @@
     mut frames: mpsc::UnboundedReceiver<QueuedFrame>,
 ) -> io::Result<()> {
     let mut batch = Vec::with_capacity(MAX_FRAMES_PER_WRITE);
-    while frames.recv_many(&mut batch, MAX_FRAMES_PER_WRITE).await > 0 {
-        if let [queued] = &batch[..] {
+    let mut large = VecDeque::new();
+    loop {
+        if large.is_empty() {
+            if frames.recv_many(&mut batch, MAX_FRAMES_PER_WRITE).await == 0 {
+                return Ok(());
+            }
+        } else {
+            let waiting = iter::from_fn(|| frames.try_recv().ok());
+            batch.extend(waiting.take(MAX_FRAMES_PER_WRITE));
+        }
+        set_large_aside(&mut batch, &mut large);
+        match &batch[..] {
+            [] => {}
+            [queued] => writer.write_all(&queued.frame.head).await?,
+            several => {
+                let heads: Vec<_> = several
+                    .iter()
+                    .map(|queued| &queued.frame.head[..])
+                    .collect();
+                writer.write_all(&heads.concat()).await?;
+            }
+        }
+        batch.clear();
+        if let Some(queued) = large.pop_front() {
             writer.write_all(&queued.frame.head).await?;
             writer.write_all(&queued.frame.body).await?;
-            batch.clear();
-            continue;
         }
-        // Guards of frames are dropped after the write that contains them.
-        let mut joined = Vec::new();
-        let mut written = Vec::new();
-        for queued in batch.drain(..) {
-            joined.extend_from_slice(&queued.frame.head);
-            if !queued.frame.body.is_empty() {
-                writer.write_all(&joined).await?;
-                joined.clear();
-                writer.write_all(&queued.frame.body).await?;
-                written.clear();
-            }
-            written.push(queued);
+    }
+}
+
+/// Moves the frames with large bodies from `batch` to `large`. Removes calls that are cancelled before they were
+/// sent, together with their cancellations.
+fn set_large_aside(batch: &mut Vec<QueuedFrame>, large: &mut VecDeque<QueuedFrame>) {
+    let mut small = Vec::with_capacity(batch.len());
+    for queued in batch.drain(..) {
+        let is_unsent = |other: &QueuedFrame| other.call == queued.call;
+        if !queued.frame.body.is_empty() {
+            large.push_back(queued);
+        } else if queued.is_cancel
+            && let Some(index) = large.iter().position(is_unsent)
+        {
+            large.remove(index);
+        } else {
+            small.push(queued);
         }
-        writer.write_all(&joined).await?;
     }
-    Ok(())
+    *batch = small;
 }
