--- a/crates/standalone/tallybridge/tests/command_line/node_process.rs
+++ b/crates/standalone/tallybridge/tests/command_line/node_process.rs
@@ -1,15 +1,23 @@
 //! `node` as a process, from its start to a planned stop.
 
 use std::{
+    fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
     process::Stdio,
+    time::Duration,
 };
 
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use tokio::process::{Child, Command};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    process::{Child, Command},
+    task::JoinSet,
+    time::sleep,
+};
 
 use crate::support::{Files, Store, tallybridge};
 
@@ -32,16 +40,73 @@
         .expect("the program starts")
 }
 
+/// Memory of a machine in the users' deployments.
+const MACHINE_BYTES: u64 = 260 << 20;
+/// Clients that send all of a body but its last byte, and stay.
+const CLIENTS: usize = 60;
+const BODY_BYTES: usize = 16 << 20;
+
+fn settings_of(callers: SocketAddr, store: SocketAddr) -> String {
+    format!(
+        "peer_address = \"{}\"\ncaller_address = \"{callers}\"\nadmin_address = \"127.0.0.1:1\"\n\
+         region = \"north\"\nzone = \"hall-a\"\nstore = [\"{store}\"]\n",
+        free_address(),
+    )
+}
+
+/// Returns the peak memory of a process in bytes.
+fn peak_memory(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("the node runs");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kibibytes = line.and_then(|line| line.split_whitespace().nth(1));
+    let kibibytes: u64 = kibibytes
+        .and_then(|number| number.parse().ok())
+        .expect("a number");
+    kibibytes << 10
+}
+
+/// Connects once the node listens, and sends a body without its last byte.
+async fn send_short_of_end(callers: SocketAddr) -> TcpStream {
+    let mut stream = loop {
+        match TcpStream::connect(callers).await {
+            Ok(stream) => break stream,
+            Err(_) => sleep(Duration::from_millis(20)).await,
+        }
+    };
+    let head =
+        format!("POST /call/billing/ HTTP/1.1\r\nHost: h\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+    let body = vec![b'x'; BODY_BYTES - 1];
+    // Fails once the node refuses the request.
+    if stream.write_all(head.as_bytes()).await.is_ok() {
+        let _ = stream.write_all(&body).await;
+    }
+    stream
+}
+
+/// Guards against bodies that stay incomplete in memory.
+#[tokio::test]
+async fn incomplete_bodies_do_not_take_the_memory_of_a_machine() {
+    let (files, store) = (Files::new(), Store::start().await);
+    let callers = free_address();
+    let settings = files.write("node.toml", &settings_of(callers, store.address()));
+    let admin = free_address().to_string();
+    let node = start_node(settings.to_str().expect("text"), &admin);
+    let node_id = node.id().expect("the node runs");
+    let mut clients = JoinSet::new();
+    for _ in 0..CLIENTS {
+        clients.spawn(send_short_of_end(callers));
+    }
+    let clients = clients.join_all().await;
+    sleep(Duration::from_secs(1)).await;
+    let peak = peak_memory(node_id);
+    assert!(peak <= MACHINE_BYTES, "{} MiB of memory", peak >> 20);
+    drop(clients);
+}
+
 #[tokio::test]
 async fn a_node_takes_a_revision_up_and_stops_as_planned() {
     let (files, store) = (Files::new(), Store::start().await);
-    let settings = format!(
-        "peer_address = \"{}\"\ncaller_address = \"{}\"\nadmin_address = \"127.0.0.1:1\"\n\
-         region = \"north\"\nzone = \"hall-a\"\nstore = [\"{}\"]\n",
-        free_address(),
-        free_address(),
-        store.address(),
-    );
+    let settings = settings_of(free_address(), store.address());
     let settings = files.write("node.toml", &settings);
     let admin = free_address().to_string();
     let node = start_node(settings.to_str().expect("text"), &admin);
