Memory: a client that must give way grows no more, and counts again afterwards

A kept connection whose request was complete by then stayed marked for good: none of its later bytes counted.

Change: the request to give way comes before reading, a share of such a client does not grow, and a connection that has met the request is counted as before.

--- a/crates/tallybridge-mesh/src/http/server/mod.rs
+++ b/crates/tallybridge-mesh/src/http/server/mod.rs
@@ -65,7 +65,6 @@
         stream,
         requests: RequestReader::new(caller, client.budget()),
         client,
-        gave_up_memory: false,
         discarded_bytes: 0,
         pending: FuturesOrdered::new(),
         finished: VecDeque::new(),
@@ -93,8 +92,6 @@
     stream: TcpStream,
     requests: RequestReader,
     client: Client,
-    /// Whether the connection has given up what the budget demanded.
-    gave_up_memory: bool,
     /// Bytes that were read and dropped since the server accepts no more requests.
     discarded_bytes: usize,
     pending: FuturesOrdered<BoxFuture<'static, PendingResponse<H::Guard>>>,
@@ -143,6 +140,7 @@
                 () = self.client.connection_demanded(), if self.pending.is_empty() => {
                     return Ok(());
                 }
+                () = self.client.memory_demanded() => self.give_up_memory()?,
                 read = self.requests.read_some(&mut self.stream), if may_read => {
                     let count = read?;
                     if count == 0 {
@@ -150,9 +148,6 @@
                     }
                     self.record_read(count);
                 }
-                () = self.client.memory_demanded(), if !self.gave_up_memory => {
-                    self.give_up_memory()?;
-                }
                 () = sleep_until(deadline), if self.pending.is_empty() => {
                     if !self.requests.is_empty() {
                         self.reject(Response::new(REQUEST_TIMEOUT_STATUS, Bytes::new()));
@@ -226,14 +221,15 @@
     /// Gives up what the connection holds, since the memory budget needs it: closes the connection if answers
     /// wait for the caller, otherwise refuses the request that is being read.
     fn give_up_memory(&mut self) -> io::Result<()> {
-        self.gave_up_memory = true;
         if self.client.claimed_bytes(MemoryUse::Answer) > 0 {
             log_closed_for_memory();
             return Err(io::ErrorKind::OutOfMemory.into());
         }
+        // A request that was read completely meanwhile is not given up.
         if self.requests.is_in_body() {
             self.reject(self.handler.refuse_for_memory());
         }
+        self.client.meet_memory_demand();
         Ok(())
     }
 
@@ -356,7 +352,7 @@
         let written = tokio::select! {
             biased;
             written = writing => written,
-            () = answers_demanded(&self.client), if !self.gave_up_memory => {
+            () = answers_demanded(&self.client) => {
                 log_closed_for_memory();
                 return Err(io::ErrorKind::OutOfMemory.into());
             }
--- a/crates/tallybridge-mesh/src/memory/budget.rs
+++ b/crates/tallybridge-mesh/src/memory/budget.rs
@@ -244,8 +244,10 @@
         if let Some(claim) = &mut self.claim {
             claim.grow(added);
         }
-        let has_room = self.budget.leaves_room(self.memory_use, self.held_bytes)
-            || self.budget.make_room(self);
+        let is_demanded = self.claim.as_ref().is_some_and(Claim::is_demanded);
+        let has_room = !is_demanded
+            && (self.budget.leaves_room(self.memory_use, self.held_bytes)
+                || self.budget.make_room(self));
         if !has_room {
             self.budget.failures.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/tallybridge-mesh/src/memory/clients.rs
+++ b/crates/tallybridge-mesh/src/memory/clients.rs
@@ -38,7 +38,7 @@
     const ALL: [Self; 4] = [Self::Closing, Self::Idle, Self::Reading, Self::Busy];
 }
 
-/// A request to a connection, which is set once.
+/// A request to a connection.
 #[derive(Debug, Default)]
 struct Demand {
     is_set: AtomicBool,
@@ -51,6 +51,10 @@
         self.set.notify_one();
     }
 
+    fn clear(&self) {
+        self.is_set.store(false, Ordering::Relaxed);
+    }
+
     fn is_set(&self) -> bool {
         self.is_set.load(Ordering::Relaxed)
     }
@@ -243,6 +247,11 @@
         self.claims.state.memory_demand.wait().await;
     }
 
+    /// Records that the connection has given up all that it claimed.
+    pub fn meet_memory_demand(&self) {
+        self.claims.state.memory_demand.clear();
+    }
+
     /// Waits until the connection must be closed for another one.
     pub async fn connection_demanded(&self) {
         self.claims.state.connection_demand.wait().await;
@@ -312,6 +321,11 @@
         self.source.state.number
     }
 
+    /// Returns whether the connection must give up the bytes.
+    pub(super) fn is_demanded(&self) -> bool {
+        self.source.state.memory_demand.is_set()
+    }
+
     pub(super) fn grow(&mut self, bytes: usize) {
         let ClaimSource { budget, state } = &self.source;
         if state.claimed.total() == 0 {
--- a/crates/tallybridge-mesh/tests/memory.rs
+++ b/crates/tallybridge-mesh/tests/memory.rs
@@ -111,6 +111,39 @@
     assert_eq!(budget.evictions(), 1);
 }
 
+/// Guards against a fast client that goes on growing after it was asked to give way.
+#[tokio::test(start_paused = true)]
+async fn client_that_must_give_way_grows_no_more() {
+    let budget = MemoryBudget::new(LIMIT_BYTES);
+    let (slow, mut slow_share) = sender(&budget, 4 * MIB);
+    advance(Duration::from_secs(10)).await;
+    let mut growing = budget.begin(MemoryUse::Request);
+    assert!(growing.grow_to(4 * MIB));
+    assert!(must_give_up(&slow).await);
+    assert!(!slow_share.grow_to(5 * MIB));
+}
+
+/// Guards against a kept connection whose later requests count no more, since it gave way once.
+#[tokio::test(start_paused = true)]
+async fn client_that_gave_way_counts_again() {
+    let budget = MemoryBudget::new(LIMIT_BYTES);
+    let (slow, slow_share) = sender(&budget, 4 * MIB);
+    advance(Duration::from_secs(10)).await;
+    let mut growing = budget.begin(MemoryUse::Request);
+    assert!(growing.grow_to(4 * MIB));
+    assert!(must_give_up(&slow).await);
+    drop(slow_share);
+    slow.meet_memory_demand();
+    assert!(!must_give_up(&slow).await);
+    drop(growing);
+    let mut again = budget.begin_request_of(&slow);
+    assert!(again.grow_to(4 * MIB));
+    advance(Duration::from_secs(10)).await;
+    let mut other = budget.begin(MemoryUse::Request);
+    assert!(other.grow_to(4 * MIB));
+    assert!(must_give_up(&slow).await);
+}
+
 /// Guards against an old large request that takes the memory of new small ones.
 #[tokio::test(start_paused = true)]
 async fn request_that_costs_most_fails_itself() {
