Links: a queued frame takes 40 bytes

Cause: each link reserves space for 32 and for 64 queued frames, and a queued frame had grown from 32 to some 90 bytes.

Change: a frame refers to its large body by a pointer, its call and kind are read from its header, and space for a batch is reserved when it is needed.

--- a/crates/tallybridge-mesh/src/link/framing.rs
+++ b/crates/tallybridge-mesh/src/link/framing.rs
@@ -26,21 +26,40 @@
 /// Memory of a call or an answer besides its payload: its task and its place in the tables.
 const MESSAGE_OVERHEAD_BYTES: usize = 4 * 1024;
 
-/// A frame that waits to be written.
+/// A frame that waits to be written. Small, because each of hundreds of links reserves space for several.
 #[derive(Debug)]
 pub struct QueuedFrame {
-    frame: EncodedFrame,
-    call: u32,
-    is_cancel: bool,
-    /// Dropped once the frame is written.
-    _in_flight: Option<InFlight>,
+    head: Bytes,
+    /// Large body at the end of the frame.
+    body: Option<Box<Bytes>>,
 }
 
 impl QueuedFrame {
     /// Returns all bytes of the frame.
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
-        self.frame.to_bytes()
+        match &self.body {
+            Some(body) => [&self.head[..], &body[..]].concat().into(),
+            None => self.head.clone(),
+        }
+    }
+
+    /// Returns what the frame carries, and its call.
+    fn preview(&self) -> Option<FramePreview> {
+        // The header was encoded by this process, so it is valid.
+        Frame::preview(&self.head).ok().flatten()
+    }
+}
+
+/// Bytes of a frame with a guard that is dropped once they are written.
+struct TrackedBytes {
+    bytes: Bytes,
+    _in_flight: InFlight,
+}
+
+impl AsRef<[u8]> for TrackedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
@@ -57,23 +76,29 @@
 
     /// Queues a frame. Drops the frame if the connection is closed.
     pub fn send(&self, frame: &Frame) {
-        self.queue(frame, None);
+        self.queue(frame.encode_shared());
     }
 
     /// Queues a frame that counts as in flight until it is written. Drops both if the connection is
     /// closed.
     pub fn send_tracked(&self, frame: &Frame, in_flight: InFlight) {
-        self.queue(frame, Some(in_flight));
+        let mut encoded = frame.encode_shared();
+        // What is written last keeps the guard.
+        let last = match encoded.body.is_empty() {
+            true => &mut encoded.head,
+            false => &mut encoded.body,
+        };
+        *last = Bytes::from_owner(TrackedBytes {
+            bytes: std::mem::take(last),
+            _in_flight: in_flight,
+        });
+        self.queue(encoded);
     }
 
-    fn queue(&self, frame: &Frame, in_flight: Option<InFlight>) {
+    fn queue(&self, EncodedFrame { head, body }: EncodedFrame) {
+        let body = (!body.is_empty()).then(|| Box::new(body));
         // Fails only if the connection is closed. The connection's reader then ends its calls.
-        let _ = self.0.send(QueuedFrame {
-            frame: frame.encode_shared(),
-            call: frame.call,
-            is_cancel: matches!(frame.message, Message::Cancel),
-            _in_flight: in_flight,
-        });
+        let _ = self.0.send(QueuedFrame { head, body });
     }
 
     /// Returns whether the connection is still open for writing.
@@ -186,7 +211,7 @@
         let memory_use = match preview.content {
             FrameContent::Call => MemoryUse::Request,
             FrameContent::Answer => MemoryUse::Answer,
-            FrameContent::Other => {
+            FrameContent::Cancel | FrameContent::Other => {
                 let frame = Frame::decode(&mut self.buffer).map_err(invalid_data)?;
                 return Ok(frame.map(Received::Frame));
             }
@@ -263,7 +288,7 @@
     mut writer: OwnedWriteHalf,
     mut frames: mpsc::UnboundedReceiver<QueuedFrame>,
 ) -> io::Result<()> {
-    let mut batch = Vec::with_capacity(MAX_FRAMES_PER_WRITE);
+    let mut batch = Vec::new();
     let mut large = VecDeque::new();
     loop {
         if large.is_empty() {
@@ -277,19 +302,18 @@
         set_large_aside(&mut batch, &mut large);
         match &batch[..] {
             [] => {}
-            [queued] => writer.write_all(&queued.frame.head).await?,
+            [queued] => writer.write_all(&queued.head).await?,
             several => {
-                let heads: Vec<_> = several
-                    .iter()
-                    .map(|queued| &queued.frame.head[..])
-                    .collect();
+                let heads: Vec<_> = several.iter().map(|queued| &queued.head[..]).collect();
                 writer.write_all(&heads.concat()).await?;
             }
         }
         batch.clear();
         if let Some(queued) = large.pop_front() {
-            writer.write_all(&queued.frame.head).await?;
-            writer.write_all(&queued.frame.body).await?;
+            writer.write_all(&queued.head).await?;
+            if let Some(body) = &queued.body {
+                writer.write_all(body).await?;
+            }
         }
     }
 }
@@ -297,18 +321,28 @@
 /// Moves the frames with large bodies from `batch` to `large`. Removes calls that are cancelled before they were
 /// sent, together with their cancellations.
 fn set_large_aside(batch: &mut Vec<QueuedFrame>, large: &mut VecDeque<QueuedFrame>) {
-    let mut small = Vec::with_capacity(batch.len());
-    for queued in batch.drain(..) {
-        let is_unsent = |other: &QueuedFrame| other.call == queued.call;
-        if !queued.frame.body.is_empty() {
+    if large.is_empty() && batch.iter().all(|queued| queued.body.is_none()) {
+        return;
+    }
+    for queued in std::mem::take(batch) {
+        if queued.body.is_some() {
             large.push_back(queued);
-        } else if queued.is_cancel
-            && let Some(index) = large.iter().position(is_unsent)
-        {
-            large.remove(index);
-        } else {
-            small.push(queued);
+            continue;
+        }
+        let cancelled = queued
+            .preview()
+            .filter(|preview| preview.content == FrameContent::Cancel);
+        let unsent = cancelled.and_then(|cancel| {
+            let is_cancelled = |other: &QueuedFrame| {
+                other
+                    .preview()
+                    .is_some_and(|preview| preview.call == cancel.call)
+            };
+            large.iter().position(is_cancelled)
+        });
+        match unsent {
+            Some(index) => drop(large.remove(index)),
+            None => batch.push(queued),
         }
     }
-    *batch = small;
 }
--- a/crates/tallybridge-mesh/src/protocol/frame.rs
+++ b/crates/tallybridge-mesh/src/protocol/frame.rs
@@ -76,6 +76,8 @@
     Call,
     /// The answer to a call.
     Answer,
+    /// The cancellation of a call.
+    Cancel,
     /// Another message.
     Other,
 }
@@ -144,6 +146,7 @@
             content: match header.kind {
                 kind::CALL => FrameContent::Call,
                 kind::ANSWER => FrameContent::Answer,
+                kind::CANCEL => FrameContent::Cancel,
                 _ => FrameContent::Other,
             },
         }))
