Connections: the task of a connection is 3 KB smaller

Cause: the buffer into which a closing connection discards bytes is part of the task of every connection, and had grown from 1 to 4 KB.

Change: 1 KB again. The future of a connection has 2,656 instead of 5,728 bytes in a debug build.

--- a/crates/tallybridge-mesh/src/http/closing.rs
+++ b/crates/tallybridge-mesh/src/http/closing.rs
@@ -96,7 +96,7 @@
 where
     R: AsyncRead + AsRef<TcpStream> + Unpin,
 {
-    let mut buffer = [0_u8; 4096];
+    let mut buffer = [0_u8; 1024];
     let mut discarded_bytes = 0;
     let started_at = Instant::now();
     let mut delivery = Delivery::of(reader.as_ref());
