--- a/crates/tallybridge-mesh/src/http/closing.rs
+++ b/crates/tallybridge-mesh/src/http/closing.rs
@@ -86,8 +86,7 @@
 }
 
 /// Reads until the other side closes the connection, until nothing was acknowledged for `rest_timeout`, or
-/// for 20 s. The sending side must have been shut down. Discards what is read, at most
-/// [`MAX_DISCARDED_BYTES`].
+/// for 20 s. The sending side must have been shut down. Discards what is read, at most 4 MiB.
 ///
 /// # Errors
 ///
